--- /dev/null
+++ b/Makefile
@@ -0,0 +1,37 @@
+# Front door: `make` lists the targets.
+VENV ?= .venv
+PY := $(VENV)/bin/python
+PACKAGES := sheet policy messages ownership platform targets daemon cli standins bench
+
+.PHONY: help install format format-check lint types imports test check
+
+help:  ## list the targets
+	@grep -hE '^[a-z-]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*##/\t/' | sort
+
+$(VENV)/bin/python:
+	python3 -m venv $(VENV)
+
+install: $(VENV)/bin/python  ## install the workspace into .venv
+	$(PY) -m pip install -q -r requirements.txt
+	$(PY) -m pip install -q --no-build-isolation --no-deps $(foreach p,$(PACKAGES),-e packages/$(p))
+
+format:  ## format the code
+	$(VENV)/bin/ruff format .
+	$(VENV)/bin/ruff check --fix -q .
+
+format-check:  ## check the format
+	$(VENV)/bin/ruff format --check .
+
+lint:  ## lint the code
+	$(VENV)/bin/ruff check .
+
+types:  ## check the types
+	$(VENV)/bin/mypy $(foreach p,$(PACKAGES),packages/$(p)/src)
+
+imports:  ## check that no import crosses packages the wrong way
+	$(PY) tools/check_imports.py
+
+test:  ## run the tests
+	$(PY) -m pytest
+
+check: format-check lint types imports test  ## everything that CI runs
--- /dev/null
+++ b/packages/bench/src/berylstage_bench/__init__.py
@@ -0,0 +1,1 @@
+"""Load, experiment and benchmark tools."""
--- /dev/null
+++ b/packages/cli/src/berylstage_cli/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command line."""
--- /dev/null
+++ b/packages/daemon/src/berylstage_daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon that runs on each entry VM."""
--- /dev/null
+++ b/packages/messages/src/berylstage_messages/__init__.py
@@ -0,0 +1,1 @@
+"""Messages that VMs exchange, as generated protobuf code."""
--- /dev/null
+++ b/packages/ownership/src/berylstage_ownership/__init__.py
@@ -0,0 +1,1 @@
+"""Pure protocol core for leases, fences, moves and idempotency."""
--- /dev/null
+++ b/packages/policy/src/berylstage_policy/__init__.py
@@ -0,0 +1,1 @@
+"""Pure decisions under load."""
--- /dev/null
+++ b/packages/sheet/src/berylstage_sheet/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' sheet and the configuration it becomes."""
--- /dev/null
+++ b/packages/targets/src/berylstage_targets/__init__.py
@@ -0,0 +1,1 @@
+"""Client of the targets behind the router."""
