--- /dev/null
+++ b/packages/ownership/src/berylstage_ownership/conversation.py
@@ -0,0 +1,523 @@
+"""Messages to and from other VMs."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from berylstage_messages.control_pb2 import (
+    DOCUMENT_KIND_ASSIGNMENT,
+    DOCUMENT_KIND_CONFIGURATION,
+    Beat,
+    BeatReply,
+    Claim,
+    ClaimReply,
+    Envelope,
+    Fetch,
+    FetchReply,
+    Holder,
+    Release,
+    ReleaseReply,
+    Remaining,
+)
+
+from berylstage_ownership.actions import RecordsReceived
+from berylstage_ownership.constants import HEARTBEAT, RETRY
+from berylstage_ownership.core import Contact
+
+if TYPE_CHECKING:
+    from berylstage_ownership.actions import Action
+    from berylstage_ownership.core import Core
+    from berylstage_ownership.holdings import Pending
+    from berylstage_ownership.records import RecordSource
+    from berylstage_ownership.requests import PeerRequest
+
+MICROSECONDS = 1_000_000
+
+CLAIM_AFTER = 0.1
+"""Seconds in which a living prior may answer before the electors are asked."""
+
+CATCH_UP_EVERY = 0.2
+"""Seconds between two questions of a restarted elector to the others."""
+
+
+class Conversation:
+    """Sends this VM's requests and takes in the replies.
+
+    Parameters
+    ----------
+    core : Core
+    """
+
+    def __init__(self, core: Core):
+        self._core = core
+        self._beat_at = 0.0
+        self._retry_at = 0.0
+        self._catch_up_at = 0.0
+        self._down_told: list[str] = []
+        self._revision_told = 0
+
+    def due(self, now: float) -> list[Action]:
+        """Return the requests that are due.
+
+        Parameters
+        ----------
+        now : float
+
+        Returns
+        -------
+        list of Action
+        """
+        self._core.requests.drop_late(now)
+        actions: list[Action] = []
+        if now >= self._beat_at or self._has_news(now):
+            actions += self._beats(now)
+        if now >= self._retry_at:
+            self._retry_at = now + RETRY
+            actions += self._takeover(now)
+        if now >= self._catch_up_at and not self._core.elector.caught_up:
+            self._catch_up_at = now + CATCH_UP_EVERY
+            actions += self._catch_up(now)
+        return actions
+
+    def _has_news(self, now: float) -> bool:
+        """Tell whether the electors should hear from this VM before its time."""
+        down = self._down_targets(now)
+        return down != self._down_told or self._core.docs.revision > self._revision_told
+
+    def _down_targets(self, now: float) -> list[str]:
+        """Return the led targets that are down."""
+        holdings = self._core.holdings
+        return sorted(
+            target
+            for target in holdings.active_leads
+            if holdings.leads[target].down_reason(now)
+        )
+
+    def _beats(self, now: float) -> list[Action]:
+        """Return a heartbeat to each elector, and give this VM its own."""
+        core = self._core
+        self._beat_at = now + HEARTBEAT
+        self._down_told = self._down_targets(now)
+        self._revision_told = core.docs.revision
+        envelope = core.envelope()
+        envelope.beat.CopyFrom(self.beat(now))
+        self._beat_to_self(now, envelope.beat)
+        contacts = core.electors()
+        if core.assignment is None or core.out_of_touch(now):
+            contacts = core.anybody()
+        return [core.send(now, contact, envelope) for contact in contacts]
+
+    def beat_now(self, now: float) -> list[Action]:
+        """Return heartbeats at once."""
+        return self._beats(now)
+
+    def announce(self, now: float) -> list[Action]:
+        """Return a heartbeat to the whole cell, which tells of new documents."""
+        core = self._core
+        envelope = core.envelope()
+        envelope.beat.CopyFrom(self.beat(now))
+        return [core.send(now, contact, envelope) for contact in core.cell()]
+
+    def beat(self, now: float) -> Beat:
+        """Return this VM's heartbeat."""
+        core = self._core
+        settings, docs = core.settings, core.docs
+        assignment = docs.assignment
+        silent = []
+        if assignment is not None and core.is_elector():
+            silent = core.fleet.silent(now, assignment)
+        return Beat(
+            revision=docs.revision,
+            electorate_version=assignment.electorate_version if assignment else 0,
+            configuration_revision=docs.configuration_revision,
+            data_centre=settings.data_centre,
+            http_address=settings.http_address,
+            peer_address=settings.peer_address,
+            cell=settings.cell,
+            leaving=core.leaving,
+            released_revision=core.holdings.released_revision(now),
+            settled_revision=core.holdings.settled_revision(),
+            down_targets=self._down_targets(now),
+            silent_vms=silent,
+            load=core.load,
+            store_lost=core.store.lost,
+            elector_ready=not core.elector.is_mute(now),
+        )
+
+    def _beat_to_self(self, now: float, beat: Beat) -> None:
+        """Hear this VM's own heartbeat, and confirm it as an elector."""
+        core = self._core
+        settings = core.settings
+        core.fleet.heard(now, core.name, settings.incarnation, beat)
+        if self.confirm(now, core.name, settings.incarnation, beat):
+            return
+        assert core.assignment is not None
+        core.lease.confirmed(core.name, now, core.assignment)
+        if core.assignment.electorate == [core.name]:
+            core.in_touch_at = now
+
+    def confirm(self, now: float, vm: str, incarnation: int, beat: Beat) -> str:
+        """Confirm a lease, or return why not."""
+        core = self._core
+        return core.elector.confirm(
+            now,
+            vm,
+            incarnation,
+            beat.revision,
+            beat.electorate_version,
+            core.assignment,
+        )
+
+    def _takeover(self, now: float) -> list[Action]:
+        """Return releases and claims for what this VM waits for."""
+        core = self._core
+        pending = core.holdings.pending(now)
+        if not pending or core.assignment is None:
+            return []
+        actions = self._releases(now, pending)
+        since = core.holdings.waiting_since
+        if since is None or now - since < CLAIM_AFTER:
+            pending = [p for p in pending if not self._answers(p)]
+        priors = {p.prior for p in pending if not self._is_own(p)}
+        core.holdings.takeover.begin(core.assignment, priors)
+        return actions + self._claims(now)
+
+    def _is_own(self, pending: Pending) -> bool:
+        """Tell whether the prior is this very run of this VM."""
+        prior = pending.prior
+        own = (self._core.name, self._core.settings.incarnation)
+        return (prior.vm, prior.incarnation) == own
+
+    def _answers(self, pending: Pending) -> bool:
+        """Tell whether the prior's own process may still answer."""
+        assert self._core.assignment is not None
+        vm = self._core.assignment.vms.get(pending.prior.vm)
+        return vm is not None and vm.incarnation == pending.prior.incarnation
+
+    def _releases(self, now: float, pending: list[Pending]) -> list[Action]:
+        """Return a question to each prior whose process may answer."""
+        core = self._core
+        by_vm: dict[str, list[Pending]] = {}
+        for item in pending:
+            if not self._is_own(item) and self._answers(item):
+                by_vm.setdefault(item.prior.vm, []).append(item)
+        actions = []
+        for vm, items in by_vm.items():
+            contact = core.contact(vm)
+            if contact is None or core.requests.waiting(vm, "release"):
+                continue
+            envelope = core.envelope()
+            envelope.release.CopyFrom(self._release(items))
+            actions.append(core.send(now, contact, envelope))
+        return actions
+
+    def _release(self, items: list[Pending]) -> Release:
+        """Return the question whether one prior has let go of some items."""
+        return Release(
+            revision=self._core.docs.revision,
+            incarnation=items[0].prior.incarnation,
+            shards=sorted({p.item for p in items if not p.is_target}),
+            targets=sorted({p.item for p in items if p.is_target}),
+        )
+
+    def _claims(self, now: float) -> list[Action]:
+        """Return claims to the electors that have not promised."""
+        core = self._core
+        current = core.holdings.takeover.round
+        if current is None or current.complete:
+            return []
+        priors = [Holder(vm=vm, incarnation=run) for vm, run in current.holders]
+        claim = Claim(revision=current.revision, priors=priors)
+        actions = []
+        for elector in current.missing():
+            if elector == core.name:
+                remaining = self.promise(now, claim)
+                if remaining is not None:
+                    core.holdings.takeover.promised(
+                        claim.revision, elector, now, remaining
+                    )
+                continue
+            contact = core.contact(elector)
+            if contact is None or core.requests.waiting(elector, "claim"):
+                continue
+            envelope = core.envelope()
+            envelope.claim.CopyFrom(claim)
+            actions.append(core.send(now, contact, envelope))
+        return actions
+
+    def promise(self, now: float, claim: Claim) -> list[float] | None:
+        """Promise what a claim asks for."""
+        holders = [(prior.vm, prior.incarnation) for prior in claim.priors]
+        core = self._core
+        return core.elector.promise(now, claim.revision, holders, core.assignment)
+
+    def _catch_up(self, now: float) -> list[Action]:
+        """Return questions to the electors on what they have promised."""
+        core = self._core
+        actions = []
+        for contact in core.electors():
+            if not core.requests.waiting(contact.name, "fetch"):
+                actions.append(self._fetch(now, contact, DOCUMENT_KIND_ASSIGNMENT))
+        return actions
+
+    def _fetch(self, now: float, contact: Contact, kind: int) -> Action:
+        """Return a fetch of a document."""
+        docs = self._core.docs
+        have = docs.revision
+        if kind == DOCUMENT_KIND_CONFIGURATION:
+            have = docs.configuration_revision
+        envelope = self._core.envelope()
+        envelope.fetch.CopyFrom(Fetch(kind=kind, have_revision=have))  # type: ignore[arg-type]
+        return self._core.send(now, contact, envelope)
+
+    def catch_up_with(
+        self, now: float, contact: Contact, revision: int, configuration_revision: int
+    ) -> list[Action]:
+        """Return fetches of what another VM has newer.
+
+        Parameters
+        ----------
+        now : float
+        contact : Contact
+        revision, configuration_revision : int
+            What the other VM has in force.
+
+        Returns
+        -------
+        list of Action
+        """
+        core = self._core
+        if core.requests.waiting(contact.name, "fetch"):
+            return []
+        actions = []
+        if configuration_revision > core.docs.configuration_revision:
+            actions.append(self._fetch(now, contact, DOCUMENT_KIND_CONFIGURATION))
+        if revision > core.docs.revision:
+            actions.append(self._fetch(now, contact, DOCUMENT_KIND_ASSIGNMENT))
+        return actions
+
+
+class Answers:
+    """Answers the requests of other VMs.
+
+    Parameters
+    ----------
+    core : Core
+    conversation : Conversation
+    """
+
+    def __init__(self, core: Core, conversation: Conversation):
+        self._core = core
+        self._conversation = conversation
+        self.records: RecordSource | None = None
+
+    def answer(self, now: float, req: Envelope) -> tuple[Envelope, list[Action]]:
+        """Answer one request.
+
+        Parameters
+        ----------
+        now : float
+        req : Envelope
+
+        Returns
+        -------
+        (Envelope, list of Action)
+            The reply, and what is to be done besides.
+        """
+        reply = self._core.envelope()
+        kind = req.WhichOneof("body")
+        actions: list[Action] = []
+        if kind == "beat":
+            actions = self._on_beat(now, req, reply)
+        elif kind == "claim":
+            self._on_claim(now, req.claim, reply)
+        elif kind == "release":
+            actions = self._on_release(now, req, reply)
+        elif kind == "fetch":
+            self._on_fetch(now, req.fetch, reply)
+        return reply, actions
+
+    def _on_beat(self, now: float, req: Envelope, reply: Envelope) -> list[Action]:
+        """Answer a heartbeat."""
+        core = self._core
+        beat, sender = req.beat, req.sender
+        core.fleet.heard(now, sender.vm, sender.incarnation, beat)
+        refusal = self._conversation.confirm(now, sender.vm, sender.incarnation, beat)
+        assignment = core.assignment
+        reply.beat_reply.CopyFrom(
+            BeatReply(
+                confirmed=not refusal,
+                refusal=refusal,
+                revision=core.docs.revision,
+                configuration_revision=core.docs.configuration_revision,
+                electorate_version=assignment.electorate_version if assignment else 0,
+            )
+        )
+        contact = Contact(sender.vm, beat.peer_address)
+        return self._conversation.catch_up_with(
+            now, contact, beat.revision, beat.configuration_revision
+        )
+
+    def _on_claim(self, now: float, claim: Claim, reply: Envelope) -> None:
+        """Answer a claim."""
+        remaining = self._conversation.promise(now, claim)
+        answer = ClaimReply(
+            promised=remaining is not None,
+            refusal="" if remaining is not None else "mute",
+            revision=claim.revision,
+        )
+        for prior, left in zip(claim.priors, remaining or [], strict=False):
+            # Rounded up: a wait that ends a microsecond early would be no wait.
+            micros = int(left * MICROSECONDS) + (1 if left > 0 else 0)
+            answer.remaining.append(Remaining(holder=prior, microseconds=micros))
+        reply.claim_reply.CopyFrom(answer)
+
+    def _on_release(self, now: float, req: Envelope, reply: Envelope) -> list[Action]:
+        """Answer whether this VM has let go."""
+        core = self._core
+        release = req.release
+        answer = ReleaseReply(revision=core.docs.revision)
+        if release.incarnation == core.settings.incarnation:
+            holdings = core.holdings
+            for shard in release.shards:
+                if holdings.released(now, shard, release.revision):
+                    answer.shards.append(shard)
+            for target in release.targets:
+                if holdings.released(now, target, release.revision):
+                    answer.targets.append(target)
+            self._hand_over(answer)
+        reply.release_reply.CopyFrom(answer)
+        contact = core.contact(req.sender.vm)
+        if contact is None:
+            return []
+        return self._conversation.catch_up_with(now, contact, release.revision, 0)
+
+    def _hand_over(self, answer: ReleaseReply) -> None:
+        """Add the records of released shards, within the bound of the source."""
+        if self.records is None:
+            return
+        assert self._core.assignment is not None
+        for shard in answer.shards:
+            records = self.records.export(shard)
+            if records is not None:
+                answer.handover.append(records)
+
+    def _on_fetch(self, now: float, fetch: Fetch, reply: Envelope) -> None:
+        """Answer a fetch."""
+        core = self._core
+        docs = core.docs
+        answer = FetchReply(kind=fetch.kind)
+        if fetch.kind == DOCUMENT_KIND_CONFIGURATION:
+            answer.revision = docs.configuration_revision
+            if docs.configuration_revision > fetch.have_revision:
+                answer.document = docs.configuration_raw
+        else:
+            answer.revision = docs.revision
+            if docs.revision > fetch.have_revision:
+                answer.document = docs.assignment_raw
+        answer.electing = core.is_elector() and not core.elector.is_mute(now)
+        answer.floor = core.elector.floor
+        reply.fetch_reply.CopyFrom(answer)
+
+
+class Replies:
+    """Takes in the replies of other VMs.
+
+    Parameters
+    ----------
+    core : Core
+    conversation : Conversation
+    """
+
+    def __init__(self, core: Core, conversation: Conversation):
+        self._core = core
+        self._conversation = conversation
+
+    def take(self, now: float, req: PeerRequest, reply: Envelope) -> list[Action]:
+        """Take in one reply.
+
+        Parameters
+        ----------
+        now : float
+        req : PeerRequest
+            The request that it answers.
+        reply : Envelope
+
+        Returns
+        -------
+        list of Action
+        """
+        kind = reply.WhichOneof("body")
+        if kind == "beat_reply":
+            return self._on_beat_reply(now, req, reply)
+        if kind == "claim_reply":
+            self._on_claim_reply(now, req, reply.claim_reply)
+        elif kind == "release_reply":
+            return self._on_release_reply(now, req, reply.release_reply)
+        elif kind == "fetch_reply":
+            return self._on_fetch_reply(now, req, reply.fetch_reply)
+        return []
+
+    def _on_beat_reply(
+        self, now: float, req: PeerRequest, envelope: Envelope
+    ) -> list[Action]:
+        """Count a confirmation, and fetch what is newer there."""
+        core = self._core
+        reply = envelope.beat_reply
+        assignment = core.assignment
+        elector = envelope.sender.vm
+        if assignment is not None and elector in assignment.electorate:
+            core.in_touch_at = now
+        asked_under = req.envelope.beat.electorate_version
+        if (
+            reply.confirmed
+            and assignment is not None
+            and asked_under == assignment.electorate_version
+        ):
+            core.lease.confirmed(elector, req.sent_at, assignment)
+        contact = core.contact(elector) or Contact(elector, req.peer)
+        return self._conversation.catch_up_with(
+            now, contact, reply.revision, reply.configuration_revision
+        )
+
+    def _on_claim_reply(self, now: float, req: PeerRequest, reply: ClaimReply) -> None:
+        """Count a promise."""
+        if not reply.promised:
+            return
+        remaining = [left.microseconds / MICROSECONDS for left in reply.remaining]
+        takeover = self._core.holdings.takeover
+        takeover.promised(reply.revision, req.peer, now, remaining)
+
+    def _on_release_reply(
+        self, now: float, req: PeerRequest, reply: ReleaseReply
+    ) -> list[Action]:
+        """Note what a prior has let go of."""
+        core = self._core
+        asked = req.envelope.release
+        gone = {*reply.shards, *reply.targets}
+        actions: list[Action] = []
+        for pending in core.holdings.pending(now):
+            prior = pending.prior
+            holder = (prior.vm, prior.incarnation)
+            if holder != (req.peer, asked.incarnation) or pending.item not in gone:
+                continue
+            if prior.until <= asked.revision:
+                core.holdings.takeover.released(pending.item, prior)
+        actions += [RecordsReceived(records) for records in reply.handover]
+        actions += core.holdings.advance(now)
+        contact = core.contact(req.peer)
+        if contact is not None:
+            actions += self._conversation.catch_up_with(now, contact, reply.revision, 0)
+        return actions
+
+    def _on_fetch_reply(
+        self, now: float, req: PeerRequest, reply: FetchReply
+    ) -> list[Action]:
+        """Put a fetched document in force, and learn what an elector promised."""
+        core = self._core
+        if reply.kind == DOCUMENT_KIND_CONFIGURATION:
+            return list(core.take_configuration(reply.document))
+        actions: list[Action] = list(core.take_assignment(now, reply.document))
+        if reply.electing and core.assignment is not None:
+            core.elector.report_of_elector(req.peer, reply.floor, core.assignment)
+        return actions
--- /dev/null
+++ b/packages/ownership/src/berylstage_ownership/granting.py
@@ -0,0 +1,148 @@
+"""Sends grants to led targets, and lets former ones go."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from berylstage_ownership.actions import SendGrant, TargetLost, TargetUp
+from berylstage_ownership.constants import GRANT_TIMEOUT, HEARTBEAT
+
+if TYPE_CHECKING:
+    from berylstage_ownership.actions import Action
+    from berylstage_ownership.core import Core
+    from berylstage_ownership.events import TargetAnswer
+    from berylstage_ownership.grants import LedTarget
+
+
+class Granting:
+    """Renews grants and takes in the targets' answers.
+
+    Parameters
+    ----------
+    core : Core
+    """
+
+    def __init__(self, core: Core):
+        self._core = core
+        self._sent: dict[int, LedTarget] = {}
+        self._told: dict[str, str] = {}
+
+    def due(self, now: float) -> list[Action]:
+        """Return the grant orders that are due.
+
+        Parameters
+        ----------
+        now : float
+
+        Returns
+        -------
+        list of Action
+        """
+        core = self._core
+        actions: list[Action] = []
+        # A VM without a lease renews nothing: others may hold its shards already.
+        if core.lease.valid(now):
+            for target in sorted(core.holdings.active_leads):
+                led = core.holdings.leads[target]
+                if now >= led.send_at:
+                    wanted = self._wanted(now, target)
+                    actions += self._send(now, led, wanted)
+        actions += self._revocations(now)
+        self._sent = {
+            tag: led for tag, led in self._sent.items() if led.is_unanswered(tag)
+        }
+        return actions + self._notices(now)
+
+    def _wanted(self, now: float, target: str) -> dict[str, int]:
+        """Return the fence tokens that a target is to hold."""
+        cfg = self._core.docs.configuration
+        if cfg is None or target not in cfg.targets:
+            return {}
+        if not cfg.targets[target].checks_fences:
+            return {}
+        return self._core.holdings.wanted_grants(now, target)
+
+    def _send(self, now: float, led: LedTarget, wanted: dict[str, int]) -> list[Action]:
+        """Return one grant order."""
+        cfg = self._core.docs.configuration
+        if cfg is None or led.name not in cfg.targets:
+            return []
+        tag = self._core.next_tag()
+        lease_until = self._core.lease.until
+        order = led.prepare(now, tag, wanted, lease_until)
+        self._sent[tag] = led
+        anchor = led.anchor
+        return [
+            SendGrant(
+                led.name,
+                cfg.targets[led.name].address,
+                led.epoch,
+                led.version,
+                dict(order.shards),
+                anchor.clock if anchor else 0,
+                anchor.incarnation if anchor else "",
+                led.lifetime_ms(lease_until),
+                tag,
+                GRANT_TIMEOUT,
+            )
+        ]
+
+    def _revocations(self, now: float) -> list[Action]:
+        """Return empty orders to targets led no more, so that nobody waits long."""
+        holdings = self._core.holdings
+        actions: list[Action] = []
+        for led in holdings.former_leads:
+            busy = holdings.flights.target_busy(now, led.name)
+            if busy or now < led.send_at or not led.may_hold_any(now):
+                continue
+            actions += self._send(now, led, {})
+            led.send_at = now + HEARTBEAT
+        return actions
+
+    def answer(
+        self, now: float, target: str, tag: int, answer: TargetAnswer | None
+    ) -> list[Action]:
+        """Take in a target's answer to an order.
+
+        Parameters
+        ----------
+        now : float
+        target : str
+        tag : int
+        answer : TargetAnswer or None
+            None when no answer came.
+
+        Returns
+        -------
+        list of Action
+        """
+        led = self._sent.get(tag)
+        if led is None or led.name != target:
+            return []
+        if answer is None:
+            led.lost(now, tag)
+        else:
+            led.answered(now, tag, answer)
+            self._sent.pop(tag)
+        return [*self._core.holdings.advance(now), *self.due(now)]
+
+    def _notices(self, now: float) -> list[Action]:
+        """Return notices of led targets that went up or down."""
+        leads = self._core.holdings.leads
+        active = self._core.holdings.active_leads
+        notices: list[Action] = []
+        states: dict[str, str] = {}
+        for target in sorted(active):
+            led = leads[target]
+            reason = led.down_reason(now)
+            told = self._told.get(target)
+            if reason:
+                states[target] = reason
+                if told != reason:
+                    notices.append(TargetLost(target, reason))
+            elif led.up(now):
+                states[target] = f"up:{led.incarnation}:{led.cold}"
+                if told != states[target]:
+                    notices.append(TargetUp(target, led.incarnation, led.cold))
+        self._told = states
+        return notices
--- /dev/null
+++ b/packages/ownership/src/berylstage_ownership/holdings.py
@@ -0,0 +1,313 @@
+"""What this VM leads and may send work for, under the assignment in force."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from berylstage_ownership.actions import ShardActivated, ShardReleased
+from berylstage_ownership.drains import LostShard, WorkInFlight
+from berylstage_ownership.grants import LedTarget
+from berylstage_ownership.shards import service_of
+from berylstage_ownership.takeover import Takeover
+
+if TYPE_CHECKING:
+    from berylstage_sheet.configuration import Configuration
+
+    from berylstage_ownership.actions import Notice
+    from berylstage_ownership.assignment import Assignment, Prior, ShardOwner
+
+MILLISECONDS = 1000.0
+
+LONGEST_DEADLINE = 30.0
+"""Wait, in seconds, for the work of a target whose service nobody knows any more."""
+
+
+class Pending:
+    """A shard or target whose prior has not let go.
+
+    Parameters
+    ----------
+    item : str
+        Name of the shard or target.
+    is_target : bool
+    prior : Prior
+    """
+
+    __slots__ = ("item", "is_target", "prior")
+
+    def __init__(self, item: str, is_target: bool, prior: Prior):
+        self.item = item
+        self.is_target = is_target
+        self.prior = prior
+
+
+class Holdings:
+    """What this VM holds, gains and lets go of.
+
+    Parameters
+    ----------
+    name : str
+        Name of this VM.
+    incarnation : int
+    """
+
+    def __init__(self, name: str, incarnation: int):
+        self._name = name
+        self._incarnation = incarnation
+        self._assignment: Assignment | None = None
+        self._configuration: Configuration | None = None
+        self.takeover = Takeover()
+        self.flights = WorkInFlight()
+        self.leads: dict[str, LedTarget] = {}
+        self.active_leads: set[str] = set()
+        self.active: dict[str, int] = {}
+        self.former_leads: list[LedTarget] = []
+        self._mine: dict[str, ShardOwner] = {}
+        self._lost: list[LostShard] = []
+        self.waiting_since: float | None = None
+
+    def configure(self, configuration: Configuration) -> None:
+        """Take in the configuration, which says which targets check fences."""
+        self._configuration = configuration
+
+    def adopt(self, now: float, assignment: Assignment) -> None:
+        """Take in a newer assignment: stop what is lost, note what is gained.
+
+        Parameters
+        ----------
+        now : float
+        assignment : Assignment
+        """
+        self._assignment = assignment
+        epochs = {
+            target: lead.epoch
+            for target, lead in assignment.leaders.items()
+            if lead.vm == self._name and lead.incarnation == self._incarnation
+        }
+        mine = {
+            shard: owner
+            for shard, owner in assignment.owners.items()
+            if owner.target in epochs
+        }
+        self._stop_shards(mine, epochs)
+        self._change_leads(now, epochs)
+        self._mine = mine
+        self.waiting_since = now
+
+    def _stop_shards(self, mine: dict[str, ShardOwner], epochs: dict[str, int]) -> None:
+        """Stop admitting for shards that went, or came back under a new fence."""
+        for shard, fence in list(self.active.items()):
+            target = self._mine[shard].target
+            kept = mine.get(shard)
+            same_lead = epochs.get(target) == self.leads[target].epoch
+            if kept and kept.fence == fence and kept.target == target and same_lead:
+                continue
+            del self.active[shard]
+            self._lost.append(LostShard(shard, target, fence, self.leads[target]))
+
+    def _change_leads(self, now: float, epochs: dict[str, int]) -> None:
+        """Give up targets led no more and note those gained."""
+        for target, led in list(self.leads.items()):
+            if epochs.get(target) == led.epoch:
+                continue
+            del self.leads[target]
+            if target in self.active_leads:
+                self.active_leads.discard(target)
+                self.former_leads.append(led)
+        for target, epoch in epochs.items():
+            if target not in self.leads:
+                self.leads[target] = LedTarget(target, epoch, now)
+
+    def advance(self, now: float) -> list[Notice]:
+        """Let go of what has ended and activate what is free.
+
+        Parameters
+        ----------
+        now : float
+
+        Returns
+        -------
+        list of Notice
+        """
+        notices: list[Notice] = []
+        notices += self._let_go(now)
+        notices += self._activate(now)
+        return notices
+
+    def _let_go(self, now: float) -> list[Notice]:
+        """Return notices of lost shards that nothing holds any more."""
+        still: list[LostShard] = []
+        notices: list[Notice] = []
+        for lost in self._lost:
+            if self._held(now, lost):
+                still.append(lost)
+            else:
+                notices.append(ShardReleased(lost.shard, lost.target))
+        self._lost = still
+        self.former_leads = [
+            led
+            for led in self.former_leads
+            if self.flights.target_busy(now, led.name) or led.may_hold_any(now)
+        ]
+        return notices
+
+    def _held(self, now: float, lost: LostShard) -> bool:
+        """Tell whether a target may still work for a lost shard by this VM's order."""
+        if self.flights.busy(now, lost.target, lost.shard):
+            return True
+        return lost.led.may_hold(now, lost.shard, lost.fence)
+
+    def _activate(self, now: float) -> list[Notice]:
+        """Return notices of shards that this VM may serve from now on."""
+        notices: list[Notice] = []
+        if self._assignment is None:
+            return notices
+        for target in self.leads:
+            lead = self._assignment.leaders[target]
+            if target not in self.active_leads and self._clear(
+                now, target, target, lead.priors
+            ):
+                self.active_leads.add(target)
+                self.leads[target].watch_from(now)
+        for shard, owner in self._mine.items():
+            if shard in self.active or owner.target not in self.active_leads:
+                continue
+            if not self._clear(now, shard, owner.target, owner.priors):
+                continue
+            self.active[shard] = owner.fence
+            self.leads[owner.target].send_at = now
+            lead = self._assignment.leaders[owner.target]
+            planned = self._planned(shard, owner.priors) and self._planned(
+                owner.target, lead.priors
+            )
+            notices.append(ShardActivated(shard, owner.target, owner.fence, planned))
+        return notices
+
+    def _planned(self, item: str, priors: list[Prior]) -> bool:
+        """Tell whether each prior itself let go of an item."""
+        return all(
+            self._is_self(prior) or self.takeover.has_released(item, prior)
+            for prior in priors
+        )
+
+    def _clear(self, now: float, item: str, target: str, priors: list[Prior]) -> bool:
+        """Tell whether no prior can act on an item any more."""
+        return all(self._gone(now, item, target, prior) for prior in priors)
+
+    def _gone(self, now: float, item: str, target: str, prior: Prior) -> bool:
+        """Tell whether one prior can act on an item no more."""
+        if self._is_self(prior):
+            return self.released(now, item, prior.until)
+        if self.takeover.has_released(item, prior):
+            return True
+        lapse = self.takeover.lapse(prior)
+        if lapse is None:
+            return False
+        return now >= lapse + self._drain_time(item, target, prior)
+
+    def _is_self(self, prior: Prior) -> bool:
+        """Tell whether a prior is this very run of this VM."""
+        return prior.vm == self._name and prior.incarnation == self._incarnation
+
+    def _drain_time(self, item: str, target: str, prior: Prior) -> float:
+        """Return how long work of a lapsed holder may go on at its target.
+
+        A target that checks fences drops work when its grant lapses. One that does
+        not goes on until the request's deadline, and nobody alive knows of the
+        request: the key waits, or two targets would work on it.
+        """
+        if prior.target == target or self._configuration is None:
+            return 0.0
+        known = self._configuration.targets.get(prior.target)
+        if known is not None and known.checks_fences:
+            return 0.0
+        service = self._configuration.services.get(service_of(item))
+        if service is None:
+            return LONGEST_DEADLINE
+        deadlines = [kind.deadline_ms for kind in service.kinds.values()]
+        return max(deadlines, default=0) / MILLISECONDS
+
+    def pending(self, now: float) -> list[Pending]:
+        """Return what this VM waits for before it may act."""
+        found: list[Pending] = []
+        if self._assignment is None:
+            return found
+        for target in self.leads:
+            if target in self.active_leads:
+                continue
+            for prior in self._assignment.leaders[target].priors:
+                if not self._gone(now, target, target, prior):
+                    found.append(Pending(target, True, prior))
+        for shard, owner in self._mine.items():
+            if shard in self.active:
+                continue
+            for prior in owner.priors:
+                if not self._gone(now, shard, owner.target, prior):
+                    found.append(Pending(shard, False, prior))
+        return found
+
+    def released(self, now: float, item: str, until: int) -> bool:
+        """Tell whether this VM holds nothing of an item from below a revision.
+
+        Parameters
+        ----------
+        now : float
+        item : str
+            Name of a shard or target.
+        until : int
+            Revision that took it away.
+
+        Returns
+        -------
+        bool
+        """
+        if self._assignment is None or self._assignment.revision < until:
+            return False
+        if any(lost.shard == item for lost in self._lost):
+            return False
+        if item in self.active and self.active[item] < until:
+            return False
+        if item in self.active_leads and self.leads[item].epoch < until:
+            return False
+        former = any(led.name == item for led in self.former_leads)
+        return not (former and self.flights.target_busy(now, item))
+
+    def released_revision(self, now: float) -> int:
+        """Return the revision up to which everything lost has been let go of."""
+        if self._assignment is None or self._lost:
+            return 0
+        if any(self.flights.target_busy(now, led.name) for led in self.former_leads):
+            return 0
+        return self._assignment.revision
+
+    def settled_revision(self) -> int:
+        """Return the revision up to which everything gained is active."""
+        if self._assignment is None:
+            return 0
+        leads_active = len(self.active_leads) == len(self.leads)
+        shards_active = len(self.active) == len(self._mine)
+        if not (leads_active and shards_active):
+            return 0
+        return self._assignment.revision
+
+    def is_draining(self) -> bool:
+        """Tell whether anything lost has not been let go of."""
+        return bool(self._lost or self.former_leads)
+
+    def waiting_shards(self) -> int:
+        """Return the number of shards gained and not active yet."""
+        return len(self._mine) - len(self.active)
+
+    def wanted_grants(self, now: float, target: str) -> dict[str, int]:
+        """Return the fence token by shard that a led target is to hold."""
+        wanted = {
+            shard: fence
+            for shard, fence in self.active.items()
+            if self._mine[shard].target == target
+        }
+        for lost in self._lost:
+            # Revoking in the middle of a request would cut it.
+            busy = self.flights.busy(now, target, lost.shard)
+            if lost.target == target and busy:
+                wanted[lost.shard] = lost.fence
+        return wanted
--- /dev/null
+++ b/packages/ownership/src/berylstage_ownership/node.py
@@ -0,0 +1,452 @@
+"""The protocol core of one VM: events in, actions out, questions of the data path."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from berylstage_ownership.actions import LeaseGained, LeaseLost
+from berylstage_ownership.constants import PAUSE
+from berylstage_ownership.conversation import Answers, Conversation, Replies
+from berylstage_ownership.core import Core
+from berylstage_ownership.errors import (
+    Moving,
+    NoLease,
+    NotLeader,
+    TargetDown,
+    UnknownShard,
+)
+from berylstage_ownership.granting import Granting
+from berylstage_ownership.proposals import Proposals
+from berylstage_ownership.routing import Permit, Route
+from berylstage_ownership.settings import NodeSettings
+from berylstage_ownership.shards import shard_of
+from berylstage_ownership.status import NodeStatus, TargetStatus
+
+if TYPE_CHECKING:
+    from berylstage_messages.control_pb2 import Envelope
+
+    from berylstage_ownership.actions import Action
+    from berylstage_ownership.events import ListedVm, StoreResult, TargetAnswer
+    from berylstage_ownership.records import RecordSource
+
+__all__ = ["Node", "NodeSettings"]
+
+
+class Node:
+    """The protocol core of one VM.
+
+    Each method is a function of the state, the event and ``now``, the monotonic time
+    in seconds by a clock that also counts suspended time. It reads no clock, draws no
+    random number but from the generator in the settings, and does no input or output:
+    it returns the actions for the daemon to do, in order.
+
+    Parameters
+    ----------
+    settings : NodeSettings
+    now : float
+        Monotonic time of the start.
+    """
+
+    def __init__(self, settings: NodeSettings, now: float):
+        self._core = Core(settings, now)
+        self._conversation = Conversation(self._core)
+        self._answers = Answers(self._core, self._conversation)
+        self._replies = Replies(self._core, self._conversation)
+        self._proposals = Proposals(self._core, self._conversation)
+        self._granting = Granting(self._core)
+        self._had_lease = False
+        self._ticked_at = now
+
+    # Events
+
+    def tick(self, now: float) -> list[Action]:
+        """Do what is due; to be called about every 50 ms.
+
+        Parameters
+        ----------
+        now : float
+
+        Returns
+        -------
+        list of Action
+        """
+        core = self._core
+        if now - self._ticked_at > PAUSE:
+            self._wake(now)
+        self._ticked_at = now
+        core.elector.forget_lapsed(now)
+        actions: list[Action] = list(core.holdings.advance(now))
+        actions += self._conversation.due(now)
+        actions += self._proposals.due(now)
+        actions += self._granting.due(now)
+        return actions + self._lease_notices(now)
+
+    def _wake(self, now: float) -> None:
+        """Start all waits for signs of life anew after a pause of this process."""
+        self._core.fleet.listen_anew(now)
+        for led in self._core.holdings.leads.values():
+            led.watch_from(now)
+
+    def _lease_notices(self, now: float) -> list[Action]:
+        """Return a notice when the lease came or went."""
+        lease = self._core.lease
+        has = lease.valid(now)
+        if has == self._had_lease:
+            return []
+        self._had_lease = has
+        return [LeaseGained(lease.until) if has else LeaseLost()]
+
+    def peer_request(
+        self, now: float, sender: str, envelope: Envelope
+    ) -> tuple[Envelope, list[Action]]:
+        """Answer a request of another VM.
+
+        Parameters
+        ----------
+        now : float
+        sender : str
+            Name of the VM as the envelope gives it.
+        envelope : Envelope
+
+        Returns
+        -------
+        (Envelope, list of Action)
+            The reply to send back at once, and what is to be done besides.
+        """
+        return self._answers.answer(now, envelope)
+
+    def peer_reply(
+        self, now: float, peer: str, tag: int, reply: Envelope | None
+    ) -> list[Action]:
+        """Take in the reply to a :class:`SendPeer`.
+
+        Parameters
+        ----------
+        now : float
+        peer : str
+        tag : int
+        reply : Envelope or None
+            None when it was lost.
+
+        Returns
+        -------
+        list of Action
+        """
+        req = self._core.requests.take(tag)
+        if req is None or reply is None:
+            return []
+        actions = self._replies.take(now, req, reply)
+        return actions + self._lease_notices(now)
+
+    def store_reply(self, now: float, tag: int, result: StoreResult) -> list[Action]:
+        """Take in the result of a :class:`ReadStore` or :class:`WriteStore`.
+
+        Parameters
+        ----------
+        now : float
+        tag : int
+        result : StoreResult
+
+        Returns
+        -------
+        list of Action
+        """
+        return self._proposals.reply(now, tag, result)
+
+    def vm_list(self, now: float, vms: list[ListedVm]) -> list[Action]:
+        """Take in the platform's list of VMs, which lags.
+
+        Parameters
+        ----------
+        now : float
+        vms : list of ListedVm
+
+        Returns
+        -------
+        list of Action
+        """
+        self._core.listed(now, vms)
+        return []
+
+    def grant_reply(
+        self, now: float, target: str, tag: int, answer: TargetAnswer | None
+    ) -> list[Action]:
+        """Take in a target's answer to a :class:`SendGrant`.
+
+        Parameters
+        ----------
+        now : float
+        target : str
+        tag : int
+        answer : TargetAnswer or None
+            None when no answer came.
+
+        Returns
+        -------
+        list of Action
+        """
+        return self._granting.answer(now, target, tag, answer)
+
+    def target_unwilling(self, now: float, target: str, reason: str) -> list[Action]:
+        """Note that a target refused work with a reason of its own, such as draining.
+
+        Parameters
+        ----------
+        now : float
+        target : str
+        reason : str
+
+        Returns
+        -------
+        list of Action
+        """
+        led = self._core.holdings.leads.get(target)
+        if led is not None:
+            led.refusal = reason
+        return []
+
+    def work_started(
+        self, now: float, target: str, shard: str, deadline: float
+    ) -> None:
+        """Count a request that leaves for a target.
+
+        Parameters
+        ----------
+        now : float
+        target : str
+        shard : str
+            Empty where keys are not owned.
+        deadline : float
+            Monotonic time after which the target itself drops it.
+        """
+        self._core.holdings.flights.started(target, shard, deadline)
+
+    def work_ended(self, now: float, target: str, shard: str) -> list[Action]:
+        """Count a request that ended, with an answer or certainly without effect.
+
+        Parameters
+        ----------
+        now : float
+        target, shard : str
+
+        Returns
+        -------
+        list of Action
+        """
+        holdings = self._core.holdings
+        holdings.flights.ended(target, shard)
+        return list(holdings.advance(now)) if holdings.is_draining() else []
+
+    def set_load(self, load: bytes) -> None:
+        """Set the load digest that goes with each heartbeat."""
+        self._core.load = load
+
+    def set_records(self, source: RecordSource) -> None:
+        """Set where the records of requests come from when a shard is handed over."""
+        self._answers.records = source
+
+    def leave(self, now: float) -> list[Action]:
+        """Ask for this VM's targets to be led by others, before it stops.
+
+        Parameters
+        ----------
+        now : float
+
+        Returns
+        -------
+        list of Action
+        """
+        self._core.leaving = True
+        return self._conversation.beat_now(now)
+
+    def may_stop(self, now: float) -> bool:
+        """Tell whether this VM, which leaves, leads nothing and holds nothing."""
+        holdings = self._core.holdings
+        return not holdings.leads and not holdings.is_draining()
+
+    # The data path's questions
+
+    def shard_of(self, service: str, key: str) -> str:
+        """Return the shard of a key; empty where keys are not owned.
+
+        Raises
+        ------
+        UnknownShard
+            No assignment is in force yet.
+        """
+        if self._core.assignment is None:
+            raise UnknownShard(f"{service}/")
+        return shard_of(service, key, self._core.assignment)
+
+    def route(self, service: str, shard: str) -> Route:
+        """Return where requests of a shard go.
+
+        Parameters
+        ----------
+        service, shard : str
+
+        Returns
+        -------
+        Route
+
+        Raises
+        ------
+        UnknownShard
+            The assignment in force has no such shard.
+        """
+        assignment = self._core.assignment
+        owner = assignment.owners.get(shard) if assignment else None
+        if assignment is None or owner is None:
+            raise UnknownShard(shard)
+        return self.leader_of(owner.target)
+
+    def leader_of(self, target: str) -> Route:
+        """Return the VM that leads a target; an empty name when nobody does."""
+        assignment = self._core.assignment
+        lead = assignment.leaders.get(target) if assignment else None
+        if assignment is None or lead is None:
+            return Route(target, "", "")
+        vm = assignment.vms.get(lead.vm)
+        return Route(target, lead.vm, vm.peer_address if vm else "")
+
+    def admission(self, now: float, service: str, shard: str) -> Permit:
+        """Return leave to send one request of a shard now.
+
+        It has to be asked again for each request, right before sending: a process
+        that was paused in between may have lost its lease.
+
+        Parameters
+        ----------
+        now : float
+        service, shard : str
+
+        Returns
+        -------
+        Permit
+
+        Raises
+        ------
+        UnknownShard, NotLeader, Moving, NoLease, TargetDown
+            The request must not be sent, and certainly did not run.
+        """
+        route = self.route(service, shard)
+        holdings = self._core.holdings
+        led = holdings.leads.get(route.target)
+        if led is None:
+            raise NotLeader(shard, route.vm, route.peer_address)
+        if not self._core.lease.valid(now):
+            raise NoLease()
+        if route.target not in holdings.active_leads:
+            raise Moving(shard)
+        if led.down_reason(now):
+            raise TargetDown(route.target)
+        fence = holdings.active.get(shard)
+        if fence is None:
+            raise Moving(shard)
+        if self._checks_fences(route.target):
+            if led.fence_in_force(now, shard) != fence:
+                raise Moving(shard)
+        elif not led.up(now):
+            raise Moving(shard)
+        return Permit(route.target, fence, led.epoch)
+
+    def free_admission(self, now: float, target: str) -> Permit:
+        """Return leave to send a request whose key is not owned to a led target.
+
+        Parameters
+        ----------
+        now : float
+        target : str
+
+        Returns
+        -------
+        Permit
+            With fence 0.
+
+        Raises
+        ------
+        NotLeader, NoLease, Moving, TargetDown
+            The request must not be sent there now.
+        """
+        holdings = self._core.holdings
+        led = holdings.leads.get(target)
+        if led is None:
+            route = self.leader_of(target)
+            raise NotLeader(target, route.vm, route.peer_address)
+        if not self._core.lease.valid(now):
+            raise NoLease()
+        if target not in holdings.active_leads:
+            raise Moving(target)
+        if led.down_reason(now):
+            raise TargetDown(target)
+        if not led.up(now):
+            raise Moving(target)
+        cfg = self._core.docs.configuration
+        if cfg is None or target not in cfg.targets:
+            raise TargetDown(target)
+        if not cfg.takes_work(cfg.targets[target]):
+            raise TargetDown(target)
+        return Permit(target, 0, led.epoch)
+
+    def _checks_fences(self, target: str) -> bool:
+        """Tell whether a target refuses work under an old fence token."""
+        cfg = self._core.docs.configuration
+        return cfg is not None and (
+            target in cfg.targets and cfg.targets[target].checks_fences
+        )
+
+    def led_targets(self, now: float) -> list[str]:
+        """Return the targets that this VM may send work to now."""
+        if not self._core.lease.valid(now):
+            return []
+        holdings = self._core.holdings
+        return [
+            target
+            for target in sorted(holdings.active_leads)
+            if holdings.leads[target].up(now)
+        ]
+
+    @property
+    def lease_until(self) -> float:
+        """Monotonic time at which this VM's lease ends; 0 without any."""
+        return self._core.lease.until
+
+    def ready(self, now: float) -> bool:
+        """Tell whether the balancer may send callers to this VM.
+
+        It needs both documents and word of an elector: it can then forward even if it
+        leads nothing itself, as after a start during an outage of the store.
+        """
+        core = self._core
+        known = core.docs.configuration is not None and core.assignment is not None
+        return known and not core.leaving and not core.out_of_touch(now)
+
+    def status(self, now: float) -> NodeStatus:
+        """Return a snapshot for the status page."""
+        core, holdings = self._core, self._core.holdings
+        assignment = core.assignment
+        return NodeStatus(
+            name=core.name,
+            revision=core.docs.revision,
+            configuration_revision=core.docs.configuration_revision,
+            lease_left=max(0.0, core.lease.until - now),
+            role=self._proposals.role(now).value,
+            electorate=list(assignment.electorate) if assignment else [],
+            electorate_version=assignment.electorate_version if assignment else 0,
+            muted=core.elector.is_mute(now),
+            store_lost=core.store.lost,
+            targets=[
+                TargetStatus(
+                    name,
+                    led.epoch,
+                    led.up(now),
+                    led.cold,
+                    led.down_reason(now),
+                    len(holdings.wanted_grants(now, name)),
+                )
+                for name, led in sorted(holdings.leads.items())
+            ],
+            active_shards=len(holdings.active),
+            waiting_shards=holdings.waiting_shards(),
+            store_calls=core.store.calls_made,
+        )
--- /dev/null
+++ b/packages/ownership/src/berylstage_ownership/routing.py
@@ -0,0 +1,42 @@
+"""What the data path asks for: where a shard is served, and whether here and now."""
+
+from __future__ import annotations
+
+
+class Route:
+    """Where requests of a shard go.
+
+    Parameters
+    ----------
+    target : str
+        Target that owns the shard.
+    vm, peer_address : str
+        VM that leads the target; empty when nobody does yet.
+    """
+
+    __slots__ = ("target", "vm", "peer_address")
+
+    def __init__(self, target: str, vm: str, peer_address: str):
+        self.target = target
+        self.vm = vm
+        self.peer_address = peer_address
+
+
+class Permit:
+    """Leave to send one request to a target now.
+
+    Parameters
+    ----------
+    target : str
+    fence : int
+        Fence token of the shard; 0 where keys are not owned.
+    epoch : int
+        Epoch of this VM's lead.
+    """
+
+    __slots__ = ("target", "fence", "epoch")
+
+    def __init__(self, target: str, fence: int, epoch: int):
+        self.target = target
+        self.fence = fence
+        self.epoch = epoch
