--- a/packages/targets/src/berylstage_targets/target.py
+++ b/packages/targets/src/berylstage_targets/target.py
@@ -28,6 +28,8 @@
         Seconds that the client waits at most.
     fresh_connection : bool
         Whether to open a new connection, so that no silent one can swallow it.
+    idempotency_key : str
+        Key that names the work over all attempts; empty when the caller sent none.
     """
 
     __slots__ = (
@@ -44,6 +46,7 @@
         "deadline",
         "timeout",
         "fresh_connection",
+        "idempotency_key",
     )
 
     def __init__(
@@ -61,6 +64,7 @@
         deadline: float,
         timeout: float,
         fresh_connection: bool = False,
+        idempotency_key: str = "",
     ):
         self.request_id = request_id
         self.service = service
@@ -75,6 +79,7 @@
         self.deadline = deadline
         self.timeout = timeout
         self.fresh_connection = fresh_connection
+        self.idempotency_key = idempotency_key
 
 
 class WorkAnswer:
