--- a/Makefile
+++ b/Makefile
@@ -35,3 +35,9 @@
 	$(PY) -m pytest
 
 check: format-check lint types imports test  ## everything that CI runs
+
+.PHONY: proto
+proto:  ## generate the message code (needs grpcio-tools)
+	$(PY) -m pip install -q grpcio-tools
+	cd packages/messages/src && PATH=$(abspath $(VENV))/bin:$$PATH $(abspath $(PY)) -m grpc_tools.protoc -I. \
+	  --python_out=. --pyi_out=. --grpclib_python_out=. berylstage_messages/*.proto
--- /dev/null
+++ b/packages/daemon/src/berylstage_daemon/clock.py
@@ -0,0 +1,20 @@
+"""Clocks: monotonic time that counts suspension, and wall-clock time."""
+
+from __future__ import annotations
+
+import time
+
+# A paused or suspended VM must see on waking that its lease is over. CLOCK_MONOTONIC
+# stands still while a VM is suspended, so that a lease would seem to go on;
+# CLOCK_BOOTTIME does not.
+_CLOCK = getattr(time, "CLOCK_BOOTTIME", time.CLOCK_MONOTONIC)
+
+
+def now() -> float:
+    """Return monotonic seconds since some fixed moment, suspension included."""
+    return time.clock_gettime(_CLOCK)
+
+
+def wall() -> float:
+    """Return wall-clock seconds since 1970."""
+    return time.time()
