--- a/packages/standins/src/berylstage_standins/target.py
+++ b/packages/standins/src/berylstage_standins/target.py
@@ -175,18 +175,15 @@
             ],
             log_function=lambda handler: None,
         )
-        return _Server(application, self)
+        server = _Server(application)
+        server.target = self
+        return server
 
 
 class _Server(HTTPServer):
     """Server that limits and remembers its connections."""
 
-    def initialize(self, application: Application, target: Target) -> None:
-        super().initialize(application)
-        self.target = target
-
-    def __new__(cls, application: Application, target: Target) -> _Server:
-        return super().__new__(cls, application, target=target)
+    target: Target
 
     def handle_stream(self, stream: IOStream, address: tuple) -> None:
         streams = self.target.streams
--- a/packages/standins/src/berylstage_standins/work.py
+++ b/packages/standins/src/berylstage_standins/work.py
@@ -6,10 +6,14 @@
 import random
 import time
 from collections import deque
+from typing import TYPE_CHECKING
 
 from berylstage_standins.grants import GrantTable
 from berylstage_standins.ledger import COLD_BOUND_BROKEN, RAN, LedgerWriter
 
+if TYPE_CHECKING:
+    from typing import Any
+
 # Factor by which work slows down once the bound of a cold start is broken.
 COLD_BREAK_FACTOR = 10.0
 # Milliseconds of work for a kind without a setting of its own.
@@ -251,8 +255,9 @@
         cancelled = asyncio.ensure_future(job.cancelled.wait())
         left = job.deadline - time.time() if job.deadline else None
         try:
+            either: set[asyncio.Future[Any]] = {turn, cancelled}
             await asyncio.wait(
-                {turn, cancelled}, timeout=left, return_when=asyncio.FIRST_COMPLETED
+                either, timeout=left, return_when=asyncio.FIRST_COMPLETED
             )
         finally:
             cancelled.cancel()
