--- /dev/null
+++ b/packages/sheet/src/berylstage_sheet/cells.py
@@ -0,0 +1,231 @@
+"""What the cells of a sheet may hold, and how they are read."""
+
+from __future__ import annotations
+
+import math
+import re
+from abc import ABC, abstractmethod
+from enum import Enum
+from ipaddress import ip_address
+
+MAX_NAME_LENGTH = 63
+MAX_KEY_LENGTH = 256
+MAX_PORT = 65535
+NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9-]*")
+THRESHOLD = re.compile(r"[A-Za-z][A-Za-z0-9_.-]*")
+
+
+class BadCell(ValueError):
+    """The text of a cell cannot be read; the reader adds the place.
+
+    Parameters
+    ----------
+    problem : str
+    remedy : str
+    """
+
+    def __init__(self, problem: str, remedy: str):
+        super().__init__(f"{problem}; {remedy}")
+        self.problem = problem
+        self.remedy = remedy
+
+
+class Cell(ABC):
+    """One type of cell."""
+
+    @abstractmethod
+    def read(self, text: str):
+        """Return the value that a cell's text stands for.
+
+        Parameters
+        ----------
+        text : str
+            The cell without spaces around it; never empty.
+
+        Raises
+        ------
+        BadCell
+            The text is not of this type.
+        """
+
+    @abstractmethod
+    def describe(self) -> str:
+        """Return what the cell may hold, for the operators' pages."""
+
+
+class NameCell(Cell):
+    """A name that needs no escaping in a URL or a metric."""
+
+    def read(self, text: str) -> str:
+        """Return the name."""
+        if len(text) > MAX_NAME_LENGTH:
+            raise BadCell(
+                f"the name has {len(text)} characters",
+                f"use {MAX_NAME_LENGTH} at most",
+            )
+        if not NAME.fullmatch(text):
+            raise BadCell(
+                f"{text!r} is no name",
+                "use letters, digits and dashes, beginning with a letter or digit",
+            )
+        return text
+
+    def describe(self) -> str:
+        """Return what the cell may hold."""
+        return f"letters, digits and dashes, {MAX_NAME_LENGTH} at most"
+
+
+class KeyCell(Cell):
+    """A key of a service, exactly as callers send it before percent-encoding."""
+
+    def read(self, text: str) -> str:
+        """Return the key."""
+        if len(text) > MAX_KEY_LENGTH:
+            raise BadCell(
+                f"the key has {len(text)} characters", f"use {MAX_KEY_LENGTH} at most"
+            )
+        if not text.isprintable():
+            raise BadCell("the key has a control character", "remove it")
+        return text
+
+    def describe(self) -> str:
+        """Return what the cell may hold."""
+        return f"the key as callers name it, {MAX_KEY_LENGTH} characters at most"
+
+
+class TextCell(Cell):
+    """Free text on one line."""
+
+    def read(self, text: str) -> str:
+        """Return the text."""
+        if not text.isprintable():
+            raise BadCell("the text has a line break", "write it on one line")
+        return text
+
+    def describe(self) -> str:
+        """Return what the cell may hold."""
+        return "text on one line"
+
+
+class ThresholdCell(Cell):
+    """Name of one of the policy's thresholds."""
+
+    def read(self, text: str) -> str:
+        """Return the name."""
+        if not THRESHOLD.fullmatch(text):
+            raise BadCell(
+                f"{text!r} is no threshold", "take a name from the thresholds' table"
+            )
+        return text
+
+    def describe(self) -> str:
+        """Return what the cell may hold."""
+        return "name of a threshold"
+
+
+class ChoiceCell(Cell):
+    """One word out of a few.
+
+    Parameters
+    ----------
+    choices : type of Enum or tuple of Enum
+        The values that the cell may stand for.
+    """
+
+    def __init__(self, *choices: Enum):
+        self.choices = {choice.value: choice for choice in choices}
+
+    def read(self, text: str) -> Enum:
+        """Return the value chosen, whatever the case of its letters."""
+        choice = self.choices.get(text.casefold())
+        if choice is None:
+            raise BadCell(f"{text!r} is not allowed here", f"use {self.describe()}")
+        return choice
+
+    def describe(self) -> str:
+        """Return what the cell may hold."""
+        return " or ".join(f"`{word}`" for word in self.choices)
+
+
+class YesNoCell(Cell):
+    """Yes or no."""
+
+    WORDS = {"yes": True, "no": False}
+
+    def read(self, text: str) -> bool:
+        """Return True for yes."""
+        answer = self.WORDS.get(text.casefold())
+        if answer is None:
+            raise BadCell(f"{text!r} is not allowed here", f"use {self.describe()}")
+        return answer
+
+    def describe(self) -> str:
+        """Return what the cell may hold."""
+        return "`yes` or `no`"
+
+
+class IntegerCell(Cell):
+    """A whole number in a range.
+
+    Parameters
+    ----------
+    low, high : int
+        Bounds, both included.
+    """
+
+    def __init__(self, low: int, high: int):
+        self.low = low
+        self.high = high
+
+    def read(self, text: str) -> int:
+        """Return the number."""
+        if not (text.isascii() and text.isdecimal()):
+            raise BadCell(f"{text!r} is no whole number", f"use {self.describe()}")
+        # Bounded before it is read: a cell of a million digits would take the
+        # processor for seconds.
+        if len(text) > len(str(self.high)) or not self.low <= int(text) <= self.high:
+            raise BadCell(f"{text[:20]} is out of range", f"use {self.describe()}")
+        return int(text)
+
+    def describe(self) -> str:
+        """Return what the cell may hold."""
+        return f"a whole number from {self.low} to {self.high}"
+
+
+class NumberCell(Cell):
+    """A number with or without a fraction, written with a point or a comma."""
+
+    def read(self, text: str) -> float:
+        """Return the number."""
+        try:
+            number = float(text.replace(",", "."))
+        except ValueError:
+            raise BadCell(f"{text!r} is no number", "write it like 0.5") from None
+        if not math.isfinite(number):
+            raise BadCell(f"{text!r} is no number", "write it like 0.5")
+        return number
+
+    def describe(self) -> str:
+        """Return what the cell may hold."""
+        return "a number"
+
+
+class AddressCell(Cell):
+    """An IP number and a port; names are not looked up."""
+
+    def read(self, text: str) -> str:
+        """Return the address as ``ip:port``, in its shortest spelling."""
+        host, _, port = text.rpartition(":")
+        try:
+            ip = ip_address(host.removeprefix("[").removesuffix("]"))
+        except ValueError:
+            raise BadCell(f"{text!r} is no address", f"use {self.describe()}") from None
+        if not (port.isascii() and port.isdecimal() and len(port) <= 5):
+            raise BadCell(f"{text!r} has no port", f"use {self.describe()}")
+        if not 1 <= int(port) <= MAX_PORT:
+            raise BadCell(f"port {port} is out of range", f"use 1 to {MAX_PORT}")
+        return f"[{ip}]:{int(port)}" if ip.version == 6 else f"{ip}:{int(port)}"
+
+    def describe(self) -> str:
+        """Return what the cell may hold."""
+        return "IP number and port, like `10.1.2.3:8080`"
