--- a/packages/sheet/src/berylstage_sheet/configuration.py
+++ b/packages/sheet/src/berylstage_sheet/configuration.py
@@ -5,6 +5,9 @@
 import json
 from enum import Enum
 
+# Where the store holds the configuration.
+CONFIGURATION_KEY = "berylstage/configuration"
+
 
 class Ownership(Enum):
     """Whether the keys of a service have one owning target."""
