--- /dev/null
+++ b/packages/policy/src/berylstage_policy/costs.py
@@ -0,0 +1,82 @@
+"""What work costs, learned by kind from what was observed.
+
+The load it answers: kinds whose service times differ by orders of magnitude, and
+targets that become slow. Without it every wait would be a guess, and a reconciliation
+that runs for seconds would count like a lookup.
+"""
+
+from __future__ import annotations
+
+from berylstage_policy.thresholds import Thresholds
+
+# Kinds that are remembered; a sheet has tens. The one seen least recently goes first.
+KINDS = 256
+
+
+class KindCost:
+    """Observed service time of one kind: smoothed mean and deviation, in seconds."""
+
+    __slots__ = ("mean", "deviation", "long")
+
+    def __init__(self, seconds: float):
+        self.mean = seconds
+        self.deviation = seconds / 2
+        self.long = False
+
+
+class CostModel:
+    """Service times by kind, and which kinds are long beside the others."""
+
+    __slots__ = ("_kinds", "_typical", "_gain", "_default", "_ratio", "_floor")
+
+    def __init__(self, thresholds: Thresholds):
+        self._kinds: dict[str, KindCost] = {}
+        self._typical = 0.0
+        self._gain = thresholds["cost_gain"]
+        self._default = thresholds["cost_default"]
+        self._ratio = thresholds["long_ratio"]
+        self._floor = thresholds["long_floor"]
+
+    def observe(self, kind: str, seconds: float, is_short: bool) -> None:
+        """Learn from one whole answer.
+
+        Parameters
+        ----------
+        kind : str
+        seconds : float
+            Time in the slot.
+        is_short : bool
+            Whether it was queued as short work, which sets what is typical.
+        """
+        cost = self._kinds.pop(kind, None) or KindCost(seconds)
+        self._kinds[kind] = cost
+        if len(self._kinds) > KINDS:
+            del self._kinds[next(iter(self._kinds))]
+        error = seconds - cost.mean
+        cost.mean += self._gain * error
+        cost.deviation += self._gain * (abs(error) - cost.deviation)
+        if is_short:
+            gain = self._gain if self._typical else 1.0
+            self._typical += gain * (seconds - self._typical)
+        self._classify(cost)
+
+    def _classify(self, cost: KindCost) -> None:
+        """Mark a kind long, or short again when it has fallen to half of that."""
+        bound = max(self._floor, self._ratio * self._typical)
+        cost.long = cost.mean >= (bound / 2 if cost.long else bound)
+
+    def known(self, kind: str) -> bool:
+        """Tell whether a kind has been observed."""
+        return kind in self._kinds
+
+    def mean(self, kind: str) -> float:
+        """Return the expected service time, in seconds."""
+        cost = self._kinds.get(kind)
+        if cost is None:
+            return self._typical or self._default
+        return cost.mean
+
+    def is_long(self, kind: str) -> bool:
+        """Tell whether a kind takes much longer than typical work."""
+        cost = self._kinds.get(kind)
+        return cost is not None and cost.long
--- /dev/null
+++ b/packages/policy/src/berylstage_policy/fairness.py
@@ -0,0 +1,192 @@
+"""Fair queueing over a tree of flows.
+
+The load it answers: one tenant, class or caller that sends far more than the others. In
+a first-in-first-out queue its backlog is everybody's wait. Here each level of the tree
+shares the slots' time by start-time fair queueing: the child that has had the least
+time for its weight goes next, and a child that was idle starts level with the others,
+so that nobody saves up a claim to all slots.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from heapq import heappop, heappush
+from typing import Generic, TypeVar
+
+T = TypeVar("T")
+
+# Idle flows that a level remembers, so that a caller who sends one request at a time
+# can't shed its debt by being idle in between. Bounds the memory of each level.
+IDLE_FLOWS = 256
+
+
+class Flow(Generic[T]):
+    """One node of the tree: a share of its parent's time.
+
+    Parameters
+    ----------
+    parent : Flow or None
+    weight : float
+        Share of the time, relative to the other children of the parent.
+    """
+
+    __slots__ = (
+        "parent",
+        "weight",
+        "start_tag",
+        "now_tag",
+        "children",
+        "heap",
+        "active_weight",
+        "items",
+        "size",
+        "backlog",
+    )
+
+    def __init__(self, parent: Flow[T] | None, weight: float):
+        self.parent = parent
+        self.weight = weight
+        # Time received for each unit of weight; the parent serves the lowest first.
+        self.start_tag = 0.0
+        # Start tag of the child served last: where children that wake up begin.
+        self.now_tag = 0.0
+        self.children: dict[str, Flow[T]] = {}
+        # Lazy heap of (start tag, id, child); entries with an old tag are dropped.
+        self.heap: list[tuple[float, int, Flow[T]]] = []
+        self.active_weight = 0.0
+        self.items: deque[tuple[T, float]] = deque()
+        self.size = 0
+        self.backlog = 0.0
+
+    def child(self, name: str, weight: float) -> Flow[T]:
+        """Return the child with that name, made when it is new."""
+        found = self.children.get(name)
+        if found is None:
+            if len(self.children) >= IDLE_FLOWS:
+                self._forget_idle()
+            found = self.children[name] = Flow(self, weight)
+            found.start_tag = self.now_tag
+        return found
+
+    def _forget_idle(self) -> None:
+        """Drop the idle children that owe nothing, or else half of the idle ones."""
+        idle = [name for name, flow in self.children.items() if not flow.size]
+        settled = [n for n in idle if self.children[n].start_tag <= self.now_tag]
+        for name in settled or idle[: len(idle) // 2]:
+            del self.children[name]
+
+    def charge(self, cost: float) -> None:
+        """Count time that was received, on this flow and those above."""
+        flow = self
+        while flow.parent is not None:
+            flow.start_tag += cost / flow.weight
+            if flow.size:
+                heappush(flow.parent.heap, (flow.start_tag, id(flow), flow))
+            flow = flow.parent
+
+    def first(self) -> Flow[T]:
+        """Return the active child that has had least; there must be one."""
+        heap = self.heap
+        while True:
+            tag, _, flow = heap[0]
+            if flow.size and tag == flow.start_tag:
+                return flow
+            heappop(heap)
+
+
+class FairQueue(Generic[T]):
+    """Tree of flows, the leaves of which hold items in order of arrival."""
+
+    __slots__ = ("root",)
+
+    def __init__(self) -> None:
+        self.root: Flow[T] = Flow(None, 1.0)
+
+    def __len__(self) -> int:
+        return self.root.size
+
+    def leaf(self, path: tuple[tuple[str, float], ...]) -> Flow[T]:
+        """Return the leaf at a path of (name, weight) from the root down."""
+        flow = self.root
+        for name, weight in path:
+            flow = flow.child(name, weight)
+        return flow
+
+    def push(self, leaf: Flow[T], item: T, cost: float) -> None:
+        """Add an item with its expected cost at the end of a leaf."""
+        leaf.items.append((item, cost))
+        flow: Flow[T] = leaf
+        while flow.parent is not None:
+            parent = flow.parent
+            if not flow.size:
+                if flow.start_tag < parent.now_tag:
+                    flow.start_tag = parent.now_tag
+                parent.active_weight += flow.weight
+                heappush(parent.heap, (flow.start_tag, id(flow), flow))
+            flow.size += 1
+            flow.backlog += cost
+            flow = parent
+        flow.size += 1
+        flow.backlog += cost
+
+    def pop(self, top: str | None = None) -> tuple[T, Flow[T]]:
+        """Take the next item out, of one child of the root if it is named.
+
+        Returns
+        -------
+        item, leaf
+            The leaf is where the cost is charged.
+        """
+        flow = self.root
+        if top is not None:
+            flow = flow.children[top]
+            self.root.now_tag = max(self.root.now_tag, flow.start_tag)
+        while not flow.items:
+            parent, flow = flow, flow.first()
+            parent.now_tag = max(parent.now_tag, flow.start_tag)
+        item, cost = flow.items.popleft()
+        self._shrink(flow, cost)
+        return item, flow
+
+    def remove(self, leaf: Flow[T], item: T) -> None:
+        """Take an item out that will not be served."""
+        for index, (found, cost) in enumerate(leaf.items):
+            if found is item:
+                del leaf.items[index]
+                self._shrink(leaf, cost)
+                return
+
+    def _shrink(self, leaf: Flow[T], cost: float) -> None:
+        """Count one item less on a leaf and all flows above."""
+        flow: Flow[T] | None = leaf
+        while flow is not None:
+            flow.size -= 1
+            flow.backlog = flow.backlog - cost if flow.size else 0.0
+            if not flow.size and flow.parent is not None:
+                flow.parent.active_weight -= flow.weight
+            flow = flow.parent
+
+    def ahead(self, leaf: Flow[T]) -> float:
+        """Return the work that is served before a newcomer of a leaf starts.
+
+        Its own flow's backlog, and what the neighbours on each level get meanwhile by
+        their weights, but never more than they have waiting.
+        """
+        flow: Flow[T] = leaf
+        work = leaf.backlog
+        while flow.parent is not None:
+            parent = flow.parent
+            weights = parent.active_weight + (0.0 if flow.size else flow.weight)
+            work = min(parent.backlog, work * weights / flow.weight)
+            flow = parent
+        return work
+
+    def heaviest(self) -> Flow[T]:
+        """Return the leaf with the most work for its weight, level by level."""
+        flow = self.root
+        while flow.children:
+            flow = max(
+                (child for child in flow.children.values() if child.size),
+                key=lambda child: child.backlog / child.weight,
+            )
+        return flow
--- /dev/null
+++ b/packages/policy/src/berylstage_policy/queue.py
@@ -0,0 +1,426 @@
+"""The one queue in front of a target: what starts, waits or is turned away.
+
+The load it answers: bursts, saturation, callers that flood, and long work among short.
+Without a bounded queue that knows deadlines, overload makes every answer late: the
+slots stay busy with requests whose callers have gone. Without the reserve for short
+work, two long requests close a target with two slots to everybody else.
+"""
+
+from __future__ import annotations
+
+from heapq import heapify, heappop, heappush
+from typing import TYPE_CHECKING
+
+from berylstage_policy.backoff import RetryAfter
+from berylstage_policy.coldstart import ColdStart
+from berylstage_policy.costs import CostModel
+from berylstage_policy.fairness import FairQueue, Flow
+from berylstage_policy.slots import residual, time_to_serve
+from berylstage_policy.tickets import (
+    Decision,
+    Outcome,
+    Refuse,
+    RefuseReason,
+    Start,
+    Ticket,
+    Wait,
+)
+
+if TYPE_CHECKING:
+    from random import Random
+
+    from berylstage_policy.thresholds import Thresholds
+
+SHORT = "short"
+LONG = "long"
+
+
+class _Entry:
+    """One ticket inside the queue or in a slot."""
+
+    __slots__ = ("ticket", "leaf", "cost", "is_short", "latest_start", "started")
+
+    def __init__(
+        self,
+        ticket: Ticket,
+        leaf: Flow[_Entry],
+        cost: float,
+        is_short: bool,
+        latest_start: float,
+    ):
+        self.ticket = ticket
+        self.leaf = leaf
+        self.cost = cost
+        self.is_short = is_short
+        self.latest_start = latest_start
+        self.started = 0.0
+
+
+class TargetQueue:
+    """Admission, queue and slots of one led target.
+
+    Parameters
+    ----------
+    slots : int
+        Requests that the warm target works on at the same time.
+    thresholds : Thresholds
+    rng : Random
+        Spreads the moments at which refused callers come back.
+    now : float
+        Monotonic seconds.
+
+    Attributes
+    ----------
+    ramp : ColdStart
+        Tell it of incarnations and load reports.
+    costs : CostModel
+        What kinds of work take on this target.
+    """
+
+    def __init__(self, slots: int, thresholds: Thresholds, rng: Random, now: float):
+        self.ramp = ColdStart(slots, thresholds, now)
+        self.costs = CostModel(thresholds)
+        self._retry_after = RetryAfter(rng, thresholds)
+        self._fair: FairQueue[_Entry] = FairQueue()
+        self._waiting: dict[str, _Entry] = {}
+        self._running: dict[str, _Entry] = {}
+        self._running_long = 0
+        # Lazy heap of (latest start, ticket id): entries of tickets that no longer
+        # wait are dropped when they surface, or all at once when they are too many.
+        self._expiry: list[tuple[float, str]] = []
+        self._displaced: list[Refuse] = []
+        self._draining = False
+        self._short_seen = float("-inf")
+        self._planned_limit = 1
+        self._queue_limit = int(thresholds["queue_limit"])
+        self._wait_share = thresholds["wait_share"]
+        self._short_presence = thresholds["short_presence"]
+        self._lane_weights = {SHORT: thresholds["short_weight"], LONG: 1.0}
+        self._class_weights = {
+            "interactive": thresholds["weight_interactive"],
+            "standard": thresholds["weight_standard"],
+            "batch": thresholds["weight_batch"],
+        }
+
+    @property
+    def waiting(self) -> int:
+        """Number of tickets that wait."""
+        return len(self._waiting)
+
+    @property
+    def running(self) -> int:
+        """Number of tickets in a slot."""
+        return len(self._running)
+
+    def set_slots(self, slots: int, now: float) -> list[Ticket]:
+        """Take in another number of slots and return what starts now."""
+        self.ramp.set_slots(slots)
+        return self._fill(now)
+
+    def seen(self, incarnation: str, now: float) -> list[Ticket]:
+        """Take in an answer to a grant or probe and return what starts now.
+
+        Parameters
+        ----------
+        incarnation : str
+            Run of the target's process that the answer named.
+        now : float
+
+        Returns
+        -------
+        list of Ticket
+            To be sent now, when the answer ends a doubt. Look at `next_expiry` too:
+            another incarnation is a cold target, for which much may be turned away.
+        """
+        self.ramp.seen(now, incarnation)
+        return self._fill(now)
+
+    def reported(self, is_cold: bool, now: float) -> None:
+        """Take in the target's own word on whether it is in cold start."""
+        self.ramp.reported(now, is_cold)
+
+    def offer(self, ticket: Ticket, now: float) -> Decision:
+        """Decide about a new ticket.
+
+        Parameters
+        ----------
+        ticket : Ticket
+        now : float
+
+        Returns
+        -------
+        Decision
+            `Start`, `Wait` or `Refuse`. A refusal is final and says when to come back.
+        """
+        if self._draining:
+            return Refuse(ticket.id, RefuseReason.DRAINING, self._comeback(now, 0.0))
+        if ticket.deadline <= now:
+            return Refuse(ticket.id, RefuseReason.DEADLINE, self._comeback(now, 0.0))
+        entry = self._entry(ticket, now)
+        limit = self.ramp.limit(now)
+        if self._may_start(entry, limit, now):
+            self._begin(entry, now)
+            return Start(ticket.id)
+        wait = self._expected_wait(entry, limit, now)
+        slack = (ticket.deadline - now) * self._wait_share - entry.cost
+        if wait > slack:
+            excess = wait - max(0.0, slack)
+            retry_after = self._comeback(now, excess)
+            return Refuse(ticket.id, RefuseReason.DEADLINE, retry_after)
+        if len(self._waiting) >= self._queue_limit and not self._displace(entry, now):
+            retry_after = self._comeback(now, wait)
+            return Refuse(ticket.id, RefuseReason.QUEUE_FULL, retry_after)
+        self._enqueue(entry)
+        return Wait(ticket.id)
+
+    def finished(
+        self,
+        ticket_id: str,
+        now: float,
+        seconds: float,
+        outcome: Outcome,
+        incarnation: str = "",
+    ) -> list[Ticket]:
+        """Free a slot and say what starts now.
+
+        Call it when the target certainly works on the request no more: it answered,
+        refused, confirmed a cancellation, or the deadline that it was told has passed.
+        An earlier call would put more on the target than its slots.
+
+        Parameters
+        ----------
+        ticket_id : str
+        now : float
+        seconds : float
+            Time since it was started.
+        outcome : Outcome
+        incarnation : str, default=""
+            Run of the target's process that the answer named, if one came.
+
+        Returns
+        -------
+        list of Ticket
+            To be sent to the target now.
+        """
+        entry = self._running.pop(ticket_id, None)
+        if entry is None:
+            return []
+        if not entry.is_short:
+            self._running_long -= 1
+        # Charged by expectation at the start; a flow whose work takes longer than
+        # expected would otherwise get more than its share for as long as it is new.
+        if outcome is Outcome.ANSWERED:
+            entry.leaf.charge(seconds - entry.cost)
+        self._learn(entry, now, seconds, outcome, incarnation)
+        return self._fill(now)
+
+    def cancelled(self, ticket_id: str, now: float) -> bool:
+        """Forget a ticket whose caller has gone.
+
+        Returns
+        -------
+        bool
+            True when it is in a slot: cancel it at the target, and call `finished`
+            once the target has confirmed.
+        """
+        entry = self._waiting.pop(ticket_id, None)
+        if entry is not None:
+            self._fair.remove(entry.leaf, entry)
+        return ticket_id in self._running
+
+    def expired(self, now: float) -> list[Refuse]:
+        """Return refusals for tickets that can no longer make their deadlines."""
+        refusals, self._displaced = self._displaced, []
+        if self.ramp.level < self._planned_limit:
+            refusals.extend(self._replan(self.ramp.limit(now), now))
+        self._planned_limit = self.ramp.level
+        while self._expiry and self._expiry[0][0] <= now:
+            _, ticket_id = heappop(self._expiry)
+            entry = self._waiting.pop(ticket_id, None)
+            if entry is not None:
+                refusals.append(self._turn_away(entry, now))
+        return refusals
+
+    def next_expiry(self) -> float | None:
+        """Return when `expired` has something to say, or None while nothing waits."""
+        if self._displaced or self.ramp.level < self._planned_limit:
+            return float("-inf")
+        while self._expiry and self._expiry[0][1] not in self._waiting:
+            heappop(self._expiry)
+        return self._expiry[0][0] if self._expiry else None
+
+    def expected_wait(self, now: float) -> float:
+        """Return the seconds that a typical newcomer would wait, for load digests."""
+        return self._time_to_serve(self._fair.root.backlog, self.ramp.limit(now), now)
+
+    def drain(self) -> list[Ticket]:
+        """Stop taking work and hand out what waits, to be sent elsewhere or refused."""
+        self._draining = True
+        tickets = [entry.ticket for entry in self._waiting.values()]
+        self._waiting.clear()
+        self._expiry.clear()
+        self._fair = FairQueue()
+        return tickets
+
+    def _entry(self, ticket: Ticket, now: float) -> _Entry:
+        """Look up what is known about a ticket and where it queues."""
+        is_short = ticket.request_class != "batch" and not self.costs.is_long(
+            ticket.kind
+        )
+        cost = ticket.expected_cost or self.costs.mean(ticket.kind)
+        lane = SHORT if is_short else LONG
+        if is_short:
+            self._short_seen = now
+        path = (
+            (lane, self._lane_weights[lane]),
+            (ticket.tenant, 1.0),
+            (ticket.request_class, self._class_weights.get(ticket.request_class, 1.0)),
+            (ticket.caller, 1.0),
+        )
+        # Slow answers raise the cost. If the cost alone could turn all tickets away,
+        # none would run, and nobody would learn that the target is fast again.
+        slack = (ticket.deadline - now) * (1.0 - self._wait_share)
+        latest = max(ticket.deadline - cost, now + min(slack, cost))
+        return _Entry(ticket, self._fair.leaf(path), cost, is_short, latest)
+
+    def _long_cap(self, limit: int, now: float) -> int:
+        """Return how many slots long work may have."""
+        if limit > 1 and now - self._short_seen <= self._short_presence:
+            return limit - 1
+        return limit
+
+    def _may_start(self, entry: _Entry, limit: int, now: float) -> bool:
+        """Tell whether a newcomer starts at once, ahead of nobody that could start."""
+        if len(self._running) >= limit:
+            return False
+        if entry.is_short:
+            lane = self._fair.root.children.get(SHORT)
+            return lane is None or not lane.size
+        return not len(self._fair) and self._running_long < self._long_cap(limit, now)
+
+    def _begin(self, entry: _Entry, now: float) -> None:
+        """Put an entry in a slot and charge its flow."""
+        entry.started = now
+        self._running[entry.ticket.id] = entry
+        if not entry.is_short:
+            self._running_long += 1
+        entry.leaf.charge(entry.cost)
+
+    def _enqueue(self, entry: _Entry) -> None:
+        """Let an entry wait."""
+        ticket_id = entry.ticket.id
+        self._waiting[ticket_id] = entry
+        self._fair.push(entry.leaf, entry, entry.cost)
+        heappush(self._expiry, (entry.latest_start, ticket_id))
+        if len(self._expiry) > 2 * len(self._waiting) + 64:
+            self._expiry = [e for e in self._expiry if e[1] in self._waiting]
+            heapify(self._expiry)
+
+    def _fill(self, now: float) -> list[Ticket]:
+        """Start what waits while there are slots for it."""
+        limit = self.ramp.limit(now)
+        self._planned_limit = max(self._planned_limit, self.ramp.level)
+        started = []
+        while self._waiting and len(self._running) < limit:
+            lane = None
+            if self._running_long >= self._long_cap(limit, now):
+                short = self._fair.root.children.get(SHORT)
+                if short is None or not short.size:
+                    break
+                lane = SHORT
+            entry, _ = self._fair.pop(lane)
+            del self._waiting[entry.ticket.id]
+            if entry.latest_start < now:
+                self._displaced.append(self._refusal(entry, now))
+                continue
+            self._begin(entry, now)
+            started.append(entry.ticket)
+        return started
+
+    def _learn(
+        self,
+        entry: _Entry,
+        now: float,
+        seconds: float,
+        outcome: Outcome,
+        incarnation: str,
+    ) -> None:
+        """Take in what an ending says about costs and the ramp."""
+        ramp = self.ramp
+        if incarnation:
+            ramp.seen(now, incarnation)
+        if outcome is Outcome.COLD:
+            ramp.new_start(now)
+        elif outcome is Outcome.UNKNOWN:
+            ramp.doubted(now)
+        elif outcome is Outcome.ANSWERED:
+            kind = entry.ticket.kind
+            known = self.costs.known(kind)
+            ratio = seconds / self.costs.mean(kind) if known else None
+            ramp.completed(now, ratio)
+            # The slow answers of a cold target say nothing about the warm one.
+            if ramp.warm or not known:
+                self.costs.observe(kind, seconds, entry.is_short)
+
+    def _residuals(self, now: float) -> list[float]:
+        """Return how long each busy slot stays busy, shortest first."""
+        running = self._running.values()
+        return sorted(residual(entry.cost, now - entry.started) for entry in running)
+
+    def _time_to_serve(self, work: float, limit: int, now: float) -> float:
+        """Return the seconds until the slots have done so much work and one is free."""
+        return time_to_serve(work, limit, self._residuals(now))
+
+    def _expected_wait(self, entry: _Entry, limit: int, now: float) -> float:
+        """Return the seconds until a newcomer starts, by its flow's fair share."""
+        work = self._fair.ahead(entry.leaf)
+        if not entry.is_short:
+            limit = self._long_cap(limit, now)
+        return self._time_to_serve(work, limit, now)
+
+    def _displace(self, newcomer: _Entry, now: float) -> bool:
+        """Make room by turning away the last of the heaviest flow, if it is heavier."""
+        heaviest = self._fair.heaviest()
+        if heaviest.size <= newcomer.leaf.size + 1:
+            return False
+        victim = heaviest.items[-1][0]
+        del self._waiting[victim.ticket.id]
+        self._fair.remove(heaviest, victim)
+        self._displaced.append(self._refusal(victim, now, RefuseReason.QUEUE_FULL))
+        return True
+
+    def _replan(self, limit: int, now: float) -> list[Refuse]:
+        """Turn away what the lower limit can't serve in time, the newest first.
+
+        When a target turns cold with a full queue, most of it is lost. Callers that
+        are told so at once can try elsewhere; held to their deadlines they can't.
+        """
+        refusals = []
+        for entry in reversed(list(self._waiting.values())):
+            work = self._fair.ahead(entry.leaf) - entry.cost
+            wait = self._time_to_serve(max(0.0, work), limit, now)
+            if now + wait <= entry.latest_start:
+                continue
+            del self._waiting[entry.ticket.id]
+            refusals.append(self._turn_away(entry, now))
+        return refusals
+
+    def _turn_away(self, entry: _Entry, now: float) -> Refuse:
+        """Take a waiting entry out of the fair queue and refuse it."""
+        self._fair.remove(entry.leaf, entry)
+        return self._refusal(entry, now)
+
+    def _refusal(
+        self,
+        entry: _Entry,
+        now: float,
+        reason: RefuseReason = RefuseReason.DEADLINE,
+    ) -> Refuse:
+        """Return a refusal that says when to come back."""
+        wait = self.expected_wait(now)
+        return Refuse(entry.ticket.id, reason, self._comeback(now, wait))
+
+    def _comeback(self, now: float, excess: float) -> float:
+        """Return when a caller that is turned away may come back, in seconds."""
+        each = self.costs.mean("") / max(1, self.ramp.limit(now))
+        return self._retry_after.after(now, excess, each)
