--- /dev/null
+++ b/packages/daemon/src/berylstage_daemon/answers.py
@@ -0,0 +1,121 @@
+"""Answers to callers and what they mean."""
+
+from __future__ import annotations
+
+from enum import Enum
+
+
+class Outcome(Enum):
+    """The ends that a request can come to (docs/usage/outcomes.md)."""
+
+    ANSWERED = "answered"
+    NOT_RUN = "not-run"
+    UNKNOWN = "unknown"
+    IN_PROGRESS = "in-progress"
+
+
+class Answer:
+    """The end of one request.
+
+    Parameters
+    ----------
+    outcome : Outcome
+    status : int
+        HTTP status for the caller.
+    reason : str
+        Short machine-readable reason; empty when answered.
+    body : bytes
+    content_type : str
+    retry_after : float or None
+        Seconds after which the caller may come back.
+    target : str
+        Target that answered, or that the request was meant for.
+    epoch : int
+        Epoch of the lead under which it was sent.
+    """
+
+    __slots__ = (
+        "outcome",
+        "status",
+        "reason",
+        "body",
+        "content_type",
+        "retry_after",
+        "target",
+        "epoch",
+    )
+
+    def __init__(
+        self,
+        outcome: Outcome,
+        status: int,
+        reason: str = "",
+        body: bytes = b"",
+        content_type: str = "",
+        retry_after: float | None = None,
+        target: str = "",
+        epoch: int = 0,
+    ):
+        self.outcome = outcome
+        self.status = status
+        self.reason = reason
+        self.body = body
+        self.content_type = content_type
+        self.retry_after = retry_after
+        self.target = target
+        self.epoch = epoch
+
+
+# What a caller reads in the body when a request was not answered by a target.
+REMEDIES = {
+    Outcome.NOT_RUN: "the request did not run; come back after Retry-After",
+    Outcome.UNKNOWN: (
+        "the request may have run; look up its effect before you send it as new, "
+        "or repeat it with the same Idempotency-Key"
+    ),
+    Outcome.IN_PROGRESS: (
+        "an earlier request with this Idempotency-Key is still in work; "
+        "come back after Retry-After with the same key"
+    ),
+}
+
+# A quarter of a second is twice the longest planned move seen in `make demo`; a
+# caller that comes back sooner would meet the same refusal.
+DEFAULT_RETRY_AFTER = 0.25
+
+
+def not_run(reason: str, retry_after: float = DEFAULT_RETRY_AFTER) -> Answer:
+    """Return the answer for a request that certainly did not run.
+
+    Parameters
+    ----------
+    reason : str
+    retry_after : float
+        Seconds.
+
+    Returns
+    -------
+    Answer
+    """
+    return Answer(Outcome.NOT_RUN, 503, reason, retry_after=retry_after)
+
+
+def unknown(reason: str, status: int = 502) -> Answer:
+    """Return the answer for a request that may have run.
+
+    Parameters
+    ----------
+    reason : str
+    status : int
+        502, or 504 when the deadline passed.
+
+    Returns
+    -------
+    Answer
+    """
+    return Answer(Outcome.UNKNOWN, status, reason)
+
+
+def in_progress(retry_after: float = DEFAULT_RETRY_AFTER) -> Answer:
+    """Return the answer for a repeated key whose first request is in work."""
+    return Answer(Outcome.IN_PROGRESS, 409, "in-progress", retry_after=retry_after)
--- /dev/null
+++ b/packages/daemon/src/berylstage_daemon/application.py
@@ -0,0 +1,170 @@
+"""The application object, which owns and wires all parts of the daemon."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+from typing import TYPE_CHECKING
+
+from logbook import Logger
+
+from berylstage_daemon.callers import CallerHandler
+from berylstage_daemon.control import Control
+from berylstage_daemon.events import EventManager
+from berylstage_daemon.leaders import Leaders
+from berylstage_daemon.logs import make_handler
+from berylstage_daemon.metrics import Metrics
+from berylstage_daemon.peers import PeerLinks
+from berylstage_daemon.router import Router
+from berylstage_daemon.servers import CallerServer, PeerServer
+from berylstage_daemon.status import (
+    LiveHandler,
+    OwnerHandler,
+    PageHandler,
+    ReadyHandler,
+    StatusHandler,
+)
+
+if TYPE_CHECKING:
+    from berylstage_sheet.configuration import Configuration
+
+    from berylstage_daemon.answers import Answer
+    from berylstage_daemon.config import Settings
+    from berylstage_daemon.part import Part
+    from berylstage_daemon.requests import CallerRequest
+
+log = Logger("application")
+
+EXIT_OK = 0
+EXIT_CUT = 1
+
+
+class Application:
+    """One daemon.
+
+    Parameters
+    ----------
+    cfg : Settings
+        Checked settings.
+    """
+
+    def __init__(self, cfg: Settings):
+        self.cfg = cfg
+        self.events = EventManager()
+        self.metrics = Metrics(cfg.vm, cfg.statsd)
+        self.links = PeerLinks(cfg.vm)
+        self.control = Control(self)
+        self.leaders = Leaders(self)
+        self.router = Router(self)
+        self.stopping = False
+        self._parts: list[Part] = []
+        self._stop = asyncio.Event()
+        self._in_flight = 0
+        self._idle = asyncio.Event()
+        self._idle.set()
+        for part in (
+            PeerServer(self),
+            self.control,
+            self.leaders,
+            CallerServer(self),
+        ):
+            self.add_part(part)
+
+    def add_part(self, part: Part) -> None:
+        """Register a part; parts start in this order and stop in reverse.
+
+        Parameters
+        ----------
+        part : Part
+        """
+        self._parts.append(part)
+
+    def routes(self) -> list[tuple]:
+        """Return the URLs that the daemon serves, with their handlers."""
+        own = {"app": self}
+        return [
+            (r"/-/live", LiveHandler),
+            (r"/-/ready", ReadyHandler, own),
+            (r"/-/status", StatusHandler, own),
+            (r"/-/owner/([^/]+)/(.+)", OwnerHandler, own),
+            (r"/-/", PageHandler, own),
+            (r"/([^/]+)/([^/]+)/(.+)", CallerHandler, own),
+        ]
+
+    def configuration(self) -> Configuration:
+        """Return the configuration in force here.
+
+        Raises
+        ------
+        RequestError
+            This VM has none yet.
+        """
+        return self.control.configuration()
+
+    def ready(self) -> bool:
+        """Tell whether the balancer should send callers here."""
+        return not self.stopping and self.control.ready()
+
+    async def serve(self, req: CallerRequest) -> Answer:
+        """Serve one caller's request from arrival to its end.
+
+        Parameters
+        ----------
+        req : CallerRequest
+
+        Returns
+        -------
+        Answer
+        """
+        self._in_flight += 1
+        self._idle.clear()
+        try:
+            return await self.router.serve(req)
+        finally:
+            self._in_flight -= 1
+            if not self._in_flight:
+                self._idle.set()
+
+    async def run(self) -> int:
+        """Run until a signal asks to stop; return the exit status."""
+        with make_handler(self.cfg.vm).applicationbound():
+            loop = asyncio.get_running_loop()
+            for name in (signal.SIGTERM, signal.SIGINT):
+                loop.add_signal_handler(name, self._stop.set)
+            await self.start()
+            await self._stop.wait()
+            return await self.stop()
+
+    async def start(self) -> None:
+        """Start all parts."""
+        for part in self._parts:
+            await part.start()
+        self.events.emit("started", self)
+        fields = {"vm": self.cfg.vm, "http": self.cfg.http, "peer": self.cfg.peer}
+        log.info("started", extra=fields)
+
+    async def stop(self) -> int:
+        """Shut down gracefully and return the exit status.
+
+        Not ready at once, so that the balancer sends no more callers; leads are handed
+        over; requests in flight end; only then connections close. The whole takes at
+        most the setting ``shutdown-limit``.
+        """
+        self.stopping = True
+        self.events.emit("stopping", self)
+        log.info("stopping", extra={"vm": self.cfg.vm, "in_flight": self._in_flight})
+        status = EXIT_OK
+        try:
+            async with asyncio.timeout(self.cfg.shutdown_limit):
+                for part in self._parts:
+                    await part.drain()
+                await self._idle.wait()
+        except TimeoutError:
+            status = EXIT_CUT
+            fields = {"vm": self.cfg.vm, "in_flight": self._in_flight}
+            log.error("requests were cut by the shutdown limit", extra=fields)
+        for part in reversed(self._parts):
+            await part.stop()
+        self.links.close()
+        log.info("stopped", extra={"vm": self.cfg.vm, "exit_status": status})
+        return status
--- /dev/null
+++ b/packages/daemon/src/berylstage_daemon/control.py
@@ -0,0 +1,286 @@
+"""Runs the protocol core: feeds it events and does the actions it asks for."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import TYPE_CHECKING
+
+from berylstage_messages.control_pb2 import Envelope
+from berylstage_ownership.actions import (
+    AssignmentAdopted,
+    ConfigurationAdopted,
+    LeaseGained,
+    LeaseLost,
+    ReadStore,
+    SendGrant,
+    SendPeer,
+    ShardActivated,
+    ShardReleased,
+    TargetLost,
+    TargetUp,
+    WriteStore,
+)
+from berylstage_ownership.events import (
+    StoreConflict,
+    StoreLost,
+    StoreRead,
+    StoreRefused,
+    StoreWritten,
+)
+from berylstage_ownership.node import Node, NodeSettings
+from berylstage_platform.errors import (
+    PlatformError,
+    RateLimited,
+    ValueTooLarge,
+    VersionConflict,
+)
+from berylstage_platform.http import HttpStore, HttpVmList
+from berylstage_targets.errors import TargetError
+from berylstage_targets.target import GrantOrder
+from logbook import Logger
+
+from berylstage_daemon.clock import now
+from berylstage_daemon.errors import RequestError
+from berylstage_daemon.part import Part
+
+if TYPE_CHECKING:
+    from collections.abc import Coroutine
+
+    from berylstage_ownership.actions import Action
+    from berylstage_sheet.configuration import Configuration
+
+    from berylstage_daemon.application import Application
+
+log = Logger("control")
+
+# The core's shortest time is 50 ms between retries.
+TICK = 0.05
+# The platform's list is read often until this VM is ready and while it proposes
+# changes; the others read it rarely, because the platform counts each call.
+LIST_INTERVAL_ACTIVE = 1.0
+LIST_INTERVAL_IDLE = 30.0
+MILLISECONDS = 1000
+
+
+class Control(Part):
+    """The protocol core of this VM with its clock, store, peers and targets.
+
+    Parameters
+    ----------
+    app : Application
+    """
+
+    def __init__(self, app: Application):
+        self._app = app
+        cfg = app.cfg
+        settings = NodeSettings(
+            name=cfg.vm,
+            # A later run of the same VM must have a larger number; the wall clock in
+            # milliseconds is the only thing that a VM without a disk has for that.
+            incarnation=time.time_ns() // 1_000_000,
+            data_centre=cfg.data_centre,
+            http_address=cfg.http,
+            peer_address=cfg.peer,
+            cell=cfg.cell,
+        )
+        self.node = Node(settings, now())
+        self._store = HttpStore(cfg.platform, cfg.store_timeout)
+        self._list = HttpVmList(cfg.platform, cfg.store_timeout)
+        self._tasks: set[asyncio.Task] = set()
+        self._loops: list[asyncio.Task] = []
+        self._configuration: Configuration | None = None
+
+    async def start(self) -> None:
+        """Start the clock of the core and the reading of the platform's list."""
+        self._loops = [
+            asyncio.ensure_future(self._tick_forever()),
+            asyncio.ensure_future(self._list_forever()),
+        ]
+
+    async def drain(self) -> None:
+        """Hand over all leads, so that no key waits for a lease to lapse."""
+        self.node.leave()
+        while self.node.leads_anything():
+            await asyncio.sleep(TICK)
+
+    async def stop(self) -> None:
+        """Stop all tasks."""
+        for task in [*self._loops, *self._tasks]:
+            task.cancel()
+        await asyncio.gather(*self._loops, *self._tasks, return_exceptions=True)
+        await self._store.close()
+        await self._list.close()
+
+    def configuration(self) -> Configuration:
+        """Return the configuration in force here.
+
+        Raises
+        ------
+        RequestError
+            This VM has none yet.
+        """
+        if self._configuration is None:
+            raise RequestError(
+                503,
+                "no-configuration",
+                "this VM has no configuration yet; come back in a second, or apply a "
+                "sheet if none was ever applied",
+            )
+        return self._configuration
+
+    def ready(self) -> bool:
+        """Tell whether this VM can serve callers."""
+        return self._configuration is not None and self.node.ready(now())
+
+    def answer_peer(self, sender: str, raw: bytes) -> bytes:
+        """Answer a control message of another VM.
+
+        Parameters
+        ----------
+        sender : str
+        raw : bytes
+
+        Returns
+        -------
+        bytes
+        """
+        envelope = Envelope.FromString(raw)
+        reply, actions = self.node.peer_request(now(), sender, envelope)
+        self.execute(actions)
+        return reply.SerializeToString()
+
+    def execute(self, actions: list[Action]) -> None:
+        """Do what the core asks for, in its order.
+
+        Parameters
+        ----------
+        actions : list of Action
+        """
+        for action in actions:
+            match action:
+                case SendPeer():
+                    self._spawn(self._send_peer(action))
+                case SendGrant():
+                    self._spawn(self._send_grant(action))
+                case ReadStore():
+                    self._spawn(self._read(action))
+                case WriteStore():
+                    self._spawn(self._write(action))
+                case _:
+                    self._notice(action)
+
+    def _spawn(self, work: Coroutine) -> None:
+        """Run one action beside the others and keep hold of its task."""
+        task = asyncio.ensure_future(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _tick_forever(self) -> None:
+        """Tell the core the time."""
+        while True:
+            self.execute(self.node.tick(now()))
+            await asyncio.sleep(TICK)
+
+    async def _list_forever(self) -> None:
+        """Read the platform's list of VMs."""
+        while True:
+            try:
+                listed = await self._list.vms()
+            except PlatformError as exc:
+                log.warning("the list of VMs cannot be read", extra={"cause": str(exc)})
+            else:
+                self.execute(self.node.vm_list(now(), listed))
+            active = self.node.proposing(now()) or not self.ready()
+            interval = LIST_INTERVAL_ACTIVE if active else LIST_INTERVAL_IDLE
+            await asyncio.sleep(interval)
+
+    async def _send_peer(self, action: SendPeer) -> None:
+        """Send a control message and hand the reply back."""
+        link = self._app.links.link(action.address)
+        raw = action.envelope.SerializeToString()
+        answer = await link.exchange(self._app.cfg.vm, raw, action.timeout)
+        reply = None if answer is None else Envelope.FromString(answer)
+        self.execute(self.node.peer_reply(now(), action.peer, action.tag, reply))
+
+    async def _send_grant(self, action: SendGrant) -> None:
+        """Send a grant order and hand the answer back."""
+        order = GrantOrder(
+            vm=self._app.cfg.vm,
+            epoch=action.epoch,
+            version=action.version,
+            shards=action.shards,
+            anchor=action.anchor,
+            incarnation=action.incarnation,
+            lifetime_ms=action.lifetime_ms,
+        )
+        client = self._app.leaders.client(action.target, action.address)
+        try:
+            answer = await client.grant(order, action.timeout)
+        except TargetError:
+            answer = None
+        done = self.node.grant_reply(now(), action.target, action.tag, answer)
+        self.execute(done)
+
+    async def _read(self, action: ReadStore) -> None:
+        """Read the store and hand the result back."""
+        result: StoreRead | StoreLost
+        try:
+            entry = await self._store.read(action.key)
+            result = StoreRead(entry.key, entry.value, entry.version)
+        except PlatformError:
+            result = StoreLost()
+        self.execute(self.node.store_reply(now(), action.tag, result))
+
+    async def _write(self, action: WriteStore) -> None:
+        """Write to the store and hand the result back."""
+        result: StoreWritten | StoreConflict | StoreRefused | StoreLost
+        try:
+            version = await self._store.write(
+                action.key, action.value, action.expected_version
+            )
+            result = StoreWritten(version)
+        except VersionConflict:
+            result = StoreConflict()
+        except (RateLimited, ValueTooLarge) as exc:
+            log.warning("the store refused a write", extra={"cause": str(exc)})
+            result = StoreRefused()
+        except PlatformError as exc:
+            log.warning("a write got no answer", extra={"cause": str(exc)})
+            result = StoreLost()
+        self.execute(self.node.store_reply(now(), action.tag, result))
+
+    def _notice(self, action: Action) -> None:
+        """Log what happened and tell the parts that follow it."""
+        emit = self._app.events.emit
+        match action:
+            case ConfigurationAdopted():
+                self._configuration = action.configuration
+                revision = action.configuration.revision
+                self._app.metrics.gauge("revision.configuration", revision)
+                log.info("configuration adopted", extra={"revision": revision})
+                emit("configuration-adopted", action.configuration)
+            case AssignmentAdopted():
+                self._app.metrics.gauge("revision.assignment", action.revision)
+                self._app.links.keep_only(self.node.peer_addresses())
+                log.info("assignment adopted", extra={"revision": action.revision})
+                emit("assignment-adopted", action.revision)
+            case LeaseGained():
+                self._app.metrics.gauge("lease.held", 1)
+                log.info("lease gained")
+                emit("lease-gained", action)
+            case LeaseLost():
+                self._app.metrics.gauge("lease.held", 0)
+                log.warning("lease lost: no work is sent until it is confirmed again")
+                emit("lease-lost", action)
+            case ShardActivated():
+                emit("shard-activated", action)
+            case ShardReleased():
+                emit("shard-released", action)
+            case TargetUp():
+                log.info("target up", extra={"target": action.target})
+                emit("target-up", action)
+            case TargetLost():
+                extra = {"target": action.target, "reason": action.reason}
+                log.warning("target down", extra=extra)
+                emit("target-down", action)
--- /dev/null
+++ b/packages/daemon/src/berylstage_daemon/leader.py
@@ -0,0 +1,316 @@
+"""One target that this VM leads: its queue, its slots and the sending."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+from typing import TYPE_CHECKING
+
+from berylstage_policy.queue import TargetQueue
+from berylstage_policy.tickets import Outcome as Ended
+from berylstage_policy.tickets import Refuse, Start, Ticket
+from berylstage_targets.errors import NotRun, OutcomeUnknown
+from berylstage_targets.target import WorkRequest
+from logbook import Logger
+
+from berylstage_daemon.answers import Answer, Outcome, not_run, unknown
+from berylstage_daemon.clock import now, wall
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from random import Random
+
+    from berylstage_ownership.node import Permit
+    from berylstage_policy.thresholds import Thresholds
+    from berylstage_targets.target import TargetClient, WorkAnswer
+
+    from berylstage_daemon.control import Control
+    from berylstage_daemon.requests import CallerRequest
+
+log = Logger("leader")
+
+# A connection can go silent for good while new ones work. Work that takes this many
+# times its usual time, and at least this long, is given up on its connection; if it
+# may be repeated it goes out again on a new one. Ten times the usual time lies beyond
+# the slowest thousandth of a healthy target's answers, and half a second is shorter
+# than the shortest deadline in the examples.
+SILENT_RATIO = 10.0
+SILENT_AFTER = 0.5
+# Outcome of a target's refusal, for the queue and the ramp.
+REFUSALS = {"cold": Ended.COLD, "shed": Ended.SHED, "slots": Ended.SHED}
+
+
+class Leader:
+    """The only sender to one target.
+
+    Parameters
+    ----------
+    name : str
+        Name of the target.
+    slots : int
+    client : TargetClient
+    control : Control
+    thresholds : Thresholds
+    rng : Random
+    """
+
+    def __init__(
+        self,
+        name: str,
+        slots: int,
+        client: TargetClient,
+        control: Control,
+        thresholds: Thresholds,
+        rng: Random,
+    ):
+        self.name = name
+        self.client = client
+        self.queue = TargetQueue(slots, thresholds, rng, now())
+        self._control = control
+        self._waiting: dict[str, asyncio.Future[Refuse | None]] = {}
+        self._timer: asyncio.TimerHandle | None = None
+        self._settling: set[asyncio.Task] = set()
+        self._numbers = itertools.count()
+
+    async def run(
+        self,
+        req: CallerRequest,
+        shard: str,
+        permit: Callable[[], Permit | Answer],
+    ) -> Answer:
+        """Let a request wait for a slot, send it, and return its end.
+
+        Parameters
+        ----------
+        req : CallerRequest
+        shard : str
+            Empty where keys are not owned.
+        permit : callable
+            Asked right before sending whether this VM may still send.
+
+        Returns
+        -------
+        Answer
+        """
+        ticket = self._ticket(req)
+        refusal = await self._slot(ticket)
+        if refusal is not None:
+            return not_run(refusal.reason.value, refusal.retry_after)
+        # Waiting takes time, in which a lease may lapse or a shard move; a request
+        # sent then could run beside its key's new owner. So the permit is asked for
+        # at the last moment, with no pause of this task between it and the sending.
+        allowed = permit()
+        if isinstance(allowed, Answer):
+            self._finish(ticket, 0.0, Ended.NOT_RUN)
+            return allowed
+        return await self._send(ticket, req, shard, allowed)
+
+    def seen(self, incarnation: str, is_cold: bool) -> None:
+        """Take in an answer of the target to a grant order."""
+        self._begin(self.queue.seen(incarnation, now()))
+        self.queue.reported(is_cold, now())
+        self._arm()
+
+    def set_slots(self, slots: int) -> None:
+        """Take in another number of slots."""
+        self._begin(self.queue.set_slots(slots, now()))
+
+    async def close(self) -> None:
+        """Turn away what waits and let go of the connections."""
+        if self._timer is not None:
+            self._timer.cancel()
+        for ticket in self.queue.drain():
+            self._turn_away(ticket.id, None)
+        for task in self._settling:
+            task.cancel()
+        await self.client.close()
+
+    def _ticket(self, req: CallerRequest) -> Ticket:
+        """Return what the decisions see of a request."""
+        return Ticket(
+            id=f"{req.request_id}#{next(self._numbers)}",
+            tenant=req.service.tenant,
+            request_class=req.kind.request_class.value,
+            caller=req.caller,
+            service=req.service.name,
+            kind=req.kind.name,
+            key=req.key,
+            arrived=req.arrived,
+            deadline=req.deadline,
+        )
+
+    async def _slot(self, ticket: Ticket) -> Refuse | None:
+        """Wait for a slot; return a refusal when there will be none in time."""
+        decision = self.queue.offer(ticket, now())
+        self._arm()
+        if isinstance(decision, Start):
+            return None
+        if isinstance(decision, Refuse):
+            return decision
+        fut: asyncio.Future[Refuse | None] = asyncio.Future()
+        self._waiting[ticket.id] = fut
+        try:
+            return await fut
+        except asyncio.CancelledError:
+            if self.queue.cancelled(ticket.id, now()):
+                self._finish(ticket, 0.0, Ended.CANCELLED)
+            raise
+        finally:
+            self._waiting.pop(ticket.id, None)
+
+    async def _send(
+        self,
+        ticket: Ticket,
+        req: CallerRequest,
+        shard: str,
+        permit: Permit,
+    ) -> Answer:
+        """Send a request that has its slot and its permit."""
+        started = now()
+        work = self._work(ticket, req, shard, permit, started)
+        self._control.work_started(ticket.id, self.name, shard, req.deadline)
+        try:
+            reply = await self.client.send(work)
+        except NotRun as exc:
+            self._control.work_ended(ticket.id)
+            ended = REFUSALS.get(exc.reason, Ended.NOT_RUN)
+            self._finish(ticket, now() - started, ended)
+            return self._with_target(not_run(exc.reason), permit)
+        except OutcomeUnknown as exc:
+            self._settle_later(ticket, work, started)
+            extra = {"request_id": req.request_id, "target": self.name}
+            log.info(str(exc), extra=extra)
+            return self._with_target(self._unanswered(req), permit)
+        except asyncio.CancelledError:
+            self._settle_later(ticket, work, started)
+            raise
+        self._control.work_ended(ticket.id)
+        seconds = now() - started
+        self._finish(ticket, seconds, Ended.ANSWERED, reply.incarnation)
+        return self._answered(reply, permit)
+
+    def _work(
+        self,
+        ticket: Ticket,
+        req: CallerRequest,
+        shard: str,
+        permit: Permit,
+        started: float,
+    ) -> WorkRequest:
+        """Return the request as it goes to the target."""
+        remaining = req.deadline - started
+        timeout = remaining
+        if req.kind.repeatable:
+            usual = self.queue.costs.mean(req.kind.name)
+            timeout = min(remaining, max(SILENT_AFTER, SILENT_RATIO * usual))
+        return WorkRequest(
+            request_id=ticket.id,
+            service=req.service.name,
+            kind=req.kind.name,
+            key=req.key,
+            shard=shard,
+            fence=permit.fence,
+            epoch=permit.epoch,
+            method=req.method,
+            body=req.body,
+            content_type=req.content_type,
+            deadline=wall() + remaining,
+            timeout=timeout,
+            # A request that may not be repeated is lost if its connection has gone
+            # silent, because nothing may be sent again. A new connection takes about
+            # 1 ms and has just shown that it works.
+            fresh_connection=not req.kind.repeatable or req.attempt > 0,
+            idempotency_key=req.idempotency_key,
+        )
+
+    def _unanswered(self, req: CallerRequest) -> Answer:
+        """Return the end of a request that was sent and not answered."""
+        if now() >= req.deadline:
+            return unknown("deadline", 504)
+        return unknown("no-answer")
+
+    def _answered(self, reply: WorkAnswer, permit: Permit) -> Answer:
+        """Return the end of an answered request."""
+        return Answer(
+            Outcome.ANSWERED,
+            reply.status,
+            body=reply.body,
+            content_type=reply.content_type,
+            target=self.name,
+            epoch=permit.epoch,
+        )
+
+    def _with_target(self, answer: Answer, permit: Permit) -> Answer:
+        """Name the target in an answer that it did not give."""
+        answer.target = self.name
+        answer.epoch = permit.epoch
+        return answer
+
+    def _settle_later(self, ticket: Ticket, work: WorkRequest, started: float) -> None:
+        """Keep the slot until the target certainly works on the request no more.
+
+        A slot that is given on at once would put more on the target than it bears,
+        and a shard that is released at once could be worked on by two targets.
+        """
+        task = asyncio.ensure_future(self._settle(ticket, work, started))
+        self._settling.add(task)
+        task.add_done_callback(self._settling.discard)
+
+    async def _settle(self, ticket: Ticket, work: WorkRequest, started: float) -> None:
+        """Cancel at the target; without its word wait for the deadline it was told."""
+        confirmed = await self.client.cancel(work.request_id)
+        if not confirmed:
+            await asyncio.sleep(max(work.deadline - wall(), 0.0))
+        self._control.work_ended(ticket.id)
+        self._finish(ticket, now() - started, Ended.UNKNOWN)
+
+    def _finish(
+        self,
+        ticket: Ticket,
+        seconds: float,
+        ended: Ended,
+        incarnation: str = "",
+    ) -> None:
+        """Free a slot and start what waits for it."""
+        self._begin(
+            self.queue.finished(ticket.id, now(), seconds, ended, incarnation)
+        )
+        self._arm()
+
+    def _begin(self, tickets: list[Ticket]) -> None:
+        """Wake the requests whose turn it is."""
+        for ticket in tickets:
+            fut = self._waiting.get(ticket.id)
+            if fut is not None and not fut.done():
+                fut.set_result(None)
+            else:
+                # Its caller has just gone: the slot would stay taken for good.
+                self._finish(ticket, 0.0, Ended.CANCELLED)
+
+    def _turn_away(self, ticket_id: str, refusal: Refuse | None) -> None:
+        """Give a waiting request its final answer at once."""
+        fut = self._waiting.get(ticket_id)
+        if fut is None or fut.done():
+            return
+        if refusal is None:
+            fut.cancel()
+        else:
+            fut.set_result(refusal)
+
+    def _arm(self) -> None:
+        """Set the timer to the moment at which the queue has refusals."""
+        moment = self.queue.next_expiry()
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        if moment is not None:
+            delay = max(moment - now(), 0.0)
+            loop = asyncio.get_running_loop()
+            self._timer = loop.call_later(delay, self._expire)
+
+    def _expire(self) -> None:
+        """Turn away what can no longer make its deadline."""
+        self._timer = None
+        for refusal in self.queue.expired(now()):
+            self._turn_away(refusal.ticket_id, refusal)
+        self._arm()
--- /dev/null
+++ b/packages/daemon/src/berylstage_daemon/servers.py
@@ -0,0 +1,84 @@
+"""The two servers of a daemon: HTTP for callers, gRPC for other VMs."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from grpclib.server import Server
+from tornado.httpserver import HTTPServer
+from tornado.web import Application as WebApplication
+
+from berylstage_daemon.forwarding import PeerService
+from berylstage_daemon.part import Part
+
+if TYPE_CHECKING:
+    from berylstage_daemon.application import Application
+
+# A balancer polls readiness about once a second. Callers that it still sends for two
+# polls after a VM turned not ready must find an open port.
+BALANCER_LAG = 2.0
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Return host and port of ``ip:port``."""
+    host, _, port = address.rpartition(":")
+    return host.strip("[]"), int(port)
+
+
+class CallerServer(Part):
+    """Serves callers and the daemon's own pages.
+
+    Parameters
+    ----------
+    app : Application
+    """
+
+    def __init__(self, app: Application):
+        self._app = app
+        self._server: HTTPServer | None = None
+
+    async def start(self) -> None:
+        """Listen."""
+        web = WebApplication(self._app.routes(), log_function=lambda handler: None)
+        limit = int(self._app.cfg.body_limit)
+        self._server = HTTPServer(web, max_body_size=limit, max_buffer_size=2 * limit)
+        host, port = split_address(self._app.cfg.http)
+        self._server.listen(port, host)
+
+    async def drain(self) -> None:
+        """Wait until the balancer has noticed that this VM is not ready."""
+        await asyncio.sleep(BALANCER_LAG)
+        if self._server is not None:
+            self._server.stop()
+
+    async def stop(self) -> None:
+        """Close all connections."""
+        if self._server is not None:
+            self._server.stop()
+            await self._server.close_all_connections()
+
+
+class PeerServer(Part):
+    """Serves the other VMs.
+
+    Parameters
+    ----------
+    app : Application
+    """
+
+    def __init__(self, app: Application):
+        self._app = app
+        self._server: Server | None = None
+
+    async def start(self) -> None:
+        """Listen."""
+        self._server = Server([PeerService(self._app)])
+        host, port = split_address(self._app.cfg.peer)
+        await self._server.start(host, port)
+
+    async def stop(self) -> None:
+        """Close all connections."""
+        if self._server is not None:
+            self._server.close()
+            await self._server.wait_closed()
--- /dev/null
+++ b/packages/daemon/src/berylstage_daemon/status.py
@@ -0,0 +1,110 @@
+"""The daemon's own pages: live, ready, status, owner of a key."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from urllib.parse import unquote
+
+from tornado.web import RequestHandler
+
+from berylstage_daemon.errors import RequestError
+
+if TYPE_CHECKING:
+    from berylstage_daemon.application import Application
+
+
+class AppHandler(RequestHandler):
+    """A page that reads the application."""
+
+    def initialize(self, app: Application) -> None:
+        """Keep the application.
+
+        Parameters
+        ----------
+        app : Application
+        """
+        self.app = app
+
+
+class LiveHandler(RequestHandler):
+    """Answers as long as the event loop runs."""
+
+    def get(self) -> None:
+        """Answer 200."""
+        self.finish({"live": True})
+
+
+class ReadyHandler(AppHandler):
+    """Tells the balancer whether to send callers here."""
+
+    def get(self) -> None:
+        """Answer 200 or 503."""
+        ready = self.app.ready()
+        self.set_status(200 if ready else 503)
+        self.finish({"ready": ready})
+
+
+class StatusHandler(AppHandler):
+    """Tells what this VM knows and does, as JSON."""
+
+    def get(self) -> None:
+        """Answer with the status."""
+        self.finish(status_document(self.app))
+
+
+class PageHandler(AppHandler):
+    """Tells the same as a page that a person can read."""
+
+    def get(self) -> None:
+        """Answer with the page."""
+        self.render("status.html", status=status_document(self.app))
+
+    def get_template_path(self) -> str:
+        """Return the folder of this module, where the template stands."""
+        return __file__.rpartition("/")[0]
+
+
+class OwnerHandler(AppHandler):
+    """Tells which target owns a key."""
+
+    def get(self, service: str, key: str) -> None:
+        """Answer with the owner, or 404.
+
+        Parameters
+        ----------
+        service, key : str
+            Percent-encoded.
+        """
+        try:
+            self.finish(self.app.control.owner(unquote(service), unquote(key)))
+        except RequestError as exc:
+            self.set_status(exc.status)
+            self.finish({"error": str(exc), "reason": exc.reason})
+
+
+def status_document(app: Application) -> dict:
+    """Return the status as the JSON document that pages and operators read.
+
+    Parameters
+    ----------
+    app : Application
+
+    Returns
+    -------
+    dict
+        Written as JSON at once; the fields stand in docs/operating/status.md.
+    """
+    document = app.control.status()
+    document["ready"] = app.ready()
+    document["stopping"] = app.stopping
+    document["targets"] = app.leaders.status()
+    document["histograms"] = [
+        {
+            "tenant": summary.tenant,
+            "class": summary.request_class,
+            "count": summary.count,
+            "ms": {f"p{p:g}": value for p, value in summary.percentiles.items()},
+        }
+        for summary in app.metrics.summaries()
+    ]
+    return document
