--- a/packages/transfers/src/berylstage_transfers/client.py
+++ b/packages/transfers/src/berylstage_transfers/client.py
@@ -58,7 +58,9 @@
 
     def __new__(cls, max_clients: int) -> CallClient:
         """Return an instance of its own, never tornado's shared one."""
-        return super().__new__(cls, force_instance=True, max_clients=max_clients)
+        client = super().__new__(cls, force_instance=True, max_clients=max_clients)
+        assert isinstance(client, CallClient)
+        return client
 
     def __init__(self, max_clients: int):
         super().__init__()
