--- a/packages/sheet/src/berylstage_sheet/writer.py
+++ b/packages/sheet/src/berylstage_sheet/writer.py
@@ -6,7 +6,7 @@
 from io import StringIO
 from itertools import groupby
 
-from berylstage_sheet.columns import AUTHOR, BASED_ON, SHEET, Section
+from berylstage_sheet.columns import BASED_ON, SHEET, Section
 from berylstage_sheet.configuration import Configuration
 from berylstage_sheet.rows import rows_of
 
@@ -24,10 +24,8 @@
         Lines end in CR LF, as spreadsheets write them.
     """
     out = StringIO()
-    properties = [[BASED_ON, str(cfg.revision)]]
-    if cfg.author:
-        properties.append([AUTHOR, cfg.author])
-    _write_section(out, SHEET, properties)
+    # The author is left out: whoever edits the sheet next would pass for this one.
+    _write_section(out, SHEET, [[BASED_ON, str(cfg.revision)]])
     for section, rows in groupby(rows_of(cfg), key=lambda row: row.section):
         _write_section(out, section, [row.cells for row in rows])
     return out.getvalue()
