--- a/packages/cli/src/berylstage_cli/command.py
+++ b/packages/cli/src/berylstage_cli/command.py
@@ -47,7 +47,7 @@
         except OperatorError as exc:
             report = ErrorReport([exc])
         except FaultySettings as exc:
-            report = ErrorReport(exc.exceptions)
+            report = ErrorReport(exc.faults)
         except KeyboardInterrupt:
             return ExitCode.INTERRUPTED
         self._print(report)
--- a/packages/cli/src/berylstage_cli/errors.py
+++ b/packages/cli/src/berylstage_cli/errors.py
@@ -22,6 +22,11 @@
 class FaultySettings(ExceptionGroup[SettingFault]):
     """All settings that cannot be used."""
 
+    @property
+    def faults(self) -> list[SettingFault]:
+        """The faults themselves; no group holds another one."""
+        return [exc for exc in self.exceptions if isinstance(exc, SettingFault)]
+
 
 class FileFault(OperatorError):
     """A file cannot be read or written."""
--- a/packages/cli/src/berylstage_cli/reports.py
+++ b/packages/cli/src/berylstage_cli/reports.py
@@ -65,7 +65,7 @@
     exit_code = ExitCode.FAULTY_SHEET
 
     def __init__(self, faults: FaultySheet):
-        self.faults = faults.exceptions
+        self.faults = faults.faults
 
     def lines(self) -> Iterator[str]:
         """Yield the lines that a person reads."""
--- a/packages/sheet/src/berylstage_sheet/errors.py
+++ b/packages/sheet/src/berylstage_sheet/errors.py
@@ -117,3 +117,8 @@
         """Group the faults; the group's message gives their number."""
         ordered = sorted(faults, key=lambda f: (f.place.row, f.place.index))
         return super().__new__(cls, "the sheet has faults", ordered)
+
+    @property
+    def faults(self) -> list[SheetFault]:
+        """The faults themselves; no group holds another one."""
+        return [exc for exc in self.exceptions if isinstance(exc, SheetFault)]
