--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Front door: `make` lists the targets.
 VENV ?= .venv
 PY := $(VENV)/bin/python
-PACKAGES := sheet policy messages ownership platform targets daemon cli standins bench
+PACKAGES := sheet policy messages transfers ownership platform targets daemon cli standins bench
 
 .PHONY: help install format format-check lint types imports test check
 
@@ -35,3 +35,9 @@
 	$(PY) -m pytest
 
 check: format-check lint types imports test  ## everything that CI runs
+
+.PHONY: proto
+proto:  ## generate the message code (needs grpcio-tools)
+	$(PY) -m pip install -q grpcio-tools
+	cd packages/messages/src && PATH=$(abspath $(VENV))/bin:$$PATH $(abspath $(PY)) -m grpc_tools.protoc -I. \
+	  --python_out=. --pyi_out=. --grpclib_python_out=. berylstage_messages/*.proto
