--- /dev/null
+++ b/packages/standins/src/berylstage_standins/platform_server.py
@@ -0,0 +1,234 @@
+"""The platform stand-in's HTTP calls, as ``platform-contract.md`` lists them."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from typing import TYPE_CHECKING
+
+from berylstage_platform.errors import ValueTooLarge, VersionConflict
+from berylstage_platform.store import VmRecord
+from tornado.httpserver import HTTPServer
+from tornado.web import Application, Finish, HTTPError, RequestHandler
+
+from berylstage_standins.connections import leave_unanswered
+from berylstage_standins.key_values import MAX_VALUE
+
+if TYPE_CHECKING:
+    from berylstage_standins.platform import Platform
+
+# Bytes of a request that the server reads at most; a value over the store's limit but
+# below this gets the 413 of the contract.
+MAX_REQUEST = 4 * MAX_VALUE
+
+
+def make_server(platform: Platform) -> HTTPServer:
+    """Return an HTTP server for a platform, which listens nowhere yet.
+
+    Parameters
+    ----------
+    platform : Platform
+
+    Returns
+    -------
+    HTTPServer
+    """
+    state = {"platform": platform}
+    application = Application(
+        [
+            (r"/kv/(.+)", _KeyHandler, state),
+            (r"/leases", _LeasesHandler, state),
+            (r"/leases/([^/]+)", _LeaseHandler, state),
+            (r"/vms", _VmsHandler, state),
+            (r"/vms/([^/]+)", _VmHandler, state),
+            (r"/faults", _FaultsHandler, state),
+            (r"/counts", _CountsHandler, state),
+        ],
+        log_function=lambda handler: None,
+    )
+    return HTTPServer(application, max_body_size=MAX_REQUEST)
+
+
+class _Handler(RequestHandler):
+    """A call that counts, and that faults can strike."""
+
+    def initialize(self, platform: Platform) -> None:
+        self.platform = platform
+
+    async def prepare(self) -> None:
+        admitted = self.platform.count(self.call_kind())
+        await self.strike()
+        if not admitted:
+            raise HTTPError(429)
+        if self.platform.faults.slow_ms:
+            await asyncio.sleep(self.platform.faults.slow_ms / 1000)
+
+    def call_kind(self) -> str:
+        """Return the kind under which the call is counted."""
+        return "read" if self.request.method == "GET" else "write"
+
+    async def strike(self) -> None:
+        """Let the call meet the switch ``down``."""
+        faults = self.platform.faults
+        if not faults.down or not self.request.path.startswith(faults.down_for):
+            return
+        if faults.down == "error":
+            raise HTTPError(503)
+        if faults.down == "silent":
+            await leave_unanswered(self)
+        self.close_connection()
+
+    def close_connection(self) -> None:
+        """Close the connection without an answer."""
+        self.detach().close()
+        raise Finish
+
+    def write_error(self, status_code: int, **kwargs: object) -> None:
+        self.finish()
+
+
+class _KeyHandler(_Handler):
+    """``/kv/<key>``."""
+
+    def call_kind(self) -> str:
+        if self.request.method == "PUT":
+            return "write"
+        return "watch" if "after" in self.request.query_arguments else "read"
+
+    async def get(self, key: str) -> None:
+        """Answer with the value, at once or when it changes."""
+        if self.call_kind() == "watch" and not await self._changed(key):
+            self.set_status(204)
+            return
+        found = self.platform.values.read(key)
+        self.set_header("Version", str(found.version))
+        self.set_header("Content-Type", "application/octet-stream")
+        if not found.version:
+            self.set_status(404)
+            return
+        self.write(found.value)
+
+    async def _changed(self, key: str) -> bool:
+        after = int(self.get_query_argument("after"))
+        wait = int(self.get_query_argument("wait_ms", "0")) / 1000
+        changed = await self.platform.values.changed(key, after, wait)
+        if self.platform.faults.watch_silent:
+            await leave_unanswered(self)
+        # The platform may have gone down while the watch waited.
+        await self.strike()
+        return changed
+
+    async def put(self, key: str) -> None:
+        """Write the value if the version fits."""
+        expected = int(self.request.headers.get("If-Version", "0"))
+        lease = self.request.headers.get("Lease", "")
+        values = self.platform.values
+        try:
+            version = values.write(key, self.request.body, expected, lease)
+        except VersionConflict:
+            self.set_header("Version", str(values.read(key).version))
+            self.set_status(409)
+            return
+        except ValueTooLarge:
+            raise HTTPError(413) from None
+        except KeyError:
+            raise HTTPError(410) from None
+        await self._after_effect()
+        self.set_header("Version", str(version))
+
+    async def _after_effect(self) -> None:
+        faults = self.platform.faults
+        if faults.slow_answer_ms:
+            await asyncio.sleep(faults.slow_answer_ms / 1000)
+        if faults.lose_answers <= 0:
+            return
+        faults.lose_answers -= 1
+        if faults.lose_by_close:
+            self.close_connection()
+        await leave_unanswered(self)
+
+
+class _LeasesHandler(_Handler):
+    """``/leases``."""
+
+    def post(self) -> None:
+        """Create a lease."""
+        ttl = json.loads(self.request.body)["ttl_ms"] / 1000
+        self.write({"id": self.platform.values.take_lease(ttl)})
+
+
+class _LeaseHandler(_Handler):
+    """``/leases/<id>``."""
+
+    def put(self, lease_id: str) -> None:
+        """Renew a lease."""
+        if not self.platform.values.renew_lease(lease_id):
+            raise HTTPError(410)
+
+    def delete(self, lease_id: str) -> None:
+        """End a lease."""
+        if not self.platform.values.drop_lease(lease_id):
+            raise HTTPError(410)
+
+
+class _VmsHandler(_Handler):
+    """``/vms``."""
+
+    def get(self) -> None:
+        """Answer with the list."""
+        self.set_header("Content-Type", "application/json")
+        self.write(json.dumps(self.platform.vm_log.vms()))
+
+
+class _VmHandler(_Handler):
+    """``/vms/<name>``: the platform's own doing."""
+
+    def put(self, name: str) -> None:
+        """Record a VM."""
+        doc = {"leaving": False, **json.loads(self.request.body), "name": name}
+        if set(doc) != set(VmRecord.__slots__):
+            raise HTTPError(400)
+        self.platform.vm_log.record(name, doc)
+
+    def delete(self, name: str) -> None:
+        """Record that a VM is gone."""
+        self.platform.vm_log.record(name, None)
+
+
+class _FaultsHandler(RequestHandler):
+    """``/faults``: never struck by a fault itself."""
+
+    def initialize(self, platform: Platform) -> None:
+        self.platform = platform
+
+    def get(self) -> None:
+        """Answer with the switches."""
+        self.write(self.platform.faults.as_dict())
+
+    def post(self) -> None:
+        """Set switches; ``lapse_leases`` and ``vm_lag_ms`` act once."""
+        doc = json.loads(self.request.body)
+        lapse = doc.pop("lapse_leases", False)
+        lag_ms = doc.pop("vm_lag_ms", None)
+        try:
+            self.platform.faults.set(doc)
+        except ValueError as exc:
+            self.set_status(400)
+            self.write({"error": str(exc)})
+            return
+        if lapse:
+            self.platform.values.lapse_all()
+        if lag_ms is not None:
+            self.platform.vm_log.lag = lag_ms / 1000
+        self.write(self.platform.faults.as_dict())
+
+
+class _CountsHandler(RequestHandler):
+    """``/counts``: calls by kind since the start."""
+
+    def initialize(self, platform: Platform) -> None:
+        self.platform = platform
+
+    def get(self) -> None:
+        """Answer with the counts."""
+        self.write(dict(self.platform.counts))
--- a/packages/standins/src/berylstage_standins/work.py
+++ b/packages/standins/src/berylstage_standins/work.py
@@ -6,93 +6,48 @@
 import random
 import time
 from collections import deque
+from enum import Enum
 from typing import TYPE_CHECKING
 
-from berylstage_standins.grants import GrantTable
 from berylstage_standins.ledger import COLD_BOUND_BROKEN, RAN, LedgerWriter
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from typing import Any
 
+    from berylstage_standins.grants import GrantTable
+    from berylstage_standins.job import Job
+
 # Factor by which work slows down once the bound of a cold start is broken.
 COLD_BREAK_FACTOR = 10.0
 # Milliseconds of work for a kind without a setting of its own.
 DEFAULT_WORK_MS = 5.0
 # Spread of the time of work: the standard deviation of its logarithm.
 WORK_SPREAD = 0.3
-# Seconds between two readings of a clock that work in progress takes.
-PAUSE_TICK = 0.01
+
+
+class ColdBreak(Enum):
+    """What a cold target does when it is sent more than it bears."""
+
+    SLOW = "slow"
+    FALL = "fall"
+    SHED = "shed"
 
 
 class Refused(Exception):
-    """Work that certainly did not run, with the reason for the ``Not-Run`` header."""
+    """Work that had no effect, with the reason for the ``Not-Run`` header."""
 
     def __init__(self, reason: str):
         super().__init__(f"not run: {reason}; send it again later or elsewhere")
         self.reason = reason
 
 
-class Job:
-    """One request for work as it arrived.
+class Outcome(Enum):
+    """How work that had a slot ended."""
 
-    Parameters
-    ----------
-    request_id, service, kind, key : str
-    shard, fence, epoch : int
-    vm : str
-    idempotency_key : str
-    digest : str
-        Digest of the body, which tells a caller that an answer is its own.
-    deadline : float
-        Seconds since 1970; 0 for none.
-    """
-
-    __slots__ = (
-        "cancelled",
-        "deadline",
-        "digest",
-        "epoch",
-        "fence",
-        "idempotency_key",
-        "key",
-        "kind",
-        "request_id",
-        "service",
-        "shard",
-        "vm",
-    )
-
-    def __init__(
-        self,
-        request_id: str,
-        service: str,
-        kind: str,
-        key: str,
-        shard: int,
-        fence: int,
-        epoch: int,
-        vm: str,
-        idempotency_key: str,
-        digest: str,
-        deadline: float,
-    ):
-        self.request_id = request_id
-        self.service = service
-        self.kind = kind
-        self.key = key
-        self.shard = shard
-        self.fence = fence
-        self.epoch = epoch
-        self.vm = vm
-        self.idempotency_key = idempotency_key
-        self.digest = digest
-        self.deadline = deadline
-        self.cancelled = asyncio.Event()
-
-    def record(self) -> dict:
-        """Return the fields that the ledger shows."""
-        hidden = ("cancelled", "deadline")
-        return {n: getattr(self, n) for n in self.__slots__ if n not in hidden}
+    DONE = "done"
+    DROPPED = "dropped"
+    FENCED = "fenced"
 
 
 class WorkSettings:
@@ -106,6 +61,8 @@
         Jobs that wait for a slot; more are shed.
     cold_bound : int
         Jobs that the target bears while it is cold; 0 for no bound.
+    cold_break : ColdBreak
+        What happens over the bound.
     warm_after : int
         Completions after which the target is warm.
     work_ms : dict of str to float
@@ -118,6 +75,7 @@
         "backlog",
         "checks_fences",
         "cold_bound",
+        "cold_break",
         "seed",
         "slots",
         "warm_after",
@@ -129,6 +87,7 @@
         slots: int = 2,
         backlog: int = 4,
         cold_bound: int = 0,
+        cold_break: ColdBreak = ColdBreak.SLOW,
         warm_after: int = 50,
         work_ms: dict[str, float] | None = None,
         seed: int = 1,
@@ -137,13 +96,14 @@
         self.slots = slots
         self.backlog = backlog
         self.cold_bound = cold_bound
+        self.cold_break = cold_break
         self.warm_after = warm_after
         self.work_ms = work_ms or {}
         self.seed = seed
         self.checks_fences = checks_fences
 
 
-class Workshop:
+class Work:
     """Runs jobs in slots and records them in the ledger.
 
     Parameters
@@ -151,10 +111,19 @@
     settings : WorkSettings
     grants : GrantTable
     ledger : LedgerWriter
+    on_change : callable
+        Called whenever the number of running jobs changed.
+    on_fall : callable
+        Called when the target falls over.
     """
 
     def __init__(
-        self, settings: WorkSettings, grants: GrantTable, ledger: LedgerWriter
+        self,
+        settings: WorkSettings,
+        grants: GrantTable,
+        ledger: LedgerWriter,
+        on_change: Callable[[], None] = lambda: None,
+        on_fall: Callable[[], None] = lambda: None,
     ):
         self.settings = settings
         self.grants = grants
@@ -166,10 +135,13 @@
         self.shed_all = False
         self.thawed = asyncio.Event()
         self.thawed.set()
-        self._cold_left = settings.warm_after if settings.cold_bound else 0
+        self._on_change = on_change
+        self._on_fall = on_fall
+        self._cold_left = 0
         self._broken = False
         self._waiting: deque[asyncio.Future[None]] = deque()
         self._random = random.Random(settings.seed)
+        self.turn_cold()
 
     @property
     def cold(self) -> bool:
@@ -177,18 +149,23 @@
         return self._cold_left > 0
 
     def turn_cold(self) -> None:
-        """Begin a cold start, without warning."""
-        self._cold_left = self.settings.warm_after
+        """Begin a cold start, if the target has a bound for one."""
+        self._cold_left = self.settings.warm_after if self.settings.cold_bound else 0
         self._broken = False
 
-    def cancel(self, request_id: str) -> bool:
+    def drop(self, request_id: str) -> bool:
         """Drop a job; False when it is not here."""
         job = self.jobs.get(request_id)
         if job is None:
             return False
-        job.cancelled.set()
+        job.dropped.set()
         return True
 
+    def drop_all(self) -> None:
+        """Drop every job."""
+        for job in self.jobs.values():
+            job.dropped.set()
+
     async def run(self, job: Job) -> None:
         """Run a job to its end.
 
@@ -199,8 +176,8 @@
         """
         self._admit(job)
         self.jobs[job.request_id] = job
-        self._check_cold_bound(job)
         try:
+            self._check_cold_bound(job)
             await self._take_slot(job)
             try:
                 await self._work(job)
@@ -227,15 +204,13 @@
     def _check_fence(self, job: Job) -> None:
         if not self.settings.checks_fences:
             return
-        shard = f"{job.service}/{job.shard}"
-        if not self.grants.covers(shard, job.fence, job.epoch):
+        if not self.grants.covers(job.shard_name(), job.fence, job.epoch):
             raise Refused("fence")
 
     def _check_cold_bound(self, job: Job) -> None:
         bound = self.settings.cold_bound
-        if not self.cold or not bound or len(self.jobs) <= bound:
+        if not self.cold or len(self.jobs) <= bound:
             return
-        self._broken = True
         self.ledger.append(
             {
                 "event": COLD_BOUND_BROKEN,
@@ -245,55 +220,61 @@
                 "request_id": job.request_id,
             }
         )
+        if self.settings.cold_break is ColdBreak.SHED:
+            raise Refused("cold")
+        if self.settings.cold_break is ColdBreak.FALL:
+            self._on_fall()
+            return
+        self._broken = True
 
     async def _take_slot(self, job: Job) -> None:
         if self.running < self.settings.slots:
             self.running += 1
+            self._on_change()
             return
         turn: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         self._waiting.append(turn)
-        cancelled = asyncio.ensure_future(job.cancelled.wait())
+        dropped = asyncio.ensure_future(job.dropped.wait())
         left = job.deadline - time.time() if job.deadline else None
+        either: set[asyncio.Future[Any]] = {turn, dropped}
         try:
-            either: set[asyncio.Future[Any]] = {turn, cancelled}
             await asyncio.wait(
                 either, timeout=left, return_when=asyncio.FIRST_COMPLETED
             )
         finally:
-            cancelled.cancel()
+            dropped.cancel()
             if not turn.done():
                 self._waiting.remove(turn)
         if not turn.done():
-            raise Refused("cancelled" if job.cancelled.is_set() else "deadline")
+            raise Refused("cancelled" if job.dropped.is_set() else "deadline")
 
     def _free_slot(self) -> None:
-        while self._waiting:
-            turn = self._waiting.popleft()
-            if not turn.done():
-                turn.set_result(None)
-                return
+        if self._waiting:
+            # The slot passes on, so the number of running jobs stays.
+            self._waiting.popleft().set_result(None)
+            return
         self.running -= 1
+        self._on_change()
 
     async def _work(self, job: Job) -> None:
         self._check_deadline(job)
         self._check_fence(job)
         start_wall = time.time()
         start = time.monotonic()
-        outcome = "cancelled"
+        outcome = Outcome.DROPPED
         try:
-            if await self._pass_time(job):
-                raise Refused("cancelled")
+            await self._pass_time(job)
             # Work takes effect at its end, where a server that checks fence tokens
             # checks them once more: its grant may have lapsed meanwhile.
-            outcome = "fenced"
+            outcome = Outcome.FENCED
             self._check_fence(job)
-            outcome = "done"
+            outcome = Outcome.DONE
             self._cold_left = max(0, self._cold_left - 1)
         finally:
             self.ledger.append(
                 {
                     "event": RAN,
-                    "outcome": outcome,
+                    "outcome": outcome.value,
                     **job.record(),
                     "start_wall": start_wall,
                     "end_wall": time.time(),
@@ -302,15 +283,25 @@
                 }
             )
 
-    async def _pass_time(self, job: Job) -> bool:
-        """Spend the time of the work; True when it was cancelled meanwhile."""
-        median = self.settings.work_ms.get(job.kind, DEFAULT_WORK_MS) / 1000
-        duration = median * self._random.lognormvariate(0.0, WORK_SPREAD)
-        duration *= self.slow_factor
-        if self._broken and self.cold:
-            duration *= COLD_BREAK_FACTOR
+    async def _pass_time(self, job: Job) -> None:
+        """Spend the time of the work, unless the job is dropped meanwhile."""
+        duration = self._duration(job.kind)
+        start = time.monotonic()
         try:
-            await asyncio.wait_for(job.cancelled.wait(), duration)
+            await asyncio.wait_for(job.dropped.wait(), duration)
         except TimeoutError:
             await self.thawed.wait()
-        return job.cancelled.is_set()
+            return
+        await self.thawed.wait()
+        # A frozen process sees that its caller went away only after its own work,
+        # which was due first, has taken effect.
+        if time.monotonic() - start < duration:
+            raise Refused("cancelled")
+
+    def _duration(self, kind: str) -> float:
+        """Return the seconds that the next job of a kind takes."""
+        median = self.settings.work_ms.get(kind, DEFAULT_WORK_MS) / 1000
+        duration = median * self._random.lognormvariate(0.0, WORK_SPREAD)
+        if self._broken and self.cold:
+            duration *= COLD_BREAK_FACTOR
+        return duration * self.slow_factor
