--- a/packages/platform/src/berylstage_platform/http.py
+++ b/packages/platform/src/berylstage_platform/http.py
@@ -73,8 +73,8 @@
         RateLimited
             The platform refused the call.
         """
-        call = Call(method, self.base + path, headers or {}, body, timeout)
         try:
+            call = Call(method, self.base + path, headers or {}, body, timeout)
             answer = await self._client.call(call)
         except CallFailed as exc:
             raise StoreUnavailable(str(exc)) from exc
--- a/packages/standins/src/berylstage_standins/target.py
+++ b/packages/standins/src/berylstage_standins/target.py
@@ -53,6 +53,11 @@
         Seconds by which the load report is late.
     data_centre : str
         Shown in the ledger.
+
+    Attributes
+    ----------
+    accepted : int
+        Connections accepted since the start.
     """
 
     def __init__(
@@ -66,6 +71,7 @@
     ):
         self.name = name
         self.connections = connections
+        self.accepted = 0
         self.report_lag = report_lag
         self.data_centre = data_centre
         self.faults = TargetFaults()
--- a/packages/standins/src/berylstage_standins/target_server.py
+++ b/packages/standins/src/berylstage_standins/target_server.py
@@ -58,6 +58,7 @@
         if sum(not s.closed() for s in streams) >= self.target.connections:
             stream.close()
             return
+        self.target.accepted += 1
         streams.add(stream)
         super().handle_stream(stream, address)
 
--- a/packages/targets/src/berylstage_targets/http.py
+++ b/packages/targets/src/berylstage_targets/http.py
@@ -63,8 +63,9 @@
         self._cancels: set[asyncio.Task[None]] = set()
 
     async def send(self, req: WorkRequest) -> WorkAnswer:  # noqa: D102
-        call = self._work_call(req)
+        call = None
         try:
+            call = self._work_call(req)
             answer = await self._work.call(call)
         except NeverSent as exc:
             raise NotRun(str(exc), "connect") from exc
@@ -72,7 +73,7 @@
             self._cancel_later(req.request_id)
             raise OutcomeUnknown(str(exc), "no-answer") from exc
         except asyncio.CancelledError:
-            if call.sent:
+            if call is not None and call.sent:
                 self._cancel_later(req.request_id)
             raise
         return _work_answer(req, answer)
@@ -137,8 +138,8 @@
     async def _json_call(
         self, method: str, path: str, timeout: float, body: bytes | None = None
     ) -> dict[str, Any]:
-        call = Call(method, self.base + path, _JSON, body, timeout)
         try:
+            call = Call(method, self.base + path, _JSON, body, timeout)
             answer = await self._control.call(call)
         except CallFailed as exc:
             raise TargetError(str(exc), "no-answer") from exc
--- /dev/null
+++ b/packages/targets/tests/conftest.py
@@ -0,0 +1,102 @@
+"""The implementations of the target client that its contract tests run against."""
+
+from __future__ import annotations
+
+import time
+from contextlib import asynccontextmanager
+from itertools import count
+
+import pytest
+from berylstage_standins.ledger import LedgerWriter
+from berylstage_standins.target import Target
+from berylstage_standins.target_server import make_server
+from berylstage_standins.work import WorkSettings
+from berylstage_targets.http import HttpTargetClient
+from berylstage_targets.target import GrantOrder, WorkRequest
+from tornado.netutil import bind_sockets
+
+FENCE = 7
+EPOCH = 3
+
+
+class Rig:
+    """A target client, and the target behind it whose faults a test switches."""
+
+    def __init__(self, target, client, server, address):
+        self.target = target
+        self.client = client
+        self.server = server
+        self.address = address
+        self._ids = count(1)
+
+    def faults(self, **switches):
+        """Set fault switches of the target."""
+        self.target.faults.set(switches)
+        self.target.apply_faults()
+
+    def request(self, **fields):
+        """Return a request for work under the grant of :meth:`hold`."""
+        given = {
+            "request_id": f"req-{next(self._ids)}",
+            "service": "field-log",
+            "kind": "lookup",
+            "key": "dryer-1",
+            "shard": 5,
+            "fence": FENCE,
+            "epoch": EPOCH,
+            "method": "GET",
+            "body": b"",
+            "content_type": "application/json",
+            "deadline": time.time() + 60.0,
+            "timeout": 10.0,
+        }
+        return WorkRequest(**{**given, **fields})
+
+    def order(self, **fields):
+        """Return a grant order that gives the shard of :meth:`request`."""
+        given = {
+            "vm": "vm-1",
+            "epoch": EPOCH,
+            "version": 1,
+            "shards": {"field-log/5": FENCE},
+            "anchor": self.target.clock_ms(),
+            "incarnation": self.target.incarnation,
+            "lifetime_ms": 60_000,
+        }
+        return GrantOrder(**{**given, **fields})
+
+    async def hold(self):
+        """Get the grant under which requests run."""
+        answer = await self.client.grant(self.order(), 10.0)
+        assert answer.accepted
+
+    def ran(self):
+        """Return the request ids of the work that took effect."""
+        lines = self.target.ledger.lines
+        return [doc["request_id"] for doc in lines if doc.get("outcome") == "done"]
+
+
+@asynccontextmanager
+async def http_rig(connections=10, **settings):
+    """Give the HTTP adapter in front of the stand-in."""
+    settings.setdefault("work_ms", {"lookup": 1.0, "long": 60_000.0})
+    work = WorkSettings(**settings)
+    target = Target("target-1", work, LedgerWriter(None), connections)
+    server = make_server(target)
+    sockets = bind_sockets(0, "127.0.0.1")
+    server.add_sockets(sockets)
+    address = "127.0.0.1:{}".format(sockets[0].getsockname()[1])
+    client = HttpTargetClient(address, connections, "vm-1")
+    try:
+        yield Rig(target, client, server, address)
+    finally:
+        await client.close()
+        server.stop()
+        target.work.drop_all()
+        await server.close_all_connections()
+
+
+@pytest.fixture(params=[http_rig], ids=["http"])
+def open_target(request):
+    """Return how to open a target; another implementation is one more parameter."""
+    return request.param
--- a/packages/transfers/src/berylstage_transfers/call.py
+++ b/packages/transfers/src/berylstage_transfers/call.py
@@ -4,6 +4,8 @@
 
 import asyncio
 
+from berylstage_transfers.errors import NeverSent
+
 # First status that ends an exchange; lower ones are interim.
 FINAL_STATUS = 200
 # Statuses whose answers have no body, so that nothing needs to frame one.
@@ -41,6 +43,11 @@
         Status of the answer; 0 before it comes.
     answer_headers : dict of bytes to bytes
         Headers of the answer by lower-case name.
+
+    Raises
+    ------
+    NeverSent
+        A header holds a line break.
     """
 
     __slots__ = (
@@ -146,10 +153,10 @@
 
     Raises
     ------
-    ValueError
+    NeverSent
         A value holds a line break: it would let a caller add headers of its own.
     """
     lines = [f"{name}: {value}".encode() for name, value in headers.items() if value]
     if any(b"\r" in line or b"\n" in line or b"\0" in line for line in lines):
-        raise ValueError("a header holds a line break; remove it from the value")
+        raise NeverSent("a header holds a line break; remove it from the value")
     return lines
--- a/packages/transfers/src/berylstage_transfers/client.py
+++ b/packages/transfers/src/berylstage_transfers/client.py
@@ -96,6 +96,8 @@
         AnswerLost
             It was sent, and no whole answer of its own came.
         """
+        if self._closed:
+            raise NeverSent(f"{call.url}: the client is closed; open another one")
         fut: asyncio.Future[Answer] = asyncio.get_running_loop().create_future()
         call.fut = fut
         call.deadline = time.monotonic() + call.timeout
@@ -111,6 +113,8 @@
 
     def close(self) -> None:
         """Fail what is under way and close all connections."""
+        if self._closed:
+            return
         for curl, handle in self._handles.items():
             if handle.call is not None:
                 self._finish(curl, pycurl.E_ABORTED_BY_CALLBACK, "client closed")
