--- a/packages/cli/src/berylstage_cli/connections.py
+++ b/packages/cli/src/berylstage_cli/connections.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+from asyncio import sleep as asyncio_sleep
 from collections.abc import Callable
+from time import monotonic
 
 from berylstage_platform.store import Store, VmList
 
 from berylstage_cli.http import HttpVmClient
+from berylstage_cli.retries import Sleep
 from berylstage_cli.settings import Settings
 from berylstage_cli.vms import VmClient
 
@@ -19,14 +22,27 @@
     store : Store
     vm_list : VmList
     vms : VmClient
+    sleep : callable, optional
+        Waits for some seconds.
+    clock : callable, optional
+        Monotonic time in seconds.
     """
 
-    __slots__ = ("store", "vm_list", "vms")
+    __slots__ = ("store", "vm_list", "vms", "sleep", "clock")
 
-    def __init__(self, store: Store, vm_list: VmList, vms: VmClient):
+    def __init__(
+        self,
+        store: Store,
+        vm_list: VmList,
+        vms: VmClient,
+        sleep: Sleep = asyncio_sleep,
+        clock: Callable[[], float] = monotonic,
+    ):
         self.store = store
         self.vm_list = vm_list
         self.vms = vms
+        self.sleep = sleep
+        self.clock = clock
 
     async def close(self) -> None:
         """Let go of all connections."""
--- a/packages/cli/src/berylstage_cli/rollout.py
+++ b/packages/cli/src/berylstage_cli/rollout.py
@@ -3,9 +3,6 @@
 from __future__ import annotations
 
 from asyncio import Semaphore, gather
-from asyncio import sleep as asyncio_sleep
-from collections.abc import Awaitable, Callable
-from time import monotonic
 
 from berylstage_platform.errors import PlatformError
 from berylstage_platform.store import VmRecord
@@ -121,11 +118,7 @@
 
 
 async def wait_in_force(
-    conns: Connections,
-    cfg: Configuration,
-    timeout: float,
-    sleep: Callable[[float], Awaitable[None]] = asyncio_sleep,
-    clock: Callable[[], float] = monotonic,
+    conns: Connections, cfg: Configuration, timeout: float
 ) -> Rollout:
     """Ask the VMs until all have a revision in force or the time is up.
 
@@ -136,21 +129,20 @@
         The accepted configuration.
     timeout : float
         Seconds to wait.
-    sleep, clock : callable, optional
 
     Returns
     -------
     Rollout
         As it was when last asked.
     """
-    end = clock() + timeout
+    end = conns.clock() + timeout
     pause = FIRST_PAUSE
     while True:
         rollout = await look(conns, cfg)
-        left = end - clock()
+        left = end - conns.clock()
         if rollout.complete or left <= 0:
             return rollout
-        await sleep(min(pause, left))
+        await conns.sleep(min(pause, left))
         pause = min(pause * 2, MAX_PAUSE)
 
 
--- a/packages/cli/src/berylstage_cli/sheet_commands.py
+++ b/packages/cli/src/berylstage_cli/sheet_commands.py
@@ -22,7 +22,7 @@
     NothingAccepted,
     RevisionConflict,
 )
-from berylstage_cli.publication import Accepted, Published, Publisher
+from berylstage_cli.publication import Publisher
 from berylstage_cli.reports import (
     AppliedReport,
     ConflictReport,
@@ -32,6 +32,7 @@
 )
 from berylstage_cli.rollout import wait_in_force
 from berylstage_cli.settings import Settings
+from berylstage_cli.write import Accepted, Published
 
 SHEET_ARGUMENT = argument(
     "sheet", "CSV file that the spreadsheet exported; - for standard input"
@@ -72,7 +73,7 @@
     async def work(self, cfg: Settings, conns: Connections) -> Report:
         """Compare the sheet with the configuration in force."""
         sheet = self.read_sheet()
-        current = await Publisher(conns.store).current()
+        current = await Publisher(conns.store, conns.sleep).current()
         check_transition(current.cfg, sheet)
         changes = compare(current.cfg, sheet.cfg)
         return DifferenceReport(current.cfg, sheet.cfg, changes)
@@ -93,7 +94,7 @@
         """Check, show, write and wait."""
         sheet = self.read_sheet()
         sheet.cfg.author = sheet.cfg.author or cfg.author
-        publisher = Publisher(conns.store)
+        publisher = Publisher(conns.store, conns.sleep)
         base = await publisher.current()
         changes = compare(base.cfg, sheet.cfg)
         try:
@@ -150,7 +151,7 @@
 
     async def work(self, cfg: Settings, conns: Connections) -> Report:
         """Read the configuration and write the sheet."""
-        current = await Publisher(conns.store).current()
+        current = await Publisher(conns.store, conns.sleep).current()
         if current.cfg is None:
             raise NothingAccepted
         text = write_sheet(current.cfg)
--- a/packages/cli/src/berylstage_cli/view_commands.py
+++ b/packages/cli/src/berylstage_cli/view_commands.py
@@ -10,17 +10,18 @@
 from berylstage_cli.connections import Connections
 from berylstage_cli.errors import NothingAccepted, NoVmAnswers, StoreUnreachable
 from berylstage_cli.history import RevisionSummary
-from berylstage_cli.publication import Published, Publisher
-from berylstage_cli.reports import (
+from berylstage_cli.publication import Publisher
+from berylstage_cli.reports import Report
+from berylstage_cli.rollout import look
+from berylstage_cli.settings import Settings
+from berylstage_cli.view_reports import (
     ConfigurationReport,
     HistoryReport,
     OwnerReport,
-    Report,
     StatusReport,
 )
-from berylstage_cli.rollout import look
-from berylstage_cli.settings import Settings
 from berylstage_cli.vms import UnknownKey, VmFault
+from berylstage_cli.write import Published
 
 
 async def accepted_configuration(conns: Connections) -> Configuration:
@@ -33,7 +34,7 @@
     StoreUnreachable
         The store did not answer.
     """
-    current = await Publisher(conns.store).current()
+    current = await Publisher(conns.store, conns.sleep).current()
     if current.cfg is None:
         raise NothingAccepted
     return current.cfg
@@ -58,7 +59,7 @@
 
     async def work(self, cfg: Settings, conns: Connections) -> Report:
         """Read the history, and the revision in force if it is not there yet."""
-        publisher = Publisher(conns.store)
+        publisher = Publisher(conns.store, conns.sleep)
         current = await publisher.current()
         if current.cfg is None:
             raise NothingAccepted
