Test the sheet: faults, spreadsheets' dialects, differences, transitions

A duplicate row, or every data centre closed, was reported with a fault for each thing that follows; each check now takes the first of duplicate rows.

--- a/packages/sheet/src/berylstage_sheet/checks.py
+++ b/packages/sheet/src/berylstage_sheet/checks.py
@@ -116,6 +116,17 @@
     return [name for name in values if name is not None]
 
 
+def _first_rows(layout: Layout, section: Section) -> Iterator[Record]:
+    """Yield the rows of a section without those that repeat an earlier one."""
+    # A duplicate is reported by itself. If its cells counted as well, each check
+    # would report what follows from it.
+    seen = set()
+    for record in layout.of(section):
+        if record.identity not in seen:
+            yield record
+        seen.add(record.identity)
+
+
 def _suggestion(name: str, names: list[str], section: Section) -> str:
     """Return the remedy for a name that does not exist."""
     close = get_close_matches(name, names, n=1)
@@ -150,7 +161,7 @@
     # caller's retry would run a second time on another target.
     free = {
         record.value("service")
-        for record in layout.of(SERVICES)
+        for record in _first_rows(layout, SERVICES)
         if record.value("keys") is Ownership.FREE
     }
     for record in layout.of(KINDS):
@@ -233,11 +244,14 @@
 
 def _served(layout: Layout) -> Iterator[SheetFault]:
     """Check that each service keeps a target that takes work."""
+    centres = list(_first_rows(layout, DATA_CENTRES))
     closed = {
         record.value("data centre")
-        for record in layout.of(DATA_CENTRES)
+        for record in centres
         if record.value("state") is DataCentreState.CLOSED
     }
+    if len(closed) == len(centres):
+        return
     # A target with an unreadable state or data centre counts as one that works: its
     # own fault is reported, and this one may vanish with it.
     served = {
--- /dev/null
+++ b/packages/sheet/tests/test_reader.py
@@ -0,0 +1,247 @@
+"""Tests of reading and checking sheets."""
+
+from __future__ import annotations
+
+import pytest
+from berylstage_sheet.configuration import (
+    DataCentreState,
+    MemberState,
+    Ownership,
+    RequestClass,
+)
+from berylstage_sheet.errors import (
+    CellFault,
+    DuplicateFault,
+    FaultySheet,
+    LayoutFault,
+    RuleFault,
+    UnknownNameFault,
+)
+from berylstage_sheet.reader import read_sheet
+
+ORDERS_2 = "orders-2,orders,10.0.0.2:80,south,2,120,no,leaving"
+ORDERS_1 = "orders-1,orders,10.0.0.1:80,north,2,120,yes,active"
+
+# Each line: what is replaced by what, and the one fault that comes of it with its
+# row, column and a part of its message.
+FAULTS = [
+    (("based on,41", "based on,yesterday"), CellFault, 3, "value", "no revision"),
+    (("based on,41", "base,41"), CellFault, 3, "property", "'based on' or"),
+    (("orders,acme,owned,16", "orders,,owned,16"), CellFault, 7, "tenant", "empty"),
+    (("acme,owned,16", "acme,mine,16"), CellFault, 7, "keys", "`owned` or `free`"),
+    (("acme,owned,16", "acme,owned,0"), CellFault, 7, "shards", "1 to 16384"),
+    (("acme,owned,16", "acme,owned,1"), RuleFault, 7, "shards", "use 2 at least"),
+    (("acme,owned,16", "acme,free,16"), RuleFault, 12, "repeatable", "owned keys"),
+    (
+        ("prices,acme,free,4", "orders,acme,free,4\nprices,acme,free,4"),
+        DuplicateFault,
+        8,
+        "service",
+        "row 7 already",
+    ),
+    (("no,5000", "no,0"), CellFault, 12, "deadline ms", "from 1 to 600000"),
+    (("no,5000", "no,5000,9"), LayoutFault, 12, "", "under no column"),
+    (("north,open", "north,closed"), RuleFault, 17, "", "every data centre is closed"),
+    (
+        ("south,closed", "south,closed\nnorth,closed"),
+        DuplicateFault,
+        19,
+        "data centre",
+        "row 17",
+    ),
+    (
+        ("south-1,south,joining", "south-1,west,joining"),
+        UnknownNameFault,
+        23,
+        "data centre",
+        "'west' is not in section",
+    ),
+    (
+        (ORDERS_2, ORDERS_2.replace("0.2", "0.1")),
+        DuplicateFault,
+        28,
+        "address",
+        "the address of orders-1 in row 27",
+    ),
+    (
+        (ORDERS_1, ORDERS_1.replace("active", "leaving")),
+        RuleFault,
+        7,
+        "service",
+        "no target takes work for orders",
+    ),
+    (
+        (ORDERS_1, ORDERS_1.replace("active", "joining")),
+        CellFault,
+        27,
+        "state",
+        "`active` or `leaving`",
+    ),
+    (
+        (ORDERS_1, ORDERS_1.replace(",120,", ",1,")),
+        RuleFault,
+        27,
+        "connections",
+        "use 2 at least",
+    ),
+    (
+        ("orders,hot/key 1,orders-1", "orders,hot/key 1,prices-1"),
+        RuleFault,
+        33,
+        "target",
+        "serves prices, not orders",
+    ),
+    (
+        ("orders,hot/key 1,orders-1", "orders,hot/key 1,orders-9"),
+        UnknownNameFault,
+        33,
+        "target",
+        "write 'orders-",
+    ),
+    (("queue.limit,0.5", "queue.limit,much"), CellFault, 38, "value", "no number"),
+    (("\nthresholds\n", "\ntreshold\n"), LayoutFault, 36, "", "use one of: sheet"),
+]
+
+
+def faults_of(raw: bytes) -> list:
+    """Return the faults of a sheet; empty when it has none."""
+    try:
+        read_sheet(raw)
+    except FaultySheet as exc:
+        return exc.faults
+    return []
+
+
+class TestConfiguration:
+    def test_holds_what_the_sheet_says(self, text):
+        sheet = read_sheet(text.encode())
+        cfg = sheet.cfg
+        assert sheet.based_on == 41
+        assert cfg.revision == 0
+        assert cfg.services["orders"].ownership is Ownership.OWNED
+        assert cfg.services["orders"].kinds["place"].repeatable is False
+        assert cfg.services["prices"].kinds["read"].deadline_ms == 1000
+        kind = cfg.services["prices"].kinds["read"]
+        assert kind.request_class is RequestClass.INTERACTIVE
+        assert cfg.data_centres["south"].state is DataCentreState.CLOSED
+        assert cfg.vms["south-1"].state is MemberState.JOINING
+        assert cfg.targets["orders-1"].checks_fences is True
+        assert not cfg.takes_work(cfg.targets["orders-2"])
+        assert [(k.key, k.target) for k in cfg.special_keys] == [
+            ("hot/key 1", "orders-1"),
+            ("hot", None),
+        ]
+        assert cfg.thresholds == {"queue.limit": 0.5}
+
+
+class TestFaults:
+    @pytest.mark.parametrize(
+        ("change", "kind", "row", "column", "message"),
+        FAULTS,
+        ids=lambda value: value[1].strip() if isinstance(value, tuple) else "",
+    )
+    def test_one_fault(self, spoilt, change, kind, row, column, message):
+        # An operator makes one mistake in a spreadsheet of hundreds of rows. The
+        # report has to lead to the cell, and must not bury it under other faults.
+        (fault,) = faults_of(spoilt(change))
+        assert type(fault) is kind
+        assert (fault.row, fault.column) == (row, column)
+        assert message in str(fault)
+
+    def test_all_faults_at_once(self, spoilt):
+        # An operator who is told one fault at a time exports the sheet again for
+        # each of them while the morning's change waits.
+        raw = spoilt(
+            ("based on,41", "based on,?"),
+            ("acme,owned,16", "acme,owned,x"),
+            ("south,closed", "south,shut"),
+            ("queue.limit,0.5", "queue.limit,"),
+        )
+        places = [(f.row, f.column) for f in faults_of(raw)]
+        assert places == [(3, "value"), (7, "shards"), (18, "state"), (38, "value")]
+
+    def test_unknown_service(self, spoilt):
+        # A service is misspelt in the kinds. The remedy gives the name that was
+        # probably meant, and the service that now lacks a kind is named too.
+        other, fault = faults_of(spoilt(("prices,read,", "price,read,")))
+        assert isinstance(fault, UnknownNameFault)
+        assert (fault.row, fault.column) == (13, "service")
+        assert "write 'prices'" in fault.remedy
+        assert "prices has no kind" in other.problem
+
+    def test_every_vm_leaving(self, spoilt):
+        # Every VM is set to leave at once: none would be left to answer callers.
+        raw = spoilt(
+            ("north-1,north,active", "north-1,north,leaving"),
+            ("south-1,south,joining", "south-1,south,leaving"),
+        )
+        (fault,) = faults_of(raw)
+        assert "keep one active" in str(fault)
+
+    def test_missing_column(self, spoilt):
+        # A column is renamed in the header row. The report names the wrong word and
+        # the missing column, and not each cell below them.
+        raw = spoilt(("service,tenant,keys", "service,tenants,keys"))
+        assert [f.row for f in faults_of(raw)] == [6, 6]
+
+    def test_missing_sections(self):
+        # An operator exports the wrong tab of the spreadsheet.
+        faults = faults_of(b"thresholds\nname,value\nx,1\n")
+        names = ("services", "kinds", "data centres", "VMs", "targets")
+        expected = [f"section '{name}' is missing" for name in names]
+        assert [fault.problem for fault in faults] == expected
+
+    def test_misspelt_section_hides_its_rows(self, spoilt):
+        # A misspelt section row is reported itself; its rows would otherwise be read
+        # as rows of the section above, with a fault for each of them.
+        faults = faults_of(spoilt(("\ntargets\n", "\ntarget\n")))
+        assert [f.row for f in faults if f.row] == [7, 8, 25]
+
+    def test_section_twice(self, spoilt):
+        # Rows are pasted in with their section row. The second section row is named.
+        faults = faults_of(spoilt(("\nkeys\n", "\nservices\n")))
+        assert "stands twice" in str(next(f for f in faults if f.row == 31))
+
+    def test_too_large_for_the_store(self, text):
+        # The store refuses values over a megabyte. The operator hears of it from
+        # `check`, not from the store after having approved the changes.
+        keys = "\n".join(f"prices,{number:0200},prices-1" for number in range(5000))
+        faults = faults_of(text.replace("prices,hot,\n", keys + "\n").encode())
+        assert "1000000 at most" in str(faults[0])
+
+
+class TestSpreadsheets:
+    """What spreadsheets make of the same sheet."""
+
+    @pytest.mark.parametrize(
+        "export",
+        [
+            lambda text: text.encode("utf-8-sig"),
+            lambda text: text.replace("\n", "\r\n").encode(),
+            lambda text: text.replace(",", ";").replace("0.5", "0,5").encode(),
+            lambda text: text.replace(",", "\t").encode(),
+            lambda text: b"sep=;\r\n" + text.replace(",", ";").encode(),
+            lambda text: "\n".join(f"{li},,,," for li in text.split("\n")).encode(),
+            lambda text: text.replace("acme", '"acme"').encode(),
+            lambda text: text.replace("acme", "\u00a0acme ").encode(),
+            lambda text: text.replace("VMs\n", "vms\n").encode(),
+        ],
+        ids="bom crlf semicolons tabs sep-line trailing quotes spaces case".split(),
+    )
+    def test_same_configuration(self, text, export):
+        expected = read_sheet(text.encode()).cfg.to_json()
+        assert read_sheet(export(text)).cfg.to_json() == expected
+
+    @pytest.mark.parametrize(
+        ("raw", "message"),
+        [
+            ("services\n".encode("utf-16"), "CSV UTF-8"),
+            (b'services\nservice,"ten', "close the open quote"),
+            (b"x" * 4_000_001, "4000000 at most"),
+            (b"", "'services' is missing"),
+        ],
+    )
+    def test_unreadable_file(self, raw, message):
+        # A spreadsheet saved in another format than CSV in UTF-8. The operator is
+        # told how to export it instead of seeing a trace.
+        assert any(message in str(fault) for fault in faults_of(raw))
--- /dev/null
+++ b/packages/sheet/tests/test_transition.py
@@ -0,0 +1,42 @@
+"""Tests of changes that cannot be made in place."""
+
+from __future__ import annotations
+
+import pytest
+from berylstage_sheet.errors import FaultySheet, TransitionFault
+from berylstage_sheet.reader import read_sheet
+from berylstage_sheet.transition import check_transition
+
+REFUSED = [
+    (("acme,owned,16", "acme,owned,32"), 7, "shards"),
+    (("prices,acme,free,4", "prices,acme,owned,4"), 8, "keys"),
+    (("10.0.0.1:80", "10.0.0.9:80"), 27, "address"),
+    (("orders-2,orders,", "orders-2,prices,"), 28, "service"),
+]
+ALLOWED = [
+    ("south,closed", "south,open"),
+    ("prices,acme,free,4", "prices,acme,free,8"),
+    ("orders-1,orders,10.0.0.1:80,north,2", "orders-1,orders,10.0.0.1:80,north,3"),
+    ("orders-2,orders,10.0.0.2:80", "orders-3,orders,10.0.0.2:80"),
+]
+
+
+class TestCheckTransition:
+    @pytest.mark.parametrize(("change", "row", "column"), REFUSED)
+    def test_refused(self, text, spoilt, change, row, column):
+        # While a revision spreads, some VMs act on the old one and some on the new.
+        # If the two mean different keys by one shard, or different servers by one
+        # name, a key has two owners for these seconds and an order may run twice.
+        before = read_sheet(text.encode()).cfg
+        with pytest.raises(FaultySheet) as caught:
+            check_transition(before, read_sheet(spoilt(change)))
+        (fault,) = caught.value.faults
+        assert isinstance(fault, TransitionFault)
+        assert (fault.row, fault.column) == (row, column)
+
+    @pytest.mark.parametrize("change", ALLOWED)
+    def test_allowed(self, text, spoilt, change):
+        check_transition(read_sheet(text.encode()).cfg, read_sheet(spoilt(change)))
+
+    def test_first_sheet(self, text):
+        check_transition(None, read_sheet(text.encode()))
