Wire the daemon to the protocol core

Cause: the path ended at stubs. Ruled out: a map of bare reasons in the core; the daemon turns its typed errors into answers in one place. Change: routes, status, peers, named shards on the wire to targets, a cancellation that says whether it was confirmed.

--- a/packages/daemon/src/berylstage_daemon/control.py
+++ b/packages/daemon/src/berylstage_daemon/control.py
@@ -43,6 +43,7 @@
 from berylstage_daemon.clock import now
 from berylstage_daemon.errors import RequestError
 from berylstage_daemon.part import Part
+from berylstage_daemon.routes import Routes
 
 if TYPE_CHECKING:
     from collections.abc import Coroutine
@@ -90,6 +91,7 @@
         self._tasks: set[asyncio.Task] = set()
         self._loops: list[asyncio.Task] = []
         self._configuration: Configuration | None = None
+        self.routes = Routes(self.node, self.configuration)
 
     async def start(self) -> None:
         """Start the clock of the core and the reading of the platform's list."""
@@ -100,8 +102,8 @@
 
     async def drain(self) -> None:
         """Hand over all leads, so that no key waits for a lease to lapse."""
-        self.node.leave()
-        while self.node.leads_anything():
+        self.execute(self.node.leave(now()))
+        while not self.node.may_stop(now()):
             await asyncio.sleep(TICK)
 
     async def stop(self) -> None:
@@ -133,6 +135,28 @@
         """Tell whether this VM can serve callers."""
         return self._configuration is not None and self.node.ready(now())
 
+    def work_started(self, target: str, shard: str, deadline: float) -> None:
+        """Tell the core of a request that leaves for a target."""
+        self.node.work_started(now(), target, shard, deadline)
+
+    def work_ended(self, target: str, shard: str) -> None:
+        """Tell the core of a request that certainly runs no more."""
+        self.execute(self.node.work_ended(now(), target, shard))
+
+    def peers(self) -> list[dict]:
+        """Return one row for each other VM of the cell, for the status page."""
+        electorate = set(self.node.status(now()).electorate)
+        return [
+            {
+                "vm": vm.name,
+                "data_centre": vm.data_centre,
+                "address": vm.peer_address,
+                "elector": vm.name in electorate,
+            }
+            for vm in self.node.cell_vms()
+            if vm.name != self._app.cfg.vm
+        ]
+
     def answer_peer(self, sender: str, raw: bytes) -> bytes:
         """Answer a control message of another VM.
 
@@ -191,7 +215,7 @@
                 log.warning("the list of VMs cannot be read", extra={"cause": str(exc)})
             else:
                 self.execute(self.node.vm_list(now(), listed))
-            active = self.node.proposing(now()) or not self.ready()
+            active = self.node.is_proposing(now()) or not self.ready()
             interval = LIST_INTERVAL_ACTIVE if active else LIST_INTERVAL_IDLE
             await asyncio.sleep(interval)
 
@@ -250,6 +274,10 @@
             result = StoreLost()
         self.execute(self.node.store_reply(now(), action.tag, result))
 
+    def _cell_addresses(self) -> set[str]:
+        """Return the addresses of the VMs of the cell."""
+        return {vm.peer_address for vm in self.node.cell_vms()}
+
     def _notice(self, action: Action) -> None:
         """Log what happened and tell the parts that follow it."""
         emit = self._app.events.emit
@@ -262,7 +290,7 @@
                 emit("configuration-adopted", action.configuration)
             case AssignmentAdopted():
                 self._app.metrics.gauge("revision.assignment", action.revision)
-                self._app.links.keep_only(self.node.peer_addresses())
+                self._app.links.keep_only(self._cell_addresses())
                 log.info("assignment adopted", extra={"revision": action.revision})
                 emit("assignment-adopted", action.revision)
             case LeaseGained():
--- a/packages/daemon/src/berylstage_daemon/leader.py
+++ b/packages/daemon/src/berylstage_daemon/leader.py
@@ -20,7 +20,7 @@
     from collections.abc import Callable
     from random import Random
 
-    from berylstage_ownership.node import Permit
+    from berylstage_ownership.routing import Permit
     from berylstage_policy.thresholds import Thresholds
     from berylstage_targets.target import TargetClient, WorkAnswer
 
@@ -168,11 +168,11 @@
         """Send a request that has its slot and its permit."""
         started = now()
         work = self._work(ticket, req, shard, permit, started)
-        self._control.work_started(ticket.id, self.name, shard, req.deadline)
+        self._control.work_started(self.name, shard, req.deadline)
         try:
             reply = await self.client.send(work)
         except NotRun as exc:
-            self._control.work_ended(ticket.id)
+            self._control.work_ended(self.name, shard)
             ended = REFUSALS.get(exc.reason, Ended.NOT_RUN)
             self._finish(ticket, now() - started, ended)
             return self._with_target(not_run(exc.reason), permit)
@@ -184,7 +184,7 @@
         except asyncio.CancelledError:
             self._settle_later(ticket, work, started)
             raise
-        self._control.work_ended(ticket.id)
+        self._control.work_ended(self.name, shard)
         seconds = now() - started
         self._finish(ticket, seconds, Ended.ANSWERED, reply.incarnation)
         return self._answered(reply, permit)
@@ -261,7 +261,7 @@
         confirmed = await self.client.cancel(work.request_id)
         if not confirmed:
             await asyncio.sleep(max(work.deadline - wall(), 0.0))
-        self._control.work_ended(ticket.id)
+        self._control.work_ended(self.name, work.shard)
         self._finish(ticket, now() - started, Ended.UNKNOWN)
 
     def _finish(
@@ -272,9 +272,7 @@
         incarnation: str = "",
     ) -> None:
         """Free a slot and start what waits for it."""
-        self._begin(
-            self.queue.finished(ticket.id, now(), seconds, ended, incarnation)
-        )
+        self._begin(self.queue.finished(ticket.id, now(), seconds, ended, incarnation))
         self._arm()
 
     def _begin(self, tickets: list[Ticket]) -> None:
--- a/packages/daemon/src/berylstage_daemon/leaders.py
+++ b/packages/daemon/src/berylstage_daemon/leaders.py
@@ -7,7 +7,6 @@
 from random import SystemRandom
 from typing import TYPE_CHECKING
 
-from berylstage_ownership.node import Permit, Refusal
 from berylstage_policy.thresholds import Thresholds
 from berylstage_sheet.configuration import Ownership
 from berylstage_targets.http import HttpTargetClient
@@ -15,10 +14,13 @@
 from berylstage_daemon.answers import Answer, not_run
 from berylstage_daemon.clock import now
 from berylstage_daemon.leader import Leader
+from berylstage_daemon.once import Once
 from berylstage_daemon.part import Part
 
 if TYPE_CHECKING:
     from berylstage_ownership.actions import ShardActivated, TargetUp
+    from berylstage_ownership.routing import Permit
+    from berylstage_ownership.status import TargetStatus
     from berylstage_sheet.configuration import Configuration
     from berylstage_targets.target import TargetClient
 
@@ -45,6 +47,7 @@
         self._leaders: dict[str, Leader] = {}
         self._clients: dict[str, HttpTargetClient] = {}
         self._addresses: dict[str, str] = {}
+        self._once = Once()
         self._thresholds = Thresholds()
         self._rng = SystemRandom()
         self._held: dict[str, set[asyncio.Future]] = defaultdict(set)
@@ -103,10 +106,10 @@
 
     async def _serve_free(self, req: CallerRequest, chosen: str) -> Answer:
         """Send to the chosen target if this VM leads it."""
-        control = self._app.control
+        routes = self._app.control.routes
 
         def permit() -> Permit | Answer:
-            return _or_answer(control.lead_permit(chosen))
+            return routes.lead_permit(chosen)
 
         first = permit()
         if isinstance(first, Answer):
@@ -115,20 +118,21 @@
 
     async def _serve_owned(self, req: CallerRequest) -> Answer:
         """Send to the owner of the key, waiting for a move to end if need be."""
-        control = self._app.control
-        shard = control.shard(req.service.name, req.key)
+        routes = self._app.control.routes
+        service = req.service.name
+        shard = routes.shard(service, req.key)
 
         def permit() -> Permit | Answer:
-            if control.shard(req.service.name, req.key) != shard:
+            if routes.shard(service, req.key) != shard:
                 return not_run("moved")
-            return _or_answer(control.permit(shard))
+            return routes.permit(service, shard)
 
         first = permit()
         if isinstance(first, Answer) and first.reason == "moving":
             first = await self._hold(req, shard, permit)
         if isinstance(first, Answer):
             return first
-        return await control.once.run(
+        return await self._once.run(
             req,
             shard,
             lambda: self._leader(first.target).run(req, shard, permit),
@@ -155,17 +159,34 @@
             self._held[shard].discard(fut)
         return permit()
 
-    def status(self) -> list[dict]:
-        """Return one row for each target that this VM leads, for the status page."""
-        rows = []
-        for row in self._app.control.led():
-            leader = self._leaders.get(row["name"])
-            queue = leader.queue if leader is not None else None
-            row["running"] = queue.running if queue else 0
-            row["waiting"] = queue.waiting if queue else 0
-            row["limit"] = queue.ramp.limit(now()) if queue else 0
-            rows.append(row)
-        return rows
+    def status(self, led: list[TargetStatus]) -> list[dict]:
+        """Return one row for each led target, for the status page.
+
+        Parameters
+        ----------
+        led : list of TargetStatus
+            What the protocol core knows of them.
+
+        Returns
+        -------
+        list of dict
+        """
+        return [self._status_row(target) for target in led]
+
+    def _status_row(self, target: TargetStatus) -> dict:
+        """Return the row of one target."""
+        leader = self._leaders.get(target.name)
+        queue = leader.queue if leader is not None else None
+        state = target.reason or ("cold" if target.cold else "up")
+        return {
+            "name": target.name,
+            "state": state,
+            "epoch": target.epoch,
+            "shards": target.shards,
+            "running": queue.running if queue else 0,
+            "waiting": queue.waiting if queue else 0,
+            "limit": queue.ramp.limit(now()) if queue else 0,
+        }
 
     def _leader(self, target: str) -> Leader:
         """Return the leader of a target, made at its first use."""
@@ -198,10 +219,3 @@
         """Tell the queue of a run of its target."""
         if notice.target in self._app.configuration().targets:
             self._leader(notice.target).seen(notice.incarnation, notice.cold)
-
-
-def _or_answer(allowed: Permit | Refusal) -> Permit | Answer:
-    """Return a permit, or the answer that a refusal of the core means."""
-    if isinstance(allowed, Permit):
-        return allowed
-    return not_run(allowed.reason)
--- a/packages/daemon/src/berylstage_daemon/router.py
+++ b/packages/daemon/src/berylstage_daemon/router.py
@@ -130,22 +130,22 @@
         """Bring the request once to where it belongs."""
         if req.service.ownership is Ownership.FREE:
             return await self._attempt_free(req)
-        control = self._app.control
-        shard = control.shard(req.service.name, req.key)
-        route = control.route(shard)
+        routes = self._app.control.routes
+        shard = routes.shard(req.service.name, req.key)
+        route = routes.route(req.service.name, shard)
         if route is None:
             return not_run("no-owner")
         return await self._pass(req, route.vm, route.peer_address, "")
 
     async def _attempt_free(self, req: CallerRequest) -> Answer:
         """Choose a target that any key may go to."""
-        control = self._app.control
-        willing = control.willing(req.service.name)
+        routes = self._app.control.routes
+        willing = routes.willing(req.service.name)
         if not willing:
             return not_run("target-down")
         choice = self._choices[req.service.name]
         target = choice.choose(willing, now())
-        route = control.lead_route(target)
+        route = routes.lead_route(target)
         if route is None:
             return not_run("no-owner")
         attempt_id = f"{req.request_id}#{req.attempt}"
@@ -203,7 +203,7 @@
             "tenant": req.service.tenant,
             "service": req.service.name,
             "kind": req.kind.name,
-            "shard": self._app.control.shard(req.service.name, req.key),
+            "shard": self._app.control.routes.shard(req.service.name, req.key),
             "target": answer.target,
             "epoch": answer.epoch,
             "outcome": answer.outcome.value,
--- a/packages/daemon/src/berylstage_daemon/status.py
+++ b/packages/daemon/src/berylstage_daemon/status.py
@@ -7,6 +7,7 @@
 
 from tornado.web import RequestHandler
 
+from berylstage_daemon.clock import now
 from berylstage_daemon.errors import RequestError
 
 if TYPE_CHECKING:
@@ -76,7 +77,7 @@
             Percent-encoded.
         """
         try:
-            self.finish(self.app.control.owner(unquote(service), unquote(key)))
+            self.finish(self.app.control.routes.owner(unquote(service), unquote(key)))
         except RequestError as exc:
             self.set_status(exc.status)
             self.finish({"error": str(exc), "reason": exc.reason})
@@ -94,11 +95,31 @@
     dict
         Written as JSON at once; the fields stand in docs/operating/status.md.
     """
-    document = app.control.status()
-    document["ready"] = app.ready()
-    document["stopping"] = app.stopping
-    document["targets"] = app.leaders.status()
-    document["histograms"] = [
+    known = app.control.node.status(now())
+    return {
+        "vm": app.cfg.vm,
+        "data_centre": app.cfg.data_centre,
+        "ready": app.ready(),
+        "stopping": app.stopping,
+        "configuration_revision": known.configuration_revision,
+        "assignment_revision": known.revision,
+        "lease_until_ms": int(known.lease_left * 1000),
+        "role": known.role,
+        "electorate": known.electorate,
+        "muted": known.muted,
+        "store_lost": known.store_lost,
+        "store_calls": known.store_calls,
+        "active_shards": known.active_shards,
+        "waiting_shards": known.waiting_shards,
+        "targets": app.leaders.status(known.targets),
+        "peers": app.control.peers(),
+        "histograms": _histograms(app),
+    }
+
+
+def _histograms(app: Application) -> list[dict]:
+    """Return the time to answer for each tenant and class."""
+    return [
         {
             "tenant": summary.tenant,
             "class": summary.request_class,
@@ -107,4 +128,3 @@
         }
         for summary in app.metrics.summaries()
     ]
-    return document
--- a/packages/ownership/src/berylstage_ownership/core.py
+++ b/packages/ownership/src/berylstage_ownership/core.py
@@ -22,6 +22,8 @@
 from berylstage_ownership.spread import Documents
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
+
     from berylstage_ownership.actions import Action, Notice
     from berylstage_ownership.assignment import Assignment
     from berylstage_ownership.events import ListedVm
@@ -154,7 +156,7 @@
         found = [self.contact(name) for name in names]
         return [contact for contact in found if contact is not None]
 
-    def listed(self, now: float, vms: list[ListedVm]) -> None:
+    def listed(self, now: float, vms: Sequence[ListedVm]) -> None:
         """Take in the platform's list of VMs."""
         self._listed = {vm.name: vm for vm in vms}
         if self.name not in self._listed:
--- a/packages/ownership/src/berylstage_ownership/node.py
+++ b/packages/ownership/src/berylstage_ownership/node.py
@@ -17,15 +17,19 @@
 )
 from berylstage_ownership.granting import Granting
 from berylstage_ownership.proposals import Proposals
+from berylstage_ownership.proposer import Role
 from berylstage_ownership.routing import Permit, Route
 from berylstage_ownership.settings import NodeSettings
 from berylstage_ownership.shards import shard_of
 from berylstage_ownership.status import NodeStatus, TargetStatus
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
+
     from berylstage_messages.control_pb2 import Envelope
 
     from berylstage_ownership.actions import Action
+    from berylstage_ownership.assignment import CellVm
     from berylstage_ownership.events import ListedVm, StoreResult, TargetAnswer
     from berylstage_ownership.records import RecordSource
 
@@ -153,13 +157,13 @@
         """
         return self._proposals.reply(now, tag, result)
 
-    def vm_list(self, now: float, vms: list[ListedVm]) -> list[Action]:
+    def vm_list(self, now: float, vms: Sequence[ListedVm]) -> list[Action]:
         """Take in the platform's list of VMs, which lags.
 
         Parameters
         ----------
         now : float
-        vms : list of ListedVm
+        vms : sequence of ListedVm
 
         Returns
         -------
@@ -309,6 +313,22 @@
         vm = assignment.vms.get(lead.vm)
         return Route(target, lead.vm, vm.peer_address if vm else "")
 
+    def fence_of(self, shard: str) -> int:
+        """Return the fence token of a shard; 0 when it has no owner."""
+        assignment = self._core.assignment
+        owner = assignment.owners.get(shard) if assignment else None
+        return owner.fence if owner else 0
+
+    def cell_vms(self) -> list[CellVm]:
+        """Return the VMs of the cell, by name."""
+        assignment = self._core.assignment
+        vms = assignment.vms.values() if assignment else []
+        return sorted(vms, key=lambda vm: vm.name)
+
+    def is_proposing(self, now: float) -> bool:
+        """Tell whether this VM proposes changes, and so needs the platform's list."""
+        return self._proposals.role(now) in (Role.PROPOSER, Role.SEEKER)
+
     def admission(self, now: float, service: str, shard: str) -> Permit:
         """Return leave to send one request of a shard now.
 
--- a/packages/standins/src/berylstage_standins/work.py
+++ b/packages/standins/src/berylstage_standins/work.py
@@ -204,7 +204,9 @@
     def _check_fence(self, job: Job) -> None:
         if not self.settings.checks_fences:
             return
-        if not self.grants.covers(job.shard_name(), job.fence, job.epoch):
+        if job.shard and not job.shard.startswith(f"{job.service}/"):
+            raise Refused("fence")
+        if not self.grants.covers(job.shard, job.fence, job.epoch):
             raise Refused("fence")
 
     def _check_cold_bound(self, job: Job) -> None:
--- a/packages/targets/src/berylstage_targets/http.py
+++ b/packages/targets/src/berylstage_targets/http.py
@@ -60,7 +60,7 @@
         self.vm = vm
         self._work = CallClient(max(1, connections - CONTROL_CONNECTIONS))
         self._control = CallClient(CONTROL_CONNECTIONS)
-        self._cancels: set[asyncio.Task[None]] = set()
+        self._cancels: set[asyncio.Task[bool]] = set()
 
     async def send(self, req: WorkRequest) -> WorkAnswer:  # noqa: D102
         call = None
@@ -83,7 +83,7 @@
         path = "/".join(quote(part, safe="") for part in parts)
         headers = {
             "Request-Id": req.request_id,
-            "Shard": str(req.shard),
+            "Shard": req.shard,
             "Fence": str(req.fence),
             "Epoch": str(req.epoch),
             "Deadline-Unix-Ms": str(int(req.deadline * 1000)),
@@ -119,14 +119,14 @@
         except TypeError as exc:
             raise _unreadable("PUT /grants", exc) from exc
 
-    async def cancel(self, request_id: str) -> None:  # noqa: D102
+    async def cancel(self, request_id: str) -> bool:  # noqa: D102
         path = f"/cancel/{quote(request_id, safe='')}"
         try:
             await self._json_call("POST", path, CANCEL_TIMEOUT, b"")
         except TargetError:
-            # Cancelling saves the target work and proves nothing, so a target that
-            # does not answer is left to its own deadline.
-            return
+            # A target that does not answer is left to its own deadline.
+            return False
+        return True
 
     async def report(self, timeout: float) -> LoadReport:  # noqa: D102
         doc = await self._json_call("GET", "/load", timeout)
--- a/packages/targets/src/berylstage_targets/target.py
+++ b/packages/targets/src/berylstage_targets/target.py
@@ -13,7 +13,8 @@
     request_id : str
         Unique per attempt; the target echoes it.
     service, kind, key : str
-    shard : int
+    shard : str
+        Name such as ``field-log/17``; empty where keys are not owned.
     fence : int
         Fence token of the shard; 0 where keys are not owned.
     epoch : int
@@ -55,7 +56,7 @@
         service: str,
         kind: str,
         key: str,
-        shard: int,
+        shard: str,
         fence: int,
         epoch: int,
         method: str,
@@ -238,8 +239,14 @@
         """
 
     @abstractmethod
-    async def cancel(self, request_id: str) -> None:
-        """Ask the target to drop a request that nobody waits for any more."""
+    async def cancel(self, request_id: str) -> bool:
+        """Ask the target to drop a request that nobody waits for any more.
+
+        Returns
+        -------
+        bool
+            Whether the target confirmed that it works on it no more.
+        """
 
     @abstractmethod
     async def report(self, timeout: float) -> LoadReport:
