Serve the first request from end to end, as separate processes

Cause: the daemon read no store: its curl clients were built before the event loop ran and belonged to another one, so every call waited for a connection for ever. Ruled out: the platform stand-in (curl by hand answered) and the time-outs. Change: the application is built inside the loop; an action that fails for an unforeseen reason is logged instead of vanishing with its task.

--- a/packages/daemon/src/berylstage_daemon/command.py
+++ b/packages/daemon/src/berylstage_daemon/command.py
@@ -37,7 +37,7 @@
         if self.option("check-settings"):
             self.line("the settings can be used")
             return EXIT_OK
-        return asyncio.run(Application(cfg).run())
+        return asyncio.run(_run(cfg))
 
     def _settings(self) -> Settings:
         """Return the settings from flags and environment."""
@@ -45,6 +45,11 @@
         return read_settings(flags, os.environ)
 
 
+async def _run(cfg: Settings) -> int:
+    """Run the application, built inside the event loop that its clients belong to."""
+    return await Application(cfg).run()
+
+
 def main() -> int:
     """Run the command line and return its exit status."""
     console = Console("berylstaged", "0.1.0")
--- a/packages/daemon/src/berylstage_daemon/control.py
+++ b/packages/daemon/src/berylstage_daemon/control.py
@@ -198,7 +198,17 @@
         """Run one action beside the others and keep hold of its task."""
         task = asyncio.ensure_future(work)
         self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        task.add_done_callback(self._ended)
+
+    def _ended(self, task: asyncio.Task) -> None:
+        """Let go of a task and log an error that nobody foresaw.
+
+        The core counts an action without a result as lost, so that an error here
+        shows only as a store or peer that never answers.
+        """
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            log.error("an action failed", exc_info=task.exception())
 
     async def _tick_forever(self) -> None:
         """Tell the core the time."""
@@ -252,7 +262,8 @@
         try:
             entry = await self._store.read(action.key)
             result = StoreRead(entry.key, entry.value, entry.version)
-        except PlatformError:
+        except PlatformError as exc:
+            log.warning("a read got no answer", extra={"cause": str(exc)})
             result = StoreLost()
         self.execute(self.node.store_reply(now(), action.tag, result))
 
