Ask for the permit after the wait, keep unanswered slots, and prove both

Cause: a request may wait while its lease lapses or its shard moves, and an unanswered request may still run. Ruled out: freeing the slot on a time-out, which puts two requests on a target that bears one. Change: tests of the leader with fakes; a replaced target's queue is turned away at once; a target that drains is reported to the core. Conclusion: the sender's rules are held by tests.

--- a/packages/daemon/src/berylstage_daemon/application.py
+++ b/packages/daemon/src/berylstage_daemon/application.py
@@ -140,7 +140,7 @@
         for part in self._parts:
             await part.start()
         self.events.emit("started", self)
-        fields = {"vm": self.cfg.vm, "http": self.cfg.http, "peer": self.cfg.peer}
+        fields = {"http": self.cfg.http, "peer": self.cfg.peer}
         log.info("started", extra=fields)
 
     async def stop(self) -> int:
@@ -152,7 +152,7 @@
         """
         self.stopping = True
         self.events.emit("stopping", self)
-        log.info("stopping", extra={"vm": self.cfg.vm, "in_flight": self._in_flight})
+        log.info("stopping", extra={"in_flight": self._in_flight})
         status = EXIT_OK
         try:
             async with asyncio.timeout(self.cfg.shutdown_limit):
@@ -161,10 +161,10 @@
                 await self._idle.wait()
         except TimeoutError:
             status = EXIT_CUT
-            fields = {"vm": self.cfg.vm, "in_flight": self._in_flight}
+            fields = {"in_flight": self._in_flight}
             log.error("requests were cut by the shutdown limit", extra=fields)
         for part in reversed(self._parts):
             await part.stop()
         self.links.close()
-        log.info("stopped", extra={"vm": self.cfg.vm, "exit_status": status})
+        log.info("stopped", extra={"exit_status": status})
         return status
--- a/packages/daemon/src/berylstage_daemon/control.py
+++ b/packages/daemon/src/berylstage_daemon/control.py
@@ -139,6 +139,10 @@
         """Tell the core of a request that leaves for a target."""
         self.node.work_started(now(), target, shard, deadline)
 
+    def target_unwilling(self, target: str, reason: str) -> None:
+        """Tell the core that a target takes no work any more."""
+        self.execute(self.node.target_unwilling(now(), target, reason))
+
     def work_ended(self, target: str, shard: str) -> None:
         """Tell the core of a request that certainly runs no more."""
         self.execute(self.node.work_ended(now(), target, shard))
--- a/packages/daemon/src/berylstage_daemon/leader.py
+++ b/packages/daemon/src/berylstage_daemon/leader.py
@@ -8,12 +8,18 @@
 
 from berylstage_policy.queue import TargetQueue
 from berylstage_policy.tickets import Outcome as Ended
-from berylstage_policy.tickets import Refuse, Start, Ticket
+from berylstage_policy.tickets import Refuse, RefuseReason, Start, Ticket
 from berylstage_targets.errors import NotRun, OutcomeUnknown
 from berylstage_targets.target import WorkRequest
 from logbook import Logger
 
-from berylstage_daemon.answers import Answer, Outcome, not_run, unknown
+from berylstage_daemon.answers import (
+    DEFAULT_RETRY_AFTER,
+    Answer,
+    Outcome,
+    not_run,
+    unknown,
+)
 from berylstage_daemon.clock import now, wall
 
 if TYPE_CHECKING:
@@ -37,6 +43,8 @@
 SILENT_RATIO = 10.0
 SILENT_AFTER = 0.5
 # Outcome of a target's refusal, for the queue and the ramp.
+# Refusals that say that the target takes nothing at all, so that its shards must move.
+UNWILLING = frozenset({"draining", "unwilling"})
 REFUSALS = {"cold": Ended.COLD, "shed": Ended.SHED, "slots": Ended.SHED}
 
 
@@ -117,14 +125,20 @@
 
     async def close(self) -> None:
         """Turn away what waits and let go of the connections."""
-        if self._timer is not None:
-            self._timer.cancel()
-        for ticket in self.queue.drain():
-            self._turn_away(ticket.id, None)
+        self.retire()
         for task in self._settling:
             task.cancel()
         await self.client.close()
 
+    def retire(self) -> None:
+        """Turn away what waits, at once; what was sent may still end."""
+        for ticket in self.queue.drain():
+            refusal = Refuse(ticket.id, RefuseReason.DRAINING, DEFAULT_RETRY_AFTER)
+            self._turn_away(refusal)
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
     def _ticket(self, req: CallerRequest) -> Ticket:
         """Return what the decisions see of a request."""
         return Ticket(
@@ -173,6 +187,8 @@
             reply = await self.client.send(work)
         except NotRun as exc:
             self._control.work_ended(self.name, shard)
+            if exc.reason in UNWILLING:
+                self._control.target_unwilling(self.name, exc.reason)
             ended = REFUSALS.get(exc.reason, Ended.NOT_RUN)
             self._finish(ticket, now() - started, ended)
             return self._with_target(not_run(exc.reason), permit)
@@ -285,14 +301,10 @@
                 # Its caller has just gone: the slot would stay taken for good.
                 self._finish(ticket, 0.0, Ended.CANCELLED)
 
-    def _turn_away(self, ticket_id: str, refusal: Refuse | None) -> None:
+    def _turn_away(self, refusal: Refuse) -> None:
         """Give a waiting request its final answer at once."""
-        fut = self._waiting.get(ticket_id)
-        if fut is None or fut.done():
-            return
-        if refusal is None:
-            fut.cancel()
-        else:
+        fut = self._waiting.get(refusal.ticket_id)
+        if fut is not None and not fut.done():
             fut.set_result(refusal)
 
     def _arm(self) -> None:
@@ -310,5 +322,5 @@
         """Turn away what can no longer make its deadline."""
         self._timer = None
         for refusal in self.queue.expired(now()):
-            self._turn_away(refusal.ticket_id, refusal)
+            self._turn_away(refusal)
         self._arm()
--- a/packages/daemon/src/berylstage_daemon/leaders.py
+++ b/packages/daemon/src/berylstage_daemon/leaders.py
@@ -84,7 +84,11 @@
             client = HttpTargetClient(address, connections, self._app.cfg.vm)
             self._clients[target] = client
             self._addresses[target] = address
-            self._leaders.pop(target, None)
+            # A target that was replaced at another address: its requests in flight
+            # may end, but nothing that waited may be sent to the old one.
+            old = self._leaders.pop(target, None)
+            if old is not None:
+                old.retire()
         return self._clients[target]
 
     async def serve(self, req: CallerRequest, chosen: str) -> Answer:
--- a/packages/daemon/src/berylstage_daemon/logs.py
+++ b/packages/daemon/src/berylstage_daemon/logs.py
@@ -4,50 +4,68 @@
 
 import json
 import sys
+from typing import TYPE_CHECKING
 
 from logbook import INFO, StreamHandler
 
+if TYPE_CHECKING:
+    from typing import TextIO
 
-def format_line(record, handler) -> str:
-    """Return one log record as a line of JSON.
+    from logbook import Handler, LogRecord
+
+
+class JsonLines:
+    """Formats log records as JSON lines that name the VM.
 
     Parameters
     ----------
-    record : logbook.LogRecord
-        Its ``extra`` fields become fields of the line.
-    handler : logbook.Handler
-
-    Returns
-    -------
-    str
+    vm : str
     """
-    line = {
-        "time": record.time.isoformat(timespec="milliseconds"),
-        "level": record.level_name.lower(),
-        "logger": record.channel,
-        "message": record.message,
-    }
-    line.update(record.extra)
-    if record.exc_info:
-        line["exception"] = record.formatted_exception
-    return json.dumps(line, default=str)
-
-
-def make_handler(vm: str, stream=None) -> StreamHandler:
+
+    def __init__(self, vm: str):
+        self._vm = vm
+
+    def __call__(self, record: LogRecord, handler: Handler) -> str:
+        """Return one record as a line of JSON.
+
+        Parameters
+        ----------
+        record : logbook.LogRecord
+            Its ``extra`` fields become fields of the line.
+        handler : logbook.Handler
+
+        Returns
+        -------
+        str
+        """
+        line = {
+            "time": record.time.isoformat(timespec="milliseconds"),
+            "level": record.level_name.lower(),
+            "vm": self._vm,
+            "logger": record.channel,
+            "message": record.message,
+        }
+        line.update(record.extra)
+        if record.exc_info:
+            line["exception"] = record.formatted_exception
+        return json.dumps(line, default=str)
+
+
+def make_handler(vm: str, stream: TextIO | None = None) -> StreamHandler:
     """Return the handler that writes JSON lines.
 
     Parameters
     ----------
     vm : str
-        Name of the VM, part of each line through the logger's channel.
+        Name of the VM, part of each line.
     stream : file object, optional
         Standard output when not given.
 
     Returns
     -------
     logbook.StreamHandler
-        To be pushed for the application by its owner.
+        To be bound by its owner.
     """
     handler = StreamHandler(stream or sys.stdout, level=INFO)
-    handler.formatter = format_line
+    handler.formatter = JsonLines(vm)
     return handler
--- a/packages/daemon/src/berylstage_daemon/router.py
+++ b/packages/daemon/src/berylstage_daemon/router.py
@@ -37,6 +37,8 @@
         "moved",
         "moving",
         "fence",
+        "draining",
+        "unwilling",
         "connect",
         "no-service",
         "no-kind",
--- /dev/null
+++ b/packages/daemon/tests/test_leader.py
@@ -0,0 +1,190 @@
+"""Tests of the only sender to a target."""
+
+from __future__ import annotations
+
+import asyncio
+
+from berylstage_daemon.answers import Outcome, not_run
+from berylstage_targets.errors import NotRun
+
+
+class TestSending:
+    def test_request_carries_fence_epoch_and_id(self, make_rig, let_run):
+        async def play():
+            rig = make_rig()
+            task = rig.run(rig.request("r1"))
+            await let_run()
+            rig.target.answer()
+            return rig, await task
+
+        rig, answer = asyncio.run(play())
+        (sent,) = rig.target.sent
+        assert (sent.fence, sent.epoch, sent.shard) == (7, 3, "field-log/7")
+        assert answer.outcome is Outcome.ANSWERED
+        assert answer.body == b"done"
+        assert rig.control.in_flight == 0
+
+    def test_work_that_may_not_be_repeated_gets_a_new_connection(
+        self, make_rig, let_run
+    ):
+        # A connection in the pool has gone silent: a firewall forgot it. A dispatch
+        # sent on it would end as unknown, and somebody would have to look up by hand
+        # whether the motor was shipped.
+        async def play():
+            rig = make_rig()
+            task = rig.run(rig.request(repeatable=False))
+            await let_run()
+            rig.target.answer()
+            await task
+            return rig.target.sent[0]
+
+        assert asyncio.run(play()).fresh_connection
+
+    def test_repeatable_work_is_given_up_before_its_deadline(self, make_rig, let_run):
+        # A lookup goes out on a connection that has gone silent. With the whole
+        # deadline as its time-out the technician would wait it out for nothing.
+        async def play():
+            rig = make_rig()
+            task = rig.run(rig.request())
+            await let_run()
+            rig.target.answer()
+            await task
+            return rig.target.sent[0]
+
+        assert asyncio.run(play()).timeout < 5.0
+
+    def test_permit_is_asked_for_after_the_wait(self, make_rig, let_run):
+        # A request waits for a slot while this VM's lease lapses and another VM takes
+        # over. Sent with the permit of its arrival it would run beside the key's new
+        # owner, and a visit would be recorded twice.
+        async def play():
+            rig = make_rig()
+            first = rig.run(rig.request("first"))
+            await let_run()
+            second = rig.run(rig.request("second"))
+            await let_run()
+            rig.permit = not_run("no-lease")
+            rig.target.answer()
+            await first
+            return rig, await second
+
+        rig, answer = asyncio.run(play())
+        assert len(rig.target.sent) == 1
+        assert answer.outcome is Outcome.NOT_RUN
+        assert answer.reason == "no-lease"
+        assert rig.leader.queue.running == 0
+
+    def test_draining_target_is_reported_to_the_core(self, make_rig, let_run):
+        # A target begins to drain before the sheet says so. Unless the core hears of
+        # it, its keys stay there and every request for them is refused.
+        async def play():
+            rig = make_rig()
+            task = rig.run(rig.request())
+            await let_run()
+            rig.target.fail(NotRun("it drains", "draining"))
+            return rig, await task
+
+        rig, answer = asyncio.run(play())
+        assert rig.control.unwilling == [("field-log-01", "draining")]
+        assert answer.outcome is Outcome.NOT_RUN
+
+
+class TestSlots:
+    def test_unanswered_work_keeps_its_slot_until_the_target_confirms(
+        self, make_rig, let_run
+    ):
+        # The answer to a request is lost while the target still works on it. Given on
+        # at once, the slot would put two requests on a target that bears one.
+        async def play():
+            rig = make_rig()
+            rig.target.confirms = False
+            first = rig.run(rig.request("first"))
+            await let_run()
+            second = rig.run(rig.request("second"))
+            await let_run()
+            rig.target.fail(rig.lost())
+            answer = await first
+            await let_run()
+            second.cancel()
+            return rig, answer
+
+        rig, answer = asyncio.run(play())
+        assert answer.outcome is Outcome.UNKNOWN
+        assert rig.target.cancelled == [rig.target.sent[0].request_id]
+        assert len(rig.target.sent) == 1
+        assert rig.control.in_flight == 1
+
+    def test_confirmed_cancellation_frees_the_slot(self, make_rig, let_run):
+        async def play():
+            rig = make_rig()
+            first = rig.run(rig.request("first"))
+            await let_run()
+            second = rig.run(rig.request("second"))
+            await let_run()
+            rig.target.fail(rig.lost())
+            await first
+            await let_run()
+            rig.target.answer(1)
+            return rig, await second
+
+        rig, answer = asyncio.run(play())
+        assert answer.outcome is Outcome.ANSWERED
+        assert rig.control.in_flight == 0
+
+    def test_caller_that_goes_away_is_cancelled_at_the_target(self, make_rig, let_run):
+        # A technician closes the app while a lookup runs. Unless the target is told,
+        # it works for nobody while others wait for the slot.
+        async def play():
+            rig = make_rig()
+            first = rig.run(rig.request("first"))
+            await let_run()
+            second = rig.run(rig.request("second"))
+            await let_run()
+            first.cancel()
+            await let_run()
+            rig.target.answer(1)
+            return rig, await second
+
+        rig, answer = asyncio.run(play())
+        assert rig.target.cancelled == [rig.target.sent[0].request_id]
+        assert answer.outcome is Outcome.ANSWERED
+
+    def test_waiting_caller_that_goes_away_leaves_the_queue(self, make_rig, let_run):
+        # Callers give up while they wait. Left in the queue they would be sent later,
+        # one after the other, for nobody.
+        async def play():
+            rig = make_rig()
+            first = rig.run(rig.request("first"))
+            await let_run()
+            second = rig.run(rig.request("second"))
+            await let_run()
+            second.cancel()
+            await let_run()
+            rig.target.answer()
+            await first
+            await let_run()
+            return rig
+
+        rig = asyncio.run(play())
+        assert len(rig.target.sent) == 1
+        assert rig.leader.queue.waiting == 0
+        assert rig.leader.queue.running == 0
+
+    def test_replaced_target_turns_away_who_waits_at_once(self, make_rig, let_run):
+        # A target is replaced at another address while requests wait for the old one.
+        # Left alone they would wait for a slot that never comes, until their deadline.
+        async def play():
+            rig = make_rig()
+            first = rig.run(rig.request("first"))
+            await let_run()
+            second = rig.run(rig.request("second"))
+            await let_run()
+            rig.leader.retire()
+            answer = await second
+            rig.target.answer()
+            await first
+            return answer
+
+        answer = asyncio.run(play())
+        assert answer.outcome is Outcome.NOT_RUN
+        assert answer.retry_after > 0
