Wire the protocol core: leases, takeover, grants, proposals

API: Node(settings, now) with tick, peer_request, peer_reply, store_reply, vm_list, grant_reply, work_started, work_ended, leave; questions: shard_of, route, leader_of, admission, free_admission, led_targets, lease_until, ready, proposing, status. Admission returns a Permit or a Refusal (reason, message).

--- a/packages/ownership/src/berylstage_ownership/conversation.py
+++ b/packages/ownership/src/berylstage_ownership/conversation.py
@@ -107,9 +107,9 @@
             contacts = core.anybody()
         return [core.send(now, contact, envelope) for contact in contacts]
 
-    def beat_now(self, now: float) -> list[Action]:
-        """Return heartbeats at once."""
-        return self._beats(now)
+    def beat_soon(self) -> None:
+        """Let the next tick send heartbeats."""
+        self._beat_at = 0.0
 
     def announce(self, now: float) -> list[Action]:
         """Return a heartbeat to the whole cell, which tells of new documents."""
--- a/packages/ownership/src/berylstage_ownership/grants.py
+++ b/packages/ownership/src/berylstage_ownership/grants.py
@@ -93,7 +93,7 @@
         self.refusal = ""
         self.send_at = now
         self._watched_since = now
-        self._last_accepted = -1.0
+        self._last_accepted = float("-inf")
         self._last_shards: dict[str, int] = {}
         # Orders whose answer never came: a packet may still be under way and grant
         # their shards, but not beyond the anchor's end.
@@ -177,8 +177,7 @@
             self._last_accepted = now
             self._note_accepted(order)
         elif answer.reason == "epoch":
-            # A later leader has replaced everything that was granted here.
-            self.accepted = None
+            self._note_superseded(order)
         elif fresh or answer.reason in PROTOCOL_REASONS:
             self._last_accepted = max(self._last_accepted, order.sent_at)
         if first or fresh:
@@ -186,6 +185,15 @@
             # heartbeat for the order that does.
             self.send_at = now
 
+    def _note_superseded(self, order: Order) -> None:
+        """Take a refusal for a later epoch as the end of what was granted.
+
+        An order refused because a later one of this lead overtook it says nothing:
+        that later one is accounted for itself.
+        """
+        if self.accepted is not None and order.sent_at > self.accepted.sent_at:
+            self.accepted = None
+
     def _note_accepted(self, order: Order) -> None:
         """Take an accepted order for what the target holds now."""
         if self.accepted is None or order.sent_at >= self.accepted.sent_at:
@@ -244,7 +252,8 @@
 
     def up(self, now: float) -> bool:
         """Tell whether the target accepts grants."""
-        return not self.down_reason(now) and self._last_accepted > 0
+        heard = self._last_accepted > float("-inf")
+        return heard and not self.down_reason(now)
 
     def down_reason(self, now: float) -> str:
         """Return why the target counts as down, or an empty string.
--- a/packages/ownership/src/berylstage_ownership/node.py
+++ b/packages/ownership/src/berylstage_ownership/node.py
@@ -8,15 +8,17 @@
 from berylstage_ownership.constants import PAUSE
 from berylstage_ownership.conversation import Answers, Conversation, Replies
 from berylstage_ownership.core import Core
-from berylstage_ownership.errors import (
+from berylstage_ownership.granting import Granting
+from berylstage_ownership.proposals import Proposals
+from berylstage_ownership.proposer import Role
+from berylstage_ownership.refusals import (
     Moving,
     NoLease,
     NotLeader,
+    Refusal,
     TargetDown,
     UnknownShard,
 )
-from berylstage_ownership.granting import Granting
-from berylstage_ownership.proposals import Proposals
 from berylstage_ownership.routing import Permit, Route
 from berylstage_ownership.settings import NodeSettings
 from berylstage_ownership.shards import shard_of
@@ -24,12 +26,15 @@
 
 if TYPE_CHECKING:
     from berylstage_messages.control_pb2 import Envelope
+    from berylstage_sheet.configuration import Configuration
 
     from berylstage_ownership.actions import Action
+    from berylstage_ownership.assignment import Assignment
     from berylstage_ownership.events import ListedVm, StoreResult, TargetAnswer
+    from berylstage_ownership.grants import LedTarget
     from berylstage_ownership.records import RecordSource
 
-__all__ = ["Node", "NodeSettings"]
+__all__ = ["Node", "NodeSettings", "Permit", "Refusal", "Route"]
 
 
 class Node:
@@ -245,40 +250,24 @@
         """Set where the records of requests come from when a shard is handed over."""
         self._answers.records = source
 
-    def leave(self, now: float) -> list[Action]:
-        """Ask for this VM's targets to be led by others, before it stops.
-
-        Parameters
-        ----------
-        now : float
-
-        Returns
-        -------
-        list of Action
-        """
+    def leave(self) -> None:
+        """Ask with the next heartbeat for others to lead this VM's targets."""
         self._core.leaving = True
-        return self._conversation.beat_now(now)
+        self._conversation.beat_soon()
 
-    def may_stop(self, now: float) -> bool:
-        """Tell whether this VM, which leaves, leads nothing and holds nothing."""
+    def leads_anything(self) -> bool:
+        """Tell whether this VM leads a target, or has not let go of one."""
         holdings = self._core.holdings
-        return not holdings.leads and not holdings.is_draining()
+        return bool(holdings.leads) or holdings.is_draining()
 
     # The data path's questions
 
-    def shard_of(self, service: str, key: str) -> str:
-        """Return the shard of a key; empty where keys are not owned.
-
-        Raises
-        ------
-        UnknownShard
-            No assignment is in force yet.
-        """
-        if self._core.assignment is None:
-            raise UnknownShard(f"{service}/")
-        return shard_of(service, key, self._core.assignment)
+    def shard_of(self, service: str, key: str) -> str | None:
+        """Return the shard of a key; None where keys are not owned, or not yet."""
+        assignment = self._core.assignment
+        return shard_of(service, key, assignment) if assignment else None
 
-    def route(self, service: str, shard: str) -> Route:
+    def route(self, service: str, shard: str) -> Route | None:
         """Return where requests of a shard go.
 
         Parameters
@@ -287,29 +276,24 @@
 
         Returns
         -------
-        Route
-
-        Raises
-        ------
-        UnknownShard
-            The assignment in force has no such shard.
+        Route or None
+            None when the assignment in force has no such shard, or nobody leads its
+            owner.
         """
         assignment = self._core.assignment
         owner = assignment.owners.get(shard) if assignment else None
-        if assignment is None or owner is None:
-            raise UnknownShard(shard)
-        return self.leader_of(owner.target)
+        return self.leader_of(owner.target) if owner else None
 
-    def leader_of(self, target: str) -> Route:
-        """Return the VM that leads a target; an empty name when nobody does."""
+    def leader_of(self, target: str) -> Route | None:
+        """Return the VM that leads a target, or None when nobody does."""
         assignment = self._core.assignment
         lead = assignment.leaders.get(target) if assignment else None
         if assignment is None or lead is None:
-            return Route(target, "", "")
+            return None
         vm = assignment.vms.get(lead.vm)
         return Route(target, lead.vm, vm.peer_address if vm else "")
 
-    def admission(self, now: float, service: str, shard: str) -> Permit:
+    def admission(self, now: float, service: str, shard: str) -> Permit | Refusal:
         """Return leave to send one request of a shard now.
 
         It has to be asked again for each request, right before sending: a process
@@ -322,35 +306,24 @@
 
         Returns
         -------
-        Permit
-
-        Raises
-        ------
-        UnknownShard, NotLeader, Moving, NoLease, TargetDown
-            The request must not be sent, and certainly did not run.
+        Permit or Refusal
+            After a refusal the request must not be sent, and certainly did not run.
         """
         route = self.route(service, shard)
-        holdings = self._core.holdings
-        led = holdings.leads.get(route.target)
-        if led is None:
-            raise NotLeader(shard, route.vm, route.peer_address)
-        if not self._core.lease.valid(now):
-            raise NoLease()
-        if route.target not in holdings.active_leads:
-            raise Moving(shard)
-        if led.down_reason(now):
-            raise TargetDown(route.target)
-        fence = holdings.active.get(shard)
+        if route is None:
+            return UnknownShard(shard)
+        held = self._hold(now, route, shard)
+        if isinstance(held, Refusal):
+            return held
+        fence = self._core.holdings.active.get(shard)
         if fence is None:
-            raise Moving(shard)
+            return Moving(shard)
         if self._checks_fences(route.target):
-            if led.fence_in_force(now, shard) != fence:
-                raise Moving(shard)
-        elif not led.up(now):
-            raise Moving(shard)
-        return Permit(route.target, fence, led.epoch)
+            if held.fence_in_force(now, shard) != fence:
+                return Moving(shard)
+        return Permit(route.target, fence, held.epoch)
 
-    def free_admission(self, now: float, target: str) -> Permit:
+    def free_admission(self, now: float, target: str) -> Permit | Refusal:
         """Return leave to send a request whose key is not owned to a led target.
 
         Parameters
@@ -360,33 +333,34 @@
 
         Returns
         -------
-        Permit
-            With fence 0.
-
-        Raises
-        ------
-        NotLeader, NoLease, Moving, TargetDown
-            The request must not be sent there now.
+        Permit or Refusal
+            A permit with fence 0.
         """
+        route = self.leader_of(target)
+        if route is None:
+            return NotLeader(target, "", "")
+        held = self._hold(now, route, target)
+        if isinstance(held, Refusal):
+            return held
+        cfg = self._core.docs.configuration
+        wanted = cfg is not None and target in cfg.targets
+        if cfg is None or not wanted or not cfg.takes_work(cfg.targets[target]):
+            return TargetDown(target)
+        return Permit(target, 0, held.epoch)
+
+    def _hold(self, now: float, route: Route, item: str) -> LedTarget | Refusal:
+        """Return the led target if this VM may send anything to it now."""
         holdings = self._core.holdings
-        led = holdings.leads.get(target)
+        led = holdings.leads.get(route.target)
         if led is None:
-            route = self.leader_of(target)
-            raise NotLeader(target, route.vm, route.peer_address)
+            return NotLeader(item, route.vm, route.peer_address)
         if not self._core.lease.valid(now):
-            raise NoLease()
-        if target not in holdings.active_leads:
-            raise Moving(target)
+            return NoLease()
+        if route.target not in holdings.active_leads:
+            return Moving(item)
         if led.down_reason(now):
-            raise TargetDown(target)
-        if not led.up(now):
-            raise Moving(target)
-        cfg = self._core.docs.configuration
-        if cfg is None or target not in cfg.targets:
-            raise TargetDown(target)
-        if not cfg.takes_work(cfg.targets[target]):
-            raise TargetDown(target)
-        return Permit(target, 0, led.epoch)
+            return TargetDown(route.target)
+        return led if led.up(now) else Moving(item)
 
     def _checks_fences(self, target: str) -> bool:
         """Tell whether a target refuses work under an old fence token."""
@@ -406,6 +380,24 @@
             if holdings.leads[target].up(now)
         ]
 
+    def proposing(self, now: float) -> bool:
+        """Tell whether this VM proposes changes of the assignment."""
+        return self._proposals.role(now) is Role.PROPOSER
+
+    def peer_addresses(self) -> list[str]:
+        """Return the addresses of the other VMs of the cell."""
+        return [contact.address for contact in self._core.cell()]
+
+    @property
+    def configuration(self) -> Configuration | None:
+        """Configuration in force on this VM."""
+        return self._core.docs.configuration
+
+    @property
+    def assignment(self) -> Assignment | None:
+        """Assignment in force on this VM; not to be changed."""
+        return self._core.docs.assignment
+
     @property
     def lease_until(self) -> float:
         """Monotonic time at which this VM's lease ends; 0 without any."""
--- a/packages/ownership/src/berylstage_ownership/owners.py
+++ b/packages/ownership/src/berylstage_ownership/owners.py
@@ -176,7 +176,9 @@
         }
         kept = [s for s in self._draft.owners if service_of(s) == name]
         shards = sorted({*kept, *self._redivided})
-        return [Holding(shard, self._owner(shard), pins.get(shard)) for shard in shards]
+        return [
+            Holding(shard, self._owner(shard), 0.0, pins.get(shard)) for shard in shards
+        ]
 
     def _owner(self, shard: str) -> str | None:
         """Return the target that owns a shard now."""
--- a/packages/ownership/src/berylstage_ownership/planner.py
+++ b/packages/ownership/src/berylstage_ownership/planner.py
@@ -1,59 +1,16 @@
-"""Which target a shard goes to: the interface, and the simplest stable choice."""
+"""Which target a shard goes to: the interface, and the policy behind it."""
 
 from __future__ import annotations
 
 from abc import ABC, abstractmethod
+from typing import TYPE_CHECKING
 
+from berylstage_policy.placement import Holding, Move, Place, plan
 
-class Holding:
-    """One shard that needs an owner.
-
-    Parameters
-    ----------
-    shard : str
-    owner : str or None
-        Target that owns it now.
-    pinned : str or None
-        Target that operators wish for it.
-    """
-
-    __slots__ = ("shard", "owner", "pinned")
-
-    def __init__(self, shard: str, owner: str | None, pinned: str | None):
-        self.shard = shard
-        self.owner = owner
-        self.pinned = pinned
-
-
-class Place:
-    """One target that may own shards.
-
-    Parameters
-    ----------
-    name, data_centre : str
-    capacity : float
-        Slots of the target.
-    eligible : bool
-        Whether it takes shards now.
-    """
-
-    __slots__ = ("name", "data_centre", "capacity", "eligible")
-
-    def __init__(self, name: str, data_centre: str, capacity: float, eligible: bool):
-        self.name = name
-        self.data_centre = data_centre
-        self.capacity = capacity
-        self.eligible = eligible
+if TYPE_CHECKING:
+    from collections.abc import Callable
 
-
-class Move:
-    """One shard and the target that it goes to."""
-
-    __slots__ = ("shard", "destination")
-
-    def __init__(self, shard: str, destination: str):
-        self.shard = shard
-        self.destination = destination
+__all__ = ["BalancedPlanner", "Holding", "Move", "Place", "Planner"]
 
 
 class Planner(ABC):
@@ -87,8 +44,18 @@
         """
 
 
-class LeastLoaded(Planner):
-    """Moves what must move to the target with the fewest shards per slot."""
+class BalancedPlanner(Planner):
+    """Places shards by the policy of ``berylstage_policy.placement``.
+
+    Parameters
+    ----------
+    load_of : callable, optional
+        Reads a VM's load digest into load by shard; without it all shards weigh the
+        same.
+    """
+
+    def __init__(self, load_of: Callable[[bytes], dict[str, float]] | None = None):
+        self._load_of = load_of
 
     def plan(
         self,
@@ -99,65 +66,10 @@
         loads: dict[str, bytes],
     ) -> list[Move]:
         """Return the moves to make now; see :meth:`Planner.plan`."""
-        eligible = {place.name: place for place in places if place.eligible}
-        if not eligible:
-            return []
-        counts = dict.fromkeys(sorted(eligible), 0)
-        for holding in holdings:
-            if holding.owner in counts:
-                counts[holding.owner] += 1
-        moves = _forced_moves(holdings, eligible, counts)
-        moved = {move.shard for move in moves}
-        kept = [h for h in holdings if h.shard not in moved and not h.pinned]
-        return moves + _levelling_moves(kept, eligible, counts, budget)
-
-
-def _forced_moves(
-    holdings: list[Holding], eligible: dict[str, Place], counts: dict[str, int]
-) -> list[Move]:
-    """Return the moves of shards whose owner is not eligible or not the wished one."""
-    moves = []
-    for holding in holdings:
-        wished = holding.pinned if holding.pinned in eligible else None
-        if holding.owner in eligible and wished in (None, holding.owner):
-            continue
-        destination = wished or _emptiest(eligible, counts)
-        if holding.owner in counts:
-            counts[holding.owner] -= 1
-        counts[destination] += 1
-        moves.append(Move(holding.shard, destination))
-    return moves
-
-
-def _emptiest(eligible: dict[str, Place], counts: dict[str, int]) -> str:
-    """Return the target with the fewest shards per slot."""
-    return min(counts, key=lambda name: (counts[name] / eligible[name].capacity, name))
-
-
-def _levelling_moves(
-    holdings: list[Holding],
-    eligible: dict[str, Place],
-    counts: dict[str, int],
-    budget: int,
-) -> list[Move]:
-    """Return moves from the fullest to the emptiest targets, within the budget."""
-    moves: list[Move] = []
-    by_owner: dict[str, list[str]] = {}
-    for holding in holdings:
-        if holding.owner in counts:
-            by_owner.setdefault(holding.owner, []).append(holding.shard)
-    while len(moves) < budget:
-        low = _emptiest(eligible, counts)
-        high = max(
-            (name for name in counts if by_owner.get(name)),
-            key=lambda name: (counts[name] / eligible[name].capacity, name),
-            default=low,
-        )
-        # A move that only swaps the roles of two targets would repeat for ever.
-        gain = counts[high] / eligible[high].capacity
-        if gain <= (counts[low] + 1) / eligible[low].capacity:
-            break
-        counts[high] -= 1
-        counts[low] += 1
-        moves.append(Move(by_owner[high].pop(), low))
-    return moves
+        if self._load_of is not None:
+            weights: dict[str, float] = {}
+            for digest in loads.values():
+                weights.update(self._load_of(digest))
+            for holding in holdings:
+                holding.load = weights.get(holding.shard, 0.0)
+        return plan(holdings, places, budget)
--- a/packages/ownership/src/berylstage_ownership/settings.py
+++ b/packages/ownership/src/berylstage_ownership/settings.py
@@ -4,7 +4,7 @@
 
 from random import Random
 
-from berylstage_ownership.planner import LeastLoaded, Planner
+from berylstage_ownership.planner import BalancedPlanner, Planner
 
 
 class NodeSettings:
@@ -59,6 +59,6 @@
         self.http_address = http_address
         self.peer_address = peer_address
         self.cell = cell
-        self.planner = planner or LeastLoaded()
+        self.planner = planner or BalancedPlanner()
         self.rng = rng or Random()
         self.seeds = seeds or []
--- /dev/null
+++ b/packages/ownership/tests/test_node.py
@@ -0,0 +1,12 @@
+"""Several cores together: start, loss, closing, outage."""
+
+from __future__ import annotations
+
+KEYS = [f"key-{number}" for number in range(12)]
+
+
+class TestStart:
+    def test_keys_are_served(self, build):
+        world = build(settle=0)
+        assert world.until_served("visits", KEYS) < 6
+        assert world.faults == []
