Merge the protocol core's typed refusals; feed each grant answer to the ramp

Cause: the ramp counts a target as unseen after a silence, and heard only of targets that came up. Change: every answer to a grant order reaches the target's queue; refusals come from the core as values, not exceptions.

--- a/packages/daemon/src/berylstage_daemon/control.py
+++ b/packages/daemon/src/berylstage_daemon/control.py
@@ -102,8 +102,8 @@
 
     async def drain(self) -> None:
         """Hand over all leads, so that no key waits for a lease to lapse."""
-        self.execute(self.node.leave(now()))
-        while not self.node.may_stop(now()):
+        self.node.leave()
+        while self.node.leads_anything():
             await asyncio.sleep(TICK)
 
     async def stop(self) -> None:
@@ -229,7 +229,7 @@
                 log.warning("the list of VMs cannot be read", extra={"cause": str(exc)})
             else:
                 self.execute(self.node.vm_list(now(), listed))
-            active = self.node.is_proposing(now()) or not self.ready()
+            active = self.node.proposing(now()) or not self.ready()
             interval = LIST_INTERVAL_ACTIVE if active else LIST_INTERVAL_IDLE
             await asyncio.sleep(interval)
 
@@ -255,6 +255,7 @@
         client = self._app.leaders.client(action.target, action.address)
         try:
             answer = await client.grant(order, action.timeout)
+            self._app.leaders.heard(action.target, answer.incarnation, answer.cold)
         except TargetError:
             answer = None
         done = self.node.grant_reply(now(), action.target, action.tag, answer)
@@ -289,10 +290,6 @@
             result = StoreLost()
         self.execute(self.node.store_reply(now(), action.tag, result))
 
-    def _cell_addresses(self) -> set[str]:
-        """Return the addresses of the VMs of the cell."""
-        return {vm.peer_address for vm in self.node.cell_vms()}
-
     def _notice(self, action: Action) -> None:
         """Log what happened and tell the parts that follow it."""
         emit = self._app.events.emit
@@ -305,7 +302,7 @@
                 emit("configuration-adopted", action.configuration)
             case AssignmentAdopted():
                 self._app.metrics.gauge("revision.assignment", action.revision)
-                self._app.links.keep_only(self._cell_addresses())
+                self._app.links.keep_only(set(self.node.peer_addresses()))
                 log.info("assignment adopted", extra={"revision": action.revision})
                 emit("assignment-adopted", action.revision)
             case LeaseGained():
--- a/packages/daemon/src/berylstage_daemon/leaders.py
+++ b/packages/daemon/src/berylstage_daemon/leaders.py
@@ -18,7 +18,7 @@
 from berylstage_daemon.part import Part
 
 if TYPE_CHECKING:
-    from berylstage_ownership.actions import ShardActivated, TargetUp
+    from berylstage_ownership.actions import ShardActivated
     from berylstage_ownership.routing import Permit
     from berylstage_ownership.status import TargetStatus
     from berylstage_sheet.configuration import Configuration
@@ -54,7 +54,6 @@
         self._held_count = 0
         app.events.connect("configuration-adopted", self._configured)
         app.events.connect("shard-activated", self._activated)
-        app.events.connect("target-up", self._target_up)
 
     async def start(self) -> None:
         """Leaders begin with the first request or grant of their target."""
@@ -91,6 +90,20 @@
                 old.retire()
         return self._clients[target]
 
+    def heard(self, target: str, incarnation: str, is_cold: bool) -> None:
+        """Tell a target's queue what the target answered to a grant order.
+
+        Parameters
+        ----------
+        target : str
+        incarnation : str
+            Run of the target's process.
+        is_cold : bool
+            Whether the target says that it is in cold start.
+        """
+        if target in self._app.configuration().targets:
+            self._leader(target).seen(incarnation, is_cold)
+
     async def serve(self, req: CallerRequest, chosen: str) -> Answer:
         """Serve a request whose target this VM should lead.
 
@@ -218,8 +231,3 @@
         for fut in self._held.pop(notice.shard, ()):
             if not fut.done():
                 fut.set_result(None)
-
-    def _target_up(self, notice: TargetUp) -> None:
-        """Tell the queue of a run of its target."""
-        if notice.target in self._app.configuration().targets:
-            self._leader(notice.target).seen(notice.incarnation, notice.cold)
--- a/packages/daemon/src/berylstage_daemon/routes.py
+++ b/packages/daemon/src/berylstage_daemon/routes.py
@@ -4,14 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from berylstage_ownership.errors import (
-    Moving,
-    NoLease,
-    NotLeader,
-    OwnershipError,
-    TargetDown,
-    UnknownShard,
-)
+from berylstage_ownership.refusals import Refusal
 
 from berylstage_daemon.answers import Answer, not_run
 from berylstage_daemon.clock import now
@@ -24,14 +17,6 @@
     from berylstage_ownership.routing import Permit, Route
     from berylstage_sheet.configuration import Configuration
 
-REASONS: dict[type[OwnershipError], str] = {
-    UnknownShard: "no-owner",
-    NotLeader: "not-leader",
-    Moving: "moving",
-    NoLease: "no-lease",
-    TargetDown: "target-down",
-}
-
 
 class Routes:
     """Where requests go, and whether this VM may send them now.
@@ -49,37 +34,23 @@
 
     def shard(self, service: str, key: str) -> str:
         """Return the shard of a key; empty where keys are not owned or unknown."""
-        try:
-            return self._node.shard_of(service, key)
-        except UnknownShard:
-            return ""
+        return self._node.shard_of(service, key) or ""
 
     def route(self, service: str, shard: str) -> Route | None:
         """Return the target and VM of a shard, or None while there is none."""
-        try:
-            route = self._node.route(service, shard)
-        except UnknownShard:
-            return None
-        return route if route.peer_address else None
+        return _reachable(self._node.route(service, shard))
 
     def lead_route(self, target: str) -> Route | None:
         """Return the VM that leads a target, or None while there is none."""
-        route = self._node.leader_of(target)
-        return route if route.peer_address else None
+        return _reachable(self._node.leader_of(target))
 
     def permit(self, service: str, shard: str) -> Permit | Answer:
         """Return leave to send a request of a shard now, or the refusal."""
-        try:
-            return self._node.admission(now(), service, shard)
-        except OwnershipError as exc:
-            return not_run(REASONS[type(exc)])
+        return _or_answer(self._node.admission(now(), service, shard))
 
     def lead_permit(self, target: str) -> Permit | Answer:
         """Return leave to send any request to a led target, or the refusal."""
-        try:
-            return self._node.free_admission(now(), target)
-        except OwnershipError as exc:
-            return not_run(REASONS[type(exc)])
+        return _or_answer(self._node.free_admission(now(), target))
 
     def willing(self, service: str) -> list[str]:
         """Return the targets of a service that operators let take work."""
@@ -119,3 +90,15 @@
             "vm": route.vm,
             "fence": self._node.fence_of(shard),
         }
+
+
+def _reachable(route: Route | None) -> Route | None:
+    """Return a route unless its VM has left the cell, which another takes over."""
+    return route if route is not None and route.peer_address else None
+
+
+def _or_answer(leave: Permit | Refusal) -> Permit | Answer:
+    """Return a permit, or the answer that a refusal of the core means."""
+    if isinstance(leave, Refusal):
+        return not_run(leave.reason)
+    return leave
