Play the queue's decisions: bursts, floods, long among short, cold targets

Fair queueing held a caller's earlier requests against it after nobody waited any more, which made lone callers late; debts now end with the busy period. Refused callers were told moments that cluster at the front of the spread; they now get successive moments of a calendar. One reserved slot was too few for short work on a target with three; the reserve now follows the load of short work.

Busy targets may decline a request of a free service, and a VM prefers idle targets that it leads itself. queue.py split: entries, lanes, expiry, slots.

--- /dev/null
+++ b/packages/bench/src/berylstage_bench/policy_router.py
@@ -0,0 +1,330 @@
+"""The router under test: every decision is one of `berylstage_policy`."""
+
+from __future__ import annotations
+
+from random import Random
+
+from berylstage_policy.choice import TargetChoice
+from berylstage_policy.health import TargetHealth, Verdict
+from berylstage_policy.queue import TargetQueue
+from berylstage_policy.retries import HedgePolicy, RetryPolicy, RetryVerdict
+from berylstage_policy.thresholds import DEFAULTS, Thresholds
+from berylstage_policy.tickets import Decline, Outcome, Refuse, Start, Ticket
+
+from berylstage_bench.policy_baselines import Router
+from berylstage_bench.policy_player import ANSWERED, LOST, REFUSED, Request
+
+HEARTBEAT = 0.25
+
+
+class Attempt:
+    """One sending of a request to one target."""
+
+    __slots__ = ("req", "number", "target", "id", "may_decline")
+
+    def __init__(
+        self, req: Request, number: int, target: str, may_decline: bool = False
+    ):
+        self.req = req
+        self.number = number
+        self.target = target
+        self.id = f"{req.id}#{number}"
+        self.may_decline = may_decline
+
+
+class LedTarget:
+    """A target as its leading VM sees it."""
+
+    __slots__ = ("target", "leader", "queue", "health", "attempts", "armed", "sent")
+
+    def __init__(self, target, leader: int, queue: TargetQueue, health: TargetHealth):
+        self.target = target
+        self.leader = leader
+        self.queue = queue
+        self.health = health
+        self.attempts: dict[str, Attempt] = {}
+        self.armed = float("inf")
+        self.sent = 0
+
+
+class PolicyRouter(Router):
+    """Queues, slots and heartbeats, shared by free and owned services."""
+
+    name = "ours"
+
+    def __init__(
+        self,
+        player,
+        deployment,
+        targets,
+        thresholds: Thresholds = DEFAULTS,
+        seed: int = 3,
+    ):
+        super().__init__(player, deployment, targets)
+        self.thresholds = thresholds
+        self.rng = Random(seed)
+        self.digest_lag = 0.25
+        self.retries = RetryPolicy(thresholds, self.rng)
+        self.led = {
+            target.name: LedTarget(
+                target,
+                index % deployment.vms,
+                TargetQueue(target.slots, thresholds, self.rng, player.now),
+                TargetHealth(thresholds, player.now),
+            )
+            for index, target in enumerate(targets)
+        }
+        player.at(0.0, player.every, HEARTBEAT, self._heartbeat, 1e9)
+
+    def _hop(self, vm: int, led: LedTarget) -> float:
+        """Return the seconds one way from a VM to the one that leads a target."""
+        return self.deployment.hop / 2 if vm != led.leader else 0.0
+
+    def _forward(self, attempt: Attempt) -> None:
+        """Send an attempt to the VM that leads its target."""
+        led = self.led[attempt.target]
+        hop = self._hop(attempt.req.vm, led)
+        if hop:
+            self.player.at(self.player.now + hop, self._offer, attempt)
+        else:
+            self._offer(attempt)
+
+    def _offer(self, attempt: Attempt) -> None:
+        """Put an attempt before its target's queue."""
+        led, req, now = self.led[attempt.target], attempt.req, self.player.now
+        ticket = Ticket(
+            attempt.id,
+            req.tenant,
+            req.request_class,
+            req.caller,
+            self.deployment.name,
+            req.kind,
+            req.key,
+            now,
+            req.deadline,
+        )
+        led.attempts[attempt.id] = attempt
+        decision = led.queue.offer(ticket, now, attempt.may_decline)
+        if isinstance(decision, Start):
+            self._send(led, attempt)
+        elif isinstance(decision, Refuse):
+            self._refused(led, decision)
+        elif isinstance(decision, Decline):
+            del led.attempts[attempt.id]
+            back = now + self._hop(req.vm, led)
+            self.player.at(back, self.declined, attempt, decision.queue)
+        self._arm(led)
+
+    def _send(self, led: LedTarget, attempt: Attempt) -> None:
+        """Send work to the target."""
+        led.sent += 1
+
+        def done(status: str, seconds: float) -> None:
+            self._done(led, attempt, status, seconds)
+
+        led.target.submit(attempt.req, done)
+
+    def _done(self, led: LedTarget, attempt: Attempt, status: str, seconds: float):
+        """Take in what the target made of an attempt."""
+        now = self.player.now
+        led.attempts.pop(attempt.id, None)
+        is_answer = status == ANSWERED
+        outcome = Outcome.ANSWERED if is_answer else Outcome.UNKNOWN
+        if status == LOST and led.target.is_down:
+            led.health.refused_connection(now)
+            self._pause(led)
+            outcome = Outcome.NOT_RUN if seconds == 0.0 else Outcome.UNKNOWN
+        incarnation = str(led.target.incarnation) if is_answer else ""
+        started = led.queue.finished(attempt.id, now, seconds, outcome, incarnation)
+        self._start_all(led, started)
+        self._arm(led)
+        self.player.at(
+            now + self._hop(attempt.req.vm, led), self._returned, attempt, outcome
+        )
+        if is_answer:
+            self.worked(attempt.req, seconds)
+
+    def _pause(self, led: LedTarget) -> None:
+        """Hold the queue of a target that refuses connections."""
+        led.queue.pause(self.player.now + self.thresholds["refused_down_after"])
+
+    def _start_all(self, led: LedTarget, tickets: list[Ticket]) -> None:
+        """Send what the queue has started."""
+        for ticket in tickets:
+            self._send(led, led.attempts[ticket.id])
+
+    def _refused(self, led: LedTarget, refusal: Refuse) -> None:
+        """Hand a refusal back to the VM of the caller."""
+        attempt = led.attempts.pop(refusal.ticket_id)
+        delay = self._hop(attempt.req.vm, led)
+        self.player.at(
+            self.player.now + delay,
+            self._returned,
+            attempt,
+            Outcome.SHED,
+            refusal.retry_after,
+        )
+
+    def _arm(self, led: LedTarget) -> None:
+        """Make sure that expired tickets are turned away at once."""
+        due = led.queue.next_expiry()
+        if due is not None and due < led.armed:
+            led.armed = max(due, self.player.now)
+            self.player.at(due, self._expire, led)
+
+    def _expire(self, led: LedTarget) -> None:
+        """Turn away what can't make its deadline any more."""
+        led.armed = float("inf")
+        for refusal in led.queue.expired(self.player.now):
+            self._refused(led, refusal)
+        self._arm(led)
+
+    def _returned(
+        self, attempt: Attempt, outcome: Outcome, retry_after: float = 0.0
+    ) -> None:
+        """Take in the end of an attempt at the VM of the caller."""
+        req, now = attempt.req, self.player.now
+        self.attempt_ended(attempt, outcome)
+        if req.status:
+            return
+        if outcome is Outcome.ANSWERED:
+            self.retries.succeeded()
+            req.end(now, ANSWERED)
+            return
+        decision = self.retries.decide(
+            req.kind != "order", outcome, req.deadline - now, attempt.number, req.demand
+        )
+        if decision.verdict is RetryVerdict.RETRY and self.may_retry(outcome):
+            self.player.at(now + decision.delay, self.attempt, req, attempt)
+            return
+        req.end(now, REFUSED if outcome is Outcome.SHED else LOST, retry_after)
+
+    def _heartbeat(self) -> None:
+        """Renew grants, which doubles as a probe, and judge health."""
+        now = self.player.now
+        for led in self.led.values():
+            target = led.target
+            is_stalled = any(
+                p.start <= now < p.end and not p.speed for p in target.phases
+            )
+            if target.is_down:
+                led.health.refused_connection(now)
+                self._pause(led)
+            elif not is_stalled:
+                led.health.answered(now)
+                started = led.queue.seen(str(target.incarnation), now)
+                started += led.queue.resume(now)
+                self._start_all(led, started)
+            self._arm(led)
+        self.judged()
+
+    def verdict(self, name: str) -> Verdict:
+        """Return the verdict on a target."""
+        return self.led[name].health.verdict(self.player.now)
+
+    def attempt(self, req: Request, previous: Attempt | None = None) -> None:
+        """Send a request once more."""
+        raise NotImplementedError
+
+    def may_retry(self, outcome: Outcome) -> bool:
+        """Tell whether another attempt could fare better."""
+        return True
+
+    def attempt_ended(self, attempt: Attempt, outcome: Outcome) -> None:
+        """Note the end of an attempt."""
+
+    def worked(self, req: Request, seconds: float) -> None:
+        """Note the slot time of an answer."""
+
+    def declined(self, attempt: Attempt, queue: int) -> None:
+        """Try another target."""
+
+    def judged(self) -> None:
+        """Act on the verdicts after a heartbeat."""
+
+
+class FreeRouter(PolicyRouter):
+    """Any willing target may answer: choice, retries elsewhere, hedges."""
+
+    def __init__(self, *args, **options):
+        super().__init__(*args, **options)
+        count = self.deployment.vms
+        self.choices = [TargetChoice(self.thresholds, self.rng) for _ in range(count)]
+        self.hedges = [HedgePolicy(self.thresholds) for _ in range(count)]
+        self.hedged = 0
+        for choice in self.choices:
+            for target in self.targets:
+                choice.set_target(target.name, target.slots)
+        self.usable = self.willing
+        self.led_by: list[list[str]] = [[] for _ in range(count)]
+        for name, led in self.led.items():
+            self.led_by[led.leader].append(name)
+        self.lies: set[str] = set()
+
+    def arrive(self, req: Request) -> None:
+        """Take a request in and see to its hedge."""
+        self.attempt(req)
+        hedge = self.hedges[req.vm]
+        delay = hedge.delay(req.kind != "order", len(self.usable))
+        if delay is not None:
+            self.player.at(self.player.now + delay, self._hedge, req)
+
+    def _hedge(self, req: Request) -> None:
+        """Send a second attempt when the first is late."""
+        if req.status or not self.hedges[req.vm].may_hedge():
+            return
+        self.hedged += 1
+        self.attempt(req, None)
+
+    def attempt(self, req: Request, previous: Attempt | None = None) -> None:
+        """Choose a target and forward."""
+        choice, now = self.choices[req.vm], self.player.now
+        others = [name for name in self.usable if name not in req.attempts]
+        others = others or self.usable
+        idle = [
+            name
+            for name in self.led_by[req.vm]
+            if name in others and self.led[name].queue.has_free_slot(now)
+        ]
+        target = choice.choose(others, now, idle)
+        req.attempts = [*req.attempts, target]
+        number = len(req.attempts)
+        may_decline = number <= self.thresholds["choice_declines"]
+        attempt = Attempt(req, number, target, may_decline)
+        choice.sent(target, attempt.id, now)
+        self._forward(attempt)
+
+    def declined(self, attempt: Attempt, queue: int) -> None:
+        """Learn the length of the queue and choose again."""
+        req, now = attempt.req, self.player.now
+        choice = self.choices[req.vm]
+        choice.withdrawn(attempt.target, attempt.id)
+        choice.digest(attempt.target, queue, now)
+        if not req.status:
+            self.attempt(req, attempt)
+
+    def attempt_ended(self, attempt: Attempt, outcome: Outcome) -> None:
+        """Tell the choice and the hedge what was seen."""
+        req, now = attempt.req, self.player.now
+        is_answer = outcome is Outcome.ANSWERED
+        self.choices[req.vm].ended(attempt.target, attempt.id, now, is_answer)
+        if is_answer and not req.status:
+            self.hedges[req.vm].answered(now - req.arrived)
+
+    def judged(self) -> None:
+        """Spread digests of queue lengths and leave out what is down."""
+        down = {n for n in self.willing if self.verdict(n) is Verdict.DOWN}
+        self.usable = [name for name in self.willing if name not in down]
+        for name, led in self.led.items():
+            queue = 0 if name in self.lies else led.queue.waiting + led.queue.running
+            self.player.at(self.player.now + self.digest_lag, self._digest, name, queue)
+
+    def _digest(self, name: str, queue: int) -> None:
+        """Take a digest in at all VMs."""
+        for choice in self.choices:
+            choice.digest(name, queue, self.player.now)
+
+    def set_willing(self, names: list[str]) -> None:
+        """Take in a configuration."""
+        super().set_willing(names)
+        self.usable = names
--- a/packages/policy/src/berylstage_policy/backoff.py
+++ b/packages/policy/src/berylstage_policy/backoff.py
@@ -2,13 +2,12 @@
 
 The load it answers: the second wave. Callers that are told the same moment return
 together and are turned away together again; one sees it as load that comes in pulses,
-between which the slots are idle. Here the moments are spread over as long as it takes
-to serve those that were lately turned away.
+between which the slots are idle. Here each refused caller is given the next free moment
+of a calendar that fills no faster than the target can serve.
 """
 
 from __future__ import annotations
 
-from math import exp
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -20,15 +19,14 @@
 class RetryAfter:
     """Spreads the return of refused callers over the capacity that there is."""
 
-    __slots__ = ("_rng", "_floor", "_ceiling", "_window", "_refused", "_updated")
+    __slots__ = ("_rng", "_floor", "_ceiling", "_next")
 
     def __init__(self, rng: Random, thresholds: Thresholds):
         self._rng = rng
         self._floor = thresholds["retry_after_floor"]
         self._ceiling = thresholds["retry_after_ceiling"]
-        self._window = thresholds["retry_after_window"]
-        self._refused = 0.0
-        self._updated = 0.0
+        # First moment that is not yet promised to another caller.
+        self._next = 0.0
 
     def after(self, now: float, excess: float, seconds_each: float) -> float:
         """Return the seconds after which a refused caller may come back.
@@ -45,9 +43,13 @@
         -------
         float
         """
-        elapsed = max(0.0, now - self._updated)
-        self._refused = 1.0 + self._refused * exp(-elapsed / self._window)
-        self._updated = now
-        spread = max(self._floor, self._refused * seconds_each)
-        delay = self._floor + max(0.0, excess) + self._rng.uniform(0.0, spread)
-        return min(delay, self._ceiling * self._rng.uniform(0.75, 1.0))
+        jitter = self._rng.uniform(0.5, 1.5)
+        earliest = now + (self._floor + max(0.0, excess)) * jitter
+        self._next = max(self._next, now + self._floor) + seconds_each
+        moment = max(earliest, self._next)
+        if moment > now + self._ceiling:
+            # The calendar is full: by then the load is another, and the rest only must
+            # not return together.
+            self._next = min(self._next, now + self._ceiling)
+            return self._ceiling * self._rng.uniform(0.5, 1.0)
+        return moment - now
--- a/packages/policy/src/berylstage_policy/choice.py
+++ b/packages/policy/src/berylstage_policy/choice.py
@@ -117,6 +117,12 @@
         limit = self._straggler * self._typical if self._typical else seconds
         self._typical += gain * (min(seconds, limit) - self._typical)
 
+    def withdrawn(self, target: str, request_id: str) -> None:
+        """Note that a request did not go to a target after all."""
+        view = self._views.get(target)
+        if view is not None:
+            view.outstanding.pop(request_id, None)
+
     def digest(self, target: str, queue: int, now: float) -> None:
         """Take in the queue length that the VM that leads the target has told."""
         view = self._views.get(target)
@@ -125,7 +131,12 @@
             view.digest_at = now
             view.sent_since_digest = 0
 
-    def choose(self, willing: Sequence[str], now: float) -> str:
+    def choose(
+        self,
+        willing: Sequence[str],
+        now: float,
+        idle: Sequence[str] = (),
+    ) -> str:
         """Return the target to send to.
 
         Parameters
@@ -133,11 +144,17 @@
         willing : sequence of str
             Names of targets that may answer; not empty.
         now : float
+        idle : sequence of str
+            Those of them that this VM leads and that have a free slot: known for
+            certain, and reached without a forward.
 
         Returns
         -------
         str
         """
+        for name in idle:
+            if not self.is_straggler(name, now):
+                return name
         count = min(self._candidates, len(willing))
         drawn = self._rng.sample(willing, count)
         best = min(drawn, key=lambda name: self._score(self._views[name], now))
--- a/packages/policy/src/berylstage_policy/fairness.py
+++ b/packages/policy/src/berylstage_policy/fairness.py
@@ -19,6 +19,10 @@
 # can't shed its debt by being idle in between. Bounds the memory of each level.
 IDLE_FLOWS = 256
 
+# A newcomer never waits for more than this many times what waits now: neighbours come
+# back while it waits, but their backlog drains too.
+RETURNING_WORK = 2.0
+
 
 class Flow(Generic[T]):
     """One node of the tree: a share of its parent's time.
@@ -41,6 +45,7 @@
         "items",
         "size",
         "backlog",
+        "period",
     )
 
     def __init__(self, parent: Flow[T] | None, weight: float):
@@ -51,12 +56,14 @@
         # Start tag of the child served last: where children that wake up begin.
         self.now_tag = 0.0
         self.children: dict[str, Flow[T]] = {}
-        # Lazy heap of (start tag, id, child); entries with an old tag are dropped.
+        # Lazy heap of (start tag, number, child); entries with an old tag are dropped.
         self.heap: list[tuple[float, int, Flow[T]]] = []
         self.active_weight = 0.0
         self.items: deque[tuple[T, float]] = deque()
         self.size = 0
         self.backlog = 0.0
+        # Busy period in which the start tag was set; it means nothing in a later one.
+        self.period = 0
 
     def child(self, name: str, weight: float) -> Flow[T]:
         """Return the child with that name, made when it is new."""
@@ -75,15 +82,6 @@
         for name in settled or idle[: len(idle) // 2]:
             del self.children[name]
 
-    def charge(self, cost: float) -> None:
-        """Count time that was received, on this flow and those above."""
-        flow = self
-        while flow.parent is not None:
-            flow.start_tag += cost / flow.weight
-            if flow.size:
-                heappush(flow.parent.heap, (flow.start_tag, id(flow), flow))
-            flow = flow.parent
-
     def first(self) -> Flow[T]:
         """Return the active child that has had least; there must be one."""
         heap = self.heap
@@ -97,10 +95,12 @@
 class FairQueue(Generic[T]):
     """Tree of flows, the leaves of which hold items in order of arrival."""
 
-    __slots__ = ("root",)
+    __slots__ = ("root", "_period", "_pushed")
 
     def __init__(self) -> None:
         self.root: Flow[T] = Flow(None, 1.0)
+        self._period = 0
+        self._pushed = 0
 
     def __len__(self) -> int:
         return self.root.size
@@ -119,16 +119,37 @@
         while flow.parent is not None:
             parent = flow.parent
             if not flow.size:
-                if flow.start_tag < parent.now_tag:
-                    flow.start_tag = parent.now_tag
+                self._enter_period(flow, parent)
+                flow.start_tag = max(flow.start_tag, parent.now_tag)
                 parent.active_weight += flow.weight
-                heappush(parent.heap, (flow.start_tag, id(flow), flow))
+                self._queue(flow, parent)
             flow.size += 1
             flow.backlog += cost
             flow = parent
         flow.size += 1
         flow.backlog += cost
 
+    def charge(self, leaf: Flow[T], cost: float) -> None:
+        """Count time that a leaf has received, on it and all flows above."""
+        flow = leaf
+        while flow.parent is not None:
+            self._enter_period(flow, flow.parent)
+            flow.start_tag += cost / flow.weight
+            if flow.size:
+                self._queue(flow, flow.parent)
+            flow = flow.parent
+
+    def _enter_period(self, flow: Flow[T], parent: Flow[T]) -> None:
+        """Forgive what a flow owed from an earlier busy period."""
+        if flow.period != self._period:
+            flow.start_tag = parent.now_tag
+            flow.period = self._period
+
+    def _queue(self, flow: Flow[T], parent: Flow[T]) -> None:
+        """Put an active flow in its parent's order, after those with the same tag."""
+        self._pushed += 1
+        heappush(parent.heap, (flow.start_tag, self._pushed, flow))
+
     def pop(self, top: str | None = None) -> tuple[T, Flow[T]]:
         """Take the next item out, of one child of the root if it is named.
 
@@ -165,19 +186,37 @@
             if not flow.size and flow.parent is not None:
                 flow.parent.active_weight -= flow.weight
             flow = flow.parent
+        if not self.root.size:
+            self._period += 1
 
-    def ahead(self, leaf: Flow[T]) -> float:
+    def ahead(self, leaf: Flow[T], cost: float) -> float:
         """Return the work that is served before a newcomer of a leaf starts.
 
-        Its own flow's backlog, and what the neighbours on each level get meanwhile by
-        their weights, but never more than they have waiting.
+        Its own flow's backlog, and what the neighbours on each level get by their
+        weights until it is done, but never much more than they have waiting.
+
+        Parameters
+        ----------
+        leaf : Flow
+            Where the newcomer would queue.
+        cost : float
+            What the newcomer itself costs.
+
+        Returns
+        -------
+        float
         """
         flow: Flow[T] = leaf
         work = leaf.backlog
         while flow.parent is not None:
             parent = flow.parent
             weights = parent.active_weight + (0.0 if flow.size else flow.weight)
-            work = min(parent.backlog, work * weights / flow.weight)
+            # Debt for what the flow has had lately, which is served off first.
+            debt = max(0.0, flow.start_tag - parent.now_tag)
+            if flow.period != self._period:
+                debt = 0.0
+            shared = (debt + (work + cost / 2) / flow.weight) * weights
+            work = min(parent.backlog * RETURNING_WORK, shared)
             flow = parent
         return work
 
--- a/packages/policy/src/berylstage_policy/queue.py
+++ b/packages/policy/src/berylstage_policy/queue.py
@@ -8,16 +8,19 @@
 
 from __future__ import annotations
 
-from heapq import heapify, heappop, heappush
 from typing import TYPE_CHECKING
 
 from berylstage_policy.backoff import RetryAfter
 from berylstage_policy.coldstart import ColdStart
 from berylstage_policy.costs import CostModel
-from berylstage_policy.fairness import FairQueue, Flow
-from berylstage_policy.slots import residual, time_to_serve
+from berylstage_policy.entries import Entry, Slots
+from berylstage_policy.expiry import ExpiryHeap
+from berylstage_policy.fairness import FairQueue
+from berylstage_policy.lanes import SHORT, Lanes
+from berylstage_policy.slots import time_to_serve
 from berylstage_policy.tickets import (
     Decision,
+    Decline,
     Outcome,
     Refuse,
     RefuseReason,
@@ -31,30 +34,6 @@
 
     from berylstage_policy.thresholds import Thresholds
 
-SHORT = "short"
-LONG = "long"
-
-
-class _Entry:
-    """One ticket inside the queue or in a slot."""
-
-    __slots__ = ("ticket", "leaf", "cost", "is_short", "latest_start", "started")
-
-    def __init__(
-        self,
-        ticket: Ticket,
-        leaf: Flow[_Entry],
-        cost: float,
-        is_short: bool,
-        latest_start: float,
-    ):
-        self.ticket = ticket
-        self.leaf = leaf
-        self.cost = cost
-        self.is_short = is_short
-        self.latest_start = latest_start
-        self.started = 0.0
-
 
 class TargetQueue:
     """Admission, queue and slots of one led target.
@@ -81,26 +60,17 @@
         self.ramp = ColdStart(slots, thresholds, now)
         self.costs = CostModel(thresholds)
         self._retry_after = RetryAfter(rng, thresholds)
-        self._fair: FairQueue[_Entry] = FairQueue()
-        self._waiting: dict[str, _Entry] = {}
-        self._running: dict[str, _Entry] = {}
-        self._running_long = 0
-        # Lazy heap of (latest start, ticket id): entries of tickets that no longer
-        # wait are dropped when they surface, or all at once when they are too many.
-        self._expiry: list[tuple[float, str]] = []
+        self._fair: FairQueue[Entry] = FairQueue()
+        self._waiting: dict[str, Entry] = {}
+        self._slots = Slots()
+        self._expiry = ExpiryHeap(self._waiting)
         self._displaced: list[Refuse] = []
         self._draining = False
-        self._short_seen = float("-inf")
+        self._paused_until: float | None = None
         self._planned_limit = 1
         self._queue_limit = int(thresholds["queue_limit"])
         self._wait_share = thresholds["wait_share"]
-        self._short_presence = thresholds["short_presence"]
-        self._lane_weights = {SHORT: thresholds["short_weight"], LONG: 1.0}
-        self._class_weights = {
-            "interactive": thresholds["weight_interactive"],
-            "standard": thresholds["weight_standard"],
-            "batch": thresholds["weight_batch"],
-        }
+        self._lanes = Lanes(thresholds)
 
     @property
     def waiting(self) -> int:
@@ -110,7 +80,12 @@
     @property
     def running(self) -> int:
         """Number of tickets in a slot."""
-        return len(self._running)
+        return len(self._slots)
+
+    def has_free_slot(self, now: float) -> bool:
+        """Tell whether a newcomer would start at once."""
+        is_idle = not self._waiting and self._paused_until is None
+        return is_idle and len(self._slots) < self.ramp.limit(now)
 
     def set_slots(self, slots: int, now: float) -> list[Ticket]:
         """Take in another number of slots and return what starts now."""
@@ -139,18 +114,40 @@
         """Take in the target's own word on whether it is in cold start."""
         self.ramp.reported(now, is_cold)
 
-    def offer(self, ticket: Ticket, now: float) -> Decision:
+    def pause(self, until: float) -> None:
+        """Start nothing until `resume`: connections to the target are refused.
+
+        Without it a target that is gone would take and lose the whole queue in the
+        second before its keys move. Paused tickets go to the new owner by `drain`.
+
+        Parameters
+        ----------
+        until : float
+            When the target or a new owner is expected to take work, for admission.
+        """
+        self._paused_until = until
+
+    def resume(self, now: float) -> list[Ticket]:
+        """End a pause and return what starts now."""
+        self._paused_until = None
+        return self._fill(now)
+
+    def offer(self, ticket: Ticket, now: float, may_decline: bool = False) -> Decision:
         """Decide about a new ticket.
 
         Parameters
         ----------
         ticket : Ticket
         now : float
+        may_decline : bool
+            Whether the ticket could go to another target: then it is handed back
+            rather than made to wait.
 
         Returns
         -------
         Decision
-            `Start`, `Wait` or `Refuse`. A refusal is final and says when to come back.
+            `Start`, `Wait`, `Decline` or `Refuse`. A refusal is final and says when
+            to come back.
         """
         if self._draining:
             return Refuse(ticket.id, RefuseReason.DRAINING, self._comeback(now, 0.0))
@@ -161,6 +158,8 @@
         if self._may_start(entry, limit, now):
             self._begin(entry, now)
             return Start(ticket.id)
+        if may_decline:
+            return Decline(ticket.id, len(self._waiting) + len(self._slots))
         wait = self._expected_wait(entry, limit, now)
         slack = (ticket.deadline - now) * self._wait_share - entry.cost
         if wait > slack:
@@ -202,15 +201,13 @@
         list of Ticket
             To be sent to the target now.
         """
-        entry = self._running.pop(ticket_id, None)
+        entry = self._slots.end(ticket_id)
         if entry is None:
             return []
-        if not entry.is_short:
-            self._running_long -= 1
         # Charged by expectation at the start; a flow whose work takes longer than
         # expected would otherwise get more than its share for as long as it is new.
-        if outcome is Outcome.ANSWERED:
-            entry.leaf.charge(seconds - entry.cost)
+        if entry.is_charged and outcome is Outcome.ANSWERED:
+            self._fair.charge(entry.leaf, seconds - entry.cost)
         self._learn(entry, now, seconds, outcome, incarnation)
         return self._fill(now)
 
@@ -226,7 +223,7 @@
         entry = self._waiting.pop(ticket_id, None)
         if entry is not None:
             self._fair.remove(entry.leaf, entry)
-        return ticket_id in self._running
+        return ticket_id in self._slots
 
     def expired(self, now: float) -> list[Refuse]:
         """Return refusals for tickets that can no longer make their deadlines."""
@@ -234,20 +231,15 @@
         if self.ramp.level < self._planned_limit:
             refusals.extend(self._replan(self.ramp.limit(now), now))
         self._planned_limit = self.ramp.level
-        while self._expiry and self._expiry[0][0] <= now:
-            _, ticket_id = heappop(self._expiry)
-            entry = self._waiting.pop(ticket_id, None)
-            if entry is not None:
-                refusals.append(self._turn_away(entry, now))
+        while (ticket_id := self._expiry.due(now)) is not None:
+            refusals.append(self._turn_away(self._waiting.pop(ticket_id), now))
         return refusals
 
     def next_expiry(self) -> float | None:
         """Return when `expired` has something to say, or None while nothing waits."""
         if self._displaced or self.ramp.level < self._planned_limit:
             return float("-inf")
-        while self._expiry and self._expiry[0][1] not in self._waiting:
-            heappop(self._expiry)
-        return self._expiry[0][0] if self._expiry else None
+        return self._expiry.next()
 
     def expected_wait(self, now: float) -> float:
         """Return the seconds that a typical newcomer would wait, for load digests."""
@@ -262,68 +254,55 @@
         self._fair = FairQueue()
         return tickets
 
-    def _entry(self, ticket: Ticket, now: float) -> _Entry:
+    def _entry(self, ticket: Ticket, now: float) -> Entry:
         """Look up what is known about a ticket and where it queues."""
-        is_short = ticket.request_class != "batch" and not self.costs.is_long(
-            ticket.kind
-        )
+        is_short = self._lanes.is_short(ticket, self.costs)
         cost = ticket.expected_cost or self.costs.mean(ticket.kind)
-        lane = SHORT if is_short else LONG
         if is_short:
-            self._short_seen = now
-        path = (
-            (lane, self._lane_weights[lane]),
-            (ticket.tenant, 1.0),
-            (ticket.request_class, self._class_weights.get(ticket.request_class, 1.0)),
-            (ticket.caller, 1.0),
-        )
+            self._lanes.offered(cost, now)
         # Slow answers raise the cost. If the cost alone could turn all tickets away,
         # none would run, and nobody would learn that the target is fast again.
         slack = (ticket.deadline - now) * (1.0 - self._wait_share)
         latest = max(ticket.deadline - cost, now + min(slack, cost))
-        return _Entry(ticket, self._fair.leaf(path), cost, is_short, latest)
+        leaf = self._fair.leaf(self._lanes.path(ticket, is_short))
+        return Entry(ticket, leaf, cost, is_short, latest)
 
-    def _long_cap(self, limit: int, now: float) -> int:
-        """Return how many slots long work may have."""
-        if limit > 1 and now - self._short_seen <= self._short_presence:
-            return limit - 1
-        return limit
-
-    def _may_start(self, entry: _Entry, limit: int, now: float) -> bool:
+    def _may_start(self, entry: Entry, limit: int, now: float) -> bool:
         """Tell whether a newcomer starts at once, ahead of nobody that could start."""
-        if len(self._running) >= limit:
+        if len(self._slots) >= limit or self._paused_until is not None:
             return False
         if entry.is_short:
             lane = self._fair.root.children.get(SHORT)
             return lane is None or not lane.size
-        return not len(self._fair) and self._running_long < self._long_cap(limit, now)
+        return not len(self._fair) and self._slots.long < self._lanes.long_cap(
+            limit, now
+        )
 
-    def _begin(self, entry: _Entry, now: float) -> None:
+    def _begin(self, entry: Entry, now: float) -> None:
         """Put an entry in a slot and charge its flow."""
-        entry.started = now
-        self._running[entry.ticket.id] = entry
-        if not entry.is_short:
-            self._running_long += 1
-        entry.leaf.charge(entry.cost)
+        self._slots.begin(entry, now)
+        # What starts while nobody waits is taken from nobody.
+        if self._waiting:
+            self._fair.charge(entry.leaf, entry.cost)
+            entry.is_charged = True
 
-    def _enqueue(self, entry: _Entry) -> None:
+    def _enqueue(self, entry: Entry) -> None:
         """Let an entry wait."""
         ticket_id = entry.ticket.id
         self._waiting[ticket_id] = entry
         self._fair.push(entry.leaf, entry, entry.cost)
-        heappush(self._expiry, (entry.latest_start, ticket_id))
-        if len(self._expiry) > 2 * len(self._waiting) + 64:
-            self._expiry = [e for e in self._expiry if e[1] in self._waiting]
-            heapify(self._expiry)
+        self._expiry.add(entry.latest_start, ticket_id, len(self._waiting))
 
     def _fill(self, now: float) -> list[Ticket]:
         """Start what waits while there are slots for it."""
         limit = self.ramp.limit(now)
         self._planned_limit = max(self._planned_limit, self.ramp.level)
         started = []
-        while self._waiting and len(self._running) < limit:
+        if self._paused_until is not None:
+            return []
+        while self._waiting and len(self._slots) < limit:
             lane = None
-            if self._running_long >= self._long_cap(limit, now):
+            if self._slots.long >= self._lanes.long_cap(limit, now):
                 short = self._fair.root.children.get(SHORT)
                 if short is None or not short.size:
                     break
@@ -339,7 +318,7 @@
 
     def _learn(
         self,
-        entry: _Entry,
+        entry: Entry,
         now: float,
         seconds: float,
         outcome: Outcome,
@@ -362,23 +341,21 @@
             if ramp.warm or not known:
                 self.costs.observe(kind, seconds, entry.is_short)
 
-    def _residuals(self, now: float) -> list[float]:
-        """Return how long each busy slot stays busy, shortest first."""
-        running = self._running.values()
-        return sorted(residual(entry.cost, now - entry.started) for entry in running)
-
     def _time_to_serve(self, work: float, limit: int, now: float) -> float:
         """Return the seconds until the slots have done so much work and one is free."""
-        return time_to_serve(work, limit, self._residuals(now))
+        return time_to_serve(work, limit, self._slots.residuals(now))
 
-    def _expected_wait(self, entry: _Entry, limit: int, now: float) -> float:
+    def _expected_wait(self, entry: Entry, limit: int, now: float) -> float:
         """Return the seconds until a newcomer starts, by its flow's fair share."""
-        work = self._fair.ahead(entry.leaf)
+        work = self._fair.ahead(entry.leaf, entry.cost)
         if not entry.is_short:
-            limit = self._long_cap(limit, now)
-        return self._time_to_serve(work, limit, now)
+            limit = self._lanes.long_cap(limit, now)
+        wait = self._time_to_serve(work, limit, now)
+        if self._paused_until is not None:
+            wait += max(0.0, self._paused_until - now)
+        return wait
 
-    def _displace(self, newcomer: _Entry, now: float) -> bool:
+    def _displace(self, newcomer: Entry, now: float) -> bool:
         """Make room by turning away the last of the heaviest flow, if it is heavier."""
         heaviest = self._fair.heaviest()
         if heaviest.size <= newcomer.leaf.size + 1:
@@ -397,7 +374,7 @@
         """
         refusals = []
         for entry in reversed(list(self._waiting.values())):
-            work = self._fair.ahead(entry.leaf) - entry.cost
+            work = self._fair.ahead(entry.leaf, 0.0) - entry.cost
             wait = self._time_to_serve(max(0.0, work), limit, now)
             if now + wait <= entry.latest_start:
                 continue
@@ -405,14 +382,14 @@
             refusals.append(self._turn_away(entry, now))
         return refusals
 
-    def _turn_away(self, entry: _Entry, now: float) -> Refuse:
+    def _turn_away(self, entry: Entry, now: float) -> Refuse:
         """Take a waiting entry out of the fair queue and refuse it."""
         self._fair.remove(entry.leaf, entry)
         return self._refusal(entry, now)
 
     def _refusal(
         self,
-        entry: _Entry,
+        entry: Entry,
         now: float,
         reason: RefuseReason = RefuseReason.DEADLINE,
     ) -> Refuse:
--- a/packages/policy/src/berylstage_policy/threshold_table.py
+++ b/packages/policy/src/berylstage_policy/threshold_table.py
@@ -132,6 +132,26 @@
         "work. Longer than the gaps in live traffic, short enough that the night "
         "has all slots.",
     ),
+    Threshold(
+        "short_load_window",
+        5.0,
+        "s",
+        0.1,
+        300.0,
+        True,
+        "Window of the load of short work, from which its reserve is sized: hundreds "
+        "of requests in live traffic, and over before a reconciliation's next piece.",
+    ),
+    Threshold(
+        "reserve_utilisation",
+        0.35,
+        "share",
+        0.05,
+        1.0,
+        True,
+        "How busy short work may keep the slots reserved for it. At a third busy, "
+        "queueing adds less than half a service time to its slowest hundredth.",
+    ),
     Threshold(
         "short_weight",
         4.0,
@@ -181,7 +201,7 @@
     ),
     Threshold(
         "wait_share",
-        0.8,
+        0.6,
         "share of the time left",
         0.1,
         1.0,
@@ -196,7 +216,8 @@
         0.0,
         60.0,
         True,
-        "Least time before a refused caller returns, and least spread between two.",
+        "Least time before a refused caller returns: ten service times, after which "
+        "the queue is another.",
     ),
     Threshold(
         "retry_after_ceiling",
@@ -207,15 +228,6 @@
         True,
         "Longest wish to stay away: by then the load is another.",
     ),
-    Threshold(
-        "retry_after_window",
-        5.0,
-        "s",
-        0.1,
-        300.0,
-        True,
-        "How long a refused caller counts as one that will return.",
-    ),
     Threshold(
         "ramp_completions",
         10.0,
@@ -265,6 +277,16 @@
         "Two candidates give nearly all that choosing among all would, and VMs that "
         "know different things don't rush to one target.",
     ),
+    Threshold(
+        "choice_declines",
+        2.0,
+        "targets",
+        0.0,
+        8.0,
+        True,
+        "How often a request is handed back by a busy target before it waits. Each "
+        "costs a forward of a millisecond, a wait costs a service time.",
+    ),
     Threshold(
         "choice_gain",
         0.3,
--- a/packages/policy/src/berylstage_policy/tickets.py
+++ b/packages/policy/src/berylstage_policy/tickets.py
@@ -83,7 +83,7 @@
 
 
 class Decision:
-    """What becomes of a ticket that was offered: one of the three below."""
+    """What becomes of a ticket that was offered: one of those below."""
 
     __slots__ = ("ticket_id",)
 
@@ -103,6 +103,23 @@
     __slots__ = ()
 
 
+class Decline(Decision):
+    """Try another target, as all slots are busy here.
+
+    Parameters
+    ----------
+    ticket_id : str
+    queue : int
+        Requests that wait or are in a slot.
+    """
+
+    __slots__ = ("queue",)
+
+    def __init__(self, ticket_id: str, queue: int):
+        super().__init__(ticket_id)
+        self.queue = queue
+
+
 class Refuse(Decision):
     """Turn it away now; it did not run.
 
--- /dev/null
+++ b/packages/policy/tests/conftest.py
@@ -0,0 +1,154 @@
+"""Shared fixtures: tickets and a target in virtual time behind one queue."""
+
+from __future__ import annotations
+
+from heapq import heappop, heappush
+from random import Random
+
+import pytest
+from berylstage_policy.queue import TargetQueue
+from berylstage_policy.thresholds import DEFAULTS
+from berylstage_policy.tickets import Outcome, Refuse, Start, Ticket
+
+
+class QueuePlayer:
+    """Plays arrivals against one queue and a target that keeps to its demands."""
+
+    def __init__(self, slots=2, thresholds=DEFAULTS, is_warm=True):
+        self.queue = TargetQueue(slots, thresholds, Random(1), 0.0)
+        self.slots = slots
+        self.events = []
+        self.count = 0
+        self.demands = {}
+        self.tickets = {}
+        self.answers = {}
+        self.refusals = {}
+        self.started = {}
+        self.slowdown = 1.0
+        self.most_running = 0
+        self.incarnation = "a"
+        if is_warm:
+            self._warm_up()
+
+    def _warm_up(self):
+        while not self.queue.ramp.warm:
+            self.queue.ramp.completed(0.0, None)
+
+    def arrive(
+        self,
+        at,
+        demand,
+        caller="caller",
+        kind="lookup",
+        request_class="interactive",
+        deadline=1.0,
+        tenant="saryarka",
+    ):
+        self.count += 1
+        name = f"{caller}-{self.count}"
+        ticket = Ticket(
+            name,
+            tenant,
+            request_class,
+            caller,
+            "field-log",
+            kind,
+            "key",
+            at,
+            at + deadline,
+        )
+        self.tickets[name] = ticket
+        self.demands[name] = demand
+        heappush(self.events, (at, self.count, "arrive", name))
+        return name
+
+    def stream(self, start, end, rate, demand, seed=1, **options):
+        rng = Random(seed)
+        names = []
+        at = start + rng.expovariate(rate)
+        while at < end:
+            names.append(self.arrive(at, rng.gammavariate(2, demand / 2), **options))
+            at += rng.expovariate(rate)
+        return names
+
+    def run(self, until=1e9):
+        while self.events:
+            due = self.queue.next_expiry()
+            at = self.events[0][0]
+            if due is not None and due <= at:
+                self._refuse(self.queue.expired(max(due, 0.0)), max(due, 0.0))
+                continue
+            if at > until:
+                return
+            now, _, action, name = heappop(self.events)
+            getattr(self, f"_{action}")(name, now)
+            self._refuse(self.queue.expired(now), now)
+
+    def _arrive(self, name, now):
+        decision = self.queue.offer(self.tickets[name], now)
+        if isinstance(decision, Start):
+            self._start(name, now)
+        elif isinstance(decision, Refuse):
+            self._refuse([decision], now)
+
+    def _start(self, name, now):
+        self.started[name] = now
+        self.most_running = max(self.most_running, self.queue.running)
+        self.count += 1
+        finish = now + self.demands[name] * self.slowdown
+        heappush(self.events, (finish, self.count, "finish", name))
+
+    def _finish(self, name, now):
+        self.answers[name] = now
+        seconds = now - self.started[name]
+        started = self.queue.finished(
+            name, now, seconds, Outcome.ANSWERED, self.incarnation
+        )
+        for ticket in started:
+            self._start(ticket.id, now)
+
+    def _refuse(self, refusals, now):
+        for refusal in refusals:
+            self.refusals[refusal.ticket_id] = (now, refusal)
+
+    def in_time(self, names):
+        good = [
+            n
+            for n in names
+            if n in self.answers and self.answers[n] <= self.tickets[n].deadline
+        ]
+        return len(good) / len(names)
+
+    def latencies(self, names):
+        return sorted(
+            self.answers[n] - self.tickets[n].arrived
+            for n in names
+            if n in self.answers
+        )
+
+    def p99(self, names):
+        found = self.latencies(names)
+        return found[int(0.99 * len(found))]
+
+
+@pytest.fixture
+def make_player():
+    return QueuePlayer
+
+
+@pytest.fixture
+def make_ticket():
+    def make(id="t-1", **options):
+        values = {
+            "tenant": "saryarka",
+            "request_class": "interactive",
+            "caller": "caller",
+            "service": "field-log",
+            "kind": "lookup",
+            "key": "key",
+            "arrived": 0.0,
+            "deadline": 1.0,
+        }
+        return Ticket(id, **{**values, **options})
+
+    return make
