--- a/packages/policy/src/berylstage_policy/thresholds.py
+++ b/packages/policy/src/berylstage_policy/thresholds.py
@@ -5,6 +5,16 @@
 from berylstage_policy.errors import ThresholdError
 from berylstage_policy.threshold_table import TABLE
 
+# Pairs of which the first must stay below the second: a decision that stops beyond
+# where it starts would go on for ever, to be seen as keys that never rest.
+ORDERED = (
+    ("balance_settled_high", "balance_high"),
+    ("balance_low", "balance_settled_low"),
+    ("hot_leave", "hot_enter"),
+    ("retry_after_floor", "retry_after_ceiling"),
+    ("stall_after", "down_after"),
+)
+
 
 class Thresholds:
     """The values in force: the defaults and the operators' overrides.
@@ -70,6 +80,22 @@
                     f"set it between {row.low:g} and {row.high:g}"
                 )
             )
+    return errors or _check_order(overrides)
+
+
+def _check_order(overrides: dict[str, float]) -> list[ThresholdError]:
+    """Return which pairs of thresholds are the wrong way round."""
+    errors = []
+    for lower, upper in ORDERED:
+        low = overrides.get(lower, TABLE[lower].default)
+        high = overrides.get(upper, TABLE[upper].default)
+        if low >= high:
+            errors.append(
+                ThresholdError(
+                    f"{lower} is {low:g} and {upper} is {high:g}; "
+                    f"set {lower} below {upper}"
+                )
+            )
     return errors
 
 
--- /dev/null
+++ b/packages/policy/tests/test_health.py
@@ -0,0 +1,76 @@
+"""Tests of the verdict on a target."""
+
+from __future__ import annotations
+
+import pytest
+from berylstage_policy.health import TargetHealth, Verdict
+from berylstage_policy.thresholds import DEFAULTS
+
+
+@pytest.fixture
+def health():
+    return TargetHealth(DEFAULTS, 0.0)
+
+
+class TestSilence:
+    def test_stall_shorter_than_a_move_costs_moves_nothing(self, health):
+        # A neighbour takes the target's processor for most of a second. Moving the
+        # keys would make them unavailable for longer than the stall does.
+        for now in (0.3, 0.5, 0.9):
+            assert health.verdict(now) is Verdict.STALLED
+        health.answered(0.95)
+        assert health.verdict(0.96) is Verdict.WELL
+
+    def test_lost_target_is_down_in_time_for_its_keys(self, health):
+        # The target is gone. Its keys are due back 2 s after; the verdict may take
+        # half of that.
+        health.answered(5.0)
+        assert health.verdict(6.0) is Verdict.DOWN
+
+    def test_refused_connections_are_believed_sooner(self, health):
+        health.refused_connection(0.1)
+        assert health.verdict(0.2) is Verdict.STALLED
+        assert health.verdict(0.6) is Verdict.DOWN
+
+    def test_quick_restart_is_not_down(self, health):
+        health.refused_connection(0.1)
+        health.answered(0.3)
+        assert health.verdict(0.55) is Verdict.WELL
+
+    def test_next_change_names_each_step(self, health):
+        assert health.next_change(0.0) == DEFAULTS["stall_after"]
+        assert health.next_change(0.5) == DEFAULTS["down_after"]
+        assert health.next_change(2.0) == float("inf")
+
+
+class TestSlow:
+    def test_slow_for_moments_keeps_its_keys(self, health):
+        for now in range(10):
+            health.answered(float(now))
+            health.latency(float(now), 10.0)
+        health.latency(10.0, 1.0)
+        health.latency(20.0, 10.0)
+        assert health.capacity(2) == 2.0
+
+    def test_slow_for_long_gets_fewer_keys_and_gets_them_back(self, health):
+        # One target of ten runs at a third of its pace for minutes. Its callers are
+        # late for as long as it keeps its full share of keys.
+        for now in range(20):
+            health.answered(float(now))
+            health.latency(float(now), 4.0)
+        assert health.verdict(19.0) is Verdict.SLOW
+        assert health.capacity(2) == 0.5
+        for now in range(20, 40):
+            health.answered(float(now))
+            health.latency(float(now), 1.0)
+        assert health.verdict(39.0) is Verdict.WELL
+        assert health.capacity(2) == 2.0
+
+    def test_ratio_about_the_bound_does_not_flap(self, health):
+        changes = 0
+        before = health.capacity(2)
+        for now in range(600):
+            health.latency(float(now), 3.1 if now % 40 < 30 else 2.5)
+            changes += (health.capacity(2) < 2) != (before < 2)
+            before = health.capacity(2)
+        assert changes == 1
--- /dev/null
+++ b/packages/policy/tests/test_retries.py
@@ -0,0 +1,93 @@
+"""Tests of retries and hedges."""
+
+from __future__ import annotations
+
+from random import Random
+
+import pytest
+from berylstage_policy.retries import HedgePolicy, RetryPolicy, RetryVerdict
+from berylstage_policy.thresholds import DEFAULTS
+from berylstage_policy.tickets import Outcome
+
+
+@pytest.fixture
+def policy():
+    return RetryPolicy(DEFAULTS, Random(1))
+
+
+class TestRetryPolicy:
+    @pytest.mark.parametrize(
+        ("is_repeatable", "outcome", "verdict"),
+        [
+            (True, Outcome.UNKNOWN, RetryVerdict.RETRY),
+            (True, Outcome.NOT_RUN, RetryVerdict.RETRY),
+            (True, Outcome.ANSWERED, RetryVerdict.FINAL),
+            (True, Outcome.CANCELLED, RetryVerdict.FINAL),
+            (False, Outcome.NOT_RUN, RetryVerdict.RETRY),
+            (False, Outcome.SHED, RetryVerdict.RETRY),
+            (False, Outcome.COLD, RetryVerdict.RETRY),
+            (False, Outcome.UNKNOWN, RetryVerdict.NOT_REPEATABLE),
+            (False, Outcome.FAILED, RetryVerdict.NOT_REPEATABLE),
+        ],
+    )
+    def test_what_may_have_run_is_repeated_only_if_it_may_be(
+        self, policy, is_repeatable, outcome, verdict
+    ):
+        # A parts order got no answer. Sent again, a second motor would be shipped.
+        found = policy.decide(is_repeatable, outcome, 1.0, 1, 0.02)
+        assert found.verdict is verdict
+
+    def test_no_time_is_final_at_once(self, policy):
+        found = policy.decide(True, Outcome.UNKNOWN, 0.01, 1, 0.02)
+        assert found.verdict is RetryVerdict.NO_TIME
+
+    def test_attempts_are_bounded(self, policy):
+        found = policy.decide(True, Outcome.UNKNOWN, 9.0, 3, 0.02)
+        assert found.verdict is RetryVerdict.ATTEMPTS
+
+    def test_failing_service_gets_a_bounded_load_of_retries(self, policy):
+        # Everything fails for a while. Two retries of each request would triple the
+        # load of a service that is failing under it.
+        for _ in range(1000):
+            policy.succeeded()
+        verdicts = [
+            policy.decide(True, Outcome.UNKNOWN, 1.0, 1, 0.02).verdict
+            for _ in range(1000)
+        ]
+        retries = verdicts.count(RetryVerdict.RETRY)
+        assert retries == DEFAULTS["retry_reserve"]
+        assert verdicts[-1] is RetryVerdict.BUDGET
+
+    def test_retries_are_a_share_of_successes(self, policy):
+        retries = 0
+        for _ in range(5000):
+            policy.succeeded()
+            found = policy.decide(True, Outcome.UNKNOWN, 1.0, 1, 0.02)
+            retries += found.verdict is RetryVerdict.RETRY
+        assert retries <= 5000 * DEFAULTS["retry_share"] + DEFAULTS["retry_reserve"]
+        assert retries > 5000 * DEFAULTS["retry_share"] * 0.9
+
+
+class TestHedgePolicy:
+    def make(self):
+        policy = HedgePolicy(DEFAULTS)
+        rng = Random(2)
+        for _ in range(3000):
+            policy.answered(rng.expovariate(50))
+        return policy
+
+    def test_delay_follows_the_quantile(self):
+        # The 95th percentile of these answers is 60 ms.
+        assert 0.045 < self.make().delay(True, 12) < 0.08
+
+    def test_only_repeatable_work_with_another_target(self):
+        policy = self.make()
+        assert policy.delay(False, 12) is None
+        assert policy.delay(True, 1) is None
+        assert HedgePolicy(DEFAULTS).delay(True, 12) is None
+
+    def test_budget_bounds_the_extra_load(self):
+        # All targets slow down at once. Every request is late then, and hedging them
+        # all would double the load that slows the targets.
+        policy = self.make()
+        assert sum(policy.may_hedge() for _ in range(1000)) <= DEFAULTS["hedge_reserve"]
