Place shards by measured load and set hot keys apart

Cause: shards weighed all the same, and a hot key dragged its hash range along. Ruled out: load in each heartbeat (2 kB to five electors four times a second is 40 kB/s, against a budget of 6 kB/s). Change: each VM reports shard loads and hot-key changes every five seconds with one heartbeat; the proposer plans with them; digests of silent VMs lapse after three reports, so that a lost VM's wishes do not come back for ever.

--- a/packages/daemon/src/berylstage_daemon/application.py
+++ b/packages/daemon/src/berylstage_daemon/application.py
@@ -12,6 +12,7 @@
 from berylstage_daemon.control import Control
 from berylstage_daemon.events import EventManager
 from berylstage_daemon.leaders import Leaders
+from berylstage_daemon.load import LoadMeter
 from berylstage_daemon.logs import make_handler
 from berylstage_daemon.metrics import Metrics
 from berylstage_daemon.peers import PeerLinks
@@ -54,6 +55,7 @@
         self.metrics = Metrics(cfg.vm, cfg.statsd)
         self.links = PeerLinks(cfg.vm)
         self.control = Control(self)
+        self.load = LoadMeter(self)
         self.leaders = Leaders(self)
         self.router = Router(self)
         self.stopping = False
@@ -66,6 +68,7 @@
             PeerServer(self),
             self.control,
             self.leaders,
+            self.load,
             CallerServer(self),
         ):
             self.add_part(part)
--- a/packages/daemon/src/berylstage_daemon/control.py
+++ b/packages/daemon/src/berylstage_daemon/control.py
@@ -43,6 +43,7 @@
 from berylstage_daemon.clock import now
 from berylstage_daemon.errors import RequestError
 from berylstage_daemon.part import Part
+from berylstage_daemon.planner import LoadPlanner
 from berylstage_daemon.routes import Routes
 
 if TYPE_CHECKING:
@@ -75,6 +76,8 @@
     def __init__(self, app: Application):
         self._app = app
         cfg = app.cfg
+        planner = LoadPlanner()
+        app.events.connect("configuration-adopted", planner.configured)
         settings = NodeSettings(
             name=cfg.vm,
             # A later run of the same VM must have a larger number; the wall clock in
@@ -84,6 +87,7 @@
             http_address=cfg.http,
             peer_address=cfg.peer,
             cell=cfg.cell,
+            planner=planner,
         )
         self.node = Node(settings, now())
         self._store = HttpStore(cfg.platform, cfg.store_timeout)
--- a/packages/daemon/src/berylstage_daemon/leader.py
+++ b/packages/daemon/src/berylstage_daemon/leader.py
@@ -31,6 +31,7 @@
     from berylstage_targets.target import TargetClient, WorkAnswer
 
     from berylstage_daemon.control import Control
+    from berylstage_daemon.load import LoadMeter
     from berylstage_daemon.requests import CallerRequest
 
 log = Logger("leader")
@@ -58,6 +59,8 @@
     slots : int
     client : TargetClient
     control : Control
+    load : LoadMeter
+        Counts the slot time of owned keys.
     thresholds : Thresholds
     rng : Random
     """
@@ -68,6 +71,7 @@
         slots: int,
         client: TargetClient,
         control: Control,
+        load: LoadMeter,
         thresholds: Thresholds,
         rng: Random,
     ):
@@ -75,6 +79,7 @@
         self.client = client
         self.queue = TargetQueue(slots, thresholds, rng, now())
         self._control = control
+        self._load = load
         self._waiting: dict[str, asyncio.Future[Refuse | None]] = {}
         self._timer: asyncio.TimerHandle | None = None
         self._settling: set[asyncio.Task] = set()
@@ -203,6 +208,8 @@
         self._control.work_ended(self.name, shard)
         seconds = now() - started
         self._finish(ticket, seconds, Ended.ANSWERED, reply.incarnation)
+        if shard:
+            self._load.observe(req.service.name, shard, req.key, seconds)
         return self._answered(reply, permit)
 
     def _work(
--- a/packages/daemon/src/berylstage_daemon/leaders.py
+++ b/packages/daemon/src/berylstage_daemon/leaders.py
@@ -214,6 +214,7 @@
                 found.slots,
                 self.client(target, found.address),
                 self._app.control,
+                self._app.load,
                 self._thresholds,
                 self._rng,
             )
--- a/packages/daemon/tests/conftest.py
+++ b/packages/daemon/tests/conftest.py
@@ -71,6 +71,16 @@
         self.unwilling.append((target, reason))
 
 
+class FakeLoad:
+    """Keeps what was observed."""
+
+    def __init__(self):
+        self.observed = []
+
+    def observe(self, service, shard, key, seconds):
+        self.observed.append((service, shard, key))
+
+
 class Rig:
     """A leader of one target with one free slot, and requests for it."""
 
@@ -83,6 +93,7 @@
             1,
             self.target,
             self.control,
+            FakeLoad(),
             Thresholds(),
             Random(1),
         )
--- a/packages/ownership/src/berylstage_ownership/constants.py
+++ b/packages/ownership/src/berylstage_ownership/constants.py
@@ -74,5 +74,11 @@
 PAUSE = 0.5
 """Ticks further apart than this mean that the process was paused."""
 
+LOAD_FRESH = 15.0
+"""How long a load digest counts: three reports of the daemon.
+
+The digest of a lost VM would otherwise ask for hot keys for ever that their new VM has
+given back, and the keys would move to and fro."""
+
 RATE_WINDOW = 0.1
 """Shortest time between two evaluations of the assignment by the proposer."""
--- a/packages/ownership/src/berylstage_ownership/conversation.py
+++ b/packages/ownership/src/berylstage_ownership/conversation.py
@@ -101,6 +101,7 @@
         self._revision_told = core.docs.revision
         envelope = core.envelope()
         envelope.beat.CopyFrom(self.beat(now))
+        core.load = b""
         self._beat_to_self(now, envelope.beat)
         contacts = core.electors()
         if core.assignment is None or core.out_of_touch(now):
--- a/packages/ownership/src/berylstage_ownership/fleet.py
+++ b/packages/ownership/src/berylstage_ownership/fleet.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from berylstage_ownership.constants import DRIFT, OUTSTANDING, SILENT_AFTER
+from berylstage_ownership.constants import DRIFT, LOAD_FRESH, OUTSTANDING, SILENT_AFTER
 
 if TYPE_CHECKING:
     from berylstage_messages.control_pb2 import Beat
@@ -49,6 +49,8 @@
         self._cell = cell
         self._listening_since = now
         self.sightings: dict[str, Sighting] = {}
+        # Load digests come with few heartbeats only, to save their bytes.
+        self._loads: dict[str, Sighting] = {}
         self._last_seen: dict[str, float] = {}
         self._electorate_version = -1
         self._current_since: float | None = None
@@ -61,8 +63,18 @@
         if known is not None and known.incarnation > incarnation:
             return
         self.sightings[vm] = Sighting(vm, incarnation, beat, now)
+        if beat.load:
+            self._loads[vm] = self.sightings[vm]
         self._last_seen[vm] = now
 
+    def load_digests(self, now: float) -> dict[str, bytes]:
+        """Return the load digests that still count, by VM."""
+        return {
+            vm: sighting.beat.load
+            for vm, sighting in self._loads.items()
+            if now - sighting.heard_at < LOAD_FRESH
+        }
+
     def listen_anew(self, now: float) -> None:
         """Start the wait for heartbeats anew, after a pause of this process.
 
--- a/packages/ownership/src/berylstage_ownership/node.py
+++ b/packages/ownership/src/berylstage_ownership/node.py
@@ -21,7 +21,7 @@
 )
 from berylstage_ownership.routing import Permit, Route
 from berylstage_ownership.settings import NodeSettings
-from berylstage_ownership.shards import shard_of
+from berylstage_ownership.shards import own_key, shard_of
 from berylstage_ownership.status import NodeStatus, TargetStatus
 
 if TYPE_CHECKING:
@@ -245,7 +245,7 @@
         return list(holdings.advance(now)) if holdings.is_draining() else []
 
     def set_load(self, load: bytes) -> None:
-        """Set the load digest that goes with each heartbeat."""
+        """Set the load digest that goes with the next heartbeat."""
         self._core.load = load
 
     def set_records(self, source: RecordSource) -> None:
@@ -301,6 +301,11 @@
         owner = assignment.owners.get(shard) if assignment else None
         return owner.fence if owner else 0
 
+    def own_keys_led(self, service: str) -> set[str]:
+        """Return the keys with shards of their own that this VM serves."""
+        own = (own_key(service, shard) for shard in self._core.holdings.active)
+        return {key for key in own if key is not None}
+
     def cell_vms(self) -> list[CellVm]:
         """Return the VMs of the cell, by name."""
         assignment = self._core.assignment
--- a/packages/ownership/src/berylstage_ownership/outlook.py
+++ b/packages/ownership/src/berylstage_ownership/outlook.py
@@ -116,6 +116,4 @@
 
     def load_digests(self) -> dict[str, bytes]:
         """Return the load digests by VM."""
-        return {
-            name: sighting.beat.load for name, sighting in self.fleet.sightings.items()
-        }
+        return self.fleet.load_digests(self.now)
--- a/packages/ownership/src/berylstage_ownership/owners.py
+++ b/packages/ownership/src/berylstage_ownership/owners.py
@@ -8,7 +8,7 @@
 
 from berylstage_ownership.assignment import Prior, ShardOwner
 from berylstage_ownership.planner import Holding, Place
-from berylstage_ownership.shards import hash_shard, key_shard, service_of
+from berylstage_ownership.shards import hash_shard, key_shard, own_key, service_of
 
 if TYPE_CHECKING:
     from berylstage_sheet.configuration import Service
@@ -87,19 +87,19 @@
         budget : int
             Moves that only improve the balance.
         """
-        self._divide()
+        self._divide(planner)
         self._place(planner, budget)
 
-    def _divide(self) -> None:
+    def _divide(self, planner: Planner) -> None:
         """Bring the set of shards in line with the configuration."""
         name = self._service.name
         if self._draft.hash_shards.get(name) != self._service.shards:
             self._divide_all()
             return
-        wanted = self._wished_keys()
+        wanted = self._wished_keys() | self._hot_keys(planner)
         present = {
             shard: key
-            for shard, key in ((s, _own_key(name, s)) for s in self._shards())
+            for shard, key in ((s, own_key(name, s)) for s in self._shards())
             if key is not None
         }
         for shard, key in wanted.items():
@@ -115,6 +115,14 @@
         keys = self._outlook.configuration.special_keys
         return {key_shard(name, k.key): k.key for k in keys if k.service == name}
 
+    def _hot_keys(self, planner: Planner) -> dict[str, str]:
+        """Return the key by shard of each key set apart because of its load."""
+        name = self._service.name
+        own = (own_key(name, shard) for shard in self._shards())
+        present = {key for key in own if key is not None}
+        keys = planner.keys_apart(name, present, self._outlook.load_digests())
+        return {key_shard(name, key): key for key in keys}
+
     def _shards(self) -> list[str]:
         """Return the shards of the service in the old assignment."""
         name = self._service.name
@@ -219,9 +227,3 @@
         del draft.hash_shards[name]
         for shard in [s for s in draft.owners if service_of(s) == name]:
             del draft.owners[shard]
-
-
-def _own_key(service: str, shard: str) -> str | None:
-    """Return the key of a shard that holds a single one."""
-    prefix = key_shard(service, "")
-    return shard.removeprefix(prefix) if shard.startswith(prefix) else None
--- a/packages/ownership/src/berylstage_ownership/planner.py
+++ b/packages/ownership/src/berylstage_ownership/planner.py
@@ -3,13 +3,9 @@
 from __future__ import annotations
 
 from abc import ABC, abstractmethod
-from typing import TYPE_CHECKING
 
 from berylstage_policy.placement import Holding, Move, Place, plan
 
-if TYPE_CHECKING:
-    from collections.abc import Callable
-
 __all__ = ["BalancedPlanner", "Holding", "Move", "Place", "Planner"]
 
 
@@ -43,19 +39,28 @@
         list of Move
         """
 
+    def keys_apart(
+        self, service: str, present: set[str], loads: dict[str, bytes]
+    ) -> set[str]:
+        """Return the keys that get shards of their own besides those of the sheet.
 
-class BalancedPlanner(Planner):
-    """Places shards by the policy of ``berylstage_policy.placement``.
+        Parameters
+        ----------
+        service : str
+        present : set of str
+            Keys that have a shard of their own now.
+        loads : dict of str to bytes
+            Load digests by VM, as the daemon made them.
+
+        Returns
+        -------
+        set of str
+        """
+        return set()
 
-    Parameters
-    ----------
-    load_of : callable, optional
-        Reads a VM's load digest into load by shard; without it all shards weigh the
-        same.
-    """
 
-    def __init__(self, load_of: Callable[[bytes], dict[str, float]] | None = None):
-        self._load_of = load_of
+class BalancedPlanner(Planner):
+    """Places shards by the policy of ``berylstage_policy.placement``, all alike."""
 
     def plan(
         self,
@@ -66,10 +71,4 @@
         loads: dict[str, bytes],
     ) -> list[Move]:
         """Return the moves to make now; see :meth:`Planner.plan`."""
-        if self._load_of is not None:
-            weights: dict[str, float] = {}
-            for digest in loads.values():
-                weights.update(self._load_of(digest))
-            for holding in holdings:
-                holding.load = weights.get(holding.shard, 0.0)
         return plan(holdings, places, budget)
--- a/packages/ownership/src/berylstage_ownership/shards.py
+++ b/packages/ownership/src/berylstage_ownership/shards.py
@@ -15,6 +15,12 @@
     return f"{service}/key:{key}"
 
 
+def own_key(service: str, shard: str) -> str | None:
+    """Return the key of a shard that holds a single one, else None."""
+    prefix = key_shard(service, "")
+    return shard.removeprefix(prefix) if shard.startswith(prefix) else None
+
+
 def hash_shard(service: str, key: str, count: int) -> str:
     """Return the name of the hash range of a key.
 
