Look at a kept connection before a call is sent on it

The handle now polls the connection right before the first byte; a connection that has ended or brings bytes out of turn is left, and the call goes out on a new one.

--- a/packages/standins/src/berylstage_standins/target_server.py
+++ b/packages/standins/src/berylstage_standins/target_server.py
@@ -194,7 +194,8 @@
         raise Finish
 
     def on_connection_close(self) -> None:
-        if self.job is not None:
+        # On a silent connection not even its end comes through.
+        if self.job is not None and self.stream not in self.target.silent:
             self.job.dropped.set()
 
 
--- a/packages/targets/src/berylstage_targets/http.py
+++ b/packages/targets/src/berylstage_targets/http.py
@@ -122,7 +122,9 @@
     async def cancel(self, request_id: str) -> None:  # noqa: D102
         path = f"/cancel/{quote(request_id, safe='')}"
         try:
-            await self._json_call("POST", path, CANCEL_TIMEOUT, b"")
+            # What made the caller give up may be a connection that went silent, and
+            # others with it, so the order goes out on a new one.
+            await self._json_call("POST", path, CANCEL_TIMEOUT, b"", fresh=True)
         except TargetError:
             # Cancelling saves the target work and proves nothing, so a target that
             # does not answer is left to its own deadline.
@@ -136,10 +138,15 @@
             raise _unreadable("GET /load", exc) from exc
 
     async def _json_call(
-        self, method: str, path: str, timeout: float, body: bytes | None = None
+        self,
+        method: str,
+        path: str,
+        timeout: float,
+        body: bytes | None = None,
+        fresh: bool = False,
     ) -> dict[str, Any]:
         try:
-            call = Call(method, self.base + path, _JSON, body, timeout)
+            call = Call(method, self.base + path, _JSON, body, timeout, fresh=fresh)
             answer = await self._control.call(call)
         except CallFailed as exc:
             raise TargetError(str(exc), "no-answer") from exc
--- a/packages/transfers/src/berylstage_transfers/call.py
+++ b/packages/transfers/src/berylstage_transfers/call.py
@@ -21,7 +21,8 @@
     url : str
         Percent-encoded.
     headers : dict of str to str
-        Empty values are left out.
+        Empty values are left out. Nothing is added but ``Host`` and
+        ``Content-Length``.
     body : bytes or None
         None for a method without a body.
     timeout : float
@@ -39,6 +40,8 @@
         Whether a byte of the call may have been sent.
     opened : bool
         Whether the call opened its connection, rather than took a kept one.
+    stale : bool
+        Whether the call met a kept connection that had ended, before it was sent.
     status : int
         Status of the answer; 0 before it comes.
     answer_headers : dict of bytes to bytes
@@ -66,6 +69,7 @@
         "opened",
         "sent",
         "size",
+        "stale",
         "status",
         "timeout",
         "url",
@@ -92,6 +96,7 @@
         self.begun = False
         self.sent = False
         self.opened = False
+        self.stale = False
         self.crossed = False
         self.status = 0
         self.lines: list[bytes] = []
@@ -157,6 +162,9 @@
         A value holds a line break: it would let a caller add headers of its own.
     """
     lines = [f"{name}: {value}".encode() for name, value in headers.items() if value]
+    if not headers.get("Content-Type"):
+        # A name without a value keeps libcurl from adding a header by itself.
+        lines.append(b"Content-Type:")
     if any(b"\r" in line or b"\n" in line or b"\0" in line for line in lines):
         raise NeverSent("a header holds a line break; remove it from the value")
     return lines
--- /dev/null
+++ b/packages/transfers/tests/conftest.py
@@ -0,0 +1,77 @@
+"""A server that answers with bytes given in the test."""
+
+from __future__ import annotations
+
+import asyncio
+from contextlib import asynccontextmanager
+
+import pytest
+
+
+class Script:
+    """What the server does, and what it saw.
+
+    ``answers`` holds the bytes for each request in turn, over all connections; None
+    leaves the request without an answer, and ``CLOSE`` at the end of the bytes closes
+    the connection after them.
+    """
+
+    CLOSE = b"<close>"
+
+    def __init__(self, answers):
+        self.answers = list(answers)
+        self.requests = []
+        self.connections = 0
+        self.ended = 0
+        self.base = ""
+
+    async def serve(self, reader, writer):
+        """Serve one connection."""
+        self.connections += 1
+        self._writer = writer
+        try:
+            while await self._exchange(reader, writer):
+                pass
+        except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
+            pass
+        finally:
+            writer.close()
+            await writer.wait_closed()
+            self.ended += 1
+
+    async def write(self, raw):
+        """Send bytes on the newest connection, out of turn."""
+        self._writer.write(raw)
+        await self._writer.drain()
+
+    async def _exchange(self, reader, writer):
+        head = await reader.readuntil(b"\r\n\r\n")
+        for line in head.split(b"\r\n"):
+            if line.startswith(b"Content-Length:"):
+                await reader.readexactly(int(line.split(b":")[1]))
+        self.requests.append(head)
+        answer = self.answers.pop(0) if self.answers else None
+        if answer is None:
+            await reader.readexactly(1)
+            return False
+        writer.write(answer.removesuffix(self.CLOSE))
+        await writer.drain()
+        return not answer.endswith(self.CLOSE)
+
+
+@asynccontextmanager
+async def serve(*answers):
+    """Run a server on the answers given."""
+    script = Script(answers)
+    server = await asyncio.start_server(script.serve, "127.0.0.1", 0)
+    script.base = "http://127.0.0.1:{}".format(server.sockets[0].getsockname()[1])
+    try:
+        yield script
+    finally:
+        server.close()
+
+
+@pytest.fixture
+def open_server():
+    """Return how to run a server on given answers."""
+    return serve
--- /dev/null
+++ b/packages/transfers/tests/test_client.py
@@ -0,0 +1,362 @@
+"""Tests of the HTTP client against answers byte by byte."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+from berylstage_transfers import client as client_module
+from berylstage_transfers.call import Call
+from berylstage_transfers.client import CallClient
+from berylstage_transfers.errors import AnswerLost, NeverSent
+
+CLOSE = b"<close>"
+OK = b"HTTP/1.1 200 OK\r\nRequest-Id: 1\r\nContent-Length: 4\r\n\r\nbody"
+
+# Answers to request 1 that are whole, with their status and body.
+WHOLE = {
+    "length": (OK, 200, b"body"),
+    "chunks": (
+        b"HTTP/1.1 200 OK\r\nRequest-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
+        b"2\r\nbo\r\n2\r\ndy\r\n0\r\n\r\n",
+        200,
+        b"body",
+    ),
+    "chunks and trailer": (
+        b"HTTP/1.1 200 OK\r\nRequest-Id: 1\r\nTransfer-Encoding: chunked\r\n"
+        b"Trailer: Sum\r\n\r\n4\r\nbody\r\n0\r\nSum: 1\r\n\r\n",
+        200,
+        b"body",
+    ),
+    "interim first": (
+        b"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + OK,
+        200,
+        b"body",
+    ),
+    "no body": (b"HTTP/1.1 204 No Content\r\nRequest-Id: 1\r\n\r\n", 204, b""),
+    "server error": (
+        b"HTTP/1.1 500 Oops\r\nRequest-Id: 1\r\nContent-Length: 0\r\n\r\n",
+        500,
+        b"",
+    ),
+    "id in other case": (OK.replace(b"Request-Id", b"REQUEST-ID"), 200, b"body"),
+}
+
+# Answers to request 1 that are broken.
+BROKEN = {
+    "none": CLOSE,
+    "no HTTP": b"body" + CLOSE,
+    "half of the headers": OK[:25] + CLOSE,
+    "half of the body": OK[:-2] + CLOSE,
+    "half of the chunks": WHOLE["chunks"][0][:-12] + CLOSE,
+    "no end told": b"HTTP/1.1 200 OK\r\nRequest-Id: 1\r\n\r\nbody" + CLOSE,
+    "other id": OK.replace(b"Id: 1", b"Id: 2"),
+    "no id": OK.replace(b"Request-Id: 1\r\n", b""),
+}
+
+
+def run(scenario):
+    """Run a test's coroutine to its end."""
+    return asyncio.run(asyncio.wait_for(scenario(), 30))
+
+
+def make_call(script, echo="1", timeout=10.0, fresh=False, body=b""):
+    """Return a call to a server."""
+    headers = {"Request-Id": echo}
+    url = script.base + "/work"
+    return Call("POST", url, headers, body, timeout, echo=echo, fresh=fresh)
+
+
+class TestAnswers:
+    @pytest.mark.parametrize("name", WHOLE)
+    def test_a_whole_answer(self, open_server, name):
+        raw, status, body = WHOLE[name]
+
+        async def scenario():
+            async with open_server(raw, raw) as script:
+                client = CallClient(1)
+                for _ in range(2):
+                    answer = await client.call(make_call(script))
+                    assert (answer.status, answer.body) == (status, body)
+                assert script.connections == 1
+                client.close()
+
+        run(scenario)
+
+    @pytest.mark.parametrize("name", BROKEN)
+    @pytest.mark.parametrize("warm", [True, False], ids=["kept", "new"])
+    def test_a_broken_answer_is_lost(self, open_server, name, warm):
+        # The server crashes in the middle of its answer, or answers something else.
+        # The caller must not take a part for the whole, and the call must not be
+        # sent again, as the server may have acted on it.
+        async def scenario():
+            first = [OK] if warm else []
+            async with open_server(*first, BROKEN[name], OK, OK) as script:
+                client = CallClient(1)
+                if warm:
+                    await client.call(make_call(script))
+                with pytest.raises(AnswerLost):
+                    await client.call(make_call(script))
+                assert len(script.requests) == 1 + warm
+                answer = await client.call(make_call(script))
+                assert answer.body == b"body"
+                assert len(script.requests) == 2 + warm
+                client.close()
+
+        run(scenario)
+
+    @pytest.mark.parametrize("late", [True, False], ids=["late", "at once"])
+    def test_bytes_after_the_answer_reach_nobody(self, open_server, late):
+        # The server sends an answer that nobody asked for behind the right one. The
+        # next call on the same connection would read it as its own.
+        async def scenario():
+            stray = OK.replace(b"body", b"mine")
+            first = OK if late else OK + stray
+            async with open_server(first, OK) as script:
+                client = CallClient(1)
+                await client.call(make_call(script))
+                if late:
+                    await script.write(stray)
+                answer = await client.call(make_call(script))
+                assert answer.body == b"body"
+                client.close()
+
+        run(scenario)
+
+    def test_a_body_over_the_limit_is_lost(self, open_server, monkeypatch):
+        # A server streams without end. The client must not grow until the VM dies.
+        monkeypatch.setattr(client_module, "MAX_BODY", 3)
+
+        async def scenario():
+            async with open_server(OK) as script:
+                client = CallClient(1)
+                with pytest.raises(AnswerLost):
+                    await client.call(make_call(script))
+                client.close()
+
+        run(scenario)
+
+
+class TestRequests:
+    def test_a_large_body_costs_no_round_trip(self, open_server):
+        # curl asks before it sends a large body and waits up to a second for the
+        # server's word, which many servers never give.
+        async def scenario():
+            async with open_server(OK) as script:
+                client = CallClient(1)
+                call = make_call(script, body=b"x" * 2_000_000)
+                await client.call(call)
+                assert b"Expect" not in script.requests[0]
+                client.close()
+
+        run(scenario)
+
+    def test_no_header_is_added(self, open_server):
+        async def scenario():
+            async with open_server(OK) as script:
+                client = CallClient(1)
+                call = make_call(script)
+                call.headers.append(b"Content-Type: a/b")
+                await client.call(call)
+                names = [
+                    line.split(b":")[0] for line in script.requests[0].split(b"\r\n")
+                ]
+                assert names[1:-2] == [
+                    b"Host",
+                    b"Request-Id",
+                    b"Content-Type",
+                    b"Content-Length",
+                ]
+                client.close()
+
+        run(scenario)
+
+    @pytest.mark.parametrize("value", ["a\r\nFence: 9", "a\nb", "a\rb", "a\0b"])
+    def test_a_line_break_in_a_header_is_refused(self, value):
+        # A caller's header holds a line break, and would add a header of its own.
+        with pytest.raises(NeverSent):
+            Call("GET", "http://127.0.0.1:1/", {"Caller": value}, None, 1.0)
+
+
+class TestFailures:
+    def test_a_refused_connection_was_never_sent(self, open_server):
+        # The server's process is gone.
+        async def scenario():
+            async with open_server() as script:
+                script.base = "http://127.0.0.1:1"
+                client = CallClient(1)
+                call = make_call(script)
+                with pytest.raises(NeverSent):
+                    await client.call(call)
+                assert not call.sent
+                client.close()
+
+        run(scenario)
+
+    def test_no_answer_in_time_is_lost(self, open_server):
+        # The server froze. The call ends at its time, and nobody knows its effect.
+        async def scenario():
+            async with open_server(None) as script:
+                client = CallClient(1)
+                call = make_call(script, timeout=0.05)
+                with pytest.raises(AnswerLost):
+                    await client.call(call)
+                assert call.sent
+                client.close()
+
+        run(scenario)
+
+    def test_a_call_that_waits_for_its_turn_was_never_sent(self, open_server):
+        # Another call holds the only connection for longer than this one's time.
+        async def scenario():
+            async with open_server(None) as script:
+                client = CallClient(1)
+                first = asyncio.ensure_future(client.call(make_call(script)))
+                while not script.requests:
+                    await asyncio.sleep(0.001)
+                call = make_call(script, timeout=0.05)
+                with pytest.raises(NeverSent):
+                    await client.call(call)
+                assert not call.sent
+                first.cancel()
+                await asyncio.gather(first, return_exceptions=True)
+                client.close()
+
+        run(scenario)
+
+    def test_a_cancelled_call_ends_its_connection_at_once(self, open_server):
+        # The caller goes away. Were the transfer left to its time, it would hold the
+        # connection, and the server would go on for nobody.
+        async def scenario():
+            async with open_server(None, OK) as script:
+                client = CallClient(1)
+                call = make_call(script, timeout=3600.0)
+                task = asyncio.ensure_future(client.call(call))
+                while not script.requests:
+                    await asyncio.sleep(0.001)
+                task.cancel()
+                with pytest.raises(asyncio.CancelledError):
+                    await task
+                assert call.sent
+                await client.call(make_call(script))
+                assert (script.connections, script.ended) == (2, 1)
+                client.close()
+
+        run(scenario)
+
+    def test_a_call_cancelled_in_the_queue_is_never_sent(self, open_server):
+        # The caller goes away while its call still waits for a connection.
+        async def scenario():
+            async with open_server(None, OK) as script:
+                client = CallClient(1)
+                first = asyncio.ensure_future(client.call(make_call(script)))
+                call = make_call(script)
+                second = asyncio.ensure_future(client.call(call))
+                while not script.requests:
+                    await asyncio.sleep(0.001)
+                second.cancel()
+                first.cancel()
+                await asyncio.gather(first, second, return_exceptions=True)
+                await client.call(make_call(script))
+                assert not call.sent
+                assert len(script.requests) == 2
+                client.close()
+
+        run(scenario)
+
+    def test_closing_ends_calls_under_way_and_waiting(self, open_server):
+        # The VM shuts down while calls are out. Each of them gets an end.
+        async def scenario():
+            async with open_server(None) as script:
+                client = CallClient(1)
+                calls = [make_call(script), make_call(script)]
+                tasks = [asyncio.ensure_future(client.call(call)) for call in calls]
+                while not script.requests:
+                    await asyncio.sleep(0.001)
+                client.close()
+                client.close()
+                ends = await asyncio.gather(*tasks, return_exceptions=True)
+                assert [type(end) for end in ends] == [AnswerLost, NeverSent]
+                with pytest.raises(NeverSent):
+                    await client.call(make_call(script))
+
+        run(scenario)
+
+
+class TestConnections:
+    def test_a_loss_ends_the_trust_in_all_older_connections(self, open_server):
+        # Something on the way loses track of all open connections at once. The first
+        # call pays with its time; the next ones must open new connections.
+        async def scenario():
+            answers = [OK, OK, OK, None, OK, OK]
+            async with open_server(*answers) as script:
+                client = CallClient(3)
+                calls = [client.call(make_call(script)) for _ in range(3)]
+                await asyncio.gather(*calls)
+                assert script.connections == 3
+                with pytest.raises(AnswerLost):
+                    await client.call(make_call(script, timeout=0.05))
+                await client.call(make_call(script))
+                assert script.connections == 4
+                client.close()
+
+        run(scenario)
+
+    def test_a_cancelled_call_leaves_the_trust_in_the_others(self, open_server):
+        # Callers go away all the time. Were every kept connection replaced each time,
+        # a busy VM would spend its time opening connections.
+        async def scenario():
+            async with open_server(OK, OK, None, OK) as script:
+                client = CallClient(2)
+                calls = [client.call(make_call(script)) for _ in range(2)]
+                await asyncio.gather(*calls)
+                task = asyncio.ensure_future(client.call(make_call(script)))
+                while len(script.requests) < 3:
+                    await asyncio.sleep(0.001)
+                task.cancel()
+                await asyncio.gather(task, return_exceptions=True)
+                await client.call(make_call(script))
+                assert script.connections == 2
+                client.close()
+
+        run(scenario)
+
+    def test_a_connection_that_the_server_closed_costs_nothing(self, open_server):
+        # The server restarts and closes its connections while no call is out. Were the
+        # next call sent on such a connection, nobody would know whether it ran.
+        async def scenario():
+            async with open_server(OK + CLOSE, OK) as script:
+                client = CallClient(1)
+                await client.call(make_call(script))
+                while not script.ended:
+                    await asyncio.sleep(0.001)
+                await client.call(make_call(script))
+                assert len(script.requests) == 2
+                client.close()
+
+        run(scenario)
+
+    def test_a_fresh_call_opens_a_connection(self, open_server):
+        async def scenario():
+            async with open_server(OK, OK) as script:
+                client = CallClient(2)
+                await client.call(make_call(script))
+                await client.call(make_call(script, fresh=True))
+                assert script.connections == 2
+                client.close()
+
+        run(scenario)
+
+    def test_connections_stay_within_the_bound(self, open_server):
+        # A target accepts 50 connections and closes the others. Kept ones plus new
+        # ones together must not exceed the bound, or calls would fail at random.
+        async def scenario():
+            async with open_server(*[OK] * 20) as script:
+                client = CallClient(2)
+                for _ in range(10):
+                    await client.call(make_call(script, fresh=True))
+                    await asyncio.sleep(0)
+                    assert script.connections - script.ended <= 3
+                client.close()
+
+        run(scenario)
