--- a/packages/ownership/src/berylstage_ownership/constants.py
+++ b/packages/ownership/src/berylstage_ownership/constants.py
@@ -74,5 +74,5 @@
 PAUSE = 0.5
 """Ticks further apart than this mean that the process was paused."""
 
-RATE_WINDOW = 0.1
+RATE_WINDOW = 0.05
 """Shortest time between two evaluations of the assignment by the proposer."""
--- a/packages/ownership/src/berylstage_ownership/conversation.py
+++ b/packages/ownership/src/berylstage_ownership/conversation.py
@@ -33,9 +33,6 @@
 
 MICROSECONDS = 1_000_000
 
-CLAIM_AFTER = 0.1
-"""Seconds in which a living prior may answer before the electors are asked."""
-
 CATCH_UP_EVERY = 0.2
 """Seconds between two questions of a restarted elector to the others."""
 
@@ -54,7 +51,9 @@
         self._retry_at = 0.0
         self._catch_up_at = 0.0
         self._down_told: list[str] = []
+        self._silent_told: list[str] = []
         self._revision_told = 0
+        self._claimed_revision = 0
 
     def due(self, now: float) -> list[Action]:
         """Return the requests that are due.
@@ -71,8 +70,9 @@
         actions: list[Action] = []
         if now >= self._beat_at or self._has_news(now):
             actions += self._beats(now)
-        if now >= self._retry_at:
+        if now >= self._retry_at or self._core.docs.revision > self._claimed_revision:
             self._retry_at = now + RETRY
+            self._claimed_revision = self._core.docs.revision
             actions += self._takeover(now)
         if now >= self._catch_up_at and not self._core.elector.caught_up:
             self._catch_up_at = now + CATCH_UP_EVERY
@@ -81,16 +81,24 @@
 
     def _has_news(self, now: float) -> bool:
         """Tell whether the electors should hear from this VM before its time."""
+        core = self._core
+        if core.docs.revision > self._revision_told:
+            return True
         down = self._down_targets(now)
-        return down != self._down_told or self._core.docs.revision > self._revision_told
+        return down != self._down_told or self._silent_vms(now) != self._silent_told
+
+    def _silent_vms(self, now: float) -> list[str]:
+        """Return the VMs that this VM, as an elector, does not hear."""
+        core = self._core
+        if core.assignment is None or not core.is_elector():
+            return []
+        return core.fleet.silent(now, core.assignment)
 
     def _down_targets(self, now: float) -> list[str]:
         """Return the led targets that are down."""
         holdings = self._core.holdings
         return sorted(
-            target
-            for target in holdings.active_leads
-            if holdings.leads[target].down_reason(now)
+            target for target, led in holdings.leads.items() if led.down_reason(now)
         )
 
     def _beats(self, now: float) -> list[Action]:
@@ -98,6 +106,7 @@
         core = self._core
         self._beat_at = now + HEARTBEAT
         self._down_told = self._down_targets(now)
+        self._silent_told = self._silent_vms(now)
         self._revision_told = core.docs.revision
         envelope = core.envelope()
         envelope.beat.CopyFrom(self.beat(now))
@@ -123,9 +132,6 @@
         core = self._core
         settings, docs = core.settings, core.docs
         assignment = docs.assignment
-        silent = []
-        if assignment is not None and core.is_elector():
-            silent = core.fleet.silent(now, assignment)
         return Beat(
             revision=docs.revision,
             electorate_version=assignment.electorate_version if assignment else 0,
@@ -138,7 +144,7 @@
             released_revision=core.holdings.released_revision(now),
             settled_revision=core.holdings.settled_revision(),
             down_targets=self._down_targets(now),
-            silent_vms=silent,
+            silent_vms=self._silent_vms(now),
             load=core.load,
             store_lost=core.store.lost,
             elector_ready=not core.elector.is_mute(now),
@@ -175,9 +181,6 @@
         if not pending or core.assignment is None:
             return []
         actions = self._releases(now, pending)
-        since = core.holdings.waiting_since
-        if since is None or now - since < CLAIM_AFTER:
-            pending = [p for p in pending if not self._answers(p)]
         priors = {p.prior for p in pending if not self._is_own(p)}
         core.holdings.takeover.begin(core.assignment, priors)
         return actions + self._claims(now)
@@ -496,13 +499,18 @@
         asked = req.envelope.release
         gone = {*reply.shards, *reply.targets}
         actions: list[Action] = []
+        takeover = core.holdings.takeover
         for pending in core.holdings.pending(now):
             prior = pending.prior
             holder = (prior.vm, prior.incarnation)
-            if holder != (req.peer, asked.incarnation) or pending.item not in gone:
+            if holder != (req.peer, asked.incarnation):
+                continue
+            if prior.until > asked.revision:
                 continue
-            if prior.until <= asked.revision:
-                core.holdings.takeover.released(pending.item, prior)
+            if pending.item in gone:
+                takeover.released(pending.item, prior)
+            elif reply.revision >= prior.until:
+                takeover.draining(now, prior)
         actions += [RecordsReceived(records) for records in reply.handover]
         actions += core.holdings.advance(now)
         contact = core.contact(req.peer)
--- a/packages/ownership/src/berylstage_ownership/elector.py
+++ b/packages/ownership/src/berylstage_ownership/elector.py
@@ -10,16 +10,6 @@
     from berylstage_ownership.assignment import Assignment
 
 
-class Confirmation:
-    """The latest confirmation given to one run of a VM."""
-
-    __slots__ = ("revision", "at")
-
-    def __init__(self, revision: int, at: float):
-        self.revision = revision
-        self.at = at
-
-
 class Elector:
     """Memory of one elector; it elects nobody and decides nothing.
 
@@ -44,7 +34,10 @@
         self._caught_up = False
         self._reports: dict[str, int] = {}
         self.floor = 0
-        self._confirmations: dict[tuple[str, int], Confirmation] = {}
+        # When each revision of each run of a VM was last confirmed. A VM that moved on
+        # to a later revision may still have grants in force that it gave under an
+        # earlier one; without the earlier times a taker would not wait for those.
+        self._confirmations: dict[tuple[str, int], dict[int, float]] = {}
 
     def is_mute(self, now: float) -> bool:
         """Tell whether this elector neither confirms nor promises."""
@@ -122,7 +115,7 @@
             now, vm, incarnation, revision, electorate_version, assignment
         )
         if not refusal:
-            self._confirmations[vm, incarnation] = Confirmation(revision, now)
+            self._confirmations.setdefault((vm, incarnation), {})[revision] = now
         return refusal
 
     def _refusal(
@@ -179,15 +172,15 @@
 
     def _remaining(self, now: float, holder: tuple[str, int], revision: int) -> float:
         """Return how long a confirmation below a revision is outstanding."""
-        given = self._confirmations.get(holder)
-        if given is None or given.revision >= revision:
-            return 0.0
-        return max(0.0, given.at + OUTSTANDING - now)
+        given = self._confirmations.get(holder, {})
+        times = [at for confirmed, at in given.items() if confirmed < revision]
+        return max(0.0, max(times, default=now - OUTSTANDING) + OUTSTANDING - now)
 
     def forget_lapsed(self, now: float) -> None:
         """Drop confirmations that are outstanding no more."""
-        self._confirmations = {
-            holder: given
-            for holder, given in self._confirmations.items()
-            if given.at + OUTSTANDING > now
-        }
+        for holder, given in list(self._confirmations.items()):
+            lapsed = [r for r, at in given.items() if at + OUTSTANDING <= now]
+            for revision in lapsed:
+                del given[revision]
+            if not given:
+                del self._confirmations[holder]
--- a/packages/ownership/src/berylstage_ownership/grants.py
+++ b/packages/ownership/src/berylstage_ownership/grants.py
@@ -126,6 +126,17 @@
         self.send_at = now + HEARTBEAT
         return order
 
+    def prepare_probe(self, now: float, tag: int) -> None:
+        """Note an order without an anchor, which asks for a reading and grants nothing.
+
+        Parameters
+        ----------
+        now : float
+        tag : int
+        """
+        self._unanswered[tag] = Order({}, now, 0.0, 0.0)
+        self.send_at = now + HEARTBEAT
+
     def _order(self, now: float, wanted: dict[str, int], lease_until: float) -> Order:
         """Return the order with its earliest and latest end."""
         if self.anchor is None:
@@ -172,6 +183,7 @@
         self.cold = answer.cold
         self.refusal = "" if answer.accepted else answer.reason
         first = self.anchor is None
+        overdue = any(other.shards for other in self._unanswered.values())
         self.anchor = Anchor(answer.clock, answer.incarnation, order.sent_at, now)
         if answer.accepted:
             self._last_accepted = now
@@ -180,7 +192,7 @@
             self._note_superseded(order)
         elif fresh or answer.reason in PROTOCOL_REASONS:
             self._last_accepted = max(self._last_accepted, order.sent_at)
-        if first or fresh:
+        if first or fresh or overdue:
             # The reading alone grants nothing; do not let the shards wait a
             # heartbeat for the order that does.
             self.send_at = now
@@ -208,6 +220,18 @@
             del self._unanswered[tag]
         self.send_at = min(self.send_at, now)
 
+    def sure_until(self) -> float:
+        """Return until when the target's grant lasts for certain."""
+        return self.accepted.sure_until if self.accepted else 0.0
+
+    def awaits_answer(self) -> bool:
+        """Tell whether nothing was heard since an order with shards left."""
+        heard_at = self.anchor.heard_at if self.anchor else float("-inf")
+        return any(
+            order.shards and order.sent_at >= heard_at
+            for order in self._unanswered.values()
+        )
+
     def is_unanswered(self, tag: int) -> bool:
         """Tell whether an answer to an order may still come and count."""
         return tag in self._unanswered
--- a/packages/ownership/src/berylstage_ownership/holdings.py
+++ b/packages/ownership/src/berylstage_ownership/holdings.py
@@ -64,7 +64,6 @@
         self.former_leads: list[LedTarget] = []
         self._mine: dict[str, ShardOwner] = {}
         self._lost: list[LostShard] = []
-        self.waiting_since: float | None = None
 
     def configure(self, configuration: Configuration) -> None:
         """Take in the configuration, which says which targets check fences."""
@@ -89,12 +88,13 @@
             for shard, owner in assignment.owners.items()
             if owner.target in epochs
         }
-        self._stop_shards(mine, epochs)
+        self._stop_shards(now, mine, epochs)
         self._change_leads(now, epochs)
         self._mine = mine
-        self.waiting_since = now
 
-    def _stop_shards(self, mine: dict[str, ShardOwner], epochs: dict[str, int]) -> None:
+    def _stop_shards(
+        self, now: float, mine: dict[str, ShardOwner], epochs: dict[str, int]
+    ) -> None:
         """Stop admitting for shards that went, or came back under a new fence."""
         for shard, fence in list(self.active.items()):
             target = self._mine[shard].target
@@ -103,6 +103,8 @@
             if kept and kept.fence == fence and kept.target == target and same_lead:
                 continue
             del self.active[shard]
+            # The order without the shard lets the next owner begin.
+            self.leads[target].send_at = now
             self._lost.append(LostShard(shard, target, fence, self.leads[target]))
 
     def _change_leads(self, now: float, epochs: dict[str, int]) -> None:
@@ -168,7 +170,7 @@
                 now, target, target, lead.priors
             ):
                 self.active_leads.add(target)
-                self.leads[target].watch_from(now)
+                self.leads[target].send_at = now
         for shard, owner in self._mine.items():
             if shard in self.active or owner.target not in self.active_leads:
                 continue
@@ -201,7 +203,7 @@
         if self.takeover.has_released(item, prior):
             return True
         lapse = self.takeover.lapse(prior)
-        if lapse is None:
+        if lapse is None or self.takeover.is_draining(now, prior):
             return False
         return now >= lapse + self._drain_time(item, target, prior)
 
@@ -298,16 +300,17 @@
         """Return the number of shards gained and not active yet."""
         return len(self._mine) - len(self.active)
 
-    def wanted_grants(self, now: float, target: str) -> dict[str, int]:
+    def wanted_grants(self, target: str) -> dict[str, int]:
         """Return the fence token by shard that a led target is to hold."""
-        wanted = {
+        return {
             shard: fence
             for shard, fence in self.active.items()
             if self._mine[shard].target == target
         }
-        for lost in self._lost:
-            # Revoking in the middle of a request would cut it.
-            busy = self.flights.busy(now, target, lost.shard)
-            if lost.target == target and busy:
-                wanted[lost.shard] = lost.fence
-        return wanted
+
+    def works_on_lost(self, now: float, target: str) -> bool:
+        """Tell whether a led target works on a request of a shard that was lost."""
+        return any(
+            lost.target == target and self.flights.busy(now, target, lost.shard)
+            for lost in self._lost
+        )
--- a/packages/ownership/src/berylstage_ownership/node.py
+++ b/packages/ownership/src/berylstage_ownership/node.py
@@ -434,7 +434,7 @@
                     led.up(now),
                     led.cold,
                     led.down_reason(now),
-                    len(holdings.wanted_grants(now, name)),
+                    len(holdings.wanted_grants(name)),
                 )
                 for name, led in sorted(holdings.leads.items())
             ],
--- a/packages/ownership/src/berylstage_ownership/takeover.py
+++ b/packages/ownership/src/berylstage_ownership/takeover.py
@@ -12,6 +12,9 @@
 LAPSES_KEPT = 16
 """Revisions per holder of which the end of its lease is remembered."""
 
+DRAIN_TRUST = 0.5
+"""Seconds for which the word of a prior counts that its work still goes on."""
+
 
 class ClaimRound:
     """One round of promises for one revision.
@@ -83,6 +86,7 @@
         # When a holder's lease below a revision had ended: facts that stay true.
         self._lapsed: dict[tuple[str, int], dict[int, float]] = {}
         self._released: set[tuple[str, Prior]] = set()
+        self._draining_at: dict[tuple[str, int], float] = {}
 
     def begin(self, assignment: Assignment, priors: set[Prior]) -> None:
         """Start a round of claims if the priors need one.
@@ -147,6 +151,19 @@
         """Note that a prior itself has let go of a shard or target."""
         self._released.add((item, prior))
 
+    def draining(self, now: float, prior: Prior) -> None:
+        """Note that a living prior knows of its loss and has not let go yet."""
+        self._draining_at[prior.vm, prior.incarnation] = now
+
+    def is_draining(self, now: float, prior: Prior) -> bool:
+        """Tell whether a prior said a moment ago that its work goes on.
+
+        Its lease below the revision may have lapsed by then; but its target still
+        works on what was let in before, and a second target must not start.
+        """
+        said_at = self._draining_at.get((prior.vm, prior.incarnation))
+        return said_at is not None and now - said_at < DRAIN_TRUST
+
     def has_released(self, item: str, prior: Prior) -> bool:
         """Tell whether a prior itself has let go of a shard or target."""
         return (item, prior) in self._released
--- a/packages/ownership/tests/conftest.py
+++ b/packages/ownership/tests/conftest.py
@@ -562,6 +562,11 @@
     return SpecialKey
 
 
+@pytest.fixture
+def centre_state():
+    return list(DataCentreState)
+
+
 @pytest.fixture
 def world_class():
     return World
