--- a/packages/ownership/src/berylstage_ownership/constants.py
+++ b/packages/ownership/src/berylstage_ownership/constants.py
@@ -81,4 +81,5 @@
 given back, and the keys would move to and fro."""
 
 RATE_WINDOW = 0.1
+RATE_WINDOW = 0.05
 """Shortest time between two evaluations of the assignment by the proposer."""
