--- /dev/null
+++ b/packages/standins/src/berylstage_standins/call_record.py
@@ -0,0 +1,122 @@
+"""What a caller got for one attempt of a request."""
+
+from __future__ import annotations
+
+import json
+from enum import Enum
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+
+class CallOutcome(Enum):
+    """How an attempt ended, as ``Berylstage-Outcome`` says it.
+
+    ``LOST`` is the caller's own: it got no answer, because the VM went away for one.
+    ``NOT_SENT`` is too: no VM took the connection.
+    """
+
+    ANSWERED = "answered"
+    NOT_RUN = "not-run"
+    UNKNOWN = "unknown"
+    IN_PROGRESS = "in-progress"
+    LOST = "lost"
+    NOT_SENT = "not-sent"
+
+
+# Outcomes after which the work certainly did not run in that attempt.
+CERTAIN = frozenset({CallOutcome.NOT_RUN, CallOutcome.NOT_SENT})
+
+
+class CallRecord:
+    """One attempt of a request.
+
+    Parameters
+    ----------
+    service, kind, key : str
+    digest : str
+        Digest of the body, which is the same over all attempts of a request and
+        differs between requests.
+    idempotency_key : str
+        Empty for repeatable work.
+    vm : str
+        Address of the VM that was asked.
+    outcome : CallOutcome
+    status : int
+        HTTP status; 0 without an answer.
+    reason : str
+        ``Berylstage-Reason``, or what went wrong.
+    own : bool
+        Whether an answer was the answer to this very request.
+    start, end : float
+        Monotonic seconds.
+    """
+
+    __slots__ = (
+        "digest",
+        "end",
+        "idempotency_key",
+        "key",
+        "kind",
+        "outcome",
+        "own",
+        "reason",
+        "service",
+        "start",
+        "status",
+        "vm",
+    )
+
+    def __init__(
+        self,
+        service: str,
+        kind: str,
+        key: str,
+        digest: str,
+        idempotency_key: str,
+        vm: str,
+        outcome: CallOutcome,
+        status: int,
+        reason: str,
+        own: bool,
+        start: float,
+        end: float,
+    ):
+        self.service = service
+        self.kind = kind
+        self.key = key
+        self.digest = digest
+        self.idempotency_key = idempotency_key
+        self.vm = vm
+        self.outcome = outcome
+        self.status = status
+        self.reason = reason
+        self.own = own
+        self.start = start
+        self.end = end
+
+    def to_json(self) -> str:
+        """Return the record as one line of JSON."""
+        doc = {name: getattr(self, name) for name in self.__slots__}
+        return json.dumps({**doc, "outcome": self.outcome.value})
+
+    @classmethod
+    def from_json(cls, line: str) -> CallRecord:
+        """Read what :meth:`to_json` wrote."""
+        doc = json.loads(line)
+        return cls(**{**doc, "outcome": CallOutcome(doc["outcome"])})
+
+
+def read_calls(path: Path) -> list[CallRecord]:
+    """Read a file of records, one a line.
+
+    Parameters
+    ----------
+    path : Path
+
+    Returns
+    -------
+    list of CallRecord
+    """
+    return [CallRecord.from_json(line) for line in path.read_text().splitlines()]
--- a/packages/standins/src/berylstage_standins/target.py
+++ b/packages/standins/src/berylstage_standins/target.py
@@ -13,7 +13,7 @@
 
 from berylstage_standins.faults import TargetFaults
 from berylstage_standins.grants import GrantTable
-from berylstage_standins.ledger import STARTED, LedgerWriter
+from berylstage_standins.ledger_writer import STARTED, LedgerWriter
 from berylstage_standins.process import run_until_signal
 from berylstage_standins.target_server import CrossedAnswer, make_server
 from berylstage_standins.work import ColdBreak, Work, WorkSettings
--- a/packages/standins/src/berylstage_standins/work.py
+++ b/packages/standins/src/berylstage_standins/work.py
@@ -9,7 +9,7 @@
 from enum import Enum
 from typing import TYPE_CHECKING
 
-from berylstage_standins.ledger import COLD_BOUND_BROKEN, RAN, LedgerWriter
+from berylstage_standins.ledger_writer import COLD_BOUND_BROKEN, RAN, LedgerWriter
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -175,12 +175,13 @@
             It had no effect.
         """
         self._admit(job)
+        arrived = time.time()
         self.jobs[job.request_id] = job
         try:
             self._check_cold_bound(job)
             await self._take_slot(job)
             try:
-                await self._work(job)
+                await self._work(job, arrived)
             finally:
                 self._free_slot()
         finally:
@@ -256,7 +257,7 @@
         self.running -= 1
         self._on_change()
 
-    async def _work(self, job: Job) -> None:
+    async def _work(self, job: Job, arrived: float) -> None:
         self._check_deadline(job)
         self._check_fence(job)
         start_wall = time.time()
@@ -276,6 +277,7 @@
                     "event": RAN,
                     "outcome": outcome.value,
                     **job.record(),
+                    "arrived_wall": arrived,
                     "start_wall": start_wall,
                     "end_wall": time.time(),
                     "start": start,
--- a/packages/targets/tests/conftest.py
+++ b/packages/targets/tests/conftest.py
@@ -7,7 +7,7 @@
 from itertools import count
 
 import pytest
-from berylstage_standins.ledger import LedgerWriter
+from berylstage_standins.ledger_writer import LedgerWriter
 from berylstage_standins.target import Target
 from berylstage_standins.target_server import make_server
 from berylstage_standins.work import WorkSettings
