--- a/packages/standins/src/berylstage_standins/platform.py
+++ b/packages/standins/src/berylstage_standins/platform.py
@@ -11,7 +11,7 @@
 from berylstage_standins.faults import PlatformFaults
 from berylstage_standins.key_values import KeyValues
 from berylstage_standins.platform_server import make_server
-from berylstage_standins.process import run_until_signal
+from berylstage_standins.process import listen, run_until_signal
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -162,9 +162,9 @@
         reads_per_second=args.reads_per_second,
     )
     server = make_server(platform)
-    server.listen(args.port, args.host)
+    address = listen(server, args.host, args.port)
     lapsing = asyncio.ensure_future(platform.lapse_leases())
-    await run_until_signal(f"platform listening on {args.host}:{args.port}")
+    await run_until_signal(f"platform listening on {address}")
     lapsing.cancel()
     server.stop()
 
--- a/packages/standins/src/berylstage_standins/process.py
+++ b/packages/standins/src/berylstage_standins/process.py
@@ -4,6 +4,33 @@
 
 import asyncio
 import signal
+from typing import TYPE_CHECKING
+
+from tornado.netutil import bind_sockets
+
+if TYPE_CHECKING:
+    from tornado.httpserver import HTTPServer
+
+
+def listen(server: HTTPServer, host: str, port: int) -> str:
+    """Let a server listen and return its address.
+
+    Parameters
+    ----------
+    server : HTTPServer
+    host : str
+        An IP number.
+    port : int
+        0 for any that is free.
+
+    Returns
+    -------
+    str
+        ``host:port``.
+    """
+    sockets = bind_sockets(port, host)
+    server.add_sockets(sockets)
+    return f"{host}:{sockets[0].getsockname()[1]}"
 
 
 async def run_until_signal(greeting: str) -> None:
--- a/packages/standins/src/berylstage_standins/target.py
+++ b/packages/standins/src/berylstage_standins/target.py
@@ -14,7 +14,7 @@
 from berylstage_standins.faults import TargetFaults
 from berylstage_standins.grants import GrantTable
 from berylstage_standins.ledger_writer import STARTED, LedgerWriter
-from berylstage_standins.process import run_until_signal
+from berylstage_standins.process import listen, run_until_signal
 from berylstage_standins.target_server import CrossedAnswer, make_server
 from berylstage_standins.work import ColdBreak, Work, WorkSettings
 
@@ -179,8 +179,8 @@
         data_centre=args.data_centre,
     )
     server = make_server(target)
-    server.listen(args.port, args.host)
-    await run_until_signal(f"target {args.name} listening on {args.host}:{args.port}")
+    address = listen(server, args.host, args.port)
+    await run_until_signal(f"target {args.name} listening on {address}")
     target.work.draining = True
     end = time.monotonic() + DRAIN_TIMEOUT
     while target.work.jobs and time.monotonic() < end:
--- /dev/null
+++ b/packages/standins/tests/test_key_values.py
@@ -0,0 +1,76 @@
+"""Tests of the platform's values, leases and rates."""
+
+from __future__ import annotations
+
+import pytest
+from berylstage_platform.errors import VersionConflict
+from berylstage_standins.key_values import KeyValues
+from berylstage_standins.platform import RateLimit, VmLog
+
+
+class Clock:
+    """A clock that tests set, in seconds."""
+
+    def __init__(self):
+        self.now = 0.0
+
+    def __call__(self):
+        return self.now
+
+
+class TestLeases:
+    def test_a_lapsed_lease_takes_its_keys_along(self):
+        # The holder of a lease is paused for longer than its time. What it wrote
+        # under the lease must go, so that others can take its place.
+        clock = Clock()
+        values = KeyValues(clock)
+        lease = values.take_lease(1.0)
+        version = values.write("k", b"held", 0, lease)
+        clock.now = 0.9
+        assert values.renew_lease(lease)
+        clock.now = 1.8
+        assert values.read("k").version == version
+        clock.now = 1.9
+        assert values.read("k").version == 0
+        assert not values.renew_lease(lease)
+
+    def test_a_key_written_without_the_lease_stays(self):
+        values = KeyValues(Clock())
+        lease = values.take_lease(1.0)
+        version = values.write("k", b"held", 0, lease)
+        version = values.write("k", b"free", version)
+        values.lapse_all()
+        assert values.read("k").version == version
+
+    def test_a_key_created_again_has_a_version_of_its_own(self):
+        # A holder that slept through the lapse of its lease writes by the version it
+        # knew. Were the version used again, its write would undo its successor's.
+        values = KeyValues(Clock())
+        old = values.write("k", b"1", 0, values.take_lease(1.0))
+        values.lapse_all()
+        values.write("k", b"2", 0)
+        with pytest.raises(VersionConflict):
+            values.write("k", b"3", old)
+
+
+class TestRateLimit:
+    def test_only_so_many_in_any_second(self):
+        clock = Clock()
+        limit = RateLimit(2, clock)
+        assert [limit.admit() for _ in range(3)] == [True, True, False]
+        clock.now = 0.9
+        assert not limit.admit()
+        clock.now = 1.0
+        assert limit.admit()
+
+
+class TestVmLog:
+    def test_a_vm_that_is_gone_stays_listed_for_the_lag(self):
+        clock = Clock()
+        log = VmLog(2.0, clock)
+        log.record("vm-1", {"name": "vm-1"})
+        clock.now = 2.0
+        log.record("vm-1", None)
+        assert log.vms() == [{"name": "vm-1"}]
+        clock.now = 4.0
+        assert log.vms() == []
--- /dev/null
+++ b/packages/standins/tests/test_ledger.py
@@ -0,0 +1,168 @@
+"""Tests of the check of the targets' ledgers."""
+
+from __future__ import annotations
+
+import pytest
+from berylstage_standins.call_record import CallOutcome, CallRecord
+from berylstage_standins.ledger import (
+    Closure,
+    Findings,
+    Ledger,
+    Run,
+    check,
+    read_ledger,
+)
+from berylstage_standins.ledger_writer import RAN, STARTED, LedgerWriter
+
+
+def run_on(target, start, end, **fields):
+    """Return a run of the order of key-1 under fence 5."""
+    doc = {
+        "service": "parts-desk",
+        "key": "key-1",
+        "request_id": f"{target}-{start}",
+        "idempotency_key": "",
+        "digest": f"{target}-{start}",
+        "fence": 5,
+        "arrived_wall": start,
+        "start": start,
+        "end": end,
+    }
+    return Run(target, "shymkent-a", {**doc, **fields})
+
+
+def call(outcome, digest="d", own=True):
+    """Return one attempt of a caller."""
+    return CallRecord(
+        service="parts-desk",
+        kind="order",
+        key="key-1",
+        digest=digest,
+        idempotency_key="",
+        vm="vm-1",
+        outcome=outcome,
+        status=0,
+        reason="",
+        own=own,
+        start=0.0,
+        end=1.0,
+    )
+
+
+ORDER = {"idempotency_key": "order-1"}
+
+# Runs, and the invariants that they break.
+HISTORIES = {
+    "one after the other on one target": (
+        [run_on("a", 0, 1), run_on("a", 1, 2)],
+        [],
+    ),
+    "at once on one target": ([run_on("a", 0, 2), run_on("a", 1, 3)], []),
+    "moved properly": ([run_on("a", 0, 1), run_on("b", 1, 2, fence=6)], []),
+    "at once on two targets": (
+        [run_on("a", 0, 2), run_on("b", 1, 3, fence=6)],
+        [Findings.TWO_OWNERS],
+    ),
+    "within a longer run on another target": (
+        [run_on("a", 0, 9), run_on("a", 1, 2), run_on("b", 3, 4)],
+        [Findings.TWO_OWNERS],
+    ),
+    "at once on two targets, other keys": (
+        [run_on("a", 0, 2), run_on("b", 1, 3, key="key-2")],
+        [],
+    ),
+    "at once on two targets, keys that nobody owns": (
+        [run_on("a", 0, 2, fence=0), run_on("b", 1, 3, fence=0)],
+        [],
+    ),
+    "the old owner after the new one": (
+        [run_on("b", 0, 1, fence=6), run_on("a", 2, 3)],
+        [Findings.FENCES_BACK],
+    ),
+    "an order twice": (
+        [run_on("a", 0, 1, **ORDER), run_on("a", 2, 3, **ORDER)],
+        [Findings.RUN_TWICE],
+    ),
+    "two orders": (
+        [run_on("a", 0, 1, **ORDER), run_on("a", 2, 3, idempotency_key="order-2")],
+        [],
+    ),
+}
+
+# Attempts of a caller, whether the work ran, and the invariants that they break.
+ATTEMPTS = {
+    "answered": ([call(CallOutcome.ANSWERED)], True, []),
+    "not run": ([call(CallOutcome.NOT_RUN)], False, []),
+    "not run, but it ran": ([call(CallOutcome.NOT_RUN)], True, [Findings.NOT_RUN]),
+    "not sent, but it ran": ([call(CallOutcome.NOT_SENT)], True, [Findings.NOT_RUN]),
+    "not run, then answered": (
+        [call(CallOutcome.NOT_RUN), call(CallOutcome.ANSWERED)],
+        True,
+        [],
+    ),
+    "unknown, and it ran": ([call(CallOutcome.UNKNOWN)], True, []),
+    "unknown, and it did not": ([call(CallOutcome.UNKNOWN)], False, []),
+    "lost, and it ran": ([call(CallOutcome.LOST)], True, []),
+    "answered, but it did not run": (
+        [call(CallOutcome.ANSWERED)],
+        False,
+        [Findings.NO_RUN],
+    ),
+    "another's answer": (
+        [call(CallOutcome.ANSWERED, own=False)],
+        True,
+        [Findings.NOT_OWN],
+    ),
+}
+
+
+def broken(found):
+    """Return the names of the invariants that broke."""
+    return [name for name, sentences in found.broken.items() if sentences]
+
+
+class TestCheck:
+    @pytest.mark.parametrize("name", HISTORIES)
+    def test_histories(self, name):
+        runs, expected = HISTORIES[name]
+        found = check([Ledger(runs, 0, 1)])
+        assert broken(found) == expected
+        assert found.hold() == (not expected)
+
+    @pytest.mark.parametrize("name", ATTEMPTS)
+    def test_attempts(self, name):
+        calls, ran, expected = ATTEMPTS[name]
+        runs = [run_on("a", 0, 1, digest="d")] if ran else []
+        assert broken(check([Ledger(runs, 0, 1)], calls=calls)) == expected
+
+    @pytest.mark.parametrize(
+        ("arrived", "expected"),
+        [(9, 0), (12.9, 0), (13, 1), (19.9, 1), (20, 0)],
+    )
+    def test_work_in_a_closed_data_centre(self, arrived, expected):
+        # Operators closed shymkent-a at 10 and opened it again at 20. Some VM has not
+        # heard of it and sends work there.
+        runs = [run_on("a", 0, 30, arrived_wall=arrived)]
+        found = check([Ledger(runs, 0, 1)], [Closure("shymkent-a", 10.0, 20.0)])
+        assert len(found.broken[found.CLOSED]) == expected
+
+    def test_cold_bounds(self):
+        found = check([Ledger([], 2, 1), Ledger([], 0, 1)])
+        assert len(found.broken[found.COLD]) == 2
+
+
+class TestReadLedger:
+    def test_only_effects_count_and_a_cut_line_does_not(self, tmp_path):
+        # The target is killed in the middle of a line. Its answer never went out, so
+        # the reader leaves the line out instead of failing on it.
+        path = tmp_path / "a.jsonl"
+        fields = {n: getattr(run_on("a", 0, 1), n) for n in Run.__slots__}
+        writer = LedgerWriter(path)
+        writer.append({"event": STARTED, "target": "a", "data_centre": "taraz-a"})
+        writer.append({"event": RAN, "outcome": "done", **fields})
+        writer.append({"event": RAN, "outcome": "fenced", **fields})
+        writer.close()
+        path.write_bytes(path.read_bytes() + b'{"event": "ran", "outc')
+        ledger = read_ledger(path)
+        assert [run.data_centre for run in ledger.runs] == ["taraz-a"]
+        assert ledger.starts == 1
--- /dev/null
+++ b/packages/standins/tests/test_load.py
@@ -0,0 +1,135 @@
+"""Tests of the load of callers."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from contextlib import asynccontextmanager
+
+import pytest
+from berylstage_standins.call_record import CallOutcome, CallRecord
+from berylstage_standins.load import Load, LoadSettings, Share
+from berylstage_standins.load_result import Availability
+from berylstage_standins.target_server import body_digest
+from tornado.httpserver import HTTPServer
+from tornado.netutil import bind_sockets
+from tornado.web import Application, RequestHandler
+
+
+class Handler(RequestHandler):
+    """Answers as a VM does, with the outcomes given in the test."""
+
+    def initialize(self, script, seen):
+        self.script = script
+        self.seen = seen
+
+    def post(self, service, kind, key):
+        """Answer with the next outcome."""
+        self.seen.append(self.request)
+        outcome = self.script.pop(0) if self.script else "answered"
+        digest = body_digest(self.request.body)
+        if outcome == "mixed up":
+            outcome, digest = "answered", "another"
+        self.set_header("Berylstage-Outcome", outcome)
+        self.set_header("Berylstage-Reason", "because")
+        self.set_header("Retry-After", "0")
+        self.write({"key": key, "digest": digest})
+
+
+@asynccontextmanager
+async def vm(*script):
+    """Run a VM that answers with given outcomes, then answers."""
+    seen = []
+    state = {"script": list(script), "seen": seen}
+    server = HTTPServer(Application([(r"/([^/]+)/([^/]+)/(.+)", Handler, state)]))
+    sockets = bind_sockets(0, "127.0.0.1")
+    server.add_sockets(sockets)
+    try:
+        yield "127.0.0.1:{}".format(sockets[0].getsockname()[1]), seen
+    finally:
+        server.stop()
+        await server.close_all_connections()
+
+
+def run_load(*script, once=False, retries=0, **settings):
+    """Send one request to a VM, and return the result and what the VM saw."""
+
+    async def scenario():
+        async with vm(*script) as (address, seen):
+            mix = [Share("parts-desk", "order", once, 1.0)]
+            load = Load(LoadSettings([address], mix, retries=retries, **settings))
+            await load._fulfil(load._wish(), "caller-1")
+            load.close()
+            return load.result, seen
+
+    return asyncio.run(asyncio.wait_for(scenario(), 30))
+
+
+class TestLoad:
+    @pytest.mark.parametrize(
+        ("script", "outcome", "own"),
+        [
+            ("answered", CallOutcome.ANSWERED, True),
+            ("mixed up", CallOutcome.ANSWERED, False),
+            ("not-run", CallOutcome.NOT_RUN, True),
+            ("unknown", CallOutcome.UNKNOWN, True),
+            ("in-progress", CallOutcome.IN_PROGRESS, True),
+            ("no such outcome", CallOutcome.LOST, True),
+        ],
+    )
+    def test_each_outcome_is_recorded(self, script, outcome, own):
+        result, _ = run_load(script)
+        (record,) = result.records
+        assert (record.outcome, record.own) == (outcome, own)
+        assert result.wrong_answers() == (not own)
+
+    @pytest.mark.parametrize(
+        ("script", "once", "attempts"),
+        [
+            (["not-run", "answered"], False, 2),
+            (["unknown", "answered"], False, 1),
+            (["unknown", "in-progress", "answered"], True, 3),
+            (["not-run"] * 9, True, 4),
+        ],
+    )
+    def test_retries_carry_the_same_key(self, script, once, attempts):
+        # A caller tries again where it is safe: what did not run, or what has an
+        # idempotency key. With a new key the work could run twice.
+        result, seen = run_load(*script, once=once, retries=3)
+        assert len(result.records) == attempts
+        keys = {req.headers.get("Idempotency-Key") for req in seen}
+        assert len(keys) == 1
+        assert (None not in keys) == once
+
+    def test_callers_use_every_vm(self):
+        async def scenario():
+            async with vm() as (one, seen_one), vm() as (two, seen_two):
+                mix = [Share("field-log", "lookup", False, 1.0)]
+                load = Load(LoadSettings([one, two], mix, callers=3))
+                result = await load.run(0.2)
+                load.close()
+                assert seen_one and seen_two
+                doc = json.loads(json.dumps(result.as_dict(0.0)))
+                count = doc["latency_ms"]["field-log/lookup"]["count"]
+                assert count == len(result.records) == len(seen_one) + len(seen_two)
+
+        asyncio.run(asyncio.wait_for(scenario(), 30))
+
+
+def attempt(outcome, start, end):
+    """Return an attempt on one key."""
+    return CallRecord("s", "k", "key", "d", "", "vm", outcome, 0, "", True, start, end)
+
+
+class TestAvailability:
+    def test_from_the_first_failure_to_the_next_success(self):
+        # A target dies. Its keys count as unavailable from the first caller that gets
+        # no answer until the first that gets one again.
+        key = Availability()
+        key.add(attempt(CallOutcome.ANSWERED, 0.0, 1.0))
+        key.add(attempt(CallOutcome.UNKNOWN, 2.0, 3.0))
+        key.add(attempt(CallOutcome.NOT_RUN, 3.0, 3.1))
+        key.add(attempt(CallOutcome.ANSWERED, 3.5, 4.0))
+        key.add(attempt(CallOutcome.NOT_RUN, 5.0, 5.1))
+        assert key.until(5.5) == 2.0
+        assert key.until(9.0) == 4.0
