--- a/packages/standins/src/berylstage_standins/job.py
+++ b/packages/standins/src/berylstage_standins/job.py
@@ -5,7 +5,7 @@
 import asyncio
 
 # Fields that the ledger does not show.
-_HIDDEN = frozenset({"deadline", "dropped"})
+_HIDDEN = frozenset({"deadline", "dropped", "ended"})
 
 
 class Job:
@@ -29,12 +29,15 @@
     ----------
     dropped : asyncio.Event
         Set when nobody waits for the job any more.
+    ended : asyncio.Event
+        Set when the target works on it no more.
     """
 
     __slots__ = (
         "deadline",
         "digest",
         "dropped",
+        "ended",
         "epoch",
         "fence",
         "idempotency_key",
@@ -72,6 +75,7 @@
         self.digest = digest
         self.deadline = deadline
         self.dropped = asyncio.Event()
+        self.ended = asyncio.Event()
 
     def record(self) -> dict:
         """Return the fields that the ledger shows."""
--- a/packages/standins/src/berylstage_standins/target_server.py
+++ b/packages/standins/src/berylstage_standins/target_server.py
@@ -223,9 +223,12 @@
 class _CancelHandler(_Handler):
     """``POST /cancel/<request id>``."""
 
-    def post(self, request_id: str) -> None:
-        """Drop a job."""
-        self.write({"found": self.target.work.drop(request_id)})
+    async def post(self, request_id: str) -> None:
+        """Drop a job and answer once the target works on it no more."""
+        job = self.target.work.drop(request_id)
+        if job is not None:
+            await job.ended.wait()
+        self.write({"found": job is not None})
 
 
 class _HealthHandler(_Handler):
--- a/packages/standins/src/berylstage_standins/work.py
+++ b/packages/standins/src/berylstage_standins/work.py
@@ -153,13 +153,12 @@
         self._cold_left = self.settings.warm_after if self.settings.cold_bound else 0
         self._broken = False
 
-    def drop(self, request_id: str) -> bool:
-        """Drop a job; False when it is not here."""
+    def drop(self, request_id: str) -> Job | None:
+        """Drop a job and return it; None when it is not here."""
         job = self.jobs.get(request_id)
-        if job is None:
-            return False
-        job.dropped.set()
-        return True
+        if job is not None:
+            job.dropped.set()
+        return job
 
     def drop_all(self) -> None:
         """Drop every job."""
@@ -186,6 +185,7 @@
                 self._free_slot()
         finally:
             self.jobs.pop(job.request_id, None)
+            job.ended.set()
 
     def _admit(self, job: Job) -> None:
         if self.draining:
