--- a/packages/standins/src/berylstage_standins/work.py
+++ b/packages/standins/src/berylstage_standins/work.py
@@ -9,7 +9,7 @@
 from enum import Enum
 from typing import TYPE_CHECKING
 
-from berylstage_standins.ledger import COLD_BOUND_BROKEN, RAN, LedgerWriter
+from berylstage_standins.ledger_writer import COLD_BOUND_BROKEN, RAN, LedgerWriter
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -153,13 +153,12 @@
         self._cold_left = self.settings.warm_after if self.settings.cold_bound else 0
         self._broken = False
 
-    def drop(self, request_id: str) -> bool:
-        """Drop a job; False when it is not here."""
+    def drop(self, request_id: str) -> Job | None:
+        """Drop a job and return it; None when it is not here."""
         job = self.jobs.get(request_id)
-        if job is None:
-            return False
-        job.dropped.set()
-        return True
+        if job is not None:
+            job.dropped.set()
+        return job
 
     def drop_all(self) -> None:
         """Drop every job."""
@@ -175,16 +174,18 @@
             It had no effect.
         """
         self._admit(job)
+        arrived = time.time()
         self.jobs[job.request_id] = job
         try:
             self._check_cold_bound(job)
             await self._take_slot(job)
             try:
-                await self._work(job)
+                await self._work(job, arrived)
             finally:
                 self._free_slot()
         finally:
             self.jobs.pop(job.request_id, None)
+            job.ended.set()
 
     def _admit(self, job: Job) -> None:
         if self.draining:
@@ -258,7 +259,7 @@
         self.running -= 1
         self._on_change()
 
-    async def _work(self, job: Job) -> None:
+    async def _work(self, job: Job, arrived: float) -> None:
         self._check_deadline(job)
         self._check_fence(job)
         start_wall = time.time()
@@ -278,6 +279,7 @@
                     "event": RAN,
                     "outcome": outcome.value,
                     **job.record(),
+                    "arrived_wall": arrived,
                     "start_wall": start_wall,
                     "end_wall": time.time(),
                     "start": start,
