--- /dev/null
+++ b/packages/ownership/tests/ownership_model.py
@@ -0,0 +1,124 @@
+"""A state machine that drives several cores through faults."""
+
+from __future__ import annotations
+
+from berylstage_sheet.configuration import DataCentreState, SpecialKey
+from hypothesis import HealthCheck, Phase, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, rule, run_state_machine_as_test
+from ownership_setting import CENTRES, SERVICE, build_world
+
+KEYS = [f"key-{number}" for number in range(6)]
+VMS = [f"vm-{number}" for number in range(4)]
+TARGETS = [f"visits-{number}" for number in range(4)]
+STORE_MODES = ["up", "up", "down", "slow", "lost", "late"]
+
+
+class OwnershipMachine(RuleBasedStateMachine):
+    """Rules are faults and edits; the world checks what must always hold."""
+
+    def __init__(self):
+        super().__init__()
+        self.world = build_world(vms=4, checks="mixed", targets=4, shards=4, settle=4.0)
+
+    @rule(seconds=st.sampled_from([0.1, 0.3, 0.7, 1.5, 3.0]))
+    def time_passes(self, seconds):
+        self.world.run(seconds)
+        self.requests()
+
+    def requests(self):
+        for key in KEYS:
+            self.world.request(SERVICE, key, length=0.2)
+
+    @rule(vm=st.sampled_from(VMS), seconds=st.sampled_from([0.6, 1.2, 3.0]))
+    def pause(self, vm, seconds):
+        self.requests()
+        self.world.pause(vm, seconds)
+
+    @rule(vm=st.sampled_from(VMS))
+    def restart(self, vm):
+        self.requests()
+        self.world.kill(vm)
+        self.world.start(vm)
+
+    @rule(vm=st.sampled_from(VMS))
+    def kill(self, vm):
+        running = [v for v in self.world.vms.values() if v.node]
+        if len(running) > 2:
+            self.world.kill(vm)
+
+    @rule(vm=st.sampled_from(VMS), other=st.sampled_from([*VMS, "store", *TARGETS]))
+    def cut_one_way(self, vm, other):
+        self.world.cuts.add((vm, other))
+
+    @rule(loss=st.sampled_from([0.0, 0.1, 0.3]), slow=st.sampled_from([0.003, 0.2]))
+    def bad_network(self, loss, slow):
+        self.world.loss = loss
+        self.world.delay = (0.0005, slow)
+
+    @rule()
+    def heal(self):
+        self.world.cuts.clear()
+        self.world.loss = 0.0
+        self.world.delay = (0.0005, 0.003)
+        self.world.store.mode = "up"
+        for vm in self.world.vms.values():
+            if vm.node is None:
+                self.world.start(vm.name)
+
+    @rule(mode=st.sampled_from(STORE_MODES))
+    def store_fault(self, mode):
+        self.world.store.mode = mode
+
+    @rule(name=st.sampled_from(TARGETS), seconds=st.sampled_from([0.5, 2.0]))
+    def freeze(self, name, seconds):
+        self.requests()
+        self.world.targets[name].frozen_until = self.world.time + seconds
+
+    @rule(name=st.sampled_from(TARGETS))
+    def restart_target(self, name):
+        self.world.restart_target(name)
+
+    @rule(name=st.sampled_from(TARGETS))
+    def lose_target(self, name):
+        self.world.targets[name].alive = False
+
+    @rule(centre=st.sampled_from(CENTRES), state=st.sampled_from(list(DataCentreState)))
+    def switch_data_centre(self, centre, state):
+        def change(cfg):
+            cfg.data_centres[centre].state = state
+
+        self.requests()
+        self.world.edit(change)
+
+    @rule(key=st.sampled_from(KEYS), pin=st.sampled_from([None, *TARGETS]))
+    def set_key_apart(self, key, pin):
+        def change(cfg):
+            others = [k for k in cfg.special_keys if k.key != key]
+            if len(others) == len(cfg.special_keys):
+                others.append(SpecialKey(SERVICE, key, pin))
+            cfg.special_keys = others
+
+        self.requests()
+        self.world.edit(change)
+
+    def teardown(self):
+        self.world.run(1.0)
+        assert self.world.faults == [], self.world.faults[:3]
+
+
+def explore(examples, steps, shrink=False):
+    """Run the machine and raise what it finds."""
+    phases = [Phase.explicit, Phase.generate] + ([Phase.shrink] if shrink else [])
+    run_state_machine_as_test(
+        OwnershipMachine,
+        settings=settings(
+            max_examples=examples,
+            stateful_step_count=steps,
+            derandomize=True,
+            deadline=None,
+            database=None,
+            phases=phases,
+            suppress_health_check=list(HealthCheck),
+        ),
+    )
--- /dev/null
+++ b/packages/ownership/tests/ownership_world.py
@@ -0,0 +1,392 @@
+"""Several cores with their fakes under one virtual clock."""
+
+from __future__ import annotations
+
+from heapq import heappop, heappush
+from itertools import count
+from random import Random
+
+from berylstage_ownership.actions import ReadStore, SendGrant, SendPeer, WriteStore
+from berylstage_ownership.assignment import Assignment
+from berylstage_ownership.events import StoreLost, StoreWritten
+from berylstage_ownership.node import Node, NodeSettings, Permit
+from berylstage_ownership.proposer import CONFIGURATION_KEY
+from berylstage_sheet.configuration import Configuration
+from ownership_fakes import FakeStore, FakeTarget, FakeVm, Listed
+
+TICK = 0.05
+WORK_DEADLINE = 0.4
+
+
+class World:
+    """VMs, targets and the store under one virtual clock."""
+
+    node_class = Node
+
+    def __init__(self, cfg, vms, seed=1, delay=(0.0005, 0.003)):
+        self.rng = Random(seed)
+        self.time = 0.0
+        self.delay = delay
+        self.loss = 0.0
+        self.cuts = set()
+        self.store = FakeStore()
+        self.events = []
+        self.order = count()
+        self.faults = []
+        self.ran = []
+        self.acknowledged = {}
+        self.revisions = {}
+        self.sent_store = 0
+        self.messages = 0
+        self.message_bytes = 0
+        self.last_list = -10.0
+        self.targets = {}
+        self.vms = {}
+        self.write_configuration(cfg)
+        for name, data_centre in vms:
+            rate = self.rng.uniform(0.991, 1.009)
+            offset = self.rng.uniform(10, 1000)
+            self.vms[name] = FakeVm(name, data_centre, rate, offset)
+            self.start(name)
+
+    # What operators and the platform do
+
+    def write_configuration(self, cfg):
+        self.cfg = cfg
+        for target in cfg.targets.values():
+            if target.name not in self.targets:
+                rate = self.rng.uniform(0.991, 1.009)
+                self.targets[target.name] = FakeTarget(
+                    target.name, target.checks_fences, rate
+                )
+        _, version = self.store.values.get(CONFIGURATION_KEY, (b"", 0))
+        self.store.write(CONFIGURATION_KEY, cfg.to_json(), version)
+
+    def edit(self, change):
+        """Write the next configuration, changed by a function."""
+        cfg = Configuration.from_json(self.cfg.to_json())
+        change(cfg)
+        cfg.revision += 1
+        self.write_configuration(cfg)
+
+    def start(self, name):
+        vm = self.vms[name]
+        vm.incarnation += 1
+        settings = NodeSettings(
+            name=name,
+            incarnation=vm.incarnation,
+            data_centre=vm.data_centre,
+            http_address=vm.address,
+            peer_address=vm.address,
+            cell="cell-1",
+            rng=Random(self.rng.getrandbits(32)),
+        )
+        vm.node = self.node_class(settings, vm.local(self.time))
+        vm.paused_until = 0.0
+        self.revisions[name] = (0, 0)
+        self._tell_list(vm)
+        self._at(self.rng.uniform(0, TICK), self._tick, vm, vm.node)
+
+    def kill(self, name):
+        self.vms[name].node = None
+
+    def pause(self, name, seconds):
+        self.vms[name].paused_until = self.time + seconds
+
+    def lose_data_centre(self, data_centre):
+        for vm in self.vms.values():
+            if vm.data_centre == data_centre:
+                vm.node = None
+        for target in self.cfg.targets.values():
+            if target.data_centre == data_centre:
+                self.targets[target.name].alive = False
+
+    def restart_target(self, name):
+        target = self.targets[name]
+        target.alive = True
+        target.run += 1
+        target.forget()
+
+    # Virtual time
+
+    def _at(self, after, call, *args):
+        heappush(self.events, (self.time + after, next(self.order), call, args))
+
+    def _in_process(self, vm, node, call, *args):
+        """Call into a process, once it is not paused, if it still runs."""
+        if vm.node is not node:
+            return
+        if self.time < vm.paused_until:
+            wait = vm.paused_until - self.time + self.rng.uniform(0, 0.001)
+            self._at(wait, self._in_process, vm, node, call, *args)
+            return
+        self._do(vm, call(vm.local(self.time), *args))
+
+    def _tick(self, vm, node):
+        if vm.node is not node:
+            return
+        if self.time < vm.paused_until:
+            self._at(vm.paused_until - self.time, self._tick, vm, node)
+            return
+        self._do(vm, node.tick(vm.local(self.time)))
+        self._at(TICK, self._tick, vm, node)
+
+    def run(self, seconds):
+        """Let virtual time pass, checking the invariants on the way."""
+        end = self.time + seconds
+        check_at = self.time
+        while True:
+            due = self.events[0][0] if self.events else end
+            if check_at <= min(due, end):
+                self.time = check_at
+                self.check()
+                check_at += 0.025
+                continue
+            if due > end:
+                break
+            self.time, _, call, args = heappop(self.events)
+            call(*args)
+        self.time = end
+
+    # Actions of the VMs
+
+    def _do(self, vm, actions):
+        node = vm.node
+        for action in actions or []:
+            if isinstance(action, SendPeer):
+                self._send_peer(vm, node, action)
+            elif isinstance(action, SendGrant):
+                self._send_grant(vm, node, action)
+            elif isinstance(action, ReadStore | WriteStore):
+                self._call_store(vm, node, action)
+            else:
+                vm.notices.append((self.time, action))
+
+    def _wait(self):
+        return self.rng.uniform(*self.delay)
+
+    def _lost(self, source, destination):
+        return (source, destination) in self.cuts or self.rng.random() < self.loss
+
+    def _send_peer(self, vm, node, action):
+        self.messages += 1
+        raw = action.envelope.SerializeToString()
+        self.message_bytes += len(raw)
+        peer = self.vms.get(action.address.removesuffix(":1"))
+        answered = [False]
+
+        def reply(envelope):
+            if not answered[0]:
+                answered[0] = True
+                self._in_process(
+                    vm, node, node.peer_reply, action.peer, action.tag, envelope
+                )
+
+        def deliver():
+            if peer is None or peer.node is None:
+                return
+            if self.time < peer.paused_until:
+                self._at(peer.paused_until - self.time + 0.0005, deliver)
+                return
+            local = peer.local(self.time)
+            request = type(action.envelope).FromString(raw)
+            envelope, more = peer.node.peer_request(local, vm.name, request)
+            self._do(peer, more)
+            if not self._lost(peer.name, vm.name):
+                self.message_bytes += envelope.ByteSize()
+                self._at(self._wait(), reply, envelope)
+
+        if peer is not None and not self._lost(vm.name, peer.name):
+            self._at(self._wait(), deliver)
+        self._at(action.timeout, reply, None)
+
+    def _send_grant(self, vm, node, action):
+        target = self.targets[action.target]
+        answered = [False]
+
+        def reply(answer):
+            if not answered[0]:
+                answered[0] = True
+                self._in_process(
+                    vm, node, node.grant_reply, action.target, action.tag, answer
+                )
+
+        def deliver():
+            if not target.alive:
+                return
+            if self.time < target.frozen_until:
+                self._at(target.frozen_until - self.time + 0.0005, deliver)
+                return
+            answer = target.grant(self.time, action)
+            if not self._lost(target.name, vm.name):
+                self._at(self._wait(), reply, answer)
+
+        if not self._lost(vm.name, target.name):
+            self._at(self._wait(), deliver)
+        self._at(action.timeout, reply, None)
+
+    def _call_store(self, vm, node, action):
+        self.sent_store += 1
+        mode = self.store.mode
+
+        def reply(result):
+            self._in_process(vm, node, node.store_reply, action.tag, result)
+
+        def apply(answered):
+            if isinstance(action, ReadStore):
+                result = self.store.read(action.key)
+            else:
+                result = self.store.write(
+                    action.key, action.value, action.expected_version
+                )
+                if isinstance(result, StoreWritten):
+                    self._acknowledge(action.value)
+            if answered:
+                self._at(self._wait(), reply, result)
+
+        if mode == "down" or (vm.name, "store") in self.cuts:
+            self._at(min(0.5, action.timeout), reply, StoreLost())
+        elif mode == "lost" and isinstance(action, WriteStore):
+            self._at(self._wait(), apply, False)
+            self._at(0.5, reply, StoreLost())
+        elif mode == "late" and isinstance(action, WriteStore):
+            self._at(1.5, apply, False)
+            self._at(0.5, reply, StoreLost())
+        else:
+            self._at(self._wait() + (0.8 if mode == "slow" else 0.0), apply, True)
+
+    def _acknowledge(self, raw):
+        found = Assignment.from_json(raw)
+        known = self.acknowledged.setdefault(found.revision, found.write_id)
+        if known != found.write_id:
+            self.faults.append(f"revision {found.revision} was written twice")
+
+    def _tell_list(self, vm):
+        listed = [Listed(other) for other in self.vms.values() if other.node]
+        if vm.node is not None and self.time >= vm.paused_until:
+            vm.node.vm_list(vm.local(self.time), listed)
+
+    # What must always hold
+
+    def check(self):
+        if self.time - self.last_list >= 1.0:
+            self.last_list = self.time
+            for vm in self.vms.values():
+                self._tell_list(vm)
+        self._check_revisions()
+        self._check_owners()
+
+    def _check_revisions(self):
+        for name, vm in self.vms.items():
+            if vm.node is None:
+                continue
+            status = vm.node.status(vm.local(self.time))
+            now = (status.revision, status.configuration_revision)
+            before = self.revisions[name]
+            if now[0] < before[0] or now[1] < before[1]:
+                self.faults.append(f"{name} went back from {before} to {now}")
+            self.revisions[name] = now
+            assignment = vm.node.assignment
+            if assignment is not None:
+                written = self.acknowledged.get(assignment.revision)
+                if written != assignment.write_id:
+                    self.faults.append(f"{name} acts on an assignment never written")
+
+    def working(self):
+        """Return the targets by shard that may start work on it at this moment."""
+        found = {}
+        for target in self.targets.values():
+            if target.checks:
+                for shard in target.granted(self.time):
+                    found.setdefault(shard, set()).add(target.name)
+        for vm in self.vms.values():
+            if vm.node is None or vm.node.assignment is None:
+                continue
+            local = vm.local(self.time)
+            for shard in vm.node.assignment.owners:
+                permit = vm.node.admission(local, shard.split("/")[0], shard)
+                if isinstance(permit, Permit):
+                    found.setdefault(shard, set()).add(permit.target)
+        return found
+
+    def _check_owners(self):
+        for shard, targets in self.working().items():
+            if len(targets) > 1:
+                self.faults.append(f"{self.time:.3f}: {shard} at {sorted(targets)}")
+
+    # Callers
+
+    def served(self, service, key):
+        """Tell whether a caller with a key would be served at this moment."""
+        for vm in self.vms.values():
+            if vm.node is None or self.time < vm.paused_until:
+                continue
+            shard = vm.node.shard_of(service, key)
+            route = vm.node.route(service, shard) if shard else None
+            leader = self.vms.get(route.vm) if route else None
+            if leader is None or leader.node is None:
+                continue
+            if self.time < leader.paused_until:
+                continue
+            permit = leader.node.admission(leader.local(self.time), service, shard)
+            if not isinstance(permit, Permit):
+                continue
+            target = self.targets[permit.target]
+            if self.time >= target.frozen_until and target.accepts(
+                self.time, shard, permit
+            ):
+                return True
+        return False
+
+    def request(self, service, key, length=0.05):
+        """Send one request through the leading VM, as far as it gets."""
+        for vm in self.vms.values():
+            if vm.node is None or self.time < vm.paused_until:
+                continue
+            local = vm.local(self.time)
+            shard = vm.node.shard_of(service, key)
+            permit = vm.node.admission(local, service, shard) if shard else None
+            if isinstance(permit, Permit):
+                self._send_work(vm, key, shard, permit, length)
+
+    def _send_work(self, vm, key, shard, permit, length):
+        target, node = self.targets[permit.target], vm.node
+        deadline = self.time + WORK_DEADLINE
+        local_deadline = vm.local(self.time) + WORK_DEADLINE * 1.02
+        node.work_started(vm.local(self.time), target.name, shard, local_deadline)
+
+        def arrive():
+            if self.time < target.frozen_until:
+                self._at(target.frozen_until - self.time, arrive)
+                return
+            if self.time >= deadline or not target.accepts(self.time, shard, permit):
+                self._in_process(vm, node, node.work_ended, target.name, shard)
+                return
+            end = min(self.time + length, deadline)
+            self._note_work(key, target.name, self.time, end)
+            self._at(
+                end - self.time,
+                self._in_process,
+                vm,
+                node,
+                node.work_ended,
+                target.name,
+                shard,
+            )
+
+        self._at(self._wait(), arrive)
+
+    def _note_work(self, key, target, start, end):
+        for other_key, other, begun, ended in self.ran[-200:]:
+            if other_key == key and other != target and begun < end and start < ended:
+                self.faults.append(f"{start:.3f}: {key} at {other} and {target}")
+        self.ran.append((key, target, start, end))
+
+    def until_served(self, service, keys, limit=10.0):
+        """Run until all keys are served and return how long it took."""
+        begin = self.time
+        while self.time - begin < limit:
+            if all(self.served(service, key) for key in keys):
+                return self.time - begin
+            self.run(0.025)
+        return limit
