--- a/packages/bench/src/berylstage_bench/policy_baselines.py
+++ b/packages/bench/src/berylstage_bench/policy_baselines.py
@@ -8,7 +8,11 @@
 from xxhash import xxh64_intdigest
 
 from berylstage_bench.policy_loads import Deployment
-from berylstage_bench.policy_player import ANSWERED, PlayedTarget, Player, Request
+from berylstage_bench.policy_player import PlayedTarget, Player, Request
+
+# Seconds for which a key that gets another owner is not served: a bound that stands
+# for the protocol's, which `docs/design/ownership.md` states.
+MOVE_GAP = 0.1
 
 
 class Router(ABC):
@@ -116,31 +120,49 @@
 
 
 class HashRouter(PlainRouter):
-    """Owned keys by rendezvous hashing over the willing targets, without moves."""
+    """Owned keys by rendezvous hashing over the willing targets, without moves.
+
+    When the willing targets change, the keys that get another owner wait as long as
+    ours do: no router can pass exclusive ownership on in no time.
+    """
 
     name = "hashing"
 
     def __init__(self, *args):
         super().__init__(*args)
         self._owners: dict[str, str] = {}
+        self._before: dict[str, str] = {}
+        self._changed = float("-inf")
+
+    def arrive(self, req: Request) -> None:
+        """Hold a key that changes its owner, and send the others."""
+        end = self._changed + MOVE_GAP
+        if self.player.now < end:
+            before = self._before.get(req.key)
+            if before is not None and before != self.pick(req):
+                self.player.at(end, super().arrive, req)
+                return
+        super().arrive(req)
 
     def pick(self, req: Request) -> str:
         """Return the target with the highest hash for the key."""
         owner = self._owners.get(req.key)
         if owner is None:
-            owner = max(
-                self.willing, key=lambda n: xxh64_intdigest(f"{n}/{req.key}".encode())
-            )
+            owner = max(self.willing, key=lambda name: key_hash(name, req.key))
             self._owners[req.key] = owner
         return owner
 
     def set_willing(self, names: list[str]) -> None:
         """Hash anew."""
         super().set_willing(names)
-        self._owners.clear()
+        self._before, self._owners = self._owners, {}
+        self._changed = self.player.now
+
+
+def key_hash(name: str, key: str) -> int:
+    """Return the weight of a target for a key."""
+    return xxh64_intdigest(f"{name}/{key}".encode())
 
 
 FREE_BASELINES = [RandomRouter, RoundRobinRouter, LeastOutstandingRouter]
 OWNED_BASELINES = [HashRouter]
-
-__all__ = ["ANSWERED", "FREE_BASELINES", "OWNED_BASELINES", "HashRouter", "Router"]
--- a/packages/bench/src/berylstage_bench/policy_measures.py
+++ b/packages/bench/src/berylstage_bench/policy_measures.py
@@ -5,12 +5,18 @@
 from statistics import mean
 from typing import TYPE_CHECKING
 
+from xxhash import xxh64_intdigest
+
 from berylstage_bench.policy_player import REFUSED
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
     from berylstage_bench.policy_player import PlayedTarget, Request
+    from berylstage_bench.policy_scenarios import Run
+
+# Groups of keys for which an outage is told apart.
+KEY_GROUPS = 240
 
 
 def quantile(values: Iterable[float], share: float) -> float:
@@ -60,3 +66,25 @@
 def between(requests: list[Request], start: float, end: float) -> list[Request]:
     """Return the requests that arrived within a stretch of time."""
     return [req for req in requests if start <= req.arrived < end]
+
+
+def group_outage(run: Run) -> float:
+    """Return the seconds, over 240 groups of keys, in which none was answered.
+
+    A group is unavailable from its first request that got no answer in time to the
+    next that did.
+    """
+    failed_since: dict[int, float] = {}
+    total = 0.0
+    for req in run.requests:
+        group = hash_group(req.key)
+        if not req.in_time:
+            failed_since.setdefault(group, req.arrived)
+        elif group in failed_since:
+            total += req.arrived - failed_since.pop(group)
+    return total
+
+
+def hash_group(key: str) -> int:
+    """Return the group of a key."""
+    return xxh64_intdigest(key.encode()) % KEY_GROUPS
--- a/packages/bench/src/berylstage_bench/policy_owned.py
+++ b/packages/bench/src/berylstage_bench/policy_owned.py
@@ -8,14 +8,12 @@
 from berylstage_policy.tickets import Outcome
 from xxhash import xxh64_intdigest
 
+from berylstage_bench.policy_baselines import MOVE_GAP
 from berylstage_bench.policy_player import REFUSED, Request
-from berylstage_bench.policy_router import Attempt, PolicyRouter
+from berylstage_bench.policy_router import Attempt, LedTarget, PolicyRouter
 
 SHARDS = 240
 PLAN_INTERVAL = 5.0
-# Seconds for which a shard that moves is not served: a bound that stands for the
-# protocol's, which `docs/design/ownership.md` states.
-MOVE_GAP = 0.1
 LOAD_GAIN = 0.3
 
 
@@ -67,6 +65,10 @@
         number = previous.number + 1 if previous is not None else 1
         self._forward(Attempt(req, number, owner))
 
+    def unreachable(self, attempt: Attempt, led: LedTarget) -> None:
+        """Hold it until another VM leads the only target that may answer."""
+        self.player.at(led.gone_until, self.attempt, attempt.req, attempt)
+
     def may_retry(self, outcome: Outcome) -> bool:
         """Tell whether to ask the only owner again: not when its queue is full."""
         return outcome is not Outcome.SHED
--- a/packages/bench/src/berylstage_bench/policy_router.py
+++ b/packages/bench/src/berylstage_bench/policy_router.py
@@ -15,27 +15,43 @@
 from berylstage_bench.policy_player import ANSWERED, LOST, REFUSED, Request
 
 HEARTBEAT = 0.25
+# Seconds by which the targets' load reports lag.
+REPORT_LAG = 0.5
 
 
 class Attempt:
     """One sending of a request to one target."""
 
-    __slots__ = ("req", "number", "target", "id", "may_decline")
+    __slots__ = ("req", "number", "target", "id", "may_decline", "is_hedge")
 
     def __init__(
-        self, req: Request, number: int, target: str, may_decline: bool = False
+        self,
+        req: Request,
+        number: int,
+        target: str,
+        may_decline: bool = False,
+        is_hedge: bool = False,
     ):
         self.req = req
         self.number = number
         self.target = target
         self.id = f"{req.id}#{number}"
         self.may_decline = may_decline
+        self.is_hedge = is_hedge
 
 
 class LedTarget:
     """A target as its leading VM sees it."""
 
-    __slots__ = ("target", "leader", "queue", "health", "attempts", "armed", "sent")
+    __slots__ = (
+        "target",
+        "leader",
+        "queue",
+        "health",
+        "attempts",
+        "armed",
+        "gone_until",
+    )
 
     def __init__(self, target, leader: int, queue: TargetQueue, health: TargetHealth):
         self.target = target
@@ -44,7 +60,7 @@
         self.health = health
         self.attempts: dict[str, Attempt] = {}
         self.armed = float("inf")
-        self.sent = 0
+        self.gone_until = 0.0
 
 
 class PolicyRouter(Router):
@@ -92,6 +108,9 @@
     def _offer(self, attempt: Attempt) -> None:
         """Put an attempt before its target's queue."""
         led, req, now = self.led[attempt.target], attempt.req, self.player.now
+        if led.gone_until > now:
+            self.unreachable(attempt, led)
+            return
         ticket = Ticket(
             attempt.id,
             req.tenant,
@@ -117,7 +136,6 @@
 
     def _send(self, led: LedTarget, attempt: Attempt) -> None:
         """Send work to the target."""
-        led.sent += 1
 
         def done(status: str, seconds: float) -> None:
             self._done(led, attempt, status, seconds)
@@ -127,7 +145,8 @@
     def _done(self, led: LedTarget, attempt: Attempt, status: str, seconds: float):
         """Take in what the target made of an attempt."""
         now = self.player.now
-        led.attempts.pop(attempt.id, None)
+        if led.attempts.pop(attempt.id, None) is None:
+            return
         is_answer = status == ANSWERED
         outcome = Outcome.ANSWERED if is_answer else Outcome.UNKNOWN
         if status == LOST and led.target.is_down:
@@ -190,6 +209,7 @@
         if outcome is Outcome.ANSWERED:
             self.retries.succeeded()
             req.end(now, ANSWERED)
+            self._cancel_others(attempt)
             return
         decision = self.retries.decide(
             req.kind != "order", outcome, req.deadline - now, attempt.number, req.demand
@@ -199,6 +219,16 @@
             return
         req.end(now, REFUSED if outcome is Outcome.SHED else LOST, retry_after)
 
+    def _cancel_others(self, winner: Attempt) -> None:
+        """Take the request's other attempts out of the queues they wait in."""
+        for number, name in enumerate(winner.req.attempts, 1):
+            if number == winner.number:
+                continue
+            led, ticket_id = self.led[name], f"{winner.req.id}#{number}"
+            is_known = ticket_id in led.attempts
+            if is_known and not led.queue.cancelled(ticket_id, self.player.now):
+                self.attempt_ended(led.attempts.pop(ticket_id), Outcome.CANCELLED)
+
     def _heartbeat(self) -> None:
         """Renew grants, which doubles as a probe, and judge health."""
         now = self.player.now
@@ -212,12 +242,37 @@
                 self._pause(led)
             elif not is_stalled:
                 led.health.answered(now)
+                self.player.at(now + REPORT_LAG, self._reported, led, target.is_cold)
                 started = led.queue.seen(str(target.incarnation), now)
                 started += led.queue.resume(now)
                 self._start_all(led, started)
             self._arm(led)
         self.judged()
 
+    def _reported(self, led: LedTarget, is_cold: bool) -> None:
+        """Take in a load report that has lagged."""
+        led.queue.reported(is_cold, self.player.now, REPORT_LAG)
+        self._arm(led)
+
+    def lose_vm(self, vm: int, seconds: float) -> None:
+        """Lose a VM: what it led is led by nobody for so long, then by another."""
+        now = self.player.now
+        for led in self.led.values():
+            if led.leader != vm:
+                continue
+            attempts = list(led.attempts.values())
+            led.attempts.clear()
+            led.leader = (vm + 1) % self.deployment.vms
+            led.gone_until = now + seconds
+            led.queue = TargetQueue(led.target.slots, self.thresholds, self.rng, now)
+            led.armed = float("inf")
+            for attempt in attempts:
+                self._returned(attempt, Outcome.UNKNOWN)
+
+    def unreachable(self, attempt: Attempt, led: LedTarget) -> None:
+        """Deal with an attempt whose target nobody leads at the moment."""
+        self._returned(attempt, Outcome.NOT_RUN)
+
     def verdict(self, name: str) -> Verdict:
         """Return the verdict on a target."""
         return self.led[name].health.verdict(self.player.now)
@@ -274,9 +329,11 @@
         if req.status or not self.hedges[req.vm].may_hedge():
             return
         self.hedged += 1
-        self.attempt(req, None)
+        self.attempt(req, is_hedge=True)
 
-    def attempt(self, req: Request, previous: Attempt | None = None) -> None:
+    def attempt(
+        self, req: Request, previous: Attempt | None = None, is_hedge: bool = False
+    ) -> None:
         """Choose a target and forward."""
         choice, now = self.choices[req.vm], self.player.now
         others = [name for name in self.usable if name not in req.attempts]
@@ -289,8 +346,8 @@
         target = choice.choose(others, now, idle)
         req.attempts = [*req.attempts, target]
         number = len(req.attempts)
-        may_decline = number <= self.thresholds["choice_declines"]
-        attempt = Attempt(req, number, target, may_decline)
+        may_decline = is_hedge or number <= self.thresholds["choice_declines"]
+        attempt = Attempt(req, number, target, may_decline, is_hedge)
         choice.sent(target, attempt.id, now)
         self._forward(attempt)
 
@@ -300,12 +357,17 @@
         choice = self.choices[req.vm]
         choice.withdrawn(attempt.target, attempt.id)
         choice.digest(attempt.target, queue, now)
-        if not req.status:
+        if attempt.is_hedge:
+            self.hedges[req.vm].declined()
+        elif not req.status:
             self.attempt(req, attempt)
 
     def attempt_ended(self, attempt: Attempt, outcome: Outcome) -> None:
         """Tell the choice and the hedge what was seen."""
         req, now = attempt.req, self.player.now
+        if outcome is Outcome.CANCELLED:
+            self.choices[req.vm].withdrawn(attempt.target, attempt.id)
+            return
         is_answer = outcome is Outcome.ANSWERED
         self.choices[req.vm].ended(attempt.target, attempt.id, now, is_answer)
         if is_answer and not req.status:
--- a/packages/policy/src/berylstage_policy/choice.py
+++ b/packages/policy/src/berylstage_policy/choice.py
@@ -18,6 +18,10 @@
 
     from berylstage_policy.thresholds import Thresholds
 
+# Weight of the newest digest in a target's smoothed occupancy: ten of them, some
+# seconds, tell load from chance.
+OCCUPANCY_GAIN = 0.1
+
 
 class TargetView:
     """What one VM knows of one target."""
@@ -32,6 +36,7 @@
         "digest_at",
         "sent_since_digest",
         "failed_until",
+        "occupancy",
     )
 
     def __init__(self, name: str, slots: int):
@@ -44,6 +49,8 @@
         self.digest_at = float("-inf")
         self.sent_since_digest = 0
         self.failed_until = float("-inf")
+        # Smoothed queue length for each slot, by the digests.
+        self.occupancy = 0.0
 
 
 class TargetChoice:
@@ -59,6 +66,8 @@
         "_rng",
         "_views",
         "_typical",
+        "_occupancy",
+        "_preferred",
         "_candidates",
         "_gain",
         "_memory",
@@ -71,6 +80,8 @@
         self._views: dict[str, TargetView] = {}
         # Service time over all targets: what a straggler is measured against.
         self._typical = 0.0
+        self._occupancy = 0.0
+        self._preferred = thresholds["choice_preferred"]
         self._candidates = int(thresholds["choice_candidates"])
         self._gain = thresholds["choice_gain"]
         self._memory = thresholds["choice_memory"]
@@ -87,7 +98,9 @@
 
     def remove_target(self, name: str) -> None:
         """Forget a target."""
-        self._views.pop(name, None)
+        view = self._views.pop(name, None)
+        if view is not None:
+            self._occupancy -= view.occupancy
 
     def sent(self, target: str, request_id: str, now: float) -> None:
         """Note that a request went to a target."""
@@ -127,6 +140,9 @@
         """Take in the queue length that the VM that leads the target has told."""
         view = self._views.get(target)
         if view is not None:
+            change = OCCUPANCY_GAIN * (queue / view.slots - view.occupancy)
+            view.occupancy += change
+            self._occupancy += change
             view.digest_queue = queue
             view.digest_at = now
             view.sent_since_digest = 0
@@ -153,7 +169,7 @@
         str
         """
         for name in idle:
-            if not self.is_straggler(name, now):
+            if self._may_prefer(name, now):
                 return name
         count = min(self._candidates, len(willing))
         drawn = self._rng.sample(willing, count)
@@ -165,6 +181,16 @@
         rest = [name for name in willing if not self.is_straggler(name, now)]
         return self._rng.choice(rest) if rest else best
 
+    def _may_prefer(self, name: str, now: float) -> bool:
+        """Tell whether an idle target that this VM leads may go before others.
+
+        When the balancer gives one VM half of the traffic, the targets that it leads
+        would be worn while others idle.
+        """
+        mean = self._occupancy / len(self._views)
+        is_worn = self._views[name].occupancy > self._preferred * mean
+        return not is_worn and not self.is_straggler(name, now)
+
     def is_straggler(self, target: str, now: float) -> bool:
         """Tell whether a target is much slower than the others at this moment."""
         view = self._views[target]
--- a/packages/policy/src/berylstage_policy/coldstart.py
+++ b/packages/policy/src/berylstage_policy/coldstart.py
@@ -33,6 +33,7 @@
         "_reported_cold",
         "_suspect",
         "_confirmed",
+        "_raised",
         "_count",
         "_ratios",
         "_windows",
@@ -49,6 +50,7 @@
         self._reported_cold = False
         self._suspect = False
         self._confirmed = now
+        self._raised = float("-inf")
         self._count = 0
         self._ratios = 0.0
         self._windows = 0
@@ -95,12 +97,22 @@
         self._confirmed = now
         self._suspect = False
 
-    def reported(self, now: float, cold: bool) -> None:
+    def reported(self, now: float, cold: bool, age: float = 0.0) -> None:
         """Take in the target's own word; only ``cold`` changes anything.
 
         A report lags, so ``not cold`` never raises the limit; it only lets completions
-        count again.
+        count again. A report of ``cold`` from before the last level was reached tells
+        of what is over: taken at its word it would send a warm target back to one.
+
+        Parameters
+        ----------
+        now : float
+        cold : bool
+        age : float
+            Seconds since the report was made.
         """
+        if cold and now - age <= self._raised:
+            return
         if cold:
             self.new_start(now)
         self._reported_cold = cold
@@ -136,6 +148,7 @@
         is_fast = self._ratios <= self._slow * self._count
         if is_fast or self._windows >= self._patience:
             self._limit += 1
+            self._raised = now
             self._begin_level()
         else:
             self._count = 0
--- a/packages/policy/src/berylstage_policy/fairness.py
+++ b/packages/policy/src/berylstage_policy/fairness.py
@@ -150,14 +150,8 @@
         self._pushed += 1
         heappush(parent.heap, (flow.start_tag, self._pushed, flow))
 
-    def pop(self, top: str | None = None) -> tuple[T, Flow[T]]:
-        """Take the next item out, of one child of the root if it is named.
-
-        Returns
-        -------
-        item, leaf
-            The leaf is where the cost is charged.
-        """
+    def pop(self, top: str | None = None) -> T:
+        """Take the next item out, of one child of the root if it is named."""
         flow = self.root
         if top is not None:
             flow = flow.children[top]
@@ -165,9 +159,13 @@
         while not flow.items:
             parent, flow = flow, flow.first()
             parent.now_tag = max(parent.now_tag, flow.start_tag)
-        item, cost = flow.items.popleft()
-        self._shrink(flow, cost)
-        return item, flow
+        return self.pop_first(flow)
+
+    def pop_first(self, leaf: Flow[T]) -> T:
+        """Take out the first item of a leaf, whoever's turn it is."""
+        item, cost = leaf.items.popleft()
+        self._shrink(leaf, cost)
+        return item
 
     def remove(self, leaf: Flow[T], item: T) -> None:
         """Take an item out that will not be served."""
--- a/packages/policy/src/berylstage_policy/queue.py
+++ b/packages/policy/src/berylstage_policy/queue.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+from collections import OrderedDict
 from typing import TYPE_CHECKING
 
 from berylstage_policy.backoff import RetryAfter
@@ -61,7 +62,8 @@
         self.costs = CostModel(thresholds)
         self._retry_after = RetryAfter(rng, thresholds)
         self._fair: FairQueue[Entry] = FairQueue()
-        self._waiting: dict[str, Entry] = {}
+        # In order of arrival, and cheap to take from the front.
+        self._waiting: OrderedDict[str, Entry] = OrderedDict()
         self._slots = Slots()
         self._expiry = ExpiryHeap(self._waiting)
         self._displaced: list[Refuse] = []
@@ -69,6 +71,7 @@
         self._paused_until: float | None = None
         self._planned_limit = 1
         self._queue_limit = int(thresholds["queue_limit"])
+        self._fair_backlog = thresholds["fair_backlog"]
         self._wait_share = thresholds["wait_share"]
         self._lanes = Lanes(thresholds)
 
@@ -110,9 +113,9 @@
         self.ramp.seen(now, incarnation)
         return self._fill(now)
 
-    def reported(self, is_cold: bool, now: float) -> None:
-        """Take in the target's own word on whether it is in cold start."""
-        self.ramp.reported(now, is_cold)
+    def reported(self, is_cold: bool, now: float, age: float = 0.0) -> None:
+        """Take in the target's own word, some seconds old, on being in cold start."""
+        self.ramp.reported(now, is_cold, age)
 
     def pause(self, until: float) -> None:
         """Start nothing until `resume`: connections to the target are refused.
@@ -301,13 +304,9 @@
         if self._paused_until is not None:
             return []
         while self._waiting and len(self._slots) < limit:
-            lane = None
-            if self._slots.long >= self._lanes.long_cap(limit, now):
-                short = self._fair.root.children.get(SHORT)
-                if short is None or not short.size:
-                    break
-                lane = SHORT
-            entry, _ = self._fair.pop(lane)
+            entry = self._next(limit, now)
+            if entry is None:
+                break
             del self._waiting[entry.ticket.id]
             if entry.latest_start < now:
                 self._displaced.append(self._refusal(entry, now))
@@ -316,6 +315,24 @@
             started.append(entry.ticket)
         return started
 
+    def _next(self, limit: int, now: float) -> Entry | None:
+        """Take out of the fair queue who starts next, or None when nobody may."""
+        is_capped = self._slots.long >= self._lanes.long_cap(limit, now)
+        # Fair order costs the slowest of equals: each is passed by newcomers. While
+        # the queue is over in a moment nobody takes anything from anybody, and the
+        # order of arrival gives the shortest tail.
+        if self._fair.root.backlog <= self._fair_backlog * limit:
+            oldest = next(iter(self._waiting.values()))
+            if oldest.is_short or not is_capped:
+                self._fair.pop_first(oldest.leaf)
+                return oldest
+        if not is_capped:
+            return self._fair.pop()
+        short = self._fair.root.children.get(SHORT)
+        if short is None or not short.size:
+            return None
+        return self._fair.pop(SHORT)
+
     def _learn(
         self,
         entry: Entry,
--- a/packages/policy/src/berylstage_policy/retries.py
+++ b/packages/policy/src/berylstage_policy/retries.py
@@ -73,6 +73,10 @@
         self.tokens -= 1.0
         return True
 
+    def refund(self) -> None:
+        """Put a token back."""
+        self.tokens = min(self.reserve, self.tokens + 1.0)
+
 
 class RetryPolicy:
     """Decides about retries for one service.
@@ -184,5 +188,13 @@
         return max(self._delay, self._least)
 
     def may_hedge(self) -> bool:
-        """Take from the budget, at the moment of hedging."""
+        """Take from the budget, at the moment of hedging.
+
+        Offer a hedge so that a busy target may decline it, and drop it then: a hedge
+        that queues helps nobody and delays others, and under overload all would.
+        """
         return self.budget.spend()
+
+    def declined(self) -> None:
+        """Give back what a hedge took that did not run."""
+        self.budget.refund()
--- a/packages/policy/src/berylstage_policy/threshold_table.py
+++ b/packages/policy/src/berylstage_policy/threshold_table.py
@@ -199,6 +199,16 @@
         "Bounds the memory of a target's queue. Deadlines turn work away long before, "
         "except for bursts of very short work.",
     ),
+    Threshold(
+        "fair_backlog",
+        0.1,
+        "s",
+        0.0,
+        10.0,
+        True,
+        "Up to a queue that is served within a tenth of a second the order of arrival "
+        "holds; beyond it tenants, classes and callers take turns.",
+    ),
     Threshold(
         "wait_share",
         0.6,
@@ -277,6 +287,16 @@
         "Two candidates give nearly all that choosing among all would, and VMs that "
         "know different things don't rush to one target.",
     ),
+    Threshold(
+        "choice_preferred",
+        1.1,
+        "times mean occupancy",
+        0.0,
+        100.0,
+        True,
+        "Up to there a VM prefers idle targets that it leads itself, which saves the "
+        "forward; beyond it the promised balance goes first.",
+    ),
     Threshold(
         "choice_declines",
         2.0,
--- a/packages/policy/tests/test_coldstart.py
+++ b/packages/policy/tests/test_coldstart.py
@@ -54,6 +54,15 @@
         complete(ramp, STEP, now=1.0)
         assert ramp.limit(1.0) == 2
 
+    def test_report_from_before_the_ramp_ended_is_history(self, ramp):
+        # The report lags by seconds: it says cold after the target has shown by its
+        # answers that it is warm. Believed, it would start the ramp over and over.
+        complete(ramp, 2 * STEP, now=5.0)
+        ramp.reported(5.5, True, age=1.0)
+        assert ramp.limit(5.5) == 3
+        ramp.reported(7.0, True, age=1.0)
+        assert ramp.limit(7.0) == 1
+
 
 class TestSignsOfANewStart:
     @pytest.mark.parametrize(
