--- a/packages/daemon/tests/conftest.py
+++ b/packages/daemon/tests/conftest.py
@@ -28,7 +28,7 @@
     Vm,
 )
 from berylstage_sheet.configuration import Target as TargetEntry
-from berylstage_standins.ledger import LedgerWriter
+from berylstage_standins.ledger_writer import LedgerWriter
 from berylstage_standins.platform import Platform
 from berylstage_standins.platform_server import make_server as make_platform
 from berylstage_standins.target import Target
