--- a/Makefile
+++ b/Makefile
@@ -34,6 +34,13 @@
 test:  ## run the tests
 	$(PY) -m pytest
 
+.PHONY: demo demo-short
+demo:  ## run an installation through a day with faults, in about a minute
+	$(PY) -m berylstage_bench.demo
+
+demo-short:  ## the same with the same checks in under 25 s
+	$(PY) -m berylstage_bench.demo --short
+
 check: format-check lint types imports test  ## everything that CI runs
 
 .PHONY: proto
--- /dev/null
+++ b/packages/bench/src/berylstage_bench/callers.py
@@ -0,0 +1,268 @@
+"""Callers that send a mix of requests through all VMs and keep what they saw."""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+import itertools
+import json
+import time
+import uuid
+from random import Random
+from typing import TYPE_CHECKING
+from urllib.parse import quote
+
+from berylstage_transfers.call import Call
+from berylstage_transfers.client import CallClient
+from berylstage_transfers.errors import AnswerLost, NeverSent
+
+from berylstage_bench.attempts import OPEN_OUTCOMES, Attempt, Outcome, Request
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from berylstage_sheet.configuration import Configuration, Kind
+    from berylstage_transfers.call import Answer
+
+# Connections of all callers together to one VM.
+CONNECTIONS = 64
+# Seconds that the balancer leaves out a VM that refused a connection.
+LEFT_OUT = 1.0
+# Seconds after which a caller gives a request up, with all its retries.
+PATIENCE = 15.0
+# Seconds between two attempts when the refusal does not say when to come back.
+PAUSE = 0.1
+# Seconds that a caller waits beyond the deadline of the kind before it hangs up.
+MARGIN = 1.0
+DIGEST_LENGTH = 16
+MS = 1000
+
+
+class Work:
+    """A share of the mix: one kind of request and how often it is sent.
+
+    Parameters
+    ----------
+    service, kind : str
+    weight : float
+        Share among all kinds.
+    keys : list of str
+        Keys that are asked for, each as often as the others.
+    """
+
+    __slots__ = ("service", "kind", "weight", "keys")
+
+    def __init__(self, service: str, kind: str, weight: float, keys: list[str]):
+        self.service = service
+        self.kind = kind
+        self.weight = weight
+        self.keys = keys
+
+
+class Balancer:
+    """Sends callers to the VMs in turn, leaving out those that refuse connections.
+
+    Parameters
+    ----------
+    addresses : mapping of str to str
+        ``ip:port`` by name of VM.
+    """
+
+    def __init__(self, addresses: Mapping[str, str]):
+        self.addresses = dict(addresses)
+        self._clients = {name: CallClient(CONNECTIONS) for name in self.addresses}
+        self._out_until = dict.fromkeys(self.addresses, 0.0)
+        self._turn = itertools.count()
+
+    def pick(self, avoid: str = "") -> str:
+        """Return the next VM, another one than ``avoid`` if there is one."""
+        now = time.monotonic()
+        names = list(self.addresses)
+        usable = [n for n in names if self._out_until[n] <= now and n != avoid]
+        usable = usable or [n for n in names if n != avoid] or names
+        return usable[next(self._turn) % len(usable)]
+
+    def leave_out(self, vm: str) -> None:
+        """Leave a VM out for a while."""
+        self._out_until[vm] = time.monotonic() + LEFT_OUT
+
+    def client(self, vm: str) -> CallClient:
+        """Return the connections to a VM."""
+        return self._clients[vm]
+
+    def close(self) -> None:
+        """Close all connections."""
+        for client in self._clients.values():
+            client.close()
+
+
+class Callers:
+    """A number of callers, each with one request in flight at a time.
+
+    Parameters
+    ----------
+    cfg : Configuration
+        Tells which kinds may be repeated, and their deadlines.
+    addresses : mapping of str to str
+        ``ip:port`` by name of VM.
+    mix : list of Work
+    count : int
+        Callers.
+    think : float
+        Mean seconds between two requests of a caller.
+    seed : int
+    """
+
+    def __init__(
+        self,
+        cfg: Configuration,
+        addresses: Mapping[str, str],
+        mix: list[Work],
+        count: int,
+        think: float,
+        seed: int = 1,
+    ):
+        self.requests: list[Request] = []
+        self.balancer = Balancer(addresses)
+        self._cfg = cfg
+        self._mix = mix
+        self._weights = [work.weight for work in mix]
+        self._count = count
+        self._think = think
+        self._rng = Random(seed)
+        self._numbers = itertools.count(1)
+        self._stopping = asyncio.Event()
+        self._tasks: list[asyncio.Task] = []
+
+    def start(self) -> None:
+        """Start to send."""
+        for number in range(self._count):
+            name = f"caller-{number + 1}"
+            self._tasks.append(asyncio.ensure_future(self._call_forever(name)))
+
+    async def stop(self) -> None:
+        """Send nothing new and wait until the requests in flight have their end."""
+        self._stopping.set()
+        await asyncio.gather(*self._tasks)
+        self.balancer.close()
+
+    async def _call_forever(self, caller: str) -> None:
+        while not self._stopping.is_set():
+            work = self._rng.choices(self._mix, self._weights)[0]
+            key = self._rng.choice(work.keys)
+            await self.request(work.service, work.kind, key, caller)
+            await self._pause(self._rng.expovariate(1 / self._think))
+
+    async def _pause(self, seconds: float) -> None:
+        try:
+            await asyncio.wait_for(self._stopping.wait(), seconds)
+        except TimeoutError:
+            return
+
+    async def request(
+        self, service: str, kind: str, key: str, caller: str = ""
+    ) -> Request:
+        """Send one request, again where that is allowed, until it has its end.
+
+        Parameters
+        ----------
+        service, kind, key : str
+        caller : str
+
+        Returns
+        -------
+        Request
+        """
+        known = self._cfg.services[service].kinds[kind]
+        req = Request(kind, known.repeatable)
+        self.requests.append(req)
+        body = f"{kind} {next(self._numbers)} of {caller}".encode()
+        token = Token()
+        give_up = time.monotonic() + PATIENCE
+        avoid = ""
+        while True:
+            vm = self.balancer.pick(avoid)
+            attempt = await self._attempt(known, service, key, caller, vm, body, token)
+            req.attempts.append(attempt)
+            if attempt.outcome in (Outcome.ANSWERED, Outcome.WRONG_ANSWER):
+                return req
+            pause = attempt.retry_after or PAUSE
+            if time.monotonic() + pause >= give_up:
+                return req
+            if attempt.outcome is Outcome.NOT_RUN and not token.may_have_run:
+                # It did not run, so that it may be sent as a new one. After an
+                # attempt that may have run only the same key is safe.
+                token = Token()
+            token.may_have_run |= attempt.outcome in OPEN_OUTCOMES
+            avoid = vm
+            if attempt.outcome is not Outcome.NOT_SENT:
+                await asyncio.sleep(pause)
+
+    async def _attempt(
+        self,
+        kind: Kind,
+        service: str,
+        key: str,
+        caller: str,
+        vm: str,
+        body: bytes,
+        token: Token,
+    ) -> Attempt:
+        """Send one attempt and return what came of it."""
+        request_id = uuid.uuid4().hex
+        headers = {"Request-Id": request_id, "Caller": caller}
+        if not kind.repeatable:
+            headers["Idempotency-Key"] = token.key
+            headers["Idempotency-Issued-At"] = str(token.issued_at_ms)
+        path = "/".join(quote(part, safe="") for part in (service, kind.name, key))
+        url = f"http://{self.balancer.addresses[vm]}/{path}"
+        timeout = kind.deadline_ms / MS + MARGIN
+        digest = hashlib.sha256(body).hexdigest()[:DIGEST_LENGTH]
+        attempt = Attempt(
+            request_id,
+            service,
+            kind.name,
+            key,
+            vm,
+            digest,
+            time.monotonic(),
+            0.0,
+            Outcome.LOST,
+        )
+        call = Call("POST", url, headers, body, timeout, echo=request_id)
+        try:
+            answer = await self.balancer.client(vm).call(call)
+        except NeverSent as exc:
+            attempt.outcome = Outcome.NOT_SENT
+            attempt.reason = str(exc)
+            self.balancer.leave_out(vm)
+        except AnswerLost as exc:
+            attempt.reason = str(exc)
+        else:
+            _read_answer(attempt, answer)
+        attempt.ended = time.monotonic()
+        return attempt
+
+
+class Token:
+    """Key and time of issue of a request that may not be repeated."""
+
+    __slots__ = ("key", "issued_at_ms", "may_have_run")
+
+    def __init__(self) -> None:
+        self.key = uuid.uuid4().hex
+        self.issued_at_ms = time.time_ns() // 1_000_000
+        self.may_have_run = False
+
+
+def _read_answer(attempt: Attempt, answer: Answer) -> None:
+    """Take in an answer, and check that it belongs to this very request."""
+    attempt.outcome = Outcome(answer.header(b"berylstage-outcome"))
+    attempt.reason = answer.header(b"berylstage-reason")
+    attempt.target = answer.header(b"berylstage-target")
+    attempt.retry_after = int(answer.header(b"retry-after-ms") or 0) / MS
+    if attempt.outcome is not Outcome.ANSWERED:
+        return
+    doc = json.loads(answer.body)
+    if doc["digest"] != attempt.digest or doc["key"] != attempt.key:
+        attempt.outcome = Outcome.WRONG_ANSWER
--- a/packages/bench/src/berylstage_bench/processes.py
+++ b/packages/bench/src/berylstage_bench/processes.py
@@ -14,13 +14,18 @@
 from urllib.error import URLError
 from urllib.request import Request, urlopen
 
+from berylstage_sheet.reader import read_sheet
+from berylstage_sheet.writer import write_sheet
+
+from berylstage_bench.ports import HOST, VARIABLE, Ports, default_base
+
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from berylstage_sheet.configuration import Configuration, Target, Vm
 
-HOST = "127.0.0.1"
-PLATFORM_PORT = 20900
-HTTP_PORT = 20100
-PEER_PORT = 20500
+ROOT = Path(__file__).resolve().parents[4]
+RUN_FOLDER = ROOT / "run"
 START_LIMIT = 20.0
 STOP_LIMIT = 40.0
 POLL = 0.05
@@ -35,11 +40,11 @@
 
     __slots__ = ("name", "data_centre", "http", "peer")
 
-    def __init__(self, vm: Vm, number: int):
+    def __init__(self, vm: Vm, number: int, ports: Ports):
         self.name = vm.name
         self.data_centre = vm.data_centre
-        self.http = f"{HOST}:{HTTP_PORT + number}"
-        self.peer = f"{HOST}:{PEER_PORT + number}"
+        self.http = f"{HOST}:{ports.http(number)}"
+        self.peer = f"{HOST}:{ports.peer(number)}"
 
 
 class Installation:
@@ -48,13 +53,17 @@
     Parameters
     ----------
     cfg : Configuration
-        Names the targets, their addresses, and the VMs.
+        Names the targets and the VMs; the targets get addresses of this machine.
     folder : Path
-        For logs and ledgers.
+        For logs, ledgers and the sheet.
     target_options : list of str
         Further options of each target stand-in.
     vm_options : list of str
         Further options of each daemon.
+    platform_options : list of str
+        Further options of the platform's stand-in.
+    ports : Ports or None
+        None takes those of this checkout.
     """
 
     def __init__(
@@ -63,37 +72,59 @@
         folder: Path,
         target_options: list[str] | None = None,
         vm_options: list[str] | None = None,
+        platform_options: list[str] | None = None,
+        ports: Ports | None = None,
     ):
+        self._ports = ports or Ports(default_base(ROOT))
+        self._ports.place_targets(cfg)
         self.cfg = cfg
         self.folder = folder
-        self.platform = f"{HOST}:{PLATFORM_PORT}"
+        self.platform = f"{HOST}:{self._ports.platform}"
         self.vms = {
-            vm.name: VmAddress(vm, number)
+            vm.name: VmAddress(vm, number, self._ports)
             for number, vm in enumerate(sorted(cfg.vms.values(), key=_name))
         }
+        self._platform_options = platform_options or []
         self._target_options = target_options or []
         self._vm_options = vm_options or []
         self._processes: dict[str, subprocess.Popen] = {}
 
+    @property
+    def sheet(self) -> Path:
+        """Path of the sheet with the addresses of this installation."""
+        return self.folder / "sheet.csv"
+
+    def start(self) -> None:
+        """Start everything, in a folder without logs and ledgers of earlier runs.
+
+        Raises
+        ------
+        InstallationError
+        """
+        self._prepare_folder()
+        self._spawn_platform()
+        for target in self.cfg.targets.values():
+            self._spawn_target(target)
+        self._await_listening(["platform", *self.cfg.targets])
+        for name in self.vms:
+            self._spawn_vm(name)
+        for name in self.vms:
+            self._await_live(name)
+
     def start_platform(self) -> None:
-        """Start the platform's stand-in."""
-        module = "berylstage_standins.platform"
-        self._start("platform", [sys.executable, "-m", module, "--port"], PLATFORM_PORT)
+        """Start the platform's stand-in, with nothing in it."""
+        self._spawn_platform()
+        self._await_listening(["platform"])
 
-    def start_target(self, target: Target) -> None:
+    def start_target(self, name: str) -> None:
         """Start the stand-in of one target; it goes on with its ledger.
 
         Parameters
         ----------
-        target : Target
+        name : str
         """
-        port = int(target.address.rpartition(":")[2])
-        fences = "--checks-fences" if target.checks_fences else "--no-checks-fences"
-        command = [sys.executable, "-m", "berylstage_standins.target"]
-        command += ["--name", target.name, "--slots", str(target.slots)]
-        command += ["--connections", str(target.connections), fences]
-        command += ["--ledger", str(self.ledger(target.name)), *self._target_options]
-        self._start(target.name, [*command, "--port"], port)
+        self._spawn_target(self.cfg.targets[name])
+        self._await_listening([name])
 
     def start_vm(self, name: str) -> None:
         """Start one daemon and list it at the platform.
@@ -102,23 +133,12 @@
         ----------
         name : str
         """
-        vm = self.vms[name]
-        command = [str(Path(sys.executable).parent / "berylstaged")]
-        command += ["--vm", name, "--data-centre", vm.data_centre]
-        command += ["--http", vm.http, "--peer", vm.peer]
-        command += ["--platform", self.platform, *self._vm_options]
-        self._spawn(name, command)
-        self._list_vm(vm)
-        self._await_answer(name, f"http://{vm.http}/-/live")
+        self._spawn_vm(name)
+        self._await_live(name)
 
-    def start(self) -> None:
-        """Start everything."""
-        self.folder.mkdir(parents=True, exist_ok=True)
-        self.start_platform()
-        for target in self.cfg.targets.values():
-            self.start_target(target)
-        for name in self.vms:
-            self.start_vm(name)
+    def pid(self, name: str) -> int:
+        """Return the process id of a target, a VM or ``platform``."""
+        return self._processes[name].pid
 
     def signal(self, name: str, number: signal.Signals) -> None:
         """Send a signal to one process.
@@ -195,14 +215,51 @@
                     )
                 await asyncio.sleep(POLL)
 
-    def _start(self, name: str, command: list[str], port: int) -> None:
-        """Start a stand-in and wait until it says that it listens."""
-        process = self._spawn(name, [*command, str(port)], pipe=True)
-        assert process.stdout is not None
-        if not process.stdout.readline():
-            raise InstallationError(
-                f"{name} did not start; read {self.folder / name}.log"
-            )
+    def _prepare_folder(self) -> None:
+        """Remove what earlier runs left and write the sheet."""
+        self.folder.mkdir(parents=True, exist_ok=True)
+        for pattern in ("*.log", "*.ledger", "*.csv"):
+            for path in self.folder.glob(pattern):
+                path.unlink()
+        self.sheet.write_text(write_sheet(self.cfg), newline="")
+
+    def _spawn_platform(self) -> None:
+        command = [sys.executable, "-m", "berylstage_standins.platform"]
+        command += ["--port", str(self._ports.platform), *self._platform_options]
+        self._spawn("platform", command, pipe=True)
+
+    def _spawn_target(self, target: Target) -> None:
+        port = target.address.rpartition(":")[2]
+        fences = "--checks-fences" if target.checks_fences else "--no-checks-fences"
+        command = [sys.executable, "-m", "berylstage_standins.target"]
+        command += ["--name", target.name, "--slots", str(target.slots)]
+        command += ["--data-centre", target.data_centre, "--port", port]
+        command += ["--connections", str(target.connections), fences]
+        command += ["--ledger", str(self.ledger(target.name)), *self._target_options]
+        self._spawn(target.name, command, pipe=True)
+
+    def _spawn_vm(self, name: str) -> None:
+        vm = self.vms[name]
+        command = [str(Path(sys.executable).parent / "berylstaged")]
+        command += ["--vm", name, "--data-centre", vm.data_centre]
+        command += ["--http", vm.http, "--peer", vm.peer]
+        command += ["--platform", self.platform, *self._vm_options]
+        self._spawn(name, command)
+        self._list_vm(vm)
+
+    def _await_live(self, name: str) -> None:
+        self._await_answer(name, f"http://{self.vms[name].http}/-/live")
+
+    def _await_listening(self, names: Iterable[str]) -> None:
+        """Wait until stand-ins say that they listen."""
+        for name in names:
+            process = self._processes[name]
+            assert process.stdout is not None
+            if not process.stdout.readline():
+                raise InstallationError(
+                    f"{name} did not start; read {self.folder / name}.log, and set "
+                    f"{VARIABLE} if another process has its port"
+                )
 
     def _spawn(
         self, name: str, command: list[str], pipe: bool = False
@@ -265,3 +322,18 @@
 
 def _name(vm: Vm) -> str:
     return vm.name
+
+
+def read_example(name: str) -> Configuration:
+    """Return the configuration of a sheet in ``examples/``.
+
+    Parameters
+    ----------
+    name : str
+        Such as ``demo``.
+
+    Returns
+    -------
+    Configuration
+    """
+    return read_sheet((ROOT / "examples" / f"{name}.csv").read_bytes()).cfg
