Keep few connections to a target, so that the next VM finds room

The VM that led before kept up to 118 connections, as each parts order opens a new one; the target takes 120 and closed those of its new leader, whose orders ended as unknown (connection reset). The test fails without the change. Ruled out: the moves themselves, whose log lines are within 0.1 s.

--- a/packages/targets/src/berylstage_targets/http.py
+++ b/packages/targets/src/berylstage_targets/http.py
@@ -27,6 +27,13 @@
 # Connections set aside for grants, cancellation and reports, so that none of these
 # ever waits behind work.
 CONTROL_CONNECTIONS = 2
+# A target takes some 50 to 120 connections from all VMs together, and a parts order
+# opens a new one each time. A VM that kept all of them would leave none to the VM that
+# leads the target next, whose orders would then end as unknown, one after the
+# other. So each keeps a share that leaves room for 11 VMs and more, but no fewer than
+# a target has slots today.
+KEPT_SHARE = 16
+KEPT_CONNECTIONS = 3
 # Seconds that a cancellation waits for its answer.
 CANCEL_TIMEOUT = 1.0
 # Cancellations under way at once for one target. More would only queue up in front of
@@ -58,7 +65,8 @@
     def __init__(self, address: str, connections: int, vm: str = ""):
         self.base = f"http://{address}"
         self.vm = vm
-        self._work = CallClient(max(1, connections - CONTROL_CONNECTIONS))
+        kept = max(KEPT_CONNECTIONS, connections // KEPT_SHARE)
+        self._work = CallClient(max(1, connections - CONTROL_CONNECTIONS), kept)
         self._control = CallClient(CONTROL_CONNECTIONS)
         self._cancels: set[asyncio.Task[bool]] = set()
 
--- a/packages/targets/tests/test_http.py
+++ b/packages/targets/tests/test_http.py
@@ -7,6 +7,7 @@
 
 import pytest
 from berylstage_targets.errors import NotRun, OutcomeUnknown, TargetError
+from berylstage_targets.http import HttpTargetClient
 
 # Requests that a fence-checking target refuses, and the reason.
 REFUSALS = [
@@ -493,3 +494,24 @@
                     await task
 
         run(scenario)
+
+
+class TestKeptConnections:
+    def test_a_target_keeps_room_for_the_next_vm_that_leads_it(self, open_target):
+        # A parts order goes out on a new connection, which is kept for later work. A
+        # VM that kept as many as the target takes would leave no room for the VM
+        # that leads the target next: the target closes its connections, and each of
+        # its orders ends as unknown until the first VM forgets its own.
+        async def scenario():
+            async with open_target(connections=20) as rig:
+                await rig.hold()
+                for _ in range(30):
+                    await rig.client.send(rig.request(fresh_connection=True))
+                next_vm = HttpTargetClient(rig.address, 20, "vm-2")
+                try:
+                    await next_vm.grant(rig.order(version=2), 10.0)
+                    await next_vm.send(rig.request())
+                finally:
+                    await next_vm.close()
+
+        run(scenario)
--- a/packages/transfers/src/berylstage_transfers/client.py
+++ b/packages/transfers/src/berylstage_transfers/client.py
@@ -60,25 +60,32 @@
     ----------
     max_clients : int
         Calls under way at once, and connections held at once.
+    kept : int or None
+        Connections kept for later calls; beyond, the one idle for longest closes.
+        None keeps all.
     """
 
-    def __new__(cls, max_clients: int) -> CallClient:
+    def __new__(cls, max_clients: int, kept: int | None = None) -> CallClient:
         """Return an instance of its own, never tornado's shared one."""
-        client = super().__new__(cls, force_instance=True, max_clients=max_clients)
+        client = super().__new__(
+            cls, force_instance=True, max_clients=max_clients, kept=kept
+        )
         assert isinstance(client, CallClient)
         return client
 
-    def __init__(self, max_clients: int):
+    def __init__(self, max_clients: int, kept: int | None = None):
         super().__init__()
 
-    def initialize(self, max_clients: int) -> None:  # type: ignore[override]
+    def initialize(  # type: ignore[override]
+        self, max_clients: int, kept: int | None = None
+    ) -> None:
         """Set up without any handle; they are made when calls need them."""
         super().initialize(max_clients=0)
         self._max_clients = max_clients
         self._handles: dict[pycurl.Curl, _Handle] = {}
         self._sockets: dict[int, int] = {}
         self._distrusted_at = float("-inf")
-        self._multi.setopt(pycurl.M_MAXCONNECTS, max_clients)
+        self._multi.setopt(pycurl.M_MAXCONNECTS, kept or max_clients)
         self._multi.setopt(pycurl.M_MAX_TOTAL_CONNECTIONS, max_clients)
 
     async def call(self, call: Call) -> Answer:
