--- a/Makefile
+++ b/Makefile
@@ -34,10 +34,13 @@
 test:  ## run the tests
 	$(PY) -m pytest
 
-.PHONY: demo demo-short
+.PHONY: demo demo-short up
 demo:  ## run an installation through a day with faults, in about a minute
 	$(PY) -m berylstage_bench.demo
 
+up:  ## run an installation until Ctrl-C and print what to try
+	$(PY) -m berylstage_bench.up
+
 demo-short:  ## the same with the same checks in under 25 s
 	$(PY) -m berylstage_bench.demo --short
 
--- a/packages/bench/src/berylstage_bench/callers.py
+++ b/packages/bench/src/berylstage_bench/callers.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import hashlib
 import itertools
 import json
 import time
@@ -12,11 +11,13 @@
 from typing import TYPE_CHECKING
 from urllib.parse import quote
 
+from berylstage_standins.call_record import CallOutcome, CallRecord
+from berylstage_standins.target_server import body_digest
 from berylstage_transfers.call import Call
 from berylstage_transfers.client import CallClient
 from berylstage_transfers.errors import AnswerLost, NeverSent
 
-from berylstage_bench.attempts import OPEN_OUTCOMES, Attempt, Outcome, Request
+from berylstage_bench.attempts import Attempt, Request
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -34,7 +35,6 @@
 PAUSE = 0.1
 # Seconds that a caller waits beyond the deadline of the kind before it hangs up.
 MARGIN = 1.0
-DIGEST_LENGTH = 16
 MS = 1000
 
 
@@ -174,28 +174,28 @@
         Request
         """
         known = self._cfg.services[service].kinds[kind]
-        req = Request(kind, known.repeatable)
-        self.requests.append(req)
         body = f"{kind} {next(self._numbers)} of {caller}".encode()
+        req = Request(kind, known.repeatable, body_digest(body))
+        self.requests.append(req)
         token = Token()
         give_up = time.monotonic() + PATIENCE
-        avoid = ""
+        vm = ""
         while True:
-            vm = self.balancer.pick(avoid)
+            vm = self.balancer.pick(avoid=vm)
             attempt = await self._attempt(known, service, key, caller, vm, body, token)
             req.attempts.append(attempt)
-            if attempt.outcome in (Outcome.ANSWERED, Outcome.WRONG_ANSWER):
-                return req
             pause = attempt.retry_after or PAUSE
+            if attempt.outcome is CallOutcome.ANSWERED:
+                return req
             if time.monotonic() + pause >= give_up:
                 return req
-            if attempt.outcome is Outcome.NOT_RUN and not token.may_have_run:
+            if attempt.may_have_run:
+                token.may_have_run = True
+            elif not token.may_have_run:
                 # It did not run, so that it may be sent as a new one. After an
                 # attempt that may have run only the same key is safe.
                 token = Token()
-            token.may_have_run |= attempt.outcome in OPEN_OUTCOMES
-            avoid = vm
-            if attempt.outcome is not Outcome.NOT_SENT:
+            if attempt.outcome is not CallOutcome.NOT_SENT:
                 await asyncio.sleep(pause)
 
     async def _attempt(
@@ -217,30 +217,33 @@
         path = "/".join(quote(part, safe="") for part in (service, kind.name, key))
         url = f"http://{self.balancer.addresses[vm]}/{path}"
         timeout = kind.deadline_ms / MS + MARGIN
-        digest = hashlib.sha256(body).hexdigest()[:DIGEST_LENGTH]
-        attempt = Attempt(
-            request_id,
-            service,
-            kind.name,
-            key,
-            vm,
-            digest,
-            time.monotonic(),
-            0.0,
-            Outcome.LOST,
+        record = CallRecord(
+            service=service,
+            kind=kind.name,
+            key=key,
+            digest=body_digest(body),
+            idempotency_key="" if kind.repeatable else token.key,
+            vm=vm,
+            outcome=CallOutcome.LOST,
+            status=0,
+            reason="",
+            own=False,
+            start=time.monotonic(),
+            end=0.0,
         )
+        attempt = Attempt(request_id, record)
         call = Call("POST", url, headers, body, timeout, echo=request_id)
         try:
             answer = await self.balancer.client(vm).call(call)
         except NeverSent as exc:
-            attempt.outcome = Outcome.NOT_SENT
-            attempt.reason = str(exc)
+            record.outcome = CallOutcome.NOT_SENT
+            record.reason = str(exc)
             self.balancer.leave_out(vm)
         except AnswerLost as exc:
-            attempt.reason = str(exc)
+            record.reason = str(exc)
         else:
             _read_answer(attempt, answer)
-        attempt.ended = time.monotonic()
+        record.end = time.monotonic()
         return attempt
 
 
@@ -257,12 +260,11 @@
 
 def _read_answer(attempt: Attempt, answer: Answer) -> None:
     """Take in an answer, and check that it belongs to this very request."""
-    attempt.outcome = Outcome(answer.header(b"berylstage-outcome"))
-    attempt.reason = answer.header(b"berylstage-reason")
-    attempt.target = answer.header(b"berylstage-target")
+    record = attempt.record
+    record.outcome = CallOutcome(answer.header(b"berylstage-outcome"))
+    record.status = answer.status
+    record.reason = answer.header(b"berylstage-reason")
     attempt.retry_after = int(answer.header(b"retry-after-ms") or 0) / MS
-    if attempt.outcome is not Outcome.ANSWERED:
-        return
-    doc = json.loads(answer.body)
-    if doc["digest"] != attempt.digest or doc["key"] != attempt.key:
-        attempt.outcome = Outcome.WRONG_ANSWER
+    if record.outcome is CallOutcome.ANSWERED:
+        doc = json.loads(answer.body)
+        record.own = (doc["digest"], doc["key"]) == (record.digest, record.key)
--- a/packages/bench/src/berylstage_bench/demo.py
+++ b/packages/bench/src/berylstage_bench/demo.py
@@ -10,7 +10,9 @@
 from collections import Counter
 from typing import TYPE_CHECKING
 
-from berylstage_bench.audit import Closure, Ledgers
+from berylstage_standins.ledger import Closure
+
+from berylstage_bench.audit import audit
 from berylstage_bench.callers import Callers, Work
 from berylstage_bench.operators import Operator
 from berylstage_bench.processes import RUN_FOLDER, Installation, read_example
@@ -116,8 +118,9 @@
             closure = await self._traffic()
         finally:
             self._installation.stop()
-        ledgers = Ledgers(self._cfg, self._installation.folder)
-        return Verdict(self._cfg, self._callers.requests, ledgers, [closure])
+        requests = self._callers.requests
+        findings = audit(self._installation.folder, requests, [closure])
+        return Verdict(self._cfg, requests, findings)
 
     async def _traffic(self) -> Closure:
         """Run the events of the day under traffic."""
@@ -159,7 +162,7 @@
         while True:
             await asyncio.sleep(PROGRESS_EVERY)
             attempts = [a for req in self._callers.requests for a in req.attempts]
-            attempts.sort(key=lambda attempt: attempt.ended)
+            attempts.sort(key=lambda attempt: attempt.record.end)
             counts = Counter(a.outcome.value for a in attempts[shown:])
             shown = len(attempts)
             parts = [f"{count} {name}" for name, count in sorted(counts.items())]
--- a/packages/bench/src/berylstage_bench/measures.py
+++ b/packages/bench/src/berylstage_bench/measures.py
@@ -5,14 +5,15 @@
 from collections import Counter, defaultdict
 from typing import TYPE_CHECKING
 
+from berylstage_standins.call_record import CallOutcome
 from hdrh.histogram import HdrHistogram
 
-from berylstage_bench.attempts import Outcome
-
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from berylstage_bench.attempts import Attempt, Request
+    from berylstage_standins.call_record import CallRecord
+
+    from berylstage_bench.attempts import Request
 
 MICROSECONDS = 1_000_000
 LONGEST_US = 600 * MICROSECONDS
@@ -48,12 +49,12 @@
         self.seconds = seconds
 
 
-def ends(requests: Iterable[Request]) -> Counter[Outcome]:
+def ends(requests: Iterable[Request]) -> Counter[CallOutcome]:
     """Count requests by their end, all attempts taken together."""
     return Counter(req.outcome for req in requests)
 
 
-def longest_gap(attempts: Iterable[Attempt]) -> Gap:
+def longest_gap(records: Iterable[CallRecord]) -> Gap:
     """Return the longest time from a sending to an answer for the same key.
 
     A key counts as unavailable from the sending of an attempt until the first end of
@@ -62,27 +63,26 @@
 
     Parameters
     ----------
-    attempts : iterable of Attempt
+    records : iterable of CallRecord
 
     Returns
     -------
     Gap
     """
-    by_key: dict[tuple[str, str], list[Attempt]] = defaultdict(list)
-    for attempt in attempts:
-        by_key[attempt.service, attempt.key].append(attempt)
+    by_key: dict[tuple[str, str], list[CallRecord]] = defaultdict(list)
+    for record in records:
+        by_key[record.service, record.key].append(record)
     gaps = [_longest(f"{s}/{k}", found) for (s, k), found in by_key.items()]
     return max(gaps, key=lambda gap: gap.seconds, default=Gap("", 0.0, 0.0))
 
 
-def _longest(key: str, attempts: list[Attempt]) -> Gap:
+def _longest(key: str, records: list[CallRecord]) -> Gap:
     """Return the longest gap of one key."""
-    last_end = max(attempt.ended for attempt in attempts)
-    served = last_end
+    served = max(record.end for record in records)
     worst = Gap(key, 0.0, 0.0)
-    for attempt in sorted(attempts, key=lambda a: a.sent, reverse=True):
-        if attempt.outcome is Outcome.ANSWERED:
-            served = min(served, attempt.ended)
-        if served - attempt.sent > worst.seconds:
-            worst = Gap(key, attempt.sent, served - attempt.sent)
+    for record in sorted(records, key=lambda r: r.start, reverse=True):
+        if record.outcome is CallOutcome.ANSWERED:
+            served = min(served, record.end)
+        if served - record.start > worst.seconds:
+            worst = Gap(key, record.start, served - record.start)
     return worst
--- a/packages/bench/src/berylstage_bench/verdict.py
+++ b/packages/bench/src/berylstage_bench/verdict.py
@@ -5,36 +5,21 @@
 from typing import TYPE_CHECKING
 
 from berylstage_sheet.configuration import Ownership
+from berylstage_standins.call_record import CallOutcome
 
-from berylstage_bench.attempts import Outcome
 from berylstage_bench.measures import Latencies, ends, longest_gap
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
     from berylstage_sheet.configuration import Configuration
+    from berylstage_standins.ledger import Findings
 
-    from berylstage_bench.attempts import Attempt, Request
-    from berylstage_bench.audit import Closure, Ledgers
+    from berylstage_bench.attempts import Request
 
 LABEL_WIDTH = 44
-
-
-class Invariant:
-    """One thing that must hold, with what broke it.
-
-    Parameters
-    ----------
-    name : str
-    broken : list of str
-        Empty when it held.
-    """
-
-    __slots__ = ("name", "broken")
-
-    def __init__(self, name: str, broken: list[str]):
-        self.name = name
-        self.broken = broken
+SHOWN_BREAKS = 3
+SHOWN_ENDS = (CallOutcome.ANSWERED, CallOutcome.NOT_RUN, CallOutcome.UNKNOWN)
 
 
 class Verdict:
@@ -44,67 +29,44 @@
     ----------
     cfg : Configuration
     requests : list of Request
-    ledgers : Ledgers
-    closures : list of Closure
+    findings : Findings
     """
 
-    def __init__(
-        self,
-        cfg: Configuration,
-        requests: list[Request],
-        ledgers: Ledgers,
-        closures: list[Closure],
-    ):
+    def __init__(self, cfg: Configuration, requests: list[Request], findings: Findings):
         self.requests = requests
-        self.attempts: list[Attempt] = [a for req in requests for a in req.attempts]
-        owned = [
-            attempt
-            for attempt in self.attempts
-            if cfg.services[attempt.service].ownership is Ownership.OWNED
-        ]
-        self.gap = longest_gap(owned)
-        wrong = [a for a in self.attempts if a.outcome is Outcome.WRONG_ANSWER]
-        closed = ledgers.in_closed(closures)
-        self.invariants = [
-            Invariant("run twice", ledgers.run_twice()),
-            Invariant("two owners", ledgers.two_owners()),
-            Invariant(
-                "work in a closed data centre after 3 s",
-                [f"{run.target}: {run.request_id}" for run in closed],
-            ),
-            Invariant("said not run, but ran", ledgers.refused_but_run(self.attempts)),
-            Invariant("answer of another request", [a.request_id for a in wrong]),
-            Invariant(
-                "answered, but in no ledger",
-                ledgers.answered_but_not_run(self.attempts),
-            ),
-        ]
+        self.findings = findings
+        self.records = [a.record for req in requests for a in req.attempts]
+        self.gap = longest_gap(
+            record
+            for record in self.records
+            if cfg.services[record.service].ownership is Ownership.OWNED
+        )
 
     @property
     def holds(self) -> bool:
         """Whether everything that must hold did."""
-        return bool(self.requests) and not any(i.broken for i in self.invariants)
+        return bool(self.requests) and self.findings.hold()
 
     def lines(self) -> Iterator[str]:
         """Yield the lines of the table."""
         counts = ends(self.requests)
         yield ""
         yield _row("requests", str(len(self.requests)))
-        for outcome in (Outcome.ANSWERED, Outcome.NOT_RUN, Outcome.UNKNOWN):
+        for outcome in SHOWN_ENDS:
             yield _row(f"  {outcome.value.replace('-', ' ')}", str(counts[outcome]))
-        yield _row("attempts, retries of callers included", str(len(self.attempts)))
+        yield _row("attempts, retries of callers included", str(len(self.records)))
         yield from self._latency_lines()
         yield _row(
             "longest time a key was unavailable",
             f"{self.gap.seconds:.2f} s ({self.gap.key})",
         )
-        for invariant in self.invariants:
-            mark = "" if not invariant.broken else f"  BROKEN: {invariant.broken[:3]}"
-            yield _row(invariant.name, f"{len(invariant.broken)}{mark}")
+        for name, broken in self.findings.broken.items():
+            yield _row(name, f"{len(broken)}{'  BROKEN' if broken else ''}")
+            yield from (f"    {sentence}" for sentence in broken[:SHOWN_BREAKS])
 
     def _latency_lines(self) -> Iterator[str]:
         """Yield p50 and p99 of the answered requests, for each kind too."""
-        answered = [r for r in self.requests if r.outcome is Outcome.ANSWERED]
+        answered = [r for r in self.requests if r.outcome is CallOutcome.ANSWERED]
         yield _latency_row("p50 and p99", answered)
         for kind in sorted({req.kind for req in answered}):
             yield _latency_row(f"  {kind}", [r for r in answered if r.kind == kind])
