Let a lapsed grant end the wait for work of a lost target

Cause: make demo (12 targets, 4 VMs) left keys of a killed target unserved for 5.06 s. An order was in work there; its leader could get no word of its end and held the shards until the order's deadline of 5 s, though the target checks fences and can give work no effect once its grant has lapsed (target-contract.md). Ruled out: detection (0.75 s after the kill) and the write of the assignment, 5 ms later. The new test fails without the change; the model stays green.

--- a/packages/ownership/src/berylstage_ownership/holdings.py
+++ b/packages/ownership/src/berylstage_ownership/holdings.py
@@ -154,10 +154,24 @@
         return notices
 
     def _held(self, now: float, lost: LostShard) -> bool:
-        """Tell whether a target may still work for a lost shard by this VM's order."""
-        if self.flights.busy(now, lost.target, lost.shard):
+        """Tell whether a target may still work for a lost shard by this VM's order.
+
+        Where the target checks fences its grant alone decides: work that goes on after
+        the grant takes no effect. The deadline of work whose end nobody can tell would
+        keep the keys of a lost target unserved for seconds more.
+        """
+        if lost.led.may_hold(now, lost.shard, lost.fence):
             return True
-        return lost.led.may_hold(now, lost.shard, lost.fence)
+        if self._checks_fences(lost.target):
+            return False
+        return self.flights.busy(now, lost.target, lost.shard)
+
+    def _checks_fences(self, target: str) -> bool:
+        """Tell whether a target checks fences; one that nobody knows does not."""
+        if self._configuration is None:
+            return False
+        known = self._configuration.targets.get(target)
+        return known is not None and known.checks_fences
 
     def _activate(self, now: float) -> list[Notice]:
         """Return notices of shards that this VM may serve from now on."""
@@ -220,8 +234,7 @@
         """
         if prior.target == target or self._configuration is None:
             return 0.0
-        known = self._configuration.targets.get(prior.target)
-        if known is not None and known.checks_fences:
+        if self._checks_fences(prior.target):
             return 0.0
         service = self._configuration.services.get(service_of(item))
         if service is None:
