--- a/packages/cli/src/berylstage_cli/http.py
+++ b/packages/cli/src/berylstage_cli/http.py
@@ -8,6 +8,7 @@
 
 from berylstage_platform.store import VmRecord
 from tornado.curl_httpclient import CurlAsyncHTTPClient
+from tornado.httpclient import HTTPError
 
 from berylstage_cli.vms import KeyOwner, UnknownKey, VmClient, VmFault, VmStatus
 
@@ -79,12 +80,12 @@
                 request_timeout=self._timeout,
                 follow_redirects=False,
             )
-        except OSError as exc:
+        except (HTTPError, OSError) as exc:
             raise VmFault(f"no answer ({exc})") from exc
         if res.code == NOT_FOUND:
             raise UnknownKey(res.body.decode(errors="replace").strip())
         if res.code != OK:
-            raise VmFault(f"no answer ({res.error or res.code})")
+            raise VmFault(f"no answer ({res.reason or res.code})")
         try:
             doc = json.loads(res.body)
         except ValueError as exc:
