--- a/packages/targets/src/berylstage_targets/target.py
+++ b/packages/targets/src/berylstage_targets/target.py
@@ -13,7 +13,8 @@
     request_id : str
         Unique per attempt; the target echoes it.
     service, kind, key : str
-    shard : int
+    shard : str
+        Name such as ``field-log/17``; empty where keys are not owned.
     fence : int
         Fence token of the shard; 0 where keys are not owned.
     epoch : int
@@ -28,6 +29,8 @@
         Seconds that the client waits at most.
     fresh_connection : bool
         Whether to open a new connection, so that no silent one can swallow it.
+    idempotency_key : str
+        Key that names the work over all attempts; empty when the caller sent none.
     """
 
     __slots__ = (
@@ -44,6 +47,7 @@
         "deadline",
         "timeout",
         "fresh_connection",
+        "idempotency_key",
     )
 
     def __init__(
@@ -52,7 +56,7 @@
         service: str,
         kind: str,
         key: str,
-        shard: int,
+        shard: str,
         fence: int,
         epoch: int,
         method: str,
@@ -61,6 +65,7 @@
         deadline: float,
         timeout: float,
         fresh_connection: bool = False,
+        idempotency_key: str = "",
     ):
         self.request_id = request_id
         self.service = service
@@ -75,6 +80,7 @@
         self.deadline = deadline
         self.timeout = timeout
         self.fresh_connection = fresh_connection
+        self.idempotency_key = idempotency_key
 
 
 class WorkAnswer:
@@ -233,8 +239,14 @@
         """
 
     @abstractmethod
-    async def cancel(self, request_id: str) -> None:
-        """Ask the target to drop a request that nobody waits for any more."""
+    async def cancel(self, request_id: str) -> bool:
+        """Ask the target to drop a request that nobody waits for any more.
+
+        Returns
+        -------
+        bool
+            Whether the target confirmed that it works on it no more.
+        """
 
     @abstractmethod
     async def report(self, timeout: float) -> LoadReport:
