--- a/packages/cli/src/berylstage_cli/connections.py
+++ b/packages/cli/src/berylstage_cli/connections.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from time import monotonic
 
+from berylstage_platform.http import HttpStore, HttpVmList
 from berylstage_platform.store import Store, VmList
 
 from berylstage_cli.http import HttpVmClient
@@ -65,8 +66,6 @@
     Connections
         Nothing is sent before the first call.
     """
-    from berylstage_platform.http import HttpStore, HttpVmList
-
     return Connections(
         HttpStore(cfg.platform, cfg.store_timeout),
         HttpVmList(cfg.platform, cfg.store_timeout),
--- a/packages/cli/tests/test_publication.py
+++ b/packages/cli/tests/test_publication.py
@@ -8,7 +8,7 @@
 from berylstage_cli.errors import RevisionConflict, StoreUnreachable, UnsettledWrite
 from berylstage_cli.history import HISTORY_KEY, MAX_REVISIONS
 from berylstage_cli.publication import Publisher
-from berylstage_sheet.configuration import CONFIGURATION_KEY, DataCentreState
+from berylstage_sheet.configuration import CONFIGURATION_KEY
 
 CLOSED = ("south,open", "south,closed")
 FASTER = ("no,5000", "no,4000")
@@ -122,19 +122,22 @@
         assert accepted.cfg.revision == 2
         assert accepted.superseded_by.revision == 3
 
-    def test_another_sheet_instead(self, publisher, base, configuration, store):
+    @pytest.mark.parametrize("others", [[(CLOSED,)], [(CLOSED,), ()]])
+    def test_another_sheet_instead(self, publisher, base, configuration, store, others):
         # The write is lost before it takes effect, and a second operator's sheet is
-        # accepted. Writing again blindly would undo that operator's change.
+        # accepted, or two of them. Writing again blindly would undo their changes,
+        # and taking theirs for ours would tell an untruth.
         async def meanwhile():
-            await publish_on_top(publisher, configuration(CLOSED))
-            await publish_on_top(publisher, configuration())
+            for changes in others:
+                await publish_on_top(publisher, configuration(*changes))
 
         store.meanwhile = meanwhile
         store.write_faults[CONFIGURATION_KEY] = [store.Fault.LOST_BEFORE_EFFECT]
         with pytest.raises(RevisionConflict) as caught:
             asyncio.run(publisher.publish(configuration(FASTER), base, []))
-        assert caught.value.winner.revision == 3
-        assert store.configuration().data_centres["south"].state is DataCentreState.OPEN
+        assert caught.value.winner.revision == 1 + len(others)
+        kind = store.configuration().services["orders"].kinds["place"]
+        assert kind.deadline_ms == 5000
 
     def test_store_stays_silent(self, publisher, base, configuration, store):
         # The store takes the write and is then down for longer than the client
