Let the number of shards change, read the daemon's refusals

The assignment divides the keys of a service anew with new fence tokens, so that a changed number of shards needs no second service. The daemon's status tells the time left of a lease, 0 for none, and refuses unknown owners with a JSON error.

--- a/packages/cli/src/berylstage_cli/http.py
+++ b/packages/cli/src/berylstage_cli/http.py
@@ -83,7 +83,7 @@
         except (HTTPError, OSError) as exc:
             raise VmFault(f"no answer ({exc})") from exc
         if res.code == NOT_FOUND:
-            raise UnknownKey(res.body.decode(errors="replace").strip())
+            raise UnknownKey(_error_text(res.body))
         if res.code != OK:
             raise VmFault(f"no answer ({res.reason or res.code})")
         try:
@@ -93,3 +93,11 @@
         if not isinstance(doc, dict):
             raise VmFault("its answer is no JSON object")
         return doc
+
+
+def _error_text(body: bytes) -> str:
+    """Return what a VM says about its refusal."""
+    try:
+        return str(json.loads(body)["error"])
+    except (KeyError, TypeError, ValueError):
+        return body.decode(errors="replace").strip()
--- a/packages/cli/src/berylstage_cli/view_commands.py
+++ b/packages/cli/src/berylstage_cli/view_commands.py
@@ -116,8 +116,8 @@
                 return OwnerReport(await conns.vms.owner(record, service, key))
             except UnknownKey as exc:
                 raise NoVmAnswers(
-                    f"{record.name} knows no service {service} ({exc}); `berylstage "
-                    "show` lists the services"
+                    f"{record.name} names no owner: {exc}; `berylstage show` lists the "
+                    "services"
                 ) from exc
             except VmFault as exc:
                 problems.append(f"{record.name}: {exc}")
--- a/packages/cli/src/berylstage_cli/view_reports.py
+++ b/packages/cli/src/berylstage_cli/view_reports.py
@@ -143,7 +143,7 @@
         vm.data_centre,
         str(status.configuration_revision),
         "yes" if status.ready else "no",
-        "no" if status.lease_until_ms is None else "yes",
+        "yes" if status.lease_until_ms else "no",
         str(status.targets),
         vm.problem,
     ]
--- a/packages/cli/src/berylstage_cli/vms.py
+++ b/packages/cli/src/berylstage_cli/vms.py
@@ -12,7 +12,7 @@
 
 
 class UnknownKey(VmFault):
-    """A VM answered that it knows no such service."""
+    """A VM answered that it knows no such service, or no owner of the key."""
 
 
 class VmStatus:
@@ -28,7 +28,7 @@
     ready : bool
         Whether the VM takes requests from callers.
     lease_until_ms : int or None
-        End of its lease; None when it holds none.
+        Time left of its lease, in milliseconds; 0 or None when it holds none.
     targets : int
         Number of targets that it leads.
     """
@@ -114,7 +114,7 @@
         Raises
         ------
         UnknownKey
-            The VM knows no such service.
+            The VM knows no such service, or no owner of the key.
         """
 
     async def close(self) -> None:
--- a/packages/sheet/src/berylstage_sheet/columns.py
+++ b/packages/sheet/src/berylstage_sheet/columns.py
@@ -125,7 +125,8 @@
             "shards",
             IntegerCell(1, MAX_SHARDS),
             "Number of hash ranges that the keys are divided into; with owned keys at "
-            "least one for each target, better 32. Fixed once the service exists.",
+            "least one for each target, better 32. Changing it hands every key of the "
+            "service over once.",
         ),
     ),
 )
--- a/packages/sheet/src/berylstage_sheet/transition.py
+++ b/packages/sheet/src/berylstage_sheet/transition.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterator
 
 from berylstage_sheet.columns import SERVICES, TARGETS, Section
-from berylstage_sheet.configuration import Configuration, Ownership
+from berylstage_sheet.configuration import Configuration
 from berylstage_sheet.errors import FaultySheet, TransitionFault
 from berylstage_sheet.reader import Sheet
 
@@ -15,8 +15,9 @@
 
     A revision reaches the VMs one after the other, within seconds. Until the last one
     has it, two VMs act on different revisions. Leases and fence tokens keep a shard's
-    owner single meanwhile, but only as long as both revisions mean the same keys by
-    the shard's number and the same server by the target's name.
+    owner single meanwhile, but only as long as both revisions mean the same server by
+    the target's name and agree that the key has an owner. The number of shards may
+    change: the assignment divides the keys anew, with new fence tokens.
 
     Parameters
     ----------
@@ -40,9 +41,9 @@
     """Yield the changes of services that cannot be made in place."""
     for name, service in sheet.cfg.services.items():
         old = before.services.get(name)
-        if old is None:
-            continue
-        if old.ownership is not service.ownership:
+        # A VM that still takes the keys for free sends them to any target, while one
+        # that takes them for owned has already given them to a single one.
+        if old is not None and old.ownership is not service.ownership:
             yield _fault(
                 sheet,
                 SERVICES,
@@ -51,17 +52,6 @@
                 f"{name} exists with keys {old.ownership.value}",
                 "add a service under a new name, move its callers, remove the old one",
             )
-        elif service.ownership is Ownership.OWNED and old.shards != service.shards:
-            # Shard 3 of 64 and shard 3 of 128 hold different keys: while both counts
-            # are in force, one key belongs to two shards with an owner each.
-            yield _fault(
-                sheet,
-                SERVICES,
-                name,
-                "shards",
-                f"{name} exists with {old.shards} shards",
-                f"keep {old.shards}, or add a service under a new name",
-            )
 
 
 def _targets(before: Configuration, sheet: Sheet) -> Iterator[TransitionFault]:
--- a/packages/sheet/tests/test_difference.py
+++ b/packages/sheet/tests/test_difference.py
@@ -9,6 +9,7 @@
 PRICES_1 = "prices-1,prices,10.0.0.3:80,north,2,120,no,active\n"
 PRICES_2 = "prices-2,prices,10.0.0.4:80,north,2,120,no,active\n"
 CHANGES = [
+    (("owned,16", "owned,32"), 2, "service orders: shards 16 -> 32"),
     (("south,closed", "south,open"), 2, "data centre south: state closed -> open"),
     (("no,leaving", "no,active"), 2, "target orders-2: state leaving -> active"),
     (("south,joining", "south,active"), 2, "VM south-1: state joining -> active"),
