--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PY := $(VENV)/bin/python
 PACKAGES := sheet policy messages transfers ownership platform targets daemon cli standins bench
 
-.PHONY: help install format format-check lint types imports test check
+.PHONY: help install format format-check lint types imports tables test check
 
 help:  ## list the targets
 	@grep -hE '^[a-z-]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*##/\t/' | sort
@@ -31,6 +31,9 @@
 imports:  ## check that no import crosses packages the wrong way
 	$(PY) tools/check_imports.py
 
+tables:  ## write the pages' tables from the code
+	$(PY) tools/write_tables.py
+
 test:  ## run the tests
 	$(PY) -m pytest
 
