--- a/packages/cli/src/berylstage_cli/view_commands.py
+++ b/packages/cli/src/berylstage_cli/view_commands.py
@@ -115,10 +115,7 @@
             try:
                 return OwnerReport(await conns.vms.owner(record, service, key))
             except UnknownKey as exc:
-                raise NoVmAnswers(
-                    f"{record.name} names no owner: {exc}; `berylstage show` lists the "
-                    "services"
-                ) from exc
+                raise NoVmAnswers(f"{record.name} names no owner: {exc}") from exc
             except VmFault as exc:
                 problems.append(f"{record.name}: {exc}")
         raise NoVmAnswers(
