--- a/packages/cli/src/berylstage_cli/rollout.py
+++ b/packages/cli/src/berylstage_cli/rollout.py
@@ -86,7 +86,9 @@
         return bool(self.in_force) and not self.missing and not self.problem
 
 
-async def look(conns: Connections, cfg: Configuration) -> Rollout:
+async def look(
+    conns: Connections, cfg: Configuration, before: Rollout | None = None
+) -> Rollout:
     """Ask every VM once.
 
     Parameters
@@ -94,6 +96,10 @@
     conns : Connections
     cfg : Configuration
         The accepted configuration.
+    before : Rollout, optional
+        Who had the revision in force already. These VMs are not asked again, as
+        none goes back; with thousands of VMs, a few late ones would otherwise
+        cost thousands of calls each time.
 
     Returns
     -------
@@ -106,9 +112,12 @@
             cfg.revision, [], [], f"the list of VMs could not be read: {exc}"
         )
     limit = Semaphore(MAX_CALLS)
-    found = await gather(*(_ask(conns, limit, r, cfg.revision) for r in records))
-    vms = [vm for vm in found if vm is not None]
     listed = {record.name for record in records}
+    done = {vm.name: vm for vm in before.vms if not vm.problem} if before else {}
+    asked = [record for record in records if record.name not in done]
+    found = await gather(*(_ask(conns, limit, r, cfg.revision) for r in asked))
+    vms = [vm for name, vm in done.items() if name in listed]
+    vms += [vm for vm in found if vm is not None]
     unlisted = [
         vm.name
         for vm in cfg.vms.values()
@@ -137,8 +146,9 @@
     """
     end = conns.clock() + timeout
     pause = FIRST_PAUSE
+    rollout = None
     while True:
-        rollout = await look(conns, cfg)
+        rollout = await look(conns, cfg, rollout)
         left = end - conns.clock()
         if rollout.complete or left <= 0:
             return rollout
--- a/packages/sheet/src/berylstage_sheet/columns.py
+++ b/packages/sheet/src/berylstage_sheet/columns.py
@@ -61,6 +61,8 @@
     ----------
     name : str
         As it stands in the section's own row.
+    subject : str
+        What one of its rows is about.
     meaning : str
         One sentence for the operators' pages.
     columns : tuple of Column
@@ -71,17 +73,19 @@
         Whether the sheet must have the section, with at least one row.
     """
 
-    __slots__ = ("name", "meaning", "columns", "identity", "required")
+    __slots__ = ("name", "subject", "meaning", "columns", "identity", "required")
 
     def __init__(
         self,
         name: str,
+        subject: str,
         meaning: str,
         columns: tuple[Column, ...],
         identity: int = 1,
         required: bool = True,
     ):
         self.name = name
+        self.subject = subject
         self.meaning = meaning
         self.columns = columns
         self.identity = identity
@@ -97,6 +101,7 @@
 
 SHEET = Section(
     "sheet",
+    "property",
     "What the sheet says of itself; `berylstage export` writes it.",
     (
         Column("property", TextCell(), f"`{BASED_ON}` or `{AUTHOR}`."),
@@ -111,6 +116,7 @@
 )
 SERVICES = Section(
     "services",
+    "service",
     "Each service that callers reach.",
     (
         Column("service", NameCell(), "Name, as it stands in callers' URLs."),
@@ -132,6 +138,7 @@
 )
 KINDS = Section(
     "kinds",
+    "kind",
     "Each kind of request of a service; kinds that are not listed are refused.",
     (
         Column("service", NameCell(), "Service that the kind belongs to."),
@@ -158,6 +165,7 @@
 )
 DATA_CENTRES = Section(
     "data centres",
+    "data centre",
     "Each data centre, and whether it takes work.",
     (
         Column("data centre", NameCell(), "Name."),
@@ -170,6 +178,7 @@
 )
 VMS = Section(
     "VMs",
+    "VM",
     "Each entry VM that runs the daemon.",
     (
         Column("VM", NameCell(), "Name, as the platform lists it."),
@@ -183,6 +192,7 @@
 )
 TARGETS = Section(
     "targets",
+    "target",
     "Each target behind the router.",
     (
         Column(
@@ -217,6 +227,7 @@
 )
 KEYS = Section(
     "keys",
+    "key",
     "Keys with special care: each is a shard of its own.",
     (
         Column("service", NameCell(), "Service of the key."),
@@ -234,6 +245,7 @@
 )
 THRESHOLDS = Section(
     "thresholds",
+    "threshold",
     "Overrides of the policy's thresholds.",
     (
         Column("name", ThresholdCell(), "Name of the threshold."),
--- a/packages/sheet/src/berylstage_sheet/difference.py
+++ b/packages/sheet/src/berylstage_sheet/difference.py
@@ -69,15 +69,8 @@
         """What the row is about, in words."""
         return " ".join(self.identity)
 
-    @property
-    def subject(self) -> str:
-        """What kind of thing the row is about."""
-        if self.section in (KINDS, KEYS):
-            return self.section.columns[1].name
-        return self.section.columns[0].name
-
     def __str__(self) -> str:
-        return f"{self.subject} {self.name}: {self.detail}"
+        return f"{self.section.subject} {self.name}: {self.detail}"
 
 
 class Added(Change):
