Read settings in one place; check a sheet's thresholds before it is accepted

Cause: two tables of settings had grown with the same machinery twice; and a mistyped threshold in an accepted sheet raised inside every VM's adoption of the revision, so that nothing else of the sheet took hold. Ruled out: dropping the override silently. Change: a settings package for both binaries; the command line refuses unusable thresholds with their cell; a VM that meets one logs it and keeps the defaults; tables of the daemon's settings, metrics and thresholds are generated and checked.

--- a/packages/cli/src/berylstage_cli/command.py
+++ b/packages/cli/src/berylstage_cli/command.py
@@ -10,6 +10,7 @@
 from collections.abc import Iterable
 from pathlib import Path
 
+from berylstage_settings.errors import FaultySettings
 from berylstage_sheet.errors import FaultySheet
 from berylstage_sheet.reader import Sheet, read_sheet
 from cleo.commands.command import Command
@@ -17,10 +18,11 @@
 from cleo.io.outputs.output import Type
 
 from berylstage_cli.connections import Connections, Connector
-from berylstage_cli.errors import FaultySettings, FileFault, OperatorError
+from berylstage_cli.errors import BadSetting, FileFault, OperatorError
 from berylstage_cli.exit_codes import ExitCode
 from berylstage_cli.reports import ErrorReport, FaultsReport, Report
 from berylstage_cli.settings import SETTINGS, Settings, read_settings
+from berylstage_cli.thresholds import check_thresholds
 
 STANDARD_STREAM = "-"
 JSON_OPTION = option("json", None, "print one JSON document")
@@ -47,7 +49,7 @@
         except OperatorError as exc:
             report = ErrorReport([exc])
         except FaultySettings as exc:
-            report = ErrorReport(exc.faults)
+            report = ErrorReport([BadSetting(str(fault)) for fault in exc.faults])
         except KeyboardInterrupt:
             return ExitCode.INTERRUPTED
         self._print(report)
@@ -68,12 +70,18 @@
         """
 
     def read_sheet(self) -> Sheet:
-        """Read the sheet that the command line names; ``-`` is standard input."""
+        """Read and check the sheet that is named; ``-`` is standard input."""
+        sheet = read_sheet(self._sheet_bytes())
+        check_thresholds(sheet)
+        return sheet
+
+    def _sheet_bytes(self) -> bytes:
+        """Return the content of the sheet."""
         name = self.argument("sheet")
         try:
             if name == STANDARD_STREAM:
-                return read_sheet(sys.stdin.buffer.read())
-            return read_sheet(Path(name).read_bytes())
+                return sys.stdin.buffer.read()
+            return Path(name).read_bytes()
         except OSError as exc:
             raise FileFault(
                 f"{name} cannot be read ({exc.strerror}); name the CSV file that the "
--- a/packages/cli/src/berylstage_cli/errors.py
+++ b/packages/cli/src/berylstage_cli/errors.py
@@ -13,21 +13,12 @@
     exit_code = ExitCode.DEFECT
 
 
-class SettingFault(OperatorError):
-    """A setting is missing or cannot be read."""
+class BadSetting(OperatorError):
+    """A setting is missing or cannot be used."""
 
     exit_code = ExitCode.USAGE
 
 
-class FaultySettings(ExceptionGroup[SettingFault]):
-    """All settings that cannot be used."""
-
-    @property
-    def faults(self) -> list[SettingFault]:
-        """The faults themselves; no group holds another one."""
-        return [exc for exc in self.exceptions if isinstance(exc, SettingFault)]
-
-
 class FileFault(OperatorError):
     """A file cannot be read or written."""
 
--- a/packages/daemon/src/berylstage_daemon/command.py
+++ b/packages/daemon/src/berylstage_daemon/command.py
@@ -6,6 +6,7 @@
 import os
 import sys
 
+from berylstage_settings.errors import FaultySettings
 from cleo.application import Application as Console
 from cleo.commands.command import Command
 from cleo.helpers import option
@@ -23,15 +24,16 @@
     name = "run"
     description = "Run the daemon until SIGTERM"
     options = [
-        option(s.name, None, f"{s.text} [{s.variable}]", flag=False) for s in SETTINGS
+        option(s.name, None, f"{s.meaning} [{s.variable}]", flag=False)
+        for s in SETTINGS
     ] + [option("check-settings", None, "check the settings and do nothing else")]
 
     def handle(self) -> int:
         """Check the settings and run."""
         try:
             cfg = self._settings()
-        except ExceptionGroup as group:
-            for exc in group.exceptions:
+        except FaultySettings as group:
+            for exc in group.faults:
                 self.line_error(str(exc))
             return EXIT_BAD_SETTINGS
         if self.option("check-settings"):
--- a/packages/daemon/src/berylstage_daemon/config.py
+++ b/packages/daemon/src/berylstage_daemon/config.py
@@ -2,184 +2,79 @@
 
 from __future__ import annotations
 
-import ipaddress
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
-from berylstage_daemon.errors import SettingError
+from berylstage_settings.parsers import (
+    parse_address,
+    parse_choice,
+    parse_name,
+    parse_seconds,
+    parse_size,
+)
+from berylstage_settings.setting import Setting, fill
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Mapping
+    from collections.abc import Mapping
 
-ENVIRONMENT_PREFIX = "BERYLSTAGE_"
-REQUIRED = object()
-
-
-def parse_address(text: str) -> str:
-    """Return ``ip:port`` after a check.
-
-    Parameters
-    ----------
-    text : str
-
-    Returns
-    -------
-    str
-
-    Raises
-    ------
-    ValueError
-        The text is no IP number with a port.
-    """
-    host, _, port = text.rpartition(":")
-    ipaddress.ip_address(host.strip("[]"))
-    if not 0 < int(port) < 65536:
-        raise ValueError(f"port {port} is outside 1 to 65535")
-    return text
-
-
-def parse_name(text: str) -> str:
-    """Return a name of letters, digits and dashes after a check."""
-    if not text or not text.replace("-", "").isalnum():
-        raise ValueError("a name has letters, digits and dashes only")
-    return text
-
-
-def parse_positive(text: str) -> float:
-    """Return a positive number after a check."""
-    value = float(text)
-    if not 0 < value < 1e9:
-        raise ValueError("the number must be positive")
-    return value
-
-
-def parse_request_log(text: str) -> str:
-    """Return which requests are logged, after a check."""
-    if text not in ("all", "failed", "none"):
-        raise ValueError("unknown choice")
-    return text
-
-
-class Setting:
-    """One setting of the daemon.
-
-    Parameters
-    ----------
-    name : str
-        Name of the flag; the environment variable is derived from it.
-    parse : callable
-        Makes the value from text; raises ValueError.
-    default : str or None or REQUIRED
-        Text that is parsed when the setting is not given.
-    text : str
-        What it is for, for ``--help`` and the operators' pages.
-    remedy : str
-        What to do when the value is wrong.
-    """
-
-    __slots__ = ("name", "parse", "default", "text", "remedy")
-
-    def __init__(
-        self,
-        name: str,
-        parse: Callable[[str], Any],
-        default: Any,
-        text: str,
-        remedy: str,
-    ):
-        self.name = name
-        self.parse = parse
-        self.default = default
-        self.text = text
-        self.remedy = remedy
-
-    @property
-    def attribute(self) -> str:
-        """Name of the attribute of :class:`Settings`."""
-        return self.name.replace("-", "_")
-
-    @property
-    def variable(self) -> str:
-        """Name of the environment variable."""
-        return ENVIRONMENT_PREFIX + self.attribute.upper()
-
-
-ADDRESS_REMEDY = "give an IP number and a port, such as 127.0.0.1:8080"
-NAME_REMEDY = "give a name of letters, digits and dashes, as it stands in the sheet"
-NUMBER_REMEDY = "give a positive number"
-
-SETTINGS = [
-    Setting("vm", parse_name, REQUIRED, "name of this VM in the sheet", NAME_REMEDY),
+SETTINGS = (
+    Setting("vm", parse_name, "name of this VM in the sheet", required=True),
     Setting(
-        "data-centre",
-        parse_name,
-        REQUIRED,
-        "data centre this VM stands in",
-        NAME_REMEDY,
+        "data-centre", parse_name, "data centre that this VM stands in", required=True
     ),
     Setting(
         "http",
         parse_address,
-        "127.0.0.1:8080",
-        "address for callers and the status page",
-        ADDRESS_REMEDY,
+        "address for callers and the status page, ip:port",
+        default="127.0.0.1:8080",
     ),
     Setting(
         "peer",
         parse_address,
-        "127.0.0.1:8081",
-        "address for other VMs",
-        ADDRESS_REMEDY,
+        "address for other VMs, ip:port",
+        default="127.0.0.1:8081",
     ),
     Setting(
         "platform",
         parse_address,
-        REQUIRED,
-        "address of the platform's service",
-        ADDRESS_REMEDY,
+        "address of the platform's service, ip:port",
+        required=True,
     ),
     Setting(
         "cell",
         parse_name,
-        "cell-1",
         "cell whose assignment this VM takes part in",
-        NAME_REMEDY,
+        default="cell-1",
     ),
     Setting(
         "statsd",
         parse_address,
-        None,
-        "address of the statsd server; no metrics are sent without it",
-        ADDRESS_REMEDY,
+        "address of the statsd server, ip:port; without it no metrics are sent",
     ),
     Setting(
         "body-limit",
-        parse_positive,
-        "1000000",
-        "bytes of the largest body, of a request or an answer",
-        NUMBER_REMEDY,
+        parse_size,
+        "largest body of a request, in bytes",
+        default="1000000",
     ),
     Setting(
         "shutdown-limit",
-        parse_positive,
-        "30",
-        "seconds that a graceful shutdown takes at most",
-        NUMBER_REMEDY,
+        parse_seconds,
+        "longest time of a graceful shutdown, in seconds",
+        default="30",
     ),
     Setting(
         "store-timeout",
-        parse_positive,
-        "1",
-        "seconds to wait for one call of the store",
-        NUMBER_REMEDY,
+        parse_seconds,
+        "longest wait for one call of the store, in seconds",
+        default="1",
     ),
     Setting(
         "request-log",
-        parse_request_log,
-        "failed",
-        "which requests are logged: all, failed or none",
-        "give all, failed or none",
+        parse_choice("all", "failed", "none"),
+        "choice of requests that are logged: all, failed or none",
+        default="failed",
     ),
-]
+)
 
 
 class Settings:
@@ -194,7 +89,7 @@
     platform: str
     cell: str
     statsd: str | None
-    body_limit: float
+    body_limit: int
     shutdown_limit: float
     store_timeout: float
     request_log: str
@@ -216,36 +111,7 @@
 
     Raises
     ------
-    ExceptionGroup
-        Of :class:`SettingError`, one for each fault.
+    FaultySettings
+        All faults at once.
     """
-    cfg = Settings()
-    faults = []
-    for setting in SETTINGS:
-        text = flags.get(setting.name) or env.get(setting.variable)
-        try:
-            setattr(cfg, setting.attribute, _value(setting, text))
-        except SettingError as exc:
-            faults.append(exc)
-    if faults:
-        raise ExceptionGroup("the settings cannot be used", faults)
-    return cfg
-
-
-def _value(setting: Setting, text: str | None) -> Any:
-    """Return the value of one setting from its text or its default."""
-    if text is None:
-        text = setting.default
-    if text is REQUIRED:
-        raise SettingError(
-            setting.name,
-            "is not set",
-            f"give the flag or {setting.variable}: {setting.text}",
-        )
-    if text is None:
-        return None
-    try:
-        return setting.parse(text)
-    except ValueError as exc:
-        fault = f"{text!r} cannot be used ({exc})"
-        raise SettingError(setting.name, fault, setting.remedy) from exc
+    return fill(Settings(), SETTINGS, flags, env)
--- a/packages/daemon/src/berylstage_daemon/errors.py
+++ b/packages/daemon/src/berylstage_daemon/errors.py
@@ -7,24 +7,6 @@
     """Any fault of the daemon; the message names the remedy."""
 
 
-class SettingError(DaemonError):
-    """A setting that cannot be used.
-
-    Parameters
-    ----------
-    flag : str
-        Name of the flag, without dashes.
-    fault : str
-        What is wrong.
-    remedy : str
-        What to do.
-    """
-
-    def __init__(self, flag: str, fault: str, remedy: str):
-        super().__init__(f"--{flag}: {fault}; {remedy}")
-        self.flag = flag
-
-
 class RequestError(DaemonError):
     """A caller's request that cannot be understood and did not run.
 
--- a/packages/daemon/src/berylstage_daemon/leaders.py
+++ b/packages/daemon/src/berylstage_daemon/leaders.py
@@ -16,6 +16,7 @@
 from berylstage_daemon.leader import Leader
 from berylstage_daemon.once import Once
 from berylstage_daemon.part import Part
+from berylstage_daemon.thresholds import thresholds_of
 
 if TYPE_CHECKING:
     from berylstage_ownership.actions import ShardActivated
@@ -222,7 +223,7 @@
 
     def _configured(self, cfg: Configuration) -> None:
         """Take in new slots and thresholds."""
-        self._thresholds = Thresholds(cfg.thresholds)
+        self._thresholds = thresholds_of(cfg)
         for name, leader in self._leaders.items():
             if name in cfg.targets:
                 leader.set_slots(cfg.targets[name].slots)
--- a/packages/daemon/src/berylstage_daemon/load.py
+++ b/packages/daemon/src/berylstage_daemon/load.py
@@ -8,11 +8,11 @@
 from berylstage_messages.load_pb2 import HotKeys as HotKeyChange
 from berylstage_messages.load_pb2 import LoadDigest, ShardLoad
 from berylstage_policy.hotkeys import HotKeys, KeySketch
-from berylstage_policy.thresholds import Thresholds
 from berylstage_sheet.configuration import Ownership
 
 from berylstage_daemon.clock import now
 from berylstage_daemon.part import Part
+from berylstage_daemon.thresholds import thresholds_of
 
 if TYPE_CHECKING:
     from berylstage_sheet.configuration import Configuration
@@ -102,7 +102,7 @@
 
     def _configured(self, cfg: Configuration) -> None:
         """Take in the owned services, their slots and the thresholds."""
-        thresholds = Thresholds(cfg.thresholds)
+        thresholds = thresholds_of(cfg)
         for service in cfg.services.values():
             slots = [target.slots for target in cfg.targets_of(service.name)]
             if service.ownership is Ownership.OWNED and slots:
--- a/packages/daemon/src/berylstage_daemon/planner.py
+++ b/packages/daemon/src/berylstage_daemon/planner.py
@@ -9,6 +9,8 @@
 from berylstage_policy.placement import plan
 from berylstage_policy.thresholds import Thresholds
 
+from berylstage_daemon.thresholds import thresholds_of
+
 if TYPE_CHECKING:
     from berylstage_policy.placement import Holding, Move, Place
     from berylstage_sheet.configuration import Configuration
@@ -27,7 +29,7 @@
         ----------
         cfg : Configuration
         """
-        self._thresholds = Thresholds(cfg.thresholds)
+        self._thresholds = thresholds_of(cfg)
 
     def plan(
         self,
--- a/packages/daemon/src/berylstage_daemon/router.py
+++ b/packages/daemon/src/berylstage_daemon/router.py
@@ -16,6 +16,7 @@
 from berylstage_daemon.answers import Answer, Outcome, not_run
 from berylstage_daemon.clock import now
 from berylstage_daemon.forwarding import forward
+from berylstage_daemon.thresholds import thresholds_of
 
 if TYPE_CHECKING:
     from berylstage_sheet.configuration import Configuration
@@ -175,7 +176,7 @@
 
     def _configured(self, cfg: Configuration) -> None:
         """Take in services, targets and thresholds."""
-        self._thresholds = Thresholds(cfg.thresholds)
+        self._thresholds = thresholds_of(cfg)
         for name in cfg.services:
             if name not in self._retries:
                 self._retries[name] = RetryPolicy(self._thresholds, self._rng)
--- a/packages/daemon/tests/test_config.py
+++ b/packages/daemon/tests/test_config.py
@@ -4,7 +4,7 @@
 
 import pytest
 from berylstage_daemon.config import SETTINGS, read_settings
-from berylstage_daemon.errors import SettingError
+from berylstage_settings.errors import FaultySettings
 
 GOOD = {"vm": "almaty-a-1", "data-centre": "almaty-a", "platform": "127.0.0.1:9000"}
 
@@ -38,18 +38,18 @@
     def test_bad_value_names_flag_and_remedy(self, name, text):
         # Somebody mistypes a setting of a new VM. Without the check the daemon would
         # start and fail at the first request that needs the setting.
-        with pytest.raises(ExceptionGroup) as caught:
+        with pytest.raises(FaultySettings) as caught:
             read_settings({**GOOD, name: text}, {})
-        (fault,) = caught.value.exceptions
-        assert isinstance(fault, SettingError)
-        assert fault.flag == name
-        remedy = next(s.remedy for s in SETTINGS if s.name == name)
-        assert remedy in str(fault)
+        (fault,) = caught.value.faults
+        assert fault.name == name
+        assert "use " in str(fault)
+        meaning = next(s.meaning for s in SETTINGS if s.name == name)
+        assert meaning in str(fault)
 
     def test_all_faults_are_reported_at_once(self):
         # A new VM lacks several settings. Reported one by one, each would cost the
         # person who sets it up another start.
-        with pytest.raises(ExceptionGroup) as caught:
+        with pytest.raises(FaultySettings) as caught:
             read_settings({"http": "x"}, {})
-        flags = {fault.flag for fault in caught.value.exceptions}
+        flags = {fault.name for fault in caught.value.faults}
         assert flags == {"vm", "data-centre", "platform", "http"}
--- /dev/null
+++ b/packages/settings/src/berylstage_settings/__init__.py
@@ -0,0 +1,1 @@
+"""Settings from flags and environment variables, checked."""
--- /dev/null
+++ b/packages/settings/src/berylstage_settings/parsers.py
@@ -0,0 +1,96 @@
+"""Checks of the text of a setting, each returning the value."""
+
+from __future__ import annotations
+
+from ipaddress import ip_address
+
+MAX_PORT = 65535
+MAX_SECONDS = 3600.0
+
+
+def parse_address(text: str) -> str:
+    """Return ``ip:port``; names are not looked up.
+
+    Raises
+    ------
+    ValueError
+        The text is no IP number with a port.
+    """
+    host, _, port = text.rpartition(":")
+    try:
+        ip_address(host.removeprefix("[").removesuffix("]"))
+    except ValueError:
+        raise ValueError(
+            "use an IP number and a port, such as 127.0.0.1:8080"
+        ) from None
+    if not port.isdecimal() or not 1 <= int(port) <= MAX_PORT:
+        raise ValueError(f"use a port from 1 to {MAX_PORT}")
+    return text
+
+
+def parse_name(text: str) -> str:
+    """Return a name of letters, digits and dashes.
+
+    Raises
+    ------
+    ValueError
+        It holds something else.
+    """
+    if not text.replace("-", "").isalnum():
+        raise ValueError("use letters, digits and dashes only, as in the sheet")
+    return text
+
+
+def parse_seconds(text: str) -> float:
+    """Return a number of seconds.
+
+    Raises
+    ------
+    ValueError
+        It is no number in range.
+    """
+    value = _number(text)
+    if not 0 <= value <= MAX_SECONDS:
+        raise ValueError(f"use 0 to {MAX_SECONDS:.0f} seconds")
+    return value
+
+
+def parse_size(text: str) -> int:
+    """Return a number of bytes.
+
+    Raises
+    ------
+    ValueError
+        It is no whole number above zero.
+    """
+    if not text.isdecimal() or int(text) < 1:
+        raise ValueError("use a whole number of bytes, at least 1")
+    return int(text)
+
+
+def parse_choice(*choices: str):
+    """Return a parser that takes one of some words.
+
+    Parameters
+    ----------
+    *choices : str
+
+    Returns
+    -------
+    callable
+    """
+
+    def parse(text: str) -> str:
+        if text not in choices:
+            raise ValueError(f"use {', '.join(choices[:-1])} or {choices[-1]}")
+        return text
+
+    return parse
+
+
+def _number(text: str) -> float:
+    """Return a number, or raise an error that says what to do."""
+    try:
+        return float(text)
+    except ValueError:
+        raise ValueError("use a number") from None
--- a/tools/check_imports.py
+++ b/tools/check_imports.py
@@ -11,6 +11,7 @@
 # Each package and those it may import. The product never imports the stand-ins or
 # the bench: a daemon that needed them could not run on an entry VM.
 ALLOWED = {
+    "settings": set(),
     "sheet": set(),
     "policy": set(),
     "messages": set(),
@@ -18,8 +19,9 @@
     "transfers": set(),
     "platform": {"transfers"},
     "targets": {"transfers"},
-    "daemon": {"sheet", "policy", "messages", "ownership", "platform", "targets"},
-    "cli": {"sheet", "platform", "ownership"},
+    "daemon": {"settings", "sheet", "policy", "messages", "ownership"}
+    | {"platform", "targets"},
+    "cli": {"settings", "sheet", "platform", "policy"},
     "standins": {"sheet", "platform", "targets", "transfers"},
     "bench": {"sheet", "policy", "messages", "ownership", "platform", "targets"}
     | {"standins", "daemon", "transfers"},
--- a/tools/write_tables.py
+++ b/tools/write_tables.py
@@ -11,6 +11,9 @@
 from berylstage_cli.application import OperatorApplication
 from berylstage_cli.exit_codes import MEANINGS
 from berylstage_cli.settings import SETTINGS
+from berylstage_daemon.config import SETTINGS as DAEMON_SETTINGS
+from berylstage_daemon.metrics import METRICS
+from berylstage_policy.threshold_table import TABLE as THRESHOLDS
 from berylstage_sheet.columns import SECTIONS, Column, Section
 
 ROOT = Path(__file__).resolve().parent.parent
@@ -97,7 +100,40 @@
         yield from markdown(["flag", "variable", "default", "meaning"], rows)
 
 
+class MetricTable(TableSource):
+    """The metrics that the daemon sends."""
+
+    def lines(self) -> Iterator[str]:
+        """Yield a row for each metric."""
+        rows = ([f"`{name}`", meaning] for name, meaning in METRICS.items())
+        yield from markdown(["metric", "meaning"], rows)
+
+
+class ThresholdTable(TableSource):
+    """The named thresholds of the decisions under load."""
+
+    def lines(self) -> Iterator[str]:
+        """Yield a row for each threshold."""
+        rows = (
+            [
+                f"`{row.name}`",
+                f"{row.default:g}",
+                row.unit,
+                f"{row.low:g} to {row.high:g}" if row.overridable else "no",
+                row.why,
+            ]
+            for row in THRESHOLDS.values()
+        )
+        header = ["threshold", "default", "unit", "sheet may set", "why"]
+        yield from markdown(header, rows)
+
+
+DAEMON_PAGE = "docs/operating/daemon.md"
+
 SOURCES: list[TableSource] = [
+    SettingTable("daemon settings", DAEMON_PAGE, DAEMON_SETTINGS),
+    MetricTable("metrics", DAEMON_PAGE),
+    ThresholdTable("thresholds", DAEMON_PAGE),
     SectionTables("sections", "docs/operating/sheet.md"),
     CommandTable("commands", "docs/operating/command-line.md"),
     SettingTable("settings", "docs/operating/command-line.md", SETTINGS),
