Name in each prior what it held, as a key set apart was served twice

Found by the state machine: the former leader was asked whether it had let go of the new shard, which it never held, while it still worked on the key under the old one. 1,500 examples of 25 steps found nothing more (trial run, 107 s).

--- a/packages/ownership/src/berylstage_ownership/assignment.py
+++ b/packages/ownership/src/berylstage_ownership/assignment.py
@@ -17,15 +17,23 @@
         Revision that took it away.
     target : str
         Target at which it worked.
+    shard : str
+        Shard that it worked on, ``service/*`` for any shard of a service; empty for
+        the lead of the target. It differs from the shard that names the prior when a
+        key was set apart: who let go of the new shard, which it never held, may still
+        work on the key under the old one.
     """
 
-    __slots__ = ("vm", "incarnation", "until", "target")
+    __slots__ = ("vm", "incarnation", "until", "target", "shard")
 
-    def __init__(self, vm: str, incarnation: int, until: int, target: str):
+    def __init__(
+        self, vm: str, incarnation: int, until: int, target: str, shard: str = ""
+    ):
         self.vm = vm
         self.incarnation = incarnation
         self.until = until
         self.target = target
+        self.shard = shard
 
     def __eq__(self, other: object) -> bool:
         return isinstance(other, Prior) and self.fields() == other.fields()
@@ -38,7 +46,7 @@
 
     def fields(self) -> list:
         """Return the fields in the order of the constructor."""
-        return [self.vm, self.incarnation, self.until, self.target]
+        return [self.vm, self.incarnation, self.until, self.target, self.shard]
 
 
 class CellVm:
--- a/packages/ownership/src/berylstage_ownership/conversation.py
+++ b/packages/ownership/src/berylstage_ownership/conversation.py
@@ -219,8 +219,8 @@
         return Release(
             revision=self._core.docs.revision,
             incarnation=items[0].prior.incarnation,
-            shards=sorted({p.item for p in items if not p.is_target}),
-            targets=sorted({p.item for p in items if p.is_target}),
+            shards=sorted({p.held for p in items if p.prior.shard}),
+            targets=sorted({p.held for p in items if not p.prior.shard}),
         )
 
     def _claims(self, now: float) -> list[Action]:
@@ -507,7 +507,7 @@
                 continue
             if prior.until > asked.revision:
                 continue
-            if pending.item in gone:
+            if pending.held in gone:
                 takeover.released(pending.item, prior)
             elif reply.revision >= prior.until:
                 takeover.draining(now, prior)
--- a/packages/ownership/src/berylstage_ownership/holdings.py
+++ b/packages/ownership/src/berylstage_ownership/holdings.py
@@ -7,7 +7,7 @@
 from berylstage_ownership.actions import ShardActivated, ShardReleased
 from berylstage_ownership.drains import LostShard, WorkInFlight
 from berylstage_ownership.grants import LedTarget
-from berylstage_ownership.shards import service_of
+from berylstage_ownership.shards import ANY, covers, service_of
 from berylstage_ownership.takeover import Takeover
 
 if TYPE_CHECKING:
@@ -29,17 +29,20 @@
     ----------
     item : str
         Name of the shard or target.
-    is_target : bool
     prior : Prior
     """
 
-    __slots__ = ("item", "is_target", "prior")
+    __slots__ = ("item", "prior")
 
-    def __init__(self, item: str, is_target: bool, prior: Prior):
+    def __init__(self, item: str, prior: Prior):
         self.item = item
-        self.is_target = is_target
         self.prior = prior
 
+    @property
+    def held(self) -> str:
+        """What the prior held: a shard, perhaps another one, or the target."""
+        return self.prior.shard or self.item
+
 
 class Holdings:
     """What this VM holds, gains and lets go of.
@@ -199,7 +202,7 @@
     def _gone(self, now: float, item: str, target: str, prior: Prior) -> bool:
         """Tell whether one prior can act on an item no more."""
         if self._is_self(prior):
-            return self.released(now, item, prior.until)
+            return self.released(now, prior.shard or item, prior.until)
         if self.takeover.has_released(item, prior):
             return True
         lapse = self.takeover.lapse(prior)
@@ -239,13 +242,13 @@
                 continue
             for prior in self._assignment.leaders[target].priors:
                 if not self._gone(now, target, target, prior):
-                    found.append(Pending(target, True, prior))
+                    found.append(Pending(target, prior))
         for shard, owner in self._mine.items():
             if shard in self.active:
                 continue
             for prior in owner.priors:
                 if not self._gone(now, shard, owner.target, prior):
-                    found.append(Pending(shard, False, prior))
+                    found.append(Pending(shard, prior))
         return found
 
     def released(self, now: float, item: str, until: int) -> bool:
@@ -255,7 +258,7 @@
         ----------
         now : float
         item : str
-            Name of a shard or target.
+            Name of a shard or target; ``service/*`` for all shards of a service.
         until : int
             Revision that took it away.
 
@@ -265,8 +268,11 @@
         """
         if self._assignment is None or self._assignment.revision < until:
             return False
-        if any(lost.shard == item for lost in self._lost):
+        if any(covers(item, lost.shard) for lost in self._lost):
             return False
+        if item.endswith(f"/{ANY}"):
+            older = [s for s, fence in self.active.items() if fence < until]
+            return not any(covers(item, shard) for shard in older)
         if item in self.active and self.active[item] < until:
             return False
         if item in self.active_leads and self.leads[item].epoch < until:
--- a/packages/ownership/src/berylstage_ownership/owners.py
+++ b/packages/ownership/src/berylstage_ownership/owners.py
@@ -8,7 +8,7 @@
 
 from berylstage_ownership.assignment import Prior, ShardOwner
 from berylstage_ownership.planner import Holding, Place
-from berylstage_ownership.shards import hash_shard, key_shard, service_of
+from berylstage_ownership.shards import ANY, hash_shard, key_shard, service_of
 
 if TYPE_CHECKING:
     from berylstage_sheet.configuration import Service
@@ -20,16 +20,18 @@
 
 def merged(priors: list[Prior]) -> list[Prior]:
     """Return priors with only the latest of each holder and target."""
-    latest: dict[tuple[str, int, str], Prior] = {}
+    latest: dict[tuple[str, int, str, str], Prior] = {}
     for prior in priors:
-        holder = (prior.vm, prior.incarnation, prior.target)
+        holder = (prior.vm, prior.incarnation, prior.target, prior.shard)
         known = latest.get(holder)
         if known is None or known.until < prior.until:
             latest[holder] = prior
     return sorted(latest.values(), key=lambda prior: prior.fields())
 
 
-def target_priors(old: Assignment, target: str, until: int) -> list[Prior]:
+def target_priors(
+    old: Assignment, target: str, until: int, shard: str = ""
+) -> list[Prior]:
     """Return who may act at a target under the old assignment.
 
     Parameters
@@ -38,6 +40,8 @@
     target : str
     until : int
         Revision that takes something of the target away.
+    shard : str
+        What is taken away; empty for the lead.
 
     Returns
     -------
@@ -46,8 +50,8 @@
     lead = old.leaders.get(target)
     if lead is None:
         return []
-    earlier = [Prior(p.vm, p.incarnation, p.until, target) for p in lead.priors]
-    return [*earlier, Prior(lead.vm, lead.incarnation, until, target)]
+    earlier = [Prior(p.vm, p.incarnation, p.until, target, shard) for p in lead.priors]
+    return [*earlier, Prior(lead.vm, lead.incarnation, until, target, shard)]
 
 
 def shard_priors(old: Assignment, shard: str, until: int) -> list[Prior]:
@@ -55,7 +59,7 @@
     owner = old.owners.get(shard)
     if owner is None:
         return []
-    return [*owner.priors, *target_priors(old, owner.target, until)]
+    return [*owner.priors, *target_priors(old, owner.target, until, shard)]
 
 
 class OwnerChanges:
@@ -128,7 +132,9 @@
             priors += shard_priors(self._old, shard, self._draft.revision)
             del self._draft.owners[shard]
         for target in self._outlook.configuration.targets_of(name):
-            priors += target_priors(self._old, target.name, self._draft.revision)
+            priors += target_priors(
+                self._old, target.name, self._draft.revision, f"{name}/{ANY}"
+            )
         ranges = [f"{name}/{number}" for number in range(count)]
         for shard in [*ranges, *self._wished_keys()]:
             self._redivided[shard] = priors
--- a/packages/ownership/src/berylstage_ownership/shards.py
+++ b/packages/ownership/src/berylstage_ownership/shards.py
@@ -9,6 +9,9 @@
 if TYPE_CHECKING:
     from berylstage_ownership.assignment import Assignment
 
+ANY = "*"
+"""Stands for the number of a shard where any shard of the service is meant."""
+
 
 def key_shard(service: str, key: str) -> str:
     """Return the name that a key's own shard would have."""
@@ -55,6 +58,14 @@
     return hash_shard(service, key, count)
 
 
+def covers(pattern: str, shard: str) -> bool:
+    """Tell whether a shard is the one named, or one of the service named."""
+    service, _, number = pattern.partition("/")
+    if number == ANY:
+        return service_of(shard) == service
+    return pattern == shard
+
+
 def service_of(shard: str) -> str:
     """Return the service of a shard."""
     return shard.split("/", 1)[0]
