--- a/packages/daemon/src/berylstage_daemon/application.py
+++ b/packages/daemon/src/berylstage_daemon/application.py
@@ -12,6 +12,7 @@
 from berylstage_daemon.control import Control
 from berylstage_daemon.events import EventManager
 from berylstage_daemon.leaders import Leaders
+from berylstage_daemon.load import LoadMeter
 from berylstage_daemon.logs import make_handler
 from berylstage_daemon.metrics import Metrics
 from berylstage_daemon.peers import PeerLinks
@@ -54,6 +55,7 @@
         self.metrics = Metrics(cfg.vm, cfg.statsd)
         self.links = PeerLinks(cfg.vm)
         self.control = Control(self)
+        self.load = LoadMeter(self)
         self.leaders = Leaders(self)
         self.router = Router(self)
         self.stopping = False
@@ -66,6 +68,7 @@
             PeerServer(self),
             self.control,
             self.leaders,
+            self.load,
             CallerServer(self),
         ):
             self.add_part(part)
@@ -79,6 +82,10 @@
         """
         self._parts.append(part)
 
+    def parts(self) -> list[Part]:
+        """Return all parts, in the order in which they start."""
+        return list(self._parts)
+
     def routes(self) -> list[tuple]:
         """Return the URLs that the daemon serves, with their handlers."""
         own = {"app": self}
@@ -140,7 +147,7 @@
         for part in self._parts:
             await part.start()
         self.events.emit("started", self)
-        fields = {"vm": self.cfg.vm, "http": self.cfg.http, "peer": self.cfg.peer}
+        fields = {"http": self.cfg.http, "peer": self.cfg.peer}
         log.info("started", extra=fields)
 
     async def stop(self) -> int:
@@ -152,7 +159,7 @@
         """
         self.stopping = True
         self.events.emit("stopping", self)
-        log.info("stopping", extra={"vm": self.cfg.vm, "in_flight": self._in_flight})
+        log.info("stopping", extra={"in_flight": self._in_flight})
         status = EXIT_OK
         try:
             async with asyncio.timeout(self.cfg.shutdown_limit):
@@ -161,10 +168,10 @@
                 await self._idle.wait()
         except TimeoutError:
             status = EXIT_CUT
-            fields = {"vm": self.cfg.vm, "in_flight": self._in_flight}
+            fields = {"in_flight": self._in_flight}
             log.error("requests were cut by the shutdown limit", extra=fields)
         for part in reversed(self._parts):
             await part.stop()
         self.links.close()
-        log.info("stopped", extra={"vm": self.cfg.vm, "exit_status": status})
+        log.info("stopped", extra={"exit_status": status})
         return status
--- a/packages/daemon/src/berylstage_daemon/control.py
+++ b/packages/daemon/src/berylstage_daemon/control.py
@@ -43,6 +43,8 @@
 from berylstage_daemon.clock import now
 from berylstage_daemon.errors import RequestError
 from berylstage_daemon.part import Part
+from berylstage_daemon.planner import LoadPlanner
+from berylstage_daemon.routes import Routes
 
 if TYPE_CHECKING:
     from collections.abc import Coroutine
@@ -74,6 +76,8 @@
     def __init__(self, app: Application):
         self._app = app
         cfg = app.cfg
+        planner = LoadPlanner()
+        app.events.connect("configuration-adopted", planner.configured)
         settings = NodeSettings(
             name=cfg.vm,
             # A later run of the same VM must have a larger number; the wall clock in
@@ -83,6 +87,7 @@
             http_address=cfg.http,
             peer_address=cfg.peer,
             cell=cfg.cell,
+            planner=planner,
         )
         self.node = Node(settings, now())
         self._store = HttpStore(cfg.platform, cfg.store_timeout)
@@ -90,6 +95,7 @@
         self._tasks: set[asyncio.Task] = set()
         self._loops: list[asyncio.Task] = []
         self._configuration: Configuration | None = None
+        self.routes = Routes(self.node, self.configuration)
 
     async def start(self) -> None:
         """Start the clock of the core and the reading of the platform's list."""
@@ -133,6 +139,32 @@
         """Tell whether this VM can serve callers."""
         return self._configuration is not None and self.node.ready(now())
 
+    def work_started(self, target: str, shard: str, deadline: float) -> None:
+        """Tell the core of a request that leaves for a target."""
+        self.node.work_started(now(), target, shard, deadline)
+
+    def target_unwilling(self, target: str, reason: str) -> None:
+        """Tell the core that a target takes no work any more."""
+        self.execute(self.node.target_unwilling(now(), target, reason))
+
+    def work_ended(self, target: str, shard: str) -> None:
+        """Tell the core of a request that certainly runs no more."""
+        self.execute(self.node.work_ended(now(), target, shard))
+
+    def peers(self) -> list[dict]:
+        """Return one row for each other VM of the cell, for the status page."""
+        electorate = set(self.node.status(now()).electorate)
+        return [
+            {
+                "vm": vm.name,
+                "data_centre": vm.data_centre,
+                "address": vm.peer_address,
+                "elector": vm.name in electorate,
+            }
+            for vm in self.node.cell_vms()
+            if vm.name != self._app.cfg.vm
+        ]
+
     def answer_peer(self, sender: str, raw: bytes) -> bytes:
         """Answer a control message of another VM.
 
@@ -174,7 +206,17 @@
         """Run one action beside the others and keep hold of its task."""
         task = asyncio.ensure_future(work)
         self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        task.add_done_callback(self._ended)
+
+    def _ended(self, task: asyncio.Task) -> None:
+        """Let go of a task and log an error that nobody foresaw.
+
+        The core counts an action without a result as lost, so that an error here
+        shows only as a store or peer that never answers.
+        """
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            log.error("an action failed", exc_info=task.exception())
 
     async def _tick_forever(self) -> None:
         """Tell the core the time."""
@@ -217,6 +259,7 @@
         client = self._app.leaders.client(action.target, action.address)
         try:
             answer = await client.grant(order, action.timeout)
+            self._app.leaders.heard(action.target, answer.incarnation, answer.cold)
         except TargetError:
             answer = None
         done = self.node.grant_reply(now(), action.target, action.tag, answer)
@@ -228,7 +271,8 @@
         try:
             entry = await self._store.read(action.key)
             result = StoreRead(entry.key, entry.value, entry.version)
-        except PlatformError:
+        except PlatformError as exc:
+            log.warning("a read got no answer", extra={"cause": str(exc)})
             result = StoreLost()
         self.execute(self.node.store_reply(now(), action.tag, result))
 
@@ -262,7 +306,7 @@
                 emit("configuration-adopted", action.configuration)
             case AssignmentAdopted():
                 self._app.metrics.gauge("revision.assignment", action.revision)
-                self._app.links.keep_only(self.node.peer_addresses())
+                self._app.links.keep_only(set(self.node.peer_addresses()))
                 log.info("assignment adopted", extra={"revision": action.revision})
                 emit("assignment-adopted", action.revision)
             case LeaseGained():
--- a/packages/daemon/src/berylstage_daemon/leader.py
+++ b/packages/daemon/src/berylstage_daemon/leader.py
@@ -8,23 +8,30 @@
 
 from berylstage_policy.queue import TargetQueue
 from berylstage_policy.tickets import Outcome as Ended
-from berylstage_policy.tickets import Refuse, Start, Ticket
+from berylstage_policy.tickets import Refuse, RefuseReason, Start, Ticket
 from berylstage_targets.errors import NotRun, OutcomeUnknown
 from berylstage_targets.target import WorkRequest
 from logbook import Logger
 
-from berylstage_daemon.answers import Answer, Outcome, not_run, unknown
+from berylstage_daemon.answers import (
+    DEFAULT_RETRY_AFTER,
+    Answer,
+    Outcome,
+    not_run,
+    unknown,
+)
 from berylstage_daemon.clock import now, wall
 
 if TYPE_CHECKING:
     from collections.abc import Callable
     from random import Random
 
-    from berylstage_ownership.node import Permit
+    from berylstage_ownership.routing import Permit
     from berylstage_policy.thresholds import Thresholds
     from berylstage_targets.target import TargetClient, WorkAnswer
 
     from berylstage_daemon.control import Control
+    from berylstage_daemon.load import LoadMeter
     from berylstage_daemon.requests import CallerRequest
 
 log = Logger("leader")
@@ -37,6 +44,8 @@
 SILENT_RATIO = 10.0
 SILENT_AFTER = 0.5
 # Outcome of a target's refusal, for the queue and the ramp.
+# Refusals that say that the target takes nothing at all, so that its shards must move.
+UNWILLING = frozenset({"draining", "unwilling"})
 REFUSALS = {"cold": Ended.COLD, "shed": Ended.SHED, "slots": Ended.SHED}
 
 
@@ -50,6 +59,8 @@
     slots : int
     client : TargetClient
     control : Control
+    load : LoadMeter
+        Counts the slot time of owned keys.
     thresholds : Thresholds
     rng : Random
     """
@@ -60,6 +71,7 @@
         slots: int,
         client: TargetClient,
         control: Control,
+        load: LoadMeter,
         thresholds: Thresholds,
         rng: Random,
     ):
@@ -67,6 +79,7 @@
         self.client = client
         self.queue = TargetQueue(slots, thresholds, rng, now())
         self._control = control
+        self._load = load
         self._waiting: dict[str, asyncio.Future[Refuse | None]] = {}
         self._timer: asyncio.TimerHandle | None = None
         self._settling: set[asyncio.Task] = set()
@@ -117,14 +130,20 @@
 
     async def close(self) -> None:
         """Turn away what waits and let go of the connections."""
-        if self._timer is not None:
-            self._timer.cancel()
-        for ticket in self.queue.drain():
-            self._turn_away(ticket.id, None)
+        self.retire()
         for task in self._settling:
             task.cancel()
         await self.client.close()
 
+    def retire(self) -> None:
+        """Turn away what waits, at once; what was sent may still end."""
+        for ticket in self.queue.drain():
+            refusal = Refuse(ticket.id, RefuseReason.DRAINING, DEFAULT_RETRY_AFTER)
+            self._turn_away(refusal)
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
     def _ticket(self, req: CallerRequest) -> Ticket:
         """Return what the decisions see of a request."""
         return Ticket(
@@ -168,11 +187,13 @@
         """Send a request that has its slot and its permit."""
         started = now()
         work = self._work(ticket, req, shard, permit, started)
-        self._control.work_started(ticket.id, self.name, shard, req.deadline)
+        self._control.work_started(self.name, shard, req.deadline)
         try:
             reply = await self.client.send(work)
         except NotRun as exc:
-            self._control.work_ended(ticket.id)
+            self._control.work_ended(self.name, shard)
+            if exc.reason in UNWILLING:
+                self._control.target_unwilling(self.name, exc.reason)
             ended = REFUSALS.get(exc.reason, Ended.NOT_RUN)
             self._finish(ticket, now() - started, ended)
             return self._with_target(not_run(exc.reason), permit)
@@ -184,9 +205,11 @@
         except asyncio.CancelledError:
             self._settle_later(ticket, work, started)
             raise
-        self._control.work_ended(ticket.id)
+        self._control.work_ended(self.name, shard)
         seconds = now() - started
         self._finish(ticket, seconds, Ended.ANSWERED, reply.incarnation)
+        if shard:
+            self._load.observe(req.service.name, shard, req.key, seconds)
         return self._answered(reply, permit)
 
     def _work(
@@ -261,7 +284,7 @@
         confirmed = await self.client.cancel(work.request_id)
         if not confirmed:
             await asyncio.sleep(max(work.deadline - wall(), 0.0))
-        self._control.work_ended(ticket.id)
+        self._control.work_ended(self.name, work.shard)
         self._finish(ticket, now() - started, Ended.UNKNOWN)
 
     def _finish(
@@ -272,9 +295,7 @@
         incarnation: str = "",
     ) -> None:
         """Free a slot and start what waits for it."""
-        self._begin(
-            self.queue.finished(ticket.id, now(), seconds, ended, incarnation)
-        )
+        self._begin(self.queue.finished(ticket.id, now(), seconds, ended, incarnation))
         self._arm()
 
     def _begin(self, tickets: list[Ticket]) -> None:
@@ -287,14 +308,10 @@
                 # Its caller has just gone: the slot would stay taken for good.
                 self._finish(ticket, 0.0, Ended.CANCELLED)
 
-    def _turn_away(self, ticket_id: str, refusal: Refuse | None) -> None:
+    def _turn_away(self, refusal: Refuse) -> None:
         """Give a waiting request its final answer at once."""
-        fut = self._waiting.get(ticket_id)
-        if fut is None or fut.done():
-            return
-        if refusal is None:
-            fut.cancel()
-        else:
+        fut = self._waiting.get(refusal.ticket_id)
+        if fut is not None and not fut.done():
             fut.set_result(refusal)
 
     def _arm(self) -> None:
@@ -312,5 +329,5 @@
         """Turn away what can no longer make its deadline."""
         self._timer = None
         for refusal in self.queue.expired(now()):
-            self._turn_away(refusal.ticket_id, refusal)
+            self._turn_away(refusal)
         self._arm()
--- a/packages/ownership/src/berylstage_ownership/node.py
+++ b/packages/ownership/src/berylstage_ownership/node.py
@@ -21,15 +21,17 @@
 )
 from berylstage_ownership.routing import Permit, Route
 from berylstage_ownership.settings import NodeSettings
-from berylstage_ownership.shards import shard_of
+from berylstage_ownership.shards import own_key, shard_of
 from berylstage_ownership.status import NodeStatus, TargetStatus
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
+
     from berylstage_messages.control_pb2 import Envelope
     from berylstage_sheet.configuration import Configuration
 
     from berylstage_ownership.actions import Action
-    from berylstage_ownership.assignment import Assignment
+    from berylstage_ownership.assignment import Assignment, CellVm
     from berylstage_ownership.events import ListedVm, StoreResult, TargetAnswer
     from berylstage_ownership.grants import LedTarget
     from berylstage_ownership.records import RecordSource
@@ -158,13 +160,13 @@
         """
         return self._proposals.reply(now, tag, result)
 
-    def vm_list(self, now: float, vms: list[ListedVm]) -> list[Action]:
+    def vm_list(self, now: float, vms: Sequence[ListedVm]) -> list[Action]:
         """Take in the platform's list of VMs, which lags.
 
         Parameters
         ----------
         now : float
-        vms : list of ListedVm
+        vms : sequence of ListedVm
 
         Returns
         -------
@@ -243,7 +245,7 @@
         return list(holdings.advance(now)) if holdings.is_draining() else []
 
     def set_load(self, load: bytes) -> None:
-        """Set the load digest that goes with each heartbeat."""
+        """Set the load digest that goes with the next heartbeat."""
         self._core.load = load
 
     def set_records(self, source: RecordSource) -> None:
@@ -293,6 +295,23 @@
         vm = assignment.vms.get(lead.vm)
         return Route(target, lead.vm, vm.peer_address if vm else "")
 
+    def fence_of(self, shard: str) -> int:
+        """Return the fence token of a shard; 0 when it has no owner."""
+        assignment = self._core.assignment
+        owner = assignment.owners.get(shard) if assignment else None
+        return owner.fence if owner else 0
+
+    def own_keys_led(self, service: str) -> set[str]:
+        """Return the keys with shards of their own that this VM serves."""
+        own = (own_key(service, shard) for shard in self._core.holdings.active)
+        return {key for key in own if key is not None}
+
+    def cell_vms(self) -> list[CellVm]:
+        """Return the VMs of the cell, by name."""
+        assignment = self._core.assignment
+        vms = assignment.vms.values() if assignment else []
+        return sorted(vms, key=lambda vm: vm.name)
+
     def admission(self, now: float, service: str, shard: str) -> Permit | Refusal:
         """Return leave to send one request of a shard now.
 
--- a/packages/targets/src/berylstage_targets/http.py
+++ b/packages/targets/src/berylstage_targets/http.py
@@ -60,11 +60,12 @@
         self.vm = vm
         self._work = CallClient(max(1, connections - CONTROL_CONNECTIONS))
         self._control = CallClient(CONTROL_CONNECTIONS)
-        self._cancels: set[asyncio.Task[None]] = set()
+        self._cancels: set[asyncio.Task[bool]] = set()
 
     async def send(self, req: WorkRequest) -> WorkAnswer:  # noqa: D102
-        call = self._work_call(req)
+        call = None
         try:
+            call = self._work_call(req)
             answer = await self._work.call(call)
         except NeverSent as exc:
             raise NotRun(str(exc), "connect") from exc
@@ -72,7 +73,7 @@
             self._cancel_later(req.request_id)
             raise OutcomeUnknown(str(exc), "no-answer") from exc
         except asyncio.CancelledError:
-            if call.sent:
+            if call is not None and call.sent:
                 self._cancel_later(req.request_id)
             raise
         return _work_answer(req, answer)
@@ -82,7 +83,7 @@
         path = "/".join(quote(part, safe="") for part in parts)
         headers = {
             "Request-Id": req.request_id,
-            "Shard": str(req.shard),
+            "Shard": req.shard,
             "Fence": str(req.fence),
             "Epoch": str(req.epoch),
             "Deadline-Unix-Ms": str(int(req.deadline * 1000)),
@@ -118,14 +119,16 @@
         except TypeError as exc:
             raise _unreadable("PUT /grants", exc) from exc
 
-    async def cancel(self, request_id: str) -> None:  # noqa: D102
+    async def cancel(self, request_id: str) -> bool:  # noqa: D102
         path = f"/cancel/{quote(request_id, safe='')}"
         try:
-            await self._json_call("POST", path, CANCEL_TIMEOUT, b"")
+            # What made the caller give up may be a connection that went silent, and
+            # others with it, so the order goes out on a new one.
+            await self._json_call("POST", path, CANCEL_TIMEOUT, b"", fresh=True)
         except TargetError:
-            # Cancelling saves the target work and proves nothing, so a target that
-            # does not answer is left to its own deadline.
-            return
+            # A target that does not answer is left to its own deadline.
+            return False
+        return True
 
     async def report(self, timeout: float) -> LoadReport:  # noqa: D102
         doc = await self._json_call("GET", "/load", timeout)
@@ -135,10 +138,15 @@
             raise _unreadable("GET /load", exc) from exc
 
     async def _json_call(
-        self, method: str, path: str, timeout: float, body: bytes | None = None
+        self,
+        method: str,
+        path: str,
+        timeout: float,
+        body: bytes | None = None,
+        fresh: bool = False,
     ) -> dict[str, Any]:
-        call = Call(method, self.base + path, _JSON, body, timeout)
         try:
+            call = Call(method, self.base + path, _JSON, body, timeout, fresh=fresh)
             answer = await self._control.call(call)
         except CallFailed as exc:
             raise TargetError(str(exc), "no-answer") from exc
--- a/packages/transfers/src/berylstage_transfers/call.py
+++ b/packages/transfers/src/berylstage_transfers/call.py
@@ -4,6 +4,8 @@
 
 import asyncio
 
+from berylstage_transfers.errors import NeverSent
+
 # First status that ends an exchange; lower ones are interim.
 FINAL_STATUS = 200
 # Statuses whose answers have no body, so that nothing needs to frame one.
@@ -19,7 +21,8 @@
     url : str
         Percent-encoded.
     headers : dict of str to str
-        Empty values are left out.
+        Empty values are left out. Nothing is added but ``Host`` and
+        ``Content-Length``.
     body : bytes or None
         None for a method without a body.
     timeout : float
@@ -37,10 +40,17 @@
         Whether a byte of the call may have been sent.
     opened : bool
         Whether the call opened its connection, rather than took a kept one.
+    stale : bool
+        Whether the call met a kept connection that had ended, before it was sent.
     status : int
         Status of the answer; 0 before it comes.
     answer_headers : dict of bytes to bytes
         Headers of the answer by lower-case name.
+
+    Raises
+    ------
+    NeverSent
+        A header holds a line break.
     """
 
     __slots__ = (
@@ -59,6 +69,7 @@
         "opened",
         "sent",
         "size",
+        "stale",
         "status",
         "timeout",
         "url",
@@ -85,6 +96,7 @@
         self.begun = False
         self.sent = False
         self.opened = False
+        self.stale = False
         self.crossed = False
         self.status = 0
         self.lines: list[bytes] = []
@@ -146,10 +158,13 @@
 
     Raises
     ------
-    ValueError
+    NeverSent
         A value holds a line break: it would let a caller add headers of its own.
     """
     lines = [f"{name}: {value}".encode() for name, value in headers.items() if value]
+    if not headers.get("Content-Type"):
+        # A name without a value keeps libcurl from adding a header by itself.
+        lines.append(b"Content-Type:")
     if any(b"\r" in line or b"\n" in line or b"\0" in line for line in lines):
-        raise ValueError("a header holds a line break; remove it from the value")
+        raise NeverSent("a header holds a line break; remove it from the value")
     return lines
