--- a/packages/ownership/src/berylstage_ownership/actions.py
+++ b/packages/ownership/src/berylstage_ownership/actions.py
@@ -174,29 +174,23 @@
     ----------
     shard, target : str
     fence : int
-    planned : bool
-        Whether each earlier holder let go of it itself, so that the records of its
-        requests came along.
+    records : list of ShardRecords or None
+        What all earlier holders handed over; None when one of them did not, so that
+        the shard begins with a floor in time.
     """
 
-    __slots__ = ("shard", "target", "fence", "planned")
+    __slots__ = ("shard", "target", "fence", "records")
 
-    def __init__(self, shard: str, target: str, fence: int, planned: bool):
+    def __init__(
+        self,
+        shard: str,
+        target: str,
+        fence: int,
+        records: list[ShardRecords] | None,
+    ):
         self.shard = shard
         self.target = target
         self.fence = fence
-        self.planned = planned
-
-
-class RecordsReceived(Notice):
-    """An earlier holder handed over the records of a shard's requests.
-
-    It comes before the shard's :class:`ShardActivated`.
-    """
-
-    __slots__ = ("records",)
-
-    def __init__(self, records: ShardRecords):
         self.records = records
 
 
--- a/packages/ownership/src/berylstage_ownership/changes.py
+++ b/packages/ownership/src/berylstage_ownership/changes.py
@@ -136,7 +136,7 @@
 
 
 def _prune(outlook: Outlook, draft: Assignment) -> None:
-    """Drop priors that have let go, or whom the present leader has outwaited."""
+    """Drop priors whom the present leader has outwaited."""
     for lead in draft.leaders.values():
         lead.priors = _remaining(outlook, lead.priors, lead, lead.epoch)
     for owner in draft.owners.values():
@@ -151,11 +151,14 @@
 def _remaining(
     outlook: Outlook, priors: list[Prior], lead: Leadership, since: int
 ) -> list[Prior]:
-    """Return the priors that may still act."""
-    fleet = outlook.fleet
-    if fleet.has_settled(lead.vm, lead.incarnation, since):
+    """Return the priors that the present leader has not outwaited.
+
+    The word of a prior that it let go is no reason to drop it: its successor asks it
+    for the records of requests that may not be repeated.
+    """
+    if outlook.fleet.has_settled(lead.vm, lead.incarnation, since):
         return [prior for prior in priors if prior.until > since]
-    return [prior for prior in priors if not fleet.has_let_go(prior)]
+    return priors
 
 
 def with_new_electorate(outlook: Outlook, write_id: str) -> Assignment:
--- a/packages/ownership/src/berylstage_ownership/conversation.py
+++ b/packages/ownership/src/berylstage_ownership/conversation.py
@@ -20,7 +20,6 @@
     Remaining,
 )
 
-from berylstage_ownership.actions import RecordsReceived
 from berylstage_ownership.constants import HEARTBEAT, RETRY
 from berylstage_ownership.core import Contact
 
@@ -33,6 +32,9 @@
 
 MICROSECONDS = 1_000_000
 
+HANDOVER_LIMIT = 1_000_000
+"""Bytes of records in one reply; the shards left out begin with a floor."""
+
 CATCH_UP_EVERY = 0.2
 """Seconds between two questions of a restarted elector to the others."""
 
@@ -142,7 +144,6 @@
             peer_address=settings.peer_address,
             cell=settings.cell,
             leaving=core.leaving,
-            released_revision=core.holdings.released_revision(now),
             settled_revision=core.holdings.settled_revision(),
             down_targets=self._down_targets(now),
             silent_vms=self._silent_vms(now),
@@ -401,10 +402,19 @@
         if self.records is None:
             return
         assert self._core.assignment is not None
-        for shard in answer.shards:
+        holdings = self._core.holdings
+        shards = set(answer.shards)
+        for target in answer.targets:
+            shards |= holdings.parted_with(target)
+        size = 0
+        for shard in sorted(shards):
             records = self.records.export(shard)
-            if records is not None:
-                answer.handover.append(records)
+            if records is None:
+                continue
+            size += records.ByteSize()
+            if size > HANDOVER_LIMIT:
+                return
+            answer.handover.append(records)
 
     def _on_fetch(self, now: float, fetch: Fetch, reply: Envelope) -> None:
         """Answer a fetch."""
@@ -512,7 +522,9 @@
                 takeover.released(pending.item, prior)
             elif reply.revision >= prior.until:
                 takeover.draining(now, prior)
-        actions += [RecordsReceived(records) for records in reply.handover]
+        holder = (req.peer, asked.incarnation)
+        for records in reply.handover:
+            core.holdings.note_records(holder, records)
         actions += core.holdings.advance(now)
         contact = core.contact(req.peer)
         if contact is not None:
--- a/packages/ownership/src/berylstage_ownership/fleet.py
+++ b/packages/ownership/src/berylstage_ownership/fleet.py
@@ -9,7 +9,7 @@
 if TYPE_CHECKING:
     from berylstage_messages.control_pb2 import Beat
 
-    from berylstage_ownership.assignment import Assignment, Prior
+    from berylstage_ownership.assignment import Assignment
 
 
 class Sighting:
@@ -138,13 +138,6 @@
                 down.add(target)
         return down
 
-    def has_let_go(self, prior: Prior) -> bool:
-        """Tell whether a prior reported that it released all it lost."""
-        sighting = self.sightings.get(prior.vm)
-        if sighting is None or sighting.incarnation != prior.incarnation:
-            return False
-        return sighting.beat.released_revision >= prior.until
-
     def has_settled(self, vm: str, incarnation: int, revision: int) -> bool:
         """Tell whether a VM reported everything up to a revision as active."""
         sighting = self.sightings.get(vm)
--- a/packages/ownership/src/berylstage_ownership/holdings.py
+++ b/packages/ownership/src/berylstage_ownership/holdings.py
@@ -11,6 +11,7 @@
 from berylstage_ownership.takeover import Takeover
 
 if TYPE_CHECKING:
+    from berylstage_messages.control_pb2 import ShardRecords
     from berylstage_sheet.configuration import Configuration
 
     from berylstage_ownership.actions import Notice
@@ -67,6 +68,8 @@
         self.former_leads: list[LedTarget] = []
         self._mine: dict[str, ShardOwner] = {}
         self._lost: list[LostShard] = []
+        self._parted: dict[str, set[str]] = {}
+        self._records: dict[str, dict[tuple[str, int], ShardRecords]] = {}
 
     def configure(self, configuration: Configuration) -> None:
         """Take in the configuration, which says which targets check fences."""
@@ -94,6 +97,7 @@
         self._stop_shards(now, mine, epochs)
         self._change_leads(now, epochs)
         self._mine = mine
+        self._records = {s: kept for s, kept in self._records.items() if s in mine}
 
     def _stop_shards(
         self, now: float, mine: dict[str, ShardOwner], epochs: dict[str, int]
@@ -106,6 +110,8 @@
             if kept and kept.fence == fence and kept.target == target and same_lead:
                 continue
             del self.active[shard]
+            if not same_lead:
+                self._parted.setdefault(target, set()).add(shard)
             # The order without the shard lets the next owner begin.
             self.leads[target].send_at = now
             self._lost.append(LostShard(shard, target, fence, self.leads[target]))
@@ -122,6 +128,7 @@
         for target, epoch in epochs.items():
             if target not in self.leads:
                 self.leads[target] = LedTarget(target, epoch, now)
+                self._parted.pop(target, None)
 
     def advance(self, now: float) -> list[Notice]:
         """Let go of what has ended and activate what is free.
@@ -179,21 +186,38 @@
                 continue
             if not self._clear(now, shard, owner.target, owner.priors):
                 continue
+            if any(lost.shard == shard for lost in self._lost):
+                continue
             self.active[shard] = owner.fence
             self.leads[owner.target].send_at = now
-            lead = self._assignment.leaders[owner.target]
-            planned = self._planned(shard, owner.priors) and self._planned(
-                owner.target, lead.priors
-            )
-            notices.append(ShardActivated(shard, owner.target, owner.fence, planned))
+            records = self._handed_over(shard, owner)
+            notices.append(ShardActivated(shard, owner.target, owner.fence, records))
         return notices
 
-    def _planned(self, item: str, priors: list[Prior]) -> bool:
-        """Tell whether each prior itself let go of an item."""
-        return all(
-            self._is_self(prior) or self.takeover.has_released(item, prior)
-            for prior in priors
-        )
+    def _handed_over(self, shard: str, owner: ShardOwner) -> list[ShardRecords] | None:
+        """Return the records of all earlier holders, or None when one is missing.
+
+        Without any prior nobody can be asked, and a shard whose keys come from other
+        shards has its records under other names.
+        """
+        assert self._assignment is not None
+        priors = [*owner.priors, *self._assignment.leaders[owner.target].priors]
+        if not priors or any(prior.shard not in ("", shard) for prior in priors):
+            return None
+        handed = self._records.pop(shard, {})
+        holders = {(p.vm, p.incarnation) for p in priors if not self._is_self(p)}
+        if not holders <= handed.keys():
+            return None
+        return [handed[holder] for holder in sorted(holders)]
+
+    def note_records(self, holder: tuple[str, int], records: ShardRecords) -> None:
+        """Keep what an earlier holder handed over until the shard is active."""
+        if records.shard in self._mine and records.shard not in self.active:
+            self._records.setdefault(records.shard, {})[holder] = records
+
+    def parted_with(self, target: str) -> set[str]:
+        """Return the shards that went with the lead of a target."""
+        return self._parted.get(target, set())
 
     def _clear(self, now: float, item: str, target: str, priors: list[Prior]) -> bool:
         """Tell whether no prior can act on an item any more."""
@@ -280,14 +304,6 @@
         former = any(led.name == item for led in self.former_leads)
         return not (former and self.flights.target_busy(now, item))
 
-    def released_revision(self, now: float) -> int:
-        """Return the revision up to which everything lost has been let go of."""
-        if self._assignment is None or self._lost:
-            return 0
-        if any(self.flights.target_busy(now, led.name) for led in self.former_leads):
-            return 0
-        return self._assignment.revision
-
     def settled_revision(self) -> int:
         """Return the revision up to which everything gained is active."""
         if self._assignment is None:
--- a/packages/ownership/tests/ownership_model.py
+++ b/packages/ownership/tests/ownership_model.py
@@ -6,7 +6,7 @@
 from hypothesis import HealthCheck, Phase, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, rule, run_state_machine_as_test
-from ownership_setting import CENTRES, SERVICE, build_world
+from ownership_setting import CENTRES, SERVICE, build_world, retire
 
 KEYS = [f"key-{number}" for number in range(6)]
 VMS = [f"vm-{number}" for number in range(4)]
@@ -56,8 +56,26 @@
         self.world.loss = loss
         self.world.delay = (0.0005, slow)
 
+    @rule(centre=st.sampled_from(CENTRES))
+    def cut_off_data_centre(self, centre):
+        inside = [v.name for v in self.world.vms.values() if v.data_centre == centre]
+        targets = self.world.cfg.targets.values()
+        inside += [t.name for t in targets if t.data_centre == centre]
+        self.requests()
+        self.world.cut_off(inside)
+
+    @rule(name=st.sampled_from(TARGETS))
+    def retire_target(self, name):
+        self.requests()
+        self.world.edit(retire(name))
+
+    @rule(vm=st.sampled_from(VMS), kind=st.sampled_from(["fetch", "release", "claim"]))
+    def swallow(self, vm, kind):
+        self.world.dropped.add((vm, kind))
+
     @rule()
     def heal(self):
+        self.world.dropped.clear()
         self.world.cuts.clear()
         self.world.loss = 0.0
         self.world.delay = (0.0005, 0.003)
--- a/packages/ownership/tests/ownership_world.py
+++ b/packages/ownership/tests/ownership_world.py
@@ -25,6 +25,8 @@
 
     def __init__(self, cfg, vms, seed=1, delay=(0.0005, 0.003)):
         self.rng = Random(seed)
+        self.service = next(iter(cfg.services))
+        self.keys = [f"key-{number}" for number in range(6)]
         self.time = 0.0
         self.delay = delay
         self.loss = 0.0
@@ -292,6 +294,8 @@
                 self._tell_list(vm)
         self._check_revisions()
         self._check_owners()
+        for key in self.keys:
+            self._check_key(key)
 
     def _check_revisions(self):
         for name, vm in self.vms.items():
@@ -331,6 +335,22 @@
             if len(targets) > 1:
                 self.faults.append(f"{self.time:.3f}: {shard} at {sorted(targets)}")
 
+    def _check_key(self, key):
+        """Check that work on a key may start at one target only."""
+        targets = set()
+        for vm in self.vms.values():
+            if vm.node is None:
+                continue
+            shard = vm.node.shard_of(self.service, key)
+            local = vm.local(self.time)
+            permit = vm.node.admission(local, self.service, shard) if shard else None
+            if isinstance(permit, Permit) and self.targets[permit.target].accepts(
+                self.time, shard, permit
+            ):
+                targets.add(permit.target)
+        if len(targets) > 1:
+            self.faults.append(f"{self.time:.3f}: {key} at {sorted(targets)}")
+
     # Callers
 
     def served(self, service, key):
