--- a/packages/ownership/src/berylstage_ownership/holdings.py
+++ b/packages/ownership/src/berylstage_ownership/holdings.py
@@ -7,10 +7,11 @@
 from berylstage_ownership.actions import ShardActivated, ShardReleased
 from berylstage_ownership.drains import LostShard, WorkInFlight
 from berylstage_ownership.grants import LedTarget
-from berylstage_ownership.shards import service_of
+from berylstage_ownership.shards import ANY, covers, service_of
 from berylstage_ownership.takeover import Takeover
 
 if TYPE_CHECKING:
+    from berylstage_messages.control_pb2 import ShardRecords
     from berylstage_sheet.configuration import Configuration
 
     from berylstage_ownership.actions import Notice
@@ -29,17 +30,20 @@
     ----------
     item : str
         Name of the shard or target.
-    is_target : bool
     prior : Prior
     """
 
-    __slots__ = ("item", "is_target", "prior")
+    __slots__ = ("item", "prior")
 
-    def __init__(self, item: str, is_target: bool, prior: Prior):
+    def __init__(self, item: str, prior: Prior):
         self.item = item
-        self.is_target = is_target
         self.prior = prior
 
+    @property
+    def held(self) -> str:
+        """What the prior held: a shard, perhaps another one, or the target."""
+        return self.prior.shard or self.item
+
 
 class Holdings:
     """What this VM holds, gains and lets go of.
@@ -64,6 +68,8 @@
         self.former_leads: list[LedTarget] = []
         self._mine: dict[str, ShardOwner] = {}
         self._lost: list[LostShard] = []
+        self._parted: dict[str, set[str]] = {}
+        self._records: dict[str, dict[tuple[str, int], ShardRecords]] = {}
 
     def configure(self, configuration: Configuration) -> None:
         """Take in the configuration, which says which targets check fences."""
@@ -91,6 +97,7 @@
         self._stop_shards(now, mine, epochs)
         self._change_leads(now, epochs)
         self._mine = mine
+        self._records = {s: kept for s, kept in self._records.items() if s in mine}
 
     def _stop_shards(
         self, now: float, mine: dict[str, ShardOwner], epochs: dict[str, int]
@@ -103,6 +110,8 @@
             if kept and kept.fence == fence and kept.target == target and same_lead:
                 continue
             del self.active[shard]
+            if not same_lead:
+                self._parted.setdefault(target, set()).add(shard)
             # The order without the shard lets the next owner begin.
             self.leads[target].send_at = now
             self._lost.append(LostShard(shard, target, fence, self.leads[target]))
@@ -119,6 +128,7 @@
         for target, epoch in epochs.items():
             if target not in self.leads:
                 self.leads[target] = LedTarget(target, epoch, now)
+                self._parted.pop(target, None)
 
     def advance(self, now: float) -> list[Notice]:
         """Let go of what has ended and activate what is free.
@@ -190,21 +200,38 @@
                 continue
             if not self._clear(now, shard, owner.target, owner.priors):
                 continue
+            if any(lost.shard == shard for lost in self._lost):
+                continue
             self.active[shard] = owner.fence
             self.leads[owner.target].send_at = now
-            lead = self._assignment.leaders[owner.target]
-            planned = self._planned(shard, owner.priors) and self._planned(
-                owner.target, lead.priors
-            )
-            notices.append(ShardActivated(shard, owner.target, owner.fence, planned))
+            records = self._handed_over(shard, owner)
+            notices.append(ShardActivated(shard, owner.target, owner.fence, records))
         return notices
 
-    def _planned(self, item: str, priors: list[Prior]) -> bool:
-        """Tell whether each prior itself let go of an item."""
-        return all(
-            self._is_self(prior) or self.takeover.has_released(item, prior)
-            for prior in priors
-        )
+    def _handed_over(self, shard: str, owner: ShardOwner) -> list[ShardRecords] | None:
+        """Return the records of all earlier holders, or None when one is missing.
+
+        Without any prior nobody can be asked, and a shard whose keys come from other
+        shards has its records under other names.
+        """
+        assert self._assignment is not None
+        priors = [*owner.priors, *self._assignment.leaders[owner.target].priors]
+        if not priors or any(prior.shard not in ("", shard) for prior in priors):
+            return None
+        handed = self._records.pop(shard, {})
+        holders = {(p.vm, p.incarnation) for p in priors if not self._is_self(p)}
+        if not holders <= handed.keys():
+            return None
+        return [handed[holder] for holder in sorted(holders)]
+
+    def note_records(self, holder: tuple[str, int], records: ShardRecords) -> None:
+        """Keep what an earlier holder handed over until the shard is active."""
+        if records.shard in self._mine and records.shard not in self.active:
+            self._records.setdefault(records.shard, {})[holder] = records
+
+    def parted_with(self, target: str) -> set[str]:
+        """Return the shards that went with the lead of a target."""
+        return self._parted.get(target, set())
 
     def _clear(self, now: float, item: str, target: str, priors: list[Prior]) -> bool:
         """Tell whether no prior can act on an item any more."""
@@ -213,7 +240,7 @@
     def _gone(self, now: float, item: str, target: str, prior: Prior) -> bool:
         """Tell whether one prior can act on an item no more."""
         if self._is_self(prior):
-            return self.released(now, item, prior.until)
+            return self.released(now, prior.shard or item, prior.until)
         if self.takeover.has_released(item, prior):
             return True
         lapse = self.takeover.lapse(prior)
@@ -252,13 +279,13 @@
                 continue
             for prior in self._assignment.leaders[target].priors:
                 if not self._gone(now, target, target, prior):
-                    found.append(Pending(target, True, prior))
+                    found.append(Pending(target, prior))
         for shard, owner in self._mine.items():
             if shard in self.active:
                 continue
             for prior in owner.priors:
                 if not self._gone(now, shard, owner.target, prior):
-                    found.append(Pending(shard, False, prior))
+                    found.append(Pending(shard, prior))
         return found
 
     def released(self, now: float, item: str, until: int) -> bool:
@@ -268,7 +295,7 @@
         ----------
         now : float
         item : str
-            Name of a shard or target.
+            Name of a shard or target; ``service/*`` for all shards of a service.
         until : int
             Revision that took it away.
 
@@ -278,8 +305,11 @@
         """
         if self._assignment is None or self._assignment.revision < until:
             return False
-        if any(lost.shard == item for lost in self._lost):
+        if any(covers(item, lost.shard) for lost in self._lost):
             return False
+        if item.endswith(f"/{ANY}"):
+            older = [s for s, fence in self.active.items() if fence < until]
+            return not any(covers(item, shard) for shard in older)
         if item in self.active and self.active[item] < until:
             return False
         if item in self.active_leads and self.leads[item].epoch < until:
@@ -287,14 +317,6 @@
         former = any(led.name == item for led in self.former_leads)
         return not (former and self.flights.target_busy(now, item))
 
-    def released_revision(self, now: float) -> int:
-        """Return the revision up to which everything lost has been let go of."""
-        if self._assignment is None or self._lost:
-            return 0
-        if any(self.flights.target_busy(now, led.name) for led in self.former_leads):
-            return 0
-        return self._assignment.revision
-
     def settled_revision(self) -> int:
         """Return the revision up to which everything gained is active."""
         if self._assignment is None:
--- a/packages/ownership/tests/ownership_world.py
+++ b/packages/ownership/tests/ownership_world.py
@@ -25,6 +25,8 @@
 
     def __init__(self, cfg, vms, seed=1, delay=(0.0005, 0.003)):
         self.rng = Random(seed)
+        self.service = next(iter(cfg.services))
+        self.keys = [f"key-{number}" for number in range(6)]
         self.time = 0.0
         self.delay = delay
         self.loss = 0.0
@@ -35,6 +37,9 @@
         self.faults = []
         self.ran = []
         self.acknowledged = {}
+        self.stored_revision = 0
+        # Source and kind of message that never arrives.
+        self.dropped = set()
         self.revisions = {}
         self.sent_store = 0
         self.messages = 0
@@ -93,6 +98,14 @@
     def pause(self, name, seconds):
         self.vms[name].paused_until = self.time + seconds
 
+    def cut_off(self, names):
+        """Let some VMs and targets reach nothing but each other."""
+        everything = [*self.vms, *self.targets, "store"]
+        for other in everything:
+            if other not in names:
+                for name in names:
+                    self.cuts |= {(name, other), (other, name)}
+
     def lose_data_centre(self, data_centre):
         for vm in self.vms.values():
             if vm.data_centre == data_centre:
@@ -196,6 +209,9 @@
                 self.message_bytes += envelope.ByteSize()
                 self._at(self._wait(), reply, envelope)
 
+        kind = action.envelope.WhichOneof("body")
+        if (vm.name, kind) in self.dropped:
+            peer = None
         if peer is not None and not self._lost(vm.name, peer.name):
             self._at(self._wait(), deliver)
         self._at(action.timeout, reply, None)
@@ -257,6 +273,9 @@
 
     def _acknowledge(self, raw):
         found = Assignment.from_json(raw)
+        if found.revision <= self.stored_revision:
+            self.faults.append(f"the store went back to revision {found.revision}")
+        self.stored_revision = found.revision
         known = self.acknowledged.setdefault(found.revision, found.write_id)
         if known != found.write_id:
             self.faults.append(f"revision {found.revision} was written twice")
@@ -275,6 +294,8 @@
                 self._tell_list(vm)
         self._check_revisions()
         self._check_owners()
+        for key in self.keys:
+            self._check_key(key)
 
     def _check_revisions(self):
         for name, vm in self.vms.items():
@@ -314,6 +335,22 @@
             if len(targets) > 1:
                 self.faults.append(f"{self.time:.3f}: {shard} at {sorted(targets)}")
 
+    def _check_key(self, key):
+        """Check that work on a key may start at one target only."""
+        targets = set()
+        for vm in self.vms.values():
+            if vm.node is None:
+                continue
+            shard = vm.node.shard_of(self.service, key)
+            local = vm.local(self.time)
+            permit = vm.node.admission(local, self.service, shard) if shard else None
+            if isinstance(permit, Permit) and self.targets[permit.target].accepts(
+                self.time, shard, permit
+            ):
+                targets.add(permit.target)
+        if len(targets) > 1:
+            self.faults.append(f"{self.time:.3f}: {key} at {sorted(targets)}")
+
     # Callers
 
     def served(self, service, key):
