--- a/packages/bench/src/berylstage_bench/policy_router.py
+++ b/packages/bench/src/berylstage_bench/policy_router.py
@@ -22,7 +22,15 @@
 class Attempt:
     """One sending of a request to one target."""
 
-    __slots__ = ("req", "number", "target", "id", "may_decline", "is_hedge")
+    __slots__ = (
+        "req",
+        "number",
+        "target",
+        "id",
+        "may_decline",
+        "is_hedge",
+        "hedge_tries",
+    )
 
     def __init__(
         self,
@@ -38,6 +46,7 @@
         self.id = f"{req.id}#{number}"
         self.may_decline = may_decline
         self.is_hedge = is_hedge
+        self.hedge_tries = 0
 
 
 class LedTarget:
@@ -332,7 +341,11 @@
         self.attempt(req, is_hedge=True)
 
     def attempt(
-        self, req: Request, previous: Attempt | None = None, is_hedge: bool = False
+        self,
+        req: Request,
+        previous: Attempt | None = None,
+        is_hedge: bool = False,
+        tries: int = 0,
     ) -> None:
         """Choose a target and forward."""
         choice, now = self.choices[req.vm], self.player.now
@@ -348,7 +361,8 @@
         number = len(req.attempts)
         may_decline = is_hedge or number <= self.thresholds["choice_declines"]
         attempt = Attempt(req, number, target, may_decline, is_hedge)
-        choice.sent(target, attempt.id, now)
+        attempt.hedge_tries = tries
+        choice.sent(target, attempt.id, now, req.kind)
         self._forward(attempt)
 
     def declined(self, attempt: Attempt, queue: int) -> None:
@@ -358,10 +372,19 @@
         choice.withdrawn(attempt.target, attempt.id)
         choice.digest(attempt.target, queue, now)
         if attempt.is_hedge:
-            self.hedges[req.vm].declined()
+            self._decline_hedge(attempt)
         elif not req.status:
             self.attempt(req, attempt)
 
+    def _decline_hedge(self, attempt: Attempt) -> None:
+        """Look for an idle target once more, but never queue a hedge."""
+        req = attempt.req
+        attempt.hedge_tries += 1
+        if req.status or attempt.hedge_tries > self.thresholds["choice_declines"]:
+            self.hedges[req.vm].declined()
+        else:
+            self.attempt(req, is_hedge=True, tries=attempt.hedge_tries)
+
     def attempt_ended(self, attempt: Attempt, outcome: Outcome) -> None:
         """Tell the choice and the hedge what was seen."""
         req, now = attempt.req, self.player.now
@@ -377,10 +400,18 @@
         """Spread digests of queue lengths and leave out what is down."""
         down = {n for n in self.willing if self.verdict(n) is Verdict.DOWN}
         self.usable = [name for name in self.willing if name not in down]
+        for name, led in self.led.items():
+            if self.verdict(name) in (Verdict.STALLED, Verdict.DOWN):
+                self._hand_back(led)
         for name, led in self.led.items():
             queue = 0 if name in self.lies else led.queue.waiting + led.queue.running
             self.player.at(self.player.now + self.digest_lag, self._digest, name, queue)
 
+    def _hand_back(self, led: LedTarget) -> None:
+        """Send what waits for a stalled target to other targets."""
+        for ticket in led.queue.hand_back():
+            self.declined(led.attempts.pop(ticket.id), led.queue.running)
+
     def _digest(self, name: str, queue: int) -> None:
         """Take a digest in at all VMs."""
         for choice in self.choices:
--- a/packages/bench/src/berylstage_bench/policy_scenarios.py
+++ b/packages/bench/src/berylstage_bench/policy_scenarios.py
@@ -71,6 +71,7 @@
         is_higher_better: bool = False,
         slack: float = 0.0,
         why_not_compared: str = "",
+        bound: str = "",
     ):
         self.name = name
         self.read = read
@@ -79,6 +80,7 @@
         self.is_higher_better = is_higher_better
         self.slack = slack
         self.why_not_compared = why_not_compared
+        self.bound = bound
 
     def best(self, figures: list[float]) -> float:
         """Return the best of some figures."""
--- a/packages/policy/src/berylstage_policy/choice.py
+++ b/packages/policy/src/berylstage_policy/choice.py
@@ -18,9 +18,9 @@
 
     from berylstage_policy.thresholds import Thresholds
 
-# Weight of the newest digest in a target's smoothed occupancy: ten of them, some
+# Weight of the newest digest in a target's smoothed occupancy: twenty of them, five
 # seconds, tell load from chance.
-OCCUPANCY_GAIN = 0.1
+OCCUPANCY_GAIN = 0.05
 
 
 class TargetView:
@@ -30,28 +30,39 @@
         "name",
         "slots",
         "outstanding",
-        "latency",
+        "ratio",
         "observed",
         "digest_queue",
         "digest_at",
         "sent_since_digest",
-        "failed_until",
+        "avoid_until",
+        "penalty",
         "occupancy",
     )
 
     def __init__(self, name: str, slots: int):
         self.name = name
         self.slots = slots
-        self.outstanding: dict[str, float] = {}
-        self.latency = 0.0
+        # Requests that are out, as (sent, overdue from, kind), the oldest first.
+        self.outstanding: dict[str, tuple[float, float, str]] = {}
+        # Smoothed answer time over what is typical for the kind.
+        self.ratio = 1.0
         self.observed = float("-inf")
         self.digest_queue = 0
         self.digest_at = float("-inf")
         self.sent_since_digest = 0
-        self.failed_until = float("-inf")
+        self.avoid_until = float("-inf")
+        # Seconds for which it is avoided when found slow; 0 while it is well.
+        self.penalty = 0.0
         # Smoothed queue length for each slot, by the digests.
         self.occupancy = 0.0
 
+    def is_overdue(self, now: float) -> bool:
+        """Tell whether the oldest request should have been answered by now."""
+        for _, overdue, _ in self.outstanding.values():
+            return now > overdue
+        return False
+
 
 class TargetChoice:
     """Chooses among the targets of one free service, on one VM.
@@ -72,20 +83,22 @@
         "_gain",
         "_memory",
         "_straggler",
+        "_longest_penalty",
         "_digest_age",
     )
 
     def __init__(self, thresholds: Thresholds, rng: Random):
         self._rng = rng
         self._views: dict[str, TargetView] = {}
-        # Service time over all targets: what a straggler is measured against.
-        self._typical = 0.0
+        # Answer time by kind over all targets: what a straggler is measured against.
+        self._typical: dict[str, float] = {}
         self._occupancy = 0.0
         self._preferred = thresholds["choice_preferred"]
         self._candidates = int(thresholds["choice_candidates"])
         self._gain = thresholds["choice_gain"]
         self._memory = thresholds["choice_memory"]
         self._straggler = thresholds["straggler_ratio"]
+        self._longest_penalty = thresholds["straggler_avoided"]
         self._digest_age = thresholds["digest_age"]
 
     def set_target(self, name: str, slots: int) -> None:
@@ -102,33 +115,51 @@
         if view is not None:
             self._occupancy -= view.occupancy
 
-    def sent(self, target: str, request_id: str, now: float) -> None:
+    def sent(self, target: str, request_id: str, now: float, kind: str = "") -> None:
         """Note that a request went to a target."""
         view = self._views[target]
-        view.outstanding[request_id] = now
+        typical = self._typical.get(kind)
+        overdue = now + self._straggler * typical if typical else float("inf")
+        view.outstanding[request_id] = (now, overdue, kind)
         view.sent_since_digest += 1
 
     def ended(self, target: str, request_id: str, now: float, is_answer: bool) -> None:
         """Note that a request came back, with an answer or without."""
         view = self._views.get(target)
-        if view is None:
-            return
-        sent = view.outstanding.pop(request_id, None)
-        if sent is None:
+        found = view.outstanding.pop(request_id, None) if view is not None else None
+        if view is None or found is None:
             return
         if not is_answer:
-            view.failed_until = now + self._memory
+            self._avoid(view, now)
             return
-        seconds = now - sent
-        is_fresh = now - view.observed > self._memory or not view.latency
-        # After a pause the old latency says nothing: the first answer replaces it.
-        gain = 1.0 if is_fresh else self._gain
-        view.latency += gain * (seconds - view.latency)
+        sent, _, kind = found
+        ratio = self._learn(kind, now - sent)
+        # After a pause the old ratio says nothing: the first answer replaces it.
+        is_fresh = now - view.observed > self._memory
+        view.ratio += (1.0 if is_fresh else self._gain) * (ratio - view.ratio)
         view.observed = now
-        view.failed_until = float("-inf")
-        gain = self._gain / len(self._views) if self._typical else 1.0
-        limit = self._straggler * self._typical if self._typical else seconds
-        self._typical += gain * (min(seconds, limit) - self._typical)
+        if view.ratio > self._straggler:
+            self._avoid(view, now)
+        elif ratio <= self._straggler and now >= view.avoid_until:
+            view.penalty = 0.0
+
+    def _learn(self, kind: str, seconds: float) -> float:
+        """Take an answer time into what is typical and return its ratio to that."""
+        typical = self._typical.get(kind)
+        if not typical:
+            self._typical[kind] = seconds
+            return 1.0
+        gain = self._gain / len(self._views)
+        capped = min(seconds, self._straggler * typical)
+        self._typical[kind] = typical + gain * (capped - typical)
+        return seconds / typical
+
+    def _avoid(self, view: TargetView, now: float) -> None:
+        """Leave a target alone for a while, longer each time it is found slow."""
+        if now < view.avoid_until:
+            return
+        view.penalty = min(2 * view.penalty or self._memory, self._longest_penalty)
+        view.avoid_until = now + view.penalty
 
     def withdrawn(self, target: str, request_id: str) -> None:
         """Note that a request did not go to a target after all."""
@@ -194,26 +225,23 @@
     def is_straggler(self, target: str, now: float) -> bool:
         """Tell whether a target is much slower than the others at this moment."""
         view = self._views[target]
-        if view.failed_until > now:
+        if now < view.avoid_until:
             return True
-        bound = self._straggler * self._typical
-        if not bound:
-            return False
-        if view.outstanding:
-            oldest = next(iter(view.outstanding.values()))
-            if now - oldest > bound:
-                return True
-        is_recent = now - view.observed <= self._memory
-        return is_recent and view.latency > bound
+        if view.is_overdue(now):
+            self._avoid(view, now)
+            return True
+        # On probation one request goes ahead and the others wait for its answer: a
+        # target that is still slow shall not be found out by ten callers at once.
+        return bool(view.penalty and view.outstanding)
 
     def _score(self, view: TargetView, now: float) -> float:
-        """Return the expected seconds until an answer."""
-        typical = self._typical or 1.0
+        """Return the expected time until an answer, in typical answer times."""
         queued = len(view.outstanding)
         if now - view.digest_at <= self._digest_age:
             queued = max(queued, view.digest_queue + view.sent_since_digest)
         is_recent = now - view.observed <= self._memory
-        latency = view.latency if is_recent and view.latency else typical
+        ratio = view.ratio if is_recent else 1.0
         if self.is_straggler(view.name, now):
-            latency = max(latency, self._straggler * typical)
-        return latency * (1.0 + queued / view.slots)
+            # Where all are slow only their load tells them apart.
+            ratio = self._straggler
+        return ratio * (1.0 + queued / view.slots)
--- a/packages/policy/src/berylstage_policy/coldstart.py
+++ b/packages/policy/src/berylstage_policy/coldstart.py
@@ -13,6 +13,9 @@
 if TYPE_CHECKING:
     from berylstage_policy.thresholds import Thresholds
 
+# Counted for an answer of which nothing tells whether it was slow.
+UNKNOWN_RATIO = 100.0
+
 
 class ColdStart:
     """The concurrency limit of one target between one and its slots.
@@ -47,7 +50,8 @@
         self._slots = slots
         self._limit = 1
         self._incarnation = ""
-        self._reported_cold = False
+        # None until a report of this run has come.
+        self._reported_cold: bool | None = None
         self._suspect = False
         self._confirmed = now
         self._raised = float("-inf")
@@ -87,6 +91,7 @@
         """Go back to one request: the target has started anew, or says so."""
         self._limit = 1
         self._suspect = False
+        self._reported_cold = None
         self._begin_level()
 
     def seen(self, now: float, incarnation: str) -> None:
@@ -139,7 +144,10 @@
         if self.warm or self._reported_cold:
             return
         self._count += 1
-        self._ratios += 1.0 if ratio is None else ratio
+        # Without a warm answer to compare with, and without the target's word, slow
+        # answers look like normal ones; such a target is ramped like a slow one.
+        is_unknown = ratio is None and self._reported_cold is None
+        self._ratios += UNKNOWN_RATIO if is_unknown else (ratio or 1.0)
         if self._count < self._step:
             return
         self._windows += 1
--- a/packages/policy/src/berylstage_policy/costs.py
+++ b/packages/policy/src/berylstage_policy/costs.py
@@ -16,12 +16,14 @@
 class KindCost:
     """Observed service time of one kind: smoothed mean and deviation, in seconds."""
 
-    __slots__ = ("mean", "deviation", "long")
+    __slots__ = ("mean", "deviation", "long", "is_warm")
 
     def __init__(self, seconds: float):
         self.mean = seconds
         self.deviation = seconds / 2
         self.long = False
+        # Whether the target was warm when it was last observed.
+        self.is_warm = False
 
 
 class CostModel:
@@ -37,7 +39,9 @@
         self._ratio = thresholds["long_ratio"]
         self._floor = thresholds["long_floor"]
 
-    def observe(self, kind: str, seconds: float, is_short: bool) -> None:
+    def observe(
+        self, kind: str, seconds: float, is_short: bool, is_warm: bool = True
+    ) -> None:
         """Learn from one whole answer.
 
         Parameters
@@ -47,8 +51,17 @@
             Time in the slot.
         is_short : bool
             Whether it was queued as short work, which sets what is typical.
+        is_warm : bool
+            Whether the target is warm. What a cold one takes says nothing about a
+            kind of which the warm time is known, and is better than nothing else.
         """
         cost = self._kinds.pop(kind, None) or KindCost(seconds)
+        if cost.is_warm and not is_warm:
+            self._kinds[kind] = cost
+            return
+        if is_warm and not cost.is_warm:
+            cost = KindCost(seconds)
+            cost.is_warm = True
         self._kinds[kind] = cost
         if len(self._kinds) > KINDS:
             del self._kinds[next(iter(self._kinds))]
@@ -65,9 +78,12 @@
         bound = max(self._floor, self._ratio * self._typical)
         cost.long = cost.mean >= (bound / 2 if cost.long else bound)
 
-    def known(self, kind: str) -> bool:
-        """Tell whether a kind has been observed."""
-        return kind in self._kinds
+    def warm_ratio(self, kind: str, seconds: float) -> float | None:
+        """Return a time over that on the warm target, None when that is unknown."""
+        cost = self._kinds.get(kind)
+        if cost is None or not cost.is_warm:
+            return None
+        return seconds / max(cost.mean, 1e-9)
 
     def mean(self, kind: str) -> float:
         """Return the expected service time, in seconds."""
--- a/packages/policy/src/berylstage_policy/fairness.py
+++ b/packages/policy/src/berylstage_policy/fairness.py
@@ -46,6 +46,7 @@
         "size",
         "backlog",
         "period",
+        "order",
     )
 
     def __init__(self, parent: Flow[T] | None, weight: float):
@@ -56,14 +57,17 @@
         # Start tag of the child served last: where children that wake up begin.
         self.now_tag = 0.0
         self.children: dict[str, Flow[T]] = {}
-        # Lazy heap of (start tag, number, child); entries with an old tag are dropped.
-        self.heap: list[tuple[float, int, Flow[T]]] = []
+        # Lazy heap of (order, child); entries with an old order are dropped.
+        self.heap: list[tuple[tuple[float, int], Flow[T]]] = []
         self.active_weight = 0.0
-        self.items: deque[tuple[T, float]] = deque()
+        # Waiting items with their numbers in order of arrival and expected costs.
+        self.items: deque[tuple[T, int, float]] = deque()
         self.size = 0
         self.backlog = 0.0
         # Busy period in which the start tag was set; it means nothing in a later one.
         self.period = 0
+        # Place among the parent's children: lowest first.
+        self.order = (0.0, 0)
 
     def child(self, name: str, weight: float) -> Flow[T]:
         """Return the child with that name, made when it is new."""
@@ -86,18 +90,27 @@
         """Return the active child that has had least; there must be one."""
         heap = self.heap
         while True:
-            tag, _, flow = heap[0]
-            if flow.size and tag == flow.start_tag:
+            order, flow = heap[0]
+            if flow.size and order is flow.order:
                 return flow
             heappop(heap)
 
 
 class FairQueue(Generic[T]):
-    """Tree of flows, the leaves of which hold items in order of arrival."""
+    """Tree of flows, the leaves of which hold items in order of arrival.
 
-    __slots__ = ("root", "_period", "_pushed")
+    Parameters
+    ----------
+    quantum : float
+        Seconds of slot time in which leaves may differ and still go in order of
+        arrival. By turns alone, in a burst from many callers those that come back
+        would be passed by all newcomers and be late, although all could be served.
+    """
+
+    __slots__ = ("root", "_period", "_pushed", "_quantum")
 
-    def __init__(self) -> None:
+    def __init__(self, quantum: float) -> None:
+        self._quantum = quantum
         self.root: Flow[T] = Flow(None, 1.0)
         self._period = 0
         self._pushed = 0
@@ -114,7 +127,8 @@
 
     def push(self, leaf: Flow[T], item: T, cost: float) -> None:
         """Add an item with its expected cost at the end of a leaf."""
-        leaf.items.append((item, cost))
+        self._pushed += 1
+        leaf.items.append((item, self._pushed, cost))
         flow: Flow[T] = leaf
         while flow.parent is not None:
             parent = flow.parent
@@ -147,8 +161,15 @@
 
     def _queue(self, flow: Flow[T], parent: Flow[T]) -> None:
         """Put an active flow in its parent's order, after those with the same tag."""
-        self._pushed += 1
-        heappush(parent.heap, (flow.start_tag, self._pushed, flow))
+        if flow.items:
+            order = (flow.start_tag // self._quantum, flow.items[0][1])
+            if order == flow.order:
+                return
+            flow.order = order
+        else:
+            self._pushed += 1
+            flow.order = (flow.start_tag, self._pushed)
+        heappush(parent.heap, (flow.order, flow))
 
     def pop(self, top: str | None = None) -> T:
         """Take the next item out, of one child of the root if it is named."""
@@ -163,16 +184,24 @@
 
     def pop_first(self, leaf: Flow[T]) -> T:
         """Take out the first item of a leaf, whoever's turn it is."""
-        item, cost = leaf.items.popleft()
+        item, _, cost = leaf.items.popleft()
         self._shrink(leaf, cost)
+        self._requeue(leaf)
         return item
 
+    def _requeue(self, leaf: Flow[T]) -> None:
+        """Give a leaf that has another first item its new place."""
+        if leaf.items and leaf.parent is not None:
+            self._queue(leaf, leaf.parent)
+
     def remove(self, leaf: Flow[T], item: T) -> None:
         """Take an item out that will not be served."""
-        for index, (found, cost) in enumerate(leaf.items):
+        for index, (found, _, cost) in enumerate(leaf.items):
             if found is item:
                 del leaf.items[index]
                 self._shrink(leaf, cost)
+                if not index:
+                    self._requeue(leaf)
                 return
 
     def _shrink(self, leaf: Flow[T], cost: float) -> None:
--- a/packages/policy/src/berylstage_policy/queue.py
+++ b/packages/policy/src/berylstage_policy/queue.py
@@ -48,6 +48,9 @@
         Spreads the moments at which refused callers come back.
     now : float
         Monotonic seconds.
+    costs : CostModel, optional
+        What was learned before, so that a ramp can tell cold from warm answers: of
+        this target under an earlier lead, or of another target of the service.
 
     Attributes
     ----------
@@ -57,11 +60,18 @@
         What kinds of work take on this target.
     """
 
-    def __init__(self, slots: int, thresholds: Thresholds, rng: Random, now: float):
+    def __init__(
+        self,
+        slots: int,
+        thresholds: Thresholds,
+        rng: Random,
+        now: float,
+        costs: CostModel | None = None,
+    ):
         self.ramp = ColdStart(slots, thresholds, now)
-        self.costs = CostModel(thresholds)
+        self.costs = costs or CostModel(thresholds)
         self._retry_after = RetryAfter(rng, thresholds)
-        self._fair: FairQueue[Entry] = FairQueue()
+        self._fair: FairQueue[Entry] = FairQueue(thresholds["fair_quantum"])
         # In order of arrival, and cheap to take from the front.
         self._waiting: OrderedDict[str, Entry] = OrderedDict()
         self._slots = Slots()
@@ -251,10 +261,20 @@
     def drain(self) -> list[Ticket]:
         """Stop taking work and hand out what waits, to be sent elsewhere or refused."""
         self._draining = True
-        tickets = [entry.ticket for entry in self._waiting.values()]
+        return self.hand_back()
+
+    def hand_back(self) -> list[Ticket]:
+        """Hand out what waits, none of which ran, but go on taking work.
+
+        For a free service whose target has stalled: what waits can go to another
+        target, also work that may not be repeated, and long before its deadline.
+        """
+        tickets = []
+        for entry in self._waiting.values():
+            tickets.append(entry.ticket)
+            self._fair.remove(entry.leaf, entry)
         self._waiting.clear()
         self._expiry.clear()
-        self._fair = FairQueue()
         return tickets
 
     def _entry(self, ticket: Ticket, now: float) -> Entry:
@@ -351,12 +371,8 @@
             ramp.doubted(now)
         elif outcome is Outcome.ANSWERED:
             kind = entry.ticket.kind
-            known = self.costs.known(kind)
-            ratio = seconds / self.costs.mean(kind) if known else None
-            ramp.completed(now, ratio)
-            # The slow answers of a cold target say nothing about the warm one.
-            if ramp.warm or not known:
-                self.costs.observe(kind, seconds, entry.is_short)
+            ramp.completed(now, self.costs.warm_ratio(kind, seconds))
+            self.costs.observe(kind, seconds, entry.is_short, ramp.warm)
 
     def _time_to_serve(self, work: float, limit: int, now: float) -> float:
         """Return the seconds until the slots have done so much work and one is free."""
--- a/packages/policy/src/berylstage_policy/threshold_table.py
+++ b/packages/policy/src/berylstage_policy/threshold_table.py
@@ -209,9 +209,20 @@
         "Up to a queue that is served within a tenth of a second the order of arrival "
         "holds; beyond it tenants, classes and callers take turns.",
     ),
+    Threshold(
+        "fair_quantum",
+        0.1,
+        "s",
+        0.001,
+        10.0,
+        True,
+        "Slot time by which callers may differ and still go in order of arrival: a "
+        "few requests, so that a caller that comes back in a burst isn't passed by "
+        "all newcomers, and a flood is held after a tenth of a second.",
+    ),
     Threshold(
         "wait_share",
-        0.6,
+        0.8,
         "share of the time left",
         0.1,
         1.0,
@@ -289,7 +300,7 @@
     ),
     Threshold(
         "choice_preferred",
-        1.1,
+        1.0,
         "times mean occupancy",
         0.0,
         100.0,
@@ -337,13 +348,14 @@
         "Slower than that is a straggler. Answer times under fair load vary by less.",
     ),
     Threshold(
-        "straggler_probe",
-        1.0,
-        "s",
-        0.1,
+        "straggler_avoided",
         60.0,
+        "s",
+        1.0,
+        600.0,
         True,
-        "How often a straggler gets one request to see whether it is well again.",
+        "Longest time for which a target that is found slow again and again is left "
+        "alone; each time doubles it from choice_memory.",
     ),
     Threshold(
         "digest_age",
--- a/packages/policy/tests/test_coldstart.py
+++ b/packages/policy/tests/test_coldstart.py
@@ -54,6 +54,19 @@
         complete(ramp, STEP, now=1.0)
         assert ramp.limit(1.0) == 2
 
+    def test_unknown_target_without_a_report_is_ramped_with_patience(self, ramp):
+        # A VM takes over a target of which it knows nothing. Slow answers look normal
+        # to it, so their number alone must not open the slots of a cold target.
+        complete(ramp, 3 * STEP, ratio=None)
+        assert ramp.limit(0.0) == 1
+        complete(ramp, 3 * STEP, ratio=None)
+        assert ramp.limit(0.0) == 2
+
+    def test_unknown_target_that_says_it_is_warm_is_ramped_at_once(self, ramp):
+        ramp.reported(0.0, False)
+        complete(ramp, STEP, ratio=None)
+        assert ramp.limit(0.0) == 2
+
     def test_report_from_before_the_ramp_ended_is_history(self, ramp):
         # The report lags by seconds: it says cold after the target has shown by its
         # answers that it is warm. Believed, it would start the ramp over and over.
--- a/packages/policy/tests/test_queue.py
+++ b/packages/policy/tests/test_queue.py
@@ -230,6 +230,19 @@
         player.run(until=0.1)
         assert player.most_running == 1
 
+    def test_answers_of_a_cold_target_are_not_taken_for_its_pace(self, make_player):
+        # A new lead finds the target cold, three times slower. Learned as its pace,
+        # that would make every cold answer look warm.
+        player = make_player(is_warm=False)
+        player.slowdown = 3.0
+        player.stream(0, 3, 15, 0.02)
+        player.run()
+        assert player.most_running == 1
+        player.queue.costs.observe("lookup", 0.02, True)
+        assert player.queue.costs.mean("lookup") == 0.02
+        player.queue.costs.observe("lookup", 0.06, True, is_warm=False)
+        assert player.queue.costs.mean("lookup") == 0.02
+
     def test_cold_again_with_a_full_queue_turns_away_at_once(self, make_player):
         # The target restarts without warning while fifty wait. At one slot most of
         # them can't be answered, and they hear of it now rather than at the deadline.
