--- a/packages/bench/src/berylstage_bench/policy_baselines.py
+++ b/packages/bench/src/berylstage_bench/policy_baselines.py
@@ -7,7 +7,7 @@
 
 from xxhash import xxh64_intdigest
 
-from berylstage_bench.policy_loads import Deployment
+from berylstage_bench.policy_loads import Deployment, Stream
 from berylstage_bench.policy_player import PlayedTarget, Player, Request
 
 # Seconds for which a key that gets another owner is not served: a bound that stands
@@ -21,9 +21,14 @@
     name = ""
 
     def __init__(
-        self, player: Player, deployment: Deployment, targets: list[PlayedTarget]
+        self,
+        player: Player,
+        deployment: Deployment,
+        targets: list[PlayedTarget],
+        streams: list[Stream],
     ):
         self.player = player
+        self.streams = streams
         self.deployment = deployment
         self.targets = targets
         self.by_name = {target.name: target for target in targets}
--- a/packages/bench/src/berylstage_bench/policy_cold.py
+++ b/packages/bench/src/berylstage_bench/policy_cold.py
@@ -14,6 +14,10 @@
     from berylstage_bench.policy_player import Player
 
 RESTARTED = 8.0
+LIES = (
+    "a lead that has never seen the target warm can't tell its cold answers from warm "
+    "ones once the target says that it is warm: all targets begin so here"
+)
 REPORT = (
     "the report that the target is warm comes 0.5 to 0.75 s late, as long as the "
     "ramp itself; without it the bound can't be kept for certain (next line)"
@@ -29,7 +33,7 @@
     )
 
 
-def cold_events(truth: ColdTruth, restarted: list[int]):
+def cold_events(truth: ColdTruth, restarted: list[int], lies: bool):
     """Return events: all targets cold at the start, some cold again later."""
 
     def plan(player: Player, run: Run) -> None:
@@ -48,6 +52,7 @@
         for index in restarted:
             player.at(RESTARTED, run.targets[index].restart)
         if isinstance(run.router, PolicyRouter):
+            run.router.lies_warm = lies
             player.at(RESTARTED + 0.005, player.every, 0.01, watch, RESTARTED + 20)
 
     return plan
@@ -66,10 +71,13 @@
     return sum(times) / len(times) / least
 
 
-def cold_scenario(deployment: Deployment, truth: ColdTruth, load: float) -> Scenario:
+def cold_scenario(
+    deployment: Deployment, truth: ColdTruth, load: float, lies: bool = False
+) -> Scenario:
     """Return one deployment whose targets all start cold, and four start again."""
+    suffix = " lies" if lies else ""
     return Scenario(
-        f"cold {truth.completions}x{truth.slowdown:g} {deployment.name}",
+        f"cold {truth.completions}x{truth.slowdown:g} {deployment.name}{suffix}",
         deployment,
         [lookups(load)],
         20.0,
@@ -79,6 +87,7 @@
                 lambda run: sum(target.broken_bounds for target in run.targets),
                 lambda ours, best: ours == 0,
                 "0",
+                bound=LIES if lies else "",
             ),
             Measure(
                 "full pace / least",
@@ -101,8 +110,9 @@
                 is_higher_better=True,
             ),
         ],
-        cold_events(truth, [0, 3, 6, 9]),
+        cold_events(truth, [0, 3, 6, 9], lies),
         is_owned=True,
+        options={"has_history": False},
     )
 
 
@@ -113,4 +123,5 @@
         cold_scenario(SLOTDESK, ColdTruth(8, 3.0), 0.7),
         cold_scenario(FIELD_LOG, ColdTruth(4, 2.0), 0.7),
         cold_scenario(FIELD_LOG, ColdTruth(30, 3.0), 0.7),
+        cold_scenario(FIELD_LOG, ColdTruth(30, 3.0), 0.7, lies=True),
     ]
--- a/packages/bench/src/berylstage_bench/policy_scenarios.py
+++ b/packages/bench/src/berylstage_bench/policy_scenarios.py
@@ -8,7 +8,13 @@
 from berylstage_bench.policy_baselines import FREE_BASELINES, OWNED_BASELINES, Router
 from berylstage_bench.policy_loads import Deployment, Stream, make_load
 from berylstage_bench.policy_owned import OwnedRouter
-from berylstage_bench.policy_player import Phase, PlayedTarget, Player, Request
+from berylstage_bench.policy_player import (
+    ColdTruth,
+    Phase,
+    PlayedTarget,
+    Player,
+    Request,
+)
 from berylstage_bench.policy_router import FreeRouter
 
 if TYPE_CHECKING:
@@ -108,6 +114,8 @@
     is_owned : bool
     vm_shares : list of float, optional
         Shares of the requests that the balancer gives to each VM.
+    options : dict, optional
+        Options of the router under test.
     """
 
     def __init__(
@@ -120,6 +128,7 @@
         events: Callable[[Player, Run], None] | None = None,
         is_owned: bool = False,
         vm_shares: list[float] | None = None,
+        options: dict | None = None,
     ):
         self.name = name
         self.deployment = deployment
@@ -129,6 +138,7 @@
         self.events = events
         self.is_owned = is_owned
         self.vm_shares = vm_shares
+        self.options = options or {}
         self._load: list[Request] = []
 
     @property
@@ -136,7 +146,7 @@
         """Slots of all targets."""
         return self.deployment.targets * self.deployment.slots
 
-    def load(self) -> list[Request]:
+    def load(self, seed: int = 1) -> list[Request]:
         """Return a fresh copy of the load, the same for each router."""
         if not self._load:
             self._load = make_load(
@@ -151,7 +161,8 @@
     def play_ours(self, thresholds: Thresholds, **options) -> Run:
         """Play the router under test."""
         kind = OwnedRouter if self.is_owned else FreeRouter
-        return self.play(kind, thresholds=thresholds, **options)
+        merged = {**self.options, **options}
+        return self.play(kind, thresholds=thresholds, **merged)
 
     def play(self, kind: type[Router], **options) -> Run:
         """Play one router from the start."""
@@ -166,7 +177,12 @@
             )
             for index in range(deployment.targets)
         ]
-        run = Run(self, kind(player, deployment, targets, **options), [], targets)
+        run = Run(
+            self,
+            kind(player, deployment, targets, self.streams, **options),
+            [],
+            targets,
+        )
         if self.events is not None:
             self.events(player, run)
         run.requests = self.load()
@@ -212,13 +228,23 @@
     return plan
 
 
-def close_and_reopen(data_centre: str, closed: float, reopened: float):
+def close_and_reopen(
+    data_centre: str, closed: float, reopened: float, cold: ColdTruth | None
+):
     """Return events that close a data centre in the sheet and open it again."""
 
+    def restart(target: PlayedTarget) -> None:
+        target.cold = cold
+        target.restart()
+
     def plan(player: Player, run: Run) -> None:
         names = [target.name for target in run.targets]
         rest = [t.name for t in run.targets if t.data_centre != data_centre]
         player.at(closed, run.router.set_willing, rest)
+        if cold is not None:
+            for target in run.targets:
+                if target.data_centre == data_centre:
+                    player.at(reopened - 1.0, restart, target)
         player.at(reopened, run.router.set_willing, names)
         player.at(reopened + 25.0, run.mark_busy, "settled")
 
--- a/packages/policy/src/berylstage_policy/choice.py
+++ b/packages/policy/src/berylstage_policy/choice.py
@@ -1,11 +1,11 @@
 """Which target gets a request that any of them may answer.
 
 The load it answers: free services whose targets differ from moment to moment. Load
-reports tell of a slow target only seconds later, so what this VM has seen itself goes
-first. Without it each slowed target of ten takes a tenth of the requests, and the
-slowest hundredth of all answers is as slow as that target. Two candidates are drawn and
-the better is taken: if each VM took the best of all, the VMs would rush to the same
-target between two digests.
+reports tell of a slow target only seconds later, so what this VM has seen itself
+decides. Without it each slowed target of ten takes a tenth of the requests, and the
+slowest hundredth of all answers is as slow as that target. The choice is only a first
+guess: a target whose slots are all busy declines, and the VM that leads it knows that
+for certain.
 """
 
 from __future__ import annotations
@@ -32,9 +32,6 @@
         "outstanding",
         "ratio",
         "observed",
-        "digest_queue",
-        "digest_at",
-        "sent_since_digest",
         "avoid_until",
         "penalty",
         "occupancy",
@@ -48,9 +45,6 @@
         # Smoothed answer time over what is typical for the kind.
         self.ratio = 1.0
         self.observed = float("-inf")
-        self.digest_queue = 0
-        self.digest_at = float("-inf")
-        self.sent_since_digest = 0
         self.avoid_until = float("-inf")
         # Seconds for which it is avoided when found slow; 0 while it is well.
         self.penalty = 0.0
@@ -84,7 +78,6 @@
         "_memory",
         "_straggler",
         "_longest_penalty",
-        "_digest_age",
     )
 
     def __init__(self, thresholds: Thresholds, rng: Random):
@@ -99,7 +92,6 @@
         self._memory = thresholds["choice_memory"]
         self._straggler = thresholds["straggler_ratio"]
         self._longest_penalty = thresholds["straggler_avoided"]
-        self._digest_age = thresholds["digest_age"]
 
     def set_target(self, name: str, slots: int) -> None:
         """Add a target or change its slots."""
@@ -121,7 +113,6 @@
         typical = self._typical.get(kind)
         overdue = now + self._straggler * typical if typical else float("inf")
         view.outstanding[request_id] = (now, overdue, kind)
-        view.sent_since_digest += 1
 
     def ended(self, target: str, request_id: str, now: float, is_answer: bool) -> None:
         """Note that a request came back, with an answer or without."""
@@ -167,16 +158,24 @@
         if view is not None:
             view.outstanding.pop(request_id, None)
 
-    def digest(self, target: str, queue: int, now: float) -> None:
-        """Take in the queue length that the VM that leads the target has told."""
+    def digest(self, target: str, queue: int) -> None:
+        """Take in the queue length that the VM that leads the target has told.
+
+        It only tells which targets have had more than others for a while. As a measure
+        of the moment it is many service times old, and a choice by it was measured to
+        be worse than one without: the VMs crowd where the queue was short.
+
+        Parameters
+        ----------
+        target : str
+        queue : int
+            Requests that wait or are in a slot.
+        """
         view = self._views.get(target)
         if view is not None:
             change = OCCUPANCY_GAIN * (queue / view.slots - view.occupancy)
             view.occupancy += change
             self._occupancy += change
-            view.digest_queue = queue
-            view.digest_at = now
-            view.sent_since_digest = 0
 
     def choose(
         self,
@@ -237,8 +236,6 @@
     def _score(self, view: TargetView, now: float) -> float:
         """Return the expected time until an answer, in typical answer times."""
         queued = len(view.outstanding)
-        if now - view.digest_at <= self._digest_age:
-            queued = max(queued, view.digest_queue + view.sent_since_digest)
         is_recent = now - view.observed <= self._memory
         ratio = view.ratio if is_recent else 1.0
         if self.is_straggler(view.name, now):
--- a/packages/policy/src/berylstage_policy/coldstart.py
+++ b/packages/policy/src/berylstage_policy/coldstart.py
@@ -50,8 +50,7 @@
         self._slots = slots
         self._limit = 1
         self._incarnation = ""
-        # None until a report of this run has come.
-        self._reported_cold: bool | None = None
+        self._reported_cold = False
         self._suspect = False
         self._confirmed = now
         self._raised = float("-inf")
@@ -91,7 +90,6 @@
         """Go back to one request: the target has started anew, or says so."""
         self._limit = 1
         self._suspect = False
-        self._reported_cold = None
         self._begin_level()
 
     def seen(self, now: float, incarnation: str) -> None:
@@ -144,10 +142,9 @@
         if self.warm or self._reported_cold:
             return
         self._count += 1
-        # Without a warm answer to compare with, and without the target's word, slow
-        # answers look like normal ones; such a target is ramped like a slow one.
-        is_unknown = ratio is None and self._reported_cold is None
-        self._ratios += UNKNOWN_RATIO if is_unknown else (ratio or 1.0)
+        # Without a warm answer to compare with slow answers look like normal ones, and
+        # the target's word may mislead; such a target is ramped like a slow one.
+        self._ratios += UNKNOWN_RATIO if ratio is None else ratio
         if self._count < self._step:
             return
         self._windows += 1
--- a/packages/policy/src/berylstage_policy/queue.py
+++ b/packages/policy/src/berylstage_policy/queue.py
@@ -8,7 +8,6 @@
 
 from __future__ import annotations
 
-from collections import OrderedDict
 from typing import TYPE_CHECKING
 
 from berylstage_policy.backoff import RetryAfter
@@ -72,8 +71,7 @@
         self.costs = costs or CostModel(thresholds)
         self._retry_after = RetryAfter(rng, thresholds)
         self._fair: FairQueue[Entry] = FairQueue(thresholds["fair_quantum"])
-        # In order of arrival, and cheap to take from the front.
-        self._waiting: OrderedDict[str, Entry] = OrderedDict()
+        self._waiting: dict[str, Entry] = {}
         self._slots = Slots()
         self._expiry = ExpiryHeap(self._waiting)
         self._displaced: list[Refuse] = []
@@ -81,7 +79,6 @@
         self._paused_until: float | None = None
         self._planned_limit = 1
         self._queue_limit = int(thresholds["queue_limit"])
-        self._fair_backlog = thresholds["fair_backlog"]
         self._wait_share = thresholds["wait_share"]
         self._lanes = Lanes(thresholds)
 
@@ -172,7 +169,7 @@
             self._begin(entry, now)
             return Start(ticket.id)
         if may_decline:
-            return Decline(ticket.id, len(self._waiting) + len(self._slots))
+            return Decline(ticket.id)
         wait = self._expected_wait(entry, limit, now)
         slack = (ticket.deadline - now) * self._wait_share - entry.cost
         if wait > slack:
@@ -338,14 +335,6 @@
     def _next(self, limit: int, now: float) -> Entry | None:
         """Take out of the fair queue who starts next, or None when nobody may."""
         is_capped = self._slots.long >= self._lanes.long_cap(limit, now)
-        # Fair order costs the slowest of equals: each is passed by newcomers. While
-        # the queue is over in a moment nobody takes anything from anybody, and the
-        # order of arrival gives the shortest tail.
-        if self._fair.root.backlog <= self._fair_backlog * limit:
-            oldest = next(iter(self._waiting.values()))
-            if oldest.is_short or not is_capped:
-                self._fair.pop_first(oldest.leaf)
-                return oldest
         if not is_capped:
             return self._fair.pop()
         short = self._fair.root.children.get(SHORT)
--- a/packages/policy/src/berylstage_policy/slots.py
+++ b/packages/policy/src/berylstage_policy/slots.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
-# Work that has taken so many times its expected time is stalled rather than slow.
-STALLED_RATIO = 3.0
-
 
 def residual(cost: float, elapsed: float) -> float:
     """Return how long a request will stay in its slot, in seconds.
 
+    Work that is over its time is expected to end soon, however long it has taken. To
+    expect as long again was tried: through stalls of moments it turned away requests
+    that were still answered in time, and a stall that lasts ends in `health` anyway.
+
     Parameters
     ----------
     cost : float
@@ -19,11 +20,7 @@
     Returns
     -------
     float
-        For stalled work as long again as it has taken: how else would a queue learn
-        of a stall before the stall has ended?
     """
-    if elapsed > STALLED_RATIO * cost:
-        return elapsed
     return max(cost - elapsed, cost / 2)
 
 
--- a/packages/policy/src/berylstage_policy/threshold_table.py
+++ b/packages/policy/src/berylstage_policy/threshold_table.py
@@ -199,16 +199,6 @@
         "Bounds the memory of a target's queue. Deadlines turn work away long before, "
         "except for bursts of very short work.",
     ),
-    Threshold(
-        "fair_backlog",
-        0.1,
-        "s",
-        0.0,
-        10.0,
-        True,
-        "Up to a queue that is served within a tenth of a second the order of arrival "
-        "holds; beyond it tenants, classes and callers take turns.",
-    ),
     Threshold(
         "fair_quantum",
         0.1,
@@ -272,11 +262,12 @@
     Threshold(
         "ramp_patience",
         6.0,
-        "levels",
+        "windows",
         1.0,
         1000.0,
         False,
-        "After so many slow levels the target is slow rather than cold, and goes on.",
+        "After so many windows of slow answers on one level the target is slow rather "
+        "than cold, and goes on. Also for a target of which no warm answer is known.",
     ),
     Threshold(
         "confirm_silence",
@@ -295,12 +286,12 @@
         1.0,
         8.0,
         True,
-        "Two candidates give nearly all that choosing among all would, and VMs that "
-        "know different things don't rush to one target.",
+        "Two guesses, of which the better is sent to. As busy targets decline, more of "
+        "them gain nothing that could be measured.",
     ),
     Threshold(
         "choice_preferred",
-        1.0,
+        0.9,
         "times mean occupancy",
         0.0,
         100.0,
@@ -357,16 +348,6 @@
         "Longest time for which a target that is found slow again and again is left "
         "alone; each time doubles it from choice_memory.",
     ),
-    Threshold(
-        "digest_age",
-        1.0,
-        "s",
-        0.1,
-        30.0,
-        True,
-        "Digests of queue length older than that are ignored: queues of short work "
-        "turn over many times in a second.",
-    ),
     Threshold(
         "retry_share",
         0.1,
@@ -463,14 +444,15 @@
     ),
     Threshold(
         "down_after",
-        1.0,
+        1.25,
         "s",
         0.5,
         30.0,
         False,
-        "Silence from which the keys move. Until the grant has lapsed, 1 s after the "
-        "last renewal, moving can't make a key available sooner; later would endanger "
-        "the 2 s in which a lost target's keys are served again.",
+        "Silence from which the keys move: a lease time of 1 s, before whose end "
+        "moving can't make a key available sooner, and a heartbeat, by which a stall "
+        "looks longer than it is. Later would endanger the 2 s in which a lost "
+        "target's keys are served again.",
     ),
     Threshold(
         "refused_down_after",
--- a/packages/policy/src/berylstage_policy/tickets.py
+++ b/packages/policy/src/berylstage_policy/tickets.py
@@ -104,20 +104,9 @@
 
 
 class Decline(Decision):
-    """Try another target, as all slots are busy here.
+    """Try another target, as all slots are busy here; it did not run."""
 
-    Parameters
-    ----------
-    ticket_id : str
-    queue : int
-        Requests that wait or are in a slot.
-    """
-
-    __slots__ = ("queue",)
-
-    def __init__(self, ticket_id: str, queue: int):
-        super().__init__(ticket_id)
-        self.queue = queue
+    __slots__ = ()
 
 
 class Refuse(Decision):
