--- a/Makefile
+++ b/Makefile
@@ -4,6 +4,7 @@
 PACKAGES := settings sheet policy messages transfers ownership platform targets daemon cli standins bench
 
 .PHONY: help install format format-check lint types imports tables test check
+.PHONY: bench-policy
 
 help:  ## list the targets
 	@grep -hE '^[a-z-]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*##/\t/' | sort
@@ -47,6 +48,9 @@
 demo-short:  ## the same with the same checks in under 25 s
 	$(PY) -m berylstage_bench.demo --short
 
+bench-policy:  ## play the decisions under load against plain routers
+	$(PY) -m berylstage_bench.policy
+
 check: format-check lint types imports test  ## everything that CI runs
 
 .PHONY: proto
