--- a/packages/standins/src/berylstage_standins/ledger.py
+++ b/packages/standins/src/berylstage_standins/ledger.py
@@ -70,6 +70,7 @@
 
     Parameters
     ----------
+    data_centre : str
     runs : list of Run
         Work that took effect, in its order.
     cold_bounds_broken : int
@@ -77,9 +78,12 @@
         Runs of the target's process.
     """
 
-    __slots__ = ("cold_bounds_broken", "runs", "starts")
+    __slots__ = ("cold_bounds_broken", "data_centre", "runs", "starts")
 
-    def __init__(self, runs: list[Run], cold_bounds_broken: int, starts: int):
+    def __init__(
+        self, data_centre: str, runs: list[Run], cold_bounds_broken: int, starts: int
+    ):
+        self.data_centre = data_centre
         self.runs = runs
         self.cold_bounds_broken = cold_bounds_broken
         self.starts = starts
@@ -184,7 +188,7 @@
             broken += 1
         elif doc["event"] == RAN and doc["outcome"] == Outcome.DONE.value:
             runs.append(Run(target, data_centre, doc))
-    return Ledger(runs, broken, starts)
+    return Ledger(data_centre, runs, broken, starts)
 
 
 def check(
@@ -208,8 +212,16 @@
     Returns
     -------
     Findings
+
+    Raises
+    ------
+    ValueError
+        A closure names a data centre that no ledger names, so that nothing could be
+        found there.
     """
     ledgers = list(ledgers)
+    closures = list(closures)
+    _check_names(ledgers, closures)
     runs = [run for ledger in ledgers for run in ledger.runs]
     found = Findings(len(runs))
     _check_idempotency(runs, found)
@@ -221,6 +233,16 @@
     return found
 
 
+def _check_names(ledgers: list[Ledger], closures: list[Closure]) -> None:
+    known = {ledger.data_centre for ledger in ledgers}
+    for closure in closures:
+        if closure.data_centre not in known:
+            raise ValueError(
+                f"no target's ledger names the data centre {closure.data_centre!r}; "
+                "start the targets with --data-centre"
+            )
+
+
 def _check_idempotency(runs: list[Run], found: Findings) -> None:
     by_key = defaultdict(list)
     for run in runs:
--- a/packages/standins/src/berylstage_standins/load.py
+++ b/packages/standins/src/berylstage_standins/load.py
@@ -17,7 +17,8 @@
 from berylstage_transfers.errors import AnswerLost, CallFailed, NeverSent
 
 from berylstage_standins.call_record import CERTAIN, CallOutcome, CallRecord
-from berylstage_standins.load_result import LoadResult
+from berylstage_standins.load_result import SERVED, LoadResult
+from berylstage_standins.load_settings import LoadSettings, Share, read_share
 from berylstage_standins.target_server import body_digest
 
 # Connections to one VM; more calls wait.
@@ -30,84 +31,13 @@
 RETRY_AFTER = 0.2
 # Seconds before a retry at most, so that a run ends soon.
 MAX_RETRY_AFTER = 1.0
+# Seconds between two probes of a key that failed, which bound the error of the time
+# that it was unavailable.
+PROBE_INTERVAL = 0.1
 # Exponent of the popularity of keys: 0 would make all equally popular.
 KEY_SKEW = 0.9
 
 
-class Share:
-    """One kind of request in the mix.
-
-    Parameters
-    ----------
-    service, kind : str
-    once : bool
-        Whether the work may not be repeated, and gets an idempotency key.
-    weight : float
-    """
-
-    __slots__ = ("kind", "once", "service", "weight")
-
-    def __init__(self, service: str, kind: str, once: bool, weight: float):
-        self.service = service
-        self.kind = kind
-        self.once = once
-        self.weight = weight
-
-
-class LoadSettings:
-    """What is asked of the VMs.
-
-    Parameters
-    ----------
-    vms : list of str
-        ``host:port`` of each VM.
-    mix : list of Share
-    callers : int
-        Callers that wait for each answer before they ask again; with a rate, the
-        number of callers that the requests are spread over.
-    rate : float
-        Requests a second, however slow the answers.
-    keys : int
-        Keys for each service.
-    timeout : float
-        Seconds that a caller waits for an answer.
-    retries : int
-        Attempts after the first, each through another VM.
-    seed : int
-    """
-
-    __slots__ = (
-        "callers",
-        "keys",
-        "mix",
-        "rate",
-        "retries",
-        "seed",
-        "timeout",
-        "vms",
-    )
-
-    def __init__(
-        self,
-        vms: list[str],
-        mix: list[Share],
-        callers: int = 10,
-        rate: float = 0.0,
-        keys: int = 100,
-        timeout: float = 5.0,
-        retries: int = 0,
-        seed: int = 1,
-    ):
-        self.vms = vms
-        self.mix = mix
-        self.callers = callers
-        self.rate = rate
-        self.keys = keys
-        self.timeout = timeout
-        self.retries = retries
-        self.seed = seed
-
-
 class Wish:
     """One request of a caller, over all its attempts."""
 
@@ -146,6 +76,7 @@
         self._popularity = [
             1.0 / (rank + 1) ** KEY_SKEW for rank in range(settings.keys)
         ]
+        self._probes: dict[tuple[str, str], asyncio.Task[None]] = {}
         self._run_id = uuid.uuid4().hex[:8]
         self._wishes = 0
 
@@ -166,6 +97,9 @@
         else:
             callers = range(self.settings.callers)
             await asyncio.gather(*(self._run_caller(n, end) for n in callers))
+        for probe in self._probes.values():
+            probe.cancel()
+        await asyncio.gather(*self._probes.values(), return_exceptions=True)
         return self.result
 
     def close(self) -> None:
@@ -204,11 +138,38 @@
         for attempt in range(1 + self.settings.retries):
             record, pause = await self._attempt(wish, caller, vms[attempt % len(vms)])
             self.result.add(record)
+            if record.outcome not in SERVED:
+                self._start_probe(wish)
             if not _worth_a_retry(wish, record):
                 return
             if attempt < self.settings.retries:
                 await asyncio.sleep(pause)
 
+    def _start_probe(self, wish: Wish) -> None:
+        """Watch for a key to come back, unless that is done already."""
+        name = (wish.share.service, wish.key)
+        repeatable = [
+            share
+            for share in self.settings.mix
+            if share.service == wish.share.service and not share.once
+        ]
+        if repeatable and name not in self._probes:
+            probe = asyncio.ensure_future(self._probe(repeatable[0], wish.key))
+            self._probes[name] = probe
+
+    async def _probe(self, share: Share, key: str) -> None:
+        """Ask for a key until it is served."""
+        served = False
+        while not served:
+            await asyncio.sleep(PROBE_INTERVAL)
+            self._wishes += 1
+            wish = Wish(share, key, f"{self._run_id}-{self._wishes}")
+            vm = self._random.choice(self.settings.vms)
+            record, _ = await self._attempt(wish, "probe", vm)
+            self.result.add_probe(record)
+            served = record.outcome in SERVED
+        del self._probes[share.service, key]
+
     async def _attempt(
         self, wish: Wish, caller: str, vm: str
     ) -> tuple[CallRecord, float]:
@@ -292,16 +253,6 @@
     return str(exc).partition("(")[2].partition(")")[0]
 
 
-def _share(text: str) -> Share:
-    """Read ``service/kind=weight`` or ``service/kind:once=weight``."""
-    name, _, weight = text.partition("=")
-    name, _, once = name.partition(":")
-    service, _, kind = name.partition("/")
-    if not kind or once not in ("", "once"):
-        raise argparse.ArgumentTypeError(f"{text!r}: write service/kind[:once]=weight")
-    return Share(service, kind, once == "once", float(weight or 1))
-
-
 def _settings(args: argparse.Namespace) -> LoadSettings:
     return LoadSettings(
         vms=args.vm,
@@ -343,7 +294,7 @@
     parser.add_argument("--vm", action="append", required=True, metavar="HOST:PORT")
     parser.add_argument(
         "--mix",
-        type=_share,
+        type=read_share,
         action="append",
         required=True,
         metavar="SERVICE/KIND[:once]=WEIGHT",
--- a/packages/standins/src/berylstage_standins/load_result.py
+++ b/packages/standins/src/berylstage_standins/load_result.py
@@ -15,14 +15,15 @@
 _MICROSECONDS = 1_000_000
 
 # Outcomes that mean that the key is served: work in progress is.
-_SERVED = frozenset({CallOutcome.ANSWERED, CallOutcome.IN_PROGRESS})
+SERVED = frozenset({CallOutcome.ANSWERED, CallOutcome.IN_PROGRESS})
 
 
 class Availability:
     """How long a key was unavailable, from the attempts on it.
 
     A key counts as unavailable from the start of the first attempt that failed after
-    a success to the end of the next attempt that succeeded.
+    a success to the end of the next attempt that succeeded. That is only as good as
+    the attempts are frequent, so the load probes a key from its first failure on.
     """
 
     __slots__ = ("failed_since", "longest")
@@ -33,7 +34,7 @@
 
     def add(self, record: CallRecord) -> None:
         """Take one attempt into account."""
-        if record.outcome not in _SERVED:
+        if record.outcome not in SERVED:
             if self.failed_since is None:
                 self.failed_since = record.start
             return
@@ -55,17 +56,27 @@
     ----------
     records : list of CallRecord
         Every attempt.
+    probes : int
+        Attempts that only watched for a key to come back; they stand in ``records``,
+        and count in no figure but the time of unavailability.
     latency : dict of str to HdrHistogram
         Microseconds of the answered attempts, by ``service/kind`` and in ``all``.
     """
 
     def __init__(self) -> None:
         self.records: list[CallRecord] = []
+        self.probes = 0
         self.outcomes: Counter[CallOutcome] = Counter()
         self.reasons: Counter[str] = Counter()
         self.latency: dict[str, HdrHistogram] = defaultdict(_histogram)
         self._keys: dict[tuple[str, str], Availability] = defaultdict(Availability)
 
+    def add_probe(self, record: CallRecord) -> None:
+        """Take into account an attempt that watched for a key to come back."""
+        self.records.append(record)
+        self.probes += 1
+        self._keys[record.service, record.key].add(record)
+
     def add(self, record: CallRecord) -> None:
         """Take one attempt into account."""
         self.records.append(record)
@@ -93,6 +104,7 @@
         return {
             "outcomes": {o.value: self.outcomes[o] for o in CallOutcome},
             "reasons": dict(self.reasons.most_common()),
+            "probes": self.probes,
             "wrong_answers": self.wrong_answers(),
             "longest_unavailable_s": round(self.longest_unavailable(now), 3),
             "latency_ms": {
--- a/packages/standins/tests/test_ledger.py
+++ b/packages/standins/tests/test_ledger.py
@@ -116,6 +116,11 @@
 }
 
 
+def ledgers_of(runs):
+    """Return a ledger of one target in shymkent-a."""
+    return [Ledger("shymkent-a", runs, 0, 1)]
+
+
 def broken(found):
     """Return the names of the invariants that broke."""
     return [name for name, sentences in found.broken.items() if sentences]
@@ -125,7 +130,7 @@
     @pytest.mark.parametrize("name", HISTORIES)
     def test_histories(self, name):
         runs, expected = HISTORIES[name]
-        found = check([Ledger(runs, 0, 1)])
+        found = check(ledgers_of(runs))
         assert broken(found) == expected
         assert found.hold() == (not expected)
 
@@ -133,7 +138,7 @@
     def test_attempts(self, name):
         calls, ran, expected = ATTEMPTS[name]
         runs = [run_on("a", 0, 1, digest="d")] if ran else []
-        assert broken(check([Ledger(runs, 0, 1)], calls=calls)) == expected
+        assert broken(check(ledgers_of(runs), calls=calls)) == expected
 
     @pytest.mark.parametrize(
         ("arrived", "expected"),
@@ -143,11 +148,18 @@
         # Operators closed shymkent-a at 10 and opened it again at 20. Some VM has not
         # heard of it and sends work there.
         runs = [run_on("a", 0, 30, arrived_wall=arrived)]
-        found = check([Ledger(runs, 0, 1)], [Closure("shymkent-a", 10.0, 20.0)])
+        found = check(ledgers_of(runs), [Closure("shymkent-a", 10.0, 20.0)])
         assert len(found.broken[found.CLOSED]) == expected
 
+    def test_a_data_centre_that_no_ledger_names_is_an_error(self):
+        # The targets were started without their data centre. A check that could find
+        # nothing must not look like one that found nothing.
+        ledgers = [Ledger("", [], 0, 1)]
+        with pytest.raises(ValueError, match="--data-centre"):
+            check(ledgers, [Closure("shymkent-a", 10.0)])
+
     def test_cold_bounds(self):
-        found = check([Ledger([], 2, 1), Ledger([], 0, 1)])
+        found = check([Ledger("a", [], 2, 1), Ledger("b", [], 0, 1)])
         assert len(found.broken[found.COLD]) == 2
 
 
--- a/packages/standins/tests/test_load.py
+++ b/packages/standins/tests/test_load.py
@@ -8,8 +8,9 @@
 
 import pytest
 from berylstage_standins.call_record import CallOutcome, CallRecord
-from berylstage_standins.load import Load, LoadSettings, Share
+from berylstage_standins.load import Load
 from berylstage_standins.load_result import Availability
+from berylstage_standins.load_settings import LoadSettings, Share
 from berylstage_standins.target_server import body_digest
 from tornado.httpserver import HTTPServer
 from tornado.netutil import bind_sockets
@@ -101,6 +102,26 @@
         assert len(keys) == 1
         assert (None not in keys) == once
 
+    def test_a_key_that_failed_is_probed_until_it_is_back(self):
+        # Most keys are asked for seldom. Without probes a key that failed once would
+        # count as unavailable until somebody happens to ask for it again.
+        async def scenario():
+            async with vm(*["not-run"] * 3) as (address, _):
+                mix = [Share("parts-desk", "status", False, 1.0)]
+                load = Load(LoadSettings([address], mix))
+                await load._fulfil(load._wish(), "caller-1")
+                while load.result.probes < 3:
+                    await asyncio.sleep(0.01)
+                assert load.result.outcomes[CallOutcome.NOT_RUN] == 1
+                assert len(load.result.records) == 4
+                last = load.result.records[-1]
+                assert last.outcome is CallOutcome.ANSWERED
+                times = [load.result.longest_unavailable(last.end + n) for n in (0, 9)]
+                assert times[0] == times[1] > 0
+                load.close()
+
+        asyncio.run(asyncio.wait_for(scenario(), 30))
+
     def test_callers_use_every_vm(self):
         async def scenario():
             async with vm() as (one, seen_one), vm() as (two, seen_two):
