--- a/Makefile
+++ b/Makefile
@@ -32,7 +32,17 @@
 	$(PY) tools/check_imports.py
 
 test:  ## run the tests
-	$(PY) -m pytest
+	$(PY) -m pytest $(PYTEST_OPTIONS)
+
+.PHONY: demo demo-short up
+demo:  ## run an installation through a day with faults, in about a minute
+	$(PY) -m berylstage_bench.demo
+
+up:  ## run an installation until Ctrl-C and print what to try
+	$(PY) -m berylstage_bench.up
+
+demo-short:  ## the same with the same checks in under 25 s
+	$(PY) -m berylstage_bench.demo --short
 
 check: format-check lint types imports test  ## everything that CI runs
 
