--- a/Makefile
+++ b/Makefile
@@ -5,6 +5,7 @@
 
 .PHONY: help install format format-check lint types imports tables test check
 .PHONY: bench-policy
+.PHONY: bench-send
 
 help:  ## list the targets
 	@grep -hE '^[a-z-]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*##/\t/' | sort
@@ -58,3 +59,6 @@
 	$(PY) -m pip install -q grpcio-tools
 	cd packages/messages/src && PATH=$(abspath $(VENV))/bin:$$PATH $(abspath $(PY)) -m grpc_tools.protoc -I. \
 	  --python_out=. --pyi_out=. --grpclib_python_out=. berylstage_messages/*.proto
+
+bench-send:  ## measure what a request to a target costs its sender
+	$(PY) -m berylstage_bench.send_cost
