Let the reader report overrides of thresholds that the policy refuses

The daemon raises on an override that it does not know, after the sheet was accepted. The reader takes the policy's check as a parameter, as this package imports nothing.

--- a/packages/sheet/src/berylstage_sheet/reader.py
+++ b/packages/sheet/src/berylstage_sheet/reader.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable, Iterator, Sequence
+
 from berylstage_sheet.checks import check
 from berylstage_sheet.columns import (
     AUTHOR,
@@ -72,13 +74,20 @@
         return Place(0)
 
 
-def read_sheet(raw: bytes) -> Sheet:
+# Takes the overrides of the thresholds and returns an error for each fault of theirs.
+ThresholdCheck = Callable[[dict[str, float]], Sequence[Exception]]
+
+
+def read_sheet(raw: bytes, check_thresholds: ThresholdCheck | None = None) -> Sheet:
     """Read and check a sheet.
 
     Parameters
     ----------
     raw : bytes
         The CSV file as the spreadsheet wrote it.
+    check_thresholds : callable, optional
+        Knows the policy's thresholds, which this package does not. Each error's
+        message ends in the remedy, after a semicolon.
 
     Returns
     -------
@@ -91,6 +100,8 @@
     """
     layout = read_layout(raw)
     faults = [*layout.faults, *check(layout)]
+    if check_thresholds is not None:
+        faults += _threshold_faults(layout, check_thresholds)
     if faults:
         raise FaultySheet(faults)
     cfg = _configuration(layout)
@@ -104,6 +115,23 @@
     return Sheet(cfg, _based_on(layout), layout)
 
 
+def _threshold_faults(
+    layout: Layout, check_thresholds: ThresholdCheck
+) -> Iterator[RuleFault]:
+    """Yield what is wrong with the overrides of the thresholds."""
+    records = {
+        record.value("name"): record for record in layout.of(THRESHOLDS) if record.whole
+    }
+    values = {name: record.value("value") for name, record in records.items()}
+    for exc in check_thresholds(values):
+        problem, _, remedy = str(exc).partition("; ")
+        # A fault of two thresholds together stands in the row of the first one.
+        named = (record for name, record in records.items() if name in problem)
+        first = next(named, None)
+        place = first.place("value") if first else Place(0)
+        yield RuleFault(place, problem, remedy)
+
+
 def _based_on(layout: Layout) -> int | None:
     """Return the revision that the sheet names as its base."""
     text = _property(layout, BASED_ON)
--- a/packages/sheet/tests/test_reader.py
+++ b/packages/sheet/tests/test_reader.py
@@ -202,6 +202,18 @@
         faults = faults_of(spoilt(("\nkeys\n", "\nservices\n")))
         assert "stands twice" in str(next(f for f in faults if f.row == 31))
 
+    def test_threshold_that_the_policy_refuses(self, text):
+        # A threshold is misspelt. Were the sheet accepted, each VM would refuse it
+        # in its own log, where no operator looks.
+        def refuse(values):
+            return [ValueError(f"no threshold is named {n!r}; use x") for n in values]
+
+        with pytest.raises(FaultySheet) as caught:
+            read_sheet(text.encode(), refuse)
+        (fault,) = caught.value.faults
+        assert (fault.row, fault.column) == (38, "value")
+        assert fault.remedy == "use x"
+
     def test_too_large_for_the_store(self, text):
         # The store refuses values over a megabyte. The operator hears of it from
         # `check`, not from the store after having approved the changes.
