--- a/packages/bench/src/berylstage_bench/operators.py
+++ b/packages/bench/src/berylstage_bench/operators.py
@@ -54,8 +54,8 @@
         """Apply a sheet, wait until it is in force, and return its revision."""
         return (await self.document("apply", str(sheet), "--yes"))["accepted"]
 
-    async def set_data_centre(self, name: str, state: str) -> float:
-        """Open or close a data centre: export the sheet, edit a cell, apply it.
+    async def edited(self, name: str, state: str) -> Path:
+        """Export the sheet and edit the state of a data centre in it.
 
         Parameters
         ----------
@@ -65,13 +65,27 @@
 
         Returns
         -------
-        float
-            Unix seconds at which the sheet was accepted.
+        Path
         """
-        sheet = self._installation.folder / "edited.csv"
+        sheet = self._installation.folder / f"{name}-{state}.csv"
         await self.document("export", "--output", str(sheet))
         sheet.write_text(edit_data_centre(sheet.read_text(), name, state), newline="")
-        revision = await self.apply(sheet)
+        return sheet
+
+    async def set_data_centre(self, name: str, state: str) -> float:
+        """Open or close a data centre by the sheet.
+
+        Parameters
+        ----------
+        name, state : str
+            As for :meth:`edited`.
+
+        Returns
+        -------
+        float
+            Unix seconds at which the sheet was accepted.
+        """
+        revision = await self.apply(await self.edited(name, state))
         return await self.accepted_at(revision)
 
     async def accepted_at(self, revision: int) -> float:
--- /dev/null
+++ b/packages/bench/tests/conftest.py
@@ -0,0 +1,36 @@
+"""Runs trials of real processes."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+from berylstage_bench.trial import Trial
+
+# Seconds after which a trial counts as hung.
+TRIAL_LIMIT = 120.0
+
+
+@pytest.fixture
+def trial(tmp_path):
+    """Return a function that runs a scenario in a trial and judges its ledgers.
+
+    The scenario gets the trial under load; whatever it does, what must always hold
+    is checked at the end.
+    """
+
+    def run(scenario, **options):
+        async def play():
+            played = Trial(tmp_path, **options)
+            try:
+                await played.start()
+                await scenario(played)
+                verdict = await played.finish()
+            finally:
+                played.installation.stop()
+            assert verdict.holds, "\n".join(verdict.lines())
+            return verdict
+
+        return asyncio.run(asyncio.wait_for(play(), TRIAL_LIMIT))
+
+    return run
