Run each request that may not be repeated at most once, over VMs and moves

Cause: the path sent such requests again whenever a caller did. Ruled out: a write to the store for each request (several hundred a second is its whole rate, and it has outages); a copy at a second VM (a replicated store of our own). Change: the leading VM keeps a bounded table with a floor in issue time per shard; planned moves take the records along; the work outlives its caller, so that a repeat finds its answer.

--- a/packages/daemon/src/berylstage_daemon/answers.py
+++ b/packages/daemon/src/berylstage_daemon/answers.py
@@ -32,6 +32,8 @@
         Target that answered, or that the request was meant for.
     epoch : int
         Epoch of the lead under which it was sent.
+    message : str
+        What the caller should do, where the outcome alone does not say it.
     """
 
     __slots__ = (
@@ -43,6 +45,7 @@
         "retry_after",
         "target",
         "epoch",
+        "message",
     )
 
     def __init__(
@@ -55,6 +58,7 @@
         retry_after: float | None = None,
         target: str = "",
         epoch: int = 0,
+        message: str = "",
     ):
         self.outcome = outcome
         self.status = status
@@ -64,6 +68,7 @@
         self.retry_after = retry_after
         self.target = target
         self.epoch = epoch
+        self.message = message
 
 
 # What a caller reads in the body when a request was not answered by a target.
--- a/packages/daemon/src/berylstage_daemon/callers.py
+++ b/packages/daemon/src/berylstage_daemon/callers.py
@@ -143,7 +143,7 @@
             self.set_header("Retry-After-Ms", str(int(answer.retry_after * 1000)))
         self.finish(
             {
-                "error": REMEDIES[answer.outcome],
+                "error": answer.message or REMEDIES[answer.outcome],
                 "reason": answer.reason,
                 "request_id": request_id,
             }
--- a/packages/daemon/src/berylstage_daemon/forwarding.py
+++ b/packages/daemon/src/berylstage_daemon/forwarding.py
@@ -167,6 +167,7 @@
         retry_after_ms=0 if retry_after is None else int(retry_after * 1000),
         target=answer.target,
         epoch=answer.epoch,
+        message=answer.message,
     )
 
 
@@ -182,4 +183,5 @@
         retry_after,
         reply.target,
         reply.epoch,
+        reply.message,
     )
--- a/packages/daemon/src/berylstage_daemon/leaders.py
+++ b/packages/daemon/src/berylstage_daemon/leaders.py
@@ -48,7 +48,8 @@
         self._leaders: dict[str, Leader] = {}
         self._clients: dict[str, HttpTargetClient] = {}
         self._addresses: dict[str, str] = {}
-        self._once = Once()
+        self._once = Once(app.events)
+        app.control.node.set_records(self._once.table)
         self._thresholds = Thresholds()
         self._rng = SystemRandom()
         self._held: dict[str, set[asyncio.Future]] = defaultdict(set)
--- a/packages/daemon/tests/conftest.py
+++ b/packages/daemon/tests/conftest.py
@@ -5,6 +5,8 @@
 import asyncio
 import json
 import socket
+import time
+import uuid
 from random import Random
 
 import pytest
@@ -298,7 +300,13 @@
             response = await self.call(f"/{service}/lookup/warm-up", "GET")
             if response.code != 200:
                 return False
-        return True
+        # Right after its start a VM proves nothing fresh.
+        headers = {
+            "Idempotency_Key": uuid.uuid4().hex,
+            "Idempotency_Issued_At": str(int(time.time() * 1000)),
+        }
+        response = await self.call("/field-log/record/warm-up", **headers)
+        return response.code == 200
 
 
 def _service(name, ownership):
--- a/packages/daemon/tests/test_callers.py
+++ b/packages/daemon/tests/test_callers.py
@@ -63,6 +63,34 @@
         assert len(ran) == 1
 
 
+class TestRepeats:
+    def test_same_key_again_gets_the_first_answer(self, path):
+        # A caller lost the answer to its order and sends it again.
+        key = uuid.uuid4().hex
+        moment = time.time()
+        first = path.run(path.call("/field-log/record/k", **once(key, moment)))
+        second = path.run(path.call("/field-log/record/k", **once(key, moment)))
+        assert first.code == second.code == 200
+        assert first.body == second.body
+        ran = [r for r in path.ledger("field-log") if r.get("idempotency_key") == key]
+        assert len(ran) == 1
+
+    def test_key_issued_before_this_vm_served_the_shard_is_refused(self, path):
+        # The order may have run through a VM that is lost now; nobody can tell.
+        headers = once(issued_at=time.time() - 3600)
+        response = path.run(path.call("/field-log/record/k", **headers))
+        assert response.code == 409
+        assert outcome(response) == "unknown"
+        assert response.headers["Berylstage-Reason"] == "not-fresh"
+
+    def test_clock_ahead_is_told_so(self, path):
+        headers = once(issued_at=time.time() + 3600)
+        response = path.run(path.call("/field-log/record/k", **headers))
+        assert response.code == 400
+        assert outcome(response) == "not-run"
+        assert response.headers["Berylstage-Reason"] == "clock-ahead"
+
+
 class TestBadInput:
     @pytest.mark.parametrize("url, headers, status, reason", BAD_INPUT)
     def test_refusal_names_the_remedy(self, path, url, headers, status, reason):
--- a/packages/ownership/tests/test_node.py
+++ b/packages/ownership/tests/test_node.py
@@ -15,13 +15,13 @@
 
 
 class TestLostTarget:
-    def test_keys_are_served_while_lost_work_has_its_deadline_ahead(self, build):
+    def test_keys_are_served_while_lost_work_has_its_deadline_ahead(self):
         # A target dies with an order in work whose deadline is seconds away. Its
         # leader gets no word of the order's end. A target that checks fences can
         # give it no effect once its grant has lapsed, so that the keys need not
         # wait for the deadline; a user would notice the wait as keys without an
         # answer for as long as the longest deadline of any order.
-        world = build()
+        world = build_world()
         shard = world.vms["vm-0"].node.shard_of("visits", KEYS[0])
         target = world.targets[world.vms["vm-0"].node.route("visits", shard).target]
         for vm in world.vms.values():
