Let early requests wait, so that the floor after a take-over is 0.35 s and not 1.25 s

Cause: callers' clocks were allowed to be a second ahead at once, so a new VM had to refuse everything issued up to a second and a quarter after its start. Ruled out: no allowance at all (clocks differ by milliseconds everywhere). Change: 100 ms of lead are let in at once, up to a second waits, more is refused; a request whose shard moves while it waits goes along as not run.

--- a/packages/daemon/src/berylstage_daemon/once.py
+++ b/packages/daemon/src/berylstage_daemon/once.py
@@ -5,7 +5,7 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-from berylstage_ownership.idempotency import IdempotencyTable, Verdict
+from berylstage_ownership.idempotency import CALLER_LEAD_MS, IdempotencyTable, Verdict
 
 from berylstage_daemon.answers import (
     DEFAULT_RETRY_AFTER,
@@ -67,9 +67,11 @@
         """
         if req.kind.repeatable:
             return await work()
-        decision = self.table.admit(
-            shard, req.idempotency_key, req.issued_at_ms, int(wall() * MILLISECONDS)
-        )
+        decision = await self._decide(req, shard)
+        if not self.table.serves(shard):
+            # The shard moved while an early request waited. It did not run here, and
+            # the shard's new VM has the records to tell whether it is fresh.
+            return not_run("moved")
         if decision.verdict is not Verdict.RUN:
             return _known(decision)
         # The work goes on when its caller goes away. Cancelled half-way it would end
@@ -79,6 +81,17 @@
         task.add_done_callback(self._running.discard)
         return await asyncio.shield(task)
 
+    async def _decide(self, req: CallerRequest, shard: str) -> Decision:
+        """Return the decision on a request, once its issue time has come."""
+        while True:
+            wall_ms = int(wall() * MILLISECONDS)
+            key, issued_ms = req.idempotency_key, req.issued_at_ms
+            decision = self.table.admit(shard, key, issued_ms, wall_ms)
+            if decision.verdict is not Verdict.EARLY:
+                return decision
+            ahead_ms = issued_ms - wall_ms - CALLER_LEAD_MS
+            await asyncio.sleep(ahead_ms / MILLISECONDS)
+
     async def _work(
         self,
         req: CallerRequest,
--- a/packages/daemon/tests/test_once.py
+++ b/packages/daemon/tests/test_once.py
@@ -183,6 +183,31 @@
         assert repeat.body == b"shipped"
         assert fresh.outcome is Outcome.ANSWERED
 
+    def test_early_request_waits_for_its_issue_time(self, order):
+        # A caller's clock is a little ahead. Refused, each of its orders would fail;
+        # let in at once, one could run again through the VM that takes over next.
+        async def play():
+            once, _ = gained()
+            work = Work()
+            work.end.set_result(answered())
+            return await once.run(order(age=-0.3), SHARD, work)
+
+        assert asyncio.run(play()).outcome is Outcome.ANSWERED
+
+    def test_early_request_goes_along_with_its_shard(self, order, let_run):
+        # The shard moves while the request waits. It has not run, and must not be
+        # called unknown.
+        async def play():
+            once, events = gained()
+            early = asyncio.ensure_future(once.run(order(age=-0.3), SHARD, Work()))
+            await let_run()
+            events.emit("shard-released", ShardReleased(SHARD, "t"))
+            return await early
+
+        answer = asyncio.run(play())
+        assert answer.outcome is Outcome.NOT_RUN
+        assert answer.reason == "moved"
+
     def test_clock_ahead_is_refused_as_not_run(self, order):
         # A caller's clock runs a minute ahead. Let in, its orders would look fresh to
         # the next VM even after they ran here.
--- a/packages/ownership/src/berylstage_ownership/idempotency.py
+++ b/packages/ownership/src/berylstage_ownership/idempotency.py
@@ -18,8 +18,15 @@
 VM_SKEW_MS = 250
 """Bound on the difference of two VMs' wall clocks; NTP keeps it to a few ms."""
 
+CALLER_LEAD_MS = 100
+"""How far ahead a caller's clock may be for its requests to be let in at once.
+
+After the loss of a VM nothing is fresh until the floor has passed, which lies this far
+ahead: a second here would be a second more without orders."""
+
 CALLER_SKEW_MS = 1000
-"""How far ahead a caller's clock may be; beyond it, its requests are refused."""
+"""How far ahead a caller's clock may be for its requests to wait until its lead is
+small enough; beyond it they are refused."""
 
 CAPACITY = 50_000
 """Records kept by one VM: at 100 such requests a second, those of eight minutes."""
@@ -42,6 +49,7 @@
     IN_PROGRESS = "in-progress"
     UNKNOWN = "unknown"
     NOT_FRESH = "not-fresh"
+    EARLY = "early"
     FROM_THE_FUTURE = "from-the-future"
     FULL = "full"
 
@@ -125,6 +133,10 @@
         "are gone; look up its effect, and issue it as new under a new key if it has "
         "none"
     ),
+    Verdict.EARLY: (
+        "the request's issue time lies ahead of this VM's clock; it waits until it "
+        "has come"
+    ),
     Verdict.FROM_THE_FUTURE: (
         "the request did not run, as its issue time lies ahead of this VM's clock; set "
         "the caller's clock and issue it again"
@@ -174,7 +186,7 @@
         wall_ms : int
             Unix milliseconds at which this VM began to serve the shard.
         """
-        floor = wall_ms + VM_SKEW_MS + CALLER_SKEW_MS
+        floor = wall_ms + VM_SKEW_MS + CALLER_LEAD_MS
         self._floors[shard] = max(floor, self._parted.pop(shard, 0))
 
     def take_over(self, shard: str, handed: list[ShardRecords]) -> None:
@@ -241,9 +253,11 @@
         if record is not None:
             return Verdict(record.state.value)
         if issued_ms > wall_ms + CALLER_SKEW_MS:
+            return Verdict.FROM_THE_FUTURE
+        if issued_ms > wall_ms + CALLER_LEAD_MS:
             # Let in, it would lie above the floor of the next VM as well, and could
             # run there a second time.
-            return Verdict.FROM_THE_FUTURE
+            return Verdict.EARLY
         if issued_ms <= self.floor(shard):
             return Verdict.NOT_FRESH
         if not self._make_room(0):
@@ -252,6 +266,10 @@
         fresh = issued_ms > self.floor(shard)
         return Verdict.RUN if fresh else Verdict.NOT_FRESH
 
+    def serves(self, shard: str) -> bool:
+        """Tell whether this VM has gained a shard and not lost it."""
+        return shard in self._floors
+
     def floor(self, shard: str) -> int:
         """Return the issue time up to which unseen requests are refused."""
         return self._floors.get(shard, NEVER)
--- a/packages/ownership/tests/test_idempotency.py
+++ b/packages/ownership/tests/test_idempotency.py
@@ -4,6 +4,7 @@
 
 import pytest
 from berylstage_ownership.idempotency import (
+    CALLER_LEAD_MS,
     CALLER_SKEW_MS,
     VM_SKEW_MS,
     IdempotencyTable,
@@ -15,7 +16,7 @@
 
 SHARD = "parts/3"
 START = 1_000_000
-SERVED = START + VM_SKEW_MS + CALLER_SKEW_MS + 1
+SERVED = START + VM_SKEW_MS + CALLER_LEAD_MS + 1
 
 
 @pytest.fixture
@@ -67,6 +68,13 @@
         far = SERVED + CALLER_SKEW_MS + 1
         assert admit(table, "a", issued=far) is Verdict.FROM_THE_FUTURE
 
+    def test_a_clock_somewhat_ahead_waits(self, table):
+        # A caller's clock is half a second ahead. Its request waits for that long
+        # instead of lying above the floor of whichever VM comes next.
+        issued = SERVED + CALLER_LEAD_MS + 1
+        assert admit(table, "a", issued=issued) is Verdict.EARLY
+        assert admit(table, "a", issued=issued, wall=SERVED + 1) is Verdict.RUN
+
     def test_covers_the_difference_of_two_vms_clocks(self):
         # The lost VM's clock was ahead and its caller's still further; the next VM's
         # clock is behind. What the first let in last must not be new to the second.
@@ -74,7 +82,7 @@
         first.gain(SHARD, START)
         wall = START + 10 * CALLER_SKEW_MS
         ahead, behind = wall + VM_SKEW_MS // 2, wall - VM_SKEW_MS // 2
-        issued = ahead + CALLER_SKEW_MS
+        issued = ahead + CALLER_LEAD_MS
         assert admit(first, "a", issued, ahead) is Verdict.RUN
         second.gain(SHARD, behind)
         assert admit(second, "a", issued, behind + 60_000) is Verdict.NOT_FRESH
