--- a/packages/ownership/src/berylstage_ownership/proposals.py
+++ b/packages/ownership/src/berylstage_ownership/proposals.py
@@ -123,8 +123,10 @@
             return None
         if role is Role.SEEKER:
             return self._rescue(now, core.assignment)
-        if role is not Role.PROPOSER or not core.fleet.can_judge(now, core.assignment):
+        if role is not Role.PROPOSER:
             return None
+        if not core.fleet.can_judge(now, core.assignment):
+            return self._rescue(now, core.assignment)
         return self._next(now)
 
     def _write_id(self) -> str:
@@ -192,11 +194,16 @@
             return None
         if core.elector.is_mute(now):
             return None
-        fresh = [name for name in core.fleet.sightings if core.fleet.fresh(now, name)]
-        if min(fresh, default=core.name) != core.name:
+        if not core.is_elector() and not self._is_first(now):
             return None
         return with_new_electorate(self._outlook(now), self._write_id())
 
+    def _is_first(self, now: float) -> bool:
+        """Tell whether this VM comes first of those that it hears."""
+        fleet = self._core.fleet
+        fresh = [name for name in fleet.sightings if fleet.fresh(now, name)]
+        return min(fresh, default=self._core.name) == self._core.name
+
     def reply(self, now: float, tag: int, result: StoreResult) -> list[Action]:
         """Take in the result of a call to the store.
 
--- a/packages/ownership/tests/ownership_fakes.py
+++ b/packages/ownership/tests/ownership_fakes.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+from berylstage_ownership.actions import ShardActivated, ShardReleased
 from berylstage_ownership.events import StoreConflict, StoreRead, StoreWritten
+from berylstage_ownership.idempotency import IdempotencyTable
 
 
 class FakeStore:
@@ -102,6 +104,22 @@
         self.paused_until = 0.0
         self.leaving = False
         self.notices = []
+        self.table = IdempotencyTable()
+        self.wall_offset = 0
+
+    def wall(self, time):
+        return 1_000_000 + int(time * 1000) + self.wall_offset
+
+    def notice(self, time, notice):
+        """Do what the daemon does with a notice."""
+        self.notices.append((time, notice))
+        if isinstance(notice, ShardActivated):
+            if notice.records is None:
+                self.table.gain(notice.shard, self.wall(time))
+            else:
+                self.table.take_over(notice.shard, notice.records)
+        elif isinstance(notice, ShardReleased):
+            self.table.lose(notice.shard)
 
     def local(self, time):
         return self.offset + time * self.rate
--- a/packages/ownership/tests/ownership_model.py
+++ b/packages/ownership/tests/ownership_model.py
@@ -19,6 +19,7 @@
 
     def __init__(self):
         super().__init__()
+        self.issued = {}
         self.world = build_world(vms=4, checks="mixed", targets=4, shards=4, settle=4.0)
 
     @rule(seconds=st.sampled_from([0.1, 0.3, 0.7, 1.5, 3.0]))
@@ -29,6 +30,10 @@
     def requests(self):
         for key in KEYS:
             self.world.request(SERVICE, key, length=0.2)
+            for name, issued in self.issued.items():
+                self.world.request_once(key, f"{key}-{name}", issued)
+        self.issued[str(len(self.issued))] = 1_000_000 + int(self.world.time * 1000)
+        self.issued = dict(list(self.issued.items())[-4:])
 
     @rule(vm=st.sampled_from(VMS), seconds=st.sampled_from([0.6, 1.2, 3.0]))
     def pause(self, vm, seconds):
--- a/packages/ownership/tests/ownership_world.py
+++ b/packages/ownership/tests/ownership_world.py
@@ -9,6 +9,7 @@
 from berylstage_ownership.actions import ReadStore, SendGrant, SendPeer, WriteStore
 from berylstage_ownership.assignment import Assignment
 from berylstage_ownership.events import StoreLost, StoreWritten
+from berylstage_ownership.idempotency import IdempotencyTable, Verdict
 from berylstage_ownership.node import Node, NodeSettings, Permit
 from berylstage_ownership.proposer import CONFIGURATION_KEY
 from berylstage_sheet.configuration import Configuration
@@ -36,6 +37,7 @@
         self.order = count()
         self.faults = []
         self.ran = []
+        self.runs = {}
         self.acknowledged = {}
         self.stored_revision = 0
         # Source and kind of message that never arrives.
@@ -87,6 +89,8 @@
             rng=Random(self.rng.getrandbits(32)),
         )
         vm.node = self.node_class(settings, vm.local(self.time))
+        vm.table = IdempotencyTable()
+        vm.node.set_records(vm.table)
         vm.paused_until = 0.0
         self.revisions[name] = (0, 0)
         self._tell_list(vm)
@@ -173,7 +177,7 @@
             elif isinstance(action, ReadStore | WriteStore):
                 self._call_store(vm, node, action)
             else:
-                vm.notices.append((self.time, action))
+                vm.notice(self.time, action)
 
     def _wait(self):
         return self.rng.uniform(*self.delay)
@@ -413,6 +417,62 @@
 
         self._at(self._wait(), arrive)
 
+    def request_once(self, key, name, issued_ms):
+        """Send a request that may not be repeated through each VM that admits it."""
+        for vm in self.vms.values():
+            if vm.node is None or self.time < vm.paused_until:
+                continue
+            local = vm.local(self.time)
+            shard = vm.node.shard_of(self.service, key)
+            permit = vm.node.admission(local, self.service, shard) if shard else None
+            if not isinstance(permit, Permit):
+                continue
+            wall = vm.wall(self.time)
+            decision = vm.table.admit(shard, name, issued_ms, wall)
+            if decision.verdict is Verdict.RUN:
+                self._send_once(vm, shard, permit, name)
+
+    def _send_once(self, vm, shard, permit, name):
+        target, node = self.targets[permit.target], vm.node
+        deadline = self.time + WORK_DEADLINE
+        local = vm.local(self.time)
+        node.work_started(local, target.name, shard, local + WORK_DEADLINE * 1.02)
+        ended = [False]
+
+        def end(end_record):
+            if not ended[0]:
+                ended[0] = True
+                end_record()
+                return node.work_ended(vm.local(self.time), target.name, shard)
+            return []
+
+        def finish(now, outcome):
+            if outcome == "answered":
+                return end(lambda: vm.table.answered(shard, name, 200, b"ok", ""))
+            if outcome == "not run":
+                return end(lambda: vm.table.not_run(shard, name))
+            return end(lambda: vm.table.unknown(shard, name))
+
+        def arrive():
+            if self.time < target.frozen_until:
+                self._at(target.frozen_until - self.time, arrive)
+                return
+            in_time = self.time < deadline
+            if not in_time or not target.accepts(self.time, shard, permit):
+                outcome = "not run" if target.alive else "unknown"
+            else:
+                self.runs[name] = self.runs.get(name, 0) + 1
+                self._note_work(name, target.name, self.time, self.time)
+                outcome = "answered"
+                if self.runs[name] > 1:
+                    self.faults.append(f"{self.time:.3f}: {name} ran twice")
+            if not self._lost(target.name, vm.name):
+                self._at(self._wait(), self._in_process, vm, node, finish, outcome)
+
+        if not self._lost(vm.name, target.name):
+            self._at(self._wait(), arrive)
+        self._at(WORK_DEADLINE, self._in_process, vm, node, finish, "unknown")
+
     def _note_work(self, key, target, start, end):
         for other_key, other, begun, ended in self.ran[-200:]:
             if other_key == key and other != target and begun < end and start < ended:
