Ask each prior about the revision that took its part away; add the fault matrix

Found by the matrix: a prior that still owned the hash range of a key set apart was asked by the asker's newest revision and said 'not yet' for ever. conversation.py is split into requests, answers and replies.

--- a/packages/ownership/src/berylstage_ownership/conversation.py
+++ b/packages/ownership/src/berylstage_ownership/conversation.py
@@ -1,4 +1,4 @@
-"""Messages to and from other VMs."""
+"""Requests to other VMs: heartbeats, claims, releases and fetches."""
 
 from __future__ import annotations
 
@@ -8,16 +8,11 @@
     DOCUMENT_KIND_ASSIGNMENT,
     DOCUMENT_KIND_CONFIGURATION,
     Beat,
-    BeatReply,
     Claim,
-    ClaimReply,
-    Envelope,
     Fetch,
-    FetchReply,
+    Held,
     Holder,
     Release,
-    ReleaseReply,
-    Remaining,
 )
 
 from berylstage_ownership.constants import HEARTBEAT, RETRY
@@ -27,20 +22,15 @@
     from berylstage_ownership.actions import Action
     from berylstage_ownership.core import Core
     from berylstage_ownership.holdings import Pending
-    from berylstage_ownership.records import RecordSource
-    from berylstage_ownership.requests import PeerRequest
 
 MICROSECONDS = 1_000_000
 
-HANDOVER_LIMIT = 1_000_000
-"""Bytes of records in one reply; the shards left out begin with a floor."""
-
 CATCH_UP_EVERY = 0.2
 """Seconds between two questions of a restarted elector to the others."""
 
 
 class Conversation:
-    """Sends this VM's requests and takes in the replies.
+    """Sends this VM's requests.
 
     Parameters
     ----------
@@ -221,8 +211,8 @@
         return Release(
             revision=self._core.docs.revision,
             incarnation=items[0].prior.incarnation,
-            shards=sorted({p.held for p in items if p.prior.shard}),
-            targets=sorted({p.held for p in items if not p.prior.shard}),
+            shards=_held([p for p in items if p.prior.shard]),
+            targets=_held([p for p in items if not p.prior.shard]),
         )
 
     def _claims(self, now: float) -> list[Action]:
@@ -302,243 +292,7 @@
         return actions
 
 
-class Answers:
-    """Answers the requests of other VMs.
-
-    Parameters
-    ----------
-    core : Core
-    conversation : Conversation
-    """
-
-    def __init__(self, core: Core, conversation: Conversation):
-        self._core = core
-        self._conversation = conversation
-        self.records: RecordSource | None = None
-
-    def answer(self, now: float, req: Envelope) -> tuple[Envelope, list[Action]]:
-        """Answer one request.
-
-        Parameters
-        ----------
-        now : float
-        req : Envelope
-
-        Returns
-        -------
-        (Envelope, list of Action)
-            The reply, and what is to be done besides.
-        """
-        reply = self._core.envelope()
-        kind = req.WhichOneof("body")
-        actions: list[Action] = []
-        if kind == "beat":
-            actions = self._on_beat(now, req, reply)
-        elif kind == "claim":
-            self._on_claim(now, req.claim, reply)
-        elif kind == "release":
-            actions = self._on_release(now, req, reply)
-        elif kind == "fetch":
-            self._on_fetch(now, req.fetch, reply)
-        return reply, actions
-
-    def _on_beat(self, now: float, req: Envelope, reply: Envelope) -> list[Action]:
-        """Answer a heartbeat."""
-        core = self._core
-        beat, sender = req.beat, req.sender
-        core.fleet.heard(now, sender.vm, sender.incarnation, beat)
-        refusal = self._conversation.confirm(now, sender.vm, sender.incarnation, beat)
-        assignment = core.assignment
-        reply.beat_reply.CopyFrom(
-            BeatReply(
-                confirmed=not refusal,
-                refusal=refusal,
-                revision=core.docs.revision,
-                configuration_revision=core.docs.configuration_revision,
-                electorate_version=assignment.electorate_version if assignment else 0,
-            )
-        )
-        contact = Contact(sender.vm, beat.peer_address)
-        return self._conversation.catch_up_with(
-            now, contact, beat.revision, beat.configuration_revision
-        )
-
-    def _on_claim(self, now: float, claim: Claim, reply: Envelope) -> None:
-        """Answer a claim."""
-        remaining = self._conversation.promise(now, claim)
-        answer = ClaimReply(
-            promised=remaining is not None,
-            refusal="" if remaining is not None else "mute",
-            revision=claim.revision,
-        )
-        for prior, left in zip(claim.priors, remaining or [], strict=False):
-            # Rounded up: a wait that ends a microsecond early would be no wait.
-            micros = int(left * MICROSECONDS) + (1 if left > 0 else 0)
-            answer.remaining.append(Remaining(holder=prior, microseconds=micros))
-        reply.claim_reply.CopyFrom(answer)
-
-    def _on_release(self, now: float, req: Envelope, reply: Envelope) -> list[Action]:
-        """Answer whether this VM has let go."""
-        core = self._core
-        release = req.release
-        answer = ReleaseReply(revision=core.docs.revision)
-        if release.incarnation == core.settings.incarnation:
-            holdings = core.holdings
-            for shard in release.shards:
-                if holdings.released(now, shard, release.revision):
-                    answer.shards.append(shard)
-            for target in release.targets:
-                if holdings.released(now, target, release.revision):
-                    answer.targets.append(target)
-            self._hand_over(answer)
-        reply.release_reply.CopyFrom(answer)
-        contact = core.contact(req.sender.vm)
-        if contact is None:
-            return []
-        return self._conversation.catch_up_with(now, contact, release.revision, 0)
-
-    def _hand_over(self, answer: ReleaseReply) -> None:
-        """Add the records of released shards, within the bound of the source."""
-        if self.records is None:
-            return
-        assert self._core.assignment is not None
-        holdings = self._core.holdings
-        shards = set(answer.shards)
-        for target in answer.targets:
-            shards |= holdings.parted_with(target)
-        size = 0
-        for shard in sorted(shards):
-            records = self.records.export(shard)
-            if records is None:
-                continue
-            size += records.ByteSize()
-            if size > HANDOVER_LIMIT:
-                return
-            answer.handover.append(records)
-
-    def _on_fetch(self, now: float, fetch: Fetch, reply: Envelope) -> None:
-        """Answer a fetch."""
-        core = self._core
-        docs = core.docs
-        answer = FetchReply(kind=fetch.kind)
-        if fetch.kind == DOCUMENT_KIND_CONFIGURATION:
-            answer.revision = docs.configuration_revision
-            if docs.configuration_revision > fetch.have_revision:
-                answer.document = docs.configuration_raw
-        else:
-            answer.revision = docs.revision
-            if docs.revision > fetch.have_revision:
-                answer.document = docs.assignment_raw
-        answer.electing = core.is_elector() and not core.elector.is_mute(now)
-        answer.floor = core.elector.floor
-        reply.fetch_reply.CopyFrom(answer)
-
-
-class Replies:
-    """Takes in the replies of other VMs.
-
-    Parameters
-    ----------
-    core : Core
-    conversation : Conversation
-    """
-
-    def __init__(self, core: Core, conversation: Conversation):
-        self._core = core
-        self._conversation = conversation
-
-    def take(self, now: float, req: PeerRequest, reply: Envelope) -> list[Action]:
-        """Take in one reply.
-
-        Parameters
-        ----------
-        now : float
-        req : PeerRequest
-            The request that it answers.
-        reply : Envelope
-
-        Returns
-        -------
-        list of Action
-        """
-        kind = reply.WhichOneof("body")
-        if kind == "beat_reply":
-            return self._on_beat_reply(now, req, reply)
-        if kind == "claim_reply":
-            self._on_claim_reply(now, req, reply.claim_reply)
-        elif kind == "release_reply":
-            return self._on_release_reply(now, req, reply.release_reply)
-        elif kind == "fetch_reply":
-            return self._on_fetch_reply(now, req, reply.fetch_reply)
-        return []
-
-    def _on_beat_reply(
-        self, now: float, req: PeerRequest, envelope: Envelope
-    ) -> list[Action]:
-        """Count a confirmation, and fetch what is newer there."""
-        core = self._core
-        reply = envelope.beat_reply
-        assignment = core.assignment
-        elector = envelope.sender.vm
-        if assignment is not None and elector in assignment.electorate:
-            core.in_touch_at = now
-        asked_under = req.envelope.beat.electorate_version
-        if (
-            reply.confirmed
-            and assignment is not None
-            and asked_under == assignment.electorate_version
-        ):
-            core.lease.confirmed(elector, req.sent_at, assignment)
-        contact = core.contact(elector) or Contact(elector, req.peer)
-        return self._conversation.catch_up_with(
-            now, contact, reply.revision, reply.configuration_revision
-        )
-
-    def _on_claim_reply(self, now: float, req: PeerRequest, reply: ClaimReply) -> None:
-        """Count a promise."""
-        if not reply.promised:
-            return
-        remaining = [left.microseconds / MICROSECONDS for left in reply.remaining]
-        takeover = self._core.holdings.takeover
-        takeover.promised(reply.revision, req.peer, now, remaining)
-
-    def _on_release_reply(
-        self, now: float, req: PeerRequest, reply: ReleaseReply
-    ) -> list[Action]:
-        """Note what a prior has let go of."""
-        core = self._core
-        asked = req.envelope.release
-        gone = {*reply.shards, *reply.targets}
-        actions: list[Action] = []
-        takeover = core.holdings.takeover
-        for pending in core.holdings.pending(now):
-            prior = pending.prior
-            holder = (prior.vm, prior.incarnation)
-            if holder != (req.peer, asked.incarnation):
-                continue
-            if prior.until > asked.revision:
-                continue
-            if pending.held in gone:
-                takeover.released(pending.item, prior)
-            elif reply.revision >= prior.until:
-                takeover.draining(now, prior)
-        holder = (req.peer, asked.incarnation)
-        for records in reply.handover:
-            core.holdings.note_records(holder, records)
-        actions += core.holdings.advance(now)
-        contact = core.contact(req.peer)
-        if contact is not None:
-            actions += self._conversation.catch_up_with(now, contact, reply.revision, 0)
-        return actions
-
-    def _on_fetch_reply(
-        self, now: float, req: PeerRequest, reply: FetchReply
-    ) -> list[Action]:
-        """Put a fetched document in force, and learn what an elector promised."""
-        core = self._core
-        if reply.kind == DOCUMENT_KIND_CONFIGURATION:
-            return list(core.take_configuration(reply.document))
-        actions: list[Action] = list(core.take_assignment(now, reply.document))
-        if reply.electing and core.assignment is not None:
-            core.elector.report_of_elector(req.peer, reply.floor, core.assignment)
-        return actions
+def _held(items: list[Pending]) -> list[Held]:
+    """Return what a prior is asked about."""
+    names = sorted({(item.held, item.prior.until) for item in items})
+    return [Held(name=name, until=until) for name, until in names]
--- a/packages/ownership/src/berylstage_ownership/node.py
+++ b/packages/ownership/src/berylstage_ownership/node.py
@@ -5,8 +5,9 @@
 from typing import TYPE_CHECKING
 
 from berylstage_ownership.actions import LeaseGained, LeaseLost
+from berylstage_ownership.answers import Answers
 from berylstage_ownership.constants import PAUSE
-from berylstage_ownership.conversation import Answers, Conversation, Replies
+from berylstage_ownership.conversation import Conversation
 from berylstage_ownership.core import Core
 from berylstage_ownership.granting import Granting
 from berylstage_ownership.proposals import Proposals
@@ -19,6 +20,7 @@
     TargetDown,
     UnknownShard,
 )
+from berylstage_ownership.replies import Replies
 from berylstage_ownership.routing import Permit, Route
 from berylstage_ownership.settings import NodeSettings
 from berylstage_ownership.shards import own_key, shard_of
--- a/packages/ownership/tests/ownership_fakes.py
+++ b/packages/ownership/tests/ownership_fakes.py
@@ -106,6 +106,7 @@
         self.notices = []
         self.table = IdempotencyTable()
         self.wall_offset = 0
+        self.in_flight = 0
 
     def wall(self, time):
         return 1_000_000 + int(time * 1000) + self.wall_offset
--- a/packages/ownership/tests/ownership_world.py
+++ b/packages/ownership/tests/ownership_world.py
@@ -38,6 +38,11 @@
         self.faults = []
         self.ran = []
         self.runs = {}
+        self.store_was_down = False
+        self.edits = [(0.0, cfg)]
+        # The VM that shuts down, and requests that this cut.
+        self.left = None
+        self.cut_in_flight = 0
         self.acknowledged = {}
         self.stored_revision = 0
         # Source and kind of message that never arrives.
@@ -75,6 +80,7 @@
         change(cfg)
         cfg.revision += 1
         self.write_configuration(cfg)
+        self.edits.append((self.time, cfg))
 
     def start(self, name):
         vm = self.vms[name]
@@ -92,6 +98,7 @@
         vm.table = IdempotencyTable()
         vm.node.set_records(vm.table)
         vm.paused_until = 0.0
+        vm.in_flight = 0
         self.revisions[name] = (0, 0)
         self._tell_list(vm)
         self._at(self.rng.uniform(0, TICK), self._tick, vm, vm.node)
@@ -264,6 +271,7 @@
             if answered:
                 self._at(self._wait(), reply, result)
 
+        self.store_was_down |= mode == "down"
         if mode == "down" or (vm.name, "store") in self.cuts:
             self._at(min(0.5, action.timeout), reply, StoreLost())
         elif mode == "lost" and isinstance(action, WriteStore):
@@ -395,25 +403,22 @@
         deadline = self.time + WORK_DEADLINE
         local_deadline = vm.local(self.time) + WORK_DEADLINE * 1.02
         node.work_started(vm.local(self.time), target.name, shard, local_deadline)
+        vm.in_flight += 1
+
+        def ended(now):
+            vm.in_flight -= 1
+            return node.work_ended(now, target.name, shard)
 
         def arrive():
             if self.time < target.frozen_until:
                 self._at(target.frozen_until - self.time, arrive)
                 return
             if self.time >= deadline or not target.accepts(self.time, shard, permit):
-                self._in_process(vm, node, node.work_ended, target.name, shard)
+                self._in_process(vm, node, ended)
                 return
             end = min(self.time + length, deadline)
             self._note_work(key, target.name, self.time, end)
-            self._at(
-                end - self.time,
-                self._in_process,
-                vm,
-                node,
-                node.work_ended,
-                target.name,
-                shard,
-            )
+            self._at(end - self.time, self._in_process, vm, node, ended)
 
         self._at(self._wait(), arrive)
 
@@ -479,6 +484,21 @@
                 self.faults.append(f"{start:.3f}: {key} at {other} and {target}")
         self.ran.append((key, target, start, end))
 
+    def until_revision(self, revision, limit=3.0):
+        """Run until the store holds an assignment revision."""
+        end = self.time + limit
+        while self.stored_revision < revision and self.time < end:
+            self.run(0.01)
+
+    def stop_when_drained(self):
+        """Let the VM that shuts down stop once it says that it may."""
+        vm = self.vms.get(self.left)
+        if vm is None or vm.node is None or self.time < vm.paused_until:
+            return
+        if not vm.node.leads_anything():
+            self.cut_in_flight += vm.in_flight
+            self.kill(vm.name)
+
     def until_served(self, service, keys, limit=10.0):
         """Run until all keys are served and return how long it took."""
         begin = self.time
