--- a/packages/bench/src/berylstage_bench/policy_ablations.py
+++ b/packages/bench/src/berylstage_bench/policy_ablations.py
@@ -53,8 +53,7 @@
     Ablation("two candidates, not all", STEADY, "p99 ms", {"choice_candidates": 12.0}),
     Ablation("prefer led idle targets", STEADY, "p50 ms", {"choice_preferred": 0.0}),
     Ablation("unless worn", UNEVEN, "imbalance", {"choice_preferred": OFF}),
-    Ablation("turns of callers", FLOOD, "p99 ms", {"fair_quantum": OFF}),
-    Ablation("quantum of turns", BURST, "in time", {"fair_quantum": 0.001}),
+    Ablation("turns of callers", FLOOD, "p99 ms", options={"one_caller": True}),
     Ablation(
         "reserve for short work", LONG, "short p99 / alone", {"short_presence": 0.0}
     ),
@@ -147,8 +146,6 @@
     Sensitivity("wait_share", OVERLOAD, "p99 interactive ms", 0.4, 1.0),
     Sensitivity("cost_gain", OVERLOAD, "goodput"),
     Sensitivity("queue_limit", OVERLOAD, "goodput"),
-    Sensitivity("fair_quantum", BURST, "in time"),
-    Sensitivity("fair_quantum", FLOOD, "p99 ms"),
     Sensitivity("short_presence", LONG, "short p99 / alone"),
     Sensitivity("reserve_utilisation", LONG_3, "short p99 / alone"),
     Sensitivity("short_weight", OVERLOAD, "in time batch"),
--- a/packages/bench/src/berylstage_bench/policy_router.py
+++ b/packages/bench/src/berylstage_bench/policy_router.py
@@ -87,10 +87,13 @@
         thresholds: Thresholds = DEFAULTS,
         seed: int = 3,
         has_history: bool = True,
+        one_caller: bool = False,
     ):
         super().__init__(player, deployment, targets, streams)
         self.thresholds = thresholds
         self.rng = Random(seed)
+        # Takes all requests for those of one caller: without turns of callers.
+        self.one_caller = one_caller
         self.digest_lag = 0.25
         # Whether the targets' reports say that they are warm, whatever they are.
         self.lies_warm = False
@@ -138,7 +141,7 @@
             attempt.id,
             req.tenant,
             req.request_class,
-            req.caller,
+            "all" if self.one_caller else req.caller,
             self.deployment.name,
             req.kind,
             req.key,
--- a/packages/policy/src/berylstage_policy/fairness.py
+++ b/packages/policy/src/berylstage_policy/fairness.py
@@ -57,8 +57,8 @@
         # Start tag of the child served last: where children that wake up begin.
         self.now_tag = 0.0
         self.children: dict[str, Flow[T]] = {}
-        # Lazy heap of (order, child); entries with an old order are dropped.
-        self.heap: list[tuple[tuple[float, int], Flow[T]]] = []
+        # Lazy heap of (order, number, child); entries with an old order are dropped.
+        self.heap: list[tuple[tuple[float, int], int, Flow[T]]] = []
         self.active_weight = 0.0
         # Waiting items with their numbers in order of arrival and expected costs.
         self.items: deque[tuple[T, int, float]] = deque()
@@ -90,27 +90,18 @@
         """Return the active child that has had least; there must be one."""
         heap = self.heap
         while True:
-            order, flow = heap[0]
+            order, _, flow = heap[0]
             if flow.size and order is flow.order:
                 return flow
             heappop(heap)
 
 
 class FairQueue(Generic[T]):
-    """Tree of flows, the leaves of which hold items in order of arrival.
+    """Tree of flows, the leaves of which hold items in order of arrival."""
 
-    Parameters
-    ----------
-    quantum : float
-        Seconds of slot time in which leaves may differ and still go in order of
-        arrival. By turns alone, in a burst from many callers those that come back
-        would be passed by all newcomers and be late, although all could be served.
-    """
+    __slots__ = ("root", "_period", "_pushed")
 
-    __slots__ = ("root", "_period", "_pushed", "_quantum")
-
-    def __init__(self, quantum: float) -> None:
-        self._quantum = quantum
+    def __init__(self) -> None:
         self.root: Flow[T] = Flow(None, 1.0)
         self._period = 0
         self._pushed = 0
@@ -147,11 +138,17 @@
         """Count time that a leaf has received, on it and all flows above."""
         flow = leaf
         while flow.parent is not None:
-            self._enter_period(flow, flow.parent)
+            parent = flow.parent
+            self._enter_period(flow, parent)
             flow.start_tag += cost / flow.weight
+            # Virtual time goes on with the work that is done. Taken from the tags
+            # alone it would stand still while newcomers are served once each, and a
+            # flow that has had a little more would wait for as long as any come.
+            weights = parent.active_weight + (0.0 if flow.size else flow.weight)
+            parent.now_tag += cost / weights
             if flow.size:
-                self._queue(flow, flow.parent)
-            flow = flow.parent
+                self._queue(flow, parent)
+            flow = parent
 
     def _enter_period(self, flow: Flow[T], parent: Flow[T]) -> None:
         """Forgive what a flow owed from an earlier busy period."""
@@ -160,16 +157,11 @@
             flow.period = self._period
 
     def _queue(self, flow: Flow[T], parent: Flow[T]) -> None:
-        """Put an active flow in its parent's order, after those with the same tag."""
-        if flow.items:
-            order = (flow.start_tag // self._quantum, flow.items[0][1])
-            if order == flow.order:
-                return
-            flow.order = order
-        else:
-            self._pushed += 1
-            flow.order = (flow.start_tag, self._pushed)
-        heappush(parent.heap, (flow.order, flow))
+        """Put an active flow in its parent's order, by tag and then by arrival."""
+        self._pushed += 1
+        number = flow.items[0][1] if flow.items else self._pushed
+        flow.order = (max(parent.now_tag, flow.start_tag), number)
+        heappush(parent.heap, (flow.order, self._pushed, flow))
 
     def pop(self, top: str | None = None) -> T:
         """Take the next item out, of one child of the root if it is named."""
@@ -179,7 +171,7 @@
             self.root.now_tag = max(self.root.now_tag, flow.start_tag)
         while not flow.items:
             parent, flow = flow, flow.first()
-            parent.now_tag = max(parent.now_tag, flow.start_tag)
+            parent.now_tag = max(parent.now_tag, flow.order[0])
         return self.pop_first(flow)
 
     def pop_first(self, leaf: Flow[T]) -> T:
@@ -242,7 +234,7 @@
             debt = max(0.0, flow.start_tag - parent.now_tag)
             if flow.period != self._period:
                 debt = 0.0
-            shared = (debt + (work + cost / 2) / flow.weight) * weights
+            shared = (debt + (work + cost) / flow.weight) * weights
             work = min(parent.backlog * RETURNING_WORK, shared)
             flow = parent
         return work
--- a/packages/policy/src/berylstage_policy/threshold_table.py
+++ b/packages/policy/src/berylstage_policy/threshold_table.py
@@ -199,17 +199,6 @@
         "Bounds the memory of a target's queue. Deadlines turn work away long before, "
         "except for bursts of very short work.",
     ),
-    Threshold(
-        "fair_quantum",
-        0.1,
-        "s",
-        0.001,
-        10.0,
-        True,
-        "Slot time by which callers may differ and still go in order of arrival: a "
-        "few requests, so that a caller that comes back in a burst isn't passed by "
-        "all newcomers, and a flood is held after a tenth of a second.",
-    ),
     Threshold(
         "wait_share",
         0.8,
