Share the trust in connections, and let cancellations hold up no grant

A renewal of a grant, several times a second, is mostly the first to meet connections that went silent; work now leaves its own then. Cancellations have connections of their own: when a target freezes, every request in flight is cancelled and each order takes its whole second.

HttpTargetClient no longer cancels by itself: the daemon does, and waits for the target's word, so each order went out twice.

--- a/packages/platform/src/berylstage_platform/http.py
+++ b/packages/platform/src/berylstage_platform/http.py
@@ -8,6 +8,7 @@
 from berylstage_transfers.call import Answer, Call
 from berylstage_transfers.client import CallClient
 from berylstage_transfers.errors import CallFailed
+from berylstage_transfers.trust import Trust
 
 from berylstage_platform.errors import (
     PlatformError,
@@ -38,9 +39,9 @@
 class _Caller:
     """Sends calls to the platform and turns its failures into typed errors."""
 
-    def __init__(self, address: str, max_calls: int):
+    def __init__(self, address: str, max_calls: int, trust: Trust | None = None):
         self.base = f"http://{address}"
-        self._client = CallClient(max_calls)
+        self._client = CallClient(max_calls, trust=trust)
 
     async def call(
         self,
@@ -118,8 +119,9 @@
 
     def __init__(self, address: str, timeout: float = 2.0):
         self.timeout = timeout
-        self._calls = _Caller(address, MAX_CALLS)
-        self._watches = _Caller(address, MAX_WATCHES)
+        trust = Trust()
+        self._calls = _Caller(address, MAX_CALLS, trust)
+        self._watches = _Caller(address, MAX_WATCHES, trust)
 
     async def read(self, key: str) -> Entry:  # noqa: D102
         answer = await self._calls.call("GET", _kv_path(key), self.timeout)
--- a/packages/targets/src/berylstage_targets/http.py
+++ b/packages/targets/src/berylstage_targets/http.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import json
 from typing import TYPE_CHECKING
 from urllib.parse import quote
@@ -10,6 +9,7 @@
 from berylstage_transfers.call import Answer, Call
 from berylstage_transfers.client import CallClient
 from berylstage_transfers.errors import AnswerLost, CallFailed, NeverSent
+from berylstage_transfers.trust import Trust
 
 from berylstage_targets.errors import NotRun, OutcomeUnknown, TargetError
 from berylstage_targets.target import (
@@ -24,9 +24,12 @@
 if TYPE_CHECKING:
     from typing import Any
 
-# Connections set aside for grants, cancellation and reports, so that none of these
-# ever waits behind work.
+# Connections set aside for grants and reports, so that none of these ever waits behind
+# work, and for cancellation. When a target freezes, every request in flight is
+# cancelled and each order waits for its whole time; grants must not wait behind
+# these either, or the target would refuse all work after its thaw.
 CONTROL_CONNECTIONS = 2
+CANCEL_CONNECTIONS = 2
 # A target takes some 50 to 120 connections from all VMs together, and a parts order
 # opens a new one each time. A VM that kept all of them would leave none to the VM that
 # leads the target next, whose orders would then end as unknown, one after the
@@ -36,9 +39,6 @@
 KEPT_CONNECTIONS = 3
 # Seconds that a cancellation waits for its answer.
 CANCEL_TIMEOUT = 1.0
-# Cancellations under way at once for one target. More would only queue up in front of
-# a target that does not answer, and its own deadlines end the work as well.
-MAX_CANCELS = 64
 
 _JSON = {"Content-Type": "application/json"}
 _OK = 200
@@ -56,8 +56,8 @@
     address : str
         ``host:port`` of the target.
     connections : int
-        Connections that this VM may hold to the target, at least 3; work uses all
-        but two.
+        Connections that this VM may hold to the target, at least 5; work uses all
+        but four.
     vm : str
         Name of this VM, told to the target.
     """
@@ -66,24 +66,21 @@
         self.base = f"http://{address}"
         self.vm = vm
         kept = max(KEPT_CONNECTIONS, connections // KEPT_SHARE)
-        self._work = CallClient(max(1, connections - CONTROL_CONNECTIONS), kept)
-        self._control = CallClient(CONTROL_CONNECTIONS)
-        self._cancels: set[asyncio.Task[bool]] = set()
+        work = max(1, connections - CONTROL_CONNECTIONS - CANCEL_CONNECTIONS)
+        # Grants go out several times a second, so a renewal is mostly the first to
+        # meet a connection that went silent; work then leaves its own as well.
+        trust = Trust()
+        self._work = CallClient(work, kept, trust)
+        self._control = CallClient(CONTROL_CONNECTIONS, trust=trust)
+        self._cancels = CallClient(CANCEL_CONNECTIONS, 1, trust)
 
     async def send(self, req: WorkRequest) -> WorkAnswer:  # noqa: D102
-        call = None
         try:
-            call = self._work_call(req)
-            answer = await self._work.call(call)
+            answer = await self._work.call(self._work_call(req))
         except NeverSent as exc:
             raise NotRun(str(exc), "connect") from exc
         except AnswerLost as exc:
-            self._cancel_later(req.request_id)
             raise OutcomeUnknown(str(exc), "no-answer") from exc
-        except asyncio.CancelledError:
-            if call is not None and call.sent:
-                self._cancel_later(req.request_id)
-            raise
         return _work_answer(req, answer)
 
     def _work_call(self, req: WorkRequest) -> Call:
@@ -110,18 +107,11 @@
             fresh=req.fresh_connection,
         )
 
-    def _cancel_later(self, request_id: str) -> None:
-        """Tell the target that nobody waits for a request any more."""
-        if len(self._cancels) >= MAX_CANCELS:
-            return
-        task = asyncio.ensure_future(self.cancel(request_id))
-        self._cancels.add(task)
-        task.add_done_callback(self._cancels.discard)
-
     async def grant(self, order: GrantOrder, timeout: float) -> GrantAnswer:  # noqa: D102
         fields = {name: getattr(order, name) for name in GrantOrder.__slots__}
         body = json.dumps(fields).encode()
-        doc = await self._json_call("PUT", "/grants", timeout, body)
+        call = self._json_call("PUT", "/grants", timeout, body)
+        doc = await _json_answer(self._control, call)
         try:
             return GrantAnswer(**doc)
         except TypeError as exc:
@@ -129,48 +119,53 @@
 
     async def cancel(self, request_id: str) -> bool:  # noqa: D102
         path = f"/cancel/{quote(request_id, safe='')}"
+        # What made the caller give up may be a connection that went silent, and others
+        # with it, so the order goes out on a new one.
+        call = self._json_call("POST", path, CANCEL_TIMEOUT, b"", fresh=True)
         try:
-            # What made the caller give up may be a connection that went silent, and
-            # others with it, so the order goes out on a new one.
-            await self._json_call("POST", path, CANCEL_TIMEOUT, b"", fresh=True)
+            await _json_answer(self._cancels, call)
         except TargetError:
             # A target that does not answer is left to its own deadline.
             return False
         return True
 
     async def report(self, timeout: float) -> LoadReport:  # noqa: D102
-        doc = await self._json_call("GET", "/load", timeout)
+        call = self._json_call("GET", "/load", timeout)
+        doc = await _json_answer(self._control, call)
         try:
             return LoadReport(**doc)
         except TypeError as exc:
             raise _unreadable("GET /load", exc) from exc
 
-    async def _json_call(
+    def _json_call(
         self,
         method: str,
         path: str,
         timeout: float,
         body: bytes | None = None,
         fresh: bool = False,
-    ) -> dict[str, Any]:
-        try:
-            call = Call(method, self.base + path, _JSON, body, timeout, fresh=fresh)
-            answer = await self._control.call(call)
-        except CallFailed as exc:
-            raise TargetError(str(exc), "no-answer") from exc
-        if answer.status != _OK:
-            raise _unreadable(f"{method} {path}", f"status {answer.status}")
-        try:
-            return json.loads(answer.body)
-        except ValueError as exc:
-            raise _unreadable(f"{method} {path}", exc) from exc
+    ) -> Call:
+        return Call(method, self.base + path, _JSON, body, timeout, fresh=fresh)
 
     async def close(self) -> None:  # noqa: D102
-        for task in list(self._cancels):
-            task.cancel()
-        await asyncio.gather(*self._cancels, return_exceptions=True)
         self._work.close()
         self._control.close()
+        self._cancels.close()
+
+
+async def _json_answer(client: CallClient, call: Call) -> dict[str, Any]:
+    """Make a call and return the JSON object of its answer."""
+    name = f"{call.method} {call.url}"
+    try:
+        answer = await client.call(call)
+    except CallFailed as exc:
+        raise TargetError(str(exc), "no-answer") from exc
+    if answer.status != _OK:
+        raise _unreadable(name, f"status {answer.status}")
+    try:
+        return json.loads(answer.body)
+    except ValueError as exc:
+        raise _unreadable(name, exc) from exc
 
 
 def _work_answer(req: WorkRequest, answer: Answer) -> WorkAnswer:
--- a/packages/targets/src/berylstage_targets/target.py
+++ b/packages/targets/src/berylstage_targets/target.py
@@ -220,6 +220,10 @@
     async def send(self, req: WorkRequest) -> WorkAnswer:
         """Send work and return the whole answer to this very request.
 
+        A cancelled call closes its connection at once. After that, and after
+        OutcomeUnknown, the target may still work on the request until it has answered
+        :meth:`cancel` or the deadline has passed.
+
         Raises
         ------
         NotRun
--- a/packages/transfers/src/berylstage_transfers/client.py
+++ b/packages/transfers/src/berylstage_transfers/client.py
@@ -13,6 +13,7 @@
 
 from berylstage_transfers.call import Answer, Call
 from berylstage_transfers.errors import AnswerLost, NeverSent
+from berylstage_transfers.trust import Trust
 
 if TYPE_CHECKING:
     from typing import Any
@@ -25,8 +26,6 @@
 # ends may have lost track of it (the brief's "What fails"), and a call on it would
 # be lost. Middleboxes forget idle flows after 30 s or more.
 MAX_IDLE = 10
-# Seconds after which a connection is replaced even if it is in steady use.
-MAX_AGE = 3600
 # Milliseconds that sent bytes may stay without a TCP acknowledgement. A connection
 # that something lost track of acknowledges nothing, while a slow or frozen process
 # still does, by its kernel.
@@ -63,29 +62,35 @@
     kept : int or None
         Connections kept for later calls; beyond, the one idle for longest closes.
         None keeps all.
+    trust : Trust, optional
+        Shared by the clients of one server.
     """
 
-    def __new__(cls, max_clients: int, kept: int | None = None) -> CallClient:
+    def __new__(
+        cls, max_clients: int, kept: int | None = None, trust: Trust | None = None
+    ) -> CallClient:
         """Return an instance of its own, never tornado's shared one."""
         client = super().__new__(
-            cls, force_instance=True, max_clients=max_clients, kept=kept
+            cls, force_instance=True, max_clients=max_clients, kept=kept, trust=trust
         )
         assert isinstance(client, CallClient)
         return client
 
-    def __init__(self, max_clients: int, kept: int | None = None):
+    def __init__(
+        self, max_clients: int, kept: int | None = None, trust: Trust | None = None
+    ):
         super().__init__()
 
     def initialize(  # type: ignore[override]
-        self, max_clients: int, kept: int | None = None
+        self, max_clients: int, kept: int | None, trust: Trust | None
     ) -> None:
         """Set up without any handle; they are made when calls need them."""
         self._due = 0.0
         super().initialize(max_clients=0)
         self._max_clients = max_clients
+        self._trust = trust or Trust()
         self._handles: dict[pycurl.Curl, _Handle] = {}
         self._sockets: dict[int, int] = {}
-        self._distrusted_at = float("-inf")
         self._multi.setopt(pycurl.M_MAXCONNECTS, kept or max_clients)
         self._multi.setopt(pycurl.M_MAX_TOTAL_CONNECTIONS, max_clients)
 
@@ -187,7 +192,7 @@
         """Return the most seconds that a kept connection may be old; 0 for none."""
         if call.fresh:
             return 0
-        return int(min(time.monotonic() - self._distrusted_at, MAX_AGE))
+        return self._trust.max_age(time.monotonic())
 
     def _finish(
         self,
@@ -218,15 +223,12 @@
         self._requests.appendleft(call)  # type: ignore[arg-type]
 
     def _note_silence(self, call: Call) -> None:
-        # Something between the two ends may lose track of all open connections at
-        # once while new ones work. Each call on an old one would wait out its whole
-        # time in vain, one after the other. So the first such loss ends the trust
-        # in every connection that was open by then.
-        # A call that was cancelled proves nothing.
+        # A call on a kept connection that brings not a byte back may have met one that
+        # went silent. A call that was cancelled proves nothing.
         assert call.fut is not None
         unanswered = not call.status and not call.fut.cancelled()
         if call.sent and not call.opened and unanswered:
-            self._distrusted_at = time.monotonic()
+            self._trust.lose(time.monotonic())
 
 
 class _Handle:
