--- a/Makefile
+++ b/Makefile
@@ -1,9 +1,11 @@
 # Front door: `make` lists the targets.
 VENV ?= .venv
 PY := $(VENV)/bin/python
-PACKAGES := sheet policy messages transfers ownership platform targets daemon cli standins bench
+PACKAGES := settings sheet policy messages transfers ownership platform targets daemon cli standins bench
 
 .PHONY: help install format format-check lint types imports tables test check
+.PHONY: bench-policy
+.PHONY: bench-send
 
 help:  ## list the targets
 	@grep -hE '^[a-z-]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*##/\t/' | sort
@@ -37,16 +39,25 @@
 test:  ## run the tests
 	$(PY) -m pytest $(PYTEST_OPTIONS)
 
-.PHONY: demo demo-short up
+.PHONY: demo demo-short up failures failures-ci
 demo:  ## run an installation through a day with faults, in about a minute
 	$(PY) -m berylstage_bench.demo
 
+failures:  ## let real processes fail under load, a few minutes
+	$(PY) -m pytest -m failures packages/bench
+
+failures-ci:  ## the fixed part of these that CI runs, within two minutes
+	$(PY) -m pytest -m failures_ci packages/bench
+
 up:  ## run an installation until Ctrl-C and print what to try
 	$(PY) -m berylstage_bench.up
 
 demo-short:  ## the same with the same checks in under 25 s
 	$(PY) -m berylstage_bench.demo --short
 
+bench-policy:  ## play the decisions under load against plain routers
+	$(PY) -m berylstage_bench.policy
+
 check: format-check lint types imports test  ## everything that CI runs
 
 .PHONY: proto
@@ -54,3 +65,6 @@
 	$(PY) -m pip install -q grpcio-tools
 	cd packages/messages/src && PATH=$(abspath $(VENV))/bin:$$PATH $(abspath $(PY)) -m grpc_tools.protoc -I. \
 	  --python_out=. --pyi_out=. --grpclib_python_out=. berylstage_messages/*.proto
+
+bench-send:  ## measure what a request to a target costs its sender
+	$(PY) -m berylstage_bench.send_cost
--- a/packages/bench/src/berylstage_bench/policy_router.py
+++ b/packages/bench/src/berylstage_bench/policy_router.py
@@ -5,6 +5,7 @@
 from random import Random
 
 from berylstage_policy.choice import TargetChoice
+from berylstage_policy.costs import CostModel
 from berylstage_policy.health import TargetHealth, Verdict
 from berylstage_policy.queue import TargetQueue
 from berylstage_policy.retries import HedgePolicy, RetryPolicy, RetryVerdict
@@ -22,7 +23,15 @@
 class Attempt:
     """One sending of a request to one target."""
 
-    __slots__ = ("req", "number", "target", "id", "may_decline", "is_hedge")
+    __slots__ = (
+        "req",
+        "number",
+        "target",
+        "id",
+        "may_decline",
+        "is_hedge",
+        "hedge_tries",
+    )
 
     def __init__(
         self,
@@ -38,6 +47,7 @@
         self.id = f"{req.id}#{number}"
         self.may_decline = may_decline
         self.is_hedge = is_hedge
+        self.hedge_tries = 0
 
 
 class LedTarget:
@@ -73,25 +83,38 @@
         player,
         deployment,
         targets,
+        streams,
         thresholds: Thresholds = DEFAULTS,
         seed: int = 3,
+        has_history: bool = True,
     ):
-        super().__init__(player, deployment, targets)
+        super().__init__(player, deployment, targets, streams)
         self.thresholds = thresholds
         self.rng = Random(seed)
         self.digest_lag = 0.25
+        # Whether the targets' reports say that they are warm, whatever they are.
+        self.lies_warm = False
         self.retries = RetryPolicy(thresholds, self.rng)
         self.led = {
             target.name: LedTarget(
                 target,
                 index % deployment.vms,
-                TargetQueue(target.slots, thresholds, self.rng, player.now),
+                self._queue(target.slots, has_history),
                 TargetHealth(thresholds, player.now),
             )
             for index, target in enumerate(targets)
         }
         player.at(0.0, player.every, HEARTBEAT, self._heartbeat, 1e9)
 
+    def _queue(self, slots: int, has_history: bool) -> TargetQueue:
+        """Return a new lead's queue; it may know the service from other targets."""
+        costs = CostModel(self.thresholds)
+        if has_history:
+            for stream in self.streams:
+                is_short = stream.request_class != "batch"
+                costs.observe(stream.kind, stream.demand, is_short)
+        return TargetQueue(slots, self.thresholds, self.rng, self.player.now, costs)
+
     def _hop(self, vm: int, led: LedTarget) -> float:
         """Return the seconds one way from a VM to the one that leads a target."""
         return self.deployment.hop / 2 if vm != led.leader else 0.0
@@ -131,7 +154,7 @@
         elif isinstance(decision, Decline):
             del led.attempts[attempt.id]
             back = now + self._hop(req.vm, led)
-            self.player.at(back, self.declined, attempt, decision.queue)
+            self.player.at(back, self.declined, attempt)
         self._arm(led)
 
     def _send(self, led: LedTarget, attempt: Attempt) -> None:
@@ -251,7 +274,7 @@
 
     def _reported(self, led: LedTarget, is_cold: bool) -> None:
         """Take in a load report that has lagged."""
-        led.queue.reported(is_cold, self.player.now, REPORT_LAG)
+        led.queue.reported(is_cold and not self.lies_warm, self.player.now, REPORT_LAG)
         self._arm(led)
 
     def lose_vm(self, vm: int, seconds: float) -> None:
@@ -264,7 +287,7 @@
             led.attempts.clear()
             led.leader = (vm + 1) % self.deployment.vms
             led.gone_until = now + seconds
-            led.queue = TargetQueue(led.target.slots, self.thresholds, self.rng, now)
+            led.queue = self._queue(led.target.slots, True)
             led.armed = float("inf")
             for attempt in attempts:
                 self._returned(attempt, Outcome.UNKNOWN)
@@ -291,7 +314,7 @@
     def worked(self, req: Request, seconds: float) -> None:
         """Note the slot time of an answer."""
 
-    def declined(self, attempt: Attempt, queue: int) -> None:
+    def declined(self, attempt: Attempt) -> None:
         """Try another target."""
 
     def judged(self) -> None:
@@ -332,7 +355,11 @@
         self.attempt(req, is_hedge=True)
 
     def attempt(
-        self, req: Request, previous: Attempt | None = None, is_hedge: bool = False
+        self,
+        req: Request,
+        previous: Attempt | None = None,
+        is_hedge: bool = False,
+        tries: int = 0,
     ) -> None:
         """Choose a target and forward."""
         choice, now = self.choices[req.vm], self.player.now
@@ -348,20 +375,28 @@
         number = len(req.attempts)
         may_decline = is_hedge or number <= self.thresholds["choice_declines"]
         attempt = Attempt(req, number, target, may_decline, is_hedge)
-        choice.sent(target, attempt.id, now)
+        attempt.hedge_tries = tries
+        choice.sent(target, attempt.id, now, req.kind)
         self._forward(attempt)
 
-    def declined(self, attempt: Attempt, queue: int) -> None:
-        """Learn the length of the queue and choose again."""
-        req, now = attempt.req, self.player.now
-        choice = self.choices[req.vm]
-        choice.withdrawn(attempt.target, attempt.id)
-        choice.digest(attempt.target, queue, now)
+    def declined(self, attempt: Attempt) -> None:
+        """Choose again."""
+        req = attempt.req
+        self.choices[req.vm].withdrawn(attempt.target, attempt.id)
         if attempt.is_hedge:
-            self.hedges[req.vm].declined()
+            self._decline_hedge(attempt)
         elif not req.status:
             self.attempt(req, attempt)
 
+    def _decline_hedge(self, attempt: Attempt) -> None:
+        """Look for an idle target once more, but never queue a hedge."""
+        req = attempt.req
+        attempt.hedge_tries += 1
+        if req.status or attempt.hedge_tries > self.thresholds["choice_declines"]:
+            self.hedges[req.vm].declined()
+        else:
+            self.attempt(req, is_hedge=True, tries=attempt.hedge_tries)
+
     def attempt_ended(self, attempt: Attempt, outcome: Outcome) -> None:
         """Tell the choice and the hedge what was seen."""
         req, now = attempt.req, self.player.now
@@ -377,14 +412,22 @@
         """Spread digests of queue lengths and leave out what is down."""
         down = {n for n in self.willing if self.verdict(n) is Verdict.DOWN}
         self.usable = [name for name in self.willing if name not in down]
+        for name, led in self.led.items():
+            if self.verdict(name) in (Verdict.STALLED, Verdict.DOWN):
+                self._hand_back(led)
         for name, led in self.led.items():
             queue = 0 if name in self.lies else led.queue.waiting + led.queue.running
             self.player.at(self.player.now + self.digest_lag, self._digest, name, queue)
 
+    def _hand_back(self, led: LedTarget) -> None:
+        """Send what waits for a stalled target to other targets."""
+        for ticket in led.queue.hand_back():
+            self.declined(led.attempts.pop(ticket.id))
+
     def _digest(self, name: str, queue: int) -> None:
         """Take a digest in at all VMs."""
         for choice in self.choices:
-            choice.digest(name, queue, self.player.now)
+            choice.digest(name, queue)
 
     def set_willing(self, names: list[str]) -> None:
         """Take in a configuration."""
--- a/packages/policy/src/berylstage_policy/queue.py
+++ b/packages/policy/src/berylstage_policy/queue.py
@@ -8,7 +8,6 @@
 
 from __future__ import annotations
 
-from collections import OrderedDict
 from typing import TYPE_CHECKING
 
 from berylstage_policy.backoff import RetryAfter
@@ -48,6 +47,9 @@
         Spreads the moments at which refused callers come back.
     now : float
         Monotonic seconds.
+    costs : CostModel, optional
+        What was learned before, so that a ramp can tell cold from warm answers: of
+        this target under an earlier lead, or of another target of the service.
 
     Attributes
     ----------
@@ -57,13 +59,19 @@
         What kinds of work take on this target.
     """
 
-    def __init__(self, slots: int, thresholds: Thresholds, rng: Random, now: float):
+    def __init__(
+        self,
+        slots: int,
+        thresholds: Thresholds,
+        rng: Random,
+        now: float,
+        costs: CostModel | None = None,
+    ):
         self.ramp = ColdStart(slots, thresholds, now)
-        self.costs = CostModel(thresholds)
+        self.costs = costs or CostModel(thresholds)
         self._retry_after = RetryAfter(rng, thresholds)
-        self._fair: FairQueue[Entry] = FairQueue()
-        # In order of arrival, and cheap to take from the front.
-        self._waiting: OrderedDict[str, Entry] = OrderedDict()
+        self._fair: FairQueue[Entry] = FairQueue(thresholds["fair_quantum"])
+        self._waiting: dict[str, Entry] = {}
         self._slots = Slots()
         self._expiry = ExpiryHeap(self._waiting)
         self._displaced: list[Refuse] = []
@@ -71,7 +79,6 @@
         self._paused_until: float | None = None
         self._planned_limit = 1
         self._queue_limit = int(thresholds["queue_limit"])
-        self._fair_backlog = thresholds["fair_backlog"]
         self._wait_share = thresholds["wait_share"]
         self._lanes = Lanes(thresholds)
 
@@ -162,7 +169,7 @@
             self._begin(entry, now)
             return Start(ticket.id)
         if may_decline:
-            return Decline(ticket.id, len(self._waiting) + len(self._slots))
+            return Decline(ticket.id)
         wait = self._expected_wait(entry, limit, now)
         slack = (ticket.deadline - now) * self._wait_share - entry.cost
         if wait > slack:
@@ -251,10 +258,20 @@
     def drain(self) -> list[Ticket]:
         """Stop taking work and hand out what waits, to be sent elsewhere or refused."""
         self._draining = True
-        tickets = [entry.ticket for entry in self._waiting.values()]
+        return self.hand_back()
+
+    def hand_back(self) -> list[Ticket]:
+        """Hand out what waits, none of which ran, but go on taking work.
+
+        For a free service whose target has stalled: what waits can go to another
+        target, also work that may not be repeated, and long before its deadline.
+        """
+        tickets = []
+        for entry in self._waiting.values():
+            tickets.append(entry.ticket)
+            self._fair.remove(entry.leaf, entry)
         self._waiting.clear()
         self._expiry.clear()
-        self._fair = FairQueue()
         return tickets
 
     def _entry(self, ticket: Ticket, now: float) -> Entry:
@@ -318,14 +335,6 @@
     def _next(self, limit: int, now: float) -> Entry | None:
         """Take out of the fair queue who starts next, or None when nobody may."""
         is_capped = self._slots.long >= self._lanes.long_cap(limit, now)
-        # Fair order costs the slowest of equals: each is passed by newcomers. While
-        # the queue is over in a moment nobody takes anything from anybody, and the
-        # order of arrival gives the shortest tail.
-        if self._fair.root.backlog <= self._fair_backlog * limit:
-            oldest = next(iter(self._waiting.values()))
-            if oldest.is_short or not is_capped:
-                self._fair.pop_first(oldest.leaf)
-                return oldest
         if not is_capped:
             return self._fair.pop()
         short = self._fair.root.children.get(SHORT)
@@ -351,12 +360,8 @@
             ramp.doubted(now)
         elif outcome is Outcome.ANSWERED:
             kind = entry.ticket.kind
-            known = self.costs.known(kind)
-            ratio = seconds / self.costs.mean(kind) if known else None
-            ramp.completed(now, ratio)
-            # The slow answers of a cold target say nothing about the warm one.
-            if ramp.warm or not known:
-                self.costs.observe(kind, seconds, entry.is_short)
+            ramp.completed(now, self.costs.warm_ratio(kind, seconds))
+            self.costs.observe(kind, seconds, entry.is_short, ramp.warm)
 
     def _time_to_serve(self, work: float, limit: int, now: float) -> float:
         """Return the seconds until the slots have done so much work and one is free."""
--- a/packages/policy/src/berylstage_policy/threshold_table.py
+++ b/packages/policy/src/berylstage_policy/threshold_table.py
@@ -200,18 +200,19 @@
         "except for bursts of very short work.",
     ),
     Threshold(
-        "fair_backlog",
+        "fair_quantum",
         0.1,
         "s",
-        0.0,
+        0.001,
         10.0,
         True,
-        "Up to a queue that is served within a tenth of a second the order of arrival "
-        "holds; beyond it tenants, classes and callers take turns.",
+        "Slot time by which callers may differ and still go in order of arrival: a "
+        "few requests, so that a caller that comes back in a burst isn't passed by "
+        "all newcomers, and a flood is held after a tenth of a second.",
     ),
     Threshold(
         "wait_share",
-        0.6,
+        0.8,
         "share of the time left",
         0.1,
         1.0,
@@ -261,11 +262,12 @@
     Threshold(
         "ramp_patience",
         6.0,
-        "levels",
+        "windows",
         1.0,
         1000.0,
         False,
-        "After so many slow levels the target is slow rather than cold, and goes on.",
+        "After so many windows of slow answers on one level the target is slow rather "
+        "than cold, and goes on. Also for a target of which no warm answer is known.",
     ),
     Threshold(
         "confirm_silence",
@@ -284,12 +286,12 @@
         1.0,
         8.0,
         True,
-        "Two candidates give nearly all that choosing among all would, and VMs that "
-        "know different things don't rush to one target.",
+        "Two guesses, of which the better is sent to. As busy targets decline, more of "
+        "them gain nothing that could be measured.",
     ),
     Threshold(
         "choice_preferred",
-        1.1,
+        0.9,
         "times mean occupancy",
         0.0,
         100.0,
@@ -337,23 +339,14 @@
         "Slower than that is a straggler. Answer times under fair load vary by less.",
     ),
     Threshold(
-        "straggler_probe",
-        1.0,
-        "s",
-        0.1,
+        "straggler_avoided",
         60.0,
-        True,
-        "How often a straggler gets one request to see whether it is well again.",
-    ),
-    Threshold(
-        "digest_age",
-        1.0,
         "s",
-        0.1,
-        30.0,
+        1.0,
+        600.0,
         True,
-        "Digests of queue length older than that are ignored: queues of short work "
-        "turn over many times in a second.",
+        "Longest time for which a target that is found slow again and again is left "
+        "alone; each time doubles it from choice_memory.",
     ),
     Threshold(
         "retry_share",
@@ -451,14 +444,15 @@
     ),
     Threshold(
         "down_after",
-        1.0,
+        1.25,
         "s",
         0.5,
         30.0,
         False,
-        "Silence from which the keys move. Until the grant has lapsed, 1 s after the "
-        "last renewal, moving can't make a key available sooner; later would endanger "
-        "the 2 s in which a lost target's keys are served again.",
+        "Silence from which the keys move: a lease time of 1 s, before whose end "
+        "moving can't make a key available sooner, and a heartbeat, by which a stall "
+        "looks longer than it is. Later would endanger the 2 s in which a lost "
+        "target's keys are served again.",
     ),
     Threshold(
         "refused_down_after",
