Check thresholds together with the rest of the sheet

Two overrides that fit each other were refused when one of them alone did not fit the other's default (balance_settled_high 1.2 with balance_high 1.3), as each was checked by itself first. Now all are checked at once, by the reader's own parameter, and told with the sheet's other faults.

--- a/packages/cli/src/berylstage_cli/command.py
+++ b/packages/cli/src/berylstage_cli/command.py
@@ -10,6 +10,7 @@
 from collections.abc import Iterable
 from pathlib import Path
 
+from berylstage_policy.thresholds import check
 from berylstage_settings.errors import FaultySettings
 from berylstage_sheet.errors import FaultySheet
 from berylstage_sheet.reader import Sheet, read_sheet
@@ -22,7 +23,6 @@
 from berylstage_cli.exit_codes import ExitCode
 from berylstage_cli.reports import ErrorReport, FaultsReport, Report
 from berylstage_cli.settings import SETTINGS, Settings, read_settings
-from berylstage_cli.thresholds import check_thresholds
 
 STANDARD_STREAM = "-"
 JSON_OPTION = option("json", None, "print one JSON document")
@@ -71,9 +71,7 @@
 
     def read_sheet(self) -> Sheet:
         """Read and check the sheet that is named; ``-`` is standard input."""
-        sheet = read_sheet(self._sheet_bytes())
-        check_thresholds(sheet)
-        return sheet
+        return read_sheet(self._sheet_bytes(), check)
 
     def _sheet_bytes(self) -> bytes:
         """Return the content of the sheet."""
--- a/packages/sheet/src/berylstage_sheet/reader.py
+++ b/packages/sheet/src/berylstage_sheet/reader.py
@@ -125,10 +125,10 @@
     values = {name: record.value("value") for name, record in records.items()}
     for exc in check_thresholds(values):
         problem, _, remedy = str(exc).partition("; ")
-        # A fault of two thresholds together stands in the row of the first one.
-        named = (record for name, record in records.items() if name in problem)
-        first = next(named, None)
-        place = first.place("value") if first else Place(0)
+        # The longest name, as one threshold's name may begin with another's. A fault
+        # of two thresholds together stands in the row of one of them.
+        named = max((n for n in records if n in problem), key=len, default=None)
+        place = records[named].place("value") if named else Place(0)
         yield RuleFault(place, problem, remedy)
 
 
