--- a/packages/cli/src/berylstage_cli/application.py
+++ b/packages/cli/src/berylstage_cli/application.py
@@ -4,11 +4,10 @@
 
 import sys
 from importlib.metadata import version
+from typing import TYPE_CHECKING
 
 from cleo.application import Application
 from cleo.exceptions import CleoError
-from cleo.io.inputs.input import Input
-from cleo.io.outputs.output import Output
 
 from berylstage_cli.connections import Connector, connect_http
 from berylstage_cli.exit_codes import ExitCode
@@ -25,6 +24,10 @@
     StatusCommand,
 )
 
+if TYPE_CHECKING:
+    from cleo.io.inputs.input import Input
+    from cleo.io.outputs.output import Output
+
 
 class OperatorApplication(Application):
     """The command line with its commands.
--- a/packages/cli/src/berylstage_cli/command.py
+++ b/packages/cli/src/berylstage_cli/command.py
@@ -7,8 +7,8 @@
 import os
 import sys
 from abc import abstractmethod
-from collections.abc import Iterable
 from pathlib import Path
+from typing import TYPE_CHECKING
 
 from berylstage_policy.thresholds import check
 from berylstage_settings.errors import FaultySettings
@@ -18,12 +18,16 @@
 from cleo.helpers import option
 from cleo.io.outputs.output import Type
 
-from berylstage_cli.connections import Connections, Connector
 from berylstage_cli.errors import BadSetting, FileFault, OperatorError
 from berylstage_cli.exit_codes import ExitCode
 from berylstage_cli.reports import ErrorReport, FaultsReport, Report
 from berylstage_cli.settings import SETTINGS, Settings, read_settings
 
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from berylstage_cli.connections import Connections, Connector
+
 STANDARD_STREAM = "-"
 JSON_OPTION = option("json", None, "print one JSON document")
 
--- a/packages/cli/src/berylstage_cli/connections.py
+++ b/packages/cli/src/berylstage_cli/connections.py
@@ -5,14 +5,18 @@
 from asyncio import sleep as asyncio_sleep
 from collections.abc import Callable
 from time import monotonic
+from typing import TYPE_CHECKING
 
 from berylstage_platform.http import HttpStore, HttpVmList
-from berylstage_platform.store import Store, VmList
 
 from berylstage_cli.http import HttpVmClient
-from berylstage_cli.retries import Sleep
 from berylstage_cli.settings import Settings
-from berylstage_cli.vms import VmClient
+
+if TYPE_CHECKING:
+    from berylstage_platform.store import Store, VmList
+
+    from berylstage_cli.retries import Sleep
+    from berylstage_cli.vms import VmClient
 
 
 class Connections:
--- a/packages/cli/src/berylstage_cli/errors.py
+++ b/packages/cli/src/berylstage_cli/errors.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
-from berylstage_sheet.configuration import Configuration
+from typing import TYPE_CHECKING
 
 from berylstage_cli.exit_codes import ExitCode
 
+if TYPE_CHECKING:
+    from berylstage_sheet.configuration import Configuration
+
 
 class OperatorError(Exception):
     """Something that the operator is told instead of a result."""
--- a/packages/cli/src/berylstage_cli/history.py
+++ b/packages/cli/src/berylstage_cli/history.py
@@ -3,9 +3,12 @@
 from __future__ import annotations
 
 import json
+from typing import TYPE_CHECKING
 
 from berylstage_platform.errors import StoreUnavailable, VersionConflict
-from berylstage_platform.store import Store
+
+if TYPE_CHECKING:
+    from berylstage_platform.store import Store
 
 HISTORY_KEY = "berylstage/history"
 # A summary takes 6 KB at most, with four bytes a character, so the value stays below
--- a/packages/cli/src/berylstage_cli/http.py
+++ b/packages/cli/src/berylstage_cli/http.py
@@ -3,15 +3,17 @@
 from __future__ import annotations
 
 import json
-from typing import Any
+from typing import TYPE_CHECKING, Any
 from urllib.parse import quote
 
-from berylstage_platform.store import VmRecord
 from tornado.curl_httpclient import CurlAsyncHTTPClient
 from tornado.httpclient import HTTPError
 
 from berylstage_cli.vms import KeyOwner, UnknownKey, VmClient, VmFault, VmStatus
 
+if TYPE_CHECKING:
+    from berylstage_platform.store import VmRecord
+
 MAX_CALLS = 32
 NOT_FOUND = 404
 OK = 200
--- a/packages/cli/src/berylstage_cli/publication.py
+++ b/packages/cli/src/berylstage_cli/publication.py
@@ -3,14 +3,11 @@
 from __future__ import annotations
 
 from asyncio import sleep as asyncio_sleep
-from collections.abc import Callable
 from time import time
+from typing import TYPE_CHECKING
 from uuid import uuid4
 
 from berylstage_platform.errors import PlatformError
-from berylstage_platform.store import Store
-from berylstage_sheet.configuration import Configuration
-from berylstage_sheet.difference import Change
 
 from berylstage_cli.errors import StoreUnreachable
 from berylstage_cli.history import History, RevisionSummary
@@ -22,6 +19,13 @@
     read_published,
 )
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from berylstage_platform.store import Store
+    from berylstage_sheet.configuration import Configuration
+    from berylstage_sheet.difference import Change
+
 
 class Publisher:
     """Writes configurations to the store.
--- a/packages/cli/src/berylstage_cli/reports.py
+++ b/packages/cli/src/berylstage_cli/reports.py
@@ -3,17 +3,22 @@
 from __future__ import annotations
 
 from abc import ABC, abstractmethod
-from collections.abc import Iterator, Sequence
 from itertools import groupby
+from typing import TYPE_CHECKING
 
-from berylstage_sheet.configuration import Configuration
 from berylstage_sheet.difference import Altered, Change, compare
-from berylstage_sheet.errors import FaultySheet
 
 from berylstage_cli.errors import OperatorError, RevisionConflict, UnsettledWrite
 from berylstage_cli.exit_codes import ExitCode
-from berylstage_cli.rollout import Rollout
-from berylstage_cli.write import Accepted
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator, Sequence
+
+    from berylstage_sheet.configuration import Configuration
+    from berylstage_sheet.errors import FaultySheet
+
+    from berylstage_cli.rollout import Rollout
+    from berylstage_cli.write import Accepted
 
 
 class Report(ABC):
--- a/packages/cli/src/berylstage_cli/rollout.py
+++ b/packages/cli/src/berylstage_cli/rollout.py
@@ -3,14 +3,18 @@
 from __future__ import annotations
 
 from asyncio import Semaphore, gather
+from typing import TYPE_CHECKING
 
 from berylstage_platform.errors import PlatformError
-from berylstage_platform.store import VmRecord
 from berylstage_sheet.configuration import Configuration, MemberState
 
-from berylstage_cli.connections import Connections
 from berylstage_cli.vms import VmFault, VmStatus
 
+if TYPE_CHECKING:
+    from berylstage_platform.store import VmRecord
+
+    from berylstage_cli.connections import Connections
+
 FIRST_PAUSE = 0.1
 MAX_PAUSE = 2.0
 MAX_CALLS = 32
--- a/packages/cli/src/berylstage_cli/sheet_commands.py
+++ b/packages/cli/src/berylstage_cli/sheet_commands.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 from pathlib import Path
+from typing import TYPE_CHECKING
 
 from berylstage_sheet.difference import Change, compare
-from berylstage_sheet.reader import Sheet
 from berylstage_sheet.transition import check_transition
 from berylstage_sheet.writer import write_sheet
 from cleo.helpers import argument, option
@@ -15,7 +15,6 @@
     ConnectedCommand,
     OperatorCommand,
 )
-from berylstage_cli.connections import Connections
 from berylstage_cli.errors import (
     Declined,
     FileFault,
@@ -31,9 +30,14 @@
     TextReport,
 )
 from berylstage_cli.rollout import wait_in_force
-from berylstage_cli.settings import Settings
 from berylstage_cli.write import Accepted, Published
 
+if TYPE_CHECKING:
+    from berylstage_sheet.reader import Sheet
+
+    from berylstage_cli.connections import Connections
+    from berylstage_cli.settings import Settings
+
 SHEET_ARGUMENT = argument(
     "sheet", "CSV file that the spreadsheet exported; - for standard input"
 )
--- a/packages/cli/src/berylstage_cli/view_commands.py
+++ b/packages/cli/src/berylstage_cli/view_commands.py
@@ -2,18 +2,16 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 from berylstage_platform.errors import PlatformError
-from berylstage_sheet.configuration import Configuration
 from cleo.helpers import argument
 
 from berylstage_cli.command import ConnectedCommand
-from berylstage_cli.connections import Connections
 from berylstage_cli.errors import NothingAccepted, NoVmAnswers, StoreUnreachable
 from berylstage_cli.history import RevisionSummary
 from berylstage_cli.publication import Publisher
-from berylstage_cli.reports import Report
 from berylstage_cli.rollout import look
-from berylstage_cli.settings import Settings
 from berylstage_cli.view_reports import (
     ConfigurationReport,
     HistoryReport,
@@ -21,7 +19,14 @@
     StatusReport,
 )
 from berylstage_cli.vms import UnknownKey, VmFault
-from berylstage_cli.write import Published
+
+if TYPE_CHECKING:
+    from berylstage_sheet.configuration import Configuration
+
+    from berylstage_cli.connections import Connections
+    from berylstage_cli.reports import Report
+    from berylstage_cli.settings import Settings
+    from berylstage_cli.write import Published
 
 
 async def accepted_configuration(conns: Connections) -> Configuration:
--- a/packages/cli/src/berylstage_cli/view_reports.py
+++ b/packages/cli/src/berylstage_cli/view_reports.py
@@ -2,17 +2,22 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
 from datetime import UTC, datetime
 from itertools import groupby
+from typing import TYPE_CHECKING
 
-from berylstage_sheet.configuration import Configuration
 from berylstage_sheet.rows import rows_of
 
-from berylstage_cli.history import RevisionSummary
 from berylstage_cli.reports import Report, RolloutReport
-from berylstage_cli.rollout import VmState
-from berylstage_cli.vms import KeyOwner
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from berylstage_sheet.configuration import Configuration
+
+    from berylstage_cli.history import RevisionSummary
+    from berylstage_cli.rollout import VmState
+    from berylstage_cli.vms import KeyOwner
 
 MAX_CELL = 40
 
--- a/packages/cli/src/berylstage_cli/vms.py
+++ b/packages/cli/src/berylstage_cli/vms.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 from abc import ABC, abstractmethod
+from typing import TYPE_CHECKING
 
-from berylstage_platform.store import VmRecord
+if TYPE_CHECKING:
+    from berylstage_platform.store import VmRecord
 
 
 class VmFault(Exception):
--- a/packages/cli/src/berylstage_cli/write.py
+++ b/packages/cli/src/berylstage_cli/write.py
@@ -2,18 +2,23 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 from berylstage_platform.errors import (
     PlatformError,
     RateLimited,
     StoreUnavailable,
     VersionConflict,
 )
-from berylstage_platform.store import Store
 from berylstage_sheet.configuration import CONFIGURATION_KEY, Configuration
 
 from berylstage_cli.errors import RevisionConflict, StoreUnreachable, UnsettledWrite
-from berylstage_cli.history import History
-from berylstage_cli.retries import Retries
+
+if TYPE_CHECKING:
+    from berylstage_platform.store import Store
+
+    from berylstage_cli.history import History
+    from berylstage_cli.retries import Retries
 
 # Five writes over about 3 s, for the same reason as the reads.
 WRITE_ATTEMPTS = 5
--- a/packages/sheet/src/berylstage_sheet/cells.py
+++ b/packages/sheet/src/berylstage_sheet/cells.py
@@ -5,8 +5,11 @@
 import math
 import re
 from abc import ABC, abstractmethod
-from enum import Enum
 from ipaddress import ip_address
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from enum import Enum
 
 MAX_NAME_LENGTH = 63
 MAX_KEY_LENGTH = 256
--- a/packages/sheet/src/berylstage_sheet/checks.py
+++ b/packages/sheet/src/berylstage_sheet/checks.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Callable, Iterable, Iterator
 from difflib import get_close_matches
+from typing import TYPE_CHECKING
 
 from berylstage_sheet.columns import (
     AUTHOR,
@@ -28,7 +28,11 @@
     SheetFault,
     UnknownNameFault,
 )
-from berylstage_sheet.layout import Layout, Record
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable, Iterator
+
+    from berylstage_sheet.layout import Layout, Record
 
 
 def check(layout: Layout) -> Iterator[SheetFault]:
--- a/packages/sheet/src/berylstage_sheet/difference.py
+++ b/packages/sheet/src/berylstage_sheet/difference.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 from abc import ABC, abstractmethod
-from collections.abc import Iterator
 from enum import IntEnum
+from typing import TYPE_CHECKING
 
 from berylstage_sheet.columns import (
     DATA_CENTRES,
@@ -23,6 +23,9 @@
 )
 from berylstage_sheet.rows import Row, rows_of
 
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
 
 class Weight(IntEnum):
     """What a change does to work under way; smaller is weightier."""
--- a/packages/sheet/src/berylstage_sheet/errors.py
+++ b/packages/sheet/src/berylstage_sheet/errors.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
 
 ALPHABET = 26
 
--- a/packages/sheet/src/berylstage_sheet/rows.py
+++ b/packages/sheet/src/berylstage_sheet/rows.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
 from enum import Enum
+from typing import TYPE_CHECKING
 
 from berylstage_sheet.columns import (
     DATA_CENTRES,
@@ -15,7 +15,11 @@
     VMS,
     Section,
 )
-from berylstage_sheet.configuration import Configuration
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from berylstage_sheet.configuration import Configuration
 
 
 class Row:
--- a/packages/sheet/src/berylstage_sheet/transition.py
+++ b/packages/sheet/src/berylstage_sheet/transition.py
@@ -2,12 +2,16 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from typing import TYPE_CHECKING
 
 from berylstage_sheet.columns import SERVICES, TARGETS, Section
-from berylstage_sheet.configuration import Configuration
 from berylstage_sheet.errors import FaultySheet, TransitionFault
-from berylstage_sheet.reader import Sheet
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from berylstage_sheet.configuration import Configuration
+    from berylstage_sheet.reader import Sheet
 
 
 def check_transition(before: Configuration | None, sheet: Sheet) -> None:
--- a/packages/sheet/src/berylstage_sheet/writer.py
+++ b/packages/sheet/src/berylstage_sheet/writer.py
@@ -5,11 +5,14 @@
 import csv
 from io import StringIO
 from itertools import groupby
+from typing import TYPE_CHECKING
 
 from berylstage_sheet.columns import BASED_ON, SHEET, Section
-from berylstage_sheet.configuration import Configuration
 from berylstage_sheet.rows import rows_of
 
+if TYPE_CHECKING:
+    from berylstage_sheet.configuration import Configuration
+
 
 def write_sheet(cfg: Configuration) -> str:
     """Return a configuration as the CSV of a sheet based on its revision.
--- a/tools/write_tables.py
+++ b/tools/write_tables.py
@@ -5,8 +5,8 @@
 import argparse
 import sys
 from abc import ABC, abstractmethod
-from collections.abc import Iterable, Iterator, Sequence
 from pathlib import Path
+from typing import TYPE_CHECKING
 
 from berylstage_cli.application import OperatorApplication
 from berylstage_cli.exit_codes import MEANINGS
@@ -16,6 +16,9 @@
 from berylstage_policy.threshold_table import TABLE as THRESHOLDS
 from berylstage_sheet.columns import SECTIONS, Column, Section
 
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Iterator, Sequence
+
 ROOT = Path(__file__).resolve().parent.parent
 END = "<!-- end of table -->"
 
