Wait for the platform's list before writing the first assignment

The platform's list is 2 s late, so that the first VM to write saw nobody, made itself the only elector, and the others joined one by one; with two electors the loss of one blocks both the leases and the change of the electorate. Ruled out: lost heartbeats (LOST_FOR would replace the elector, but the change needs a majority's report). The new test fails before (no key served for 10 s, loss of vm-2) and passes after. The cost: a first start waits for the list.

--- a/packages/ownership/src/berylstage_ownership/core.py
+++ b/packages/ownership/src/berylstage_ownership/core.py
@@ -169,6 +169,10 @@
             name: self._missing_since.get(name, now) for name in missing
         }
 
+    def is_listed(self) -> bool:
+        """Tell whether the platform's list is recent enough to name this VM."""
+        return self.name in self._listed
+
     def platform_leaving(self) -> set[str]:
         """Return the VMs that the platform is taking away."""
         return {name for name, vm in self._listed.items() if vm.leaving}
--- a/packages/ownership/src/berylstage_ownership/proposals.py
+++ b/packages/ownership/src/berylstage_ownership/proposals.py
@@ -137,10 +137,13 @@
         """Return the first assignment when the store holds none.
 
         Each VM listens for the others first: an electorate of all of them bears a
-        loss from its first second on.
+        loss from its first second on. The platform's list is late, and before it
+        names this VM it does not name those that started with it either. A VM that
+        went by it would make itself the only elector; while the others join one by
+        one, the loss of one of two would leave the whole cell without leases.
         """
         core = self._core
-        if not core.store.absent:
+        if not core.store.absent or not core.is_listed():
             self._absent_since = None
             return None
         if self._absent_since is None:
--- a/packages/ownership/tests/ownership_world.py
+++ b/packages/ownership/tests/ownership_world.py
@@ -24,7 +24,7 @@
 
     node_class = Node
 
-    def __init__(self, cfg, vms, seed=1, delay=(0.0005, 0.003)):
+    def __init__(self, cfg, vms, seed=1, delay=(0.0005, 0.003), list_lag=0.0):
         self.rng = Random(seed)
         self.service = next(iter(cfg.services))
         self.keys = [f"key-{number}" for number in range(6)]
@@ -47,6 +47,7 @@
         self.messages = 0
         self.message_bytes = 0
         self.last_list = -10.0
+        self.list_lag = list_lag
         self.targets = {}
         self.vms = {}
         self.write_configuration(cfg)
@@ -286,6 +287,8 @@
 
     def _tell_list(self, vm):
         listed = [Listed(other) for other in self.vms.values() if other.node]
+        if self.time < self.list_lag:
+            listed = []
         if vm.node is not None and self.time >= vm.paused_until:
             vm.node.vm_list(vm.local(self.time), listed)
 
--- a/packages/ownership/tests/test_node.py
+++ b/packages/ownership/tests/test_node.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import pytest
 from ownership_setting import build_world
 
 KEYS = [f"key-{number}" for number in range(12)]
@@ -13,15 +14,27 @@
         assert world.until_served("visits", KEYS) < 6
         assert world.faults == []
 
+    @pytest.mark.parametrize("lost", range(4))
+    def test_a_loss_right_after_a_start_is_borne(self, lost):
+        # The platform's list is late, so that VMs that start together do not see
+        # each other at first. The first to write must not become the only elector: when
+        # one of the first two went, nobody would hold a lease, and users would get
+        # no answer for any key until that VM returned.
+        world = build_world(vms=4, settle=0, list_lag=2.0)
+        world.until_served("visits", KEYS)
+        world.kill(f"vm-{lost}")
+        assert world.until_served("visits", KEYS) < 4.0
+        assert world.faults == []
+
 
 class TestLostTarget:
-    def test_keys_are_served_while_lost_work_has_its_deadline_ahead(self, build):
+    def test_keys_are_served_while_lost_work_has_its_deadline_ahead(self):
         # A target dies with an order in work whose deadline is seconds away. Its
         # leader gets no word of the order's end. A target that checks fences can
         # give it no effect once its grant has lapsed, so that the keys need not
         # wait for the deadline; a user would notice the wait as keys without an
         # answer for as long as the longest deadline of any order.
-        world = build()
+        world = build_world()
         shard = world.vms["vm-0"].node.shard_of("visits", KEYS[0])
         target = world.targets[world.vms["vm-0"].node.route("visits", shard).target]
         for vm in world.vms.values():
