List the VM of the in-process path at the platform

Cause: a VM now waits for the platform's list before it writes the first assignment, and the fixture listed nobody, so that the VM never became ready. Change: it is listed.

--- a/packages/daemon/tests/conftest.py
+++ b/packages/daemon/tests/conftest.py
@@ -192,7 +192,8 @@
     async def start(self):
         """Start platform, targets and VM, and wait until all targets are led."""
         self._client = CurlAsyncHTTPClient(force_instance=True, max_clients=50)
-        platform = await self._serve(make_platform(Platform(vm_lag=0.0)))
+        listed = Platform(vm_lag=0.0)
+        platform = await self._serve(make_platform(listed))
         cfg = await self._configuration()
         store = HttpStore(platform, 2.0)
         await store.write("berylstage/configuration", cfg.to_json(), 0)
@@ -200,6 +201,16 @@
         http, peer = _free_address(), _free_address()
         flags = {"vm": "almaty-a-1", "data-centre": "almaty-a", "request-log": "none"}
         flags |= {"platform": platform, "http": http, "peer": peer}
+        listed.vms.record(
+            "almaty-a-1",
+            {
+                "name": "almaty-a-1",
+                "data_centre": "almaty-a",
+                "http_address": http,
+                "peer_address": peer,
+                "leaving": False,
+            },
+        )
         self.base = f"http://{http}"
         self._app = Application(read_settings(flags, {}))
         await self._app.start()
