--- a/packages/ownership/src/berylstage_ownership/constants.py
+++ b/packages/ownership/src/berylstage_ownership/constants.py
@@ -71,6 +71,10 @@
 SHARD_MOVES = 8
 """Shards moved by one change that only improves the balance."""
 
+CLOSING_GRACE = 2.0
+"""How long a closed or leaving target still serves shards that have not moved: a move
+takes a fraction of it, and the brief asks for no new work a few seconds later."""
+
 PAUSE = 0.5
 """Ticks further apart than this mean that the process was paused."""
 
--- a/packages/ownership/src/berylstage_ownership/core.py
+++ b/packages/ownership/src/berylstage_ownership/core.py
@@ -90,12 +90,12 @@
         """Tell whether no elector has replied for long."""
         return now - self.in_touch_at >= OUT_OF_TOUCH
 
-    def take_configuration(self, raw: bytes) -> list[Notice]:
+    def take_configuration(self, now: float, raw: bytes) -> list[Notice]:
         """Put a configuration in force if it is newer."""
         if not self.docs.take_configuration(raw):
             return []
         assert self.docs.configuration is not None
-        self.holdings.configure(self.docs.configuration)
+        self.holdings.configure(now, self.docs.configuration)
         return [ConfigurationAdopted(self.docs.configuration)]
 
     def take_assignment(self, now: float, raw: bytes) -> list[Notice]:
--- a/packages/ownership/src/berylstage_ownership/holdings.py
+++ b/packages/ownership/src/berylstage_ownership/holdings.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from berylstage_ownership.actions import ShardActivated, ShardReleased
+from berylstage_ownership.constants import CLOSING_GRACE
 from berylstage_ownership.drains import LostShard, WorkInFlight
 from berylstage_ownership.grants import LedTarget
 from berylstage_ownership.shards import ANY, covers, service_of
@@ -68,12 +69,35 @@
         self.former_leads: list[LedTarget] = []
         self._mine: dict[str, ShardOwner] = {}
         self._lost: list[LostShard] = []
+        # Targets that the sheet closed, and since when this VM knows.
+        self._closing: dict[str, float] = {}
         self._parted: dict[str, set[str]] = {}
         self._records: dict[str, dict[tuple[str, int], ShardRecords]] = {}
 
-    def configure(self, configuration: Configuration) -> None:
-        """Take in the configuration, which says which targets check fences."""
+    def configure(self, now: float, configuration: Configuration) -> None:
+        """Take in the configuration, which says what targets are and may do.
+
+        Parameters
+        ----------
+        now : float
+        configuration : Configuration
+        """
         self._configuration = configuration
+        self._closing = {
+            target.name: self._closing.get(target.name, now)
+            for target in configuration.targets.values()
+            if not configuration.takes_work(target)
+        }
+
+    def closed(self, now: float, target: str) -> bool:
+        """Tell whether operators want no work at a target and had time to move it.
+
+        For a moment its shards are still served, until they have moved. If they
+        cannot move, since the store takes no writes or no other target is left, the
+        sheet goes before the keys.
+        """
+        since = self._closing.get(target)
+        return since is not None and now - since >= CLOSING_GRACE
 
     def adopt(self, now: float, assignment: Assignment) -> None:
         """Take in a newer assignment: stop what is lost, note what is gained.
--- a/packages/ownership/src/berylstage_ownership/node.py
+++ b/packages/ownership/src/berylstage_ownership/node.py
@@ -17,6 +17,7 @@
     NoLease,
     NotLeader,
     Refusal,
+    TargetClosed,
     TargetDown,
     UnknownShard,
 )
@@ -336,7 +337,10 @@
         held = self._hold(now, route, shard)
         if isinstance(held, Refusal):
             return held
-        fence = self._core.holdings.active.get(shard)
+        holdings = self._core.holdings
+        if holdings.closed(now, route.target):
+            return TargetClosed(route.target)
+        fence = holdings.active.get(shard)
         if fence is None:
             return Moving(shard)
         if self._checks_fences(route.target):
@@ -366,7 +370,7 @@
         cfg = self._core.docs.configuration
         wanted = cfg is not None and target in cfg.targets
         if cfg is None or not wanted or not cfg.takes_work(cfg.targets[target]):
-            return TargetDown(target)
+            return TargetClosed(target)
         return Permit(target, 0, held.epoch)
 
     def _hold(self, now: float, route: Route, item: str) -> LedTarget | Refusal:
--- a/packages/ownership/src/berylstage_ownership/outlook.py
+++ b/packages/ownership/src/berylstage_ownership/outlook.py
@@ -48,6 +48,19 @@
             name: fleet.alive(now, name, assignment) for name in fleet.sightings
         }
 
+    def signature(self) -> tuple:
+        """Return all that the next assignment depends on, but for times and loads."""
+        sightings = self.fleet.sightings
+        return (
+            self.assignment.revision,
+            self.configuration.revision,
+            frozenset(self.down),
+            frozenset(name for name, alive in self._alive.items() if alive),
+            frozenset(name for name in self.assignment.vms if self.leaving(name)),
+            frozenset((s.vm, s.incarnation) for s in self.heard()),
+            frozenset(name for name, s in sightings.items() if s.beat.elector_ready),
+        )
+
     def alive(self, vm: str) -> bool:
         """Tell whether a VM counts as alive."""
         return self._alive.get(vm, self.fleet.alive(self.now, vm, self.assignment))
--- a/packages/ownership/src/berylstage_ownership/proposals.py
+++ b/packages/ownership/src/berylstage_ownership/proposals.py
@@ -43,6 +43,9 @@
         self._conversation = conversation
         self._evaluate_at = 0.0
         self._level_at = 0.0
+        # What the last evaluation saw. Working out an assignment of hundreds of shards
+        # costs milliseconds, and twenty of them a second more than a VM may spend.
+        self._seen: tuple = ()
         self._absent_since: float | None = None
 
     def role(self, now: float) -> Role:
@@ -170,12 +173,18 @@
         """Return the assignment that should follow, if any."""
         core = self._core
         may_level = now >= self._level_at
+        outlook = self._outlook(now)
+        settled = core.fleet.electorate_settled(now)
+        seen = (*outlook.signature(), settled)
+        if seen == self._seen and not may_level:
+            return None
+        self._seen = seen
         draft = next_assignment(
-            self._outlook(now),
+            outlook,
             core.settings.planner,
             self._write_id(),
             may_level,
-            core.fleet.electorate_settled(now),
+            settled,
         )
         if may_level:
             self._level_at = now + REBALANCE_EVERY
@@ -218,6 +227,7 @@
         list of Action
         """
         core = self._core
+        self._seen = ()
         written = core.store.reply(now, tag, result)
         actions: list[Action] = []
         if written is not None:
@@ -234,7 +244,7 @@
         """Put what was read in force."""
         core = self._core
         if result.key == CONFIGURATION_KEY:
-            return list(core.take_configuration(result.value))
+            return list(core.take_configuration(now, result.value))
         actions: list[Action] = list(core.take_assignment(now, result.value))
         if not core.elector.caught_up:
             core.elector.raise_floor(core.docs.revision)
--- a/packages/ownership/src/berylstage_ownership/refusals.py
+++ b/packages/ownership/src/berylstage_ownership/refusals.py
@@ -79,6 +79,19 @@
         )
 
 
+class TargetClosed(Refusal):
+    """Operators want no work at the target, and its shards could not move yet."""
+
+    __slots__ = ()
+
+    def __init__(self, target: str):
+        super().__init__(
+            "closed",
+            f"the sheet closes {target} and its shards cannot move yet; check that "
+            "another target of the service is open and that the store takes writes",
+        )
+
+
 class TargetDown(Refusal):
     """The target accepts no work; its shards will move."""
 
--- a/packages/ownership/src/berylstage_ownership/replies.py
+++ b/packages/ownership/src/berylstage_ownership/replies.py
@@ -123,7 +123,7 @@
         """Put a fetched document in force, and learn what an elector promised."""
         core = self._core
         if reply.kind == DOCUMENT_KIND_CONFIGURATION:
-            return list(core.take_configuration(reply.document))
+            return list(core.take_configuration(now, reply.document))
         actions: list[Action] = list(core.take_assignment(now, reply.document))
         if reply.electing and core.assignment is not None:
             core.elector.report_of_elector(req.peer, reply.floor, core.assignment)
