--- a/packages/ownership/tests/ownership_world.py
+++ b/packages/ownership/tests/ownership_world.py
@@ -8,7 +8,7 @@
 
 from berylstage_ownership.actions import ReadStore, SendGrant, SendPeer, WriteStore
 from berylstage_ownership.assignment import Assignment
-from berylstage_ownership.events import StoreLost, StoreWritten
+from berylstage_ownership.events import StoreLost, StoreRefused, StoreWritten
 from berylstage_ownership.idempotency import IdempotencyTable, Verdict
 from berylstage_ownership.node import Node, NodeSettings, Permit
 from berylstage_ownership.proposer import CONFIGURATION_KEY
@@ -275,6 +275,8 @@
         self.store_was_down |= mode == "down"
         if mode == "down" or (vm.name, "store") in self.cuts:
             self._at(min(0.5, action.timeout), reply, StoreLost())
+        elif mode == "refusing writes" and isinstance(action, WriteStore):
+            self._at(self._wait(), reply, StoreRefused())
         elif mode == "lost" and isinstance(action, WriteStore):
             self._at(self._wait(), apply, False)
             self._at(0.5, reply, StoreLost())
--- a/packages/ownership/tests/test_node.py
+++ b/packages/ownership/tests/test_node.py
@@ -1,11 +1,52 @@
-"""Several cores together: start, loss, closing, outage."""
+"""Several cores together: how soon keys are served again, and what it costs."""
 
 from __future__ import annotations
 
 import pytest
-from ownership_setting import build_world
+from ownership_fakes import FakeVm
+from ownership_setting import CENTRES, build_world, close, retire
 
 KEYS = [f"key-{number}" for number in range(12)]
+SERVED_AGAIN = 2.0
+GRACE = 3.0
+
+
+def unserved(world, seconds):
+    """Return for how many seconds some key was not served."""
+    dark = 0
+    for _ in range(int(seconds / 0.05)):
+        world.run(0.05)
+        dark += not all(world.served("visits", key) for key in KEYS)
+    return dark * 0.05
+
+
+def lose_vm(world):
+    world.kill("vm-0")
+
+
+def lose_target(world):
+    world.targets["visits-1"].alive = False
+
+
+def freeze_target(world):
+    world.targets["visits-1"].frozen_until = world.time + 6.0
+
+
+def lose_data_centre(world):
+    world.lose_data_centre("almaty-a")
+
+
+def pause_vm(world):
+    world.pause("vm-1", 4.0)
+
+
+def restart_all(world):
+    for name in list(world.vms):
+        world.kill(name)
+        world.start(name)
+
+
+LOSSES = [lose_vm, lose_target, freeze_target, lose_data_centre, pause_vm, restart_all]
 
 
 class TestStart:
@@ -45,3 +86,172 @@
         target.alive = False
         assert world.until_served("visits", KEYS) < 2.0
         assert world.faults == []
+
+
+class TestLoss:
+    @pytest.mark.parametrize("checks", [True, False])
+    @pytest.mark.parametrize("vms", [5, 11])
+    @pytest.mark.parametrize("lose", LOSSES)
+    def test_keys_are_served_again(self, lose, vms, checks):
+        # A VM, a target or a whole data centre goes away without a word. Callers with
+        # keys there are refused until others have taken over.
+        for seed in (1, 2):
+            world = build_world(vms=vms, seed=seed, checks=checks)
+            lose(world)
+            assert world.until_served("visits", KEYS) <= SERVED_AGAIN
+            world.run(5.0)
+            assert world.faults == []
+
+    def test_of_most_electors_is_mended_by_the_platforms_word(self):
+        # Three of five electors go at once, beyond what a majority bears. The
+        # platform's list tells after a while that they are gone for certain.
+        world = build_world(vms=11)
+        for name in world.vms["vm-0"].node.assignment.electorate[:3]:
+            world.kill(name)
+        assert world.until_served("visits", KEYS, limit=20.0) < 12.0
+        assert world.faults == []
+
+    def test_of_all_vms_is_mended_by_others(self):
+        # Every VM is replaced by one of another name at the same moment.
+        world = build_world()
+        for name in list(world.vms):
+            world.kill(name)
+        for number, centre in enumerate(CENTRES):
+            name = f"new-{number}"
+            world.vms[name] = FakeVm(name, centre, 1.0, 5.0)
+            world.start(name)
+        assert world.until_served("visits", KEYS, limit=20.0) < 12.0
+        assert world.faults == []
+
+
+class TestOutageOfTheStore:
+    def test_leaves_all_keys_served(self):
+        # The store is down for minutes. Nobody should notice.
+        world = build_world()
+        world.store.mode = "down"
+        assert unserved(world, 120.0) == 0
+
+    def test_lets_an_elector_restart(self):
+        # An elector restarts in the outage: it learns from the others what was
+        # promised, and confirms again. Its own targets wait for the store.
+        world = build_world()
+        world.store.mode = "down"
+        world.kill("vm-2")
+        world.start("vm-2")
+        world.run(3.0)
+        vm = world.vms["vm-2"]
+        assert not vm.node.status(vm.local(world.time)).muted
+        assert vm.node.ready(vm.local(world.time))
+
+    def test_lets_a_new_vm_forward(self):
+        # A VM starts in the outage and gets both documents from its peers.
+        world = build_world()
+        world.store.mode = "down"
+        world.vms["vm-9"] = FakeVm("vm-9", "almaty-b", 1.0, 5.0)
+        world.start("vm-9")
+        world.run(1.0)
+        vm = world.vms["vm-9"]
+        assert vm.node.ready(vm.local(world.time))
+        assert all(vm.node.shard_of("visits", key) for key in KEYS)
+
+    def test_ends_with_the_keys_of_a_lost_proposer(self):
+        # The VM that proposes changes is lost in the outage. Its own keys wait; with
+        # the store they come back at once, through the next elector.
+        world = build_world()
+        world.store.mode = "down"
+        world.run(1.0)
+        world.kill("vm-0")
+        world.run(10.0)
+        dark = [key for key in KEYS if not world.served("visits", key)]
+        assert 0 < len(dark) < len(KEYS)
+        world.store.mode = "up"
+        assert world.until_served("visits", KEYS) <= SERVED_AGAIN
+        assert world.faults == []
+
+
+class TestSheet:
+    def test_is_in_force_everywhere_soon(self):
+        world = build_world(vms=11)
+        for _ in range(5):
+            world.run(0.37)
+            world.edit(lambda cfg: None)
+            world.run(2.0)
+            nodes = [vm.node for vm in world.vms.values()]
+            assert {n.configuration.revision for n in nodes} == {world.cfg.revision}
+
+    @pytest.mark.parametrize("edit", [close("almaty-b"), retire("visits-1")])
+    def test_closing_moves_all_work_within_the_grace(self, edit):
+        # Operators close a data centre or a target; nothing new goes there, and the
+        # keys are away for a moment only.
+        world = build_world()
+        world.edit(edit)
+        closed = {
+            t.name for t in world.cfg.targets.values() if not world.cfg.takes_work(t)
+        }
+        dark = unserved(world, GRACE)
+        assert dark < 0.5
+        assert not any(targets & closed for targets in world.working().values())
+
+    def test_closing_is_honoured_when_nothing_can_move(self):
+        # The store answers reads but takes no writes, so that no shard can move. The
+        # closed data centre gets no work all the same.
+        world = build_world()
+        world.store.mode = "refusing writes"
+        world.edit(close("almaty-b"))
+        world.run(GRACE)
+        world.ran.clear()
+        for key in KEYS:
+            world.request("visits", key)
+        world.run(0.5)
+        closed = {
+            t.name for t in world.cfg.targets.values() if not world.cfg.takes_work(t)
+        }
+        assert world.ran
+        assert not any(target in closed for _, target, _, _ in world.ran)
+
+
+class TestShutdown:
+    def test_hands_over_before_it_stops(self):
+        # A VM shuts down on purpose. It may stop once nothing of it is in flight, and
+        # callers hardly notice.
+        world = build_world()
+        vm = world.vms["vm-1"]
+        for key in KEYS:
+            world.request("visits", key, length=0.3)
+        vm.node.leave()
+        world.run(0.15)
+        assert vm.in_flight == 0 or vm.node.leads_anything()
+        assert unserved(world, 3.0) < 0.5
+        assert not vm.node.leads_anything()
+
+    def test_hands_the_records_over(self):
+        # The same request that may not be repeated comes again after a planned move
+        # and gets its first answer; new ones are not refused meanwhile.
+        world = build_world()
+        world.run(3.0)
+        issued = 1_000_000 + int(world.time * 1000)
+        for key in KEYS:
+            world.request_once(key, f"once-{key}", issued)
+        world.run(0.3)
+        world.vms["vm-1"].node.leave()
+        world.run(1.0)
+        issued += 1300
+        for key in KEYS:
+            world.request_once(key, f"once-{key}", issued - 1300)
+            world.request_once(key, f"again-{key}", issued)
+        world.run(0.5)
+        assert len(world.runs) == 2 * len(KEYS)
+        assert set(world.runs.values()) == {1}
+
+
+class TestCost:
+    def test_of_an_idle_cell_does_not_grow_with_its_vms(self):
+        # The store counts each call; 2,000 VMs may not each call it every second.
+        calls = []
+        for vms in (5, 11, 22):
+            world = build_world(vms=vms, settle=8.0)
+            before = world.sent_store
+            world.run(20.0)
+            calls.append((world.sent_store - before) / 20.0)
+        assert max(calls) < 5.0
+        assert max(calls) - min(calls) < 0.5
