Freeze the target only once it has the dispatch in its hands

Change: the test waits until the target works on the request before it freezes it; it asserts as much as before.

--- a/packages/daemon/tests/conftest.py
+++ b/packages/daemon/tests/conftest.py
@@ -201,7 +201,7 @@
         http, peer = _free_address(), _free_address()
         flags = {"vm": "almaty-a-1", "data-centre": "almaty-a", "request-log": "none"}
         flags |= {"platform": platform, "http": http, "peer": peer}
-        listed.vms.record(
+        listed.vm_log.record(
             "almaty-a-1",
             {
                 "name": "almaty-a-1",
@@ -276,7 +276,8 @@
 
     async def _configuration(self):
         """Start the targets and return the configuration that names them."""
-        work_ms = {"lookup": 1.0, "record": 1.0, "long": 60_000.0}
+        work_ms = {"lookup": 1.0, "record": 1.0, "dispatch": 300.0}
+        work_ms["long"] = 60_000.0
         found = {}
         for service in ("field-log", "contract-book"):
             settings = WorkSettings(work_ms=work_ms)
@@ -328,6 +329,7 @@
     }
     if ownership is Ownership.OWNED:
         kinds["record"] = Kind("record", RequestClass.STANDARD, False, 5000)
+        kinds["dispatch"] = Kind("dispatch", RequestClass.STANDARD, False, 5000)
     return Service(name, "saryarka", ownership, 4, kinds)
 
 
--- a/packages/daemon/tests/test_callers.py
+++ b/packages/daemon/tests/test_callers.py
@@ -192,12 +192,19 @@
     def test_frozen_target_ends_as_unknown(self, path):
         # A target freezes with a dispatch in its hands. Nobody can tell whether it
         # will run when the target thaws, so the caller must not send it as new.
-        path.run(path.idle())
-        path.faults("field-log", freeze=True)
+        async def play():
+            await path.idle()
+            url = "/field-log/dispatch/k"
+            call = path.call(url, Request_Timeout_Ms="1500", **once())
+            task = asyncio.ensure_future(call)
+            async with asyncio.timeout(20.0):
+                while not path.targets["field-log"].work.running:
+                    await asyncio.sleep(0.005)
+            path.faults("field-log", freeze=True)
+            return await task
+
         try:
-            response = path.run(
-                path.call("/field-log/record/k", Request_Timeout_Ms="400", **once())
-            )
+            response = path.run(play())
         finally:
             path.faults("field-log", freeze=False)
         assert response.code == 504
