--- a/packages/ownership/src/berylstage_ownership/actions.py
+++ b/packages/ownership/src/berylstage_ownership/actions.py
@@ -152,6 +152,21 @@
         self.revision = revision
 
 
+class DocumentUnreadable(Notice):
+    """A document of the store cannot be read; the one in force stays in force.
+
+    Parameters
+    ----------
+    reason : str
+        What is wrong and what to do.
+    """
+
+    __slots__ = ("reason",)
+
+    def __init__(self, reason: str):
+        self.reason = reason
+
+
 class LeaseGained(Notice):
     """The VM holds a lease again."""
 
--- a/packages/ownership/src/berylstage_ownership/answers.py
+++ b/packages/ownership/src/berylstage_ownership/answers.py
@@ -109,7 +109,7 @@
         core = self._core
         release = req.release
         answer = ReleaseReply(revision=core.docs.revision)
-        if release.incarnation == core.settings.incarnation:
+        if release.incarnation == core.incarnation:
             holdings = core.holdings
             for shard in release.shards:
                 if holdings.released(now, shard.name, shard.until):
--- a/packages/ownership/src/berylstage_ownership/conversation.py
+++ b/packages/ownership/src/berylstage_ownership/conversation.py
@@ -145,9 +145,8 @@
     def _beat_to_self(self, now: float, beat: Beat) -> None:
         """Hear this VM's own heartbeat, and confirm it as an elector."""
         core = self._core
-        settings = core.settings
-        core.fleet.heard(now, core.name, settings.incarnation, beat)
-        if self.confirm(now, core.name, settings.incarnation, beat):
+        core.fleet.heard(now, core.name, core.incarnation, beat)
+        if self.confirm(now, core.name, core.incarnation, beat):
             return
         assert core.assignment is not None
         core.lease.confirmed(core.name, now, core.assignment)
@@ -180,7 +179,7 @@
     def _is_own(self, pending: Pending) -> bool:
         """Tell whether the prior is this very run of this VM."""
         prior = pending.prior
-        own = (self._core.name, self._core.settings.incarnation)
+        own = (self._core.name, self._core.incarnation)
         return (prior.vm, prior.incarnation) == own
 
     def _answers(self, pending: Pending) -> bool:
--- a/packages/ownership/src/berylstage_ownership/core.py
+++ b/packages/ownership/src/berylstage_ownership/core.py
@@ -10,6 +10,7 @@
 from berylstage_ownership.actions import (
     AssignmentAdopted,
     ConfigurationAdopted,
+    DocumentUnreadable,
     SendPeer,
 )
 from berylstage_ownership.constants import GONE_AFTER, PEER_TIMEOUT
@@ -61,6 +62,8 @@
         self.name = settings.name
         self._tags = count(1)
         self.docs = Documents()
+        self.incarnation = settings.incarnation
+        self._was_named = False
         self.elector = Elector(settings.name, now)
         self.lease = Lease()
         self.fleet = Fleet(settings.name, settings.cell, now)
@@ -93,7 +96,7 @@
     def take_configuration(self, now: float, raw: bytes) -> list[Notice]:
         """Put a configuration in force if it is newer."""
         if not self.docs.take_configuration(raw):
-            return []
+            return self._unreadable()
         assert self.docs.configuration is not None
         self.holdings.configure(now, self.docs.configuration)
         return [ConfigurationAdopted(self.docs.configuration)]
@@ -101,15 +104,37 @@
     def take_assignment(self, now: float, raw: bytes) -> list[Notice]:
         """Put an assignment in force if it is newer."""
         if not self.docs.take_assignment(raw):
-            return []
+            return self._unreadable()
         assert self.docs.assignment is not None
+        self._take_number(self.docs.assignment)
         self.holdings.adopt(now, self.docs.assignment)
         notices: list[Notice] = [AssignmentAdopted(self.docs.revision)]
         return notices + self.holdings.advance(now)
 
+    def _unreadable(self) -> list[Notice]:
+        """Return a notice if the document just offered could not be read."""
+        reason = self.docs.take_unreadable()
+        return [DocumentUnreadable(reason)] if reason else []
+
+    def _take_number(self, assignment: Assignment) -> None:
+        """Take a larger incarnation if an earlier run of this VM had a larger one.
+
+        The wall clock that the number comes from may have been set back. Nobody would
+        take this process in then, and its targets would stay without a leader. A
+        process that was named once is the earlier run itself and keeps quiet.
+        """
+        known = assignment.vms.get(self.name)
+        if known is None:
+            return
+        if known.incarnation == self.incarnation:
+            self._was_named = True
+        elif known.incarnation > self.incarnation and not self._was_named:
+            self.incarnation = known.incarnation + 1
+            self.holdings.renumber(self.incarnation)
+
     def envelope(self) -> Envelope:
         """Return an envelope that names this VM as its sender."""
-        holder = Holder(vm=self.name, incarnation=self.settings.incarnation)
+        holder = Holder(vm=self.name, incarnation=self.incarnation)
         return Envelope(sender=holder)
 
     def send(self, now: float, contact: Contact, envelope: Envelope) -> Action:
--- a/packages/ownership/src/berylstage_ownership/holdings.py
+++ b/packages/ownership/src/berylstage_ownership/holdings.py
@@ -74,6 +74,10 @@
         self._parted: dict[str, set[str]] = {}
         self._records: dict[str, dict[tuple[str, int], ShardRecords]] = {}
 
+    def renumber(self, incarnation: int) -> None:
+        """Take another incarnation, before this process ever held anything."""
+        self._incarnation = incarnation
+
     def configure(self, now: float, configuration: Configuration) -> None:
         """Take in the configuration, which says what targets are and may do.
 
--- a/packages/ownership/src/berylstage_ownership/proposer.py
+++ b/packages/ownership/src/berylstage_ownership/proposer.py
@@ -18,6 +18,7 @@
     StoreRead,
     StoreWritten,
 )
+from berylstage_ownership.spread import UNREADABLE
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -202,9 +203,17 @@
         self.version = result.version
         self.unsettled = None
         self.absent = result.version == 0
-        self.revision = 0
-        if result.value:
-            self.revision = Assignment.from_json(result.value).revision
+        self.revision = self._revision_of(result.value)
+
+    def _revision_of(self, raw: bytes) -> int:
+        """Return the revision of the assignment read; -1 when it cannot be read."""
+        if not raw:
+            return 0
+        try:
+            return Assignment.from_json(raw).revision
+        except UNREADABLE:
+            # Writing over it could undo what another release decided.
+            return -1
 
     def _note_written(self, result: StoreWritten, call: Call) -> Assignment | None:
         """Keep the version that a write made."""
--- a/packages/ownership/src/berylstage_ownership/spread.py
+++ b/packages/ownership/src/berylstage_ownership/spread.py
@@ -6,6 +6,9 @@
 
 from berylstage_ownership.assignment import Assignment
 
+# What a document of another release, or a broken one, makes the reader raise.
+UNREADABLE = (ValueError, KeyError, TypeError, AttributeError, IndexError)
+
 
 class Documents:
     """The two documents in force on this VM, with the bytes they came as.
@@ -20,6 +23,24 @@
         self.configuration_raw = b""
         self.assignment: Assignment | None = None
         self.assignment_raw = b""
+        self._unreadable = b""
+        self._reason = ""
+
+    def take_unreadable(self) -> str:
+        """Return why the document offered last cannot be read, once for each."""
+        reason, self._reason = self._reason, ""
+        return reason
+
+    def _note_unreadable(self, raw: bytes, name: str, exc: Exception) -> None:
+        """Keep why a document cannot be read."""
+        if raw == self._unreadable:
+            return
+        self._unreadable = raw
+        self._reason = (
+            f"the {name} in the store cannot be read ({exc!r}); this VM stays at the "
+            "one in force; export and apply the sheet again with the same release of "
+            "the command line"
+        )
 
     @property
     def configuration_revision(self) -> int:
@@ -46,7 +67,11 @@
         """
         if not raw or raw == self.configuration_raw:
             return False
-        found = Configuration.from_json(raw)
+        try:
+            found = Configuration.from_json(raw)
+        except UNREADABLE as exc:
+            self._note_unreadable(raw, "configuration", exc)
+            return False
         if found.revision <= self.configuration_revision:
             return False
         self.configuration = found
@@ -68,7 +93,11 @@
         """
         if not raw or raw == self.assignment_raw:
             return False
-        found = Assignment.from_json(raw)
+        try:
+            found = Assignment.from_json(raw)
+        except UNREADABLE as exc:
+            self._note_unreadable(raw, "assignment", exc)
+            return False
         if found.revision <= self.revision:
             return False
         self.assignment = found
--- a/packages/ownership/tests/test_node.py
+++ b/packages/ownership/tests/test_node.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import pytest
+from berylstage_ownership.actions import DocumentUnreadable
 from ownership_fakes import FakeVm
 from ownership_setting import CENTRES, build_world, close, retire
 
@@ -169,6 +170,41 @@
         assert world.faults == []
 
 
+class TestDocuments:
+    def test_an_unreadable_sheet_changes_nothing(self):
+        # A release that nobody else runs wrote a sheet that cannot be read here. The
+        # one in force stays, keys are served, and the log says what to do.
+        world = build_world()
+        _, version = world.store.values["berylstage/configuration"]
+        world.store.write("berylstage/configuration", b'{"revision": 9}', version)
+        assert unserved(world, 3.0) == 0
+        told = [n for vm in world.vms.values() for _, n in vm.notices]
+        assert any(isinstance(notice, DocumentUnreadable) for notice in told)
+
+    def test_an_unreadable_assignment_is_not_written_over(self):
+        # The same with the assignment: it may be what a later release decided.
+        world = build_world()
+        key = "berylstage/assignment/cell-1"
+        _, version = world.store.values[key]
+        world.store.write(key, b"[]", version)
+        world.kill("vm-3")
+        world.run(5.0)
+        assert world.store.values[key][0] == b"[]"
+        assert world.faults == []
+
+    def test_a_clock_set_back_does_not_lock_a_vm_out(self):
+        # A VM restarts after its wall clock was set back, so that its new run has a
+        # smaller number than its last. It must be let in again all the same.
+        world = build_world()
+        world.kill("vm-1")
+        world.vms["vm-1"].incarnation = -1
+        world.start("vm-1")
+        assert world.until_served("visits", KEYS) <= SERVED_AGAIN
+        world.run(4.0)
+        vm = world.vms["vm-1"]
+        assert vm.node.led_targets(vm.local(world.time))
+
+
 class TestSheet:
     def test_is_in_force_everywhere_soon(self):
         world = build_world(vms=11)
