--- a/packages/bench/src/berylstage_bench/policy_ablations.py
+++ b/packages/bench/src/berylstage_bench/policy_ablations.py
@@ -84,6 +84,21 @@
     Ablation(
         "balancing moves", HOT, "imbalance", {"balance_high": OFF, "balance_low": 0.0}
     ),
+    Ablation(
+        "two targets divided anew", HOT_FEW, "imbalance", {"balance_repack_gain": OFF}
+    ),
+    Ablation(
+        "own time to return",
+        "burst, callers return",
+        "answered in the end",
+        options={"fixed_return": 1.0},
+    ),
+    Ablation(
+        "believe a report of cold",
+        "cold 30x1 field-log",
+        "bound broken",
+        options={"lies_warm": True},
+    ),
     Ablation(
         "hot keys set apart", HOT_FEW, "imbalance", options={"has_hot_keys": False}
     ),
--- a/packages/bench/src/berylstage_bench/policy_router.py
+++ b/packages/bench/src/berylstage_bench/policy_router.py
@@ -88,6 +88,7 @@
         has_history: bool = True,
         one_caller: bool = False,
         fixed_return: float | None = None,
+        lies_warm: bool = False,
     ):
         super().__init__(player, deployment, targets, streams)
         self.thresholds = thresholds
@@ -98,7 +99,7 @@
         self.fixed_return = fixed_return
         self.digest_lag = 0.25
         # Whether the targets' reports say that they are warm, whatever they are.
-        self.lies_warm = False
+        self.lies_warm = lies_warm
         self.retries = RetryPolicy(thresholds, self.rng)
         self.led = {
             target.name: LedTarget(
--- a/packages/bench/src/berylstage_bench/policy_slopes.py
+++ b/packages/bench/src/berylstage_bench/policy_slopes.py
@@ -61,6 +61,7 @@
     """Return a queue of two slots in which so many tickets wait."""
     thresholds = DEFAULTS.replaced(queue_limit=float(waiting + 1), wait_share=1e9)
     queue = TargetQueue(2, thresholds, Random(1), 0.0)
+    queue.reported(False, 0.0)
     while not queue.ramp.warm:
         queue.ramp.completed(0.0, 1.0)
     for number in range(waiting + 2):
--- a/packages/policy/src/berylstage_policy/coldstart.py
+++ b/packages/policy/src/berylstage_policy/coldstart.py
@@ -33,7 +33,9 @@
         "_slots",
         "_limit",
         "_incarnation",
-        "_reported_cold",
+        "_told_cold",
+        "_told_warm",
+        "_started",
         "_suspect",
         "_confirmed",
         "_raised",
@@ -50,7 +52,10 @@
         self._slots = slots
         self._limit = 1
         self._incarnation = ""
-        self._reported_cold = False
+        # What the latest report of this run of the target has said.
+        self._told_cold = False
+        self._told_warm = False
+        self._started = now
         self._suspect = False
         self._confirmed = now
         self._raised = float("-inf")
@@ -90,6 +95,9 @@
         """Go back to one request: the target has started anew, or says so."""
         self._limit = 1
         self._suspect = False
+        self._started = now
+        self._told_cold = False
+        self._told_warm = False
         self._begin_level()
 
     def seen(self, now: float, incarnation: str) -> None:
@@ -101,11 +109,12 @@
         self._suspect = False
 
     def reported(self, now: float, cold: bool, age: float = 0.0) -> None:
-        """Take in the target's own word; only ``cold`` changes anything.
+        """Take in the target's own word, as a grant's answer or a load report tells it.
 
-        A report lags, so ``not cold`` never raises the limit; it only lets completions
-        count again. A report of ``cold`` from before the last level was reached tells
-        of what is over: taken at its word it would send a warm target back to one.
+        A word alone never raises the limit, but completions count only with it: some
+        cold targets answer as fast as warm ones until they fall over. A report of
+        ``cold`` from before the last level was reached tells of what is over, and one
+        of ``warm`` from before the last start tells of another run.
 
         Parameters
         ----------
@@ -114,11 +123,15 @@
         age : float
             Seconds since the report was made.
         """
-        if cold and now - age <= self._raised:
-            return
-        if cold:
+        made = now - age
+        if cold and made > self._raised:
             self.new_start(now)
-        self._reported_cold = cold
+            self._told_cold = True
+        elif not cold and made >= self._started and not self._told_warm:
+            self._told_cold = False
+            self._told_warm = True
+            self._count = 0
+            self._ratios = 0.0
 
     def doubted(self, now: float) -> None:
         """Go to one request until the target shows that it is still the same run.
@@ -139,12 +152,14 @@
             Its time over what this kind takes on the warm target; None if unknown.
         """
         self._confirmed = now
-        if self.warm or self._reported_cold:
+        if self.warm or self._told_cold:
             return
         self._count += 1
         # Without a warm answer to compare with slow answers look like normal ones, and
-        # the target's word may mislead; such a target is ramped like a slow one.
-        self._ratios += UNKNOWN_RATIO if ratio is None else ratio
+        # without the target's word a fragile target looks like a warm one. It is then
+        # ramped like a slow one, which takes some times as many answers.
+        is_known = ratio is not None and self._told_warm
+        self._ratios += ratio if is_known and ratio is not None else UNKNOWN_RATIO
         if self._count < self._step:
             return
         self._windows += 1
