--- a/Makefile
+++ b/Makefile
@@ -39,7 +39,7 @@
 test:  ## run the tests
 	$(PY) -m pytest $(PYTEST_OPTIONS)
 
-.PHONY: demo demo-short up failures failures-ci
+.PHONY: demo demo-short up failures failures-ci bench-path
 demo:  ## run an installation through a day with faults, in about a minute
 	$(PY) -m berylstage_bench.demo
 
@@ -49,6 +49,10 @@
 failures-ci:  ## the fixed part of these that CI runs, within two minutes
 	$(PY) -m pytest -m failures_ci packages/bench
 
+bench-path:  ## what the way through the VMs adds to a request, and what costs most
+	$(PY) -m berylstage_bench.path
+	$(PY) -m berylstage_bench.path --profile
+
 up:  ## run an installation until Ctrl-C and print what to try
 	$(PY) -m berylstage_bench.up
 
--- a/packages/bench/src/berylstage_bench/processes.py
+++ b/packages/bench/src/berylstage_bench/processes.py
@@ -64,6 +64,11 @@
         Further options of the platform's stand-in.
     ports : Ports or None
         None takes those of this checkout.
+
+    Attributes
+    ----------
+    profiles : dict of str to Path
+        VMs that run under cProfile, with the files for their profiles.
     """
 
     def __init__(
@@ -84,6 +89,7 @@
             vm.name: VmAddress(vm, number, self._ports)
             for number, vm in enumerate(sorted(cfg.vms.values(), key=_name))
         }
+        self.profiles: dict[str, Path] = {}
         self._platform_options = platform_options or []
         self._target_options = target_options or []
         self._vm_options = vm_options or []
@@ -241,6 +247,9 @@
     def _spawn_vm(self, name: str) -> None:
         vm = self.vms[name]
         command = [str(Path(sys.executable).parent / "berylstaged")]
+        if name in self.profiles:
+            profile = ["-m", "cProfile", "-o", str(self.profiles[name])]
+            command = [sys.executable, *profile, *command]
         command += ["--vm", name, "--data-centre", vm.data_centre]
         command += ["--http", vm.http, "--peer", vm.peer]
         command += ["--platform", self.platform, *self._vm_options]
