--- a/packages/bench/src/berylstage_bench/callers.py
+++ b/packages/bench/src/berylstage_bench/callers.py
@@ -36,6 +36,9 @@
 # Seconds that a caller waits beyond the deadline of the kind before it hangs up.
 MARGIN = 1.0
 MS = 1000
+# Reason of a refusal that says of earlier attempts under a key, not of this one, that
+# they may have run: their records are gone.
+NOT_FRESH = "not-fresh"
 
 
 class Work:
@@ -183,7 +186,11 @@
                 return req
             if time.monotonic() + pause >= give_up:
                 return req
-            if attempt.may_have_run:
+            if attempt.record.reason == NOT_FRESH and token.may_have_run:
+                # Nobody can tell any more whether an earlier attempt ran; a person
+                # would look up its effect.
+                return req
+            if attempt.record.reason != NOT_FRESH and attempt.may_have_run:
                 token.may_have_run = True
             elif not token.may_have_run:
                 # It did not run, so that it may be sent as a new one. After an
