Let held requests look again when their shard goes elsewhere

A VM holds a request for a shard that it is about to lead; when the next assignment gives the shard to a third VM, nothing woke the request before its time-out.

--- a/packages/daemon/src/berylstage_daemon/leaders.py
+++ b/packages/daemon/src/berylstage_daemon/leaders.py
@@ -56,6 +56,7 @@
         self._held_count = 0
         app.events.connect("configuration-adopted", self._configured)
         app.events.connect("shard-activated", self._activated)
+        app.events.connect("assignment-adopted", self._assigned)
 
     async def start(self) -> None:
         """Leaders begin with the first request or grant of their target."""
@@ -165,18 +166,24 @@
         """
         if self._held_count >= HELD_LIMIT:
             return not_run("moving")
-        fut: asyncio.Future[None] = asyncio.Future()
-        self._held[shard].add(fut)
         self._held_count += 1
         try:
             async with asyncio.timeout(min(HOLD, req.deadline - now())):
-                await fut
+                return await self._permitted(shard, permit)
         except TimeoutError:
             return not_run("moving")
         finally:
             self._held_count -= 1
-            self._held[shard].discard(fut)
-        return permit()
+
+    async def _permitted(self, shard: str, permit) -> Permit | Answer:
+        """Wait until a shard moves no more, and return leave to send or a refusal."""
+        while True:
+            fut: asyncio.Future[None] = asyncio.Future()
+            self._held[shard].add(fut)
+            await fut
+            allowed = permit()
+            if not isinstance(allowed, Answer) or allowed.reason != "moving":
+                return allowed
 
     def status(self, led: list[TargetStatus]) -> list[dict]:
         """Return one row for each led target, for the status page.
@@ -230,7 +237,20 @@
                 leader.set_slots(cfg.targets[name].slots)
 
     def _activated(self, notice: ShardActivated) -> None:
-        """Wake the requests that wait for a shard."""
+        """Let the requests that wait for a shard look again."""
         for fut in self._held.pop(notice.shard, ()):
             if not fut.done():
                 fut.set_result(None)
+
+    def _assigned(self, revision: int) -> None:
+        """Let all requests that wait for a shard look again.
+
+        A shard may go on to another VM before this one may serve it. Its requests
+        would wait here for an activation that never comes, each as long as it is
+        held at most, while the other VM serves the key.
+        """
+        for futs in self._held.values():
+            for fut in futs:
+                if not fut.done():
+                    fut.set_result(None)
+        self._held.clear()
