Wake held requests again when the target accepts the grant

Cause: a request that was held for a moving shard was woken when the shard became active here, found the grant not yet accepted, waited again, and nothing woke it: it sat out its 2.5 s. Ruled out: detection and the wait for the lapsed lease (logs show the leads taken over 0.87 s after the kill and the targets up 15 ms later). Change: the answer to a grant order wakes what is held, too. The new test fails before.

--- a/packages/daemon/src/berylstage_daemon/control.py
+++ b/packages/daemon/src/berylstage_daemon/control.py
@@ -264,6 +264,7 @@
             answer = None
         done = self.node.grant_reply(now(), action.target, action.tag, answer)
         self.execute(done)
+        self._app.events.emit("grant-answered", action.target)
 
     async def _read(self, action: ReadStore) -> None:
         """Read the store and hand the result back."""
--- a/packages/daemon/src/berylstage_daemon/events.py
+++ b/packages/daemon/src/berylstage_daemon/events.py
@@ -20,6 +20,7 @@
     "target-down": "target name",
     "target-up": "target name",
     "target-restarted": "target name",
+    "grant-answered": "target name",
     "shard-activated": "shard name",
     "shard-released": "shard name",
     "request-finished": "request, answer, seconds",
--- a/packages/daemon/src/berylstage_daemon/leaders.py
+++ b/packages/daemon/src/berylstage_daemon/leaders.py
@@ -19,7 +19,6 @@
 from berylstage_daemon.thresholds import thresholds_of
 
 if TYPE_CHECKING:
-    from berylstage_ownership.actions import ShardActivated
     from berylstage_ownership.routing import Permit
     from berylstage_ownership.status import TargetStatus
     from berylstage_sheet.configuration import Configuration
@@ -55,8 +54,9 @@
         self._held: dict[str, set[asyncio.Future]] = defaultdict(set)
         self._held_count = 0
         app.events.connect("configuration-adopted", self._configured)
-        app.events.connect("shard-activated", self._activated)
-        app.events.connect("assignment-adopted", self._assigned)
+        app.events.connect("shard-activated", self._look_again)
+        app.events.connect("grant-answered", self._look_again)
+        app.events.connect("assignment-adopted", self._look_again)
 
     async def start(self) -> None:
         """Leaders begin with the first request or grant of their target."""
@@ -236,18 +236,13 @@
             if name in cfg.targets:
                 leader.set_slots(cfg.targets[name].slots)
 
-    def _activated(self, notice: ShardActivated) -> None:
-        """Let the requests that wait for a shard look again."""
-        for fut in self._held.pop(notice.shard, ()):
-            if not fut.done():
-                fut.set_result(None)
-
-    def _assigned(self, revision: int) -> None:
+    def _look_again(self, news: object) -> None:
         """Let all requests that wait for a shard look again.
 
-        A shard may go on to another VM before this one may serve it. Its requests
-        would wait here for an activation that never comes, each as long as it is
-        held at most, while the other VM serves the key.
+        A shard is served here once it is active and its target has accepted the
+        grant, in whichever order; or it goes on to another VM before that. A request
+        that missed the news would wait as long as it is held at most, while its key
+        is served.
         """
         for futs in self._held.values():
             for fut in futs:
--- a/packages/daemon/tests/test_leaders.py
+++ b/packages/daemon/tests/test_leaders.py
@@ -9,6 +9,7 @@
 from berylstage_daemon.answers import not_run
 from berylstage_daemon.events import EventManager
 from berylstage_daemon.leaders import Leaders
+from berylstage_ownership.actions import ShardActivated
 
 LIMIT = 1.0
 
@@ -74,3 +75,26 @@
             task.cancel()
 
         asyncio.run(scenario())
+
+    def test_a_shard_whose_grant_comes_late_is_looked_at_again(
+        self, app, make_rig, let_run
+    ):
+        # A VM takes a target over and may serve a key a moment before the target has
+        # accepted the grant. The request is woken, finds the grant missing and waits
+        # again. Nothing woke it a second time: technicians waited 2.5 s after each
+        # loss of a VM, though their keys were served again after one.
+        async def scenario():
+            leaders = Leaders(app)
+            req = make_rig().request()
+            task = asyncio.ensure_future(leaders.serve(req, ""))
+            await let_run()
+            notice = ShardActivated("field-log/7", "field-log-01", 5, None)
+            app.events.emit("shard-activated", notice)
+            await let_run()
+            assert not task.done()
+            app.control.routes.reason = "target-down"
+            app.events.emit("grant-answered", "field-log-01")
+            answer = await asyncio.wait_for(task, LIMIT)
+            assert answer.reason == "target-down"
+
+        asyncio.run(scenario())
