--- a/packages/ownership/tests/test_mutations.py
+++ b/packages/ownership/tests/test_mutations.py
@@ -74,6 +74,44 @@
     return world.faults
 
 
+def holder_moves_on_and_cannot_revoke():
+    return [fault for seed in range(1, 7) for fault in moves_on(seed)]
+
+
+def moves_on(seed):
+    world = build_world(vms=6, seed=seed)
+    target = world.cfg.targets["visits-5"]
+    holder = leader_of(world, target.name)
+    late = {(name, "claim") for name in world.vms}
+    world.dropped = {(name, "release") for name in world.vms} | late
+    world.edit(retire(target.name))
+    world.cuts |= {(holder, target.name), (target.name, holder)}
+    world.until_revision(world.stored_revision + 1)
+    world.run(0.1)
+    world.dropped -= late
+    world.run(4.0)
+    return world.faults
+
+
+class TestMemoryOfEarlierRevisions:
+    def test_is_needed(self, monkeypatch):
+        # A holder learns of its loss at once and is confirmed at the new revision, but
+        # cannot reach its target to revoke the grant. The taker's claim comes a little
+        # later. An elector that only remembers the latest confirmation tells it that
+        # nothing is left to wait for.
+        assert holder_moves_on_and_cannot_revoke() == []
+        whole = Elector.confirm
+
+        def confirm(self, now, vm, incarnation, revision, *args):
+            refusal = whole(self, now, vm, incarnation, revision, *args)
+            if not refusal:
+                self._confirmations[vm, incarnation] = {revision: now}
+            return refusal
+
+        monkeypatch.setattr(Elector, "confirm", confirm)
+        assert holder_moves_on_and_cannot_revoke()
+
+
 class TestWaitForTheOldLease:
     def test_is_needed(self, monkeypatch):
         # A holder is cut off together with its target and works on. A taker that
