--- a/packages/ownership/tests/ownership_setting.py
+++ b/packages/ownership/tests/ownership_setting.py
@@ -80,10 +80,18 @@
     return change
 
 
-def build_world(vms=5, seed=1, settle=4.0, checks=True, list_lag=0.0, **kwargs):
+def build_world(
+    vms=5,
+    seed=1,
+    settle=4.0,
+    checks=True,
+    list_lag=0.0,
+    world_class=World,
+    **kwargs,
+):
     """Return a world of some VMs over four data centres, after a while."""
     cfg = make_configuration(CENTRES, checks=checks, **kwargs)
     names = [(f"vm-{n}", CENTRES[n % len(CENTRES)]) for n in range(vms)]
-    world = World(cfg, names, seed, list_lag=list_lag)
+    world = world_class(cfg, names, seed, list_lag=list_lag)
     world.run(settle)
     return world
