--- a/packages/ownership/tests/ownership_setting.py
+++ b/packages/ownership/tests/ownership_setting.py
@@ -14,7 +14,8 @@
     SpecialKey,
     Target,
 )
-from ownership_world import WORK_DEADLINE, World
+from ownership_callers import WORK_DEADLINE
+from ownership_world import World
 
 CENTRES = ["almaty-a", "almaty-b", "shymkent-a", "taraz-a"]
 SERVICE = "visits"
