--- a/packages/ownership/src/berylstage_ownership/changes.py
+++ b/packages/ownership/src/berylstage_ownership/changes.py
@@ -13,7 +13,7 @@
     initial_electorate,
     next_electorate,
 )
-from berylstage_ownership.leaders import LeaderChanges
+from berylstage_ownership.leaders import LeaderChanges, drop_leaders
 from berylstage_ownership.owners import OwnerChanges, drop_services
 
 if TYPE_CHECKING:
@@ -54,6 +54,7 @@
     lead_moves = max(LEAD_MOVES, len(old.leaders) // LEAD_SHARE)
     LeaderChanges(outlook, draft).apply(lead_moves if may_level else 0)
     _change_owners(outlook, draft, planner, SHARD_MOVES if may_level else 0)
+    drop_leaders(outlook, draft)
     if electorate_may_change:
         _change_electorate(outlook, draft)
     if not _differs(old, draft):
--- a/packages/ownership/src/berylstage_ownership/granting.py
+++ b/packages/ownership/src/berylstage_ownership/granting.py
@@ -29,6 +29,8 @@
         self._core = core
         self._sent: dict[int, LedTarget] = {}
         self._told: dict[str, str] = {}
+        # A target that the sheet dropped is still told that its grant is over.
+        self._addresses: dict[str, str] = {}
 
     def due(self, now: float) -> list[Action]:
         """Return the grant orders that are due.
@@ -121,11 +123,11 @@
         ]
 
     def _address(self, target: str) -> str | None:
-        """Return the address of a target, if the configuration names it."""
+        """Return the address of a target, if a configuration ever named it."""
         cfg = self._core.docs.configuration
-        if cfg is None or target not in cfg.targets:
-            return None
-        return cfg.targets[target].address
+        if cfg is not None and target in cfg.targets:
+            self._addresses[target] = cfg.targets[target].address
+        return self._addresses.get(target)
 
     def _wanted(self, target: str) -> dict[str, int]:
         """Return the fence tokens that a target is to hold."""
--- a/packages/ownership/src/berylstage_ownership/leaders.py
+++ b/packages/ownership/src/berylstage_ownership/leaders.py
@@ -8,8 +8,6 @@
 from berylstage_ownership.owners import merged, target_priors
 
 if TYPE_CHECKING:
-    from berylstage_sheet.configuration import Target
-
     from berylstage_ownership.assignment import Assignment, CellVm
     from berylstage_ownership.outlook import Outlook
 
@@ -40,13 +38,13 @@
         """
         if not self._choices:
             return
-        targets = self._outlook.configuration.targets
-        for target in targets.values():
-            lead = self._draft.leaders.get(target.name)
+        names = sorted({*self._outlook.configuration.targets, *self._draft.leaders})
+        for target in names:
+            lead = self._draft.leaders.get(target)
             if lead is not None and self._keeps(lead):
                 self._counts[lead.vm] += 1
-        for target in sorted(targets.values(), key=lambda t: t.name):
-            lead = self._draft.leaders.get(target.name)
+        for target in names:
+            lead = self._draft.leaders.get(target)
             if lead is None or not self._keeps(lead):
                 self._give(target, self._choose(target, lead))
         self._level(budget)
@@ -56,7 +54,7 @@
         vm = self._choices.get(lead.vm)
         return vm is not None and vm.incarnation == lead.incarnation
 
-    def _choose(self, target: Target, lead: Leadership | None) -> CellVm:
+    def _choose(self, target: str, lead: Leadership | None) -> CellVm:
         """Return the VM that leads a target from now on."""
         if lead is not None and lead.vm in self._choices:
             # A new run of the same VM takes its own targets again, so that a quick
@@ -64,16 +62,17 @@
             return self._choices[lead.vm]
         return min(self._choices.values(), key=lambda vm: self._rank(vm, target))
 
-    def _rank(self, vm: CellVm, target: Target) -> tuple[int, bool, str]:
+    def _rank(self, vm: CellVm, target: str) -> tuple[int, bool, str]:
         """Order choices: few led targets, then the target's own data centre."""
-        elsewhere = vm.data_centre != target.data_centre
+        known = self._outlook.configuration.targets.get(target)
+        elsewhere = known is None or vm.data_centre != known.data_centre
         return self._counts[vm.name], elsewhere, vm.name
 
-    def _give(self, target: Target, vm: CellVm) -> None:
+    def _give(self, target: str, vm: CellVm) -> None:
         """Write the leader of a target."""
         revision = self._draft.revision
-        priors = merged(target_priors(self._outlook.assignment, target.name, revision))
-        self._draft.leaders[target.name] = Leadership(
+        priors = merged(target_priors(self._outlook.assignment, target, revision))
+        self._draft.leaders[target] = Leadership(
             vm.name, vm.incarnation, revision, priors
         )
         self._counts[vm.name] += 1
@@ -92,10 +91,22 @@
             self._counts[high] -= 1
             self._give(target, self._choices[low])
 
-    def _movable(self, vm: str) -> Target | None:
+    def _movable(self, vm: str) -> str | None:
         """Return a target that a VM leads undisturbed."""
-        for target in self._outlook.configuration.targets.values():
-            lead = self._draft.leaders[target.name]
+        for target, lead in self._draft.leaders.items():
             if lead.vm == vm and not lead.priors:
                 return target
         return None
+
+
+def drop_leaders(outlook: Outlook, draft: Assignment) -> None:
+    """Take out leaders of targets that the sheet dropped and that own nothing.
+
+    Kept for ever, they would hold up the shutdown of the VM that leads them. What the
+    target owned earlier has its priors named at the shards that moved.
+    """
+    owning = {owner.target for owner in draft.owners.values()}
+    known = outlook.configuration.targets
+    for target in list(draft.leaders):
+        if target not in known and target not in owning:
+            del draft.leaders[target]
--- a/packages/ownership/src/berylstage_ownership/questions.py
+++ b/packages/ownership/src/berylstage_ownership/questions.py
@@ -108,6 +108,8 @@
         holdings = self._core.holdings
         if holdings.closed(now, route.target):
             return TargetClosed(route.target)
+        if not self._is_known(route.target):
+            return Moving(shard)
         fence = holdings.active.get(shard)
         if fence is None:
             return Moving(shard)
@@ -155,6 +157,11 @@
             return TargetDown(route.target)
         return led if led.up(now) else Moving(item)
 
+    def _is_known(self, target: str) -> bool:
+        """Tell whether the configuration in force names a target."""
+        cfg = self._core.docs.configuration
+        return cfg is not None and target in cfg.targets
+
     def _checks_fences(self, target: str) -> bool:
         """Tell whether a target refuses work under an old fence token."""
         cfg = self._core.docs.configuration
--- a/packages/ownership/tests/ownership_setting.py
+++ b/packages/ownership/tests/ownership_setting.py
@@ -72,6 +72,15 @@
     return change
 
 
+def drop(target):
+    """Return an edit that takes a target out of the sheet."""
+
+    def change(cfg):
+        del cfg.targets[target]
+
+    return change
+
+
 def set_apart(key, target=None):
     """Return an edit that gives a key a shard of its own."""
 
--- a/packages/ownership/tests/test_node.py
+++ b/packages/ownership/tests/test_node.py
@@ -5,7 +5,7 @@
 import pytest
 from berylstage_ownership.actions import DocumentUnreadable
 from ownership_fakes import FakeVm
-from ownership_setting import CENTRES, build_world, close, retire
+from ownership_setting import CENTRES, build_world, close, drop, retire
 
 KEYS = [f"key-{number}" for number in range(12)]
 SERVED_AGAIN = 2.0
@@ -237,6 +237,19 @@
         assert dark < 0.5
         assert not any(targets & closed for targets in world.working().values())
 
+    def test_a_dropped_target_is_let_go(self):
+        # The sheet does not name a target any more. Its keys go elsewhere at once, and
+        # the VM that led it can shut down.
+        world = build_world()
+        holder = world.vms["vm-0"].node.leader_of("visits-1").vm
+        world.edit(drop("visits-1"))
+        assert unserved(world, 2.0) < 0.5
+        assert world.vms["vm-0"].node.leader_of("visits-1") is None
+        world.vms[holder].node.leave()
+        world.run(1.0)
+        assert not world.vms[holder].node.leads_anything()
+        assert world.faults == []
+
     def test_closing_is_honoured_when_nothing_can_move(self):
         # The store answers reads but takes no writes, so that no shard can move. The
         # closed data centre gets no work all the same.
