--- a/packages/bench/src/berylstage_bench/policy.py
+++ b/packages/bench/src/berylstage_bench/policy.py
@@ -4,6 +4,7 @@
 
 import sys
 import time
+from argparse import ArgumentParser
 
 from berylstage_policy.thresholds import DEFAULTS
 
@@ -35,17 +36,23 @@
         self.bounds: list[str] = []
 
 
-def jobs_of(scenario: Scenario) -> list[Job]:
+def jobs_of(scenario: Scenario, seed: int) -> list[Job]:
     """Return our play of a scenario and those of the plain routers."""
-    plain = [Job(scenario.name, kind.name) for kind in scenario.baselines()]
-    return [Job(scenario.name), *plain]
+    names = [OURS, *(kind.name for kind in scenario.baselines())]
+    return [Job(scenario.name, name, seed=seed) for name in names]
 
 
 def print_line(
-    scenario: Scenario, measure: Measure, figures: Figures, totals: Totals
+    scenario: Scenario,
+    measure: Measure,
+    figures: Figures,
+    totals: Totals,
+    seed: int,
 ) -> None:
     """Print one measure of a scenario and judge it."""
-    found = {job.router: figures[job.key][measure.name] for job in jobs_of(scenario)}
+    found = {
+        job.router: figures[job.key][measure.name] for job in jobs_of(scenario, seed)
+    }
     ours = found.pop(OURS)
     best = measure.best(list(found.values()))
     cells = [f"{found[n]:11.3f}" if n in found else " " * 11 for n in PLAIN]
@@ -113,16 +120,24 @@
 
 
 def main() -> int:
-    """Print all tables, or the scenarios whose names have one of the words given."""
+    """Print all tables, or the scenarios whose names have one of the words given.
+
+    With ``--seed N`` only the scenarios are played, on other loads of the same kinds.
+    """
     begun = time.perf_counter()
-    words = sys.argv[1:]
+    parser = ArgumentParser(description=__doc__)
+    parser.add_argument("words", nargs="*", help="parts of the scenarios' names")
+    parser.add_argument("--seed", type=int, default=1)
+    args = parser.parse_args()
+    words, seed = args.words, args.seed
+    is_whole = not words and seed == 1
     chosen = [
         scenario
         for name, scenario in catalogue().items()
         if not words or any(word in name for word in words)
     ]
-    jobs = [job for scenario in chosen for job in jobs_of(scenario)]
-    if not words:
+    jobs = [job for scenario in chosen for job in jobs_of(scenario, seed)]
+    if is_whole:
         jobs += [ablation.job for ablation in ABLATIONS]
         jobs += [s.job(value) for s in SENSITIVITIES for value in (s.low, s.high)]
     figures = play_all(jobs)
@@ -130,7 +145,7 @@
     print(HEADER)
     for scenario in chosen:
         for measure in scenario.measures:
-            print_line(scenario, measure, figures, totals)
+            print_line(scenario, measure, figures, totals, seed)
     print(
         f"goals met: {totals.met} of {totals.goals}; "
         f"at most 5% worse than the best plain router: {totals.close} of "
@@ -138,7 +153,7 @@
     )
     for line in totals.bounds:
         print(f"not met: {line}")
-    if not words:
+    if is_whole:
         print_ablations(figures)
         print_sensitivities(figures)
         print_slopes()
--- a/packages/bench/src/berylstage_bench/policy_jobs.py
+++ b/packages/bench/src/berylstage_bench/policy_jobs.py
@@ -26,9 +26,11 @@
         Thresholds that differ from their defaults.
     options : dict
         Options of the router under test.
+    seed : int
+        Seed of the load.
     """
 
-    __slots__ = ("scenario", "router", "changed", "options")
+    __slots__ = ("scenario", "router", "changed", "options", "seed")
 
     def __init__(
         self,
@@ -36,16 +38,20 @@
         router: str = OURS,
         changed: dict[str, float] | None = None,
         options: dict | None = None,
+        seed: int = 1,
     ):
         self.scenario = scenario
         self.router = router
         self.changed = changed or {}
         self.options = options or {}
+        self.seed = seed
 
     @property
     def key(self) -> str:
         """What tells the job apart from others."""
-        return f"{self.scenario}|{self.router}|{self.changed}|{self.options}"
+        return (
+            f"{self.scenario}|{self.router}|{self.changed}|{self.options}|{self.seed}"
+        )
 
 
 @cache
@@ -58,10 +64,12 @@
     """Play a job and return its figures by measure."""
     scenario = catalogue()[job.scenario]
     if job.router == OURS:
-        run = scenario.play_ours(DEFAULTS.replaced(**job.changed), **job.options)
+        run = scenario.play_ours(
+            DEFAULTS.replaced(**job.changed), seed=job.seed, **job.options
+        )
     else:
         kinds = {kind.name: kind for kind in scenario.baselines()}
-        run = scenario.play(kinds[job.router])
+        run = scenario.play(kinds[job.router], seed=job.seed)
     return {measure.name: measure.read(run) for measure in scenario.measures}
 
 
--- a/packages/bench/src/berylstage_bench/policy_owned.py
+++ b/packages/bench/src/berylstage_bench/policy_owned.py
@@ -17,6 +17,8 @@
 # Weight of the newest interval in a shard's load: about fifteen seconds tell load from
 # chance, of which a shard has a few requests a second.
 LOAD_GAIN = 0.13
+# Seconds for which a move of a shard counts as recent.
+MOVE_MEMORY = 300.0
 
 
 class OwnedRouter(PolicyRouter):
@@ -145,6 +147,7 @@
         """Plan and carry the moves out, each with a gap."""
         now = self.player.now
         holdings = list(self.holdings.values())
+        self._count_recent_moves(now)
         moves = plan(holdings, self.places(), self.budget, self.thresholds)
         for move in moves:
             self.holdings[move.shard].owner = move.destination
@@ -155,6 +158,16 @@
         for name in sorted(drained):
             self._reroute(name, {m.shard for m in moves if m.source == name})
 
+    def _count_recent_moves(self, now: float) -> None:
+        """Tell each shard how often it has moved lately."""
+        counts: dict[str, int] = {}
+        for at, move in reversed(self.moves):
+            if at < now - MOVE_MEMORY:
+                break
+            counts[move.shard] = counts.get(move.shard, 0) + 1
+        for name, holding in self.holdings.items():
+            holding.recent_moves = counts.get(name, 0)
+
     def _reroute(self, name: str, shards: set[str]) -> None:
         """Take what waits for moved shards along to the new owner."""
         led = self.led[name]
--- a/packages/bench/src/berylstage_bench/policy_scenarios.py
+++ b/packages/bench/src/berylstage_bench/policy_scenarios.py
@@ -192,17 +192,19 @@
         self.options = options or {}
         self.returns = returns
         self._load: list[Request] = []
+        self.seed = 1
 
     @property
     def capacity(self) -> int:
         """Slots of all targets."""
         return self.deployment.targets * self.deployment.slots
 
-    def load(self, seed: int = 1) -> list[Request]:
+    def load(self, seed: int) -> list[Request]:
         """Return a fresh copy of the load, the same for each router."""
-        if not self._load:
+        if not self._load or self.seed != seed:
+            self.seed = seed
             self._load = make_load(
-                self.deployment, self.streams, self.seconds, 1, self.vm_shares
+                self.deployment, self.streams, self.seconds, seed, self.vm_shares
             )
         return [req.copy() for req in self._load]
 
@@ -216,8 +218,8 @@
         merged = {**self.options, **options}
         return self.play(kind, thresholds=thresholds, **merged)
 
-    def play(self, kind: type[Router], **options) -> Run:
-        """Play one router from the start."""
+    def play(self, kind: type[Router], seed: int = 1, **options) -> Run:
+        """Play one router from the start, on the load of a seed."""
         player = Player()
         deployment = self.deployment
         targets = [
@@ -237,7 +239,7 @@
         )
         if self.events is not None:
             self.events(player, run)
-        run.requests = self.load()
+        run.requests = self.load(seed)
         for req in run.requests:
             if self.returns:
                 req.on_end = Returning(player, run, req).ended
--- a/packages/policy/src/berylstage_policy/placement.py
+++ b/packages/policy/src/berylstage_policy/placement.py
@@ -16,6 +16,9 @@
 # number, so that no target ends up with all of those that wake up later.
 IDLE_WEIGHT = 0.01
 
+# Moves of a shard within minutes after which it is left alone: away and back.
+MOST_RECENT_MOVES = 2
+
 # Places of the lowest levels that are tried as partners of a repack.
 REPACK_PARTNERS = 4
 
@@ -36,9 +39,12 @@
         Slot-seconds a second that it takes; any unit will do if it is the same.
     pinned : str or None
         Place that operators want it on. Ignored while that place isn't eligible.
+    recent_moves : int
+        Moves within the last minutes. From `MOST_RECENT_MOVES` on it is not moved for
+        balance.
     """
 
-    __slots__ = ("shard", "owner", "load", "pinned")
+    __slots__ = ("shard", "owner", "load", "pinned", "recent_moves")
 
     def __init__(
         self,
@@ -46,11 +52,13 @@
         owner: str | None,
         load: float = 0.0,
         pinned: str | None = None,
+        recent_moves: int = 0,
     ):
         self.shard = shard
         self.owner = owner
         self.load = load
         self.pinned = pinned
+        self.recent_moves = recent_moves
 
 
 class Place:
@@ -184,7 +192,11 @@
         elif holding.owner in bins:
             owner_bin = bins[holding.owner]
             owner_bin.weight += weight
-            owner_bin.movable.append((weight, holding.shard))
+            # A data centre that closes and reopens takes a key away and back. Moved
+            # by chance fluctuations of load as well, the same key would be
+            # unavailable a third time within minutes while others never were.
+            if holding.recent_moves < MOST_RECENT_MOVES:
+                owner_bin.movable.append((weight, holding.shard))
         else:
             homeless.append(holding)
     moves.extend(_place_homeless(homeless, weights, bins))
--- a/packages/policy/tests/test_placement.py
+++ b/packages/policy/tests/test_placement.py
@@ -103,6 +103,18 @@
         apply(plan(holdings, make_places(closed=("shymkent-a",)), 0), holdings)
         assert len(plan(holdings, places, 5)) == 5
 
+    def test_shard_that_went_away_and_back_stays(self):
+        # A key has moved twice within minutes. Its callers have waited twice already,
+        # and others can make room instead.
+        holdings = make_holdings()
+        apply(plan(holdings, make_places(closed=("shymkent-a",)), 0), holdings)
+        tired = {holding.shard for holding in holdings[::2]}
+        for holding in holdings[::2]:
+            holding.recent_moves = 2
+        counts = settle(holdings, make_places())
+        assert counts
+        assert not tired & set(counts)
+
     def test_one_new_target_among_many_is_filled(self):
         # A target joins eleven others. None of them is far above the mean, so a rule
         # that looks at the most loaded only would leave the newcomer idle for good.
