--- a/packages/cli/src/berylstage_cli/errors.py
+++ b/packages/cli/src/berylstage_cli/errors.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
-from berylstage_sheet.configuration import Configuration
+from typing import TYPE_CHECKING
 
 from berylstage_cli.exit_codes import ExitCode
 
+if TYPE_CHECKING:
+    from berylstage_sheet.configuration import Configuration
+
 
 class OperatorError(Exception):
     """Something that the operator is told instead of a result."""
@@ -13,21 +16,12 @@
     exit_code = ExitCode.DEFECT
 
 
-class SettingFault(OperatorError):
-    """A setting is missing or cannot be read."""
+class BadSetting(OperatorError):
+    """A setting is missing or cannot be used."""
 
     exit_code = ExitCode.USAGE
 
 
-class FaultySettings(ExceptionGroup[SettingFault]):
-    """All settings that cannot be used."""
-
-    @property
-    def faults(self) -> list[SettingFault]:
-        """The faults themselves; no group holds another one."""
-        return [exc for exc in self.exceptions if isinstance(exc, SettingFault)]
-
-
 class FileFault(OperatorError):
     """A file cannot be read or written."""
 
--- a/packages/daemon/src/berylstage_daemon/leaders.py
+++ b/packages/daemon/src/berylstage_daemon/leaders.py
@@ -16,9 +16,9 @@
 from berylstage_daemon.leader import Leader
 from berylstage_daemon.once import Once
 from berylstage_daemon.part import Part
+from berylstage_daemon.thresholds import thresholds_of
 
 if TYPE_CHECKING:
-    from berylstage_ownership.actions import ShardActivated
     from berylstage_ownership.routing import Permit
     from berylstage_ownership.status import TargetStatus
     from berylstage_sheet.configuration import Configuration
@@ -47,13 +47,16 @@
         self._leaders: dict[str, Leader] = {}
         self._clients: dict[str, HttpTargetClient] = {}
         self._addresses: dict[str, str] = {}
-        self._once = Once()
+        self._once = Once(app.events)
+        app.control.node.set_records(self._once.table)
         self._thresholds = Thresholds()
         self._rng = SystemRandom()
         self._held: dict[str, set[asyncio.Future]] = defaultdict(set)
         self._held_count = 0
         app.events.connect("configuration-adopted", self._configured)
-        app.events.connect("shard-activated", self._activated)
+        app.events.connect("shard-activated", self._look_again)
+        app.events.connect("grant-answered", self._look_again)
+        app.events.connect("assignment-adopted", self._look_again)
 
     async def start(self) -> None:
         """Leaders begin with the first request or grant of their target."""
@@ -163,18 +166,24 @@
         """
         if self._held_count >= HELD_LIMIT:
             return not_run("moving")
-        fut: asyncio.Future[None] = asyncio.Future()
-        self._held[shard].add(fut)
         self._held_count += 1
         try:
             async with asyncio.timeout(min(HOLD, req.deadline - now())):
-                await fut
+                return await self._permitted(shard, permit)
         except TimeoutError:
             return not_run("moving")
         finally:
             self._held_count -= 1
-            self._held[shard].discard(fut)
-        return permit()
+
+    async def _permitted(self, shard: str, permit) -> Permit | Answer:
+        """Wait until a shard moves no more, and return leave to send or a refusal."""
+        while True:
+            fut: asyncio.Future[None] = asyncio.Future()
+            self._held[shard].add(fut)
+            await fut
+            allowed = permit()
+            if not isinstance(allowed, Answer) or allowed.reason != "moving":
+                return allowed
 
     def status(self, led: list[TargetStatus]) -> list[dict]:
         """Return one row for each led target, for the status page.
@@ -222,13 +231,21 @@
 
     def _configured(self, cfg: Configuration) -> None:
         """Take in new slots and thresholds."""
-        self._thresholds = Thresholds(cfg.thresholds)
+        self._thresholds = thresholds_of(cfg)
         for name, leader in self._leaders.items():
             if name in cfg.targets:
                 leader.set_slots(cfg.targets[name].slots)
 
-    def _activated(self, notice: ShardActivated) -> None:
-        """Wake the requests that wait for a shard."""
-        for fut in self._held.pop(notice.shard, ()):
-            if not fut.done():
-                fut.set_result(None)
+    def _look_again(self, news: object) -> None:
+        """Let all requests that wait for a shard look again.
+
+        A shard is served here once it is active and its target has accepted the
+        grant, in whichever order; or it goes on to another VM before that. A request
+        that missed the news would wait as long as it is held at most, while its key
+        is served.
+        """
+        for futs in self._held.values():
+            for fut in futs:
+                if not fut.done():
+                    fut.set_result(None)
+        self._held.clear()
--- a/packages/daemon/tests/test_callers.py
+++ b/packages/daemon/tests/test_callers.py
@@ -63,6 +63,34 @@
         assert len(ran) == 1
 
 
+class TestRepeats:
+    def test_same_key_again_gets_the_first_answer(self, path):
+        # A caller lost the answer to its order and sends it again.
+        key = uuid.uuid4().hex
+        moment = time.time()
+        first = path.run(path.call("/field-log/record/k", **once(key, moment)))
+        second = path.run(path.call("/field-log/record/k", **once(key, moment)))
+        assert first.code == second.code == 200
+        assert first.body == second.body
+        ran = [r for r in path.ledger("field-log") if r.get("idempotency_key") == key]
+        assert len(ran) == 1
+
+    def test_key_issued_before_this_vm_served_the_shard_is_refused(self, path):
+        # The order may have run through a VM that is lost now; nobody can tell.
+        headers = once(issued_at=time.time() - 3600)
+        response = path.run(path.call("/field-log/record/k", **headers))
+        assert response.code == 409
+        assert outcome(response) == "unknown"
+        assert response.headers["Berylstage-Reason"] == "not-fresh"
+
+    def test_clock_ahead_is_told_so(self, path):
+        headers = once(issued_at=time.time() + 3600)
+        response = path.run(path.call("/field-log/record/k", **headers))
+        assert response.code == 400
+        assert outcome(response) == "not-run"
+        assert response.headers["Berylstage-Reason"] == "clock-ahead"
+
+
 class TestBadInput:
     @pytest.mark.parametrize("url, headers, status, reason", BAD_INPUT)
     def test_refusal_names_the_remedy(self, path, url, headers, status, reason):
@@ -164,12 +192,19 @@
     def test_frozen_target_ends_as_unknown(self, path):
         # A target freezes with a dispatch in its hands. Nobody can tell whether it
         # will run when the target thaws, so the caller must not send it as new.
-        path.run(path.idle())
-        path.faults("field-log", freeze=True)
+        async def play():
+            await path.idle()
+            url = "/field-log/dispatch/k"
+            call = path.call(url, Request_Timeout_Ms="1500", **once())
+            task = asyncio.ensure_future(call)
+            async with asyncio.timeout(20.0):
+                while not path.targets["field-log"].work.running:
+                    await asyncio.sleep(0.005)
+            path.faults("field-log", freeze=True)
+            return await task
+
         try:
-            response = path.run(
-                path.call("/field-log/record/k", Request_Timeout_Ms="400", **once())
-            )
+            response = path.run(play())
         finally:
             path.faults("field-log", freeze=False)
         assert response.code == 504
--- a/packages/ownership/src/berylstage_ownership/node.py
+++ b/packages/ownership/src/berylstage_ownership/node.py
@@ -5,8 +5,9 @@
 from typing import TYPE_CHECKING
 
 from berylstage_ownership.actions import LeaseGained, LeaseLost
+from berylstage_ownership.answers import Answers
 from berylstage_ownership.constants import PAUSE
-from berylstage_ownership.conversation import Answers, Conversation, Replies
+from berylstage_ownership.conversation import Conversation
 from berylstage_ownership.core import Core
 from berylstage_ownership.granting import Granting
 from berylstage_ownership.proposals import Proposals
@@ -16,9 +17,11 @@
     NoLease,
     NotLeader,
     Refusal,
+    TargetClosed,
     TargetDown,
     UnknownShard,
 )
+from berylstage_ownership.replies import Replies
 from berylstage_ownership.routing import Permit, Route
 from berylstage_ownership.settings import NodeSettings
 from berylstage_ownership.shards import own_key, shard_of
@@ -334,7 +337,10 @@
         held = self._hold(now, route, shard)
         if isinstance(held, Refusal):
             return held
-        fence = self._core.holdings.active.get(shard)
+        holdings = self._core.holdings
+        if holdings.closed(now, route.target):
+            return TargetClosed(route.target)
+        fence = holdings.active.get(shard)
         if fence is None:
             return Moving(shard)
         if self._checks_fences(route.target):
@@ -364,7 +370,7 @@
         cfg = self._core.docs.configuration
         wanted = cfg is not None and target in cfg.targets
         if cfg is None or not wanted or not cfg.takes_work(cfg.targets[target]):
-            return TargetDown(target)
+            return TargetClosed(target)
         return Permit(target, 0, held.epoch)
 
     def _hold(self, now: float, route: Route, item: str) -> LedTarget | Refusal:
--- a/packages/ownership/src/berylstage_ownership/proposals.py
+++ b/packages/ownership/src/berylstage_ownership/proposals.py
@@ -43,6 +43,9 @@
         self._conversation = conversation
         self._evaluate_at = 0.0
         self._level_at = 0.0
+        # What the last evaluation saw. Working out an assignment of hundreds of shards
+        # costs milliseconds, and twenty of them a second more than a VM may spend.
+        self._seen: tuple = ()
         self._absent_since: float | None = None
 
     def role(self, now: float) -> Role:
@@ -123,8 +126,10 @@
             return None
         if role is Role.SEEKER:
             return self._rescue(now, core.assignment)
-        if role is not Role.PROPOSER or not core.fleet.can_judge(now, core.assignment):
+        if role is not Role.PROPOSER:
             return None
+        if not core.fleet.can_judge(now, core.assignment):
+            return self._rescue(now, core.assignment)
         return self._next(now)
 
     def _write_id(self) -> str:
@@ -135,10 +140,13 @@
         """Return the first assignment when the store holds none.
 
         Each VM listens for the others first: an electorate of all of them bears a
-        loss from its first second on.
+        loss from its first second on. The platform's list is late, and before it
+        names this VM it does not name those that started with it either. A VM that
+        went by it would make itself the only elector; while the others join one by
+        one, the loss of one of two would leave the whole cell without leases.
         """
         core = self._core
-        if not core.store.absent:
+        if not core.store.absent or not core.is_listed():
             self._absent_since = None
             return None
         if self._absent_since is None:
@@ -147,7 +155,9 @@
             s for name, s in core.fleet.sightings.items() if core.fleet.fresh(now, name)
         ]
         sightings.sort(key=lambda s: s.vm)
-        rank = [s.vm for s in sightings].index(core.name)
+        # By the list and not by who was heard: of many VMs the last ones are heard by
+        # nobody at first, and would each take themselves for the only one.
+        rank = core.rank({s.vm for s in sightings})
         if now - self._absent_since < BOOT_WAIT * (1 + rank):
             return None
         return first_assignment(core.settings.cell, sightings, self._write_id())
@@ -168,12 +178,18 @@
         """Return the assignment that should follow, if any."""
         core = self._core
         may_level = now >= self._level_at
+        outlook = self._outlook(now)
+        settled = core.fleet.electorate_settled(now)
+        seen = (*outlook.signature(), settled)
+        if seen == self._seen and not may_level:
+            return None
+        self._seen = seen
         draft = next_assignment(
-            self._outlook(now),
+            outlook,
             core.settings.planner,
             self._write_id(),
             may_level,
-            core.fleet.electorate_settled(now),
+            settled,
         )
         if may_level:
             self._level_at = now + REBALANCE_EVERY
@@ -192,11 +208,16 @@
             return None
         if core.elector.is_mute(now):
             return None
-        fresh = [name for name in core.fleet.sightings if core.fleet.fresh(now, name)]
-        if min(fresh, default=core.name) != core.name:
+        if not core.is_elector() and not self._is_first(now):
             return None
         return with_new_electorate(self._outlook(now), self._write_id())
 
+    def _is_first(self, now: float) -> bool:
+        """Tell whether this VM comes first of those that it hears."""
+        fleet = self._core.fleet
+        fresh = [name for name in fleet.sightings if fleet.fresh(now, name)]
+        return min(fresh, default=self._core.name) == self._core.name
+
     def reply(self, now: float, tag: int, result: StoreResult) -> list[Action]:
         """Take in the result of a call to the store.
 
@@ -211,6 +232,7 @@
         list of Action
         """
         core = self._core
+        self._seen = ()
         written = core.store.reply(now, tag, result)
         actions: list[Action] = []
         if written is not None:
@@ -227,7 +249,7 @@
         """Put what was read in force."""
         core = self._core
         if result.key == CONFIGURATION_KEY:
-            return list(core.take_configuration(result.value))
+            return list(core.take_configuration(now, result.value))
         actions: list[Action] = list(core.take_assignment(now, result.value))
         if not core.elector.caught_up:
             core.elector.raise_floor(core.docs.revision)
--- a/packages/ownership/tests/ownership_model.py
+++ b/packages/ownership/tests/ownership_model.py
@@ -6,7 +6,7 @@
 from hypothesis import HealthCheck, Phase, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, rule, run_state_machine_as_test
-from ownership_setting import CENTRES, SERVICE, build_world
+from ownership_setting import CENTRES, SERVICE, build_world, retire
 
 KEYS = [f"key-{number}" for number in range(6)]
 VMS = [f"vm-{number}" for number in range(4)]
@@ -19,6 +19,8 @@
 
     def __init__(self):
         super().__init__()
+        self.issued = {}
+        self.count = 0
         self.world = build_world(vms=4, checks="mixed", targets=4, shards=4, settle=4.0)
 
     @rule(seconds=st.sampled_from([0.1, 0.3, 0.7, 1.5, 3.0]))
@@ -29,6 +31,11 @@
     def requests(self):
         for key in KEYS:
             self.world.request(SERVICE, key, length=0.2)
+            for name, issued in self.issued.items():
+                self.world.request_once(key, f"{key}-{name}", issued)
+        self.count += 1
+        self.issued[str(self.count)] = 1_000_000 + int(self.world.time * 1000)
+        self.issued = dict(list(self.issued.items())[-4:])
 
     @rule(vm=st.sampled_from(VMS), seconds=st.sampled_from([0.6, 1.2, 3.0]))
     def pause(self, vm, seconds):
@@ -56,8 +63,26 @@
         self.world.loss = loss
         self.world.delay = (0.0005, slow)
 
+    @rule(centre=st.sampled_from(CENTRES))
+    def cut_off_data_centre(self, centre):
+        inside = [v.name for v in self.world.vms.values() if v.data_centre == centre]
+        targets = self.world.cfg.targets.values()
+        inside += [t.name for t in targets if t.data_centre == centre]
+        self.requests()
+        self.world.cut_off(inside)
+
+    @rule(name=st.sampled_from(TARGETS))
+    def retire_target(self, name):
+        self.requests()
+        self.world.edit(retire(name))
+
+    @rule(vm=st.sampled_from(VMS), kind=st.sampled_from(["fetch", "release", "claim"]))
+    def swallow(self, vm, kind):
+        self.world.dropped.add((vm, kind))
+
     @rule()
     def heal(self):
+        self.world.dropped.clear()
         self.world.cuts.clear()
         self.world.loss = 0.0
         self.world.delay = (0.0005, 0.003)
@@ -103,8 +128,16 @@
         self.world.edit(change)
 
     def teardown(self):
-        self.world.run(1.0)
+        self.heal()
+        for target in self.world.targets.values():
+            if not target.alive:
+                self.world.restart_target(target.name)
+        self.world.run(7.0)
         assert self.world.faults == [], self.world.faults[:3]
+        targets = self.world.cfg.targets.values()
+        if any(self.world.cfg.takes_work(target) for target in targets):
+            dark = [key for key in KEYS if not self.world.served(SERVICE, key)]
+            assert not dark
 
 
 def explore(examples, steps, shrink=False):
--- a/packages/ownership/tests/ownership_world.py
+++ b/packages/ownership/tests/ownership_world.py
@@ -8,7 +8,8 @@
 
 from berylstage_ownership.actions import ReadStore, SendGrant, SendPeer, WriteStore
 from berylstage_ownership.assignment import Assignment
-from berylstage_ownership.events import StoreLost, StoreWritten
+from berylstage_ownership.events import StoreLost, StoreRefused, StoreWritten
+from berylstage_ownership.idempotency import IdempotencyTable, Verdict
 from berylstage_ownership.node import Node, NodeSettings, Permit
 from berylstage_ownership.proposer import CONFIGURATION_KEY
 from berylstage_sheet.configuration import Configuration
@@ -23,8 +24,10 @@
 
     node_class = Node
 
-    def __init__(self, cfg, vms, seed=1, delay=(0.0005, 0.003)):
+    def __init__(self, cfg, vms, seed=1, delay=(0.0005, 0.003), list_lag=0.0):
         self.rng = Random(seed)
+        self.service = next(iter(cfg.services))
+        self.keys = [f"key-{number}" for number in range(6)]
         self.time = 0.0
         self.delay = delay
         self.loss = 0.0
@@ -34,12 +37,22 @@
         self.order = count()
         self.faults = []
         self.ran = []
+        self.runs = {}
+        self.store_was_down = False
+        self.edits = [(0.0, cfg)]
+        # The VM that shuts down, and requests that this cut.
+        self.left = None
+        self.cut_in_flight = 0
         self.acknowledged = {}
+        self.stored_revision = 0
+        # Source and kind of message that never arrives.
+        self.dropped = set()
         self.revisions = {}
         self.sent_store = 0
         self.messages = 0
         self.message_bytes = 0
         self.last_list = -10.0
+        self.list_lag = list_lag
         self.targets = {}
         self.vms = {}
         self.write_configuration(cfg)
@@ -68,6 +81,7 @@
         change(cfg)
         cfg.revision += 1
         self.write_configuration(cfg)
+        self.edits.append((self.time, cfg))
 
     def start(self, name):
         vm = self.vms[name]
@@ -82,7 +96,10 @@
             rng=Random(self.rng.getrandbits(32)),
         )
         vm.node = self.node_class(settings, vm.local(self.time))
+        vm.table = IdempotencyTable()
+        vm.node.set_records(vm.table)
         vm.paused_until = 0.0
+        vm.in_flight = 0
         self.revisions[name] = (0, 0)
         self._tell_list(vm)
         self._at(self.rng.uniform(0, TICK), self._tick, vm, vm.node)
@@ -93,6 +110,14 @@
     def pause(self, name, seconds):
         self.vms[name].paused_until = self.time + seconds
 
+    def cut_off(self, names):
+        """Let some VMs and targets reach nothing but each other."""
+        everything = [*self.vms, *self.targets, "store"]
+        for other in everything:
+            if other not in names:
+                for name in names:
+                    self.cuts |= {(name, other), (other, name)}
+
     def lose_data_centre(self, data_centre):
         for vm in self.vms.values():
             if vm.data_centre == data_centre:
@@ -160,7 +185,7 @@
             elif isinstance(action, ReadStore | WriteStore):
                 self._call_store(vm, node, action)
             else:
-                vm.notices.append((self.time, action))
+                vm.notice(self.time, action)
 
     def _wait(self):
         return self.rng.uniform(*self.delay)
@@ -196,6 +221,9 @@
                 self.message_bytes += envelope.ByteSize()
                 self._at(self._wait(), reply, envelope)
 
+        kind = action.envelope.WhichOneof("body")
+        if (vm.name, kind) in self.dropped:
+            peer = None
         if peer is not None and not self._lost(vm.name, peer.name):
             self._at(self._wait(), deliver)
         self._at(action.timeout, reply, None)
@@ -244,8 +272,11 @@
             if answered:
                 self._at(self._wait(), reply, result)
 
+        self.store_was_down |= mode == "down"
         if mode == "down" or (vm.name, "store") in self.cuts:
             self._at(min(0.5, action.timeout), reply, StoreLost())
+        elif mode == "refusing writes" and isinstance(action, WriteStore):
+            self._at(self._wait(), reply, StoreRefused())
         elif mode == "lost" and isinstance(action, WriteStore):
             self._at(self._wait(), apply, False)
             self._at(0.5, reply, StoreLost())
@@ -257,12 +288,17 @@
 
     def _acknowledge(self, raw):
         found = Assignment.from_json(raw)
+        if found.revision <= self.stored_revision:
+            self.faults.append(f"the store went back to revision {found.revision}")
+        self.stored_revision = found.revision
         known = self.acknowledged.setdefault(found.revision, found.write_id)
         if known != found.write_id:
             self.faults.append(f"revision {found.revision} was written twice")
 
     def _tell_list(self, vm):
         listed = [Listed(other) for other in self.vms.values() if other.node]
+        if self.time < self.list_lag:
+            listed = []
         if vm.node is not None and self.time >= vm.paused_until:
             vm.node.vm_list(vm.local(self.time), listed)
 
@@ -275,18 +311,22 @@
                 self._tell_list(vm)
         self._check_revisions()
         self._check_owners()
+        for key in self.keys:
+            self._check_key(key)
 
     def _check_revisions(self):
         for name, vm in self.vms.items():
             if vm.node is None:
                 continue
-            status = vm.node.status(vm.local(self.time))
-            now = (status.revision, status.configuration_revision)
+            assignment, cfg = vm.node.assignment, vm.node.configuration
+            now = (
+                assignment.revision if assignment else 0,
+                cfg.revision if cfg else 0,
+            )
             before = self.revisions[name]
             if now[0] < before[0] or now[1] < before[1]:
                 self.faults.append(f"{name} went back from {before} to {now}")
             self.revisions[name] = now
-            assignment = vm.node.assignment
             if assignment is not None:
                 written = self.acknowledged.get(assignment.revision)
                 if written != assignment.write_id:
@@ -314,6 +354,22 @@
             if len(targets) > 1:
                 self.faults.append(f"{self.time:.3f}: {shard} at {sorted(targets)}")
 
+    def _check_key(self, key):
+        """Check that work on a key may start at one target only."""
+        targets = set()
+        for vm in self.vms.values():
+            if vm.node is None:
+                continue
+            shard = vm.node.shard_of(self.service, key)
+            local = vm.local(self.time)
+            permit = vm.node.admission(local, self.service, shard) if shard else None
+            if isinstance(permit, Permit) and self.targets[permit.target].accepts(
+                self.time, shard, permit
+            ):
+                targets.add(permit.target)
+        if len(targets) > 1:
+            self.faults.append(f"{self.time:.3f}: {key} at {sorted(targets)}")
+
     # Callers
 
     def served(self, service, key):
@@ -354,34 +410,102 @@
         deadline = self.time + WORK_DEADLINE
         local_deadline = vm.local(self.time) + WORK_DEADLINE * 1.02
         node.work_started(vm.local(self.time), target.name, shard, local_deadline)
+        vm.in_flight += 1
+
+        def ended(now):
+            vm.in_flight -= 1
+            return node.work_ended(now, target.name, shard)
 
         def arrive():
             if self.time < target.frozen_until:
                 self._at(target.frozen_until - self.time, arrive)
                 return
             if self.time >= deadline or not target.accepts(self.time, shard, permit):
-                self._in_process(vm, node, node.work_ended, target.name, shard)
+                self._in_process(vm, node, ended)
                 return
             end = min(self.time + length, deadline)
             self._note_work(key, target.name, self.time, end)
-            self._at(
-                end - self.time,
-                self._in_process,
-                vm,
-                node,
-                node.work_ended,
-                target.name,
-                shard,
-            )
+            self._at(end - self.time, self._in_process, vm, node, ended)
 
         self._at(self._wait(), arrive)
 
+    def request_once(self, key, name, issued_ms):
+        """Send a request that may not be repeated through each VM that admits it."""
+        for vm in self.vms.values():
+            if vm.node is None or self.time < vm.paused_until:
+                continue
+            local = vm.local(self.time)
+            shard = vm.node.shard_of(self.service, key)
+            permit = vm.node.admission(local, self.service, shard) if shard else None
+            if not isinstance(permit, Permit):
+                continue
+            wall = vm.wall(self.time)
+            decision = vm.table.admit(shard, name, issued_ms, wall)
+            if decision.verdict is Verdict.RUN:
+                self._send_once(vm, shard, permit, name)
+
+    def _send_once(self, vm, shard, permit, name):
+        target, node = self.targets[permit.target], vm.node
+        deadline = self.time + WORK_DEADLINE
+        local = vm.local(self.time)
+        node.work_started(local, target.name, shard, local + WORK_DEADLINE * 1.02)
+        ended = [False]
+
+        def end(end_record):
+            if not ended[0]:
+                ended[0] = True
+                end_record()
+                return node.work_ended(vm.local(self.time), target.name, shard)
+            return []
+
+        def finish(now, outcome):
+            if outcome == "answered":
+                return end(lambda: vm.table.answered(shard, name, 200, b"ok", ""))
+            if outcome == "not run":
+                return end(lambda: vm.table.not_run(shard, name))
+            return end(lambda: vm.table.unknown(shard, name))
+
+        def arrive():
+            if self.time < target.frozen_until:
+                self._at(target.frozen_until - self.time, arrive)
+                return
+            in_time = self.time < deadline
+            if not in_time or not target.accepts(self.time, shard, permit):
+                outcome = "not run" if target.alive else "unknown"
+            else:
+                self.runs[name] = self.runs.get(name, 0) + 1
+                self._note_work(name, target.name, self.time, self.time)
+                outcome = "answered"
+                if self.runs[name] > 1:
+                    self.faults.append(f"{self.time:.3f}: {name} ran twice")
+            if not self._lost(target.name, vm.name):
+                self._at(self._wait(), self._in_process, vm, node, finish, outcome)
+
+        if not self._lost(vm.name, target.name):
+            self._at(self._wait(), arrive)
+        self._at(WORK_DEADLINE, self._in_process, vm, node, finish, "unknown")
+
     def _note_work(self, key, target, start, end):
         for other_key, other, begun, ended in self.ran[-200:]:
             if other_key == key and other != target and begun < end and start < ended:
                 self.faults.append(f"{start:.3f}: {key} at {other} and {target}")
         self.ran.append((key, target, start, end))
 
+    def until_revision(self, revision, limit=3.0):
+        """Run until the store holds an assignment revision."""
+        end = self.time + limit
+        while self.stored_revision < revision and self.time < end:
+            self.run(0.01)
+
+    def stop_when_drained(self):
+        """Let the VM that shuts down stop once it says that it may."""
+        vm = self.vms.get(self.left)
+        if vm is None or vm.node is None or self.time < vm.paused_until:
+            return
+        if not vm.node.leads_anything():
+            self.cut_in_flight += vm.in_flight
+            self.kill(vm.name)
+
     def until_served(self, service, keys, limit=10.0):
         """Run until all keys are served and return how long it took."""
         begin = self.time
--- a/packages/sheet/src/berylstage_sheet/difference.py
+++ b/packages/sheet/src/berylstage_sheet/difference.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 from abc import ABC, abstractmethod
-from collections.abc import Iterator
 from enum import IntEnum
+from typing import TYPE_CHECKING
 
 from berylstage_sheet.columns import (
     DATA_CENTRES,
@@ -23,6 +23,9 @@
 )
 from berylstage_sheet.rows import Row, rows_of
 
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
 
 class Weight(IntEnum):
     """What a change does to work under way; smaller is weightier."""
@@ -69,15 +72,8 @@
         """What the row is about, in words."""
         return " ".join(self.identity)
 
-    @property
-    def subject(self) -> str:
-        """What kind of thing the row is about."""
-        if self.section in (KINDS, KEYS):
-            return self.section.columns[1].name
-        return self.section.columns[0].name
-
     def __str__(self) -> str:
-        return f"{self.subject} {self.name}: {self.detail}"
+        return f"{self.section.subject} {self.name}: {self.detail}"
 
 
 class Added(Change):
