Give each call a small buffer for sending, and measure its memory

libcurl takes 64 KB for each handle that has sent a body, most of what a connection to a target costs. BUFFERSIZE (for receiving) made no difference and stays.

--- a/packages/bench/src/berylstage_bench/send_cost.py
+++ b/packages/bench/src/berylstage_bench/send_cost.py
@@ -1,11 +1,13 @@
-"""What one request to a target costs the sender, beside tornado's own fetch()."""
+"""What a request to a target costs its sender, beside tornado's own fetch()."""
 
 from __future__ import annotations
 
 import asyncio
+import resource
 import subprocess
 import sys
 import time
+from pathlib import Path
 from typing import TYPE_CHECKING
 
 from berylstage_targets.http import HttpTargetClient
@@ -22,6 +24,11 @@
 WARM_UP = 400
 # Requests under way at once.
 CONCURRENCIES = (1, 10, 50)
+# Connections that a target accepts.
+CONNECTIONS = 120
+# Clients made to see what one takes in memory, and the calls at once in each.
+CLIENTS = (20, 40, 80)
+CALLS_AT_ONCE = (1, 2, 4, 8)
 BODY = b'{"visit": "2026-03-12", "state": "dry"}'
 
 
@@ -87,26 +94,30 @@
     )
 
 
+def work_request(number: int) -> WorkRequest:
+    """Return a request for work."""
+    return WorkRequest(
+        request_id=f"client-{number}",
+        service="field-log",
+        kind="lookup",
+        key=f"dryer-{number}",
+        shard="",
+        fence=0,
+        epoch=0,
+        method="GET",
+        body=BODY,
+        content_type="application/json",
+        deadline=time.time() + 5.0,
+        timeout=5.0,
+    )
+
+
 async def by_client(address: str, concurrency: int) -> Cost:
     """Measure the client that the daemon uses."""
-    client = HttpTargetClient(address, 120, "vm-1")
+    client = HttpTargetClient(address, CONNECTIONS, "vm-1")
 
     async def send(number: int) -> None:
-        req = WorkRequest(
-            request_id=f"client-{concurrency}-{number}",
-            service="field-log",
-            kind="lookup",
-            key=f"dryer-{number}",
-            shard="",
-            fence=0,
-            epoch=0,
-            method="GET",
-            body=BODY,
-            content_type="application/json",
-            deadline=time.time() + 5.0,
-            timeout=5.0,
-        )
-        await client.send(req)
+        await client.send(work_request(number))
 
     try:
         return await measure(send, concurrency)
@@ -116,7 +127,7 @@
 
 async def by_fetch(address: str, concurrency: int) -> Cost:
     """Measure tornado's fetch() with the same headers."""
-    client = CurlAsyncHTTPClient(force_instance=True, max_clients=118)
+    client = CurlAsyncHTTPClient(force_instance=True, max_clients=CONNECTIONS)
 
     async def send(number: int) -> None:
         headers = {
@@ -143,6 +154,31 @@
         client.close()
 
 
+def resident_kb() -> float:
+    """Return the resident memory of this process in kilobytes."""
+    pages = int(Path("/proc/self/statm").read_text().split()[1])
+    return pages * resource.getpagesize() / 1024
+
+
+async def show_memory(address: str) -> None:
+    """Print what clients take in memory, idle and after calls at once."""
+    before = resident_kb()
+    clients: list[HttpTargetClient] = []
+    for count in CLIENTS:
+        while len(clients) < count:
+            clients.append(HttpTargetClient(address, CONNECTIONS, "vm-1"))
+        print(f"{count} clients, idle: {resident_kb() - before:.0f} KB")
+    idle = resident_kb()
+    for at_once in CALLS_AT_ONCE:
+        for client in clients:
+            sends = [client.send(work_request(n)) for n in range(at_once)]
+            await asyncio.gather(*sends)
+        added = (resident_kb() - idle) / len(clients)
+        print(f"{at_once} calls at once add for each client: {added:.0f} KB")
+    for client in clients:
+        await client.close()
+
+
 def show(name: str, concurrency: int, cost: Cost) -> None:
     """Print one line of the table."""
     print(
@@ -162,6 +198,7 @@
         for concurrency in CONCURRENCIES:
             show("fetch()", concurrency, asyncio.run(by_fetch(address, concurrency)))
             show("client", concurrency, asyncio.run(by_client(address, concurrency)))
+        asyncio.run(show_memory(address))
     finally:
         target.terminate()
         target.wait()
--- a/packages/transfers/src/berylstage_transfers/client.py
+++ b/packages/transfers/src/berylstage_transfers/client.py
@@ -36,6 +36,9 @@
 # Local ports remembered for one server. Beyond, all are forgotten and the kept
 # connections are replaced one by one, which bounds the memory at little cost.
 MAX_PORTS = 4096
+# Bytes of the buffer that each call under way has for sending. libcurl's own 64 KB
+# would be most of what a connection costs in memory, and bodies are mostly small.
+UPLOAD_BUFFER = 16 * 1024
 # Bytes of an answer's body at most.
 MAX_BODY = 16 * 1024 * 1024
 
@@ -246,6 +249,7 @@
         curl.setopt(pycurl.PROTOCOLS, pycurl.PROTO_HTTP)
         curl.setopt(pycurl.PROXY, "")
         curl.setopt(pycurl.NOSIGNAL, 1)
+        curl.setopt(pycurl.UPLOAD_BUFFERSIZE, UPLOAD_BUFFER)
         curl.setopt(pycurl.PATH_AS_IS, 1)
         curl.setopt(pycurl.MAXAGE_CONN, MAX_IDLE)
         curl.setopt(pycurl.TCP_KEEPALIVE, 1)
