--- a/packages/bench/src/berylstage_bench/policy_ablations.py
+++ b/packages/bench/src/berylstage_bench/policy_ablations.py
@@ -84,6 +84,21 @@
     Ablation(
         "balancing moves", HOT, "imbalance", {"balance_high": OFF, "balance_low": 0.0}
     ),
+    Ablation(
+        "two targets divided anew", HOT_FEW, "imbalance", {"balance_repack_gain": OFF}
+    ),
+    Ablation(
+        "own time to return",
+        "burst, callers return",
+        "answered in the end",
+        options={"fixed_return": 1.0},
+    ),
+    Ablation(
+        "believe a report of cold",
+        "cold 30x1 field-log",
+        "bound broken",
+        options={"lies_warm": True},
+    ),
     Ablation(
         "hot keys set apart", HOT_FEW, "imbalance", options={"has_hot_keys": False}
     ),
@@ -144,6 +159,8 @@
     Sensitivity("hedge_quantile", STALLS, "p99 ms", 0.9, 0.975),
     Sensitivity("wait_share", BURST, "in time", 0.4, 1.0),
     Sensitivity("wait_share", OVERLOAD, "p99 interactive ms", 0.4, 1.0),
+    Sensitivity("returning_work", "overload 1.2 contract-book", "refused after p90 ms"),
+    Sensitivity("returning_work", "stalls field-log", "p99 ms"),
     Sensitivity("cost_gain", OVERLOAD, "goodput"),
     Sensitivity("queue_limit", OVERLOAD, "goodput"),
     Sensitivity("short_presence", LONG, "short p99 / alone"),
--- a/packages/ownership/src/berylstage_ownership/constants.py
+++ b/packages/ownership/src/berylstage_ownership/constants.py
@@ -68,9 +68,17 @@
 LEAD_MOVES = 2
 """Leads of targets moved by one change that only improves the balance."""
 
+LEAD_SHARE = 10
+"""Of many targets, one in so many may change its leader by such a change instead: a
+large cell that starts with one VM would take minutes otherwise."""
+
 SHARD_MOVES = 8
 """Shards moved by one change that only improves the balance."""
 
+CLOSING_GRACE = 2.0
+"""How long a closed or leaving target still serves shards that have not moved: a move
+takes a fraction of it, and the brief asks for no new work a few seconds later."""
+
 PAUSE = 0.5
 """Ticks further apart than this mean that the process was paused."""
 
