--- a/packages/daemon/src/berylstage_daemon/control.py
+++ b/packages/daemon/src/berylstage_daemon/control.py
@@ -58,6 +58,9 @@
 
 # The core's shortest time is 50 ms between retries.
 TICK = 0.05
+# Seconds that others have to take over the leads of a VM that stops. Handing over takes
+# a heartbeat and a write, and at most a lease time where a target is slow to answer.
+HAND_OVER = 5.0
 # The platform's list is read often until this VM is ready and while it proposes
 # changes; the others read it rarely, because the platform counts each call.
 LIST_INTERVAL_ACTIVE = 1.0
@@ -107,7 +110,14 @@
     async def drain(self) -> None:
         """Hand over all leads, so that no key waits for a lease to lapse."""
         self.node.leave()
+        end = now() + HAND_OVER
         while self.node.leads_anything():
+            if now() >= end:
+                # The last VM of a cell, or one that stops while the store is down,
+                # would wait for others until it is killed, and each rolling
+                # replacement would take the whole shutdown limit.
+                log.warning("leads were not handed over; they lapse with the lease")
+                return
             await asyncio.sleep(TICK)
 
     async def stop(self) -> None:
