--- a/packages/bench/src/berylstage_bench/callers.py
+++ b/packages/bench/src/berylstage_bench/callers.py
@@ -15,7 +15,7 @@
 from berylstage_standins.target_server import body_digest
 from berylstage_transfers.call import Call
 from berylstage_transfers.client import CallClient
-from berylstage_transfers.errors import AnswerLost, NeverSent
+from berylstage_transfers.errors import AnswerLost, CallFailed, NeverSent
 
 from berylstage_bench.attempts import Attempt, Request
 
@@ -29,6 +29,10 @@
 CONNECTIONS = 64
 # Seconds that the balancer leaves out a VM that gave no answer.
 LEFT_OUT = 1.0
+# Seconds between two questions whether a VM is ready, and for the answer to one.
+POLL_EVERY = 0.5
+POLL_TIMEOUT = 0.5
+OK = 200
 # Seconds after which a caller gives a request up, with all its retries.
 PATIENCE = 15.0
 # Seconds between two attempts when the refusal does not say when to come back.
@@ -63,7 +67,10 @@
 
 
 class Balancer:
-    """Sends callers to the VMs in turn, leaving out those that do not answer.
+    """Sends callers to the VMs in turn, leaving out those that are not ready.
+
+    It asks each VM now and then whether it is ready, as the platform's balancer does,
+    and leaves out for a while those that gave a caller no answer.
 
     Parameters
     ----------
@@ -75,15 +82,23 @@
         self.addresses = dict(addresses)
         self._clients = {name: CallClient(CONNECTIONS) for name in self.addresses}
         self._out_until = dict.fromkeys(self.addresses, 0.0)
+        self._ready = dict.fromkeys(self.addresses, True)
         self._turn = itertools.count()
+        self._polls: list[asyncio.Task] = []
+
+    def start(self) -> None:
+        """Start to ask the VMs whether they are ready."""
+        for name in self.addresses:
+            self._polls.append(asyncio.ensure_future(self._poll_forever(name)))
 
     def pick(self, avoid: str = "") -> str:
         """Return the next VM, another one than ``avoid`` if there is one."""
         now = time.monotonic()
         names = list(self.addresses)
-        usable = [n for n in names if self._out_until[n] <= now and n != avoid]
-        usable = usable or [n for n in names if n != avoid] or names
-        return usable[next(self._turn) % len(usable)]
+        usable = [n for n in names if self._ready[n] and self._out_until[n] <= now]
+        others = [n for n in usable if n != avoid]
+        choice = others or usable or names
+        return choice[next(self._turn) % len(choice)]
 
     def leave_out(self, vm: str) -> None:
         """Leave a VM out for a while."""
@@ -95,9 +110,23 @@
 
     def close(self) -> None:
         """Close all connections."""
+        for poll in self._polls:
+            poll.cancel()
         for client in self._clients.values():
             client.close()
 
+    async def _poll_forever(self, vm: str) -> None:
+        url = f"http://{self.addresses[vm]}/-/ready"
+        while True:
+            call = Call("GET", url, {}, None, POLL_TIMEOUT)
+            try:
+                answer = await self._clients[vm].call(call)
+            except CallFailed:
+                self._ready[vm] = False
+            else:
+                self._ready[vm] = answer.status == OK
+            await asyncio.sleep(POLL_EVERY)
+
 
 class Callers:
     """A number of callers, each with one request in flight at a time.
@@ -139,14 +168,19 @@
 
     def start(self) -> None:
         """Start to send."""
+        self.balancer.start()
         for number in range(self._count):
             name = f"caller-{number + 1}"
             self._tasks.append(asyncio.ensure_future(self._call_forever(name)))
 
-    async def stop(self) -> None:
+    async def pause(self) -> None:
         """Send nothing new and wait until the requests in flight have their end."""
         self._stopping = True
         await asyncio.gather(*self._tasks)
+
+    async def stop(self) -> None:
+        """Stop for good and close all connections."""
+        await self.pause()
         self.balancer.close()
 
     async def _call_forever(self, caller: str) -> None:
--- a/packages/bench/tests/test_failures.py
+++ b/packages/bench/tests/test_failures.py
@@ -232,3 +232,18 @@
         verdict = trial(scenario, work_ms=LONG_WORK)
         cut = [r for r in verdict.records if r.outcome is CallOutcome.LOST]
         assert [(record.vm, record.reason) for record in cut] == []
+
+    def test_the_last_one_ends_too(self, trial):
+        # All VMs are replaced one after the other, and none comes up meanwhile. The
+        # last has nobody to hand its leads to, and must not hang until it is killed.
+        async def scenario(played):
+            await played.callers.pause()
+            for name in played.installation.vms:
+                stop = played.installation.stop_gracefully
+                assert await asyncio.to_thread(stop, name) == 0
+            for name in played.installation.vms:
+                await asyncio.to_thread(played.installation.start_vm, name)
+            await played.installation.await_ready()
+            assert await played.unserved() == []
+
+        trial(scenario)
