--- a/Makefile
+++ b/Makefile
@@ -72,3 +72,10 @@
 
 bench-send:  ## measure what a request to a target costs its sender
 	$(PY) -m berylstage_bench.send_cost
+
+.PHONY: matrix bench-ownership
+matrix:  ## run the whole fault matrix and print one line for each point of the brief
+	BERYLSTAGE_MATRIX=full $(PY) -m pytest packages/ownership/tests/test_matrix.py -s
+
+bench-ownership:  ## print times and costs of the lease protocol in virtual time
+	$(PY) packages/ownership/tests/ownership_figures.py
