--- a/packages/ownership/tests/ownership_setting.py
+++ b/packages/ownership/tests/ownership_setting.py
@@ -14,7 +14,8 @@
     SpecialKey,
     Target,
 )
-from ownership_world import WORK_DEADLINE, World
+from ownership_callers import WORK_DEADLINE
+from ownership_world import World
 
 CENTRES = ["almaty-a", "almaty-b", "shymkent-a", "taraz-a"]
 SERVICE = "visits"
@@ -71,6 +72,15 @@
     return change
 
 
+def drop(target):
+    """Return an edit that takes a target out of the sheet."""
+
+    def change(cfg):
+        del cfg.targets[target]
+
+    return change
+
+
 def set_apart(key, target=None):
     """Return an edit that gives a key a shard of its own."""
 
@@ -80,10 +90,18 @@
     return change
 
 
-def build_world(vms=5, seed=1, settle=4.0, checks=True, list_lag=0.0, **kwargs):
+def build_world(
+    vms=5,
+    seed=1,
+    settle=4.0,
+    checks=True,
+    list_lag=0.0,
+    world_class=World,
+    **kwargs,
+):
     """Return a world of some VMs over four data centres, after a while."""
     cfg = make_configuration(CENTRES, checks=checks, **kwargs)
     names = [(f"vm-{n}", CENTRES[n % len(CENTRES)]) for n in range(vms)]
-    world = World(cfg, names, seed, list_lag=list_lag)
+    world = world_class(cfg, names, seed, list_lag=list_lag)
     world.run(settle)
     return world
