--- a/packages/ownership/tests/ownership_model.py
+++ b/packages/ownership/tests/ownership_model.py
@@ -6,7 +6,7 @@
 from hypothesis import HealthCheck, Phase, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, rule, run_state_machine_as_test
-from ownership_setting import CENTRES, SERVICE, build_world, retire
+from ownership_setting import CENTRES, SERVICE, build_world, drop, retire
 
 KEYS = [f"key-{number}" for number in range(6)]
 VMS = [f"vm-{number}" for number in range(4)]
@@ -20,6 +20,7 @@
     def __init__(self):
         super().__init__()
         self.issued = {}
+        self.dropped = {}
         self.count = 0
         self.world = build_world(vms=4, checks="mixed", targets=4, shards=4, settle=4.0)
 
@@ -73,8 +74,20 @@
 
     @rule(name=st.sampled_from(TARGETS))
     def retire_target(self, name):
+        if name in self.world.cfg.targets:
+            self.requests()
+            self.world.edit(retire(name))
+
+    @rule(name=st.sampled_from(TARGETS))
+    def drop_target_or_name_it_again(self, name):
         self.requests()
-        self.world.edit(retire(name))
+        cfg = self.world.cfg
+        if name in cfg.targets and len(cfg.targets) > 2:
+            self.dropped[name] = cfg.targets[name]
+            self.world.edit(drop(name))
+        elif name in self.dropped:
+            target = self.dropped.pop(name)
+            self.world.edit(lambda cfg: cfg.targets.update({name: target}))
 
     @rule(vm=st.sampled_from(VMS), kind=st.sampled_from(["fetch", "release", "claim"]))
     def swallow(self, vm, kind):
