--- a/packages/ownership/src/berylstage_ownership/holdings.py
+++ b/packages/ownership/src/berylstage_ownership/holdings.py
@@ -289,9 +289,23 @@
         """
         if prior.target == target or self._configuration is None:
             return 0.0
-        if self._checks_fences(prior.target):
+        return self.longest_work(item, prior.target)
+
+    def longest_work(self, shard: str, target: str) -> float:
+        """Return how long work of a shard may go on at a target that nobody stops.
+
+        Parameters
+        ----------
+        shard, target : str
+
+        Returns
+        -------
+        float
+            Seconds; 0 where the target checks fences.
+        """
+        if self._checks_fences(target) or self._configuration is None:
             return 0.0
-        service = self._configuration.services.get(service_of(item))
+        service = self._configuration.services.get(service_of(shard))
         if service is None:
             return LONGEST_DEADLINE
         deadlines = [kind.deadline_ms for kind in service.kinds.values()]
--- a/packages/ownership/src/berylstage_ownership/questions.py
+++ b/packages/ownership/src/berylstage_ownership/questions.py
@@ -113,9 +113,11 @@
         fence = holdings.active.get(shard)
         if fence is None:
             return Moving(shard)
-        if self._checks_fences(route.target):
-            if held.fence_in_force(now, shard) != fence:
-                return Moving(shard)
+        if not self._checks_fences(route.target):
+            longest = holdings.longest_work(shard, route.target)
+            return Permit(route.target, fence, held.epoch, longest)
+        if held.fence_in_force(now, shard) != fence:
+            return Moving(shard)
         return Permit(route.target, fence, held.epoch)
 
     def free_admission(self, now: float, target: str) -> Permit | Refusal:
--- a/packages/ownership/src/berylstage_ownership/routing.py
+++ b/packages/ownership/src/berylstage_ownership/routing.py
@@ -32,11 +32,18 @@
         Fence token of the shard; 0 where keys are not owned.
     epoch : int
         Epoch of this VM's lead.
+    longest : float
+        Seconds after which the target must have dropped the request. Where a target
+        does not check fences, whoever takes the shard over from a lost VM waits as
+        long as this; a request with a later deadline could run next to its new owner.
     """
 
-    __slots__ = ("target", "fence", "epoch")
+    __slots__ = ("target", "fence", "epoch", "longest")
 
-    def __init__(self, target: str, fence: int, epoch: int):
+    def __init__(
+        self, target: str, fence: int, epoch: int, longest: float = float("inf")
+    ):
         self.target = target
         self.fence = fence
         self.epoch = epoch
+        self.longest = longest
--- a/packages/ownership/tests/test_node.py
+++ b/packages/ownership/tests/test_node.py
@@ -179,6 +179,22 @@
         assert world.faults == []
 
 
+class TestPermit:
+    @pytest.mark.parametrize(
+        ("checks", "longest"), [(True, float("inf")), (False, 0.4)]
+    )
+    def test_bounds_work_at_targets_that_do_not_check(self, checks, longest):
+        # A caller gives its request a minute, at a target that checks no fences. Its VM
+        # is lost, and the next owner waits for the service's longest deadline only. The
+        # permit says so, or two targets would work on the key for the rest of it.
+        world = build_world(checks=checks)
+        node = world.vms["vm-0"].node
+        shard = node.shard_of("visits", KEYS[0])
+        holder = world.vms[node.route("visits", shard).vm]
+        permit = holder.node.admission(holder.local(world.time), "visits", shard)
+        assert permit.longest == longest
+
+
 class TestDocuments:
     def test_an_unreadable_sheet_changes_nothing(self):
         # A release that nobody else runs wrote a sheet that cannot be read here. The
