--- a/packages/bench/src/berylstage_bench/path.py
+++ b/packages/bench/src/berylstage_bench/path.py
@@ -30,6 +30,7 @@
 from berylstage_transfers.call import Call
 from berylstage_transfers.client import CallClient
 
+from berylstage_bench.costs import costs
 from berylstage_bench.measures import Latencies
 from berylstage_bench.operators import Operator
 from berylstage_bench.processes import RUN_FOLDER, Installation
@@ -52,7 +53,6 @@
 ROUND_SECONDS = 2.0
 IDLE_SECONDS = 4.0
 WARM_UP = 50
-PROFILE_LINES = 30
 US = 1e6
 
 
@@ -234,9 +234,11 @@
         finally:
             self._installation.stop()
         for role, name in (("receiving", self._other), ("leading", self._leader)):
-            print(f"\nthe {role} VM, {len(way.seconds)} requests, by own time:")
             stats = pstats.Stats(str(self._installation.profiles[name]))
-            stats.sort_stats("tottime").print_stats(PROFILE_LINES)
+            spent = costs(stats)
+            print(f"\nthe {role} VM, {len(way.seconds)} requests: share of its time")
+            for group, seconds in spent.most_common():
+                print(f"  {seconds / spent.total():6.1%}  {group}")
 
 
 HEADER = (
