Hand requests of free services on from busy targets, and hedge late ones

Cause: a request of a service whose keys are not owned waited at the target that was drawn, though others idled, and a target that stalled for a moment held its requests for as long; HedgePolicy was written and not wired.

Change: a busy target hands a request back (may_decline, also over a forward), at most choice_declines times; then it waits at one. An idle target led here goes first. Repeatable work that is late is sent a second time beside the first, to another target that has a free slot; the loser is cancelled, at its target too. Work that may not be repeated is never hedged, a hedge never waits, and of two ends that are no answer the unknown one counts. The way of free requests is a module of its own, free.py.

Ruled out: waiting for the loser's cancellation before the answer goes out.

Not wired: queue lengths as digests for the choice.

--- a/packages/daemon/src/berylstage_daemon/answers.py
+++ b/packages/daemon/src/berylstage_daemon/answers.py
@@ -90,9 +90,11 @@
     "queue-full closed target-down no-owner not-leader no-lease moving moved "
     "leader-unreachable leader-lost crossed-answer unreadable-answer unreadable "
     "in-progress unknown-before not-fresh clock-ahead table-full no-service no-kind "
-    "internal".split()
+    "internal busy".split()
 )
 OTHER_REASON = "other"
+# Why a target with no free slot hands a request back: it may go to another one.
+BUSY = "busy"
 
 
 def reason_label(reason: str) -> str:
@@ -153,3 +155,25 @@
 def in_progress(retry_after: float = DEFAULT_RETRY_AFTER) -> Answer:
     """Return the answer for a repeated key whose first request is in work."""
     return Answer(Outcome.IN_PROGRESS, 409, "in-progress", retry_after=retry_after)
+
+
+def settled(answer: Answer, doubt: Answer | None) -> Answer:
+    """Return the end of a request over all its attempts.
+
+    An attempt that was sent and not answered may have run, whatever became of the
+    others. Told "not run", a caller would rely on something that is not so.
+
+    Parameters
+    ----------
+    answer : Answer
+        End of the last attempt.
+    doubt : Answer or None
+        An end of another attempt whose outcome is unknown.
+
+    Returns
+    -------
+    Answer
+    """
+    if doubt is not None and answer.outcome is Outcome.NOT_RUN:
+        return doubt
+    return answer
--- a/packages/daemon/src/berylstage_daemon/forwarding.py
+++ b/packages/daemon/src/berylstage_daemon/forwarding.py
@@ -39,7 +39,12 @@
 OUTCOMES = {code: outcome for outcome, code in OUTCOME_CODES.items()}
 
 
-async def forward(link: PeerLink, req: CallerRequest, target: str) -> Answer:
+async def forward(
+    link: PeerLink,
+    req: CallerRequest,
+    target: str,
+    may_decline: bool = False,
+) -> Answer:
     """Pass a request to the VM that leads its target and return the end of it.
 
     Parameters
@@ -48,6 +53,8 @@
     req : CallerRequest
     target : str
         Chosen target; empty where the shard decides.
+    may_decline : bool
+        Whether a target with no free slot hands it back with reason ``busy``.
 
     Returns
     -------
@@ -57,8 +64,10 @@
     remaining = req.deadline - now()
     if remaining <= 0:
         return not_run("deadline")
+    message = _encode(req, target, remaining)
+    message.may_decline = may_decline
     try:
-        reply = await link.forward(_encode(req, target, remaining), remaining)
+        reply = await link.forward(message, remaining)
     except PeerNotReached:
         return not_run("leader-unreachable")
     except PeerLost:
@@ -114,7 +123,9 @@
         # outlive the caller's deadline.
         try:
             async with asyncio.timeout(max(req.deadline - now(), 0.001)):
-                return await self._app.leaders.serve(req, message.target)
+                return await self._app.leaders.serve(
+                    req, message.target, message.may_decline
+                )
         except TimeoutError:
             return unknown("deadline", 504)
         except Exception:
--- a/packages/daemon/src/berylstage_daemon/leader.py
+++ b/packages/daemon/src/berylstage_daemon/leader.py
@@ -8,13 +8,14 @@
 from uuid import uuid4
 
 from berylstage_policy.queue import TargetQueue
+from berylstage_policy.tickets import Decline, Refuse, RefuseReason, Start, Ticket
 from berylstage_policy.tickets import Outcome as Ended
-from berylstage_policy.tickets import Refuse, RefuseReason, Start, Ticket
 from berylstage_targets.errors import NotRun, OutcomeUnknown
 from berylstage_targets.target import WorkRequest
 from logbook import Logger
 
 from berylstage_daemon.answers import (
+    BUSY,
     DEFAULT_RETRY_AFTER,
     Answer,
     Outcome,
@@ -97,6 +98,7 @@
         req: CallerRequest,
         shard: str,
         permit: Callable[[], Permit | Answer],
+        may_decline: bool = False,
     ) -> Answer:
         """Let a request wait for a slot, send it, and return its end.
 
@@ -107,15 +109,17 @@
             Empty where keys are not owned.
         permit : callable
             Asked right before sending whether this VM may still send.
+        may_decline : bool
+            Whether it is handed back with reason ``busy`` when no slot is free.
 
         Returns
         -------
         Answer
         """
         ticket = self._ticket(req)
-        refusal = await self._slot(ticket)
+        refusal = await self._slot(ticket, may_decline)
         if refusal is not None:
-            return not_run(refusal.reason.value, refusal.retry_after)
+            return refusal
         # Waiting takes time, in which a lease may lapse or a shard move; a request
         # sent then could run beside its key's new owner. So the permit is asked for
         # at the last moment, with no pause of this task between it and the sending.
@@ -180,24 +184,27 @@
             deadline=req.deadline,
         )
 
-    async def _slot(self, ticket: Ticket) -> Refuse | None:
+    async def _slot(self, ticket: Ticket, may_decline: bool) -> Answer | None:
         """Wait for a slot; return a refusal when there will be none in time."""
-        decision = self.queue.offer(ticket, now())
+        decision = self.queue.offer(ticket, now(), may_decline)
         self._arm()
         if isinstance(decision, Start):
             return None
+        if isinstance(decision, Decline):
+            return not_run(BUSY)
         if isinstance(decision, Refuse):
-            return decision
+            return _refused(decision)
         fut: asyncio.Future[Refuse | None] = asyncio.Future()
         self._waiting[ticket.id] = fut
         try:
-            return await fut
+            refusal = await fut
         except asyncio.CancelledError:
             if self.queue.cancelled(ticket.id, now()):
                 self._finish(ticket, 0.0, Ended.CANCELLED)
             raise
         finally:
             self._waiting.pop(ticket.id, None)
+        return None if refusal is None else _refused(refusal)
 
     async def _send(
         self,
@@ -369,3 +376,8 @@
         for refusal in self.queue.expired(now()):
             self._turn_away(refusal)
         self._arm()
+
+
+def _refused(refusal: Refuse) -> Answer:
+    """Return the answer that a refusal of the queue means."""
+    return not_run(refusal.reason.value, refusal.retry_after)
--- a/packages/daemon/src/berylstage_daemon/leaders.py
+++ b/packages/daemon/src/berylstage_daemon/leaders.py
@@ -118,7 +118,9 @@
         if target in self._app.configuration().targets:
             self._leader(target).seen(incarnation, is_cold)
 
-    async def serve(self, req: CallerRequest, chosen: str) -> Answer:
+    async def serve(
+        self, req: CallerRequest, chosen: str, may_decline: bool = False
+    ) -> Answer:
         """Serve a request whose target this VM should lead.
 
         Parameters
@@ -126,16 +128,20 @@
         req : CallerRequest
         chosen : str
             Target chosen by the VM that received it; empty where keys are owned.
+        may_decline : bool
+            Whether a target with no free slot hands it back with reason ``busy``.
 
         Returns
         -------
         Answer
         """
         if req.service.ownership is Ownership.FREE:
-            return await self._serve_free(req, chosen)
+            return await self._serve_free(req, chosen, may_decline)
         return await self._serve_owned(req)
 
-    async def _serve_free(self, req: CallerRequest, chosen: str) -> Answer:
+    async def _serve_free(
+        self, req: CallerRequest, chosen: str, may_decline: bool
+    ) -> Answer:
         """Send to the chosen target if this VM leads it."""
         routes = self._app.control.routes
 
@@ -145,7 +151,7 @@
         first = permit()
         if isinstance(first, Answer):
             return first
-        return await self._leader(chosen).run(req, "", permit)
+        return await self._leader(chosen).run(req, "", permit, may_decline)
 
     async def _serve_owned(self, req: CallerRequest) -> Answer:
         """Send to the owner of the key, waiting for a move to end if need be."""
@@ -208,6 +214,26 @@
             if not waiting and self._held.get(shard) is waiting:
                 del self._held[shard]
 
+    def idle(self, targets: list[str]) -> list[str]:
+        """Return those of some targets that this VM leads and that have a free slot.
+
+        Parameters
+        ----------
+        targets : list of str
+
+        Returns
+        -------
+        list of str
+        """
+        return [name for name in targets if self._is_idle(name)]
+
+    def _is_idle(self, target: str) -> bool:
+        """Tell whether a request would start at once at a target led here."""
+        leader = self._leaders.get(target)
+        if leader is None or not leader.queue.has_free_slot(now()):
+            return False
+        return not isinstance(self._app.control.routes.lead_permit(target), Answer)
+
     def status(self, led: list[TargetStatus]) -> list[dict]:
         """Return one row for each led target, for the status page.
 
--- a/packages/daemon/src/berylstage_daemon/metrics.py
+++ b/packages/daemon/src/berylstage_daemon/metrics.py
@@ -18,6 +18,7 @@
     "request.<tenant>.<class>.time": "milliseconds from arrival to answer",
     "forwarded": "count of requests passed to another VM",
     "retried": "count of further attempts",
+    "hedged": "count of second attempts sent beside a late first one",
     "refused.<reason>": "count of requests that no target answered, by reason",
     "lease.held": "1 while this VM holds its lease, else 0",
     "revision.configuration": "revision of the configuration in force here",
--- a/packages/daemon/src/berylstage_daemon/router.py
+++ b/packages/daemon/src/berylstage_daemon/router.py
@@ -3,22 +3,22 @@
 from __future__ import annotations
 
 import asyncio
-import itertools
 from random import SystemRandom
 from typing import TYPE_CHECKING
 
-from berylstage_policy.choice import TargetChoice
 from berylstage_policy.retries import RetryPolicy, RetryVerdict
 from berylstage_policy.tickets import Outcome as Ended
 from berylstage_sheet.configuration import Ownership
 from logbook import Logger
 
-from berylstage_daemon.answers import Answer, Outcome, not_run, reason_label
+from berylstage_daemon.answers import Answer, Outcome, not_run, reason_label, settled
 from berylstage_daemon.clock import now
 from berylstage_daemon.forwarding import forward
+from berylstage_daemon.free import FreeServices
 from berylstage_daemon.thresholds import thresholds_of
 
 if TYPE_CHECKING:
+    from berylstage_ownership.routing import Route
     from berylstage_sheet.configuration import Configuration
 
     from berylstage_daemon.application import Application
@@ -75,10 +75,8 @@
         self._app = app
         self._rng = SystemRandom()
         self._overrides: dict[str, float] = {}
-        self._targets: dict[str, set[str]] = {}
         self._retries: dict[str, RetryPolicy] = {}
-        self._choices: dict[str, TargetChoice] = {}
-        self._numbers = itertools.count()
+        self._free = FreeServices(app, self._pass, self._rng)
         app.events.connect("configuration-adopted", self._configured)
 
     async def serve(self, req: CallerRequest) -> Answer:
@@ -111,12 +109,12 @@
                 pause = self._rng.uniform(0.5, 1.0) * route_pause
                 route_pause = min(2 * route_pause, ROUTE_PAUSE_LIMIT)
                 if now() + pause >= give_up:
-                    return _settled(answer, doubt)
+                    return settled(answer, doubt)
                 await asyncio.sleep(pause)
                 continue
             retry = self._pause(req, answer)
             if retry is None:
-                return _settled(answer, doubt)
+                return settled(answer, doubt)
             self._app.metrics.count("retried")
             await asyncio.sleep(retry)
             req.attempt += 1
@@ -147,88 +145,37 @@
     async def _attempt(self, req: CallerRequest) -> Answer:
         """Bring the request once to where it belongs."""
         if req.service.ownership is Ownership.FREE:
-            return await self._attempt_free(req)
+            return await self._free.attempt(req)
         routes = self._app.control.routes
         shard = routes.shard(req.service.name, req.key)
         route = routes.route(req.service.name, shard)
         if route is None:
             return not_run("no-owner")
-        return await self._pass(req, route.vm, route.peer_address, "")
-
-    async def _attempt_free(self, req: CallerRequest) -> Answer:
-        """Choose a target that any key may go to."""
-        routes = self._app.control.routes
-        willing = routes.willing(req.service.name)
-        if not willing:
-            return not_run("target-down")
-        target = self._choices[req.service.name].choose(willing, now())
-        return await self._send_free(req, target)
-
-    async def _send_free(self, req: CallerRequest, target: str) -> Answer:
-        """Bring a request to a chosen target and learn from how it ends."""
-        choice = self._choices[req.service.name]
-        route = self._app.control.routes.lead_route(target)
-        if route is None:
-            return not_run("no-owner")
-        attempt_id = f"{req.request_id}#{next(self._numbers)}"
-        choice.sent(target, attempt_id, now(), req.kind.name)
-        try:
-            answer = await self._pass(req, route.vm, route.peer_address, target)
-        except BaseException:
-            # A caller that goes away says nothing of the target. Counted against it,
-            # a few impatient callers would empty a healthy target.
-            choice.withdrawn(target, attempt_id)
-            raise
-        if _is_misrouted(req, answer):
-            choice.withdrawn(target, attempt_id)
-        is_answer = answer.outcome is Outcome.ANSWERED
-        choice.ended(target, attempt_id, now(), is_answer)
-        return answer
+        return await self._pass(req, route, False)
 
     async def _pass(
-        self,
-        req: CallerRequest,
-        vm: str,
-        address: str,
-        target: str,
+        self, req: CallerRequest, route: Route, may_decline: bool
     ) -> Answer:
         """Serve here or pass the request to the VM that leads."""
-        if vm == self._app.cfg.vm:
-            return await self._app.leaders.serve(req, target)
+        target = route.target if req.service.ownership is Ownership.FREE else ""
+        if route.vm == self._app.cfg.vm:
+            return await self._app.leaders.serve(req, target, may_decline)
         self._app.metrics.count("forwarded")
-        return await forward(self._app.links.link(address), req, target)
+        link = self._app.links.link(route.peer_address)
+        return await forward(link, req, target, may_decline)
 
     def _configured(self, cfg: Configuration) -> None:
         """Take in services, targets and thresholds."""
-        self._forget_removed(cfg)
-        for name in cfg.services:
-            if name not in self._retries:
-                thresholds = thresholds_of(cfg)
-                self._retries[name] = RetryPolicy(thresholds, self._rng)
-                self._choices[name] = TargetChoice(thresholds, self._rng)
-                self._targets[name] = set()
-            for target in cfg.targets_of(name):
-                self._choices[name].set_target(target.name, target.slots)
-                self._targets[name].add(target.name)
-
-    def _forget_removed(self, cfg: Configuration) -> None:
-        """Forget targets that the sheet names no more, and all under new thresholds.
-
-        Targets are replaced all day, each under a new name. Kept, they would fill the
-        memory, and lower the occupancy against which the others are measured.
-        """
-        if cfg.thresholds != self._overrides:
-            # Policies are built with their thresholds. What they have learned is
-            # learned again within a hundred answers.
+        # Policies are built with their thresholds. What they have learned is learned
+        # again within a hundred answers.
+        is_new = cfg.thresholds != self._overrides
+        if is_new:
             self._overrides = dict(cfg.thresholds)
             self._retries.clear()
-            self._choices.clear()
-            self._targets.clear()
-        for name, targets in self._targets.items():
-            kept = {target.name for target in cfg.targets_of(name)}
-            for target in targets - kept:
-                self._choices[name].remove_target(target)
-            targets &= kept
+        for name in cfg.services:
+            if name not in self._retries:
+                self._retries[name] = RetryPolicy(thresholds_of(cfg), self._rng)
+        self._free.configured(cfg, is_new)
 
     def _record(self, req: CallerRequest, answer: Answer, seconds: float) -> None:
         """Write metrics and the request log."""
@@ -271,14 +218,3 @@
         # target can answer at once; an owned key has to wait for its move.
         return req.service.ownership is Ownership.FREE
     return answer.reason in ROUTE_REASONS
-
-
-def _settled(answer: Answer, doubt: Answer | None) -> Answer:
-    """Return the end of a request over all its attempts.
-
-    An earlier attempt that was sent and not answered may have run, whatever became of
-    a later one. Told "not run", a caller would rely on something that is not so.
-    """
-    if doubt is not None and answer.outcome is Outcome.NOT_RUN:
-        return doubt
-    return answer
--- a/packages/daemon/tests/test_forwarding.py
+++ b/packages/daemon/tests/test_forwarding.py
@@ -31,10 +31,12 @@
     def __init__(self):
         self.end = asyncio.Future()
         self.served = []
+        self.declinable = []
         self.cancelled = 0
 
-    async def serve(self, req, target):
+    async def serve(self, req, target, may_decline):
         self.served.append(req)
+        self.declinable.append(may_decline)
         try:
             return await asyncio.shield(self.end)
         except asyncio.CancelledError:
@@ -173,6 +175,19 @@
         assert answer.outcome is Outcome.UNKNOWN
         assert answer.status == 502
 
+    @pytest.mark.parametrize("may_decline", [False, True])
+    def test_leave_to_hand_it_back_is_passed_on(self, make_rig, may_decline):
+        async def play():
+            async with Pair() as pair:
+                pair.leaders.end.set_result(not_run("busy"))
+                req = make_rig().request()
+                answer = await forward(pair.link, req, "t-1", may_decline)
+                return answer, pair.leaders.declinable
+
+        answer, declinable = asyncio.run(play())
+        assert answer.reason == "busy"
+        assert declinable == [may_decline]
+
 
 class TestSheetsThatDiffer:
     def test_work_without_a_key_is_not_let_in(self, make_rig):
--- a/packages/daemon/tests/test_leader.py
+++ b/packages/daemon/tests/test_leader.py
@@ -190,6 +190,28 @@
         assert answer.retry_after > 0
 
 
+class TestDeclines:
+    def test_busy_target_hands_it_back_at_once(self, make_rig, let_run):
+        # All slots are taken, and the request could go to another target. Held here it
+        # would wait while the other one idles.
+        async def play():
+            rig = make_rig()
+            first = rig.run(rig.request("first"))
+            await let_run()
+            answer = await rig.leader.run(
+                rig.request("second"), "", lambda: rig.permit, may_decline=True
+            )
+            rig.target.answer()
+            await first
+            return answer, rig
+
+        answer, rig = asyncio.run(play())
+        assert answer.outcome is Outcome.NOT_RUN
+        assert answer.reason == "busy"
+        assert len(rig.target.sent) == 1
+        assert rig.leader.queue.waiting == rig.leader.queue.running == 0
+
+
 class TestUnforeseenErrors:
     def test_client_that_fails_frees_its_slot_in_the_end(self, make_rig, let_run):
         # The HTTP library raises an error that nobody foresaw. A slot that is lost
--- a/packages/daemon/tests/test_router.py
+++ b/packages/daemon/tests/test_router.py
@@ -61,9 +61,14 @@
     def __init__(self):
         self.ends = []
         self.chosen = []
+        self.declinable = []
 
-    async def serve(self, req, target):
+    def idle(self, targets):
+        return []
+
+    async def serve(self, req, target, may_decline):
         self.chosen.append(target)
+        self.declinable.append(may_decline)
         end = self.ends.pop(0) if len(self.ends) > 1 else self.ends[0]
         return await end if asyncio.isfuture(end) else end
 
@@ -214,7 +219,7 @@
             await asyncio.sleep(0)
             task.cancel()
             await asyncio.wait([task])
-            choice = ways.router._choices["field-log"]
+            choice = ways.router._free._services["field-log"].choice
             return choice._views["t-1"]
 
         view = asyncio.run(play())
@@ -227,7 +232,7 @@
         async def play():
             ways = make_ways([answered()])
             await ways.router.serve(ways.request(Ownership.FREE))
-            return ways.router._choices["field-log"]._typical
+            return ways.router._free._services["field-log"].choice._typical
 
         assert set(asyncio.run(play())) == {"visit"}
 
@@ -237,7 +242,7 @@
         ways = make_ways([answered()])
         for day in range(50):
             ways.adopt(configuration([f"t-{day}"], day + 2))
-        assert set(ways.router._choices["field-log"]._views) == {"t-49"}
+        assert set(ways.router._free._services["field-log"].choice._views) == {"t-49"}
 
 
 class TestThresholds:
