Start the demo's targets cold, with a bound of one request

Cause: the demo reported no broken cold bounds of targets that had none. Change: each target bears one request at a time until it has answered thirty, in the demo and in the failure tests.

--- a/packages/bench/src/berylstage_bench/trial.py
+++ b/packages/bench/src/berylstage_bench/trial.py
@@ -21,6 +21,9 @@
 CALLERS = 24
 THINK = 0.08
 KEYS = 40
+# Each target starts cold, bears one request at a time until it has answered thirty, and
+# writes into its ledger when it gets more.
+COLD_START = ["--cold-bound=1", "--warm-after=30"]
 
 
 def saryarka_mix() -> list[Work]:
@@ -58,6 +61,7 @@
     ):
         self.cfg = read_example("demo")
         options = [f"--work-ms={kind}={ms:g}" for kind, ms in (work_ms or {}).items()]
+        options += COLD_START
         self.installation = Installation(self.cfg, folder, target_options=options)
         self.operator = Operator(self.installation)
         self.closures: list[Closure] = []
