--- a/packages/daemon/src/berylstage_daemon/leaders.py
+++ b/packages/daemon/src/berylstage_daemon/leaders.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-from collections import defaultdict
 from random import SystemRandom
 from typing import TYPE_CHECKING
 
@@ -30,6 +29,8 @@
 # A move takes milliseconds when both VMs live and a lease time when one is lost; who
 # waits longer than this would better come back.
 HOLD = 2.5
+# Connections to a target that is gone are closed this many seconds late at most.
+IDLE_LOOK = 0.25
 # Requests held for moves at the same time, over all shards; each takes a few kB.
 HELD_LIMIT = 2000
 
@@ -51,9 +52,11 @@
         app.control.node.set_records(self._once.table)
         self._thresholds = Thresholds()
         self._rng = SystemRandom()
-        self._held: dict[str, set[asyncio.Future]] = defaultdict(set)
+        self._held: dict[str, set[asyncio.Future]] = {}
+        self._parting: set[asyncio.Task] = set()
         self._held_count = 0
         app.events.connect("configuration-adopted", self._configured)
+        app.events.connect("assignment-adopted", self._let_go)
         app.events.connect("shard-activated", self._look_again)
         app.events.connect("grant-answered", self._look_again)
         app.events.connect("assignment-adopted", self._look_again)
@@ -61,8 +64,18 @@
     async def start(self) -> None:
         """Leaders begin with the first request or grant of their target."""
 
+    async def drain(self) -> None:
+        """Wait for work that goes on though its caller went away."""
+        await self._once.idle()
+
+    def busy(self) -> bool:
+        """Tell whether work that may not be repeated still runs."""
+        return self._once.busy()
+
     async def stop(self) -> None:
         """Close all connections to targets."""
+        for task in self._parting:
+            task.cancel()
         for leader in self._leaders.values():
             await leader.close()
         for client in self._clients.values():
@@ -83,14 +96,12 @@
         """
         if self._addresses.get(target) != address:
             connections = self._app.configuration().targets[target].connections
+            # A target that was replaced at another address: its requests in flight
+            # may end, but nothing that waited may be sent to the old one.
+            self._part(target)
             client = HttpTargetClient(address, connections, self._app.cfg.vm)
             self._clients[target] = client
             self._addresses[target] = address
-            # A target that was replaced at another address: its requests in flight
-            # may end, but nothing that waited may be sent to the old one.
-            old = self._leaders.pop(target, None)
-            if old is not None:
-                old.retire()
         return self._clients[target]
 
     def heard(self, target: str, incarnation: str, is_cold: bool) -> None:
@@ -178,13 +189,25 @@
     async def _permitted(self, shard: str, permit) -> Permit | Answer:
         """Wait until a shard moves no more, and return leave to send or a refusal."""
         while True:
-            fut: asyncio.Future[None] = asyncio.Future()
-            self._held[shard].add(fut)
-            await fut
+            await self._news(shard)
             allowed = permit()
             if not isinstance(allowed, Answer) or allowed.reason != "moving":
                 return allowed
 
+    async def _news(self, shard: str) -> None:
+        """Wait until something happens that may let a shard be served here."""
+        fut: asyncio.Future[None] = asyncio.Future()
+        waiting = self._held.setdefault(shard, set())
+        waiting.add(fut)
+        try:
+            await fut
+        finally:
+            # Hot keys get shards of their own and lose them all day; an empty set kept
+            # for each that was ever waited for would fill the memory.
+            waiting.discard(fut)
+            if not waiting and self._held.get(shard) is waiting:
+                del self._held[shard]
+
     def status(self, led: list[TargetStatus]) -> list[dict]:
         """Return one row for each led target, for the status page.
 
@@ -214,6 +237,11 @@
             "limit": queue.ramp.limit(now()) if queue else 0,
         }
 
+    def gauge_queues(self) -> None:
+        """Send the length of each queue to the metrics."""
+        for name, leader in self._leaders.items():
+            self._app.metrics.gauge(f"queue.{name}", leader.queue.waiting)
+
     def _leader(self, target: str) -> Leader:
         """Return the leader of a target, made at its first use."""
         if target not in self._leaders:
@@ -235,6 +263,34 @@
         for name, leader in self._leaders.items():
             if name in cfg.targets:
                 leader.set_slots(cfg.targets[name].slots)
+        self._let_go()
+
+    def _let_go(self, _news: object = None) -> None:
+        """Let go of what other VMs lead now, and of targets that are gone.
+
+        Targets are replaced all day. Each one kept would hold its connections and a
+        queue for as long as this VM runs.
+        """
+        for target in list(self._clients):
+            route = self._app.control.routes.lead_route(target)
+            if route is not None and route.vm == self._app.cfg.vm:
+                continue
+            if target not in self._app.configuration().targets:
+                self._part(target)
+            elif target in self._leaders:
+                self._leaders[target].hand_back()
+
+    def _part(self, target: str) -> None:
+        """Let go of a target, and of its connections once its last request ended."""
+        leader = self._leaders.pop(target, None)
+        client = self._clients.pop(target, None)
+        self._addresses.pop(target, None)
+        if leader is not None:
+            leader.retire()
+        if client is not None:
+            task = asyncio.ensure_future(_close_when_idle(leader, client))
+            self._parting.add(task)
+            task.add_done_callback(self._parting.discard)
 
     def _look_again(self, news: object) -> None:
         """Let all requests that wait for a shard look again.
@@ -249,3 +305,13 @@
                 if not fut.done():
                     fut.set_result(None)
         self._held.clear()
+
+
+async def _close_when_idle(leader: Leader | None, client: TargetClient) -> None:
+    """Close the connections to a target once nothing is in flight there.
+
+    Each request ends with its deadline at the latest, so this ends too.
+    """
+    while leader is not None and leader.queue.running:
+        await asyncio.sleep(IDLE_LOOK)
+    await client.close()
