--- a/Makefile
+++ b/Makefile
@@ -39,7 +39,7 @@
 test:  ## run the tests
 	$(PY) -m pytest $(PYTEST_OPTIONS)
 
-.PHONY: demo demo-short up failures failures-ci bench-path
+.PHONY: demo demo-short up failures failures-ci bench-path bench-control
 demo:  ## run an installation through a day with faults, in about a minute
 	$(PY) -m berylstage_bench.demo
 
@@ -53,6 +53,9 @@
 	$(PY) -m berylstage_bench.path
 	$(PY) -m berylstage_bench.path --profile
 
+bench-control:  ## what control costs an idle VM, at 4, 8 and 16 VMs
+	$(PY) -m berylstage_bench.control
+
 up:  ## run an installation until Ctrl-C and print what to try
 	$(PY) -m berylstage_bench.up
 
