--- a/packages/daemon/src/berylstage_daemon/control.py
+++ b/packages/daemon/src/berylstage_daemon/control.py
@@ -22,20 +22,8 @@
     TargetUp,
     WriteStore,
 )
-from berylstage_ownership.events import (
-    StoreConflict,
-    StoreLost,
-    StoreRead,
-    StoreRefused,
-    StoreWritten,
-)
 from berylstage_ownership.node import Node, NodeSettings
-from berylstage_platform.errors import (
-    PlatformError,
-    RateLimited,
-    ValueTooLarge,
-    VersionConflict,
-)
+from berylstage_platform.errors import PlatformError
 from berylstage_platform.http import HttpStore, HttpVmList
 from berylstage_targets.errors import TargetError
 from berylstage_targets.target import GrantOrder
@@ -47,6 +35,7 @@
 from berylstage_daemon.part import Part
 from berylstage_daemon.planner import LoadPlanner
 from berylstage_daemon.routes import Routes
+from berylstage_daemon.storage import read, write
 
 if TYPE_CHECKING:
     from collections.abc import Coroutine
@@ -329,39 +318,12 @@
 
     async def _read(self, action: ReadStore) -> None:
         """Read the store and hand the result back."""
-        result: StoreRead | StoreLost
-        try:
-            entry = await self._store.read(action.key)
-            result = StoreRead(entry.key, entry.value, entry.version)
-        except PlatformError as exc:
-            log.warning("a read got no answer", extra={"cause": str(exc)})
-            result = StoreLost()
-        except Exception:
-            log.exception("a read failed")
-            result = StoreLost()
+        result = await read(self._store, action)
         self.execute(self.node.store_reply(now(), action.tag, result))
 
     async def _write(self, action: WriteStore) -> None:
         """Write to the store and hand the result back."""
-        result: StoreWritten | StoreConflict | StoreRefused | StoreLost
-        try:
-            version = await self._store.write(
-                action.key, action.value, action.expected_version
-            )
-            result = StoreWritten(version)
-        except VersionConflict:
-            result = StoreConflict()
-        except (RateLimited, ValueTooLarge) as exc:
-            log.warning("the store refused a write", extra={"cause": str(exc)})
-            result = StoreRefused()
-        except PlatformError as exc:
-            log.warning("a write got no answer", extra={"cause": str(exc)})
-            result = StoreLost()
-        except Exception:
-            # Whether it took effect is settled by reading back. With no result at all
-            # the core would wait for one, and write nothing else.
-            log.exception("a write failed")
-            result = StoreLost()
+        result = await write(self._store, action)
         self.execute(self.node.store_reply(now(), action.tag, result))
 
     def _notice(self, action: Action) -> None:
--- a/packages/daemon/src/berylstage_daemon/leader.py
+++ b/packages/daemon/src/berylstage_daemon/leader.py
@@ -11,18 +11,16 @@
 from berylstage_policy.tickets import Decline, Refuse, RefuseReason, Start, Ticket
 from berylstage_policy.tickets import Outcome as Ended
 from berylstage_targets.errors import NotRun, OutcomeUnknown
-from berylstage_targets.target import WorkRequest
 from logbook import Logger
 
 from berylstage_daemon.answers import (
     BUSY,
     DEFAULT_RETRY_AFTER,
     Answer,
-    Outcome,
     not_run,
-    unknown,
 )
-from berylstage_daemon.clock import now, wall
+from berylstage_daemon.clock import now
+from berylstage_daemon.work import answered, for_target, unanswered, work_request
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -30,7 +28,7 @@
 
     from berylstage_ownership.routing import Permit
     from berylstage_policy.thresholds import Thresholds
-    from berylstage_targets.target import TargetClient, WorkAnswer
+    from berylstage_targets.target import TargetClient, WorkRequest
 
     from berylstage_daemon.control import Control
     from berylstage_daemon.load import LoadMeter
@@ -38,26 +36,14 @@
 
 log = Logger("leader")
 
-# A connection can go silent for good while new ones work. Work that takes this many
-# times its usual time, and at least this long, is given up on its connection; if it
-# may be repeated it goes out again on a new one. Ten times the usual time lies beyond
-# the slowest thousandth of a healthy target's answers, and half a second is shorter
-# than the shortest deadline in the examples.
-SILENT_RATIO = 10.0
-SILENT_AFTER = 0.5
 # Sixteen million lives of a leader apart; two leads of one target never share one.
 TOKEN_LENGTH = 6
-# Outcome of a target's refusal, for the queue and the ramp.
 # Refusals that say that the target takes nothing at all, so that its shards must move.
 UNWILLING = frozenset({"draining", "unwilling"})
+# Outcome of a target's refusal, for the queue and the ramp.
 REFUSALS = {"cold": Ended.COLD, "shed": Ended.SHED, "slots": Ended.SHED}
-
-
 # Refusals that may be over before a waiting request has its slot.
 PASSING = frozenset({"moving", "no-lease", "target-down"})
-# The time-out of a call is cut to whole milliseconds and fires by another clock, a
-# hair before the deadline; its caller must still read that the deadline passed.
-DEADLINE_SLACK = 0.02
 
 
 class Waiter:
@@ -270,7 +256,8 @@
         # Who takes the shard over waits for no longer than the permit says; a caller's
         # own later deadline must not keep the target at work beyond that.
         deadline = min(req.deadline, started + permit.longest)
-        work = self._work(ticket, req, shard, permit, deadline - started)
+        usual = self.queue.costs.mean(req.kind.name)
+        work = work_request(ticket.id, req, shard, permit, deadline - started, usual)
         self._control.work_started(self.name, shard, deadline)
         try:
             reply = await self.client.send(work)
@@ -280,12 +267,12 @@
                 self._control.target_unwilling(self.name, exc.reason)
             ended = REFUSALS.get(exc.reason, Ended.NOT_RUN)
             self._finish(ticket, now() - started, ended)
-            return self._with_target(not_run(exc.reason), permit)
+            return for_target(not_run(exc.reason), permit)
         except OutcomeUnknown as exc:
             self._settle_later(ticket, work, started, deadline)
             extra = {"request_id": req.request_id, "target": self.name}
             log.info(str(exc), extra=extra)
-            return self._with_target(_unanswered(deadline), permit)
+            return for_target(unanswered(deadline), permit)
         except BaseException:
             # The caller went away, or the client failed in a way that nobody foresaw.
             # Without the settling the slot would stay taken and the shard could never
@@ -297,57 +284,7 @@
         self._finish(ticket, seconds, Ended.ANSWERED, reply.incarnation)
         if shard:
             self._load.observe(req.service.name, shard, req.key, seconds)
-        return self._answered(reply, permit)
-
-    def _work(
-        self,
-        ticket: Ticket,
-        req: CallerRequest,
-        shard: str,
-        permit: Permit,
-        remaining: float,
-    ) -> WorkRequest:
-        """Return the request as it goes to the target."""
-        timeout = remaining
-        if req.kind.repeatable:
-            usual = self.queue.costs.mean(req.kind.name)
-            timeout = min(remaining, max(SILENT_AFTER, SILENT_RATIO * usual))
-        return WorkRequest(
-            request_id=ticket.id,
-            service=req.service.name,
-            kind=req.kind.name,
-            key=req.key,
-            shard=shard,
-            fence=permit.fence,
-            epoch=permit.epoch,
-            method=req.method,
-            body=req.body,
-            content_type=req.content_type,
-            deadline=wall() + remaining,
-            timeout=timeout,
-            # A request that may not be repeated is lost if its connection has gone
-            # silent, because nothing may be sent again. A new connection takes about
-            # 1 ms and has just shown that it works.
-            fresh_connection=not req.kind.repeatable or req.attempt > 0,
-            idempotency_key=req.idempotency_key,
-        )
-
-    def _answered(self, reply: WorkAnswer, permit: Permit) -> Answer:
-        """Return the end of an answered request."""
-        return Answer(
-            Outcome.ANSWERED,
-            reply.status,
-            body=reply.body,
-            content_type=reply.content_type,
-            target=self.name,
-            epoch=permit.epoch,
-        )
-
-    def _with_target(self, answer: Answer, permit: Permit) -> Answer:
-        """Name the target in an answer that it did not give."""
-        answer.target = self.name
-        answer.epoch = permit.epoch
-        return answer
+        return answered(reply, permit)
 
     def _settle_later(
         self, ticket: Ticket, work: WorkRequest, started: float, deadline: float
@@ -433,10 +370,3 @@
 def _refused(refusal: Refuse) -> Answer:
     """Return the answer that a refusal of the queue means."""
     return not_run(refusal.reason.value, refusal.retry_after)
-
-
-def _unanswered(deadline: float) -> Answer:
-    """Return the end of a request that was sent and not answered."""
-    if now() >= deadline - DEADLINE_SLACK:
-        return unknown("deadline", 504)
-    return unknown("no-answer")
