--- a/packages/daemon/src/berylstage_daemon/leader.py
+++ b/packages/daemon/src/berylstage_daemon/leader.py
@@ -11,18 +11,16 @@
 from berylstage_policy.tickets import Decline, Refuse, RefuseReason, Start, Ticket
 from berylstage_policy.tickets import Outcome as Ended
 from berylstage_targets.errors import NotRun, OutcomeUnknown
-from berylstage_targets.target import WorkRequest
 from logbook import Logger
 
 from berylstage_daemon.answers import (
     BUSY,
     DEFAULT_RETRY_AFTER,
     Answer,
-    Outcome,
     not_run,
-    unknown,
 )
-from berylstage_daemon.clock import now, wall
+from berylstage_daemon.clock import now
+from berylstage_daemon.work import answered, for_target, unanswered, work_request
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -30,7 +28,7 @@
 
     from berylstage_ownership.routing import Permit
     from berylstage_policy.thresholds import Thresholds
-    from berylstage_targets.target import TargetClient, WorkAnswer
+    from berylstage_targets.target import TargetClient, WorkRequest
 
     from berylstage_daemon.control import Control
     from berylstage_daemon.load import LoadMeter
@@ -38,19 +36,30 @@
 
 log = Logger("leader")
 
-# A connection can go silent for good while new ones work. Work that takes this many
-# times its usual time, and at least this long, is given up on its connection; if it
-# may be repeated it goes out again on a new one. Ten times the usual time lies beyond
-# the slowest thousandth of a healthy target's answers, and half a second is shorter
-# than the shortest deadline in the examples.
-SILENT_RATIO = 10.0
-SILENT_AFTER = 0.5
 # Sixteen million lives of a leader apart; two leads of one target never share one.
 TOKEN_LENGTH = 6
-# Outcome of a target's refusal, for the queue and the ramp.
 # Refusals that say that the target takes nothing at all, so that its shards must move.
 UNWILLING = frozenset({"draining", "unwilling"})
+# Outcome of a target's refusal, for the queue and the ramp.
 REFUSALS = {"cold": Ended.COLD, "shed": Ended.SHED, "slots": Ended.SHED}
+# Refusals that may be over before a waiting request has its slot.
+PASSING = frozenset({"moving", "no-lease", "target-down"})
+
+
+class Waiter:
+    """A request that waits for a slot.
+
+    Parameters
+    ----------
+    permit : callable
+        Returns leave to send it now, or the refusal.
+    """
+
+    __slots__ = ("permit", "fut")
+
+    def __init__(self, permit: Callable[[], Permit | Answer]):
+        self.permit = permit
+        self.fut: asyncio.Future[Answer | None] = asyncio.Future()
 
 
 class Leader:
@@ -84,7 +93,7 @@
         self.queue = TargetQueue(slots, thresholds, rng, now())
         self._control = control
         self._load = load
-        self._waiting: dict[str, asyncio.Future[Refuse | None]] = {}
+        self._waiting: dict[str, Waiter] = {}
         self._timer: asyncio.TimerHandle | None = None
         self._settling: set[asyncio.Task] = set()
         # Callers choose their request ids, and a target is led by one VM after the
@@ -117,7 +126,7 @@
         Answer
         """
         ticket = self._ticket(req)
-        refusal = await self._slot(ticket, may_decline)
+        refusal = await self._slot(ticket, permit, may_decline)
         if refusal is not None:
             return refusal
         # Waiting takes time, in which a lease may lapse or a shard move; a request
@@ -128,6 +137,10 @@
         except BaseException:
             self._finish(ticket, 0.0, Ended.NOT_RUN)
             raise
+        if not isinstance(allowed, Answer) and allowed.target != self.name:
+            # Its shard went to another target that this VM leads, too. Sent here it
+            # would run at a target that owns the key no more.
+            allowed = not_run("moved")
         if isinstance(allowed, Answer):
             self._finish(ticket, 0.0, Ended.NOT_RUN)
             return allowed
@@ -154,6 +167,27 @@
             self._turn_away(refusal)
         self._arm()
 
+    def look_again(self) -> None:
+        """Turn away what waits for a shard that went elsewhere.
+
+        Left in the queue, a request that may not be repeated would be handed to the
+        shard's new VM as one that may have run, though it was never sent: its caller
+        would be told *not run* here and *unknown* there.
+        """
+        for ticket_id, waiter in list(self._waiting.items()):
+            leave = waiter.permit()
+            if isinstance(leave, Answer):
+                if leave.reason in PASSING:
+                    continue
+            elif leave.target == self.name:
+                continue
+            else:
+                leave = not_run("moved")
+            if not waiter.fut.done():
+                self.queue.cancelled(ticket_id, now())
+                waiter.fut.set_result(leave)
+        self._arm()
+
     async def close(self) -> None:
         """Turn away what waits and let go of the connections."""
         self.retire()
@@ -184,7 +218,12 @@
             deadline=req.deadline,
         )
 
-    async def _slot(self, ticket: Ticket, may_decline: bool) -> Answer | None:
+    async def _slot(
+        self,
+        ticket: Ticket,
+        permit: Callable[[], Permit | Answer],
+        may_decline: bool,
+    ) -> Answer | None:
         """Wait for a slot; return a refusal when there will be none in time."""
         decision = self.queue.offer(ticket, now(), may_decline)
         self._arm()
@@ -194,17 +233,16 @@
             return not_run(BUSY)
         if isinstance(decision, Refuse):
             return _refused(decision)
-        fut: asyncio.Future[Refuse | None] = asyncio.Future()
-        self._waiting[ticket.id] = fut
+        waiter = Waiter(permit)
+        self._waiting[ticket.id] = waiter
         try:
-            refusal = await fut
+            return await waiter.fut
         except asyncio.CancelledError:
             if self.queue.cancelled(ticket.id, now()):
                 self._finish(ticket, 0.0, Ended.CANCELLED)
             raise
         finally:
             self._waiting.pop(ticket.id, None)
-        return None if refusal is None else _refused(refusal)
 
     async def _send(
         self,
@@ -215,8 +253,12 @@
     ) -> Answer:
         """Send a request that has its slot and its permit."""
         started = now()
-        work = self._work(ticket, req, shard, permit, started)
-        self._control.work_started(self.name, shard, req.deadline)
+        # Who takes the shard over waits for no longer than the permit says; a caller's
+        # own later deadline must not keep the target at work beyond that.
+        deadline = min(req.deadline, started + permit.longest)
+        usual = self.queue.costs.mean(req.kind.name)
+        work = work_request(ticket.id, req, shard, permit, deadline - started, usual)
+        self._control.work_started(self.name, shard, deadline)
         try:
             reply = await self.client.send(work)
         except NotRun as exc:
@@ -225,93 +267,40 @@
                 self._control.target_unwilling(self.name, exc.reason)
             ended = REFUSALS.get(exc.reason, Ended.NOT_RUN)
             self._finish(ticket, now() - started, ended)
-            return self._with_target(not_run(exc.reason), permit)
+            return for_target(not_run(exc.reason), permit)
         except OutcomeUnknown as exc:
-            self._settle_later(ticket, work, started)
+            self._settle_later(ticket, work, started, deadline)
             extra = {"request_id": req.request_id, "target": self.name}
             log.info(str(exc), extra=extra)
-            return self._with_target(self._unanswered(req), permit)
+            return for_target(unanswered(deadline), permit)
         except BaseException:
             # The caller went away, or the client failed in a way that nobody foresaw.
             # Without the settling the slot would stay taken and the shard could never
             # be released: a target that serves one request fewer after each.
-            self._settle_later(ticket, work, started)
+            self._settle_later(ticket, work, started, deadline)
             raise
         self._control.work_ended(self.name, shard)
         seconds = now() - started
         self._finish(ticket, seconds, Ended.ANSWERED, reply.incarnation)
         if shard:
             self._load.observe(req.service.name, shard, req.key, seconds)
-        return self._answered(reply, permit)
-
-    def _work(
-        self,
-        ticket: Ticket,
-        req: CallerRequest,
-        shard: str,
-        permit: Permit,
-        started: float,
-    ) -> WorkRequest:
-        """Return the request as it goes to the target."""
-        remaining = req.deadline - started
-        timeout = remaining
-        if req.kind.repeatable:
-            usual = self.queue.costs.mean(req.kind.name)
-            timeout = min(remaining, max(SILENT_AFTER, SILENT_RATIO * usual))
-        return WorkRequest(
-            request_id=ticket.id,
-            service=req.service.name,
-            kind=req.kind.name,
-            key=req.key,
-            shard=shard,
-            fence=permit.fence,
-            epoch=permit.epoch,
-            method=req.method,
-            body=req.body,
-            content_type=req.content_type,
-            deadline=wall() + remaining,
-            timeout=timeout,
-            # A request that may not be repeated is lost if its connection has gone
-            # silent, because nothing may be sent again. A new connection takes about
-            # 1 ms and has just shown that it works.
-            fresh_connection=not req.kind.repeatable or req.attempt > 0,
-            idempotency_key=req.idempotency_key,
-        )
-
-    def _unanswered(self, req: CallerRequest) -> Answer:
-        """Return the end of a request that was sent and not answered."""
-        if now() >= req.deadline:
-            return unknown("deadline", 504)
-        return unknown("no-answer")
-
-    def _answered(self, reply: WorkAnswer, permit: Permit) -> Answer:
-        """Return the end of an answered request."""
-        return Answer(
-            Outcome.ANSWERED,
-            reply.status,
-            body=reply.body,
-            content_type=reply.content_type,
-            target=self.name,
-            epoch=permit.epoch,
-        )
-
-    def _with_target(self, answer: Answer, permit: Permit) -> Answer:
-        """Name the target in an answer that it did not give."""
-        answer.target = self.name
-        answer.epoch = permit.epoch
-        return answer
+        return answered(reply, permit)
 
-    def _settle_later(self, ticket: Ticket, work: WorkRequest, started: float) -> None:
+    def _settle_later(
+        self, ticket: Ticket, work: WorkRequest, started: float, deadline: float
+    ) -> None:
         """Keep the slot until the target certainly works on the request no more.
 
         A slot that is given on at once would put more on the target than it bears,
         and a shard that is released at once could be worked on by two targets.
         """
-        task = asyncio.ensure_future(self._settle(ticket, work, started))
+        task = asyncio.ensure_future(self._settle(ticket, work, started, deadline))
         self._settling.add(task)
         task.add_done_callback(self._settling.discard)
 
-    async def _settle(self, ticket: Ticket, work: WorkRequest, started: float) -> None:
+    async def _settle(
+        self, ticket: Ticket, work: WorkRequest, started: float, deadline: float
+    ) -> None:
         """Cancel at the target; without its word wait for the deadline it was told."""
         try:
             confirmed = await self.client.cancel(work.request_id)
@@ -321,7 +310,7 @@
         if not confirmed:
             # By the monotonic clock: a wall clock that is set while this waits would
             # free the slot too early, or keep it for as long as the clock was wrong.
-            await asyncio.sleep(max(ticket.deadline - now(), 0.0))
+            await asyncio.sleep(max(deadline - now(), 0.0))
         self._control.work_ended(self.name, work.shard)
         self._finish(ticket, now() - started, Ended.UNKNOWN)
 
@@ -346,18 +335,18 @@
         started = list(tickets)
         while started:
             ticket = started.pop(0)
-            fut = self._waiting.get(ticket.id)
-            if fut is not None and not fut.done():
-                fut.set_result(None)
+            waiter = self._waiting.get(ticket.id)
+            if waiter is not None and not waiter.fut.done():
+                waiter.fut.set_result(None)
                 continue
             # Its caller has just gone: the slot would stay taken for good.
             started += self.queue.finished(ticket.id, now(), 0.0, Ended.CANCELLED)
 
     def _turn_away(self, refusal: Refuse) -> None:
         """Give a waiting request its final answer at once."""
-        fut = self._waiting.get(refusal.ticket_id)
-        if fut is not None and not fut.done():
-            fut.set_result(refusal)
+        waiter = self._waiting.get(refusal.ticket_id)
+        if waiter is not None and not waiter.fut.done():
+            waiter.fut.set_result(_refused(refusal))
 
     def _arm(self) -> None:
         """Set the timer to the moment at which the queue has refusals."""
