--- a/packages/standins/src/berylstage_standins/load_result.py
+++ b/packages/standins/src/berylstage_standins/load_result.py
@@ -24,20 +24,25 @@
     A key counts as unavailable from the start of the first attempt that failed after
     a success to the end of the next attempt that succeeded. That is only as good as
     the attempts are frequent, so the load probes a key from its first failure on.
+
+    A success in the middle of a long attempt that fails in the end shows that the key
+    was served by then: one call was lost, and the key is not to blame.
     """
 
-    __slots__ = ("failed_since", "longest")
+    __slots__ = ("failed_since", "longest", "served_at")
 
     def __init__(self) -> None:
         self.failed_since: float | None = None
+        self.served_at = float("-inf")
         self.longest = 0.0
 
     def add(self, record: CallRecord) -> None:
         """Take one attempt into account."""
         if record.outcome not in SERVED:
             if self.failed_since is None:
-                self.failed_since = record.start
+                self.failed_since = max(record.start, self.served_at)
             return
+        self.served_at = record.end
         if self.failed_since is not None:
             self.longest = max(self.longest, record.end - self.failed_since)
             self.failed_since = None
--- a/packages/standins/tests/test_load.py
+++ b/packages/standins/tests/test_load.py
@@ -154,3 +154,13 @@
         key.add(attempt(CallOutcome.NOT_RUN, 5.0, 5.1))
         assert key.until(5.5) == 2.0
         assert key.until(9.0) == 4.0
+
+    def test_a_call_lost_while_others_are_answered(self):
+        # One connection went silent, and the call on it waits out its whole time. Other
+        # callers get answers for the same key all the while.
+        key = Availability()
+        for second in range(5):
+            key.add(attempt(CallOutcome.ANSWERED, second, second + 0.5))
+        key.add(attempt(CallOutcome.LOST, 0.0, 5.0))
+        key.add(attempt(CallOutcome.ANSWERED, 5.0, 5.5))
+        assert key.until(9.0) == 1.0
