--- a/Makefile
+++ b/Makefile
@@ -39,7 +39,7 @@
 test:  ## run the tests
 	$(PY) -m pytest $(PYTEST_OPTIONS)
 
-.PHONY: demo demo-short up failures failures-ci bench-path
+.PHONY: demo demo-short up failures failures-ci bench-path bench-control
 demo:  ## run an installation through a day with faults, in about a minute
 	$(PY) -m berylstage_bench.demo
 
@@ -53,6 +53,9 @@
 	$(PY) -m berylstage_bench.path
 	$(PY) -m berylstage_bench.path --profile
 
+bench-control:  ## what control costs an idle VM, at 4, 8 and 16 VMs
+	$(PY) -m berylstage_bench.control
+
 up:  ## run an installation until Ctrl-C and print what to try
 	$(PY) -m berylstage_bench.up
 
@@ -72,3 +75,10 @@
 
 bench-send:  ## measure what a request to a target costs its sender
 	$(PY) -m berylstage_bench.send_cost
+
+.PHONY: matrix bench-ownership
+matrix:  ## run the whole fault matrix and print one line for each point of the brief
+	BERYLSTAGE_MATRIX=full $(PY) -m pytest packages/ownership/tests/test_matrix.py -s
+
+bench-ownership:  ## print times and costs of the lease protocol in virtual time
+	$(PY) packages/ownership/tests/ownership_figures.py
--- a/packages/daemon/src/berylstage_daemon/answers.py
+++ b/packages/daemon/src/berylstage_daemon/answers.py
@@ -84,6 +84,37 @@
     ),
 }
 
+# Every reason that this project's own code gives, and those of the target contract.
+REASONS = frozenset(
+    "cold shed slots draining unwilling fence epoch anchor connect deadline no-answer "
+    "queue-full closed target-down no-owner not-leader no-lease moving moved "
+    "leader-unreachable leader-lost crossed-answer unreadable-answer unreadable "
+    "in-progress unknown-before not-fresh clock-ahead table-full no-service no-kind "
+    "internal busy".split()
+)
+OTHER_REASON = "other"
+# Why a target with no free slot hands a request back: it may go to another one.
+BUSY = "busy"
+
+
+def reason_label(reason: str) -> str:
+    """Return a reason as part of a metric's name.
+
+    Reasons come from targets too. One that put a number or a name into its refusals
+    would make a new metric of each, until the metrics' server is full.
+
+    Parameters
+    ----------
+    reason : str
+
+    Returns
+    -------
+    str
+        One of `REASONS`, or ``other``.
+    """
+    return reason if reason in REASONS else OTHER_REASON
+
+
 # A quarter of a second is twice the longest planned move seen in `make demo`; a
 # caller that comes back sooner would meet the same refusal.
 DEFAULT_RETRY_AFTER = 0.25
@@ -124,3 +155,25 @@
 def in_progress(retry_after: float = DEFAULT_RETRY_AFTER) -> Answer:
     """Return the answer for a repeated key whose first request is in work."""
     return Answer(Outcome.IN_PROGRESS, 409, "in-progress", retry_after=retry_after)
+
+
+def settled(answer: Answer, doubt: Answer | None) -> Answer:
+    """Return the end of a request over all its attempts.
+
+    An attempt that was sent and not answered may have run, whatever became of the
+    others. Told "not run", a caller would rely on something that is not so.
+
+    Parameters
+    ----------
+    answer : Answer
+        End of the last attempt.
+    doubt : Answer or None
+        An end of another attempt whose outcome is unknown.
+
+    Returns
+    -------
+    Answer
+    """
+    if doubt is not None and answer.outcome is Outcome.NOT_RUN:
+        return doubt
+    return answer
--- a/packages/daemon/src/berylstage_daemon/forwarding.py
+++ b/packages/daemon/src/berylstage_daemon/forwarding.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from math import ceil
 from typing import TYPE_CHECKING
 
 from berylstage_messages.peer_grpc import PeerBase
@@ -15,6 +16,7 @@
     ForwardAnswer,
     ForwardRequest,
 )
+from logbook import Logger
 
 from berylstage_daemon.answers import Answer, Outcome, not_run, unknown
 from berylstage_daemon.clock import now
@@ -26,6 +28,8 @@
     from berylstage_daemon.application import Application
     from berylstage_daemon.peers import PeerLink
 
+log = Logger("forwarding")
+
 OUTCOME_CODES = {
     Outcome.ANSWERED: ANSWERED,
     Outcome.NOT_RUN: NOT_RUN,
@@ -35,7 +39,12 @@
 OUTCOMES = {code: outcome for outcome, code in OUTCOME_CODES.items()}
 
 
-async def forward(link: PeerLink, req: CallerRequest, target: str) -> Answer:
+async def forward(
+    link: PeerLink,
+    req: CallerRequest,
+    target: str,
+    may_decline: bool = False,
+) -> Answer:
     """Pass a request to the VM that leads its target and return the end of it.
 
     Parameters
@@ -44,6 +53,8 @@
     req : CallerRequest
     target : str
         Chosen target; empty where the shard decides.
+    may_decline : bool
+        Whether a target with no free slot hands it back with reason ``busy``.
 
     Returns
     -------
@@ -53,8 +64,10 @@
     remaining = req.deadline - now()
     if remaining <= 0:
         return not_run("deadline")
+    message = _encode(req, target, remaining)
+    message.may_decline = may_decline
     try:
-        reply = await link.forward(_encode(req, target, remaining), remaining)
+        reply = await link.forward(message, remaining)
     except PeerNotReached:
         return not_run("leader-unreachable")
     except PeerLost:
@@ -94,8 +107,9 @@
         message = await stream.recv_message()
         if message is None:
             return
-        answer = await self._serve(message)
-        await stream.send_message(_encode_answer(message.request_id, answer))
+        with self._app.working():
+            answer = await self._serve(message)
+            await stream.send_message(_encode_answer(message.request_id, answer))
 
     async def _serve(self, message: ForwardRequest) -> Answer:
         """Return the end of a passed request."""
@@ -109,14 +123,26 @@
         # outlive the caller's deadline.
         try:
             async with asyncio.timeout(max(req.deadline - now(), 0.001)):
-                return await self._app.leaders.serve(req, message.target)
+                return await self._app.leaders.serve(
+                    req, message.target, message.may_decline
+                )
         except TimeoutError:
             return unknown("deadline", 504)
+        except Exception:
+            fields = {"request_id": req.request_id}
+            log.exception("a passed request failed", extra=fields)
+            return unknown("internal")
 
     def _request(self, message: ForwardRequest) -> CallerRequest:
         """Return the request that a message carries."""
         cfg = self._app.configuration()
         service, kind = find_kind(cfg, message.service, message.kind)
+        if not kind.repeatable and not message.idempotency_key:
+            # The sender's sheet still calls the kind repeatable. Let in without a key
+            # of its own, it would get the answer to another request without one.
+            raise RequestError(
+                400, "no-kind", "the sheets of two VMs differ; retry in a second"
+            )
         arrived = now()
         return CallerRequest(
             request_id=message.request_id,
@@ -164,7 +190,7 @@
         body=answer.body,
         content_type=answer.content_type,
         reason=answer.reason,
-        retry_after_ms=0 if retry_after is None else int(retry_after * 1000),
+        retry_after_ms=0 if retry_after is None else ceil(retry_after * 1000),
         target=answer.target,
         epoch=answer.epoch,
         message=answer.message,
@@ -173,9 +199,12 @@
 
 def _decode(reply: ForwardAnswer) -> Answer:
     """Return the end of a request from its message."""
+    outcome = OUTCOMES.get(reply.outcome)
+    if outcome is None or not 200 <= reply.status <= 599:
+        return unknown("unreadable-answer")
     retry_after = reply.retry_after_ms / 1000 if reply.retry_after_ms else None
     return Answer(
-        OUTCOMES.get(reply.outcome, Outcome.UNKNOWN),
+        outcome,
         reply.status,
         reply.reason,
         reply.body,
