--- a/packages/daemon/src/berylstage_daemon/forwarding.py
+++ b/packages/daemon/src/berylstage_daemon/forwarding.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from math import ceil
 from typing import TYPE_CHECKING
 
 from berylstage_messages.peer_grpc import PeerBase
@@ -15,6 +16,7 @@
     ForwardAnswer,
     ForwardRequest,
 )
+from logbook import Logger
 
 from berylstage_daemon.answers import Answer, Outcome, not_run, unknown
 from berylstage_daemon.clock import now
@@ -26,6 +28,8 @@
     from berylstage_daemon.application import Application
     from berylstage_daemon.peers import PeerLink
 
+log = Logger("forwarding")
+
 OUTCOME_CODES = {
     Outcome.ANSWERED: ANSWERED,
     Outcome.NOT_RUN: NOT_RUN,
@@ -94,8 +98,9 @@
         message = await stream.recv_message()
         if message is None:
             return
-        answer = await self._serve(message)
-        await stream.send_message(_encode_answer(message.request_id, answer))
+        with self._app.working():
+            answer = await self._serve(message)
+            await stream.send_message(_encode_answer(message.request_id, answer))
 
     async def _serve(self, message: ForwardRequest) -> Answer:
         """Return the end of a passed request."""
@@ -112,11 +117,21 @@
                 return await self._app.leaders.serve(req, message.target)
         except TimeoutError:
             return unknown("deadline", 504)
+        except Exception:
+            fields = {"request_id": req.request_id}
+            log.exception("a passed request failed", extra=fields)
+            return unknown("internal")
 
     def _request(self, message: ForwardRequest) -> CallerRequest:
         """Return the request that a message carries."""
         cfg = self._app.configuration()
         service, kind = find_kind(cfg, message.service, message.kind)
+        if not kind.repeatable and not message.idempotency_key:
+            # The sender's sheet still calls the kind repeatable. Let in without a key
+            # of its own, it would get the answer to another request without one.
+            raise RequestError(
+                400, "no-kind", "the sheets of two VMs differ; retry in a second"
+            )
         arrived = now()
         return CallerRequest(
             request_id=message.request_id,
@@ -164,7 +179,7 @@
         body=answer.body,
         content_type=answer.content_type,
         reason=answer.reason,
-        retry_after_ms=0 if retry_after is None else int(retry_after * 1000),
+        retry_after_ms=0 if retry_after is None else ceil(retry_after * 1000),
         target=answer.target,
         epoch=answer.epoch,
         message=answer.message,
@@ -173,9 +188,12 @@
 
 def _decode(reply: ForwardAnswer) -> Answer:
     """Return the end of a request from its message."""
+    outcome = OUTCOMES.get(reply.outcome)
+    if outcome is None or not 200 <= reply.status <= 599:
+        return unknown("unreadable-answer")
     retry_after = reply.retry_after_ms / 1000 if reply.retry_after_ms else None
     return Answer(
-        OUTCOMES.get(reply.outcome, Outcome.UNKNOWN),
+        outcome,
         reply.status,
         reply.reason,
         reply.body,
