--- a/packages/daemon/tests/conftest.py
+++ b/packages/daemon/tests/conftest.py
@@ -42,6 +42,11 @@
 from tornado.netutil import bind_sockets
 
 LONG_ENOUGH = 30.0
+SERVICES = {
+    "field-log": Ownership.OWNED,
+    "parts-desk": Ownership.OWNED,
+    "contract-book": Ownership.FREE,
+}
 
 
 class FakeTarget(TargetClient):
@@ -279,7 +284,7 @@
         work_ms = {"lookup": 1.0, "record": 1.0, "dispatch": 300.0}
         work_ms["long"] = 60_000.0
         found = {}
-        for service in ("field-log", "contract-book"):
+        for service in SERVICES:
             settings = WorkSettings(work_ms=work_ms)
             target = Target(f"{service}-01", settings, LedgerWriter(None), 50)
             address = await self._serve(make_target(target))
@@ -296,10 +301,7 @@
             )
         return Configuration(
             revision=1,
-            services={
-                "field-log": _service("field-log", Ownership.OWNED),
-                "contract-book": _service("contract-book", Ownership.FREE),
-            },
+            services={name: _service(name, kept) for name, kept in SERVICES.items()},
             data_centres={"almaty-a": DataCentre("almaty-a", DataCentreState.OPEN)},
             vms={"almaty-a-1": Vm("almaty-a-1", "almaty-a", MemberState.ACTIVE)},
             targets=found,
@@ -307,17 +309,22 @@
         )
 
     async def _serving(self):
-        """Tell whether both services answer."""
-        for service in ("field-log", "contract-book"):
+        """Tell whether all services answer."""
+        for service, ownership in SERVICES.items():
             response = await self.call(f"/{service}/lookup/warm-up", "GET")
             if response.code != 200:
                 return False
-        # Right after its start a VM proves nothing fresh.
+            if ownership is Ownership.OWNED and not await self._proves_fresh(service):
+                return False
+        return True
+
+    async def _proves_fresh(self, service):
+        """Tell whether work that may not be repeated is let in; not so at first."""
         headers = {
             "Idempotency_Key": uuid.uuid4().hex,
             "Idempotency_Issued_At": str(int(time.time() * 1000)),
         }
-        response = await self.call("/field-log/record/warm-up", **headers)
+        response = await self.call(f"/{service}/record/warm-up", **headers)
         return response.code == 200
 
 
@@ -328,6 +335,7 @@
         "long": Kind("long", RequestClass.BATCH, True, 5000),
     }
     if ownership is Ownership.OWNED:
+        kinds["visit-history"] = kinds["lookup"]
         kinds["record"] = Kind("record", RequestClass.STANDARD, False, 5000)
         kinds["dispatch"] = Kind("dispatch", RequestClass.STANDARD, False, 5000)
     return Service(name, "saryarka", ownership, 4, kinds)
--- a/packages/daemon/tests/test_callers.py
+++ b/packages/daemon/tests/test_callers.py
@@ -372,7 +372,7 @@
         assert status["vm"] == "almaty-a-1"
         assert status["configuration_revision"] == 1
         names = [row["name"] for row in status["targets"]]
-        assert names == ["contract-book-01", "field-log-01"]
+        assert names == ["contract-book-01", "field-log-01", "parts-desk-01"]
 
     @pytest.mark.parametrize("url", ["/-/live", "/-/ready", "/-/"])
     def test_page_answers(self, path, url):
