--- a/packages/daemon/src/berylstage_daemon/status.py
+++ b/packages/daemon/src/berylstage_daemon/status.py
@@ -94,7 +94,7 @@
     Returns
     -------
     dict
-        Written as JSON at once; the fields stand in docs/operating/status.md.
+        Written as JSON at once; the fields stand in docs/operating/daemon.md.
     """
     known = app.control.node.status(now())
     return {
--- a/packages/daemon/tests/conftest.py
+++ b/packages/daemon/tests/conftest.py
@@ -155,6 +155,14 @@
         work = self.leader.run(req, "field-log/7", lambda: self.permit)
         return asyncio.ensure_future(work)
 
+    async def two(self):
+        """Start two requests, of which the second waits for the first one's slot."""
+        first = self.run(self.request("first"))
+        await settle()
+        second = self.run(self.request("second"))
+        await settle()
+        return first, second
+
     def lost(self):
         return OutcomeUnknown("no answer came", "no-answer")
 
--- a/packages/daemon/tests/test_leader.py
+++ b/packages/daemon/tests/test_leader.py
@@ -63,10 +63,7 @@
         # owner, and a visit would be recorded twice.
         async def play():
             rig = make_rig()
-            first = rig.run(rig.request("first"))
-            await let_run()
-            second = rig.run(rig.request("second"))
-            await let_run()
+            first, second = await rig.two()
             rig.permit = not_run("no-lease")
             rig.target.answer()
             await first
@@ -102,10 +99,7 @@
         async def play():
             rig = make_rig()
             rig.target.confirms = False
-            first = rig.run(rig.request("first"))
-            await let_run()
-            second = rig.run(rig.request("second"))
-            await let_run()
+            first, second = await rig.two()
             rig.target.fail(rig.lost())
             answer = await first
             await let_run()
@@ -121,10 +115,7 @@
     def test_confirmed_cancellation_frees_the_slot(self, make_rig, let_run):
         async def play():
             rig = make_rig()
-            first = rig.run(rig.request("first"))
-            await let_run()
-            second = rig.run(rig.request("second"))
-            await let_run()
+            first, second = await rig.two()
             rig.target.fail(rig.lost())
             await first
             await let_run()
@@ -140,10 +131,7 @@
         # it works for nobody while others wait for the slot.
         async def play():
             rig = make_rig()
-            first = rig.run(rig.request("first"))
-            await let_run()
-            second = rig.run(rig.request("second"))
-            await let_run()
+            first, second = await rig.two()
             first.cancel()
             await let_run()
             rig.target.answer(1)
@@ -158,10 +146,7 @@
         # one after the other, for nobody.
         async def play():
             rig = make_rig()
-            first = rig.run(rig.request("first"))
-            await let_run()
-            second = rig.run(rig.request("second"))
-            await let_run()
+            first, second = await rig.two()
             second.cancel()
             await let_run()
             rig.target.answer()
@@ -179,10 +164,7 @@
         # Left alone they would wait for a slot that never comes, until their deadline.
         async def play():
             rig = make_rig()
-            first = rig.run(rig.request("first"))
-            await let_run()
-            second = rig.run(rig.request("second"))
-            await let_run()
+            first, second = await rig.two()
             rig.leader.retire()
             answer = await second
             rig.target.answer()
@@ -319,10 +301,7 @@
         # request waits. Sent to the old one it would run where the key lives no more.
         async def play():
             rig = make_rig()
-            first = rig.run(rig.request("first"))
-            await let_run()
-            second = rig.run(rig.request("second"))
-            await let_run()
+            first, second = await rig.two()
             rig.permit = Permit("field-log-02", 9, 3)
             rig.target.answer()
             await first
@@ -373,10 +352,7 @@
         # would come back at once.
         async def play():
             rig = make_rig()
-            first = rig.run(rig.request("first"))
-            await let_run()
-            second = rig.run(rig.request("second"))
-            await let_run()
+            first, second = await rig.two()
             kept, rig.permit = rig.permit, not_run(reason)
             rig.leader.look_again()
             await let_run()
--- a/packages/ownership/src/berylstage_ownership/spread.py
+++ b/packages/ownership/src/berylstage_ownership/spread.py
@@ -2,10 +2,17 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING, TypeVar
+
 from berylstage_sheet.configuration import Configuration
 
 from berylstage_ownership.assignment import Assignment
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+T = TypeVar("T", Configuration, Assignment)
+
 # What a document of another release, or a broken one, makes the reader raise.
 UNREADABLE = (ValueError, KeyError, TypeError, AttributeError, IndexError)
 
@@ -42,6 +49,19 @@
             "the command line"
         )
 
+    def _newer(
+        self, raw: bytes, name: str, revision: int, read: Callable[[bytes], T]
+    ) -> T | None:
+        """Return a document that can be read and is newer than a revision."""
+        if not raw:
+            return None
+        try:
+            found = read(raw)
+        except UNREADABLE as exc:
+            self._note_unreadable(raw, name, exc)
+            return None
+        return found if found.revision > revision else None
+
     @property
     def configuration_revision(self) -> int:
         """Revision of the configuration in force; 0 when there is none."""
@@ -65,14 +85,11 @@
         bool
             Whether it is in force now and was not before.
         """
-        if not raw or raw == self.configuration_raw:
+        if raw == self.configuration_raw:
             return False
-        try:
-            found = Configuration.from_json(raw)
-        except UNREADABLE as exc:
-            self._note_unreadable(raw, "configuration", exc)
-            return False
-        if found.revision <= self.configuration_revision:
+        read = Configuration.from_json
+        found = self._newer(raw, "configuration", self.configuration_revision, read)
+        if found is None:
             return False
         self.configuration = found
         self.configuration_raw = raw
@@ -91,14 +108,11 @@
         bool
             Whether it is in force now and was not before.
         """
-        if not raw or raw == self.assignment_raw:
-            return False
-        try:
-            found = Assignment.from_json(raw)
-        except UNREADABLE as exc:
-            self._note_unreadable(raw, "assignment", exc)
+        if raw == self.assignment_raw:
             return False
-        if found.revision <= self.revision:
+        read = Assignment.from_json
+        found = self._newer(raw, "assignment", self.revision, read)
+        if found is None:
             return False
         self.assignment = found
         self.assignment_raw = raw
