Take a target's word of cold before its sign of life

Cause: an answer to a grant ended a doubt and started what waited, and only then was its word read that the target had turned cold; two requests could start at a target that bears one. Ruled out: the ramp itself, which expects the word first. Change: the order; more slots arm the queue's timer. The new test fails before.

--- a/packages/daemon/src/berylstage_daemon/leader.py
+++ b/packages/daemon/src/berylstage_daemon/leader.py
@@ -148,13 +148,15 @@
 
     def seen(self, incarnation: str, is_cold: bool) -> None:
         """Take in an answer of the target to a grant order."""
-        self._begin(self.queue.seen(incarnation, now()))
+        # The word first: the sign of life ends a doubt and may start what waits.
         self.queue.reported(is_cold, now())
+        self._begin(self.queue.seen(incarnation, now()))
         self._arm()
 
     def set_slots(self, slots: int) -> None:
         """Take in another number of slots."""
         self._begin(self.queue.set_slots(slots, now()))
+        self._arm()
 
     def hand_back(self) -> None:
         """Turn away what waits because another VM leads the target from now on.
--- a/packages/daemon/tests/conftest.py
+++ b/packages/daemon/tests/conftest.py
@@ -115,13 +115,13 @@
 class Rig:
     """A leader of one target with one free slot, and requests for it."""
 
-    def __init__(self):
+    def __init__(self, slots=1):
         self.target = FakeTarget()
         self.control = FakeControl()
         self.permit = Permit("field-log-01", 7, 3)
         self.leader = Leader(
             "field-log-01",
-            1,
+            slots,
             self.target,
             self.control,
             FakeLoad(),
@@ -155,6 +155,14 @@
         work = self.leader.run(req, "field-log/7", lambda: self.permit)
         return asyncio.ensure_future(work)
 
+    async def warm_up(self):
+        """Let the target answer until all of its slots are in use."""
+        while not self.leader.queue.ramp.warm:
+            task = self.run(self.request())
+            await settle()
+            self.target.answer(-1)
+            await task
+
     async def two(self):
         """Start two requests, of which the second waits for the first one's slot."""
         first = self.run(self.request("first"))
--- a/packages/daemon/tests/test_leader.py
+++ b/packages/daemon/tests/test_leader.py
@@ -406,3 +406,25 @@
 
         answer = asyncio.run(play())
         assert (answer.reason, answer.status) == ("deadline", 504)
+
+
+class TestColdStart:
+    def test_word_of_cold_counts_before_the_sign_of_life(self, make_rig, let_run):
+        # A request got no answer, so that the leader doubts the target and holds the
+        # others back. The target's next answer to a grant ends the doubt and says that
+        # it has turned cold. Read in that order, two requests would start at a target
+        # that bears one, and it would fall over.
+        async def play():
+            rig = make_rig(slots=2)
+            await rig.warm_up()
+            rig.leader.queue.ramp.doubted(now())
+            before = len(rig.target.sent)
+            tasks = [rig.run(rig.request(str(number))) for number in range(3)]
+            await let_run()
+            rig.leader.seen("run-1", True)
+            await let_run()
+            for task in tasks:
+                task.cancel()
+            return len(rig.target.sent) - before
+
+        assert asyncio.run(play()) == 1
