--- a/packages/bench/tests/test_failures.py
+++ b/packages/bench/tests/test_failures.py
@@ -26,6 +26,11 @@
 LONG_WORK = {"record-visit": 100.0, "dispatch": 100.0}
 
 
+def in_centre(cfg, target):
+    """Tell whether a target stands in the data centre of the VM that is lost."""
+    return cfg.targets[target].data_centre == cfg.vms[VM].data_centre
+
+
 class TestLostVm:
     @in_ci
     def test_its_keys_are_served_by_others(self, trial):
@@ -119,6 +124,26 @@
         trial(scenario, work_ms=LONG_WORK)
 
 
+class TestLostDataCentre:
+    def test_its_keys_are_served_elsewhere(self, trial):
+        # A data centre loses its power: its VM and its targets are gone at one moment,
+        # with work in their slots. The VMs that take the leads over find the targets
+        # lost as well, and their keys go to other data centres.
+        async def scenario(played):
+            await asyncio.sleep(1.0)
+            lost = [VM, *(t for t in played.cfg.targets if in_centre(played.cfg, t))]
+            for name in lost:
+                played.installation.kill(name)
+            assert await played.unserved() == []
+            for target in lost[1:]:
+                await asyncio.to_thread(played.installation.start_target, target)
+            await asyncio.to_thread(played.installation.start_vm, VM)
+            await played.installation.await_ready()
+            assert await played.unserved() == []
+
+        trial(scenario, work_ms=LONG_WORK)
+
+
 class TestPausedTarget:
     def test_it_returns_as_if_nothing_had_happened(self, trial):
         # A target freezes with work in its slots and returns when its keys have
