Let a changed threshold reach the queues that are there already

Cause: queues and finders of hot keys read their thresholds when they were made, so that a sheet's override took hold only as targets changed hands; the sheet has to be in force everywhere within seconds. Ruled out: making queues anew, which would forget what is in their slots and let a cold target get more than it bears. Change: each part takes thresholds in and keeps what it learned; a flow's weight follows the sheet while it waits.

--- a/packages/daemon/src/berylstage_daemon/leader.py
+++ b/packages/daemon/src/berylstage_daemon/leader.py
@@ -158,6 +158,11 @@
         self._begin(self.queue.set_slots(slots, now()))
         self._arm()
 
+    def set_thresholds(self, thresholds: Thresholds) -> None:
+        """Take in the thresholds of another sheet."""
+        self.queue.set_thresholds(thresholds)
+        self._arm()
+
     def hand_back(self) -> None:
         """Turn away what waits because another VM leads the target from now on.
 
--- a/packages/daemon/src/berylstage_daemon/leaders.py
+++ b/packages/daemon/src/berylstage_daemon/leaders.py
@@ -287,6 +287,7 @@
         """Take in new slots and thresholds."""
         self._thresholds = thresholds_of(cfg)
         for name, leader in self._leaders.items():
+            leader.set_thresholds(self._thresholds)
             if name in cfg.targets:
                 leader.set_slots(cfg.targets[name].slots)
         self._let_go()
--- a/packages/daemon/src/berylstage_daemon/load.py
+++ b/packages/daemon/src/berylstage_daemon/load.py
@@ -117,6 +117,9 @@
                 self._slots[service.name] = min(slots)
                 if service.name not in self._keys:
                     self._keys[service.name] = HotKeys(thresholds)
+                self._keys[service.name].set_thresholds(thresholds)
+        for name in self._keys.keys() - cfg.services.keys():
+            del self._keys[name]
 
     def _assigned(self, _revision: int) -> None:
         """Take in which of the keys led here have shards of their own."""
--- a/packages/policy/src/berylstage_policy/backoff.py
+++ b/packages/policy/src/berylstage_policy/backoff.py
@@ -23,10 +23,19 @@
 
     def __init__(self, rng: Random, thresholds: Thresholds):
         self._rng = rng
-        self._floor = thresholds["retry_after_floor"]
-        self._ceiling = thresholds["retry_after_ceiling"]
         # First moment that is not yet promised to another caller.
         self._next = 0.0
+        self.set_thresholds(thresholds)
+
+    def set_thresholds(self, thresholds: Thresholds) -> None:
+        """Take in other thresholds; what was learned stays.
+
+        Parameters
+        ----------
+        thresholds : Thresholds
+        """
+        self._floor = thresholds["retry_after_floor"]
+        self._ceiling = thresholds["retry_after_ceiling"]
 
     def after(self, now: float, excess: float, seconds_each: float) -> float:
         """Return the seconds after which a refused caller may come back.
--- a/packages/policy/src/berylstage_policy/coldstart.py
+++ b/packages/policy/src/berylstage_policy/coldstart.py
@@ -62,6 +62,15 @@
         self._count = 0
         self._ratios = 0.0
         self._windows = 0
+        self.set_thresholds(thresholds)
+
+    def set_thresholds(self, thresholds: Thresholds) -> None:
+        """Take in other thresholds; what was learned stays.
+
+        Parameters
+        ----------
+        thresholds : Thresholds
+        """
         self._step = int(thresholds["ramp_completions"])
         self._slow = thresholds["ramp_slow_ratio"]
         self._patience = int(thresholds["ramp_patience"])
--- a/packages/policy/src/berylstage_policy/costs.py
+++ b/packages/policy/src/berylstage_policy/costs.py
@@ -34,6 +34,15 @@
     def __init__(self, thresholds: Thresholds):
         self._kinds: dict[str, KindCost] = {}
         self._typical = 0.0
+        self.set_thresholds(thresholds)
+
+    def set_thresholds(self, thresholds: Thresholds) -> None:
+        """Take in other thresholds; what was learned stays.
+
+        Parameters
+        ----------
+        thresholds : Thresholds
+        """
         self._gain = thresholds["cost_gain"]
         self._default = thresholds["cost_default"]
         self._ratio = thresholds["long_ratio"]
--- a/packages/policy/src/berylstage_policy/fairness.py
+++ b/packages/policy/src/berylstage_policy/fairness.py
@@ -76,6 +76,7 @@
                 self._forget_idle()
             found = self.children[name] = Flow(self, weight)
             found.start_tag = self.now_tag
+        found.weight = weight
         return found
 
     def _forget_idle(self) -> None:
@@ -112,11 +113,15 @@
     __slots__ = ("root", "_period", "_pushed", "_returning")
 
     def __init__(self, returning: float) -> None:
-        self._returning = returning
+        self.set_returning(returning)
         self.root: Flow[T] = Flow(None, 1.0)
         self._period = 0
         self._pushed = 0
 
+    def set_returning(self, returning: float) -> None:
+        """Take in how much work is served before a newcomer, at most."""
+        self._returning = returning
+
     def __len__(self) -> int:
         return self.root.size
 
--- a/packages/policy/src/berylstage_policy/hotkeys.py
+++ b/packages/policy/src/berylstage_policy/hotkeys.py
@@ -142,12 +142,21 @@
         self.sketch = KeySketch(
             int(thresholds["hot_counters"]), thresholds["hot_half_life"]
         )
+        self._apart: set[str] = set()
+        self._cool_since: dict[str, float] = {}
+        self.set_thresholds(thresholds)
+
+    def set_thresholds(self, thresholds: Thresholds) -> None:
+        """Take in other thresholds; what was counted stays.
+
+        Parameters
+        ----------
+        thresholds : Thresholds
+        """
         self._enter = thresholds["hot_enter"]
         self._leave = thresholds["hot_leave"]
         self._leave_after = thresholds["hot_leave_after"]
         self._most = int(thresholds["hot_most"])
-        self._apart: set[str] = set()
-        self._cool_since: dict[str, float] = {}
 
     def observe(self, key: str, seconds: float, now: float) -> None:
         """Count the slot time that a request of a key took."""
--- a/packages/policy/src/berylstage_policy/lanes.py
+++ b/packages/policy/src/berylstage_policy/lanes.py
@@ -35,9 +35,18 @@
     )
 
     def __init__(self, thresholds: Thresholds):
-        self._presence = thresholds["short_presence"]
         # Slots that short work keeps busy, by what was offered lately.
         self._load = DecayedRate(thresholds["short_load_window"])
+        self.set_thresholds(thresholds)
+
+    def set_thresholds(self, thresholds: Thresholds) -> None:
+        """Take in other thresholds; what was learned stays.
+
+        Parameters
+        ----------
+        thresholds : Thresholds
+        """
+        self._presence = thresholds["short_presence"]
         self._utilisation = thresholds["reserve_utilisation"]
         self._lane_weights = {SHORT: thresholds["short_weight"], LONG: 1.0}
         self._class_weights = {
--- a/packages/policy/src/berylstage_policy/queue.py
+++ b/packages/policy/src/berylstage_policy/queue.py
@@ -78,9 +78,27 @@
         self._draining = False
         self._paused_until: float | None = None
         self._planned_limit = 1
+        self._lanes = Lanes(thresholds)
+        self._set_limits(thresholds)
+
+    def set_thresholds(self, thresholds: Thresholds) -> None:
+        """Take in other thresholds, for what is offered and started from now on.
+
+        Parameters
+        ----------
+        thresholds : Thresholds
+        """
+        self.ramp.set_thresholds(thresholds)
+        self.costs.set_thresholds(thresholds)
+        self._retry_after.set_thresholds(thresholds)
+        self._lanes.set_thresholds(thresholds)
+        self._fair.set_returning(thresholds["returning_work"])
+        self._set_limits(thresholds)
+
+    def _set_limits(self, thresholds: Thresholds) -> None:
+        """Take in the thresholds that the queue itself goes by."""
         self._queue_limit = int(thresholds["queue_limit"])
         self._wait_share = thresholds["wait_share"]
-        self._lanes = Lanes(thresholds)
 
     @property
     def waiting(self) -> int:
--- a/packages/policy/tests/test_queue.py
+++ b/packages/policy/tests/test_queue.py
@@ -319,3 +319,46 @@
         assert isinstance(queue.offer(make_ticket("a"), 0.0), Wait)
         assert queue.seen("x", 0.1) == []
         assert [ticket.id for ticket in queue.resume(0.2)] == ["a"]
+
+
+def values(thing):
+    """Return what a decision keeps in its slots, as text."""
+    names = getattr(type(thing), "__slots__", None) or vars(thing)
+    return {name: str(getattr(thing, name)) for name in names}
+
+
+class TestThresholds:
+    def test_of_a_later_sheet_hold_for_what_comes(self):
+        # Operators raise the share of batch work in the sheet of the afternoon. The
+        # sheet is in force on every VM, but a queue that has been there since the
+        # morning would go on by the old share until its target changes hands.
+        changed = DEFAULTS.replaced(
+            queue_limit=1.0,
+            wait_share=0.5,
+            weight_batch=7.0,
+            short_weight=3.0,
+            short_presence=1.0,
+            returning_work=9.0,
+            ramp_completions=3.0,
+            cost_gain=0.7,
+            retry_after_floor=0.4,
+        )
+        old = TargetQueue(2, DEFAULTS, Random(1), 0.0)
+        new = TargetQueue(2, changed, Random(1), 0.0)
+        old.set_thresholds(changed)
+        for part in ("ramp", "costs", "_retry_after", "_lanes"):
+            found, wanted = values(getattr(old, part)), values(getattr(new, part))
+            for fields in (found, wanted):
+                fields.pop("_rng", None)
+                fields.pop("_load", None)
+            assert found == wanted, part
+        assert old._queue_limit == new._queue_limit
+        assert old._wait_share == new._wait_share
+        assert old._fair._returning == new._fair._returning
+
+    def test_weight_of_a_flow_that_waits_changes(self):
+        # The same, for a class whose work waits already.
+        queue = TargetQueue(1, DEFAULTS, Random(1), 0.0)
+        leaf = queue._fair.leaf((("short", 1.0), ("batch", 1.0)))
+        assert queue._fair.leaf((("short", 1.0), ("batch", 7.0))) is leaf
+        assert leaf.weight == 7.0
