Tell a lost read's own remedy

Cause: every lost answer told its reader to find out whether the call took effect, a read as well. The new test fails before for GET.

--- a/packages/transfers/src/berylstage_transfers/client.py
+++ b/packages/transfers/src/berylstage_transfers/client.py
@@ -355,9 +355,11 @@
     if call.crossed:
         cause = "the answer is another call's"
     if call.sent:
+        remedy = "find out whether it took effect before sending it again"
+        if call.method == "GET":
+            remedy = "send it again"
         exc: Exception = AnswerLost(
-            f"{where}: sent, but no whole answer came ({cause}); find out whether it "
-            "took effect before sending it again"
+            f"{where}: sent, but no whole answer came ({cause}); {remedy}"
         )
     else:
         exc = NeverSent(f"{where}: nothing was sent ({cause}); send it again")
--- a/packages/transfers/tests/test_client.py
+++ b/packages/transfers/tests/test_client.py
@@ -206,6 +206,23 @@
 
         run(scenario)
 
+    @pytest.mark.parametrize(
+        ("method", "remedy"), [("GET", "; send it again"), ("PUT", "took effect")]
+    )
+    def test_a_lost_answer_names_its_own_remedy(self, open_server, method, remedy):
+        # An operator asks for the status while the platform is down. Told to find out
+        # whether the reading took effect, they would look for harm that cannot be.
+        async def scenario():
+            async with open_server(None) as script:
+                client = CallClient(1)
+                body = None if method == "GET" else b""
+                call = Call(method, script.base + "/work", {}, body, 0.05)
+                with pytest.raises(AnswerLost, match=remedy):
+                    await client.call(call)
+                client.close()
+
+        run(scenario)
+
     def test_a_call_that_waits_for_its_turn_was_never_sent(self, open_server):
         # Another call holds the only connection for longer than this one's time.
         async def scenario():
