--- a/packages/daemon/src/berylstage_daemon/answers.py
+++ b/packages/daemon/src/berylstage_daemon/answers.py
@@ -6,7 +6,7 @@
 
 
 class Outcome(Enum):
-    """The ends that a request can come to (docs/usage/outcomes.md)."""
+    """The ends that a request can come to (docs/usage/index.md)."""
 
     ANSWERED = "answered"
     NOT_RUN = "not-run"
