--- /dev/null
+++ b/packages/entry/src/berylstage_entry/__init__.py
@@ -0,0 +1,1 @@
+"""Router of an entry VM for targets that check fence tokens themselves."""
--- /dev/null
+++ b/packages/entry/src/berylstage_entry/application.py
@@ -0,0 +1,177 @@
+"""The application of an entry VM: it wires the parts and runs them."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+from random import Random
+from typing import TYPE_CHECKING
+
+from logbook import Logger
+
+from berylstage_entry.directory import Directory
+from berylstage_entry.feed import Feed
+from berylstage_entry.granting import Granting
+from berylstage_entry.journal import RequestJournal
+from berylstage_entry.membership import UNKNOWN, VMS_PREFIX, Membership
+from berylstage_entry.metrics import Metrics
+from berylstage_entry.office import STOP_PATH, Office
+from berylstage_entry.reports import REPORT_PATH, Reports
+from berylstage_entry.router import Router
+from berylstage_entry.senders import Senders
+from berylstage_entry.server import CallerServer, PageServer, Reply, split_address
+
+if TYPE_CHECKING:
+    from berylstage_entry.services import Limits
+    from berylstage_entry.settings import EntrySettings
+    from berylstage_entry.store import Store
+    from berylstage_entry.wire import CallerWire, RecordReader, TargetWire
+
+# Seconds after SIGTERM in which callers still come: the balancer asks once a second and
+# leaves a VM out after two misses.
+BALANCER_LAG = 2.6
+# Seconds before the end of the stop time at which connections are closed at last.
+STOP_MARGIN = 0.6
+# Status of a page that tells no.
+UNAVAILABLE = 503
+
+log = Logger(__name__)
+
+
+class EntryApplication:
+    """Owns the parts of an entry VM.
+
+    Parameters
+    ----------
+    cfg : EntrySettings
+    store : Store
+    callers : CallerWire
+    targets : TargetWire
+    records : RecordReader
+    """
+
+    def __init__(
+        self,
+        cfg: EntrySettings,
+        store: Store,
+        callers: CallerWire,
+        targets: TargetWire,
+        records: RecordReader,
+    ):
+        self.cfg = cfg
+        self.rng = Random()
+        self.store = store
+        self.directory = Directory()
+        self.feed = Feed(store, records, self.directory)
+        self.metrics = Metrics()
+        self.senders = Senders(targets)
+        self.router = Router(
+            self.directory, self.feed, self.senders, cfg.bounds, self.rng
+        )
+        self.office = Office(cfg, store, self.feed, self.rng)
+        self.granting = Granting(store, self.feed, self.directory, self.office, targets)
+        self.membership = Membership(cfg, store, self.feed)
+        self.reports = Reports(self.router, self.granting, self.office)
+        journal = RequestJournal(self.metrics)
+        self.server = CallerServer(callers, self.router, journal, self._limits)
+        self.ready_page = PageServer({callers.ready_path: self._ready})
+        self.control_page = PageServer(
+            {STOP_PATH: self._stop_orders, REPORT_PATH: self._take_report}
+        )
+        self.metrics_page = PageServer({"/metrics": self._metrics_text})
+        self.feed.listeners.append(self._heard)
+        self._stop = asyncio.Event()
+        self.stopping = False
+
+    def ready(self) -> bool:
+        """Tell whether the balancer should send callers here."""
+        known = self.directory.configuration is not None and self.feed.complete
+        return known and not self.stopping
+
+    async def run(self) -> int:
+        """Run until SIGTERM and return the exit status."""
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, self._stop.set)
+        loop.add_signal_handler(signal.SIGINT, self._stop.set)
+        loop.add_signal_handler(signal.SIGHUP, self._reload)
+        self.start()
+        await self._stop.wait()
+        await self.stop()
+        return 0
+
+    def start(self) -> None:
+        """Start all parts."""
+        self.server.listen(self.cfg.callers)
+        self.ready_page.listen(self.cfg.ready)
+        self.control_page.listen(self.cfg.control)
+        host, _ = split_address(self.cfg.callers)
+        self.metrics_page.listen(f"{host}:{self.cfg.metrics_port}")
+        self.feed.start()
+        self.membership.start()
+        self.office.start()
+        self.granting.start()
+        self.reports.start()
+        log.info("started", extra={"callers": self.cfg.callers})
+
+    async def stop(self) -> None:
+        """Shut down: not ready at once, the duty handed over, no request cut."""
+        loop = asyncio.get_running_loop()
+        end = loop.time() + self.cfg.bounds.stop_time - STOP_MARGIN
+        self.stopping = True
+        self.server.closing = True
+        log.info("stopping", extra={"in_flight": self.server.in_flight})
+        await self._within(end, self.office.resign())
+        self.granting.stop()
+        self.reports.stop()
+        await self._within(end, self.membership.stop())
+        await asyncio.sleep(max(0.0, BALANCER_LAG - 0.1))
+        while self.server.in_flight and loop.time() < end:
+            await asyncio.sleep(0.02)
+        # The last answers leave before the connections close.
+        await asyncio.sleep(0.05)
+        log.info("stopped", extra={"in_flight": self.server.in_flight})
+        self.feed.stop()
+        await self.server.close()
+        await self.ready_page.close()
+        await self.control_page.close()
+        self.senders.close()
+        self.store.close()
+
+    async def _within(self, end: float, step) -> None:
+        """Do one step of the shutdown; a fault in it must not keep out the others."""
+        try:
+            async with asyncio.timeout_at(end - BALANCER_LAG):
+                await step
+        except TimeoutError:
+            log.warning("a step of the shutdown took too long")
+
+    def _reload(self) -> None:
+        # All settings of a VM hold for the life of its process; what changes in the
+        # midst of it comes through the store.
+        log.info("settings are read at the start only; restart to change them")
+
+    def _limits(self) -> Limits | None:
+        cfg = self.directory.configuration
+        return cfg.limits if cfg is not None else None
+
+    def _heard(self, what: str) -> None:
+        if what in ("configuration", "read"):
+            limits = self._limits()
+            if limits is not None:
+                self.server.set_limits(limits)
+        if what == "read" or what.startswith(VMS_PREFIX):
+            vms = len(self.membership.addresses()) + UNKNOWN
+            self.router.vms = self.senders.vms = vms
+
+    def _ready(self, body: bytes) -> Reply:
+        return Reply(200 if self.ready() else UNAVAILABLE)
+
+    def _stop_orders(self, body: bytes) -> Reply:
+        return Reply(200 if self.office.stop_orders() else UNAVAILABLE)
+
+    def _take_report(self, body: bytes) -> Reply:
+        return Reply(200 if self.reports.take(body) else 400)
+
+    def _metrics_text(self, body: bytes) -> Reply:
+        headers = [("Content-Type", "text/plain; version=0.0.4")]
+        return Reply(200, headers, self.metrics.text().encode())
--- /dev/null
+++ b/packages/entry/src/berylstage_entry/assignment.py
@@ -0,0 +1,167 @@
+"""Which target holds which keys of a service, as the store keeps it."""
+
+from __future__ import annotations
+
+import json
+from bisect import bisect_right
+from typing import TYPE_CHECKING
+
+from berylstage_entry.errors import UnreadableRecord
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Sequence
+
+LAST_KEY = 65535
+KEYS = LAST_KEY + 1
+
+
+class KeyRange:
+    """Neighbouring keys with one owner.
+
+    Parameters
+    ----------
+    first, last : int
+        Both included.
+    owner : str
+        Name of the target; empty when nobody owns them.
+    life : int
+        Life of the target.
+    fence : int
+    former : str
+        Target that may still hold them and must let go first; empty for none.
+    former_life : int
+    """
+
+    __slots__ = ("fence", "first", "former", "former_life", "last", "life", "owner")
+
+    def __init__(
+        self,
+        first: int,
+        last: int,
+        owner: str,
+        life: int,
+        fence: int,
+        former: str = "",
+        former_life: int = 0,
+    ):
+        self.first = first
+        self.last = last
+        self.owner = owner
+        self.life = life
+        self.fence = fence
+        self.former = former
+        self.former_life = former_life
+
+    def cut(self, first: int, last: int) -> KeyRange:
+        """Return a part of the range."""
+        return KeyRange(
+            first,
+            last,
+            self.owner,
+            self.life,
+            self.fence,
+            self.former,
+            self.former_life,
+        )
+
+    def same_holding(self, other: KeyRange) -> bool:
+        """Tell whether two ranges differ only in their keys."""
+        return (
+            self.owner == other.owner
+            and self.life == other.life
+            and self.fence == other.fence
+            and self.former == other.former
+            and self.former_life == other.former_life
+        )
+
+
+class Assignment:
+    """The owners of all keys of one service.
+
+    Parameters
+    ----------
+    ranges : sequence of KeyRange
+        In order, without gaps.
+    next_fence : int
+        Above all fences that were ever given out.
+    """
+
+    __slots__ = ("_firsts", "next_fence", "ranges")
+
+    def __init__(self, ranges: Sequence[KeyRange], next_fence: int):
+        self.ranges = list(ranges)
+        self.next_fence = next_fence
+        self._firsts = [r.first for r in self.ranges]
+
+    def find(self, key: int) -> KeyRange:
+        """Return the range of a key."""
+        return self.ranges[bisect_right(self._firsts, key) - 1]
+
+    def replace(self, new: Iterable[KeyRange], next_fence: int) -> Assignment:
+        """Return an assignment in which some ranges are laid over the old ones."""
+        ranges = self.ranges
+        for part in new:
+            ranges = list(_overlay(ranges, part))
+        return Assignment(_joined(ranges), next_fence)
+
+    def encode(self) -> bytes:
+        """Return the bytes that the store keeps."""
+        rows = [
+            [r.first, r.owner, r.life, r.fence, r.former, r.former_life]
+            for r in self.ranges
+        ]
+        doc = {"next_fence": self.next_fence, "ranges": rows}
+        return json.dumps(doc, separators=(",", ":")).encode()
+
+    @classmethod
+    def decode(cls, value: bytes) -> Assignment:
+        """Read what the store keeps.
+
+        Raises
+        ------
+        UnreadableRecord
+            It is no assignment.
+        """
+        try:
+            doc = json.loads(value)
+            rows = doc["ranges"]
+            lasts = [row[0] - 1 for row in rows[1:]] + [LAST_KEY]
+            ranges = [
+                KeyRange(row[0], last, *row[1:])
+                for row, last in zip(rows, lasts, strict=True)
+            ]
+            return cls(ranges, doc["next_fence"])
+        except (ValueError, KeyError, TypeError, IndexError) as exc:
+            raise UnreadableRecord(f"no assignment of keys: {exc}") from exc
+
+
+def nobody() -> Assignment:
+    """Return the assignment of a service whose keys have never had an owner."""
+    return Assignment([KeyRange(0, LAST_KEY, "", 0, 0)], 1)
+
+
+def _overlay(ranges: Sequence[KeyRange], part: KeyRange):
+    """Yield ranges with one laid over them."""
+    placed = False
+    for r in ranges:
+        if r.last < part.first or r.first > part.last:
+            yield r
+            continue
+        if r.first < part.first:
+            yield r.cut(r.first, part.first - 1)
+        if not placed:
+            yield part
+            placed = True
+        if r.last > part.last:
+            yield r.cut(part.last + 1, r.last)
+
+
+def _joined(ranges: Sequence[KeyRange]) -> list[KeyRange]:
+    """Return ranges with like neighbours made one."""
+    joined: list[KeyRange] = []
+    for r in ranges:
+        if joined and joined[-1].same_holding(r):
+            joined[-1] = joined[-1].cut(joined[-1].first, r.last)
+        else:
+            joined.append(r)
+    return joined
--- /dev/null
+++ b/packages/entry/src/berylstage_entry/balance.py
@@ -0,0 +1,267 @@
+"""Which keys go to which target, so that none is busier than it must be.
+
+The load it answers: a few neighbouring keys that get a third of all requests, for a few
+seconds, before targets with two or three slots. An even division of the keys puts half
+of the requests on one target of twelve; one sees a queue there and idle slots elsewhere.
+Narrow stretches of busy keys are moved, since a move interrupts just their requests.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from berylstage_entry.assignment import LAST_KEY
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from berylstage_entry.assignment import Assignment, KeyRange
+
+# Seconds after which half of a key's counted requests are forgotten: long enough to
+# tell a busy key by a handful of requests, short enough for keys that are busy for 4 s.
+HALF_LIFE = 1.5
+# Counts below which a key is forgotten.
+LEAST_WEIGHT = 0.05
+# How much busier, in slots of work, the busiest target must be than the idlest before
+# keys move: a difference of less is chance over a few seconds.
+LEAST_GAIN = 0.2
+# Share of its capacity above which a target is worth relieving.
+RELIEVED_ABOVE = 0.35
+# Moves in one round. Each interrupts its keys for the time of the work under way there.
+MOVES = 3
+
+
+class KeyLoads:
+    """Requests for each key, fading."""
+
+    __slots__ = ("_at", "weights")
+
+    def __init__(self, now: float):
+        self.weights: dict[int, float] = {}
+        self._at = now
+
+    def add(self, key: int, count: float) -> None:
+        """Count requests for a key."""
+        self.weights[key] = self.weights.get(key, 0.0) + count
+
+    def fade(self, now: float) -> None:
+        """Forget what is old."""
+        factor = 0.5 ** ((now - self._at) / HALF_LIFE)
+        self._at = now
+        faded = {key: weight * factor for key, weight in self.weights.items()}
+        self.weights = {k: w for k, w in faded.items() if w >= LEAST_WEIGHT}
+
+    def rate(self, key: int) -> float:
+        """Return the requests a second for a key."""
+        return self.weights.get(key, 0.0) * 0.693 / HALF_LIFE
+
+    def rates(self) -> list[tuple[int, float]]:
+        """Return all keys with their requests a second, in the order of the keys."""
+        scale = 0.693 / HALF_LIFE
+        return sorted((key, weight * scale) for key, weight in self.weights.items())
+
+
+class KeyMove:
+    """Keys that go to another owner.
+
+    Parameters
+    ----------
+    first, last : int
+    owner : str
+    """
+
+    __slots__ = ("first", "last", "owner")
+
+    def __init__(self, first: int, last: int, owner: str):
+        self.first = first
+        self.last = last
+        self.owner = owner
+
+
+class _Side:
+    """A target in a round of moves."""
+
+    __slots__ = ("capacity", "name", "rate")
+
+    def __init__(self, name: str, capacity: float):
+        self.name = name
+        self.capacity = capacity
+        self.rate = 0.0
+
+    @property
+    def level(self) -> float:
+        return self.rate / self.capacity
+
+
+def rebalance(
+    assignment: Assignment,
+    rates: Sequence[tuple[int, float]],
+    capacities: dict[str, float],
+) -> list[KeyMove]:
+    """Return the moves of one round.
+
+    Parameters
+    ----------
+    assignment : Assignment
+    rates : sequence of tuple
+        Keys in order, each with its requests a second.
+    capacities : dict of str to float
+        Requests a second that each target can serve; only these give or take.
+
+    Returns
+    -------
+    list of KeyMove
+        At most ``MOVES``.
+    """
+    sides = {name: _Side(name, max(c, 0.1)) for name, c in capacities.items()}
+    held = _rates_by_range(assignment, rates)
+    for r, keys in held:
+        if r.owner in sides:
+            sides[r.owner].rate += sum(rate for _, rate in keys)
+    moves: list[KeyMove] = []
+    while len(moves) < MOVES and len(sides) > 1:
+        most = max(sides.values(), key=lambda side: side.level)
+        least = min(sides.values(), key=lambda side: side.level)
+        move, rate = _relief(most, least, held, moves)
+        if move is None:
+            break
+        moves.append(move)
+        most.rate -= rate
+        least.rate += rate
+    return moves
+
+
+def _rates_by_range(
+    assignment: Assignment, rates: Sequence[tuple[int, float]]
+) -> list[tuple[KeyRange, list[tuple[int, float]]]]:
+    """Return each range with its keys and their rates."""
+    held: list[tuple[KeyRange, list[tuple[int, float]]]] = []
+    i = 0
+    for r in assignment.ranges:
+        keys = []
+        while i < len(rates) and rates[i][0] <= r.last:
+            keys.append(rates[i])
+            i += 1
+        held.append((r, keys))
+    return held
+
+
+def _relief(
+    most: _Side,
+    least: _Side,
+    held: list[tuple[KeyRange, list[tuple[int, float]]]],
+    moves: list[KeyMove],
+) -> tuple[KeyMove | None, float]:
+    """Return the narrowest stretch of keys that evens two targets out, and its rate."""
+    both = most.capacity + least.capacity
+    wanted = (most.rate * least.capacity - least.rate * most.capacity) / both
+    if most.level < RELIEVED_ABOVE or wanted < LEAST_GAIN * most.capacity / 2:
+        return None, 0.0
+    best: tuple[float, int, int, float] | None = None
+    for r, keys in held:
+        if r.owner != most.name or r.former or _touches(r, moves):
+            continue
+        found = _narrowest(keys, 0.5 * wanted, 1.05 * wanted)
+        if found is not None and (best is None or found < best):
+            best = found
+    if best is None:
+        return None, 0.0
+    _, first, last, rate = best
+    return KeyMove(first, last, least.name), rate
+
+
+def _touches(r: KeyRange, moves: list[KeyMove]) -> bool:
+    return any(m.first <= r.last and m.last >= r.first for m in moves)
+
+
+def _narrowest(
+    keys: list[tuple[int, float]], low: float, high: float
+) -> tuple[float, int, int, float] | None:
+    """Return cost, first key, last key and rate of the best stretch within bounds.
+
+    The cost is the width for the rate that it brings, so that a stretch that brings
+    twice as much may be twice as wide.
+    """
+    best: tuple[float, int, int, float] | None = None
+    start, total = 0, 0.0
+    for end, (last, rate) in enumerate(keys):
+        total += rate
+        while total > high and start <= end:
+            total -= keys[start][1]
+            start += 1
+        if start <= end and total >= low:
+            first = keys[start][0]
+            candidate = ((last - first + 1) / total, first, last, total)
+            if best is None or candidate < best:
+                best = candidate
+    return best
+
+
+def deal(
+    homeless: Sequence[KeyRange],
+    assignment: Assignment,
+    rates: Sequence[tuple[int, float]],
+    capacities: dict[str, float],
+    pieces: int,
+) -> list[KeyMove]:
+    """Return owners for keys that need another one.
+
+    Parameters
+    ----------
+    homeless : sequence of KeyRange
+    assignment : Assignment
+    rates : sequence of tuple
+        Keys in order, each with its requests a second.
+    capacities : dict of str to float
+        Requests a second that each target can serve; only these take.
+    pieces : int
+        Into which a range of all keys is cut at most.
+
+    Returns
+    -------
+    list of KeyMove
+    """
+    if not capacities:
+        return []
+    levels = dict.fromkeys(capacities, 0.0)
+    widths = dict.fromkeys(capacities, 0)
+    for r, keys in _rates_by_range(assignment, rates):
+        if r.owner in levels:
+            levels[r.owner] += sum(rate for _, rate in keys) / capacities[r.owner]
+            widths[r.owner] += r.last - r.first + 1
+    moves = []
+    for r in homeless:
+        for first, last, rate in _pieces(r, rates, pieces):
+            owner = min(levels, key=lambda name: (levels[name], widths[name]))
+            levels[owner] += rate / capacities[owner]
+            widths[owner] += last - first + 1
+            moves.append(KeyMove(first, last, owner))
+    return moves
+
+
+def _pieces(
+    r: KeyRange, rates: Sequence[tuple[int, float]], pieces: int
+) -> list[tuple[int, int, float]]:
+    """Cut a range into parts of like rate, or of like width where nobody asks."""
+    keys = [(key, rate) for key, rate in rates if r.first <= key <= r.last]
+    total = sum(rate for _, rate in keys)
+    width = r.last - r.first + 1
+    count = max(1, min(pieces, width, round(pieces * width / (LAST_KEY + 1) + 0.49)))
+    if total and len(keys) > 1:
+        return _cut_by_rate(r, keys, total / max(2, min(4, len(keys), count + 1)))
+    cuts = [r.first + width * i // count for i in range(count + 1)]
+    return [(cuts[i], cuts[i + 1] - 1, 0.0) for i in range(count)]
+
+
+def _cut_by_rate(
+    r: KeyRange, keys: list[tuple[int, float]], each: float
+) -> list[tuple[int, int, float]]:
+    parts, first, total = [], r.first, 0.0
+    for i, (key, rate) in enumerate(keys[:-1]):
+        total += rate
+        if total >= each:
+            last = max(key, (key + keys[i + 1][0] - 1) // 2)
+            parts.append((first, last, total))
+            first, total = last + 1, 0.0
+    parts.append((first, r.last, total + keys[-1][1]))
+    return parts
--- /dev/null
+++ b/packages/entry/src/berylstage_entry/errors.py
@@ -0,0 +1,84 @@
+"""Errors of the router; each message names the remedy."""
+
+from __future__ import annotations
+
+
+class EntryError(Exception):
+    """Any error of this package."""
+
+
+class StoreError(EntryError):
+    """A call to the store that did not do what was asked."""
+
+
+class StoreSilent(StoreError):
+    """No usable answer came; a write may or may not take effect."""
+
+
+class StoreRefused(StoreError):
+    """The store did nothing, and may do it later; call again after a pause."""
+
+
+class Conflict(StoreError):
+    """A condition of a write did not hold; read again and decide anew."""
+
+
+class LeaseEnded(StoreError):
+    """The lease has ended, and its keys are gone; take a new one."""
+
+
+class HistoryLost(StoreError):
+    """The changes that were asked for are no longer kept; read everything again."""
+
+
+class UnreadableRecord(EntryError):
+    """A record of the store that names nothing that could be used."""
+
+
+class BadRequest(EntryError):
+    """A caller's request that cannot be served as it is.
+
+    Parameters
+    ----------
+    status : int
+        HTTP status for the caller.
+    message : str
+    """
+
+    def __init__(self, status: int, message: str):
+        super().__init__(message)
+        self.status = status
+
+
+class Refused(EntryError):
+    """A request that has not run and never will; it may come back.
+
+    Parameters
+    ----------
+    reason : str
+        One word for logs and counters.
+    retry_after : float
+        Seconds after which the caller may come back.
+    """
+
+    def __init__(self, reason: str, retry_after: float):
+        super().__init__(f"{reason}; come back in {retry_after:.2f} s")
+        self.reason = reason
+        self.retry_after = retry_after
+
+
+class Unanswered(EntryError):
+    """A request that was sent and brought no answer; it may have run.
+
+    Parameters
+    ----------
+    reason : str
+        One word for logs and counters.
+    timed_out : bool
+        Whether its time was over, rather than its connection.
+    """
+
+    def __init__(self, reason: str, timed_out: bool):
+        super().__init__(f"{reason}; find out whether it took effect")
+        self.reason = reason
+        self.timed_out = timed_out
--- /dev/null
+++ b/packages/entry/src/berylstage_entry/feed.py
@@ -0,0 +1,224 @@
+"""Follows the store and brings this VM's beliefs up to date."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from logbook import Logger
+
+from berylstage_entry.assignment import Assignment
+from berylstage_entry.clock import now
+from berylstage_entry.errors import HistoryLost, StoreError, UnreadableRecord
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from berylstage_entry.directory import Directory
+    from berylstage_entry.store import Item, Store
+    from berylstage_entry.wire import RecordReader
+
+# Prefix of the keys that the VMs keep for themselves.
+OWN_PREFIX = "berylstage/"
+# Prefix of the assignments; the name of the service follows.
+KEYS_PREFIX = OWN_PREFIX + "keys/"
+# Seconds between two readings of all changes. Targets report about once a second each,
+# so a watch without a pause would be a call for each report; a pause of 0.7 s leaves
+# more than half of the two seconds within which news must be in force.
+PACE = 0.7
+# Seconds that the watch of the VMs' own keys waits for a change.
+OWN_WAIT = 8.0
+# Seconds that the watch of all keys waits: with any target alive it returns at once.
+ALL_WAIT = 1.0
+# Seconds before a failed call is made again.
+RETRY = 0.25
+# Seconds after a failed call in which a record that is gone counts as lapsed.
+OUTAGE_MEMORY = 3.0
+
+log = Logger(__name__)
+
+
+class Feed:
+    """Reads and watches the store.
+
+    Parameters
+    ----------
+    store : Store
+    reader : RecordReader
+    directory : Directory
+    """
+
+    def __init__(self, store: Store, reader: RecordReader, directory: Directory):
+        self._store = store
+        self._reader = reader
+        self._directory = directory
+        self._tasks: list[asyncio.Task] = []
+        self._revision = 0
+        self._failed_at = float("-inf")
+        self._unreadable: dict[str, bytes] = {}
+        # Assignment of each service and the revision of its key.
+        self.assignments: dict[str, Assignment] = {}
+        self.revisions: dict[str, int] = {}
+        # Other own keys, by key.
+        self.own: dict[str, Item] = {}
+        self.listeners: list[Callable[[str], None]] = []
+        self.complete = False
+        self.answered_at = float("-inf")
+
+    def start(self) -> None:
+        """Begin to follow."""
+        self._tasks = [
+            asyncio.create_task(self._follow_all()),
+            asyncio.create_task(self._follow_own()),
+        ]
+
+    def stop(self) -> None:
+        """Stop following."""
+        for task in self._tasks:
+            task.cancel()
+
+    def in_outage(self) -> bool:
+        """Tell whether the store is, or has just been, away from this VM."""
+        return now() - self._failed_at < OUTAGE_MEMORY
+
+    async def _follow_all(self) -> None:
+        while True:
+            try:
+                if not self.complete:
+                    await self._read_all()
+                else:
+                    await self._watch_all()
+                self._note_answer()
+                for name in self._directory.expire(now()):
+                    log.info(
+                        "target dropped: its record did not come back",
+                        extra={"target": name},
+                    )
+                    self._tell("targets")
+                await asyncio.sleep(PACE)
+            except HistoryLost:
+                self.complete = False
+            except StoreError as exc:
+                self._note_failure(exc)
+                await asyncio.sleep(RETRY)
+
+    async def _follow_own(self) -> None:
+        # News of the VMs' own keys decide where requests go while keys move, so they
+        # are not left to the paced reading.
+        while True:
+            if not self.complete:
+                await asyncio.sleep(RETRY)
+                continue
+            revision = self._revision
+            try:
+                while True:
+                    changes = await self._store.watch(OWN_PREFIX, revision, OWN_WAIT)
+                    for item in changes.items:
+                        self._take_own(item)
+                    revision = max(revision, changes.revision)
+            except HistoryLost:
+                self.complete = False
+            except StoreError as exc:
+                log.info("watch of own keys failed", extra={"cause": str(exc)})
+                await asyncio.sleep(RETRY)
+
+    async def _read_all(self) -> None:
+        changes = await self._store.read("")
+        names, closed, own = set(), set(), set()
+        for item in changes.items:
+            record = self._take(item)
+            if item.key.startswith(OWN_PREFIX):
+                own.add(item.key)
+            if record is not None and record.target is not None:
+                names.add(record.target.name)
+            if record is not None and record.closed:
+                closed.add(record.closed)
+        missing = self._directory.restrict(names, closed, now(), self.in_outage())
+        for key in [key for key in self.own if key not in own]:
+            del self.own[key]
+            self._tell(key)
+        self._revision = changes.revision
+        self.complete = True
+        log.info(
+            "store read",
+            extra={
+                "revision": changes.revision,
+                "targets": len(names),
+                "missing": missing,
+            },
+        )
+        self._tell("read")
+
+    async def _watch_all(self) -> None:
+        changes = await self._store.watch("", self._revision, ALL_WAIT)
+        for item in changes.items:
+            self._take(item)
+        self._revision = max(self._revision, changes.revision)
+
+    def _take(self, item: Item):
+        if item.key.startswith(OWN_PREFIX):
+            self._take_own(item)
+            return None
+        try:
+            record = self._reader.read(item)
+        except UnreadableRecord as exc:
+            if self._unreadable.get(item.key) != item.value:
+                self._unreadable[item.key] = item.value or b""
+                log.warning(
+                    "record passed over", extra={"key": item.key, "cause": str(exc)}
+                )
+            return None
+        if record is None:
+            return None
+        what = self._directory.apply(record, now(), self.in_outage())
+        if what:
+            self._log_change(what, item)
+            self._tell("configuration" if what == "configuration" else "targets")
+        return record
+
+    def _log_change(self, what: str, item: Item) -> None:
+        cfg = self._directory.configuration
+        log.info(
+            "belief changed",
+            extra={
+                "what": what,
+                "key": item.key,
+                "revision": item.revision,
+                "configuration": cfg.version if cfg else None,
+            },
+        )
+
+    def _take_own(self, item: Item) -> None:
+        old = self.own.get(item.key)
+        if old is not None and old.revision >= item.revision:
+            return
+        self.own[item.key] = item
+        if item.key.startswith(KEYS_PREFIX) and item.value is not None:
+            service = item.key.removeprefix(KEYS_PREFIX)
+            self.assignments[service] = Assignment.decode(item.value)
+            self.revisions[service] = item.revision
+        self._tell(item.key)
+
+    def take_written(self, item: Item) -> None:
+        """Take in an own key that this VM has just written."""
+        self._take_own(item)
+
+    def _tell(self, what: str) -> None:
+        for listener in self.listeners:
+            listener(what)
+
+    def _note_answer(self) -> None:
+        moment = now()
+        if self.answered_at < self._failed_at:
+            log.info(
+                "store regained", extra={"away": round(moment - self.answered_at, 2)}
+            )
+            self._directory.postpone_expiry(moment)
+        self.answered_at = moment
+
+    def _note_failure(self, exc: Exception) -> None:
+        moment = now()
+        if self.answered_at > self._failed_at:
+            log.warning("store lost", extra={"cause": str(exc)})
+        self._failed_at = moment
+        self._directory.postpone_expiry(moment)
--- /dev/null
+++ b/packages/entry/src/berylstage_entry/membership.py
@@ -0,0 +1,91 @@
+"""Which VMs there are: each keeps a key of its own under a lease."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from typing import TYPE_CHECKING
+
+from logbook import Logger
+
+from berylstage_entry.errors import LeaseEnded, StoreError
+from berylstage_entry.feed import OWN_PREFIX
+from berylstage_entry.store import Write
+
+if TYPE_CHECKING:
+    from berylstage_entry.feed import Feed
+    from berylstage_entry.settings import EntrySettings
+    from berylstage_entry.store import Store
+
+VMS_PREFIX = OWN_PREFIX + "vm/"
+# Seconds of a VM's lease, and between two renewals. The count of VMs divides bounds, and
+# nothing depends on its being exact, so both are long: each renewal is a call.
+LEASE = 20.0
+KEEP = 7.0
+# Seconds before a failed call is made again.
+RETRY = 1.0
+# VMs that are assumed beyond those that are known, for those that are just starting.
+UNKNOWN = 2
+
+log = Logger(__name__)
+
+
+class Membership:
+    """Makes this VM known and counts the others.
+
+    Parameters
+    ----------
+    cfg : EntrySettings
+    store : Store
+    feed : Feed
+    """
+
+    def __init__(self, cfg: EntrySettings, store: Store, feed: Feed):
+        self._cfg = cfg
+        self._store = store
+        self._feed = feed
+        self._lease = 0
+        self._task: asyncio.Task | None = None
+
+    def start(self) -> None:
+        """Begin to keep this VM's key."""
+        self._task = asyncio.create_task(self._run())
+
+    async def stop(self) -> None:
+        """Remove this VM's key."""
+        if self._task is not None:
+            self._task.cancel()
+        if self._lease:
+            try:
+                await self._store.end_lease(self._lease)
+            except StoreError as exc:
+                log.info("own key not removed", extra={"cause": str(exc)})
+
+    def addresses(self) -> list[str]:
+        """Return where the known VMs listen for others, this one included."""
+        return [
+            json.loads(item.value)["control"]
+            for key, item in self._feed.own.items()
+            if key.startswith(VMS_PREFIX) and item.value is not None
+        ]
+
+    async def _run(self) -> None:
+        while True:
+            try:
+                if self._lease:
+                    await self._store.keep_lease(self._lease)
+                else:
+                    await self._enter()
+                await asyncio.sleep(KEEP)
+            except LeaseEnded:
+                self._lease = 0
+            except StoreError as exc:
+                log.info("own key not kept", extra={"cause": str(exc)})
+                await asyncio.sleep(RETRY)
+
+    async def _enter(self) -> None:
+        lease = await self._store.take_lease(LEASE)
+        value = json.dumps({"control": self._cfg.control}).encode()
+        write = Write(VMS_PREFIX + self._cfg.vm, value, lease)
+        await self._store.write([], [write])
+        self._lease = lease
--- /dev/null
+++ b/packages/entry/src/berylstage_entry/metrics.py
@@ -0,0 +1,60 @@
+"""Counters and latency histograms of an entry VM, as text for a scraper."""
+
+from __future__ import annotations
+
+from bisect import bisect_left
+from itertools import accumulate
+
+# Upper bounds of the histograms' buckets, in seconds: finer than a factor of 1.6 where
+# objectives lie (0.15 to 0.8 s).
+BUCKETS = (0.01, 0.02, 0.04, 0.07, 0.1, 0.15, 0.2, 0.3, 0.4, 0.6, 0.8, 1.2, 2.0, 5.0)
+
+
+class Metrics:
+    """Counts and times since the start of the process."""
+
+    __slots__ = ("_counts", "_histograms", "_sums")
+
+    def __init__(self) -> None:
+        self._counts: dict[str, int] = {}
+        self._histograms: dict[tuple[str, str], list[int]] = {}
+        self._sums: dict[tuple[str, str], float] = {}
+
+    def count(self, name: str, amount: int = 1) -> None:
+        """Count something."""
+        self._counts[name] = self._counts.get(name, 0) + amount
+
+    def request(self, tenant: str, outcome: str, seconds: float) -> None:
+        """Record a request that has ended.
+
+        Parameters
+        ----------
+        tenant : str
+        outcome : str
+        seconds : float
+            From its arrival.
+        """
+        pair = (tenant, outcome)
+        histogram = self._histograms.get(pair)
+        if histogram is None:
+            histogram = self._histograms[pair] = [0] * (len(BUCKETS) + 1)
+            self._sums[pair] = 0.0
+        histogram[bisect_left(BUCKETS, seconds)] += 1
+        self._sums[pair] += seconds
+
+    def text(self) -> str:
+        """Return everything in the text format that scrapers read."""
+        lines = [
+            f'berylstage_events_total{{event="{name}"}} {count}'
+            for name, count in sorted(self._counts.items())
+        ]
+        for (tenant, outcome), histogram in sorted(self._histograms.items()):
+            labels = f'tenant="{tenant}",outcome="{outcome}"'
+            totals = list(accumulate(histogram))
+            for bound, total in zip((*BUCKETS, "+Inf"), totals, strict=True):
+                name = "berylstage_request_seconds_bucket"
+                lines.append(f'{name}{{{labels},le="{bound}"}} {total}')
+            total_time = self._sums[tenant, outcome]
+            lines.append(f"berylstage_request_seconds_sum{{{labels}}} {total_time:.6f}")
+            lines.append(f"berylstage_request_seconds_count{{{labels}}} {totals[-1]}")
+        return "\n".join(lines) + "\n"
--- /dev/null
+++ b/packages/entry/src/berylstage_entry/router.py
@@ -0,0 +1,365 @@
+"""The way of one request: its route, its target, and whether it is tried again."""
+
+from __future__ import annotations
+
+import asyncio
+from random import Random
+from typing import TYPE_CHECKING
+
+from berylstage_policy.cold_pace import ColdPace
+from berylstage_policy.completion import ServiceLoads
+from berylstage_policy.retries import Budget
+from berylstage_policy.shares import WeightedTurns
+from berylstage_transfers.errors import AnswerLost, NeverSent
+
+from berylstage_entry.clock import now
+from berylstage_entry.errors import BadRequest, Refused, Unanswered
+
+if TYPE_CHECKING:
+    from berylstage_entry.directory import Directory
+    from berylstage_entry.feed import Feed
+    from berylstage_entry.routes import Route
+    from berylstage_entry.senders import Senders
+    from berylstage_entry.services import Service
+    from berylstage_entry.settings import Bounds
+    from berylstage_entry.wire import CallerRequest, TargetAnswer
+
+# Seconds of a request's time that are kept for the way of the answer to the caller.
+ANSWER_WAY = 0.02
+# Seconds within which a target's answer must be expected for it to be worth sending.
+LEAST_TIME = 0.02
+# Seconds after which a caller may come back when a service has no room. Callers take up
+# to a third of their time for it; the spread keeps them from coming all at once.
+SHORTEST_RETURN = 0.05
+LONGEST_RETURN = 0.25
+# Seconds that a request for keys on the move waits for news of their new owner. A move
+# takes as long as the work under way on the keys, a few hundred milliseconds.
+MOVE_WAIT = 0.05
+# Share of the bound on repeats that is used; the rest is for the clocks of the VMs, which
+# do not cut time into the same windows.
+BUDGET_USE = 0.8
+# Status of an answer that tells of the target's own failure.
+SERVER_ERROR = 500
+NOT_FOUND = 404
+
+
+class Answered:
+    """A request that a target has answered, and how it went.
+
+    Parameters
+    ----------
+    answer : TargetAnswer
+    target : str
+    attempts : int
+    """
+
+    __slots__ = ("answer", "attempts", "target")
+
+    def __init__(self, answer: TargetAnswer, target: str, attempts: int):
+        self.answer = answer
+        self.target = target
+        self.attempts = attempts
+
+
+class _Journey:
+    """One request on its way."""
+
+    __slots__ = (
+        "attempts",
+        "deadline",
+        "failure",
+        "lost",
+        "req",
+        "route",
+        "service",
+        "tried",
+    )
+
+    def __init__(
+        self, req: CallerRequest, route: Route, service: Service, deadline: float
+    ):
+        self.req = req
+        self.route = route
+        self.service = service
+        self.deadline = deadline
+        self.attempts = 0
+        self.tried: set[str] = set()
+        # Reason of the last attempt that may have run; empty while none has.
+        self.lost = ""
+        # A target's own failure, which the caller gets when nothing better comes.
+        self.failure: Answered | None = None
+
+    def left(self, moment: float) -> float:
+        """Return the seconds that are left for a target."""
+        return self.deadline - moment
+
+
+class Router:
+    """Serves callers' requests.
+
+    Parameters
+    ----------
+    directory : Directory
+    feed : Feed
+    senders : Senders
+    bounds : Bounds
+    rng : Random
+    """
+
+    def __init__(
+        self,
+        directory: Directory,
+        feed: Feed,
+        senders: Senders,
+        bounds: Bounds,
+        rng: Random,
+    ):
+        self._directory = directory
+        self._feed = feed
+        self._senders = senders
+        self._bounds = bounds
+        self._rng = rng
+        self._loads: dict[str, ServiceLoads] = {}
+        self._budgets: dict[str, Budget] = {}
+        self._turns: dict[str, tuple[tuple, WeightedTurns]] = {}
+        self._paces: dict[tuple[str, int], ColdPace] = {}
+        self._seen_revision = -1
+        self.vms = 10
+        # Requests for each key since the last report to the granting VM.
+        self._key_counts: dict[str, dict[int, int]] = {}
+
+    async def serve(self, req: CallerRequest) -> Answered:
+        """Serve one request.
+
+        Raises
+        ------
+        BadRequest, Refused, Unanswered
+        """
+        cfg = self._directory.configuration
+        if cfg is None:
+            raise Refused("no-configuration", LONGEST_RETURN)
+        route = cfg.table.find(req.host, req.path.partition("?")[0])
+        if route is None:
+            raise BadRequest(
+                NOT_FOUND, "no route; add one for this host and path to the sheet"
+            )
+        service = cfg.services.get(self._service_of(route))
+        if service is None:
+            raise Refused("no-service", LONGEST_RETURN)
+        wait = min(req.time_left - ANSWER_WAY, route.timeout)
+        journey = _Journey(req, route, service, now() + wait)
+        self._budget(service.name).earn()
+        if service.owns_keys and req.key is not None:
+            counts = self._key_counts.setdefault(service.name, {})
+            counts[req.key] = counts.get(req.key, 0) + 1
+        return await self._travel(journey)
+
+    def take_key_counts(self) -> dict[str, dict[int, int]]:
+        """Return the requests for each key, by service, since the last call."""
+        counts, self._key_counts = self._key_counts, {}
+        return counts
+
+    def service_times(self, service: str) -> dict[str, float]:
+        """Return the mean service time of each target that this VM has seen."""
+        loads = self._loads.get(service)
+        return loads.times() if loads is not None else {}
+
+    async def _travel(self, journey: _Journey) -> Answered:
+        """Send until there is an answer to give, or no way to get one."""
+        try:
+            while True:
+                name = await self._choose(journey)
+                answer = await self._attempt(journey, name)
+                if answer is not None:
+                    return Answered(answer, name, journey.attempts)
+        except (Refused, Unanswered):
+            if journey.failure is None:
+                raise
+            return journey.failure
+
+    async def _choose(self, journey: _Journey) -> str:
+        """Return the target for the next attempt."""
+        if journey.left(now()) < LEAST_TIME:
+            raise self._given_up(journey, "no-time")
+        if journey.service.owns_keys and journey.req.key is not None:
+            name = await self._owner(journey)
+        else:
+            name = self._free_target(journey)
+        if journey.attempts:
+            self._may_repeat(journey, name)
+        return name
+
+    def _may_repeat(self, journey: _Journey, name: str) -> None:
+        if journey.attempts >= journey.route.attempts and name not in journey.tried:
+            raise self._given_up(journey, "attempts")
+        if not self._budget(journey.service.name).spend():
+            raise self._given_up(journey, "budget")
+
+    async def _owner(self, journey: _Journey) -> str:
+        """Return the owner of the key, waiting a moment while it moves."""
+        service, key = journey.service.name, journey.req.key
+        assert key is not None
+        while True:
+            assignment = self._feed.assignments.get(service)
+            owner = assignment.find(key) if assignment else None
+            if owner is not None and owner.owner and not owner.former:
+                if self._directory.may_use(owner.owner):
+                    return self._paced(journey, owner.owner)
+            if journey.left(now()) < journey.route.timeout / 2:
+                raise self._given_up(journey, "no-owner")
+            await asyncio.sleep(MOVE_WAIT)
+
+    def _paced(self, journey: _Journey, name: str) -> str:
+        """Let a cold owner of a key get no more than its pace."""
+        if self._may_send(name, journey.service):
+            return name
+        raise self._given_up(journey, "cold")
+
+    def _free_target(self, journey: _Journey) -> str:
+        names = self._directory.usable(journey.service.name)
+        loads = self._service_loads(journey.service.name)
+        known = self._directory.known
+        fit = []
+        for name in names:
+            if name in journey.tried or not self._may_send(name, journey.service):
+                continue
+            loads.load(name, known[name].target.slots)
+            fit.append(name)
+        if not fit:
+            raise self._given_up(journey, "no-target")
+        name = loads.choose(fit, now())
+        if loads.expected(name, now()) > journey.left(now()):
+            raise self._given_up(journey, "no-room")
+        return name
+
+    async def _attempt(self, journey: _Journey, name: str) -> TargetAnswer | None:
+        """Send once; None when it may be tried again."""
+        target = self._directory.known[name].target
+        sender = self._senders.to(target, journey.service.connections)
+        loads = self._service_loads(journey.service.name)
+        load = loads.load(name, target.slots)
+        self._note_sent(name, journey.service)
+        load.inflight += 1
+        began = now()
+        try:
+            answer = await sender.send(journey.req, journey.left(began))
+        except NeverSent as exc:
+            load.failed(now())
+            journey.tried.add(name)
+            if journey.left(now()) < LEAST_TIME:
+                raise self._given_up(journey, "unreachable") from exc
+            return None
+        except AnswerLost as exc:
+            return self._lost(journey, name, exc)
+        finally:
+            load.inflight -= 1
+        self._learn(loads, name, answer, now() - began)
+        return self._judge(journey, name, answer)
+
+    def _lost(self, journey: _Journey, name: str, exc: AnswerLost) -> None:
+        journey.attempts += 1
+        journey.tried.add(name)
+        moment = now()
+        late = journey.left(moment) < LEAST_TIME
+        journey.lost = "timeout" if late else "answer-lost"
+        self._service_loads(journey.service.name).load(name, 1).failed(moment)
+        if not journey.route.idempotent or late:
+            raise Unanswered(journey.lost, late) from exc
+
+    def _learn(
+        self, loads: ServiceLoads, name: str, answer: TargetAnswer, seconds: float
+    ) -> None:
+        load = loads.load(name, 1)
+        moment = now()
+        if answer.load is not None:
+            told = answer.load
+            busy = max(0, told.running + told.waiting - 1)
+            load.told(busy, told.slots, told.pace, moment)
+            loads.told(load)
+        if answer.not_run or answer.misdirected or answer.status >= SERVER_ERROR:
+            load.failed(moment)
+            return
+        load.worked(moment)
+        if answer.load is None or not answer.load.waiting:
+            loads.answered(name, seconds / load.pace)
+
+    def _judge(
+        self, journey: _Journey, name: str, answer: TargetAnswer
+    ) -> TargetAnswer | None:
+        journey.attempts += 1
+        if answer.misdirected:
+            # The keys have moved, or the address has another target now. The owner may
+            # be asked again once this VM has heard of the move.
+            return None
+        journey.tried.add(name)
+        if answer.not_run:
+            return None
+        failed = answer.status >= SERVER_ERROR
+        if failed and journey.route.idempotent and self._can_repeat(journey):
+            journey.failure = Answered(answer, name, journey.attempts)
+            return None
+        return answer
+
+    def _can_repeat(self, journey: _Journey) -> bool:
+        enough = journey.left(now()) > journey.route.objective / 2
+        return enough and journey.attempts < journey.route.attempts
+
+    def _given_up(self, journey: _Journey, reason: str) -> Refused | Unanswered:
+        if journey.lost:
+            return Unanswered(journey.lost, False)
+        return Refused(reason, self._rng.uniform(SHORTEST_RETURN, LONGEST_RETURN))
+
+    def _service_of(self, route: Route) -> str:
+        if len(route.shares) == 1:
+            return route.shares[0].service
+        weights = tuple((s.service, s.weight) for s in route.shares)
+        known = self._turns.get(route.name)
+        if known is None or known[0] != weights:
+            turns = WeightedTurns([w for _, w in weights], self._rng.random())
+            known = self._turns[route.name] = (weights, turns)
+        return route.shares[known[1].take()].service
+
+    def _service_loads(self, service: str) -> ServiceLoads:
+        if self._seen_revision != self._directory.revision:
+            self._forget_gone()
+        loads = self._loads.get(service)
+        if loads is None:
+            loads = self._loads[service] = ServiceLoads(self._rng)
+        return loads
+
+    def _forget_gone(self) -> None:
+        self._seen_revision = self._directory.revision
+        names = set(self._directory.known)
+        for loads in self._loads.values():
+            loads.keep(names)
+        self._senders.keep(names)
+
+    def _budget(self, service: str) -> Budget:
+        budget = self._budgets.get(service)
+        if budget is None:
+            share = self._bounds.retry_ratio * BUDGET_USE
+            reserve = self._bounds.retry_allowance / (2 * self.vms)
+            budget = self._budgets[service] = Budget(share, max(1.0, reserve))
+        return budget
+
+    def _pace(self, name: str, service: Service) -> ColdPace | None:
+        """Return the pace towards a target that is cold; None for a warm one."""
+        known = self._directory.known[name]
+        if known.cold_until <= now():
+            return None
+        identity = known.target.identity
+        pace = self._paces.get(identity)
+        if pace is None:
+            bound = self._bounds.cold_bound(service.cold_rate)
+            pace = ColdPace(bound, self.vms + 2, now())
+            self._paces[identity] = pace
+        return pace
+
+    def _may_send(self, name: str, service: Service) -> bool:
+        pace = self._pace(name, service)
+        return pace is None or pace.may_send(now())
+
+    def _note_sent(self, name: str, service: Service) -> None:
+        pace = self._pace(name, service)
+        if pace is not None:
+            pace.sent(now())
--- /dev/null
+++ b/packages/entry/src/berylstage_entry/senders.py
@@ -0,0 +1,130 @@
+"""Connections to targets: one client for each life of a target's address."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from berylstage_transfers.call import Call
+from berylstage_transfers.client import CallClient
+from berylstage_transfers.errors import AnswerLost
+
+if TYPE_CHECKING:
+    from berylstage_entry.targets import Target
+    from berylstage_entry.wire import CallerRequest, TargetAnswer, TargetWire
+
+# Connections that one VM keeps to a target, at least. Two let a request go out while
+# another is at work there.
+FEWEST_CONNECTIONS = 2
+# Share of a target's connections that all VMs together use; the rest is for VMs that
+# come and go before the others know, and for grants.
+CONNECTION_SHARE = 0.7
+# Seconds after which an idle connection is not used again: below the shortest idle
+# time that a target has told (10 s), by the time that a connection may stand unnoticed.
+MAX_IDLE = 7
+
+
+class Sender:
+    """Sends requests to one life of a target.
+
+    Parameters
+    ----------
+    target : Target
+    wire : TargetWire
+    connections : int
+        That this VM may hold there.
+    """
+
+    __slots__ = ("_client", "_wire", "target")
+
+    def __init__(self, target: Target, wire: TargetWire, connections: int):
+        self.target = target
+        self._wire = wire
+        self._client = CallClient(connections, max_idle=MAX_IDLE)
+
+    async def send(
+        self, req: CallerRequest, seconds: float, fresh: bool = False
+    ) -> TargetAnswer:
+        """Send a request and return the whole answer.
+
+        Parameters
+        ----------
+        req : CallerRequest
+        seconds : float
+            Until the answer must be there.
+        fresh : bool
+            Whether to open a new connection.
+
+        Raises
+        ------
+        NeverSent, AnswerLost
+        """
+        headers = self._wire.request_headers(req, self.target, seconds)
+        body = req.body if req.body or req.method not in ("GET", "HEAD") else None
+        call = Call(
+            req.method,
+            f"http://{self.target.address}{req.path}",
+            headers,
+            body,
+            seconds,
+            echo=req.request_id,
+            fresh=fresh,
+            echo_name=self._wire.echo_header,
+            unframed=True,
+        )
+        answer = self._wire.answer(await self._client.call(call))
+        if not answer.genuine and not answer.not_run and not answer.misdirected:
+            raise AnswerLost(
+                f"{self.target.name}: an answer of status {answer.status} without a "
+                "target's mark; look at the target's own logs"
+            )
+        return answer
+
+    def close(self) -> None:
+        """Close all connections."""
+        self._client.close()
+
+
+class Senders:
+    """The senders of all targets.
+
+    Parameters
+    ----------
+    wire : TargetWire
+    """
+
+    __slots__ = ("_senders", "_wire", "vms")
+
+    def __init__(self, wire: TargetWire):
+        self._wire = wire
+        self._senders: dict[str, Sender] = {}
+        # VMs that share the connections of a target, as far as they are known.
+        self.vms = 10
+
+    def to(self, target: Target, connections: int) -> Sender:
+        """Return the sender to a target.
+
+        Parameters
+        ----------
+        target : Target
+        connections : int
+            That the target accepts from all VMs.
+        """
+        sender = self._senders.get(target.name)
+        if sender is not None:
+            known = sender.target
+            if known.life == target.life and known.address == target.address:
+                return sender
+            sender.close()
+        share = int(connections * CONNECTION_SHARE / self.vms)
+        sender = Sender(target, self._wire, max(FEWEST_CONNECTIONS, share))
+        self._senders[target.name] = sender
+        return sender
+
+    def keep(self, names: set[str]) -> None:
+        """Close what leads to any other target."""
+        for name in [name for name in self._senders if name not in names]:
+            self._senders.pop(name).close()
+
+    def close(self) -> None:
+        """Close all connections."""
+        self.keep(set())
--- /dev/null
+++ b/packages/entry/src/berylstage_entry/server.py
@@ -0,0 +1,324 @@
+"""The HTTP servers of an entry VM: callers, the balancer and other VMs."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from logbook import Logger
+from tornado.httpserver import HTTPServer
+from tornado.httputil import (
+    HTTPHeaders,
+    HTTPMessageDelegate,
+    HTTPServerConnectionDelegate,
+    RequestStartLine,
+    ResponseStartLine,
+    responses,
+)
+
+from berylstage_entry.clock import now
+from berylstage_entry.errors import BadRequest, Refused, Unanswered
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from berylstage_entry.journal import RequestJournal
+    from berylstage_entry.router import Router
+    from berylstage_entry.services import Limits
+    from berylstage_entry.wire import CallerRequest, CallerWire
+
+# Bytes of a request's body at most while no configuration says so.
+FIRST_BODY_LIMIT = 1024 * 1024
+# Bytes of a request's body that are buffered at most, whatever the operators allow: a
+# few of them fit into the memory of a VM of 300 MB.
+BUFFERED_BODY = 64 * 1024 * 1024
+# Bytes of a request's head that tornado reads; larger ones than the operators allow get
+# their own status up to this size.
+READ_HEAD = 256 * 1024
+# Seconds for which a connection may stay idle while no configuration says so.
+FIRST_IDLE = 60.0
+# Seconds beyond the operators' idle time after which a connection closes, so that a
+# request sent within that time doesn't cross the close.
+IDLE_MARGIN = 2.0
+
+OK = 200
+BAD_REQUEST = 400
+TOO_LARGE = 413
+HEAD_TOO_LARGE = 431
+BAD_GATEWAY = 502
+UNAVAILABLE = 503
+GATEWAY_TIMEOUT = 504
+
+log = Logger(__name__)
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Return host and port of ``ip:port``."""
+    host, _, port = address.rpartition(":")
+    return host.strip("[]"), int(port)
+
+
+class Reply:
+    """What goes back to a caller.
+
+    Parameters
+    ----------
+    status : int
+    headers : list of tuple
+    body : bytes
+    """
+
+    __slots__ = ("body", "headers", "status")
+
+    def __init__(
+        self, status: int, headers: list[tuple[str, str]] | None = None, body=b""
+    ):
+        self.status = status
+        self.headers = headers or []
+        self.body = body
+
+
+def write_reply(conn, reply: Reply, closing: bool) -> None:
+    """Write a reply on a connection of tornado's."""
+    headers = HTTPHeaders()
+    for name, value in reply.headers:
+        headers.add(name, value)
+    headers["Content-Length"] = str(len(reply.body))
+    if closing:
+        headers["Connection"] = "close"
+    reason = responses.get(reply.status, "Unknown")
+    start = ResponseStartLine("HTTP/1.1", reply.status, reason)
+    conn.write_headers(start, headers, reply.body)
+    conn.finish()
+
+
+class _Exchange(HTTPMessageDelegate):
+    """One request of a caller and its answer."""
+
+    __slots__ = ("_chunks", "_conn", "_req", "_server", "_size", "_task", "_refusal")
+
+    def __init__(self, server: CallerServer, conn):
+        self._server = server
+        self._conn = conn
+        self._chunks: list[bytes] = []
+        self._size = 0
+        self._req: CallerRequest | None = None
+        self._refusal: BadRequest | None = None
+        self._task: asyncio.Task | None = None
+
+    def headers_received(
+        self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
+    ) -> None:
+        """Read the head."""
+        assert isinstance(start_line, RequestStartLine)
+        try:
+            self._server.check_head(headers)
+            self._req = self._server.wire.request(
+                start_line.method, start_line.path, headers.get_all()
+            )
+        except BadRequest as exc:
+            self._refusal = exc
+
+    def data_received(self, chunk: bytes) -> None:
+        """Keep a part of the body, up to the limit."""
+        self._size += len(chunk)
+        if self._size > self._server.body_limit():
+            self._refusal = BadRequest(TOO_LARGE, "the body is over the limit")
+            self._chunks.clear()
+        else:
+            self._chunks.append(chunk)
+
+    def finish(self) -> None:
+        """Serve the request, now that it is whole."""
+        if self._refusal is not None or self._req is None:
+            status = self._refusal.status if self._refusal else BAD_REQUEST
+            self._server.refused_head(self._refusal)
+            write_reply(self._conn, Reply(status), True)
+            return
+        self._req.body = b"".join(self._chunks)
+        self._chunks.clear()
+        self._conn.set_close_callback(self.on_connection_close)
+        self._task = asyncio.create_task(self._serve())
+
+    def on_connection_close(self) -> None:
+        """End the work, since nobody waits for it."""
+        if self._task is not None:
+            self._task.cancel()
+
+    async def _serve(self) -> None:
+        assert self._req is not None
+        server = self._server
+        server.in_flight += 1
+        try:
+            reply = await server.reply(self._req)
+        finally:
+            server.in_flight -= 1
+        write_reply(self._conn, reply, server.closing)
+
+
+class CallerServer(HTTPServerConnectionDelegate):
+    """Serves callers.
+
+    Parameters
+    ----------
+    wire : CallerWire
+    router : Router
+    journal : RequestJournal
+    limits : callable
+        Returns the limits in force, or None.
+    """
+
+    def __init__(
+        self,
+        wire: CallerWire,
+        router: Router,
+        journal: RequestJournal,
+        limits: Callable[[], Limits | None],
+    ):
+        self.wire = wire
+        self._router = router
+        self._journal = journal
+        self._limits = limits
+        self.in_flight = 0
+        self.closing = False
+        self._server: HTTPServer | None = None
+
+    def listen(self, address: str) -> None:
+        """Accept connections."""
+        self._server = HTTPServer(
+            self,
+            max_header_size=READ_HEAD,
+            max_body_size=BUFFERED_BODY,
+            max_buffer_size=2 * BUFFERED_BODY,
+            idle_connection_timeout=FIRST_IDLE,
+        )
+        host, port = split_address(address)
+        self._server.listen(port, host, backlog=1024)
+
+    def start_request(self, server_conn: object, request_conn) -> HTTPMessageDelegate:
+        """Return what takes a new request."""
+        return _Exchange(self, request_conn)
+
+    def set_limits(self, limits: Limits) -> None:
+        """Take over how long connections may be idle, for new ones."""
+        if self._server is not None:
+            idle = max(limits.idle_time, limits.header_time) + IDLE_MARGIN
+            self._server.conn_params.header_timeout = idle
+
+    def body_limit(self) -> int:
+        """Return the bytes that a body may have."""
+        limits = self._limits()
+        return min(limits.body_bytes, BUFFERED_BODY) if limits else FIRST_BODY_LIMIT
+
+    def check_head(self, headers: HTTPHeaders) -> None:
+        """Check the size of a head.
+
+        Raises
+        ------
+        BadRequest
+        """
+        limits = self._limits()
+        if limits is None:
+            return
+        size = sum(len(name) + len(value) + 4 for name, value in headers.get_all())
+        if size > limits.header_bytes:
+            raise BadRequest(HEAD_TOO_LARGE, "the headers are over the limit")
+
+    def refused_head(self, exc: BadRequest | None) -> None:
+        """Log a request that was never whole."""
+        self._journal.malformed(str(exc) if exc else "unreadable request")
+
+    async def reply(self, req: CallerRequest) -> Reply:
+        """Return the reply to a request."""
+        began = now()
+        try:
+            done = await self._router.serve(req)
+        except BadRequest as exc:
+            self._journal.ended(req, exc.status, str(exc), now() - began)
+            return Reply(exc.status)
+        except Refused as exc:
+            self._journal.ended(req, UNAVAILABLE, exc.reason, now() - began)
+            return Reply(UNAVAILABLE, self.wire.refusal_headers(exc.retry_after))
+        except Unanswered as exc:
+            status = GATEWAY_TIMEOUT if exc.timed_out else BAD_GATEWAY
+            self._journal.ended(req, status, exc.reason, now() - began)
+            return Reply(status)
+        except asyncio.CancelledError:
+            self._journal.ended(req, 0, "caller-left", now() - began)
+            raise
+        except Exception:
+            # Without an answer the caller would wait out its whole time.
+            log.exception("a request met a fault of this program")
+            return Reply(BAD_GATEWAY)
+        self._journal.answered(req, done, now() - began)
+        return Reply(done.answer.status, done.answer.headers, done.answer.body)
+
+    async def close(self) -> None:
+        """Close all connections."""
+        if self._server is not None:
+            self._server.stop()
+            await self._server.close_all_connections()
+
+
+class _PageExchange(HTTPMessageDelegate):
+    """A small request of the balancer or another VM."""
+
+    def __init__(self, pages: PageServer, conn):
+        self._pages = pages
+        self._conn = conn
+        self._path = ""
+        self._chunks: list[bytes] = []
+
+    def headers_received(
+        self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
+    ) -> None:
+        """Read the path."""
+        assert isinstance(start_line, RequestStartLine)
+        self._path = start_line.path.partition("?")[0]
+
+    def data_received(self, chunk: bytes) -> None:
+        """Keep a part of the body."""
+        self._chunks.append(chunk)
+
+    def finish(self) -> None:
+        """Answer."""
+        reply = self._pages.answer(self._path, b"".join(self._chunks))
+        write_reply(self._conn, reply, False)
+
+    def on_connection_close(self) -> None:
+        """Nothing is under way."""
+
+
+class PageServer(HTTPServerConnectionDelegate):
+    """Serves small pages that need no waiting.
+
+    Parameters
+    ----------
+    pages : dict of str to callable
+        By path; each takes the body and returns the reply.
+    """
+
+    def __init__(self, pages: dict[str, Callable[[bytes], Reply]]):
+        self._pages = pages
+        self._server: HTTPServer | None = None
+
+    def listen(self, address: str) -> None:
+        """Accept connections."""
+        self._server = HTTPServer(self, max_body_size=FIRST_BODY_LIMIT)
+        host, port = split_address(address)
+        self._server.listen(port, host)
+
+    def start_request(self, server_conn: object, request_conn) -> HTTPMessageDelegate:
+        """Return what takes a new request."""
+        return _PageExchange(self, request_conn)
+
+    def answer(self, path: str, body: bytes) -> Reply:
+        """Return the reply for a path."""
+        page = self._pages.get(path)
+        return page(body) if page is not None else Reply(404)
+
+    async def close(self) -> None:
+        """Close all connections."""
+        if self._server is not None:
+            self._server.stop()
+            await self._server.close_all_connections()
--- a/packages/transfers/src/berylstage_transfers/call.py
+++ b/packages/transfers/src/berylstage_transfers/call.py
@@ -28,9 +28,13 @@
     timeout : float
         Seconds for everything, waiting for a connection included.
     echo : str
-        Value of ``Request-Id`` that the answer must echo; empty for none.
+        Value of the header ``echo_name`` that the answer must carry; empty for none.
     fresh : bool
         Whether to open a new connection.
+    echo_name : bytes
+        Lower-case name of the header that echoes ``echo``.
+    unframed : bool
+        Whether an answer without a length may end with its connection.
 
     Attributes
     ----------
@@ -61,6 +65,7 @@
         "crossed",
         "deadline",
         "echo",
+        "echo_name",
         "fresh",
         "fut",
         "headers",
@@ -72,6 +77,7 @@
         "stale",
         "status",
         "timeout",
+        "unframed",
         "url",
     )
 
@@ -84,6 +90,8 @@
         timeout: float,
         echo: str = "",
         fresh: bool = False,
+        echo_name: bytes = b"request-id",
+        unframed: bool = False,
     ):
         self.method = method
         self.url = url
@@ -92,6 +100,8 @@
         self.timeout = timeout
         self.echo = echo.encode()
         self.fresh = fresh
+        self.echo_name = echo_name
+        self.unframed = unframed
         self.deadline = 0.0
         self.begun = False
         self.sent = False
@@ -119,12 +129,14 @@
         self.answer_headers = headers
         if self.status < FINAL_STATUS or not self.echo:
             return True
-        self.crossed = headers.get(b"request-id") != self.echo
+        self.crossed = headers.get(self.echo_name) != self.echo
         return not self.crossed
 
     def framed(self) -> bool:
         """Tell whether the end of the body could be told from a broken connection."""
-        if self.status in BODILESS:
+        # libcurl reports a reset in the midst of a body as an error, and a clean end
+        # of the connection as the end of the answer.
+        if self.status in BODILESS or self.unframed:
             return True
         headers = self.answer_headers
         return b"content-length" in headers or b"transfer-encoding" in headers
--- a/packages/transfers/src/berylstage_transfers/client.py
+++ b/packages/transfers/src/berylstage_transfers/client.py
@@ -5,6 +5,7 @@
 import asyncio
 import select
 import socket
+import struct
 import time
 from typing import TYPE_CHECKING
 
@@ -67,30 +68,58 @@
         None keeps all.
     trust : Trust, optional
         Shared by the clients of one server.
+    max_idle : int
+        Seconds after which an idle connection is not used again.
+    abrupt : bool
+        Whether closing a connection throws away what it has not delivered yet, so that
+        a call that was given up cannot arrive later.
     """
 
     def __new__(
-        cls, max_clients: int, kept: int | None = None, trust: Trust | None = None
+        cls,
+        max_clients: int,
+        kept: int | None = None,
+        trust: Trust | None = None,
+        max_idle: int = MAX_IDLE,
+        abrupt: bool = False,
     ) -> CallClient:
         """Return an instance of its own, never tornado's shared one."""
         client = super().__new__(
-            cls, force_instance=True, max_clients=max_clients, kept=kept, trust=trust
+            cls,
+            force_instance=True,
+            max_clients=max_clients,
+            kept=kept,
+            trust=trust,
+            max_idle=max_idle,
+            abrupt=abrupt,
         )
         assert isinstance(client, CallClient)
         return client
 
     def __init__(
-        self, max_clients: int, kept: int | None = None, trust: Trust | None = None
+        self,
+        max_clients: int,
+        kept: int | None = None,
+        trust: Trust | None = None,
+        max_idle: int = MAX_IDLE,
+        abrupt: bool = False,
     ):
         super().__init__()
 
     def initialize(  # type: ignore[override]
-        self, max_clients: int, kept: int | None, trust: Trust | None
+        self,
+        max_clients: int,
+        kept: int | None,
+        trust: Trust | None,
+        max_idle: int = MAX_IDLE,
+        abrupt: bool = False,
     ) -> None:
         """Set up without any handle; they are made when calls need them."""
         self._due = 0.0
         super().initialize(max_clients=0)
         self._max_clients = max_clients
+        self._max_idle = max_idle
+        self._abrupt = abrupt
         self._trust = trust or Trust()
         self._handles: dict[pycurl.Curl, _Handle] = {}
         self._sockets: dict[int, int] = {}
@@ -188,7 +217,7 @@
     def _new_curl(self) -> pycurl.Curl:
         curl = pycurl.Curl()
         self._curls.append(curl)
-        self._handles[curl] = _Handle(curl, self._sockets)
+        self._handles[curl] = _Handle(curl, self._sockets, self._max_idle, self._abrupt)
         return curl
 
     def _max_age(self, call: Call) -> int:
@@ -237,11 +266,18 @@
 class _Handle:
     """A curl handle that keeps its settings from call to call."""
 
-    __slots__ = ("_opened", "_poll", "_sockets", "call", "curl")
+    __slots__ = ("_abrupt", "_opened", "_poll", "_sockets", "call", "curl")
 
-    def __init__(self, curl: pycurl.Curl, sockets: dict[int, int]):
+    def __init__(
+        self,
+        curl: pycurl.Curl,
+        sockets: dict[int, int],
+        max_idle: int,
+        abrupt: bool,
+    ):
         self.curl = curl
         self.call: Call | None = None
+        self._abrupt = abrupt
         self._opened = -1
         self._poll = select.poll()
         # The file descriptor of each kept connection, by its local port.
@@ -251,7 +287,7 @@
         curl.setopt(pycurl.NOSIGNAL, 1)
         curl.setopt(pycurl.UPLOAD_BUFFERSIZE, UPLOAD_BUFFER)
         curl.setopt(pycurl.PATH_AS_IS, 1)
-        curl.setopt(pycurl.MAXAGE_CONN, MAX_IDLE)
+        curl.setopt(pycurl.MAXAGE_CONN, max_idle)
         curl.setopt(pycurl.TCP_KEEPALIVE, 1)
         curl.setopt(pycurl.TCP_KEEPIDLE, KEEPALIVE_IDLE)
         curl.setopt(pycurl.TCP_KEEPINTVL, KEEPALIVE_INTERVAL)
@@ -273,6 +309,9 @@
         else:
             curl.setopt(pycurl.POST, 1)
             curl.setopt(pycurl.POSTFIELDS, call.body)
+        curl.setopt(pycurl.NOBODY, 1 if call.method == "HEAD" else 0)
+        if call.method != "HEAD" and call.body is None:
+            curl.setopt(pycurl.HTTPGET, 1)
         curl.setopt(pycurl.CUSTOMREQUEST, call.method)
         curl.setopt(pycurl.TIMEOUT_MS, max(1, int(timeout * _MS)))
         connect = min(timeout, CONNECT_TIMEOUT)
@@ -287,6 +326,9 @@
             sock.setsockopt(
                 socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS
             )
+            if self._abrupt:
+                linger = struct.pack("ii", 1, 0)
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
         finally:
             sock.detach()
         return pycurl.SOCKOPT_OK
