Fence a former owner before the release, settle writes in doubt, and let superseded moves grant nothing

Cause: a renewal on its way was carried out after the release of a part of its range, since a release leaves no fence at the target; and a move whose new owner had become unfit went on to its grant although a later move had taken its place. Ruled out: lapsed holds (all targets answered). Change: a grant under a fence of the move's own goes before each release, each try has a fence of its own, a move looks whether it is still the current one before it grants, and a write of the assignment without an answer is settled before anything goes on.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Front door: `make` lists the targets.
 VENV ?= .venv
 PY := $(VENV)/bin/python
-PACKAGES := settings sheet policy messages transfers ownership platform targets daemon cli standins bench
+PACKAGES := settings sheet policy messages transfers ownership platform targets entry daemon cli standins bench
 
 .PHONY: help install format format-check lint types imports tables test check
 .PHONY: bench-policy
--- a/packages/entry/src/berylstage_entry/application.py
+++ b/packages/entry/src/berylstage_entry/application.py
@@ -125,6 +125,7 @@
         self.reports.stop()
         await self._within(end, self.membership.stop())
         await asyncio.sleep(max(0.0, BALANCER_LAG - 0.1))
+        self.server.refuse_more()
         while self.server.in_flight and loop.time() < end:
             await asyncio.sleep(0.02)
         # The last answers leave before the connections close.
--- a/packages/entry/src/berylstage_entry/granting.py
+++ b/packages/entry/src/berylstage_entry/granting.py
@@ -11,7 +11,7 @@
 from berylstage_entry.assignment import KeyRange, nobody
 from berylstage_entry.balance import KeyLoads, deal, rebalance
 from berylstage_entry.clock import now
-from berylstage_entry.errors import StoreError
+from berylstage_entry.errors import Conflict, StoreError, StoreRefused, StoreSilent
 from berylstage_entry.feed import KEYS_PREFIX
 from berylstage_entry.holds import HOLD, ORDER_TIMEOUT, RENEWAL, TargetHold
 from berylstage_entry.store import Condition, Item, Write
@@ -34,6 +34,10 @@
 FIRST_PIECES = 1
 # Seconds that a release may take: it is answered when the work on the keys has ended.
 RELEASE_TIMEOUT = 2.0
+# Fences of one move: the highest gives the keys out, each of the others serves one try to
+# take them back. A try without an answer may be carried out later, and only a higher
+# fence than its own keeps it from bringing the keys back.
+FENCES = 8
 # Seconds between two questions to a target that has fallen silent.
 PROBE_PERIOD = 0.3
 # Ranges of one target above which neighbours are granted anew as one.
@@ -46,6 +50,13 @@
 log = Logger(__name__)
 
 
+def note_fault(task: asyncio.Task) -> None:
+    """Log what ended a task that should not have failed."""
+    if not task.cancelled() and task.exception() is not None:
+        exc = task.exception()
+        log.error("a task failed", extra={"fault": f"{type(exc).__name__}: {exc}"})
+
+
 class _Service:
     """What the VM with the duty knows of one service with owned keys."""
 
@@ -93,6 +104,8 @@
         self._targets_seen: dict[tuple[str, int], Target] = {}
         # Moves whose former owner holds nothing any more, with what it handed over.
         self._let_go: dict[tuple[int, int, int], str] = {}
+        # Fence of the last try to take keys back, by move.
+        self._tries: dict[tuple[int, int, int], int] = {}
         # Fences of the moves that were begun in this term.
         self._own_fences: set[int] = set()
         self._task: asyncio.Task | None = None
@@ -150,6 +163,7 @@
             state.moving.clear()
         self._holds.clear()
         self._let_go.clear()
+        self._tries.clear()
         self._own_fences.clear()
 
     async def _look(self) -> None:
@@ -245,9 +259,7 @@
                 if r.last < move.first or r.first > move.last:
                     continue
                 first, last = max(r.first, move.first), min(r.last, move.last)
-                # Two fences each: the lower one takes the keys back, the higher one
-                # gives them out.
-                fence += 2
+                fence += FENCES
                 new.append(self._begun(r, first, last, move.owner, life, fence))
         return assignment.replace(new, fence + 1)
 
@@ -285,11 +297,40 @@
         return assignment.replace(new, fence + 1) if new else None
 
     async def _write(self, service: str, assignment: Assignment) -> None:
+        """Write an assignment, and return once it is known to be in force.
+
+        Raises
+        ------
+        Conflict
+            Another one is in force.
+        StoreError
+            It is not in force and won't be.
+        """
         key = KEYS_PREFIX + service
         revision = self._feed.revisions.get(service, 0)
         conditions = [self._office.condition(), Condition(key, revision)]
         value = assignment.encode()
-        new = await self._store.write(conditions, [Write(key, value)])
+        doubtful = False
+        while True:
+            try:
+                new = await self._store.write(conditions, [Write(key, value)])
+                break
+            except StoreRefused:
+                if not doubtful:
+                    raise
+            except Conflict:
+                if doubtful:
+                    await self._catch_up(service, revision)
+                raise
+            except StoreSilent as exc:
+                # It may be in force, or come into force seconds later. Until that is
+                # known nothing may be granted by the one before: the two could give the
+                # same keys to two targets.
+                doubtful = True
+                log.info("assignment in doubt", extra={"cause": str(exc)})
+            if not self._office.holds():
+                raise Conflict(f"{key}: the duty was lost while a write was in doubt")
+            await asyncio.sleep(TICK)
         self._feed.take_written(Item(key, value, new))
         log.info(
             "assignment written",
@@ -301,12 +342,20 @@
             },
         )
 
+    async def _catch_up(self, service: str, revision: int) -> None:
+        """Wait until this VM has heard of a newer assignment than it knew."""
+        while self._office.holds():
+            if self._feed.revisions.get(service, 0) > revision:
+                return
+            await asyncio.sleep(TICK)
+
     def _start_moves(
         self, service: str, state: _Service, assignment: Assignment
     ) -> None:
         """See to it that each move that was begun goes on."""
         for move, task in list(state.moving.items()):
             if task.done():
+                note_fault(task)
                 del state.moving[move]
         for r in assignment.ranges:
             move = (r.first, r.last, r.fence)
@@ -321,7 +370,13 @@
             handed = await self._taken_back(r)
             if handed is None:
                 return
-            self._let_go[move] = handed
+            # The new owner may have become unfit meanwhile, and the keys may go to yet
+            # another one: granting them here would give them two owners (seen for
+            # 2.6 s when a data centre was closed in the midst of a move).
+            async with self._state(service).lock:
+                if self._feed.assignments[service].find(r.first).fence != r.fence:
+                    return
+                self._let_go[move] = handed
         handover = self._let_go[move]
         known = self._directory.known.get(r.owner)
         if known is None or known.target.life != r.life:
@@ -386,16 +441,17 @@
         self, target: Target, hold: TargetHold, r: KeyRange
     ) -> str | None:
         """Take keys back from a target that may answer; None when it does not."""
-        fence = r.fence - 1
-        if not self._office.holds():
+        fence = self._next_try(r)
+        if not fence or not self._office.holds():
             return None
         try:
-            if hold.unanswered > float("-inf"):
-                # An order without an answer may be carried out after the release. A
-                # target that has seen a higher fence refuses it.
-                order = GrantOrder(r.first, r.last, fence, ORDER_TIMEOUT)
-                hold.ordered(now())
-                await self._wire.grant(target, order, ORDER_TIMEOUT)
+            # A renewal may still be on its way, from this VM or a former holder of the
+            # duty, and be carried out after the release: two targets would then hold
+            # the keys (seen for 2.5 s). A release leaves no fence behind, a grant does,
+            # and a target that has seen it refuses the renewal.
+            order = GrantOrder(r.first, r.last, fence, HOLD)
+            hold.ordered(now())
+            await self._wire.grant(target, order, ORDER_TIMEOUT)
             handover = await self._wire.release(
                 target, r.first, r.last, fence, RELEASE_TIMEOUT
             )
@@ -407,6 +463,16 @@
             return None
         return handover if target.life == r.former_life else ""
 
+    def _next_try(self, r: KeyRange) -> int:
+        """Return the fence for one more try to take keys back; 0 for no more tries."""
+        move = (r.first, r.last, r.fence)
+        # What a former holder of the duty has tried is not known, so just the highest
+        # fence is left to this one.
+        first = r.fence - FENCES + 1 if r.fence in self._own_fences else r.fence - 1
+        fence = self._tries.get(move, first - 1) + 1
+        self._tries[move] = fence
+        return fence if fence < r.fence else 0
+
     async def _grant(self, target: Target, r: KeyRange, handover: str = "") -> bool:
         """Grant one range; tell whether the target has it now."""
         hold = self._hold(target.identity)
@@ -437,6 +503,7 @@
         """See to it that each owner has a task that renews its grants."""
         for identity, task in list(self._keepers.items()):
             if task.done():
+                note_fault(task)
                 del self._keepers[identity]
         for r in assignment.ranges:
             identity = (r.owner, r.life)
--- a/packages/entry/src/berylstage_entry/server.py
+++ b/packages/entry/src/berylstage_entry/server.py
@@ -20,6 +20,7 @@
 from berylstage_entry.errors import BadRequest, Refused, Unanswered
 
 if TYPE_CHECKING:
+    from asyncio import Future
     from collections.abc import Callable
 
     from berylstage_entry.journal import RequestJournal
@@ -78,8 +79,8 @@
         self.body = body
 
 
-def write_reply(conn, reply: Reply, closing: bool) -> None:
-    """Write a reply on a connection of tornado's."""
+def write_reply(conn, reply: Reply, closing: bool) -> Future[None]:
+    """Write a reply on a connection of tornado's; the future ends when it has left."""
     headers = HTTPHeaders()
     for name, value in reply.headers:
         headers.add(name, value)
@@ -88,17 +89,18 @@
         headers["Connection"] = "close"
     reason = responses.get(reply.status, "Unknown")
     start = ResponseStartLine("HTTP/1.1", reply.status, reason)
-    conn.write_headers(start, headers, reply.body)
+    sent = conn.write_headers(start, headers, reply.body)
     conn.finish()
+    return sent
 
 
 class _Exchange(HTTPMessageDelegate):
     """One request of a caller and its answer."""
 
-    __slots__ = ("_chunks", "_conn", "_req", "_server", "_size", "_task", "_refusal")
-
-    def __init__(self, server: CallerServer, conn):
+    def __init__(self, server: CallerServer, link, conn):
         self._server = server
+        # The connection, which lasts for many exchanges.
+        self._link = link
         self._conn = conn
         self._chunks: list[bytes] = []
         self._size = 0
@@ -111,6 +113,7 @@
     ) -> None:
         """Read the head."""
         assert isinstance(start_line, RequestStartLine)
+        self._server.begun(self._link)
         try:
             self._server.check_head(headers)
             self._req = self._server.wire.request(
@@ -134,6 +137,7 @@
             status = self._refusal.status if self._refusal else BAD_REQUEST
             self._server.refused_head(self._refusal)
             write_reply(self._conn, Reply(status), True)
+            self._server.ended(self._link)
             return
         self._req.body = b"".join(self._chunks)
         self._chunks.clear()
@@ -142,18 +146,18 @@
 
     def on_connection_close(self) -> None:
         """End the work, since nobody waits for it."""
+        self._server.gone(self._link)
         if self._task is not None:
             self._task.cancel()
 
     async def _serve(self) -> None:
         assert self._req is not None
         server = self._server
-        server.in_flight += 1
-        try:
-            reply = await server.reply(self._req)
-        finally:
-            server.in_flight -= 1
-        write_reply(self._conn, reply, server.closing)
+        reply = await server.reply(self._req)
+        sent = write_reply(self._conn, reply, server.closing)
+        if server.closing:
+            await asyncio.wait([sent])
+        server.ended(self._link)
 
 
 class CallerServer(HTTPServerConnectionDelegate):
@@ -179,8 +183,10 @@
         self._router = router
         self._journal = journal
         self._limits = limits
-        self.in_flight = 0
         self.closing = False
+        # Connections with a request under way, and those without.
+        self._busy: set = set()
+        self._idle: set = set()
         self._server: HTTPServer | None = None
 
     def listen(self, address: str) -> None:
@@ -197,7 +203,48 @@
 
     def start_request(self, server_conn: object, request_conn) -> HTTPMessageDelegate:
         """Return what takes a new request."""
-        return _Exchange(self, request_conn)
+        if server_conn not in self._busy:
+            self._idle.add(server_conn)
+        return _Exchange(self, server_conn, request_conn)
+
+    def on_close(self, server_conn: object) -> None:
+        """Forget a connection that has closed."""
+        self.gone(server_conn)
+
+    @property
+    def in_flight(self) -> int:
+        """Requests under way."""
+        return len(self._busy)
+
+    def begun(self, link: object) -> None:
+        """Note that a request has come on a connection."""
+        self._idle.discard(link)
+        self._busy.add(link)
+
+    def ended(self, link: object) -> None:
+        """Note that the answer has been written."""
+        self._busy.discard(link)
+        if self.closing:
+            link.stream.close()  # type: ignore[attr-defined]
+        else:
+            self._idle.add(link)
+
+    def gone(self, link: object) -> None:
+        """Note that a connection is no more."""
+        self._busy.discard(link)
+        self._idle.discard(link)
+
+    def refuse_more(self) -> None:
+        """Close what waits for callers and the connections without a request.
+
+        A request that is read while the process ends would be cut off. Closing the idle
+        connections first leaves only those that end with their answer.
+        """
+        if self._server is not None:
+            self._server.stop()
+        for link in list(self._idle):
+            link.stream.close()
+        self._idle.clear()
 
     def set_limits(self, limits: Limits) -> None:
         """Take over how long connections may be idle, for new ones."""
--- /dev/null
+++ b/packages/entry/tests/fakes.py
@@ -0,0 +1,285 @@
+"""A store, targets and records in memory, for tests of the router's parts."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from random import Random
+
+from berylstage_entry.clock import now
+from berylstage_entry.errors import Conflict, LeaseEnded, StoreSilent
+from berylstage_entry.routes import Route, Share
+from berylstage_entry.services import Configuration, Limits, Service
+from berylstage_entry.settings import Bounds, EntrySettings
+from berylstage_entry.store import Changes, Item, Store
+from berylstage_entry.targets import Target
+from berylstage_entry.wire import Record, RecordReader, TargetWire
+from berylstage_transfers.errors import AnswerLost
+
+LIMITS = Limits(16384, 1 << 20, 3.0, 15.0)
+BOUNDS = Bounds(0.2, 60.0, 1.5, 5.0, 6.0, 10.0)
+
+
+def settings(vm: str = "vm-1", port: int = 1) -> EntrySettings:
+    address = f"127.0.0.1:{port}"
+    return EntrySettings(
+        vm, "dc-1", address, address, address, port, address, 1.0, BOUNDS
+    )
+
+
+def configuration(version: int = 1, owns_keys: bool = True) -> Configuration:
+    route = Route("r", "h", "/a/", [Share("s", 1.0)], True, 2, 1.0, 0.3, 1)
+    return Configuration(
+        version, [route], [Service("s", "/", 50, 3.0, 5.0, owns_keys)], LIMITS
+    )
+
+
+def target(name: str, life: int = 1, **changes) -> Target:
+    fields = {
+        "service": "s",
+        "address": f"127.0.0.1:{1 + sum(name.encode())}",
+        "data_centre": "dc-1",
+        "slots": 2,
+        "leaving": False,
+        "cold_left": 0.0,
+    } | changes
+    return Target(name, life, **fields)
+
+
+class MemoryStore(Store):
+    """The store's promises in memory; ``away`` makes every call fail."""
+
+    def __init__(self):
+        self.items: dict[str, Item] = {}
+        self.log: list[Item] = []
+        self.revision = 1
+        self.away = False
+        # Seconds after which writes are carried out whose answers are lost; 0 for none.
+        self.late_writes = 0.0
+        self.leases: dict[int, float] = {}
+        self.lengths: dict[int, float] = {}
+        self.bound: dict[str, int] = {}
+        self._changed = asyncio.Condition()
+
+    def _check(self):
+        if self.away:
+            raise StoreSilent("away")
+        for lease, end in list(self.leases.items()):
+            if now() > end:
+                self._drop_lease(lease)
+
+    def _drop_lease(self, lease):
+        self.leases.pop(lease, None)
+        for key, owner in list(self.bound.items()):
+            if owner == lease:
+                self.put(key, None)
+
+    def put(self, key, value, lease=0):
+        self.revision += 1
+        item = Item(key, value, self.revision)
+        self.log.append(item)
+        self.bound.pop(key, None)
+        if value is None:
+            self.items.pop(key, None)
+        else:
+            self.items[key] = item
+            if lease:
+                self.bound[key] = lease
+        return self.revision
+
+    async def read(self, prefix):
+        self._check()
+        found = [i for k, i in self.items.items() if k.startswith(prefix)]
+        return Changes(found, self.revision)
+
+    async def watch(self, prefix, after, wait):
+        end = now() + wait
+        while True:
+            self._check()
+            found = [
+                i for i in self.log if i.revision > after and i.key.startswith(prefix)
+            ]
+            if found or now() > end:
+                return Changes(found, self.revision)
+            await asyncio.sleep(0.01)
+
+    async def write(self, conditions, writes, removals=()):
+        self._check()
+        if self.late_writes:
+            asyncio.get_running_loop().call_later(
+                self.late_writes, self._write_late, conditions, writes, removals
+            )
+            await asyncio.sleep(0.1)
+            raise StoreSilent("the answer is lost")
+        return self._write(conditions, writes, removals)
+
+    def _write_late(self, conditions, writes, removals):
+        try:
+            self._write(conditions, writes, removals)
+        except (Conflict, LeaseEnded):
+            return
+
+    def _write(self, conditions, writes, removals):
+        for c in conditions:
+            item = self.items.get(c.key)
+            if (item.revision if item else 0) != c.revision:
+                raise Conflict(c.key)
+        for w in writes:
+            if w.lease and w.lease not in self.leases:
+                raise LeaseEnded(str(w.lease))
+        for key in removals:
+            self.put(key, None)
+        for w in writes:
+            self.put(w.key, w.value, w.lease)
+        # One revision for all that one call writes, as the platform does it.
+        for item in self.log[-len(writes) - len(removals) :] if writes else []:
+            item.revision = self.revision
+        return self.revision
+
+    async def take_lease(self, seconds):
+        self._check()
+        lease = self.revision * 1000 + len(self.leases) + 1
+        self.leases[lease] = now() + seconds
+        self.lengths[lease] = seconds
+        return lease
+
+    async def keep_lease(self, lease):
+        self._check()
+        if lease not in self.leases:
+            raise LeaseEnded(str(lease))
+        self.leases[lease] = now() + self.lengths[lease]
+
+    async def end_lease(self, lease):
+        self._check()
+        self._drop_lease(lease)
+
+
+class JsonRecords(RecordReader):
+    """Records as plain JSON under ``cfg`` and ``t/``."""
+
+    def __init__(self, configurations=None):
+        self.configurations = configurations or {}
+
+    def read(self, item):
+        if item.key == "cfg" and item.value is not None:
+            return Record(configuration=self.configurations[int(item.value)])
+        if not item.key.startswith("t/"):
+            return None
+        if item.value is None:
+            return Record(gone=item.key[2:])
+        return Record(target=target(item.key[2:], **json.loads(item.value)))
+
+
+class Hold:
+    """Keys that a target holds."""
+
+    def __init__(self, first, last, fence, start, end):
+        self.first, self.last, self.fence = first, last, fence
+        self.start, self.end = start, end
+
+
+class FencedTargets(TargetWire):
+    """Targets that keep to fences and write down who held what and when.
+
+    A release takes keys back and, as on the platform, leaves no fence behind: only a
+    grant does.
+    """
+
+    def __init__(self):
+        self.holds: dict[str, list[Hold]] = {}
+        self.past: list[tuple[str, Hold]] = []
+        self.fences: dict[str, list[tuple[int, int, int]]] = {}
+        # Seconds that an order takes at most; one may overtake another.
+        self.delay = 0.0
+        # Seconds that each grant takes on its way, and releases do not.
+        self.grant_delay = 0.0
+        # Seconds that the work on released keys takes to end.
+        self.release_delay = 0.0
+        self._rng = Random(7)
+        self.silent: set[str] = set()
+        self.late: dict[str, float] = {}
+
+    def request_headers(self, req, target, seconds):
+        return {}
+
+    def answer(self, answer):
+        raise NotImplementedError
+
+    async def grant(self, target, order, timeout):
+        await asyncio.sleep(self.grant_delay + self._rng.uniform(0, self.delay))
+        if target.name in self.silent:
+            await asyncio.sleep(timeout)
+            raise AnswerLost("silent")
+        if target.name in self.late:
+            arrived = now()
+            delay = self.late[target.name]
+            asyncio.get_running_loop().call_later(
+                delay, self._apply, target.name, order, arrived
+            )
+            await asyncio.sleep(timeout)
+            raise AnswerLost("late")
+        return self._apply(target.name, order, now())
+
+    def _apply(self, name, order, arrived):
+        seen = self.fences.setdefault(name, [])
+        overlapping = [
+            f for a, b, f in seen if a <= order.last and b >= order.first
+        ]
+        if overlapping and max(overlapping) > order.fence:
+            return False
+        seen.append((order.first, order.last, order.fence))
+        self._take(name, order.first, order.last)
+        hold = Hold(order.first, order.last, order.fence, now(), arrived + order.hold)
+        self.holds.setdefault(name, []).append(hold)
+        return True
+
+    def _take(self, name, first, last):
+        kept = []
+        for hold in self.holds.get(name, []):
+            if hold.last < first or hold.first > last:
+                kept.append(hold)
+                continue
+            end = min(hold.end, now())
+            self.past.append((name, Hold(hold.first, hold.last, hold.fence, hold.start, end)))
+            if hold.first < first:
+                kept.append(Hold(hold.first, first - 1, hold.fence, now(), hold.end))
+            if hold.last > last:
+                kept.append(Hold(last + 1, hold.last, hold.fence, now(), hold.end))
+        self.holds[name] = kept
+
+    async def release(self, target, first, last, fence, timeout):
+        await asyncio.sleep(self.release_delay + self._rng.uniform(0, self.delay))
+        if target.name in self.silent:
+            await asyncio.sleep(timeout)
+            raise AnswerLost("silent")
+        self._take(target.name, first, last)
+        return "handover"
+
+    async def is_alive(self, target, timeout):
+        if target.name in self.silent:
+            await asyncio.sleep(timeout)
+            return False
+        return True
+
+    def doubly_held(self):
+        """Return pairs of holds of two targets on the same keys at the same time."""
+        every = self.past + [(n, h) for n, hs in self.holds.items() for h in hs]
+        return [
+            (a, x.first, x.last, b, y.first, y.last)
+            for i, (a, x) in enumerate(every)
+            for b, y in every[i + 1 :]
+            if a != b
+            and x.first <= y.last
+            and y.first <= x.last
+            and x.start < y.end - 0.001
+            and y.start < x.end - 0.001
+        ]
+
+    def holder(self, key):
+        """Return the targets that hold a key now."""
+        return [
+            name
+            for name, holds in self.holds.items()
+            for h in holds
+            if h.first <= key <= h.last and h.end > now()
+        ]
--- /dev/null
+++ b/packages/entry/tests/test_granting.py
@@ -0,0 +1,242 @@
+"""Tests of granting, renewing and moving keys."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from random import Random
+
+import pytest
+from berylstage_entry.clock import now
+from berylstage_entry.directory import Directory
+from berylstage_entry.feed import Feed
+from berylstage_entry.granting import Granting
+from berylstage_entry.office import Office
+
+from fakes import (
+    FencedTargets,
+    JsonRecords,
+    MemoryStore,
+    configuration,
+    settings,
+)
+
+
+class Vm:
+    """The parts of one VM that have to do with grants."""
+
+    def __init__(self, name, store, wire):
+        records = JsonRecords({1: configuration()})
+        self.directory = Directory()
+        self.feed = Feed(store, records, self.directory)
+        cfg = settings(name)
+        self.office = Office(cfg, store, self.feed, Random(1))
+        self.granting = Granting(store, self.feed, self.directory, self.office, wire)
+
+    def start(self):
+        self.feed.start()
+        self.office.start()
+        self.granting.start()
+
+    def kill(self):
+        self.feed.stop()
+        self.granting.stop()
+        self.office._task.cancel()
+
+
+def put_target(store, name, **changes):
+    store.put(f"t/{name}", json.dumps(changes).encode())
+
+
+async def until(condition, seconds=8.0):
+    end = now() + seconds
+    while not condition():
+        assert now() < end, "it did not come about in time"
+        await asyncio.sleep(0.02)
+
+
+def owners(vm):
+    return {r.owner for r in vm.feed.assignments["s"].ranges}
+
+
+def all_held(wire, keys=(0, 9000, 20000, 40000, 65535)):
+    return all(len(wire.holder(key)) == 1 for key in keys)
+
+
+@pytest.fixture
+def store():
+    store = MemoryStore()
+    store.put("cfg", b"1")
+    for name in ("a", "b", "c"):
+        put_target(store, name)
+    return store
+
+
+class TestGranting:
+    def test_all_keys_get_one_owner(self, store):
+        async def play():
+            wire = FencedTargets()
+            vm = Vm("vm-1", store, wire)
+            vm.start()
+            await until(lambda: all_held(wire))
+            holders = {wire.holder(key)[0] for key in range(0, 65536, 4096)}
+            vm.kill()
+            assert holders == {"a", "b", "c"}
+            assert not wire.doubly_held()
+
+        asyncio.run(play())
+
+    def test_renewal_on_its_way_does_not_bring_moved_keys_back(self, store):
+        # Busy keys move while a renewal of their whole range is on its way to the former
+        # owner. The renewal arrives after the release; a former owner that took it would
+        # serve the same keys as the new one, and two callers would book one seat.
+        async def play():
+            wire = FencedTargets()
+            vm = Vm("vm-1", store, wire)
+            vm.start()
+            await until(lambda: all_held(wire))
+            wire.grant_delay = 0.3
+            for turn in range(24):
+                vm.granting.told("s", {100 + turn: 40, 140 + turn: 40, 180: 40}, {})
+                await asyncio.sleep(0.15)
+                assert not wire.doubly_held(), turn
+            vm.kill()
+            assert len(vm.feed.assignments["s"].ranges) > 3
+
+        asyncio.run(play())
+
+    def test_new_owner_that_leaves_in_the_midst_of_a_move_gets_nothing(self, store):
+        # Keys are on the move while work on them ends at their former owner. Their new
+        # owner is told to leave at this moment, so they go to a third one. The first
+        # move must not end with a grant of its own: two targets would hold the keys.
+        async def play():
+            wire = FencedTargets()
+            vm = Vm("vm-1", store, wire)
+            vm.start()
+            await until(lambda: all_held(wire))
+            wire.release_delay = 0.4
+            vm.granting.told("s", {k: 60 for k in range(100, 400, 50)}, {})
+
+            def moving():
+                return [r for r in vm.feed.assignments["s"].ranges if r.former]
+
+            await until(moving)
+            put_target(store, moving()[0].owner, leaving=True)
+            await until(lambda: not moving() and all_held(wire, (100, 300)))
+            vm.kill()
+            assert not wire.doubly_held()
+
+        asyncio.run(play())
+
+    def test_write_in_doubt_is_settled_before_anything_is_granted(self, store):
+        # The answer to a write of the assignment is lost, and the write is carried out
+        # a second later. A VM that went on from the assignment before would grant by
+        # one while the store holds the other.
+        async def play():
+            wire = FencedTargets()
+            vm = Vm("vm-1", store, wire)
+            vm.start()
+            await until(lambda: all_held(wire))
+            store.late_writes = 1.0
+            put_target(store, "a", leaving=True)
+            await asyncio.sleep(2.5)
+            store.late_writes = 0.0
+            await until(lambda: not wire.holds.get("a") and all_held(wire))
+            kept = store.items["berylstage/keys/s"].value
+            vm.kill()
+            assert kept == vm.feed.assignments["s"].encode()
+            assert not wire.doubly_held()
+
+        asyncio.run(play())
+
+    def test_keys_of_a_leaving_target_go_to_others(self, store):
+        async def play():
+            wire = FencedTargets()
+            vm = Vm("vm-1", store, wire)
+            vm.start()
+            await until(lambda: all_held(wire))
+            put_target(store, "a", leaving=True)
+            began = now()
+            await until(lambda: not wire.holds.get("a"))
+            await until(lambda: all_held(wire))
+            vm.kill()
+            assert now() - began < 2.0
+            assert not wire.doubly_held()
+
+        asyncio.run(play())
+
+    def test_keys_of_a_silent_target_wait_for_its_hold_to_end(self, store):
+        # A target falls silent and may still be serving others. Its keys must not go to
+        # another target while its own grant can still hold, and must not wait for long
+        # after that: callers of these keys get no answer all the while.
+        async def play():
+            wire = FencedTargets()
+            vm = Vm("vm-1", store, wire)
+            vm.start()
+            await until(lambda: all_held(wire))
+            wire.silent.add("a")
+            began = now()
+            await until(lambda: "a" not in owners(vm))
+            await until(lambda: all_held(wire))
+            vm.kill()
+            assert now() - began < 5.0
+            assert not wire.doubly_held()
+
+        asyncio.run(play())
+
+    def test_orders_carried_out_late_leave_one_holder(self, store):
+        # A target leaves orders unanswered and carries them out seconds later. A grant
+        # that comes into force after the keys have moved on would give them two owners.
+        async def play():
+            wire = FencedTargets()
+            vm = Vm("vm-1", store, wire)
+            vm.start()
+            await until(lambda: all_held(wire))
+            wire.late["a"] = 1.5
+            await asyncio.sleep(1.0)
+            put_target(store, "a", leaving=True)
+            await asyncio.sleep(1.0)
+            wire.late.clear()
+            await until(lambda: all_held(wire))
+            await asyncio.sleep(1.5)
+            vm.kill()
+            assert not wire.doubly_held()
+
+        asyncio.run(play())
+
+    def test_lost_holder_of_the_duty_costs_no_key(self, store):
+        # The VM with the duty of granting is lost. Another one takes the duty over within
+        # its lease and renews the grants before they end, so that no key goes without an
+        # owner.
+        async def play():
+            wire = FencedTargets()
+            first, second = Vm("vm-1", store, wire), Vm("vm-2", store, wire)
+            first.start()
+            await until(lambda: all_held(wire))
+            second.start()
+            await asyncio.sleep(0.5)
+            first.kill()
+            end = now() + 4.0
+            while now() < end:
+                assert all_held(wire)
+                await asyncio.sleep(0.02)
+            assert second.office.holds()
+            second.kill()
+            assert not wire.doubly_held()
+
+        asyncio.run(play())
+
+    def test_outage_of_the_store_costs_no_key(self, store):
+        async def play():
+            wire = FencedTargets()
+            vm = Vm("vm-1", store, wire)
+            vm.start()
+            await until(lambda: all_held(wire))
+            store.away = True
+            end = now() + 5.0
+            while now() < end:
+                assert all_held(wire)
+                await asyncio.sleep(0.05)
+            vm.kill()
+
+        asyncio.run(play())
