Stop without cutting a request

Cause: connections stayed open until the process ended, so that requests were read and passed on in its last 50 ms; and a connection closed as idle still passed on a request that had just been read. Ruled out: the stop time being too short (the cut came 2.5 s into 6 s).

--- a/packages/entry/src/berylstage_entry/server.py
+++ b/packages/entry/src/berylstage_entry/server.py
@@ -133,6 +133,11 @@
 
     def finish(self) -> None:
         """Serve the request, now that it is whole."""
+        if self._link.stream.closed():
+            # The connection was closed as an idle one while this request was read. It
+            # must not run: its caller has been told that it has not been taken.
+            self._server.gone(self._link)
+            return
         if self._refusal is not None or self._req is None:
             status = self._refusal.status if self._refusal else BAD_REQUEST
             self._server.refused_head(self._refusal)
--- a/packages/entry/tests/test_server.py
+++ b/packages/entry/tests/test_server.py
@@ -11,6 +11,7 @@
 from berylstage_entry.server import CallerServer
 from berylstage_entry.wire import CallerRequest, CallerWire, TargetAnswer
 from fakes import LIMITS
+from tornado.httputil import HTTPHeaders, RequestStartLine
 
 
 class PlainCallers(CallerWire):
@@ -112,6 +113,31 @@
 
         asyncio.run(play())
 
+    def test_request_that_crosses_the_close_does_not_run(self):
+        # The VM stops and closes a connection as idle in the moment in which a request
+        # on it has been read and not yet begun. Its caller sees the close and sends
+        # it elsewhere; run here as well it would be an order placed twice.
+        class ClosedStream:
+            def closed(self):
+                return True
+
+        class Link:
+            stream = ClosedStream()
+
+        async def play():
+            router = SlowRouter(0.0)
+            server, _ = serve(router)
+            link = Link()
+            exchange = server.start_request(link, None)
+            start = RequestStartLine("GET", "/a/", "HTTP/1.1")
+            exchange.headers_received(start, HTTPHeaders())
+            exchange.finish()
+            assert server.in_flight == 0
+            assert exchange._task is None
+            await server.close()
+
+        asyncio.run(play())
+
     def test_caller_that_leaves_ends_the_work(self):
         # A caller gives up and closes its connection. Work that goes on for it keeps a
         # slot from callers who still wait.
