Tell assignments among the VMs and write ends of moves together

Ruled out: stale reads (seconds old). Change: the granting VM tells the others itself, the watch of own keys follows the duty only, moves that end together are written together, the paced reading pauses 0.9 s.

--- a/packages/entry/src/berylstage_entry/application.py
+++ b/packages/entry/src/berylstage_entry/application.py
@@ -9,6 +9,7 @@
 
 from logbook import Logger
 
+from berylstage_entry.announcements import TOLD_PATH, Announcements
 from berylstage_entry.directory import Directory
 from berylstage_entry.feed import Feed
 from berylstage_entry.granting import Granting
@@ -71,12 +72,18 @@
         self.office = Office(cfg, store, self.feed, self.rng)
         self.granting = Granting(store, self.feed, self.directory, self.office, targets)
         self.membership = Membership(cfg, store, self.feed)
+        self.announcements = Announcements(self.feed, self.membership, cfg.control)
+        self.granting.listeners.append(self.announcements.tell)
         self.reports = Reports(self.router, self.granting, self.office)
         journal = RequestJournal(self.metrics)
         self.server = CallerServer(callers, self.router, journal, self._limits)
         self.ready_page = PageServer({callers.ready_path: self._ready})
         self.control_page = PageServer(
-            {STOP_PATH: self._stop_orders, REPORT_PATH: self._take_report}
+            {
+                STOP_PATH: self._stop_orders,
+                REPORT_PATH: self._take_report,
+                TOLD_PATH: self._take_told,
+            }
         )
         self.metrics_page = PageServer({"/metrics": self._metrics_text})
         self.feed.listeners.append(self._heard)
@@ -123,6 +130,7 @@
         await self._within(end, self.office.resign())
         self.granting.stop()
         self.reports.stop()
+        self.announcements.close()
         await self._within(end, self.membership.stop())
         await asyncio.sleep(max(0.0, BALANCER_LAG - 0.1))
         self.server.refuse_more()
@@ -173,6 +181,9 @@
     def _take_report(self, body: bytes) -> Reply:
         return Reply(200 if self.reports.take(body) else 400)
 
+    def _take_told(self, body: bytes) -> Reply:
+        return Reply(200 if self.announcements.take(body) else 400)
+
     def _metrics_text(self, body: bytes) -> Reply:
         headers = [("Content-Type", "text/plain; version=0.0.4")]
         return Reply(200, headers, self.metrics.text().encode())
--- a/packages/entry/src/berylstage_entry/feed.py
+++ b/packages/entry/src/berylstage_entry/feed.py
@@ -22,12 +22,14 @@
 OWN_PREFIX = "berylstage/"
 # Prefix of the assignments; the name of the service follows.
 KEYS_PREFIX = OWN_PREFIX + "keys/"
+# Key that names the VM with the duty of granting; it goes with that VM's lease.
+DUTY_KEY = OWN_PREFIX + "duty"
 # Seconds between two readings of all changes. Targets report about once a second each,
-# so a watch without a pause would be a call for each report; a pause of 0.7 s leaves
-# more than half of the two seconds within which news must be in force.
-PACE = 0.7
-# Seconds that the watch of the VMs' own keys waits for a change.
-OWN_WAIT = 8.0
+# so a watch without a pause would be a call for each report; a pause of 0.9 s leaves
+# half of the two seconds within which news must be in force.
+PACE = 0.9
+# Seconds that the watch of the duty's key waits for a change.
+DUTY_WAIT = 10.0
 # Seconds that the watch of all keys waits: with any target alive it returns at once.
 ALL_WAIT = 1.0
 # Seconds before a failed call is made again.
@@ -69,7 +71,7 @@
         """Begin to follow."""
         self._tasks = [
             asyncio.create_task(self._follow_all()),
-            asyncio.create_task(self._follow_own()),
+            asyncio.create_task(self._follow_duty()),
         ]
 
     def stop(self) -> None:
@@ -102,9 +104,9 @@
                 self._note_failure(exc)
                 await asyncio.sleep(RETRY)
 
-    async def _follow_own(self) -> None:
-        # News of the VMs' own keys decide where requests go while keys move, so they
-        # are not left to the paced reading.
+    async def _follow_duty(self) -> None:
+        # A duty without a holder is taken over before grants end, for which the paced
+        # reading would be too slow.
         while True:
             if not self.complete:
                 await asyncio.sleep(RETRY)
@@ -112,14 +114,14 @@
             revision = self._revision
             try:
                 while True:
-                    changes = await self._store.watch(OWN_PREFIX, revision, OWN_WAIT)
+                    changes = await self._store.watch(DUTY_KEY, revision, DUTY_WAIT)
                     for item in changes.items:
                         self._take_own(item)
                     revision = max(revision, changes.revision)
             except HistoryLost:
                 self.complete = False
             except StoreError as exc:
-                log.info("watch of own keys failed", extra={"cause": str(exc)})
+                log.info("watch of the duty failed", extra={"cause": str(exc)})
                 await asyncio.sleep(RETRY)
 
     async def _read_all(self) -> None:
--- a/packages/entry/src/berylstage_entry/granting.py
+++ b/packages/entry/src/berylstage_entry/granting.py
@@ -18,6 +18,8 @@
 from berylstage_entry.wire import GrantOrder
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from berylstage_entry.assignment import Assignment
     from berylstage_entry.directory import Directory
     from berylstage_entry.feed import Feed
@@ -32,6 +34,9 @@
 BALANCE_PERIOD = 0.35
 # Parts into which all keys are cut for each target at the start.
 FIRST_PIECES = 1
+# Seconds for which the end of a move waits for others to be written with it: moves of
+# one round end within 20 ms of each other where no work is under way.
+SETTLE_DELAY = 0.02
 # Seconds that a release may take: it is answered when the work on the keys has ended.
 RELEASE_TIMEOUT = 2.0
 # Fences of one move: the highest gives the keys out, each of the others serves one try to
@@ -60,7 +65,15 @@
 class _Service:
     """What the VM with the duty knows of one service with owned keys."""
 
-    __slots__ = ("balanced_at", "loads", "lock", "moving", "seconds")
+    __slots__ = (
+        "balanced_at",
+        "ended",
+        "loads",
+        "lock",
+        "moving",
+        "seconds",
+        "settling",
+    )
 
     def __init__(self, moment: float):
         self.loads = KeyLoads(moment)
@@ -68,6 +81,9 @@
         self.seconds: dict[str, float] = {}
         self.balanced_at = moment
         self.moving: dict[tuple[int, int, int], asyncio.Task] = {}
+        # Moves that have ended and are yet to be written, and who writes them.
+        self.ended: list[KeyRange] = []
+        self.settling: asyncio.Task | None = None
         # One change of the assignment at a time, each made from the one before.
         self.lock = asyncio.Lock()
 
@@ -97,6 +113,8 @@
         self._directory = directory
         self._office = office
         self._wire = wire
+        # Called with each assignment that has been written.
+        self.listeners: list[Callable[[Item], None]] = []
         self._services: dict[str, _Service] = {}
         self._holds: dict[tuple[str, int], TargetHold] = {}
         self._keepers: dict[tuple[str, int], asyncio.Task] = {}
@@ -161,6 +179,7 @@
             for task in state.moving.values():
                 task.cancel()
             state.moving.clear()
+            state.ended.clear()
         self._holds.clear()
         self._let_go.clear()
         self._tries.clear()
@@ -331,7 +350,10 @@
             if not self._office.holds():
                 raise Conflict(f"{key}: the duty was lost while a write was in doubt")
             await asyncio.sleep(TICK)
-        self._feed.take_written(Item(key, value, new))
+        item = Item(key, value, new)
+        self._feed.take_written(item)
+        for listener in self.listeners:
+            listener(item)
         log.info(
             "assignment written",
             extra={
@@ -396,27 +418,34 @@
                 "seconds": round(now() - began, 3),
             },
         )
-        await self._settle(service, r)
-
-    async def _settle(self, service: str, r: KeyRange) -> None:
-        """Write that a move has ended."""
-        while self._office.in_touch():
+        state = self._state(service)
+        state.ended.append(r)
+        if state.settling is None or state.settling.done():
+            state.settling = asyncio.create_task(self._settle(service, state))
+
+    async def _settle(self, service: str, state: _Service) -> None:
+        """Write that moves have ended: those that end together in one write."""
+        while state.ended and self._office.in_touch():
+            await asyncio.sleep(SETTLE_DELAY)
             try:
-                async with self._state(service).lock:
-                    await self._write_settled(service, r)
-                return
+                async with state.lock:
+                    ended, state.ended = state.ended, []
+                    await self._write_settled(service, ended)
             except StoreError as exc:
-                log.info("end of a move not written", extra={"cause": str(exc)})
-                await asyncio.sleep(RENEWAL / 4)
+                state.ended += ended
+                log.info("end of moves not written", extra={"cause": str(exc)})
+                await asyncio.sleep(TICK)
 
-    async def _write_settled(self, service: str, r: KeyRange) -> None:
+    async def _write_settled(self, service: str, ended: list[KeyRange]) -> None:
         assignment = self._feed.assignments[service]
-        current = assignment.find(r.first)
-        if current.fence != r.fence or not current.former:
-            return
-        done = KeyRange(r.first, r.last, r.owner, r.life, r.fence)
-        new = assignment.replace([done], assignment.next_fence)
-        await self._write(service, new)
+        done = []
+        for r in ended:
+            current = assignment.find(r.first)
+            if current.fence == r.fence and current.former:
+                done.append(KeyRange(r.first, r.last, r.owner, r.life, r.fence))
+        if done:
+            new = assignment.replace(done, assignment.next_fence)
+            await self._write(service, new)
 
     async def _taken_back(self, r: KeyRange) -> str | None:
         """Return the handover once the former owner holds nothing; None to try later."""
--- a/packages/entry/src/berylstage_entry/office.py
+++ b/packages/entry/src/berylstage_entry/office.py
@@ -14,7 +14,7 @@
 
 from berylstage_entry.clock import now
 from berylstage_entry.errors import Conflict, LeaseEnded, StoreError
-from berylstage_entry.feed import OWN_PREFIX
+from berylstage_entry.feed import DUTY_KEY, OWN_PREFIX
 from berylstage_entry.store import Condition, Item, Write
 
 if TYPE_CHECKING:
@@ -22,8 +22,6 @@
     from berylstage_entry.settings import EntrySettings
     from berylstage_entry.store import Store
 
-# Key that names the VM with the duty; it goes with that VM's lease.
-DUTY_KEY = OWN_PREFIX + "duty"
 # Key that counts the terms and names the last VM that had the duty. It stays.
 TERM_KEY = OWN_PREFIX + "term"
 # Path at which a VM is asked whether it has given the duty up.
--- a/packages/entry/src/berylstage_entry/router.py
+++ b/packages/entry/src/berylstage_entry/router.py
@@ -295,9 +295,7 @@
         if answer.load is None or not answer.load.waiting:
             loads.answered(name, seconds / load.pace)
 
-    def _learn_queue(
-        self, journey: _Journey, name: str, answer: TargetAnswer
-    ) -> None:
+    def _learn_queue(self, journey: _Journey, name: str, answer: TargetAnswer) -> None:
         if answer.not_run and not answer.misdirected:
             self._gate(name).full(now())
         elif answer.load is not None:
--- a/packages/entry/tests/fakes.py
+++ b/packages/entry/tests/fakes.py
@@ -222,9 +222,7 @@
 
     def _apply(self, name, order, arrived):
         seen = self.fences.setdefault(name, [])
-        overlapping = [
-            f for a, b, f in seen if a <= order.last and b >= order.first
-        ]
+        overlapping = [f for a, b, f in seen if a <= order.last and b >= order.first]
         if overlapping and max(overlapping) > order.fence:
             return False
         seen.append((order.first, order.last, order.fence))
@@ -240,7 +238,9 @@
                 kept.append(hold)
                 continue
             end = min(hold.end, now())
-            self.past.append((name, Hold(hold.first, hold.last, hold.fence, hold.start, end)))
+            self.past.append(
+                (name, Hold(hold.first, hold.last, hold.fence, hold.start, end))
+            )
             if hold.first < first:
                 kept.append(Hold(hold.first, first - 1, hold.fence, now(), hold.end))
             if hold.last > last:
