Take the early refusal for full owners out again

Cause of the trial: owners that reset connections while a key asks for twice what they do. Conclusion: a refusal costs more than waiting, since most long queues last for less than a caller's way back; what helped was the balance of keys.

--- a/packages/entry/src/berylstage_entry/router.py
+++ b/packages/entry/src/berylstage_entry/router.py
@@ -8,7 +8,6 @@
 
 from berylstage_policy.cold_pace import ColdPace
 from berylstage_policy.completion import ServiceLoads
-from berylstage_policy.early_refusal import EarlyRefusal
 from berylstage_policy.retries import Budget
 from berylstage_policy.shares import WeightedTurns
 from berylstage_transfers.errors import AnswerLost, NeverSent
@@ -123,7 +122,6 @@
         self._loads: dict[str, ServiceLoads] = {}
         self._budgets: dict[str, Budget] = {}
         self._turns: dict[str, tuple[tuple, WeightedTurns]] = {}
-        self._gates: dict[str, EarlyRefusal] = {}
         self._paces: dict[tuple[str, int], ColdPace] = {}
         self._seen_revision = -1
         self.vms = 10
@@ -215,16 +213,8 @@
         """Let the owner of a key get no more than it can bear."""
         if not self._may_send(name, journey.service):
             raise self._given_up(journey, "cold")
-        if not self._gate(name).admits(now(), self._rng):
-            raise self._given_up(journey, "owner-busy")
         return name
 
-    def _gate(self, name: str) -> EarlyRefusal:
-        gate = self._gates.get(name)
-        if gate is None:
-            gate = self._gates[name] = EarlyRefusal(now())
-        return gate
-
     def _free_target(self, journey: _Journey) -> str:
         names = self._directory.usable(journey.service.name)
         loads = self._service_loads(journey.service.name)
@@ -264,7 +254,6 @@
         finally:
             load.inflight -= 1
         self._learn(loads, name, answer, now() - began)
-        self._learn_queue(journey, name, answer)
         return self._judge(journey, name, answer)
 
     def _lost(self, journey: _Journey, name: str, exc: AnswerLost) -> None:
@@ -273,7 +262,6 @@
         moment = now()
         late = journey.left(moment) < LEAST_TIME
         journey.lost = "timeout" if late else "answer-lost"
-        self._gate(name).full(moment)
         self._service_loads(journey.service.name).load(name, 1).failed(moment)
         if not journey.route.idempotent or late:
             raise Unanswered(journey.lost, late) from exc
@@ -295,15 +283,6 @@
         if answer.load is None or not answer.load.waiting:
             loads.answered(name, seconds / load.pace)
 
-    def _learn_queue(self, journey: _Journey, name: str, answer: TargetAnswer) -> None:
-        if answer.not_run and not answer.misdirected:
-            self._gate(name).full(now())
-        elif answer.load is not None:
-            told = answer.load
-            seconds = self._service_loads(journey.service.name).service_time(name)
-            wait = told.waiting * seconds * told.pace / max(1, told.slots)
-            self._gate(name).told(wait, journey.route.objective, now())
-
     def _judge(
         self, journey: _Journey, name: str, answer: TargetAnswer
     ) -> TargetAnswer | None:
@@ -353,7 +332,6 @@
         names = set(self._directory.known)
         for loads in self._loads.values():
             loads.keep(names)
-        self._gates = {n: g for n, g in self._gates.items() if n in names}
         self._senders.keep(names)
 
     def _budget(self, service: str) -> Budget:
