Tell the speed of targets by kind of request, within bounds

Ruled out: the hot key alone (the target was full before and after it). Change: service times are compared within a kind of request, and slowness stays between 0.6 and 2.2; a choice weighs the kind's own time and the mean of what is ahead.

--- a/packages/entry/src/berylstage_entry/granting.py
+++ b/packages/entry/src/berylstage_entry/granting.py
@@ -49,6 +49,9 @@
 MANY_RANGES = 8
 # Seconds of work of one request while nobody has told better.
 FIRST_SERVICE_TIME = 0.1
+# Weight of one VM's report in what is known of the speed of targets: all ten VMs report
+# three times a second, so that a second of reports outweighs what was known before.
+SPEED_GAIN = 0.1
 # Rate of requests, relative to what it bears, that a cold target is given keys for.
 COLD_USE = 0.5
 
@@ -73,12 +76,14 @@
         "moving",
         "seconds",
         "settling",
+        "slowness",
     )
 
     def __init__(self, moment: float):
         self.loads = KeyLoads(moment)
-        # Mean service time by target, as VMs have told.
-        self.seconds: dict[str, float] = {}
+        # Mean service time, and how slow each target is, as VMs have told.
+        self.seconds = FIRST_SERVICE_TIME
+        self.slowness: dict[str, float] = {}
         self.balanced_at = moment
         self.moving: dict[tuple[int, int, int], asyncio.Task] = {}
         # Moves that have ended and are yet to be written, and who writes them.
@@ -140,7 +145,11 @@
         self._drop_tasks()
 
     def told(
-        self, service: str, counts: dict[int, int], seconds: dict[str, float]
+        self,
+        service: str,
+        counts: dict[int, int],
+        mean: float,
+        slowness: dict[str, float],
     ) -> None:
         """Take in what a VM has counted.
 
@@ -149,15 +158,19 @@
         service : str
         counts : dict of int to int
             Requests for each key since its last report.
-        seconds : dict of str to float
-            Mean service time by target.
+        mean : float
+            Seconds that a request takes; 0 when unknown.
+        slowness : dict of str to float
+            How slow each target is, over the typical one.
         """
         state = self._state(service)
         for key, count in counts.items():
             state.loads.add(key, count)
-        for target, value in seconds.items():
-            old = state.seconds.get(target, value)
-            state.seconds[target] = old + 0.3 * (value - old)
+        if mean:
+            state.seconds += SPEED_GAIN * (mean - state.seconds)
+        for target, value in slowness.items():
+            old = state.slowness.get(target, 1.0)
+            state.slowness[target] = old + SPEED_GAIN * (value - old)
 
     async def _run(self) -> None:
         while True:
@@ -253,15 +266,13 @@
         """Return the requests a second of each target that may take keys."""
         cfg = self._directory.configuration
         assert cfg is not None
-        known = [s for s in state.seconds.values() if s]
-        typical = sum(known) / len(known) if known else FIRST_SERVICE_TIME
         capacities = {}
         for name in self._directory.usable(service):
             entry = self._directory.known[name]
             hold = self._holds.get(entry.target.identity)
             if hold is not None and hold.silent_since:
                 continue
-            seconds = state.seconds.get(name) or typical
+            seconds = state.seconds * state.slowness.get(name, 1.0)
             capacities[name] = entry.target.slots / seconds
             if entry.cold_until > now():
                 rate = cfg.services[service].cold_rate
--- a/packages/entry/src/berylstage_entry/reports.py
+++ b/packages/entry/src/berylstage_entry/reports.py
@@ -61,9 +61,9 @@
         """Take in another VM's report; False when it can't be read."""
         try:
             doc = json.loads(body)
-            for service, counts, seconds in doc["services"]:
+            for service, counts, mean, slowness in doc["services"]:
                 pairs = {int(key): int(count) for key, count in counts}
-                self._granting.told(service, pairs, dict(seconds))
+                self._granting.told(service, pairs, float(mean), dict(slowness))
         except (ValueError, KeyError, TypeError) as exc:
             log.warning("report passed over", extra={"cause": str(exc)})
             return False
@@ -77,8 +77,7 @@
                 continue
             if self._office.holds():
                 for service, pairs in counts.items():
-                    seconds = self._router.service_times(service)
-                    self._granting.told(service, pairs, seconds)
+                    self._granting.told(service, pairs, *self._speeds(service))
                 continue
             address = self._office.holder_address()
             if address:
@@ -87,7 +86,7 @@
     async def _send(self, address: str, counts: dict[str, dict[int, int]]) -> None:
         assert self._client is not None
         services = [
-            (service, list(pairs.items()), list(self._times(service)))
+            (service, list(pairs.items()), *self._speeds(service))
             for service, pairs in counts.items()
         ]
         body = json.dumps({"services": services}).encode()
@@ -102,5 +101,7 @@
             return
         self._lost = 0
 
-    def _times(self, service: str):
-        return self._router.service_times(service).items()
+    def _speeds(self, service: str) -> tuple[float, dict[str, float]]:
+        """Return the mean service time and how slow each target is."""
+        loads = self._router.service_loads(service)
+        return (loads.mean, loads.slowness()) if loads is not None else (0.0, {})
--- a/packages/entry/src/berylstage_entry/router.py
+++ b/packages/entry/src/berylstage_entry/router.py
@@ -159,10 +159,9 @@
         counts, self._key_counts = self._key_counts, {}
         return counts
 
-    def service_times(self, service: str) -> dict[str, float]:
-        """Return the mean service time of each target that this VM has seen."""
-        loads = self._loads.get(service)
-        return loads.times() if loads is not None else {}
+    def service_loads(self, service: str) -> ServiceLoads | None:
+        """Return what this VM has seen of the targets of a service."""
+        return self._loads.get(service)
 
     async def _travel(self, journey: _Journey) -> Answered:
         """Send until there is an answer to give, or no way to get one."""
@@ -227,8 +226,9 @@
             fit.append(name)
         if not fit:
             raise self._given_up(journey, "no-target")
-        name = loads.choose(fit, now())
-        if loads.expected(name, now()) > journey.left(now()):
+        kind = journey.route.name
+        name = loads.choose(fit, kind, now())
+        if loads.expected(name, kind, now()) > journey.left(now()):
             raise self._given_up(journey, "no-room")
         return name
 
@@ -253,7 +253,7 @@
             return self._lost(journey, name, exc)
         finally:
             load.inflight -= 1
-        self._learn(loads, name, answer, now() - began)
+        self._learn(loads, journey.route.name, name, answer, now() - began)
         return self._judge(journey, name, answer)
 
     def _lost(self, journey: _Journey, name: str, exc: AnswerLost) -> None:
@@ -267,7 +267,12 @@
             raise Unanswered(journey.lost, late) from exc
 
     def _learn(
-        self, loads: ServiceLoads, name: str, answer: TargetAnswer, seconds: float
+        self,
+        loads: ServiceLoads,
+        kind: str,
+        name: str,
+        answer: TargetAnswer,
+        seconds: float,
     ) -> None:
         load = loads.load(name, 1)
         moment = now()
@@ -281,7 +286,7 @@
             return
         load.worked(moment)
         if answer.load is None or not answer.load.waiting:
-            loads.answered(name, seconds / load.pace)
+            loads.answered(name, kind, seconds / load.pace)
 
     def _judge(
         self, journey: _Journey, name: str, answer: TargetAnswer
--- a/packages/entry/tests/test_granting.py
+++ b/packages/entry/tests/test_granting.py
@@ -97,7 +97,7 @@
             await until(lambda: all_held(wire))
             wire.grant_delay = 0.3
             for turn in range(24):
-                vm.granting.told("s", {100 + turn: 40, 140 + turn: 40, 180: 40}, {})
+                vm.granting.told("s", {100 + turn: 40, 140 + turn: 40, 180: 40}, 0.0, {})
                 await asyncio.sleep(0.15)
                 assert not wire.doubly_held(), turn
             vm.kill()
@@ -115,7 +115,7 @@
             vm.start()
             await until(lambda: all_held(wire))
             wire.release_delay = 0.4
-            vm.granting.told("s", {k: 60 for k in range(100, 400, 50)}, {})
+            vm.granting.told("s", {k: 60 for k in range(100, 400, 50)}, 0.0, {})
 
             def moving():
                 return [r for r in vm.feed.assignments["s"].ranges if r.former]
--- a/packages/policy/src/berylstage_policy/completion.py
+++ b/packages/policy/src/berylstage_policy/completion.py
@@ -19,8 +19,15 @@
 # Seconds in which a report loses two thirds of its weight: about two service times of
 # the middle of the kinds that the targets of today work on (40 to 300 ms).
 REPORT_MEMORY = 0.3
-# Weight of a new service time in the mean of a target.
-TIME_GAIN = 0.2
+# Weight of a new answer in the slowness of a target, and in the typical time of a kind,
+# of which a VM sees as many answers as of all targets of the service together.
+SLOWNESS_GAIN = 0.15
+TYPICAL_GAIN = 0.04
+# Slowness is kept within these: an answer that took a twentieth of the usual was small,
+# and one that took ten times as long is of the rare long kind; neither tells of the
+# target. Targets of today are from 0.65 to 2 times as slow as the middle one.
+LEAST_SLOWNESS = 0.6
+MOST_SLOWNESS = 2.2
 # Seconds assumed for a service whose targets have not answered yet.
 FIRST_TIME = 0.1
 # Targets that are compared in one choice. All of them at today's size, where one
@@ -50,8 +57,8 @@
         "pace",
         "penalty",
         "reported",
-        "seconds",
         "slots",
+        "slowness",
     )
 
     def __init__(self, slots: int):
@@ -61,8 +68,8 @@
         self.others = 0.0
         self.pace = 1.0
         self.reported = float("-inf")
-        # Mean service time relative to the service's own, as this VM has seen it.
-        self.seconds = 0.0
+        # Mean of its service times over what is typical for their kinds.
+        self.slowness = 1.0
         self.avoid_until = float("-inf")
         self.penalty = 0.0
 
@@ -82,12 +89,11 @@
         self.pace = pace
         self.reported = now
 
-    def took(self, seconds: float) -> None:
-        """Take in the time of an answer, its waiting there taken off."""
-        if not self.seconds:
-            self.seconds = seconds
-        else:
-            self.seconds += TIME_GAIN * (seconds - self.seconds)
+    def took(self, ratio: float) -> None:
+        """Take in the time of an answer over what is typical for its kind."""
+        ratio = min(max(ratio, LEAST_SLOWNESS / 2), MOST_SLOWNESS * 2)
+        slowness = self.slowness + SLOWNESS_GAIN * (ratio - self.slowness)
+        self.slowness = min(max(slowness, LEAST_SLOWNESS), MOST_SLOWNESS)
 
     def failed(self, now: float) -> None:
         """Leave the target alone for a while."""
@@ -113,13 +119,24 @@
         weight = exp(-(now - self.reported) / REPORT_MEMORY)
         return self.inflight + weight * self.others + (1 - weight) * usual
 
-    def completion(self, now: float, usual: float, typical: float) -> float:
-        """Return the seconds until one more request would be done here."""
+    def completion(
+        self, now: float, usual: float, typical: float, mean: float
+    ) -> float:
+        """Return the seconds until one more request would be done here.
+
+        Parameters
+        ----------
+        now, usual : float
+            As for :meth:`busy`.
+        typical : float
+            Service time of its kind.
+        mean : float
+            Service time of what is ahead of it.
+        """
         weight = exp(-(now - self.reported) / REPORT_MEMORY)
-        pace = weight * self.pace + (1 - weight)
-        service = (self.seconds or typical) * pace
+        speed = self.slowness * (weight * self.pace + (1 - weight))
         ahead = self.busy(now, usual) + 1 - self.slots
-        return service + max(0.0, ahead) * service / self.slots
+        return speed * (typical + max(0.0, ahead) * mean / self.slots)
 
 
 class ServiceLoads:
@@ -130,12 +147,14 @@
     rng : Random
     """
 
-    __slots__ = ("_loads", "_rng", "_typical", "_usual")
+    __slots__ = ("_loads", "_rng", "_typical", "_usual", "mean")
 
     def __init__(self, rng: Random):
         self._rng = rng
         self._loads: dict[str, TargetLoad] = {}
-        self._typical = FIRST_TIME
+        # Service time by kind, and over all kinds.
+        self._typical: dict[str, float] = {}
+        self.mean = FIRST_TIME
         self._usual = 0.0
 
     def load(self, name: str, slots: int) -> TargetLoad:
@@ -151,36 +170,43 @@
         for name in [name for name in self._loads if name not in wanted]:
             del self._loads[name]
 
-    def answered(self, name: str, seconds: float) -> None:
-        """Take in a service time."""
-        self._typical += TIME_GAIN / 4 * (seconds - self._typical)
-        load = self._loads.get(name)
-        if load is not None:
-            load.took(seconds)
+    def answered(self, name: str, kind: str, seconds: float) -> None:
+        """Take in a service time.
 
-    def service_time(self, name: str) -> float:
-        """Return the mean service time of a target, or of the service."""
-        return self._loads[name].seconds or self._typical
+        Parameters
+        ----------
+        name : str
+            Target.
+        kind : str
+            Requests of one kind take alike.
+        seconds : float
+            Without the waiting, at the usual pace of the target's machine.
+        """
+        typical = self._typical.get(kind)
+        if typical is None:
+            typical = self._typical[kind] = seconds
+        self._typical[kind] += TYPICAL_GAIN * (seconds - typical)
+        self.mean += TYPICAL_GAIN * (seconds - self.mean)
+        load = self._loads.get(name)
+        if load is not None and typical > 0:
+            load.took(seconds / typical)
 
-    def times(self) -> dict[str, float]:
-        """Return the mean service time of each target that has answered."""
-        return {
-            name: round(load.seconds, 4)
-            for name, load in self._loads.items()
-            if load.seconds
-        }
+    def slowness(self) -> dict[str, float]:
+        """Return how slow each known target is, over the typical one."""
+        return {name: round(load.slowness, 3) for name, load in self._loads.items()}
 
     def told(self, load: TargetLoad) -> None:
         """Take a report into what is usual."""
         self._usual += 0.05 * (load.others - self._usual)
 
-    def choose(self, names: list[str], now: float) -> str:
+    def choose(self, names: list[str], kind: str, now: float) -> str:
         """Return the target that is expected to be done first.
 
         Parameters
         ----------
         names : list of str
             At least one.
+        kind : str
         now : float
 
         Returns
@@ -190,14 +216,12 @@
         if len(names) > COMPARED:
             names = self._rng.sample(names, COMPARED)
         sound = [n for n in names if self._loads[n].avoid_until <= now] or names
-        times = [
-            (self._loads[n].completion(now, self._usual, self._typical), n)
-            for n in sound
-        ]
+        times = [(self.expected(n, kind, now), n) for n in sound]
         best = min(times)[0]
-        equal = [n for t, n in times if t <= best + TIE * self._typical]
+        equal = [n for t, n in times if t <= best + TIE * self.mean]
         return self._rng.choice(equal)
 
-    def expected(self, name: str, now: float) -> float:
+    def expected(self, name: str, kind: str, now: float) -> float:
         """Return the seconds until one more request would be done at a target."""
-        return self._loads[name].completion(now, self._usual, self._typical)
+        typical = self._typical.get(kind, self.mean)
+        return self._loads[name].completion(now, self._usual, typical, self.mean)
--- /dev/null
+++ b/packages/policy/tests/test_completion.py
@@ -0,0 +1,56 @@
+"""Tests of the choice of the target that is done first."""
+
+from __future__ import annotations
+
+from random import Random
+
+from berylstage_policy.completion import ServiceLoads
+
+
+def loads(names, slots=2):
+    found = ServiceLoads(Random(1))
+    for name in names:
+        found.load(name, slots)
+    return found
+
+
+class TestServiceLoads:
+    def test_small_requests_do_not_make_a_target_fast(self):
+        # A target has answered a few requests of a kind that takes a third of the usual
+        # time. Taken for three times as fast it would get three times the keys, and one
+        # target had five times the requests of the others.
+        service = loads(["a", "b"])
+        for i in range(60):
+            service.answered("b", "long", 0.12)
+            service.answered("b", "short", 0.04)
+            service.answered("a", "short", 0.04)
+            if i % 10 == 0:
+                service.answered("a", "long", 0.12)
+        assert abs(service.slowness()["a"] - service.slowness()["b"]) < 0.1
+
+    def test_slow_target_is_told_by_its_answers(self):
+        service = loads(["a", "b", "c"])
+        for _ in range(40):
+            service.answered("a", "k", 0.1)
+            service.answered("b", "k", 0.1)
+            service.answered("c", "k", 0.2)
+        found = service.slowness()
+        assert found["c"] > 1.4 * found["a"]
+
+    def test_own_requests_count_before_any_report(self):
+        service = loads(["a", "b"])
+        service.load("a", 2).inflight = 3
+        chosen = {service.choose(["a", "b"], "k", 1.0) for _ in range(20)}
+        assert chosen == {"b"}
+
+    def test_reported_queue_is_avoided_while_the_report_is_young(self):
+        service = loads(["a", "b"])
+        service.load("a", 2).told(6, 2, 1.0, 10.0)
+        assert {service.choose(["a", "b"], "k", 10.05) for _ in range(20)} == {"b"}
+        assert len({service.choose(["a", "b"], "k", 13.0) for _ in range(40)}) == 2
+
+    def test_failed_target_is_left_alone_for_a_while(self):
+        service = loads(["a", "b"])
+        service.load("a", 2).failed(10.0)
+        assert {service.choose(["a", "b"], "k", 10.3) for _ in range(20)} == {"b"}
+        assert len({service.choose(["a", "b"], "k", 11.0) for _ in range(40)}) == 2
