--- a/Makefile
+++ b/Makefile
@@ -28,7 +28,7 @@
 	$(VENV)/bin/ruff check .
 
 types:  ## check the types
-	$(VENV)/bin/mypy $(foreach p,$(PACKAGES),packages/$(p)/src)
+	$(VENV)/bin/mypy $(foreach p,$(PACKAGES),packages/$(p)/src) platform/berylstage_adapter
 
 imports:  ## check that no import crosses packages the wrong way
 	$(PY) tools/check_imports.py
--- a/packages/entry/src/berylstage_entry/announcements.py
+++ b/packages/entry/src/berylstage_entry/announcements.py
@@ -1,7 +1,7 @@
 """Tells the other VMs at once what this one has written into the store.
 
-The store tells them too, but a watch that returns at each change costs a call of each VM
-for each change; what is told here leaves the store to the paced reading.
+The store tells them too, but a watch that returns at each change costs a call of each
+VM for each change; what is told here leaves the store to the paced reading.
 """
 
 from __future__ import annotations
--- a/packages/entry/src/berylstage_entry/balance.py
+++ b/packages/entry/src/berylstage_entry/balance.py
@@ -1,9 +1,10 @@
 """Which keys go to which target, so that none is busier than it must be.
 
-The load it answers: a few neighbouring keys that get a third of all requests, for a few
-seconds, before targets with two or three slots. An even division of the keys puts half
-of the requests on one target of twelve; one sees a queue there and idle slots elsewhere.
-Narrow stretches of busy keys are moved, since a move interrupts just their requests.
+The load it answers: a few neighbouring keys that get a third of all requests, for a
+few seconds, before targets with two or three slots. An even division of the keys puts
+half of the requests on one target of twelve; one sees a queue there and idle slots
+elsewhere. Narrow stretches of busy keys are moved, since a move interrupts just their
+requests.
 """
 
 from __future__ import annotations
--- a/packages/entry/src/berylstage_entry/granting.py
+++ b/packages/entry/src/berylstage_entry/granting.py
@@ -46,8 +46,8 @@
 SETTLE_DELAY = 0.02
 # Seconds that a release may take: it is answered when the work on the keys has ended.
 RELEASE_TIMEOUT = 2.0
-# Fences of one move: the highest gives the keys out, each of the others serves one try to
-# take them back. A try without an answer may be carried out later, and only a higher
+# Fences of one move: the highest gives the keys out, each of the others serves one try
+# to take them back. A try without an answer may be carried out later, and only a higher
 # fence than its own keeps it from bringing the keys back.
 FENCES = 8
 # Seconds between two questions to a target that has fallen silent.
@@ -500,7 +500,7 @@
             await self._write(service, new)
 
     async def _taken_back(self, r: KeyRange) -> str | None:
-        """Return the handover once the former owner holds nothing; None to try later."""
+        """Return the handover once the former owner holds nothing; None if not yet."""
         identity = (r.former, r.former_life)
         hold = self._hold(identity)
         if r.fence not in self._own_fences:
--- a/packages/entry/src/berylstage_entry/membership.py
+++ b/packages/entry/src/berylstage_entry/membership.py
@@ -18,8 +18,8 @@
     from berylstage_entry.store import Store
 
 VMS_PREFIX = OWN_PREFIX + "vm/"
-# Seconds of a VM's lease, and between two renewals. The count of VMs divides bounds, and
-# nothing depends on its being exact, so both are long: each renewal is a call.
+# Seconds of a VM's lease, and between two renewals. The count of VMs divides bounds,
+# and nothing depends on its being exact, so both are long: each renewal is a call.
 LEASE = 20.0
 KEEP = 7.0
 # Seconds before a failed call is made again.
--- a/packages/entry/src/berylstage_entry/office.py
+++ b/packages/entry/src/berylstage_entry/office.py
@@ -212,8 +212,8 @@
         lease = await self._store.take_lease(max(LEASE, self._cfg.shortest_lease))
         old = self._feed.own.get(TERM_KEY)
         before = _Term.decode(old.value if old else None)
-        # Holders before the last one count too until they are known to have stopped: one
-        # that is cut off from the store goes on renewing what it knows.
+        # Holders before the last one count too until they are known to have stopped:
+        # one that is cut off from the store goes on renewing what it knows.
         to_ask = sorted({*before.unconfirmed, before.control} - {""})
         mine = _Term(before.number + 1, self._cfg.vm, self._cfg.control, to_ask)
         conditions = [
--- a/packages/entry/src/berylstage_entry/router.py
+++ b/packages/entry/src/berylstage_entry/router.py
@@ -35,8 +35,8 @@
 # Seconds that a request for keys on the move waits for news of their new owner. A move
 # takes as long as the work under way on the keys, a few hundred milliseconds.
 MOVE_WAIT = 0.05
-# Share of the bound on repeats that is used; the rest is for the clocks of the VMs, which
-# do not cut time into the same windows.
+# Share of the bound on repeats that is used; the rest is for the clocks of the VMs,
+# which do not cut time into the same windows.
 BUDGET_USE = 0.8
 # Status of an answer that tells of the target's own failure.
 SERVER_ERROR = 500
@@ -250,7 +250,8 @@
                 raise self._given_up(journey, "unreachable") from exc
             return None
         except AnswerLost as exc:
-            return self._lost(journey, name, exc)
+            self._lost(journey, name, exc)
+            return None
         finally:
             load.inflight -= 1
         self._learn(loads, journey.route.name, name, answer, now() - began)
--- a/packages/entry/tests/test_balance.py
+++ b/packages/entry/tests/test_balance.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from itertools import pairwise
 from random import Random
 
 from berylstage_entry.assignment import LAST_KEY, Assignment, KeyRange
@@ -67,7 +68,7 @@
         # targets must still be evened out; they stayed full beside idle ones when the
         # search ended at the hopeless one.
         capacities = dict.fromkeys(NAMES, 18.0)
-        rates = sorted(skewed(120) + [(40000, 45.0)])
+        rates = sorted([*skewed(120), (40000, 45.0)])
         assignment = rounds(even(NAMES), rates, capacities, 6)
         found = levels(assignment, rates, capacities)
         hot = assignment.find(40000).owner
@@ -77,7 +78,7 @@
 
     def test_hot_key_goes_to_the_fastest_target(self):
         capacities = dict.fromkeys(NAMES, 15.0) | {"t7": 35.0}
-        rates = sorted(skewed(60) + [(40001, 30.0)])
+        rates = sorted([*skewed(60), (40001, 30.0)])
         assignment = rounds(even(NAMES), rates, capacities, 6)
         assert assignment.find(40001).owner == "t7"
 
@@ -95,5 +96,5 @@
         moves = deal([assignment.ranges[0]], assignment, rates, capacities, 12)
         assert moves[0].first == 0
         assert moves[-1].last == assignment.ranges[0].last
-        for one, other in zip(moves, moves[1:], strict=False):
+        for one, other in pairwise(moves):
             assert other.first == one.last + 1
--- a/packages/entry/tests/test_granting.py
+++ b/packages/entry/tests/test_granting.py
@@ -88,9 +88,10 @@
         asyncio.run(play())
 
     def test_renewal_on_its_way_does_not_bring_moved_keys_back(self, store):
-        # Busy keys move while a renewal of their whole range is on its way to the former
-        # owner. The renewal arrives after the release; a former owner that took it would
-        # serve the same keys as the new one, and two callers would book one seat.
+        # Busy keys move while a renewal of their whole range is on its way to the
+        # former owner. The renewal arrives after the release; a former owner that took
+        # it would serve the same keys as the new one, and two callers would book one
+        # seat.
         async def play():
             wire = FencedTargets()
             vm = Vm("vm-1", store, wire)
@@ -213,9 +214,9 @@
         asyncio.run(play())
 
     def test_lost_holder_of_the_duty_costs_no_key(self, store):
-        # The VM with the duty of granting is lost. Another one takes the duty over within
-        # its lease and renews the grants before they end, so that no key goes without an
-        # owner.
+        # The VM with the duty of granting is lost. Another one takes the duty over
+        # within its lease and renews the grants before they end, so that no key goes
+        # without an owner.
         async def play():
             wire = FencedTargets()
             first, second = Vm("vm-1", store, wire), Vm("vm-2", store, wire)
--- a/tools/check_imports.py
+++ b/tools/check_imports.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import ast
+import re
 import sys
 from pathlib import Path
 
@@ -19,6 +20,7 @@
     "transfers": set(),
     "platform": {"transfers"},
     "targets": {"transfers"},
+    "entry": {"policy", "transfers"},
     "daemon": {"settings", "sheet", "policy", "messages", "ownership"}
     | {"platform", "targets"},
     "cli": {"settings", "sheet", "platform", "policy"},
@@ -27,6 +29,19 @@
     | {"standins", "daemon", "transfers"},
 }
 
+# What the adapter to the users' platform may import: types, settings and the client of
+# calls. It decides nothing, so it needs no policy.
+ADAPTER = ROOT / "platform"
+ADAPTER_ALLOWED = {"adapter", "entry", "settings", "transfers"}
+# Words that only the platform's pages use. Outside the adapter they would tie the
+# product to one platform.
+PLATFORM_WORDS = re.compile(
+    r"berylstage-(attempt|deadline|backend|expected|not-executed|shard|warmup)"
+    r"|kv-(txn|range|watch|lease|keep|key)|op/config|op/evacuate|warmup_left_ms"
+    r"|BERYLSTAGE_NODE_FILE",
+    re.IGNORECASE,
+)
+
 
 def imported_packages(path: Path) -> set[str]:
     """Return the workspace packages that a source file imports.
@@ -52,6 +67,29 @@
     return {top.removeprefix(prefix) for top in tops if top.startswith(prefix)}
 
 
+def adapter_faults() -> int:
+    """Print each import of the adapter that brings in decisions; return their count."""
+    faults = 0
+    for path in sorted(ADAPTER.rglob("*.py")):
+        if "tests" in path.parts:
+            continue
+        for other in sorted(imported_packages(path) - ADAPTER_ALLOWED):
+            faults += 1
+            print(f"{path.relative_to(ROOT)}: the adapter must not import {other}")
+    return faults
+
+
+def word_faults() -> int:
+    """Print each word of the platform outside the adapter; return their count."""
+    faults = 0
+    for path in sorted((ROOT / "packages").rglob("*.py")):
+        for number, line in enumerate(path.read_text().splitlines(), 1):
+            if PLATFORM_WORDS.search(line):
+                faults += 1
+                print(f"{path.relative_to(ROOT)}:{number}: a word of the platform")
+    return faults
+
+
 def main() -> int:
     """Print each wrong import and return the exit status."""
     faults = 0
@@ -61,6 +99,7 @@
                 faults += 1
                 where = path.relative_to(ROOT)
                 print(f"{where}: {package} must not import {other}")
+    faults += adapter_faults() + word_faults()
     print(f"imports: {faults} faults")
     return 1 if faults else 0
 
