End orders with the lease and prolong holds only in an outage that most VMs see

Ruled out: targets that refuse (no grant was refused), the balance of keys. Change: orders end with the lease (2 s); when the store is lost and half of the other VMs and all that answer have lost it too, holds are prolonged to 9.8 s; a new holder waits for short holds where more than half of the VMs had the store all the while or the former holder says so, else for long ones; only the process that had the term may say so.

--- a/packages/entry/src/berylstage_entry/application.py
+++ b/packages/entry/src/berylstage_entry/application.py
@@ -17,7 +17,8 @@
 from berylstage_entry.load_exchange import LoadExchange
 from berylstage_entry.membership import UNKNOWN, VMS_PREFIX, Membership
 from berylstage_entry.metrics import Metrics
-from berylstage_entry.office import STOP_PATH, Office
+from berylstage_entry.office import CONTACT_PATH, HAND_ON_PATH, Office
+from berylstage_entry.peers import Peers
 from berylstage_entry.reports import REPORT_PATH, Reports
 from berylstage_entry.router import Router
 from berylstage_entry.senders import Senders
@@ -75,9 +76,10 @@
             self.rng,
             cfg.data_centre,
         )
-        self.office = Office(cfg, store, self.feed, self.rng)
-        self.granting = Granting(store, self.feed, self.directory, self.office, targets)
         self.membership = Membership(cfg, store, self.feed)
+        self.peers = Peers(self.membership, cfg.control)
+        self.office = Office(cfg, store, self.feed, self.peers, self.rng)
+        self.granting = Granting(store, self.feed, self.directory, self.office, targets)
         self.announcements = Announcements(self.feed, self.membership, cfg.control)
         self.office.inherit = self.granting.inherit
         self.granting.listeners.append(self.announcements.tell)
@@ -92,7 +94,8 @@
         self.ready_page = PageServer({callers.ready_path: self._ready})
         self.control_page = PageServer(
             {
-                STOP_PATH: self._stop_orders,
+                HAND_ON_PATH: self._hand_on,
+                CONTACT_PATH: self._contact,
                 REPORT_PATH: self._take_report,
                 TOLD_PATH: self._take_told,
             }
@@ -158,6 +161,7 @@
         await self.ready_page.close()
         await self.control_page.close()
         self.senders.close()
+        self.peers.close()
         self.store.close()
 
     async def _within(self, end: float, step) -> None:
@@ -189,10 +193,14 @@
     def _ready(self, body: bytes) -> Reply:
         return Reply(200 if self.ready() else UNAVAILABLE)
 
-    def _stop_orders(self, body: bytes) -> Reply:
-        if self.office.stop_orders():
-            return Reply(200, body=self.granting.handed_on())
-        return Reply(UNAVAILABLE)
+    def _hand_on(self, body: bytes) -> Reply:
+        # Orders under way may still arrive while this VM has the duty for certain.
+        if not self.office.may_hand_on(body):
+            return Reply(UNAVAILABLE)
+        return Reply(200, body=self.granting.handed_on())
+
+    async def _contact(self, body: bytes) -> Reply:
+        return Reply(200, body=str(await self.feed.contact()).encode())
 
     def _take_report(self, body: bytes) -> Reply:
         return Reply(200 if self.reports.take(body) else 400)
--- a/packages/entry/src/berylstage_entry/feed.py
+++ b/packages/entry/src/berylstage_entry/feed.py
@@ -34,6 +34,8 @@
 DUTY_WAIT = 10.0
 # Seconds that the watch of all keys waits: with any target alive it returns at once.
 ALL_WAIT = 1.0
+# Seconds for a call that finds out whether the store can be reached.
+CONTACT_TIMEOUT = 0.35
 # Seconds before a failed call is made again.
 RETRY = 0.25
 # Seconds after a failed call in which a record that is gone counts as lapsed.
@@ -59,6 +61,7 @@
         self._tasks: list[asyncio.Task] = []
         self._revision = 0
         self._failed_at = float("-inf")
+        self._began = now()
         self._unreadable: dict[str, bytes] = {}
         # Assignment of each service and the revision of its key.
         self.assignments: dict[str, Assignment] = {}
@@ -81,6 +84,20 @@
         for task in self._tasks:
             task.cancel()
 
+    def steady(self) -> float:
+        """Return the seconds of unbroken contact with the store up to now."""
+        return now() - max(self._failed_at, self._began)
+
+    async def contact(self) -> float:
+        """Try to reach the store and return the seconds of contact; 0 for none."""
+        try:
+            async with asyncio.timeout(CONTACT_TIMEOUT):
+                await self._store.read(DUTY_KEY)
+        except (StoreError, TimeoutError) as exc:
+            self._note_failure(exc)
+            return 0.0
+        return max(0.001, self.steady())
+
     def in_outage(self) -> bool:
         """Tell whether the store is, or has just been, away from this VM."""
         return now() - self._failed_at < OUTAGE_MEMORY
--- a/packages/entry/src/berylstage_entry/granting.py
+++ b/packages/entry/src/berylstage_entry/granting.py
@@ -15,11 +15,9 @@
 from berylstage_entry.errors import Conflict, StoreError, StoreRefused, StoreSilent
 from berylstage_entry.feed import KEYS_PREFIX
 from berylstage_entry.holds import (
-    HOLD,
     ORDER_TIMEOUT,
     RENEWAL,
     TargetHold,
-    lapses_at,
 )
 from berylstage_entry.store import Condition, Item, Write
 from berylstage_entry.wire import GrantOrder
@@ -134,8 +132,8 @@
         self._targets_seen: dict[tuple[str, int], Target] = {}
         # Moves whose former owner holds nothing any more, with what it handed over.
         self._let_go: dict[tuple[int, int, int], str] = {}
-        # When something was ordered last that may have let the former owner of moving
-        # keys hold them. Its other keys are renewed all the while.
+        # When nothing holds any more that let the former owner of moving keys hold
+        # them. Its other keys are renewed all the while.
         self._covered: dict[tuple[int, int, int], float] = {}
         # Fence of the last try to take keys back, by move.
         self._tries: dict[tuple[int, int, int], int] = {}
@@ -203,7 +201,6 @@
                 task.cancel()
             state.moving.clear()
             state.ended.clear()
-        self._holds.clear()
 
     def _begin_term(self) -> None:
         self._drop_tasks()
@@ -218,24 +215,38 @@
     def handed_on(self) -> bytes:
         """Return what the next VM with the duty has to know of moves under way."""
         doc = {
+            "lapse_in": max([0.0, *(h.lapse - now() for h in self._holds.values())]),
             "own": sorted(self._own_fences),
             "let_go": [[*move, handed] for move, handed in self._let_go.items()],
             "tries": [[*move, fence] for move, fence in self._tries.items()],
         }
         return json.dumps(doc).encode()
 
-    def inherit(self, body: bytes) -> None:
-        """Take over what a former holder of the duty knew of moves under way."""
+    def inherit(self, body: bytes) -> float | None:
+        """Take over what a former holder of the duty knew of moves under way.
+
+        Parameters
+        ----------
+        body : bytes
+
+        Returns
+        -------
+        float or None
+            Seconds after which nothing holds that it ordered; None when unreadable.
+        """
         if self._term != self._office.term:
             self._begin_term()
         try:
             doc = json.loads(body)
+            lapse_in = float(doc["lapse_in"])
             self._own_fences.update(doc["own"])
             self._let_go |= {(r[0], r[1], r[2]): r[3] for r in doc["let_go"]}
             self._tries |= {(r[0], r[1], r[2]): r[3] for r in doc["tries"]}
         except (ValueError, KeyError, TypeError, IndexError) as exc:
             # Without it the moves wait until all holds have lapsed.
             log.warning("nothing inherited", extra={"cause": str(exc)})
+            return None
+        return lapse_in
 
     async def _look(self) -> None:
         if self._term != self._office.term:
@@ -252,7 +263,7 @@
         assignment = self._feed.assignments.get(service) or nobody()
         self._keep_renewing(assignment)
         self._start_moves(service, state, assignment)
-        if not self._office.in_touch():
+        if not self._office.holds():
             return
         async with state.lock:
             assignment = self._feed.assignments.get(service) or nobody()
@@ -298,7 +309,7 @@
         if not silent:
             return True
         assert hold is not None
-        return not hold.lapsed(now(), self._office.alone_from)
+        return now() < max(hold.lapse, self._office.others_lapse)
 
     def _capacities(self, service: str, state: _Service) -> dict[str, float]:
         """Return the requests a second of each target that may take keys."""
@@ -348,7 +359,7 @@
         self._own_fences.add(fence)
         hold = self._holds.get((former, former_life))
         if hold is not None:
-            self._covered[first, last, fence] = hold.last_order
+            self._covered[first, last, fence] = hold.lapse
         return KeyRange(first, last, owner, life, fence, former, former_life)
 
     def _consolidated(self, assignment: Assignment) -> Assignment | None:
@@ -477,7 +488,7 @@
 
     async def _settle(self, service: str, state: _Service) -> None:
         """Write that moves have ended: those that end together in one write."""
-        while state.ended and self._office.in_touch():
+        while state.ended and self._office.holds():
             await asyncio.sleep(SETTLE_DELAY)
             try:
                 async with state.lock:
@@ -523,7 +534,7 @@
     def _lapsed(self, r: KeyRange) -> bool:
         """Tell whether nothing ordered by anybody can still hold moving keys."""
         covered = self._covered.get((r.first, r.last, r.fence), float("-inf"))
-        return now() >= lapses_at(max(covered, self._office.alone_from))
+        return now() >= max(covered, self._office.others_lapse)
 
     async def _waited_for(self, r: KeyRange) -> str | None:
         """Settle a move that another VM began and said nothing of.
@@ -549,9 +560,9 @@
             # duty, and be carried out after the release: two targets would then hold
             # the keys (seen for 2.5 s). A release leaves no fence behind, a grant does,
             # and a target that has seen it refuses the renewal.
-            order = GrantOrder(r.first, r.last, fence, HOLD)
-            hold.ordered(now())
-            self._covered[r.first, r.last, r.fence] = now()
+            order = GrantOrder(r.first, r.last, fence, self._office.hold())
+            hold.ordered(now(), order.hold)
+            self._covered[r.first, r.last, r.fence] = hold.lapse
             await self._wire.grant(target, order, ORDER_TIMEOUT)
             handover = await self._wire.release(
                 target, r.first, r.last, fence, RELEASE_TIMEOUT
@@ -575,11 +586,10 @@
     async def _grant(self, target: Target, r: KeyRange, handover: str = "") -> bool:
         """Grant one range; tell whether the target has it now."""
         hold = self._hold(target.identity)
-        order = GrantOrder(r.first, r.last, r.fence, HOLD, handover)
+        order = GrantOrder(r.first, r.last, r.fence, self._office.hold(), handover)
         if not self._office.holds():
             return False
-        sent = now()
-        hold.ordered(sent)
+        hold.ordered(now(), order.hold)
         try:
             taken = await self._wire.grant(target, order, ORDER_TIMEOUT)
         except CallFailed as exc:
@@ -588,7 +598,7 @@
                     "grant without an answer",
                     extra={"target": target.name, "first": r.first, "cause": str(exc)},
                 )
-            hold.failed(sent, now())
+            hold.failed(now())
             return False
         hold.answered()
         if not taken:
@@ -630,7 +640,8 @@
                 continue
             await asyncio.gather(*(self._grant(target, r) for r in mine))
             granted = {(r.first, r.last, r.fence) for r in mine}
-            while now() - began < RENEWAL:
+            prolonged = self._office.prolongs
+            while now() - began < RENEWAL and prolonged == self._office.prolongs:
                 await asyncio.sleep(TICK)
                 ranges = {(r.first, r.last, r.fence) for r in self._owned(target)}
                 if ranges - granted or not ranges:
--- a/packages/entry/src/berylstage_entry/load_exchange.py
+++ b/packages/entry/src/berylstage_entry/load_exchange.py
@@ -1,9 +1,9 @@
 """Tells the other VMs what targets have told of their load.
 
 A VM of ten gets a tenth of a service's answers, one from each target in a second or so,
-while targets are slowed for a few hundred milliseconds at a time. Put together, what all
-VMs hear is twenty reports a second and target. They go out as datagrams: a lost one is
-made up for by the next.
+while targets are slowed for a few hundred milliseconds at a time. Put together, what
+all VMs hear is twenty reports a second and target. They go out as datagrams: a lost one
+is made up for by the next.
 """
 
 from __future__ import annotations
--- a/packages/entry/src/berylstage_entry/office.py
+++ b/packages/entry/src/berylstage_entry/office.py
@@ -1,4 +1,12 @@
-"""The duty of granting keys: which VM has it, and for how long it may act on it."""
+"""The duty of granting keys: which VM has it, and for how long it may act on it.
+
+A VM gives orders only while its lease in the store certainly runs. What keeps the keys
+with their targets through an outage of the store are the holds that it gave before:
+when it loses the store and most other VMs say that they have lost it too, it lets all
+holds run for as long as targets take them. A VM that takes the duty over has to know
+whether that may have been done, since it must wait for these holds to end before it
+moves keys from a target that doesn't answer.
+"""
 
 from __future__ import annotations
 
@@ -7,42 +15,46 @@
 from random import Random
 from typing import TYPE_CHECKING
 
-from berylstage_transfers.call import Call
-from berylstage_transfers.client import CallClient
-from berylstage_transfers.errors import CallFailed
 from logbook import Logger
 
 from berylstage_entry.clock import now
-from berylstage_entry.errors import Conflict, LeaseEnded, StoreError
+from berylstage_entry.errors import Conflict, LeaseEnded, StoreError, StoreSilent
 from berylstage_entry.feed import DUTY_KEY, OWN_PREFIX
+from berylstage_entry.holds import HOLD, lapse_of, longest_hold
 from berylstage_entry.store import Condition, Item, Write
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from berylstage_entry.feed import Feed
+    from berylstage_entry.peers import Peers
     from berylstage_entry.settings import EntrySettings
     from berylstage_entry.store import Store
 
 # Key that counts the terms and names the last VM that had the duty. It stays.
 TERM_KEY = OWN_PREFIX + "term"
-# Path at which a VM is asked whether it has given the duty up.
-STOP_PATH = "/duty/stop"
+# Path at which a VM is asked to hand on what it knows of the duty.
+HAND_ON_PATH = "/duty/hand-on"
+# Path at which a VM is asked whether it reaches the store, and for how long it has.
+CONTACT_PATH = "/store/contact"
 # Seconds of the lease. A duty that is lost with its VM is taken over within them, which
 # is less than the time for which keys stay held without a renewal.
-LEASE = 1.5
-# Seconds between two renewals of the lease: three may fail before it ends.
+LEASE = 2.0
+# Seconds between two renewals of the lease.
 KEEP = 0.4
-# Seconds after the last confirmed renewal for which keys are still renewed. It bridges
-# an outage of the store of 12 s; a new holder of the duty that cannot reach the former
-# one waits as long before it moves keys from a target that doesn't answer.
-PERMISSION = 15.0
+# Seconds for one renewal: ten times what the store takes when it is slow by a factor of
+# ten; after a lost one there is time to ask the others and to prolong holds.
+KEEP_TIMEOUT = 0.45
+# Seconds of unbroken contact with the store that tell a VM that the store was well
+# while the last lease ran out: the lease, with the time that a lost call takes to be
+# noticed.
+STEADY = 3.5
 # Seconds that VMs wait at random before they try to take the duty, so that they don't
 # all try at once.
 SCATTER = 0.1
-# Seconds for a question to the former holder, and between two.
-ASK_TIMEOUT = 0.4
-OK = 200
+# Seconds between two questions to a former holder, and how often it is asked.
+ASK_AGAIN = 0.3
+ASKED = 3
 
 log = Logger(__name__)
 
@@ -57,17 +69,17 @@
     vm : str
     control : str
         Where the VM listens for others.
-    unconfirmed : list of str
-        Where former holders listen that may still give orders.
+    settled : bool
+        Whether nothing holds any more that was ordered in the terms before.
     """
 
-    __slots__ = ("control", "number", "unconfirmed", "vm")
+    __slots__ = ("control", "number", "settled", "vm")
 
-    def __init__(self, number: int, vm: str, control: str, unconfirmed: list[str]):
+    def __init__(self, number: int, vm: str, control: str, settled: bool):
         self.number = number
         self.vm = vm
         self.control = control
-        self.unconfirmed = unconfirmed
+        self.settled = settled
 
     def encode(self) -> bytes:
         """Return the bytes that the store keeps."""
@@ -75,7 +87,7 @@
             "term": self.number,
             "vm": self.vm,
             "control": self.control,
-            "unconfirmed": self.unconfirmed,
+            "settled": self.settled,
         }
         return json.dumps(doc).encode()
 
@@ -83,9 +95,9 @@
     def decode(cls, value: bytes | None) -> _Term:
         """Read what the store keeps; None is the time before the first term."""
         if value is None:
-            return cls(0, "", "", [])
+            return cls(0, "", "", True)
         doc = json.loads(value)
-        return cls(doc["term"], doc["vm"], doc["control"], doc["unconfirmed"])
+        return cls(doc["term"], doc["vm"], doc["control"], doc["settled"])
 
 
 class Office:
@@ -96,27 +108,40 @@
     cfg : EntrySettings
     store : Store
     feed : Feed
+    peers : Peers
     rng : Random
     """
 
-    def __init__(self, cfg: EntrySettings, store: Store, feed: Feed, rng: Random):
+    def __init__(
+        self,
+        cfg: EntrySettings,
+        store: Store,
+        feed: Feed,
+        peers: Peers,
+        rng: Random,
+    ):
         self._cfg = cfg
         self._store = store
         self._feed = feed
+        self._peers = peers
         self._rng = rng
         self._lease = 0
         self._confirmed = float("-inf")
         self._duty_revision = 0
         self._task: asyncio.Task | None = None
         self._asking: asyncio.Task | None = None
+        self._prolonging: asyncio.Task | None = None
         self._stopping = False
         self.term = 0
         # Whether the term before was this very process's own.
         self.follows_itself = False
-        # Called with what a former holder of the duty hands on.
-        self.inherit: Callable[[bytes], None] = lambda body: None
-        # From when on no other VM gives orders, as far as is known.
-        self.alone_from = float("inf")
+        # Called with what a former holder of the duty hands on; returns the seconds
+        # after which nothing holds that it ordered, or None when it can't be read.
+        self.inherit: Callable[[bytes], float | None] = lambda body: None
+        # When nothing holds any more that other VMs ordered, as far as is known.
+        self.others_lapse = float("inf")
+        # Whether holds are to outlast an outage of the store.
+        self.prolongs = False
 
     def start(self) -> None:
         """Begin to look after the duty."""
@@ -128,11 +153,25 @@
         To be asked right before each order, since this VM may have stood still since
         the last look at the clock.
         """
-        return bool(self._lease) and now() < self._confirmed + PERMISSION
+        return bool(self._lease) and now() < self._confirmed + LEASE
+
+    def hold(self) -> float:
+        """Return the seconds for which a grant given now is to hold."""
+        return longest_hold(self._cfg.bounds.longest_hold) if self.prolongs else HOLD
+
+    def may_hand_on(self, body: bytes) -> bool:
+        """Tell whether this very process had the duty in a term, and has it no more.
 
-    def in_touch(self) -> bool:
-        """Tell whether this VM has the duty for certain, so that it may change keys."""
-        return self.holds() and now() < self._confirmed + LEASE
+        A process that started anew under the address of the former holder knows nothing
+        of its orders. An answer of it would say that nothing holds any more, and the
+        keys of a silent target would get a second owner.
+
+        Parameters
+        ----------
+        body : bytes
+            Number of the term that is asked about.
+        """
+        return body == str(self.term).encode() and not self.holds()
 
     def condition(self) -> Condition:
         """Return the condition under which this VM may write assignments."""
@@ -145,13 +184,6 @@
             return ""
         return json.loads(item.value)["control"]
 
-    def stop_orders(self) -> bool:
-        """Give up the duty at another VM's question; tell whether it is given up."""
-        if self.in_touch():
-            return False
-        self._step_down("asked")
-        return True
-
     async def resign(self) -> None:
         """Give the duty up so that another VM takes it at once."""
         self._stopping = True
@@ -196,14 +228,37 @@
             return
         sent = now()
         try:
-            await self._store.keep_lease(self._lease)
+            async with asyncio.timeout(KEEP_TIMEOUT):
+                await self._store.keep_lease(self._lease)
             self._confirmed = sent
+            self.prolongs = False
         except LeaseEnded:
             self._step_down("lease ended")
-        except StoreError:
-            if now() > self._confirmed + PERMISSION:
-                self._step_down("store away for too long")
-            raise
+        except (StoreError, TimeoutError) as exc:
+            if self._prolonging is None or self._prolonging.done():
+                self._prolonging = asyncio.create_task(self._prolong())
+            raise StoreSilent(f"lease not renewed: {exc}") from exc
+
+    async def _prolong(self) -> None:
+        """Let holds outlast the store's outage, if it is one and not just this VM's."""
+        if self.prolongs or not self.holds():
+            return
+        answers = await self._peers.ask_all(CONTACT_PATH)
+        told = [answer for answer in answers if answer is not None]
+        lost = [answer for answer in told if float(answer) <= 0]
+        # Half of all VMs must have lost the store, and nobody may reach it: then no VM
+        # that takes the duty over finds half of them with unbroken contact.
+        if 2 * len(lost) >= len(answers) and len(lost) == len(told) and self.holds():
+            self.prolongs = True
+        log.info(
+            "store lost by the holder of the duty",
+            extra={
+                "prolongs": self.prolongs,
+                "asked": len(answers),
+                "told": len(told),
+                "lost": len(lost),
+            },
+        )
 
     async def _take(self) -> None:
         if not self._is_vacant():
@@ -212,10 +267,7 @@
         lease = await self._store.take_lease(max(LEASE, self._cfg.shortest_lease))
         old = self._feed.own.get(TERM_KEY)
         before = _Term.decode(old.value if old else None)
-        # Holders before the last one count too until they are known to have stopped:
-        # one that is cut off from the store goes on renewing what it knows.
-        to_ask = sorted({*before.unconfirmed, before.control} - {""})
-        mine = _Term(before.number + 1, self._cfg.vm, self._cfg.control, to_ask)
+        mine = _Term(before.number + 1, self._cfg.vm, self._cfg.control, False)
         conditions = [
             Condition(DUTY_KEY, 0),
             Condition(TERM_KEY, old.revision if old else 0),
@@ -230,31 +282,77 @@
         self.follows_itself = self.term == before.number and self.term > 0
         self._lease, self._confirmed, self._duty_revision = lease, sent, revision
         self.term = mine.number
+        self.prolongs = False
         self._feed.take_written(Item(DUTY_KEY, value, revision))
         self._feed.take_written(Item(TERM_KEY, value, revision))
-        to_ask = [address for address in to_ask if address != self._cfg.control]
-        self.alone_from = now() + PERMISSION if to_ask else now()
+        self.others_lapse = now()
+        if before.control and not (self.follows_itself and before.settled):
+            self.others_lapse = lapse_of(now(), self._longest())
         log.info(
             "duty taken",
-            extra={"term": self.term, "former": to_ask, "revision": revision},
+            extra={
+                "term": self.term,
+                "former": before.control,
+                "settled": before.settled,
+                "revision": revision,
+            },
         )
-        if to_ask:
-            self._asking = asyncio.create_task(self._ask_all(to_ask, mine))
-        elif mine.unconfirmed:
-            self._asking = asyncio.create_task(self._confirm(mine))
-
-    async def _ask_all(self, addresses: list[str], mine: _Term) -> None:
-        """Ask former holders to stop, so that lost targets need no long wait."""
-        answers = await asyncio.gather(*(self._ask(a, mine) for a in addresses))
-        if all(answers):
-            self.alone_from = min(self.alone_from, now())
-        else:
-            await asyncio.sleep(max(0.0, self.alone_from - now()))
-        await self._confirm(mine)
-
-    async def _confirm(self, mine: _Term) -> None:
-        """Write that no former holder gives orders any more."""
-        mine.unconfirmed = []
+        self._asking = asyncio.create_task(self._learn_of(before, mine))
+
+    def _longest(self) -> float:
+        return longest_hold(self._cfg.bounds.longest_hold)
+
+    async def _learn_of(self, before: _Term, mine: _Term) -> None:
+        """Find out how long to wait for what was ordered before, and write it down."""
+        began = now()
+        if before.control and not self.follows_itself:
+            steady, told = await asyncio.gather(
+                self._was_steady(before.control), self._hand_on(before)
+            )
+            lapses = [self.others_lapse]
+            if before.settled and steady:
+                lapses.append(lapse_of(began, HOLD))
+            if before.settled and told is not None:
+                lapses.append(now() + told)
+            self.others_lapse = min(lapses)
+            log.info(
+                "former holds",
+                extra={
+                    "steady": steady,
+                    "handed_on": told is not None,
+                    "lapse_in": round(self.others_lapse - now(), 2),
+                },
+            )
+        await asyncio.sleep(max(0.0, self.others_lapse - now()))
+        await self._write_settled(mine)
+
+    async def _was_steady(self, former: str) -> bool:
+        """Tell whether half of all VMs had unbroken contact with the store of late."""
+        if self._feed.steady() < STEADY:
+            return False
+        # The former holder prolonged holds only if half of the VMs beside it had lost
+        # the store. More than half of them with unbroken contact, this one included,
+        # rule that out.
+        addresses = [a for a in self._peers.others() if a != former]
+        answers = await asyncio.gather(
+            *(self._peers.ask(a, CONTACT_PATH) for a in addresses)
+        )
+        steady = [a for a in answers if a is not None and float(a) >= STEADY]
+        return 2 * (len(steady) + 1) > len(answers) + 1
+
+    async def _hand_on(self, before: _Term) -> float | None:
+        """Return the seconds until nothing holds that the former holder ordered."""
+        for _ in range(ASKED):
+            term = str(before.number).encode()
+            answer = await self._peers.ask(before.control, HAND_ON_PATH, term)
+            if answer:
+                return self.inherit(answer)
+            await asyncio.sleep(ASK_AGAIN)
+        return None
+
+    async def _write_settled(self, mine: _Term) -> None:
+        """Write that nothing holds any more that was ordered in the terms before."""
+        mine.settled = True
         while self._lease and self.term == mine.number:
             try:
                 item = self._feed.own[TERM_KEY]
@@ -265,31 +363,12 @@
                 # Its answer may have been lost, or this VM has the duty no more.
                 return
             except StoreError as exc:
-                log.info("end of former terms not written", extra={"cause": str(exc)})
-                await asyncio.sleep(ASK_TIMEOUT)
-
-    async def _ask(self, former: str, mine: _Term) -> bool:
-        """Ask one former holder until it has stopped; False when it stays silent."""
-        client = CallClient(1)
-        try:
-            while self._lease and self.term == mine.number and now() < self.alone_from:
-                url = f"http://{former}{STOP_PATH}"
-                call = Call("POST", url, {}, b"{}", ASK_TIMEOUT)
-                try:
-                    answer = await client.call(call)
-                    if answer.status == OK:
-                        log.info("former holder has stopped", extra={"former": former})
-                        self.inherit(answer.body)
-                        return True
-                except CallFailed as exc:
-                    log.debug("former holder silent", extra={"cause": str(exc)})
-                await asyncio.sleep(ASK_TIMEOUT)
-            return False
-        finally:
-            client.close()
+                log.info("term not written", extra={"cause": str(exc)})
+                await asyncio.sleep(ASK_AGAIN)
 
     def _step_down(self, why: str) -> None:
         if self._lease:
             log.info("duty given up", extra={"why": why, "term": self.term})
         self._lease = 0
-        self.alone_from = float("inf")
+        self.prolongs = False
+        self.others_lapse = float("inf")
--- a/packages/entry/src/berylstage_entry/server.py
+++ b/packages/entry/src/berylstage_entry/server.py
@@ -21,13 +21,15 @@
 
 if TYPE_CHECKING:
     from asyncio import Future
-    from collections.abc import Callable
+    from collections.abc import Awaitable, Callable
 
     from berylstage_entry.journal import RequestJournal
     from berylstage_entry.router import Router
     from berylstage_entry.services import Limits
     from berylstage_entry.wire import CallerRequest, CallerWire
 
+    Page = Callable[[bytes], "Reply | Awaitable[Reply]"]
+
 # Bytes of a request's body at most while no configuration says so.
 FIRST_BODY_LIMIT = 1024 * 1024
 # Bytes of a request's body that are buffered at most, whatever the operators allow: a
@@ -334,11 +336,16 @@
 
     def finish(self) -> None:
         """Answer."""
+        self._task = asyncio.create_task(self._answer())
+
+    async def _answer(self) -> None:
         reply = self._pages.answer(self._path, b"".join(self._chunks))
+        if not isinstance(reply, Reply):
+            reply = await reply
         write_reply(self._conn, reply, False)
 
     def on_connection_close(self) -> None:
-        """Nothing is under way."""
+        """Let the answer be made; nobody takes it."""
 
 
 class PageServer(HTTPServerConnectionDelegate):
@@ -347,10 +354,10 @@
     Parameters
     ----------
     pages : dict of str to callable
-        By path; each takes the body and returns the reply.
+        By path; each takes the body and returns the reply, or what brings it.
     """
 
-    def __init__(self, pages: dict[str, Callable[[bytes], Reply]]):
+    def __init__(self, pages: dict[str, Page]):
         self._pages = pages
         self._server: HTTPServer | None = None
 
@@ -364,8 +371,8 @@
         """Return what takes a new request."""
         return _PageExchange(self, request_conn)
 
-    def answer(self, path: str, body: bytes) -> Reply:
-        """Return the reply for a path."""
+    def answer(self, path: str, body: bytes) -> Reply | Awaitable[Reply]:
+        """Return the reply for a path, or what brings it."""
         page = self._pages.get(path)
         return page(body) if page is not None else Reply(404)
 
--- a/packages/entry/tests/test_granting.py
+++ b/packages/entry/tests/test_granting.py
@@ -11,7 +11,7 @@
 from berylstage_entry.directory import Directory
 from berylstage_entry.feed import Feed
 from berylstage_entry.granting import Granting
-from berylstage_entry.office import Office
+from berylstage_entry.office import CONTACT_PATH, Office
 from fakes import (
     FencedTargets,
     JsonRecords,
@@ -22,6 +22,33 @@
 )
 
 
+class KnownPeers:
+    """Other VMs that are asked without a network, by their address."""
+
+    def __init__(self):
+        self.vms = {}
+
+    def others(self):
+        return sorted(self.vms)
+
+    async def ask(self, address, path, body=b""):
+        vm = self.vms.get(address)
+        if vm is None or vm.dead:
+            return None
+        if path == CONTACT_PATH:
+            return str(await vm.feed.contact()).encode()
+        return vm.granting.handed_on() if vm.office.may_hand_on(body) else None
+
+    async def ask_all(self, path):
+        return [await self.ask(address, path) for address in self.others()]
+
+
+def acquaint(*vms):
+    for vm in vms:
+        others = {v.cfg.control: v for v in vms if v is not vm}
+        vm.peers.vms.update(others)
+
+
 class Vm:
     """The parts of one VM that have to do with grants."""
 
@@ -29,9 +56,12 @@
         records = JsonRecords({1: configuration()})
         self.directory = Directory()
         self.feed = Feed(store, records, self.directory)
-        cfg = settings(name, int(name[-1]))
-        self.office = Office(cfg, store, self.feed, Random(1))
+        self.cfg = cfg = settings(name, int(name[-1]))
+        self.dead = False
+        self.peers = KnownPeers()
+        self.office = Office(cfg, store, self.feed, self.peers, Random(1))
         self.granting = Granting(store, self.feed, self.directory, self.office, wire)
+        self.office.inherit = self.granting.inherit
 
     def start(self):
         self.feed.start()
@@ -39,6 +69,7 @@
         self.granting.start()
 
     def kill(self):
+        self.dead = True
         self.feed.stop()
         self.granting.stop()
         self.office._task.cancel()
@@ -220,6 +251,7 @@
         async def play():
             wire = FencedTargets()
             first, second = Vm("vm-1", store, wire), Vm("vm-2", store, wire)
+            acquaint(first, second)
             first.start()
             await until(lambda: all_held(wire))
             second.start()
@@ -246,6 +278,7 @@
             wire = FencedTargets()
             near = StoreView(store)
             first, second = Vm("vm-1", near, wire), Vm("vm-2", store, wire)
+            acquaint(first, second)
             first.start()
             await until(lambda: all_held(wire))
             second.start()
@@ -257,16 +290,8 @@
             )
             near.away = True
             if not answers:
-                # The address of the first VM answers nothing in these tests; the
-                # second one waits until all that the first may have ordered is over.
                 await asyncio.sleep(1.0)
                 first.kill()
-                second.office.alone_from = now()
-            else:
-                await until(second.office.holds)
-                first.office.stop_orders()
-                second.granting.inherit(first.granting.handed_on())
-                second.office.alone_from = now()
             await until(
                 lambda: not any(r.former for r in second.feed.assignments["s"].ranges),
                 30.0,
@@ -287,10 +312,93 @@
             vm.start()
             await until(lambda: all_held(wire))
             store.away = True
-            end = now() + 5.0
+            end = now() + 9.0
             while now() < end:
                 assert all_held(wire)
                 await asyncio.sleep(0.05)
+            store.away = False
+            await asyncio.sleep(3.0)
+            assert all_held(wire)
             vm.kill()
+            assert not wire.doubly_held()
+            assert not wire.low_fences
+
+        asyncio.run(play())
+
+    def test_silent_target_beside_a_lost_holder_of_the_duty(self, store):
+        # The VM with the duty and a target are lost at once. The VM that takes over has
+        # had the store all the while, so the lost one has not prolonged any hold: the
+        # target's keys go to others as soon as its short hold is over.
+        async def play():
+            wire = FencedTargets()
+            first, second = Vm("vm-1", store, wire), Vm("vm-2", store, wire)
+            acquaint(first, second)
+            first.start()
+            await until(lambda: all_held(wire))
+            second.start()
+            await asyncio.sleep(4.0)
+            first.kill()
+            wire.silent.add("a")
+            began = now()
+            await until(lambda: second.office.holds(), 4.0)
+            await until(lambda: "a" not in owners(second), 8.0)
+            await until(lambda: all_held(wire))
+            second.kill()
+            assert now() - began < 8.0
+            assert not wire.doubly_held()
+            assert not wire.low_fences
+
+        asyncio.run(play())
+
+    def test_process_that_started_anew_hands_nothing_on(self, store):
+        # The VM with the duty is killed while a target is silent, and starts again
+        # under its address before another VM has taken over. It knows nothing of the
+        # grants that it gave, which the silent target still goes by.
+        async def play():
+            wire = FencedTargets()
+            first, second = Vm("vm-1", store, wire), Vm("vm-2", store, wire)
+            acquaint(first, second)
+            first.start()
+            await until(lambda: all_held(wire))
+            first.kill()
+            wire.silent.add("a")
+            anew = Vm("vm-1", store, wire)
+            second.peers.vms[first.cfg.control] = anew
+            second.start()
+            await until(second.office.holds)
+            # The target's grant is prolonged by nobody; until it has ended, its keys
+            # must not move.
+            wire.holds["a"][0].end = now() + 2.0
+            while now() < wire.holds["a"][0].end:
+                assert "a" in owners(second)
+                await asyncio.sleep(0.02)
+            second.kill()
+            assert not wire.doubly_held()
+
+        asyncio.run(play())
+
+    def test_holder_that_alone_loses_the_store_prolongs_nothing(self, store):
+        # Only the VM with the duty loses the store. Holds that it prolonged would keep
+        # the next holder from moving the keys of a lost target for ten seconds.
+        async def play():
+            wire = FencedTargets()
+            near = StoreView(store)
+            first, second = Vm("vm-1", near, wire), Vm("vm-2", store, wire)
+            acquaint(first, second)
+            first.start()
+            await until(lambda: all_held(wire))
+            second.start()
+            await asyncio.sleep(0.5)
+            near.away = True
+            end = now() + 4.0
+            while now() < end:
+                assert not first.office.prolongs
+                assert all_held(wire)
+                await asyncio.sleep(0.02)
+            assert second.office.holds()
+            first.kill()
+            second.kill()
+            assert not wire.doubly_held()
+            assert not wire.low_fences
 
         asyncio.run(play())
--- a/packages/entry/tests/test_load_exchange.py
+++ b/packages/entry/tests/test_load_exchange.py
@@ -29,7 +29,8 @@
 class TestLoadExchange:
     def test_target_that_another_vm_found_busy_is_avoided(self):
         # A target is slowed for a moment, and one VM has just heard of it. Another VM
-        # that goes by its own last answer, a second old, would send work into the queue.
+        # that goes by its own last answer, a second old, would send work into the
+        # queue.
         router, exchange = vm()
         report = LoadReport(2, 5, 2, 3.0)
         exchange.datagram_received(encode({"a": report}), ("127.0.0.1", 2))
--- a/packages/policy/src/berylstage_policy/completion.py
+++ b/packages/policy/src/berylstage_policy/completion.py
@@ -37,8 +37,8 @@
 # choice among equals at random keeps VMs with the same picture apart.
 TIE = 0.15
 # Seconds by which a target in another data centre is put behind one in the same: bytes
-# between data centres are paid for, and the way there and back takes 2 to 3 ms. At 35 ms
-# 12 to 20% fewer bytes crossed, at no cost in time that could be told from chance.
+# between data centres are paid for, and the way there and back takes 2 to 3 ms. At 35
+# ms 12 to 20% fewer bytes crossed, at no cost in time that could be told from chance.
 OTHER_DATA_CENTRE = 0.025
 # Seconds for which a target that lost a request or failed is left alone at first, and
 # at most: the span doubles with each new failure.
@@ -69,7 +69,8 @@
     def __init__(self, slots: int):
         self.slots = slots
         self.inflight = 0
-        # Seconds by which it is put behind others, for what its answers cost on the way.
+        # Seconds by which it is put behind others, for what its answers cost on the
+        # way.
         self.distance = 0.0
         # Requests of other VMs there when it answered last.
         self.others = 0.0
