--- a/packages/entry/src/berylstage_entry/application.py
+++ b/packages/entry/src/berylstage_entry/application.py
@@ -82,7 +82,7 @@
         self.granting = Granting(store, self.feed, self.directory, self.office, targets)
         self.announcements = Announcements(self.feed, self.membership, cfg.control)
         self.office.inherit = self.granting.inherit
-        self.granting.listeners.append(self.announcements.tell)
+        self.granting.writer.listeners.append(self.announcements.tell)
         self.reports = Reports(self.router, self.granting, self.office)
         host, _ = split_address(cfg.callers)
         self.exchange = LoadExchange(
--- a/packages/entry/src/berylstage_entry/journal.py
+++ b/packages/entry/src/berylstage_entry/journal.py
@@ -9,8 +9,8 @@
 from berylstage_entry.clock import now
 
 if TYPE_CHECKING:
+    from berylstage_entry.journey import Answered
     from berylstage_entry.metrics import Metrics
-    from berylstage_entry.router import Answered
     from berylstage_entry.wire import CallerRequest
 
 # Lines a second about requests that failed or were refused, and about those that went
--- /dev/null
+++ b/packages/entry/src/berylstage_entry/journey.py
@@ -0,0 +1,70 @@
+"""One request on its way through the router, and how it ended."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from berylstage_entry.routes import Route
+    from berylstage_entry.services import Service
+    from berylstage_entry.wire import CallerRequest, TargetAnswer
+
+
+class Answered:
+    """A request that a target has answered, and how it went.
+
+    Parameters
+    ----------
+    answer : TargetAnswer
+    target : str
+    attempts : int
+    """
+
+    __slots__ = ("answer", "attempts", "target")
+
+    def __init__(self, answer: TargetAnswer, target: str, attempts: int):
+        self.answer = answer
+        self.target = target
+        self.attempts = attempts
+
+
+class Journey:
+    """One request on its way.
+
+    Parameters
+    ----------
+    req : CallerRequest
+    route : Route
+    service : Service
+    deadline : float
+        Monotonic seconds until which a target may answer.
+    """
+
+    __slots__ = (
+        "attempts",
+        "deadline",
+        "failure",
+        "lost",
+        "req",
+        "route",
+        "service",
+        "tried",
+    )
+
+    def __init__(
+        self, req: CallerRequest, route: Route, service: Service, deadline: float
+    ):
+        self.req = req
+        self.route = route
+        self.service = service
+        self.deadline = deadline
+        self.attempts = 0
+        self.tried: set[str] = set()
+        # Reason of the last attempt that may have run; empty while none has.
+        self.lost = ""
+        # A target's own failure, which the caller gets when nothing better comes.
+        self.failure: Answered | None = None
+
+    def left(self, moment: float) -> float:
+        """Return the seconds that are left for a target."""
+        return self.deadline - moment
--- /dev/null
+++ b/packages/entry/src/berylstage_entry/renewals.py
@@ -0,0 +1,170 @@
+"""Grants keys to their owners and renews the grants: one task for each target."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from berylstage_transfers.errors import CallFailed
+from logbook import Logger
+
+from berylstage_entry.clock import now
+from berylstage_entry.holds import ORDER_TIMEOUT, RENEWAL, TargetHold
+from berylstage_entry.wire import GrantOrder
+
+if TYPE_CHECKING:
+    from berylstage_entry.assignment import Assignment, KeyRange
+    from berylstage_entry.directory import Directory
+    from berylstage_entry.feed import Feed
+    from berylstage_entry.office import Office
+    from berylstage_entry.targets import Target
+    from berylstage_entry.wire import TargetWire
+
+# Seconds between two looks whether an owner has new keys to be granted.
+TICK = 0.05
+# Seconds between two questions to a target that has fallen silent.
+PROBE_PERIOD = 0.3
+
+log = Logger(__name__)
+
+
+def note_fault(task: asyncio.Task) -> None:
+    """Log what ended a task that should not have failed."""
+    if not task.cancelled() and task.exception() is not None:
+        exc = task.exception()
+        log.error("a task failed", extra={"fault": f"{type(exc).__name__}: {exc}"})
+
+
+class Renewals:
+    """Keeps the grants of all owners alive while this VM has the duty.
+
+    Parameters
+    ----------
+    feed : Feed
+    directory : Directory
+    office : Office
+    wire : TargetWire
+    """
+
+    def __init__(
+        self, feed: Feed, directory: Directory, office: Office, wire: TargetWire
+    ):
+        self._feed = feed
+        self._directory = directory
+        self._office = office
+        self._wire = wire
+        self._holds: dict[tuple[str, int], TargetHold] = {}
+        self._keepers: dict[tuple[str, int], asyncio.Task] = {}
+        # Targets that were granted something, for the time after their records go.
+        self._targets_seen: dict[tuple[str, int], Target] = {}
+
+    def __len__(self) -> int:
+        """Return the number of targets whose grants are renewed."""
+        return len(self._keepers)
+
+    def drop(self) -> None:
+        """Stop renewing."""
+        for task in self._keepers.values():
+            task.cancel()
+        self._keepers.clear()
+
+    def lapse_in(self) -> float:
+        """Return the seconds after which nothing holds that this VM ordered."""
+        return max([0.0, *(hold.lapse - now() for hold in self._holds.values())])
+
+    def is_silent(self, identity: tuple[str, int]) -> bool:
+        """Tell whether a target has not answered the last order."""
+        hold = self._holds.get(identity)
+        return hold is not None and bool(hold.silent_since)
+
+    def may_hold(self, identity: tuple[str, int]) -> bool:
+        """Tell whether a silent target may still hold keys by anybody's order."""
+        hold = self._holds.get(identity)
+        lapse = hold.lapse if hold is not None else float("-inf")
+        return now() < max(lapse, self._office.others_lapse)
+
+    async def grant(self, target: Target, r: KeyRange, handover: str = "") -> bool:
+        """Grant one range; tell whether the target has it now."""
+        hold = self.hold(target.identity)
+        order = GrantOrder(r.first, r.last, r.fence, self._office.hold(), handover)
+        if not self._office.holds():
+            return False
+        hold.ordered(now(), order.hold)
+        try:
+            taken = await self._wire.grant(target, order, ORDER_TIMEOUT)
+        except CallFailed as exc:
+            if not hold.silent_since:
+                log.info(
+                    "grant without an answer",
+                    extra={"target": target.name, "first": r.first, "cause": str(exc)},
+                )
+            hold.failed(now())
+            return False
+        hold.answered()
+        if not taken:
+            log.warning(
+                "grant refused: the target has seen a higher fence",
+                extra={"target": target.name, "first": r.first, "fence": r.fence},
+            )
+        return taken
+
+    def keep(self, assignment: Assignment) -> None:
+        """See to it that each owner has a task that renews its grants."""
+        for identity, task in list(self._keepers.items()):
+            if task.done():
+                note_fault(task)
+                del self._keepers[identity]
+        for r in assignment.ranges:
+            identity = (r.owner, r.life)
+            if not r.owner or identity in self._keepers:
+                continue
+            known = self._directory.known.get(r.owner)
+            if known is not None and known.target.life == r.life:
+                task = asyncio.create_task(self._renew(known.target))
+                self._keepers[identity] = task
+
+    async def _renew(self, target: Target) -> None:
+        """Renew what a target owns until it owns nothing."""
+        hold = self.hold(target.identity)
+        self._targets_seen[target.identity] = target
+        granted: set[tuple[int, int, int]] = set()
+        while self._office.holds():
+            mine = self._owned(target)
+            if not mine:
+                return
+            began = now()
+            if hold.silent_since and not await self._wire.is_alive(
+                target, ORDER_TIMEOUT
+            ):
+                await asyncio.sleep(PROBE_PERIOD)
+                continue
+            await asyncio.gather(*(self.grant(target, r) for r in mine))
+            granted = {(r.first, r.last, r.fence) for r in mine}
+            prolonged = self._office.prolongs
+            while now() - began < RENEWAL and prolonged == self._office.prolongs:
+                await asyncio.sleep(TICK)
+                ranges = {(r.first, r.last, r.fence) for r in self._owned(target)}
+                if ranges - granted or not ranges:
+                    break
+
+    def _owned(self, target: Target) -> list[KeyRange]:
+        """Return the ranges of a target that are not on the move."""
+        assignment = self._feed.assignments.get(target.service)
+        if assignment is None:
+            return []
+        return [
+            r
+            for r in assignment.ranges
+            if (r.owner, r.life) == target.identity and not r.former
+        ]
+
+    def hold(self, identity: tuple[str, int]) -> TargetHold:
+        """Return what is known of the holds of one life of a target."""
+        hold = self._holds.get(identity)
+        if hold is None:
+            hold = self._holds[identity] = TargetHold()
+        return hold
+
+    def past(self, identity: tuple[str, int]) -> Target | None:
+        """Return a target that was granted something, also when its record is gone."""
+        return self._targets_seen.get(identity)
--- a/packages/entry/src/berylstage_entry/router.py
+++ b/packages/entry/src/berylstage_entry/router.py
@@ -14,6 +14,7 @@
 
 from berylstage_entry.clock import now
 from berylstage_entry.errors import BadRequest, Refused, Unanswered
+from berylstage_entry.journey import Answered, Journey
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -51,57 +52,6 @@
 NOT_FOUND = 404
 
 
-class Answered:
-    """A request that a target has answered, and how it went.
-
-    Parameters
-    ----------
-    answer : TargetAnswer
-    target : str
-    attempts : int
-    """
-
-    __slots__ = ("answer", "attempts", "target")
-
-    def __init__(self, answer: TargetAnswer, target: str, attempts: int):
-        self.answer = answer
-        self.target = target
-        self.attempts = attempts
-
-
-class _Journey:
-    """One request on its way."""
-
-    __slots__ = (
-        "attempts",
-        "deadline",
-        "failure",
-        "lost",
-        "req",
-        "route",
-        "service",
-        "tried",
-    )
-
-    def __init__(
-        self, req: CallerRequest, route: Route, service: Service, deadline: float
-    ):
-        self.req = req
-        self.route = route
-        self.service = service
-        self.deadline = deadline
-        self.attempts = 0
-        self.tried: set[str] = set()
-        # Reason of the last attempt that may have run; empty while none has.
-        self.lost = ""
-        # A target's own failure, which the caller gets when nothing better comes.
-        self.failure: Answered | None = None
-
-    def left(self, moment: float) -> float:
-        """Return the seconds that are left for a target."""
-        return self.deadline - moment
-
-
 class Router:
     """Serves callers' requests.
 
@@ -161,7 +111,7 @@
         if service is None:
             raise Refused("no-service", LONGEST_RETURN)
         wait = min(req.time_left - ANSWER_WAY, route.timeout)
-        journey = _Journey(req, route, service, now() + wait)
+        journey = Journey(req, route, service, now() + wait)
         self._budget(service.name).earn()
         if service.owns_keys and req.key is not None:
             counts = self._key_counts.setdefault(service.name, {})
@@ -195,7 +145,7 @@
         """Return what this VM has seen of the targets of a service."""
         return self._loads.get(service)
 
-    async def _travel(self, journey: _Journey) -> Answered:
+    async def _travel(self, journey: Journey) -> Answered:
         """Send until there is an answer to give, or no way to get one."""
         try:
             while True:
@@ -208,7 +158,7 @@
                 raise
             return journey.failure
 
-    async def _choose(self, journey: _Journey) -> str:
+    async def _choose(self, journey: Journey) -> str:
         """Return the target for the next attempt."""
         if journey.left(now()) < LEAST_TIME:
             raise self._given_up(journey, "no-time")
@@ -220,13 +170,13 @@
             self._may_repeat(journey, name)
         return name
 
-    def _may_repeat(self, journey: _Journey, name: str) -> None:
+    def _may_repeat(self, journey: Journey, name: str) -> None:
         if journey.attempts >= journey.route.attempts and name not in journey.tried:
             raise self._given_up(journey, "attempts")
         if not self._budget(journey.service.name).spend():
             raise self._given_up(journey, "budget")
 
-    async def _owner(self, journey: _Journey) -> str:
+    async def _owner(self, journey: Journey) -> str:
         """Return the owner of the key, waiting a moment while it moves."""
         service, key = journey.service.name, journey.req.key
         assert key is not None
@@ -240,7 +190,7 @@
                 raise self._given_up(journey, "no-owner")
             await asyncio.sleep(MOVE_WAIT)
 
-    def _paced(self, journey: _Journey, name: str) -> str:
+    def _paced(self, journey: Journey, name: str) -> str:
         """Let the owner of a key get no more than it can bear."""
         if not self._may_send(name, journey.service):
             raise self._given_up(journey, "cold")
@@ -251,7 +201,7 @@
             raise self._given_up(journey, "owner-busy")
         return name
 
-    def _free_target(self, journey: _Journey) -> str:
+    def _free_target(self, journey: Journey) -> str:
         names = self._directory.usable(journey.service.name)
         loads = self._service_loads(journey.service.name)
         known = self._directory.known
@@ -272,7 +222,7 @@
             raise self._given_up(journey, "no-room")
         return name
 
-    async def _attempt(self, journey: _Journey, name: str) -> TargetAnswer | None:
+    async def _attempt(self, journey: Journey, name: str) -> TargetAnswer | None:
         """Send once; None when it may be tried again."""
         target = self._directory.known[name].target
         sender = self._senders.to(target, journey.service.connections)
@@ -297,7 +247,7 @@
         self._learn(loads, journey.route.name, name, answer, now() - began)
         return self._judge(journey, name, answer)
 
-    def _lost(self, journey: _Journey, name: str, exc: AnswerLost) -> None:
+    def _lost(self, journey: Journey, name: str, exc: AnswerLost) -> None:
         journey.attempts += 1
         journey.tried.add(name)
         moment = now()
@@ -332,7 +282,7 @@
             loads.answered(name, kind, seconds / load.pace)
 
     def _judge(
-        self, journey: _Journey, name: str, answer: TargetAnswer
+        self, journey: Journey, name: str, answer: TargetAnswer
     ) -> TargetAnswer | None:
         journey.attempts += 1
         if answer.misdirected:
@@ -348,11 +298,11 @@
             return None
         return answer
 
-    def _can_repeat(self, journey: _Journey) -> bool:
+    def _can_repeat(self, journey: Journey) -> bool:
         enough = journey.left(now()) > journey.route.objective / 2
         return enough and journey.attempts < journey.route.attempts
 
-    def _given_up(self, journey: _Journey, reason: str) -> Refused | Unanswered:
+    def _given_up(self, journey: Journey, reason: str) -> Refused | Unanswered:
         if journey.lost:
             return Unanswered(journey.lost, False)
         return Refused(reason, self._rng.uniform(SHORTEST_RETURN, LONGEST_RETURN))
--- a/packages/entry/tests/test_server.py
+++ b/packages/entry/tests/test_server.py
@@ -6,8 +6,8 @@
 import socket
 
 from berylstage_entry.journal import RequestJournal
+from berylstage_entry.journey import Answered
 from berylstage_entry.metrics import Metrics
-from berylstage_entry.router import Answered
 from berylstage_entry.server import CallerServer
 from berylstage_entry.wire import CallerRequest, CallerWire, TargetAnswer
 from fakes import LIMITS
