Let keys of a target whose address another target has move at once

Ruled out: silent targets (all answered), the duty (one holder all the while). Change: an answer of another target at the address ends the life of the one asked for; the watch of the duty and writes in doubt are tried again less often in an outage.

--- a/packages/entry/src/berylstage_entry/assignment_writer.py
+++ b/packages/entry/src/berylstage_entry/assignment_writer.py
@@ -19,8 +19,10 @@
     from berylstage_entry.office import Office
     from berylstage_entry.store import Store
 
-# Seconds between two tries of a write, and between two looks for its end.
+# Seconds between two looks for the end of a write, and between two tries: nothing else
+# can be written meanwhile, and each try is a call.
 PAUSE = 0.05
+TRY_AGAIN = 0.2
 
 log = Logger(__name__)
 
@@ -76,7 +78,7 @@
                 log.info("assignment in doubt", extra={"cause": str(exc)})
             if not self._office.holds():
                 raise Conflict(f"{key}: the duty was lost while a write was in doubt")
-            await asyncio.sleep(PAUSE)
+            await asyncio.sleep(TRY_AGAIN)
         item = Item(key, value, new)
         self._feed.take_written(item)
         for listener in self.listeners:
--- a/packages/entry/src/berylstage_entry/errors.py
+++ b/packages/entry/src/berylstage_entry/errors.py
@@ -35,6 +35,10 @@
     """A record of the store that names nothing that could be used."""
 
 
+class TargetEnded(EntryError):
+    """Another target answers at the address: this life of the target is over."""
+
+
 class BadRequest(EntryError):
     """A caller's request that cannot be served as it is.
 
--- a/packages/entry/src/berylstage_entry/feed.py
+++ b/packages/entry/src/berylstage_entry/feed.py
@@ -37,7 +37,10 @@
 # Seconds for a call that finds out whether the store can be reached.
 CONTACT_TIMEOUT = 0.35
 # Seconds before a failed call is made again.
-RETRY = 0.25
+RETRY = 0.35
+# The same for the watch of the duty, whose news the reading of all keys brings as well
+# when the store is back. Calls to a store that is away are paid for like others.
+DUTY_RETRY = 1.0
 # Seconds after a failed call in which a record that is gone counts as lapsed.
 OUTAGE_MEMORY = 3.0
 
@@ -144,7 +147,7 @@
                 self.complete = False
             except StoreError as exc:
                 log.info("watch of the duty failed", extra={"cause": str(exc)})
-                await asyncio.sleep(RETRY)
+                await asyncio.sleep(DUTY_RETRY)
 
     async def _read_all(self) -> None:
         changes = await self._store.read("")
--- a/packages/entry/src/berylstage_entry/holds.py
+++ b/packages/entry/src/berylstage_entry/holds.py
@@ -49,13 +49,15 @@
 class TargetHold:
     """What this VM knows of the holds of one life of a target."""
 
-    __slots__ = ("lapse", "silent_since")
+    __slots__ = ("has_ended", "lapse", "silent_since")
 
     def __init__(self) -> None:
         # When nothing holds any more that this VM ordered.
         self.lapse = float("-inf")
         # Since when it has not answered; 0 while it answers.
         self.silent_since = 0.0
+        # Whether its life is over for certain, so that it holds nothing.
+        self.has_ended = False
 
     def ordered(self, now: float, hold: float) -> None:
         """Note that an order is about to be sent."""
@@ -65,6 +67,11 @@
         """Note an answer."""
         self.silent_since = 0.0
 
+    def ended(self, now: float) -> None:
+        """Note that its life is over."""
+        self.has_ended = True
+        self.silent_since = self.silent_since or now
+
     def failed(self, now: float) -> None:
         """Note that an order brought no answer: it may be carried out later."""
         self.silent_since = self.silent_since or now
--- a/packages/entry/src/berylstage_entry/moves.py
+++ b/packages/entry/src/berylstage_entry/moves.py
@@ -11,6 +11,7 @@
 
 from berylstage_entry.assignment import KeyRange
 from berylstage_entry.clock import now
+from berylstage_entry.errors import TargetEnded
 from berylstage_entry.holds import ORDER_TIMEOUT
 from berylstage_entry.wire import GrantOrder
 
@@ -160,7 +161,7 @@
         target = known.target if known is not None else None
         if target is None:
             target = self._renewals.past(identity)
-        if hold.silent_since and self._lapsed(r):
+        if hold.has_ended or (hold.silent_since and self._lapsed(r)):
             return ""
         if target is not None:
             handover = await self._release(target, hold, r)
@@ -213,6 +214,12 @@
                 extra={"target": target.name, "first": r.first, "cause": str(exc)},
             )
             return None
+        except TargetEnded:
+            # Another target has the address, so this one has ended with all its holds.
+            # Its keys need not wait for them: 3.3 s for a data centre's targets that
+            # came back under other names.
+            hold.ended(now())
+            return ""
         return handover if target.life == r.former_life else ""
 
     def _next_try(self, r: KeyRange) -> int:
--- a/packages/entry/src/berylstage_entry/renewals.py
+++ b/packages/entry/src/berylstage_entry/renewals.py
@@ -9,6 +9,7 @@
 from logbook import Logger
 
 from berylstage_entry.clock import now
+from berylstage_entry.errors import TargetEnded
 from berylstage_entry.holds import ORDER_TIMEOUT, RENEWAL, TargetHold
 from berylstage_entry.wire import GrantOrder
 
@@ -80,6 +81,8 @@
     def may_hold(self, identity: tuple[str, int]) -> bool:
         """Tell whether a silent target may still hold keys by anybody's order."""
         hold = self._holds.get(identity)
+        if hold is not None and hold.has_ended:
+            return False
         lapse = hold.lapse if hold is not None else float("-inf")
         return now() < max(lapse, self._office.others_lapse)
 
@@ -100,6 +103,12 @@
                 )
             hold.failed(now())
             return False
+        except TargetEnded as exc:
+            hold.ended(now())
+            log.info(
+                "target has ended", extra={"target": target.name, "cause": str(exc)}
+            )
+            return False
         hold.answered()
         if not taken:
             log.warning(
@@ -118,6 +127,8 @@
             identity = (r.owner, r.life)
             if not r.owner or identity in self._keepers:
                 continue
+            if identity in self._holds and self._holds[identity].has_ended:
+                continue
             known = self._directory.known.get(r.owner)
             if known is not None and known.target.life == r.life:
                 task = asyncio.create_task(self._renew(known.target))
@@ -128,7 +139,7 @@
         hold = self.hold(target.identity)
         self._targets_seen[target.identity] = target
         granted: set[tuple[int, int, int]] = set()
-        while self._office.holds():
+        while self._office.holds() and not hold.has_ended:
             mine = self._owned(target)
             if not mine:
                 return
--- a/packages/entry/src/berylstage_entry/wire.py
+++ b/packages/entry/src/berylstage_entry/wire.py
@@ -195,6 +195,8 @@
         ------
         CallFailed
             Nobody knows whether it is or will be done.
+        TargetEnded
+            The target is no more, and holds nothing.
         """
 
     @abstractmethod
@@ -207,6 +209,8 @@
         ------
         CallFailed
             Nobody knows whether it is or will be done.
+        TargetEnded
+            The target is no more, and holds nothing.
         """
 
     @abstractmethod
--- a/packages/entry/tests/fakes.py
+++ b/packages/entry/tests/fakes.py
@@ -7,7 +7,7 @@
 from random import Random
 
 from berylstage_entry.clock import now
-from berylstage_entry.errors import Conflict, LeaseEnded, StoreSilent
+from berylstage_entry.errors import Conflict, LeaseEnded, StoreSilent, TargetEnded
 from berylstage_entry.routes import Route, Share
 from berylstage_entry.services import Configuration, Limits, Service
 from berylstage_entry.settings import Bounds, EntrySettings
@@ -233,6 +233,7 @@
         self.release_delay = 0.0
         self._rng = Random(7)
         self.silent: set[str] = set()
+        self.ended: set[str] = set()
         self.late: dict[str, float] = {}
         # Grants under a fence that is not above all that other targets have seen.
         self.low_fences: list[tuple] = []
@@ -244,6 +245,8 @@
         raise NotImplementedError
 
     async def grant(self, target, order, timeout):
+        if target.name in self.ended:
+            raise TargetEnded(target.name)
         await asyncio.sleep(self.grant_delay + self._rng.uniform(0, self.delay))
         if target.name in self.silent:
             await asyncio.sleep(timeout)
--- a/packages/entry/tests/test_granting.py
+++ b/packages/entry/tests/test_granting.py
@@ -223,6 +223,27 @@
 
         asyncio.run(play())
 
+    def test_keys_of_an_ended_target_do_not_wait_for_its_holds(self, store):
+        # A data centre lost power, and its targets came back under other names at the
+        # same addresses before their records had gone. The old ones hold nothing any
+        # more; callers of their keys need not wait for holds that nobody has.
+        async def play():
+            wire = FencedTargets()
+            vm = Vm("vm-1", store, wire)
+            vm.start()
+            await until(lambda: all_held(wire))
+            wire.ended.add("a")
+            wire._take("a", 0, 65535)
+            began = now()
+            await until(lambda: "a" not in owners(vm))
+            await until(lambda: all_held(wire))
+            vm.kill()
+            assert now() - began < 1.5
+            assert not wire.doubly_held()
+            assert not wire.low_fences
+
+        asyncio.run(play())
+
     def test_orders_carried_out_late_leave_one_holder(self, store):
         # A target leaves orders unanswered and carries them out seconds later. A grant
         # that comes into force after the keys have moved on would give them two owners.
