Name in the log what decided the end of a request

The line of a refused or lost request carries the target, its load and the age of the report, the owner and the revision of the assignment, and where it has been.

--- a/packages/entry/src/berylstage_entry/errors.py
+++ b/packages/entry/src/berylstage_entry/errors.py
@@ -63,12 +63,15 @@
         One word for logs and counters.
     retry_after : float
         Seconds after which the caller may come back.
+    detail : str
+        What decided it, and how old that was; for the log.
     """
 
-    def __init__(self, reason: str, retry_after: float):
+    def __init__(self, reason: str, retry_after: float, detail: str = ""):
         super().__init__(f"{reason}; come back in {retry_after:.2f} s")
         self.reason = reason
         self.retry_after = retry_after
+        self.detail = detail
 
 
 class Unanswered(EntryError):
@@ -80,9 +83,12 @@
         One word for logs and counters.
     timed_out : bool
         Whether its time was over, rather than its connection.
+    detail : str
+        What decided it; for the log.
     """
 
-    def __init__(self, reason: str, timed_out: bool):
+    def __init__(self, reason: str, timed_out: bool, detail: str = ""):
         super().__init__(f"{reason}; find out whether it took effect")
         self.reason = reason
         self.timed_out = timed_out
+        self.detail = detail
--- a/packages/entry/src/berylstage_entry/journal.py
+++ b/packages/entry/src/berylstage_entry/journal.py
@@ -95,9 +95,26 @@
         )
 
     def ended(
-        self, req: CallerRequest, status: int, reason: str, seconds: float
+        self,
+        req: CallerRequest,
+        status: int,
+        reason: str,
+        seconds: float,
+        detail: str = "",
     ) -> None:
-        """Note the end of a request that no target's answer ended."""
+        """Note the end of a request that no target's answer ended.
+
+        Parameters
+        ----------
+        req : CallerRequest
+        status : int
+            0 when nobody was there to take it.
+        reason : str
+        seconds : float
+            From its arrival.
+        detail : str
+            What decided it, and how old that was.
+        """
         self._metrics.request(req.host, reason, seconds)
         if not self._failures.take():
             return
@@ -107,6 +124,7 @@
                 "id": req.request_id,
                 "status": status,
                 "reason": reason,
+                "detail": detail,
                 "path": req.path,
                 "seconds": round(seconds, 4),
                 "time_left": round(req.time_left - seconds, 4),
--- a/packages/entry/src/berylstage_entry/journey.py
+++ b/packages/entry/src/berylstage_entry/journey.py
@@ -65,6 +65,10 @@
         # A target's own failure, which the caller gets when nothing better comes.
         self.failure: Answered | None = None
 
+    def trace(self) -> str:
+        """Return where the request has been, for the log."""
+        return f"tried {','.join(sorted(self.tried))}" if self.tried else ""
+
     def left(self, moment: float) -> float:
         """Return the seconds that are left for a target."""
         return self.deadline - moment
--- a/packages/entry/src/berylstage_entry/router.py
+++ b/packages/entry/src/berylstage_entry/router.py
@@ -187,7 +187,10 @@
                 if self._directory.may_use(owner.owner):
                     return self._paced(journey, owner.owner)
             if journey.left(now()) < journey.route.timeout / 2:
-                raise self._given_up(journey, "no-owner")
+                revision = self._feed.revisions.get(service, 0)
+                held = f"owner {owner.owner} former {owner.former}" if owner else ""
+                detail = f"key {key} {held} assignment {revision}"
+                raise self._given_up(journey, "no-owner", detail)
             await asyncio.sleep(MOVE_WAIT)
 
     def _paced(self, journey: Journey, name: str) -> str:
@@ -198,7 +201,8 @@
         loads.load(name, self._directory.known[name].target.slots)
         expected = loads.expected(name, journey.route.name, now())
         if expected > OWNER_WAIT * journey.route.objective:
-            raise self._given_up(journey, "owner-busy")
+            detail = loads.describe(name, now())
+            raise self._given_up(journey, "owner-busy", detail)
         return name
 
     def _free_target(self, journey: Journey) -> str:
@@ -219,7 +223,7 @@
         kind = journey.route.name
         name = loads.choose(fit, kind, now())
         if loads.expected(name, kind, now()) > journey.left(now()):
-            raise self._given_up(journey, "no-room")
+            raise self._given_up(journey, "no-room", loads.describe(name, now()))
         return name
 
     async def _attempt(self, journey: Journey, name: str) -> TargetAnswer | None:
@@ -255,7 +259,8 @@
         journey.lost = "timeout" if late else "answer-lost"
         self._service_loads(journey.service.name).load(name, 1).failed(moment)
         if not journey.route.idempotent or late:
-            raise Unanswered(journey.lost, late) from exc
+            detail = f"target {name} attempts {journey.attempts}: {exc}"
+            raise Unanswered(journey.lost, late, detail) from exc
 
     def _learn(
         self,
@@ -302,10 +307,14 @@
         enough = journey.left(now()) > journey.route.objective / 2
         return enough and journey.attempts < journey.route.attempts
 
-    def _given_up(self, journey: Journey, reason: str) -> Refused | Unanswered:
+    def _given_up(
+        self, journey: Journey, reason: str, detail: str = ""
+    ) -> Refused | Unanswered:
+        detail = f"{detail} attempts {journey.attempts} {journey.trace()}".strip()
         if journey.lost:
-            return Unanswered(journey.lost, False)
-        return Refused(reason, self._rng.uniform(SHORTEST_RETURN, LONGEST_RETURN))
+            return Unanswered(journey.lost, False, detail)
+        back = self._rng.uniform(SHORTEST_RETURN, LONGEST_RETURN)
+        return Refused(reason, back, detail)
 
     def _service_of(self, route: Route) -> str:
         if len(route.shares) == 1:
--- a/packages/entry/src/berylstage_entry/server.py
+++ b/packages/entry/src/berylstage_entry/server.py
@@ -291,11 +291,11 @@
             self._journal.ended(req, exc.status, str(exc), now() - began)
             return Reply(exc.status)
         except Refused as exc:
-            self._journal.ended(req, UNAVAILABLE, exc.reason, now() - began)
+            self._journal.ended(req, UNAVAILABLE, exc.reason, now() - began, exc.detail)
             return Reply(UNAVAILABLE, self.wire.refusal_headers(exc.retry_after))
         except Unanswered as exc:
             status = GATEWAY_TIMEOUT if exc.timed_out else BAD_GATEWAY
-            self._journal.ended(req, status, exc.reason, now() - began)
+            self._journal.ended(req, status, exc.reason, now() - began, exc.detail)
             return Reply(status)
         except asyncio.CancelledError:
             self._journal.ended(req, 0, "caller-left", now() - began)
--- a/packages/entry/tests/test_router.py
+++ b/packages/entry/tests/test_router.py
@@ -23,6 +23,7 @@
     """Assignments as a feed keeps them."""
 
     def __init__(self, owner="a", former=""):
+        self.revisions = {"s": 4}
         self.assignments = {
             "s": Assignment([KeyRange(0, 65535, owner, 1, 5, former)], 9)
         }
@@ -134,6 +135,8 @@
         began = now()
         ended, sent = play([], owns_keys=True, owner="b", former="a")
         assert isinstance(ended, Refused)
+        # Whoever reads the log sees which move the request waited for.
+        assert "owner b former a assignment 4" in ended.detail
         assert not sent
         assert now() - began < 0.7
 
--- a/packages/policy/src/berylstage_policy/completion.py
+++ b/packages/policy/src/berylstage_policy/completion.py
@@ -230,6 +230,25 @@
         equal = [n for t, n in times if t <= best + TIE * self.mean]
         return self._rng.choice(equal)
 
+    def describe(self, name: str, now: float) -> str:
+        """Return what a choice went by, for the log.
+
+        Parameters
+        ----------
+        name : str
+        now : float
+
+        Returns
+        -------
+        str
+        """
+        load = self._loads[name]
+        return (
+            f"target {name} inflight {load.inflight} others {load.others:.0f} "
+            f"slots {load.slots} pace {load.pace:.2f} slowness {load.slowness:.2f} "
+            f"report {now - load.reported:.3f} s old"
+        )
+
     def expected(self, name: str, kind: str, now: float) -> float:
         """Return the seconds until one more request would be done at a target."""
         typical = self._typical.get(kind, self.mean)
