Keep the bound of a cold target with many VMs, and weights with few requests each

Cause: found by tests of many VMs that were still missing: 30 VMs with a slow pace each sent to a cold target in the same second (30 for 12.95), and VMs with three requests each gave the smaller part of a split nothing. Change: where there are more VMs than the bound has requests, some send, by an order of their own for each target; a VM begins anywhere in the round of a split.

--- a/packages/entry/src/berylstage_entry/application.py
+++ b/packages/entry/src/berylstage_entry/application.py
@@ -75,6 +75,7 @@
             cfg.bounds,
             self.rng,
             cfg.data_centre,
+            cfg.vm,
         )
         self.membership = Membership(cfg, store, self.feed)
         self.peers = Peers(self.membership, cfg.control)
@@ -187,7 +188,8 @@
             if limits is not None:
                 self.server.set_limits(limits)
         if what == "read" or what.startswith(VMS_PREFIX):
-            vms = len(self.membership.addresses()) + UNKNOWN
+            self.router.vm_names = self.membership.names()
+            vms = len(self.router.vm_names) + UNKNOWN
             self.router.vms = self.senders.vms = vms
 
     def _ready(self, body: bytes) -> Reply:
--- a/packages/entry/src/berylstage_entry/membership.py
+++ b/packages/entry/src/berylstage_entry/membership.py
@@ -69,6 +69,14 @@
             if key.startswith(VMS_PREFIX) and item.value is not None
         ]
 
+    def names(self) -> list[str]:
+        """Return the names of the known VMs, this one included."""
+        return [
+            key.removeprefix(VMS_PREFIX)
+            for key, item in self._feed.own.items()
+            if key.startswith(VMS_PREFIX) and item.value is not None
+        ]
+
     async def _run(self) -> None:
         while True:
             try:
--- a/packages/entry/src/berylstage_entry/router.py
+++ b/packages/entry/src/berylstage_entry/router.py
@@ -6,7 +6,7 @@
 from random import Random
 from typing import TYPE_CHECKING
 
-from berylstage_policy.cold_pace import ColdPace
+from berylstage_policy.cold_pace import ColdPace, may_warm_up
 from berylstage_policy.completion import OTHER_DATA_CENTRE, ServiceLoads
 from berylstage_policy.retries import Budget
 from berylstage_policy.shares import WeightedTurns
@@ -64,6 +64,8 @@
     rng : Random
     data_centre : str
         Of this VM.
+    vm : str
+        Its name.
     """
 
     def __init__(
@@ -74,6 +76,7 @@
         bounds: Bounds,
         rng: Random,
         data_centre: str = "",
+        vm: str = "",
     ):
         self._directory = directory
         self._feed = feed
@@ -81,12 +84,15 @@
         self._bounds = bounds
         self._rng = rng
         self._data_centre = data_centre
+        self._vm = vm
         self._loads: dict[str, ServiceLoads] = {}
         self._budgets: dict[str, Budget] = {}
         self._turns: dict[str, tuple[tuple, WeightedTurns]] = {}
         self._paces: dict[tuple[str, int], ColdPace] = {}
         self._seen_revision = -1
+        # VMs that are known, and their number with some that may be starting.
         self.vms = 10
+        self.vm_names: list[str] = []
         # Called with each report of load that a target gives.
         self.listeners: list[Callable[[str, LoadReport], None]] = []
         # Requests for each key since the last report to the granting VM.
@@ -358,13 +364,17 @@
         pace = self._paces.get(identity)
         if pace is None:
             bound = self._bounds.cold_bound(service.cold_rate)
-            pace = ColdPace(bound, self.vms + 2, now())
+            pace = ColdPace(bound, self.vms, now())
             self._paces[identity] = pace
         return pace
 
     def _may_send(self, name: str, service: Service) -> bool:
         pace = self._pace(name, service)
-        return pace is None or pace.may_send(now())
+        if pace is None:
+            return True
+        bound = self._bounds.cold_bound(service.cold_rate)
+        mine = may_warm_up(name, self._vm, self.vm_names, bound)
+        return mine and pace.may_send(now())
 
     def _note_sent(self, name: str, service: Service) -> None:
         pace = self._pace(name, service)
--- a/packages/policy/src/berylstage_policy/cold_pace.py
+++ b/packages/policy/src/berylstage_policy/cold_pace.py
@@ -9,11 +9,55 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+from zlib import crc32
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+# VMs that are assumed beyond those that are known, for those that are just starting.
+UNKNOWN = 2
 # Seconds between two requests of one VM at least. A little over the second in which the
 # bound is counted, so that delays on the way cannot bring two into one second.
 SHORTEST_GAP = 1.15
 
 
+# Share of the bound that is given out as turns when there are more VMs than that; the
+# rest is for VMs that do not know of each other yet.
+TURNS_SHARE = 0.7
+
+
+def may_warm_up(target: str, vm: str, vms: Sequence[str], bound: float) -> bool:
+    """Tell whether a VM is one of those that send to a cold target.
+
+    With more VMs than the bound has requests, no pace of each is slow enough: all of
+    them may send in the same second (seen in play: 30 of 30). So some of them send, by
+    an order that is another one for each target and the same on all VMs.
+
+    Parameters
+    ----------
+    target, vm : str
+    vms : sequence of str
+        All that are known, this one included or not.
+    bound : float
+        Requests that the target bears in any one second, from all VMs.
+
+    Returns
+    -------
+    bool
+    """
+    others = {name for name in vms if name != vm}
+    if len(others) + 1 + UNKNOWN <= int(bound):
+        return True
+    turns = max(1, int(TURNS_SHARE * bound))
+    mine = _rank(target, vm)
+    return sum(1 for name in others if _rank(target, name) < mine) < turns
+
+
+def _rank(target: str, vm: str) -> int:
+    return crc32(f"{target} {vm}".encode())
+
+
 class ColdPace:
     """The pace of one VM towards one cold target.
 
@@ -47,12 +91,9 @@
         -------
         float
         """
-        each = int(bound / max(1, senders))
-        if each >= 1:
-            return SHORTEST_GAP / each
         if bound < 1:
             return float("inf")
-        return SHORTEST_GAP * max(1, senders) / int(bound)
+        return SHORTEST_GAP / max(1, int(bound / max(1, senders)))
 
     def may_send(self, now: float) -> bool:
         """Tell whether a request may be sent now."""
--- a/packages/policy/src/berylstage_policy/shares.py
+++ b/packages/policy/src/berylstage_policy/shares.py
@@ -12,6 +12,9 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
+# Turns after which a round of whole weights in hundredths begins anew.
+ROUND = 100
+
 
 class WeightedTurns:
     """Turns among several parts in proportion to their weights.
@@ -30,7 +33,9 @@
     def __init__(self, weights: Sequence[float], start: float = 0.0):
         self._weights = list(weights)
         self._total = sum(weights)
-        self._credits = [start * weight for weight in weights]
+        self._credits = [0.0 for _ in weights]
+        for _ in range(int(start * ROUND)):
+            self.take()
 
     def take(self) -> int:
         """Return the index of the part whose turn it is."""
--- /dev/null
+++ b/packages/policy/tests/test_shares.py
@@ -0,0 +1,29 @@
+"""Tests of the turns among the parts of a split."""
+
+from __future__ import annotations
+
+from random import Random
+
+import pytest
+from berylstage_policy.shares import WeightedTurns
+
+
+class TestWeightedTurns:
+    @pytest.mark.parametrize("weights", [(90, 10), (1, 1, 1), (70, 20, 10), (5, 0.1)])
+    def test_each_part_gets_its_weight(self, weights):
+        turns = WeightedTurns(weights)
+        counts = [0] * len(weights)
+        for _ in range(1000):
+            counts[turns.take()] += 1
+        for count, weight in zip(counts, weights, strict=True):
+            assert abs(count - 1000 * weight / sum(weights)) <= 1
+
+    def test_vms_with_few_requests_each_keep_the_weights_together(self):
+        # Each of many VMs sees three requests of a split of 90 to 10. If all began with
+        # the same part, the smaller one would get nothing.
+        rng = Random(1)
+        small = 0
+        for _ in range(400):
+            turns = WeightedTurns((90, 10), rng.random())
+            small += sum(turns.take() == 1 for _ in range(3))
+        assert 0.04 * 1200 < small < 0.16 * 1200
