--- /dev/null
+++ b/tests/test_start.py
@@ -0,0 +1,192 @@
+"""Tests of the whole program on stand-ins of the platform, as processes."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import signal
+import socket
+import subprocess
+import sys
+import time
+from base64 import b64decode
+from pathlib import Path
+
+from tornado.httpclient import AsyncHTTPClient
+from tornado.httpserver import HTTPServer
+
+sys.path.insert(0, str(Path(__file__).parent))
+
+from platform_standin import (
+    Server,
+    StoreState,
+    server_application,
+    store_application,
+)
+
+ROOT = Path(__file__).resolve().parents[1]
+CONFIGURATION = {
+    "version": "r7",
+    "services": [
+        {"name": "s", "health_path": "/healthz", "max_conns": 50, "sharded": True}
+    ],
+    "limits": {
+        "max_header_bytes": 16384,
+        "max_body_bytes": 1048576,
+        "header_timeout_ms": 3000,
+        "idle_timeout_ms": 15000,
+    },
+    "virtual_hosts": [
+        {
+            "host": "h.example",
+            "path_routes": [
+                {
+                    "name": "r",
+                    "prefix": "/a/",
+                    "kind": "safe",
+                    "timeout_ms": 1500,
+                    "target_latency_ms": 400,
+                    "priority": 1,
+                    "service": "s",
+                    "max_attempts": 3,
+                }
+            ],
+        }
+    ],
+}
+BOUNDS = (
+    "grace_s=6,retry_budget_ratio=0.2,retry_allowance=60,warmup_overshoot=1.5,"
+    "warmup_slack=5,hold_max_ms=10000"
+)
+
+
+def free_port():
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return sock.getsockname()[1]
+
+
+class Vm:
+    """One process of the program, on a loopback address of its own."""
+
+    def __init__(self, number, folder, store_port):
+        self.ip = f"127.0.0.{10 + number}"
+        self.ports = [free_port() for _ in range(4)]
+        front, ready, control, inner = self.ports
+        text = [
+            f"node_name=vm-{number}",
+            "zone=a",
+            f"listen_addrs.front={self.ip}:{front}",
+            f"listen_addrs.ready={self.ip}:{ready}",
+            f"listen_addrs.control={self.ip}:{control}",
+            f"internal_ports={inner},{inner + 1}",
+            f"bounds={BOUNDS}",
+            f"platform.address=127.0.0.1:{store_port}",
+            "platform.ttl_min_ms=1000",
+        ]
+        path = folder / f"vm-{number}.conf"
+        path.write_text("\n".join(text))
+        self.log = (folder / f"vm-{number}.log").open("w+")
+        self.process = subprocess.Popen(
+            [sys.executable, "deploy/start.py"],
+            cwd=ROOT,
+            env={"BERYLSTAGE_NODE_FILE": str(path)},
+            stdout=self.log,
+            stderr=subprocess.STDOUT,
+        )
+
+    def messages(self):
+        self.log.seek(0)
+        return [json.loads(line)["message"] for line in self.log]
+
+    async def ready(self):
+        url = f"http://{self.ip}:{self.ports[1]}/v1/ready"
+        try:
+            found = await AsyncHTTPClient().fetch(url, raise_error=False)
+        except OSError:
+            # It does not listen yet.
+            return False
+        return found.code == 200
+
+    async def ask(self, number, key):
+        headers = {
+            "Host": "h.example",
+            "Berylstage-Attempt-Id": f"id-{number}",
+            "Berylstage-Deadline-Ms": "2000",
+            "Berylstage-Shard-Key": str(key),
+        }
+        url = f"http://{self.ip}:{self.ports[0]}/a/x"
+        return await AsyncHTTPClient().fetch(url, headers=headers, raise_error=False)
+
+
+async def until(condition, seconds=15.0):
+    end = time.monotonic() + seconds
+    while not await condition():
+        assert time.monotonic() < end, "it did not come about in time"
+        await asyncio.sleep(0.05)
+
+
+class TestProgram:
+    def test_serves_keys_through_the_loss_of_the_vm_with_the_duty(self, tmp_path):
+        # Two VMs stand between callers and two targets that share the keys. The VM with
+        # the duty of granting is killed, and the other one stopped after a while.
+        # Callers of the other VM must get whole answers all the while, each from the
+        # one target that holds the key, and the stop must be a clean one.
+        async def play():
+            state = StoreState()
+            store = HTTPServer(store_application(state))
+            store_port = free_port()
+            store.listen(store_port, "127.0.0.1")
+            servers = []
+            for name in ("i-1", "i-2"):
+                server, port = Server(name), free_port()
+                HTTPServer(server_application(server)).listen(port, "127.0.0.1")
+                record = {
+                    "address": f"127.0.0.1:{port}",
+                    "born": 1,
+                    "info": {"service": "s", "version": "v", "zone": "a", "slots": 2},
+                    "status": {"state": "ready", "sequence": 1, "warmup_left_ms": 0},
+                }
+                state.put(f"servers/{name}", json.dumps(record).encode())
+                servers.append(server)
+            state.put("op/config", json.dumps(CONFIGURATION).encode())
+            vms = [Vm(n, tmp_path, store_port) for n in (1, 2)]
+            try:
+                for vm in vms:
+                    await until(vm.ready)
+                await self.follow(vms, servers, state)
+            finally:
+                for vm in vms:
+                    vm.process.kill()
+
+        asyncio.run(play())
+
+    async def follow(self, vms, servers, state):
+        async def both_hold():
+            return all(server.holds for server in servers)
+
+        await until(both_hold)
+        answers = [await vms[n % 2].ask(n, n * 3000) for n in range(20)]
+        assert [a.code for a in answers] == [200] * 20
+        assert {a.headers["Berylstage-Backend-Signature"] for a in answers} == {
+            "i-1",
+            "i-2",
+        }
+        duty = json.loads(b64decode(state.items["berylstage/duty"]["value"]))["vm"]
+        lost, other = sorted(
+            vms, key=lambda vm: not vm.log.name.endswith(f"{duty}.log")
+        )
+        lost.process.kill()
+        codes = []
+        for n in range(100, 160):
+            codes.append((await other.ask(n, n * 400)).code)
+            await asyncio.sleep(0.05)
+        assert codes == [200] * 60
+        assert "duty taken" in other.messages()
+        answer = await other.ask(999, 5)
+        assert answer.body == b"whole"
+        ran = [run for server in servers for run in server.ran]
+        assert len(ran) == len(set(ran))
+        other.process.send_signal(signal.SIGTERM)
+        assert await asyncio.to_thread(other.process.wait, 7) == 0
+        assert "stopped" in other.messages()
