--- a/packages/entry/tests/test_granting.py
+++ b/packages/entry/tests/test_granting.py
@@ -346,6 +346,29 @@
 
         asyncio.run(play())
 
+    def test_keys_stay_held_after_the_return_of_the_store(self, store):
+        # The store is away for nine seconds. All holds were prolonged when it went and
+        # end within a second and a half of its return, and the lease of the duty has
+        # ended with it. If the duty is taken again later than that, every key is
+        # without an owner for as long, and callers are refused all over the service.
+        async def play():
+            wire = FencedTargets()
+            vm = Vm("vm-1", store, wire)
+            vm.start()
+            await until(lambda: all_held(wire))
+            store.away = True
+            await asyncio.sleep(9.0)
+            store.away = False
+            end = now() + 4.0
+            while now() < end:
+                assert all_held(wire)
+                await asyncio.sleep(0.05)
+            vm.kill()
+            assert not wire.doubly_held()
+            assert not wire.low_fences
+
+        asyncio.run(play())
+
     def test_silent_target_beside_a_lost_holder_of_the_duty(self, store):
         # The VM with the duty and a target are lost at once. The VM that takes over has
         # had the store all the while, so the lost one has not prolonged any hold: the
