Ask a target for its load when nobody has heard of it for a moment

Cause: answers tell of the load of busy targets only. One that was slow when it was heard of last, or stands idle, is not heard of again until somebody sends there on chance.

The health path is the service's own now, not a fixed one.

--- a/packages/entry/src/berylstage_entry/application.py
+++ b/packages/entry/src/berylstage_entry/application.py
@@ -19,6 +19,7 @@
 from berylstage_entry.metrics import Metrics
 from berylstage_entry.office import CONTACT_PATH, HAND_ON_PATH, Office
 from berylstage_entry.peers import Peers
+from berylstage_entry.probes import LoadProbes
 from berylstage_entry.reports import REPORT_PATH, Reports
 from berylstage_entry.router import Router
 from berylstage_entry.senders import Senders
@@ -90,6 +91,9 @@
             self.router, self.directory, self.membership, host, cfg.metrics_port
         )
         self.router.listeners.append(self.exchange.heard)
+        self.probes = LoadProbes(
+            self.router, self.directory, self.membership, targets, cfg.vm
+        )
         journal = RequestJournal(self.metrics)
         self.server = CallerServer(callers, self.router, journal, self._limits)
         self.ready_page = PageServer({callers.ready_path: self._ready})
@@ -135,6 +139,7 @@
         self.granting.start()
         self.reports.start()
         self.exchange.start()
+        self.probes.start()
         log.info("started", extra={"callers": self.cfg.callers})
 
     async def stop(self) -> None:
@@ -149,6 +154,7 @@
         self.reports.stop()
         self.announcements.close()
         self.exchange.stop()
+        self.probes.stop()
         await self._within(end, self.membership.stop())
         await asyncio.sleep(max(0.0, BALANCER_LAG - 0.1))
         self.server.refuse_more()
--- a/packages/entry/src/berylstage_entry/load_exchange.py
+++ b/packages/entry/src/berylstage_entry/load_exchange.py
@@ -21,7 +21,6 @@
     from berylstage_entry.directory import Directory
     from berylstage_entry.membership import Membership
     from berylstage_entry.router import Router
-    from berylstage_entry.targets import LoadReport
 
 # Seconds for which reports are gathered into one datagram: a third of the time in which
 # a report loses most of its weight.
@@ -29,16 +28,33 @@
 # Reports in one datagram at most, so that it fits into one packet (1,400 bytes).
 MOST = 180
 # First byte, which tells the format.
-FORMAT = 1
-# A target by a checksum of its name, then what runs and waits there, and its pace in
-# twentieths.
-_REPORT = struct.Struct("<IBBB")
+FORMAT = 2
+# A target by a checksum of its name, then how many requests run or wait there, and its
+# pace in twentieths.
+_REPORT = struct.Struct("<IBB")
 _PACE_UNIT = 20
 _MOST_BYTE = 255
 
 log = Logger(__name__)
 
 
+class HeardLoad:
+    """The load of a target as this VM heard it last.
+
+    Parameters
+    ----------
+    busy : int
+        Requests that run or wait there.
+    pace : float
+    """
+
+    __slots__ = ("busy", "pace")
+
+    def __init__(self, busy: int, pace: float):
+        self.busy = busy
+        self.pace = pace
+
+
 class LoadExchange(asyncio.DatagramProtocol):
     """Gathers, sends and takes in reports of load.
 
@@ -66,7 +82,7 @@
         self._membership = membership
         self._host = host
         self._port = port
-        self._gathered: dict[str, LoadReport] = {}
+        self._gathered: dict[str, HeardLoad] = {}
         self._names: dict[int, str] = {}
         self._revision = -1
         self._transport: asyncio.DatagramTransport | None = None
@@ -83,9 +99,9 @@
         if self._transport is not None:
             self._transport.close()
 
-    def heard(self, name: str, report: LoadReport) -> None:
+    def heard(self, name: str, busy: int, pace: float) -> None:
         """Keep what a target has told; the newest report replaces older ones."""
-        self._gathered[name] = report
+        self._gathered[name] = HeardLoad(busy, pace)
 
     def datagram_received(self, data: bytes, addr: tuple) -> None:
         """Take in another VM's reports."""
@@ -95,10 +111,10 @@
         if self._revision != self._directory.revision:
             self._revision = self._directory.revision
             self._names = {crc32(n.encode()): n for n in self._directory.known}
-        for checksum, running, waiting, pace in _REPORT.iter_unpack(data[1:]):
+        for checksum, busy, pace in _REPORT.iter_unpack(data[1:]):
             name = self._names.get(checksum)
             if name is not None:
-                self._router.told_of(name, running + waiting, pace / _PACE_UNIT)
+                self._router.told_of(name, busy, pace / _PACE_UNIT)
 
     def error_received(self, exc: Exception) -> None:
         """Pass over a VM that is not there: it will be, or its record will go."""
@@ -113,23 +129,23 @@
             await asyncio.sleep(PERIOD)
             if self._gathered:
                 gathered, self._gathered = self._gathered, {}
-                self._send(encode(gathered))
+                self.send(encode(gathered))
 
-    def _send(self, data: bytes) -> None:
-        assert self._transport is not None
+    def send(self, data: bytes) -> None:
+        """Send a datagram to all other VMs."""
+        if self._transport is None:
+            return
         for address in self._membership.addresses():
             host, _ = split_address(address)
             if host != self._host:
                 self._transport.sendto(data, (host, self._port))
 
 
-def encode(reports: dict[str, LoadReport]) -> bytes:
+def encode(reports: dict[str, HeardLoad]) -> bytes:
     """Return the datagram for some reports by the names of their targets."""
     parts = [bytes([FORMAT])]
     for name, report in list(reports.items())[:MOST]:
         pace = min(_MOST_BYTE, round(report.pace * _PACE_UNIT))
-        # The answered request is counted by its target as still running.
-        running = min(_MOST_BYTE, max(0, report.running - 1))
-        waiting = min(_MOST_BYTE, report.waiting)
-        parts.append(_REPORT.pack(crc32(name.encode()), running, waiting, pace))
+        busy = min(_MOST_BYTE, report.busy)
+        parts.append(_REPORT.pack(crc32(name.encode()), busy, pace))
     return b"".join(parts)
--- a/packages/entry/src/berylstage_entry/membership.py
+++ b/packages/entry/src/berylstage_entry/membership.py
@@ -30,6 +30,25 @@
 log = Logger(__name__)
 
 
+class Member:
+    """A VM as its own key tells of it.
+
+    Parameters
+    ----------
+    name : str
+    control : str
+        Where it listens for other VMs.
+    data_centre : str
+    """
+
+    __slots__ = ("control", "data_centre", "name")
+
+    def __init__(self, name: str, control: str, data_centre: str):
+        self.name = name
+        self.control = control
+        self.data_centre = data_centre
+
+
 class Membership:
     """Makes this VM known and counts the others.
 
@@ -46,6 +65,10 @@
         self._feed = feed
         self._lease = 0
         self._task: asyncio.Task | None = None
+        self._members: list[Member] = []
+        # Grows with each change of the known VMs.
+        self.revision = 0
+        feed.listeners.append(self._heard)
 
     def start(self) -> None:
         """Begin to keep this VM's key."""
@@ -61,21 +84,29 @@
             except StoreError as exc:
                 log.info("own key not removed", extra={"cause": str(exc)})
 
+    def members(self) -> list[Member]:
+        """Return the known VMs, this one included."""
+        return self._members
+
     def addresses(self) -> list[str]:
         """Return where the known VMs listen for others, this one included."""
-        return [
-            json.loads(item.value)["control"]
-            for key, item in self._feed.own.items()
-            if key.startswith(VMS_PREFIX) and item.value is not None
-        ]
+        return [member.control for member in self._members]
 
     def names(self) -> list[str]:
         """Return the names of the known VMs, this one included."""
-        return [
-            key.removeprefix(VMS_PREFIX)
-            for key, item in self._feed.own.items()
-            if key.startswith(VMS_PREFIX) and item.value is not None
-        ]
+        return [member.name for member in self._members]
+
+    def _heard(self, what: str) -> None:
+        if what != "read" and not what.startswith(VMS_PREFIX):
+            return
+        self.revision += 1
+        self._members = []
+        for key, item in self._feed.own.items():
+            if key.startswith(VMS_PREFIX) and item.value is not None:
+                doc = json.loads(item.value)
+                name = key.removeprefix(VMS_PREFIX)
+                member = Member(name, doc["control"], doc["data_centre"])
+                self._members.append(member)
 
     async def _run(self) -> None:
         while True:
@@ -93,7 +124,8 @@
 
     async def _enter(self) -> None:
         lease = await self._store.take_lease(LEASE)
-        value = json.dumps({"control": self._cfg.control}).encode()
+        doc = {"control": self._cfg.control, "data_centre": self._cfg.data_centre}
+        value = json.dumps(doc).encode()
         write = Write(VMS_PREFIX + self._cfg.vm, value, lease)
         await self._store.write([], [write])
         self._lease = lease
--- a/packages/entry/src/berylstage_entry/renewals.py
+++ b/packages/entry/src/berylstage_entry/renewals.py
@@ -144,9 +144,7 @@
             if not mine:
                 return
             began = now()
-            if hold.silent_since and not await self._wire.is_alive(
-                target, ORDER_TIMEOUT
-            ):
+            if hold.silent_since and not await self._answers(target):
                 await asyncio.sleep(PROBE_PERIOD)
                 continue
             await asyncio.gather(*(self.grant(target, r) for r in mine))
@@ -158,6 +156,19 @@
                 if ranges - granted or not ranges:
                     break
 
+    async def _answers(self, target: Target) -> bool:
+        """Tell whether a target that had fallen silent answers again."""
+        cfg = self._directory.configuration
+        service = cfg.services.get(target.service) if cfg is not None else None
+        if service is None:
+            return True
+        try:
+            await self._wire.probe(target, service.health_path, ORDER_TIMEOUT)
+        except (CallFailed, TargetEnded) as exc:
+            log.debug("target still silent", extra={"cause": str(exc)})
+            return False
+        return True
+
     def _owned(self, target: Target) -> list[KeyRange]:
         """Return the ranges of a target that are not on the move."""
         assignment = self._feed.assignments.get(target.service)
--- a/packages/entry/src/berylstage_entry/router.py
+++ b/packages/entry/src/berylstage_entry/router.py
@@ -25,7 +25,7 @@
     from berylstage_entry.senders import Senders
     from berylstage_entry.services import Service
     from berylstage_entry.settings import Bounds
-    from berylstage_entry.targets import LoadReport
+    from berylstage_entry.targets import LoadReport, Target
     from berylstage_entry.wire import CallerRequest, TargetAnswer
 
 # Seconds of a request's time that are kept for the way of the answer to the caller.
@@ -91,7 +91,9 @@
         self.vms = 10
         self.vm_names: list[str] = []
         # Called with each report of load that a target gives.
-        self.listeners: list[Callable[[str, LoadReport], None]] = []
+        self.listeners: list[Callable[[str, int, float], None]] = []
+        # When a request for each service came last.
+        self._asked: dict[str, float] = {}
         # Requests for each key since the last report to the granting VM.
         self._key_counts: dict[str, dict[int, int]] = {}
 
@@ -116,6 +118,7 @@
         wait = min(req.time_left - ANSWER_WAY, route.timeout)
         journey = Journey(req, route, service, now() + wait)
         self._budget(service.name).earn()
+        self._asked[service.name] = now()
         if service.owns_keys and req.key is not None:
             counts = self._key_counts.setdefault(service.name, {})
             counts[req.key] = counts.get(req.key, 0) + 1
@@ -126,6 +129,47 @@
         counts, self._key_counts = self._key_counts, {}
         return counts
 
+    def ages(self, target: Target, moment: float) -> tuple[float, float]:
+        """Return the seconds since a target told its load, and since it mattered.
+
+        Parameters
+        ----------
+        target : Target
+        moment : float
+            Monotonic seconds.
+
+        Returns
+        -------
+        tuple of float
+            Since its last report, and since this VM had a request for its service.
+        """
+        loads = self._service_loads(target.service)
+        load = loads.load(target.name, target.slots)
+        asked = self._asked.get(target.service, float("-inf"))
+        return moment - load.reported, moment - asked
+
+    def heard(self, target: Target, busy: int, report: LoadReport) -> None:
+        """Take in what a target has told this VM of its load, and pass it on.
+
+        Parameters
+        ----------
+        target : Target
+        busy : int
+            Requests that run or wait there, one that was just answered not counted.
+        report : LoadReport
+        """
+        loads = self._service_loads(target.service)
+        load = loads.load(target.name, target.slots)
+        load.told(busy, report.slots, report.pace, now())
+        loads.told(load)
+        for listener in self.listeners:
+            listener(target.name, busy, report.pace)
+
+    def unheard(self, target: Target) -> None:
+        """Note that a target did not answer when it was asked for its load."""
+        loads = self._service_loads(target.service)
+        loads.load(target.name, target.slots).failed(now())
+
     def told_of(self, name: str, busy: int, pace: float) -> None:
         """Take in what another VM has heard of the load of a target.
 
@@ -267,13 +311,12 @@
     ) -> None:
         load = loads.load(name, 1)
         moment = now()
-        if answer.load is not None:
+        known = self._directory.known.get(name)
+        if answer.load is not None and known is not None:
             told = answer.load
+            # Its target counts the answered request as still running.
             busy = max(0, told.running + told.waiting - 1)
-            load.told(busy, told.slots, told.pace, moment)
-            loads.told(load)
-            for listener in self.listeners:
-                listener(name, told)
+            self.heard(known.target, busy, told)
         if answer.not_run or answer.misdirected or answer.status >= SERVER_ERROR:
             load.failed(moment)
             return
--- a/packages/entry/src/berylstage_entry/wire.py
+++ b/packages/entry/src/berylstage_entry/wire.py
@@ -214,8 +214,26 @@
         """
 
     @abstractmethod
-    async def is_alive(self, target: Target, timeout: float) -> bool:
-        """Tell whether this very target answers; never raises."""
+    async def probe(
+        self, target: Target, path: str, timeout: float
+    ) -> LoadReport | None:
+        """Ask a target for its load; None when it tells none.
+
+        Parameters
+        ----------
+        target : Target
+        path : str
+            At which targets of its service tell how they are.
+        timeout : float
+            Seconds.
+
+        Raises
+        ------
+        CallFailed
+            No answer came.
+        TargetEnded
+            Another target answers at the address.
+        """
 
 
 class Record:
--- a/packages/entry/tests/fakes.py
+++ b/packages/entry/tests/fakes.py
@@ -12,7 +12,7 @@
 from berylstage_entry.services import Configuration, Limits, Service
 from berylstage_entry.settings import Bounds, EntrySettings
 from berylstage_entry.store import Changes, Item, Store
-from berylstage_entry.targets import Target
+from berylstage_entry.targets import LoadReport, Target
 from berylstage_entry.wire import Record, RecordReader, TargetWire
 from berylstage_transfers.errors import AnswerLost
 
@@ -237,6 +237,9 @@
         self.late: dict[str, float] = {}
         # Grants under a fence that is not above all that other targets have seen.
         self.low_fences: list[tuple] = []
+        # Targets that were asked for their load, in order, and what they tell.
+        self.probed: list[str] = []
+        self.reports: dict[str, LoadReport] = {}
 
     def request_headers(self, req, target, seconds):
         return {}
@@ -305,11 +308,14 @@
         self._take(target.name, first, last)
         return "handover"
 
-    async def is_alive(self, target, timeout):
+    async def probe(self, target, path, timeout):
+        self.probed.append(target.name)
+        if target.name in self.ended:
+            raise TargetEnded(target.name)
         if target.name in self.silent:
             await asyncio.sleep(timeout)
-            return False
-        return True
+            raise AnswerLost("silent")
+        return self.reports.get(target.name)
 
     def doubly_held(self):
         """Return pairs of holds of two targets on the same keys at the same time."""
--- a/packages/entry/tests/test_load_exchange.py
+++ b/packages/entry/tests/test_load_exchange.py
@@ -6,10 +6,9 @@
 
 from berylstage_entry.clock import now
 from berylstage_entry.directory import Directory
-from berylstage_entry.load_exchange import LoadExchange, encode
+from berylstage_entry.load_exchange import HeardLoad, LoadExchange, encode
 from berylstage_entry.router import Router
 from berylstage_entry.senders import Senders
-from berylstage_entry.targets import LoadReport
 from berylstage_entry.wire import Record
 from fakes import BOUNDS, configuration, target
 
@@ -32,7 +31,7 @@
         # that goes by its own last answer, a second old, would send work into the
         # queue.
         router, exchange = vm()
-        report = LoadReport(2, 5, 2, 3.0)
+        report = HeardLoad(6, 3.0)
         exchange.datagram_received(encode({"a": report}), ("127.0.0.1", 2))
         loads = router._service_loads("s")
         chosen = {loads.choose(["a", "b"], "k", now()) for _ in range(20)}
@@ -40,11 +39,11 @@
 
     def test_damaged_datagrams_are_passed_over(self):
         _, exchange = vm()
-        for data in (b"", b"\x07abc", encode({"a": LoadReport(1, 1, 2, 1.0)})[:-1]):
+        for data in (b"", b"\x07abc", encode({"a": HeardLoad(1, 1.0)})[:-1]):
             exchange.datagram_received(data, ("127.0.0.1", 2))
 
     def test_unknown_target_is_passed_over(self):
         router, exchange = vm()
-        data = encode({"gone": LoadReport(2, 9, 2, 1.0)})
+        data = encode({"gone": HeardLoad(10, 1.0)})
         exchange.datagram_received(data, ("127.0.0.1", 2))
         assert "gone" not in router._service_loads("s").slowness()
--- /dev/null
+++ b/packages/entry/tests/test_probes.py
@@ -0,0 +1,105 @@
+"""Tests of asking targets for their load."""
+
+from __future__ import annotations
+
+import asyncio
+from random import Random
+
+from berylstage_entry.directory import Directory
+from berylstage_entry.membership import Member
+from berylstage_entry.probes import LoadProbes
+from berylstage_entry.router import Router
+from berylstage_entry.senders import Senders
+from berylstage_entry.targets import LoadReport
+from berylstage_entry.wire import Record
+from fakes import BOUNDS, FencedTargets, configuration, target
+
+NAMES = ("a", "b", "c", "d", "e", "f")
+
+
+class Members:
+    """VMs as a membership knows them."""
+
+    def __init__(self, *members):
+        self.revision = 1
+        self._members = list(members)
+
+    def members(self):
+        return self._members
+
+
+def installation(vm, members, records, wire):
+    directory = Directory()
+    directory.apply(Record(configuration=configuration(owns_keys=False)), 0.0, False)
+    for record in records:
+        directory.apply(Record(target=record), 0.0, False)
+    router = Router(directory, None, Senders(None), BOUNDS, Random(1))
+    return router, LoadProbes(router, directory, members, wire, vm)
+
+
+def play(probes, seconds=0.2):
+    async def run():
+        probes.start()
+        await asyncio.sleep(seconds)
+        probes.stop()
+
+    asyncio.run(run())
+
+
+def wire(**reports):
+    found = FencedTargets()
+    found.reports = reports or {n: LoadReport(1, 0, 2, 1.5) for n in NAMES}
+    return found
+
+
+class TestLoadProbes:
+    def test_new_targets_are_asked_once_before_any_request(self):
+        # Keys are dealt out before the first request. Without a word of the targets the
+        # slowest machine gets as many as the fastest.
+        targets = wire()
+        records = [target(n) for n in NAMES]
+        router, probes = installation("vm-1", Members(), records, targets)
+        play(probes)
+        assert sorted(targets.probed) == list(NAMES)
+        assert router.service_loads("s").slowness() == dict.fromkeys(NAMES, 1.5)
+
+    def test_each_target_is_asked_by_one_vm_of_its_data_centre(self):
+        members = Members(
+            Member("vm-1", "1", "dc-1"),
+            Member("vm-2", "2", "dc-1"),
+            Member("vm-3", "3", "dc-2"),
+        )
+        asked = {}
+        for vm in ("vm-1", "vm-2", "vm-3"):
+            targets = wire()
+            records = [
+                target(n, data_centre="dc-1" if n < "d" else "dc-2") for n in NAMES
+            ]
+            play(installation(vm, members, records, targets)[1])
+            asked[vm] = set(targets.probed)
+        assert asked["vm-3"] == {"d", "e", "f"}
+        assert asked["vm-1"] | asked["vm-2"] == {"a", "b", "c"}
+        assert not asked["vm-1"] & asked["vm-2"]
+
+    def test_cold_and_leaving_targets_are_left_alone(self):
+        # A question counts as a request, and a cold target bears only a few a second.
+        targets = wire()
+        records = [target("a", cold_left=1e9), target("b", leaving=True), target("c")]
+        _, probes = installation("vm-1", Members(), records, targets)
+        play(probes)
+        assert targets.probed == ["c"]
+
+    def test_silent_target_is_not_pressed(self):
+        # A target hangs. Asked every few milliseconds, it would get a connection each
+        # time until it can open no more for requests.
+        targets = wire()
+        targets.silent.add("a")
+        _, probes = installation("vm-1", Members(), [target("a")], targets)
+        play(probes, 0.8)
+        assert targets.probed == ["a"]
+
+    def test_target_without_a_report_is_not_asked_all_the_time(self):
+        targets = wire(a=None)
+        _, probes = installation("vm-1", Members(), [target("a")], targets)
+        play(probes, 0.5)
+        assert targets.probed == ["a"]
