Tell the story of one request from log lines: berylstage explain

An engineer who knows the id of a failed request had to search the lines of all VMs for the move, the target and the duty that explain it. The command finds them by the names in the request's own line, and says what its reason means.

--- a/packages/cli/src/berylstage_cli/application.py
+++ b/packages/cli/src/berylstage_cli/application.py
@@ -11,6 +11,7 @@
 
 from berylstage_cli.connections import Connector, connect_http
 from berylstage_cli.exit_codes import ExitCode
+from berylstage_cli.explain_command import ExplainCommand
 from berylstage_cli.sheet_commands import (
     ApplyCommand,
     CheckCommand,
@@ -43,6 +44,7 @@
         self.auto_exits(False)
         self.catch_exceptions(False)
         self.add(CheckCommand())
+        self.add(ExplainCommand())
         for command in (
             DiffCommand,
             ApplyCommand,
--- a/packages/cli/src/berylstage_cli/errors.py
+++ b/packages/cli/src/berylstage_cli/errors.py
@@ -28,6 +28,19 @@
     exit_code = ExitCode.USAGE
 
 
+class NoLineOfRequest(OperatorError):
+    """No log line names a request."""
+
+    exit_code = ExitCode.NO_ANSWER
+
+    def __init__(self, request: str, unreadable: int):
+        super().__init__(
+            f"no log line names {request} ({unreadable} lines are no log lines); give "
+            "the lines of all VMs, and mind that lines are bounded: `left_out` in "
+            "others counts those that were not written"
+        )
+
+
 class NothingAccepted(OperatorError):
     """No sheet was ever accepted."""
 
--- /dev/null
+++ b/packages/cli/src/berylstage_cli/explain_command.py
@@ -0,0 +1,94 @@
+"""The command that tells the story of one request from log lines."""
+
+from __future__ import annotations
+
+import sys
+from contextlib import ExitStack
+from itertools import chain
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+from cleo.helpers import argument
+
+from berylstage_cli.command import JSON_OPTION, STANDARD_STREAM, OperatorCommand
+from berylstage_cli.errors import FileFault, NoLineOfRequest
+from berylstage_cli.reports import Report
+from berylstage_cli.story import tell
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Iterator
+
+    from berylstage_cli.story import Story
+
+
+class StoryReport(Report):
+    """The story of one request."""
+
+    def __init__(self, request: str, story: Story):
+        self._request = request
+        self._story = story
+
+    def lines(self) -> Iterator[str]:
+        """Yield the lines in order, then how the request ended."""
+        yield from map(str, self._story.lines)
+        yield ""
+        yield from self._story.conclusions
+        if self._story.unreadable:
+            yield f"{self._story.unreadable} lines of the input are no log lines"
+
+    def document(self) -> dict:
+        """Return what ``--json`` prints."""
+        return {
+            "id": self._request,
+            "lines": [
+                {
+                    "time": line.time.isoformat(),
+                    "vm": line.vm,
+                    "message": line.message,
+                    **line.fields,
+                }
+                for line in self._story.lines
+            ],
+            "conclusions": self._story.conclusions,
+            "unreadable": self._story.unreadable,
+        }
+
+
+class ExplainCommand(OperatorCommand):
+    """Tells what became of a request, and why."""
+
+    name = "explain"
+    description = "Tell from log lines what became of a request, and why"
+    arguments = [
+        argument("id", "the request's id, as its caller knows it"),
+        argument(
+            "logs",
+            "files with log lines of the VMs, or - for standard input",
+            optional=True,
+            multiple=True,
+        ),
+    ]
+    options = [JSON_OPTION]
+
+    def report(self) -> Report:
+        """Read the lines and pick those that belong together."""
+        request = self.argument("id")
+        names = self.argument("logs") or [STANDARD_STREAM]
+        with ExitStack() as opened:
+            texts = [self._open(name, opened) for name in names]
+            story = tell(request, chain(*texts))
+        if not story.lines:
+            raise NoLineOfRequest(request, story.unreadable)
+        return StoryReport(request, story)
+
+    @staticmethod
+    def _open(name: str, opened: ExitStack) -> Iterable[str]:
+        if name == STANDARD_STREAM:
+            return sys.stdin
+        try:
+            file = Path(name).open(encoding="utf-8", errors="replace")
+        except OSError as exc:
+            raise FileFault(
+                f"{name} cannot be read ({exc.strerror}); name files with log lines"
+            ) from exc
+        return opened.enter_context(file)
--- /dev/null
+++ b/packages/cli/src/berylstage_cli/story.py
@@ -0,0 +1,206 @@
+"""The story of one request, from the log lines of all VMs.
+
+A VM writes a line about a request when it ends, with what decided that. Why the target
+or the assignment was as it was stands in other lines, often of other VMs: those are
+found by the names in the request's own line, and put in the order of their times.
+"""
+
+from __future__ import annotations
+
+import json
+import re
+from datetime import datetime
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Iterator
+
+# Seconds around the request's end in which other lines may have to do with it: the
+# longest that keys wait for a silent owner after an outage is 11 s.
+AROUND = 11.0
+# Messages that tell of one VM's path to the store and of the duty of granting.
+OF_THE_VM = ("store lost", "store regained", "stopping", "started", "duty given up")
+OF_THE_DUTY = ("duty taken", "former holds", "store lost by the holder of the duty")
+
+# What a reason means and what to look at next.
+REASONS = {
+    "owner-busy": "the owner of its key had more waiting than it could do in time; "
+    "see whether keys moved for balance",
+    "no-owner": "its key was on the move, or the owner was gone; see the move",
+    "cold": "the owner is cold and this VM's share of its pace was used up",
+    "no-target": "all targets of the service are closed, leaving or were tried",
+    "no-room": "no target could be done in the time that was left",
+    "no-time": "the caller had too little time left when it came",
+    "budget": "repeats for the service are used up; see why first attempts failed",
+    "attempts": "as many targets were tried as its route allows",
+    "unreachable": "no connection to any target that was tried; check the network",
+    "no-configuration": "the VM had not read a configuration since its start",
+    "no-service": "its route names a service that the configuration does not have",
+    "timeout": "it was sent, and no answer came in its route's time; it may have run: "
+    "look for its id in the target's own logs",
+    "answer-lost": "it was sent and the connection broke, or the answer was not its "
+    "own; it may have run: look for its id in the target's own logs",
+    "caller-left": "the caller closed the connection before the answer",
+}
+
+
+class LogLine:
+    """One log line.
+
+    Parameters
+    ----------
+    time : datetime
+    vm : str
+    message : str
+    fields : dict
+        Everything else.
+    """
+
+    __slots__ = ("fields", "message", "time", "vm")
+
+    def __init__(self, time: datetime, vm: str, message: str, fields: dict):
+        self.time = time
+        self.vm = vm
+        self.message = message
+        self.fields = fields
+
+    def __str__(self) -> str:
+        told = " ".join(f"{k}={_short(v)}" for k, v in self.fields.items())
+        stamp = self.time.isoformat(timespec="milliseconds")
+        return f"{stamp} {self.vm} {self.message} {told}".rstrip()
+
+
+class Story:
+    """What is known of one request.
+
+    Parameters
+    ----------
+    lines : list of LogLine
+        In the order of their times; the request's own and those that explain them.
+    conclusions : list of str
+        One for each end of the request.
+    unreadable : int
+        Lines of the input that are no log lines.
+    """
+
+    __slots__ = ("conclusions", "lines", "unreadable")
+
+    def __init__(self, lines: list[LogLine], conclusions: list[str], unreadable: int):
+        self.lines = lines
+        self.conclusions = conclusions
+        self.unreadable = unreadable
+
+
+class Reader:
+    """Reads log lines, whatever a log collector has put before them."""
+
+    def __init__(self) -> None:
+        self.unreadable = 0
+
+    def read(self, texts: Iterable[str]) -> Iterator[LogLine]:
+        """Yield the lines that are log lines, and count the others.
+
+        Parameters
+        ----------
+        texts : iterable of str
+
+        Yields
+        ------
+        LogLine
+        """
+        for text in texts:
+            begin = text.find("{")
+            if begin < 0:
+                self.unreadable += bool(text.strip())
+                continue
+            try:
+                doc = json.loads(text[begin:])
+                time = datetime.fromisoformat(doc.pop("time"))
+                line = LogLine(time, doc.pop("vm"), doc.pop("message"), doc)
+            except (ValueError, KeyError, TypeError, AttributeError):
+                self.unreadable += 1
+                continue
+            for name in ("level", "logger", "left_out"):
+                line.fields.pop(name, None)
+            yield line
+
+
+def tell(request: str, texts: Iterable[str]) -> Story:
+    """Return the story of a request.
+
+    Parameters
+    ----------
+    request : str
+        Its id.
+    texts : iterable of str
+        Log lines of any VMs, in any order.
+
+    Returns
+    -------
+    Story
+        Without lines when nobody wrote of the request.
+    """
+    reader = Reader()
+    lines = sorted(reader.read(texts), key=lambda line: line.time)
+    own = [line for line in lines if line.fields.get("id") == request]
+    clues = [_Clues(line) for line in own]
+    told = [
+        line for line in lines if line in own or any(clue.fits(line) for clue in clues)
+    ]
+    return Story(told, [_conclude(line) for line in own], reader.unreadable)
+
+
+class _Clues:
+    """What a line about a request names that other lines may explain."""
+
+    def __init__(self, line: LogLine):
+        detail = str(line.fields.get("detail", ""))
+        self._line = line
+        self._targets = set(re.findall(r"(?:target|owner|former) ([^\s,]+)", detail))
+        tried = re.search(r"tried (\S+)", detail)
+        if tried:
+            self._targets |= set(tried[1].split(","))
+        if line.fields.get("target"):
+            self._targets.add(line.fields["target"])
+        key = re.search(r"key (\d+)", detail)
+        revision = re.search(r"assignment (\d+)", detail)
+        self._key = int(key[1]) if key else None
+        self._revision = int(revision[1]) if revision else None
+
+    def fits(self, line: LogLine) -> bool:
+        """Tell whether a line may explain the request's end."""
+        if abs((line.time - self._line.time).total_seconds()) > AROUND:
+            return False
+        fields = line.fields
+        if line.message in OF_THE_VM:
+            return line.vm == self._line.vm
+        if line.message in OF_THE_DUTY:
+            return self._key is not None
+        if line.message == "assignment written":
+            return fields.get("revision") == self._revision is not None
+        if line.message == "keys moved":
+            return self._key is not None and _covers(fields, self._key)
+        if "id" in fields:
+            return False
+        named = {fields.get("target"), str(fields.get("key", "")).rpartition("/")[2]}
+        return bool(named & self._targets)
+
+
+def _covers(fields: dict, key: int) -> bool:
+    first, last = fields.get("first"), fields.get("last")
+    return isinstance(first, int) and isinstance(last, int) and first <= key <= last
+
+
+def _conclude(line: LogLine) -> str:
+    reason = line.fields.get("reason")
+    status = line.fields.get("status")
+    if reason is None:
+        target = line.fields.get("target")
+        return f"{status}: answered by {target}, attempt {line.fields.get('attempts')}"
+    meaning = REASONS.get(str(reason), "the request cannot be served as it is")
+    return f"{status} {reason}: {meaning}"
+
+
+def _short(value: object) -> str:
+    text = value if isinstance(value, str) else json.dumps(value)
+    return json.dumps(text) if " " in text else text
--- /dev/null
+++ b/packages/cli/tests/test_story.py
@@ -0,0 +1,102 @@
+"""Tests of telling the story of one request."""
+
+from __future__ import annotations
+
+import json
+
+import pytest
+from berylstage_cli.exit_codes import ExitCode
+from berylstage_cli.story import REASONS, tell
+
+BEGIN = "2026-03-31T09:32:"
+
+
+def line(second, vm, message, **fields):
+    doc = {"time": f"{BEGIN}{second:06.3f}+00:00", "level": "info", "vm": vm}
+    return json.dumps(doc | {"logger": "l", "message": message} | fields)
+
+
+def ended(request, status, reason, detail="", second=10.0):
+    fields = {"id": request, "status": status, "reason": reason, "detail": detail}
+    return line(second, "vm-2", "request ended", **fields)
+
+
+MOVE = "key 15445 owner i-b former i-a assignment 59 attempts 1"
+LINES = [
+    ended("lost", 503, "no-owner", MOVE),
+    line(9.5, "vm-1", "assignment written", revision=59, service="s"),
+    line(9.6, "vm-1", "keys not released", target="i-a", first=15000, cause="silent"),
+    line(11.0, "vm-1", "keys moved", first=15000, last=15999, to="i-b", seconds=1.4),
+    line(10.5, "vm-1", "keys moved", first=0, last=99, to="i-c", seconds=0.1),
+    line(9.0, "vm-1", "duty taken", term=3),
+    line(9.0, "vm-3", "store lost", cause="refused"),
+    line(9.1, "vm-2", "store lost", cause="refused"),
+    line(40.0, "vm-1", "keys moved", first=15000, last=15999, to="i-d", seconds=0.1),
+    ended("busy", 503, "owner-busy", "target i-a inflight 1 others 12 slots 3"),
+    line(8.0, "vm-2", "belief changed", what="target", key="records/i-a"),
+    line(10.0, "vm-2", "request answered", id="good", status=200, target="i-a"),
+]
+
+
+class TestTell:
+    def test_key_on_the_move(self):
+        # A request was refused since its key was on the move. The move is told by other
+        # VMs, before and after, among lines that have nothing to do with it.
+        story = tell("lost", LINES)
+        assert [item.message for item in story.lines] == [
+            "belief changed",
+            "duty taken",
+            "store lost",
+            "assignment written",
+            "keys not released",
+            "request ended",
+            "keys moved",
+        ]
+        assert story.conclusions == [f"503 no-owner: {REASONS['no-owner']}"]
+
+    def test_busy_owner(self):
+        messages = [item.message for item in tell("busy", LINES).lines]
+        assert "belief changed" in messages
+        assert "keys moved" not in messages
+
+    def test_answered(self):
+        assert tell("good", LINES).conclusions[0].startswith("200: answered by i-a")
+
+    def test_lines_behind_a_collectors_stamp(self):
+        # A log collector puts its own time and the VM's name before each line.
+        story = tell("lost", [f"12.3 vm-2 {text}" for text in LINES])
+        assert len(story.lines) == 7
+
+    def test_what_is_no_log_line_is_counted(self):
+        story = tell("lost", [*LINES, "Traceback", "{", '{"time": 3}', "[]", ""])
+        assert story.unreadable == 4
+
+
+class TestExplain:
+    @pytest.fixture
+    def log(self, tmp_path):
+        path = tmp_path / "vms.log"
+        path.write_text("\n".join(LINES))
+        return path
+
+    def test_story_in_words(self, run, log):
+        tester = run(f"explain lost {log}")
+        told = tester.io.fetch_output()
+        assert tester.status_code == ExitCode.OK
+        assert "vm-1 keys moved" in told
+        assert told.rstrip().endswith(REASONS["no-owner"])
+
+    def test_story_for_scripts(self, run, log):
+        doc = json.loads(run(f"explain lost {log} --json").io.fetch_output())
+        assert doc["exit_code"] == ExitCode.OK
+        assert len(doc["lines"]) == 7
+
+    def test_request_that_nobody_wrote_of(self, run, log):
+        tester = run(f"explain nobody {log}")
+        assert tester.status_code == ExitCode.NO_ANSWER
+        assert "left_out" in tester.io.fetch_error()
+
+    def test_missing_file(self, run):
+        tester = run("explain lost nowhere.log")
+        assert tester.status_code == ExitCode.USAGE
+        assert "nowhere.log" in tester.io.fetch_error()
