--- a/packages/cli/src/berylstage_cli/story.py
+++ b/packages/cli/src/berylstage_cli/story.py
@@ -182,6 +182,9 @@
             return self._key is not None and _covers(fields, self._key)
         if "id" in fields:
             return False
+        if line.message == "belief changed" and line.vm != self._line.vm:
+            # Each VM writes what it believes; the others' say nothing of this request.
+            return False
         named = {fields.get("target"), str(fields.get("key", "")).rpartition("/")[2]}
         return bool(named & self._targets)
 
--- a/packages/cli/tests/test_story.py
+++ b/packages/cli/tests/test_story.py
@@ -34,6 +34,7 @@
     line(40.0, "vm-1", "keys moved", first=15000, last=15999, to="i-d", seconds=0.1),
     ended("busy", 503, "owner-busy", "target i-a inflight 1 others 12 slots 3"),
     line(8.0, "vm-2", "belief changed", what="target", key="records/i-a"),
+    line(8.0, "vm-1", "belief changed", what="target", key="records/i-a"),
     line(10.0, "vm-2", "request answered", id="good", status=200, target="i-a"),
 ]
 
