--- a/packages/entry/src/berylstage_entry/load_exchange.py
+++ b/packages/entry/src/berylstage_entry/load_exchange.py
@@ -28,9 +28,9 @@
 # centre, where bytes cost nothing and whose VMs mostly send to the same targets: a
 # tenth of the time for which a neighbour slows a machine.
 PERIOD = 0.04
-# Periods for which they are gathered for other data centres. In a model of today's free
-# services 0.04 s nearby and 0.16 s elsewhere earned 0.003 to 0.007 more of the credit
-# than 0.08 s for all, for half of the bytes between data centres.
+# Periods for which they are gathered for other data centres, where each datagram is
+# paid for. At 1.3 times today's requests 0.951 of the credit is earned with 0.16 s for
+# all, 0.960 with 0.04 s nearby, 0.964 with 0.04 s for all (`make bench-placement`).
 FAR_PERIODS = 4
 # Reports in one datagram at most, so that it fits into one packet (1,400 bytes).
 MOST = 180
--- a/packages/policy/src/berylstage_policy/completion.py
+++ b/packages/policy/src/berylstage_policy/completion.py
@@ -41,10 +41,9 @@
 # choice among equals at random keeps VMs with the same picture apart.
 TIE = 0.15
 # Seconds by which a target in another data centre is put behind one in the same: bytes
-# between data centres are paid for, and the way there and back takes 2 to 3 ms. In a
-# model of today's free services, with loads told as they are, 17% of the requests
-# crossed at 0.08 s, 49% at 0.025 s, and callers got the same to 0.003 of their credit;
-# at 0.2 s they got 0.01 less.
+# between data centres are paid for, and the way there and back takes 2 to 3 ms. At 1.3
+# times today's requests 0.65, 0.42, 0.28 and 0.14 of them cross with 0, 0.04, 0.08 and
+# 0.16 s, and earn 0.955, 0.959, 0.960 and 0.956 (`make bench-placement`).
 OTHER_DATA_CENTRE = 0.08
 # Seconds for which a target that lost a request or failed is left alone at first, and
 # at most: the span doubles with each new failure.
--- a/packages/policy/src/berylstage_policy/probing.py
+++ b/packages/policy/src/berylstage_policy/probing.py
@@ -16,10 +16,10 @@
     from collections.abc import Iterable
 
 # Age in seconds of what is known of a target's load above which it is asked, while its
-# service gets requests: a third of the time for which a neighbour slows a machine. In a
-# model of 12 targets at three quarters of their slots requests earned 0.93 of their
-# credit without questions, and 0.93, 0.93, 0.94 and 0.95 with them after 0.2, 0.15, 0.1
-# and 0.05 s; a question costs as much as a hundredth of a request.
+# service gets requests: a third of the time for which a neighbour slows a machine. At
+# 1.3 times today's requests 0.948 of the credit is earned without questions, 0.952 with
+# them after 0.24 s, 0.960 after 0.12 s and 0.965 after 0.06 s (`make bench-placement`);
+# each question costs about a hundredth of a request, and halving the age doubles them.
 STALE = 0.12
 # The same where keys are owned. Their requests have no choice of a target; the age
 # matters only for dealing out keys by the speed of machines.
