Prove granting on the platform: state machine, broken variants, times without an owner

In virtual time: three VMs, four targets and a store through kills, cuts, outages, late writes, late orders, silent, leaving and reborn targets and busy keys. Six rules taken out one at a time are each caught.

--- /dev/null
+++ b/packages/entry/tests/test_ownership_machine.py
@@ -0,0 +1,129 @@
+"""Several VMs, targets and a store through troubles in any order, in virtual time."""
+
+from __future__ import annotations
+
+import os
+
+from hypothesis import HealthCheck, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, rule
+from ownership_world import TARGETS, VMS, World
+from virtual_time import virtual_loop
+
+# Plays of one run of the tests, always the same ones. More, at random, when asked for.
+EXAMPLES = 12
+EXPLORED = int(os.environ.get("BERYLSTAGE_EXPLORE", "0"))
+
+vms = st.sampled_from(VMS)
+targets = st.sampled_from(TARGETS)
+seconds = st.sampled_from([0.1, 0.4, 1.0, 2.5, 5.0])
+
+
+class OwnershipMachine(RuleBasedStateMachine):
+    """Checks after each step that no key has two holders and that fences grow."""
+
+    def __init__(self):
+        super().__init__()
+        self._scope = virtual_loop()
+        self.world = World(self._scope.__enter__())
+
+    def after(self, moment):
+        self.world.run(moment)
+        assert not self.world.faults()
+
+    @rule(moment=seconds)
+    def time_passes(self, moment):
+        self.after(moment)
+
+    @rule(away=st.booleans(), moment=seconds)
+    def store_goes_or_returns(self, away, moment):
+        self.world.store.away = away
+        self.after(moment)
+
+    @rule(late=st.sampled_from([0.0, 1.0, 3.0]), moment=seconds)
+    def writes_are_carried_out_late(self, late, moment):
+        self.world.store.late_writes = late
+        self.after(moment)
+
+    @rule(vm=vms, away=st.booleans(), moment=seconds)
+    def vm_is_cut_off_from_the_store(self, vm, away, moment):
+        if vm in self.world.vms:
+            self.world.vms[vm].view.away = away
+        self.after(moment)
+
+    @rule(vm=vms, moment=seconds)
+    def vm_is_killed(self, vm, moment):
+        self.world.kill(vm)
+        self.after(moment)
+
+    @rule(vm=vms, moment=seconds)
+    def vm_starts(self, vm, moment):
+        self.world.start(vm)
+        self.after(moment)
+
+    @rule(name=targets, silent=st.booleans(), moment=seconds)
+    def target_is_silent(self, name, silent, moment):
+        self.world.wire.silent.discard(name)
+        if silent:
+            self.world.wire.silent.add(name)
+        self.after(moment)
+
+    @rule(name=targets, late=st.sampled_from([0.0, 0.6, 2.5]), moment=seconds)
+    def orders_are_carried_out_late(self, name, late, moment):
+        self.world.wire.late.pop(name, None)
+        if late:
+            self.world.wire.late[name] = late
+        self.after(moment)
+
+    @rule(name=targets, moment=seconds)
+    def target_comes_or_stays(self, name, moment):
+        self.world.put(name)
+        self.after(moment)
+
+    @rule(name=targets, moment=seconds)
+    def target_leaves(self, name, moment):
+        self.world.put(name, leaving=True)
+        self.after(moment)
+
+    @rule(name=targets, moment=seconds)
+    def record_goes(self, name, moment):
+        self.world.drop(name)
+        self.after(moment)
+
+    @rule(name=targets, moment=seconds)
+    def target_starts_again(self, name, moment):
+        self.world.reborn(name)
+        self.after(moment)
+
+    @rule(
+        first=st.sampled_from([0, 9000, 40000]), count=st.integers(1, 9), moment=seconds
+    )
+    def keys_are_busy(self, first, count, moment):
+        self.world.busy(first, count)
+        self.after(moment)
+
+    @rule(delay=st.sampled_from([0.0, 0.5, 1.5]), moment=seconds)
+    def work_on_released_keys_goes_on(self, delay, moment):
+        self.world.wire.release_delay = delay
+        self.after(moment)
+
+    def teardown(self):
+        try:
+            self.world.heal()
+            assert not self.world.faults()
+            assert not self.world.ownerless()
+        finally:
+            for vm in VMS:
+                self.world.kill(vm)
+            self._scope.__exit__(None, None, None)
+
+
+TestOwnership = OwnershipMachine.TestCase
+TestOwnership.settings = settings(
+    max_examples=EXPLORED or EXAMPLES,
+    stateful_step_count=15,
+    derandomize=not EXPLORED,
+    database=None,
+    deadline=None,
+    suppress_health_check=list(HealthCheck),
+)
--- /dev/null
+++ b/packages/entry/tests/test_ownership_mutations.py
@@ -0,0 +1,145 @@
+"""Broken variants of granting: each must break what the sound one keeps.
+
+A test that cannot find a fault proves nothing. Every scenario here is played twice in
+virtual time, once with granting as it is and once with one rule taken out.
+"""
+
+from __future__ import annotations
+
+import pytest
+from berylstage_entry.clock import now
+from berylstage_entry.holds import ORDER_TIMEOUT, TargetHold
+from berylstage_entry.moves import Moves
+from berylstage_entry.office import Office
+from ownership_world import VMS, World
+from virtual_time import virtual_loop
+
+
+def holder(world):
+    return next(n for n, vm in world.vms.items() if vm.office.holds())
+
+
+def leaving_target_falls_silent(world):
+    # Its keys are to go to others, but it serves them on, and nobody hears of it.
+    world.wire.silent.add("a")
+    world.put("a", leaving=True)
+    world.run(8.0)
+
+
+def target_falls_silent(world):
+    world.wire.silent.add("a")
+    world.run(8.0)
+
+
+def holder_lost_in_an_outage_beside_a_silent_target(world):
+    # The store is away, so the holder of the duty has prolonged all holds. It is lost
+    # with a target falling silent, and the store returns.
+    world.store.away = True
+    world.run(1.5)
+    world.kill(holder(world))
+    world.wire.silent.add("a")
+    world.run(0.5)
+    world.store.away = False
+    world.run(14.0)
+
+
+def holder_starts_anew_in_an_outage(world):
+    # The process that prolonged all holds is killed and is back at once under its
+    # address. It knows nothing of its orders before, and a target falls silent.
+    world.store.away = True
+    world.run(1.5)
+    name = holder(world)
+    world.wire.silent.add("a")
+    world.kill(name)
+    world.start(name)
+    world.run(0.5)
+    world.store.away = False
+    world.run(14.0)
+
+
+def busy_keys_move_while_renewals_are_on_their_way(world):
+    world.wire.grant_delay = 0.3
+    for turn in range(24):
+        world.busy(100 + turn, 8)
+        world.run(0.15)
+
+
+async def release_alone(self, target, hold, r):
+    """Take keys back without a fence that would keep renewals on their way out."""
+    fence = self._next_try(r)
+    if not fence or not self._office.holds():
+        return None
+    return await self._wire.release(target, r.first, r.last, fence, ORDER_TIMEOUT)
+
+
+async def steady(self, former):
+    return True
+
+
+def knows_of_no_holds_of_others(self):
+    return now()
+
+
+MUTATIONS = [
+    pytest.param(
+        leaving_target_falls_silent,
+        Moves,
+        "_lapsed",
+        lambda self, r: True,
+        id="no wait for the holds of a silent owner",
+    ),
+    pytest.param(
+        target_falls_silent,
+        TargetHold,
+        "ordered",
+        lambda self, now, hold: None,
+        id="orders without an answer forgotten",
+    ),
+    pytest.param(
+        holder_lost_in_an_outage_beside_a_silent_target,
+        Office,
+        "_was_steady",
+        steady,
+        id="contact with the store taken for granted",
+    ),
+    pytest.param(
+        holder_lost_in_an_outage_beside_a_silent_target,
+        Office,
+        "others_lapse",
+        property(lambda self: 0.0, lambda self, value: None),
+        id="holds of former holders forgotten",
+    ),
+    pytest.param(
+        holder_starts_anew_in_an_outage,
+        Office,
+        "may_hand_on",
+        lambda self, body: True,
+        id="a new process speaks for the former one",
+    ),
+    pytest.param(
+        busy_keys_move_while_renewals_are_on_their_way,
+        Moves,
+        "_release",
+        release_alone,
+        id="release without a fence",
+    ),
+]
+
+
+def play(scenario):
+    with virtual_loop() as loop:
+        world = World(loop)
+        try:
+            scenario(world)
+            return world.faults()
+        finally:
+            for name in VMS:
+                world.kill(name)
+
+
+class TestMutations:
+    @pytest.mark.parametrize(("scenario", "owner", "rule", "broken"), MUTATIONS)
+    def test_broken_rule_is_found(self, scenario, owner, rule, broken, monkeypatch):
+        assert not play(scenario)
+        monkeypatch.setattr(owner, rule, broken, raising=False)
+        assert play(scenario)
