--- a/packages/entry/tests/test_server.py
+++ b/packages/entry/tests/test_server.py
@@ -154,3 +154,115 @@
             await server.close()
 
         asyncio.run(play())
+
+
+async def exchange(port, *pieces, pause=0.0):
+    """Send some bytes on a new connection and return all that comes back."""
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    try:
+        for piece in pieces:
+            writer.write(piece)
+            await writer.drain()
+            await asyncio.sleep(pause)
+        return await asyncio.wait_for(reader.read(65536), 2.0)
+    except (TimeoutError, ConnectionResetError):
+        return b""
+    finally:
+        writer.close()
+
+
+class EchoRouter:
+    """Answers with the body of the request."""
+
+    async def serve(self, req):
+        answer = TargetAnswer(200, [], req.body, False, False, True, None, False)
+        return Answered(answer, "a", 1)
+
+
+def head(*lines):
+    return "\r\n".join(("POST /a/ HTTP/1.1", "Host: h", *lines, "", "")).encode()
+
+
+class TestBadInput:
+    """What callers send that is too large, cut short, slow or no request at all."""
+
+    def test_head_over_the_limit(self):
+        async def play():
+            server, port = serve(EchoRouter())
+            large = "X-Large: " + "x" * (LIMITS.header_bytes + 1)
+            answer = await exchange(port, head(large, "Content-Length: 0"))
+            assert answer.startswith(b"HTTP/1.1 431")
+            assert b"Connection: close" in answer
+            await server.close()
+
+        asyncio.run(play())
+
+    def test_body_over_the_limit(self):
+        async def play():
+            server, port = serve(EchoRouter())
+            size = LIMITS.body_bytes + 1
+            answer = await exchange(port, head(f"Content-Length: {size}"), b"x" * size)
+            assert answer.startswith(b"HTTP/1.1 413")
+            await server.close()
+
+        asyncio.run(play())
+
+    def test_body_in_chunks(self):
+        async def play():
+            server, port = serve(EchoRouter())
+            chunks = b"3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"
+            answer = await exchange(port, head("Transfer-Encoding: chunked"), chunks)
+            assert answer.startswith(b"HTTP/1.1 200")
+            assert answer.endswith(b"abcde")
+            await server.close()
+
+        asyncio.run(play())
+
+    def test_what_is_no_request_is_never_served(self):
+        # Two lengths in one request, or bytes that are none: taken in two ways, a part
+        # of one caller's body would be served as another's request.
+        async def play():
+            server, port = serve(EchoRouter())
+            for text in (
+                b"\x16\x03\x01 not a request\r\n\r\n",
+                head("Content-Length: 3", "Content-Length: 5") + b"abcde",
+                head("Content-Length: 3", "Transfer-Encoding: chunked") + b"abc",
+                head("Content-Length: -1"),
+            ):
+                answer = await exchange(port, text)
+                assert not answer.startswith(b"HTTP/1.1 200"), text
+            await server.close()
+
+        asyncio.run(play())
+
+    def test_slow_caller_holds_up_nobody(self):
+        # A caller sends its request a few bytes at a time. Others on the same VM must
+        # not wait for it, and it gets its answer in the end.
+        async def play():
+            server, port = serve(EchoRouter())
+            text = head("Content-Length: 3") + b"abc"
+            pieces = [text[i : i + 8] for i in range(0, len(text), 8)]
+            slow = asyncio.create_task(exchange(port, *pieces, pause=0.05))
+            for _ in range(5):
+                began = asyncio.get_running_loop().time()
+                answer = await exchange(port, head("Content-Length: 1") + b"z", b"")
+                assert answer.endswith(b"z")
+                assert asyncio.get_running_loop().time() - began < 0.3
+            assert (await slow).endswith(b"abc")
+            await server.close()
+
+        asyncio.run(play())
+
+    def test_two_requests_sent_at_once_are_answered_in_order(self):
+        async def play():
+            server, port = serve(EchoRouter())
+            both = b"".join(head("Content-Length: 1") + body.encode() for body in "ab")
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            writer.write(both)
+            for body in (b"a", b"b"):
+                await reader.readuntil(b"\r\n\r\n")
+                assert await reader.readexactly(1) == body
+            writer.close()
+            await server.close()
+
+        asyncio.run(play())
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -171,6 +171,8 @@
         [
             ("Berylstage-Attempt-Id", ""),
             ("Berylstage-Deadline-Ms", "soon"),
+            ("Berylstage-Deadline-Ms", "inf"),
+            ("Berylstage-Deadline-Ms", "nan"),
             ("Berylstage-Shard-Key", "70000"),
         ],
     )
