Bound what the bodies of all requests together take in memory

Cause: a body of up to 64 MB is buffered whole, and nothing bounded several at once; five would have a VM of 300 MB killed with all its requests. Change: 100 MB for all together; who finds no room is refused at once with a time to come back. The new test failed before.

--- a/packages/entry/src/berylstage_entry/server.py
+++ b/packages/entry/src/berylstage_entry/server.py
@@ -32,9 +32,15 @@
 
 # Bytes of a request's body at most while no configuration says so.
 FIRST_BODY_LIMIT = 1024 * 1024
-# Bytes of a request's body that are buffered at most, whatever the operators allow: a
-# few of them fit into the memory of a VM of 300 MB.
+# Bytes of a request's body that are buffered at most, whatever the operators allow.
 BUFFERED_BODY = 64 * 1024 * 1024
+# Bytes of all bodies together that are buffered at most: a third of the memory of a VM
+# of 300 MB, since a body is copied once on its way out and the process takes 26 MB.
+# Five bodies of 64 MB at a time would have the VM killed, and its requests with it.
+BODY_MEMORY = 100 * 1024 * 1024
+# Seconds after which a caller may come back that was refused for want of this memory:
+# the time in which a target takes a body of that size in.
+BODY_RETURN = 0.5
 # Bytes of a request's head that tornado reads; larger ones than the operators allow get
 # their own status up to this size.
 READ_HEAD = 256 * 1024
@@ -107,7 +113,9 @@
         self._chunks: list[bytes] = []
         self._size = 0
         self._req: CallerRequest | None = None
-        self._refusal: BadRequest | None = None
+        self._refusal: BadRequest | Refused | None = None
+        # Bytes counted against what all bodies may take.
+        self._held = 0
         self._task: asyncio.Task | None = None
 
     def headers_received(
@@ -126,12 +134,24 @@
 
     def data_received(self, chunk: bytes) -> None:
         """Keep a part of the body, up to the limit."""
+        if self._refusal is not None:
+            return
         self._size += len(chunk)
         if self._size > self._server.body_limit():
             self._refusal = BadRequest(TOO_LARGE, "the body is over the limit")
-            self._chunks.clear()
+        elif not self._server.hold(len(chunk)):
+            self._refusal = Refused("body-memory", BODY_RETURN)
         else:
+            self._held += len(chunk)
             self._chunks.append(chunk)
+            return
+        self._chunks.clear()
+        self._release()
+
+    def _release(self) -> None:
+        """Give back what the body took."""
+        self._server.release(self._held)
+        self._held = 0
 
     def finish(self) -> None:
         """Serve the request, now that it is whole."""
@@ -141,9 +161,8 @@
             self._server.gone(self._link)
             return
         if self._refusal is not None or self._req is None:
-            status = self._refusal.status if self._refusal else BAD_REQUEST
-            self._server.refused_head(self._refusal)
-            write_reply(self._conn, Reply(status), True)
+            reply = self._server.refused_unserved(self._refusal)
+            write_reply(self._conn, reply, True)
             self._server.ended(self._link)
             return
         self._req.body = b"".join(self._chunks)
@@ -153,6 +172,7 @@
 
     def on_connection_close(self) -> None:
         """End the work, since nobody waits for it."""
+        self._release()
         self._server.gone(self._link)
         if self._task is not None:
             self._task.cancel()
@@ -160,7 +180,10 @@
     async def _serve(self) -> None:
         assert self._req is not None
         server = self._server
-        reply = await server.reply(self._req)
+        try:
+            reply = await server.reply(self._req)
+        finally:
+            self._release()
         sent = write_reply(self._conn, reply, server.closing)
         if server.closing:
             await asyncio.wait([sent])
@@ -191,6 +214,9 @@
         self._journal = journal
         self._limits = limits
         self.closing = False
+        # Bytes of bodies that are buffered, and may be at most.
+        self._buffered = 0
+        self.body_memory = BODY_MEMORY
         # Connections with a request under way, and those without.
         self._busy: set = set()
         self._idle: set = set()
@@ -278,9 +304,23 @@
         if size > limits.header_bytes:
             raise BadRequest(HEAD_TOO_LARGE, "the headers are over the limit")
 
-    def refused_head(self, exc: BadRequest | None) -> None:
-        """Log a request that was never whole."""
+    def hold(self, size: int) -> bool:
+        """Count bytes of a body; False when all bodies would take too much."""
+        if self._buffered + size > self.body_memory:
+            return False
+        self._buffered += size
+        return True
+
+    def release(self, size: int) -> None:
+        """Give counted bytes back."""
+        self._buffered -= size
+
+    def refused_unserved(self, exc: BadRequest | Refused | None) -> Reply:
+        """Log a request that is not served, and return the reply to it."""
         self._journal.malformed(str(exc) if exc else "unreadable request")
+        if isinstance(exc, Refused):
+            return Reply(UNAVAILABLE, self.wire.refusal_headers(exc.retry_after))
+        return Reply(exc.status if exc else BAD_REQUEST)
 
     async def reply(self, req: CallerRequest) -> Reply:
         """Return the reply to a request."""
--- a/packages/entry/tests/test_server.py
+++ b/packages/entry/tests/test_server.py
@@ -207,6 +207,29 @@
 
         asyncio.run(play())
 
+    def test_bodies_that_would_fill_the_memory(self):
+        # Several callers send large bodies at once. A VM that buffers them all is
+        # killed for its memory, and every request on it is lost; the last caller is
+        # told when to come back instead.
+        async def play():
+            server, port = serve(SlowRouter(0.3))
+            server.body_memory = 1500
+            text = head("Content-Length: 1000") + b"x" * 1000
+            first = asyncio.create_task(exchange(port, text))
+            await asyncio.sleep(0.1)
+            assert (await exchange(port, text)).startswith(b"HTTP/1.1 503")
+            assert (await first).startswith(b"HTTP/1.1 200")
+            assert (await exchange(port, text)).startswith(b"HTTP/1.1 200")
+            _, writer = await asyncio.open_connection("127.0.0.1", port)
+            writer.write(text[:-100])
+            await asyncio.sleep(0.1)
+            writer.close()
+            await asyncio.sleep(0.1)
+            assert server.hold(1500)
+            await server.close()
+
+        asyncio.run(play())
+
     def test_body_in_chunks(self):
         async def play():
             server, port = serve(EchoRouter())
