Take rates of keys over the time in which requests were counted

Cause: counts fade with a half-life of 1.5 s and were taken for rates as if they had come for ever. The same after each change of the VM with the duty.

Ruled out: keys cut into 3 or 5 parts at the start (trials, no gain); slow moves.

Change: rates are taken over the time since counting began, 0.7 s at least.

--- a/packages/entry/src/berylstage_entry/balance.py
+++ b/packages/entry/src/berylstage_entry/balance.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+from math import log
 from typing import TYPE_CHECKING
 
 from berylstage_entry.assignment import LAST_KEY
@@ -21,6 +22,9 @@
 # Seconds after which half of a key's counted requests are forgotten: long enough to
 # tell a busy key by a handful of requests, short enough for keys that are busy for 4 s.
 HALF_LIFE = 1.5
+# Seconds for which requests are taken to have come, at least. Counts of a shorter time
+# tell little: one request of 0.2 s would count as five a second.
+LEAST_AGE = 0.7
 # Counts below which a key is forgotten.
 LEAST_WEIGHT = 0.05
 # Share of its capacity above which a target is worth relieving, and by how much a move
@@ -43,11 +47,13 @@
 class KeyLoads:
     """Requests for each key, fading."""
 
-    __slots__ = ("_at", "weights")
+    __slots__ = ("_at", "_since", "weights")
 
     def __init__(self, now: float):
         self.weights: dict[int, float] = {}
         self._at = now
+        # Since when requests have been counted.
+        self._since = now
 
     def add(self, key: int, count: float) -> None:
         """Count requests for a key."""
@@ -55,18 +61,21 @@
 
     def fade(self, now: float) -> None:
         """Forget what is old."""
+        if not self.weights:
+            self._since = now
         factor = 0.5 ** ((now - self._at) / HALF_LIFE)
         self._at = now
         faded = {key: weight * factor for key, weight in self.weights.items()}
         self.weights = {k: w for k, w in faded.items() if w >= LEAST_WEIGHT}
 
-    def rate(self, key: int) -> float:
-        """Return the requests a second for a key."""
-        return self.weights.get(key, 0.0) * 0.693 / HALF_LIFE
-
     def rates(self) -> list[tuple[int, float]]:
         """Return all keys with their requests a second, in the order of the keys."""
-        scale = 0.693 / HALF_LIFE
+        # Counts have not yet grown to their full weight when they began a moment ago.
+        # Taken as if they had, targets with long queues seemed idle for a second after
+        # the first request, and after each change of the VM that deals out keys.
+        age = max(LEAST_AGE, self._at - self._since)
+        counted = 1 - 0.5 ** (age / HALF_LIFE)
+        scale = log(2) / HALF_LIFE / counted
         return sorted((key, weight * scale) for key, weight in self.weights.items())
 
 
