--- a/packages/entry/src/berylstage_entry/announcements.py
+++ b/packages/entry/src/berylstage_entry/announcements.py
@@ -1,7 +1,9 @@
-"""Tells the other VMs at once what this one has written into the store.
+"""Tells the other VMs at once what this one has written into the store, or read there.
 
 The store tells them too, but a watch that returns at each change costs a call of each
-VM for each change; what is told here leaves the store to the paced reading.
+VM for each change; what is told here leaves the store to the paced reading. So do
+values that are too large for a datagram: 76 VMs read three configurations of a played
+day by 228 calls.
 """
 
 from __future__ import annotations
@@ -16,10 +18,11 @@
 from berylstage_transfers.errors import CallFailed
 from logbook import Logger
 
-from berylstage_entry.feed import KEYS_PREFIX
 from berylstage_entry.store import Item
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
+
     from berylstage_entry.feed import Feed
     from berylstage_entry.membership import Membership
 
@@ -27,6 +30,10 @@
 TOLD_PATH = "/told"
 # Seconds that one telling may take; the paced reading makes up for a lost one.
 TIMEOUT = 0.3
+# Bytes of a compressed value that is told at most. Today's configurations take about
+# 1 KB. One of 350 routes takes ten, and to send that to 75 VMs keeps a link of 5 Mbit/s
+# busy for more than a second, in which the VM's callers wait for their answers.
+MOST_BYTES = 3000
 
 log = Logger(__name__)
 
@@ -39,28 +46,19 @@
     def __init__(self, address: str):
         self.address = address
         self.client = CallClient(1)
-        self.news: dict[str, Item] = {}
+        self.news: dict[str, bytes] = {}
         self.task: asyncio.Task | None = None
 
-    def tell(self, item: Item) -> None:
+    def tell(self, key: str, body: bytes) -> None:
         """Tell the VM as soon as it has taken what it was told before."""
-        self.news[item.key] = item
+        self.news[key] = body
         if self.task is None or self.task.done():
             self.task = asyncio.create_task(self._run())
 
     async def _run(self) -> None:
         while self.news:
-            _, item = self.news.popitem()
-            assert item.value is not None
-            doc = {
-                "key": item.key,
-                "revision": item.revision,
-                "value": item.value.decode(),
-            }
+            _, body = self.news.popitem()
             url = f"http://{self.address}{TOLD_PATH}"
-            # An assignment of a hundred ranges is 5 KB, and a fifth of it compressed;
-            # most of the other VMs are in other data centres.
-            body = zlib.compress(json.dumps(doc).encode())
             try:
                 await self.client.call(Call("POST", url, {}, body, TIMEOUT))
             except CallFailed as exc:
@@ -92,6 +90,25 @@
 
     def tell(self, item: Item) -> None:
         """Tell all other VMs of an item that is in the store now."""
+        self._tell(item.key, _encode(item))
+
+    async def tell_first(self, items: Sequence[Item]) -> None:
+        """Tell large values, and return when the other VMs have them.
+
+        Parameters
+        ----------
+        items : sequence of Item
+            Those that are too large even for this are left to each VM's own reading.
+        """
+        bodies = {item.key: _encode(item) for item in items}
+        small = {key: body for key, body in bodies.items() if len(body) <= MOST_BYTES}
+        for key, body in small.items():
+            self._tell(key, body)
+        tasks = [peer.task for peer in self._peers.values() if peer.task is not None]
+        if small and tasks:
+            await asyncio.wait(tasks, timeout=TIMEOUT)
+
+    def _tell(self, key: str, body: bytes) -> None:
         addresses = set(self._membership.addresses()) - {self._own_address}
         for address in [a for a in self._peers if a not in addresses]:
             self._peers.pop(address).close()
@@ -99,24 +116,34 @@
             peer = self._peers.get(address)
             if peer is None:
                 peer = self._peers[address] = _Peer(address)
-            peer.tell(item)
+            peer.tell(key, body)
 
     def take(self, body: bytes) -> bool:
         """Take in what another VM tells; False when it can't be read."""
         try:
             doc = json.loads(zlib.decompress(body))
-            item = Item(doc["key"], doc["value"].encode(), int(doc["revision"]))
+            value = doc["value"].encode("latin-1")
+            item = Item(doc["key"], value, int(doc["revision"]))
         except (zlib.error, ValueError, KeyError, TypeError, AttributeError) as exc:
             log.warning("telling passed over", extra={"cause": str(exc)})
             return False
-        # Only assignments are told; anything else under this path is a mistake.
-        if not item.key.startswith(KEYS_PREFIX):
-            return False
-        self._feed.take_written(item)
-        return True
+        return self._feed.take_told(item)
 
     def close(self) -> None:
         """Tell nothing more."""
         for peer in self._peers.values():
             peer.close()
         self._peers.clear()
+
+
+def _encode(item: Item) -> bytes:
+    """Return the body that tells of an item."""
+    assert item.value is not None
+    doc = {
+        "key": item.key,
+        "revision": item.revision,
+        "value": item.value.decode("latin-1"),
+    }
+    # An assignment of a hundred ranges is 5 KB, and a fifth of it compressed; most of
+    # the other VMs are in other data centres.
+    return zlib.compress(json.dumps(doc).encode())
--- a/packages/entry/src/berylstage_entry/application.py
+++ b/packages/entry/src/berylstage_entry/application.py
@@ -10,6 +10,7 @@
 from logbook import Logger
 
 from berylstage_entry.announcements import TOLD_PATH, Announcements
+from berylstage_entry.clock import now
 from berylstage_entry.directory import Directory
 from berylstage_entry.errors import UnreadableRecord
 from berylstage_entry.feed import Feed
@@ -102,6 +103,7 @@
         self.exchange.takers[NEWS_FORMAT] = self._take_news
         self.feed.is_teller = self.office.holds
         self.feed.tell = self._tell_news
+        self.feed.is_standby = self.membership.stands_by
         self.probes = LoadProbes(
             self.router, self.directory, self.membership, targets, cfg.vm
         )
@@ -118,6 +120,8 @@
         )
         self.metrics_page = PageServer({"/metrics": self._metrics_text})
         self.feed.listeners.append(self._heard)
+        # Keeps the task that tells large values from being collected.
+        self._telling: asyncio.Task | None = None
         self._stop = asyncio.Event()
         self.stopping = False
 
@@ -210,6 +214,19 @@
             self.router.vms = self.senders.vms = vms
 
     def _tell_news(self, told: News) -> None:
+        if told.large:
+            self._telling = asyncio.create_task(self._tell_large(told))
+        else:
+            self._send_news(told)
+
+    async def _tell_large(self, told: News) -> None:
+        """Tell large values before the news that names them."""
+        began = now()
+        await self.announcements.tell_first(told.large)
+        told.age += now() - began
+        self._send_news(told)
+
+    def _send_news(self, told: News) -> None:
         data = told.encode()
         # What is too much for a datagram the others read for themselves.
         if data is not None:
--- a/packages/entry/src/berylstage_entry/feed.py
+++ b/packages/entry/src/berylstage_entry/feed.py
@@ -85,6 +85,8 @@
         # Whether this VM tells the others what it reads, and how.
         self.is_teller: Callable[[], bool] = lambda: False
         self.tell: Callable[[News], None] = lambda news: None
+        # Whether this VM is to hear of a vacant duty at once.
+        self.is_standby: Callable[[], bool] = lambda: True
         # Assignment of each service and the revision of its key.
         self.assignments: dict[str, Assignment] = {}
         self.revisions: dict[str, int] = {}
@@ -208,12 +210,12 @@
         # A duty without a holder is taken over before grants end, for which the paced
         # reading would be too slow.
         while True:
-            if not self.complete:
+            if not self._watches_duty():
                 await asyncio.sleep(RETRY)
                 continue
             revision = self._revision
             try:
-                while True:
+                while self._watches_duty():
                     changes = await self._store.watch(DUTY_KEY, revision, DUTY_WAIT)
                     for item in changes.items:
                         self._take_own(item)
@@ -224,6 +226,17 @@
                 log.info("watch of the duty failed", extra={"cause": str(exc)})
                 await asyncio.sleep(DUTY_RETRY)
 
+    def _watches_duty(self) -> bool:
+        """Tell whether this VM is one of those that watch the duty's key.
+
+        While it is vacant all of them do: with its taking, the rest stop.
+        """
+        if not self.complete or self.is_teller():
+            return False
+        item = self.own.get(DUTY_KEY)
+        vacant = item is None or item.value is None
+        return vacant or self.is_standby()
+
     async def _read_all(self) -> None:
         changes = await self._store.read("")
         names, closed, own = set(), set(), set()
@@ -330,9 +343,38 @@
         self._tell(item.key)
 
     def take_written(self, item: Item) -> None:
-        """Take in an own key that this VM has just written, or was told of."""
+        """Take in an own key that this VM has just written."""
         self._take(item)
 
+    def take_told(self, item: Item) -> bool:
+        """Take in a value that another VM tells ahead of its news.
+
+        Parameters
+        ----------
+        item : Item
+            An assignment or a configuration. Both say how new they are; of anything
+            else an older state that was told late would replace a newer one.
+
+        Returns
+        -------
+        bool
+            False for anything else.
+        """
+        if not item.key.startswith(KEYS_PREFIX) and not self._configures(item):
+            return False
+        self._take(item)
+        return True
+
+    def _configures(self, item: Item) -> bool:
+        if item.key.startswith(OWN_PREFIX):
+            return False
+        try:
+            record = self._reader.read(item)
+        except UnreadableRecord:
+            # Whoever reads it in the store logs it.
+            return False
+        return record is not None and record.configuration is not None
+
     def _tell(self, what: str) -> None:
         for listener in self.listeners:
             listener(what)
--- a/packages/entry/src/berylstage_entry/membership.py
+++ b/packages/entry/src/berylstage_entry/membership.py
@@ -6,6 +6,7 @@
 import json
 from typing import TYPE_CHECKING
 
+from berylstage_policy.standby import stands_by
 from logbook import Logger
 
 from berylstage_entry.errors import LeaseEnded, StoreError
@@ -21,9 +22,10 @@
 # Seconds of a VM's lease. The count of VMs divides bounds, and nothing depends on its
 # being exact.
 LEASE = 20.0
-# Seconds between two renewals. They show that this VM reaches the store, also while it
-# is told of changes and need not read; a renewal costs a tenth of a reading.
-KEEP = 1.0
+# Seconds between two renewals: three fit into the lease before it ends. Whether this VM
+# reaches the store is found out by a call when somebody asks for it (`Feed.contact`),
+# and by its own reading when nothing is told.
+KEEP = 5.0
 # Seconds before a failed call is made again.
 RETRY = 1.0
 # VMs that are assumed beyond those that are known, for those that are just starting.
@@ -98,6 +100,12 @@
         """Return the names of the known VMs, this one included."""
         return [member.name for member in self._members]
 
+    def stands_by(self) -> bool:
+        """Tell whether this VM stands by for the duty in its data centre."""
+        home = self._cfg.data_centre
+        neighbours = [m.name for m in self._members if m.data_centre == home]
+        return stands_by(self._cfg.vm, neighbours)
+
     def _heard(self, what: str) -> None:
         if what != "read" and not what.startswith(VMS_PREFIX):
             return
--- a/packages/entry/src/berylstage_entry/news.py
+++ b/packages/entry/src/berylstage_entry/news.py
@@ -20,9 +20,8 @@
 
 # Bytes of news that fit into one datagram without being cut up on the way.
 MOST_BYTES = 1300
-# Bytes of a value above which it is named only, and read by each VM itself: a
-# configuration of 350 routes is 100 KB, and bytes between data centres cost more than a
-# call to the store.
+# Bytes of a value above which it is named only. What fits into a few packets is told on
+# its own before, the rest is read by each VM itself.
 LARGEST_VALUE = 500
 # First byte of a datagram with news.
 FORMAT = 16
@@ -43,9 +42,14 @@
         Keys with large values, and the revision of each.
     age : float
         Seconds since the reading began, when it is told.
+
+    Attributes
+    ----------
+    large : list of Item
+        The values that are named, as far as this VM has read them itself.
     """
 
-    __slots__ = ("after", "age", "items", "named", "revision")
+    __slots__ = ("after", "age", "items", "large", "named", "revision")
 
     def __init__(
         self,
@@ -60,11 +64,13 @@
         self.items = list(items)
         self.named = named or {}
         self.age = age
+        self.large: list[Item] = []
 
     def add(self, item: Item) -> None:
         """Add a change."""
         if item.value is not None and len(item.value) > LARGEST_VALUE:
             self.named[item.key] = item.revision
+            self.large.append(item)
         else:
             self.items.append(item)
 
--- a/packages/entry/tests/test_announcements.py
+++ b/packages/entry/tests/test_announcements.py
@@ -9,7 +9,7 @@
 from berylstage_entry.assignment import nobody
 from berylstage_entry.directory import Directory
 from berylstage_entry.feed import Feed
-from fakes import JsonRecords
+from fakes import JsonRecords, configuration
 
 
 def told(key, revision, value):
@@ -28,7 +28,25 @@
         assert tellings.take(told("berylstage/keys/s", 8, nobody().encode()))
         assert feed.assignments["s"].next_fence == 77
 
-    def test_anything_but_assignments_is_passed_over(self):
+    def test_configuration_is_taken_and_never_goes_back(self):
+        # A configuration is told ahead of the news that names it. A VM that has a newer
+        # one must keep it, whatever comes late.
+        directory = Directory()
+        records = JsonRecords({n: configuration(n) for n in (1, 2)})
+        tellings = Announcements(Feed(None, records, directory), None, "127.0.0.1:1")
+        assert tellings.take(told("cfg", 9, b"2"))
+        assert tellings.take(told("cfg", 8, b"1"))
+        assert directory.configuration.version == 2
+
+    def test_report_of_a_target_is_passed_over(self):
+        # An older report that comes late would call a target willing that is leaving.
+        directory = Directory()
+        feed = Feed(None, JsonRecords(), directory)
+        tellings = Announcements(feed, None, "127.0.0.1:1")
+        assert not tellings.take(told("t/a", 9, b"{}"))
+        assert directory.known == {}
+
+    def test_anything_but_assignments_and_configurations_is_passed_over(self):
         feed = Feed(None, JsonRecords(), Directory())
         tellings = Announcements(feed, None, "127.0.0.1:1")
         assert not tellings.take(told("berylstage/duty", 9, b"{}"))
--- a/packages/entry/tests/test_news.py
+++ b/packages/entry/tests/test_news.py
@@ -9,7 +9,7 @@
 from berylstage_entry.clock import now
 from berylstage_entry.directory import Directory
 from berylstage_entry.errors import UnreadableRecord
-from berylstage_entry.feed import Feed
+from berylstage_entry.feed import DUTY_KEY, Feed
 from berylstage_entry.news import News
 from berylstage_entry.store import Item
 from fakes import JsonRecords, MemoryStore, StoreView, configuration
@@ -21,10 +21,13 @@
     def __init__(self, store):
         super().__init__(store)
         self.readings = 0
+        self.duty_watches = 0
 
     async def watch(self, prefix, after, wait):
         if not prefix:
             self.readings += 1
+        if prefix == DUTY_KEY:
+            self.duty_watches += 1
         return await super().watch(prefix, after, wait)
 
 
@@ -146,6 +149,25 @@
 
         play(steps)
 
+    def test_large_value_that_is_told_before_is_not_read(self):
+        # A configuration changes. When each of 76 VMs reads it for itself, the store is
+        # called 76 times within half a second.
+        async def steps(store, teller, told):
+            def tell(news):
+                for item in news.large:
+                    assert told.feed.take_told(item)
+                told.feed.take_news(News.decode(news.encode()))
+
+            teller.feed.tell = tell
+            await asyncio.sleep(0.6)
+            before = told.store.readings
+            store.put("cfg", b"2" + b" " * 600)
+            await until(lambda: told.version() == 2, 1.3)
+            await asyncio.sleep(1.0)
+            assert told.store.readings == before
+
+        play(steps)
+
     def test_late_news_does_not_count_as_fresh(self):
         # A VM stood still between its reading and its telling. What it tells then is
         # older than what the other one has read meanwhile.
@@ -193,3 +215,32 @@
     def test_news_too_large_for_a_datagram_is_not_sent(self):
         items = [Item(f"t/{n}", str(n**99).encode(), n) for n in range(60)]
         assert News(1, 99, items).encode() is None
+
+
+class TestDutyWatch:
+    def test_vm_that_does_not_stand_by_watches_only_while_the_duty_is_vacant(self):
+        # Every VM watches the duty's key. Each change of its holder, and each end of a
+        # watch's wait, costs a call of every VM.
+        async def steps(store, teller, told):
+            told.feed.is_standby = lambda: False
+            store.put(DUTY_KEY, b"{}")
+            await until(lambda: DUTY_KEY in told.feed.own)
+            await asyncio.sleep(0.5)
+            before = told.store.duty_watches
+            await asyncio.sleep(1.0)
+            assert told.store.duty_watches == before
+            store.put(DUTY_KEY, None)
+            await until(lambda: told.feed.own[DUTY_KEY].value is None)
+            await until(lambda: told.store.duty_watches > before)
+
+        play(steps)
+
+    def test_holder_of_the_duty_does_not_watch_it(self):
+        async def steps(store, teller, told):
+            store.put(DUTY_KEY, b"{}")
+            await asyncio.sleep(0.5)
+            before = teller.store.duty_watches
+            await asyncio.sleep(1.0)
+            assert teller.store.duty_watches == before
+
+        play(steps)
