--- a/packages/entry/src/berylstage_entry/load_exchange.py
+++ b/packages/entry/src/berylstage_entry/load_exchange.py
@@ -42,10 +42,13 @@
 FOR_DATA_CENTRE = 3
 FOR_ALL = 4
 _FORMATS = (FORMAT, FOR_DATA_CENTRE, FOR_ALL)
-# A target by a checksum of its name, then how many requests run or wait there, and its
-# pace in twentieths.
-_REPORT = struct.Struct("<IBB")
+# A target by a checksum of its name, then how many requests run or wait there, its pace
+# in twentieths, and for how long this has been known, in hundredths of a second. What
+# comes over two relays is 0.2 s old; taken for new, it kept VMs from asking targets
+# that had been slowed since, and put an older word in the place of a newer one.
+_REPORT = struct.Struct("<IBBB")
 _PACE_UNIT = 20
+_AGE_UNIT = 100
 _MOST_BYTE = 255
 
 log = Logger(__name__)
@@ -59,13 +62,16 @@
     busy : int
         Requests that run or wait there.
     pace : float
+    at : float
+        When the target told it: monotonic seconds.
     """
 
-    __slots__ = ("busy", "pace")
+    __slots__ = ("at", "busy", "pace")
 
-    def __init__(self, busy: int, pace: float):
+    def __init__(self, busy: int, pace: float, at: float):
         self.busy = busy
         self.pace = pace
+        self.at = at
 
 
 class LoadExchange(asyncio.DatagramProtocol):
@@ -127,7 +133,7 @@
 
     def heard(self, name: str, busy: int, pace: float) -> None:
         """Keep what a target has told; the newest report replaces older ones."""
-        self._own[name] = self._far[name] = HeardLoad(busy, pace)
+        self._own[name] = self._far[name] = HeardLoad(busy, pace, now())
         self._has_news.set()
 
     def datagram_received(self, data: bytes, addr: tuple) -> None:
@@ -141,11 +147,11 @@
             return
         self._relays.heard(addr[0])
         for name, report in self._decode(data):
-            self._router.told_of(name, report.busy, report.pace)
+            self._router.told_of(name, report.busy, report.pace, report.at)
             if data[0] != FORMAT:
-                self._passed[name] = report
+                _keep_newest(self._passed, name, report)
             if data[0] != FOR_DATA_CENTRE:
-                self._far[name] = report
+                _keep_newest(self._far, name, report)
         if self._passed:
             self._has_news.set()
 
@@ -166,10 +172,13 @@
         if self._revision != self._directory.revision:
             self._revision = self._directory.revision
             self._names = {crc32(n.encode()): n for n in self._directory.known}
-        rows = _REPORT.iter_unpack(data[1:])
+        moment = now()
         return [
-            (self._names[checksum], HeardLoad(busy, pace / _PACE_UNIT))
-            for checksum, busy, pace in rows
+            (
+                self._names[checksum],
+                HeardLoad(busy, pace / _PACE_UNIT, moment - age / _AGE_UNIT),
+            )
+            for checksum, busy, pace, age in _REPORT.iter_unpack(data[1:])
             if checksum in self._names
         ]
 
@@ -199,7 +208,9 @@
         passed, self._passed = self._passed, {}
         relay = self._relays.relay(moment)
         if self._relays.is_mesh or relay == self._host:
-            told = passed | own
+            told = passed
+            for name, report in own.items():
+                _keep_newest(told, name, report)
             if told:
                 self._send(encode(told), self._relays.neighbours)
                 self._relays.told_all(moment)
@@ -229,11 +240,19 @@
             self._transport.sendto(data, (host, self._port))
 
 
+def _keep_newest(reports: dict[str, HeardLoad], name: str, report: HeardLoad) -> None:
+    known = reports.get(name)
+    if known is None or known.at < report.at:
+        reports[name] = report
+
+
 def encode(reports: dict[str, HeardLoad], form: int = FORMAT) -> bytes:
     """Return the datagram for some reports by the names of their targets."""
+    moment = now()
     parts = [bytes([form])]
     for name, report in list(reports.items())[:MOST]:
         pace = min(_MOST_BYTE, round(report.pace * _PACE_UNIT))
         busy = min(_MOST_BYTE, report.busy)
-        parts.append(_REPORT.pack(crc32(name.encode()), busy, pace))
+        age = min(_MOST_BYTE, round((moment - report.at) * _AGE_UNIT))
+        parts.append(_REPORT.pack(crc32(name.encode()), busy, pace, age))
     return b"".join(parts)
--- a/packages/entry/src/berylstage_entry/router.py
+++ b/packages/entry/src/berylstage_entry/router.py
@@ -170,7 +170,7 @@
         loads = self._service_loads(target.service)
         loads.load(target.name, target.slots).failed(now())
 
-    def told_of(self, name: str, busy: int, pace: float) -> None:
+    def told_of(self, name: str, busy: int, pace: float, at: float) -> None:
         """Take in what another VM has heard of the load of a target.
 
         Parameters
@@ -179,13 +179,17 @@
         busy : int
             Requests that run or wait there.
         pace : float
+        at : float
+            When it was heard. What is older than what this VM knows is passed over.
         """
         known = self._directory.known.get(name)
         loads = self._loads.get(known.target.service) if known else None
         if known is None or loads is None:
             return
         load = loads.load(name, known.target.slots)
-        load.told(busy, known.target.slots, pace, now())
+        if at <= load.reported:
+            return
+        load.told(busy, known.target.slots, pace, at)
         loads.told(load)
 
     def service_loads(self, service: str) -> ServiceLoads | None:
@@ -300,6 +304,8 @@
         if not journey.route.idempotent or late:
             detail = f"target {name} attempts {journey.attempts}: {exc}"
             raise Unanswered(journey.lost, late, detail) from exc
+        # Some targets reset connections when they are full.
+        self._owners.turned_away(journey, name)
 
     def _learn(
         self,
@@ -335,6 +341,9 @@
             return None
         journey.tried.add(name)
         if answer.not_run:
+            # It is full. Without a pause its owner was asked again within a
+            # millisecond, and repeats ran out for requests that they would have served.
+            self._owners.turned_away(journey, name)
             return None
         failed = answer.status >= SERVER_ERROR
         if failed and journey.route.idempotent and self._can_repeat(journey):
