--- a/Makefile
+++ b/Makefile
@@ -73,10 +73,13 @@
 	cd packages/messages/src && PATH=$(abspath $(VENV))/bin:$$PATH $(abspath $(PY)) -m grpc_tools.protoc -I. \
 	  --python_out=. --pyi_out=. --grpclib_python_out=. berylstage_messages/*.proto
 
-.PHONY: bench-placement bench-owned
+.PHONY: bench-placement bench-owned soak
 bench-placement:  ## what each rule of the choice of a target earns, in a model
 	$(PY) -m berylstage_bench.placement
 
+soak:  ## faults one after the other, on the platform's stand-ins (SECONDS=60 SEED=1)
+	$(PY) tests/soak/play.py --seconds $(or $(SECONDS),60) --seed $(or $(SEED),1)
+
 bench-owned:  ## what each rule of dealing out busy keys earns, in a model
 	$(PY) -m berylstage_bench.owned
 
--- /dev/null
+++ b/tests/soak/configuration.py
@@ -0,0 +1,60 @@
+"""What operators and the platform tell the VMs of a soak."""
+
+from __future__ import annotations
+
+import socket
+
+SETTINGS = """node_name={name}
+zone=a
+listen_addrs.front={ip}:{front}
+listen_addrs.ready={ip}:{ready}
+listen_addrs.control={ip}:{control}
+internal_ports={inner},{last}
+bounds=grace_s=6,retry_budget_ratio=0.2,retry_allowance=60,warmup_overshoot=1.5,\
+warmup_slack=5,hold_max_ms=10000
+platform.address=127.0.0.1:{store}
+platform.ttl_min_ms=1000
+"""
+
+
+def configuration() -> dict:
+    """Return a service with owned keys for lookups, and one without for orders."""
+    limits = {
+        "max_header_bytes": 16384,
+        "max_body_bytes": 1048576,
+        "header_timeout_ms": 3000,
+        "idle_timeout_ms": 15000,
+    }
+    routes = [
+        _route("lookups", "/a/", "safe", "s"),
+        _route("o", "/orders/", "unsafe", "u"),
+    ]
+    return {
+        "version": "r7",
+        "services": [
+            {"name": n, "health_path": "/healthz", "max_conns": 50, "sharded": n == "s"}
+            for n in ("s", "u")
+        ],
+        "limits": limits,
+        "virtual_hosts": [{"host": "h.example", "path_routes": routes}],
+    }
+
+
+def _route(name: str, prefix: str, kind: str, service: str) -> dict:
+    return {
+        "name": name,
+        "prefix": prefix,
+        "kind": kind,
+        "timeout_ms": 1200,
+        "target_latency_ms": 400,
+        "priority": 1,
+        "service": service,
+        "max_attempts": 3,
+    }
+
+
+def free_port() -> int:
+    """Return a port that nobody listens on."""
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return sock.getsockname()[1]
--- /dev/null
+++ b/tests/soak/installation.py
@@ -0,0 +1,199 @@
+"""An installation on this machine: VMs as processes, store and targets in this one."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import subprocess
+import sys
+from pathlib import Path
+from random import Random
+from typing import TYPE_CHECKING
+
+from platform_standin import StoreState, store_application
+from soak.configuration import SETTINGS, configuration, free_port
+from soak.ledger import Ledger
+from soak.targets import SoakTarget
+from tornado.curl_httpclient import CurlAsyncHTTPClient
+from tornado.httpclient import HTTPClientError
+from tornado.httpserver import HTTPServer
+from tornado.web import Application
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+ROOT = Path(__file__).resolve().parents[2]
+VMS = 3
+# Targets with owned keys, and without.
+KEYED = 3
+FREE = 2
+# Seconds between two reports of a target, and after which a silent one's record goes.
+BEAT = 0.5
+
+
+class SoakStore(StoreState):
+    """The store with its troubles."""
+
+    def __init__(self, rng: Random):
+        super().__init__()
+        self.rng = rng
+        self.away = False
+        self.delay = 0.0
+        self.lost_share = 0.0
+
+
+class SoakVm:
+    """One process of the program."""
+
+    def __init__(self, number: int, folder: Path, store_port: int):
+        self.name = f"vm-{number}"
+        self.ip = f"127.0.0.{20 + number}"
+        self.front, self.ready, self.control, inner = (free_port() for _ in range(4))
+        text = SETTINGS.format(
+            name=self.name,
+            ip=self.ip,
+            front=self.front,
+            ready=self.ready,
+            control=self.control,
+            inner=inner,
+            last=inner + 1,
+            store=store_port,
+        )
+        self._path = folder / f"{self.name}.conf"
+        self._path.write_text(text)
+        self._log = (folder / f"{self.name}.log").open("a")
+        self.process = self._start()
+
+    def _start(self) -> subprocess.Popen:
+        return subprocess.Popen(
+            [sys.executable, "deploy/start.py"],
+            cwd=ROOT,
+            env={"BERYLSTAGE_NODE_FILE": str(self._path)},
+            stdout=self._log,
+            stderr=subprocess.STDOUT,
+        )
+
+    def restart(self) -> None:
+        """Start the process anew, whatever became of the last one."""
+        self.process.kill()
+        self.process.wait()
+        self.process = self._start()
+
+
+class Installation:
+    """Everything.
+
+    Parameters
+    ----------
+    folder : Path
+        For settings and logs.
+    rng : Random
+    """
+
+    def __init__(self, folder: Path, rng: Random):
+        self.ledger = Ledger()
+        self.store = SoakStore(rng)
+        self.targets = [
+            SoakTarget(f"i-{n}", "s" if n < KEYED else "u", free_port(), self.ledger, r)
+            for n, r in enumerate(Random(rng.random()) for _ in range(KEYED + FREE))
+        ]
+        self._port = free_port()
+        http = HTTPServer(_troubled(store_application(self.store), self.store))
+        http.listen(self._port, "127.0.0.1")
+        self.store.put("op/config", json.dumps(configuration()).encode())
+        for target in self.targets:
+            target.start()
+            self.write(target)
+        self.vms = [SoakVm(n, folder, self._port) for n in range(VMS)]
+        self._client = CurlAsyncHTTPClient(force_instance=True, max_clients=200)
+        self._beats = asyncio.create_task(self._beat())
+
+    def write(self, target: SoakTarget) -> None:
+        """Have a target write its record, as long as it lives and the store answers."""
+        if target.runs and not self.store.away:
+            self.store.put(f"servers/{target.name}", target.record())
+
+    def restart(self, number: int) -> None:
+        """Start a VM anew."""
+        self.vms[number].restart()
+
+    async def ask(self, number: int, request_id: str, method: str, key: int) -> None:
+        """Have a caller make one request, and note what it is told."""
+        vm = self.vms[number]
+        headers = {
+            "Host": "h.example",
+            "Berylstage-Attempt-Id": request_id,
+            "Berylstage-Deadline-Ms": "1500",
+        }
+        path = "/orders/x"
+        if method == "GET":
+            path = "/a/x"
+            headers["Berylstage-Shard-Key"] = str(key)
+        url = f"http://{vm.ip}:{vm.front}{path}"
+        body = b"order" if method == "POST" else None
+        try:
+            answer = await self._client.fetch(
+                url,
+                method=method,
+                body=body,
+                headers=headers,
+                raise_error=False,
+                request_timeout=3.0,
+            )
+        except HTTPClientError:
+            # The connection was refused, reset, or ended without an answer.
+            self.ledger.answered(request_id, method, 0, b"", "")
+            return
+        mark = answer.headers.get("Berylstage-Backend-Signature", "")
+        body = answer.body or b""
+        self.ledger.answered(request_id, method, answer.code, body, mark)
+
+    async def is_ready(self, vm: SoakVm) -> bool:
+        """Tell whether a VM says that it is ready."""
+        url = f"http://{vm.ip}:{vm.ready}/v1/ready"
+        try:
+            answer = await self._client.fetch(url, request_timeout=1.0)
+        except HTTPClientError:
+            # It does not listen yet, or is not ready.
+            return False
+        return answer.code == 200
+
+    async def _beat(self) -> None:
+        while True:
+            await asyncio.sleep(BEAT)
+            for target in self.targets:
+                self.write(target)
+
+    def stop(self) -> None:
+        """End everything that was started."""
+        self._beats.cancel()
+        for vm in self.vms:
+            vm.process.kill()
+            vm.process.wait()
+
+
+def _troubled(app: Application, store: SoakStore) -> Callable[..., Awaitable[None]]:
+    """Return what answers a call to the store, as its troubles have it."""
+
+    async def handle(request):
+        if store.delay:
+            await asyncio.sleep(store.delay)
+        is_write = request.method == "POST"
+        if store.away:
+            head = b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"
+            request.connection.stream.write(head)
+            request.connection.finish()
+            return
+        if is_write and store.rng.random() < store.lost_share:
+            stream = request.connection.stream
+            delegate = app.find_handler(request)
+            delegate.execute()
+            stream.close()
+            return
+        app.find_handler(request).execute()
+
+    def callback(request):
+        task = asyncio.ensure_future(handle(request))
+        task.add_done_callback(lambda done: done.cancelled() or done.exception())
+
+    return callback
--- /dev/null
+++ b/tests/soak/targets.py
@@ -0,0 +1,165 @@
+"""Targets that write down everything they were made to do."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from random import Random
+from typing import TYPE_CHECKING
+
+from platform_standin import Grant, Health, Release, Server, ServerHandler
+from tornado.httpserver import HTTPServer
+from tornado.iostream import StreamClosedError
+from tornado.web import Application
+
+if TYPE_CHECKING:
+    from soak.ledger import Ledger
+
+# Requests at work at once, and waiting beyond them.
+SLOTS = 2
+QUEUE = 8
+# Mean seconds of work.
+WORK = 0.05
+
+
+class SoakTarget(Server):
+    """A target that can crash, fall silent, lose answers and leave.
+
+    Parameters
+    ----------
+    name, service : str
+    port : int
+    ledger : Ledger
+    rng : Random
+    """
+
+    def __init__(self, name: str, service: str, port: int, ledger: Ledger, rng: Random):
+        super().__init__(name)
+        self.service = service
+        self.port = port
+        self.ledger = ledger
+        self.rng = rng
+        self.life = 1
+        self.silent = False
+        self.lost_share = 0.0
+        self.leaving = False
+        self.busy = 0
+        self.slots = asyncio.Semaphore(SLOTS)
+        self._http: HTTPServer | None = None
+
+    @property
+    def runs(self) -> bool:
+        """Whether it listens."""
+        return self._http is not None
+
+    def start(self) -> None:
+        """Begin a life that holds and knows nothing."""
+        self.holds, self.busy = [], 0
+        self.slots = asyncio.Semaphore(SLOTS)
+        self._http = HTTPServer(_application(self))
+        self._http.listen(self.port, "127.0.0.1")
+
+    async def crash(self) -> None:
+        """End without a word."""
+        http, self._http = self._http, None
+        if http is not None:
+            http.stop()
+            self.ledger.ended(self)
+            self.life += 1
+            await http.close_all_connections()
+
+    def record(self) -> bytes:
+        """Return what it writes into the store."""
+        state = "draining" if self.leaving else "ready"
+        doc = {
+            "address": f"127.0.0.1:{self.port}",
+            "born": self.life,
+            "info": {
+                "service": self.service,
+                "version": "v",
+                "zone": "a",
+                "slots": SLOTS,
+            },
+            "status": {"state": state, "sequence": 1, "warmup_left_ms": 0},
+        }
+        return json.dumps(doc).encode()
+
+
+class SoakGrant(Grant):
+    """A grant that is written down."""
+
+    async def prepare(self):
+        super().prepare()
+        if self.server.silent:
+            await asyncio.sleep(60)
+
+    def post(self):
+        super().post()
+        if self.get_status() == 200:
+            self.server.ledger.held(self.server)
+
+
+class SoakRelease(Release):
+    """A release that is written down."""
+
+    def post(self):
+        super().post()
+        self.server.ledger.held(self.server)
+
+
+class SoakWork(ServerHandler):
+    """A request, with a key or without."""
+
+    async def get(self):
+        await self._serve()
+
+    async def post(self):
+        await self._serve()
+
+    async def _serve(self):
+        server, head = self.server, self.request.headers
+        if server.silent:
+            await asyncio.sleep(60)
+        key = head.get("Berylstage-Shard-Key")
+        if key is not None and not server.holds_key(int(key)):
+            self._refuse(421)
+            return
+        if server.busy >= SLOTS + QUEUE:
+            self._refuse(503)
+            return
+        server.busy += 1
+        try:
+            async with server.slots:
+                await self._run(head["Berylstage-Attempt-Id"], key)
+        finally:
+            server.busy -= 1
+
+    def _refuse(self, status):
+        self.set_status(status)
+        self.set_header("Berylstage-Not-Executed", "1")
+
+    async def _run(self, request_id, key):
+        server = self.server
+        if key is not None and not server.holds_key(int(key)):
+            self._refuse(421)
+            return
+        server.ledger.ran(server, request_id, key)
+        await asyncio.sleep(server.rng.expovariate(1 / WORK))
+        if server.rng.random() < server.lost_share:
+            self.request.connection.stream.close()
+            raise StreamClosedError
+        self.set_header("Berylstage-Backend-Signature", f"{server.name}.{request_id}")
+        self.write(f"answer to {request_id}")
+
+
+def _application(server: SoakTarget) -> Application:
+    own = {"server": server}
+    return Application(
+        [
+            (r"/v1/grant", SoakGrant, own),
+            (r"/v1/release", SoakRelease, own),
+            (r"/healthz", Health, own),
+            (r"/.*", SoakWork, own),
+        ],
+        log_function=lambda handler: None,
+    )
