--- a/packages/entry/src/berylstage_entry/balance.py
+++ b/packages/entry/src/berylstage_entry/balance.py
@@ -34,17 +34,15 @@
 # that a target gets in the time of the half-life.
 RELIEVED_ABOVE = 0.4
 LEAST_GAIN = 0.12
-# Share of its capacity above which a target is to be relieved at once: a queue grows
-# before it. While none is, a round waits until this many seconds after the last one
-# that moved something: each costs two writes into the store and interrupts the requests
-# of its keys. Without that the same credit takes three times the writes
-# (`make bench-owned`).
+# Share of its capacity above which a target is relieved at once, and by how much that
+# must lower the busier end: a queue grows before it, and others have room. Otherwise a
+# round waits until this many seconds after the last one that moved something: each
+# costs two writes into the store and interrupts the requests of its keys. A single key
+# that asks for more than any target can do, or targets that are all full, would have
+# rounds all the time: 3 times the writes for the same credit (`make bench-owned`).
 URGENT_ABOVE = 0.8
+URGENT_GAIN = 0.25
 CALM_PERIOD = 1.0
-# Times the level of all targets together that it must be above as well. Where all are
-# full, moves find no room: at 1.6 times today's requests a round at each look brings
-# 0.902 of the credit with 315 writes in 24 s, and 0.891 with 98 under this bound.
-URGENT_OVER_MEAN = 1.5
 # Moves in one round. Each interrupts its keys for the time of the work under way there,
 # a tenth of a second; with three, targets stood idle beside full ones for seconds after
 # a data centre had been closed.
@@ -164,8 +162,9 @@
         list of KeyMove
         """
         if now - self._moved_at < CALM_PERIOD:
-            sides = _sides(_rates_by_range(assignment, rates), capacities).values()
-            if not _is_urgent(list(sides)):
+            held = _rates_by_range(assignment, rates)
+            found = _next_move(_sides(held, capacities), held, [])
+            if found is None or not found.is_urgent:
                 return []
         moves = rebalance(assignment, rates, capacities)
         if moves:
@@ -206,15 +205,6 @@
     return moves
 
 
-def _is_urgent(sides: Sequence[_Side]) -> bool:
-    """Tell whether a queue grows before a target while others have room."""
-    if not sides:
-        return False
-    mean = sum(s.rate for s in sides) / sum(s.capacity for s in sides)
-    busiest = max(side.level for side in sides)
-    return busiest >= max(URGENT_ABOVE, URGENT_OVER_MEAN * mean)
-
-
 def _sides(
     held: list[tuple[KeyRange, list[tuple[int, float]]]],
     capacities: dict[str, float],
@@ -242,6 +232,12 @@
         # Of the busier end after the move.
         self.level = level
 
+    @property
+    def is_urgent(self) -> bool:
+        """Whether it ends a queue that grows."""
+        before = self.giver.level
+        return before >= URGENT_ABOVE and before - self.level >= URGENT_GAIN
+
 
 def _next_move(
     sides: dict[str, _Side],
