--- a/packages/bench/src/berylstage_bench/owned.py
+++ b/packages/bench/src/berylstage_bench/owned.py
@@ -4,7 +4,7 @@
 
 import argparse
 
-from berylstage_entry import balance, router, speeds
+from berylstage_entry import balance, key_loads, router, speeds
 
 from berylstage_bench import owned_model
 from berylstage_bench.owned_model import OwnedPlay
@@ -46,8 +46,8 @@
             (owned_model, "BALANCE_PERIOD", 0.35),
         ],
     ),
-    Variation("half-life 0.35 s", [(balance, "HALF_LIFE", 0.35)]),
-    Variation("half-life 1.5 s", [(balance, "HALF_LIFE", 1.5)]),
+    Variation("half-life 0.35 s", [(key_loads, "HALF_LIFE", 0.35)]),
+    Variation("half-life 1.5 s", [(key_loads, "HALF_LIFE", 1.5)]),
     Variation("a round at any time", [(balance, "CALM_PERIOD", 0.0)]),
     Variation("calm rounds only", [(balance, "URGENT_ABOVE", 1e9)]),
     Variation("urgent above 0.4", [(balance, "URGENT_ABOVE", 0.4)]),
--- a/packages/bench/src/berylstage_bench/owned_model.py
+++ b/packages/bench/src/berylstage_bench/owned_model.py
@@ -14,10 +14,11 @@
 from random import Random
 from typing import TYPE_CHECKING
 
-from berylstage_entry import balance, router
+from berylstage_entry import dealing, router
 from berylstage_entry.assignment import KEYS, Assignment, KeyRange
-from berylstage_entry.balance import KeyLoads, Rounds
+from berylstage_entry.balance import Rounds
 from berylstage_entry.granting import BALANCE_PERIOD
+from berylstage_entry.key_loads import KeyLoads
 from berylstage_entry.owners import WAIT_SHARE
 from berylstage_entry.reports import PERIOD as REPORT_PERIOD
 from berylstage_entry.speeds import TargetSpeeds
@@ -165,7 +166,7 @@
     def _dealt(self) -> Assignment:
         nobody = Assignment([KeyRange(0, KEYS - 1, "", 0, 0)], 1)
         capacities = self._capacities()
-        moves = balance.deal(nobody.ranges, nobody, [], capacities, len(capacities))
+        moves = dealing.deal(nobody.ranges, nobody, [], capacities, len(capacities))
         return self._with(nobody, moves)
 
     def _with(self, assignment: Assignment, moves: list) -> Assignment:
--- a/packages/entry/src/berylstage_entry/application.py
+++ b/packages/entry/src/berylstage_entry/application.py
@@ -115,7 +115,7 @@
         self.announcements.send = self.exchange.send
         self.feed.is_teller = self.office.holds
         self.feed.tell = self._tell_news
-        self.feed.is_standby = self.membership.stands_by
+        self.feed.is_standby = self._stands_by
         self.probes = LoadProbes(
             self.router, self.directory, self.membership, targets, cfg.vm
         )
@@ -211,6 +211,9 @@
         # midst of it comes through the store.
         log.info("settings are read at the start only; restart to change them")
 
+    def _stands_by(self) -> bool:
+        return self.membership.stands_by(self.office.holder_address())
+
     def _limits(self) -> Limits | None:
         cfg = self.directory.configuration
         return cfg.limits if cfg is not None else None
--- a/packages/entry/src/berylstage_entry/balance.py
+++ b/packages/entry/src/berylstage_entry/balance.py
@@ -9,26 +9,15 @@
 
 from __future__ import annotations
 
-from math import log
 from typing import TYPE_CHECKING
 
-from berylstage_entry.assignment import LAST_KEY
+from berylstage_entry.key_loads import KeyMove, rates_by_range
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
     from berylstage_entry.assignment import Assignment, KeyRange
 
-# Seconds after which half of a key's counted requests are forgotten: long enough to
-# tell a busy key by a handful of requests, short enough for keys that are busy for 4 s.
-# With 1.5 s the worst seconds of 13 targets earn 0.85, with 0.7 s 0.88 of the credit
-# (`make bench-owned`).
-HALF_LIFE = 0.7
-# Seconds for which requests are taken to have come, at least. Counts of a shorter time
-# tell little: one request of 0.2 s would count as five a second.
-LEAST_AGE = 0.7
-# Counts below which a key is forgotten.
-LEAST_WEIGHT = 0.05
 # Share of its capacity above which a target is worth relieving, and by how much a move
 # must lower the busier of its two ends: less is chance among the few dozen requests
 # that a target gets in the time of the half-life.
@@ -51,68 +40,10 @@
 # that asks for more than its owner can do.
 IDLEST = 3
 FASTEST = 2
-# Share of a target's capacity that keys may ask for which go back to the owner of their
-# neighbours on both sides: less than chance.
-MENDED_BELOW = 0.05
-# Keys of such a range at most: keys that change hands are paid for, and what was busy
-# for a moment is seldom wider.
-MENDED_KEYS = 1024
 # Times the evening-out rate that a stretch of keys may bring.
 TOLERANCE = 1.05
 
 
-class KeyLoads:
-    """Requests for each key, fading."""
-
-    __slots__ = ("_at", "_since", "weights")
-
-    def __init__(self, now: float):
-        self.weights: dict[int, float] = {}
-        self._at = now
-        # Since when requests have been counted.
-        self._since = now
-
-    def add(self, key: int, count: float) -> None:
-        """Count requests for a key."""
-        self.weights[key] = self.weights.get(key, 0.0) + count
-
-    def fade(self, now: float) -> None:
-        """Forget what is old."""
-        if not self.weights:
-            self._since = now
-        factor = 0.5 ** ((now - self._at) / HALF_LIFE)
-        self._at = now
-        faded = {key: weight * factor for key, weight in self.weights.items()}
-        self.weights = {k: w for k, w in faded.items() if w >= LEAST_WEIGHT}
-
-    def rates(self) -> list[tuple[int, float]]:
-        """Return all keys with their requests a second, in the order of the keys."""
-        # Counts have not yet grown to their full weight when they began a moment ago.
-        # Taken as if they had, targets with long queues seemed idle for a second after
-        # the first request, and after each change of the VM that deals out keys.
-        age = max(LEAST_AGE, self._at - self._since)
-        counted = 1 - 0.5 ** (age / HALF_LIFE)
-        scale = log(2) / HALF_LIFE / counted
-        return sorted((key, weight * scale) for key, weight in self.weights.items())
-
-
-class KeyMove:
-    """Keys that go to another owner.
-
-    Parameters
-    ----------
-    first, last : int
-    owner : str
-    """
-
-    __slots__ = ("first", "last", "owner")
-
-    def __init__(self, first: int, last: int, owner: str):
-        self.first = first
-        self.last = last
-        self.owner = owner
-
-
 class _Side:
     """A target in a round of moves."""
 
@@ -162,7 +93,7 @@
         list of KeyMove
         """
         if now - self._moved_at < CALM_PERIOD:
-            held = _rates_by_range(assignment, rates)
+            held = rates_by_range(assignment, rates)
             found = _next_move(_sides(held, capacities), held, [])
             if found is None or not found.is_urgent:
                 return []
@@ -192,7 +123,7 @@
     list of KeyMove
         At most ``MOVES``.
     """
-    held = _rates_by_range(assignment, rates)
+    held = rates_by_range(assignment, rates)
     sides = _sides(held, capacities)
     moves: list[KeyMove] = []
     while len(moves) < MOVES and len(sides) > 1:
@@ -300,21 +231,6 @@
     return found
 
 
-def _rates_by_range(
-    assignment: Assignment, rates: Sequence[tuple[int, float]]
-) -> list[tuple[KeyRange, list[tuple[int, float]]]]:
-    """Return each range with its keys and their rates."""
-    held: list[tuple[KeyRange, list[tuple[int, float]]]] = []
-    i = 0
-    for r in assignment.ranges:
-        keys = []
-        while i < len(rates) and rates[i][0] <= r.last:
-            keys.append(rates[i])
-            i += 1
-        held.append((r, keys))
-    return held
-
-
 def _touches(r: KeyRange, moves: list[KeyMove]) -> bool:
     return any(m.first <= r.last and m.last >= r.first for m in moves)
 
@@ -340,122 +256,3 @@
             if best is None or candidate < best:
                 best = candidate
     return best
-
-
-def deal(
-    homeless: Sequence[KeyRange],
-    assignment: Assignment,
-    rates: Sequence[tuple[int, float]],
-    capacities: dict[str, float],
-    pieces: int,
-) -> list[KeyMove]:
-    """Return owners for keys that need another one.
-
-    Parameters
-    ----------
-    homeless : sequence of KeyRange
-    assignment : Assignment
-    rates : sequence of tuple
-        Keys in order, each with its requests a second.
-    capacities : dict of str to float
-        Requests a second that each target can serve; only these take.
-    pieces : int
-        Into which a range of all keys is cut at most.
-
-    Returns
-    -------
-    list of KeyMove
-    """
-    if not capacities:
-        return []
-    levels = dict.fromkeys(capacities, 0.0)
-    widths = dict.fromkeys(capacities, 0)
-    for r, keys in _rates_by_range(assignment, rates):
-        if r.owner in levels:
-            levels[r.owner] += sum(rate for _, rate in keys) / capacities[r.owner]
-            widths[r.owner] += r.last - r.first + 1
-    moves = []
-    for r in homeless:
-        for first, last, rate in _pieces(r, rates, pieces):
-            owner = min(levels, key=lambda name: (levels[name], widths[name]))
-            levels[owner] += rate / capacities[owner]
-            widths[owner] += last - first + 1
-            moves.append(KeyMove(first, last, owner))
-    return moves
-
-
-def _pieces(
-    r: KeyRange, rates: Sequence[tuple[int, float]], pieces: int
-) -> list[tuple[int, int, float]]:
-    """Cut a range into parts of like rate, or of like width where nobody asks."""
-    keys = [(key, rate) for key, rate in rates if r.first <= key <= r.last]
-    total = sum(rate for _, rate in keys)
-    width = r.last - r.first + 1
-    count = max(1, min(pieces, width, round(pieces * width / (LAST_KEY + 1) + 0.49)))
-    if total and len(keys) > 1:
-        return _cut_by_rate(r, keys, total / max(2, min(4, len(keys), count + 1)))
-    cuts = [r.first + width * i // count for i in range(count + 1)]
-    return [(cuts[i], cuts[i + 1] - 1, 0.0) for i in range(count)]
-
-
-def _cut_by_rate(
-    r: KeyRange, keys: list[tuple[int, float]], each: float
-) -> list[tuple[int, int, float]]:
-    parts, first, total = [], r.first, 0.0
-    for i, (key, rate) in enumerate(keys[:-1]):
-        total += rate
-        if total >= each:
-            last = max(key, (key + keys[i + 1][0] - 1) // 2)
-            parts.append((first, last, total))
-            first, total = last + 1, 0.0
-    parts.append((first, r.last, total + keys[-1][1]))
-    return parts
-
-
-def mend(
-    assignment: Assignment,
-    rates: Sequence[tuple[int, float]],
-    capacities: dict[str, float],
-) -> list[KeyMove]:
-    """Return moves that make one range of three.
-
-    Keys that were busy for a moment have cut the ranges up, and each range costs a
-    grant every 0.8 s for as long as it lasts.
-
-    Parameters
-    ----------
-    assignment : Assignment
-    rates : sequence of tuple
-        Keys in order, each with its requests a second.
-    capacities : dict of str to float
-        Requests a second that each target can serve; only these take.
-
-    Returns
-    -------
-    list of KeyMove
-        At most ``MOVES``, the narrowest first.
-    """
-    held = _rates_by_range(assignment, rates)
-    found = []
-    for (one, _), (middle, keys), (other, _) in zip(
-        held, held[1:], held[2:], strict=False
-    ):
-        settled = not (one.former or middle.former or other.former)
-        owner = one.owner
-        if not settled or owner != other.owner or owner not in capacities:
-            continue
-        if middle.owner == owner:
-            # Nothing has to change hands here; one fence for all three will do.
-            continue
-        if middle.last - middle.first >= MENDED_KEYS:
-            continue
-        if sum(rate for _, rate in keys) <= MENDED_BELOW * capacities[owner]:
-            found.append(KeyMove(middle.first, middle.last, owner))
-    moves: list[KeyMove] = []
-    for move in sorted(found, key=lambda m: (m.last - m.first, m.first)):
-        beside = any(
-            move.first <= m.last + 1 and m.first <= move.last + 1 for m in moves
-        )
-        if not beside and len(moves) < MOVES:
-            moves.append(move)
-    return moves
--- a/packages/entry/src/berylstage_entry/granting.py
+++ b/packages/entry/src/berylstage_entry/granting.py
@@ -9,10 +9,12 @@
 
 from berylstage_entry.assignment import KeyRange, nobody
 from berylstage_entry.assignment_writer import AssignmentWriter
-from berylstage_entry.balance import CALM_PERIOD, KeyLoads, Rounds, deal, mend
+from berylstage_entry.balance import CALM_PERIOD, Rounds
 from berylstage_entry.clock import now
+from berylstage_entry.dealing import deal, mend
 from berylstage_entry.errors import StoreError
 from berylstage_entry.holds import RENEWAL
+from berylstage_entry.key_loads import KeyLoads
 from berylstage_entry.moves import FENCES, Moves
 from berylstage_entry.renewals import Renewals, note_fault
 from berylstage_entry.speeds import TargetSpeeds
--- /dev/null
+++ b/packages/entry/src/berylstage_entry/key_loads.py
@@ -0,0 +1,89 @@
+"""How often each key is asked for, fading, and keys that go to another owner."""
+
+from __future__ import annotations
+
+from math import log
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from berylstage_entry.assignment import Assignment, KeyRange
+
+# Seconds after which half of a key's counted requests are forgotten: long enough to
+# tell a busy key by a handful of requests, short enough for keys that are busy for 4 s.
+# With 1.5 s the worst seconds of 13 targets earn 0.85, with 0.7 s 0.88 of the credit
+# (`make bench-owned`).
+HALF_LIFE = 0.7
+# Seconds for which requests are taken to have come, at least. Counts of a shorter time
+# tell little: one request of 0.2 s would count as five a second.
+LEAST_AGE = 0.7
+# Counts below which a key is forgotten.
+LEAST_WEIGHT = 0.05
+
+
+class KeyLoads:
+    """Requests for each key, fading."""
+
+    __slots__ = ("_at", "_since", "weights")
+
+    def __init__(self, now: float):
+        self.weights: dict[int, float] = {}
+        self._at = now
+        # Since when requests have been counted.
+        self._since = now
+
+    def add(self, key: int, count: float) -> None:
+        """Count requests for a key."""
+        self.weights[key] = self.weights.get(key, 0.0) + count
+
+    def fade(self, now: float) -> None:
+        """Forget what is old."""
+        if not self.weights:
+            self._since = now
+        factor = 0.5 ** ((now - self._at) / HALF_LIFE)
+        self._at = now
+        faded = {key: weight * factor for key, weight in self.weights.items()}
+        self.weights = {k: w for k, w in faded.items() if w >= LEAST_WEIGHT}
+
+    def rates(self) -> list[tuple[int, float]]:
+        """Return all keys with their requests a second, in the order of the keys."""
+        # Counts have not yet grown to their full weight when they began a moment ago.
+        # Taken as if they had, targets with long queues seemed idle for a second after
+        # the first request, and after each change of the VM that deals out keys.
+        age = max(LEAST_AGE, self._at - self._since)
+        counted = 1 - 0.5 ** (age / HALF_LIFE)
+        scale = log(2) / HALF_LIFE / counted
+        return sorted((key, weight * scale) for key, weight in self.weights.items())
+
+
+class KeyMove:
+    """Keys that go to another owner.
+
+    Parameters
+    ----------
+    first, last : int
+    owner : str
+    """
+
+    __slots__ = ("first", "last", "owner")
+
+    def __init__(self, first: int, last: int, owner: str):
+        self.first = first
+        self.last = last
+        self.owner = owner
+
+
+def rates_by_range(
+    assignment: Assignment, rates: Sequence[tuple[int, float]]
+) -> list[tuple[KeyRange, list[tuple[int, float]]]]:
+    """Return each range with its keys and their rates."""
+    held: list[tuple[KeyRange, list[tuple[int, float]]]] = []
+    i = 0
+    for r in assignment.ranges:
+        keys = []
+        while i < len(rates) and rates[i][0] <= r.last:
+            keys.append(rates[i])
+            i += 1
+        held.append((r, keys))
+    return held
--- a/packages/entry/src/berylstage_entry/membership.py
+++ b/packages/entry/src/berylstage_entry/membership.py
@@ -100,10 +100,21 @@
         """Return the names of the known VMs, this one included."""
         return [member.name for member in self._members]
 
-    def stands_by(self) -> bool:
-        """Tell whether this VM stands by for the duty in its data centre."""
+    def stands_by(self, holder: str) -> bool:
+        """Tell whether this VM stands by for the duty in its data centre.
+
+        Parameters
+        ----------
+        holder : str
+            Where the VM with the duty listens. It does not stand by for itself: where
+            all VMs are in one data centre, nobody would.
+        """
         home = self._cfg.data_centre
-        neighbours = [m.name for m in self._members if m.data_centre == home]
+        neighbours = [
+            member.name
+            for member in self._members
+            if member.data_centre == home and member.control != holder
+        ]
         return stands_by(self._cfg.vm, neighbours)
 
     def _heard(self, what: str) -> None:
--- a/packages/entry/tests/granting_world.py
+++ b/packages/entry/tests/granting_world.py
@@ -12,6 +12,7 @@
 from berylstage_entry.feed import Feed
 from berylstage_entry.granting import Granting
 from berylstage_entry.office import CONTACT_PATH, Office
+from berylstage_policy.standby import stands_by
 from fakes import (
     FencedTargets,
     JsonRecords,
@@ -68,10 +69,16 @@
             self.view, self.feed, directory, self.office, world.wire
         )
         self.office.inherit = self.granting.inherit
+        self.feed.is_teller = self.office.holds
+        self.feed.is_standby = lambda: self._stands_by(world, name)
         self.feed.start()
         self.office.start()
         self.granting.start()
 
+    def _stands_by(self, world, name):
+        holder = self.office.holder_address()
+        return stands_by(name, [vm for vm in world.vms if vm != holder])
+
     def kill(self):
         self.feed.stop()
         self.granting.stop()
--- a/packages/entry/tests/test_balance.py
+++ b/packages/entry/tests/test_balance.py
@@ -2,18 +2,10 @@
 
 from __future__ import annotations
 
-from itertools import pairwise
 from random import Random
 
 from berylstage_entry.assignment import LAST_KEY, Assignment, KeyRange
-from berylstage_entry.balance import (
-    CALM_PERIOD,
-    KeyLoads,
-    Rounds,
-    deal,
-    mend,
-    rebalance,
-)
+from berylstage_entry.balance import CALM_PERIOD, Rounds, rebalance
 
 
 def even(names):
@@ -128,90 +120,3 @@
         rounds = Rounds(100.0)
         assert rounds.moves(100.0, even(NAMES), rates, capacities)
         assert not rounds.moves(100.5, even(NAMES), rates, capacities)
-
-
-class TestDeal:
-    def test_keys_of_a_lost_target_are_spread(self):
-        capacities = dict.fromkeys(NAMES[1:], 20.0)
-        rates = skewed(60)
-        assignment = even(NAMES)
-        moves = deal([assignment.ranges[0]], assignment, rates, capacities, 12)
-        assert moves[0].first == 0
-        assert moves[-1].last == assignment.ranges[0].last
-        for one, other in pairwise(moves):
-            assert other.first == one.last + 1
-
-
-class TestKeyLoads:
-    def rate_after(self, seconds, begin=100.0):
-        loads = KeyLoads(begin)
-        for tick in range(round(seconds / 0.05)):
-            loads.fade(begin + tick * 0.05)
-            loads.add(7, 1.5)
-        loads.fade(begin + seconds)
-        return dict(loads.rates())[7]
-
-    def test_rate_is_known_within_a_second_of_the_first_request(self):
-        # Thirty requests a second come for one key from the first moment on. Taken for
-        # a quarter of that, its owner seems idle while a queue grows before it.
-        for seconds in (0.7, 1.0, 3.0, 20.0):
-            assert 25 < self.rate_after(seconds) < 36
-
-    def test_single_requests_are_no_rate(self):
-        loads = KeyLoads(100.0)
-        loads.fade(100.0)
-        loads.add(7, 1)
-        loads.fade(100.1)
-        assert dict(loads.rates())[7] < 2
-
-    def test_rate_of_what_begins_after_a_pause(self):
-        loads = KeyLoads(100.0)
-        loads.add(9, 1)
-        for tick in range(1000):
-            loads.fade(100.0 + tick * 0.05)
-        begin = 150.0
-        for tick in range(20):
-            loads.fade(begin + tick * 0.05)
-            loads.add(7, 1.5)
-        loads.fade(begin + 1.0)
-        assert 25 < dict(loads.rates())[7] < 36
-
-
-class TestMend:
-    def cut(self):
-        """Return an assignment of three targets, of which two pieces were cut out."""
-        pieces = [KeyRange(100, 120, "t1", 1, 11), KeyRange(30000, 30400, "t0", 1, 12)]
-        return even(NAMES[:3]).replace(pieces, 13)
-
-    def test_narrow_ranges_go_back_to_the_owner_around_them(self):
-        # Busy keys were spread, and are quiet again. Each of the ranges that are left
-        # costs a grant every 0.8 s until the end of days.
-        assignment = self.cut()
-        moves = mend(assignment, [(40000, 9.0)], dict.fromkeys(NAMES[:3], 20.0))
-        assert [(m.first, m.last, m.owner) for m in moves] == [
-            (100, 120, "t0"),
-            (30000, 30400, "t1"),
-        ]
-
-    def test_busy_keys_stay_where_they_are(self):
-        moves = mend(self.cut(), [(110, 5.0)], dict.fromkeys(NAMES[:3], 20.0))
-        assert [m.first for m in moves] == [30000]
-
-    def test_keys_on_the_move_are_left_alone(self):
-        moving = KeyRange(100, 120, "t1", 1, 21, "t0", 1)
-        assignment = self.cut().replace([moving], 22)
-        moves = mend(assignment, [], dict.fromkeys(NAMES[:3], 20.0))
-        assert [m.first for m in moves] == [30000]
-
-    def test_target_that_may_not_take_keys_gets_none(self):
-        moves = mend(self.cut(), [], {"t1": 20.0})
-        assert [m.owner for m in moves] == ["t1"]
-
-    def test_ranges_of_one_owner_do_not_move_to_it(self):
-        # Three ranges of one target have three fences. Moved to the target that has
-        # them, they were taken from it and given back once a second, and callers were
-        # turned away each time.
-        piece = KeyRange(100, 120, "t0", 1, 11)
-        assignment = even(NAMES[:3]).replace([piece], 12)
-        assert len(assignment.ranges) == 5
-        assert mend(assignment, [], dict.fromkeys(NAMES[:3], 20.0)) == []
--- /dev/null
+++ b/packages/entry/tests/test_key_loads.py
@@ -0,0 +1,40 @@
+"""Tests of how often each key is asked for."""
+
+from __future__ import annotations
+
+from berylstage_entry.key_loads import KeyLoads
+
+
+class TestKeyLoads:
+    def rate_after(self, seconds, begin=100.0):
+        loads = KeyLoads(begin)
+        for tick in range(round(seconds / 0.05)):
+            loads.fade(begin + tick * 0.05)
+            loads.add(7, 1.5)
+        loads.fade(begin + seconds)
+        return dict(loads.rates())[7]
+
+    def test_rate_is_known_within_a_second_of_the_first_request(self):
+        # Thirty requests a second come for one key from the first moment on. Taken for
+        # a quarter of that, its owner seems idle while a queue grows before it.
+        for seconds in (0.7, 1.0, 3.0, 20.0):
+            assert 25 < self.rate_after(seconds) < 36
+
+    def test_single_requests_are_no_rate(self):
+        loads = KeyLoads(100.0)
+        loads.fade(100.0)
+        loads.add(7, 1)
+        loads.fade(100.1)
+        assert dict(loads.rates())[7] < 2
+
+    def test_rate_of_what_begins_after_a_pause(self):
+        loads = KeyLoads(100.0)
+        loads.add(9, 1)
+        for tick in range(1000):
+            loads.fade(100.0 + tick * 0.05)
+        begin = 150.0
+        for tick in range(20):
+            loads.fade(begin + tick * 0.05)
+            loads.add(7, 1.5)
+        loads.fade(begin + 1.0)
+        assert 25 < dict(loads.rates())[7] < 36
