--- a/packages/entry/src/berylstage_entry/balance.py
+++ b/packages/entry/src/berylstage_entry/balance.py
@@ -28,7 +28,8 @@
 # round waits until this many seconds after the last one that moved something: each
 # costs two writes into the store and interrupts the requests of its keys. A single key
 # that asks for more than any target can do, or targets that are all full, would have
-# rounds all the time: 3 times the writes for the same credit (`make bench-owned`).
+# rounds all the time: with no such bounds 3 to 5 times the writes bring the same credit
+# (`make bench-owned`).
 URGENT_ABOVE = 0.8
 URGENT_GAIN = 0.25
 CALM_PERIOD = 1.0
--- a/packages/entry/src/berylstage_entry/granting.py
+++ b/packages/entry/src/berylstage_entry/granting.py
@@ -31,7 +31,7 @@
 TICK = 0.05
 # Seconds between two looks whether keys are to be moved for balance. With 0.35 s a
 # queue of half a second grew before the owner of keys that had become busy: the worst
-# seconds of 44 targets earn 0.85 with it, and 0.91 with 0.1 s (`make bench-owned`).
+# seconds of 44 targets earn 0.85 with it, and 0.90 with 0.1 s (`make bench-owned`).
 BALANCE_PERIOD = 0.1
 # Parts into which all keys are cut for each target at the start.
 FIRST_PIECES = 1
--- a/packages/entry/src/berylstage_entry/key_loads.py
+++ b/packages/entry/src/berylstage_entry/key_loads.py
@@ -12,7 +12,7 @@
 
 # Seconds after which half of a key's counted requests are forgotten: long enough to
 # tell a busy key by a handful of requests, short enough for keys that are busy for 4 s.
-# With 1.5 s the worst seconds of 13 targets earn 0.85, with 0.7 s 0.88 of the credit
+# With 1.5 s the worst seconds of 44 targets earn 0.87, with 0.7 s 0.90 of the credit
 # (`make bench-owned`).
 HALF_LIFE = 0.7
 # Seconds for which requests are taken to have come, at least. Counts of a shorter time
