--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -64,7 +64,8 @@
             first = self._number
             await asyncio.sleep(LAST)
             load.cancel()
-            await asyncio.wait(self._asked, timeout=5.0)
+            if self._asked:
+                await asyncio.wait(self._asked, timeout=5.0)
             return [*world.ledger.faults(), *self._unserved(world, first)], str(
                 dict(world.ledger.outcomes().most_common())
             )
