Look at the assignment right before a renewal; reckon with holds by their keys

By the log the VM with the duty had asked a silent target whether it was back; in this moment the lapse of its holds was over, its keys moved without its word (handover false), and the renewal that had been worked out before the question went out under the old fence, which the target had no reason to refuse. Beside it: a move counted the holds that were known when it was decided, though renewals go on until it is written; and a move whose end was not written yet was made again at each look.

Ruled out: a change of the duty (one VM had it all the while), orders under the wrong revision, late datagrams (grants go by the holder's own view).

Change: the question comes first, then the look at the assignment, with nothing awaited before the order; lapses are kept by ranges of keys; a move is granted only as the assignment has all of its keys; an ended move is renewed no sooner than other grants.

--- a/packages/entry/src/berylstage_entry/granting.py
+++ b/packages/entry/src/berylstage_entry/granting.py
@@ -312,13 +312,10 @@
         began = now()
         handover = self._moves.handover(r)
         if handover is None:
-            handed = await self._moves.take_back(r)
-            if handed is None:
-                return
-            if not self._goes_on(service, r):
-                return
-            self._moves.let_go(r, handed)
-            handover = handed
+            handover = await self._moves.take_back(r)
+        if handover is None or not self._goes_on(service, r):
+            return
+        self._moves.let_go(r, handover)
         known = self._directory.known.get(r.owner)
         if known is None or known.target.life != r.life:
             return
@@ -341,6 +338,10 @@
         state.ended.append(r)
         if state.settling is None or state.settling.done():
             state.settling = asyncio.create_task(self._settle(service, state))
+        # A move whose end is not written yet is begun again, which renews the new
+        # owner's grant. Without a pause that takes a call a moment for each such move
+        # while the store is slow, and the VM gets to nothing else.
+        await asyncio.sleep(RENEWAL)
 
     def _goes_on(self, service: str, r: KeyRange) -> bool:
         """Tell whether keys go to the owner that a move was begun for.
@@ -353,7 +354,7 @@
         """
         pending = self._state(service).pending
         known = [self._feed.assignments[service], *([pending] if pending else [])]
-        return all(each.find(r.first).fence == r.fence for each in known)
+        return all(each.has(r) for each in known)
 
     async def _settle(self, service: str, state: _Service) -> None:
         """Write that moves have ended: those that end together in one write."""
--- a/packages/entry/src/berylstage_entry/holds.py
+++ b/packages/entry/src/berylstage_entry/holds.py
@@ -49,19 +49,47 @@
 class TargetHold:
     """What this VM knows of the holds of one life of a target."""
 
-    __slots__ = ("has_ended", "lapse", "silent_since")
+    __slots__ = ("_lapses", "has_ended", "lapse", "silent_since")
 
     def __init__(self) -> None:
         # When nothing holds any more that this VM ordered.
         self.lapse = float("-inf")
+        # The same for each range of keys that was ordered, by its first and last key.
+        self._lapses: dict[tuple[int, int], float] = {}
         # Since when it has not answered; 0 while it answers.
         self.silent_since = 0.0
         # Whether its life is over for certain, so that it holds nothing.
         self.has_ended = False
 
-    def ordered(self, now: float, hold: float) -> None:
-        """Note that an order is about to be sent."""
-        self.lapse = max(self.lapse, lapse_of(now, hold))
+    def ordered(self, now: float, hold: float, first: int, last: int) -> None:
+        """Note that an order for some keys is about to be sent."""
+        lapse = lapse_of(now, hold)
+        self.lapse = max(self.lapse, lapse)
+        if (first, last) not in self._lapses:
+            self._lapses = {k: end for k, end in self._lapses.items() if end > now}
+        known = self._lapses.get((first, last), lapse)
+        self._lapses[first, last] = max(known, lapse)
+
+    def lapse_on(self, first: int, last: int) -> float:
+        """Return when nothing holds any of some keys that this VM ordered.
+
+        A target's other keys are renewed while some of its keys move, so the end of all
+        its holds never comes. What was known when the move was decided is not enough
+        either: renewals go on until the move is written, which takes as long as the
+        store is slow, and a silent target would keep what they brought it.
+
+        Parameters
+        ----------
+        first, last : int
+            Keys, both included.
+
+        Returns
+        -------
+        float
+            Monotonic seconds; minus infinity when nothing was ordered.
+        """
+        ends = [end for (a, b), end in self._lapses.items() if a <= last and b >= first]
+        return max(ends, default=float("-inf"))
 
     def answered(self) -> None:
         """Note an answer."""
--- a/packages/entry/src/berylstage_entry/moves.py
+++ b/packages/entry/src/berylstage_entry/moves.py
@@ -59,9 +59,6 @@
         self._renewals = renewals
         # Moves whose former owner holds nothing any more, with what it handed over.
         self._let_go: dict[tuple[int, int, int], str] = {}
-        # When nothing holds any more that let the former owner of moving keys hold
-        # them. Its other keys are renewed all the while.
-        self._covered: dict[tuple[int, int, int], float] = {}
         # Fence of the last try to take keys back, by move.
         self._tries: dict[tuple[int, int, int], int] = {}
         # Fences of the moves that were begun in this term.
@@ -71,7 +68,6 @@
         """Forget everything: another VM may have gone on with these moves."""
         self._let_go.clear()
         self._tries.clear()
-        self._covered.clear()
         self._own_fences.clear()
 
     def handover(self, r: KeyRange) -> str | None:
@@ -147,8 +143,6 @@
         if r.former and (r.first, r.last, r.fence) not in self._let_go:
             former, former_life = r.former, r.former_life
         self._own_fences.add(fence)
-        hold = self._renewals.hold((former, former_life))
-        self._covered[first, last, fence] = hold.lapse
         return KeyRange(first, last, owner, life, fence, former, former_life)
 
     async def take_back(self, r: KeyRange) -> str | None:
@@ -174,8 +168,9 @@
 
     def _lapsed(self, r: KeyRange) -> bool:
         """Tell whether nothing ordered by anybody can still hold moving keys."""
-        covered = self._covered.get((r.first, r.last, r.fence), float("-inf"))
-        return now() >= max(covered, self._office.others_lapse)
+        hold = self._renewals.hold((r.former, r.former_life))
+        ordered = hold.lapse_on(r.first, r.last)
+        return now() >= max(ordered, self._office.others_lapse)
 
     async def _waited_for(self, r: KeyRange) -> str | None:
         """Settle a move that another VM began and said nothing of.
@@ -202,8 +197,7 @@
             # the keys (seen for 2.5 s). A release leaves no fence behind, a grant does,
             # and a target that has seen it refuses the renewal.
             order = GrantOrder(r.first, r.last, fence, self._office.hold())
-            hold.ordered(now(), order.hold)
-            self._covered[r.first, r.last, r.fence] = hold.lapse
+            hold.ordered(now(), order.hold, r.first, r.last)
             await self._wire.grant(target, order, ORDER_TIMEOUT)
             handover = await self._wire.release(
                 target, r.first, r.last, fence, RELEASE_TIMEOUT
--- a/packages/entry/src/berylstage_entry/renewals.py
+++ b/packages/entry/src/berylstage_entry/renewals.py
@@ -100,7 +100,7 @@
         order = GrantOrder(r.first, r.last, r.fence, self._office.hold(), handover)
         if not self._office.holds():
             return False
-        hold.ordered(now(), order.hold)
+        hold.ordered(now(), order.hold, r.first, r.last)
         try:
             taken = await self._wire.grant(target, order, ORDER_TIMEOUT)
         except CallFailed as exc:
@@ -149,9 +149,12 @@
         granted: set[tuple[int, int, int]] = set()
         renewed_at, prolonged = float("-inf"), False
         while self._office.holds() and not hold.has_ended:
-            mine = self._owned(target)
-            if not mine:
+            if not self._owned(target):
                 return
+            if hold.silent_since and not await self._answers(target):
+                await asyncio.sleep(PROBE_PERIOD)
+                continue
+            mine = self._owned(target)
             moment = now()
             is_due = (
                 moment - renewed_at >= RENEWAL or prolonged != self._office.prolongs
@@ -159,15 +162,23 @@
             # What has just come is granted at once, and alone: with a few moves a
             # second three in four of all grants renewed what had just been renewed.
             due = mine if is_due else [r for r in mine if _mark(r) not in granted]
-            if due and hold.silent_since and not await self._answers(target):
-                await asyncio.sleep(PROBE_PERIOD)
-                continue
             if is_due:
                 renewed_at, prolonged = moment, self._office.prolongs
-            await asyncio.gather(*(self.grant(target, r) for r in due))
+            await asyncio.gather(*(self._grant_owned(target, r) for r in due))
             granted = {_mark(r) for r in mine}
             await asyncio.sleep(TICK)
 
+    async def _grant_owned(self, target: Target, r: KeyRange) -> None:
+        """Renew one range, unless it has begun to move since it was found due.
+
+        A move of keys whose owner was silent ends at once, with a grant to the new
+        owner. A renewal that was worked out before would then bring the keys back to
+        the former one, which has seen no fence that forbids it. So the assignment is
+        looked at with nothing awaited between this look and the order.
+        """
+        if any(mine is r for mine in self._owned(target)):
+            await self.grant(target, r)
+
     async def _answers(self, target: Target) -> bool:
         """Tell whether a target that had fallen silent answers again."""
         cfg = self._directory.configuration
--- a/packages/entry/tests/fakes.py
+++ b/packages/entry/tests/fakes.py
@@ -56,6 +56,8 @@
         self.away = False
         # Seconds after which writes are carried out whose answers are lost; 0 for none.
         self.late_writes = 0.0
+        # Seconds that each write takes.
+        self.write_delay = 0.0
         self.leases: dict[int, float] = {}
         self.lengths: dict[int, float] = {}
         self.bound: dict[str, int] = {}
@@ -111,6 +113,9 @@
             )
             await asyncio.sleep(0.1)
             raise StoreSilent("the answer is lost")
+        if self.write_delay:
+            await asyncio.sleep(self.write_delay)
+            self._check()
         return self._write(conditions, writes, removals)
 
     def _write_late(self, conditions, writes, removals):
@@ -229,6 +234,8 @@
         self.delay = 0.0
         # Seconds that each grant takes on its way, and releases do not.
         self.grant_delay = 0.0
+        # Seconds after which a target answers the question for its load.
+        self.probe_delay = 0.0
         # Seconds that the work on released keys takes to end.
         self.release_delay = 0.0
         self._rng = Random(7)
@@ -315,8 +322,9 @@
         self.probed.append(target.name)
         if target.name in self.ended:
             raise TargetEnded(target.name)
+        await asyncio.sleep(self.probe_delay)
         if target.name in self.silent:
-            await asyncio.sleep(timeout)
+            await asyncio.sleep(timeout - self.probe_delay)
             raise AnswerLost("silent")
         return self.reports.get(target.name)
 
--- a/packages/entry/tests/test_granting.py
+++ b/packages/entry/tests/test_granting.py
@@ -20,6 +20,8 @@
     configuration,
     settings,
 )
+from granting_world import VMS, World
+from virtual_time import virtual_loop
 
 
 class KnownPeers:
@@ -162,6 +164,87 @@
 
         asyncio.run(play())
 
+    @pytest.mark.parametrize("offset", [0.0, 0.1, 0.2, 0.3, 0.4, 0.5, 0.6])
+    def test_silent_target_that_answers_as_its_keys_move_gets_none(self, offset):
+        # A target has not answered for so long that its keys go to another one without
+        # its word. In this moment it answers the question whether it is back. What was
+        # to be renewed was worked out before the question; renewed now, the keys would
+        # have two owners, and each of them would book the same seat.
+        with virtual_loop() as loop:
+            world = World(loop)
+            world.run(offset)
+            world.wire.probe_delay = 0.35
+            world.wire.silent.add("a")
+
+            def moved():
+                return any(
+                    r.former == "a"
+                    for vm in world.vms.values()
+                    for r in vm.feed.assignments["s"].ranges
+                )
+
+            end = now() + 8.0
+            while not moved():
+                assert now() < end
+                world.run(0.01)
+            world.wire.silent.clear()
+            world.run(2.0)
+            for name in VMS:
+                world.kill(name)
+            assert not world.faults()
+
+    def test_renewal_while_a_move_is_being_written_is_waited_for(self, store):
+        # A move is being written for longer than a hold lasts, and the former owner is
+        # renewed meanwhile, since the move may yet fail. Then the owner falls silent.
+        # Its keys must wait for the last of these renewals, not for those that were
+        # known when the move was decided.
+        async def play():
+            wire = FencedTargets()
+            vm = Vm("vm-1", store, wire)
+            vm.start()
+            await until(lambda: all_held(wire))
+            store.late_writes = 6.0
+            put_target(store, "a", leaving=True)
+            await asyncio.sleep(3.4)
+            wire.silent.add("a")
+            await asyncio.sleep(1.6)
+            store.late_writes = 0.0
+            await until(lambda: "a" not in owners(vm), 12.0)
+            await asyncio.sleep(2.0)
+            await until(lambda: all_held(wire), 12.0)
+            vm.kill()
+            assert not wire.doubly_held()
+
+        asyncio.run(play())
+
+    def test_move_that_has_ended_is_not_made_again(self, store):
+        # The end of a move is not written yet, since the store is slow. Begun again in
+        # this time, each move takes more grants, and where many keys move the VM with
+        # the duty gets to nothing else.
+        async def play():
+            wire = FencedTargets()
+            vm = Vm("vm-1", store, wire)
+            vm.start()
+            await until(lambda: all_held(wire))
+            before = len(wire.ordered)
+            store.write_delay = 0.25
+            put_target(store, "a", leaving=True)
+            await until(lambda: "a" not in owners(vm))
+            moved = {
+                (r.owner, r.first, r.fence)
+                for r in vm.feed.assignments["s"].ranges
+                if r.former
+            }
+            await until(
+                lambda: not any(r.former for r in vm.feed.assignments["s"].ranges)
+            )
+            ordered = wire.ordered[before:]
+            vm.kill()
+            assert moved
+            assert [ordered.count(order) for order in moved] == [1] * len(moved)
+
+        asyncio.run(play())
+
     def test_write_in_doubt_is_settled_before_anything_is_granted(self, store):
         # The answer to a write of the assignment is lost, and the write is carried out
         # a second later. A VM that went on from the assignment before would grant by
--- a/packages/entry/tests/test_ownership_mutations.py
+++ b/packages/entry/tests/test_ownership_mutations.py
@@ -6,11 +6,14 @@
 
 from __future__ import annotations
 
+import asyncio
+
 import pytest
 from berylstage_entry.clock import now
 from berylstage_entry.holds import ORDER_TIMEOUT, TargetHold
 from berylstage_entry.moves import Moves
 from berylstage_entry.office import Office
+from berylstage_entry.renewals import TICK, Renewals
 from granting_world import VMS, World
 from virtual_time import virtual_loop
 
@@ -64,6 +67,33 @@
         world.run(0.15)
 
 
+def silent_target_answers_as_its_keys_move(world):
+    # It answers the question whether it is back while its keys go to another one.
+    world.wire.probe_delay = 0.35
+    world.wire.silent.add("a")
+    end = now() + 8.0
+    while now() < end and not any(r.former == "a" for r in ranges(world)):
+        world.run(0.01)
+    world.wire.silent.clear()
+    world.run(2.0)
+
+
+def ranges(world):
+    return [r for vm in world.vms.values() for r in vm.feed.assignments["s"].ranges]
+
+
+async def renew_what_was_due_before(self, target):
+    """Renew what a target owned before it was asked whether it is back."""
+    hold = self.hold(target.identity)
+    while self._office.holds() and not hold.has_ended:
+        due = self._owned(target)
+        if hold.silent_since and not await self._answers(target):
+            await asyncio.sleep(2 * TICK)
+            continue
+        await asyncio.gather(*(self.grant(target, r) for r in due))
+        await asyncio.sleep(TICK)
+
+
 async def release_alone(self, target, hold, r):
     """Take keys back without a fence that would keep renewals on their way out."""
     fence = self._next_try(r)
@@ -92,7 +122,7 @@
         target_falls_silent,
         TargetHold,
         "ordered",
-        lambda self, now, hold: None,
+        lambda self, now, hold, first, last: None,
         id="orders without an answer forgotten",
     ),
     pytest.param(
@@ -116,6 +146,13 @@
         lambda self, body: True,
         id="a new process speaks for the former one",
     ),
+    pytest.param(
+        silent_target_answers_as_its_keys_move,
+        Renewals,
+        "_renew",
+        renew_what_was_due_before,
+        id="renewals worked out before a move",
+    ),
     pytest.param(
         busy_keys_move_while_renewals_are_on_their_way,
         Moves,
