--- a/packages/entry/src/berylstage_entry/journey.py
+++ b/packages/entry/src/berylstage_entry/journey.py
@@ -57,6 +57,7 @@
         "req",
         "route",
         "service",
+        "shed",
         "tried",
         "turn",
         "turned_away",
@@ -80,6 +81,8 @@
         # Its turn at the target, to be given back; None while it has none.
         self.turn: Turn | None = None
         self.waited = 0.0
+        # Times that a target turned it away although it had its turn there.
+        self.shed = 0
         self.attempts = 0
         self.tried: set[str] = set()
         # Reason of the last attempt that may have run; empty while none has.
--- a/packages/entry/src/berylstage_entry/router.py
+++ b/packages/entry/src/berylstage_entry/router.py
@@ -43,6 +43,8 @@
 # to a third of their time for it; the spread keeps them from coming all at once.
 SHORTEST_RETURN = 0.05
 LONGEST_RETURN = 0.25
+# The same for callers whose target turned them away though it had room.
+RETURN_AT_ONCE = 0.01
 # Times the wait until there is room over which refused callers are spread.
 RETURN_SPREAD = 1.25
 # Share of the bound on repeats that is used; the rest is for the clocks of the VMs,
@@ -53,6 +55,8 @@
 # refused that a moment later had room; without a limit those for a key that asks for
 # more than its owner can do were all late.
 OWNER_WAIT = 1.4
+# Weight of a new answer in the mean size of its kind.
+SIZE_GAIN = 0.05
 # Status of an answer that tells of the target's own failure.
 SERVER_ERROR = 500
 NOT_FOUND = 404
@@ -101,6 +105,8 @@
         self.vm_names: list[str] = []
         # Gets turns at targets from who keeps the queues before them.
         self.turns: Turns | None = None
+        # Mean bytes of the answers to each kind of request.
+        self._sizes: dict[str, float] = {}
         # When a request for each service came last.
         self._asked: dict[str, float] = {}
         # Requests for each key since the last report to the granting VM.
@@ -201,6 +207,16 @@
         load.told(busy, known.target.slots, pace, at)
         loads.told(load)
 
+    def answer_size(self, kind: str) -> float:
+        """Return the mean bytes of the answers to a kind of request.
+
+        Parameters
+        ----------
+        kind : str
+            Name of the route.
+        """
+        return self._sizes.get(kind, 0.0)
+
     def told_how(self, name: str, failed: bool) -> None:
         """Take in how a request of some VM went at a target.
 
@@ -395,7 +411,7 @@
         self._note_sent(name, journey.service)
         load.inflight += 1
         began = now()
-        failed, report = True, None
+        failed, report, had_turn = True, None, journey.turn is not None
         try:
             answer = await sender.send(journey.req, journey.left(began))
             failed, report = _has_failed(answer), _report_of(answer)
@@ -418,6 +434,8 @@
             load.inflight -= 1
             self._end_turn(journey, failed, report)
         self._learn(loads, journey.route.name, name, answer, now() - began)
+        if answer.not_run and not answer.misdirected and had_turn:
+            journey.shed += 1
         return self._judge(journey, name, answer)
 
     def _lost(self, journey: Journey, name: str, exc: AnswerLost) -> None:
@@ -451,6 +469,8 @@
             load.failed(moment)
             return
         load.worked(moment)
+        size = self._sizes.get(kind, float(len(answer.body)))
+        self._sizes[kind] = size + SIZE_GAIN * (len(answer.body) - size)
         if answer.load is None or not answer.load.waiting:
             loads.answered(name, kind, seconds / load.pace)
 
@@ -467,7 +487,10 @@
         if answer.not_run:
             # It is full. Without a pause its owner was asked again within a
             # millisecond, and repeats ran out for requests that they would have served.
-            self._owners.turned_away(journey, name)
+            # One that turns away a request which has its turn has slots free, and a
+            # pause would only make the answer late.
+            if journey.shed != 1:
+                self._owners.turned_away(journey, name)
             return None
         failed = answer.status >= SERVER_ERROR
         if failed and journey.route.idempotent and self._can_repeat(journey):
@@ -486,6 +509,9 @@
         if journey.lost:
             return Unanswered(journey.lost, False, detail)
         back = self._rng.uniform(SHORTEST_RETURN, LONGEST_RETURN)
+        if journey.shed:
+            # There is room; waiting would not make the next try any better.
+            back = RETURN_AT_ONCE
         if after:
             back = max(SHORTEST_RETURN, after) * self._rng.uniform(1, RETURN_SPREAD)
         return Refused(reason, back, detail)
--- a/packages/entry/src/berylstage_entry/turn_times.py
+++ b/packages/entry/src/berylstage_entry/turn_times.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from berylstage_policy.completion import OTHER_DATA_CENTRE
+from berylstage_policy.completion import CROSSING_PER_BYTE, OTHER_DATA_CENTRE
 from berylstage_policy.slot_queue import ServiceTimes
 
 if TYPE_CHECKING:
@@ -32,8 +32,11 @@
     def seconds(self, target: str, kind: str) -> float:  # noqa: D102
         return self._router.work(self._service, target, kind)
 
-    def distance(self, target: str, origin: str) -> float:  # noqa: D102
+    def distance(  # noqa: D102
+        self, target: str, origin: str, kind: str
+    ) -> float:
         known = self._directory.known.get(target)
         if known is None or known.target.data_centre == origin:
             return 0.0
-        return OTHER_DATA_CENTRE
+        size = self._router.answer_size(kind)
+        return max(OTHER_DATA_CENTRE, CROSSING_PER_BYTE * size)
--- a/packages/entry/tests/test_router.py
+++ b/packages/entry/tests/test_router.py
@@ -293,6 +293,21 @@
         assert sent[0] == "a" != sent[1]
         assert turns.given_back == [(1, True, None)]
 
+    def test_target_that_sheds_requests_with_a_turn_is_asked_again_at_once(self):
+        # Targets turn away half of the requests though they have slots free. A pause
+        # before each repeat, and before the caller comes back, makes the answer late.
+        turns = GivenTurns("a", "a")
+        began = now()
+        status, sent = play(["full", "ok"], owns_keys=True, turns=turns)
+        assert (status, sent) == (200, ["a", "a"])
+        assert now() - began < 0.04
+
+    def test_caller_of_a_target_that_sheds_may_come_back_at_once(self):
+        turns = GivenTurns("a", "a", TurnRefused(0.0))
+        ended, _ = play(["full", "full"], owns_keys=True, turns=turns)
+        assert isinstance(ended, Refused)
+        assert ended.retry_after < 0.05
+
     def test_caller_that_leaves_says_nothing_about_the_target(self):
         # Callers leave while they wait. Told as failures of the target, they had it
         # left out for all requests.
--- /dev/null
+++ b/packages/entry/tests/test_turn_times.py
@@ -0,0 +1,38 @@
+"""Tests of how queues reckon with targets."""
+
+from __future__ import annotations
+
+from random import Random
+
+from berylstage_entry.directory import Directory
+from berylstage_entry.router import Router
+from berylstage_entry.senders import Senders
+from berylstage_entry.turn_times import TurnTimes
+from berylstage_entry.wire import Record
+from berylstage_policy.completion import OTHER_DATA_CENTRE
+from fakes import BOUNDS, configuration, target
+
+
+def times(**sizes):
+    directory = Directory()
+    directory.apply(Record(configuration=configuration()), 0.0, False)
+    directory.apply(Record(target=target("a", data_centre="dc-1")), 0.0, False)
+    router = Router(directory, None, Senders(None), BOUNDS, Random(1))
+    router._sizes = sizes
+    return TurnTimes(router, directory, "s")
+
+
+class TestDistance:
+    def test_target_in_the_same_data_centre_is_near(self):
+        assert times(r=1e6).distance("a", "dc-1", "r") == 0
+
+    def test_small_answers_cross_for_little(self):
+        assert times(r=400).distance("a", "dc-2", "r") == OTHER_DATA_CENTRE
+
+    def test_large_answers_cross_only_where_much_is_won(self):
+        # Files of 90 kB, of which each data centre has some targets. Half of them
+        # crossed for some ten milliseconds.
+        assert times(r=90e3).distance("a", "dc-2", "r") > 0.25
+
+    def test_target_that_is_not_known_is_not_far(self):
+        assert times().distance("z", "dc-2", "r") == 0
--- a/packages/policy/src/berylstage_policy/completion.py
+++ b/packages/policy/src/berylstage_policy/completion.py
@@ -50,6 +50,9 @@
 # times today's requests 0.65, 0.42, 0.28 and 0.14 of them cross with 0, 0.04, 0.08 and
 # 0.16 s, and earn 0.955, 0.959, 0.960 and 0.956 (`make bench-placement`).
 OTHER_DATA_CENTRE = 0.08
+# The same for each byte of an answer, where that is more: 90 kB that cross cost about a
+# quarter of what the request is worth.
+CROSSING_PER_BYTE = 3.3e-6
 # Seconds for which a target that lost a request or failed is left alone at first, and
 # at most: the span doubles with each new failure.
 FIRST_PENALTY = 0.5
--- a/packages/policy/src/berylstage_policy/slot_queue.py
+++ b/packages/policy/src/berylstage_policy/slot_queue.py
@@ -54,7 +54,7 @@
         """Return the seconds that a target takes for a request of a kind now."""
 
     @abstractmethod
-    def distance(self, target: str, origin: str) -> float:
+    def distance(self, target: str, origin: str, kind: str) -> float:
         """Return the seconds by which a target is put behind nearer ones."""
 
 
@@ -363,14 +363,18 @@
         if len(free) == 1:
             return free[0]
         times = self._times
-        idle = min(free, key=lambda name: self._slots[name].given_at)
-        if now - self._slots[idle].given_at > IDLE_AFTER:
+        near = [
+            name for name in free if not times.distance(name, place.origin, place.kind)
+        ]
+        idle = min(near, key=lambda name: self._slots[name].given_at, default="")
+        if idle and now - self._slots[idle].given_at > IDLE_AFTER:
             if now + times.seconds(idle, place.kind) <= place.wanted:
                 return idle
         return min(
             free,
             key=lambda name: (
-                times.seconds(name, place.kind) + times.distance(name, place.origin)
+                times.seconds(name, place.kind)
+                + times.distance(name, place.origin, place.kind)
             ),
         )
 
--- a/packages/policy/tests/test_slot_queue.py
+++ b/packages/policy/tests/test_slot_queue.py
@@ -31,7 +31,7 @@
     def seconds(self, target, kind):
         return WORK * self.paces.get(target, 1.0)
 
-    def distance(self, target, origin):
+    def distance(self, target, origin, kind):
         return self.far.get((target, origin), 0.0)
 
 
@@ -119,6 +119,16 @@
             each.returned(number(n), now + 0.1)
         assert 4 <= told.count("b") <= 12
 
+    def test_idle_target_elsewhere_is_left_to_its_own_data_centre(self):
+        # Bytes that cross are paid for, and the requests of its own data centre will
+        # tell how it is.
+        each = queue(a=2, b=2)
+        each._times.far = {("b", "dc-1"): 0.3}
+        for n in range(20):
+            now = n * 0.2
+            assert [v.target for v in each.ask(place(n, now), now)] == ["a"]
+            each.returned(number(n), now + 0.1)
+
     def test_idle_target_is_not_tried_where_it_would_be_too_slow(self):
         each = queue(a=2, b=2)
         each._times.paces = {"b": 4.0}
