Log refused turns where they are decided, and tell a request's line how to find it

Cause: since queues are kept by one VM, the line of a refused request named the queue and nothing that decided it. Change: it names keeper and number, and the keeper logs how full the targets were, ten lines a second at most.

--- a/packages/entry/src/berylstage_entry/errors.py
+++ b/packages/entry/src/berylstage_entry/errors.py
@@ -50,11 +50,14 @@
     ----------
     retry_after : float
         Seconds after which there is expected to be room.
+    turn : str
+        Which turn was refused and by whom, for the log.
     """
 
-    def __init__(self, retry_after: float):
+    def __init__(self, retry_after: float, turn: str = ""):
         super().__init__(f"no room in time; come back in {retry_after:.2f} s")
         self.retry_after = retry_after
+        self.turn = turn
 
 
 class BadRequest(EntryError):
--- a/packages/entry/src/berylstage_entry/queue_keeper.py
+++ b/packages/entry/src/berylstage_entry/queue_keeper.py
@@ -16,6 +16,7 @@
 
 from berylstage_entry.clock import now
 from berylstage_entry.errors import UnreadableRecord
+from berylstage_entry.journal import LineBudget
 from berylstage_entry.server import split_address
 from berylstage_entry.turn_messages import Ask, Reply, Return, checksum
 from berylstage_entry.turn_times import TurnTimes
@@ -34,6 +35,10 @@
 # place or permit may expire, and nobody says so.
 TICK = 0.02
 
+# Lines a second about turns that were refused: together with those about requests they
+# stay below a hundredth of a core.
+REFUSAL_LINES = 10.0
+
 log = Logger(__name__)
 
 
@@ -62,6 +67,7 @@
         # Names by their checksums: queues, targets and kinds of request.
         self._names: dict[int, str] = {}
         self._task: asyncio.Task | None = None
+        self._lines = LineBudget(REFUSAL_LINES)
         # Set while requests wait in some queue.
         self._has_waiting = asyncio.Event()
         # Sends a reply to a VM, which may be this one.
@@ -107,7 +113,9 @@
             moment + ask.left,
             moment,
         )
-        self._say(queue.ask(place, moment))
+        verdicts = queue.ask(place, moment)
+        self._say(verdicts)
+        self._note_refusals(verdicts, queue, ask.queue)
         if len(queue):
             self._has_waiting.set()
 
@@ -194,6 +202,24 @@
             reply = Reply(number, verdict.say.value, verdict.seconds, target)
             self.send(host, reply)
 
+    def _note_refusals(
+        self, verdicts: list[Verdict], queue: SlotQueue, number: int
+    ) -> None:
+        for verdict in verdicts:
+            if verdict.say is Say.REFUSED and self._lines.take():
+                log.info(
+                    "turn refused",
+                    extra={
+                        "queue": self._names[number],
+                        "host": verdict.ident.host,
+                        "number": verdict.ident.number,
+                        "back_in": round(verdict.seconds, 3),
+                        "waiting": len(queue),
+                        "targets": queue.describe(now()),
+                        "left_out": self._lines.take_left_out(),
+                    },
+                )
+
     async def _run(self) -> None:
         while True:
             await self._has_waiting.wait()
--- a/packages/entry/src/berylstage_entry/router.py
+++ b/packages/entry/src/berylstage_entry/router.py
@@ -329,8 +329,7 @@
         except TurnRefused as exc:
             journey.waited += now() - began
             reason = "owner-busy" if data_centre else "no-room"
-            detail = f"queue {queue}"
-            raise self._given_up(journey, reason, detail, exc.retry_after) from exc
+            raise self._given_up(journey, reason, exc.turn, exc.retry_after) from exc
         journey.waited += now() - began
         if journey.left(now()) < LEAST_TIME:
             self._end_turn(journey)
--- a/packages/entry/src/berylstage_entry/turns.py
+++ b/packages/entry/src/berylstage_entry/turns.py
@@ -72,6 +72,10 @@
         self.keeper = keeper
         self.target = 0
 
+    def describe(self) -> str:
+        """Return what finds it in the keeper's log."""
+        return f"queue {self.queue} keeper {self.keeper} number {self.number}"
+
 
 class ReplyTimes:
     """How long replies take, and how long to wait for one.
@@ -224,9 +228,9 @@
                 if reply.say == Say.GO.value:
                     return reply.target
                 if reply.say == Say.REFUSED.value:
-                    raise TurnRefused(reply.seconds)
+                    raise TurnRefused(reply.seconds, turn.describe())
             if journey.left(now()) <= 0:
-                raise TurnRefused(0.0)
+                raise TurnRefused(0.0, turn.describe())
             if not answered:
                 unanswered += 1
             if unanswered >= ASKED:
--- a/packages/entry/tests/test_turns.py
+++ b/packages/entry/tests/test_turns.py
@@ -158,6 +158,9 @@
                 await vms[2].take()
             assert now() - began < 0.03
             assert caught.value.retry_after > 0
+            # What finds the decision in the keeper's log.
+            keeper = keeper_of(vms)[0]
+            assert caught.value.turn.startswith(f"queue a keeper {keeper} number ")
             for task in tasks:
                 task.cancel()
             await asyncio.gather(*tasks, return_exceptions=True)
--- a/packages/policy/src/berylstage_policy/slot_queue.py
+++ b/packages/policy/src/berylstage_policy/slot_queue.py
@@ -42,6 +42,8 @@
 # time. What is known of an idle target is old, and one that was slow for a moment, or
 # has just come, would never be heard of again.
 IDLE_AFTER = 1.0
+# Targets of a queue that a log line tells of.
+DESCRIBED = 4
 # Seconds after which a refused request may come back, at least.
 SHORTEST_RETURN = 0.05
 
@@ -232,6 +234,21 @@
         """Return the number of requests that wait."""
         return len(self._waiting)
 
+    def describe(self, now: float) -> str:
+        """Return how full the targets are, for the log.
+
+        Parameters
+        ----------
+        now : float
+        """
+        parts = []
+        for name, each in self._slots.items():
+            others = each.slots - each.free(now) - len(each.permits)
+            parts.append(
+                f"{name} slots {each.slots} permits {len(each.permits)} others {others}"
+            )
+        return "; ".join(parts[:DESCRIBED])
+
     def know(self, targets: Mapping[str, int]) -> None:
         """Take over which targets there are.
 
--- a/packages/policy/tests/test_slot_queue.py
+++ b/packages/policy/tests/test_slot_queue.py
@@ -175,6 +175,12 @@
         each.ask(place(1, 0.0), 0.0)
         assert said(each.ask(place(2, 0.7), 0.7), Say.REFUSED) == [2]
 
+    def test_tells_what_a_refusal_was_decided_by(self):
+        each = queue(2)
+        each.ask(place(0, 0.0), 0.0)
+        each.returned(number(9), 0.0, TargetReport("a", 2))
+        assert each.describe(0.1) == "a slots 2 permits 1 others 1"
+
     def test_no_target_is_no_room(self):
         each = SlotQueue(Times())
         assert said(each.ask(place(0, 0.0), 0.0), Say.REFUSED) == [0]
