--- a/packages/entry/src/berylstage_entry/application.py
+++ b/packages/entry/src/berylstage_entry/application.py
@@ -18,7 +18,7 @@
 from berylstage_entry.feed import Feed
 from berylstage_entry.granting import Granting
 from berylstage_entry.journal import RequestJournal
-from berylstage_entry.membership import UNKNOWN, VMS_PREFIX, Membership
+from berylstage_entry.membership import UNKNOWN, Membership
 from berylstage_entry.metrics import Metrics
 from berylstage_entry.news import FORMAT as NEWS_FORMAT
 from berylstage_entry.news import News
@@ -143,6 +143,7 @@
             }
         )
         self.metrics_page = PageServer({"/metrics": self._metrics_text})
+        self._members_revision = 0
         self.feed.listeners.append(self._heard)
         # Keeps the task that tells large values from being collected.
         self._telling: asyncio.Task | None = None
@@ -257,7 +258,8 @@
             limits = self._limits()
             if limits is not None:
                 self.server.set_limits(limits)
-        if what == "read" or what.startswith(VMS_PREFIX):
+        if self._members_revision != self.membership.revision:
+            self._members_revision = self.membership.revision
             self.router.vm_names = self.membership.names()
             vms = len(self.router.vm_names) + UNKNOWN
             self.router.vms = self.senders.vms = self.feed.vms = vms
--- a/packages/entry/src/berylstage_entry/datagrams.py
+++ b/packages/entry/src/berylstage_entry/datagrams.py
@@ -7,7 +7,6 @@
 
 from logbook import Logger
 
-from berylstage_entry.server import split_address
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -61,7 +60,7 @@
 
     def send(self, data: bytes) -> None:
         """Send a datagram to all other VMs."""
-        hosts = {split_address(m.control)[0] for m in self._membership.members()}
+        hosts = {member.host for member in self._membership.members()}
         for host in hosts - {self._host}:
             self.send_to(host, data)
 
--- a/packages/entry/src/berylstage_entry/membership.py
+++ b/packages/entry/src/berylstage_entry/membership.py
@@ -12,6 +12,7 @@
 
 from berylstage_entry.errors import LeaseEnded, StoreError
 from berylstage_entry.feed import OWN_PREFIX
+from berylstage_entry.server import split_address
 from berylstage_entry.store import Write
 
 if TYPE_CHECKING:
@@ -46,13 +47,19 @@
     data_centre : str
     power : float
         How much of what duties need it has, up to 1.
+
+    Attributes
+    ----------
+    host : str
+        Its address, without a port.
     """
 
-    __slots__ = ("control", "data_centre", "name", "power")
+    __slots__ = ("control", "data_centre", "host", "name", "power")
 
     def __init__(self, name: str, control: str, data_centre: str, power: float):
         self.name = name
         self.control = control
+        self.host, _ = split_address(control)
         self.data_centre = data_centre
         self.power = power
 
@@ -73,6 +80,8 @@
         self._feed = feed
         self._lease = 0
         self._task: asyncio.Task | None = None
+        # By their keys, with the revision that each was read at.
+        self._known: dict[str, tuple[int, Member]] = {}
         self._members: list[Member] = []
         # Grows with each change of the known VMs.
         self.revision = 0
@@ -129,17 +138,35 @@
         return best.control
 
     def _heard(self, what: str) -> None:
-        if what != "read" and not what.startswith(VMS_PREFIX):
+        if what == "read":
+            keys = {key for key in self._feed.own if key.startswith(VMS_PREFIX)}
+            changed = [key for key in keys | set(self._known) if self._take(key)]
+        elif what.startswith(VMS_PREFIX):
+            changed = [what] if self._take(what) else []
+        else:
             return
-        self.revision += 1
-        self._members = []
-        for key, item in self._feed.own.items():
-            if key.startswith(VMS_PREFIX) and item.value is not None:
-                doc = json.loads(item.value)
-                name = key.removeprefix(VMS_PREFIX)
-                where = doc["control"], doc["data_centre"]
-                member = Member(name, *where, doc["power"])
-                self._members.append(member)
+        if changed:
+            self.revision += 1
+            self._members = [member for _, member in self._known.values()]
+
+    def _take(self, key: str) -> bool:
+        """Take over what one VM's key says; tell whether that is news.
+
+        Where hundreds of VMs start or are lost at the same time, each reads hundreds of
+        such keys. Only the one that has changed is looked at, or the work grows with
+        the square of their number and callers wait for it.
+        """
+        item = self._feed.own.get(key)
+        if item is None or item.value is None:
+            return self._known.pop(key, None) is not None
+        known = self._known.get(key)
+        if known is not None and known[0] == item.revision:
+            return False
+        doc = json.loads(item.value)
+        name = key.removeprefix(VMS_PREFIX)
+        member = Member(name, doc["control"], doc["data_centre"], doc["power"])
+        self._known[key] = (item.revision, member)
+        return True
 
     async def _run(self) -> None:
         while True:
--- a/packages/entry/src/berylstage_entry/queue_keeper.py
+++ b/packages/entry/src/berylstage_entry/queue_keeper.py
@@ -17,7 +17,6 @@
 from berylstage_entry.clock import now
 from berylstage_entry.errors import UnreadableRecord
 from berylstage_entry.journal import LineBudget
-from berylstage_entry.server import split_address
 from berylstage_entry.turn_messages import Ask, Reply, Return, checksum
 from berylstage_entry.turn_times import TurnTimes
 
@@ -190,8 +189,7 @@
         if self._members_revision != self._membership.revision:
             self._members_revision = self._membership.revision
             self._centres = {
-                split_address(member.control)[0]: member.data_centre
-                for member in self._membership.members()
+                member.host: member.data_centre for member in self._membership.members()
             }
         return self._centres.get(host, "")
 
--- a/packages/entry/tests/test_membership.py
+++ b/packages/entry/tests/test_membership.py
@@ -4,6 +4,7 @@
 
 import json
 
+from berylstage_entry import membership as module
 from berylstage_entry.directory import Directory
 from berylstage_entry.feed import Feed
 from berylstage_entry.membership import VMS_PREFIX, Membership
@@ -35,3 +36,36 @@
         first = next(vm for vm in VMS if member(vm).stands_by(""))
         others = [vm for vm in VMS if vm != first]
         assert sum(member(vm).stands_by(f"{first}:1") for vm in others) == 1
+
+    def test_each_key_is_read_once_however_many_vms_start(self, monkeypatch):
+        # Hundreds of VMs start together, or come back after a loss. Each that read all
+        # keys again at every change of one was busy with that for its first seconds,
+        # and its first callers waited.
+        read = []
+        loads = module.json.loads
+        monkeypatch.setattr(
+            module.json, "loads", lambda value: read.append(value) or loads(value)
+        )
+        feed = Feed(None, JsonRecords(), Directory())
+        membership = Membership(settings("vm-0"), None, feed)
+        for n in range(200):
+            doc = {"control": f"10.0.0.{n}:1", "data_centre": "dc-1", "power": 1.0}
+            value = json.dumps(doc).encode()
+            feed.take_written(Item(f"{VMS_PREFIX}vm-{n}", value, n + 1))
+        feed._tell("read")
+        assert len(membership.members()) == 200
+        assert len(read) == 200
+
+    def test_reading_without_news_changes_nothing(self):
+        # What is worked out from the known VMs is worked out anew at each change.
+        feed = Feed(None, JsonRecords(), Directory())
+        membership = Membership(settings("vm-0"), None, feed)
+        doc = {"control": "10.0.0.1:1", "data_centre": "dc-1", "power": 1.0}
+        item = Item(VMS_PREFIX + "vm-1", json.dumps(doc).encode(), 1)
+        feed.take_written(item)
+        before = membership.revision
+        feed._tell("read")
+        assert membership.revision == before
+        feed.take_written(Item(item.key, None, 2))
+        assert membership.members() == []
+        assert membership.revision > before
