Work out who keeps queues only when a VM that may keep them comes or goes

Cause: any change of the known VMs had each VM rank all VMs of a data centre for each of 360 targets, at its next look for targets to be asked for their load (every 0.1 s): 21 ms a time, on all VMs, for as long as VMs come and go.

Change: the VMs that are able are found once a change; where they are the same, all that was worked out from them holds.

--- a/packages/entry/src/berylstage_entry/turns.py
+++ b/packages/entry/src/berylstage_entry/turns.py
@@ -13,13 +13,12 @@
 from typing import TYPE_CHECKING
 
 from berylstage_policy.candidates import Candidate
-from berylstage_policy.keepers import PASSED_OVER, keepers
+from berylstage_policy.keepers import PASSED_OVER, able, first_for
 from berylstage_policy.slot_queue import Say
 from logbook import Logger
 
 from berylstage_entry.clock import now
 from berylstage_entry.errors import TurnRefused, UnreadableRecord
-from berylstage_entry.server import split_address
 from berylstage_entry.turn_messages import Ask, Reply, Return, checksum
 
 if TYPE_CHECKING:
@@ -42,6 +41,8 @@
 SPREADS = 4.0
 # Seconds between two words to a keeper of a request that waits there.
 RENEWAL = 0.1
+# Stands for all data centres.
+EVERYWHERE = ""
 # Numbers of requests under way at once are unique within these.
 NUMBERS = 1 << 32
 
@@ -123,7 +124,10 @@
         # Requests that wait for a word, by their number.
         self._waiting: dict[int, asyncio.Queue[Reply]] = {}
         self._keepers: dict[str, list[str]] = {}
-        self._revision = -1
+        # Hosts that may keep queues: of each data centre, and of all.
+        self._able: dict[str, list[str]] = {}
+        self._members_revision = -1
+        self._revision = 0
         self._lost_until: dict[str, float] = {}
         self._times = ReplyTimes()
         # Send a message to the VM of a host, which may be this one.
@@ -252,7 +256,8 @@
     @property
     def revision(self) -> int:
         """Grows with each change of who may keep queues."""
-        return self._membership.revision
+        self._look()
+        return self._revision
 
     def keeps(self, queue: str, data_centre: str = "") -> bool:
         """Tell whether a queue falls to this VM.
@@ -266,21 +271,33 @@
         return self._keepers_of(queue, data_centre)[:1] in ([], [self._host])
 
     def _keepers_of(self, queue: str, data_centre: str) -> list[str]:
-        if self._revision != self._membership.revision:
-            self._revision = self._membership.revision
-            self._keepers.clear()
+        self._look()
         known = self._keepers.get(queue)
         if known is None:
-            known = self._keepers[queue] = self._pick(queue, data_centre)
+            hosts = self._able.get(data_centre) or self._able[EVERYWHERE]
+            known = self._keepers[queue] = first_for(queue, hosts)
         return known
 
-    def _pick(self, queue: str, data_centre: str) -> list[str]:
-        members = self._membership.members()
-        near = [m for m in members if m.data_centre == data_centre]
-        candidates = [
-            Candidate(split_address(m.control)[0], m.power) for m in near or members
-        ]
-        return keepers(queue, candidates)
+    def _look(self) -> None:
+        """Take over who may keep queues, when the known VMs have changed.
+
+        Of hundreds of VMs most are too small for it. When some of these start or are
+        lost, queues stay where they are, and nothing has to be worked out anew for each
+        of hundreds of targets.
+        """
+        if self._members_revision == self._membership.revision:
+            return
+        self._members_revision = self._membership.revision
+        by_centre: dict[str, list[Candidate]] = {EVERYWHERE: []}
+        for member in self._membership.members():
+            candidate = Candidate(member.host, member.power)
+            by_centre[EVERYWHERE].append(candidate)
+            by_centre.setdefault(member.data_centre, []).append(candidate)
+        hosts = {centre: able(found) for centre, found in by_centre.items()}
+        if hosts != self._able:
+            self._able = hosts
+            self._keepers.clear()
+            self._revision += 1
 
 
 async def _next(replies: asyncio.Queue[Reply], timeout: float) -> Reply | None:
--- a/packages/entry/tests/test_turns.py
+++ b/packages/entry/tests/test_turns.py
@@ -284,3 +284,60 @@
                 vms[0].receive("10.0.0.9", bytes([kind]) + b"abc")
 
         played(step)
+
+
+class Fleet:
+    """Large VMs that keep queues, and many small ones that come and go."""
+
+    def __init__(self):
+        self.revision = 1
+        self.known = [
+            Member(f"large-{n}", f"10.0.0.{n}:1", "dc-1", 1.0) for n in range(3)
+        ]
+
+    def members(self):
+        return self.known
+
+    def come(self, name, power):
+        self.revision += 1
+        self.known = [*self.known, Member(name, "10.0.1.1:1", "dc-1", power)]
+
+    def lose(self, name):
+        self.revision += 1
+        self.known = [member for member in self.known if member.name != name]
+
+
+class TestWhoKeepsQueues:
+    def test_small_vms_that_come_and_go_change_nothing(self):
+        # Half of 195 VMs are killed and start again. Who keeps the queue before each of
+        # 360 targets was worked out anew at each of 200 changes, on all VMs, and
+        # requests waited for it.
+        fleet = Fleet()
+        turns = Turns(fleet, "10.0.0.1")
+        before, first = turns.revision, turns._keepers_of("a", "dc-1")
+        fleet.come("small", 0.2)
+        assert turns.revision == before
+        assert turns._keepers_of("a", "dc-1") is first
+        fleet.lose("small")
+        assert turns.revision == before
+
+    def test_queues_of_a_lost_keeper_go_to_another(self):
+        fleet = Fleet()
+        turns = Turns(fleet, "10.0.0.1")
+        before, first = turns.revision, turns._keepers_of("a", "dc-1")[0]
+        fleet.lose(next(m.name for m in fleet.known if m.host == first))
+        assert turns.revision > before
+        assert turns._keepers_of("a", "dc-1")[0] != first
+
+    def test_larger_vm_takes_queues_over(self):
+        fleet = Fleet()
+        turns = Turns(fleet, "10.0.0.1")
+        before = turns.revision
+        fleet.come("larger", 1.0)
+        assert turns.revision > before
+        kept = {turns._keepers_of(f"t{n}", "dc-1")[0] for n in range(50)}
+        assert "10.0.1.1" in kept
+
+    def test_data_centre_without_a_vm_has_its_queues_kept_elsewhere(self):
+        turns = Turns(Fleet(), "10.0.0.1")
+        assert len(turns._keepers_of("a", "dc-9")) == 2
--- a/packages/policy/src/berylstage_policy/keepers.py
+++ b/packages/policy/src/berylstage_policy/keepers.py
@@ -11,7 +11,7 @@
 from zlib import crc32
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Sequence
+    from collections.abc import Iterable
 
     from berylstage_policy.candidates import Candidate
 
@@ -38,10 +38,37 @@
     list of str
         At most ``TRIED``. When a VM goes, only its own queues get another one.
     """
-    able = _able(list(candidates))
-    return sorted(able, key=lambda vm: crc32(f"{queue} {vm}".encode()))[:TRIED]
+    return first_for(queue, able(candidates))
 
 
-def _able(candidates: Sequence[Candidate]) -> list[str]:
-    best = max((candidate.power for candidate in candidates), default=0.0)
-    return [c.name for c in candidates if c.power >= LEAST_SHARE * best]
+def first_for(queue: str, names: Iterable[str]) -> list[str]:
+    """Return the VMs that keep a queue, of those that are able to.
+
+    Parameters
+    ----------
+    queue : str
+    names : iterable of str
+        As :func:`able` returns them.
+
+    Returns
+    -------
+    list of str
+        At most ``TRIED``, the first one first.
+    """
+    return sorted(names, key=lambda vm: crc32(f"{queue} {vm}".encode()))[:TRIED]
+
+
+def able(candidates: Iterable[Candidate]) -> list[str]:
+    """Return the names of the VMs that have room for keeping queues, in order.
+
+    Parameters
+    ----------
+    candidates : iterable of Candidate
+
+    Returns
+    -------
+    list of str
+    """
+    known = list(candidates)
+    best = max((candidate.power for candidate in known), default=0.0)
+    return sorted(c.name for c in known if c.power >= LEAST_SHARE * best)
