--- a/packages/entry/src/berylstage_entry/datagrams.py
+++ b/packages/entry/src/berylstage_entry/datagrams.py
@@ -7,7 +7,6 @@
 
 from logbook import Logger
 
-
 if TYPE_CHECKING:
     from collections.abc import Callable
 
--- a/packages/entry/tests/test_assignment.py
+++ b/packages/entry/tests/test_assignment.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from itertools import pairwise
 from random import Random
 
 import pytest
@@ -44,7 +45,7 @@
     cuts = [0, *sorted(Random(1).sample(range(1, LAST_KEY), count - 1)), LAST_KEY + 1]
     ranges = [
         KeyRange(first, following - 1, f"i-{n:010x}", 1, n)
-        for n, (first, following) in enumerate(zip(cuts, cuts[1:], strict=False))
+        for n, (first, following) in enumerate(pairwise(cuts))
     ]
     return Assignment(ranges, 5000)
 
@@ -57,8 +58,7 @@
             assert owner_of(r.first) == owner_of(r.last) == r.owner
         assert assignment.ranges[0].first == 0
         assert assignment.ranges[-1].last == LAST_KEY
-        pairs = zip(assignment.ranges, assignment.ranges[1:], strict=False)
-        for one, other in pairs:
+        for one, other in pairwise(assignment.ranges):
             assert one.last + 1 == other.first
             assert not one.same_holding(other)
             assert assignment.find(other.first) is other
@@ -85,9 +85,9 @@
 class TestCost:
     @pytest.mark.parametrize("count", [40, 400, 4000])
     def test_change_costs_what_it_changes(self, count, monkeypatch):
-        # Busy keys move ten times a second, and each of 195 VMs checks each change. With
-        # all ranges encoded and compressed for it a small VM did little else: answers
-        # came late all over while keys moved.
+        # Busy keys move ten times a second, and each of 195 VMs checks each change.
+        # With all ranges encoded and compressed for it a small VM did little else:
+        # answers came late all over while keys moved.
         feed = Feed(None, JsonRecords(), Directory())
         tellings = Announcements(feed, None, "127.0.0.1:1")
         old = cut_up(count)
