Relieve growing queues beside a key that no target can bear

Cause: between calm rounds (one a second) keys moved only if the very busiest target's best move was urgent. With 120 targets of three speeds there is one at nearly any time whose key asks for more than any target can do and gains a little on a faster one: its move is not urgent, and no other was looked for. Ruled out: the look itself, which happens ten times a second, and the rates, which name the keys.

Change: an urgent round looks past targets without an urgent move, and makes only urgent moves; rounds grow with the targets (12 for 120); ranges are looked up by owner.

--- a/packages/entry/src/berylstage_entry/balance.py
+++ b/packages/entry/src/berylstage_entry/balance.py
@@ -33,10 +33,10 @@
 URGENT_ABOVE = 0.8
 URGENT_GAIN = 0.25
 CALM_PERIOD = 1.0
-# Moves in one round. Each interrupts its keys for the time of the work under way there,
-# a tenth of a second; with three, targets stood idle beside full ones for seconds after
-# a data centre had been closed.
-MOVES = 6
+# Moves in one round at least, and targets for each of them where there are many. Each
+# interrupts its keys for the time of the work under way there, a tenth of a second.
+LEAST_MOVES = 6
+TARGETS_A_MOVE = 10
 # Takers that are weighed for one move: the idlest, and the fastest for a single key
 # that asks for more than its owner can do.
 IDLEST = 3
@@ -45,6 +45,17 @@
 TOLERANCE = 1.05
 
 
+class _Keys:
+    """The busy keys of a range, with the rate of each and of all."""
+
+    __slots__ = ("keys", "range", "rate")
+
+    def __init__(self, of: KeyRange, keys: list[tuple[int, float]]):
+        self.range = of
+        self.keys = keys
+        self.rate = sum(rate for _, rate in keys)
+
+
 class _Side:
     """A target in a round of moves."""
 
@@ -93,12 +104,8 @@
         -------
         list of KeyMove
         """
-        if now - self._moved_at < CALM_PERIOD:
-            held = rates_by_range(assignment, rates)
-            found = _next_move(_sides(held, capacities), held, [])
-            if found is None or not found.is_urgent:
-                return []
-        moves = rebalance(assignment, rates, capacities)
+        urgent = now - self._moved_at < CALM_PERIOD
+        moves = rebalance(assignment, rates, capacities, urgent)
         if moves:
             self._moved_at = now
         return moves
@@ -108,6 +115,7 @@
     assignment: Assignment,
     rates: Sequence[tuple[int, float]],
     capacities: dict[str, float],
+    urgent: bool = False,
 ) -> list[KeyMove]:
     """Return the moves of one round.
 
@@ -118,17 +126,21 @@
         Keys in order, each with its requests a second.
     capacities : dict of str to float
         Requests a second that each target can serve; only these give or take.
+    urgent : bool
+        Whether only moves count that end a queue which grows.
 
     Returns
     -------
     list of KeyMove
-        At most ``MOVES``.
+        At most as many as :func:`most_moves` says.
     """
-    held = rates_by_range(assignment, rates)
+    held = _by_owner(assignment, rates)
     sides = _sides(held, capacities)
     moves: list[KeyMove] = []
-    while len(moves) < MOVES and len(sides) > 1:
-        found = _next_move(sides, held, moves)
+    # Targets for which there is no move; a later move of a round finds none either.
+    passed: set[str] = set()
+    while len(moves) < most_moves(len(sides)) and len(sides) > 1:
+        found = _next_move(sides, held, moves, passed, urgent)
         if found is None:
             break
         moves.append(found.move)
@@ -137,15 +149,42 @@
     return moves
 
 
+def most_moves(targets: int) -> int:
+    """Return the moves that one round may have.
+
+    A stretch of busy keys wants as many new owners as it has of all requests, and so
+    more of them the more targets there are.
+
+    Parameters
+    ----------
+    targets : int
+        That may take keys.
+
+    Returns
+    -------
+    int
+    """
+    return max(LEAST_MOVES, targets // TARGETS_A_MOVE)
+
+
+def _by_owner(
+    assignment: Assignment, rates: Sequence[tuple[int, float]]
+) -> dict[str, list[_Keys]]:
+    """Return the ranges of each owner that have busy keys."""
+    held: dict[str, list[_Keys]] = {}
+    for r, keys in rates_by_range(assignment, rates):
+        if keys:
+            held.setdefault(r.owner, []).append(_Keys(r, keys))
+    return held
+
+
 def _sides(
-    held: list[tuple[KeyRange, list[tuple[int, float]]]],
-    capacities: dict[str, float],
+    held: dict[str, list[_Keys]], capacities: dict[str, float]
 ) -> dict[str, _Side]:
     """Return the targets that give or take, with what they are asked for."""
     sides = {name: _Side(name, max(c, 0.1)) for name, c in capacities.items()}
-    for r, keys in held:
-        if r.owner in sides:
-            sides[r.owner].rate += sum(rate for _, rate in keys)
+    for name, side in sides.items():
+        side.rate = sum(each.rate for each in held.get(name, ()))
     return sides
 
 
@@ -173,36 +212,48 @@
 
 def _next_move(
     sides: dict[str, _Side],
-    held: list[tuple[KeyRange, list[tuple[int, float]]]],
+    held: dict[str, list[_Keys]],
     moves: list[KeyMove],
+    passed: set[str],
+    urgent: bool,
 ) -> _Found | None:
-    """Return the best move from the busiest target that has one."""
+    """Return the best move from the busiest target that has one.
+
+    The busiest one of all may have a key that asks for more than any target can do, and
+    no move that helps it much. Those behind it must be relieved all the same: with
+    hundreds of targets there is one such at nearly any time, and queues would grow
+    before all others.
+    """
+    least = URGENT_ABOVE if urgent else RELIEVED_ABOVE
     by_level = sorted(sides.values(), key=lambda side: side.level)
     fastest = sorted(by_level, key=lambda side: -side.capacity)[:FASTEST]
     takers = list({id(s): s for s in by_level[:IDLEST] + fastest}.values())
     for giver in reversed(by_level):
-        if giver.level < RELIEVED_ABOVE:
+        if giver.level < least:
             return None
-        found = _best_move(giver, takers, held, moves)
-        if found is not None:
+        if giver.name in passed:
+            continue
+        found = _best_move(giver, takers, held.get(giver.name, ()), moves)
+        if found is not None and (found.is_urgent or not urgent):
             return found
+        passed.add(giver.name)
     return None
 
 
 def _best_move(
     giver: _Side,
     takers: list[_Side],
-    held: list[tuple[KeyRange, list[tuple[int, float]]]],
+    held: Sequence[_Keys],
     moves: list[KeyMove],
 ) -> _Found | None:
     best: _Found | None = None
-    for r, keys in held:
-        if r.owner != giver.name or r.former or not keys or _touches(r, moves):
+    for each in held:
+        if each.range.former or _touches(each.range, moves):
             continue
         for taker in takers:
             if taker is giver:
                 continue
-            for first, last, rate in _stretches(keys, giver, taker):
+            for first, last, rate in _stretches(each.keys, giver, taker):
                 level = max(
                     (giver.rate - rate) / giver.capacity,
                     (taker.rate + rate) / taker.capacity,
--- a/packages/entry/tests/test_balance.py
+++ b/packages/entry/tests/test_balance.py
@@ -5,7 +5,13 @@
 from random import Random
 
 from berylstage_entry.assignment import LAST_KEY, Assignment, KeyRange
-from berylstage_entry.balance import CALM_PERIOD, Rounds, rebalance
+from berylstage_entry.balance import (
+    CALM_PERIOD,
+    LEAST_MOVES,
+    Rounds,
+    most_moves,
+    rebalance,
+)
 
 
 def even(names):
@@ -120,3 +126,25 @@
         rounds = Rounds(100.0)
         assert rounds.moves(100.0, even(NAMES), rates, capacities)
         assert not rounds.moves(100.5, even(NAMES), rates, capacities)
+
+    def test_hopeless_key_does_not_hold_up_the_relief_of_others(self):
+        # One key asks for more than any target can do; another target, a little faster,
+        # would be nearly as full with it. Beside it neighbouring keys become busy. As
+        # long as the hopeless target was the busiest, those queues grew for a second at
+        # a time, and a fifth of all lookups were refused.
+        capacities = dict.fromkeys(NAMES, 20.0) | {"t7": 23.0}
+        busy = [(10000 + n, 0.26) for n in range(100)]
+        rates = [*busy, (60000, 30.0)]
+        found = levels(even(NAMES), rates, capacities)
+        assert max(found, key=found.get) == "t10"
+        moved_at = 100.0
+        rounds = Rounds(moved_at + CALM_PERIOD)
+        moves = rounds.moves(moved_at + 0.1, even(NAMES), rates, capacities)
+        found = levels(apply(even(NAMES), moves), rates, capacities)
+        assert found["t1"] < 1.0
+
+    def test_round_of_many_targets_has_more_moves(self):
+        # A stretch of busy keys wants a fifth of all targets for owners, whether there
+        # are twelve of them or a hundred and twenty.
+        assert most_moves(12) == most_moves(44) == LEAST_MOVES
+        assert most_moves(120) == 12
