Sum up what a VM learns of many targets in a line a second

Change: a line at once for the first change of a kind, then one a second that names all others; berylstage explain finds a target in these as well.

Before and after: 400 targets that start within two seconds, 400 lines, now 3 (test).

--- a/packages/cli/src/berylstage_cli/story.py
+++ b/packages/cli/src/berylstage_cli/story.py
@@ -185,7 +185,8 @@
         if line.message == "belief changed" and line.vm != self._line.vm:
             # Each VM writes what it believes; the others' say nothing of this request.
             return False
-        named = {fields.get("target"), str(fields.get("key", "")).rpartition("/")[2]}
+        keys = [fields.get("key", ""), *fields.get("others", ())]
+        named = {fields.get("target"), *(str(key).rpartition("/")[2] for key in keys)}
         return bool(named & self._targets)
 
 
--- a/packages/cli/tests/test_story.py
+++ b/packages/cli/tests/test_story.py
@@ -60,6 +60,13 @@
         assert "belief changed" in messages
         assert "keys moved" not in messages
 
+    def test_change_among_many_that_share_a_line(self):
+        # A data centre is lost, and one line tells of all of its targets.
+        first, others = "records/i-c", ["records/i-b", "records/i-a"]
+        text = line(9.0, "vm-2", "belief changed", key=first, others=others)
+        story = tell("busy", [*LINES, text])
+        assert sum(item.message == "belief changed" for item in story.lines) == 2
+
     def test_answered(self):
         assert tell("good", LINES).conclusions[0].startswith("200: answered by i-a")
 
--- /dev/null
+++ b/packages/entry/src/berylstage_entry/belief_log.py
@@ -0,0 +1,103 @@
+"""Log lines about what a VM has come to believe, bounded in number.
+
+The load it answers: hundreds of targets and VMs that start, or are lost, at the same
+moment. Each VM learns of all of them; a line for each took more time than the requests
+that came meanwhile.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from logbook import Logger
+
+if TYPE_CHECKING:
+    from berylstage_entry.store import Item
+
+# Seconds for which changes are gathered after a line about one of their kind.
+GATHERED = 1.0
+# Keys that a line names at most.
+MOST_KEYS = 500
+
+log = Logger(__name__)
+
+
+class _Kind:
+    """Changes of one kind since the last line about them."""
+
+    __slots__ = ("count", "keys", "revision", "said_at")
+
+    def __init__(self) -> None:
+        self.said_at = float("-inf")
+        self.keys: list[str] = []
+        self.count = 0
+        self.revision = 0
+
+    def add(self, item: Item) -> None:
+        self.count += 1
+        self.revision = item.revision
+        if len(self.keys) < MOST_KEYS:
+            self.keys.append(item.key)
+
+
+class BeliefLog:
+    """Writes a line for a change, and one a second for all that follow at once."""
+
+    __slots__ = ("_kinds",)
+
+    def __init__(self) -> None:
+        self._kinds: dict[str, _Kind] = {}
+
+    def changed(
+        self, what: str, item: Item, configuration: int | None, now: float
+    ) -> None:
+        """Note a change.
+
+        Parameters
+        ----------
+        what : str
+            Its kind.
+        item : Item
+            The record that brought it.
+        configuration : int or None
+            Version that is in force.
+        now : float
+            Monotonic seconds.
+        """
+        kind = self._kinds.setdefault(what, _Kind())
+        kind.add(item)
+        if now - kind.said_at >= GATHERED:
+            self._write(what, kind, configuration, now)
+
+    def flush(self, configuration: int | None, now: float, every: bool = False) -> None:
+        """Write what has been gathered for long enough.
+
+        Parameters
+        ----------
+        configuration, now
+            As for :meth:`changed`.
+        every : bool
+            Whether to write all that has been gathered, however short ago.
+        """
+        for what, kind in self._kinds.items():
+            if kind.count and (every or now - kind.said_at >= GATHERED):
+                self._write(what, kind, configuration, now)
+
+    def _write(
+        self, what: str, kind: _Kind, configuration: int | None, now: float
+    ) -> None:
+        first, *others = kind.keys
+        log.info(
+            "belief changed",
+            extra={
+                "what": what,
+                "key": first,
+                "others": others,
+                "changes": kind.count,
+                "revision": kind.revision,
+                "configuration": configuration,
+            },
+        )
+        kind.said_at = now
+        kind.keys = []
+        kind.count = 0
--- a/packages/entry/src/berylstage_entry/feed.py
+++ b/packages/entry/src/berylstage_entry/feed.py
@@ -9,6 +9,7 @@
 from logbook import Logger
 
 from berylstage_entry.assignment import Assignment
+from berylstage_entry.belief_log import BeliefLog
 from berylstage_entry.clock import now
 from berylstage_entry.errors import HistoryLost, StoreError, UnreadableRecord
 from berylstage_entry.news import LARGEST_VALUE, News
@@ -88,6 +89,7 @@
         self._failed_at = float("-inf")
         self._began = now()
         self._unreadable: dict[str, bytes] = {}
+        self._changes = BeliefLog()
         self._hurried = asyncio.Event()
         # When this VM read the store last, and when what it knows was last up to date.
         self._read_at = float("-inf")
@@ -128,6 +130,7 @@
 
     def stop(self) -> None:
         """Stop following."""
+        self._changes.flush(self._version(), now(), every=True)
         for task in self._tasks:
             task.cancel()
         if self._fetching is not None:
@@ -231,6 +234,7 @@
         """Wait until the next reading is due, or somebody needs it sooner."""
         while True:
             self._drop_lapsed()
+            self._changes.flush(self._version(), now())
             wait = self._fresh_at + self._pace() - now()
             if wait <= 0:
                 return
@@ -428,16 +432,11 @@
         return record
 
     def _log_change(self, what: str, item: Item) -> None:
+        self._changes.changed(what, item, self._version(), now())
+
+    def _version(self) -> int | None:
         cfg = self._directory.configuration
-        log.info(
-            "belief changed",
-            extra={
-                "what": what,
-                "key": item.key,
-                "revision": item.revision,
-                "configuration": cfg.version if cfg else None,
-            },
-        )
+        return cfg.version if cfg else None
 
     def _take_own(self, item: Item) -> None:
         if not self._is_newer(item.key, item.revision):
--- /dev/null
+++ b/packages/entry/tests/test_belief_log.py
@@ -0,0 +1,49 @@
+"""Tests of the log lines about what a VM has come to believe."""
+
+from __future__ import annotations
+
+from berylstage_entry.belief_log import GATHERED, MOST_KEYS, BeliefLog
+from berylstage_entry.store import Item
+from logbook import TestHandler as Recorder
+
+
+def lines(play):
+    """Return the fields of the lines that are written while something is played."""
+    with Recorder() as handler:
+        play(BeliefLog())
+        return [record.extra for record in handler.records]
+
+
+class TestBeliefLog:
+    def test_single_changes_have_a_line_each_at_once(self):
+        def play(beliefs):
+            beliefs.changed("target", Item("t/a", b"", 5), 1, 10.0)
+            beliefs.changed("gone", Item("t/b", None, 6), 1, 10.1)
+
+        first, second = lines(play)
+        assert (first["what"], first["key"], first["revision"]) == ("target", "t/a", 5)
+        assert (second["what"], second["key"]) == ("gone", "t/b")
+
+    def test_hundreds_of_changes_have_a_line_a_second(self):
+        # 400 targets start within two seconds, and each of 195 VMs learns of them all.
+        # A line for each kept a small VM busy for the time of twenty requests.
+        def play(beliefs):
+            for n in range(400):
+                moment = 10.0 + n / 200
+                beliefs.changed("target", Item(f"t/{n}", b"", n), 1, moment)
+            beliefs.flush(1, 12.1)
+
+        written = lines(play)
+        assert len(written) <= 2 / GATHERED + 1
+        assert sum(line["changes"] for line in written) == 400
+        assert all(len(line["others"]) < MOST_KEYS for line in written)
+
+    def test_nothing_gathered_is_left_out_at_the_end(self):
+        def play(beliefs):
+            beliefs.changed("target", Item("t/a", b"", 5), 1, 10.0)
+            beliefs.changed("target", Item("t/b", b"", 6), 1, 10.1)
+            beliefs.flush(1, 10.2)
+            beliefs.flush(1, 10.2, every=True)
+            beliefs.flush(1, 10.3, every=True)
+
+        assert [line["key"] for line in lines(play)] == ["t/a", "t/b"]
