Begin pipelined lookups as they are read, and answer them in order

Cause: Tornado's server reads the next request of a connection when the one before it is answered. Two requests in one write, each 0.5 s of work: the second was read at 0.5 s. Half of the requests of the third customer come so; each waited for all before it, unseen in waited, and took its place in the queue late.

Change: connections of callers are read by httptools under an asyncio protocol. Requests of safe methods are begun beside each other, 16 a connection at most; unsafe ones wait for those before them and hold up those behind. Answers go out in order; those that are early count against the memory for bodies; a caller that takes no answers gets nothing more begun. What was read is answered before a stop. The time that a request waited here counts against its own. The test of a request that crosses the close of its connection used Tornado's exchange; its replacement plays the same on a connection, with a whole request and with half of one.

--- /dev/null
+++ b/packages/entry/src/berylstage_entry/connection.py
@@ -0,0 +1,398 @@
+"""One connection of a caller: its requests as they are read, its answers in order.
+
+The load it answers: callers that send several requests at once on a connection. Read
+one after the other, each would wait for all before it, unseen, and come late into the
+queue of its target. So requests of safe methods are begun as they are read; an unsafe
+one waits for those before it and holds up those behind it. Answers go out in the order
+of the requests, as HTTP asks for.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from typing import TYPE_CHECKING
+
+from httptools import HttpParserError, HttpParserUpgrade, HttpRequestParser
+
+from berylstage_entry.clock import now
+from berylstage_entry.errors import BadRequest, Refused
+from berylstage_entry.replies import (
+    BAD_REQUEST,
+    HEAD_TOO_LARGE,
+    TOO_LARGE,
+    Reply,
+    reply_bytes,
+)
+
+if TYPE_CHECKING:
+    from berylstage_entry.server import CallerServer
+    from berylstage_entry.wire import CallerRequest
+
+# Requests of one connection that are under way or wait for their answers to go out:
+# more than a browser sends at once, and few enough that no caller takes a VM for
+# itself.
+MOST_AT_ONCE = 16
+# Bytes that are parsed at a time. What a connection may have no more requests for
+# stays unread, to the length of such a piece.
+PIECE = 4096
+# Bytes that are kept unread before the connection itself is read no further.
+UNREAD = 64 * 1024
+# Bytes of a request's head at most; larger ones than the operators allow get their own
+# status up to this size.
+READ_HEAD = 256 * 1024
+# Bytes of a request's body that are read at most, whatever the operators allow.
+READ_BODY = 64 * 1024 * 1024
+# Seconds after which a caller may come back that was refused for want of memory for
+# its body: the time in which a target takes a body of that size in.
+BODY_RETURN = 0.5
+
+# Methods of requests that may be begun beside others of their connection.
+SAFE_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+
+
+class _Exchange:
+    """One request and its answer."""
+
+    __slots__ = (
+        "arrived",
+        "chunks",
+        "held",
+        "keeps_alive",
+        "reply",
+        "req",
+        "refusal",
+        "safe",
+        "size",
+        "task",
+        "whole",
+    )
+
+    def __init__(self, safe: bool, keeps_alive: bool):
+        self.arrived = now()
+        self.safe = safe
+        # Whether the caller means to send more on the connection.
+        self.keeps_alive = keeps_alive
+        self.req: CallerRequest | None = None
+        self.refusal: BadRequest | Refused | None = None
+        self.chunks: list[bytes] = []
+        self.size = 0
+        # Bytes counted against what all bodies may take.
+        self.held = 0
+        # Whether all of it has been read.
+        self.whole = False
+        self.task: asyncio.Task | None = None
+        self.reply: Reply | None = None
+
+    @property
+    def closes(self) -> bool:
+        """Whether the connection ends with it."""
+        return self.refusal is not None or not self.keeps_alive
+
+
+class CallerConnection(asyncio.Protocol):
+    """Reads requests of one caller and writes the answers.
+
+    Parameters
+    ----------
+    server : CallerServer
+    """
+
+    def __init__(self, server: CallerServer):
+        self._server = server
+        self._transport: asyncio.Transport | None = None
+        self._parser = HttpRequestParser(self)
+        self._unread = bytearray()
+        # Requests in the order in which they came, the first one to be answered first.
+        self._exchanges: deque[_Exchange] = deque()
+        # What is being read.
+        self._target = b""
+        self._fields: list[tuple[str, str]] = []
+        self._head_bytes = 0
+        self._in_head = True
+        # Whether nothing more is to be read, and whether the caller takes no answers.
+        self._ended = False
+        self._choked = False
+        self._is_reading = True
+        self._idle_since = now()
+        self._timer: asyncio.TimerHandle | None = None
+
+    # Calls of the event loop.
+
+    def connection_made(self, transport) -> None:
+        """Begin to wait for a request."""
+        self._transport = transport
+        self._server.opened(self)
+        self._watch_idle()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """End all work, since nobody waits for it."""
+        self._ended = True
+        if self._timer is not None:
+            self._timer.cancel()
+        self._drop(self._exchanges)
+        self._exchanges.clear()
+        self._server.gone(self)
+
+    def data_received(self, data: bytes) -> None:
+        """Take in bytes, and read what may be read of them."""
+        if self._ended:
+            return
+        self._unread += data
+        self._go_on()
+
+    def pause_writing(self) -> None:
+        """Begin nothing more: the caller does not take its answers."""
+        self._choked = True
+
+    def resume_writing(self) -> None:
+        """Go on, since the caller takes answers again."""
+        self._choked = False
+        self._go_on()
+
+    # Calls of the parser.
+
+    def on_message_begin(self) -> None:
+        """Begin to read a head."""
+        self._target = b""
+        self._fields = []
+        self._in_head = True
+
+    def on_url(self, url: bytes) -> None:
+        """Keep a part of the request's target."""
+        self._target += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Keep a field of the head."""
+        self._fields.append((name.decode("latin-1"), value.decode("latin-1")))
+
+    def on_headers_complete(self) -> None:
+        """Read the head."""
+        self._in_head = False
+        self._head_bytes = 0
+        method = self._parser.get_method().decode("ascii")
+        keeps_alive = self._parser.should_keep_alive()
+        exchange = _Exchange(method in SAFE_METHODS, keeps_alive)
+        self._exchanges.append(exchange)
+        self._server.begun(self)
+        try:
+            self._server.check_head(self._fields)
+            target = self._target.decode("latin-1")
+            exchange.req = self._server.wire.request(method, target, self._fields)
+        except BadRequest as exc:
+            exchange.refusal = exc
+            return
+        waits = any(
+            name.lower() == "expect" and value.lower() == "100-continue"
+            for name, value in self._fields
+        )
+        if waits and len(self._exchanges) == 1 and self._transport is not None:
+            self._transport.write(CONTINUE)
+
+    def on_body(self, body: bytes) -> None:
+        """Keep a part of the body, up to the limits."""
+        exchange = self._exchanges[-1]
+        exchange.size += len(body)
+        if exchange.refusal is not None:
+            return
+        if exchange.size > self._server.body_limit():
+            exchange.refusal = BadRequest(TOO_LARGE, "the body is over the limit")
+        elif not self._server.hold(len(body)):
+            exchange.refusal = Refused("body-memory", BODY_RETURN)
+        else:
+            exchange.held += len(body)
+            exchange.chunks.append(body)
+            return
+        exchange.chunks.clear()
+        self._release(exchange)
+
+    def on_message_complete(self) -> None:
+        """Note that a request is whole."""
+        exchange = self._exchanges[-1]
+        exchange.whole = True
+        self._head_bytes = 0
+        self._in_head = True
+        if exchange.closes:
+            # What follows on this connection is not read, and so never runs.
+            self._ended = True
+
+    # Calls of the server.
+
+    def close_idle(self) -> None:
+        """Close a connection without a request, of which nothing will run."""
+        self._ended = True
+        self._unread.clear()
+        if self._transport is not None:
+            self._transport.close()
+
+    # Reading.
+
+    def _go_on(self) -> None:
+        """Read, begin and answer what may be, until nothing changes any more."""
+        answered = False
+        while True:
+            self._parse()
+            self._begin_due()
+            if not self._answer_due():
+                break
+            answered = True
+        if answered and not self._exchanges and not self._ended:
+            self._idle_since = now()
+            self._server.ended(self)
+        self._pace()
+
+    def _parse(self) -> None:
+        while self._unread and not self._ended and self._may_read():
+            piece = bytes(self._unread[:PIECE])
+            del self._unread[:PIECE]
+            if self._in_head:
+                self._head_bytes += len(piece)
+            try:
+                self._parser.feed_data(piece)
+            except HttpParserUpgrade:
+                # It is answered as it is; what follows is in no protocol known here.
+                self._end_with_last()
+            except HttpParserError as exc:
+                self._refuse(BadRequest(BAD_REQUEST, f"no request: {exc}"))
+            if self._in_head and self._head_bytes > READ_HEAD:
+                cause = "the headers are over the limit"
+                self._refuse(BadRequest(HEAD_TOO_LARGE, cause))
+            if self._exchanges and self._exchanges[-1].size > READ_BODY:
+                self._end_with_last()
+
+    def _may_read(self) -> bool:
+        if not self._exchanges:
+            return True
+        is_whole = self._exchanges[-1].whole
+        if len(self._exchanges) == 1 and not is_whole:
+            # Nothing else would ever end the wait for the rest of its body.
+            return True
+        if self._choked or self._server.memory_is_short():
+            return False
+        return len(self._exchanges) - (not is_whole) < MOST_AT_ONCE
+
+    def _end_with_last(self) -> None:
+        """Read nothing more; the last request is the last one that is answered."""
+        self._ended = True
+        if self._exchanges and not self._exchanges[-1].whole:
+            self._refuse(BadRequest(BAD_REQUEST, "the request is cut short"))
+        elif self._exchanges:
+            self._exchanges[-1].keeps_alive = False
+
+    def _refuse(self, exc: BadRequest) -> None:
+        """Refuse what is being read, and read nothing more."""
+        self._ended = True
+        last = self._exchanges[-1] if self._exchanges else None
+        if last is None or last.whole:
+            last = _Exchange(False, False)
+            self._exchanges.append(last)
+            self._server.begun(self)
+        last.whole = True
+        last.refusal = exc
+        last.chunks.clear()
+        self._release(last)
+
+    def _pace(self) -> None:
+        """Read the connection no further than what is waiting to be parsed."""
+        if self._transport is None or self._transport.is_closing():
+            return
+        reads = len(self._unread) < UNREAD
+        if reads != self._is_reading:
+            self._is_reading = reads
+            if reads:
+                self._transport.resume_reading()
+            else:
+                self._transport.pause_reading()
+
+    # Serving.
+
+    def _begin_due(self) -> None:
+        """Begin the requests that need not wait for those before them."""
+        held_up = self._choked or self._server.memory_is_short()
+        for place, exchange in enumerate(self._exchanges):
+            if not exchange.whole or place == MOST_AT_ONCE:
+                return
+            if place and (held_up or not exchange.safe):
+                return
+            if exchange.task is None and exchange.reply is None:
+                self._begin(exchange)
+            if not exchange.safe or exchange.closes:
+                return
+
+    def _begin(self, exchange: _Exchange) -> None:
+        if exchange.refusal is not None or exchange.req is None:
+            exchange.reply = self._server.refused_unserved(exchange.refusal)
+            return
+        exchange.req.body = b"".join(exchange.chunks)
+        exchange.chunks.clear()
+        # Its caller has waited since it was read.
+        exchange.req.waited = now() - exchange.arrived
+        exchange.task = asyncio.create_task(self._serve(exchange, exchange.req))
+
+    async def _serve(self, exchange: _Exchange, req: CallerRequest) -> None:
+        try:
+            reply = await self._server.reply(req)
+        finally:
+            self._release(exchange)
+        exchange.reply = reply
+        # Until it goes out it takes the place of a body.
+        exchange.held = self._server.hold_reply(len(reply.body))
+        self._go_on()
+
+    def _answer_due(self) -> bool:
+        """Write the answers that have none before them; tell whether there were any."""
+        answered = False
+        while self._exchanges and self._exchanges[0].reply is not None:
+            exchange = self._exchanges.popleft()
+            self._release(exchange)
+            closing = exchange.closes or self._is_last()
+            if self._transport is not None and not self._transport.is_closing():
+                assert exchange.reply is not None
+                self._transport.write(reply_bytes(exchange.reply, closing))
+            if closing:
+                self._close()
+                return False
+            answered = True
+        return answered
+
+    def _is_last(self) -> bool:
+        """Tell whether the program stops and no other request has come.
+
+        A caller takes the word that the connection closes as one that nothing behind
+        the answer was taken. What has been read is answered first.
+        """
+        return self._server.closing and not self._exchanges and not self._unread
+
+    def _close(self) -> None:
+        """Close once all has been written; what was begun behind it has no answer."""
+        self._ended = True
+        self._drop(self._exchanges)
+        self._exchanges.clear()
+        self._server.gone(self)
+        if self._transport is not None:
+            self._transport.close()
+
+    def _drop(self, exchanges: deque[_Exchange]) -> None:
+        for exchange in exchanges:
+            self._release(exchange)
+            if exchange.task is not None:
+                exchange.task.cancel()
+
+    def _release(self, exchange: _Exchange) -> None:
+        """Give back what a body or an answer took."""
+        self._server.release(exchange.held)
+        exchange.held = 0
+
+    # Idle time.
+
+    def _watch_idle(self) -> None:
+        """Close the connection if it has been idle for too long, or look again."""
+        left = self._idle_since + self._server.idle_time - now()
+        if self._exchanges:
+            left = self._server.idle_time
+        if left <= 0:
+            self.close_idle()
+            return
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(left, self._watch_idle)
--- a/packages/entry/src/berylstage_entry/journal.py
+++ b/packages/entry/src/berylstage_entry/journal.py
@@ -90,7 +90,7 @@
                 "target": done.target,
                 "attempts": done.attempts,
                 "seconds": round(seconds, 4),
-                "waited": round(done.waited, 4),
+                "waited": round(req.waited + done.waited, 4),
                 "left_out": budget.take_left_out(),
             },
         )
--- a/packages/entry/src/berylstage_entry/router.py
+++ b/packages/entry/src/berylstage_entry/router.py
@@ -115,6 +115,8 @@
         self._asked: dict[str, float] = {}
         # Requests for each key since the last report to the granting VM.
         self._key_counts: dict[str, dict[int, int]] = {}
+        # Set while there are any.
+        self.has_counted = asyncio.Event()
 
     async def serve(self, req: CallerRequest) -> Answered:
         """Serve one request.
@@ -135,7 +137,7 @@
         if service is None:
             raise Refused("no-service", LONGEST_RETURN)
         wait = min(req.time_left - ANSWER_WAY, route.timeout)
-        moment = now()
+        moment = now() - req.waited
         wanted = moment + route.objective - ANSWER_WAY
         journey = Journey(req, route, service, moment + wait, wanted)
         self._budget(service.name).earn()
@@ -143,11 +145,13 @@
         if service.owns_keys and req.key is not None:
             counts = self._key_counts.setdefault(service.name, {})
             counts[req.key] = counts.get(req.key, 0) + 1
+            self.has_counted.set()
         return await self._travel(journey)
 
     def take_key_counts(self) -> dict[str, dict[int, int]]:
         """Return the requests for each key, by service, since the last call."""
         counts, self._key_counts = self._key_counts, {}
+        self.has_counted.clear()
         return counts
 
     def ages(self, target: Target, moment: float) -> tuple[float, float]:
--- a/packages/entry/src/berylstage_entry/server.py
+++ b/packages/entry/src/berylstage_entry/server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from socket import create_server
 from typing import TYPE_CHECKING
 
 from logbook import Logger
@@ -17,11 +18,21 @@
 )
 
 from berylstage_entry.clock import now
+from berylstage_entry.connection import READ_BODY, CallerConnection
 from berylstage_entry.errors import BadRequest, Refused, Unanswered
+from berylstage_entry.replies import (
+    BAD_GATEWAY,
+    BAD_REQUEST,
+    GATEWAY_TIMEOUT,
+    HEAD_TOO_LARGE,
+    UNAVAILABLE,
+    Reply,
+)
 
 if TYPE_CHECKING:
-    from asyncio import Future
+    from asyncio import AbstractServer, Future
     from collections.abc import Awaitable, Callable
+    from socket import socket
 
     from berylstage_entry.journal import RequestJournal
     from berylstage_entry.router import Router
@@ -32,32 +43,18 @@
 
 # Bytes of a request's body at most while no configuration says so.
 FIRST_BODY_LIMIT = 1024 * 1024
-# Bytes of a request's body that are buffered at most, whatever the operators allow.
-BUFFERED_BODY = 64 * 1024 * 1024
 # Bytes of all bodies together that are buffered at most: a third of the memory of a VM
 # of 300 MB, since a body is copied once on its way out and the process takes 26 MB.
 # Five bodies of 64 MB at a time would have the VM killed, and its requests with it.
 BODY_MEMORY = 100 * 1024 * 1024
-# Seconds after which a caller may come back that was refused for want of this memory:
-# the time in which a target takes a body of that size in.
-BODY_RETURN = 0.5
-# Bytes of a request's head that tornado reads; larger ones than the operators allow get
-# their own status up to this size.
-READ_HEAD = 256 * 1024
+# Connections that may wait to be accepted.
+BACKLOG = 1024
 # Seconds for which a connection may stay idle while no configuration says so.
 FIRST_IDLE = 60.0
 # Seconds beyond the operators' idle time after which a connection closes, so that a
 # request sent within that time doesn't cross the close.
 IDLE_MARGIN = 2.0
 
-OK = 200
-BAD_REQUEST = 400
-TOO_LARGE = 413
-HEAD_TOO_LARGE = 431
-BAD_GATEWAY = 502
-UNAVAILABLE = 503
-GATEWAY_TIMEOUT = 504
-
 log = Logger(__name__)
 
 
@@ -67,26 +64,6 @@
     return host.strip("[]"), int(port)
 
 
-class Reply:
-    """What goes back to a caller.
-
-    Parameters
-    ----------
-    status : int
-    headers : list of tuple
-    body : bytes
-    """
-
-    __slots__ = ("body", "headers", "status")
-
-    def __init__(
-        self, status: int, headers: list[tuple[str, str]] | None = None, body=b""
-    ):
-        self.status = status
-        self.headers = headers or []
-        self.body = body
-
-
 def write_reply(conn, reply: Reply, closing: bool) -> Future[None]:
     """Write a reply on a connection of tornado's; the future ends when it has left."""
     headers = HTTPHeaders()
@@ -102,95 +79,7 @@
     return sent
 
 
-class _Exchange(HTTPMessageDelegate):
-    """One request of a caller and its answer."""
-
-    def __init__(self, server: CallerServer, link, conn):
-        self._server = server
-        # The connection, which lasts for many exchanges.
-        self._link = link
-        self._conn = conn
-        self._chunks: list[bytes] = []
-        self._size = 0
-        self._req: CallerRequest | None = None
-        self._refusal: BadRequest | Refused | None = None
-        # Bytes counted against what all bodies may take.
-        self._held = 0
-        self._task: asyncio.Task | None = None
-
-    def headers_received(
-        self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
-    ) -> None:
-        """Read the head."""
-        assert isinstance(start_line, RequestStartLine)
-        self._server.begun(self._link)
-        try:
-            self._server.check_head(headers)
-            self._req = self._server.wire.request(
-                start_line.method, start_line.path, headers.get_all()
-            )
-        except BadRequest as exc:
-            self._refusal = exc
-
-    def data_received(self, chunk: bytes) -> None:
-        """Keep a part of the body, up to the limit."""
-        if self._refusal is not None:
-            return
-        self._size += len(chunk)
-        if self._size > self._server.body_limit():
-            self._refusal = BadRequest(TOO_LARGE, "the body is over the limit")
-        elif not self._server.hold(len(chunk)):
-            self._refusal = Refused("body-memory", BODY_RETURN)
-        else:
-            self._held += len(chunk)
-            self._chunks.append(chunk)
-            return
-        self._chunks.clear()
-        self._release()
-
-    def _release(self) -> None:
-        """Give back what the body took."""
-        self._server.release(self._held)
-        self._held = 0
-
-    def finish(self) -> None:
-        """Serve the request, now that it is whole."""
-        if self._link.stream.closed():
-            # The connection was closed as an idle one while this request was read. It
-            # must not run: its caller has been told that it has not been taken.
-            self._server.gone(self._link)
-            return
-        if self._refusal is not None or self._req is None:
-            reply = self._server.refused_unserved(self._refusal)
-            write_reply(self._conn, reply, True)
-            self._server.ended(self._link)
-            return
-        self._req.body = b"".join(self._chunks)
-        self._chunks.clear()
-        self._conn.set_close_callback(self.on_connection_close)
-        self._task = asyncio.create_task(self._serve())
-
-    def on_connection_close(self) -> None:
-        """End the work, since nobody waits for it."""
-        self._release()
-        self._server.gone(self._link)
-        if self._task is not None:
-            self._task.cancel()
-
-    async def _serve(self) -> None:
-        assert self._req is not None
-        server = self._server
-        try:
-            reply = await server.reply(self._req)
-        finally:
-            self._release()
-        sent = write_reply(self._conn, reply, server.closing)
-        if server.closing:
-            await asyncio.wait([sent])
-        server.ended(self._link)
-
-
-class CallerServer(HTTPServerConnectionDelegate):
+class CallerServer:
     """Serves callers.
 
     Parameters
@@ -214,58 +103,52 @@
         self._journal = journal
         self._limits = limits
         self.closing = False
+        # Seconds for which a connection may stay idle.
+        self.idle_time = FIRST_IDLE
         # Bytes of bodies that are buffered, and may be at most.
         self._buffered = 0
         self.body_memory = BODY_MEMORY
         # Connections with a request under way, and those without.
-        self._busy: set = set()
-        self._idle: set = set()
-        self._server: HTTPServer | None = None
+        self._busy: set[CallerConnection] = set()
+        self._idle: set[CallerConnection] = set()
+        self._opening: asyncio.Task | None = None
+        self._socket: socket | None = None
+        self._server: AbstractServer | None = None
 
     def listen(self, address: str) -> None:
         """Accept connections."""
-        self._server = HTTPServer(
-            self,
-            max_header_size=READ_HEAD,
-            max_body_size=BUFFERED_BODY,
-            max_buffer_size=2 * BUFFERED_BODY,
-            idle_connection_timeout=FIRST_IDLE,
-        )
-        host, port = split_address(address)
-        self._server.listen(port, host, backlog=1024)
+        self._socket = create_server(split_address(address), backlog=BACKLOG)
+        self._opening = asyncio.create_task(self._open(self._socket))
 
-    def start_request(self, server_conn: object, request_conn) -> HTTPMessageDelegate:
-        """Return what takes a new request."""
-        if server_conn not in self._busy:
-            self._idle.add(server_conn)
-        return _Exchange(self, server_conn, request_conn)
-
-    def on_close(self, server_conn: object) -> None:
-        """Forget a connection that has closed."""
-        self.gone(server_conn)
+    async def _open(self, sock: socket) -> None:
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            lambda: CallerConnection(self), sock=sock, backlog=BACKLOG
+        )
 
     @property
     def in_flight(self) -> int:
-        """Requests under way."""
+        """Connections with requests under way."""
         return len(self._busy)
 
-    def begun(self, link: object) -> None:
+    def opened(self, conn: CallerConnection) -> None:
+        """Note a new connection."""
+        self._idle.add(conn)
+
+    def begun(self, conn: CallerConnection) -> None:
         """Note that a request has come on a connection."""
-        self._idle.discard(link)
-        self._busy.add(link)
-
-    def ended(self, link: object) -> None:
-        """Note that the answer has been written."""
-        self._busy.discard(link)
-        if self.closing:
-            link.stream.close()  # type: ignore[attr-defined]
-        else:
-            self._idle.add(link)
-
-    def gone(self, link: object) -> None:
+        self._idle.discard(conn)
+        self._busy.add(conn)
+
+    def ended(self, conn: CallerConnection) -> None:
+        """Note that a connection has no request under way any more."""
+        self._busy.discard(conn)
+        self._idle.add(conn)
+
+    def gone(self, conn: CallerConnection) -> None:
         """Note that a connection is no more."""
-        self._busy.discard(link)
-        self._idle.discard(link)
+        self._busy.discard(conn)
+        self._idle.discard(conn)
 
     def refuse_more(self) -> None:
         """Close what waits for callers and the connections without a request.
@@ -273,26 +156,35 @@
         A request that is read while the process ends would be cut off. Closing the idle
         connections first leaves only those that end with their answer.
         """
-        if self._server is not None:
-            self._server.stop()
-        for link in list(self._idle):
-            link.stream.close()
+        self._stop_listening()
+        for conn in list(self._idle):
+            conn.close_idle()
         self._idle.clear()
 
-    def set_limits(self, limits: Limits) -> None:
-        """Take over how long connections may be idle, for new ones."""
+    def _stop_listening(self) -> None:
+        if self._opening is not None:
+            self._opening.cancel()
         if self._server is not None:
-            idle = max(limits.idle_time, limits.header_time) + IDLE_MARGIN
-            self._server.conn_params.header_timeout = idle
+            self._server.close()
+        if self._socket is not None:
+            self._socket.close()
+
+    def set_limits(self, limits: Limits) -> None:
+        """Take over how long connections may be idle."""
+        self.idle_time = max(limits.idle_time, limits.header_time) + IDLE_MARGIN
 
     def body_limit(self) -> int:
         """Return the bytes that a body may have."""
         limits = self._limits()
-        return min(limits.body_bytes, BUFFERED_BODY) if limits else FIRST_BODY_LIMIT
+        return min(limits.body_bytes, READ_BODY) if limits else FIRST_BODY_LIMIT
 
-    def check_head(self, headers: HTTPHeaders) -> None:
+    def check_head(self, fields: list[tuple[str, str]]) -> None:
         """Check the size of a head.
 
+        Parameters
+        ----------
+        fields : list of tuple
+
         Raises
         ------
         BadRequest
@@ -300,7 +192,7 @@
         limits = self._limits()
         if limits is None:
             return
-        size = sum(len(name) + len(value) + 4 for name, value in headers.get_all())
+        size = sum(len(name) + len(value) + 4 for name, value in fields)
         if size > limits.header_bytes:
             raise BadRequest(HEAD_TOO_LARGE, "the headers are over the limit")
 
@@ -311,6 +203,15 @@
         self._buffered += size
         return True
 
+    def hold_reply(self, size: int) -> int:
+        """Count bytes of an answer that waits for those before it, and return them."""
+        self._buffered += size
+        return size
+
+    def memory_is_short(self) -> bool:
+        """Tell whether bodies and answers take all that they may take."""
+        return self._buffered >= self.body_memory
+
     def release(self, size: int) -> None:
         """Give counted bytes back."""
         self._buffered -= size
@@ -324,7 +225,7 @@
 
     async def reply(self, req: CallerRequest) -> Reply:
         """Return the reply to a request."""
-        began = now()
+        began = now() - req.waited
         try:
             done = await self._router.serve(req)
         except BadRequest as exc:
@@ -349,9 +250,11 @@
 
     async def close(self) -> None:
         """Close all connections."""
-        if self._server is not None:
-            self._server.stop()
-            await self._server.close_all_connections()
+        self._stop_listening()
+        for conn in [*self._idle, *self._busy]:
+            conn.close_idle()
+        # The event loop closes them in its next turn.
+        await asyncio.sleep(0)
 
 
 class _PageExchange(HTTPMessageDelegate):
--- a/packages/entry/src/berylstage_entry/wire.py
+++ b/packages/entry/src/berylstage_entry/wire.py
@@ -31,6 +31,11 @@
         Seconds that the caller waits.
     key : int or None
         Key in a service that owns keys.
+
+    Attributes
+    ----------
+    waited : float
+        Seconds that it has waited here for others of its connection.
     """
 
     __slots__ = (
@@ -42,6 +47,7 @@
         "path",
         "request_id",
         "time_left",
+        "waited",
     )
 
     def __init__(
@@ -61,6 +67,7 @@
         self.headers = headers
         self.body = b""
         self.time_left = time_left
+        self.waited = 0.0
         self.key = key
 
 
--- a/packages/entry/tests/test_server.py
+++ b/packages/entry/tests/test_server.py
@@ -5,13 +5,13 @@
 import asyncio
 import socket
 
+from berylstage_entry.connection import CallerConnection
 from berylstage_entry.journal import RequestJournal
 from berylstage_entry.journey import Answered
 from berylstage_entry.metrics import Metrics
 from berylstage_entry.server import CallerServer
 from berylstage_entry.wire import CallerRequest, CallerWire, TargetAnswer
 from fakes import LIMITS
-from tornado.httputil import HTTPHeaders, RequestStartLine
 
 
 class PlainCallers(CallerWire):
@@ -28,8 +28,10 @@
     def __init__(self, seconds):
         self.seconds = seconds
         self.cancelled = 0
+        self.served = 0
 
     async def serve(self, req):
+        self.served += 1
         try:
             await asyncio.sleep(self.seconds)
         except asyncio.CancelledError:
@@ -120,23 +122,37 @@
         # The VM stops and closes a connection as idle in the moment in which a request
         # on it has been read and not yet begun. Its caller sees the close and sends
         # it elsewhere; run here as well it would be an order placed twice.
-        class ClosedStream:
-            def closed(self):
-                return True
+        class Closing:
+            """A transport that goes on to deliver what had come before its close."""
 
-        class Link:
-            stream = ClosedStream()
+            def __init__(self):
+                self.closed = False
+                self.written = b""
+
+            def is_closing(self):
+                return self.closed
+
+            def close(self):
+                self.closed = True
+
+            def write(self, data):
+                self.written += data
 
         async def play():
             router = SlowRouter(0.0)
             server, _ = serve(router)
-            link = Link()
-            exchange = server.start_request(link, None)
-            start = RequestStartLine("GET", "/a/", "HTTP/1.1")
-            exchange.headers_received(start, HTTPHeaders())
-            exchange.finish()
-            assert server.in_flight == 0
-            assert exchange._task is None
+            for first, rest in ((b"", REQUEST), (REQUEST[:9], REQUEST[9:])):
+                conn, transport = CallerConnection(server), Closing()
+                conn.connection_made(transport)
+                conn.data_received(first)
+                server.refuse_more()
+                assert transport.closed
+                conn.data_received(rest)
+                assert server.in_flight == 0
+                await asyncio.sleep(0.01)
+                assert transport.written == b""
+                conn.connection_lost(None)
+            assert router.served == 0
             await server.close()
 
         asyncio.run(play())
