Learn from late replies of keepers of queues, and take them for signs of life

Cause: only replies to a question that was asked once were learned from. Where replies take longer than the timeout, as behind downloads on a link of 10 Mbit/s, every question was asked again, so none was learned from: the timeout stayed at 30 ms and keepers that were well counted as lost after 90 ms, for 2 s. Ruled out: lost datagrams alone (three in a row).

Change: the time from the first asking counts, also when no reply came; a late reply ends the loss of its keeper.

--- a/packages/entry/src/berylstage_entry/turns.py
+++ b/packages/entry/src/berylstage_entry/turns.py
@@ -92,7 +92,12 @@
         self._spread = 0.0
 
     def took(self, seconds: float) -> None:
-        """Take in the time of a reply to a question that was asked once."""
+        """Take in the time from the first asking of a question to a reply.
+
+        Where it was asked again, that is the most that the reply can have taken. Passed
+        over, replies that come later than the timeout would never be learned from: each
+        question would go on to be asked three times, and its keeper to count as lost.
+        """
         self._spread += SPREAD_GAIN * (abs(seconds - self._mean) - self._spread)
         self._mean += MEAN_GAIN * (seconds - self._mean)
 
@@ -190,9 +195,13 @@
     def take_reply(self, data: bytes, host: str) -> None:
         """Take in a keeper's datagram."""
         try:
-            self.replied(Reply.decode(data))
+            reply = Reply.decode(data)
         except UnreadableRecord as exc:
             log.warning("reply passed over", extra={"cause": str(exc)})
+            return
+        # It was late, not lost.
+        self._lost_until.pop(host, None)
+        self.replied(reply)
 
     def replied(self, reply: Reply) -> None:
         """Take in a keeper's reply."""
@@ -217,17 +226,18 @@
         self, journey: Journey, turn: Turn, replies: asyncio.Queue[Reply]
     ) -> int:
         """Return the checksum of the target to which a request is told to go."""
-        unanswered = 0
+        unanswered, measured = 0, False
+        first_asked = now()
         while True:
-            asked = now()
             self.ask(turn.keeper, self._question(journey, turn))
             answered, timeout = False, self._times.timeout
             while True:
                 reply = await _next(replies, timeout)
                 if reply is None:
                     break
-                if not answered and not unanswered:
-                    self._times.took(now() - asked)
+                if not measured:
+                    measured = True
+                    self._times.took(now() - first_asked)
                 answered, unanswered, timeout = True, 0, RENEWAL
                 if reply.say == Say.GO.value:
                     return reply.target
@@ -238,6 +248,8 @@
             if not answered:
                 unanswered += 1
             if unanswered >= ASKED:
+                if not measured:
+                    self._times.took(now() - first_asked)
                 raise _Lost
 
     def _question(self, journey: Journey, turn: Turn) -> Ask:
--- a/packages/entry/tests/test_turns.py
+++ b/packages/entry/tests/test_turns.py
@@ -48,6 +48,8 @@
         self.lost_hosts = set()
         # Datagrams to lose of those that come next.
         self.losing = 0
+        # Seconds that a datagram takes.
+        self.delay = 0.0005
 
     def carry(self, own, host, data):
         if self.losing:
@@ -56,7 +58,7 @@
         if host in self.lost_hosts:
             return
         loop = asyncio.get_running_loop()
-        loop.call_later(0.0005, self.vms[host].receive, own, data)
+        loop.call_later(self.delay, self.vms[host].receive, own, data)
 
 
 class Vm:
@@ -230,6 +232,39 @@
         played(step)
 
 
+class TestSlowLink:
+    def test_keeper_behind_a_slow_link_is_waited_for(self, played):
+        # Replies wait behind downloads on a small link, for longer than any reply was
+        # waited for. Since none came in time, none was learned from, and each request
+        # went without a turn after asking three times.
+        async def step(network, vms):
+            network.delay = 0.05
+            first = keeper_of(vms)[0]
+            asking = next(vm for vm in vms if vm.host not in keeper_of(vms))
+            for _ in range(3):
+                turn = await asking.take()
+                if turn is not None:
+                    asking.turns.done(turn)
+                await asyncio.sleep(2 * PASSED_OVER)
+            turn = await asking.take()
+            assert turn is not None
+            assert turn.keeper == first
+
+        played(step)
+
+    def test_late_reply_of_a_keeper_shows_that_it_lives(self, played):
+        async def step(network, vms):
+            asking = next(vm for vm in vms if vm.host not in keeper_of(vms))
+            network.delay = 0.3
+            assert await asking.take(3.0) is None
+            await asyncio.sleep(0.6)
+            network.delay = 0.0005
+            turn = await asking.take()
+            assert turn.keeper == keeper_of(vms)[0]
+
+        played(step)
+
+
 class TestReplyTimes:
     def test_quick_keepers_are_given_up_soon(self):
         times = ReplyTimes()
