Tell a report of a cold target only when it changes what is known

Cause: each report of a cold target counted as news.

Change: it is news when its cold time ends more than 0.6 s from what was reckoned with.

Test: a target that goes on as it said is told once; one that stays or turns cold is told.

--- a/packages/entry/src/berylstage_entry/directory.py
+++ b/packages/entry/src/berylstage_entry/directory.py
@@ -17,6 +17,12 @@
 LAPSE_GRACE = 2.1
 
 
+# Seconds by which the end of a target's cold time may differ from what was reckoned
+# with: more than its reports wait to be read (0.45 s), less than lies between two of
+# them (0.87 s), so that one that stays cold for longer than it said is noticed.
+COLD_DRIFT = 0.6
+
+
 class KnownTarget:
     """A target with what this VM has learned of it.
 
@@ -35,18 +41,25 @@
         # When its record went in a way that may be an outage's doing; 0 for not.
         self.lapsed_at = 0.0
 
-    def differs(self, target: Target) -> bool:
+    def differs(self, target: Target, now: float) -> bool:
         """Tell whether a report of a target changes what is known of it.
 
+        A cold target says in each report how long it stays so. That it goes on as it
+        said is no news: told of dozens of cold targets each time, VMs with small links
+        would get nothing else.
+
         Parameters
         ----------
         target : Target
+        now : float
+            Monotonic seconds.
 
         Returns
         -------
         bool
         """
-        if self.lapsed_at or target.cold_left or self.target.cold_left:
+        stays_cold = now + target.cold_left
+        if self.lapsed_at or abs(stays_cold - max(now, self.cold_until)) > COLD_DRIFT:
             return True
         fields = ("life", "service", "address", "data_centre", "slots", "leaving")
         return any(getattr(target, f) != getattr(self.target, f) for f in fields)
--- a/packages/entry/src/berylstage_entry/feed.py
+++ b/packages/entry/src/berylstage_entry/feed.py
@@ -402,7 +402,7 @@
         if record is None or record.target is None:
             return record is not None
         known = self._directory.known.get(record.target.name)
-        return known is None or known.differs(record.target)
+        return known is None or known.differs(record.target, now())
 
     def _take(self, item: Item):
         if item.value is None:
--- a/packages/entry/tests/test_directory.py
+++ b/packages/entry/tests/test_directory.py
@@ -65,3 +65,38 @@
         found.apply(Record(target=target("a", 7)), 1.0, False)
         assert found.apply(Record(target=target("a", 6)), 2.0, False) == ""
         assert found.known["a"].target.life == 7
+
+
+class TestReports:
+    def told(self, known, reports):
+        """Return which reports are news, each a moment and what changed."""
+        found = []
+        for moment, changes in reports:
+            report = target("a", **changes)
+            found.append(known.known["a"].differs(report, moment))
+            known.apply(Record(target=report), moment, False)
+        return found
+
+    def cold(self, left):
+        found = directory()
+        record = Record(target=target("a", cold_left=left))
+        found.apply(record, 10.0, False)
+        return found
+
+    def test_cold_target_that_goes_on_as_it_said_is_no_news(self):
+        # A third of all targets are replaced. Each report of each new one was told to
+        # all VMs; those with small links learned of nothing else in time, and sent
+        # requests to targets that had left.
+        reports = [(10.0 + n * 0.9, {"cold_left": 3.0 - n * 0.9}) for n in (1, 2, 3)]
+        assert self.told(self.cold(3.0), reports) == [False] * 3
+        assert self.told(self.cold(0.0), [(11.0, {}), (12.0, {})]) == [False] * 2
+
+    def test_target_that_turns_cold_or_stays_so_is_news(self):
+        # A VM that does not hear of it sends more than a cold target bears.
+        assert self.told(self.cold(0.0), [(11.0, {"cold_left": 3.0})]) == [True]
+        stays = [(10.0 + n * 0.9, {"cold_left": 3.0}) for n in (1, 2)]
+        assert self.told(self.cold(3.0), stays) == [True, True]
+        assert self.told(self.cold(3.0), [(11.0, {})]) == [True]
+
+    def test_target_that_leaves_is_news(self):
+        assert self.told(self.cold(0.0), [(11.0, {"leaving": True})]) == [True]
