--- a/packages/entry/src/berylstage_entry/application.py
+++ b/packages/entry/src/berylstage_entry/application.py
@@ -113,7 +113,7 @@
             self.datagrams,
             self.rng,
         )
-        self.keeper = QueueKeeper(self.router, self.directory, self.membership)
+        self.keeper = QueueKeeper(self.router.loads, self.directory, self.membership)
         self.turns = Turns(self.membership, host)
         self.keeper.send = self._send_reply
         self.turns.ask = self._send_ask
@@ -130,7 +130,7 @@
         self.feed.tell = self._tell_news
         self.feed.is_standby = self._stands_by
         self.office.better = self.membership.better
-        self.probes = LoadProbes(self.router, self.directory, self.turns, targets)
+        self.probes = LoadProbes(self.router.loads, self.directory, self.turns, targets)
         journal = RequestJournal(self.metrics)
         self.server = CallerServer(callers, self.router, journal, self._limits)
         self.ready_page = PageServer({callers.ready_path: self._ready})
@@ -260,9 +260,11 @@
                 self.server.set_limits(limits)
         if self._members_revision != self.membership.revision:
             self._members_revision = self.membership.revision
-            self.router.vm_names = self.membership.names()
-            vms = len(self.router.vm_names) + UNKNOWN
-            self.router.vms = self.senders.vms = self.feed.vms = vms
+            names = self.membership.names()
+            self.router.cold.vm_names = names
+            vms = len(names) + UNKNOWN
+            self.router.vms = self.router.cold.vms = vms
+            self.senders.vms = self.feed.vms = vms
 
     def _tell_news(self, told: News) -> None:
         if told.large:
--- a/packages/entry/src/berylstage_entry/probes.py
+++ b/packages/entry/src/berylstage_entry/probes.py
@@ -14,8 +14,8 @@
 
 if TYPE_CHECKING:
     from berylstage_entry.directory import Directory
-    from berylstage_entry.router import Router
     from berylstage_entry.services import Service
+    from berylstage_entry.target_loads import TargetLoads
     from berylstage_entry.targets import Target
     from berylstage_entry.turns import Turns
     from berylstage_entry.wire import TargetWire
@@ -38,7 +38,7 @@
 
     Parameters
     ----------
-    router : Router
+    loads : TargetLoads
     directory : Directory
     turns : Turns
         Knows which queues fall to this VM.
@@ -47,12 +47,12 @@
 
     def __init__(
         self,
-        router: Router,
+        loads: TargetLoads,
         directory: Directory,
         turns: Turns,
         wire: TargetWire,
     ):
-        self._router = router
+        self._loads = loads
         self._directory = directory
         self._turns = turns
         self._wire = wire
@@ -94,7 +94,7 @@
                 continue
             if moment < self._not_before.get(target.name, 0.0):
                 continue
-            age, since_request = self._router.ages(target, moment)
+            age, since_request = self._loads.ages(target, moment)
             if is_due(age, since_request, service.owns_keys):
                 task = asyncio.create_task(self._ask(target, service))
                 self._under_way[target.name] = task
@@ -137,7 +137,7 @@
             report = await self._wire.probe(target, service.health_path, TIMEOUT)
         except (CallFailed, TargetEnded) as exc:
             self._not_before[target.name] = now() + PAUSE
-            self._router.unheard(target)
+            self._loads.unheard(target)
             if target.name not in self._silent:
                 self._silent.add(target.name)
                 log.info(
@@ -151,4 +151,4 @@
         if report is None:
             self._not_before[target.name] = now() + PAUSE
             return
-        self._router.heard(target, report.running + report.waiting, report)
+        self._loads.heard(target, report.running + report.waiting, report)
--- a/packages/entry/src/berylstage_entry/queue_keeper.py
+++ b/packages/entry/src/berylstage_entry/queue_keeper.py
@@ -27,8 +27,8 @@
 
     from berylstage_entry.directory import Directory
     from berylstage_entry.membership import Membership
-    from berylstage_entry.router import Router
     from berylstage_entry.services import Service
+    from berylstage_entry.target_loads import TargetLoads
 
 # Seconds between two looks for what has become due in queues where requests wait: a
 # place or permit may expire, and nobody says so.
@@ -46,14 +46,16 @@
 
     Parameters
     ----------
-    router : Router
+    loads : TargetLoads
         Knows how long targets take.
     directory : Directory
     membership : Membership
     """
 
-    def __init__(self, router: Router, directory: Directory, membership: Membership):
-        self._router = router
+    def __init__(
+        self, loads: TargetLoads, directory: Directory, membership: Membership
+    ):
+        self._loads = loads
         self._directory = directory
         self._membership = membership
         self._queues: dict[str, SlotQueue] = {}
@@ -127,10 +129,10 @@
         name = self._names.get(back.target, "")
         report = None
         if name:
-            self._router.told_how(name, back.failed)
+            self._loads.told_how(name, back.failed)
         if name and back.load is not None:
             busy = back.load.running
-            self._router.told_of(name, busy, back.load.pace, moment)
+            self._loads.told_of(name, busy, back.load.pace, moment)
             report = TargetReport(name, busy)
         self._say(queue.returned(RequestId(host, back.number), moment, report))
 
@@ -143,7 +145,7 @@
             return None
         queue = self._queues.get(name)
         if queue is None:
-            times = TurnTimes(self._router, self._directory, service.name)
+            times = TurnTimes(self._loads, self._directory, service.name)
             queue = self._queues[name] = SlotQueue(times)
         if now() - self._looked_up.get(name, float("-inf")) >= TICK:
             self._looked_up[name] = now()
@@ -169,7 +171,7 @@
             for n in self._directory.usable(service.name)
             if known[n].cold_until <= now()
         ]
-        sound = self._router.sound(service.name, warm) or warm
+        sound = self._loads.sound(service.name, warm) or warm
         return {n: known[n].target.slots for n in sound}
 
     def _learn(self) -> None:
--- a/packages/entry/src/berylstage_entry/reports.py
+++ b/packages/entry/src/berylstage_entry/reports.py
@@ -172,7 +172,7 @@
         cfg = self._directory.configuration
         found = []
         for service in cfg.services.values() if cfg is not None else ():
-            loads = self._router.service_loads(service.name)
+            loads = self._router.loads.seen(service.name)
             if service.owns_keys and loads is not None:
                 found.append((service.name, loads.mean, loads.slowness()))
         return found
--- a/packages/entry/src/berylstage_entry/router.py
+++ b/packages/entry/src/berylstage_entry/router.py
@@ -6,13 +6,13 @@
 from random import Random
 from typing import TYPE_CHECKING
 
-from berylstage_policy.cold_pace import ColdPace, may_warm_up
-from berylstage_policy.completion import OTHER_DATA_CENTRE, ServiceLoads
+from berylstage_policy.completion import OTHER_DATA_CENTRE
 from berylstage_policy.retries import Budget
 from berylstage_policy.shares import WeightedTurns
 from berylstage_transfers.errors import AnswerLost, NeverSent
 
 from berylstage_entry.clock import now
+from berylstage_entry.cold_targets import ColdTargets
 from berylstage_entry.errors import (
     BadRequest,
     NoOwner,
@@ -22,16 +22,20 @@
 )
 from berylstage_entry.journey import Answered, Journey
 from berylstage_entry.owners import Owners
-from berylstage_entry.targets import LoadReport
+from berylstage_entry.target_loads import (
+    SERVER_ERROR,
+    TargetLoads,
+    has_failed,
+    report_of,
+)
 
 if TYPE_CHECKING:
     from berylstage_entry.directory import Directory
     from berylstage_entry.feed import Feed
     from berylstage_entry.routes import Route
     from berylstage_entry.senders import Senders
-    from berylstage_entry.services import Service
     from berylstage_entry.settings import Bounds
-    from berylstage_entry.targets import Target
+    from berylstage_entry.targets import LoadReport
     from berylstage_entry.turns import Turns
     from berylstage_entry.wire import CallerRequest, TargetAnswer
 
@@ -55,10 +59,6 @@
 # refused that a moment later had room; without a limit those for a key that asks for
 # more than its owner can do were all late.
 OWNER_WAIT = 1.4
-# Weight of a new answer in the mean size of its kind.
-SIZE_GAIN = 0.05
-# Status of an answer that tells of the target's own failure.
-SERVER_ERROR = 500
 NOT_FOUND = 404
 
 
@@ -76,6 +76,11 @@
         Of this VM.
     vm : str
         Its name.
+
+    Attributes
+    ----------
+    loads : TargetLoads
+    cold : ColdTargets
     """
 
     def __init__(
@@ -94,25 +99,15 @@
         self._bounds = bounds
         self._rng = rng
         self._data_centre = data_centre
-        self._vm = vm
-        self._loads: dict[str, ServiceLoads] = {}
+        self.loads = TargetLoads(directory, rng)
+        self.cold = ColdTargets(directory, bounds, vm)
         self._budgets: dict[str, Budget] = {}
         self._turns: dict[str, tuple[tuple, WeightedTurns]] = {}
-        self._paces: dict[tuple[str, int], ColdPace] = {}
         self._seen_revision = -1
-        # VMs that are known, and their number with some that may be starting.
+        # VMs that are known, and some that may be starting.
         self.vms = 10
-        self.vm_names: list[str] = []
-        # Whether this VM sends to a cold target, with the bound on it, as long as the
-        # known VMs stay the same.
-        self._warmers: dict[str, tuple[float, bool]] = {}
-        self._warmers_of = self.vm_names
         # Gets turns at targets from who keeps the queues before them.
         self.turns: Turns | None = None
-        # Mean bytes of the answers to each kind of request.
-        self._sizes: dict[str, float] = {}
-        # When a request for each service came last.
-        self._asked: dict[str, float] = {}
         # Requests for each key since the last report to the granting VM.
         self._key_counts: dict[str, dict[int, int]] = {}
         # Set while there are any.
@@ -125,6 +120,8 @@
         ------
         BadRequest, Refused, Unanswered
         """
+        if self._seen_revision != self._directory.revision:
+            self._forget_gone()
         cfg = self._directory.configuration
         if cfg is None:
             raise Refused("no-configuration", LONGEST_RETURN)
@@ -141,7 +138,7 @@
         wanted = moment + route.objective - ANSWER_WAY
         journey = Journey(req, route, service, moment + wait, wanted)
         self._budget(service.name).earn()
-        self._asked[service.name] = now()
+        self.loads.asked(service.name)
         if service.owns_keys and req.key is not None:
             counts = self._key_counts.setdefault(service.name, {})
             counts[req.key] = counts.get(req.key, 0) + 1
@@ -154,126 +151,11 @@
         self.has_counted.clear()
         return counts
 
-    def ages(self, target: Target, moment: float) -> tuple[float, float]:
-        """Return the seconds since a target told its load, and since it mattered.
-
-        Parameters
-        ----------
-        target : Target
-        moment : float
-            Monotonic seconds.
-
-        Returns
-        -------
-        tuple of float
-            Since its last report, and since this VM had a request for its service.
-        """
-        loads = self._service_loads(target.service)
-        load = loads.load(target.name, target.slots)
-        asked = self._asked.get(target.service, float("-inf"))
-        return moment - load.reported, moment - asked
-
-    def heard(self, target: Target, busy: int, report: LoadReport) -> None:
-        """Take in what a target has told this VM of its load.
-
-        Parameters
-        ----------
-        target : Target
-        busy : int
-            Requests that run or wait there, one that was just answered not counted.
-        report : LoadReport
-        """
-        loads = self._service_loads(target.service)
-        load = loads.load(target.name, target.slots)
-        load.told(busy, report.slots, report.pace, now())
-        loads.told(load)
-
-    def unheard(self, target: Target) -> None:
-        """Note that a target did not answer when it was asked for its load."""
-        loads = self._service_loads(target.service)
-        loads.load(target.name, target.slots).failed(now())
-
-    def told_of(self, name: str, busy: int, pace: float, at: float) -> None:
-        """Take in what another VM has heard of the load of a target.
-
-        Parameters
-        ----------
-        name : str
-        busy : int
-            Requests that run or wait there.
-        pace : float
-        at : float
-            When it was heard. What is older than what this VM knows is passed over.
-        """
-        known = self._directory.known.get(name)
-        loads = self._loads.get(known.target.service) if known else None
-        if known is None or loads is None:
-            return
-        load = loads.load(name, known.target.slots)
-        if at <= load.reported:
-            return
-        load.told(busy, known.target.slots, pace, at)
-        loads.told(load)
-
-    def answer_size(self, kind: str) -> float:
-        """Return the mean bytes of the answers to a kind of request.
-
-        Parameters
-        ----------
-        kind : str
-            Name of the route.
-        """
-        return self._sizes.get(kind, 0.0)
-
-    def told_how(self, name: str, failed: bool) -> None:
-        """Take in how a request of some VM went at a target.
-
-        Parameters
-        ----------
-        name : str
-        failed : bool
-        """
-        known = self._directory.known.get(name)
-        if known is None:
-            return
-        loads = self._service_loads(known.target.service)
-        load = loads.load(name, known.target.slots)
-        if failed:
-            load.struck(now())
-        else:
-            load.praised()
-
-    def sound(self, service: str, names: list[str]) -> list[str]:
-        """Return the targets that are not left out for having failed.
-
-        Parameters
-        ----------
-        service : str
-        names : list of str
-            Targets of it.
-        """
-        loads, known = self._service_loads(service), self._directory.known
-        return [
-            name
-            for name in names
-            if loads.load(name, known[name].target.slots).shunned_until <= now()
-        ]
-
-    def service_loads(self, service: str) -> ServiceLoads | None:
-        """Return what this VM has seen of the targets of a service."""
-        return self._loads.get(service)
-
-    def work(self, service: str, name: str, kind: str) -> float:
-        """Return the seconds that a target takes for a request of a kind.
-
-        Parameters
-        ----------
-        service, name : str
-            Of the target.
-        kind : str
-            Name of the request's route.
-        """
-        return self._service_loads(service).work(name, kind, now())
+    def _forget_gone(self) -> None:
+        self._seen_revision = self._directory.revision
+        names = set(self._directory.known)
+        self._senders.keep(names)
+        self.cold.keep(names)
 
     async def _travel(self, journey: Journey) -> Answered:
         """Send until there is an answer to give, or no way to get one."""
@@ -314,7 +196,7 @@
                 name = await self._owners.find(journey)
             except NoOwner as exc:
                 raise self._given_up(journey, "no-owner", str(exc)) from exc
-            if not self._may_send(name, journey.service):
+            if not self.cold.may_send(name, journey.service):
                 raise self._given_up(journey, "cold")
             centre = self._directory.known[name].target.data_centre
             await self._await_turn(journey, name, centre)
@@ -352,7 +234,7 @@
 
     def _paced(self, journey: Journey, name: str) -> str:
         """Let the owner of a key get no more than this VM believes it can bear."""
-        loads = self._service_loads(journey.service.name)
+        loads = self.loads.of(journey.service.name)
         loads.load(name, self._directory.known[name].target.slots)
         expected = loads.expected(name, journey.route.name, now())
         if expected > OWNER_WAIT * journey.route.objective:
@@ -363,7 +245,7 @@
     async def _free(self, journey: Journey) -> str:
         """Return the target of a request without a key, when it has its turn there."""
         names = self._fit(journey)
-        cold = [n for n in names if self._pace(n, journey.service) is not None]
+        cold = [n for n in names if self.cold.pace(n, journey.service) is not None]
         if journey.attempts or len(cold) == len(names):
             # Repeats go around what has failed them.
             return self._free_target(journey, names)
@@ -385,11 +267,11 @@
     def _fit(self, journey: Journey) -> list[str]:
         """Return the targets that a request without a key may go to."""
         names = self._directory.usable(journey.service.name)
-        loads = self._service_loads(journey.service.name)
+        loads = self.loads.of(journey.service.name)
         known = self._directory.known
         fit = []
         for name in names:
-            if name in journey.tried or not self._may_send(name, journey.service):
+            if name in journey.tried or not self.cold.may_send(name, journey.service):
                 continue
             target = known[name].target
             load = loads.load(name, target.slots)
@@ -402,7 +284,7 @@
 
     def _free_target(self, journey: Journey, fit: list[str]) -> str:
         """Return the target that this VM believes will be done first."""
-        loads = self._service_loads(journey.service.name)
+        loads = self.loads.of(journey.service.name)
         kind = journey.route.name
         name = loads.choose(fit, kind, now())
         if loads.expected(name, kind, now()) > journey.left(now()):
@@ -413,15 +295,15 @@
         """Send once; None when it may be tried again."""
         target = self._directory.known[name].target
         sender = self._senders.to(target, journey.service.connections)
-        loads = self._service_loads(journey.service.name)
+        loads = self.loads.of(journey.service.name)
         load = loads.load(name, target.slots)
-        self._note_sent(name, journey.service)
+        self.cold.sent(name, journey.service)
         load.inflight += 1
         began = now()
         failed, report, had_turn = True, None, journey.turn is not None
         try:
             answer = await sender.send(journey.req, journey.left(began))
-            failed, report = _has_failed(answer), _report_of(answer)
+            failed, report = has_failed(answer), report_of(answer)
         except asyncio.CancelledError:
             # Its caller has left, which says nothing about the target.
             if journey.turn is not None:
@@ -440,7 +322,8 @@
         finally:
             load.inflight -= 1
             self._end_turn(journey, failed, report)
-        self._learn(loads, journey.route.name, name, answer, now() - began)
+        kind, service = journey.route.name, journey.service.name
+        self.loads.learn(name, kind, service, answer, now() - began)
         if answer.not_run and not answer.misdirected and had_turn:
             journey.shed += 1
         return self._judge(journey, name, answer)
@@ -451,36 +334,13 @@
         moment = now()
         late = journey.left(moment) < LEAST_TIME
         journey.lost = "timeout" if late else "answer-lost"
-        self._service_loads(journey.service.name).load(name, 1).failed(moment)
+        self.loads.of(journey.service.name).load(name, 1).failed(moment)
         if not journey.route.idempotent or late:
             detail = f"target {name} attempts {journey.attempts}: {exc}"
             raise Unanswered(journey.lost, late, detail) from exc
         # Some targets reset connections when they are full.
         self._owners.turned_away(journey, name)
 
-    def _learn(
-        self,
-        loads: ServiceLoads,
-        kind: str,
-        name: str,
-        answer: TargetAnswer,
-        seconds: float,
-    ) -> None:
-        load = loads.load(name, 1)
-        moment = now()
-        known = self._directory.known.get(name)
-        report = _report_of(answer)
-        if answer.load is not None and report is not None and known is not None:
-            self.heard(known.target, report.running, answer.load)
-        if _has_failed(answer):
-            load.failed(moment)
-            return
-        load.worked(moment)
-        size = self._sizes.get(kind, float(len(answer.body)))
-        self._sizes[kind] = size + SIZE_GAIN * (len(answer.body) - size)
-        if answer.load is None or not answer.load.waiting:
-            loads.answered(name, kind, seconds / load.pace)
-
     def _judge(
         self, journey: Journey, name: str, answer: TargetAnswer
     ) -> TargetAnswer | None:
@@ -533,23 +393,6 @@
             known = self._turns[route.name] = (weights, turns)
         return route.shares[known[1].take()].service
 
-    def _service_loads(self, service: str) -> ServiceLoads:
-        if self._seen_revision != self._directory.revision:
-            self._forget_gone()
-        loads = self._loads.get(service)
-        if loads is None:
-            loads = self._loads[service] = ServiceLoads(self._rng)
-        return loads
-
-    def _forget_gone(self) -> None:
-        self._seen_revision = self._directory.revision
-        names = set(self._directory.known)
-        for loads in self._loads.values():
-            loads.keep(names)
-        self._senders.keep(names)
-        for name in [name for name in self._warmers if name not in names]:
-            del self._warmers[name]
-
     def _budget(self, service: str) -> Budget:
         budget = self._budgets.get(service)
         if budget is None:
@@ -557,59 +400,3 @@
             reserve = self._bounds.retry_allowance / (2 * self.vms)
             budget = self._budgets[service] = Budget(share, max(1.0, reserve))
         return budget
-
-    def _pace(self, name: str, service: Service) -> ColdPace | None:
-        """Return the pace towards a target that is cold; None for a warm one."""
-        known = self._directory.known[name]
-        if known.cold_until <= now():
-            return None
-        identity = known.target.identity
-        pace = self._paces.get(identity)
-        if pace is None:
-            bound = self._bounds.cold_bound(service.cold_rate)
-            pace = ColdPace(bound, self.vms, now())
-            self._paces[identity] = pace
-        return pace
-
-    def _may_send(self, name: str, service: Service) -> bool:
-        pace = self._pace(name, service)
-        if pace is None:
-            return True
-        return self._warms_up(name, service) and pace.may_send(now())
-
-    def _warms_up(self, name: str, service: Service) -> bool:
-        """Tell whether this VM is one of those that send to a cold target.
-
-        Each request for a service asks that of all its cold targets, and each answer
-        takes a look at all VMs: with hundreds of both, only a change of the VMs or of
-        the target's pace is worth another look.
-        """
-        if self._warmers_of is not self.vm_names:
-            self._warmers_of = self.vm_names
-            self._warmers.clear()
-        bound = self._bounds.cold_bound(service.cold_rate)
-        known = self._warmers.get(name)
-        if known is None or known[0] != bound:
-            mine = may_warm_up(name, self._vm, self.vm_names, bound)
-            known = self._warmers[name] = (bound, mine)
-        return known[1]
-
-    def _note_sent(self, name: str, service: Service) -> None:
-        pace = self._pace(name, service)
-        if pace is not None:
-            pace.sent(now())
-
-
-def _has_failed(answer: TargetAnswer) -> bool:
-    """Tell whether an answer speaks against the target that gave it."""
-    return answer.not_run or answer.misdirected or answer.status >= SERVER_ERROR
-
-
-def _report_of(answer: TargetAnswer) -> LoadReport | None:
-    """Return what a target has to do beside the request that it answered."""
-    told = answer.load
-    if told is None:
-        return None
-    # Its target counts the answered request as still running.
-    busy = max(0, told.running + told.waiting - 1)
-    return LoadReport(busy, 0, told.slots, told.pace)
--- a/packages/entry/src/berylstage_entry/turn_times.py
+++ b/packages/entry/src/berylstage_entry/turn_times.py
@@ -9,7 +9,7 @@
 
 if TYPE_CHECKING:
     from berylstage_entry.directory import Directory
-    from berylstage_entry.router import Router
+    from berylstage_entry.target_loads import TargetLoads
 
 
 class TurnTimes(ServiceTimes):
@@ -17,20 +17,20 @@
 
     Parameters
     ----------
-    router : Router
+    loads : TargetLoads
     directory : Directory
     service : str
     """
 
-    __slots__ = ("_directory", "_router", "_service")
+    __slots__ = ("_directory", "_loads", "_service")
 
-    def __init__(self, router: Router, directory: Directory, service: str):
-        self._router = router
+    def __init__(self, loads: TargetLoads, directory: Directory, service: str):
+        self._loads = loads
         self._directory = directory
         self._service = service
 
     def seconds(self, target: str, kind: str) -> float:  # noqa: D102
-        return self._router.work(self._service, target, kind)
+        return self._loads.work(self._service, target, kind)
 
     def distance(  # noqa: D102
         self, target: str, origin: str, kind: str
@@ -38,5 +38,5 @@
         known = self._directory.known.get(target)
         if known is None or known.target.data_centre == origin:
             return 0.0
-        size = self._router.answer_size(kind)
+        size = self._loads.answer_size(kind)
         return max(OTHER_DATA_CENTRE, CROSSING_PER_BYTE * size)
--- a/packages/entry/tests/test_probes.py
+++ b/packages/entry/tests/test_probes.py
@@ -37,7 +37,7 @@
         directory.apply(Record(target=record), 0.0, False)
     router = Router(directory, None, Senders(None), BOUNDS, Random(1))
     turns = Turns(members, vm)
-    return router, LoadProbes(router, directory, turns, wire)
+    return router, LoadProbes(router.loads, directory, turns, wire)
 
 
 def play(probes, seconds=0.2):
@@ -64,7 +64,7 @@
         router, probes = installation("10.0.0.1", Members(), records, targets)
         play(probes)
         assert sorted(targets.probed) == list(NAMES)
-        assert router.service_loads("s").slowness() == dict.fromkeys(NAMES, 1.5)
+        assert router.loads.of("s").slowness() == dict.fromkeys(NAMES, 1.5)
 
     def members(self):
         return Members(
--- a/packages/entry/tests/test_reports.py
+++ b/packages/entry/tests/test_reports.py
@@ -44,12 +44,14 @@
         self.counts = {}
         self.has_counted = asyncio.Event()
         self.has_counted.set()
+        # Its own loads as well.
+        self.loads = self
 
     def take_key_counts(self):
         counts, self.counts = self.counts, {}
         return counts
 
-    def service_loads(self, service):
+    def seen(self, service):
         return None
 
 
--- a/packages/entry/tests/test_router.py
+++ b/packages/entry/tests/test_router.py
@@ -6,7 +6,7 @@
 from random import Random
 
 import pytest
-from berylstage_entry import router as router_module
+from berylstage_entry import cold_targets
 from berylstage_entry.assignment import Assignment, KeyRange
 from berylstage_entry.clock import now
 from berylstage_entry.directory import Directory
@@ -230,7 +230,7 @@
         router = Router(directory, Feed(), senders, BOUNDS, Random(1))
         req = CallerRequest("id", "GET", "h", "/a/", {}, 1.0, 7)
         asyncio.run(router.serve(req))
-        router.told_of("a", 12, 1.0, now())
+        router.loads.told_of("a", 12, 1.0, now())
         with pytest.raises(Refused):
             asyncio.run(router.serve(req))
         assert senders.sent == ["a"]
@@ -355,9 +355,9 @@
         # all of 195 VMs for each cold target: answers took longer the more VMs there
         # were.
         asked = []
-        real = router_module.may_warm_up
+        real = cold_targets.may_warm_up
         monkeypatch.setattr(
-            router_module,
+            cold_targets,
             "may_warm_up",
             lambda name, *rest: asked.append(name) or real(name, *rest),
         )
@@ -367,11 +367,15 @@
             cold = target(name, cold_left=9.0)
             directory.apply(Record(target=cold), now(), False)
         router = Router(directory, Feed(), Senders([]), BOUNDS, Random(1), "", "vm-1")
-        router.vm_names = [f"vm-{n}" for n in range(200)]
-        first = [router._may_send(name, service) for name in "abc" for _ in range(50)]
+        router.cold.vm_names = [f"vm-{n}" for n in range(200)]
+        first = [
+            router.cold.may_send(name, service) for name in "abc" for _ in range(50)
+        ]
         assert asked == ["a", "b", "c"]
         # It is worked out anew when VMs have come or gone.
-        router.vm_names = [*router.vm_names, "vm-200"]
-        again = [router._may_send(name, service) for name in "abc" for _ in range(50)]
+        router.cold.vm_names = [*router.cold.vm_names, "vm-200"]
+        again = [
+            router.cold.may_send(name, service) for name in "abc" for _ in range(50)
+        ]
         assert asked == ["a", "b", "c"] * 2
         assert len(first) == len(again)
--- a/packages/entry/tests/test_turn_times.py
+++ b/packages/entry/tests/test_turn_times.py
@@ -18,8 +18,8 @@
     directory.apply(Record(configuration=configuration()), 0.0, False)
     directory.apply(Record(target=target("a", data_centre="dc-1")), 0.0, False)
     router = Router(directory, None, Senders(None), BOUNDS, Random(1))
-    router._sizes = sizes
-    return TurnTimes(router, directory, "s")
+    router.loads._sizes = sizes
+    return TurnTimes(router.loads, directory, "s")
 
 
 class TestDistance:
--- a/packages/entry/tests/test_turns.py
+++ b/packages/entry/tests/test_turns.py
@@ -70,7 +70,7 @@
         directory.apply(Record(configuration=configuration()), 0.0, False)
         directory.apply(Record(target=target("a")), 0.0, False)
         router = Router(directory, None, Senders(None), BOUNDS, Random(1))
-        self.keeper = QueueKeeper(router, directory, Members())
+        self.keeper = QueueKeeper(router.loads, directory, Members())
         self.turns = Turns(Members(), host)
         self.turns.ask = self.turns.give_back = self.keeper.send = lambda to, word: (
             network.carry(host, to, word.encode())
