Have one VM of each data centre tell the others while nobody tells all

Cause: when the VM with the duty is lost nobody tells news until another has taken it, some 2.5 s later. Each VM then reads the store for itself every 1.2 s, hundreds at the same moment, watches the vacant duty's key with a call of its own, and reads once more for the gap before the first telling of the next holder.

Change: the VM that stands by in a data centre reads after 0.7 s without news and tells those of its data centre; news that a VM was told goes out again with the first that it tells; a VM that is too small for the duty beside known larger ones does not watch its key.

--- a/packages/entry/src/berylstage_entry/application.py
+++ b/packages/entry/src/berylstage_entry/application.py
@@ -129,6 +129,8 @@
         self.feed.is_teller = self.office.holds
         self.feed.tell = self._tell_news
         self.feed.is_standby = self._stands_by
+        self.feed.is_deputy = self._is_deputy
+        self.feed.leaves_duty = lambda: bool(self.membership.better())
         self.office.better = self.membership.better
         self.probes = LoadProbes(self.router.loads, self.directory, self.turns, targets)
         journal = RequestJournal(self.metrics)
@@ -249,6 +251,10 @@
     def _stands_by(self) -> bool:
         return self.membership.stands_by(self.office.holder_address())
 
+    def _is_deputy(self) -> bool:
+        # Before its own record is known, each VM would be the one of its data centre.
+        return self.cfg.vm in self.membership.names() and self._stands_by()
+
     def _limits(self) -> Limits | None:
         cfg = self.directory.configuration
         return cfg.limits if cfg is not None else None
@@ -275,7 +281,8 @@
     async def _tell_large(self, told: News) -> None:
         """Tell large values before the news that names them."""
         began = now()
-        await self.announcements.tell_first(told.large)
+        if self.office.holds():
+            await self.announcements.tell_first(told.large)
         told.age += now() - began
         self._send_news(told)
 
@@ -284,7 +291,7 @@
             data = part.encode()
             # What is too much for a datagram the others read for themselves.
             if data is not None:
-                self.datagrams.send(data)
+                self.datagrams.send(data, near=not self.office.holds())
 
     def _take_news(self, data: bytes, host: str) -> None:
         try:
--- a/packages/entry/src/berylstage_entry/datagrams.py
+++ b/packages/entry/src/berylstage_entry/datagrams.py
@@ -57,9 +57,18 @@
         """Pass over a VM that is not there: it will be, or its record will go."""
         log.debug("datagram not delivered", extra={"cause": str(exc)})
 
-    def send(self, data: bytes) -> None:
-        """Send a datagram to all other VMs."""
-        hosts = {member.host for member in self._membership.members()}
+    def send(self, data: bytes, near: bool = False) -> None:
+        """Send a datagram to all other VMs.
+
+        Parameters
+        ----------
+        data : bytes
+        near : bool
+            Whether to send it to those of this data centre only.
+        """
+        members = self._membership.members()
+        home = {m.data_centre for m in members if m.host == self._host}
+        hosts = {m.host for m in members if not near or m.data_centre in home}
         for host in hosts - {self._host}:
             self.send_to(host, data)
 
--- a/packages/entry/src/berylstage_entry/feed.py
+++ b/packages/entry/src/berylstage_entry/feed.py
@@ -36,6 +36,11 @@
 # The same for the VM that tells the others. Less than half of the pace, so that one
 # lost telling is made up for by the next before the others read for themselves.
 TELL_PACE = 0.45
+# The same for the one VM of a data centre that tells the others there what it reads
+# while nobody tells all. When the VM that tells is lost, hundreds would read for
+# themselves at the same moment, and again until another one has its part. This is
+# sooner than they do, and later than the next telling after one that was lost.
+DEPUTY_PACE = 0.7
 # The same while records have lapsed: whether they come back is known sooner.
 LAPSED_PACE = 0.25
 # The same while callers ask for keys whose owner this VM does not know. A VM that was
@@ -112,6 +117,10 @@
         self.vms = 1
         # Whether this VM is to hear of a vacant duty at once.
         self.is_standby: Callable[[], bool] = lambda: True
+        # Whether this VM tells those of its data centre while nobody tells all.
+        self.is_deputy: Callable[[], bool] = lambda: False
+        # Whether a VM is known that had better have a vacant duty than this one.
+        self.leaves_duty: Callable[[], bool] = lambda: False
         # Assignment of each service and the revision of its key.
         self.assignments: dict[str, Assignment] = {}
         self.revisions: dict[str, int] = {}
@@ -204,6 +213,10 @@
             self._fetching = asyncio.create_task(self._fetch())
         self._revision = news.revision
         self._fresh_at = max(self._fresh_at, now() - news.age)
+        # Told again with the first that this VM tells, should it be the next to tell:
+        # other VMs may have missed the last that the former one told.
+        self._told.clear()
+        self._told.append((now(), news))
         return True
 
     async def _fetch(self) -> None:
@@ -228,7 +241,9 @@
     def _pace(self) -> float:
         if self._directory.has_lapsed():
             return LAPSED_PACE
-        return TELL_PACE if self.is_teller() else PACE
+        if self.is_teller():
+            return TELL_PACE
+        return DEPUTY_PACE if self.is_deputy() else PACE
 
     async def _pause(self) -> None:
         """Wait until the next reading is due, or somebody needs it sooner."""
@@ -315,13 +330,13 @@
     def _watches_duty(self) -> bool:
         """Tell whether this VM is one of those that watch the duty's key.
 
-        While it is vacant all of them do: with its taking, the rest stop.
+        While it is vacant all do that might take it: with its taking, the rest stop.
         """
         if not self.complete or self.is_teller():
             return False
         item = self.own.get(DUTY_KEY)
         vacant = item is None or item.value is None
-        return vacant or self.is_standby()
+        return self.is_standby() or (vacant and not self.leaves_duty())
 
     async def _read_all(self) -> None:
         news, began = News(self._revision, 0, []), now()
@@ -363,7 +378,8 @@
         # A teller that stood still during a long wait could not tell how old the answer
         # is: a call that waits for nothing is as old as it took, on a clock that counts
         # suspended time.
-        wait = 0.0 if self.is_teller() else ALL_WAIT
+        tells = self._tells()
+        wait = 0.0 if tells else ALL_WAIT
         changes = await self._store.watch("", self._revision, wait)
         for item in changes.items:
             # News may have come during the watch; older changes must not undo it.
@@ -372,15 +388,19 @@
             if item.revision > self._revision:
                 self._take(item)
         news.revision = self._revision = max(self._revision, changes.revision)
-        if not wait:
+        if tells:
             self._tell_others(news, began)
 
+    def _tells(self) -> bool:
+        """Tell whether this VM tells others what it reads."""
+        return self.is_teller() or self.is_deputy()
+
     def _tell_others(self, news: News, began: float) -> None:
         """Tell the other VMs what was read, with what was told a moment ago."""
         moment = now()
         while self._told and moment - self._told[-1][0] > TOLD_AGAIN:
             self._told.pop()
-        if not self.is_teller() or not news.after:
+        if not self._tells() or not news.after:
             # What a first reading finds is not what has changed.
             self._told.clear()
             return
--- a/packages/entry/tests/test_datagrams.py
+++ b/packages/entry/tests/test_datagrams.py
@@ -14,7 +14,7 @@
     """Three VMs of two data centres."""
 
     def members(self):
-        return [Member(f"vm-{h}", f"{h}:1", "dc", 1.0) for h in HOSTS]
+        return [Member(f"vm-{h}", f"{h}:1", f"dc-{h[5]}", 1.0) for h in HOSTS]
 
 
 class Transport:
@@ -46,6 +46,11 @@
         each.send(b"x")
         assert sorted(sent) == [(b"x", (host, 7)) for host in HOSTS[1:]]
 
+    def test_vms_of_this_data_centre_can_be_told_alone(self):
+        each, sent = datagrams()
+        each.send(b"x", near=True)
+        assert sent == [(b"x", (HOSTS[1], 7))]
+
     def test_reader_is_told_who_has_sent(self):
         each, _ = datagrams()
         read = []
--- a/packages/entry/tests/test_feed.py
+++ b/packages/entry/tests/test_feed.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import json
 
 import pytest
 from berylstage_entry.clock import now
 from berylstage_entry.directory import Directory
 from berylstage_entry.errors import StoreSilent
 from berylstage_entry.feed import DUTY_KEY, RATE_AWAY, RETRY, Feed
+from berylstage_entry.news import News
 from fakes import JsonRecords, MemoryStore, StoreView, configuration
 from virtual_time import virtual_loop
 
@@ -90,3 +92,83 @@
             feed.note_failure(StoreSilent("away"))
             assert loop.run_until_complete(feed.contact()) == 0
             assert calls == []
+
+
+class TestDeputies:
+    """One VM of each data centre, while the one that tells all is lost."""
+
+    CENTRES = 3
+
+    def centre(self, n):
+        return n % self.CENTRES
+
+    @pytest.fixture
+    def told_feeds(self, feeds):
+        """Return VMs of which the first tells all, and one each its data centre."""
+        _, _, _, found = feeds
+        found[0].is_teller = lambda: self.alive
+
+        def tell(teller, told):
+            for n, feed in enumerate(found):
+                near = self.centre(n) == self.centre(teller)
+                if n != teller and (found[teller].is_teller() or near):
+                    for part in told.parts():
+                        feed.take_news(News.decode(part.encode()))
+
+        for n, feed in enumerate(found):
+            feed.tell = lambda told, n=n: tell(n, told)
+            feed.is_deputy = lambda n=n: self.CENTRES <= n < 2 * self.CENTRES
+            # The watch of the duty's key is not what is counted here.
+            feed.is_standby = lambda: False
+        self.alive = True
+        return feeds
+
+    def report(self, store, seconds):
+        async def go_on():
+            for n in range(int(seconds / 0.1)):
+                store.put("t/a", json.dumps({"life": n}).encode())
+                await asyncio.sleep(0.1)
+
+        return go_on()
+
+    def test_loss_of_the_vm_that_tells_sends_nobody_else_to_the_store(self, told_feeds):
+        # Nobody tells for three seconds. 63 VMs that read the store for themselves make
+        # two calls each, in the moment in which it is wanted for the duty.
+        loop, store, calls, found = told_feeds
+        loop.run_until_complete(self.report(store, 3.0))
+        self.alive = False
+        found[0].stop()
+        before = len(calls)
+        loop.run_until_complete(self.report(store, 3.0))
+        assert len(calls) - before <= self.CENTRES * (3.0 / 0.7 + 1)
+        newest = max(feed._revision for feed in found)
+        assert min(feed._revision for feed in found[1:]) > newest - 10
+
+    def test_next_vm_that_tells_leaves_no_gap(self, told_feeds):
+        # The last telling of the lost VM did not reach all. The next one tells of that
+        # time as well, or all who missed it read the store.
+        loop, store, calls, found = told_feeds
+        loop.run_until_complete(self.report(store, 1.0))
+        missing, successor = found[10], found[4]
+        taken = missing.take_news
+        missing.take_news = lambda news: False
+        loop.run_until_complete(self.report(store, 0.5))
+        missing.take_news = taken
+        self.alive = False
+        found[0].stop()
+        successor.is_teller = lambda: True
+        before = len(calls)
+        loop.run_until_complete(self.report(store, 1.0))
+        assert missing._revision >= successor._revision - 5
+        assert len(calls) - before <= 2 * self.CENTRES + 3
+
+    def test_data_centre_without_a_deputy_reads_for_itself(self, told_feeds):
+        loop, store, _, found = told_feeds
+        for feed in found:
+            feed.is_deputy = lambda: False
+        self.alive = False
+        found[0].stop()
+        loop.run_until_complete(self.report(store, 1.5))
+        store.put("t/b", b"{}")
+        loop.run_until_complete(self.report(store, 1.5))
+        assert all("b" in feed._directory.known for feed in found[1:])
--- a/packages/entry/tests/test_news.py
+++ b/packages/entry/tests/test_news.py
@@ -57,7 +57,7 @@
     store.put(f"t/{name}", json.dumps(changes).encode())
 
 
-def play(steps, lose=lambda: False):
+def play(steps, lose=lambda: False, set_up=lambda feed: None):
     """Run steps with one VM that tells and one that is told."""
 
     async def run():
@@ -74,6 +74,7 @@
                     told.feed.take_news(News.decode(data))
 
         teller.feed.tell = tell
+        set_up(told.feed)
         teller.feed.start()
         told.feed.start()
         await asyncio.sleep(0.5)
@@ -371,6 +372,23 @@
 
         play(steps)
 
+    def test_small_vm_leaves_a_vacant_duty_to_larger_ones(self):
+        # 195 VMs start together, and the duty is vacant. Each that watches its key makes
+        # a call for it, though eighteen of them are large enough to have it.
+        async def steps(store, teller, told):
+            await asyncio.sleep(0.6)
+            watches = told.store.duty_watches
+            store.put(DUTY_KEY, None)
+            await until(lambda: told.feed.own[DUTY_KEY].value is None)
+            await asyncio.sleep(0.6)
+            assert told.store.duty_watches == watches
+
+        def small(feed):
+            feed.is_standby = lambda: False
+            feed.leaves_duty = lambda: True
+
+        play(steps, set_up=small)
+
     def test_holder_of_the_duty_does_not_watch_it(self):
         async def steps(store, teller, told):
             store.put(DUTY_KEY, b"{}")
