--- a/packages/entry/tests/test_news.py
+++ b/packages/entry/tests/test_news.py
@@ -373,10 +373,11 @@
         play(steps)
 
     def test_small_vm_leaves_a_vacant_duty_to_larger_ones(self):
-        # 195 VMs start together, and the duty is vacant. Each that watches its key makes
-        # a call for it, though eighteen of them are large enough to have it.
+        # 195 VMs start together, and the duty is vacant. Each that watches its key
+        # makes a call for it, though eighteen of them are large enough to have it.
         async def steps(store, teller, told):
-            await asyncio.sleep(0.6)
+            store.put(DUTY_KEY, b"{}")
+            await until(lambda: DUTY_KEY in told.feed.own)
             watches = told.store.duty_watches
             store.put(DUTY_KEY, None)
             await until(lambda: told.feed.own[DUTY_KEY].value is None)
