Sum up lost requests from log lines: berylstage losses

Which requests were lost, in which second, for which reason and by which queue, target or key, over the lines of all VMs; what VMs left out of their logs is counted apart. The reading of log lines, which berylstage explain has as well, is a module of its own.

--- a/packages/cli/src/berylstage_cli/application.py
+++ b/packages/cli/src/berylstage_cli/application.py
@@ -12,6 +12,7 @@
 from berylstage_cli.connections import Connector, connect_http
 from berylstage_cli.exit_codes import ExitCode
 from berylstage_cli.explain_command import ExplainCommand
+from berylstage_cli.losses_command import LossesCommand
 from berylstage_cli.sheet_commands import (
     ApplyCommand,
     CheckCommand,
@@ -45,6 +46,7 @@
         self.catch_exceptions(False)
         self.add(CheckCommand())
         self.add(ExplainCommand())
+        self.add(LossesCommand())
         for command in (
             DiffCommand,
             ApplyCommand,
--- a/packages/cli/src/berylstage_cli/explain_command.py
+++ b/packages/cli/src/berylstage_cli/explain_command.py
@@ -2,21 +2,20 @@
 
 from __future__ import annotations
 
-import sys
 from contextlib import ExitStack
 from itertools import chain
-from pathlib import Path
 from typing import TYPE_CHECKING
 
 from cleo.helpers import argument
 
 from berylstage_cli.command import JSON_OPTION, STANDARD_STREAM, OperatorCommand
-from berylstage_cli.errors import FileFault, NoLineOfRequest
+from berylstage_cli.errors import NoLineOfRequest
+from berylstage_cli.log_lines import open_logs
 from berylstage_cli.reports import Report
 from berylstage_cli.story import tell
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Iterator
+    from collections.abc import Iterator
 
     from berylstage_cli.story import Story
 
@@ -75,20 +74,8 @@
         request = self.argument("id")
         names = self.argument("logs") or [STANDARD_STREAM]
         with ExitStack() as opened:
-            texts = [self._open(name, opened) for name in names]
+            texts = [open_logs(name, opened) for name in names]
             story = tell(request, chain(*texts))
         if not story.lines:
             raise NoLineOfRequest(request, story.unreadable)
         return StoryReport(request, story)
-
-    @staticmethod
-    def _open(name: str, opened: ExitStack) -> Iterable[str]:
-        if name == STANDARD_STREAM:
-            return sys.stdin
-        try:
-            file = Path(name).open(encoding="utf-8", errors="replace")
-        except OSError as exc:
-            raise FileFault(
-                f"{name} cannot be read ({exc.strerror}); name files with log lines"
-            ) from exc
-        return opened.enter_context(file)
--- /dev/null
+++ b/packages/cli/src/berylstage_cli/losses_command.py
@@ -0,0 +1,107 @@
+"""The command that sums up lost requests from log lines."""
+
+from __future__ import annotations
+
+from contextlib import ExitStack
+from itertools import chain
+from typing import TYPE_CHECKING
+
+from cleo.helpers import argument
+
+from berylstage_cli.command import JSON_OPTION, STANDARD_STREAM, OperatorCommand
+from berylstage_cli.log_lines import open_logs
+from berylstage_cli.losses import NOT_WRITTEN, sum_up
+from berylstage_cli.reports import Report
+from berylstage_cli.story import REASONS
+
+if TYPE_CHECKING:
+    from collections import Counter
+    from collections.abc import Iterator
+
+    from berylstage_cli.losses import Loss, Losses
+
+# Causes and kinds that are named in a row at most.
+NAMED = 3
+
+
+class LossReport(Report):
+    """Lost requests by second and reason."""
+
+    def __init__(self, losses: Losses):
+        self._losses = losses
+
+    def lines(self) -> Iterator[str]:
+        """Yield a row for each second and reason, then the sums with their meaning."""
+        if not self._losses.rows:
+            yield "no request was lost"
+        else:
+            yield "second  requests  reason: causes; kinds; VMs"
+            yield from map(_row, self._losses.rows)
+            yield ""
+            yield from self._sums()
+        yield f"{self._losses.answered} requests were answered"
+        if self._losses.unreadable:
+            yield f"{self._losses.unreadable} lines of the input are no log lines"
+
+    def _sums(self) -> Iterator[str]:
+        for reason, requests in self._losses.by_reason().most_common():
+            meaning = REASONS.get(reason, "the request cannot be served as it is")
+            if reason == NOT_WRITTEN:
+                meaning = "VMs wrote no line of these, to bound their log"
+            yield f"{requests} {reason}: {meaning}"
+
+    def document(self) -> dict:
+        """Return what ``--json`` prints."""
+        return {
+            "rows": [
+                {
+                    "second": row.second,
+                    "reason": row.reason,
+                    "requests": row.requests,
+                    "causes": dict(row.causes),
+                    "kinds": dict(row.kinds),
+                    "vms": dict(row.vms),
+                }
+                for row in self._losses.rows
+            ],
+            "reasons": dict(self._losses.by_reason()),
+            "answered": self._losses.answered,
+            "unreadable": self._losses.unreadable,
+        }
+
+
+class LossesCommand(OperatorCommand):
+    """Sums up which requests were lost, when and why."""
+
+    name = "losses"
+    description = "Sum up from log lines which requests were lost, when and why"
+    arguments = [
+        argument(
+            "logs",
+            "files with log lines of the VMs, or - for standard input",
+            optional=True,
+            multiple=True,
+        ),
+    ]
+    options = [JSON_OPTION]
+
+    def report(self) -> Report:
+        """Read the lines and sum them up."""
+        names = self.argument("logs") or [STANDARD_STREAM]
+        with ExitStack() as opened:
+            texts = [open_logs(name, opened) for name in names]
+            return LossReport(sum_up(chain(*texts)))
+
+
+def _row(row: Loss) -> str:
+    told = "; ".join(
+        part for part in map(_most, (row.causes, row.kinds, row.vms)) if part
+    )
+    end = f": {told}" if told else ""
+    return f"{row.second:>6}  {row.requests:>8}  {row.reason}{end}"
+
+
+def _most(counts: Counter[str]) -> str:
+    named = [f"{name} {count}" for name, count in counts.most_common(NAMED)]
+    left = len(counts) - len(named)
+    return ", ".join([*named, f"{left} more"] if left > 0 else named)
--- a/packages/cli/src/berylstage_cli/story.py
+++ b/packages/cli/src/berylstage_cli/story.py
@@ -7,13 +7,15 @@
 
 from __future__ import annotations
 
-import json
 import re
-from datetime import datetime
 from typing import TYPE_CHECKING
 
+from berylstage_cli.log_lines import Reader
+
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Iterator
+    from collections.abc import Iterable
+
+    from berylstage_cli.log_lines import LogLine
 
 # Seconds around the request's end in which other lines may have to do with it: the
 # longest that keys wait for a silent owner after an outage is 11 s.
@@ -44,32 +46,6 @@
 }
 
 
-class LogLine:
-    """One log line.
-
-    Parameters
-    ----------
-    time : datetime
-    vm : str
-    message : str
-    fields : dict
-        Everything else.
-    """
-
-    __slots__ = ("fields", "message", "time", "vm")
-
-    def __init__(self, time: datetime, vm: str, message: str, fields: dict):
-        self.time = time
-        self.vm = vm
-        self.message = message
-        self.fields = fields
-
-    def __str__(self) -> str:
-        told = " ".join(f"{k}={_short(v)}" for k, v in self.fields.items())
-        stamp = self.time.isoformat(timespec="milliseconds")
-        return f"{stamp} {self.vm} {self.message} {told}".rstrip()
-
-
 class Story:
     """What is known of one request.
 
@@ -91,40 +67,6 @@
         self.unreadable = unreadable
 
 
-class Reader:
-    """Reads log lines, whatever a log collector has put before them."""
-
-    def __init__(self) -> None:
-        self.unreadable = 0
-
-    def read(self, texts: Iterable[str]) -> Iterator[LogLine]:
-        """Yield the lines that are log lines, and count the others.
-
-        Parameters
-        ----------
-        texts : iterable of str
-
-        Yields
-        ------
-        LogLine
-        """
-        for text in texts:
-            begin = text.find("{")
-            if begin < 0:
-                self.unreadable += bool(text.strip())
-                continue
-            try:
-                doc = json.loads(text[begin:])
-                time = datetime.fromisoformat(doc.pop("time"))
-                line = LogLine(time, doc.pop("vm"), doc.pop("message"), doc)
-            except (ValueError, KeyError, TypeError, AttributeError):
-                self.unreadable += 1
-                continue
-            for name in ("level", "logger", "left_out"):
-                line.fields.pop(name, None)
-            yield line
-
-
 def tell(request: str, texts: Iterable[str]) -> Story:
     """Return the story of a request.
 
@@ -203,8 +145,3 @@
         return f"{status}: answered by {target}, attempt {line.fields.get('attempts')}"
     meaning = REASONS.get(str(reason), "the request cannot be served as it is")
     return f"{status} {reason}: {meaning}"
-
-
-def _short(value: object) -> str:
-    text = value if isinstance(value, str) else json.dumps(value)
-    return json.dumps(text) if " " in text else text
