--- a/packages/cli/src/berylstage_cli/explain_command.py
+++ b/packages/cli/src/berylstage_cli/explain_command.py
@@ -2,15 +2,13 @@
 
 from __future__ import annotations
 
-from contextlib import ExitStack
-from itertools import chain
 from typing import TYPE_CHECKING
 
 from cleo.helpers import argument
 
-from berylstage_cli.command import JSON_OPTION, STANDARD_STREAM, OperatorCommand
+from berylstage_cli.command import JSON_OPTION
 from berylstage_cli.errors import NoLineOfRequest
-from berylstage_cli.log_lines import open_logs
+from berylstage_cli.log_command import LOGS_ARGUMENT, LogCommand
 from berylstage_cli.reports import Report
 from berylstage_cli.story import tell
 
@@ -53,29 +51,21 @@
         }
 
 
-class ExplainCommand(OperatorCommand):
+class ExplainCommand(LogCommand):
     """Tells what became of a request, and why."""
 
     name = "explain"
     description = "Tell from log lines what became of a request, and why"
     arguments = [
         argument("id", "the request's id, as its caller knows it"),
-        argument(
-            "logs",
-            "files with log lines of the VMs, or - for standard input",
-            optional=True,
-            multiple=True,
-        ),
+        LOGS_ARGUMENT,
     ]
     options = [JSON_OPTION]
 
     def report(self) -> Report:
         """Read the lines and pick those that belong together."""
         request = self.argument("id")
-        names = self.argument("logs") or [STANDARD_STREAM]
-        with ExitStack() as opened:
-            texts = [open_logs(name, opened) for name in names]
-            story = tell(request, chain(*texts))
+        story = self.read(lambda texts: tell(request, texts))
         if not story.lines:
             raise NoLineOfRequest(request, story.unreadable)
         return StoryReport(request, story)
--- a/packages/cli/src/berylstage_cli/losses_command.py
+++ b/packages/cli/src/berylstage_cli/losses_command.py
@@ -2,14 +2,10 @@
 
 from __future__ import annotations
 
-from contextlib import ExitStack
-from itertools import chain
 from typing import TYPE_CHECKING
 
-from cleo.helpers import argument
-
-from berylstage_cli.command import JSON_OPTION, STANDARD_STREAM, OperatorCommand
-from berylstage_cli.log_lines import open_logs
+from berylstage_cli.command import JSON_OPTION
+from berylstage_cli.log_command import LOGS_ARGUMENT, LogCommand
 from berylstage_cli.losses import NOT_WRITTEN, sum_up
 from berylstage_cli.reports import Report
 from berylstage_cli.story import REASONS
@@ -70,27 +66,17 @@
         }
 
 
-class LossesCommand(OperatorCommand):
+class LossesCommand(LogCommand):
     """Sums up which requests were lost, when and why."""
 
     name = "losses"
     description = "Sum up from log lines which requests were lost, when and why"
-    arguments = [
-        argument(
-            "logs",
-            "files with log lines of the VMs, or - for standard input",
-            optional=True,
-            multiple=True,
-        ),
-    ]
+    arguments = [LOGS_ARGUMENT]
     options = [JSON_OPTION]
 
     def report(self) -> Report:
         """Read the lines and sum them up."""
-        names = self.argument("logs") or [STANDARD_STREAM]
-        with ExitStack() as opened:
-            texts = [open_logs(name, opened) for name in names]
-            return LossReport(sum_up(chain(*texts)))
+        return LossReport(self.read(sum_up))
 
 
 def _row(row: Loss) -> str:
