--- a/packages/entry/src/berylstage_entry/assignment_writer.py
+++ b/packages/entry/src/berylstage_entry/assignment_writer.py
@@ -10,7 +10,7 @@
 from berylstage_entry.assignment import nobody
 from berylstage_entry.changes import AssignmentChange
 from berylstage_entry.errors import Conflict, StoreRefused, StoreSilent
-from berylstage_entry.feed import KEYS_PREFIX
+from berylstage_entry.keys import KEYS_PREFIX
 from berylstage_entry.store import Condition, Write
 
 if TYPE_CHECKING:
--- a/packages/entry/src/berylstage_entry/feed.py
+++ b/packages/entry/src/berylstage_entry/feed.py
@@ -11,7 +11,9 @@
 from berylstage_entry.assignment import Assignment
 from berylstage_entry.belief_log import BeliefLog
 from berylstage_entry.clock import now
+from berylstage_entry.duty_watch import DutyWatch
 from berylstage_entry.errors import HistoryLost, StoreError, UnreadableRecord
+from berylstage_entry.keys import DUTY_KEY, KEYS_PREFIX, OWN_PREFIX
 from berylstage_entry.news import LARGEST_VALUE, News
 from berylstage_entry.store import Item
 
@@ -22,12 +24,6 @@
     from berylstage_entry.store import Store
     from berylstage_entry.wire import RecordReader
 
-# Prefix of the keys that the VMs keep for themselves.
-OWN_PREFIX = "berylstage/"
-# Prefix of the assignments; the name of the service follows.
-KEYS_PREFIX = OWN_PREFIX + "keys/"
-# Key that names the VM with the duty of granting; it goes with that VM's lease.
-DUTY_KEY = OWN_PREFIX + "duty"
 # Seconds between two readings of all changes, or from what another VM told to a reading
 # of one's own. Targets report about once a second each, so a watch without a pause
 # would be a call for each report; a pause of 1.2 s leaves 0.8 s of the two seconds
@@ -54,9 +50,6 @@
 # Age in seconds of what a VM knows from which it reads all records rather than their
 # changes.
 FAR_BEHIND = 2.0
-# Seconds that the watch of the duty's key waits for a change. One that has gone silent
-# is noticed after as long; meanwhile the reading of all keys brings the same news.
-DUTY_WAIT = 20.0
 # Seconds that the watch of all keys waits: with any target alive it returns at once.
 ALL_WAIT = 1.0
 # Seconds for a call that finds out whether the store can be reached.
@@ -66,9 +59,6 @@
 # Calls a second that all VMs together make to a store that does not answer. Each is
 # paid for like others, and one that answers again has more to do than that.
 RATE_AWAY = 30.0
-# The same for the watch of the duty, whose news the reading of all keys brings as well
-# when the store is back. Calls to a store that is away are paid for like others.
-DUTY_RETRY = 1.0
 # Seconds after a failed call in which a record that is gone counts as lapsed.
 OUTAGE_MEMORY = 3.0
 
@@ -106,8 +96,6 @@
         self._fetching: asyncio.Task | None = None
         # All keys that the store has, as far as this VM knows.
         self._keys: set[str] = set()
-        # Up to which the duty's key is known, where that is more than of all keys.
-        self._duty_revision = 0
         # What this VM told last, the newest first, with the moments.
         self._told: deque[tuple[float, News]] = deque()
         # Whether this VM tells the others what it reads, and how.
@@ -134,7 +122,7 @@
         """Begin to follow."""
         self._tasks = [
             asyncio.create_task(self._follow_all()),
-            asyncio.create_task(self._follow_duty()),
+            asyncio.create_task(DutyWatch(self._store, self).run()),
         ]
 
     def stop(self) -> None:
@@ -149,6 +137,11 @@
         """Return the seconds of unbroken contact with the store up to now."""
         return now() - max(self._failed_at, self._began)
 
+    @property
+    def revision(self) -> int:
+        """Revision of the store up to which this VM knows everything."""
+        return self._revision
+
     def retry_pause(self) -> float:
         """Return the seconds before a call is made again that the store has failed.
 
@@ -295,49 +288,6 @@
             )
             self._tell("targets")
 
-    async def _follow_duty(self) -> None:
-        # A duty without a holder is taken over before grants end, for which the paced
-        # reading would be too slow.
-        while True:
-            if not self._watches_duty():
-                await asyncio.sleep(RETRY)
-                continue
-            revision = max(self._revision, self._duty_revision)
-            try:
-                while self._watches_duty():
-                    changes = await self._store.watch(DUTY_KEY, revision, DUTY_WAIT)
-                    for item in changes.items:
-                        self._take_own(item)
-                    revision = max(revision, changes.revision)
-            except HistoryLost:
-                await self._read_duty()
-            except StoreError as exc:
-                log.info("watch of the duty failed", extra={"cause": str(exc)})
-                await asyncio.sleep(max(DUTY_RETRY, self.retry_pause()))
-
-    async def _read_duty(self) -> None:
-        """Read the duty's key, whose changes are no longer kept."""
-        try:
-            changes = await self._store.read(DUTY_KEY)
-        except StoreError as exc:
-            self.note_failure(exc)
-            await asyncio.sleep(self.retry_pause())
-            return
-        found = [item for item in changes.items if item.key == DUTY_KEY]
-        self._take_own(found[0] if found else Item(DUTY_KEY, None, changes.revision))
-        self._duty_revision = changes.revision
-
-    def _watches_duty(self) -> bool:
-        """Tell whether this VM is one of those that watch the duty's key.
-
-        While it is vacant all do that might take it: with its taking, the rest stop.
-        """
-        if not self.complete or self.is_teller():
-            return False
-        item = self.own.get(DUTY_KEY)
-        vacant = item is None or item.value is None
-        return self.is_standby() or (vacant and not self.leaves_duty())
-
     async def _read_all(self) -> None:
         news, began = News(self._revision, 0, []), now()
         changes = await self._store.read("")
@@ -432,7 +382,7 @@
         if item.value is not None and len(item.value) > LARGEST_VALUE:
             self._large[item.key] = max(self._large.get(item.key, 0), item.revision)
         if item.key.startswith(OWN_PREFIX):
-            self._take_own(item)
+            self.take_own(item)
             return None
         try:
             record = self._reader.read(item)
@@ -458,7 +408,8 @@
         cfg = self._directory.configuration
         return cfg.version if cfg else None
 
-    def _take_own(self, item: Item) -> None:
+    def take_own(self, item: Item) -> None:
+        """Take in a key that the VMs keep for themselves, unless it is known newer."""
         if not self._is_newer(item.key, item.revision):
             return
         self.own[item.key] = item
--- a/packages/entry/src/berylstage_entry/membership.py
+++ b/packages/entry/src/berylstage_entry/membership.py
@@ -11,7 +11,7 @@
 from logbook import Logger
 
 from berylstage_entry.errors import LeaseEnded, StoreError
-from berylstage_entry.feed import OWN_PREFIX
+from berylstage_entry.keys import OWN_PREFIX
 from berylstage_entry.server import split_address
 from berylstage_entry.store import Write
 
--- a/packages/entry/src/berylstage_entry/office.py
+++ b/packages/entry/src/berylstage_entry/office.py
@@ -20,8 +20,8 @@
 
 from berylstage_entry.clock import now
 from berylstage_entry.errors import Conflict, LeaseEnded, StoreError, StoreSilent
-from berylstage_entry.feed import DUTY_KEY, OWN_PREFIX
 from berylstage_entry.holds import HOLD, lapse_of, longest_hold
+from berylstage_entry.keys import DUTY_KEY, OWN_PREFIX
 from berylstage_entry.store import Condition, Item, Write
 
 if TYPE_CHECKING:
--- a/packages/entry/tests/test_feed.py
+++ b/packages/entry/tests/test_feed.py
@@ -9,7 +9,8 @@
 from berylstage_entry.clock import now
 from berylstage_entry.directory import Directory
 from berylstage_entry.errors import StoreSilent
-from berylstage_entry.feed import DUTY_KEY, RATE_AWAY, RETRY, Feed
+from berylstage_entry.feed import RATE_AWAY, RETRY, Feed
+from berylstage_entry.keys import DUTY_KEY
 from berylstage_entry.news import News
 from fakes import JsonRecords, MemoryStore, StoreView, configuration
 from virtual_time import virtual_loop
--- a/packages/entry/tests/test_news.py
+++ b/packages/entry/tests/test_news.py
@@ -11,7 +11,8 @@
 from berylstage_entry.clock import now
 from berylstage_entry.directory import Directory
 from berylstage_entry.errors import UnreadableRecord
-from berylstage_entry.feed import DUTY_KEY, Feed
+from berylstage_entry.feed import Feed
+from berylstage_entry.keys import DUTY_KEY
 from berylstage_entry.news import News
 from berylstage_entry.store import Item
 from fakes import JsonRecords, MemoryStore, StoreView, configuration
