Tell a request as soon as it cannot be served in its time

Queues let a request in by its objective, whatever its own time; one that waited behind a target that had turned slow was told nothing until its deadline; without a keeper the owner's expected time was not held against the time left; and one that came back to a key on the move was turned away at once, by a share of its route's time that it did not have.

Change: a queue admits by the deadline as well, looks again at each word from who waits, and gives a slot to a late request only if somebody still waits for it; without a turn the time left counts; waiting for a move goes by the request's own time.

--- a/packages/entry/src/berylstage_entry/owners.py
+++ b/packages/entry/src/berylstage_entry/owners.py
@@ -31,8 +31,10 @@
 # Seconds of waiting after which the store is read ahead of time. An assignment is told
 # from VM to VM within a few milliseconds, so by then this VM has been left out.
 HURRY_AFTER = 0.15
-# Share of a route's time limit that a request may wait for an owner; the rest is for
-# the work, which takes less than half of it on all routes of today.
+# Share of its route's time limit that a request may wait for an owner, or of its own
+# time where it has less: one that came back after a refusal would be turned away at
+# once again, though most moves end within a few times MOVE_WAIT. The rest is for the
+# work, which takes less than half of the limit on all routes of today.
 WAIT_SHARE = 0.5
 
 
@@ -67,13 +69,14 @@
         """
         began = now()
         again_at = began + journey.pause
+        least = WAIT_SHARE * min(journey.route.timeout, journey.left(began))
         while True:
             r = self._range(journey)
             if r is not None and self._may_ask(r):
                 revision = self._revision(journey)
                 if journey.turned_away != (r.owner, revision) or now() >= again_at:
                     return r.owner
-            if journey.left(now()) < journey.route.timeout * WAIT_SHARE:
+            if journey.left(now()) < least:
                 raise NoOwner(self._describe(journey, r))
             if now() - began >= HURRY_AFTER:
                 self._feed.hurry()
--- a/packages/entry/src/berylstage_entry/router.py
+++ b/packages/entry/src/berylstage_entry/router.py
@@ -237,7 +237,8 @@
         loads = self.loads.of(journey.service.name)
         loads.load(name, self._directory.known[name].target.slots)
         expected = loads.expected(name, journey.route.name, now())
-        if expected > OWNER_WAIT * journey.route.objective:
+        limit = min(OWNER_WAIT * journey.route.objective, journey.left(now()))
+        if expected > limit:
             detail = loads.describe(name, now())
             raise self._given_up(journey, "owner-busy", detail)
         return name
--- a/packages/entry/tests/test_router.py
+++ b/packages/entry/tests/test_router.py
@@ -90,6 +90,8 @@
     names=("a", "b", "c"),
     feed=None,
     turns=None,
+    time_left=1.0,
+    beside=None,
     **assignment,
 ):
     """Serve one request; return how it ended and where it was sent."""
@@ -104,9 +106,19 @@
     feed = feed or Feed(**assignment)
     router = Router(directory, feed, senders, BOUNDS, Random(1))
     router.turns = turns
-    req = CallerRequest("id", "GET", "h", "/a/x?y", {}, 1.0, 7 if owns_keys else None)
+    key = 7 if owns_keys else None
+    req = CallerRequest("id", "GET", "h", "/a/x?y", {}, time_left, key)
+
+    async def serve():
+        task = asyncio.create_task(beside()) if beside is not None else None
+        try:
+            return await router.serve(req)
+        finally:
+            if task is not None:
+                task.cancel()
+
     try:
-        done = asyncio.run(router.serve(req))
+        done = asyncio.run(serve())
     except (BadRequest, Refused, Unanswered) as exc:
         return exc, senders.sent
     return done.answer.status, senders.sent
@@ -202,6 +214,21 @@
         assert (status, sent) == (200, ["b", "c"])
         assert now() - began < 0.04
 
+    def test_caller_that_comes_back_waits_for_a_move_that_is_nearly_done(self):
+        # A lookup was refused since its key was on the move. Its caller comes back with
+        # less than half of the usual time, and the move ends a moment later: turned
+        # away at once again, it would be lost.
+        feed = Feed("a", former="b")
+
+        async def end_of_move():
+            await asyncio.sleep(0.1)
+            feed.move_to("a")
+
+        status, sent = play(
+            ["ok"], owns_keys=True, feed=feed, time_left=0.45, beside=end_of_move
+        )
+        assert (status, sent) == (200, ["a"])
+
     def test_unknown_owner_has_the_store_read_sooner(self):
         feed = Feed("")
         play([], owns_keys=True, feed=feed)
@@ -218,16 +245,20 @@
         with pytest.raises(BadRequest):
             asyncio.run(router.serve(req))
 
-    def test_busy_owner_is_not_given_more_than_it_can_do_in_time(self):
-        # Many VMs send to the owner of one key that asks for more than it can do. Its
-        # reports tell of a long queue; one more request would wait there and be late.
-        route = Route("r", "h", "/a/", [Share("s", 1.0)], True, 3, 1.0, 0.3, 1)
+    def owned(self, objective):
+        """Return a router to one target with owned keys, and what it sends with."""
+        route = Route("r", "h", "/a/", [Share("s", 1.0)], True, 3, 1.0, objective, 1)
         directory = Directory()
         cfg = Configuration(1, [route], [Service("s", "/", 50, 3.0, 5.0, True)], LIMITS)
         directory.apply(Record(configuration=cfg), now(), False)
         directory.apply(Record(target=target("a")), now(), False)
         senders = Senders(["ok"] * 9)
-        router = Router(directory, Feed(), senders, BOUNDS, Random(1))
+        return Router(directory, Feed(), senders, BOUNDS, Random(1)), senders
+
+    def test_busy_owner_is_not_given_more_than_it_can_do_in_time(self):
+        # Many VMs send to the owner of one key that asks for more than it can do. Its
+        # reports tell of a long queue; one more request would wait there and be late.
+        router, senders = self.owned(objective=0.3)
         req = CallerRequest("id", "GET", "h", "/a/", {}, 1.0, 7)
         asyncio.run(router.serve(req))
         router.loads.told_of("a", 12, 1.0, now())
@@ -235,6 +266,20 @@
             asyncio.run(router.serve(req))
         assert senders.sent == ["a"]
 
+    def test_busy_owner_gets_nothing_that_it_cannot_do_in_the_time_left(self):
+        # The same, with less of a queue, for a caller that was refused before: it would
+        # wait for its answer until its time is over.
+        router, senders = self.owned(objective=0.8)
+        asyncio.run(router.serve(CallerRequest("1", "GET", "h", "/a/", {}, 1.0, 7)))
+        loads = router.loads.of("s")
+        router.loads.told_of("a", 4, 1.0, now())
+        expected = loads.expected("a", "r", now())
+        assert 0.05 < expected < 0.8
+        with pytest.raises(Refused):
+            short = CallerRequest("2", "GET", "h", "/a/", {}, 0.8 * expected, 7)
+            asyncio.run(router.serve(short))
+        assert senders.sent == ["a"]
+
 
 class TestLoadReport:
     def test_holds_what_it_was_given(self):
--- a/packages/policy/src/berylstage_policy/slot_queue.py
+++ b/packages/policy/src/berylstage_policy/slot_queue.py
@@ -288,7 +288,7 @@
         for known in self._waiting:
             if known.ident == place.ident:
                 known.heard = now
-                return [Verdict(place.ident, Say.WAIT), *self.due(now)]
+                return self._asked_again(known, now)
         late = self._lateness(place, now)
         if late > 0:
             back = max(SHORTEST_RETURN, late)
@@ -300,6 +300,19 @@
             verdicts.append(Verdict(place.ident, Say.WAIT))
         return verdicts
 
+    def _asked_again(self, place: Place, now: float) -> list[Verdict]:
+        """Return what is said about a request that waits and is heard of again.
+
+        Those before it may have taken longer than they were expected to. Kept until its
+        deadline, its caller could neither be served nor come back.
+        """
+        verdicts = self.due(now)
+        if place not in self._waiting:
+            return verdicts
+        if self._expected_end(place, now) > place.deadline:
+            return [*verdicts, self._refused(place, now)]
+        return [Verdict(place.ident, Say.WAIT), *verdicts]
+
     def returned(
         self, ident: RequestId, now: float, report: TargetReport | None = None
     ) -> list[Verdict]:
@@ -372,10 +385,17 @@
             if now + self._times.seconds(target, place.kind) <= place.wanted:
                 return place, target, late
             late.append(place)
-        # All are late; slots are free, and a late answer is better than none.
-        place = late[0]
+        # All are late; slots are free, and a late answer is better than none, or than
+        # one that comes when nobody waits for it any more.
+        place = next(
+            (each for each in late if self._is_of_use(each, free, now)), late[0]
+        )
         return place, self._best(place, free, now), []
 
+    def _is_of_use(self, place: Place, free: Sequence[str], now: float) -> bool:
+        target = self._best(place, free, now)
+        return now + self._times.seconds(target, place.kind) <= place.deadline
+
     def _best(self, place: Place, free: Sequence[str], now: float) -> str:
         if len(free) == 1:
             return free[0]
@@ -420,14 +440,21 @@
         """Return the seconds by which a request would be too late; 0 for in time."""
         if not self._slots:
             return SHORTEST_RETURN
+        slack = (ADMITTED_WITHIN - 1) * place.objective
+        # A caller that was refused before may have less time left than that.
+        limit = min(place.wanted + slack, place.deadline)
+        return max(0.0, self._expected_end(place, now) - limit)
+
+    def _expected_end(self, place: Place, now: float) -> float:
+        """Return when a request is expected to be done, behind those before it."""
         slots = self._free_at(now, place.kind)
+        if not slots:
+            return float("inf")
         for other in self._waiting:
-            if other.rank > place.rank:
+            if other is place or other.rank > place.rank:
                 break
             self._run(slots, other)
-        done = self._run(slots, place)
-        slack = (ADMITTED_WITHIN - 1) * place.objective
-        return max(0.0, done - place.wanted - slack)
+        return self._run(slots, place)
 
     def _free_at(self, now: float, kind: str) -> list[tuple[float, str]]:
         """Return when each slot is expected to be free, as a heap."""
--- a/packages/policy/tests/test_slot_queue.py
+++ b/packages/policy/tests/test_slot_queue.py
@@ -175,6 +175,44 @@
         each.ask(place(1, 0.0), 0.0)
         assert said(each.ask(place(2, 0.7), 0.7), Say.REFUSED) == [2]
 
+    def test_request_with_little_time_left_is_refused_rather_than_held(self):
+        # A caller that was refused before comes back with less time than its answer
+        # would take. Held until that is over, it gets neither an answer nor the word
+        # that it had better go elsewhere.
+        each = queue(1)
+        each.ask(place(0, 0.0), 0.0)
+        short = place(1, 0.0)
+        short.deadline = 1.5 * WORK
+        assert said(each.ask(short, 0.0), Say.REFUSED) == [1]
+
+    def test_request_that_waits_is_told_when_there_is_no_hope_left(self):
+        # A target falls silent, or its machine turns slow, after requests were let in
+        # behind its work. They waited until their deadlines.
+        each = queue(1)
+        each.ask(place(0, 0.0), 0.0)
+        waiting = place(1, 0.0)
+        assert said(each.ask(waiting, 0.0), Say.WAIT) == [1]
+        moment, told = 0.0, []
+        while not told and moment < DEADLINE:
+            moment += 0.1
+            told = said(each.ask(place(1, 0.0), moment), Say.REFUSED)
+        assert told == [1]
+        assert moment < DEADLINE - WORK
+
+    def test_slot_goes_to_a_late_answer_that_somebody_waits_for(self):
+        # Two requests are late. One of them could be answered before its caller has
+        # gone; a slot spent on the other serves nobody.
+        each = queue(1)
+        each.ask(place(0, 0.0), 0.0)
+        hopeless, late = place(1, 0.0), place(2, 0.0)
+        each.ask(hopeless, 0.0)
+        each.ask(late, 0.0)
+        for waiting in (hopeless, late):
+            waiting.wanted = 0.05
+            waiting.heard = 0.15
+        hopeless.deadline = 0.2
+        assert said(each.returned(number(0), 0.15), Say.GO) == [2]
+
     def test_tells_what_a_refusal_was_decided_by(self):
         each = queue(2)
         each.ask(place(0, 0.0), 0.0)
