Tell no reading of the store that lacks what came meanwhile

Cause, by the log lines of all VMs: the store was 60 times slower than usual. The deputies of both data centres were told of version 14 while they read the store themselves; what they knew then was not new in their reading, and they told it to the other VM of their data centre as all that had changed up to a revision beyond that version. Believing to know everything, those two never read it. Beside it: keys named in the last part of news only, so that who lost that part alone missed them too; and versions in force gathered into later log lines, which had misled the trace.

Change: a reading during which something was told is not told on; keys are named in the part that reaches their revision; configurations have their log line at once.

--- a/packages/entry/src/berylstage_entry/belief_log.py
+++ b/packages/entry/src/berylstage_entry/belief_log.py
@@ -14,7 +14,9 @@
 if TYPE_CHECKING:
     from berylstage_entry.store import Item
 
-# Seconds for which changes are gathered after a line about one of their kind.
+# Kinds of changes that come by the hundred, and the seconds for which they are gathered
+# after a line about one of them. Others have a line each, at once.
+GATHERED_KINDS = frozenset({"target", "gone"})
 GATHERED = 1.0
 # Keys that a line names at most.
 MOST_KEYS = 500
@@ -66,7 +68,7 @@
         """
         kind = self._kinds.setdefault(what, _Kind())
         kind.add(item)
-        if now - kind.said_at >= GATHERED:
+        if what not in GATHERED_KINDS or now - kind.said_at >= GATHERED:
             self._write(what, kind, configuration, now)
 
     def flush(self, configuration: int | None, now: float, every: bool = False) -> None:
--- a/packages/entry/src/berylstage_entry/feed.py
+++ b/packages/entry/src/berylstage_entry/feed.py
@@ -291,6 +291,7 @@
     async def _read_all(self) -> None:
         news, began = News(self._revision, 0, []), now()
         changes = await self._store.read("")
+        was_told = self._revision != news.after
         names, closed, own = set(), set(), set()
         keys = {item.key for item in changes.items}
         for key in self._keys - keys:
@@ -312,7 +313,8 @@
             self._tell(key)
         news.revision = self._revision = changes.revision
         self.complete = True
-        self._tell_others(news, began)
+        if not was_told:
+            self._tell_others(news, began)
         log.info(
             "store read",
             extra={
@@ -331,6 +333,7 @@
         tells = self._tells()
         wait = 0.0 if tells else ALL_WAIT
         changes = await self._store.watch("", self._revision, wait)
+        was_told = self._revision != news.after
         for item in changes.items:
             # News may have come during the watch; older changes must not undo it.
             if item.revision > self._revision and self._is_new(item):
@@ -338,7 +341,7 @@
             if item.revision > self._revision:
                 self._take(item)
         news.revision = self._revision = max(self._revision, changes.revision)
-        if tells:
+        if tells and not was_told:
             self._tell_others(news, began)
 
     def _tells(self) -> bool:
@@ -346,7 +349,12 @@
         return self.is_teller() or self.is_deputy()
 
     def _tell_others(self, news: News, began: float) -> None:
-        """Tell the other VMs what was read, with what was told a moment ago."""
+        """Tell the other VMs what was read, with what was told a moment ago.
+
+        Not for a reading during which this VM was told something itself: what it knew
+        already when the reading came back is not in these news. Whoever took them would
+        believe to know everything up to their revision, and never hear of it.
+        """
         moment = now()
         while self._told and moment - self._told[-1][0] > TOLD_AGAIN:
             self._told.pop()
--- a/packages/entry/src/berylstage_entry/news.py
+++ b/packages/entry/src/berylstage_entry/news.py
@@ -128,8 +128,13 @@
         if not cut or self.encode() is not None:
             return [self]
         until = items[cut].revision - 1
-        first = News(self.after, until, items[:cut], {}, self.age)
-        second = News(until, self.revision, items[cut:], self.named, self.age)
+        # Each key is named in the part that reaches its revision. A VM that got the
+        # first part only knows everything up to there: named later, a configuration
+        # would never be read by it.
+        named = {key: at for key, at in self.named.items() if at <= until}
+        rest = {key: at for key, at in self.named.items() if at > until}
+        first = News(self.after, until, items[:cut], named, self.age)
+        second = News(until, self.revision, items[cut:], rest, self.age)
         return [*first.parts(), *second.parts()]
 
     def encode(self) -> bytes | None:
--- a/packages/entry/tests/test_belief_log.py
+++ b/packages/entry/tests/test_belief_log.py
@@ -47,3 +47,12 @@
             beliefs.flush(1, 10.3, every=True)
 
         assert [line["key"] for line in lines(play)] == ["t/a", "t/b"]
+
+    def test_each_configuration_has_its_line_at_once(self):
+        # When a version came into force on a VM is what an engineer looks for first.
+        def play(beliefs):
+            for n in range(3):
+                item = Item("cfg", b"", 5 + n)
+                beliefs.changed("configuration", item, 7 + n, 10.0 + n / 10)
+
+        assert [line["configuration"] for line in lines(play)] == [7, 8, 9]
--- a/packages/entry/tests/test_feed.py
+++ b/packages/entry/tests/test_feed.py
@@ -173,3 +173,45 @@
         store.put("t/b", b"{}")
         loop.run_until_complete(self.report(store, 1.5))
         assert all("b" in feed._directory.known for feed in found[1:])
+
+
+class TestToldWhileReading:
+    def test_reading_is_not_told_that_lacks_what_came_meanwhile(self):
+        # The store is slow. A VM reads it, and is told meanwhile of a configuration
+        # and of a target that leaves. Its own reading has nothing new then; told as all
+        # that has changed, it kept both from the others of its data centre for eight
+        # seconds.
+        with virtual_loop() as loop:
+            store = MemoryStore()
+            store.put("cfg", b"1")
+            store.put("t/a", b"{}")
+            records = JsonRecords({1: configuration(1), 2: configuration(2)})
+            feed = Feed(store, records, Directory())
+            told = []
+            feed.tell = told.append
+            feed.is_deputy = lambda: True
+
+            async def step():
+                await feed._read_all()
+                begin = feed._revision
+                watch = store.watch
+
+                async def slow_watch(*args):
+                    changes = await watch(*args)
+                    await asyncio.sleep(0.3)
+                    return changes
+
+                store.watch = slow_watch
+                store.put("cfg", b"2")
+                store.put("t/a", json.dumps({"leaving": True}).encode())
+                reading = asyncio.create_task(feed._watch_all())
+                await asyncio.sleep(0.1)
+                items = [item for item in store.log if item.revision > begin]
+                feed.take_news(News(begin, store.revision, items))
+                await reading
+                assert told == []
+                store.put("t/b", b"{}")
+                await feed._watch_all()
+                assert [item.key for item in told[0].items][-1] == "t/b"
+
+            loop.run_until_complete(step())
