Refuse nothing before slots that stand idle

Cause, by berylstage losses and the keeper's lines 'turn refused': no-room by one queue, with 'permits 0 of 3 slots', 'waiting 0', 'back_in 1.2': the keeper believed the kind to take 2 s. How long a kind takes is learned from requests that went; refused, none went any more.

Change: a request is let in whenever a slot is free that nobody waits for.

--- a/packages/policy/src/berylstage_policy/slot_queue.py
+++ b/packages/policy/src/berylstage_policy/slot_queue.py
@@ -290,7 +290,7 @@
                 known.heard = now
                 return self._asked_again(known, now)
         late = self._lateness(place, now)
-        if late > 0:
+        if late > 0 and not self._stands_idle(now):
             back = max(SHORTEST_RETURN, late)
             return [Verdict(place.ident, Say.REFUSED, seconds=back)]
         self._waiting.append(place)
@@ -445,6 +445,17 @@
         limit = min(place.wanted + slack, place.deadline)
         return max(0.0, self._expected_end(place, now) - limit)
 
+    def _stands_idle(self, now: float) -> bool:
+        """Tell whether a slot is free that nobody waits for.
+
+        How long a kind of request takes is learned from those that went. Refused before
+        idle slots, because a few had taken long, none would ever go again to show that
+        they no longer do.
+        """
+        if self._waiting:
+            return False
+        return any(each.free(now) > 0 for each in self._slots.values())
+
     def _expected_end(self, place: Place, now: float) -> float:
         """Return when a request is expected to be done, behind those before it."""
         slots = self._free_at(now, place.kind)
--- a/packages/policy/tests/test_slot_queue.py
+++ b/packages/policy/tests/test_slot_queue.py
@@ -175,6 +175,16 @@
         each.ask(place(1, 0.0), 0.0)
         assert said(each.ask(place(2, 0.7), 0.7), Say.REFUSED) == [2]
 
+    def test_kind_that_once_took_long_is_not_refused_before_idle_slots(self):
+        # The first requests of a kind met slow machines, and it is believed to take far
+        # longer than its objective. All of them were refused for a whole day, before
+        # targets that stood idle: none went to show how long they take now.
+        each = queue()
+        each._times.paces["a"] = 2 * ADMITTED_WITHIN * OBJECTIVE / WORK
+        assert said(each.ask(place(0, 0.0), 0.0), Say.GO) == [0]
+        assert said(each.ask(place(1, 0.0), 0.0), Say.GO) == [1]
+        assert said(each.ask(place(2, 0.0), 0.0), Say.REFUSED) == [2]
+
     def test_request_with_little_time_left_is_refused_rather_than_held(self):
         # A caller that was refused before comes back with less time than its answer
         # would take. Held until that is over, it gets neither an answer nor the word
