Log what is left of connections when a VM stops

Four hypotheses stand in docs/incidents/requests-lost-at-stops.md; no log line told them apart.

When idle connections are closed, a line tells how many had bytes unread in their sockets; when the program ends, one for each connection that is cut tells the id of its request, the bytes that the transport still holds, and whether something was under way or unread. Nothing else changes.

Fakes of transports in two test files tell the size of their write buffer now, as transports do.

--- a/packages/entry/src/berylstage_entry/connection.py
+++ b/packages/entry/src/berylstage_entry/connection.py
@@ -24,6 +24,7 @@
     Reply,
     reply_bytes,
 )
+from berylstage_entry.sockets import Unread, unread
 
 if TYPE_CHECKING:
     from berylstage_entry.server import CallerServer
@@ -116,6 +117,7 @@
         self._choked = False
         self._is_reading = True
         self._idle_since = now()
+        self._last_id = ""
         self._timer: asyncio.TimerHandle | None = None
 
     # Calls of the event loop.
@@ -133,7 +135,7 @@
             self._timer.cancel()
         self._drop(self._exchanges)
         self._exchanges.clear()
-        self._server.gone(self)
+        self._server.lost(self)
 
     def data_received(self, data: bytes) -> None:
         """Take in bytes, and read what may be read of them."""
@@ -219,6 +221,25 @@
 
     # Calls of the server.
 
+    def has_unread(self) -> bool:
+        """Tell whether bytes wait in the socket that nobody has read."""
+        return self._transport is not None and unread(self._transport) is Unread.BYTES
+
+    @property
+    def bytes_left(self) -> int:
+        """Bytes of answers that the kernel has not taken yet."""
+        if self._transport is None:
+            return 0
+        return self._transport.get_write_buffer_size()
+
+    @property
+    def last_id(self) -> str:
+        """Id of the request that is answered next, or was answered last."""
+        for exchange in self._exchanges:
+            if exchange.req is not None:
+                return exchange.req.request_id
+        return self._last_id
+
     def close_idle(self) -> None:
         """Close a connection without a request, of which nothing will run."""
         self._ended = True
@@ -346,6 +367,8 @@
         while self._exchanges and self._exchanges[0].reply is not None:
             exchange = self._exchanges.popleft()
             self._release(exchange)
+            if exchange.req is not None:
+                self._last_id = exchange.req.request_id
             closing = exchange.closes or self._is_last()
             if self._transport is not None and not self._transport.is_closing():
                 assert exchange.reply is not None
--- a/packages/entry/src/berylstage_entry/server.py
+++ b/packages/entry/src/berylstage_entry/server.py
@@ -111,6 +111,8 @@
         # Connections with a request under way, and those without.
         self._busy: set[CallerConnection] = set()
         self._idle: set[CallerConnection] = set()
+        # All that are not closed yet, those whose last answer goes out among them.
+        self._connections: set[CallerConnection] = set()
         self._opening: asyncio.Task | None = None
         self._socket: socket | None = None
         self._server: AbstractServer | None = None
@@ -134,6 +136,7 @@
     def opened(self, conn: CallerConnection) -> None:
         """Note a new connection."""
         self._idle.add(conn)
+        self._connections.add(conn)
 
     def begun(self, conn: CallerConnection) -> None:
         """Note that a request has come on a connection."""
@@ -150,6 +153,11 @@
         self._busy.discard(conn)
         self._idle.discard(conn)
 
+    def lost(self, conn: CallerConnection) -> None:
+        """Note that nothing is left of a connection."""
+        self.gone(conn)
+        self._connections.discard(conn)
+
     def refuse_more(self) -> None:
         """Close what waits for callers and the connections without a request.
 
@@ -157,6 +165,14 @@
         connections first leaves only those that end with their answer.
         """
         self._stop_listening()
+        log.info(
+            "idle connections closed",
+            extra={
+                "idle": len(self._idle),
+                "unread": sum(conn.has_unread() for conn in self._idle),
+                "in_flight": self.in_flight,
+            },
+        )
         for conn in list(self._idle):
             conn.close_idle()
         self._idle.clear()
@@ -251,11 +267,26 @@
     async def close(self) -> None:
         """Close all connections."""
         self._stop_listening()
+        self._tell_cut()
         for conn in [*self._idle, *self._busy]:
             conn.close_idle()
         # The event loop closes them in its next turn.
         await asyncio.sleep(0)
 
+    def _tell_cut(self) -> None:
+        """Log the requests without an answer, and answers that are not out."""
+        for conn in self._connections:
+            if conn.bytes_left or conn in self._busy or conn.has_unread():
+                log.warning(
+                    "connection cut",
+                    extra={
+                        "id": conn.last_id,
+                        "bytes_left": conn.bytes_left,
+                        "under_way": conn in self._busy,
+                        "unread": conn.has_unread(),
+                    },
+                )
+
 
 class _PageExchange(HTTPMessageDelegate):
     """A small request of the balancer or another VM."""
--- /dev/null
+++ b/packages/entry/src/berylstage_entry/sockets.py
@@ -0,0 +1,73 @@
+"""What the kernel holds of a connection: bytes unread, and bytes not yet taken."""
+
+from __future__ import annotations
+
+import struct
+from enum import Enum
+from fcntl import ioctl
+from socket import MSG_DONTWAIT, MSG_PEEK, socket
+from termios import TIOCOUTQ
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from asyncio import BaseTransport
+
+_INT = struct.Struct("i")
+
+
+class Unread(Enum):
+    """What waits to be read on a connection."""
+
+    NOTHING = "nothing"
+    BYTES = "bytes"
+    END = "end"
+
+
+def unread(transport: BaseTransport) -> Unread:
+    """Tell what waits in the socket of a transport, without reading it.
+
+    Parameters
+    ----------
+    transport : BaseTransport
+        One without a socket has nothing to read.
+
+    Returns
+    -------
+    Unread
+        ``END`` when the other side has closed or reset the connection.
+    """
+    sock = transport.get_extra_info("socket")
+    if sock is None or sock.fileno() < 0:
+        return Unread.NOTHING
+    peeked = socket(fileno=sock.fileno())
+    try:
+        return Unread.BYTES if peeked.recv(1, MSG_PEEK | MSG_DONTWAIT) else Unread.END
+    except BlockingIOError:
+        return Unread.NOTHING
+    except OSError:
+        # A reset is an end as well; the transport meets it by itself.
+        return Unread.END
+    finally:
+        peeked.detach()
+
+
+def unsent(transport: BaseTransport) -> int:
+    """Return the bytes in the kernel that the other side has not acknowledged.
+
+    Parameters
+    ----------
+    transport : BaseTransport
+
+    Returns
+    -------
+    int
+        0 as well where the kernel does not tell.
+    """
+    sock = transport.get_extra_info("socket")
+    if sock is None or sock.fileno() < 0:
+        return 0
+    try:
+        return _INT.unpack(ioctl(sock.fileno(), TIOCOUTQ, bytes(_INT.size)))[0]
+    except OSError:
+        # Some kernels tell it of no socket; its end is then known by the other side's.
+        return 0
--- a/packages/entry/tests/test_connection.py
+++ b/packages/entry/tests/test_connection.py
@@ -66,6 +66,9 @@
     def write(self, data):
         self.written += data
 
+    def get_write_buffer_size(self):
+        return 0
+
     def close(self):
         self.closed = True
 
--- a/packages/entry/tests/test_server.py
+++ b/packages/entry/tests/test_server.py
@@ -122,10 +122,11 @@
         # The VM stops and closes a connection as idle in the moment in which a request
         # on it has been read and not yet begun. Its caller sees the close and sends
         # it elsewhere; run here as well it would be an order placed twice.
-        class Closing:
+        class Closing(asyncio.Transport):
             """A transport that goes on to deliver what had come before its close."""
 
             def __init__(self):
+                super().__init__()
                 self.closed = False
                 self.written = b""
 
@@ -138,6 +139,9 @@
             def write(self, data):
                 self.written += data
 
+            def get_write_buffer_size(self):
+                return 0
+
         async def play():
             router = SlowRouter(0.0)
             server, _ = serve(router)
