Failing tests: answers and requests that are on their way when connections end

- An idle connection is closed with a request unread in its socket, at a stop and by the idle timer.
- A request that comes behind the last answer resets the connection and destroys the answer.
- An order under way is cut when the record of its target goes.

--- a/packages/entry/tests/test_senders.py
+++ b/packages/entry/tests/test_senders.py
@@ -2,8 +2,12 @@
 
 from __future__ import annotations
 
+import asyncio
+
 import pytest
 from berylstage_entry.senders import Senders
+from berylstage_entry.wire import CallerRequest, TargetAnswer, TargetWire
+from fakes import target
 
 
 class TestSenders:
@@ -16,3 +20,101 @@
         senders = Senders(None)
         senders.vms = vms
         assert 1 <= senders.share(accepted) * vms <= 0.75 * accepted
+
+
+class PlainTargets(TargetWire):
+    """Takes every answer as a target's own."""
+
+    echo_header = b"id"
+
+    def request_headers(self, req, target, seconds):
+        return {"Id": req.request_id}
+
+    def answer(self, answer):
+        return TargetAnswer(
+            answer.status, [], answer.body, False, False, True, None, False
+        )
+
+    async def grant(self, *args):
+        raise NotImplementedError
+
+    async def release(self, *args):
+        raise NotImplementedError
+
+    async def probe(self, *args):
+        raise NotImplementedError
+
+
+class SlowTarget:
+    """A target on loopback that answers after a while, and counts who hangs up."""
+
+    def __init__(self, seconds):
+        self.seconds = seconds
+        self.begun = asyncio.Event()
+        self.cut = 0
+        self.open = 0
+
+    async def start(self):
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        return self._server.sockets[0].getsockname()[1]
+
+    async def _serve(self, reader, writer):
+        self.open += 1
+        try:
+            while head := await reader.readuntil(b"\r\n\r\n"):
+                self.begun.set()
+                await asyncio.sleep(self.seconds)
+                name = head.partition(b"Id: ")[2].partition(b"\r\n")[0]
+                writer.write(b"HTTP/1.1 200 OK\r\nId: " + name)
+                writer.write(b"\r\nContent-Length: 5\r\n\r\nwhole")
+                self.cut += reader.at_eof()
+        except (asyncio.IncompleteReadError, OSError):
+            pass
+        finally:
+            self.open -= 1
+            writer.close()
+
+
+def request(name):
+    return CallerRequest(name, "POST", "h", "/a/x", {}, 5.0, None)
+
+
+class TestTargetThatGoes:
+    """A target's record goes while it is at work on a request."""
+
+    @pytest.mark.parametrize("successor", [False, True])
+    def test_request_under_way_is_answered(self, successor):
+        # Guards against cutting off an order when the record of its target goes.
+        async def play():
+            made = SlowTarget(0.3)
+            port = await made.start()
+            known = target("i-1", address=f"127.0.0.1:{port}")
+            senders = Senders(PlainTargets())
+            sent = asyncio.create_task(senders.to(known, 50).send(request("o-1"), 2.0))
+            await made.begun.wait()
+            if successor:
+                senders.to(target("i-1", life=2, address="127.0.0.1:1"), 50)
+            else:
+                senders.keep(set())
+            answer = await sent
+            assert (answer.status, answer.body) == (200, b"whole")
+            assert made.cut == 0
+            # Nothing of the former life stays open.
+            await asyncio.sleep(0.05)
+            assert made.open == 0
+            senders.close()
+
+        asyncio.run(play())
+
+    def test_program_that_ends_leaves_nothing_open(self):
+        async def play():
+            made = SlowTarget(0.0)
+            known = target("i-1", address=f"127.0.0.1:{await made.start()}")
+            senders = Senders(PlainTargets())
+            await senders.to(known, 50).send(request("o-1"), 2.0)
+            assert made.open == 1
+            senders.close()
+            await asyncio.sleep(0.05)
+            assert made.open == 0
+
+        asyncio.run(play())
--- a/packages/entry/tests/test_server.py
+++ b/packages/entry/tests/test_server.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import socket
+import time
 
 from berylstage_entry.connection import CallerConnection
 from berylstage_entry.journal import RequestJournal
@@ -179,6 +180,118 @@
         asyncio.run(play())
 
 
+class LargeRouter:
+    """Answers at once with a large body."""
+
+    def __init__(self, size):
+        self.body = b"x" * size
+
+    async def serve(self, req):
+        answer = TargetAnswer(200, [], self.body, False, False, True, None, False)
+        return Answered(answer, "a", 1)
+
+
+async def connect_slowly(port):
+    """Return a connection whose caller takes in little before it reads."""
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    sock.setblocking(False)
+    await asyncio.get_running_loop().sock_connect(sock, ("127.0.0.1", port))
+    return await asyncio.open_connection(sock=sock, limit=2048)
+
+
+async def read_slowly(reader):
+    """Return all that comes until the connection ends, read a little at a time."""
+    parts = []
+    while part := await reader.read(65536):
+        parts.append(part)
+        await asyncio.sleep(0.001)
+    return b"".join(parts)
+
+
+async def stop(server, seconds=5.0):
+    """Stop a server as the application does."""
+    end = asyncio.get_running_loop().time() + seconds
+    server.closing = True
+    server.refuse_more()
+    while server.in_flight and asyncio.get_running_loop().time() < end:
+        await asyncio.sleep(0.02)
+    await server.close()
+
+
+class TestStop:
+    """Requests and answers that are on their way when a VM stops."""
+
+    SIZE = 8 * 1024 * 1024
+
+    def test_answer_that_a_slow_caller_takes_arrives_whole(self):
+        # Guards against the end of the program with an answer half out.
+        async def play():
+            server, port = serve(LargeRouter(self.SIZE))
+            reader, writer = await connect_slowly(port)
+            writer.write(REQUEST)
+            await asyncio.sleep(0.1)
+            stopped = asyncio.create_task(stop(server))
+            await asyncio.sleep(0.2)
+            # The program would end now, and with it what has not left it.
+            assert not stopped.done()
+            answer = await read_slowly(reader)
+            writer.close()
+            await stopped
+            assert len(answer.partition(b"\r\n\r\n")[2]) == self.SIZE
+
+        asyncio.run(play())
+
+    def test_request_unread_when_idle_connections_close_is_answered(self):
+        # Guards against closing a connection as idle with a request in its socket.
+        async def play():
+            server, port = serve(SlowRouter(0.05))
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            writer.write(REQUEST)
+            assert await reader.readuntil(b"whole")
+            # The loop is held up: it has not read the request when the VM stops.
+            writer.get_extra_info("socket").send(REQUEST)
+            stopped = asyncio.create_task(stop(server))
+            answer = await reader.read()
+            await stopped
+            assert answer.startswith(b"HTTP/1.1 200")
+            assert b"Connection: close" in answer
+
+        asyncio.run(play())
+
+    def test_request_unread_when_the_idle_time_ends_is_answered(self):
+        # Guards against the idle timer cutting off a request in the socket.
+        async def play():
+            server, port = serve(SlowRouter(0.0))
+            server.idle_time = 0.2
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            await asyncio.sleep(0.1)
+            time.sleep(0.2)
+            writer.get_extra_info("socket").send(REQUEST)
+            assert (await reader.read()).startswith(b"HTTP/1.1 200")
+            await server.close()
+
+        asyncio.run(play())
+
+    def test_request_behind_the_last_answer_does_not_cut_it(self):
+        # Guards against a reset by unread bytes that destroys an answer on its way.
+        async def play():
+            server, port = serve(LargeRouter(self.SIZE))
+            reader, writer = await connect_slowly(port)
+            server.closing = True
+            writer.write(REQUEST)
+            await asyncio.sleep(0.1)
+            writer.write(REQUEST)
+            stopped = asyncio.create_task(stop(server))
+            answer = await read_slowly(reader)
+            writer.close()
+            await stopped
+            assert answer.count(b"HTTP/1.1 200") == 1
+            assert len(answer.partition(b"\r\n\r\n")[2]) == self.SIZE
+
+        asyncio.run(play())
+
+
 async def exchange(port, *pieces, pause=0.0):
     """Send some bytes on a new connection and return all that comes back."""
     reader, writer = await asyncio.open_connection("127.0.0.1", port)
