Mend two of the failing tests, which failed for a fault of their own

Both write through the connection now. The one of the idle timer has both timers due in one turn of a loop that is held up, since reads go before timers that become due later.

--- a/packages/entry/tests/test_server.py
+++ b/packages/entry/tests/test_server.py
@@ -250,7 +250,7 @@
             writer.write(REQUEST)
             assert await reader.readuntil(b"whole")
             # The loop is held up: it has not read the request when the VM stops.
-            writer.get_extra_info("socket").send(REQUEST)
+            writer.write(REQUEST)
             stopped = asyncio.create_task(stop(server))
             answer = await reader.read()
             await stopped
@@ -265,9 +265,10 @@
             server, port = serve(SlowRouter(0.0))
             server.idle_time = 0.2
             reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            # Both timers are due in one turn of the loop, which is held up.
+            asyncio.get_running_loop().call_later(0.19, writer.write, REQUEST)
             await asyncio.sleep(0.1)
             time.sleep(0.2)
-            writer.get_extra_info("socket").send(REQUEST)
             assert (await reader.read()).startswith(b"HTTP/1.1 200")
             await server.close()
 
