Let requests end that are under way at a target whose record goes

Cause: the client of a target was closed, calls under way and all, as soon as the target left the directory or came to life again. Targets go on serving for a while after their records have gone; some never say that they leave.

Ruled out: the stop itself (the four VMs were not stopping), the caller's side (the run ended as cut before the caller was told).

Change: nothing new is sent on a client whose target is gone, and it closes when its last call has ended. The end of the program still closes all.

Before: TestTargetThatGoes::test_request_under_way_is_answered failed for a target without a record and for one with a successor; both pass.

--- a/packages/entry/src/berylstage_entry/senders.py
+++ b/packages/entry/src/berylstage_entry/senders.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING
 
 from berylstage_transfers.call import Call
@@ -37,12 +38,14 @@
         Of the connections to all targets of its service.
     """
 
-    __slots__ = ("_client", "_wire", "target")
+    __slots__ = ("_client", "_is_retired", "_under_way", "_wire", "target")
 
     def __init__(self, target: Target, wire: TargetWire, connections: int, rest: Rest):
         self.target = target
         self._wire = wire
         self._client = CallClient(connections, max_idle=MAX_IDLE, rest=rest)
+        self._under_way = 0
+        self._is_retired = False
 
     async def send(
         self, req: CallerRequest, seconds: float, fresh: bool = False
@@ -74,7 +77,12 @@
             echo_name=self._wire.echo_header,
             unframed=True,
         )
-        answer = self._wire.answer(await self._client.call(call))
+        self._under_way += 1
+        try:
+            answer = self._wire.answer(await self._client.call(call))
+        finally:
+            self._under_way -= 1
+            self._close_if_done()
         if not answer.genuine and not answer.not_run and not answer.misdirected:
             raise AnswerLost(
                 f"{self.target.name}: an answer of status {answer.status} without a "
@@ -82,10 +90,30 @@
             )
         return answer
 
+    @property
+    def is_busy(self) -> bool:
+        """Whether a request is under way."""
+        return self._under_way > 0
+
+    def retire(self) -> None:
+        """Close all connections once what is under way on them has ended.
+
+        A target may take its record back, or come to life again, before its last
+        answers are out. An order that was cut off then would have run with its outcome
+        unknown.
+        """
+        self._is_retired = True
+        self._close_if_done()
+
     def close(self) -> None:
-        """Close all connections."""
+        """Close all connections and fail what is under way."""
         self._client.close()
 
+    def _close_if_done(self) -> None:
+        if self._is_retired and not self._under_way:
+            # The client is still at work on the call that has ended.
+            asyncio.get_running_loop().call_soon(self._client.close)
+
 
 class Senders:
     """The senders of all targets.
@@ -95,12 +123,14 @@
     wire : TargetWire
     """
 
-    __slots__ = ("_rests", "_senders", "_wire", "vms")
+    __slots__ = ("_rests", "_retired", "_senders", "_wire", "vms")
 
     def __init__(self, wire: TargetWire):
         self._wire = wire
         self._senders: dict[str, Sender] = {}
         self._rests: dict[str, Rest] = {}
+        # Of targets that are gone, with requests still under way.
+        self._retired: list[Sender] = []
         # VMs that share the connections of a target, as far as they are known.
         self.vms = 10
 
@@ -118,7 +148,7 @@
             known = sender.target
             if known.life == target.life and known.address == target.address:
                 return sender
-            sender.close()
+            self._retire(sender)
         rest = self._rests.setdefault(target.service, Rest())
         sender = Sender(target, self._wire, self.share(connections), rest)
         self._senders[target.name] = sender
@@ -136,10 +166,19 @@
         return max(FEWEST_CONNECTIONS, share)
 
     def keep(self, names: set[str]) -> None:
-        """Close what leads to any other target."""
+        """Send nothing more to any other target, and close what leads there."""
         for name in [name for name in self._senders if name not in names]:
-            self._senders.pop(name).close()
+            self._retire(self._senders.pop(name))
 
     def close(self) -> None:
-        """Close all connections."""
-        self.keep(set())
+        """Close all connections and fail what is under way."""
+        for sender in [*self._senders.values(), *self._retired]:
+            sender.close()
+        self._senders.clear()
+        self._retired.clear()
+
+    def _retire(self, sender: Sender) -> None:
+        self._retired = [old for old in self._retired if old.is_busy]
+        sender.retire()
+        if sender.is_busy:
+            self._retired.append(sender)
