Close a connection when all that was read is answered and all that was written has left

Cause, one class: 'nothing is under way' was decided by what the program had counted, not by what had come and what had left. - A connection left the count when its answer was handed to the transport; the program ended 0.05 s later with the rest in the transport's buffer. - Connections were closed as idle, at a stop and by the idle timer, without a look at the socket: a turn of the loop that was late closed them on requests that had come.

Change: the connection itself tells what is under way (half read, served, not yet taken by the other side); counting, idle closing, refusing and the end of the program go by it. Before a connection is closed as idle its socket is looked at; a request that waits there is read and answered, with the word that the connection closes. After the last answer only the sending side is shut down, what comes is left unread (its caller may ask again), and the socket closes when all is acknowledged. The phases of a stop are a state machine without sockets or clocks; the waiting for the balancer counts from SIGTERM.

In test_request_that_crosses_the_close_does_not_run an idle connection is one that has been served before; its half-read case is replaced by two: a half-read request is answered, and one that stays so holds up nothing. Fakes of transports take write_eof.

--- a/packages/entry/src/berylstage_entry/application.py
+++ b/packages/entry/src/berylstage_entry/application.py
@@ -32,6 +32,7 @@
 from berylstage_entry.senders import Senders
 from berylstage_entry.server import CallerServer, PageServer, split_address
 from berylstage_entry.server import Reply as PageReply
+from berylstage_entry.stopping import BALANCER_LAG, Phase, StopPlan
 from berylstage_entry.turn_messages import (
     ASK_FORMAT,
     REPLY_FORMAT,
@@ -48,11 +49,10 @@
     from berylstage_entry.store import Store
     from berylstage_entry.wire import CallerWire, RecordReader, TargetWire
 
-# Seconds after SIGTERM in which callers still come: the balancer asks once a second and
-# leaves a VM out after two misses.
-BALANCER_LAG = 2.6
-# Seconds before the end of the stop time at which connections are closed at last.
-STOP_MARGIN = 0.6
+# Seconds for which other VMs still ask this one for turns after its record is gone.
+RECORD_LAG = 0.5
+# Seconds between two looks at what a stop waits for.
+STOP_LOOK = 0.02
 # Status of a page that tells no.
 UNAVAILABLE = 503
 
@@ -187,40 +187,71 @@
 
     async def stop(self) -> None:
         """Shut down: not ready at once, the duty handed over, no request cut."""
-        loop = asyncio.get_running_loop()
-        end = loop.time() + self.cfg.bounds.stop_time - STOP_MARGIN
+        plan = StopPlan(now(), self.cfg.bounds.stop_time)
         self.stopping = True
         self.server.closing = True
         log.info("stopping", extra={"in_flight": self.server.in_flight})
-        await self._within(end, self.office.resign())
+        await self._within(plan, self.office.resign())
         self.granting.stop()
         self.reports.stop()
         self.announcements.close()
         self.probes.stop()
-        await self._within(end, self.membership.stop())
-        await asyncio.sleep(max(0.0, BALANCER_LAG - 0.1))
+        await self._within(plan, self.membership.stop())
+        await asyncio.sleep(max(plan.leave_at - now(), RECORD_LAG))
         self.server.refuse_more()
-        while self.server.in_flight and loop.time() < end:
-            await asyncio.sleep(0.02)
-        # The last answers leave before the connections close.
-        await asyncio.sleep(0.05)
-        log.info("stopped", extra={"in_flight": self.server.in_flight})
+        await self._drain(plan)
         self.feed.stop()
         # Until here callers came and waited for their turns, and other VMs did for
         # theirs at the queues that this VM keeps.
         self.keeper.stop()
         self.datagrams.close()
         await self.server.close()
+        self._tell_stop()
         await self.ready_page.close()
         await self.control_page.close()
         self.senders.close()
         self.peers.close()
         self.store.close()
 
-    async def _within(self, end: float, step) -> None:
+    async def _drain(self, plan: StopPlan) -> None:
+        """Wait until nothing is under way, and log how long each phase took."""
+        phase, since = Phase.LEAVING, plan.begun
+        while phase is not Phase.ENDED:
+            self.server.close_idle()
+            standing = self.server.standing()
+            reached = plan.phase(now(), standing)
+            if reached is not phase:
+                seconds = round(now() - since, 3)
+                log.info(
+                    "stop phase ended",
+                    extra={
+                        "phase": phase.value,
+                        "seconds": seconds,
+                        "serving": standing.serving,
+                        "flushing": standing.flushing,
+                        "bytes_left": standing.bytes_left,
+                    },
+                )
+                phase, since = reached, now()
+                continue
+            await asyncio.sleep(STOP_LOOK)
+
+    def _tell_stop(self) -> None:
+        counts = self.server.counts
+        log.info(
+            "stopped",
+            extra={
+                "begun": counts.begun,
+                "closed_idle": counts.closed_idle,
+                "cut": counts.cut,
+                "bytes_cut": counts.bytes_cut,
+            },
+        )
+
+    async def _within(self, plan: StopPlan, step) -> None:
         """Do one step of the shutdown; a fault in it must not keep out the others."""
         try:
-            async with asyncio.timeout_at(end - BALANCER_LAG):
+            async with asyncio.timeout(max(0.0, plan.end - BALANCER_LAG - now())):
                 await step
         except TimeoutError:
             log.warning("a step of the shutdown took too long")
--- a/packages/entry/src/berylstage_entry/connection.py
+++ b/packages/entry/src/berylstage_entry/connection.py
@@ -16,12 +16,13 @@
 from httptools import HttpParserError, HttpParserUpgrade, HttpRequestParser
 
 from berylstage_entry.clock import now
+from berylstage_entry.ending import Ending
 from berylstage_entry.errors import BadRequest, Refused
+from berylstage_entry.exchange import Exchange
 from berylstage_entry.replies import (
     BAD_REQUEST,
     HEAD_TOO_LARGE,
     TOO_LARGE,
-    Reply,
     reply_bytes,
 )
 from berylstage_entry.sockets import Unread, unread
@@ -48,50 +49,17 @@
 # its body: the time in which a target takes a body of that size in.
 BODY_RETURN = 0.5
 
+# Seconds in which the rest of a request is on its way, or the first one on a new
+# connection: twice the time for which a lost packet is waited for.
+ON_ITS_WAY = 0.5
+# Seconds until a connection is looked at again that has bytes unread.
+UNREAD_LOOK = 0.02
+
 # Methods of requests that may be begun beside others of their connection.
 SAFE_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
-class _Exchange:
-    """One request and its answer."""
-
-    __slots__ = (
-        "arrived",
-        "chunks",
-        "held",
-        "keeps_alive",
-        "reply",
-        "req",
-        "refusal",
-        "safe",
-        "size",
-        "task",
-        "whole",
-    )
-
-    def __init__(self, safe: bool, keeps_alive: bool):
-        self.arrived = now()
-        self.safe = safe
-        # Whether the caller means to send more on the connection.
-        self.keeps_alive = keeps_alive
-        self.req: CallerRequest | None = None
-        self.refusal: BadRequest | Refused | None = None
-        self.chunks: list[bytes] = []
-        self.size = 0
-        # Bytes counted against what all bodies may take.
-        self.held = 0
-        # Whether all of it has been read.
-        self.whole = False
-        self.task: asyncio.Task | None = None
-        self.reply: Reply | None = None
-
-    @property
-    def closes(self) -> bool:
-        """Whether the connection ends with it."""
-        return self.refusal is not None or not self.keeps_alive
-
-
 class CallerConnection(asyncio.Protocol):
     """Reads requests of one caller and writes the answers.
 
@@ -106,7 +74,7 @@
         self._parser = HttpRequestParser(self)
         self._unread = bytearray()
         # Requests in the order in which they came, the first one to be answered first.
-        self._exchanges: deque[_Exchange] = deque()
+        self._exchanges: deque[Exchange] = deque()
         # What is being read.
         self._target = b""
         self._fields: list[tuple[str, str]] = []
@@ -117,7 +85,13 @@
         self._choked = False
         self._is_reading = True
         self._idle_since = now()
+        # When bytes came last, and whether a request has been read to its end.
+        self._heard_at = now()
+        self._in_request = False
+        self._has_served = False
         self._last_id = ""
+        # Set once the last answer is written.
+        self._ending: Ending | None = None
         self._timer: asyncio.TimerHandle | None = None
 
     # Calls of the event loop.
@@ -133,14 +107,17 @@
         self._ended = True
         if self._timer is not None:
             self._timer.cancel()
+        if self._ending is not None:
+            self._ending.cancel()
         self._drop(self._exchanges)
         self._exchanges.clear()
-        self._server.lost(self)
+        self._server.gone(self)
 
     def data_received(self, data: bytes) -> None:
         """Take in bytes, and read what may be read of them."""
         if self._ended:
             return
+        self._heard_at = now()
         self._unread += data
         self._go_on()
 
@@ -160,6 +137,7 @@
         self._target = b""
         self._fields = []
         self._in_head = True
+        self._in_request = True
 
     def on_url(self, url: bytes) -> None:
         """Keep a part of the request's target."""
@@ -175,9 +153,9 @@
         self._head_bytes = 0
         method = self._parser.get_method().decode("ascii")
         keeps_alive = self._parser.should_keep_alive()
-        exchange = _Exchange(method in SAFE_METHODS, keeps_alive)
+        exchange = Exchange(method in SAFE_METHODS, keeps_alive)
         self._exchanges.append(exchange)
-        self._server.begun(self)
+        self._server.begun()
         try:
             self._server.check_head(self._fields)
             target = self._target.decode("latin-1")
@@ -213,6 +191,8 @@
         """Note that a request is whole."""
         exchange = self._exchanges[-1]
         exchange.whole = True
+        self._in_request = False
+        self._has_served = True
         self._head_bytes = 0
         self._in_head = True
         if exchange.closes:
@@ -221,17 +201,29 @@
 
     # Calls of the server.
 
-    def has_unread(self) -> bool:
-        """Tell whether bytes wait in the socket that nobody has read."""
-        return self._transport is not None and unread(self._transport) is Unread.BYTES
+    @property
+    def is_serving(self) -> bool:
+        """Whether a request is read or served."""
+        return bool(self._exchanges) or self._in_request
 
     @property
     def bytes_left(self) -> int:
-        """Bytes of answers that the kernel has not taken yet."""
+        """Bytes of answers that have not left the program."""
+        if self._ending is not None:
+            return self._ending.bytes_left
         if self._transport is None:
             return 0
         return self._transport.get_write_buffer_size()
 
+    @property
+    def under_way(self) -> bool:
+        """Whether anything would be lost if the connection ended now."""
+        return self.is_serving or self._ending is not None or self.bytes_left > 0
+
+    def has_unread(self) -> bool:
+        """Tell whether bytes wait in the socket that nobody has read."""
+        return self._transport is not None and unread(self._transport) is Unread.BYTES
+
     @property
     def last_id(self) -> str:
         """Id of the request that is answered next, or was answered last."""
@@ -240,12 +232,32 @@
                 return exchange.req.request_id
         return self._last_id
 
-    def close_idle(self) -> None:
-        """Close a connection without a request, of which nothing will run."""
+    def close_idle(self) -> bool:
+        """Close the connection if nothing is under way; tell whether it was closed.
+
+        The rest of a request that has begun, and the first one of a new connection, are
+        waited for as long as they may be on their way.
+        """
+        is_expected = self._in_request or not self._has_served
+        if is_expected and now() - self._heard_at <= ON_ITS_WAY:
+            return False
+        if self._is_occupied():
+            return False
+        self.cut()
+        return True
+
+    def cut(self) -> None:
+        """Close the connection, whatever is under way; nothing more runs."""
         self._ended = True
         self._unread.clear()
         if self._transport is not None:
             self._transport.close()
+        self._server.gone(self)
+
+    def _is_occupied(self) -> bool:
+        """Tell whether it must not be closed, but for a request that is half read."""
+        occupied = self._exchanges or self._ending is not None or self.bytes_left
+        return bool(occupied) or self.has_unread()
 
     # Reading.
 
@@ -260,7 +272,6 @@
             answered = True
         if answered and not self._exchanges and not self._ended:
             self._idle_since = now()
-            self._server.ended(self)
         self._pace()
 
     def _parse(self) -> None:
@@ -306,9 +317,10 @@
         self._ended = True
         last = self._exchanges[-1] if self._exchanges else None
         if last is None or last.whole:
-            last = _Exchange(False, False)
+            last = Exchange(False, False)
             self._exchanges.append(last)
-            self._server.begun(self)
+            self._server.begun()
+        self._in_request = False
         last.whole = True
         last.refusal = exc
         last.chunks.clear()
@@ -341,7 +353,7 @@
             if not exchange.safe or exchange.closes:
                 return
 
-    def _begin(self, exchange: _Exchange) -> None:
+    def _begin(self, exchange: Exchange) -> None:
         if exchange.refusal is not None or exchange.req is None:
             exchange.reply = self._server.refused_unserved(exchange.refusal)
             return
@@ -351,7 +363,7 @@
         exchange.req.waited = now() - exchange.arrived
         exchange.task = asyncio.create_task(self._serve(exchange, exchange.req))
 
-    async def _serve(self, exchange: _Exchange, req: CallerRequest) -> None:
+    async def _serve(self, exchange: Exchange, req: CallerRequest) -> None:
         try:
             reply = await self._server.reply(req)
         finally:
@@ -388,21 +400,22 @@
         return self._server.closing and not self._exchanges and not self._unread
 
     def _close(self) -> None:
-        """Close once all has been written; what was begun behind it has no answer."""
+        """Close once all has left; what was begun behind it has no answer."""
         self._ended = True
+        self._in_request = False
         self._drop(self._exchanges)
         self._exchanges.clear()
-        self._server.gone(self)
-        if self._transport is not None:
-            self._transport.close()
+        if self._transport is not None and not self._transport.is_closing():
+            self._ending = Ending(self._transport, lambda: self._server.idle_time)
+            self._ending.begin()
 
-    def _drop(self, exchanges: deque[_Exchange]) -> None:
+    def _drop(self, exchanges: deque[Exchange]) -> None:
         for exchange in exchanges:
             self._release(exchange)
             if exchange.task is not None:
                 exchange.task.cancel()
 
-    def _release(self, exchange: _Exchange) -> None:
+    def _release(self, exchange: Exchange) -> None:
         """Give back what a body or an answer took."""
         self._server.release(exchange.held)
         exchange.held = 0
@@ -411,11 +424,16 @@
 
     def _watch_idle(self) -> None:
         """Close the connection if it has been idle for too long, or look again."""
+        if self._ending is not None:
+            return
         left = self._idle_since + self._server.idle_time - now()
-        if self._exchanges:
+        if self._exchanges or self.bytes_left:
             left = self._server.idle_time
+        elif left <= 0 and self.has_unread():
+            # The loop was late: a request has come in time.
+            left = UNREAD_LOOK
         if left <= 0:
-            self.close_idle()
+            self.cut()
             return
         loop = asyncio.get_running_loop()
         self._timer = loop.call_later(left, self._watch_idle)
--- a/packages/entry/src/berylstage_entry/server.py
+++ b/packages/entry/src/berylstage_entry/server.py
@@ -28,6 +28,7 @@
     UNAVAILABLE,
     Reply,
 )
+from berylstage_entry.stopping import Standing
 
 if TYPE_CHECKING:
     from asyncio import AbstractServer, Future
@@ -58,6 +59,30 @@
 log = Logger(__name__)
 
 
+class StopCounts:
+    """What a stop has brought to callers.
+
+    Attributes
+    ----------
+    begun : int
+        Requests that came after SIGTERM.
+    closed_idle : int
+        Connections closed without a request.
+    cut : int
+        Connections that ended with something under way.
+    bytes_cut : int
+        Bytes of answers that did not leave.
+    """
+
+    __slots__ = ("begun", "bytes_cut", "closed_idle", "cut")
+
+    def __init__(self) -> None:
+        self.begun = 0
+        self.closed_idle = 0
+        self.cut = 0
+        self.bytes_cut = 0
+
+
 def split_address(address: str) -> tuple[str, int]:
     """Return host and port of ``ip:port``."""
     host, _, port = address.rpartition(":")
@@ -108,11 +133,11 @@
         # Bytes of bodies that are buffered, and may be at most.
         self._buffered = 0
         self.body_memory = BODY_MEMORY
-        # Connections with a request under way, and those without.
-        self._busy: set[CallerConnection] = set()
-        self._idle: set[CallerConnection] = set()
         # All that are not closed yet, those whose last answer goes out among them.
         self._connections: set[CallerConnection] = set()
+        # Whether connections without a request are closed by now.
+        self._has_refused = False
+        self.counts = StopCounts()
         self._opening: asyncio.Task | None = None
         self._socket: socket | None = None
         self._server: AbstractServer | None = None
@@ -130,32 +155,32 @@
 
     @property
     def in_flight(self) -> int:
-        """Connections with requests under way."""
-        return len(self._busy)
+        """Connections on which something is under way.
+
+        After idle ones were closed those are all that are left: a request that is still
+        unread in its socket is under way as well.
+        """
+        if self._has_refused:
+            return len(self._connections)
+        return sum(conn.under_way for conn in self._connections)
+
+    def standing(self) -> Standing:
+        """Return what stands between this server and its end."""
+        flushing = [conn for conn in self._connections if not conn.is_serving]
+        bytes_left = sum(conn.bytes_left for conn in self._connections)
+        serving = len(self._connections) - len(flushing)
+        return Standing(serving, len(flushing), bytes_left)
 
     def opened(self, conn: CallerConnection) -> None:
         """Note a new connection."""
-        self._idle.add(conn)
         self._connections.add(conn)
 
-    def begun(self, conn: CallerConnection) -> None:
-        """Note that a request has come on a connection."""
-        self._idle.discard(conn)
-        self._busy.add(conn)
-
-    def ended(self, conn: CallerConnection) -> None:
-        """Note that a connection has no request under way any more."""
-        self._busy.discard(conn)
-        self._idle.add(conn)
+    def begun(self) -> None:
+        """Note that a request has come."""
+        self.counts.begun += self.closing
 
     def gone(self, conn: CallerConnection) -> None:
         """Note that a connection is no more."""
-        self._busy.discard(conn)
-        self._idle.discard(conn)
-
-    def lost(self, conn: CallerConnection) -> None:
-        """Note that nothing is left of a connection."""
-        self.gone(conn)
         self._connections.discard(conn)
 
     def refuse_more(self) -> None:
@@ -165,17 +190,13 @@
         connections first leaves only those that end with their answer.
         """
         self._stop_listening()
-        log.info(
-            "idle connections closed",
-            extra={
-                "idle": len(self._idle),
-                "unread": sum(conn.has_unread() for conn in self._idle),
-                "in_flight": self.in_flight,
-            },
-        )
-        for conn in list(self._idle):
-            conn.close_idle()
-        self._idle.clear()
+        self._has_refused = True
+        self.close_idle()
+
+    def close_idle(self) -> None:
+        """Close the connections on which nothing is under way."""
+        for conn in list(self._connections):
+            self.counts.closed_idle += conn.close_idle()
 
     def _stop_listening(self) -> None:
         if self._opening is not None:
@@ -267,25 +288,28 @@
     async def close(self) -> None:
         """Close all connections."""
         self._stop_listening()
-        self._tell_cut()
-        for conn in [*self._idle, *self._busy]:
-            conn.close_idle()
+        for conn in list(self._connections):
+            self._tell_cut(conn)
+            conn.cut()
         # The event loop closes them in its next turn.
         await asyncio.sleep(0)
 
-    def _tell_cut(self) -> None:
-        """Log the requests without an answer, and answers that are not out."""
-        for conn in self._connections:
-            if conn.bytes_left or conn in self._busy or conn.has_unread():
-                log.warning(
-                    "connection cut",
-                    extra={
-                        "id": conn.last_id,
-                        "bytes_left": conn.bytes_left,
-                        "under_way": conn in self._busy,
-                        "unread": conn.has_unread(),
-                    },
-                )
+    def _tell_cut(self, conn: CallerConnection) -> None:
+        """Log a request without an answer, or an answer that is not out."""
+        has_unread = conn.has_unread()
+        if not conn.under_way and not has_unread:
+            return
+        self.counts.cut += 1
+        self.counts.bytes_cut += conn.bytes_left
+        log.warning(
+            "connection cut",
+            extra={
+                "id": conn.last_id,
+                "phase": "serving" if conn.is_serving else "flushing",
+                "bytes_left": conn.bytes_left,
+                "unread": has_unread,
+            },
+        )
 
 
 class _PageExchange(HTTPMessageDelegate):
--- /dev/null
+++ b/packages/entry/src/berylstage_entry/stopping.py
@@ -0,0 +1,88 @@
+"""The phases of a stop, apart from sockets and clocks.
+
+The load it answers: callers who go on using their connections until the process is
+gone, and answers that leave over a slow link while the stop time runs.
+"""
+
+from __future__ import annotations
+
+from enum import Enum
+
+# Seconds after SIGTERM in which callers still come: the balancer asks once a second and
+# leaves a VM out after two misses.
+BALANCER_LAG = 2.6
+# Seconds before the end of the stop time at which what is left is cut.
+STOP_MARGIN = 0.6
+
+
+class Phase(Enum):
+    """What a VM that stops is at."""
+
+    # Not ready; callers come until the balancer has noticed.
+    LEAVING = "leaving"
+    # No new connections; what has come is served.
+    DRAINING = "draining"
+    # All is served; the last answers leave.
+    FLUSHING = "flushing"
+    ENDED = "ended"
+
+
+class Standing:
+    """What stands between a VM and its end.
+
+    Parameters
+    ----------
+    serving : int
+        Connections with a request that is read, waited for or served.
+    flushing : int
+        Connections that only wait for their last answer to leave.
+    bytes_left : int
+        Bytes of answers that callers have not taken.
+    """
+
+    __slots__ = ("bytes_left", "flushing", "serving")
+
+    def __init__(self, serving: int, flushing: int, bytes_left: int):
+        self.serving = serving
+        self.flushing = flushing
+        self.bytes_left = bytes_left
+
+
+class StopPlan:
+    """Says what a VM that stops is at.
+
+    Parameters
+    ----------
+    begun : float
+        When the VM was told to stop, in seconds.
+    stop_time : float
+        Seconds from then to the end of the process.
+    """
+
+    __slots__ = ("begun", "end", "leave_at")
+
+    def __init__(self, begun: float, stop_time: float):
+        self.begun = begun
+        self.end = begun + stop_time - STOP_MARGIN
+        self.leave_at = min(begun + BALANCER_LAG, self.end)
+
+    def phase(self, moment: float, standing: Standing) -> Phase:
+        """Return the phase.
+
+        Parameters
+        ----------
+        moment : float
+            Seconds, as in `begun`.
+        standing : Standing
+
+        Returns
+        -------
+        Phase
+        """
+        if moment >= self.end:
+            return Phase.ENDED
+        if moment < self.leave_at:
+            return Phase.LEAVING
+        if standing.serving:
+            return Phase.DRAINING
+        return Phase.FLUSHING if standing.flushing else Phase.ENDED
--- a/packages/entry/tests/test_connection.py
+++ b/packages/entry/tests/test_connection.py
@@ -69,6 +69,9 @@
     def get_write_buffer_size(self):
         return 0
 
+    def write_eof(self):
+        pass
+
     def close(self):
         self.closed = True
 
--- a/packages/entry/tests/test_server.py
+++ b/packages/entry/tests/test_server.py
@@ -6,7 +6,7 @@
 import socket
 import time
 
-from berylstage_entry.connection import CallerConnection
+from berylstage_entry.connection import ON_ITS_WAY, CallerConnection
 from berylstage_entry.journal import RequestJournal
 from berylstage_entry.journey import Answered
 from berylstage_entry.metrics import Metrics
@@ -143,21 +143,63 @@
             def get_write_buffer_size(self):
                 return 0
 
+            def write_eof(self):
+                pass
+
         async def play():
             router = SlowRouter(0.0)
             server, _ = serve(router)
-            for first, rest in ((b"", REQUEST), (REQUEST[:9], REQUEST[9:])):
-                conn, transport = CallerConnection(server), Closing()
-                conn.connection_made(transport)
-                conn.data_received(first)
-                server.refuse_more()
-                assert transport.closed
-                conn.data_received(rest)
-                assert server.in_flight == 0
-                await asyncio.sleep(0.01)
-                assert transport.written == b""
-                conn.connection_lost(None)
-            assert router.served == 0
+            conn, transport = CallerConnection(server), Closing()
+            conn.connection_made(transport)
+            conn.data_received(REQUEST)
+            await asyncio.sleep(0.01)
+            assert transport.written
+            transport.written = b""
+            server.refuse_more()
+            assert transport.closed
+            conn.data_received(REQUEST)
+            assert server.in_flight == 0
+            await asyncio.sleep(0.01)
+            assert transport.written == b""
+            conn.connection_lost(None)
+            assert router.served == 1
+            await server.close()
+
+        asyncio.run(play())
+
+    def test_request_half_read_at_a_stop_is_answered(self):
+        # Guards against closing a connection as idle between two parts of a request.
+        async def play():
+            router = SlowRouter(0.0)
+            server, port = serve(router)
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            writer.write(REQUEST[:9])
+            await asyncio.sleep(0.05)
+            server.closing = True
+            server.refuse_more()
+            assert server.in_flight == 1
+            writer.write(REQUEST[9:])
+            answer = await reader.read()
+            assert answer.startswith(b"HTTP/1.1 200")
+            assert b"Connection: close" in answer
+            writer.close()
+            await server.close()
+
+        asyncio.run(play())
+
+    def test_request_that_stays_half_read_holds_up_no_stop(self):
+        # Guards against a caller that begins a request and never ends it.
+        async def play():
+            server, port = serve(SlowRouter(0.0))
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            writer.write(REQUEST[:9])
+            await asyncio.sleep(0.05)
+            server.refuse_more()
+            await asyncio.sleep(ON_ITS_WAY)
+            server.close_idle()
+            assert await reader.read() == b""
+            assert server.in_flight == 0
+            writer.close()
             await server.close()
 
         asyncio.run(play())
--- /dev/null
+++ b/packages/entry/tests/test_stopping.py
@@ -0,0 +1,89 @@
+"""Tests of the phases of a stop."""
+
+from __future__ import annotations
+
+from berylstage_entry.stopping import (
+    BALANCER_LAG,
+    STOP_MARGIN,
+    Phase,
+    Standing,
+    StopPlan,
+)
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+STOP_TIME = 6.0
+NOTHING = Standing(0, 0, 0)
+
+
+class TestPhases:
+    def test_callers_come_until_the_balancer_has_noticed(self):
+        plan = StopPlan(100.0, STOP_TIME)
+        assert plan.phase(100.0, NOTHING) is Phase.LEAVING
+        assert plan.phase(99.99 + BALANCER_LAG, NOTHING) is Phase.LEAVING
+        assert plan.phase(100.0 + BALANCER_LAG, NOTHING) is Phase.ENDED
+
+    def test_what_has_come_is_served_and_its_answer_leaves(self):
+        plan = StopPlan(0.0, STOP_TIME)
+        assert plan.phase(3.0, Standing(1, 2, 90_000)) is Phase.DRAINING
+        assert plan.phase(3.0, Standing(0, 2, 90_000)) is Phase.FLUSHING
+        assert plan.phase(3.0, NOTHING) is Phase.ENDED
+
+    def test_stop_time_bounds_every_phase(self):
+        plan = StopPlan(0.0, STOP_TIME)
+        end = STOP_TIME - STOP_MARGIN
+        assert plan.phase(end - 0.01, Standing(1, 1, 1)) is Phase.DRAINING
+        assert plan.phase(end, Standing(1, 1, 1)) is Phase.ENDED
+
+    def test_stop_time_shorter_than_the_lag_of_the_balancer(self):
+        plan = StopPlan(0.0, 1.0)
+        assert plan.phase(0.3, NOTHING) is Phase.LEAVING
+        assert plan.phase(0.4, Standing(1, 0, 0)) is Phase.ENDED
+
+
+class AnyStop(RuleBasedStateMachine):
+    """A stop beside callers who come, are served, and take their answers slowly."""
+
+    def __init__(self):
+        super().__init__()
+        self.plan = StopPlan(0.0, STOP_TIME)
+        self.moment = 0.0
+        self.serving = self.flushing = 0
+        self.seen = [Phase.LEAVING]
+
+    @rule(seconds=st.floats(0.0, 1.0))
+    def time_passes(self, seconds):
+        self.moment += seconds
+
+    @rule()
+    def request_comes(self):
+        # New ones come as long as the VM listens, and behind others at any time.
+        if self.moment < self.plan.leave_at or self.serving:
+            self.serving += 1
+
+    @rule()
+    def request_is_answered(self):
+        if self.serving:
+            self.serving -= 1
+            self.flushing += 1
+
+    @rule()
+    def answer_has_left(self):
+        self.flushing = max(0, self.flushing - 1)
+
+    @invariant()
+    def follow(self):
+        standing = Standing(self.serving, self.flushing, 1000 * self.flushing)
+        phase = self.plan.phase(self.moment, standing)
+        if phase is not self.seen[-1]:
+            self.seen.append(phase)
+        left = self.serving + self.flushing
+        # It ends neither before its time with something under way, nor after it.
+        assert phase is not Phase.ENDED or not left or self.moment >= self.plan.end
+        assert phase is Phase.ENDED or self.moment < self.plan.end
+        # Callers may come for as long as they are sent here.
+        assert phase is Phase.LEAVING or self.moment >= self.plan.leave_at
+        assert phase is not Phase.LEAVING or self.seen == [Phase.LEAVING]
+
+
+TestAnyStop = AnyStop.TestCase
