Give a request no more time than a program that stops has

Callers would see: a request that comes late in a stop is begun at a target and cut at the end of the stop time, or its answer comes in time and cannot leave over a slow link any more; an order would have run with its outcome unknown.

Change: after SIGTERM a request has at most the time until the program's end, less what the answers before it need on half of the link. One that is left no time is refused at once; it may come back at once, since other VMs have room. The reckoning is pure (StopPlan.time_left).

--- a/packages/cli/src/berylstage_cli/story.py
+++ b/packages/cli/src/berylstage_cli/story.py
@@ -32,6 +32,7 @@
     "cold": "the owner is cold and this VM's share of its pace was used up",
     "no-target": "all targets of the service are closed, leaving or were tried",
     "no-room": "no target could be done in the time that was left",
+    "stopping": "the VM stops and had no time left for it; other VMs serve it",
     "no-time": "the caller had too little time left when it came",
     "budget": "repeats for the service are used up; see why first attempts failed",
     "attempts": "as many targets were tried as its route allows",
--- a/packages/entry/src/berylstage_entry/application.py
+++ b/packages/entry/src/berylstage_entry/application.py
@@ -187,9 +187,12 @@
 
     async def stop(self) -> None:
         """Shut down: not ready at once, the duty handed over, no request cut."""
-        plan = StopPlan(now(), self.cfg.bounds.stop_time)
+        plan = StopPlan(now(), self.cfg.bounds.stop_time, self.cfg.link)
         self.stopping = True
         self.server.closing = True
+        self.server.time_limit = lambda: plan.time_left(
+            now(), self.server.standing().bytes_left
+        )
         log.info("stopping", extra={"in_flight": self.server.in_flight})
         await self._within(plan, self.office.resign())
         self.granting.stop()
--- a/packages/entry/src/berylstage_entry/server.py
+++ b/packages/entry/src/berylstage_entry/server.py
@@ -28,6 +28,7 @@
     UNAVAILABLE,
     Reply,
 )
+from berylstage_entry.router import LEAST_TIME, RETURN_AT_ONCE
 from berylstage_entry.stopping import Standing
 
 if TYPE_CHECKING:
@@ -137,6 +138,8 @@
         self._connections: set[CallerConnection] = set()
         # Whether connections without a request are closed by now.
         self._has_refused = False
+        # Returns the seconds that a request has while the program stops.
+        self.time_limit: Callable[[], float] | None = None
         self.counts = StopCounts()
         self._opening: asyncio.Task | None = None
         self._socket: socket | None = None
@@ -264,6 +267,7 @@
         """Return the reply to a request."""
         began = now() - req.waited
         try:
+            self._limit_time(req)
             done = await self._router.serve(req)
         except BadRequest as exc:
             self._journal.ended(req, exc.status, str(exc), now() - began)
@@ -285,6 +289,21 @@
         self._journal.answered(req, done, now() - began)
         return Reply(done.answer.status, done.answer.headers, done.answer.body)
 
+    def _limit_time(self, req: CallerRequest) -> None:
+        """Give a request no more time than the program has.
+
+        Raises
+        ------
+        Refused
+            There is none left; other VMs take it at once.
+        """
+        if self.time_limit is None:
+            return
+        left = self.time_limit()
+        if left < LEAST_TIME:
+            raise Refused("stopping", RETURN_AT_ONCE)
+        req.time_left = min(req.time_left, left + req.waited)
+
     async def close(self) -> None:
         """Close all connections."""
         self._stop_listening()
--- a/packages/entry/src/berylstage_entry/stopping.py
+++ b/packages/entry/src/berylstage_entry/stopping.py
@@ -13,6 +13,11 @@
 BALANCER_LAG = 2.6
 # Seconds before the end of the stop time at which what is left is cut.
 STOP_MARGIN = 0.6
+# Share of the link that answers on their way out can count on, beside what VMs tell
+# each other.
+LINK_SHARE = 0.5
+BITS_PER_BYTE = 8
+MEGA = 1_000_000
 
 
 class Phase(Enum):
@@ -49,7 +54,7 @@
 
 
 class StopPlan:
-    """Says what a VM that stops is at.
+    """Says what a VM that stops is at, and how much time a request has.
 
     Parameters
     ----------
@@ -57,14 +62,18 @@
         When the VM was told to stop, in seconds.
     stop_time : float
         Seconds from then to the end of the process.
+    link : float
+        Mbit/s of the VM's link.
     """
 
-    __slots__ = ("begun", "end", "leave_at")
+    __slots__ = ("_pace", "begun", "end", "leave_at")
 
-    def __init__(self, begun: float, stop_time: float):
+    def __init__(self, begun: float, stop_time: float, link: float):
         self.begun = begun
         self.end = begun + stop_time - STOP_MARGIN
         self.leave_at = min(begun + BALANCER_LAG, self.end)
+        # Bytes a second.
+        self._pace = link * MEGA / BITS_PER_BYTE * LINK_SHARE
 
     def phase(self, moment: float, standing: Standing) -> Phase:
         """Return the phase.
@@ -86,3 +95,19 @@
         if standing.serving:
             return Phase.DRAINING
         return Phase.FLUSHING if standing.flushing else Phase.ENDED
+
+    def time_left(self, moment: float, bytes_left: int) -> float:
+        """Return the seconds in which a target must have answered.
+
+        Parameters
+        ----------
+        moment : float
+        bytes_left : int
+            Of the answers that leave before.
+
+        Returns
+        -------
+        float
+            Negative when there is no time for another answer.
+        """
+        return self.end - moment - bytes_left / self._pace
--- a/packages/entry/tests/test_server.py
+++ b/packages/entry/tests/test_server.py
@@ -6,6 +6,7 @@
 import socket
 import time
 
+import pytest
 from berylstage_entry.connection import ON_ITS_WAY, CallerConnection
 from berylstage_entry.journal import RequestJournal
 from berylstage_entry.journey import Answered
@@ -30,9 +31,11 @@
         self.seconds = seconds
         self.cancelled = 0
         self.served = 0
+        self.time_left = 0.0
 
     async def serve(self, req):
         self.served += 1
+        self.time_left = req.time_left
         try:
             await asyncio.sleep(self.seconds)
         except asyncio.CancelledError:
@@ -335,6 +338,35 @@
         asyncio.run(play())
 
 
+class TestTimeLimit:
+    """Requests that come while the program has little time left."""
+
+    def test_request_has_no_more_time_than_the_program(self):
+        # Guards against work that is begun at a target and cut by the program's end.
+        async def play():
+            router = SlowRouter(0.0)
+            server, port = serve(router)
+            server.time_limit = lambda: 0.7
+            answer = await exchange(port, REQUEST)
+            assert answer.startswith(b"HTTP/1.1 200")
+            assert router.time_left == pytest.approx(0.7, abs=0.1)
+            await server.close()
+
+        asyncio.run(play())
+
+    def test_request_without_time_is_refused_at_once(self):
+        async def play():
+            router = SlowRouter(0.0)
+            server, port = serve(router)
+            server.time_limit = lambda: 0.0
+            answer = await exchange(port, REQUEST)
+            assert answer.startswith(b"HTTP/1.1 503")
+            assert router.served == 0
+            await server.close()
+
+        asyncio.run(play())
+
+
 async def exchange(port, *pieces, pause=0.0):
     """Send some bytes on a new connection and return all that comes back."""
     reader, writer = await asyncio.open_connection("127.0.0.1", port)
--- a/tools/write_tables.py
+++ b/tools/write_tables.py
@@ -183,6 +183,7 @@
     "no-target": ("503", "no target that was not tried may take it"),
     "no-time": ("503", "too little of its time is left"),
     "owner-busy": ("503", "the owner would be done far beyond the objective"),
+    "stopping": ("503", "the VM stops and had no time left for it"),
     "timeout": ("504", "sent, and not answered within its time; it may have run"),
     "unreachable": ("503", "no connection to a target within its time"),
 }
