Tell on the metrics page what a stop costs callers

What a stop cost stood in log lines only. The metrics page now has counters of requests begun after SIGTERM, connections closed idle and cut, and bytes cut, and the seconds of each phase, the one under way included. StopCounts stays the one place where they are counted; the page reads it. All stand there at zero before a stop, so that a scraper sees them rise.

Connections are cut in the last moment of the process: a scraper hardly ever reads these counts above zero, and the line "stopped" stays the place for them.

--- a/packages/entry/src/berylstage_entry/application.py
+++ b/packages/entry/src/berylstage_entry/application.py
@@ -19,7 +19,7 @@
 from berylstage_entry.granting import Granting
 from berylstage_entry.journal import RequestJournal
 from berylstage_entry.membership import UNKNOWN, Membership
-from berylstage_entry.metrics import Metrics
+from berylstage_entry.metrics import Metrics, stop_text
 from berylstage_entry.news import FORMAT as NEWS_FORMAT
 from berylstage_entry.news import News
 from berylstage_entry.office import CONTACT_PATH, HAND_ON_PATH, Office
@@ -32,7 +32,7 @@
 from berylstage_entry.senders import Senders
 from berylstage_entry.server import CallerServer, PageServer, split_address
 from berylstage_entry.server import Reply as PageReply
-from berylstage_entry.stopping import BALANCER_LAG, Phase, StopPlan
+from berylstage_entry.stopping import BALANCER_LAG, Phase, PhaseTimes, StopPlan
 from berylstage_entry.turn_messages import (
     ASK_FORMAT,
     REPLY_FORMAT,
@@ -151,6 +151,7 @@
         self._telling: asyncio.Task | None = None
         self._stop = asyncio.Event()
         self.stopping = False
+        self._phase_times = PhaseTimes()
 
     def ready(self) -> bool:
         """Tell whether the balancer should send callers here."""
@@ -189,6 +190,7 @@
         """Shut down: not ready at once, the duty handed over, no request cut."""
         plan = StopPlan(now(), self.cfg.bounds.stop_time)
         self.stopping = True
+        self._phase_times.enter(Phase.LEAVING, plan.begun)
         self.server.closing = True
         log.info("stopping", extra={"in_flight": self.server.in_flight})
         await self._within(plan, self.office.resign())
@@ -215,13 +217,13 @@
 
     async def _drain(self, plan: StopPlan) -> None:
         """Wait until nothing is under way, and log how long each phase took."""
-        phase, since = Phase.LEAVING, plan.begun
+        phase = Phase.LEAVING
         while phase is not Phase.ENDED:
             self.server.close_idle()
             standing = self.server.standing()
             reached = plan.phase(now(), standing)
             if reached is not phase:
-                seconds = round(now() - since, 3)
+                seconds = round(self._phase_times.enter(reached, now()), 3)
                 log.info(
                     "stop phase ended",
                     extra={
@@ -232,7 +234,7 @@
                         "bytes_left": standing.bytes_left,
                     },
                 )
-                phase, since = reached, now()
+                phase = reached
                 continue
             await asyncio.sleep(STOP_LOOK)
 
@@ -352,4 +354,5 @@
 
     def _metrics_text(self, body: bytes) -> PageReply:
         headers = [("Content-Type", "text/plain; version=0.0.4")]
-        return PageReply(200, headers, self.metrics.text().encode())
+        stop = stop_text(self.server.counts, self._phase_times.seconds(now()))
+        return PageReply(200, headers, (self.metrics.text() + stop).encode())
--- a/packages/entry/src/berylstage_entry/metrics.py
+++ b/packages/entry/src/berylstage_entry/metrics.py
@@ -4,6 +4,12 @@
 
 from bisect import bisect_left
 from itertools import accumulate
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from berylstage_entry.server import StopCounts
 
 # Upper bounds of the histograms' buckets, in seconds: finer than a factor of 1.6 where
 # objectives lie (0.15 to 0.8 s).
@@ -58,3 +64,29 @@
             lines.append(f"berylstage_request_seconds_sum{{{labels}}} {total_time:.6f}")
             lines.append(f"berylstage_request_seconds_count{{{labels}}} {totals[-1]}")
         return "\n".join(lines) + "\n"
+
+
+def stop_text(counts: StopCounts, seconds: Mapping[str, float]) -> str:
+    """Return what a stop costs in the text format that scrapers read.
+
+    Parameters
+    ----------
+    counts : StopCounts
+    seconds : mapping of str to float
+        By phase. All stand there from the start, so that a scraper sees them rise.
+
+    Returns
+    -------
+    str
+    """
+    lines = [
+        f'berylstage_stop_events_total{{event="begun"}} {counts.begun}',
+        f'berylstage_stop_events_total{{event="closed_idle"}} {counts.closed_idle}',
+        f'berylstage_stop_events_total{{event="cut"}} {counts.cut}',
+        f"berylstage_stop_bytes_cut_total {counts.bytes_cut}",
+    ]
+    lines += [
+        f'berylstage_stop_phase_seconds{{phase="{phase}"}} {spent:.3f}'
+        for phase, spent in seconds.items()
+    ]
+    return "\n".join(lines) + "\n"
--- a/packages/entry/src/berylstage_entry/stopping.py
+++ b/packages/entry/src/berylstage_entry/stopping.py
@@ -86,3 +86,41 @@
         if standing.serving:
             return Phase.DRAINING
         return Phase.FLUSHING if standing.flushing else Phase.ENDED
+
+
+class PhaseTimes:
+    """How long each phase of a stop takes; all are zero before it."""
+
+    __slots__ = ("_ended", "_phase", "_since")
+
+    def __init__(self) -> None:
+        self._phase = Phase.ENDED
+        self._since = 0.0
+        self._ended = {phase.value: 0.0 for phase in Phase if phase is not Phase.ENDED}
+
+    def enter(self, phase: Phase, moment: float) -> float:
+        """Begin a phase, and return the seconds that the one before it took.
+
+        Parameters
+        ----------
+        phase : Phase
+        moment : float
+            In seconds.
+
+        Returns
+        -------
+        float
+        """
+        seconds = moment - self._since
+        if self._phase is not Phase.ENDED:
+            self._ended[self._phase.value] += seconds
+        self._phase = phase
+        self._since = moment
+        return seconds
+
+    def seconds(self, moment: float) -> dict[str, float]:
+        """Return the seconds by phase up to now, of the one under way as well."""
+        found = dict(self._ended)
+        if self._phase is not Phase.ENDED:
+            found[self._phase.value] += moment - self._since
+        return found
--- a/packages/entry/tests/test_server.py
+++ b/packages/entry/tests/test_server.py
@@ -334,6 +334,26 @@
 
         asyncio.run(play())
 
+    def test_counts_tell_what_it_has_cost(self):
+        # Guards against a stop whose cut answers and late requests nobody has counted.
+        async def play():
+            server, port = serve(LargeRouter(self.SIZE))
+            idle, kept = await asyncio.open_connection("127.0.0.1", port)
+            _, writer = await connect_slowly(port)
+            await asyncio.sleep(ON_ITS_WAY + 0.1)
+            server.closing = True
+            writer.write(REQUEST)
+            await asyncio.sleep(0.1)
+            await stop(server, 0.1)
+            assert await idle.read() == b""
+            counts = server.counts
+            assert (counts.begun, counts.closed_idle, counts.cut) == (1, 1, 1)
+            assert 0 < counts.bytes_cut < self.SIZE
+            kept.close()
+            writer.close()
+
+        asyncio.run(play())
+
 
 async def exchange(port, *pieces, pause=0.0):
     """Send some bytes on a new connection and return all that comes back."""
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -13,7 +13,7 @@
 from base64 import b64decode
 from pathlib import Path
 
-from tornado.httpclient import AsyncHTTPClient
+from tornado.httpclient import AsyncHTTPClient, HTTPClientError
 from tornado.httpserver import HTTPServer
 
 sys.path.insert(0, str(Path(__file__).parent))
@@ -99,6 +99,19 @@
             stderr=subprocess.STDOUT,
         )
 
+    async def last_metrics(self):
+        """Return the last metrics that it tells before its process is gone."""
+        url = f"http://{self.ip}:{self.ports[3]}/metrics"
+        page = b""
+        while self.process.poll() is None:
+            try:
+                page = (await AsyncHTTPClient().fetch(url)).body
+            except (OSError, HTTPClientError):
+                break
+            await asyncio.sleep(0.05)
+        rows = (line.rpartition(" ") for line in page.decode().splitlines())
+        return {name: float(value) for name, _, value in rows}
+
     def messages(self):
         self.log.seek(0)
         return [json.loads(line)["message"] for line in self.log]
@@ -217,5 +230,9 @@
         ran = [run for server in servers for run in server.ran]
         assert len(ran) == len(set(ran))
         other.process.send_signal(signal.SIGTERM)
+        page = await other.last_metrics()
         assert await asyncio.to_thread(other.process.wait, 7) == 0
         assert "stopped" in other.messages()
+        # It answered until the phases were over, and told the time of the first one.
+        assert 2.0 < page['berylstage_stop_phase_seconds{phase="leaving"}'] < 6.0
+        assert page['berylstage_stop_events_total{event="cut"}'] == 0
