Sum up from log lines what stops have cost callers

berylstage losses passed over the lines of stops.

A request that was cut counts once: its own line (answered, or its caller gone, which the cut itself brings about) is left out. A connection cut without an id, or with nothing left of its last answer, names no lost request and counts apart.

--- a/packages/cli/src/berylstage_cli/story.py
+++ b/packages/cli/src/berylstage_cli/story.py
@@ -43,6 +43,10 @@
     "answer-lost": "it was sent and the connection broke, or the answer was not its "
     "own; it may have run: look for its id in the target's own logs",
     "caller-left": "the caller closed the connection before the answer",
+    "cut while serving": "its VM stopped before the answer was there; it may have run: "
+    "look for its id in the target's own logs",
+    "cut while flushing": "its VM stopped before its caller had taken the answer; it "
+    "has run, unless it was refused",
 }
 
 
--- a/packages/cli/tests/test_losses.py
+++ b/packages/cli/tests/test_losses.py
@@ -16,9 +16,24 @@
     return json.dumps({"time": time, "vm": vm, "message": message, **fields})
 
 
-def ended(second, vm, reason, detail="", path="/visits/1", left_out=0):
+def ended(second, vm, reason, detail="", path="/visits/1", left_out=0, **more):
     fields = {"reason": reason, "detail": detail, "path": path, "left_out": left_out}
-    return line(second, vm, "request ended", **fields)
+    return line(second, vm, "request ended", **fields, **more)
+
+
+def cut(second, vm, request, phase, left=0, unread=False):
+    fields = {"id": request, "phase": phase, "bytes_left": left, "unread": unread}
+    return line(second, vm, "connection cut", **fields)
+
+
+def phase_ended(second, vm, phase, seconds):
+    return line(second, vm, "stop phase ended", phase=phase, seconds=seconds)
+
+
+def stopped(second, vm, begun, closed_idle, cut, bytes_cut):
+    counts = {"begun": begun, "closed_idle": closed_idle}
+    counts |= {"cut": cut, "bytes_cut": bytes_cut}
+    return line(second, vm, "stopped", **counts)
 
 
 LINES = [
@@ -31,6 +46,23 @@
     line(14.5, "vm-3", "request answered", left_out=20),
 ]
 
+STOPS = [
+    line(10.0, "vm-1", "stopping", in_flight=4),
+    line(10.5, "vm-2", "stopping", in_flight=0),
+    line(10.6, "vm-3", "stopping", in_flight=9),
+    phase_ended(12.6, "vm-1", "leaving", 2.6),
+    phase_ended(13.1, "vm-2", "leaving", 2.8),
+    phase_ended(13.2, "vm-3", "leaving", 2.6),
+    phase_ended(15.4, "vm-1", "flushing", 2.8),
+    cut(15.4, "vm-1", "served", "serving"),
+    cut(15.4, "vm-1", "half-out", "flushing", 90_000),
+    cut(15.6, "vm-1", "also-out", "flushing", 10_000),
+    cut(15.7, "vm-1", "", "flushing", unread=True),
+    cut(15.8, "vm-1", "whole", "flushing", unread=True),
+    stopped(15.9, "vm-1", 7, 5, 5, 100_000),
+    stopped(13.3, "vm-2", 1, 2, 0, 0),
+]
+
 
 class TestSumUp:
     def test_losses_are_counted_by_second_and_reason(self):
@@ -60,6 +92,48 @@
         assert sum_up([]).rows == []
 
 
+class TestCutRequests:
+    @pytest.fixture
+    def rows(self):
+        return {(row.second, row.reason): row for row in sum_up(STOPS).rows}
+
+    def test_by_second_and_phase(self, rows):
+        assert set(rows) == {(5, "cut while serving"), (5, "cut while flushing")}
+        half = rows[5, "cut while flushing"]
+        assert half.requests == 2
+        assert half.bytes_left == 100_000
+        assert half.vms == {"vm-1": 2}
+        assert not half.kinds
+
+    def test_request_is_lost_once(self):
+        # Guards against counting a cut request again by its own line, as gone by its
+        # caller or as answered.
+        own = [
+            ended(15.5, "vm-1", "caller-left", left_out=2, id="served"),
+            line(15.0, "vm-1", "request answered", id="half-out", left_out=3),
+            line(15.0, "vm-2", "request answered", id="served"),
+        ]
+        losses = sum_up([*own, *STOPS])
+        assert "caller-left" not in losses.by_reason()
+        assert losses.by_reason()["(not written)"] == 2
+        assert losses.answered == 4
+
+    def test_connection_without_a_lost_request_counts_apart(self):
+        # Guards against naming a request as lost whose answer has left: the id of a
+        # connection that was only unread is that of its last answer.
+        losses = sum_up(STOPS)
+        assert sum(losses.by_reason().values()) == 3
+        assert losses.stops.without_request == 2
+
+    def test_line_of_a_log_that_lacks_fields(self):
+        # Guards against a fault of the command at a line that was cut short.
+        bare = line(10.0, "vm-1", "connection cut", id="a", bytes_left="many")
+        phase = line(10.0, "vm-1", "stop phase ended", phase="leaving")
+        losses = sum_up([bare, phase, line(11.0, "vm-1", "stopped", cut=None)])
+        assert losses.stops.without_request == 1
+        assert losses.stops.ended == 1
+
+
 @pytest.fixture
 def run(tmp_path):
     """Return what runs the command line over log lines."""
@@ -95,3 +169,48 @@
     def test_nothing_lost(self, run):
         _, out, _ = run("losses {log}", [line(1.0, "vm-1", "started")])
         assert "no request was lost" in out
+
+
+class TestStops:
+    def test_counts_of_all_vms(self):
+        stops = sum_up(STOPS).stops
+        assert (stops.seen, stops.ended) == (3, 2)
+        assert (stops.counts["begun"], stops.counts["closed_idle"]) == (8, 7)
+        assert (stops.counts["cut"], stops.counts["bytes_cut"]) == (5, 100_000)
+
+    def test_times_of_phases(self):
+        times = sum_up(STOPS).stops.times()
+        assert list(times) == ["leaving", "flushing"]
+        assert times["leaving"] == (2.6, 2.8)
+        assert times["flushing"] == (2.8, 2.8)
+
+    def test_table(self, run):
+        _, out, _ = run("losses {log}", STOPS)
+        assert "5         2  cut while flushing: 100000 bytes left; vm-1 2" in out
+        assert "3 VMs began to stop, 2 told what it has cost:" in out
+        assert "  requests begun after SIGTERM: 8\n" in out
+        assert "  bytes cut: 100000\n" in out
+        assert "  leaving: 2.6 s at the median, 2.8 s at most\n" in out
+        assert "2 connections were cut without a request that was read" in out
+
+    def test_json(self, run):
+        _, out, _ = run("losses {log} --json", STOPS)
+        doc = json.loads(out)
+        assert doc["rows"][0]["bytes_left"] == 100_000
+        assert doc["stops"] == {
+            "seen": 3,
+            "ended": 2,
+            "begun": 8,
+            "closed_idle": 7,
+            "cut": 5,
+            "bytes_cut": 100_000,
+            "without_request": 2,
+            "phases": {
+                "leaving": {"median": 2.6, "most": 2.8},
+                "flushing": {"median": 2.8, "most": 2.8},
+            },
+        }
+
+    def test_no_stop(self, run):
+        _, out, _ = run("losses {log}", [line(1.0, "vm-1", "started")])
+        assert "stop" not in out
