Tell in the story of a request that a stop cut it

berylstage explain printed the line of a cut as an ending without status ("None: answered by None"), and the lines of the stop only if they were 11 s or less away. The story now has the lines of the stop in which the VM cut the request, from "stopping" on however long it took, and of no other stop; the conclusion names the VM, the phase, and the bytes that were left. The line "caller left" that the cut itself brings about gives no conclusion.

--- a/packages/cli/src/berylstage_cli/story.py
+++ b/packages/cli/src/berylstage_cli/story.py
@@ -2,15 +2,18 @@
 
 A VM writes a line about a request when it ends, with what decided that. Why the target
 or the assignment was as it was stands in other lines, often of other VMs: those are
-found by the names in the request's own line, and put in the order of their times.
+found by the names in the request's own line, and put in the order of their times. Where
+a stop of the VM cut the request, the lines of that stop belong to the story.
 """
 
 from __future__ import annotations
 
 import re
+from datetime import timedelta
 from typing import TYPE_CHECKING
 
 from berylstage_cli.log_lines import Reader
+from berylstage_cli.stops import cut_reason, number
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -22,6 +25,7 @@
 AROUND = 11.0
 # Messages that tell of one VM's path to the store and of the duty of granting.
 OF_THE_VM = ("store lost", "store regained", "stopping", "started", "duty given up")
+OF_A_STOP = ("stopping", "stop phase ended", "stopped")
 OF_THE_DUTY = ("duty taken", "former holds", "store lost by the holder of the duty")
 
 # What a reason means and what to look at next.
@@ -89,11 +93,14 @@
     reader = Reader()
     lines = sorted(reader.read(texts), key=lambda line: line.time)
     own = [line for line in lines if line.fields.get("id") == request]
-    clues = [_Clues(line) for line in own]
+    clues = [
+        _StopClues(line, lines) if line.message == "connection cut" else _Clues(line)
+        for line in own
+    ]
     told = [
         line for line in lines if line in own or any(clue.fits(line) for clue in clues)
     ]
-    return Story(told, [_conclude(line) for line in own], reader.unreadable)
+    return Story(told, _conclusions(own), reader.unreadable)
 
 
 class _Clues:
@@ -136,12 +143,50 @@
         return bool(named & self._targets)
 
 
+class _StopClues:
+    """The stop in which a VM cut a request."""
+
+    def __init__(self, cut: LogLine, lines: list[LogLine]):
+        begins = [
+            line.time
+            for line in lines
+            if line.vm == cut.vm and line.message == "stopping"
+        ]
+        around = timedelta(seconds=AROUND)
+        self._vm = cut.vm
+        # Stops may take longer than anything else that a story looks back to.
+        self._begin = max(
+            (time for time in begins if time <= cut.time), default=cut.time - around
+        )
+        later = [time for time in begins if time > cut.time]
+        self._end = min([cut.time + around, *later])
+
+    def fits(self, line: LogLine) -> bool:
+        """Tell whether a line is about this stop."""
+        if line.vm != self._vm or line.message not in OF_A_STOP:
+            return False
+        return self._begin <= line.time < self._end
+
+
 def _covers(fields: dict, key: int) -> bool:
     first, last = fields.get("first"), fields.get("last")
     return isinstance(first, int) and isinstance(last, int) and first <= key <= last
 
 
+def _conclusions(own: list[LogLine]) -> list[str]:
+    """Return how a request ended, from its own lines."""
+    cut_by = {line.vm for line in own if cut_reason(line)}
+    return [
+        _conclude(line)
+        for line in own
+        # The cut itself has the VM write that the caller has left.
+        if line.vm not in cut_by or line.fields.get("reason") != "caller-left"
+    ]
+
+
 def _conclude(line: LogLine) -> str:
+    if line.message == "connection cut":
+        return _conclude_cut(line)
     reason = line.fields.get("reason")
     status = line.fields.get("status")
     if reason is None:
@@ -149,3 +194,11 @@
         return f"{status}: answered by {target}, attempt {line.fields.get('attempts')}"
     meaning = REASONS.get(str(reason), "the request cannot be served as it is")
     return f"{status} {reason}: {meaning}"
+
+
+def _conclude_cut(line: LogLine) -> str:
+    reason = cut_reason(line)
+    if reason is None:
+        return f"its answer had left when {line.vm} cut its connection"
+    left = int(number(line, "bytes_left"))
+    return f"{reason} by {line.vm} with {left} bytes left: {REASONS[reason]}"
--- a/packages/cli/tests/test_story.py
+++ b/packages/cli/tests/test_story.py
@@ -80,6 +80,76 @@
         assert story.unreadable == 4
 
 
+def cut(request, phase, left, second=20.0, unread=False):
+    fields = {"id": request, "phase": phase, "bytes_left": left, "unread": unread}
+    return line(second, "vm-2", "connection cut", **fields)
+
+
+# A VM has as long as its stop time, which may be far longer than other causes.
+CUT = [
+    line(1.0, "vm-2", "stopping", in_flight=3),
+    line(2.0, "vm-1", "stopping", in_flight=8),
+    line(3.0, "vm-1", "stop phase ended", phase="leaving", seconds=2.6),
+    line(3.6, "vm-2", "stop phase ended", phase="leaving", seconds=2.6, bytes_left=70),
+    line(19.9, "vm-2", "stop phase ended", phase="draining", seconds=16.3),
+    line(18.0, "vm-2", "request answered", id="half", status=200, target="i-a"),
+    cut("half", "flushing", 90_000),
+    cut("whole", "flushing", 0, unread=True),
+    ended("served", 0, "caller-left", second=20.1),
+    cut("served", "serving", 0),
+    line(20.2, "vm-2", "stopped", cut=3),
+    line(31.0, "vm-2", "stopping", in_flight=1),
+    line(32.0, "vm-2", "stop phase ended", phase="leaving", seconds=1.0),
+]
+
+
+class TestCut:
+    """Stories of requests whose connections were cut at the end of a stop."""
+
+    def test_names_vm_phase_and_bytes(self):
+        story = tell("half", CUT)
+        reason = "cut while flushing"
+        assert story.conclusions == [
+            "200: answered by i-a, attempt None",
+            f"{reason} by vm-2 with 90000 bytes left: {REASONS[reason]}",
+        ]
+
+    def test_lines_of_its_vms_stop_and_of_no_other(self):
+        # Guards against a story without the begin of a stop that took long, and against
+        # one of other stops.
+        told = [(x.vm, x.message) for x in tell("half", CUT).lines]
+        assert told == [
+            ("vm-2", "stopping"),
+            ("vm-2", "stop phase ended"),
+            ("vm-2", "request answered"),
+            ("vm-2", "stop phase ended"),
+            ("vm-2", "connection cut"),
+            ("vm-2", "stopped"),
+        ]
+
+    def test_served_when_it_was_cut(self):
+        # Guards against laying the cut at the caller's door, who seems to have left.
+        reason = "cut while serving"
+        assert tell("served", CUT).conclusions == [
+            f"{reason} by vm-2 with 0 bytes left: {REASONS[reason]}"
+        ]
+
+    def test_answer_that_has_left(self):
+        # Guards against naming an answer as cut that has reached its caller.
+        conclusion = tell("whole", CUT).conclusions[0]
+        assert conclusion.startswith("its answer had left when vm-2 cut its connection")
+
+    def test_log_without_the_begin_of_the_stop(self):
+        story = tell("half", CUT[5:7])
+        assert len(story.lines) == 2
+
+    def test_request_that_failed_during_a_stop(self):
+        # Guards against a story that grows by the phases where no cut is to be told.
+        text = ended("lost", 503, "no-owner", MOVE, second=4.0)
+        told = [x.message for x in tell("lost", [*CUT, text]).lines]
+        assert told == ["stopping", "request ended"]
+
+
 class TestExplain:
     @pytest.fixture
     def log(self, tmp_path):
