Tell when a cut names the request before the one that was cut

While the head of a request is read, the line of a cut names the request before it on the connection, and the story said of that one, which had been answered, that it may have run. Its own line before the cut tells the case; the conclusion says now that the request behind it was being read and has not run.

The new test failed first.

--- a/packages/cli/src/berylstage_cli/story.py
+++ b/packages/cli/src/berylstage_cli/story.py
@@ -177,16 +177,16 @@
     """Return how a request ended, from its own lines."""
     cut_by = {line.vm for line in own if cut_reason(line)}
     return [
-        _conclude(line)
-        for line in own
+        _conclude(line, own[:place])
+        for place, line in enumerate(own)
         # The cut itself has the VM write that the caller has left.
         if line.vm not in cut_by or line.fields.get("reason") != "caller-left"
     ]
 
 
-def _conclude(line: LogLine) -> str:
+def _conclude(line: LogLine, before: list[LogLine]) -> str:
     if line.message == "connection cut":
-        return _conclude_cut(line)
+        return _conclude_cut(line, before)
     reason = line.fields.get("reason")
     status = line.fields.get("status")
     if reason is None:
@@ -196,9 +196,15 @@
     return f"{status} {reason}: {meaning}"
 
 
-def _conclude_cut(line: LogLine) -> str:
+def _conclude_cut(line: LogLine, before: list[LogLine]) -> str:
     reason = cut_reason(line)
     if reason is None:
         return f"its answer had left when {line.vm} cut its connection"
+    had_ended = any(other.vm == line.vm for other in before)
+    if line.fields.get("phase") == "serving" and had_ended:
+        return (
+            f"{line.vm} cut its connection while it read the request behind it; that "
+            "one has not run"
+        )
     left = int(number(line, "bytes_left"))
     return f"{reason} by {line.vm} with {left} bytes left: {REASONS[reason]}"
--- a/packages/cli/tests/test_story.py
+++ b/packages/cli/tests/test_story.py
@@ -139,6 +139,15 @@
         conclusion = tell("whole", CUT).conclusions[0]
         assert conclusion.startswith("its answer had left when vm-2 cut its connection")
 
+    def test_request_behind_it_was_read(self):
+        # Guards against telling that an answered request may have run again: the line
+        # names it while the id of the one behind it is not known.
+        story = tell("half", [*CUT[:6], cut("half", "serving", 0)])
+        assert story.conclusions[1] == (
+            "vm-2 cut its connection while it read the request behind it; that one has "
+            "not run"
+        )
+
     def test_log_without_the_begin_of_the_stop(self):
         story = tell("half", CUT[5:7])
         assert len(story.lines) == 2
