--- a/packages/entry/src/berylstage_entry/application.py
+++ b/packages/entry/src/berylstage_entry/application.py
@@ -23,15 +23,16 @@
 from berylstage_entry.news import FORMAT as NEWS_FORMAT
 from berylstage_entry.news import News
 from berylstage_entry.office import CONTACT_PATH, HAND_ON_PATH, Office
+from berylstage_entry.pages import PageServer
 from berylstage_entry.peers import Peers
 from berylstage_entry.probes import LoadProbes
 from berylstage_entry.queue_keeper import QueueKeeper
+from berylstage_entry.replies import Reply as PageReply
 from berylstage_entry.reports import FORMAT as COUNTS_FORMAT
 from berylstage_entry.reports import SPEEDS_PATH, Reports
 from berylstage_entry.router import Router
 from berylstage_entry.senders import Senders
-from berylstage_entry.server import CallerServer, PageServer, split_address
-from berylstage_entry.server import Reply as PageReply
+from berylstage_entry.server import CallerServer, split_address
 from berylstage_entry.stopping import BALANCER_LAG, Phase, StopPlan
 from berylstage_entry.turn_messages import (
     ASK_FORMAT,
--- a/packages/entry/src/berylstage_entry/server.py
+++ b/packages/entry/src/berylstage_entry/server.py
@@ -1,4 +1,4 @@
-"""The HTTP servers of an entry VM: callers, the balancer and other VMs."""
+"""The HTTP server of an entry VM for its callers."""
 
 from __future__ import annotations
 
@@ -7,15 +7,6 @@
 from typing import TYPE_CHECKING
 
 from logbook import Logger
-from tornado.httpserver import HTTPServer
-from tornado.httputil import (
-    HTTPHeaders,
-    HTTPMessageDelegate,
-    HTTPServerConnectionDelegate,
-    RequestStartLine,
-    ResponseStartLine,
-    responses,
-)
 
 from berylstage_entry.clock import now
 from berylstage_entry.connection import READ_BODY, CallerConnection
@@ -31,8 +22,8 @@
 from berylstage_entry.stopping import Standing
 
 if TYPE_CHECKING:
-    from asyncio import AbstractServer, Future
-    from collections.abc import Awaitable, Callable
+    from asyncio import AbstractServer
+    from collections.abc import Callable
     from socket import socket
 
     from berylstage_entry.journal import RequestJournal
@@ -40,8 +31,6 @@
     from berylstage_entry.services import Limits
     from berylstage_entry.wire import CallerRequest, CallerWire
 
-    Page = Callable[[bytes], "Reply | Awaitable[Reply]"]
-
 # Bytes of a request's body at most while no configuration says so.
 FIRST_BODY_LIMIT = 1024 * 1024
 # Bytes of all bodies together that are buffered at most: a third of the memory of a VM
@@ -89,21 +78,6 @@
     return host.strip("[]"), int(port)
 
 
-def write_reply(conn, reply: Reply, closing: bool) -> Future[None]:
-    """Write a reply on a connection of tornado's; the future ends when it has left."""
-    headers = HTTPHeaders()
-    for name, value in reply.headers:
-        headers.add(name, value)
-    headers["Content-Length"] = str(len(reply.body))
-    if closing:
-        headers["Connection"] = "close"
-    reason = responses.get(reply.status, "Unknown")
-    start = ResponseStartLine("HTTP/1.1", reply.status, reason)
-    sent = conn.write_headers(start, headers, reply.body)
-    conn.finish()
-    return sent
-
-
 class CallerServer:
     """Serves callers.
 
@@ -310,72 +284,3 @@
                 "unread": has_unread,
             },
         )
-
-
-class _PageExchange(HTTPMessageDelegate):
-    """A small request of the balancer or another VM."""
-
-    def __init__(self, pages: PageServer, conn):
-        self._pages = pages
-        self._conn = conn
-        self._path = ""
-        self._chunks: list[bytes] = []
-
-    def headers_received(
-        self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
-    ) -> None:
-        """Read the path."""
-        assert isinstance(start_line, RequestStartLine)
-        self._path = start_line.path.partition("?")[0]
-
-    def data_received(self, chunk: bytes) -> None:
-        """Keep a part of the body."""
-        self._chunks.append(chunk)
-
-    def finish(self) -> None:
-        """Answer."""
-        self._task = asyncio.create_task(self._answer())
-
-    async def _answer(self) -> None:
-        reply = self._pages.answer(self._path, b"".join(self._chunks))
-        if not isinstance(reply, Reply):
-            reply = await reply
-        write_reply(self._conn, reply, False)
-
-    def on_connection_close(self) -> None:
-        """Let the answer be made; nobody takes it."""
-
-
-class PageServer(HTTPServerConnectionDelegate):
-    """Serves small pages that need no waiting.
-
-    Parameters
-    ----------
-    pages : dict of str to callable
-        By path; each takes the body and returns the reply, or what brings it.
-    """
-
-    def __init__(self, pages: dict[str, Page]):
-        self._pages = pages
-        self._server: HTTPServer | None = None
-
-    def listen(self, address: str) -> None:
-        """Accept connections."""
-        self._server = HTTPServer(self, max_body_size=FIRST_BODY_LIMIT)
-        host, port = split_address(address)
-        self._server.listen(port, host)
-
-    def start_request(self, server_conn: object, request_conn) -> HTTPMessageDelegate:
-        """Return what takes a new request."""
-        return _PageExchange(self, request_conn)
-
-    def answer(self, path: str, body: bytes) -> Reply | Awaitable[Reply]:
-        """Return the reply for a path, or what brings it."""
-        page = self._pages.get(path)
-        return page(body) if page is not None else Reply(404)
-
-    async def close(self) -> None:
-        """Close all connections."""
-        if self._server is not None:
-            self._server.stop()
-            await self._server.close_all_connections()
