Let questions of other VMs and the balancer end before the pages close

Other VMs would see: a question cut off without an answer when the VM that they ask ends, HAND_ON_PATH among them; who takes the duty over then waits 0.3 s and asks a process that is gone. The balancer and what reads the metrics would see the same.

Cause: PageServer.close closed all connections as they were: with a page being made, an answer not yet out, or a question unread in the socket. The metrics page was not closed at all and ended with the loop.

All three pages end at the same time. What the kernel holds of a socket can be asked without a transport.

--- a/packages/entry/src/berylstage_entry/application.py
+++ b/packages/entry/src/berylstage_entry/application.py
@@ -208,8 +208,8 @@
         self.datagrams.close()
         await self.server.close()
         self._tell_stop()
-        await self.ready_page.close()
-        await self.control_page.close()
+        pages = self.ready_page, self.control_page, self.metrics_page
+        await asyncio.gather(*(page.close() for page in pages))
         self.senders.close()
         self.peers.close()
         self.store.close()
--- a/packages/entry/src/berylstage_entry/sockets.py
+++ b/packages/entry/src/berylstage_entry/sockets.py
@@ -11,6 +11,7 @@
 
 if TYPE_CHECKING:
     from asyncio import BaseTransport
+    from asyncio.trsock import TransportSocket
 
 _INT = struct.Struct("i")
 
@@ -36,7 +37,20 @@
     Unread
         ``END`` when the other side has closed or reset the connection.
     """
-    sock = transport.get_extra_info("socket")
+    return unread_in(transport.get_extra_info("socket"))
+
+
+def unread_in(sock: TransportSocket | socket | None) -> Unread:
+    """Tell what waits in a socket, as for :func:`unread`.
+
+    Parameters
+    ----------
+    sock : socket or None
+
+    Returns
+    -------
+    Unread
+    """
     if sock is None or sock.fileno() < 0:
         return Unread.NOTHING
     peeked = socket(fileno=sock.fileno())
@@ -63,7 +77,21 @@
     int
         0 as well where the kernel does not tell.
     """
-    sock = transport.get_extra_info("socket")
+    return unsent_in(transport.get_extra_info("socket"))
+
+
+def unsent_in(sock: TransportSocket | socket | None) -> int:
+    """Return the bytes of a socket that the other side has not acknowledged.
+
+    Parameters
+    ----------
+    sock : socket or None
+
+    Returns
+    -------
+    int
+        As for :func:`unsent`.
+    """
     if sock is None or sock.fileno() < 0:
         return 0
     try:
