Give the duty back also when the store's answer about it is still to come

Callers would see: refusals for keys that are on the move or whose owner ends, since nobody had the duty for the length of its lease (2 s). It takes a VM that is told to stop while it takes the duty, or while it leaves it to one with more room; where a third of the VMs stop at a time, the one that takes the duty over may well be the next to stop.

Cause: whether there was anything to give back was decided by what this VM had heard of its lease. A write that took the duty and whose answer had not come was broken off and forgotten, and so was a giving back that was under way.

Ruled out: a write that the store carries out after the lease has ended; it is refused.

Change: the lease that was taken last is remembered from the moment at which it is taken, and a stop ends it, whatever is known of the duty.

--- a/packages/entry/src/berylstage_entry/office.py
+++ b/packages/entry/src/berylstage_entry/office.py
@@ -135,6 +135,9 @@
         self._peers = peers
         self._rng = rng
         self._lease = 0
+        # The one that was taken last and not ended: the store may have bound the duty
+        # to it without this VM's knowing.
+        self._taken_lease = 0
         self._confirmed = float("-inf")
         self._duty_revision = 0
         self._task: asyncio.Task | None = None
@@ -213,17 +216,23 @@
         await self._give_back("stopping")
 
     async def _give_back(self, cause: str) -> None:
-        lease, revision = self._lease, self._duty_revision
+        has_duty, revision = bool(self._lease), self._duty_revision
         self._step_down(cause)
-        if not lease:
+        if not self._taken_lease:
             return
         try:
-            await self._store.write([Condition(DUTY_KEY, revision)], [], [DUTY_KEY])
-            await self._store.end_lease(lease)
+            if has_duty:
+                conditions = [Condition(DUTY_KEY, revision)]
+                await self._store.write(conditions, [], [DUTY_KEY])
+            await self._store.end_lease(self._taken_lease)
+        except LeaseEnded:
+            log.debug("the lease of the duty has ended already")
         except StoreError as exc:
             log.warning(
                 "duty not given back; its lease ends", extra={"cause": str(exc)}
             )
+            return
+        self._taken_lease = 0
 
     async def _run(self) -> None:
         while not self._stopping:
@@ -327,6 +336,7 @@
             return
         sent = now()
         lease = await self._store.take_lease(max(LEASE, self._cfg.shortest_lease))
+        self._taken_lease = lease
         old = self._feed.own.get(TERM_KEY)
         before = _Term.decode(old.value if old else None)
         mine = _Term(before.number + 1, self._cfg.vm, self._cfg.control, False)
--- a/packages/entry/tests/test_office.py
+++ b/packages/entry/tests/test_office.py
@@ -2,8 +2,14 @@
 
 from __future__ import annotations
 
+import asyncio
+import json
+
 import pytest
+from berylstage_entry.clock import now
+from berylstage_entry.keys import DUTY_KEY
 from berylstage_entry.office import LEASE, SHORTEST_TERM
+from fakes import StoreView
 from granting_world import VMS, World
 from virtual_time import virtual_loop
 
@@ -78,3 +84,74 @@
         world.kill(successor)
         world.run(LEASE + 1.0)
         assert len(holders(world)) == 1
+
+
+class LateAnswers(StoreView):
+    """A store whose answers take a while; what is broken off is carried out."""
+
+    async def write(self, conditions, writes, removals=()):
+        revision = await super().write(conditions, writes, removals)
+        await asyncio.sleep(0.2)
+        return revision
+
+
+class SlowWrites(StoreView):
+    """A store that carries writes out late, and not those that are broken off."""
+
+    async def write(self, conditions, writes, removals=()):
+        await asyncio.sleep(0.2)
+        return await super().write(conditions, writes, removals)
+
+
+def taken_by(world, name):
+    """Tell whether the store says that a VM has the duty."""
+    item = world.store.items.get(DUTY_KEY)
+    return item is not None and json.loads(item.value)["vm"] == name
+
+
+def run_until(world, condition):
+    """Let time pass until something has come about."""
+    for _ in range(500):
+        if condition():
+            return
+        world.run(0.02)
+    raise AssertionError("it did not come about in time")
+
+
+def stop(world, name):
+    """Stop a VM in an orderly way; return the seconds until another has the duty."""
+    began = now()
+    world._loop.run_until_complete(world.vms[name].office.resign())
+    world.kill(name)
+    run_until(world, lambda: holders(world))
+    return now() - began
+
+
+class TestStop:
+    """A VM stops while its calls to the store are under way."""
+
+    def test_duty_that_is_being_taken_is_given_back(self, world):
+        # Guards against a duty that stays with a VM that has ended, until its lease
+        # ends, because it stopped before it knew that it had the duty.
+        (former,) = holders(world)
+        name, other = [each for each in VMS if each != former]
+        vm = world.vms[name]
+        vm.office._store = LateAnswers(world.store)
+        # This one takes the duty; the other comes later.
+        world.vms[other].view.away = True
+        world._loop.run_until_complete(world.vms[former].office.resign())
+        world.kill(former)
+        run_until(world, lambda: taken_by(world, name))
+        assert not vm.office.holds()
+        world.vms[other].view.away = False
+        assert stop(world, name) < LEASE / 2
+
+    def test_duty_that_is_being_left_is_given_back(self, world):
+        # Guards against a duty that nobody has until its lease ends, because its holder
+        # stopped while it left the duty to another VM.
+        (name,) = holders(world)
+        vm = world.vms[name]
+        vm.office._store = SlowWrites(world.store)
+        vm.office.better = lambda: next(each for each in VMS if each != name)
+        run_until(world, lambda: not vm.office.holds())
+        assert stop(world, name) < LEASE / 2
