Remove a VM's key also when it stops before it knows that the key is written

Callers would see: requests that wait for turns at a VM that is gone. Others count it as there for the length of its lease (20 s), and ask it for turns three times before they go to the next keeper.

A writing of the key that was under way was broken off and forgotten, though the store had carried it out. It takes a VM that is told to stop while it starts, or while it comes back after its lease has ended.

Change: a stop ends the lease that was taken last.

Before: test_membership.py::TestStop::test_key_that_is_being_written_is_removed failed; it passes.

--- a/packages/entry/src/berylstage_entry/membership.py
+++ b/packages/entry/src/berylstage_entry/membership.py
@@ -79,6 +79,9 @@
         self._store = store
         self._feed = feed
         self._lease = 0
+        # The one that was taken last: the store may have bound this VM's key to it
+        # without this VM's knowing.
+        self._taken_lease = 0
         self._task: asyncio.Task | None = None
         # By their keys, with the revision that each was read at.
         self._known: dict[str, tuple[int, Member]] = {}
@@ -95,9 +98,9 @@
         """Remove this VM's key."""
         if self._task is not None:
             self._task.cancel()
-        if self._lease:
+        if self._taken_lease:
             try:
-                await self._store.end_lease(self._lease)
+                await self._store.end_lease(self._taken_lease)
             except StoreError as exc:
                 log.info("own key not removed", extra={"cause": str(exc)})
 
@@ -186,6 +189,7 @@
 
     async def _enter(self) -> None:
         lease = await self._store.take_lease(LEASE)
+        self._taken_lease = lease
         doc = {
             "control": self._cfg.control,
             "data_centre": self._cfg.data_centre,
--- a/packages/entry/tests/test_membership.py
+++ b/packages/entry/tests/test_membership.py
@@ -2,14 +2,16 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 
 from berylstage_entry import membership as module
 from berylstage_entry.directory import Directory
 from berylstage_entry.feed import Feed
-from berylstage_entry.membership import VMS_PREFIX, Membership
+from berylstage_entry.membership import KEEP, VMS_PREFIX, Membership
 from berylstage_entry.store import Item
-from fakes import JsonRecords, settings
+from fakes import JsonRecords, MemoryStore, StoreView, settings
+from virtual_time import virtual_loop
 
 VMS = ("vm-1", "vm-2", "vm-3", "vm-4")
 
@@ -69,3 +71,33 @@
         feed.take_written(Item(item.key, None, 2))
         assert membership.members() == []
         assert membership.revision > before
+
+
+class LateAnswers(StoreView):
+    """A store whose answers take a while; what is broken off is carried out."""
+
+    async def write(self, conditions, writes, removals=()):
+        revision = await super().write(conditions, writes, removals)
+        await asyncio.sleep(0.2)
+        return revision
+
+
+class TestStop:
+    def test_key_that_is_being_written_is_removed(self):
+        # Guards against a VM that counts as there for the length of its lease, and is
+        # asked for turns, because it stopped before it knew that its key was written.
+        async def play():
+            store = MemoryStore()
+            feed = Feed(store, JsonRecords(), Directory())
+            membership = Membership(settings("vm-1"), LateAnswers(store), feed)
+            membership.start()
+            await asyncio.sleep(0.1)
+            assert VMS_PREFIX + "vm-1" in store.items
+            await membership.stop()
+            assert VMS_PREFIX + "vm-1" not in store.items
+            # Nor does it come back.
+            await asyncio.sleep(KEEP + 1.0)
+            assert VMS_PREFIX + "vm-1" not in store.items
+
+        with virtual_loop() as loop:
+            loop.run_until_complete(play())
