Send requests on that wait at a VM that stops keeping its queues

Callers would see: 503, or a late answer, for a request of another VM that waits for its turn at a VM which ends. It goes on to ask there, as long as it takes to be sure that nobody answers (0.14 s on a quick network in virtual time, up to 0.55 s on slow links), and some have no time left by then.

Cause: a VM that stops waits for the requests of its own callers only. Those of other VMs in its queues come by datagram and are counted nowhere; the keeper fell silent with them waiting.

Ruled out: requests that are told of the stop by the VM's record; that goes at the start of the stop and takes new requests elsewhere, while those that wait stay where they are.

Change: a keeper that stops tells all that wait in its queues that it keeps them no more, and they go to the next keeper at once.

Before: both tests of test_turns.py::TestKeeperThatStops failed (0.143 s until the next keeper was asked; a turn given out by a keeper that had stopped); both pass, under 0.03 s. test_slot_queue.py::TestEnd is new. test_turns.py, test_slot_queue.py and test_queue_machine.py pass.

--- a/packages/entry/src/berylstage_entry/queue_keeper.py
+++ b/packages/entry/src/berylstage_entry/queue_keeper.py
@@ -79,9 +79,14 @@
         self._task = asyncio.create_task(self._run())
 
     def stop(self) -> None:
-        """Keep no queue any more."""
+        """Keep no queue any more, and send away who waits in one.
+
+        Left without a word they would ask on, and some have no time for that.
+        """
         if self._task is not None:
             self._task.cancel()
+        for queue in self._queues.values():
+            self._say(queue.send_away())
 
     def take_ask(self, data: bytes, host: str) -> None:
         """Take in a VM's datagram that asks for a turn."""
--- a/packages/entry/src/berylstage_entry/turns.py
+++ b/packages/entry/src/berylstage_entry/turns.py
@@ -109,7 +109,7 @@
 
 
 class _Lost(Exception):
-    """The keeper does not answer."""
+    """The keeper does not answer, or keeps the queue no more."""
 
 
 class Turns:
@@ -243,6 +243,8 @@
                     return reply.target
                 if reply.say == Say.REFUSED.value:
                     raise TurnRefused(reply.seconds, turn.describe())
+                if reply.say == Say.ELSEWHERE.value:
+                    raise _Lost
             if journey.left(now()) <= 0:
                 raise TurnRefused(0.0, turn.describe())
             if not answered:
--- a/packages/entry/tests/test_turns.py
+++ b/packages/entry/tests/test_turns.py
@@ -232,6 +232,47 @@
         played(step)
 
 
+class TestKeeperThatStops:
+    """A VM that keeps a queue stops, with requests of others in the queue."""
+
+    def test_request_that_waits_goes_to_the_next_keeper_at_once(self, played):
+        # Guards against requests that run into their deadlines, or are refused, while
+        # they ask a VM that has ended.
+        async def step(network, vms):
+            first, second = keeper_of(vms)
+            asking = next(vm for vm in vms if vm.host not in (first, second))
+            for _ in range(2):
+                await asking.take()
+            waiting = asyncio.create_task(asking.take(0.3))
+            await asyncio.sleep(0.15)
+            assert not waiting.done()
+            next(vm for vm in vms if vm.host == first).keeper.stop()
+            network.lost_hosts.add(first)
+            began = now()
+            assert (await waiting).keeper == second
+            assert now() - began < REPLY_TIMEOUT
+
+        played(step)
+
+    def test_queue_is_empty_afterwards(self, played):
+        # Guards against a keeper that gives out turns after it has sent all away.
+        async def step(network, vms):
+            first, second = keeper_of(vms)
+            keeping = next(vm for vm in vms if vm.host == first)
+            asking = next(vm for vm in vms if vm.host not in (first, second))
+            turns = [await asking.take() for _ in range(2)]
+            waiting = asyncio.create_task(asking.take())
+            await asyncio.sleep(0.05)
+            keeping.keeper.stop()
+            await asyncio.sleep(0.01)
+            for turn in turns:
+                asking.turns.done(turn)
+            await asyncio.sleep(0.01)
+            assert waiting.result().keeper == second
+
+        played(step)
+
+
 class TestSlowLink:
     def test_keeper_behind_a_slow_link_is_waited_for(self, played):
         # Replies wait behind downloads on a small link, for longer than any reply was
--- a/packages/policy/src/berylstage_policy/slot_queue.py
+++ b/packages/policy/src/berylstage_policy/slot_queue.py
@@ -128,6 +128,8 @@
     GO = 1
     WAIT = 2
     REFUSED = 3
+    # This queue is kept no more.
+    ELSEWHERE = 4
 
 
 class Verdict:
@@ -300,6 +302,17 @@
             verdicts.append(Verdict(place.ident, Say.WAIT))
         return verdicts
 
+    def send_away(self) -> list[Verdict]:
+        """Empty the queue, since it is kept no more.
+
+        Returns
+        -------
+        list of Verdict
+            One for each request that waited.
+        """
+        waiting, self._waiting = self._waiting, []
+        return [Verdict(place.ident, Say.ELSEWHERE) for place in waiting]
+
     def _asked_again(self, place: Place, now: float) -> list[Verdict]:
         """Return what is said about a request that waits and is heard of again.
 
--- a/packages/policy/tests/test_slot_queue.py
+++ b/packages/policy/tests/test_slot_queue.py
@@ -55,6 +55,17 @@
     return RequestId(host, n)
 
 
+class TestEnd:
+    def test_all_that_wait_are_sent_away_and_those_that_went_are_not(self):
+        # Guards against a queue whose VM stops while requests wait in it for nothing.
+        each = queue(slots=1)
+        for n in range(3):
+            each.ask(place(n, 0.0), 0.0)
+        assert said(each.send_away(), Say.ELSEWHERE) == [1, 2]
+        assert len(each) == 0
+        assert each.returned(number(0), 0.1) == []
+
+
 class TestOrder:
     def test_as_many_go_as_there_are_slots(self):
         # Nine VMs that each see a free slot send nine requests to a target with two.
