Name no request that was answered as the one that was cut

Seen in reading by who wrote 'losses': while a part of a head has come, the line 'connection cut' named the request before it on the connection, so an answered request counted as lost. The id is empty there now. test_half_a_head_is_named_after_no_other_request failed before.

--- a/packages/entry/src/berylstage_entry/connection.py
+++ b/packages/entry/src/berylstage_entry/connection.py
@@ -226,11 +226,14 @@
 
     @property
     def last_id(self) -> str:
-        """Id of the request that is answered next, or was answered last."""
+        """Id of the request that is answered next, or was answered last.
+
+        Empty while nothing but a part of a head has come.
+        """
         for exchange in self._exchanges:
             if exchange.req is not None:
                 return exchange.req.request_id
-        return self._last_id
+        return "" if self._in_request else self._last_id
 
     def close_idle(self) -> bool:
         """Close the connection if nothing is under way; tell whether it was closed.
--- a/packages/entry/tests/test_connection.py
+++ b/packages/entry/tests/test_connection.py
@@ -306,6 +306,19 @@
 
         play(step)
 
+    def test_half_a_head_is_named_after_no_other_request(self, play):
+        # Guards against a log line that names a request which was answered as cut.
+        async def step(it):
+            it.send(get("/a"))
+            await it.turn()
+            assert it.conn.last_id == "/a"
+            await it.end("/a")
+            assert it.conn.last_id == "/a"
+            it.send(get("/b")[:9])
+            assert it.conn.last_id == ""
+
+        play(step)
+
     def test_refusal_amid_others_leaves_them_alone(self, play):
         async def step(it):
             it.send(get("/a") + get("/b") + get("/c"))
