Count what the kernel still sends before a connection closes as idle

Change: the bytes left of a connection are those that the other side has not acknowledged. An idle connection with such bytes goes the way of a last answer: the sending side is shut down, and the socket closes when all is acknowledged.

--- a/packages/entry/src/berylstage_entry/connection.py
+++ b/packages/entry/src/berylstage_entry/connection.py
@@ -25,7 +25,7 @@
     TOO_LARGE,
     reply_bytes,
 )
-from berylstage_entry.sockets import Unread, unread
+from berylstage_entry.sockets import Unread, unread, unsent
 
 if TYPE_CHECKING:
     from berylstage_entry.server import CallerServer
@@ -208,12 +208,10 @@
 
     @property
     def bytes_left(self) -> int:
-        """Bytes of answers that have not left the program."""
-        if self._ending is not None:
-            return self._ending.bytes_left
+        """Bytes of answers that the other side has not acknowledged."""
         if self._transport is None:
             return 0
-        return self._transport.get_write_buffer_size()
+        return self._transport.get_write_buffer_size() + unsent(self._transport)
 
     @property
     def under_way(self) -> bool:
@@ -244,9 +242,9 @@
         is_expected = self._in_request or not self._has_served
         if is_expected and now() - self._heard_at <= ON_ITS_WAY:
             return False
-        if self._is_occupied():
+        if self._exchanges or self._ending is not None or self.has_unread():
             return False
-        self.cut()
+        self._end_idle()
         return True
 
     def cut(self) -> None:
@@ -257,10 +255,12 @@
             self._transport.close()
         self._server.gone(self)
 
-    def _is_occupied(self) -> bool:
-        """Tell whether it must not be closed, but for a request that is half read."""
-        occupied = self._exchanges or self._ending is not None or self.bytes_left
-        return bool(occupied) or self.has_unread()
+    def _end_idle(self) -> None:
+        """Close once the last answer has arrived, which may be on its way still."""
+        if self.bytes_left:
+            self._close()
+        else:
+            self.cut()
 
     # Reading.
 
@@ -430,13 +430,13 @@
         if self._ending is not None:
             return
         left = self._idle_since + self._server.idle_time - now()
-        if self._exchanges or self.bytes_left:
+        if self._exchanges:
             left = self._server.idle_time
         elif left <= 0 and self.has_unread():
             # The loop was late: a request has come in time.
             left = UNREAD_LOOK
         if left <= 0:
-            self.cut()
+            self._end_idle()
             return
         loop = asyncio.get_running_loop()
         self._timer = loop.call_later(left, self._watch_idle)
