Read nothing behind the requests that have come when a VM stops

Change: when no more connections are taken, a connection is read to the end of the request that has begun to come, and no further; what came is answered, the last one with the word that the connection closes. Half a request behind the last answer is waited for as on an idle connection. While the last answer leaves, nothing is read: a request that is read and not answered would leave its caller without a word.

--- a/packages/entry/src/berylstage_entry/connection.py
+++ b/packages/entry/src/berylstage_entry/connection.py
@@ -84,6 +84,8 @@
         self._ended = False
         self._choked = False
         self._is_reading = True
+        # Whether nothing is read behind the requests that have begun to come.
+        self._reads_no_more = False
         self._idle_since = now()
         # When bytes came last, and whether a request has been read to its end.
         self._heard_at = now()
@@ -233,6 +235,15 @@
                 return exchange.req.request_id
         return "" if self._in_request else self._last_id
 
+    def read_no_more(self) -> None:
+        """Read nothing behind the requests that have begun to come.
+
+        A caller that always has another one behind would be read until it is cut off.
+        What stays unread it may send again elsewhere.
+        """
+        self._reads_no_more = True
+        self._pace()
+
     def close_idle(self) -> bool:
         """Close the connection if nothing is under way; tell whether it was closed.
 
@@ -333,7 +344,10 @@
         """Read the connection no further than what is waiting to be parsed."""
         if self._transport is None or self._transport.is_closing():
             return
-        reads = len(self._unread) < UNREAD
+        if self._ending is not None:
+            return
+        is_over = self._reads_no_more and self._exchanges and not self._in_request
+        reads = len(self._unread) < UNREAD and not is_over
         if reads != self._is_reading:
             self._is_reading = reads
             if reads:
@@ -400,7 +414,8 @@
         A caller takes the word that the connection closes as one that nothing behind
         the answer was taken. What has been read is answered first.
         """
-        return self._server.closing and not self._exchanges and not self._unread
+        comes_more = self._exchanges or self._unread or self._in_request
+        return self._server.closing and not comes_more
 
     def _close(self) -> None:
         """Close once all has left; what was begun behind it has no answer."""
--- a/packages/entry/src/berylstage_entry/server.py
+++ b/packages/entry/src/berylstage_entry/server.py
@@ -151,6 +151,8 @@
     def opened(self, conn: CallerConnection) -> None:
         """Note a new connection."""
         self._connections.add(conn)
+        if self._has_refused:
+            conn.read_no_more()
 
     def begun(self) -> None:
         """Note that a request has come."""
@@ -169,6 +171,8 @@
         self._stop_listening()
         self._has_refused = True
         self.close_idle()
+        for conn in self._connections:
+            conn.read_no_more()
 
     def close_idle(self) -> None:
         """Close the connections on which nothing is under way."""
--- a/packages/entry/tests/test_connection.py
+++ b/packages/entry/tests/test_connection.py
@@ -306,6 +306,58 @@
 
         play(step)
 
+    def test_caller_that_is_never_without_a_request_is_read_no_further(self, play):
+        # Guards against a stop that one caller holds up until it is cut.
+        async def step(it):
+            it.send(get("/a") + get("/b")[:9])
+            await it.turn()
+            it.server.closing = True
+            it.server.refuse_more()
+            assert it.transport.reading
+            it.send(get("/b")[9:])
+            await it.turn()
+            assert not it.transport.reading
+            await it.end("/a")
+            assert not it.transport.closed
+            await it.end("/b")
+            assert it.transport.bodies == ["/a", "/b"]
+            assert it.transport.closed
+            assert it.transport.written.count(b"Connection: close") == 1
+
+        play(step)
+
+    def test_nothing_is_read_while_the_last_answer_leaves(self, play):
+        # Guards against reading a request that nobody will answer.
+        async def step(it):
+            it.send(get("/a"))
+            await it.turn()
+            it.server.closing = True
+            it.server.refuse_more()
+            it.transport.get_write_buffer_size = lambda: 10
+            await it.end("/a")
+            assert not it.transport.closed
+            assert not it.transport.reading
+            it.conn.connection_lost(None)
+
+        play(step)
+
+    def test_request_half_read_behind_the_last_answer_is_served(self, play):
+        # Guards against an answer that closes the connection on half a request.
+        async def step(it):
+            it.send(get("/a") + get("/b")[:9])
+            await it.turn()
+            it.server.closing = True
+            it.server.refuse_more()
+            await it.end("/a")
+            assert not it.transport.closed
+            it.send(get("/b")[9:])
+            await it.turn()
+            await it.end("/b")
+            assert it.transport.bodies == ["/a", "/b"]
+            assert it.transport.closed
+
+        play(step)
+
     def test_half_a_head_is_named_after_no_other_request(self, play):
         # Guards against a log line that names a request which was answered as cut.
         async def step(it):
