Take no signal any more once all is stopped

Operators saw (a test on real processes): SIGTERM or SIGHUP that came again after 'stopped' ended the process with -15 or -1, which a supervisor takes for a crash. The handlers belong to the event loop and go with it.

Change: these signals are blocked for the last moments of the process.

--- a/packages/entry/src/berylstage_entry/application.py
+++ b/packages/entry/src/berylstage_entry/application.py
@@ -54,6 +54,8 @@
 RECORD_LAG = 0.5
 # Seconds between two looks at what a stop waits for.
 STOP_LOOK = 0.02
+# What may come again until the process is gone.
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 # Status of a page that tells no.
 UNAVAILABLE = 503
 
@@ -168,6 +170,9 @@
         self.start()
         await self._stop.wait()
         await self.stop()
+        # The loop takes its handlers along when it closes. A signal that comes then
+        # would end the process with a status that looks like a crash.
+        signal.pthread_sigmask(signal.SIG_BLOCK, STOP_SIGNALS)
         return 0
 
     def start(self) -> None:
