Let the VMs of a soak reach each other by datagrams

Missing: each VM of a soak had an internal port of its own, while VMs send datagrams to their own port at the other's address.

Change: one internal port for all VMs, whose addresses differ.

--- a/tests/soak/installation.py
+++ b/tests/soak/installation.py
@@ -45,10 +45,10 @@
 class SoakVm:
     """One process of the program."""
 
-    def __init__(self, number: int, folder: Path, store_port: int):
+    def __init__(self, number: int, folder: Path, store_port: int, inner: int):
         self.name = f"vm-{number}"
         self.ip = f"127.0.0.{20 + number}"
-        self.front, self.ready, self.control, inner = (free_port() for _ in range(4))
+        self.front, self.ready, self.control = (free_port() for _ in range(3))
         text = SETTINGS.format(
             name=self.name,
             ip=self.ip,
@@ -104,7 +104,9 @@
         for target in self.targets:
             target.start()
             self.write(target)
-        self.vms = [SoakVm(n, folder, self._port) for n in range(VMS)]
+        # VMs send each other datagrams to their own port, so it is the same for all.
+        inner = free_port()
+        self.vms = [SoakVm(n, folder, self._port, inner) for n in range(VMS)]
         self._client = CurlAsyncHTTPClient(force_instance=True, max_clients=200)
         self._beats = asyncio.create_task(self._beat())
 
