Give each soak loopback addresses of its own, with fixed ports

Missing: a soak drew its ports one by one, each closed again before its use.

Change: a loopback network by the id of the process, and the ports that the platform has.

--- a/tests/soak/configuration.py
+++ b/tests/soak/configuration.py
@@ -2,17 +2,17 @@
 
 from __future__ import annotations
 
-import socket
+import os
 
 SETTINGS = """node_name={name}
 zone=a
-listen_addrs.front={ip}:{front}
-listen_addrs.ready={ip}:{ready}
-listen_addrs.control={ip}:{control}
-internal_ports={inner},{last}
+listen_addrs.front={ip}:8381
+listen_addrs.ready={ip}:8388
+listen_addrs.control={ip}:8382
+internal_ports=7200,7215
 bounds=grace_s=6,retry_budget_ratio=0.2,retry_allowance=60,warmup_overshoot=1.5,\
 warmup_slack=5,hold_max_ms=10000
-platform.address=127.0.0.1:{store}
+platform.address={store}
 limits.cpu_share=0.86
 limits.cpu_cores=1
 limits.link_mbps=1000.0
@@ -56,8 +56,11 @@
     }
 
 
-def free_port() -> int:
-    """Return a port that nobody listens on."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
+def own_network() -> str:
+    """Return the first three numbers of loopback addresses of this process alone.
+
+    On addresses of its own a soak needs no ports drawn: one that is drawn may be drawn
+    again, or be taken by a connection while its process is down.
+    """
+    number = os.getpid()
+    return f"127.{1 + number // 250 % 250}.{number % 250}"
--- a/tests/soak/installation.py
+++ b/tests/soak/installation.py
@@ -11,7 +11,7 @@
 from typing import TYPE_CHECKING
 
 from platform_standin import StoreState, store_application
-from soak.configuration import SETTINGS, configuration, free_port
+from soak.configuration import SETTINGS, configuration, own_network
 from soak.ledger import Ledger
 from soak.targets import SoakTarget
 from tornado.curl_httpclient import CurlAsyncHTTPClient
@@ -24,6 +24,9 @@
 
 ROOT = Path(__file__).resolve().parents[2]
 VMS = 3
+# Last number of the address of the first VM; the store and the targets come before.
+FIRST_VM = 20
+STORE_PORT = 8390
 # Targets with owned keys, and without.
 KEYED = 3
 FREE = 2
@@ -45,20 +48,10 @@
 class SoakVm:
     """One process of the program."""
 
-    def __init__(self, number: int, folder: Path, store_port: int, inner: int):
+    def __init__(self, number: int, folder: Path, network: str, store: str):
         self.name = f"vm-{number}"
-        self.ip = f"127.0.0.{20 + number}"
-        self.front, self.ready, self.control = (free_port() for _ in range(3))
-        text = SETTINGS.format(
-            name=self.name,
-            ip=self.ip,
-            front=self.front,
-            ready=self.ready,
-            control=self.control,
-            inner=inner,
-            last=inner + 1,
-            store=store_port,
-        )
+        self.ip = f"{network}.{FIRST_VM + number}"
+        text = SETTINGS.format(name=self.name, ip=self.ip, store=store)
         self._path = folder / f"{self.name}.conf"
         self._path.write_text(text)
         self._log = (folder / f"{self.name}.log").open("a")
@@ -93,20 +86,25 @@
     def __init__(self, folder: Path, rng: Random):
         self.ledger = Ledger()
         self.store = SoakStore(rng)
+        network = own_network()
         self.targets = [
-            SoakTarget(f"i-{n}", "s" if n < KEYED else "u", free_port(), self.ledger, r)
+            SoakTarget(
+                f"i-{n}",
+                "s" if n < KEYED else "u",
+                f"{network}.{n + 2}",
+                self.ledger,
+                r,
+            )
             for n, r in enumerate(Random(rng.random()) for _ in range(KEYED + FREE))
         ]
-        self._port = free_port()
         http = HTTPServer(_troubled(store_application(self.store), self.store))
-        http.listen(self._port, "127.0.0.1")
+        http.listen(STORE_PORT, f"{network}.1")
         self.store.put("op/config", json.dumps(configuration()).encode())
         for target in self.targets:
             target.start()
             self.write(target)
-        # VMs send each other datagrams to their own port, so it is the same for all.
-        inner = free_port()
-        self.vms = [SoakVm(n, folder, self._port, inner) for n in range(VMS)]
+        store = f"{network}.1:{STORE_PORT}"
+        self.vms = [SoakVm(n, folder, network, store) for n in range(VMS)]
         self._client = CurlAsyncHTTPClient(force_instance=True, max_clients=200)
         self._beats = asyncio.create_task(self._beat())
 
@@ -131,7 +129,7 @@
         if method == "GET":
             path = "/a/x"
             headers["Berylstage-Shard-Key"] = str(key)
-        url = f"http://{vm.ip}:{vm.front}{path}"
+        url = f"http://{vm.ip}:8381{path}"
         body = b"order" if method == "POST" else None
         try:
             answer = await self._client.fetch(
@@ -152,7 +150,7 @@
 
     async def is_ready(self, vm: SoakVm) -> bool:
         """Tell whether a VM says that it is ready."""
-        url = f"http://{vm.ip}:{vm.ready}/v1/ready"
+        url = f"http://{vm.ip}:8388/v1/ready"
         try:
             answer = await self._client.fetch(url, request_timeout=1.0)
         except HTTPClientError:
--- a/tests/soak/targets.py
+++ b/tests/soak/targets.py
@@ -14,6 +14,7 @@
 if TYPE_CHECKING:
     from soak.ledger import Ledger
 
+PORT = 8391
 # Requests at work at once, and waiting beyond them.
 SLOTS = 2
 QUEUE = 8
@@ -26,16 +27,15 @@
 
     Parameters
     ----------
-    name, service : str
-    port : int
+    name, service, ip : str
     ledger : Ledger
     rng : Random
     """
 
-    def __init__(self, name: str, service: str, port: int, ledger: Ledger, rng: Random):
+    def __init__(self, name: str, service: str, ip: str, ledger: Ledger, rng: Random):
         super().__init__(name)
         self.service = service
-        self.port = port
+        self.ip = ip
         self.ledger = ledger
         self.rng = rng
         self.life = 1
@@ -56,7 +56,7 @@
         self.holds, self.seen, self.busy = [], [], 0
         self.slots = asyncio.Semaphore(SLOTS)
         self._http = HTTPServer(_application(self))
-        self._http.listen(self.port, "127.0.0.1")
+        self._http.listen(PORT, self.ip)
 
     async def crash(self) -> None:
         """End without a word."""
@@ -71,7 +71,7 @@
         """Return what it writes into the store."""
         state = "draining" if self.leaving else "ready"
         doc = {
-            "address": f"127.0.0.1:{self.port}",
+            "address": f"{self.ip}:{PORT}",
             "born": self.life,
             "info": {
                 "service": self.service,
