Soak: callers on slow links, series of planned stops, and a rule for what these may cost

Missing: the soak's callers had small answers and a pooled client that asks again by itself; planned stops came one VM at a time; nothing checked that a stop loses no request.

Change: - Callers of the soak's own (asyncio sockets): they share a link of 5 to 10 Mbit/s to each VM, keep their connections until the other side ends them, send two or three lookups at a time, and take answers of 90 kB and 1 MB. What is asked for through a link never takes it longer than 2 s, so that each answer can leave within a stop. - VmsStopped takes the place of VmStopped: up to half of the VMs, SIGTERM within 1.6 s, some twice, some with SIGHUP meanwhile; the platform's SIGKILL after the stop time. Faults are drawn apart from requests, so what a seed drew before it draws no more.

--- a/Makefile
+++ b/Makefile
@@ -44,10 +44,10 @@
 	$(PY) -m berylstage_bench.demo
 
 failures:  ## let real processes fail under load, a few minutes
-	$(PY) -m pytest -m failures packages/bench
+	$(PY) -m pytest -m failures packages/bench tests
 
 failures-ci:  ## the fixed part of these that CI runs, within two minutes
-	$(PY) -m pytest -m failures_ci $(PYTEST_OPTIONS) packages/bench
+	$(PY) -m pytest -m failures_ci $(PYTEST_OPTIONS) packages/bench tests
 
 bench-path:  ## what the way through the VMs adds to a request, and what costs most
 	$(PY) -m berylstage_bench.path
@@ -77,8 +77,8 @@
 bench-placement:  ## what each rule of the choice of a target earns, in a model
 	$(PY) -m berylstage_bench.placement
 
-soak:  ## faults one after the other, on the platform's stand-ins (SECONDS=60 SEED=1)
-	$(PY) tests/soak/play.py --seconds $(or $(SECONDS),60) --seed $(or $(SEED),1)
+soak:  ## faults one after the other, on the platform's stand-ins (SECONDS=60 SEED=1 STOPS=--stops)
+	$(PY) tests/soak/play.py --seconds $(or $(SECONDS),60) --seed $(or $(SEED),1) $(STOPS)
 
 bench-owned:  ## what each rule of dealing out busy keys earns, in a model
 	$(PY) -m berylstage_bench.owned
--- a/tests/soak/configuration.py
+++ b/tests/soak/configuration.py
@@ -15,7 +15,7 @@
 platform.address={store}
 limits.cpu_share=0.86
 limits.cpu_cores=1
-limits.link_mbps=1000.0
+limits.link_mbps={mbps:.1f}
 platform.ttl_min_ms=1000
 """
 
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -2,14 +2,25 @@
 
 from __future__ import annotations
 
+import asyncio
 import signal
+import time
 from abc import ABC, abstractmethod
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
     from random import Random
 
-    from soak.installation import Installation
+    from soak.installation import Installation, SoakVm
+
+# Seconds within which the VMs of one series are told to stop.
+STAGGER_S = (0.0, 1.6)
+# Seconds from SIGTERM to the end by the platform, as the VMs' settings have them, and
+# to the new start.
+STOP_TIME_S = 6.0
+RESTART_S = 6.2
+# Share of the VMs that get SIGTERM again, and of those that get SIGHUP.
+AGAIN_SHARE = 0.4
 
 
 class Fault(ABC):
@@ -22,6 +33,8 @@
 
     # Seconds that it lasts, at least and at most.
     lasts = (1.0, 5.0)
+    # Whether operators bring it about, so that no request may be lost by it.
+    is_planned = False
 
     def __init__(self, rng: Random):
         self.rng = rng
@@ -47,15 +60,51 @@
         world.restart(self.vm)
 
 
-class VmStopped(VmKilled):
-    """A VM is told to stop, and starts again."""
+class VmsStopped(Fault):
+    """Up to half of the VMs are told to stop, some of them twice, and start again.
+
+    Some get SIGHUP meanwhile. The platform ends what still runs after its stop time.
+    """
 
-    lasts = (7.0, 8.0)
+    is_planned = True
+    lasts = (8.0, 9.0)
 
     async def begin(self, world: Installation) -> str:
-        self.vm = self.rng.randrange(len(world.vms))
-        world.vms[self.vm].process.send_signal(signal.SIGTERM)
-        return f"vm {self.vm}"
+        standing = world.standing()
+        self.rng.shuffle(standing)
+        # The last one that stands is never stopped.
+        most = len(standing) // 2
+        self.vms = standing[: self.rng.randint(min(1, most), most)]
+        self._stops = []
+        for vm in self.vms:
+            vm.stops = True
+            self._stops.append(asyncio.create_task(self._stop(world, vm)))
+        return ", ".join(vm.name for vm in self.vms) or "nothing"
+
+    async def end(self, world: Installation) -> None:
+        await asyncio.gather(*self._stops)
+
+    async def _stop(self, world: Installation, vm: SoakVm) -> None:
+        process, told = vm.process, self._told()
+        await asyncio.sleep(self.rng.uniform(*STAGGER_S))
+        began = time.monotonic()
+        for seconds, number in told:
+            await asyncio.sleep(began + seconds - time.monotonic())
+            process.send_signal(number)
+        await asyncio.sleep(began + RESTART_S - time.monotonic())
+        world.ledger.stopped(vm.name, began, process.poll())
+        if process is vm.process:
+            vm.restart()
+        await world.until_ready(vm)
+        vm.stops = False
+
+    def _told(self) -> list[tuple[float, signal.Signals]]:
+        """Draw the signals that a VM gets, with seconds after the first one."""
+        told = [(0.0, signal.SIGTERM), (STOP_TIME_S, signal.SIGKILL)]
+        for number in (signal.SIGTERM, signal.SIGHUP):
+            if self.rng.random() < AGAIN_SHARE:
+                told.append((self.rng.uniform(0.0, STOP_TIME_S), number))
+        return sorted(told)
 
 
 class VmFrozen(Fault):
@@ -160,7 +209,7 @@
 
 FAULTS: tuple[type[Fault], ...] = (
     VmKilled,
-    VmStopped,
+    VmsStopped,
     VmFrozen,
     StoreAway,
     StoreSlow,
@@ -170,3 +219,6 @@
     AnswersLost,
     TargetLeaving,
 )
+
+# Planned stops alone.
+STOPS: tuple[type[Fault], ...] = (VmsStopped,)
--- a/tests/soak/installation.py
+++ b/tests/soak/installation.py
@@ -6,13 +6,17 @@
 import json
 import subprocess
 import sys
+import time
+from collections import deque
 from pathlib import Path
 from random import Random
 from typing import TYPE_CHECKING
 
 from platform_standin import StoreState, store_application
+from soak.callers import Caller
 from soak.configuration import SETTINGS, configuration, own_network
 from soak.ledger import Ledger
+from soak.links import Link
 from soak.targets import SoakTarget
 from tornado.curl_httpclient import CurlAsyncHTTPClient
 from tornado.httpclient import HTTPClientError
@@ -22,11 +26,19 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
+    from soak.callers import Request
+
 ROOT = Path(__file__).resolve().parents[2]
-VMS = 3
 # Last number of the address of the first VM; the store and the targets come before.
 FIRST_VM = 20
 STORE_PORT = 8390
+CALLERS_PORT = 8381
+# Bandwidth of the links between VMs and callers, in Mbit/s.
+LINK_MBPS = (5.0, 10.0)
+# Connections that callers keep to a VM, at least.
+KEPT = 8
+# Seconds in which a VM that starts must be ready.
+READY_S = 20.0
 # Targets with owned keys, and without.
 KEYED = 3
 FREE = 2
@@ -48,10 +60,15 @@
 class SoakVm:
     """One process of the program."""
 
-    def __init__(self, number: int, folder: Path, network: str, store: str):
+    def __init__(self, number: int, folder: Path, network: str, store: str, link: Link):
         self.name = f"vm-{number}"
         self.ip = f"{network}.{FIRST_VM + number}"
-        text = SETTINGS.format(name=self.name, ip=self.ip, store=store)
+        text = SETTINGS.format(name=self.name, ip=self.ip, store=store, mbps=link.mbps)
+        self.link = link
+        # Connections that callers keep, the longest unused one first.
+        self.callers: deque[Caller] = deque()
+        # Whether it is being stopped and started again.
+        self.stops = False
         self._path = folder / f"{self.name}.conf"
         self._path.write_text(text)
         self._log = (folder / f"{self.name}.log").open("a")
@@ -66,6 +83,15 @@
             stderr=subprocess.STDOUT,
         )
 
+    def caller(self, ledger: Ledger) -> Caller:
+        """Return a caller whose connection nobody uses."""
+        while len(self.callers) >= KEPT:
+            caller = self.callers.popleft()
+            if caller.is_open():
+                return caller
+            caller.close()
+        return Caller((self.ip, CALLERS_PORT), self.link, ledger)
+
     def restart(self) -> None:
         """Start the process anew, whatever became of the last one."""
         self.process.kill()
@@ -81,9 +107,11 @@
     folder : Path
         For settings and logs.
     rng : Random
+    vms : int
+        How many VMs it has.
     """
 
-    def __init__(self, folder: Path, rng: Random):
+    def __init__(self, folder: Path, rng: Random, vms: int):
         self.ledger = Ledger()
         self.store = SoakStore(rng)
         network = own_network()
@@ -104,7 +132,11 @@
             target.start()
             self.write(target)
         store = f"{network}.1:{STORE_PORT}"
-        self.vms = [SoakVm(n, folder, network, store) for n in range(VMS)]
+        links = [Link(rng.uniform(*LINK_MBPS)) for _ in range(vms)]
+        self.vms = [
+            SoakVm(number, folder, network, store, link)
+            for number, link in enumerate(links)
+        ]
         self._client = CurlAsyncHTTPClient(force_instance=True, max_clients=200)
         self._beats = asyncio.create_task(self._beat())
 
@@ -117,36 +149,29 @@
         """Start a VM anew."""
         self.vms[number].restart()
 
-    async def ask(self, number: int, request_id: str, method: str, key: int) -> None:
-        """Have a caller make one request, and note what it is told."""
-        vm = self.vms[number]
-        headers = {
-            "Host": "h.example",
-            "Berylstage-Attempt-Id": request_id,
-            "Berylstage-Deadline-Ms": "1500",
-        }
-        path = "/orders/x"
-        if method == "GET":
-            path = "/a/x"
-            headers["Berylstage-Shard-Key"] = str(key)
-        url = f"http://{vm.ip}:8381{path}"
-        body = b"order" if method == "POST" else None
+    async def ask(self, vm: SoakVm, requests: list[Request], gap: float) -> None:
+        """Have a caller make requests on one connection."""
+        caller = vm.caller(self.ledger)
+        for request in requests:
+            self.ledger.asked(request.request_id, request.size)
         try:
-            answer = await self._client.fetch(
-                url,
-                method=method,
-                body=body,
-                headers=headers,
-                raise_error=False,
-                request_timeout=3.0,
-            )
-        except HTTPClientError:
-            # The connection was refused, reset, or ended without an answer.
-            self.ledger.answered(request_id, method, 0, b"", "")
-            return
-        mark = answer.headers.get("Berylstage-Backend-Signature", "")
-        body = answer.body or b""
-        self.ledger.answered(request_id, method, answer.code, body, mark)
+            await caller.ask(requests, gap)
+        finally:
+            vm.link.owe(-sum(request.size for request in requests))
+        if caller.is_open():
+            vm.callers.append(caller)
+
+    def standing(self) -> list[SoakVm]:
+        """Return the VMs that run and are not being stopped."""
+        return [v for v in self.vms if not v.stops and v.process.poll() is None]
+
+    async def until_ready(self, vm: SoakVm) -> None:
+        """Wait until a VM says that it is ready."""
+        end = time.monotonic() + READY_S
+        while not await self.is_ready(vm):
+            if time.monotonic() > end:
+                raise TimeoutError(f"{vm.name} is not ready; read its log")
+            await asyncio.sleep(0.1)
 
     async def is_ready(self, vm: SoakVm) -> bool:
         """Tell whether a VM says that it is ready."""
@@ -170,6 +195,8 @@
         for vm in self.vms:
             vm.process.kill()
             vm.process.wait()
+            for caller in vm.callers:
+                caller.close()
 
 
 def _troubled(app: Application, store: SoakStore) -> Callable[..., Awaitable[None]]:
--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -1,8 +1,9 @@
 """Soak: an installation under load, with one fault after the other.
 
-Run it by ``make soak SECONDS=60 SEED=1``. It ends with what callers were told and what
-must never be, and with status 1 when there is any of that. The seed draws faults and
-keys; processes are real, so two plays of one seed differ in their timing.
+Run it by ``make soak SECONDS=60 SEED=1``, or with ``STOPS=--stops`` for planned stops
+alone. It ends with what callers were told and what must never be, and with status 1
+when there is any of that. The seed draws faults and requests; processes are real, so
+two plays of one seed differ in their timing.
 """
 
 from __future__ import annotations
@@ -14,26 +15,67 @@
 import time
 from pathlib import Path
 from random import Random
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from soak.links import Link
 
 # The adapter's folder and the stand-ins' one, as the tests have them.
 HERE = Path(__file__).resolve().parent
 sys.path[:0] = [str(HERE.parent), str(HERE.parents[1] / "platform")]
 
-from soak.faults import FAULTS, Fault  # noqa: E402
+from soak.callers import PATIENCE_S, Request  # noqa: E402
+from soak.faults import FAULTS, STOPS, Fault  # noqa: E402
 from soak.installation import Installation  # noqa: E402
 
-# Requests a second, of which a third are orders that may run once at most.
-RATE = 60.0
+# Times a second at which a caller asks, of which a third are for orders that may run
+# once at most.
+RATE = 50.0
 ORDERS = 1 / 3
-# Seconds without a fault at the start, between two, and at the end: the longest hold,
-# and the time in which lapsed records come back.
+# Share of the times at which a caller sends several lookups on its connection, how
+# many, and the seconds between two of them.
+SEVERAL_SHARE = 0.2
+SEVERAL = (2, 3)
+GAP_S = (0.0, 0.1)
+# Bytes of answers and their shares; the others are as small as they can be.
+SIZES = {90_000: 0.1, 1_000_000: 0.02}
+# Seconds without a fault at the start and between two.
 START = 3.0
 PAUSE = (0.0, 3.0)
-HEALING = 16.0
 # Seconds at the end in which every request must be answered.
 LAST = 3.0
 
 
+class Mode:
+    """What a play is made of.
+
+    Parameters
+    ----------
+    faults : tuple of type
+        That it draws from.
+    vms : int
+    alone : float
+        Share of the faults that no other one joins.
+    healing : float
+        Seconds without a fault at the end, before every request must be answered.
+    """
+
+    __slots__ = ("alone", "faults", "healing", "vms")
+
+    def __init__(
+        self, faults: tuple[type[Fault], ...], vms: int, alone: float, healing: float
+    ):
+        self.faults = faults
+        self.vms = vms
+        self.alone = alone
+        self.healing = healing
+
+
+# It heals within the longest hold and the time in which lapsed records come back.
+ALL_FAULTS = Mode(FAULTS, 3, 0.5, 16.0)
+STOPS_ALONE = Mode(STOPS, 4, 0.2, 3.0)
+
+
 class Soak:
     """One play.
 
@@ -42,67 +84,80 @@
     folder : Path
     seconds : float
     seed : int
+    mode : Mode
     """
 
-    def __init__(self, folder: Path, seconds: float, seed: int):
+    def __init__(self, folder: Path, seconds: float, seed: int, mode: Mode):
         self._folder = folder
         self._seconds = seconds
+        self._mode = mode
+        # What befalls the installation is drawn apart from what it is asked for.
         self._rng = Random(seed)
+        self._fault_rng = Random(f"faults of {seed}")
         self._number = 0
         self._asked: set[asyncio.Task] = set()
         self.log: list[str] = []
 
     async def run(self) -> tuple[list[str], str]:
         """Return what must never be, and a line of what callers were told."""
-        world = Installation(self._folder, self._rng)
+        world = Installation(self._folder, self._rng, self._mode.vms)
         try:
-            await self._until_ready(world)
+            for vm in world.vms:
+                await world.until_ready(vm)
             load = asyncio.create_task(self._load(world))
             await asyncio.sleep(START)
             await self._trouble(world)
-            await asyncio.sleep(HEALING)
+            await asyncio.sleep(self._mode.healing)
             first = self._number
             await asyncio.sleep(LAST)
             load.cancel()
             if self._asked:
-                await asyncio.wait(self._asked, timeout=5.0)
-            return [*world.ledger.faults(), *self._unserved(world, first)], str(
-                dict(world.ledger.outcomes().most_common())
-            )
+                await asyncio.wait(self._asked, timeout=PATIENCE_S + 1.0)
+            faults = [*world.ledger.faults(), *self._unserved(world, first)]
+            told = dict(world.ledger.outcomes().most_common())
+            return faults, f"{told}, {len(world.ledger.stops)} planned stops"
         finally:
             world.stop()
 
-    async def _until_ready(self, world: Installation) -> None:
-        end = time.monotonic() + 20.0
-        for vm in world.vms:
-            while not await world.is_ready(vm):
-                if time.monotonic() > end:
-                    raise TimeoutError(f"{vm.name} is not ready; read its log")
-                await asyncio.sleep(0.1)
-
     async def _load(self, world: Installation) -> None:
         while True:
             await asyncio.sleep(self._rng.expovariate(RATE))
-            self._number += 1
-            is_order = self._rng.random() < ORDERS
-            name = f"{'order' if is_order else 'lookup'}-{self._number}"
-            method = "POST" if is_order else "GET"
-            vm = self._rng.randrange(len(world.vms))
-            key = min(65535, int(self._rng.expovariate(1 / 9000)))
-            task = asyncio.create_task(world.ask(vm, name, method, key))
+            vm = self._rng.choice(world.vms)
+            requests = self._requests(vm.link)
+            gap = self._rng.uniform(*GAP_S)
+            task = asyncio.create_task(world.ask(vm, requests, gap))
             self._asked.add(task)
             task.add_done_callback(self._asked.discard)
 
+    def _requests(self, link: Link) -> list[Request]:
+        """Draw what a caller sends at a time: an order, a lookup, or several."""
+        if self._rng.random() < ORDERS:
+            return [self._request("order", None, link)]
+        several = self._rng.random() < SEVERAL_SHARE
+        count = self._rng.randint(*SEVERAL) if several else 1
+        keys = [min(65535, int(self._rng.expovariate(1 / 9000))) for _ in range(count)]
+        return [self._request("lookup", key, link) for key in keys]
+
+    def _request(self, kind: str, key: int | None, link: Link) -> Request:
+        self._number += 1
+        drawn = self._rng.choices(
+            [0, *SIZES], [1 - sum(SIZES.values()), *SIZES.values()]
+        )
+        size = drawn[0] if link.has_room(drawn[0]) else 0
+        link.owe(size)
+        return Request(f"{kind}-{self._number}", key, size)
+
     async def _trouble(self, world: Installation) -> None:
         """Let faults come one after the other, some of them two at a time."""
+        rng = self._fault_rng
         end = time.monotonic() + self._seconds
         running: set[asyncio.Task] = set()
         while time.monotonic() < end:
-            fault = self._rng.choice(FAULTS)(self._rng)
+            fault = rng.choice(self._mode.faults)(rng)
             running.add(asyncio.create_task(self._befall(world, fault)))
-            if len(running) > 1 or self._rng.random() < 0.5:
+            if len(running) > 1 or rng.random() < self._mode.alone:
                 _, running = await asyncio.wait(running)
-            await asyncio.sleep(self._rng.uniform(*PAUSE))
+            await asyncio.sleep(rng.uniform(*PAUSE))
         if running:
             await asyncio.wait(running)
 
@@ -111,6 +166,8 @@
         hit = await fault.begin(world)
         await asyncio.sleep(fault.seconds)
         await fault.end(world)
+        if not fault.is_planned:
+            world.ledger.troubled(began, time.monotonic())
         line = f"{type(fault).__name__} {hit} {fault.seconds:.1f} s at {began:.2f}"
         self.log.append(line)
         print(line, flush=True)
@@ -132,10 +189,12 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seconds", type=float, default=60.0, help="time of faults")
     parser.add_argument("--seed", type=int, default=1, help="draws faults and keys")
+    parser.add_argument("--stops", action="store_true", help="planned stops alone")
     args = parser.parse_args()
+    mode = STOPS_ALONE if args.stops else ALL_FAULTS
     folder = Path(tempfile.mkdtemp(prefix="berylstage-soak-"))
     print(f"settings and logs: {folder}")
-    faults, told = asyncio.run(Soak(folder, args.seconds, args.seed).run())
+    faults, told = asyncio.run(Soak(folder, args.seconds, args.seed, mode).run())
     print(f"callers were told: {told}")
     for fault in faults[:40]:
         print(f"must never be: {fault}")
--- a/tests/soak/targets.py
+++ b/tests/soak/targets.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 
 from platform_standin import Grant, Health, Release, Server, ServerHandler
+from soak.ledger import answer_body
 from tornado.httpserver import HTTPServer
 from tornado.web import Application, HTTPError
 
@@ -148,7 +149,8 @@
             self.request.connection.stream.close()
             return
         self.set_header("Berylstage-Backend-Signature", f"{server.name}.{request_id}")
-        self.write(f"answer to {request_id}")
+        size = int(self.request.path.rpartition("/")[2])
+        self.write(answer_body(request_id, size))
 
 
 async def _hang() -> None:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,7 +1,9 @@
-"""Tests that the soak finds what must never be."""
+"""Tests that the soak finds what must never be, and a short soak of planned stops."""
 
 from __future__ import annotations
 
+import asyncio
+import subprocess
 import sys
 import time
 from pathlib import Path
@@ -10,7 +12,11 @@
 
 sys.path.insert(0, str(Path(__file__).parent))
 
-from soak.ledger import Ledger
+from soak.callers import Caller, Request
+from soak.ledger import AFTERMATH_S, Ledger
+from soak.links import BYTES_PER_MBIT, MOST_OWED_S, Link
+
+HERE = Path(__file__).parent
 
 
 class Target:
@@ -89,3 +95,149 @@
         ledger.ended(first)
         ledger.held(Target("i-2", [(0, 99, 6, until(3.0))]))
         assert ledger.faults() == []
+
+
+class TestLosses:
+    """What a planned stop may cost, and what it may not."""
+
+    @pytest.fixture(autouse=True)
+    def _asked(self, ledger):
+        ledger.asked("order-1", 0)
+
+    @pytest.mark.parametrize("status", [0, 502, 504])
+    def test_request_that_ran_for_nothing(self, ledger, status):
+        # The process ends while a target is at work on an order; the caller can't know.
+        ledger.ran(Target("i-1"), "order-1", None)
+        ledger.answered("order-1", "POST", status, b"", "")
+        assert len(ledger.faults()) == 1
+
+    def test_answer_that_breaks_off(self, ledger):
+        # The process ends with the rest of a download in its buffers.
+        ledger.answered("order-1", "POST", 0, b"HTTP/1.1 200 OK", "")
+        assert len(ledger.faults()) == 1
+
+    def test_request_that_ran_and_waits_for_ever(self, ledger):
+        # Its caller was told nothing when the play ended.
+        ledger.ran(Target("i-1"), "order-1", None)
+        assert len(ledger.faults()) == 1
+
+    def test_request_that_no_target_saw_may_be_asked_again(self, ledger):
+        # It crossed the close of its connection.
+        ledger.answered("order-1", "POST", 0, b"", "")
+        assert ledger.faults() == []
+
+    def test_whole_answer(self, ledger):
+        ledger.ran(Target("i-1"), "order-1", None)
+        ledger.answered("order-1", "POST", 200, b"answer to order-1", "i-1.order-1")
+        assert ledger.faults() == []
+
+    def test_answer_that_is_shorter_than_asked_for(self, ledger):
+        # A part of a download passes for all of it.
+        ledger.asked("lookup-1", 90)
+        ledger.ran(Target("i-1"), "lookup-1", "7")
+        body = b"answer to lookup-1".ljust(89, b".")
+        ledger.answered("lookup-1", "GET", 200, body, "i-1.lookup-1")
+        assert len(ledger.faults()) == 1
+
+    @pytest.mark.parametrize(
+        ("start", "end", "faults"),
+        [
+            (-1.0, 1.0, 0),
+            (-10.0, -AFTERMATH_S + 0.5, 0),
+            (-10.0, -AFTERMATH_S - 0.5, 1),
+            (5.0, 6.0, 1),
+        ],
+    )
+    def test_unplanned_faults_excuse_what_is_near(self, ledger, start, end, faults):
+        # One that ended long before, or began after the request's end, is another's.
+        began = time.monotonic()
+        ledger.ran(Target("i-1"), "order-1", None)
+        ledger.answered("order-1", "POST", 0, b"", "")
+        ledger.troubled(began + start, began + end)
+        assert len(ledger.faults()) == faults
+
+    @pytest.mark.parametrize(("status", "faults"), [(0, 0), (1, 1), (-9, 1), (None, 1)])
+    def test_stop_that_does_not_end_well(self, ledger, status, faults):
+        # The platform kills a VM that is still at it when its stop time is over.
+        ledger.stopped("vm-1", time.monotonic() - 6.0, status)
+        assert len(ledger.faults()) == faults
+
+
+class TestCaller:
+    """What callers behind a slow link note of their connections."""
+
+    SMALL = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+    LAST = SMALL.replace(b"\r\n", b"\r\nConnection: close\r\n", 1)
+
+    def told(self, ledger, sent, lookups=1, link=None, ends=True):
+        """Return what callers were told by a server that sends these bytes."""
+
+        async def serve(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(sent)
+            await writer.drain()
+            if not ends:
+                await asyncio.sleep(1.0)
+            writer.close()
+
+        async def scenario():
+            server = await asyncio.start_server(serve, "127.0.0.1", 0)
+            address = server.sockets[0].getsockname()
+            caller = Caller(address, link or Link(10.0), ledger)
+            requests = [Request(f"lookup-{n}", n) for n in range(lookups)]
+            await asyncio.wait_for(caller.ask(requests, 0.0), 5.0)
+            caller.close()
+            server.close()
+            return [ledger.told[r.request_id][1:3] for r in requests]
+
+        return asyncio.run(scenario())
+
+    def test_answers_of_several_requests(self, ledger):
+        assert self.told(ledger, 2 * self.SMALL, 2, ends=False) == 2 * [(200, b"ok")]
+
+    def test_part_of_an_answer_is_noted(self, ledger):
+        # An answer that begins and breaks off would pass for none at all.
+        assert self.told(ledger, self.SMALL[:-1], 2) == [
+            (0, self.SMALL[:-1]),
+            (0, b""),
+        ]
+
+    def test_connection_that_ends_without_an_answer(self, ledger):
+        assert self.told(ledger, b"") == [(0, b"")]
+
+    def test_nothing_is_expected_behind_the_last_answer(self, ledger):
+        # What a VM does not answer after its word that it closes was never taken.
+        told = self.told(ledger, self.LAST, 2, ends=False)
+        assert told == [(200, b"ok"), (0, b"")]
+
+    def test_answer_takes_the_time_of_its_link(self, ledger):
+        # Without it no answer would be on its way when a VM stops.
+        size = BYTES_PER_MBIT // 2
+        head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % size
+        began = time.monotonic()
+        ((status, body),) = self.told(ledger, head + bytes(size), link=Link(1.0))
+        assert (status, len(body)) == (200, size)
+        assert time.monotonic() - began >= 0.5
+
+    def test_link_takes_no_more_than_a_stop_can_wait_for(self):
+        # Answers that cannot leave in time would be found as losses of the program.
+        link = Link(10.0)
+        most = int(MOST_OWED_S * 10.0 * BYTES_PER_MBIT)
+        assert link.has_room(most)
+        link.owe(1)
+        assert not link.has_room(most)
+        link.owe(-1)
+        assert link.has_room(most)
+
+
+@pytest.mark.failures
+@pytest.mark.failures_ci
+class TestStops:
+    def test_series_that_overlap_lose_nothing(self):
+        # VMs that are told to stop end with answers in their buffers, requests unread
+        # in their sockets, or calls to targets cut off.
+        command = [sys.executable, "soak/play.py", "--stops", "--seconds=8", "--seed=1"]
+        done = subprocess.run(
+            command, cwd=HERE, capture_output=True, text=True, timeout=90, check=False
+        )
+        assert done.returncode == 0, done.stdout + done.stderr
