A fault or caller of a soak that fails fails the play

Missing: the exceptions of faults and callers were printed and passed over. A VM that is not ready 20 s after a planned stop would have ended in '0 faults'.

Change: the play waits for them by gather, which raises; it then ends with status 1 and the traceback.

--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -111,8 +111,8 @@
             first = self._number
             await asyncio.sleep(LAST)
             load.cancel()
-            if self._asked:
-                await asyncio.wait(self._asked, timeout=PATIENCE_S + 1.0)
+            async with asyncio.timeout(PATIENCE_S + 1.0):
+                await asyncio.gather(*self._asked)
             faults = [*world.ledger.faults(), *self._unserved(world, first)]
             told = dict(world.ledger.outcomes().most_common())
             return faults, f"{told}, {len(world.ledger.stops)} planned stops"
@@ -127,7 +127,12 @@
             gap = self._rng.uniform(*GAP_S)
             task = asyncio.create_task(world.ask(vm, requests, gap))
             self._asked.add(task)
-            task.add_done_callback(self._asked.discard)
+            task.add_done_callback(self._answered)
+
+    def _answered(self, task: asyncio.Task) -> None:
+        """Forget a task that has ended well; another fails the play when it ends."""
+        if not task.cancelled() and not task.exception():
+            self._asked.discard(task)
 
     def _requests(self, link: Link) -> list[Request]:
         """Draw what a caller sends at a time: an order, a lookup, or several."""
@@ -156,10 +161,10 @@
             fault = rng.choice(self._mode.faults)(rng)
             running.add(asyncio.create_task(self._befall(world, fault)))
             if len(running) > 1 or rng.random() < self._mode.alone:
-                _, running = await asyncio.wait(running)
+                await asyncio.gather(*running)
+                running.clear()
             await asyncio.sleep(rng.uniform(*PAUSE))
-        if running:
-            await asyncio.wait(running)
+        await asyncio.gather(*running)
 
     async def _befall(self, world: Installation, fault: Fault) -> None:
         began = time.monotonic()
