--- a/tests/soak/targets.py
+++ b/tests/soak/targets.py
@@ -8,12 +8,14 @@
 from typing import TYPE_CHECKING
 
 from platform_standin import Grant, Health, Release, Server, ServerHandler
+from soak.ledger import answer_body
 from tornado.httpserver import HTTPServer
-from tornado.web import Application, HTTPError
+from tornado.web import Application, Finish, HTTPError
 
 if TYPE_CHECKING:
     from soak.ledger import Ledger
 
+PORT = 8391
 # Requests at work at once, and waiting beyond them.
 SLOTS = 2
 QUEUE = 8
@@ -26,16 +28,15 @@
 
     Parameters
     ----------
-    name, service : str
-    port : int
+    name, service, ip : str
     ledger : Ledger
     rng : Random
     """
 
-    def __init__(self, name: str, service: str, port: int, ledger: Ledger, rng: Random):
+    def __init__(self, name: str, service: str, ip: str, ledger: Ledger, rng: Random):
         super().__init__(name)
         self.service = service
-        self.port = port
+        self.ip = ip
         self.ledger = ledger
         self.rng = rng
         self.life = 1
@@ -56,7 +57,7 @@
         self.holds, self.seen, self.busy = [], [], 0
         self.slots = asyncio.Semaphore(SLOTS)
         self._http = HTTPServer(_application(self))
-        self._http.listen(self.port, "127.0.0.1")
+        self._http.listen(PORT, self.ip)
 
     async def crash(self) -> None:
         """End without a word."""
@@ -71,7 +72,7 @@
         """Return what it writes into the store."""
         state = "draining" if self.leaving else "ready"
         doc = {
-            "address": f"127.0.0.1:{self.port}",
+            "address": f"{self.ip}:{PORT}",
             "born": self.life,
             "info": {
                 "service": self.service,
@@ -84,7 +85,29 @@
         return json.dumps(doc).encode()
 
 
-class SoakGrant(Grant):
+class LifeHandler(ServerHandler):
+    """What one life of a target is asked for; nothing comes of it when that is over.
+
+    The connections of a target that crashes close one after the other. What comes on
+    one of them meanwhile, or waits for a slot, must not count as done.
+    """
+
+    def initialize(self, server, life):
+        super().initialize(server)
+        self.life = life
+
+    def prepare(self):
+        super().prepare()
+        self.end_with_life()
+
+    def end_with_life(self):
+        """Break off if the life is over."""
+        if self.life != self.server.life:
+            self.request.connection.stream.close()
+            raise Finish
+
+
+class SoakGrant(LifeHandler, Grant):
     """A grant that is written down."""
 
     async def prepare(self):
@@ -98,7 +121,7 @@
             self.server.ledger.held(self.server)
 
 
-class SoakRelease(Release):
+class SoakRelease(LifeHandler, Release):
     """A release that is written down."""
 
     def post(self):
@@ -106,7 +129,7 @@
         self.server.ledger.held(self.server)
 
 
-class SoakWork(ServerHandler):
+class SoakWork(LifeHandler):
     """A request, with a key or without."""
 
     async def get(self):
@@ -129,9 +152,11 @@
         server.busy += 1
         try:
             async with server.slots:
+                self.end_with_life()
                 await self._run(head["Berylstage-Attempt-Id"], key)
         finally:
-            server.busy -= 1
+            # A new life has begun to count anew.
+            server.busy -= self.life == server.life
 
     def _refuse(self, status):
         self.set_status(status)
@@ -148,7 +173,8 @@
             self.request.connection.stream.close()
             return
         self.set_header("Berylstage-Backend-Signature", f"{server.name}.{request_id}")
-        self.write(f"answer to {request_id}")
+        size = int(self.request.path.rpartition("/")[2])
+        self.write(answer_body(request_id, size))
 
 
 async def _hang() -> None:
@@ -161,12 +187,13 @@
 
 def _application(server: SoakTarget) -> Application:
     own = {"server": server}
+    own_life = {"server": server, "life": server.life}
     return Application(
         [
-            (r"/v1/grant", SoakGrant, own),
-            (r"/v1/release", SoakRelease, own),
+            (r"/v1/grant", SoakGrant, own_life),
+            (r"/v1/release", SoakRelease, own_life),
             (r"/healthz", Health, own),
-            (r"/.*", SoakWork, own),
+            (r"/.*", SoakWork, own_life),
         ],
         log_function=lambda handler: None,
     )
