--- a/tests/stop_stage.py
+++ b/tests/stop_stage.py
@@ -102,7 +102,6 @@
     def __init__(self, number, folder, store_port):
         super().__init__(number, folder, store_port)
         self.told_at = None
-        self.ended_at = None
 
     @property
     def front(self):
@@ -126,7 +125,6 @@
             left = self.told_at + GRACE_S - time.monotonic()
             assert left > 0, f"still running at the end of its stop time: {self.tail()}"
             await asyncio.sleep(0.01)
-        self.ended_at = time.monotonic()
         return self.process.returncode
 
     def lines(self, message):
@@ -205,6 +203,3 @@
         self._callers.append(caller)
         await caller.connect()
         return caller
-
-    def requests(self):
-        return [request for caller in self._callers for request in caller.requests]
