--- a/packages/entry/src/berylstage_entry/granting.py
+++ b/packages/entry/src/berylstage_entry/granting.py
@@ -111,9 +111,6 @@
         self._services: dict[str, _Service] = {}
         self._task: asyncio.Task | None = None
         self._term = 0
-        # Whether the duty is about to be given up, so that no key moves for balance.
-        self._is_leaving = False
-        office.let_orders_end = self.let_moves_end
 
     def start(self) -> None:
         """Begin to look after grants."""
@@ -125,30 +122,6 @@
             self._task.cancel()
         self._drop_tasks()
 
-    async def let_moves_end(self, seconds: float) -> None:
-        """Wait until the keys on the move have arrived, and move none for balance.
-
-        A release that is broken off is carried out all the same, and what the former
-        owner hands over is lost with its answer.
-
-        Parameters
-        ----------
-        seconds : float
-            To wait at most.
-        """
-        self._is_leaving = True
-        end = now() + seconds
-        while self._has_moves() and self._office.holds() and now() < end:
-            await asyncio.sleep(TICK)
-
-    def _has_moves(self) -> bool:
-        """Tell whether keys are on the move from owners that answer."""
-        return any(
-            r.former and not self._renewals.is_silent((r.former, r.former_life))
-            for assignment in self._feed.assignments.values()
-            for r in assignment.ranges
-        )
-
     def counted(self, service: str, counts: dict[int, int]) -> None:
         """Take in a VM's requests for each key since it told last."""
         state = self._state(service)
@@ -199,7 +172,6 @@
     def _begin_term(self) -> None:
         self._drop_tasks()
         self._term = self._office.term
-        self._is_leaving = False
         if not self._office.follows_itself:
             self._moves.forget()
 
@@ -260,7 +232,7 @@
             pieces = FIRST_PIECES * len(capacities)
             moves = deal(homeless, assignment, rates, capacities, pieces)
             return self._moved(assignment, moves) if moves else None
-        if self._is_leaving or moment - state.balanced_at < BALANCE_PERIOD:
+        if moment - state.balanced_at < BALANCE_PERIOD:
             return None
         state.balanced_at = moment
         rates = state.loads.rates()
--- a/packages/entry/src/berylstage_entry/office.py
+++ b/packages/entry/src/berylstage_entry/office.py
@@ -22,11 +22,10 @@
 from berylstage_entry.errors import Conflict, LeaseEnded, StoreError, StoreSilent
 from berylstage_entry.holds import HOLD, lapse_of, longest_hold
 from berylstage_entry.keys import DUTY_KEY, OWN_PREFIX
-from berylstage_entry.stopping import BALANCER_LAG, STOP_MARGIN
 from berylstage_entry.store import Condition, Item, Write
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable, Callable
+    from collections.abc import Callable
 
     from berylstage_entry.feed import Feed
     from berylstage_entry.peers import Peers
@@ -62,12 +61,6 @@
 # Seconds of a term before the duty is left to a better VM: those that are starting are
 # known by then, and what the former holder ordered has lapsed.
 SHORTEST_TERM = 5.0
-# Seconds for which a duty that is given up may be kept until its orders have ended. The
-# work that a release waits for is mostly done by then, and the lease outlasts it.
-LONGEST_END = 1.0
-# Seconds of a stop that the giving back of the duty takes at most: two calls to a store
-# that is silent.
-GIVE_BACK = 1.8
 # Seconds between two questions to a former holder, and how often it is asked.
 ASK_AGAIN = 0.3
 ASKED = 3
@@ -75,10 +68,6 @@
 log = Logger(__name__)
 
 
-async def _let_nothing_end(seconds: float) -> None:
-    """Return at once, since nobody gives orders."""
-
-
 class _Term:
     """A term of the duty, as the store keeps it.
 
@@ -165,9 +154,6 @@
         # Called with what a former holder of the duty hands on; returns the seconds
         # after which nothing holds that it ordered, or None when it can't be read.
         self.inherit: Callable[[bytes], float | None] = lambda body: None
-        # Waits until no order is under way whose answer would be lost with the duty,
-        # at most for the seconds that it is told.
-        self.let_orders_end: Callable[[float], Awaitable[None]] = _let_nothing_end
         # When nothing holds any more that other VMs ordered, as far as is known.
         self.others_lapse = float("inf")
         # When the term began.
@@ -224,8 +210,6 @@
 
     async def resign(self) -> None:
         """Give the duty up so that another VM takes it at once."""
-        before_end = self._cfg.bounds.stop_time - BALANCER_LAG - STOP_MARGIN
-        await self.let_orders_end(min(LONGEST_END, before_end - GIVE_BACK))
         self._stopping = True
         if self._task is not None:
             self._task.cancel()
@@ -323,7 +307,6 @@
         answer = await self._peers.ask(address, CONTACT_PATH)
         if answer is None or float(answer) <= 0:
             return
-        await self.let_orders_end(LONGEST_END)
         await self._give_back("a VM with more room for it is there")
         await asyncio.sleep(LEASE)
 
