Reckon with the program's end alone for requests that come in a stop

Change: a request has the time until 0.3 s before what is left is cut, whatever others take. The pace at which answers leave is not reckoned with any more.

--- a/packages/entry/src/berylstage_entry/application.py
+++ b/packages/entry/src/berylstage_entry/application.py
@@ -194,13 +194,11 @@
 
     async def stop(self) -> None:
         """Shut down: not ready at once, the duty handed over, no request cut."""
-        plan = StopPlan(now(), self.cfg.bounds.stop_time, self.cfg.link)
+        plan = StopPlan(now(), self.cfg.bounds.stop_time)
         self.stopping = True
         self._phase_times.enter(Phase.LEAVING, plan.begun)
         self.server.closing = True
-        self.server.time_limit = lambda: plan.time_left(
-            now(), self.server.standing().bytes_left
-        )
+        self.server.time_limit = lambda: plan.time_left(now())
         log.info("stopping", extra={"in_flight": self.server.in_flight})
         await self._within(plan, self.office.resign())
         self.granting.stop()
--- a/packages/entry/src/berylstage_entry/stopping.py
+++ b/packages/entry/src/berylstage_entry/stopping.py
@@ -13,11 +13,9 @@
 BALANCER_LAG = 2.6
 # Seconds before the end of the stop time at which what is left is cut.
 STOP_MARGIN = 0.6
-# Share of the link that answers on their way out can count on, beside what VMs tell
-# each other.
-LINK_SHARE = 0.5
-BITS_PER_BYTE = 8
-MEGA = 1_000_000
+# Seconds before that by which a target must have answered: an answer of some hundred
+# kilobytes leaves over a link of 10 Mbit/s meanwhile.
+ANSWER_RESERVE = 0.3
 
 
 class Phase(Enum):
@@ -62,18 +60,14 @@
         When the VM was told to stop, in seconds.
     stop_time : float
         Seconds from then to the end of the process.
-    link : float
-        Mbit/s of the VM's link.
     """
 
-    __slots__ = ("_pace", "begun", "end", "leave_at")
+    __slots__ = ("begun", "end", "leave_at")
 
-    def __init__(self, begun: float, stop_time: float, link: float):
+    def __init__(self, begun: float, stop_time: float):
         self.begun = begun
         self.end = begun + stop_time - STOP_MARGIN
         self.leave_at = min(begun + BALANCER_LAG, self.end)
-        # Bytes a second.
-        self._pace = link * MEGA / BITS_PER_BYTE * LINK_SHARE
 
     def phase(self, moment: float, standing: Standing) -> Phase:
         """Return the phase.
@@ -96,21 +90,19 @@
             return Phase.DRAINING
         return Phase.FLUSHING if standing.flushing else Phase.ENDED
 
-    def time_left(self, moment: float, bytes_left: int) -> float:
+    def time_left(self, moment: float) -> float:
         """Return the seconds in which a target must have answered.
 
         Parameters
         ----------
         moment : float
-        bytes_left : int
-            Of the answers that leave before.
 
         Returns
         -------
         float
             Negative when there is no time for another answer.
         """
-        return self.end - moment - bytes_left / self._pace
+        return self.end - ANSWER_RESERVE - moment
 
 
 class PhaseTimes:
