Send no request that still waits for a connection to a target that is gone

Found by a review, with a trial: with one connection to a target of several slots, requests that waited for it were sent one after the other long after the target's record had gone, also to a new life of it. A leaving target may get nothing after some seconds, and a cold one no more than it bears.

Change: they fail at once as not sent, so that they go elsewhere; what was sent may end.

Before: test_request_that_waits_for_a_connection_is_not_sent failed.

--- a/packages/entry/src/berylstage_entry/senders.py
+++ b/packages/entry/src/berylstage_entry/senders.py
@@ -96,13 +96,14 @@
         return self._under_way > 0
 
     def retire(self) -> None:
-        """Close all connections once what is under way on them has ended.
+        """Send nothing more, and close all connections when what was sent has ended.
 
         A target may take its record back, or come to life again, before its last
         answers are out. An order that was cut off then would have run with its outcome
         unknown.
         """
         self._is_retired = True
+        self._client.refuse_waiting("the target is gone")
         self._close_if_done()
 
     def close(self) -> None:
--- a/packages/entry/tests/test_senders.py
+++ b/packages/entry/tests/test_senders.py
@@ -7,6 +7,7 @@
 import pytest
 from berylstage_entry.senders import Senders
 from berylstage_entry.wire import CallerRequest, TargetAnswer, TargetWire
+from berylstage_transfers.errors import NeverSent
 from fakes import target
 
 
@@ -53,6 +54,7 @@
         self.begun = asyncio.Event()
         self.cut = 0
         self.open = 0
+        self.requests = 0
 
     async def start(self):
         self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
@@ -63,6 +65,7 @@
         try:
             while head := await reader.readuntil(b"\r\n\r\n"):
                 self.begun.set()
+                self.requests += 1
                 await asyncio.sleep(self.seconds)
                 name = head.partition(b"Id: ")[2].partition(b"\r\n")[0]
                 writer.write(b"HTTP/1.1 200 OK\r\nId: " + name)
@@ -106,6 +109,26 @@
 
         asyncio.run(play())
 
+    def test_request_that_waits_for_a_connection_is_not_sent(self):
+        # Guards against requests that reach a target long after it has left.
+        async def play():
+            made = SlowTarget(0.2)
+            known = target("i-1", address=f"127.0.0.1:{await made.start()}")
+            senders = Senders(PlainTargets())
+            senders.vms = 50
+            sender = senders.to(known, 50)
+            first = asyncio.create_task(sender.send(request("o-1"), 2.0))
+            second = asyncio.create_task(sender.send(request("o-2"), 2.0))
+            await made.begun.wait()
+            senders.keep(set())
+            with pytest.raises(NeverSent):
+                await asyncio.wait_for(second, 0.1)
+            assert (await first).body == b"whole"
+            assert made.requests == 1
+            senders.close()
+
+        asyncio.run(play())
+
     def test_program_that_ends_leaves_nothing_open(self):
         async def play():
             made = SlowTarget(0.0)
--- a/packages/transfers/src/berylstage_transfers/client.py
+++ b/packages/transfers/src/berylstage_transfers/client.py
@@ -183,10 +183,20 @@
         for curl, handle in self._handles.items():
             if handle.call is not None:
                 self._finish(curl, pycurl.E_ABORTED_BY_CALLBACK, "client closed")
+        self.refuse_waiting("client closed")
+        super().close()
+
+    def refuse_waiting(self, cause: str) -> None:
+        """Fail the calls that wait for a connection; those under way go on.
+
+        Parameters
+        ----------
+        cause : str
+            For the error.
+        """
         while self._requests:
             call: Any = self._requests.popleft()
-            _fail(call, "client closed")
-        super().close()
+            _fail(call, cause)
 
     def _expire(self, call: Call) -> None:
         if not call.begun:
