Notice callers that leave while a VM stops

A caller that left with bytes unread behind a large answer was waited for as if it still took it: its end does not show behind unread bytes, and the kernel counts what a reset has ended as not sent.

Change: connections that are not read are asked for the other side's end at each look of a stop, and an answer is given up 0.2 s after the last progress once the other side has ended.

--- a/packages/entry/src/berylstage_entry/connection.py
+++ b/packages/entry/src/berylstage_entry/connection.py
@@ -25,7 +25,7 @@
     TOO_LARGE,
     reply_bytes,
 )
-from berylstage_entry.sockets import Unread, unread, unsent
+from berylstage_entry.sockets import Unread, has_ended, unread, unsent
 
 if TYPE_CHECKING:
     from berylstage_entry.server import CallerServer
@@ -258,6 +258,16 @@
         self._end_idle()
         return True
 
+    def drop_if_left(self) -> None:
+        """End all work if the caller has left, while the connection is not read.
+
+        The event loop notices an end only by reading.
+        """
+        if self._is_reading or self._ending is not None or self._transport is None:
+            return
+        if has_ended(self._transport):
+            self._transport.abort()
+
     def cut(self) -> None:
         """Close the connection, whatever is under way; nothing more runs."""
         self._ended = True
--- a/packages/entry/src/berylstage_entry/ending.py
+++ b/packages/entry/src/berylstage_entry/ending.py
@@ -8,7 +8,7 @@
 from logbook import Logger
 
 from berylstage_entry.clock import now
-from berylstage_entry.sockets import Unread, unread, unsent
+from berylstage_entry.sockets import has_ended, unsent
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -16,6 +16,9 @@
 # Seconds between two looks at what is left, at first and at most.
 FIRST_LOOK = 0.004
 LONGEST_LOOK = 0.05
+# Seconds without progress after which a side that has ended takes nothing more. After a
+# reset nothing is acknowledged, and the kernel goes on to count it as not sent.
+GONE_PATIENCE = 0.2
 
 log = Logger(__name__)
 
@@ -69,14 +72,18 @@
 
     def _look(self) -> None:
         left, moment = self.bytes_left, now()
-        if left == 0 or unread(self._transport) is Unread.END:
+        if left == 0:
             self._transport.close()
             return
         if left < self._left:
             self._left, self._since = left, moment
-        elif moment - self._since > self._patience():
+        elif moment - self._since > self._stall():
             self._transport.abort()
             return
         loop = asyncio.get_running_loop()
         self._timer = loop.call_later(self._pause, self._look)
         self._pause = min(2 * self._pause, LONGEST_LOOK)
+
+    def _stall(self) -> float:
+        """Return the seconds without progress after which it is given up."""
+        return GONE_PATIENCE if has_ended(self._transport) else self._patience()
--- a/packages/entry/src/berylstage_entry/server.py
+++ b/packages/entry/src/berylstage_entry/server.py
@@ -175,8 +175,9 @@
             conn.read_no_more()
 
     def close_idle(self) -> None:
-        """Close the connections on which nothing is under way."""
+        """Close the connections on which nothing is under way for anybody."""
         for conn in list(self._connections):
+            conn.drop_if_left()
             self.counts.closed_idle += conn.close_idle()
 
     def _stop_listening(self) -> None:
--- a/packages/entry/src/berylstage_entry/sockets.py
+++ b/packages/entry/src/berylstage_entry/sockets.py
@@ -5,6 +5,7 @@
 import struct
 from enum import Enum
 from fcntl import ioctl
+from select import POLLERR, POLLHUP, POLLRDHUP, poll
 from socket import MSG_DONTWAIT, MSG_PEEK, socket
 from termios import TIOCOUTQ
 from typing import TYPE_CHECKING
@@ -14,6 +15,8 @@
     from asyncio.trsock import TransportSocket
 
 _INT = struct.Struct("i")
+# What tells of the other side's end, whatever waits to be read before it.
+_END = POLLRDHUP | POLLHUP | POLLERR
 
 
 class Unread(Enum):
@@ -65,6 +68,27 @@
         peeked.detach()
 
 
+def has_ended(transport: BaseTransport) -> bool:
+    """Tell whether the other side has closed or reset the connection.
+
+    Unlike :func:`unread` it sees that also behind bytes that wait to be read.
+
+    Parameters
+    ----------
+    transport : BaseTransport
+
+    Returns
+    -------
+    bool
+    """
+    sock = transport.get_extra_info("socket")
+    if sock is None or sock.fileno() < 0:
+        return False
+    look = poll()
+    look.register(sock.fileno(), _END)
+    return bool(look.poll(0))
+
+
 def unsent(transport: BaseTransport) -> int:
     """Return the bytes in the kernel that the other side has not acknowledged.
 
--- a/packages/entry/tests/test_server.py
+++ b/packages/entry/tests/test_server.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import socket
+import struct
 import time
 
 import pytest
@@ -60,6 +61,8 @@
 
 
 REQUEST = b"GET /a/ HTTP/1.1\r\nHost: h\r\n\r\n"
+# Has a socket reset its connection when it closes.
+LINGER_NONE = struct.pack("ii", 1, 0)
 
 
 class TestCallerServer:
@@ -260,6 +263,7 @@
     server.closing = True
     server.refuse_more()
     while server.in_flight and asyncio.get_running_loop().time() < end:
+        server.close_idle()
         await asyncio.sleep(0.02)
     await server.close()
 
@@ -358,6 +362,52 @@
         asyncio.run(play())
 
 
+class TestCallerThatLeavesAStop:
+    """Callers that close their connections while a VM stops."""
+
+    def test_its_request_is_ended(self):
+        # Guards against work that goes on, and holds a stop up, for a caller that is
+        # gone and whose connection is read no further.
+        async def play():
+            router = SlowRouter(5.0)
+            server, port = serve(router)
+            _, writer = await asyncio.open_connection("127.0.0.1", port)
+            writer.write(REQUEST)
+            await asyncio.sleep(0.1)
+            stopped = asyncio.create_task(stop(server))
+            await asyncio.sleep(0.1)
+            writer.write(REQUEST)
+            await asyncio.sleep(0.05)
+            writer.close()
+            await asyncio.sleep(0.3)
+            assert router.cancelled == 1
+            assert server.in_flight == 0
+            await stopped
+
+        asyncio.run(play())
+
+    @pytest.mark.parametrize("sent", [b"", REQUEST])
+    def test_its_answer_is_not_waited_for(self, sent):
+        # Guards against a stop that waits for a caller that is gone to take its answer.
+        async def play():
+            server, port = serve(LargeRouter(TestStop.SIZE))
+            _reader, writer = await connect_slowly(port)
+            server.closing = True
+            writer.write(REQUEST)
+            await asyncio.sleep(0.1)
+            writer.write(sent)
+            await asyncio.sleep(0.1)
+            stopped = asyncio.create_task(stop(server))
+            await asyncio.sleep(0.1)
+            sock = writer.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_NONE)
+            writer.transport.abort()
+            await asyncio.wait_for(stopped, 2.0)
+            assert server.counts.cut == 0
+
+        asyncio.run(play())
+
+
 class TestTimeLimit:
     """Requests that come while the program has little time left."""
 
--- a/packages/entry/tests/test_sockets.py
+++ b/packages/entry/tests/test_sockets.py
@@ -6,7 +6,7 @@
 import socket
 import struct
 
-from berylstage_entry.sockets import Unread, unread, unsent
+from berylstage_entry.sockets import Unread, has_ended, unread, unsent
 
 LINGER_NONE = struct.pack("ii", 1, 0)
 
@@ -56,6 +56,21 @@
 
         asyncio.run(play())
 
+    def test_end_behind_unread_bytes_is_seen(self):
+        # Guards against taking a caller for there that has left unread bytes behind.
+        async def play():
+            for is_reset in (False, True):
+                transport, far = await pair()
+                far.send(b"abc")
+                assert not has_ended(transport)
+                if is_reset:
+                    far.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_NONE)
+                far.close()
+                assert has_ended(transport)
+                transport.abort()
+
+        asyncio.run(play())
+
     def test_closed_transport_has_nothing(self):
         async def play():
             transport, far = await pair()
