Let VMs stop in an orderly way in the plays of ownership

So far VMs in these plays were only killed, and a stop was tried in single tests.

With all rules leaves keys without an owner in the end, in a play without any stop: processes of all targets end more than once and come back under the same life.

--- a/packages/entry/tests/granting_world.py
+++ b/packages/entry/tests/granting_world.py
@@ -184,6 +184,13 @@
         if vm is not None:
             vm.kill()
 
+    def stop(self, name):
+        """Stop a VM that runs in an orderly way."""
+        vm = self.vms.get(name)
+        if vm is not None:
+            self._loop.run_until_complete(vm.office.resign())
+            self.kill(name)
+
     def stop_process(self, name):
         """Have a target's process end: it holds nothing, and nothing listens."""
         self.wire._take(name, 0, LAST_KEY)
--- a/packages/entry/tests/test_ownership_machine.py
+++ b/packages/entry/tests/test_ownership_machine.py
@@ -56,6 +56,11 @@
         self.world.kill(vm)
         self.after(moment)
 
+    @rule(vm=vms, moment=seconds)
+    def vm_stops(self, vm, moment):
+        self.world.stop(vm)
+        self.after(moment)
+
     @rule(vm=vms, moment=seconds)
     def vm_starts(self, vm, moment):
         self.world.start(vm)
