Failing test: the turn of a request that a stop cuts

Callers would see: requests that are refused or wait while slots are free, until the deadlines of requests that ended with another VM. The keeper of the queue is not told that they are over.

Cause: the stop closes the socket for datagrams before it cuts what is left of callers' connections; each cut request gives its turn back then, into a closed socket.

--- a/packages/entry/tests/test_application.py
+++ b/packages/entry/tests/test_application.py
@@ -8,6 +8,9 @@
 import pytest
 from berylstage_entry import stopping
 from berylstage_entry.application import EntryApplication
+from berylstage_entry.settings import Bounds
+from berylstage_entry.turn_messages import Return
+from berylstage_entry.turns import Turn
 from fakes import (
     BOUNDS,
     FencedTargets,
@@ -19,6 +22,7 @@
 from test_server import PlainCallers, free_port
 
 QUESTION = b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\nx"
+TURN = 7
 
 
 class ClosableStore(MemoryStore):
@@ -37,6 +41,14 @@
     return EntryApplication(cfg, store, PlainCallers(), FencedTargets(), records)
 
 
+async def hold_turn(app):
+    """Serve a request that has a turn at another VM's queue and never ends."""
+    try:
+        await asyncio.sleep(60)
+    finally:
+        app.turns.done(Turn(TURN, "s", "127.0.0.2"))
+
+
 class TestStop:
     @pytest.mark.parametrize("page", ["ready", "control", "metrics"])
     def test_question_that_comes_last_is_answered(self, page, monkeypatch):
@@ -63,6 +75,29 @@
 
         asyncio.run(play())
 
+    def test_turn_of_a_request_that_is_cut_is_given_back(self, monkeypatch):
+        # Guards against slots that stay out of use at the keeper of a queue until the
+        # deadlines of requests that ended with their VM.
+        monkeypatch.setattr(stopping, "BALANCER_LAG", 0.0)
+
+        async def play():
+            app = application()
+            app.cfg.bounds = Bounds(0.2, 60.0, 1.5, 5.0, 1.5, 10.0)
+            app.start()
+            await asyncio.sleep(0.1)
+            app.router.serve = lambda req: hold_turn(app)
+            with socket.socket(type=socket.SOCK_DGRAM) as keeper:
+                keeper.bind(("127.0.0.2", app.cfg.metrics_port))
+                keeper.setblocking(False)
+                port = int(app.cfg.callers.rpartition(":")[2])
+                with socket.create_connection(("127.0.0.1", port)) as caller:
+                    caller.sendall(b"GET /a/ HTTP/1.1\r\nHost: h\r\n\r\n")
+                    await asyncio.sleep(0.1)
+                    await app.stop()
+                assert Return.decode(keeper.recv(64)).number == TURN
+
+        asyncio.run(play())
+
     def test_idle_pages_hold_no_stop_up(self, monkeypatch):
         # Guards against a VM that is killed because it waited for the balancer.
         monkeypatch.setattr(stopping, "BALANCER_LAG", 0.0)
