Give back the turns of requests that a stop cuts

The socket for datagrams closed before the connections of callers, so that the keeper of a queue did not hear that the turns of cut requests were over, and kept their slots until the deadlines.

--- a/packages/entry/src/berylstage_entry/application.py
+++ b/packages/entry/src/berylstage_entry/application.py
@@ -213,11 +213,12 @@
         # Until here callers came and waited for their turns, and other VMs did for
         # theirs at the queues that this VM keeps.
         self.keeper.stop()
-        self.datagrams.close()
         await self.server.close()
         self._tell_stop()
         pages = self.ready_page, self.control_page, self.metrics_page
         await asyncio.gather(*(page.close() for page in pages))
+        # Requests that were cut have given their turns back by now.
+        self.datagrams.close()
         self.senders.close()
         self.peers.close()
         self.store.close()
