--- a/packages/entry/src/berylstage_entry/application.py
+++ b/packages/entry/src/berylstage_entry/application.py
@@ -259,9 +259,12 @@
         )
 
     async def _within(self, plan: StopPlan, step) -> None:
-        """Do one step of the shutdown; a fault in it must not keep out the others."""
+        """Do one step of the shutdown, in the time that callers need not have."""
+        # What callers have sent by the time that the balancer notices may take as long
+        # again.
+        left = plan.end - BALANCER_LAG - now()
         try:
-            async with asyncio.timeout(max(0.0, plan.end - BALANCER_LAG - now())):
+            async with asyncio.timeout(max(0.0, left)):
                 await step
         except TimeoutError:
             log.warning("a step of the shutdown took too long")
--- a/packages/entry/src/berylstage_entry/pages.py
+++ b/packages/entry/src/berylstage_entry/pages.py
@@ -73,7 +73,7 @@
         sock = self.stream.socket
         if unsent_in(sock) > 0 or unread_in(sock) is Unread.BYTES:
             return True
-        # Nothing reads it between the bytes of a question and the look at them.
+        # Between two reads the stream has bytes of a question that nobody has seen yet.
         return not self.stream.reading()
 
 
--- a/packages/entry/src/berylstage_entry/stopping.py
+++ b/packages/entry/src/berylstage_entry/stopping.py
@@ -38,7 +38,7 @@
     serving : int
         Connections with a request that is read, waited for or served.
     flushing : int
-        Connections that only wait for their last answer to leave.
+        All others: their last answer leaves, or a request may be on its way.
     bytes_left : int
         Bytes of answers that callers have not taken.
     """
--- a/packages/entry/tests/fakes.py
+++ b/packages/entry/tests/fakes.py
@@ -206,6 +206,15 @@
         await self._store.end_lease(lease)
 
 
+class LateAnswers(StoreView):
+    """A store whose answers take a while; what is broken off is carried out."""
+
+    async def write(self, conditions, writes, removals=()):
+        revision = await super().write(conditions, writes, removals)
+        await asyncio.sleep(0.2)
+        return revision
+
+
 class JsonRecords(RecordReader):
     """Records as plain JSON under ``cfg`` and ``t/``."""
 
--- a/packages/entry/tests/test_granting.py
+++ b/packages/entry/tests/test_granting.py
@@ -15,6 +15,7 @@
 from fakes import (
     FencedTargets,
     JsonRecords,
+    LateAnswers,
     MemoryStore,
     StoreView,
     configuration,
@@ -599,15 +600,6 @@
         asyncio.run(play())
 
 
-class LateAnswers(StoreView):
-    """A store whose answers take a while; what is broken off is carried out."""
-
-    async def write(self, conditions, writes, removals=()):
-        revision = await super().write(conditions, writes, removals)
-        await asyncio.sleep(0.2)
-        return revision
-
-
 class TestStop:
     """The VM with the duty stops while its orders are under way."""
 
--- a/packages/entry/tests/test_membership.py
+++ b/packages/entry/tests/test_membership.py
@@ -10,7 +10,7 @@
 from berylstage_entry.feed import Feed
 from berylstage_entry.membership import KEEP, VMS_PREFIX, Membership
 from berylstage_entry.store import Item
-from fakes import JsonRecords, MemoryStore, StoreView, settings
+from fakes import JsonRecords, LateAnswers, MemoryStore, settings
 from virtual_time import virtual_loop
 
 VMS = ("vm-1", "vm-2", "vm-3", "vm-4")
@@ -73,15 +73,6 @@
         assert membership.revision > before
 
 
-class LateAnswers(StoreView):
-    """A store whose answers take a while; what is broken off is carried out."""
-
-    async def write(self, conditions, writes, removals=()):
-        revision = await super().write(conditions, writes, removals)
-        await asyncio.sleep(0.2)
-        return revision
-
-
 class TestStop:
     def test_key_that_is_being_written_is_removed(self):
         # Guards against a VM that counts as there for the length of its lease, and is
--- a/packages/entry/tests/test_office.py
+++ b/packages/entry/tests/test_office.py
@@ -9,7 +9,7 @@
 from berylstage_entry.clock import now
 from berylstage_entry.keys import DUTY_KEY
 from berylstage_entry.office import LEASE, SHORTEST_TERM
-from fakes import StoreView
+from fakes import LateAnswers, StoreView
 from granting_world import VMS, World
 from virtual_time import virtual_loop
 
@@ -86,15 +86,6 @@
         assert len(holders(world)) == 1
 
 
-class LateAnswers(StoreView):
-    """A store whose answers take a while; what is broken off is carried out."""
-
-    async def write(self, conditions, writes, removals=()):
-        revision = await super().write(conditions, writes, removals)
-        await asyncio.sleep(0.2)
-        return revision
-
-
 class SlowWrites(StoreView):
     """A store that carries writes out late, and not those that are broken off."""
 
