End a daemon's stop only when no caller's connection is under way

Callers that keep their connection would see it end without an answer though their request ran, when it came while the loop was late, or while the leaders ended their work. A body half read was cut, and had not run.

Cause: "nothing is under way" was decided by the count of requests, looked at once, with waits between that look and the close of all connections. A request is counted only some turns of the loop after its bytes have come.

Change: the server of callers knows which connections wait for their next request. Those on which no byte has come, neither in the socket nor in the stream, close one by one, each right after a look at it. The drain ends by a look without a wait behind it: nothing counted, no order running, no connection left; until then it is repeated within the shutdown limit. What is cut at the limit includes half-read requests (exit status 1), and the log tells the connections left. An answer says "Connection: close" by what holds when it is written, no longer when its request came.

Remaining: requests of other VMs (PeerServer) still go by the count alone; a caller whose rest never comes holds the stop until the limit; bytes that the other side has not acknowledged are not looked at; connections not yet accepted when the listener closes are reset, and have not run.

--- a/packages/daemon/src/berylstage_daemon/application.py
+++ b/packages/daemon/src/berylstage_daemon/application.py
@@ -41,6 +41,8 @@
 
 EXIT_OK = 0
 EXIT_CUT = 1
+# Between two looks at whether anything is under way, when a daemon stops.
+LOOK_INTERVAL_S = 0.02
 
 
 class Application:
@@ -61,6 +63,7 @@
         self.load = LoadMeter(self)
         self.leaders = Leaders(self)
         self.router = Router(self)
+        self.callers = CallerServer(self)
         self.stopping = False
         self._parts: list[Part] = []
         self._stop = asyncio.Event()
@@ -72,7 +75,7 @@
             self.control,
             self.leaders,
             self.load,
-            CallerServer(self),
+            self.callers,
         ):
             self.add_part(part)
 
@@ -166,8 +169,9 @@
         """Shut down gracefully and return the exit status.
 
         Not ready at once, so that the balancer sends no more callers; leads are handed
-        over; requests in flight end; only then connections close. The whole takes at
-        most the setting ``shutdown-limit``.
+        over; requests in flight end; only then connections close. Requests that are
+        unread or half read count as well. The whole takes at most the setting
+        ``shutdown-limit``.
         """
         self.stopping = True
         self.events.emit("stopping", self)
@@ -178,7 +182,7 @@
         except TimeoutError:
             log.warning("the shutdown limit ended the drain", extra=self._left())
         status = EXIT_OK
-        if self._in_flight or self.leaders.busy():
+        if self._busy():
             status = EXIT_CUT
             log.error("requests were cut by the shutdown limit", extra=self._left())
         for part in reversed(self._parts):
@@ -188,13 +192,29 @@
         return status
 
     async def _drain(self) -> None:
-        """Drain all parts and wait until nothing is in flight."""
+        """Drain all parts and wait until nothing is under way."""
         for part in self._parts:
             await self._attempt(part.drain())
+        await self._settle()
+        # Requests come on kept connections during each wait, so that only a look
+        # without a wait behind it can end the drain.
+        while self._busy():
+            await asyncio.sleep(LOOK_INTERVAL_S)
+            await self._settle()
+
+    async def _settle(self) -> None:
+        """Wait until what is counted has ended."""
         await self._idle.wait()
         # Callers may have gone away since, and left work that may not be repeated.
         await self.leaders.drain()
 
+    def _busy(self) -> bool:
+        """Tell whether anything is under way; connections that are idle close."""
+        self.callers.close_idle()
+        if self._in_flight or self.leaders.busy():
+            return True
+        return self.callers.open_count() > 0
+
     async def _attempt(self, step: Coroutine) -> None:
         """Do one step of the shutdown; a fault in it must not keep out the others."""
         try:
@@ -203,5 +223,9 @@
             log.exception("a part could not be shut down properly")
 
     def _left(self) -> dict:
-        """Return the log fields of what is still in flight."""
-        return {"in_flight": self._in_flight, "leads": self.control.leads_anything()}
+        """Return the log fields of what is still under way."""
+        return {
+            "in_flight": self._in_flight,
+            "connections": self.callers.open_count(),
+            "leads": self.control.leads_anything(),
+        }
--- a/packages/daemon/src/berylstage_daemon/callers.py
+++ b/packages/daemon/src/berylstage_daemon/callers.py
@@ -30,6 +30,8 @@
 )
 
 if TYPE_CHECKING:
+    from tornado.concurrent import Future
+
     from berylstage_daemon.application import Application
 
 log = Logger("callers")
@@ -91,14 +93,26 @@
         """Leave the content type to the target, also where it names none."""
         self.clear_header("Content-Type")
 
-    def prepare(self) -> None:
+    def finish(self, chunk: str | bytes | dict | None = None) -> Future[None]:
         """Send callers that keep their connection elsewhere while this VM stops.
 
         A balancer stops to send new connections, but requests go on to arrive on
-        open ones, and the last of them would be cut.
+        open ones, and the last of them would be cut. The answer tells it, because its
+        request may have come before the stop.
+
+        Parameters
+        ----------
+        chunk : str, bytes, dict or None
+            Body.
+
+        Returns
+        -------
+        Future
+            Done when the answer has been written.
         """
         if self.app.stopping:
             self.set_header("Connection", "close")
+        return super().finish(chunk)
 
     def write_error(self, status_code: int, **kwargs: object) -> None:
         """Answer a request that the HTTP library refuses before it is served.
--- a/packages/daemon/src/berylstage_daemon/servers.py
+++ b/packages/daemon/src/berylstage_daemon/servers.py
@@ -7,9 +7,9 @@
 
 from berylstage_entry.server import split_address
 from grpclib.server import Server
-from tornado.httpserver import HTTPServer
 from tornado.web import Application as WebApplication
 
+from berylstage_daemon.connections import ConnectionServer
 from berylstage_daemon.forwarding import PeerService
 from berylstage_daemon.part import Part
 
@@ -34,13 +34,15 @@
 
     def __init__(self, app: Application):
         self._app = app
-        self._server: HTTPServer | None = None
+        self._server: ConnectionServer | None = None
 
     async def start(self) -> None:
         """Listen."""
         web = WebApplication(self._app.routes(), log_function=lambda handler: None)
         limit = READ_LIMIT_RATIO * int(self._app.cfg.body_limit)
-        self._server = HTTPServer(web, max_body_size=limit, max_buffer_size=2 * limit)
+        self._server = ConnectionServer(
+            web, max_body_size=limit, max_buffer_size=2 * limit
+        )
         host, port = split_address(self._app.cfg.http)
         self._server.listen(port, host)
 
@@ -50,6 +52,15 @@
         if self._server is not None:
             self._server.stop()
 
+    def close_idle(self) -> None:
+        """Close the connections on which no byte of a request has come."""
+        if self._server is not None:
+            self._server.close_idle()
+
+    def open_count(self) -> int:
+        """Return the number of open connections."""
+        return 0 if self._server is None else self._server.open_count()
+
     async def stop(self) -> None:
         """Close all connections."""
         if self._server is not None:
