Tell why the event loop stood still

Cause: not known; computing, waiting for a core and waiting for the log to be written all look like the same gap. Before this, nothing in logs or metrics told them apart.

Change: a look at the clock four times a second. One that is more than 0.04 s late is logged with the seconds on the processor, of waiting for a core and of writing log lines since the last one, and counted in the metrics.

--- a/packages/entry/src/berylstage_entry/application.py
+++ b/packages/entry/src/berylstage_entry/application.py
@@ -18,6 +18,7 @@
 from berylstage_entry.feed import Feed
 from berylstage_entry.granting import Granting
 from berylstage_entry.journal import RequestJournal
+from berylstage_entry.loop_watch import LoopWatch
 from berylstage_entry.membership import UNKNOWN, Membership
 from berylstage_entry.metrics import Metrics, stop_text
 from berylstage_entry.news import FORMAT as NEWS_FORMAT
@@ -45,6 +46,8 @@
 from berylstage_entry.turns import Turns
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from berylstage_entry.services import Limits
     from berylstage_entry.settings import EntrySettings
     from berylstage_entry.store import Store
@@ -72,6 +75,8 @@
     callers : CallerWire
     targets : TargetWire
     records : RecordReader
+    log_writing : callable, optional
+        Returns the seconds that log lines have taken to write since the start.
     """
 
     def __init__(
@@ -81,6 +86,7 @@
         callers: CallerWire,
         targets: TargetWire,
         records: RecordReader,
+        log_writing: Callable[[], float] = lambda: 0.0,
     ):
         self.cfg = cfg
         self.rng = Random()
@@ -88,6 +94,7 @@
         self.directory = Directory()
         self.feed = Feed(store, records, self.directory)
         self.metrics = Metrics()
+        self.loop_watch = LoopWatch(self.metrics, log_writing)
         self.senders = Senders(targets)
         self.router = Router(
             self.directory,
@@ -182,6 +189,7 @@
         self.control_page.listen(self.cfg.control)
         host, _ = split_address(self.cfg.callers)
         self.metrics_page.listen(f"{host}:{self.cfg.metrics_port}")
+        self.loop_watch.start()
         self.feed.start()
         self.membership.start()
         self.office.start()
@@ -222,6 +230,7 @@
         self.senders.close()
         self.peers.close()
         self.store.close()
+        self.loop_watch.stop()
 
     async def _drain(self, plan: StopPlan) -> None:
         """Wait until nothing is under way, and log how long each phase took."""
--- a/packages/entry/src/berylstage_entry/logs.py
+++ b/packages/entry/src/berylstage_entry/logs.py
@@ -10,6 +10,8 @@
 
 from logbook import INFO, Handler, set_datetime_format
 
+from berylstage_entry.clock import now
+
 if TYPE_CHECKING:
     from logbook import LogRecord
 
@@ -31,6 +33,8 @@
         self._fd = sys.stdout.fileno()
         self._kept = b""
         self._left_out = 0
+        # Seconds that writing has taken since the start.
+        self.writing = 0.0
         set_datetime_format(lambda: datetime.now(timezone.utc))
         os.set_blocking(self._fd, False)
 
@@ -59,6 +63,7 @@
             self._left_out += 1
             return
         self._kept += data
+        began = now()
         try:
             written = os.write(self._fd, self._kept)
         except BlockingIOError:
@@ -67,5 +72,7 @@
             # Nobody will read any more; there is no place left to say so.
             self._kept = b""
             return
+        finally:
+            self.writing += now() - began
         self._kept = self._kept[written:]
         self._left_out = 0
--- a/packages/entry/src/berylstage_entry/metrics.py
+++ b/packages/entry/src/berylstage_entry/metrics.py
@@ -19,17 +19,30 @@
 class Metrics:
     """Counts and times since the start of the process."""
 
-    __slots__ = ("_counts", "_histograms", "_sums")
+    __slots__ = ("_counts", "_histograms", "_loop_late", "_loop_lates", "_sums")
 
     def __init__(self) -> None:
         self._counts: dict[str, int] = {}
         self._histograms: dict[tuple[str, str], list[int]] = {}
         self._sums: dict[tuple[str, str], float] = {}
+        # How often the event loop was late, and the seconds of that.
+        self._loop_lates = 0
+        self._loop_late = 0.0
 
     def count(self, name: str, amount: int = 1) -> None:
         """Count something."""
         self._counts[name] = self._counts.get(name, 0) + amount
 
+    def loop_late(self, seconds: float) -> None:
+        """Record that the event loop stood still.
+
+        Parameters
+        ----------
+        seconds : float
+        """
+        self._loop_lates += 1
+        self._loop_late += seconds
+
     def request(self, tenant: str, outcome: str, seconds: float) -> None:
         """Record a request that has ended.
 
@@ -63,6 +76,8 @@
             total_time = self._sums[tenant, outcome]
             lines.append(f"berylstage_request_seconds_sum{{{labels}}} {total_time:.6f}")
             lines.append(f"berylstage_request_seconds_count{{{labels}}} {totals[-1]}")
+        lines.append(f"berylstage_loop_late_seconds_sum {self._loop_late:.3f}")
+        lines.append(f"berylstage_loop_late_seconds_count {self._loop_lates}")
         return "\n".join(lines) + "\n"
 
 
