Take answers that are there once the event loop has stood still

Cause: libcurl looks at its clock before it looks at its sockets. Once the loop has stood still beyond the time of a call, the call ends as "Operation timed out after 602 milliseconds with 0 bytes received" though the whole answer waits in the socket: shown by the tests, six of which failed with that text. Whatever holds the loop up, an answer that had come is thrown away; for an order that is 504, for a grant a target that counts as silent, for the store "store lost".

Ruled out: the call's time itself (the targets had answered in it); an answer of one packet alone (all sizes failed, one call or three).

Change: the client ends calls by a timer of the loop, which runs after the sockets were read. Bytes that wait in the socket, or a connection that has come about, are taken for 0.1 s more. libcurl's own limit stays as a backstop, 30 s behind.

Same cause elsewhere: all calls of the workspace go through this client. Waits for datagrams (`turns`) ask again after a stall, and the renewals of the duty count as lost, which is the safe side; neither ends a request.

--- a/packages/transfers/src/berylstage_transfers/call.py
+++ b/packages/transfers/src/berylstage_transfers/call.py
@@ -62,6 +62,7 @@
         "begun",
         "body",
         "chunks",
+        "connect_by",
         "crossed",
         "deadline",
         "echo",
@@ -72,11 +73,13 @@
         "lines",
         "method",
         "opened",
+        "read_until",
         "sent",
         "size",
         "stale",
         "status",
         "timeout",
+        "timer",
         "unframed",
         "url",
     )
@@ -103,6 +106,11 @@
         self.echo_name = echo_name
         self.unframed = unframed
         self.deadline = 0.0
+        # When its connection must have come about; until when what has come in time is
+        # read, once its time is over; and what looks at the clock.
+        self.connect_by = 0.0
+        self.read_until = 0.0
+        self.timer: asyncio.TimerHandle | None = None
         self.begun = False
         self.sent = False
         self.opened = False
--- a/packages/transfers/src/berylstage_transfers/client.py
+++ b/packages/transfers/src/berylstage_transfers/client.py
@@ -25,6 +25,12 @@
 # within this time a lost SYN is not sent again (1 s in Linux), so longer waits
 # only help where another connection would help more.
 CONNECT_TIMEOUT = 0.25
+# Seconds beyond a call's time in which an answer that is there is read on, piece by
+# piece.
+READ_ON = 0.1
+# Seconds after a call's time at which libcurl would give it up by itself, should that
+# not have been done here.
+BACKSTOP = 30.0
 # Seconds after which an idle connection is not used again: something between the two
 # ends may have lost track of it (the brief's "What fails"), and a call on it would
 # be lost. Middleboxes forget idle flows after 30 s or more.
@@ -232,10 +238,43 @@
             call: Any = self._requests.popleft()
             if call.fut.done():
                 continue
-            left = call.deadline - time.monotonic()
             curl = self._free_list.pop() if self._free_list else self._new_curl()
-            self._handles[curl].begin(call, left, self._max_age(call))
+            self._handles[curl].begin(call, self._max_age(call))
             self._multi.add_handle(curl)
+            self._watch_time(call, curl)
+
+    def _watch_time(self, call: Call, curl: pycurl.Curl) -> None:
+        """Have a call end in time, though not before what has come is read.
+
+        libcurl looks at its clock before it looks at its sockets. Once the event loop
+        has stood still it would give up calls whose answers are there, also those of
+        work that may not be repeated. A timer of the loop runs after the loop's
+        sockets were read.
+        """
+        moment = time.monotonic()
+        call.connect_by = min(call.deadline, moment + CONNECT_TIMEOUT)
+        self._look_at(call.connect_by - moment, call, curl)
+
+    def _look_at(self, seconds: float, call: Call, curl: pycurl.Curl) -> None:
+        loop = asyncio.get_running_loop()
+        call.timer = loop.call_later(max(0.0, seconds), self._check_time, call, curl)
+
+    def _check_time(self, call: Call, curl: pycurl.Curl) -> None:
+        """End a call whose time is over, unless it goes on for good reason."""
+        handle = self._handles[curl]
+        if handle.call is not call:
+            return
+        moment = time.monotonic()
+        end = call.deadline if call.sent else call.connect_by
+        if moment < end:
+            self._look_at(end - moment, call, curl)
+            return
+        call.read_until = call.read_until or moment + READ_ON
+        if moment < call.read_until and handle.goes_on():
+            self._look_at(0.0, call, curl)
+            return
+        self._finish(curl, pycurl.E_OPERATION_TIMEDOUT, _timed_out(call, moment))
+        self._process_queue()
 
     def _new_curl(self) -> pycurl.Curl:
         curl = pycurl.Curl()
@@ -259,6 +298,8 @@
         call = handle.call
         assert call is not None
         handle.call = None
+        if call.timer is not None:
+            call.timer.cancel()
         self._note_rest(handle, call, curl_error)
         self._multi.remove_handle(curl)
         self._free_list.append(curl)
@@ -345,7 +386,7 @@
         curl.setopt(pycurl.HEADERFUNCTION, self._on_header)
         curl.setopt(pycurl.WRITEFUNCTION, self._on_body)
 
-    def begin(self, call: Call, timeout: float, max_age: int) -> None:
+    def begin(self, call: Call, max_age: int) -> None:
         """Set what differs from call to call."""
         self.call = call
         self._opened = -1
@@ -363,9 +404,7 @@
         if call.method != "HEAD" and call.body is None:
             curl.setopt(pycurl.HTTPGET, 1)
         curl.setopt(pycurl.CUSTOMREQUEST, call.method)
-        curl.setopt(pycurl.TIMEOUT_MS, max(1, int(timeout * _MS)))
-        connect = min(timeout, CONNECT_TIMEOUT)
-        curl.setopt(pycurl.CONNECTTIMEOUT_MS, max(1, int(connect * _MS)))
+        curl.setopt(pycurl.TIMEOUT_MS, int((call.timeout + BACKSTOP) * _MS))
         curl.setopt(pycurl.FRESH_CONNECT, 1 if max_age < 1 else 0)
         curl.setopt(pycurl.MAXLIFETIME_CONN, max_age)
 
@@ -421,6 +460,20 @@
         self._poll.unregister(fd)
         return not events
 
+    def goes_on(self) -> bool:
+        """Tell whether a connection has come about, or bytes of an answer wait."""
+        assert self.call is not None
+        if self.call.sent:
+            fd, events = self._sockets.get(self.port, -1), select.POLLIN
+        else:
+            fd, events = self._opened, select.POLLOUT
+        if fd < 0:
+            return False
+        self._poll.register(fd, events)
+        found = self._poll.poll(0)
+        self._poll.unregister(fd)
+        return bool(found)
+
     def _has_rested(self, local_port: int) -> bool:
         # A server that forgets idle connections lets nothing show it: what is sent next
         # is reset, and a call that may not be repeated is lost.
@@ -448,6 +501,15 @@
         return None
 
 
+def _timed_out(call: Call, moment: float) -> str:
+    """Return how far a call came in its time."""
+    what = "Operation" if call.sent else "Connection"
+    spent = int((call.timeout + moment - call.deadline) * _MS)
+    return (
+        f"{what} timed out after {spent} milliseconds with {call.size} bytes received"
+    )
+
+
 def _fail(call: Call, cause: str, refused: bool = False) -> None:
     """End a call with the error that says whether it was sent."""
     if call.fut is None or call.fut.done():
--- a/packages/transfers/tests/test_client.py
+++ b/packages/transfers/tests/test_client.py
@@ -4,6 +4,8 @@
 
 import asyncio
 import socket
+import threading
+import time
 
 import pytest
 from berylstage_transfers import client as client_module
@@ -339,6 +341,107 @@
         run(scenario)
 
 
+class _ThreadServer:
+    """A server in a thread, which goes on while the event loop stands still."""
+
+    def __init__(self, answer):
+        self._answer = answer
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self.base = "http://127.0.0.1:{}".format(self._listener.getsockname()[1])
+        self._ended = threading.Event()
+        self._start(self._accept)
+
+    def _start(self, target, *args):
+        threading.Thread(target=target, args=args, daemon=True).start()
+
+    def _accept(self):
+        while not self._ended.is_set():
+            conn, _ = self._listener.accept()
+            self._start(self._serve, conn)
+
+    def _serve(self, conn):
+        with conn:
+            conn.recv(4096)
+            conn.sendall(self._answer)
+            self._ended.wait()
+
+    def close(self):
+        self._ended.set()
+        self._listener.close()
+
+
+@pytest.fixture
+def thread_server():
+    """Return how to run a server in a thread."""
+    servers = []
+
+    def start(answer):
+        servers.append(_ThreadServer(answer))
+        return servers[-1]
+
+    yield start
+    for server in servers:
+        server.close()
+
+
+def _whole_answer(size):
+    head = f"HTTP/1.1 200 OK\r\nRequest-Id: 1\r\nContent-Length: {size}\r\n\r\n"
+    return head.encode() + bytes(size)
+
+
+class TestLoopThatStandsStill:
+    """A process that waits for its disk or for a core, while its servers answer."""
+
+    @pytest.mark.parametrize("size", [4, 90_000, 400_000])
+    @pytest.mark.parametrize("calls", [1, 3])
+    def test_answer_that_is_there_is_taken_when_its_time_is_over(
+        self, thread_server, size, calls
+    ):
+        # Guards against an order that ran, whose answer waits in the socket, and whose
+        # caller is told 504.
+        async def scenario():
+            server = thread_server(_whole_answer(size))
+            client = CallClient(calls)
+            made = [make_call(server, timeout=0.3) for _ in range(calls)]
+            tasks = [asyncio.ensure_future(client.call(call)) for call in made]
+            while not all(call.sent for call in made):
+                await asyncio.sleep(0.001)
+            time.sleep(0.6)
+            for answer in await asyncio.gather(*tasks):
+                assert (answer.status, len(answer.body)) == (200, size)
+            client.close()
+
+        run(scenario)
+
+    def test_connection_that_came_about_is_used(self, thread_server):
+        # Guards against calls that fail one and all because the process stood still.
+        async def scenario():
+            server = thread_server(OK)
+            client = CallClient(2)
+            made = [make_call(server, timeout=2.0) for _ in range(2)]
+            tasks = [asyncio.ensure_future(client.call(call)) for call in made]
+            await asyncio.sleep(0)
+            time.sleep(2 * client_module.CONNECT_TIMEOUT)
+            for answer in await asyncio.gather(*tasks):
+                assert answer.status == 200
+            client.close()
+
+        run(scenario)
+
+    def test_answer_that_does_not_end_is_not_waited_for(self, thread_server):
+        # Guards against a server that begins to answer and keeps its caller for ever.
+        async def scenario():
+            server = thread_server(_whole_answer(1_000_000)[:100])
+            client = CallClient(1)
+            began = time.monotonic()
+            with pytest.raises(AnswerLost, match="timed out"):
+                await client.call(make_call(server, timeout=0.2))
+            assert time.monotonic() - began < 0.5
+            client.close()
+
+        run(scenario)
+
+
 class TestConnections:
     def test_a_loss_ends_the_trust_in_all_older_connections(self, open_server):
         # Something on the way loses track of all open connections at once. The first
