Know a target's leaving from VMs in touch, also while the store is lost

Cause: 22 VMs are cut off from the store from 1 to 13 s and hear the VM that tells all the while. Its news say at 4.03 s that the records are gone (20 VMs log it in that moment). Those cut off judge it by their own failed calls, take the record for one that lapsed in an outage, and put the end off with each further call that fails, and once more at the return of the store: "target dropped: its record did not come back" came at 17.6 s, 4.6 s after the cut, the requests at 16.1 to 16.9 s.

The VM had taken in all tellings without a gap ("after 181", its own revision 197, then 207 at 4.03 s). Ruled out: a first reading that takes to 15.3 s (the call began at 15.25 s and took 0.14 s), connections left over from before the cut (the call at 13.48 s took 0.01 s), the four-call limit, and the rush of VMs.

Change: news say for how long the store has answered the VM that tells. While that is longer than lapsed records need to come back, a record that goes is gone, whatever became of the calls of the VM that hears it. A record that is kept is logged.

Test: failed before ([3, 4, 5, 6, 7] still used the target a second after it left).

--- a/packages/entry/src/berylstage_entry/directory.py
+++ b/packages/entry/src/berylstage_entry/directory.py
@@ -151,12 +151,24 @@
             self._changed("closed")
         return missing
 
-    def expire(self, now: float) -> list[str]:
-        """Drop the targets whose records did not come back, and return their names."""
+    def expire(self, now: float, settled: bool = False) -> list[str]:
+        """Drop the targets whose records did not come back, and return their names.
+
+        Parameters
+        ----------
+        now : float
+        settled : bool
+            Whether the store is known to have been there for long enough, so that no
+            record that lapsed is still to come back.
+
+        Returns
+        -------
+        list of str
+        """
         over = [
             name
             for name, known in self.known.items()
-            if known.lapsed_at and now - known.lapsed_at > LAPSE_GRACE
+            if known.lapsed_at and (settled or now - known.lapsed_at > LAPSE_GRACE)
         ]
         for name in over:
             del self.known[name]
--- a/packages/entry/src/berylstage_entry/feed.py
+++ b/packages/entry/src/berylstage_entry/feed.py
@@ -11,6 +11,7 @@
 from berylstage_entry.assignment import Assignment
 from berylstage_entry.belief_log import BeliefLog
 from berylstage_entry.clock import now
+from berylstage_entry.contact import StoreContact
 from berylstage_entry.duty_watch import DutyWatch
 from berylstage_entry.errors import HistoryLost, StoreError, UnreadableRecord
 from berylstage_entry.keys import DUTY_KEY, KEYS_PREFIX, OWN_PREFIX
@@ -59,8 +60,6 @@
 # Calls a second that all VMs together make to a store that does not answer. Each is
 # paid for like others, and one that answers again has more to do than that.
 RATE_AWAY = 30.0
-# Seconds after a failed call in which a record that is gone counts as lapsed.
-OUTAGE_MEMORY = 3.0
 
 log = Logger(__name__)
 
@@ -81,8 +80,7 @@
         self._directory = directory
         self._tasks: list[asyncio.Task] = []
         self._revision = 0
-        self._failed_at = float("-inf")
-        self._began = now()
+        self._contact = StoreContact(now())
         self._unreadable: dict[str, bytes] = {}
         self._changes = BeliefLog()
         self._hurried = asyncio.Event()
@@ -116,7 +114,6 @@
         self.own: dict[str, Item] = {}
         self.listeners: list[Callable[[str], None]] = []
         self.complete = False
-        self.answered_at = float("-inf")
 
     def start(self) -> None:
         """Begin to follow."""
@@ -135,7 +132,7 @@
 
     def steady(self) -> float:
         """Return the seconds of unbroken contact with the store up to now."""
-        return now() - max(self._failed_at, self._began)
+        return self._contact.steady(now())
 
     @property
     def revision(self) -> int:
@@ -151,12 +148,12 @@
         """
         if self.is_teller() or self.is_standby():
             return RETRY
-        away = now() - max(self.answered_at, self._began)
+        away = self._contact.away(now())
         return max(RETRY, min(away, self.vms / RATE_AWAY))
 
     async def contact(self) -> float:
         """Try to reach the store and return the seconds of contact; 0 for none."""
-        if now() - self._failed_at < RETRY and self._failed_at > self.answered_at:
+        if self._contact.is_lost() and now() - self._contact.failed_at < RETRY:
             # It has just been tried.
             return 0.0
         try:
@@ -169,11 +166,11 @@
 
     def in_outage(self) -> bool:
         """Tell whether the store is, or has just been, away from this VM."""
-        return now() - self._failed_at < OUTAGE_MEMORY
+        return self._contact.in_outage(now())
 
     def is_in_touch(self) -> bool:
         """Tell whether the store has answered since the last call that failed."""
-        return self.complete and self.answered_at > self._failed_at
+        return self.complete and not self._contact.is_lost()
 
     def hurry(self) -> None:
         """Have the next reading done soon: something known has turned out to be old."""
@@ -190,6 +187,7 @@
         -------
         bool
         """
+        self._contact.told(now(), news.contact)
         if not self.complete or news.revision < self._revision:
             # Told late: it says nothing of how things are now.
             return False
@@ -282,7 +280,8 @@
         return not self.is_teller() and now() - self._fresh_at > FAR_BEHIND
 
     def _drop_lapsed(self) -> None:
-        for name in self._directory.expire(now()):
+        settled = self._contact.others_have_it(now())
+        for name in self._directory.expire(now(), settled):
             log.info(
                 "target dropped: its record did not come back", extra={"target": name}
             )
@@ -365,6 +364,7 @@
         if self._told and self._told[0][1].revision != news.after:
             self._told.clear()
         news.age = moment - began
+        news.contact = self.steady()
         self.tell(news.since(told for _, told in self._told))
         self._told.appendleft((moment, news))
 
@@ -403,7 +403,10 @@
             return None
         if record is None:
             return None
-        what = self._directory.apply(record, now(), self.in_outage())
+        in_outage = self.in_outage()
+        what = self._directory.apply(record, now(), in_outage)
+        if record.gone and in_outage and record.gone in self._directory.known:
+            log.info("record gone, its target kept for now", extra={"key": item.key})
         if what:
             self._log_change(what, item)
             self._tell("configuration" if what == "configuration" else "targets")
@@ -495,17 +498,21 @@
     def note_answer(self) -> None:
         """Note that the store has answered a call of this VM."""
         moment = now()
-        if self.answered_at < self._failed_at:
-            log.info(
-                "store regained", extra={"away": round(moment - self.answered_at, 2)}
-            )
-            self._directory.postpone_expiry(moment)
-        self.answered_at = moment
+        if self._contact.was_lost():
+            away = round(self._contact.away(moment), 2)
+            log.info("store regained", extra={"away": away})
+            self._postpone_expiry(moment)
+        self._contact.answered_at = moment
 
     def note_failure(self, exc: Exception) -> None:
         """Note that the store has not answered a call of this VM."""
         moment = now()
-        if self.answered_at > self._failed_at:
+        if not self._contact.is_lost():
             log.warning("store lost", extra={"cause": str(exc)})
-        self._failed_at = moment
-        self._directory.postpone_expiry(moment)
+        self._contact.failed_at = moment
+        self._postpone_expiry(moment)
+
+    def _postpone_expiry(self, moment: float) -> None:
+        """Let lapsed records keep their whole time while the store is away."""
+        if self._contact.in_outage(moment):
+            self._directory.postpone_expiry(moment)
--- a/packages/entry/src/berylstage_entry/news.py
+++ b/packages/entry/src/berylstage_entry/news.py
@@ -42,6 +42,8 @@
         Keys with large values, and the revision of each.
     age : float
         Seconds since the reading began, when it is told.
+    contact : float
+        Seconds for which the store has answered the VM that tells, without a break.
 
     Attributes
     ----------
@@ -49,7 +51,7 @@
         The values that are named, as far as this VM has read them itself.
     """
 
-    __slots__ = ("after", "age", "items", "large", "named", "revision")
+    __slots__ = ("after", "age", "contact", "items", "large", "named", "revision")
 
     def __init__(
         self,
@@ -58,12 +60,14 @@
         items: Sequence[Item],
         named: dict[str, int] | None = None,
         age: float = 0.0,
+        contact: float = 0.0,
     ):
         self.after = after
         self.revision = revision
         self.items = list(items)
         self.named = named or {}
         self.age = age
+        self.contact = contact
         self.large: list[Item] = []
 
     def add(self, item: Item, is_told_apart: bool = False) -> None:
@@ -100,18 +104,22 @@
         -------
         News
         """
-        joined = News(self.after, self.revision, self.items, self.named, self.age)
-        joined.large = self.large
+        joined = self._with(self.after, self.items, self.named)
         for before in told:
             items = [*before.items, *joined.items]
             named = before.named | joined.named
-            wider = News(before.after, self.revision, items, named, self.age)
-            wider.large = self.large
+            wider = self._with(before.after, items, named)
             if wider.encode() is None:
                 break
             joined = wider
         return joined
 
+    def _with(self, after: int, items: Sequence[Item], named: dict[str, int]) -> News:
+        """Return the same news with other changes, from another revision on."""
+        news = News(after, self.revision, items, named, self.age, self.contact)
+        news.large = self.large
+        return news
+
     def parts(self) -> list[News]:
         """Return news that fit into a datagram each and together tell the same.
 
@@ -133,14 +141,15 @@
         # would never be read by it.
         named = {key: at for key, at in self.named.items() if at <= until}
         rest = {key: at for key, at in self.named.items() if at > until}
-        first = News(self.after, until, items[:cut], named, self.age)
-        second = News(until, self.revision, items[cut:], rest, self.age)
+        first = News(self.after, until, items[:cut], named, self.age, self.contact)
+        second = self._with(until, items[cut:], rest)
         return [*first.parts(), *second.parts()]
 
     def encode(self) -> bytes | None:
         """Return the datagram; None when the news does not fit into one."""
         rows = [(i.key, _text(i.value), i.revision) for i in self.items]
-        doc = [self.after, self.revision, rows, self.named, round(self.age, 3)]
+        times = [round(self.age, 3), round(self.contact, 1)]
+        doc = [self.after, self.revision, rows, self.named, *times]
         text = json.dumps(doc, separators=(",", ":")).encode()
         data = bytes([FORMAT]) + zlib.compress(text)
         return data if len(data) <= MOST_BYTES else None
@@ -155,10 +164,12 @@
             It is none.
         """
         try:
-            after, revision, rows, named, age = json.loads(zlib.decompress(data[1:]))
+            doc = json.loads(zlib.decompress(data[1:]))
+            after, revision, rows, named, age, contact = doc
             items = [Item(key, _bytes(value), int(at)) for key, value, at in rows]
             named = {str(key): int(at) for key, at in named.items()}
-            return cls(int(after), int(revision), items, named, float(age))
+            times = float(age), float(contact)
+            return cls(int(after), int(revision), items, named, *times)
         except (zlib.error, ValueError, TypeError, AttributeError) as exc:
             raise UnreadableRecord(f"no news of the store: {exc}") from exc
 
--- a/packages/entry/tests/test_feed.py
+++ b/packages/entry/tests/test_feed.py
@@ -215,3 +215,144 @@
                 assert [item.key for item in told[0].items][-1] == "t/b"
 
             loop.run_until_complete(step())
+
+
+class Fleet:
+    """VMs of which the first tells the others, and any may be cut off.
+
+    Parameters
+    ----------
+    loop : VirtualLoop
+    vms : int
+    """
+
+    def __init__(self, loop, vms):
+        self.loop = loop
+        self.store = MemoryStore()
+        self.calls = []
+        self.store.put("cfg", b"1")
+        self.store.put(DUTY_KEY, b'{"control": "vm-0:1"}')
+        # VMs that neither reach the store nor hear others.
+        self.cut = set()
+        self.reports = {}
+        self.views, self.feeds = [], []
+        records = JsonRecords({1: configuration(1), 2: configuration(2)})
+        for n in range(vms):
+            view = CountingView(self.store, self.calls)
+            feed = Feed(view, records, Directory())
+            feed.vms = vms
+            feed.is_teller = lambda n=n: n == 0
+            feed.is_standby = lambda n=n: n < 3
+            feed.tell = self.tell
+            self.views.append(view)
+            self.feeds.append(feed)
+
+    def tell(self, told):
+        for n, feed in enumerate(self.feeds):
+            if n and n not in self.cut:
+                for part in told.parts():
+                    feed.take_news(News.decode(part.encode()))
+
+    def cut_off(self, numbers, but_told=False):
+        """Cut VMs off from the store, and from the others unless they are told."""
+        for n in numbers:
+            self.views[n].away = True
+        if not but_told:
+            self.cut |= set(numbers)
+
+    def heal(self):
+        self.cut.clear()
+        for view in self.views:
+            view.away = False
+
+    def start(self):
+        async def start():
+            for feed in self.feeds:
+                feed.start()
+            await asyncio.sleep(5.0)
+
+        self.loop.run_until_complete(start())
+
+    def put(self, name, **fields):
+        self.reports[name] = fields
+        self.store.put(f"t/{name}", json.dumps(fields).encode())
+
+    def drop(self, name):
+        del self.reports[name]
+        self.store.put(f"t/{name}", None)
+
+    def run(self, seconds):
+        """Let time pass, in which targets report."""
+
+        async def pass_time():
+            end = now() + seconds
+            while now() < end:
+                await asyncio.sleep(min(0.2, end - now()))
+                # Other parts of a VM make calls of their own, as for its lease.
+                for view, feed in zip(self.views, self.feeds, strict=True):
+                    if view.away:
+                        await feed.contact()
+                for name, fields in self.reports.items():
+                    self.put(name, **fields)
+
+        self.loop.run_until_complete(pass_time())
+
+    def until(self, holds, most):
+        """Return the seconds until something holds."""
+        began = now()
+        while not holds() and now() - began < most:
+            self.run(0.05)
+        return now() - began
+
+
+@pytest.fixture
+def make_fleet():
+    """Return how to make VMs that tell each other, with three targets."""
+    with virtual_loop() as loop:
+        fleets = []
+
+        def make(vms):
+            fleet = Fleet(loop, vms)
+            for name in ("a", "b", "c"):
+                fleet.put(name)
+            fleet.start()
+            fleet.run(5.0)
+            fleets.append(fleet)
+            return fleet
+
+        yield make
+        for feed in (f for fleet in fleets for f in fleet.feeds):
+            feed.stop()
+
+
+class TestCutOff:
+    """VMs that lose the store alone, while others have it."""
+
+    @pytest.fixture
+    def cut(self):
+        return range(3, 8)
+
+    def users_of(self, fleet, name):
+        return [n for n, f in enumerate(fleet.feeds) if f._directory.may_use(name)]
+
+    def test_target_that_left_is_used_no_more_by_vms_that_are_told(
+        self, make_fleet, cut
+    ):
+        # Guards against requests to a target that left 12 s ago: its record was taken
+        # for one that had lapsed, by VMs that had lost the store, though not others.
+        fleet = make_fleet(9)
+        fleet.cut_off(cut, but_told=True)
+        fleet.run(4.0)
+        fleet.drop("a")
+        fleet.run(1.0)
+        assert self.users_of(fleet, "a") == []
+
+    def test_record_that_lapses_in_an_outage_is_kept(self, make_fleet, cut):
+        # Guards against dropping all targets when the store was away for everybody.
+        fleet = make_fleet(9)
+        fleet.store.away = True
+        fleet.run(4.0)
+        fleet.store.away = False
+        fleet.drop("a")
+        fleet.run(1.0)
+        assert len(self.users_of(fleet, "a")) == 9
