Read the store as soon as others can be heard again after a cut

Cause: after a failed reading a VM slept up to 2.1 s at 63 VMs and 6.5 s at 195, the longer the more there are, so that a store that is away is not called by all. A telling from another VM that shows a gap ended any other wait, but not this one.

Ruled out: that the sleep is needed where there is word from others.

Change: word of something that was missed ends the sleep. A VM that is cut off from the store alone hears such words all the time: its pauses grow up to 1 s.

--- a/packages/entry/src/berylstage_entry/feed.py
+++ b/packages/entry/src/berylstage_entry/feed.py
@@ -57,6 +57,9 @@
 CONTACT_TIMEOUT = 0.35
 # Seconds before a failed call is made again, at least.
 RETRY = 0.35
+# Seconds between two failed calls at most while others tell of what this VM has missed:
+# a third of the time in which it may handle requests by what it knew.
+HURRIED_RETRY = 1.0
 # Calls a second that all VMs together make to a store that does not answer. Each is
 # paid for like others, and one that answers again has more to do than that.
 RATE_AWAY = 30.0
@@ -84,6 +87,8 @@
         self._unreadable: dict[str, bytes] = {}
         self._changes = BeliefLog()
         self._hurried = asyncio.Event()
+        # Readings that failed one after the other although they were hurried.
+        self._vain = 0
         # When this VM read the store last, and when what it knows was last up to date.
         self._read_at = float("-inf")
         self._fresh_at = float("-inf")
@@ -188,7 +193,11 @@
         bool
         """
         self._contact.told(now(), news.contact)
-        if not self.complete or news.revision < self._revision:
+        if not self.complete:
+            if self._contact.was_lost():
+                self.hurry()
+            return False
+        if news.revision < self._revision:
             # Told late: it says nothing of how things are now.
             return False
         if news.after > self._revision:
@@ -262,13 +271,32 @@
                 else:
                     await self._watch_all()
                 self._read_at = self._fresh_at = now()
+                self._vain = 0
                 self.note_answer()
                 await self._pause()
             except HistoryLost:
                 self.complete = False
             except StoreError as exc:
                 self.note_failure(exc)
-                await asyncio.sleep(self.retry_pause())
+                await self._rest()
+
+    async def _rest(self) -> None:
+        """Wait after a failed reading, not longer than until there is word from others.
+
+        Who tells of what this VM has missed can be reached again, and so may the store.
+        A VM that is cut off from the store alone hears such words all the time, and
+        tries it with growing pauses.
+        """
+        most = self.retry_pause()
+        least = min(most, HURRIED_RETRY, RETRY * 2**self._vain)
+        await asyncio.sleep(least)
+        try:
+            async with asyncio.timeout(most - least):
+                await self._hurried.wait()
+        except TimeoutError:
+            return
+        self._hurried.clear()
+        self._vain += 1
 
     def _is_far_behind(self) -> bool:
         """Tell whether all records are fewer than their changes since.
--- a/packages/entry/tests/test_feed.py
+++ b/packages/entry/tests/test_feed.py
@@ -328,6 +328,10 @@
 class TestCutOff:
     """VMs that lose the store alone, while others have it."""
 
+    # Seconds after the end of a cut within which a VM must know what it missed: a third
+    # of the time in which it may handle requests by what it knew.
+    CAUGHT_UP = 1.0
+
     @pytest.fixture
     def cut(self):
         return range(3, 8)
@@ -356,3 +360,35 @@
         fleet.drop("a")
         fleet.run(1.0)
         assert len(self.users_of(fleet, "a")) == 9
+
+    @pytest.mark.parametrize("vms", [9, 63, 195])
+    def test_what_was_missed_is_known_soon_after_the_cut(self, make_fleet, cut, vms):
+        # Guards against VMs that go on with what they last knew for seconds after they
+        # are back in touch.
+        fleet = make_fleet(vms)
+        fleet.cut_off(cut)
+        fleet.run(4.0)
+        fleet.drop("a")
+        fleet.put("b", leaving=True)
+        fleet.store.put("cfg", b"2")
+        fleet.run(8.0)
+        fleet.heal()
+
+        def is_known():
+            versions = {f._directory.configuration.version for f in fleet.feeds}
+            users = self.users_of(fleet, "a") + self.users_of(fleet, "b")
+            return not users and versions == {2}
+
+        assert fleet.until(is_known, 8.0) <= self.CAUGHT_UP
+
+    def test_data_centre_that_is_back_asks_the_store_no_more_than_it_bears(
+        self, make_fleet
+    ):
+        # Guards against a rush: 33 VMs learn in the same moment that they may read.
+        fleet = make_fleet(195)
+        fleet.cut_off(range(3, 36))
+        fleet.run(12.0)
+        fleet.heal()
+        before = len(fleet.calls)
+        fleet.run(2.0)
+        assert len(fleet.calls) - before <= 3 * 33 + 2 * 2 / RETRY + 2 / 0.45
