Count a call to the store that fails alone as no outage

Cause, shown by the test: configurations are large, so news name them and each VM reads them. When this one call fails, as on a link that is full, the next came after "the time since the store was lost", but that was reckoned from the last call that went well. A VM that is told makes a call in 5 s. With 195 VMs the pause was 6.6 s, with 63 up to 2.1 s, beside the 2.5 s that the call itself may take; a configuration must be in force within 2.5 and 3 s.

Change: the time away begins with the first call that fails. In an outage pauses grow as before (the tests of calls in an outage are unchanged).

--- a/packages/entry/src/berylstage_entry/contact.py
+++ b/packages/entry/src/berylstage_entry/contact.py
@@ -21,12 +21,21 @@
         Monotonic seconds.
     """
 
-    __slots__ = ("_began", "_told_at", "_told_for", "answered_at", "failed_at")
+    __slots__ = (
+        "_began",
+        "_lost_at",
+        "_told_at",
+        "_told_for",
+        "answered_at",
+        "failed_at",
+    )
 
     def __init__(self, now: float):
         self._began = now
         self.answered_at = float("-inf")
         self.failed_at = float("-inf")
+        # When the first call failed after the last that went well.
+        self._lost_at = now
         # When another VM told last, and for how long the store had answered it.
         self._told_at = float("-inf")
         self._told_for = 0.0
@@ -35,9 +44,23 @@
         """Return the seconds of unbroken contact up to now."""
         return now - max(self.failed_at, self._began)
 
+    def answered(self, now: float) -> None:
+        """Note a call that went well."""
+        self.answered_at = now
+
+    def failed(self, now: float) -> None:
+        """Note a call that brought no usable answer."""
+        if not self.was_lost():
+            self._lost_at = now
+        self.failed_at = now
+
     def away(self, now: float) -> float:
-        """Return the seconds since the store answered this VM last."""
-        return now - max(self.answered_at, self._began)
+        """Return the seconds since calls began to fail.
+
+        Not since the last that went well: a VM that is told what others read makes a
+        call in some seconds, and one of these failing alone is no outage.
+        """
+        return now - self._lost_at
 
     def is_lost(self) -> bool:
         """Tell whether the last call has failed, or none was made yet."""
--- a/packages/entry/src/berylstage_entry/feed.py
+++ b/packages/entry/src/berylstage_entry/feed.py
@@ -530,14 +530,14 @@
             away = round(self._contact.away(moment), 2)
             log.info("store regained", extra={"away": away})
             self._postpone_expiry(moment)
-        self._contact.answered_at = moment
+        self._contact.answered(moment)
 
     def note_failure(self, exc: Exception) -> None:
         """Note that the store has not answered a call of this VM."""
         moment = now()
         if not self._contact.is_lost():
             log.warning("store lost", extra={"cause": str(exc)})
-        self._contact.failed_at = moment
+        self._contact.failed(moment)
         self._postpone_expiry(moment)
 
     def _postpone_expiry(self, moment: float) -> None:
--- a/packages/entry/tests/test_contact.py
+++ b/packages/entry/tests/test_contact.py
@@ -8,8 +8,8 @@
 class TestStoreContact:
     def failed(self, moment):
         contact = StoreContact(0.0)
-        contact.answered_at = moment - 1.0
-        contact.failed_at = moment
+        contact.answered(moment - 1.0)
+        contact.failed(moment)
         return contact
 
     def test_failure_alone_may_be_an_outage(self):
@@ -38,7 +38,15 @@
     def test_first_answer_after_failures_is_a_return(self):
         contact = StoreContact(0.0)
         assert not contact.was_lost()
-        contact.failed_at = 1.0
+        contact.failed(1.0)
         assert contact.was_lost()
-        contact.answered_at = 2.0
+        contact.answered(2.0)
         assert not contact.was_lost()
+
+    def test_time_away_begins_with_the_first_call_that_fails(self):
+        # Guards against a long pause after one call that fails alone.
+        contact = StoreContact(0.0)
+        contact.answered(10.0)
+        contact.failed(15.0)
+        contact.failed(16.0)
+        assert contact.away(17.0) == 2.0
--- a/packages/entry/tests/test_feed.py
+++ b/packages/entry/tests/test_feed.py
@@ -11,7 +11,7 @@
 from berylstage_entry.errors import StoreSilent
 from berylstage_entry.feed import RATE_AWAY, RETRY, Feed
 from berylstage_entry.keys import DUTY_KEY
-from berylstage_entry.news import News
+from berylstage_entry.news import LARGEST_VALUE, News
 from fakes import JsonRecords, MemoryStore, StoreView, configuration
 from virtual_time import virtual_loop
 
@@ -392,3 +392,31 @@
         before = len(fleet.calls)
         fleet.run(2.0)
         assert len(fleet.calls) - before <= 3 * 33 + 2 * 2 / RETRY + 2 / 0.45
+
+
+class TestCallThatFailsAlone:
+    """A call of a VM that makes few, since others tell it what they read."""
+
+    def test_named_configuration_is_read_again_soon(self, make_fleet):
+        # Guards against a configuration that is in force 5 s late: one call was lost on
+        # a link that was full, and the pause after it was as long as the time since the
+        # last call, which had gone well.
+        fleet = make_fleet(195)
+        feed, view = fleet.feeds[7], fleet.views[7]
+        # Configurations are large: they are named, and each VM reads them.
+        fleet.store.put("cfg", b"2" + b" " * LARGEST_VALUE)
+        read, failures = view.read, []
+
+        async def read_once_in_vain(prefix):
+            if prefix == "cfg" and not failures:
+                failures.append(now())
+                raise StoreSilent("the link is full")
+            return await read(prefix)
+
+        view.read = read_once_in_vain
+
+        def is_known():
+            return feed._directory.configuration.version == 2
+
+        fleet.until(is_known, 10.0)
+        assert now() - failures[0] <= 2 * RETRY
