Let no order reach a process that has ended, in the model of targets

Cause: the model, not the program. A grant that was on its way when the process ended was carried out all the same, and laid a hold on a process that is gone. Late grants and releases had the same fault.

Change: the stand-in counts the processes of a target. What was sent to one is broken off when it ends, as a reset does it. For a process that lives nothing has changed, so the check is as strict: late and crossing orders to it are carried out as before, and the mutations of granting are still caught (test_ownership_mutations.py).

--- a/packages/entry/tests/fakes.py
+++ b/packages/entry/tests/fakes.py
@@ -6,6 +6,7 @@
 import json
 from random import Random
 
+from berylstage_entry.assignment import LAST_KEY
 from berylstage_entry.clock import now
 from berylstage_entry.errors import (
     Conflict,
@@ -262,6 +263,8 @@
         self.silent: set[str] = set()
         # Targets whose process is gone: connections are refused.
         self.down: set[str] = set()
+        # Processes of each target that have ended.
+        self.past_processes: dict[str, int] = {}
         # Targets to which no connection comes about.
         self.unreachable: set[str] = set()
         self.ended: set[str] = set()
@@ -280,12 +283,29 @@
     def answer(self, answer):
         raise NotImplementedError
 
+    def process_ends(self, name):
+        """Have a target's process end, with what it holds and what is sent to it."""
+        self._take(name, 0, LAST_KEY)
+        self.fences.pop(name, None)
+        self.down.add(name)
+        self.past_processes[name] = self._process(name) + 1
+
+    def _process(self, name):
+        return self.past_processes.get(name, 0)
+
+    def _check_process(self, name, process):
+        """Break off what was sent to a process that has ended since."""
+        if self._process(name) != process:
+            raise AnswerLost("its process has ended")
+
     async def grant(self, target, order, timeout):
         self.ordered.append((target.name, order.first, order.fence))
         if target.name in self.ended:
             raise TargetEnded(target.name)
         await self._connect(target.name)
+        process = self._process(target.name)
         await asyncio.sleep(self.grant_delay + self._rng.uniform(0, self.delay))
+        self._check_process(target.name, process)
         if target.name in self.silent:
             await asyncio.sleep(timeout)
             raise AnswerLost("silent")
@@ -293,7 +313,7 @@
             arrived = now()
             delay = self.late[target.name]
             asyncio.get_running_loop().call_later(
-                delay, self._apply, target.name, order, arrived
+                delay, self._apply_late, target.name, process, order, arrived
             )
             await asyncio.sleep(timeout)
             raise AnswerLost("late")
@@ -307,6 +327,10 @@
             await asyncio.sleep(0.25)
             raise NeverSent("no connection")
 
+    def _apply_late(self, name, process, order, arrived):
+        if self._process(name) == process:
+            self._apply(name, order, arrived)
+
     def _apply(self, name, order, arrived):
         seen = self.fences.setdefault(name, [])
         overlapping = [f for a, b, f in seen if a <= order.last and b >= order.first]
@@ -345,7 +369,9 @@
 
     async def release(self, target, first, last, fence, timeout):
         await self._connect(target.name)
+        process = self._process(target.name)
         await asyncio.sleep(self.release_delay + self._rng.uniform(0, self.delay))
+        self._check_process(target.name, process)
         if target.name in self.silent:
             await asyncio.sleep(timeout)
             raise AnswerLost("silent")
--- a/packages/entry/tests/granting_world.py
+++ b/packages/entry/tests/granting_world.py
@@ -6,7 +6,6 @@
 import json
 from random import Random
 
-from berylstage_entry.assignment import LAST_KEY
 from berylstage_entry.clock import now
 from berylstage_entry.directory import Directory
 from berylstage_entry.feed import Feed
@@ -193,9 +192,7 @@
 
     def stop_process(self, name):
         """Have a target's process end: it holds nothing, and nothing listens."""
-        self.wire._take(name, 0, LAST_KEY)
-        self.wire.fences.pop(name, None)
-        self.wire.down.add(name)
+        self.wire.process_ends(name)
 
     def reborn(self, name):
         """Have a target start again under its name: it holds and knows nothing."""
--- a/packages/entry/tests/test_ownership_machine.py
+++ b/packages/entry/tests/test_ownership_machine.py
@@ -157,6 +157,19 @@
         assert not world.faults()
         assert not world.ownerless()
 
+    def test_grant_on_its_way_to_a_process_that_ends(self, world):
+        # Guards against two holders of keys, of which one is a process that is gone.
+        for moment in (0.1, 0.4, 0.1):
+            world.stop_process("a")
+            world.run(moment)
+        world.run(0.1)
+        world.stop_process("b")
+        world.run(1.0)
+        assert not world.faults()
+        world.heal()
+        assert not world.faults()
+        assert not world.ownerless()
+
 
 TestOwnership = OwnershipMachine.TestCase
 TestOwnership.settings = settings(
