Look again whether a target may be used once a request has had its turn

Cause: which targets are fit was worked out before the wait for a turn, which takes up to the request's objective, and used after it. Where nobody gave a turn for a key, its owner was not looked at again either; if it had left meanwhile the request met a KeyError and ended with 502.

Change: after the wait the targets are looked at again, on both ways.

Tests: three, failed before (sent to "a", which had left; KeyError: 'a'). Same cause elsewhere: nothing is awaited between the choice and the sending but a free connection of the client.

--- a/packages/entry/src/berylstage_entry/router.py
+++ b/packages/entry/src/berylstage_entry/router.py
@@ -200,12 +200,13 @@
                 raise self._given_up(journey, "cold")
             centre = self._directory.known[name].target.data_centre
             await self._await_turn(journey, name, centre)
+            if not self._owners.holds(journey, name):
+                # The key has moved, or its owner has left, while the request waited.
+                self._end_turn(journey)
+                continue
             if journey.turn is None:
                 return self._paced(journey, name)
-            if self._owners.holds(journey, name):
-                return name
-            # The key has moved while the request waited.
-            self._end_turn(journey)
+            return name
 
     async def _await_turn(
         self, journey: Journey, queue: str, data_centre: str = ""
@@ -256,13 +257,17 @@
             if name in cold:
                 return name
         await self._await_turn(journey, journey.service.name)
-        if journey.turn is None:
-            return self._free_target(journey, names)
-        name = self._directory.named(journey.turn.target)
+        name = ""
+        if journey.turn is not None:
+            name = self._directory.named(journey.turn.target)
+        # Targets may have left while the request waited.
+        names = [n for n in names if self._directory.may_use(n)]
         if name in names:
             return name
         # The keeper does not know yet that it is gone, or knows it before this VM.
         self._end_turn(journey)
+        if not names:
+            raise self._given_up(journey, "no-target")
         return self._free_target(journey, names)
 
     def _fit(self, journey: Journey) -> list[str]:
--- a/packages/entry/tests/test_router.py
+++ b/packages/entry/tests/test_router.py
@@ -92,12 +92,13 @@
     turns=None,
     time_left=1.0,
     beside=None,
+    directory=None,
     **assignment,
 ):
     """Serve one request; return how it ended and where it was sent."""
     route = Route("r", "h", "/a/", [Share("s", 1.0)], idempotent, 3, 1.0, 0.3, 1)
     service = Service("s", "/", 50, 3.0, 5.0, owns_keys)
-    directory = Directory()
+    directory = directory or Directory()
     cfg = Configuration(1, [route], [service], LIMITS)
     directory.apply(Record(configuration=cfg), now(), False)
     for name in names:
@@ -331,6 +332,22 @@
         assert play(["ok"], turns=turns)[0] == 200
         assert turns.given_back == [(1, False, None)]
 
+    @pytest.mark.parametrize("given", ["a", None])
+    def test_target_that_leaves_while_a_request_waits_gets_it_no_more(self, given):
+        # Guards against requests at a target that left while they waited for their
+        # turn, which takes as long as their objective.
+        directory = Directory()
+
+        class Leaving(GivenTurns):
+            async def take(self, journey, queue, data_centre=""):
+                for name in ("a", "b"):
+                    record = Record(target=target(name, leaving=True))
+                    directory.apply(record, now(), False)
+                return await super().take(journey, queue, data_centre)
+
+        _, sent = play([], turns=Leaving(given), directory=directory)
+        assert sent == ["c"]
+
     def test_repeat_goes_around_what_failed_it(self):
         # The keeper does not know which target lost this request.
         turns = GivenTurns("a")
@@ -377,6 +394,25 @@
         assert ended.reason == "owner-busy"
         assert 0.2 <= ended.retry_after <= 0.25
 
+    def test_owner_that_left_while_nobody_gave_a_turn(self):
+        # Guards against a request at a target that has left, or a fault where nothing
+        # is known of it any more: the VM that keeps the queue is lost, and finding that
+        # out takes time.
+        feed, directory = Feed(), Directory()
+
+        class Lost(GivenTurns):
+            async def take(self, journey, queue, data_centre=""):
+                if queue == "a":
+                    directory.apply(Record(gone="a"), now(), False)
+                    feed.move_to("b")
+                return await super().take(journey, queue, data_centre)
+
+        turns = Lost(None, None)
+        status, sent = play(
+            [], owns_keys=True, feed=feed, turns=turns, directory=directory
+        )
+        assert (status, sent) == (200, ["b"])
+
     def test_key_that_moved_while_its_request_waited(self):
         # The keys of a request go to another target while it waits for its turn at the
         # former one, which would turn it away.
