Write log lines to a file from a thread

Cause: a descriptor that is not to block means nothing for a file.

Change: what standard output leads to decides who writes. A pipe is written as before; for a file a thread writes what was kept, and the end of the process waits up to 1 s for it. What does not fit into what is kept is counted and told, as before.

--- /dev/null
+++ b/packages/entry/src/berylstage_entry/line_writers.py
@@ -0,0 +1,141 @@
+"""Write log lines without ever holding up the process."""
+
+from __future__ import annotations
+
+import os
+import stat
+import threading
+from abc import ABC, abstractmethod
+
+from berylstage_entry.clock import now
+
+# Bytes kept while they can't be written; what comes beyond is left out.
+KEPT = 256 * 1024
+# Seconds for which the end of the process waits for lines that are not written yet.
+CLOSE_TIME = 1.0
+
+
+class LineWriter(ABC):
+    """Writes lines to a file descriptor.
+
+    Attributes
+    ----------
+    writing : float
+        Seconds for which the caller was held up by writing since the start.
+    """
+
+    __slots__ = ("writing",)
+
+    def __init__(self) -> None:
+        self.writing = 0.0
+
+    @abstractmethod
+    def write(self, data: bytes) -> bool:
+        """Write or keep a line; False when there was no room for it."""
+
+    @abstractmethod
+    def close(self) -> None:
+        """Write what was kept, as far as that takes no time."""
+
+
+class PipeWriter(LineWriter):
+    """Writes what the other end takes at once, and keeps the rest.
+
+    A pipe that nobody reads is full after 64 KB, and a blocking write would then stop
+    the event loop: every request would stand still for the sake of its log.
+
+    Parameters
+    ----------
+    fd : int
+    """
+
+    __slots__ = ("_fd", "_kept")
+
+    def __init__(self, fd: int):
+        super().__init__()
+        self._fd = fd
+        self._kept = b""
+        os.set_blocking(fd, False)
+
+    def write(self, data: bytes) -> bool:  # noqa: D102
+        if len(self._kept) + len(data) > KEPT:
+            return False
+        self._kept += data
+        began = now()
+        try:
+            written = os.write(self._fd, self._kept)
+        except BlockingIOError:
+            return True
+        except OSError:
+            # Nobody will read any more; there is no place left to say so.
+            self._kept = b""
+            return True
+        finally:
+            self.writing += now() - began
+        self._kept = self._kept[written:]
+        return True
+
+    def close(self) -> None:  # noqa: D102
+        if self._kept:
+            self.write(b"")
+
+
+class FileWriter(LineWriter):
+    """Has a thread write to a file.
+
+    A file is always ready, as far as anybody can ask, and a write to it still takes
+    as long as the disk is busy with what others write.
+
+    Parameters
+    ----------
+    fd : int
+    """
+
+    __slots__ = ("_closing", "_fd", "_kept", "_thread", "_wake")
+
+    def __init__(self, fd: int):
+        super().__init__()
+        self._fd = fd
+        self._kept = b""
+        self._closing = False
+        self._wake = threading.Condition()
+        self._thread = threading.Thread(target=self._run, daemon=True)
+        self._thread.start()
+
+    def write(self, data: bytes) -> bool:  # noqa: D102
+        with self._wake:
+            if len(self._kept) + len(data) > KEPT:
+                return False
+            self._kept += data
+            self._wake.notify()
+        return True
+
+    def close(self) -> None:  # noqa: D102
+        with self._wake:
+            self._closing = True
+            self._wake.notify()
+        self._thread.join(CLOSE_TIME)
+
+    def _run(self) -> None:
+        while True:
+            with self._wake:
+                self._wake.wait_for(lambda: self._kept or self._closing)
+                data, self._kept = self._kept, b""
+            if not data:
+                return
+            self._write_all(data)
+
+    def _write_all(self, data: bytes) -> None:
+        while data:
+            try:
+                data = data[os.write(self._fd, data) :]
+            except OSError:
+                # A full disk, say; there is no place left to say so.
+                return
+
+
+def line_writer(fd: int) -> LineWriter:
+    """Return what writes lines to a file descriptor, by what it leads to."""
+    if stat.S_ISREG(os.fstat(fd).st_mode):
+        return FileWriter(fd)
+    return PipeWriter(fd)
--- a/packages/entry/src/berylstage_entry/logs.py
+++ b/packages/entry/src/berylstage_entry/logs.py
@@ -3,21 +3,17 @@
 from __future__ import annotations
 
 import json
-import os
 import sys
 from datetime import datetime, timezone
 from typing import TYPE_CHECKING
 
 from logbook import INFO, Handler, set_datetime_format
 
-from berylstage_entry.clock import now
+from berylstage_entry.line_writers import line_writer
 
 if TYPE_CHECKING:
     from logbook import LogRecord
 
-# Bytes kept while the reader of the output does not read; lines beyond are counted.
-KEPT = 256 * 1024
-
 
 class JsonLines(Handler):
     """Writes each record as a line of JSON without waiting for its reader.
@@ -30,13 +26,14 @@
     def __init__(self, vm: str):
         super().__init__(level=INFO)
         self._vm = vm
-        self._fd = sys.stdout.fileno()
-        self._kept = b""
+        self._writer = line_writer(sys.stdout.fileno())
         self._left_out = 0
-        # Seconds that writing has taken since the start.
-        self.writing = 0.0
         set_datetime_format(lambda: datetime.now(timezone.utc))
-        os.set_blocking(self._fd, False)
+
+    @property
+    def writing(self) -> float:
+        """Seconds that lines have held up the process since the start."""
+        return self._writer.writing
 
     def emit(self, record: LogRecord) -> None:
         """Write one record."""
@@ -54,25 +51,11 @@
             line["exception"] = record.formatted_exception
         if self._left_out:
             line["lines_lost"] = self._left_out
-        self._write((json.dumps(line, default=str) + "\n").encode())
-
-    def _write(self, data: bytes) -> None:
-        # A pipe that nobody reads is full after 64 KB, and a blocking write would then
-        # stop the event loop: every request would stand still for the sake of its log.
-        if len(self._kept) + len(data) > KEPT:
+        if self._writer.write((json.dumps(line, default=str) + "\n").encode()):
+            self._left_out = 0
+        else:
             self._left_out += 1
-            return
-        self._kept += data
-        began = now()
-        try:
-            written = os.write(self._fd, self._kept)
-        except BlockingIOError:
-            return
-        except OSError:
-            # Nobody will read any more; there is no place left to say so.
-            self._kept = b""
-            return
-        finally:
-            self.writing += now() - began
-        self._kept = self._kept[written:]
-        self._left_out = 0
+
+    def close(self) -> None:
+        """Write what is kept, as far as that takes no time."""
+        self._writer.close()
