Soak of VMs that stand still for a moment

What it guards against: 504 for requests whose targets had answered, at a VM that stood still. The fault pauses VMs for 1.0 to 1.4 s, less than callers wait, and counts as planned: it may lose nothing.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -121,6 +121,16 @@
         self.vm.process.send_signal(signal.SIGCONT)
 
 
+class VmHeldUp(VmFrozen):
+    """A VM stands still for less than callers wait, as where its disk or host is busy.
+
+    It costs no request that a target answered: the answers are there when it goes on.
+    """
+
+    is_planned = True
+    lasts = (1.0, 1.4)
+
+
 class StoreAway(Fault):
     """The store turns every call away."""
 
@@ -220,5 +230,7 @@
     TargetLeaving,
 )
 
+# VMs that stand still for a moment alone.
+HOLD_UPS: tuple[type[Fault], ...] = (VmHeldUp,)
 # Planned stops alone.
 STOPS: tuple[type[Fault], ...] = (VmsStopped,)
--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -1,9 +1,10 @@
 """Soak: an installation under load, with one fault after the other.
 
-Run it by ``make soak SECONDS=60 SEED=1``, or with ``STOPS=--stops`` for planned stops
-alone. It ends with what callers were told and what must never be, and with status 1
-when there is any of that. The seed draws faults and requests; processes are real, so
-two plays of one seed differ in their timing.
+Run it by ``make soak SECONDS=60 SEED=1``, with ``STOPS=--stops`` for planned stops
+alone, or with ``STOPS=--hold-ups`` for VMs that stand still for a moment alone. It ends
+with what callers were told and what must never be, and with status 1 when there is any
+of that. The seed draws faults and requests; processes are real, so two plays of one
+seed differ in their timing.
 """
 
 from __future__ import annotations
@@ -25,7 +26,7 @@
 sys.path[:0] = [str(HERE.parent), str(HERE.parents[1] / "platform")]
 
 from soak.callers import PATIENCE_S, Request  # noqa: E402
-from soak.faults import FAULTS, STOPS, Fault  # noqa: E402
+from soak.faults import FAULTS, HOLD_UPS, STOPS, Fault  # noqa: E402
 from soak.installation import Installation  # noqa: E402
 
 # Times a second at which a caller asks, of which a third are for orders that may run
@@ -77,6 +78,7 @@
 # It heals within the longest hold and the time in which lapsed records come back.
 ALL_FAULTS = Mode(FAULTS, 3, 0.5, 16.0)
 STOPS_ALONE = Mode(STOPS, 4, 0.2, 3.0)
+HOLD_UPS_ALONE = Mode(HOLD_UPS, 4, 0.2, 3.0)
 
 
 class Soak:
@@ -205,9 +207,15 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seconds", type=float, default=60.0, help="time of faults")
     parser.add_argument("--seed", type=int, default=1, help="draws faults and keys")
-    parser.add_argument("--stops", action="store_true", help="planned stops alone")
+    alone = parser.add_mutually_exclusive_group()
+    alone.add_argument("--stops", action="store_true", help="planned stops alone")
+    alone.add_argument("--hold-ups", action="store_true", help="short pauses alone")
     args = parser.parse_args()
-    mode = STOPS_ALONE if args.stops else ALL_FAULTS
+    mode = ALL_FAULTS
+    if args.stops:
+        mode = STOPS_ALONE
+    elif args.hold_ups:
+        mode = HOLD_UPS_ALONE
     folder = Path(tempfile.mkdtemp(prefix="berylstage-soak-"))
     print(f"settings and logs: {folder}")
     faults, told = asyncio.run(Soak(folder, args.seconds, args.seed, mode).run())
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -289,14 +289,31 @@
         assert ran_later == ran
 
 
+def play(*options):
+    """Play a soak, which must find nothing that must never be."""
+    done = subprocess.run(
+        [sys.executable, "soak/play.py", *options],
+        cwd=HERE,
+        capture_output=True,
+        text=True,
+        timeout=90,
+        check=False,
+    )
+    assert done.returncode == 0, done.stdout + done.stderr
+
+
 @pytest.mark.failures
 @pytest.mark.failures_ci
 class TestStops:
     def test_series_that_overlap_lose_nothing(self):
         # VMs that are told to stop end with answers in their buffers, requests unread
         # in their sockets, or calls to targets cut off.
-        command = [sys.executable, "soak/play.py", "--stops", "--seconds=8", "--seed=1"]
-        done = subprocess.run(
-            command, cwd=HERE, capture_output=True, text=True, timeout=90, check=False
-        )
-        assert done.returncode == 0, done.stdout + done.stderr
+        play("--stops", "--seconds=8", "--seed=1")
+
+
+@pytest.mark.failures
+@pytest.mark.failures_ci
+class TestHoldUps:
+    def test_vms_that_stand_still_for_a_moment_lose_nothing(self):
+        # Guards against 504 for requests whose answers had come to such a VM.
+        play("--hold-ups", "--seconds=8", "--seed=5")
