Let a late telling say nothing of the store

What it would cost: targets dropped in an outage of the store for all, because a telling from before it came late and said that the store answers.

Cause: the word on the store was taken from every telling, before the look whether it is a late one. Change: the look comes first.

--- a/packages/entry/src/berylstage_entry/feed.py
+++ b/packages/entry/src/berylstage_entry/feed.py
@@ -192,14 +192,14 @@
         -------
         bool
         """
+        if news.revision < self._revision:
+            # Told late: it says nothing of how things are now.
+            return False
         self._contact.told(now(), news.contact)
         if not self.complete:
             if self._contact.was_lost():
                 self.hurry()
             return False
-        if news.revision < self._revision:
-            # Told late: it says nothing of how things are now.
-            return False
         if news.after > self._revision:
             self.hurry()
             return False
--- a/packages/entry/tests/test_feed.py
+++ b/packages/entry/tests/test_feed.py
@@ -361,6 +361,17 @@
         fleet.run(1.0)
         assert len(self.users_of(fleet, "a")) == 9
 
+    def test_late_word_tells_nothing_of_the_store(self, make_fleet):
+        # Guards against dropping targets in an outage, because a telling from before it
+        # was held up on its way.
+        fleet = make_fleet(9)
+        late = News(0, 1, [], contact=60.0)
+        fleet.store.away = True
+        fleet.run(4.0)
+        feed = fleet.feeds[7]
+        feed.take_news(late)
+        assert feed.in_outage()
+
     @pytest.mark.parametrize("vms", [9, 63, 195])
     def test_what_was_missed_is_known_soon_after_the_cut(self, make_fleet, cut, vms):
         # Guards against VMs that go on with what they last knew for seconds after they
