Read each value that was named by itself

Cause, shown by the test: values that news name were read one after the other. A configuration that was named behind an assignment whose reading met a silent connection waited for the 2.5 s of that call and for the pause behind it: more than 5 s at 63 VMs, where it must be in force within 2.5 s.

Change: each key is read by a task of its own, in a module of its own (`named_values.py`); `feed.py` loses what it had of it. Calls do not become more: at most one for each key at a time, and four at once by the store's client.

Test: known within 1 s, failed before.

--- a/packages/entry/src/berylstage_entry/feed.py
+++ b/packages/entry/src/berylstage_entry/feed.py
@@ -15,6 +15,7 @@
 from berylstage_entry.duty_watch import DutyWatch
 from berylstage_entry.errors import HistoryLost, StoreError, UnreadableRecord
 from berylstage_entry.keys import DUTY_KEY, KEYS_PREFIX, OWN_PREFIX
+from berylstage_entry.named_values import NamedValues
 from berylstage_entry.news import LARGEST_VALUE, News
 from berylstage_entry.store import Item
 
@@ -44,8 +45,6 @@
 # not told of an assignment, as one that has just started, refused these requests for up
 # to 0.9 s; four readings a second are a tenth of what the store lets 40 VMs do.
 HURRIED_PACE = 0.25
-# Seconds before a large value is read that another VM has named: it may be told.
-FETCH_DELAY = 0.05
 # Seconds for which changes are told again with what is told next: four tellings.
 TOLD_AGAIN = 2.0
 # Age in seconds of what a VM knows from which it reads all records rather than their
@@ -92,11 +91,7 @@
         # When this VM read the store last, and when what it knows was last up to date.
         self._read_at = float("-inf")
         self._fresh_at = float("-inf")
-        # Newest revision taken in of each key with a large value, and those that were
-        # named to this VM and that it has yet to get.
-        self._large: dict[str, int] = {}
-        self._wanted: dict[str, int] = {}
-        self._fetching: asyncio.Task | None = None
+        self._named = NamedValues(self._read_named)
         # All keys that the store has, as far as this VM knows.
         self._keys: set[str] = set()
         # What this VM told last, the newest first, with the moments.
@@ -132,8 +127,7 @@
         self._changes.flush(self._version(), now(), every=True)
         for task in self._tasks:
             task.cancel()
-        if self._fetching is not None:
-            self._fetching.cancel()
+        self._named.stop()
 
     def steady(self) -> float:
         """Return the seconds of unbroken contact with the store up to now."""
@@ -206,11 +200,7 @@
         for item in news.items:
             if item.revision > self._revision:
                 self._take(item)
-        for key, revision in news.named.items():
-            if self._large.get(key, 0) < revision:
-                self._wanted[key] = revision
-        if self._wanted and (self._fetching is None or self._fetching.done()):
-            self._fetching = asyncio.create_task(self._fetch())
+        self._named.named(news.named)
         self._revision = news.revision
         self._fresh_at = max(self._fresh_at, now() - news.age)
         # Told again with the first that this VM tells, should it be the next to tell:
@@ -219,24 +209,18 @@
         self._told.append((now(), news))
         return True
 
-    async def _fetch(self) -> None:
-        """Read the large values that were named and not told."""
-        while self._wanted:
-            # It may be on its way from another VM.
-            await asyncio.sleep(FETCH_DELAY)
-            for key, revision in list(self._wanted.items()):
-                if self._large.get(key, 0) < revision:
-                    try:
-                        changes = await self._store.read(key)
-                    except StoreError as exc:
-                        self.note_failure(exc)
-                        await asyncio.sleep(self.retry_pause())
-                        continue
-                    for item in changes.items:
-                        self._take(item)
-                    self.note_answer()
-                if self._wanted.get(key) == revision:
-                    del self._wanted[key]
+    async def _read_named(self, key: str) -> bool:
+        """Read a value that was named; False when the store has failed."""
+        try:
+            changes = await self._store.read(key)
+        except StoreError as exc:
+            self.note_failure(exc)
+            await asyncio.sleep(self.retry_pause())
+            return False
+        for item in changes.items:
+            self._take(item)
+        self.note_answer()
+        return True
 
     def _pace(self) -> float:
         if self._directory.has_lapsed():
@@ -416,7 +400,7 @@
         else:
             self._keys.add(item.key)
         if item.value is not None and len(item.value) > LARGEST_VALUE:
-            self._large[item.key] = max(self._large.get(item.key, 0), item.revision)
+            self._named.took(item.key, item.revision)
         if item.key.startswith(OWN_PREFIX):
             self.take_own(item)
             return None
@@ -479,7 +463,7 @@
             return
         self._keys.add(key)
         # News names it by its revision. It need not be read, whatever its size.
-        self._large[key] = revision
+        self._named.took(key, revision)
         # Its value is not kept: it is there in the form in which it is used.
         self.own[key] = Item(key, b"", revision)
         self.assignments[service] = assignment
--- a/packages/entry/tests/test_feed.py
+++ b/packages/entry/tests/test_feed.py
@@ -6,11 +6,12 @@
 import json
 
 import pytest
+from berylstage_entry.assignment import nobody
 from berylstage_entry.clock import now
 from berylstage_entry.directory import Directory
 from berylstage_entry.errors import StoreSilent
 from berylstage_entry.feed import RATE_AWAY, RETRY, Feed
-from berylstage_entry.keys import DUTY_KEY
+from berylstage_entry.keys import DUTY_KEY, KEYS_PREFIX
 from berylstage_entry.news import LARGEST_VALUE, News
 from fakes import JsonRecords, MemoryStore, StoreView, configuration
 from virtual_time import virtual_loop
@@ -431,3 +432,27 @@
 
         fleet.until(is_known, 10.0)
         assert now() - failures[0] <= 2 * RETRY
+
+    def test_configuration_does_not_wait_for_another_value(self, make_fleet):
+        # Guards against a configuration that is in force late, since the value that was
+        # named before it takes as long as a call may, on a connection that went silent.
+        fleet = make_fleet(63)
+        feed, view = fleet.feeds[7], fleet.views[7]
+        read = view.read
+
+        async def slow_for_assignments(prefix):
+            if prefix.startswith(KEYS_PREFIX):
+                await asyncio.sleep(2.5)
+                raise StoreSilent("timed out")
+            return await read(prefix)
+
+        view.read = slow_for_assignments
+        large = b" " * LARGEST_VALUE
+        fleet.store.put(KEYS_PREFIX + "s", nobody().encode() + large)
+        fleet.run(0.6)
+        fleet.store.put("cfg", b"2" + large)
+
+        def is_known():
+            return feed._directory.configuration.version == 2
+
+        assert fleet.until(is_known, 5.0) <= 1.0
--- a/packages/entry/tests/test_news.py
+++ b/packages/entry/tests/test_news.py
@@ -326,7 +326,7 @@
             revision = store.revision
             for n in range(200):
                 put_target(store, f"b{n:03}x{n**20}")
-            await until(lambda: told.feed._large.get("t/large") == revision)
+            await until(lambda: told.feed._named.known("t/large") == revision)
 
         play(steps, lambda: next(lost))
 
