Block the signals of a stop in the thread that writes the log

What callers would have seen: nothing; the platform would see a VM that stopped well end as if it had crashed (-15), where a signal comes after the loop has closed and the log is a file.

Cause: the main thread blocks these signals at its end, and the kernel then gives them to a thread that does not. Change: the writing thread blocks them from its start. Test: the mask of the thread, failed before.

--- a/packages/entry/src/berylstage_entry/application.py
+++ b/packages/entry/src/berylstage_entry/application.py
@@ -34,7 +34,13 @@
 from berylstage_entry.router import Router
 from berylstage_entry.senders import Senders
 from berylstage_entry.server import CallerServer, split_address
-from berylstage_entry.stopping import BALANCER_LAG, Phase, PhaseTimes, StopPlan
+from berylstage_entry.stopping import (
+    BALANCER_LAG,
+    STOP_SIGNALS,
+    Phase,
+    PhaseTimes,
+    StopPlan,
+)
 from berylstage_entry.turn_messages import (
     ASK_FORMAT,
     REPLY_FORMAT,
@@ -57,8 +63,6 @@
 RECORD_LAG = 0.5
 # Seconds between two looks at what a stop waits for.
 STOP_LOOK = 0.02
-# What may come again until the process is gone.
-STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 # Status of a page that tells no.
 UNAVAILABLE = 503
 
--- a/packages/entry/src/berylstage_entry/line_writers.py
+++ b/packages/entry/src/berylstage_entry/line_writers.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import os
+import signal
 import stat
 import threading
 from abc import ABC, abstractmethod
 
 from berylstage_entry.clock import now
+from berylstage_entry.stopping import STOP_SIGNALS
 
 # Bytes kept while they can't be written; what comes beyond is left out.
 KEPT = 256 * 1024
@@ -117,6 +119,9 @@
         self._thread.join(CLOSE_TIME)
 
     def _run(self) -> None:
+        # A signal that came to this thread, when the event loop has closed and the main
+        # thread blocks it, would end the process with a status that looks like a crash.
+        signal.pthread_sigmask(signal.SIG_BLOCK, STOP_SIGNALS)
         while True:
             with self._wake:
                 self._wake.wait_for(lambda: self._kept or self._closing)
--- a/packages/entry/src/berylstage_entry/stopping.py
+++ b/packages/entry/src/berylstage_entry/stopping.py
@@ -6,8 +6,11 @@
 
 from __future__ import annotations
 
+import signal
 from enum import Enum
 
+# Signals that may come until the process is gone.
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 # Seconds after SIGTERM in which callers still come: the balancer asks once a second and
 # leaves a VM out after two misses.
 BALANCER_LAG = 2.6
--- a/packages/entry/tests/test_logs.py
+++ b/packages/entry/tests/test_logs.py
@@ -6,11 +6,13 @@
 import os
 import sys
 import time
+from pathlib import Path
 
 import pytest
 from berylstage_entry import line_writers
 from berylstage_entry.line_writers import FileWriter, PipeWriter, line_writer
 from berylstage_entry.logs import JsonLines
+from berylstage_entry.stopping import STOP_SIGNALS
 from logbook import Logger
 
 BUSY_DISK = 0.3
@@ -61,6 +63,21 @@
             writer.close()
         assert path.stat().st_size == 40 * sum(taken)
 
+    def test_signals_come_to_the_main_thread_alone(self, path):
+        # Guards against a VM that stops and ends with the status of a crash: a signal
+        # that the main thread blocks would come to the thread that writes.
+        with path.open("wb") as file:
+            writer = line_writer(file.fileno())
+            writer.write(b"x")
+            time.sleep(0.05)
+            task = Path(f"/proc/self/task/{writer._thread.native_id}/status")
+            fields = dict(
+                line.split(":", 1) for line in task.read_text().splitlines() if line
+            )
+            writer.close()
+        blocked = int(fields["SigBlk"], 16)
+        assert all(blocked >> (number - 1) & 1 for number in STOP_SIGNALS)
+
     def test_full_disk_ends_nothing(self, path, monkeypatch):
         def fail(fd, data):
             raise OSError("no space left")
