Bound the pause of a VM that hears of gaps for a long time

What callers would have seen: a VM that never again knows a configuration or a target, 17 minutes after it lost the store alone.

Cause: the pause between hurried readings was doubled without a bound, and at the 1,024th a number no longer held it; the error ended the task that follows the store. Change: what doubles is the bounded pause itself. A call that is sent afresh also gets its time for reading on anew. Test: twenty minutes of gaps, failed before.

--- a/packages/entry/src/berylstage_entry/contact.py
+++ b/packages/entry/src/berylstage_entry/contact.py
@@ -4,8 +4,8 @@
 
 # Seconds after a failed call in which a record that is gone counts as lapsed.
 OUTAGE_MEMORY = 3.0
-# Seconds for which the word of another VM counts: it tells twice in that time.
-WORD_HOLDS = 1.2
+# Seconds for which it counts what another VM has told: it tells twice in that time.
+TOLD_COUNTS = 1.2
 
 
 class StoreContact:
@@ -84,7 +84,7 @@
 
     def others_have_it(self, now: float) -> bool:
         """Tell whether another VM is in touch, for longer than lapsed records need."""
-        return now - self._told_at <= WORD_HOLDS and self._told_for >= OUTAGE_MEMORY
+        return now - self._told_at <= TOLD_COUNTS and self._told_for >= OUTAGE_MEMORY
 
     def in_outage(self, now: float) -> bool:
         """Tell whether the store is away, or has just been."""
--- a/packages/entry/src/berylstage_entry/feed.py
+++ b/packages/entry/src/berylstage_entry/feed.py
@@ -86,8 +86,8 @@
         self._unreadable: dict[str, bytes] = {}
         self._changes = BeliefLog()
         self._hurried = asyncio.Event()
-        # Readings that failed one after the other although they were hurried.
-        self._vain = 0
+        # Seconds between a failed reading and the next one at least, if it is hurried.
+        self._least_pause = RETRY
         # When this VM read the store last, and when what it knows was last up to date.
         self._read_at = float("-inf")
         self._fresh_at = float("-inf")
@@ -255,7 +255,7 @@
                 else:
                     await self._watch_all()
                 self._read_at = self._fresh_at = now()
-                self._vain = 0
+                self._least_pause = RETRY
                 self.note_answer()
                 await self._pause()
             except HistoryLost:
@@ -265,14 +265,14 @@
                 await self._rest()
 
     async def _rest(self) -> None:
-        """Wait after a failed reading, not longer than until there is word from others.
+        """Wait after a failed reading, until news show that something was missed.
 
-        Who tells of what this VM has missed can be reached again, and so may the store.
-        A VM that is cut off from the store alone hears such words all the time, and
-        tries it with growing pauses.
+        Who tells of it can be reached again, and so may the store. A VM that is cut off
+        from the store alone hears such news all the time, and tries it with growing
+        pauses.
         """
         most = self.retry_pause()
-        least = min(most, HURRIED_RETRY, RETRY * 2**self._vain)
+        least = min(most, self._least_pause)
         await asyncio.sleep(least)
         try:
             async with asyncio.timeout(most - least):
@@ -280,7 +280,7 @@
         except TimeoutError:
             return
         self._hurried.clear()
-        self._vain += 1
+        self._least_pause = min(2 * self._least_pause, HURRIED_RETRY)
 
     def _is_far_behind(self) -> bool:
         """Tell whether all records are fewer than their changes since.
--- a/packages/entry/tests/test_contact.py
+++ b/packages/entry/tests/test_contact.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from berylstage_entry.contact import OUTAGE_MEMORY, WORD_HOLDS, StoreContact
+from berylstage_entry.contact import OUTAGE_MEMORY, TOLD_COUNTS, StoreContact
 
 
 class TestStoreContact:
@@ -18,22 +18,22 @@
     def test_outage_is_over_some_time_after_the_last_failure(self):
         assert not self.failed(100.0).in_outage(100.1 + OUTAGE_MEMORY)
 
-    def test_word_of_a_vm_in_touch_shows_that_only_this_one_is_cut_off(self):
+    def test_news_of_a_vm_in_touch_shows_that_only_this_one_is_cut_off(self):
         contact = self.failed(100.0)
         contact.told(100.0, 2 * OUTAGE_MEMORY)
         assert not contact.in_outage(100.1)
 
-    def test_word_of_a_vm_that_has_just_regained_the_store_shows_nothing(self):
+    def test_news_of_a_vm_that_has_just_regained_the_store_shows_nothing(self):
         # Records that lapsed in the outage may yet come back.
         contact = self.failed(100.0)
         contact.told(100.0, OUTAGE_MEMORY / 2)
         assert contact.in_outage(100.1)
 
-    def test_word_is_of_its_moment(self):
+    def test_news_are_of_their_moment(self):
         # The store may have gone away from the one who told as well.
         contact = self.failed(100.0)
         contact.told(100.0, 2 * OUTAGE_MEMORY)
-        assert contact.in_outage(100.1 + WORD_HOLDS)
+        assert contact.in_outage(100.1 + TOLD_COUNTS)
 
     def test_first_answer_after_failures_is_a_return(self):
         contact = StoreContact(0.0)
--- a/packages/entry/tests/test_feed.py
+++ b/packages/entry/tests/test_feed.py
@@ -362,7 +362,7 @@
         fleet.run(1.0)
         assert len(self.users_of(fleet, "a")) == 9
 
-    def test_late_word_tells_nothing_of_the_store(self, make_fleet):
+    def test_late_news_tell_nothing_of_the_store(self, make_fleet):
         # Guards against dropping targets in an outage, because a telling from before it
         # was held up on its way.
         fleet = make_fleet(9)
@@ -373,6 +373,23 @@
         feed.take_news(late)
         assert feed.in_outage()
 
+    def test_gaps_for_hours_do_not_end_the_reading(self, make_fleet):
+        # Guards against a VM that never reads again: the pause that doubled with each
+        # failed reading was more than a number holds.
+        fleet = make_fleet(9)
+        fleet.views[7].away = True
+        feed = fleet.feeds[7]
+
+        async def miss_something(times):
+            for n in range(times):
+                feed.take_news(News(10_000 + n, 20_000 + n, []))
+                await asyncio.sleep(1.0)
+
+        fleet.loop.run_until_complete(miss_something(1200))
+        fleet.heal()
+        fleet.run(3.0)
+        assert feed.is_in_touch()
+
     @pytest.mark.parametrize("vms", [9, 63, 195])
     def test_what_was_missed_is_known_soon_after_the_cut(self, make_fleet, cut, vms):
         # Guards against VMs that go on with what they last knew for seconds after they
--- a/packages/transfers/src/berylstage_transfers/client.py
+++ b/packages/transfers/src/berylstage_transfers/client.py
@@ -253,6 +253,7 @@
         """
         moment = time.monotonic()
         call.connect_by = min(call.deadline, moment + CONNECT_TIMEOUT)
+        call.read_until = 0.0
         self._look_at(call.connect_by - moment, call, curl)
 
     def _look_at(self, seconds: float, call: Call, curl: pycurl.Curl) -> None:
