Go on taking news in while all records have to be read anew

Change: what a VM knows stays complete up to its revision when the history is gone; news that follow on it are taken, and make the reading needless. A reading that was overtaken by news is dropped, so that its older records undo nothing.

Same cause elsewhere: a VM counted as not ready and as out of touch meanwhile, so it left the balancer and could not take a vacant duty; both went by the same flag.

--- a/packages/entry/src/berylstage_entry/feed.py
+++ b/packages/entry/src/berylstage_entry/feed.py
@@ -86,6 +86,8 @@
         self._unreadable: dict[str, bytes] = {}
         self._changes = BeliefLog()
         self._hurried = asyncio.Event()
+        # Whether the store no longer has the changes since what this VM knows.
+        self._must_read_all = True
         # Seconds between a failed reading and the next one at least, if it is hurried.
         self._least_pause = RETRY
         # When this VM read the store last, and when what it knows was last up to date.
@@ -202,6 +204,7 @@
                 self._take(item)
         self._named.named(news.named)
         self._revision = news.revision
+        self._must_read_all = False
         self._fresh_at = max(self._fresh_at, now() - news.age)
         # Told again with the first that this VM tells, should it be the next to tell:
         # other VMs may have missed the last that the former one told.
@@ -250,7 +253,7 @@
     async def _follow_all(self) -> None:
         while True:
             try:
-                if not self.complete or self._is_far_behind():
+                if self._must_read_all or self._is_far_behind():
                     await self._read_all()
                 else:
                     await self._watch_all()
@@ -259,7 +262,7 @@
                 self.note_answer()
                 await self._pause()
             except HistoryLost:
-                self.complete = False
+                self._must_read_all = True
             except StoreError as exc:
                 self.note_failure(exc)
                 await self._rest()
@@ -303,6 +306,9 @@
         news, began = News(self._revision, 0, []), now()
         changes = await self._store.read("")
         was_told = self._revision != news.after
+        if was_told and self._revision >= changes.revision:
+            # Older records must not undo what was told meanwhile.
+            return
         names, closed, own = set(), set(), set()
         keys = {item.key for item in changes.items}
         for key in self._keys - keys:
@@ -324,6 +330,7 @@
             self._tell(key)
         news.revision = self._revision = changes.revision
         self.complete = True
+        self._must_read_all = False
         if not was_told:
             self._tell_others(news, began)
         log.info(
--- a/packages/entry/tests/test_feed.py
+++ b/packages/entry/tests/test_feed.py
@@ -473,3 +473,62 @@
             return feed._directory.configuration.version == 2
 
         assert fleet.until(is_known, 5.0) <= 1.0
+
+
+class TestLostHistory:
+    """The store forgets what it had kept of its changes."""
+
+    def forget(self, fleet):
+        """Have it forget what one VM has not been told yet, and that VM read it."""
+        fleet.cut.add(7)
+        fleet.run(0.5)
+        fleet.store.compacted = fleet.store.revision
+        fleet.feeds[7].hurry()
+        fleet.run(0.3)
+        fleet.heal()
+
+    def test_vm_that_is_told_needs_no_reading(self, make_fleet):
+        # Guards against a configuration that is in force 5 s late: a VM that found the
+        # history gone took nothing from others until it had read all records, which
+        # takes seconds on a link that is full.
+        fleet = make_fleet(63)
+        feed, view = fleet.feeds[7], fleet.views[7]
+        read = view.read
+
+        async def slow_for_all(prefix):
+            if not prefix:
+                await asyncio.sleep(2.5)
+                raise StoreSilent("timed out")
+            return await read(prefix)
+
+        view.read = slow_for_all
+        self.forget(fleet)
+        fleet.store.put("cfg", b"2" + b" " * LARGEST_VALUE)
+
+        def is_known():
+            return feed._directory.configuration.version == 2
+
+        assert feed.complete
+        assert fleet.until(is_known, 5.0) <= 1.0
+
+    def test_reading_does_not_undo_what_was_told_meanwhile(self, make_fleet):
+        # Guards against a target that is used again after it said that it leaves, since
+        # a slow reading of all records was older than what was told.
+        fleet = make_fleet(9)
+        feed, view = fleet.feeds[7], fleet.views[7]
+        read = view.read
+
+        async def slowly(prefix):
+            changes = await read(prefix)
+            if not prefix:
+                await asyncio.sleep(1.0)
+            return changes
+
+        view.read = slowly
+        self.forget(fleet)
+        fleet.put("a", leaving=True)
+        fleet.run(0.6)
+        assert not feed._directory.may_use("a")
+        for _ in range(20):
+            fleet.run(0.1)
+            assert not feed._directory.may_use("a")
