--- a/packages/transfers/src/berylstage_transfers/client.py
+++ b/packages/transfers/src/berylstage_transfers/client.py
@@ -85,6 +85,8 @@
         a call that was given up cannot arrive later.
     rest : Rest, optional
         Shared by the clients of servers of one kind.
+    connect_time : float
+        Seconds to wait for a new connection.
     """
 
     def __new__(
@@ -95,6 +97,7 @@
         max_idle: int = MAX_IDLE,
         abrupt: bool = False,
         rest: Rest | None = None,
+        connect_time: float = CONNECT_TIMEOUT,
     ) -> CallClient:
         """Return an instance of its own, never tornado's shared one."""
         client = super().__new__(
@@ -106,6 +109,7 @@
             max_idle=max_idle,
             abrupt=abrupt,
             rest=rest,
+            connect_time=connect_time,
         )
         assert isinstance(client, CallClient)
         return client
@@ -118,6 +122,7 @@
         max_idle: int = MAX_IDLE,
         abrupt: bool = False,
         rest: Rest | None = None,
+        connect_time: float = CONNECT_TIMEOUT,
     ):
         super().__init__()
 
@@ -129,6 +134,7 @@
         max_idle: int = MAX_IDLE,
         abrupt: bool = False,
         rest: Rest | None = None,
+        connect_time: float = CONNECT_TIMEOUT,
     ) -> None:
         """Set up without any handle; they are made when calls need them."""
         self._due = 0.0
@@ -136,6 +142,7 @@
         self._max_clients = max_clients
         self._max_idle = max_idle
         self._abrupt = abrupt
+        self._connect_time = connect_time
         self._trust = trust or Trust()
         self._handles: dict[pycurl.Curl, _Handle] = {}
         self._sockets: dict[int, int] = {}
@@ -252,7 +259,7 @@
         sockets were read.
         """
         moment = time.monotonic()
-        call.connect_by = min(call.deadline, moment + CONNECT_TIMEOUT)
+        call.connect_by = min(call.deadline, moment + self._connect_time)
         call.read_until = 0.0
         self._look_at(call.connect_by - moment, call, curl)
 
--- a/packages/transfers/tests/test_client.py
+++ b/packages/transfers/tests/test_client.py
@@ -234,6 +234,25 @@
 
         run(scenario)
 
+    @pytest.mark.parametrize("seconds", [0.1, 0.5])
+    def test_connection_is_waited_for_as_long_as_was_asked(self, seconds):
+        # Guards against a server that cannot be reached over a link on which packets
+        # wait for longer than a connection usually takes.
+        async def scenario():
+            with socket.create_server(("127.0.0.1", 0), backlog=0) as listener:
+                address = listener.getsockname()
+                with socket.create_connection(address):
+                    # Nobody accepts; what comes now is dropped.
+                    url = "http://{}:{}/work".format(*address)
+                    client = CallClient(1, connect_time=seconds)
+                    began = time.monotonic()
+                    with pytest.raises(NeverSent, match="timed out"):
+                        await client.call(Call("GET", url, {}, None, 5.0))
+                    assert seconds <= time.monotonic() - began < seconds + 0.3
+                    client.close()
+
+        run(scenario)
+
     def test_no_answer_in_time_is_lost(self, open_server):
         # The server froze. The call ends at its time, and nobody knows its effect.
         async def scenario():
