Workspaces: find a request's workspace by its API key, answer unknown keys with 401

Cause: no part of the program knew workspaces.

Ruled out: matching in the request path over all keys (cost grows with their number); a workspace found by the targets (they trust the header).

Change: the adapter decodes `tenants`, `public` and the two headers; both headers, also in other spellings and with underscores, never reach a target as the caller sent them. A key sent twice belongs to nobody. The priority of the workspace replaces that of the route in permits. Log lines name the workspace.

--- a/packages/entry/src/berylstage_entry/errors.py
+++ b/packages/entry/src/berylstage_entry/errors.py
@@ -77,6 +77,25 @@
         self.status = status
 
 
+class UnknownApiKey(BadRequest):
+    """No workspace has the API key of a request, or the request has none.
+
+    Parameters
+    ----------
+    detail : str
+        Version of the configuration that decided, and its age, for the log.
+    """
+
+    STATUS = 401
+
+    def __init__(self, detail: str = ""):
+        super().__init__(
+            self.STATUS,
+            "no workspace has this API key; send a key that your operator has issued",
+        )
+        self.detail = detail
+
+
 class Refused(EntryError):
     """A request has not run and never will; the caller may retry it.
 
--- a/packages/entry/src/berylstage_entry/permit_client.py
+++ b/packages/entry/src/berylstage_entry/permit_client.py
@@ -277,7 +277,7 @@
             ctx.soft_deadline - moment,
             route.objective,
             ctx.seconds_left(moment),
-            route.priority,
+            ctx.priority,
         )
 
     @property
--- a/packages/entry/src/berylstage_entry/protocols.py
+++ b/packages/entry/src/berylstage_entry/protocols.py
@@ -31,14 +31,19 @@
         Seconds until the caller stops waiting, counted from the arrival of the request.
     key : int or None
         Key, in a service whose targets own keys.
+    api_key : str
+        API key of the caller; empty if it sent none.
 
     Attributes
     ----------
+    workspace : str
+        Name of the workspace that has the API key; empty until it has been found.
     waited : float
         Seconds that it has waited for earlier requests of its connection.
     """
 
     __slots__ = (
+        "api_key",
         "body",
         "headers",
         "host",
@@ -48,6 +53,7 @@
         "request_id",
         "time_left",
         "waited",
+        "workspace",
     )
 
     def __init__(
@@ -59,6 +65,7 @@
         headers: dict[str, str],
         time_left: float,
         key: int | None,
+        api_key: str = "",
     ):
         self.request_id = request_id
         self.method = method
@@ -69,6 +76,8 @@
         self.time_left = time_left
         self.waited = 0.0
         self.key = key
+        self.api_key = api_key
+        self.workspace = ""
 
 
 class TargetAnswer:
--- a/packages/entry/src/berylstage_entry/request_context.py
+++ b/packages/entry/src/berylstage_entry/request_context.py
@@ -48,6 +48,8 @@
         Monotonic seconds by which a target must answer.
     soft_deadline : float
         Monotonic seconds by which an answer meets the route's latency objective.
+    priority : int
+        0 is the most urgent.
     """
 
     __slots__ = (
@@ -62,6 +64,7 @@
         "rejections",
         "tried_targets",
         "permit",
+        "priority",
         "rejected_by",
         "waited",
         "soft_deadline",
@@ -74,12 +77,14 @@
         service: Service,
         deadline: float,
         soft_deadline: float,
+        priority: int = 0,
     ):
         self.req = req
         self.route = route
         self.service = service
         self.deadline = deadline
         self.soft_deadline = soft_deadline
+        self.priority = priority
         # Permit to send to the target, to be released; None while there is none.
         self.permit: Permit | None = None
         self.waited = 0.0
--- a/packages/entry/src/berylstage_entry/request_log.py
+++ b/packages/entry/src/berylstage_entry/request_log.py
@@ -94,6 +94,7 @@
             extra={
                 "id": req.request_id,
                 "status": answer.status,
+                "workspace": req.workspace,
                 "target": result.target,
                 "attempts": result.attempts,
                 "seconds": round(seconds, 4),
@@ -134,6 +135,7 @@
                 "status": status,
                 "reason": reason,
                 "detail": detail,
+                "workspace": req.workspace,
                 "path": req.path,
                 "seconds": round(seconds, 4),
                 "time_left": round(req.time_left - seconds, 4),
--- a/packages/entry/src/berylstage_entry/responses.py
+++ b/packages/entry/src/berylstage_entry/responses.py
@@ -39,6 +39,23 @@
         self.body = body
 
 
+def build_text_response(
+    status: int, text: str, headers: list[tuple[str, str]] | None = None
+) -> Response:
+    """Return a response that tells a person what to do.
+
+    Parameters
+    ----------
+    status : int
+    text : str
+        One line, without data of the request.
+    headers : list of tuple, optional
+        Further headers.
+    """
+    kind = ("Content-Type", "text/plain; charset=utf-8")
+    return Response(status, [kind, *(headers or [])], f"{text}\n".encode())
+
+
 def encode_response(response: Response, closes_connection: bool) -> bytes:
     """Encode a response as HTTP/1.1.
 
--- a/packages/entry/src/berylstage_entry/router.py
+++ b/packages/entry/src/berylstage_entry/router.py
@@ -19,6 +19,7 @@
     PermitRefused,
     Refused,
     Unanswered,
+    UnknownApiKey,
 )
 from berylstage_entry.owners import OwnerResolver
 from berylstage_entry.request_context import RequestContext, RoutedAnswer
@@ -34,10 +35,12 @@
     from berylstage_entry.permit_client import PermitClient
     from berylstage_entry.protocols import CallerRequest, TargetAnswer
     from berylstage_entry.routes import Route
+    from berylstage_entry.services import Configuration
     from berylstage_entry.settings import Bounds
     from berylstage_entry.store_watcher import StoreWatcher
     from berylstage_entry.target_clients import TargetClients
     from berylstage_entry.targets import LoadReport
+    from berylstage_entry.workspaces import Workspace
 
 # Seconds of a request's time limit reserved for returning the answer to the caller.
 ANSWER_DELIVERY_SECONDS = 0.02
@@ -130,13 +133,19 @@
             raise BadRequest(
                 NOT_FOUND, "no route; add one for this host and path to the sheet"
             )
+        workspace = _authenticate(req, route, cfg)
         service = cfg.services.get(self._choose_service(route))
         if service is None:
             raise Refused("no-service", MAX_RETRY_AFTER_SECONDS)
         wait = min(req.time_left - ANSWER_DELIVERY_SECONDS, route.timeout)
         moment = now() - req.waited
         soft_deadline = moment + route.objective - ANSWER_DELIVERY_SECONDS
-        ctx = RequestContext(req, route, service, moment + wait, soft_deadline)
+        priority = route.priority
+        if workspace is not None and workspace.priority is not None:
+            priority = workspace.priority
+        ctx = RequestContext(
+            req, route, service, moment + wait, soft_deadline, priority
+        )
         self._retry_budget(service.name).deposit()
         self.loads.record_request(service.name)
         if service.owns_keys and req.key is not None:
@@ -425,3 +434,24 @@
                 share, max(1.0, reserve)
             )
         return budget
+
+
+def _authenticate(
+    req: CallerRequest, route: Route, cfg: Configuration
+) -> Workspace | None:
+    """Set the workspace of a request, and return it; None if it needs none.
+
+    Raises
+    ------
+    UnknownApiKey
+    """
+    req.workspace = ""
+    if cfg.workspaces is None:
+        return None
+    workspace = cfg.workspaces.find(req.api_key)
+    if workspace is None and not route.is_public:
+        sent = "unknown" if req.api_key else "missing"
+        raise UnknownApiKey(f"key {sent} configuration {cfg.version}")
+    if workspace is not None:
+        req.workspace = workspace.name
+    return workspace
--- a/packages/entry/src/berylstage_entry/routes.py
+++ b/packages/entry/src/berylstage_entry/routes.py
@@ -47,12 +47,15 @@
         Seconds within which an answer has its full value.
     priority : int
         0 is the most urgent.
+    is_public : bool
+        Whether requests need no API key.
     """
 
     __slots__ = (
         "attempts",
         "host",
         "idempotent",
+        "is_public",
         "name",
         "objective",
         "prefix",
@@ -72,6 +75,7 @@
         timeout: float,
         objective: float,
         priority: int,
+        is_public: bool = False,
     ):
         self.name = name
         self.host = host
@@ -82,6 +86,7 @@
         self.timeout = timeout
         self.objective = objective
         self.priority = priority
+        self.is_public = is_public
 
 
 class RoutingTable:
--- a/packages/entry/src/berylstage_entry/server.py
+++ b/packages/entry/src/berylstage_entry/server.py
@@ -10,7 +10,7 @@
 
 from berylstage_entry.clock import now
 from berylstage_entry.connection import MAX_BODY_BYTES, CallerConnection
-from berylstage_entry.errors import BadRequest, Refused, Unanswered
+from berylstage_entry.errors import BadRequest, Refused, Unanswered, UnknownApiKey
 from berylstage_entry.responses import (
     BAD_GATEWAY,
     BAD_REQUEST,
@@ -18,6 +18,7 @@
     HEADERS_TOO_LARGE,
     UNAVAILABLE,
     Response,
+    build_text_response,
 )
 from berylstage_entry.router import IMMEDIATE_RETRY_SECONDS, MIN_ATTEMPT_SECONDS
 from berylstage_entry.shutdown import PendingWork
@@ -264,6 +265,11 @@
         try:
             self._cap_time_left(req)
             result = await self._router.serve(req)
+        except UnknownApiKey as exc:
+            self._request_log.log_unanswered(
+                req, exc.status, "unknown-key", now() - began, exc.detail
+            )
+            return build_text_response(exc.status, str(exc))
         except BadRequest as exc:
             self._request_log.log_unanswered(req, exc.status, str(exc), now() - began)
             return Response(exc.status)
--- a/packages/entry/src/berylstage_entry/services.py
+++ b/packages/entry/src/berylstage_entry/services.py
@@ -10,6 +10,7 @@
     from collections.abc import Iterable, Sequence
 
     from berylstage_entry.routes import Route
+    from berylstage_entry.workspaces import WorkspaceDirectory
 
 
 class Service:
@@ -93,9 +94,11 @@
     routes : sequence of Route
     services : iterable of Service
     limits : Limits
+    workspaces : WorkspaceDirectory, optional
+        None if requests need no API key.
     """
 
-    __slots__ = ("limits", "routes", "services", "table", "version")
+    __slots__ = ("limits", "routes", "services", "table", "version", "workspaces")
 
     def __init__(
         self,
@@ -103,9 +106,11 @@
         routes: Sequence[Route],
         services: Iterable[Service],
         limits: Limits,
+        workspaces: WorkspaceDirectory | None = None,
     ):
         self.version = version
         self.routes = tuple(routes)
         self.services = {service.name: service for service in services}
         self.limits = limits
+        self.workspaces = workspaces
         self.table = RoutingTable(routes)
--- a/packages/entry/tests/test_router.py
+++ b/packages/entry/tests/test_router.py
@@ -10,7 +10,13 @@
 from berylstage_entry.assignment import Assignment, KeyRange
 from berylstage_entry.clock import now
 from berylstage_entry.cluster_view import ClusterView
-from berylstage_entry.errors import BadRequest, PermitRefused, Refused, Unanswered
+from berylstage_entry.errors import (
+    BadRequest,
+    PermitRefused,
+    Refused,
+    Unanswered,
+    UnknownApiKey,
+)
 from berylstage_entry.permit_client import Permit
 from berylstage_entry.permit_messages import checksum
 from berylstage_entry.protocols import CallerRequest, Record, TargetAnswer
@@ -18,6 +24,7 @@
 from berylstage_entry.routes import Route, WeightedService
 from berylstage_entry.services import Configuration, Service
 from berylstage_entry.targets import LoadReport
+from berylstage_entry.workspaces import Workspace, WorkspaceDirectory
 from berylstage_transfers.errors import AnswerLost, NeverSent
 from fakes import BOUNDS, LIMITS, target
 
@@ -504,3 +511,61 @@
         ]
         assert queues == ["a", "b", "c"] * 2
         assert len(first) == len(second)
+
+
+class TestApiKeys:
+    """Whose request it is decides before anything is sent."""
+
+    def make_router(self, is_public=False, priority=None):
+        split = [WeightedService("s", 1.0)]
+        route = Route("r", "h", "/a/", split, True, 3, 1.0, 0.3, 4, is_public)
+        service = Service("s", "/", 50, 3.0, 5.0, False)
+        workspaces = WorkspaceDirectory([Workspace("north", ["key-1"], priority)])
+        cluster_view = ClusterView()
+        cfg = Configuration(1, [route], [service], LIMITS, workspaces)
+        cluster_view.apply(Record(configuration=cfg), now(), False)
+        cluster_view.apply(Record(target=target("a")), now(), False)
+        self.clients = TargetClients([])
+        return Router(cluster_view, StoreWatcher(), self.clients, BOUNDS, Random(1))
+
+    def request(self, api_key=""):
+        return CallerRequest("id", "GET", "h", "/a/x", {}, 1.0, None, api_key)
+
+    @pytest.mark.parametrize("api_key", ["", "key-2", "key-1, key-1"])
+    def test_request_without_a_known_key_is_not_sent(self, api_key):
+        router = self.make_router()
+        with pytest.raises(UnknownApiKey) as caught:
+            asyncio.run(router.serve(self.request(api_key)))
+        assert caught.value.status == 401
+        assert "configuration 1" in caught.value.detail
+        assert self.clients.sent == []
+
+    def test_known_key_sets_the_workspace(self):
+        req = self.request("key-1")
+        asyncio.run(self.make_router().serve(req))
+        assert req.workspace == "north"
+
+    @pytest.mark.parametrize(
+        ("api_key", "name"), [("", ""), ("x", ""), ("key-1", "north")]
+    )
+    def test_public_route_needs_no_key(self, api_key, name):
+        req = self.request(api_key)
+        req.workspace = "forged"
+        asyncio.run(self.make_router(is_public=True).serve(req))
+        assert self.clients.sent == ["a"]
+        assert req.workspace == name
+
+    @pytest.mark.parametrize(("priority", "expected"), [(None, 4), (0, 0), (7, 7)])
+    def test_priority_of_the_workspace_replaces_that_of_the_route(
+        self, priority, expected
+    ):
+        router = self.make_router(priority=priority)
+        seen = []
+
+        class PermitClient:
+            async def acquire(self, ctx, queue, data_centre=""):
+                seen.append(ctx.priority)
+
+        router.permit_client = PermitClient()
+        asyncio.run(router.serve(self.request("key-1")))
+        assert seen == [expected]
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -78,6 +78,13 @@
         }
     ],
 }
+TENANT = {
+    "name": "north",
+    "api_keys": ["key-1", "key-2"],
+    "priority": 1,
+    "rate_per_s": 182,
+    "burst": 91,
+}
 SERVER_RECORD = {
     "address": "10.128.0.9:8080",
     "born": 1700000000000,
@@ -121,6 +128,46 @@
         assert not cfg.table.find("one.example", "/a/x").idempotent
         assert cfg.table.find("one.example", "/b/") is None
 
+    def test_configuration_without_workspaces_needs_no_api_key(self):
+        assert read("op/config", CONFIGURATION).configuration.workspaces is None
+
+    def test_tenants_become_workspaces(self):
+        doc = CONFIGURATION | {"tenants": [TENANT, {"name": "plain"}]}
+        workspaces = read("op/config", doc).configuration.workspaces
+        found = workspaces.find("key-2")
+        assert (found.name, found.priority) == ("north", 1)
+        assert (found.rate, found.burst) == (182.0, 91.0)
+        assert not workspaces.by_name["plain"].is_limited
+
+    def test_route_may_be_public(self):
+        routes = [CONFIGURATION["virtual_hosts"][0]["path_routes"][0]]
+        hosts = [{"host": "h", "path_routes": [routes[0] | {"public": True}]}]
+        cfg = read("op/config", CONFIGURATION | {"virtual_hosts": hosts}).configuration
+        assert cfg.routes[0].is_public
+        assert not read("op/config", CONFIGURATION).configuration.routes[0].is_public
+
+    @pytest.mark.parametrize(
+        "changes",
+        [
+            [{}, {"name": "south"}],
+            [{}, {"api_keys": ["key-3"]}],
+            [{"name": ""}],
+            [{"name": None}],
+            [{"api_keys": "key-1"}],
+            [{"api_keys": ["key-1", 7]}],
+            [{"rate_per_s": -1}],
+            [{"rate_per_s": "182"}],
+            [{"rate_per_s": None}],
+            [{"burst": True}],
+            [{"priority": "high"}],
+        ],
+    )
+    def test_invalid_tenant_makes_the_configuration_invalid(self, changes):
+        doc = CONFIGURATION | {"tenants": [TENANT | change for change in changes]}
+        with pytest.raises(InvalidRecord) as caught:
+            read("op/config", doc)
+        assert "key-" not in str(caught.value)
+
     def test_server_becomes_a_target(self):
         found = read("servers/i-1", SERVER_RECORD).target
         assert (found.name, found.incarnation, found.slots) == ("i-1", 1700000000000, 2)
@@ -193,8 +240,41 @@
         with pytest.raises(BadRequest):
             PlatformCallerProtocol().parse_request("GET", "/a/", headers)
 
+    @pytest.mark.parametrize(
+        "name",
+        ["Berylstage-Credential", "BERYLSTAGE-CREDENTIAL", "berylstage-credential"],
+    )
+    def test_api_key_is_read_and_not_forwarded(self, name):
+        headers = [*self.HEADERS, (name, "key-1")]
+        req = PlatformCallerProtocol().parse_request("GET", "/a/", headers)
+        assert req.api_key == "key-1"
+        assert "key-1" not in req.headers.values()
+
+    def test_api_key_sent_twice_is_none_of_the_two(self):
+        pair = [("Berylstage-Credential", "key-1"), ("berylstage-credential", "key-1")]
+        headers = [*self.HEADERS, *pair]
+        req = PlatformCallerProtocol().parse_request("GET", "/a/", headers)
+        assert req.api_key == "key-1, key-1"
+        assert "key-1" not in req.headers.values()
+
+    @pytest.mark.parametrize("name", ["Berylstage-Tenant", "berylstage_tenant"])
+    def test_workspace_that_a_caller_names_is_dropped(self, name):
+        headers = [*self.HEADERS, (name, "north"), ("berylstage_credential", "key-1")]
+        req = PlatformCallerProtocol().parse_request("GET", "/a/", headers)
+        assert not {"north", "key-1"} & set(req.headers.values())
+        assert req.api_key == ""
+
 
 class TestTargets:
+    def test_request_names_the_workspace_of_its_key(self):
+        req = PlatformCallerProtocol().parse_request("GET", "/a/", TestCallers.HEADERS)
+        target = read("servers/i-1", SERVER_RECORD).target
+        protocol = PlatformTargetProtocol()
+        assert "berylstage-tenant" not in protocol.request_headers(req, target, 0.35)
+        req.workspace = "north"
+        headers = protocol.request_headers(req, target, 0.35)
+        assert headers["berylstage-tenant"] == "north"
+
     def test_request_headers_name_the_target_and_the_remaining_time(self):
         req = PlatformCallerProtocol().parse_request("GET", "/a/", TestCallers.HEADERS)
         target = read("servers/i-1", SERVER_RECORD).target
