API keys stop in time at every VM: prove the age of the configuration

Each of these VMs was told of changes by others and had missed the one that mattered, or knew none of them.

Cause: a VM served by the configuration it had, however old.

Ruled out: the time at which a configuration arrived (a late datagram says nothing about the present); a watch of the store (it may hear nothing for a second while changes are made); the renewal of the VM's lease (it tells that the store answers, not which configuration it holds); the time of day.

Change: each VM keeps the time at which the newest reading that its configuration is known to include was asked for. The coordinator reads the configuration's key once a second. The others ask it, or a VM at random when it does not answer; the answer carries a version and an age, and counts from the question. Beyond the time allowed less 0.25 s, requests with API keys are refused at once, before anything is queued; the key is looked up again right before each attempt. Public routes are served.

--- a/packages/entry/src/berylstage_entry/application.py
+++ b/packages/entry/src/berylstage_entry/application.py
@@ -12,6 +12,11 @@
 from berylstage_entry.assignment_delta import MESSAGE_TYPE as ASSIGNMENT_DELTA_TYPE
 from berylstage_entry.clock import now
 from berylstage_entry.cluster_view import ClusterView
+from berylstage_entry.configuration_confirmer import ConfigurationConfirmer
+from berylstage_entry.confirmation_messages import (
+    CONFIRMATION_REPLY_TYPE,
+    CONFIRMATION_REQUEST_TYPE,
+)
 from berylstage_entry.coordinator_election import (
     EXPORT_STATE_PATH,
     STORE_CONTACT_PATH,
@@ -173,6 +178,25 @@
             self.membership.preferred_coordinator()
         )
         self.election.preferred_coordinator = self.membership.preferred_coordinator
+        self.confirmer = ConfigurationConfirmer(
+            self.store_watcher,
+            self.cluster_view,
+            self.membership,
+            host,
+            cfg.bounds.revocation_seconds,
+            self.rng,
+        )
+        self.confirmer.is_coordinator = self.election.is_coordinator
+        self.confirmer.coordinator_address = self.election.coordinator_address
+        self.confirmer.is_standby = self._is_standby
+        self.confirmer.send = self.peer_datagrams.send_to
+        self.peer_datagrams.handlers[CONFIRMATION_REQUEST_TYPE] = (
+            self.confirmer.receive_request
+        )
+        self.peer_datagrams.handlers[CONFIRMATION_REPLY_TYPE] = (
+            self.confirmer.receive_reply
+        )
+        self.router.confirmer = self.confirmer
         self.probes = LoadProbes(
             self.router.loads, self.cluster_view, self.permit_client, targets
         )
@@ -234,6 +258,7 @@
         self.grant_controller.start()
         self.load_reporter.start()
         self.peer_datagrams.start()
+        self.confirmer.start()
         self.probes.start()
         self.permit_server.start()
         log.info("started", extra={"callers": self.cfg.callers})
@@ -260,6 +285,7 @@
         self.server.start_draining()
         await self._drain(plan)
         self.store_watcher.stop()
+        self.confirmer.stop()
         # Until here, callers still waited for permits, and other VMs for permits from
         # the queues that this VM serves.
         self.permit_server.stop()
--- a/packages/entry/src/berylstage_entry/router.py
+++ b/packages/entry/src/berylstage_entry/router.py
@@ -15,6 +15,7 @@
 from berylstage_entry.cold_targets import ColdTargets
 from berylstage_entry.errors import (
     BadRequest,
+    EntryError,
     NoOwner,
     PermitRefused,
     Refused,
@@ -32,6 +33,7 @@
 
 if TYPE_CHECKING:
     from berylstage_entry.cluster_view import ClusterView
+    from berylstage_entry.configuration_confirmer import ConfigurationConfirmer
     from berylstage_entry.permit_client import PermitClient
     from berylstage_entry.protocols import CallerRequest, TargetAnswer
     from berylstage_entry.routes import Route
@@ -111,6 +113,8 @@
         self.vm_count = 10
         # Acquires permits for targets from the permit servers.
         self.permit_client: PermitClient | None = None
+        # Proves how recent the configuration is, for requests with API keys.
+        self.confirmer: ConfigurationConfirmer | None = None
         # Requests by service and key since the last report to the coordinator.
         self._key_counts: dict[str, dict[int, int]] = {}
         # Set while there are counts to report.
@@ -133,7 +137,7 @@
             raise BadRequest(
                 NOT_FOUND, "no route; add one for this host and path to the sheet"
             )
-        workspace = _authenticate(req, route, cfg)
+        workspace = await self._authenticate(req, route, cfg)
         service = cfg.services.get(self._choose_service(route))
         if service is None:
             raise Refused("no-service", MAX_RETRY_AFTER_SECONDS)
@@ -154,6 +158,50 @@
             self.has_key_counts.set()
         return await self._forward(ctx)
 
+    async def _authenticate(
+        self, req: CallerRequest, route: Route, cfg: Configuration
+    ) -> Workspace | None:
+        """Set the workspace of a request, and return it; None if it needs none.
+
+        Raises
+        ------
+        UnknownApiKey
+        Refused
+            The configuration may be older than the time allowed for an API key to be
+            taken away.
+        """
+        if cfg.workspaces is None:
+            return None
+        workspace = _find_workspace(req, route, cfg)
+        if workspace is None or self.confirmer is None or route.is_public:
+            return workspace
+        if not await self.confirmer.wait_until_recent():
+            detail = f"configuration {cfg.version} age {self.confirmer.age():.1f} s"
+            raise Refused(
+                "stale-configuration",
+                self._rng.uniform(MIN_RETRY_AFTER_SECONDS, MAX_RETRY_AFTER_SECONDS),
+                detail,
+            )
+        newest = self._cluster_view.configuration or cfg
+        return _find_workspace(req, route, newest) if newest.workspaces else None
+
+    def _check_api_key(self, ctx: RequestContext) -> None:
+        """Check right before an attempt that the API key may still be served."""
+        cfg = self._cluster_view.configuration
+        if cfg is None or cfg.workspaces is None or not ctx.req.workspace:
+            return
+        workspace = cfg.workspaces.find(ctx.req.api_key)
+        if ctx.route.is_public:
+            ctx.req.workspace = workspace.name if workspace is not None else ""
+            return
+        if workspace is None or workspace.name != ctx.req.workspace:
+            if ctx.lost_reason:
+                raise self._build_error(ctx, "unknown-key")
+            raise UnknownApiKey(f"key taken away configuration {cfg.version}")
+        if self.confirmer is not None and not self.confirmer.may_serve_keys():
+            detail = f"configuration {cfg.version} age {self.confirmer.age():.1f} s"
+            raise self._build_error(ctx, "stale-configuration", detail)
+
     def take_key_counts(self) -> dict[str, dict[int, int]]:
         """Return the requests by service and key since the last call."""
         counts, self._key_counts = self._key_counts, {}
@@ -171,6 +219,11 @@
         try:
             while True:
                 name = await self._choose_target(ctx)
+                try:
+                    self._check_api_key(ctx)
+                except EntryError:
+                    self._release_permit(ctx)
+                    raise
                 answer = await self._attempt(ctx, name)
                 if answer is not None:
                     attempts, waited = ctx.attempts, ctx.waited
@@ -436,7 +489,7 @@
         return budget
 
 
-def _authenticate(
+def _find_workspace(
     req: CallerRequest, route: Route, cfg: Configuration
 ) -> Workspace | None:
     """Set the workspace of a request, and return it; None if it needs none.
@@ -446,9 +499,7 @@
     UnknownApiKey
     """
     req.workspace = ""
-    if cfg.workspaces is None:
-        return None
-    workspace = cfg.workspaces.find(req.api_key)
+    workspace = cfg.workspaces.find(req.api_key) if cfg.workspaces is not None else None
     if workspace is None and not route.is_public:
         sent = "unknown" if req.api_key else "missing"
         raise UnknownApiKey(f"key {sent} configuration {cfg.version}")
--- a/packages/entry/src/berylstage_entry/settings.py
+++ b/packages/entry/src/berylstage_entry/settings.py
@@ -23,6 +23,9 @@
         Seconds from SIGTERM to the end of the process.
     max_grant_seconds : float
         Longest duration, in seconds, of a grant that targets accept.
+    revocation_seconds : float
+        Seconds after which an API key that was taken away must not be served at any VM;
+        infinite if there is no such limit.
     """
 
     __slots__ = (
@@ -31,6 +34,7 @@
         "max_grant_seconds",
         "retry_allowance",
         "retry_ratio",
+        "revocation_seconds",
         "stop_timeout",
     )
 
@@ -42,6 +46,7 @@
         cold_slack: float,
         stop_timeout: float,
         max_grant_seconds: float,
+        revocation_seconds: float = float("inf"),
     ):
         self.retry_ratio = retry_ratio
         self.retry_allowance = retry_allowance
@@ -49,6 +54,7 @@
         self.cold_slack = cold_slack
         self.stop_timeout = stop_timeout
         self.max_grant_seconds = max_grant_seconds
+        self.revocation_seconds = revocation_seconds
 
     def max_cold_requests(self, rate: float) -> float:
         """Return the most requests that a cold target may get in any one second."""
--- a/packages/entry/src/berylstage_entry/store_watcher.py
+++ b/packages/entry/src/berylstage_entry/store_watcher.py
@@ -120,6 +120,8 @@
         self.internal_items: dict[str, Item] = {}
         self.listeners: list[Callable[[str], None]] = []
         self.has_synced = False
+        # Key of the operators' configuration; empty until one has been read.
+        self._configuration_key = ""
 
     def start(self) -> None:
         """Start watching the store."""
@@ -244,6 +246,27 @@
         self.record_success()
         return True
 
+    async def read_configuration(self) -> bool:
+        """Read and apply the operators' configuration alone.
+
+        Returns
+        -------
+        bool
+            Whether the configuration in force is at least as new as the store's.
+
+        Raises
+        ------
+        StoreError
+        """
+        if not self._configuration_key:
+            return False
+        changes = await self._store.read(self._configuration_key)
+        for item in changes.items:
+            if item.key == self._configuration_key:
+                self._apply_item(item)
+        self.record_success()
+        return True
+
     def _read_interval(self) -> float:
         if self._cluster_view.has_expired_records():
             return EXPIRED_READ_INTERVAL_SECONDS
@@ -456,6 +479,8 @@
             return None
         if record is None:
             return None
+        if record.configuration is not None:
+            self._configuration_key = item.key
         in_outage = self.in_outage()
         what = self._cluster_view.apply(record, now(), in_outage)
         if (
--- a/packages/entry/tests/test_router.py
+++ b/packages/entry/tests/test_router.py
@@ -528,6 +528,21 @@
         self.clients = TargetClients([])
         return Router(cluster_view, StoreWatcher(), self.clients, BOUNDS, Random(1))
 
+    class Confirmer:
+        """Confirms the configuration until it is told otherwise."""
+
+        def __init__(self, is_recent=True):
+            self.is_recent = is_recent
+
+        def may_serve_keys(self):
+            return self.is_recent
+
+        async def wait_until_recent(self):
+            return self.is_recent
+
+        def age(self):
+            return 9.0
+
     def request(self, api_key=""):
         return CallerRequest("id", "GET", "h", "/a/x", {}, 1.0, None, api_key)
 
@@ -569,3 +584,51 @@
         router.permit_client = PermitClient()
         asyncio.run(router.serve(self.request("key-1")))
         assert seen == [expected]
+
+    def test_key_is_refused_at_once_while_the_configuration_may_be_too_old(self):
+        # Guards against a VM that is cut off and serves keys that were taken away.
+        router = self.make_router()
+        router.confirmer = self.Confirmer(is_recent=False)
+        with pytest.raises(Refused) as caught:
+            asyncio.run(router.serve(self.request("key-1")))
+        assert caught.value.reason == "stale-configuration"
+        assert "configuration 1 age 9.0 s" in caught.value.detail
+        assert self.clients.sent == []
+
+    def test_public_route_is_served_whatever_the_age_of_the_configuration(self):
+        router = self.make_router(is_public=True)
+        router.confirmer = self.Confirmer(is_recent=False)
+        asyncio.run(router.serve(self.request("key-1")))
+        assert self.clients.sent == ["a"]
+
+    @pytest.mark.parametrize("change", ["taken", "stale"])
+    def test_key_is_checked_again_after_a_wait(self, change):
+        # Guards against a request that waited for a permit while its key was taken
+        # away, or while its VM stood still.
+        router = self.make_router()
+        router.confirmer = self.Confirmer()
+        released = []
+
+        class PermitClient:
+            async def acquire(self, ctx, queue, data_centre=""):
+                if change == "stale":
+                    router.confirmer.is_recent = False
+                else:
+                    workspaces = WorkspaceDirectory([Workspace("north", [])])
+                    old = router._cluster_view.configuration
+                    cfg = Configuration(
+                        2, old.routes, old.services.values(), LIMITS, workspaces
+                    )
+                    router._cluster_view.apply(Record(configuration=cfg), now(), False)
+                permit = Permit(1, queue, "vm")
+                permit.target = checksum("a")
+                return permit
+
+            def release(self, permit, failed=False, load=None):
+                released.append(permit.number)
+
+        router.permit_client = PermitClient()
+        with pytest.raises(UnknownApiKey if change == "taken" else Refused):
+            asyncio.run(router.serve(self.request("key-1")))
+        assert self.clients.sent == []
+        assert released == [1]
--- a/packages/policy/tests/conftest.py
+++ b/packages/policy/tests/conftest.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import sys
 from heapq import heappop, heappush
+from pathlib import Path
 from random import Random
 
 import pytest
@@ -10,6 +12,8 @@
 from berylstage_policy.thresholds import DEFAULTS
 from berylstage_policy.tickets import AttemptOutcome, Refuse, Start, Ticket
 
+sys.path.insert(0, str(Path(__file__).parent))
+
 
 class QueueSimulation:
     """Discrete-event simulation of arrivals at one queue and its target."""
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -108,6 +108,24 @@
         assert parse_settings(SETTINGS).cores == 0.86
         assert parse_settings(SETTINGS).link_mbps == 1000.0
 
+    def test_keys_need_not_stop_in_time_where_the_bounds_do_not_say_so(self):
+        assert parse_settings(SETTINGS).bounds.revocation_seconds == float("inf")
+        lax = SETTINGS.replace(
+            "bounds=", "bounds=strict_revocation=false,revoke_ms=5000,"
+        )
+        assert parse_settings(lax).bounds.revocation_seconds == float("inf")
+
+    def test_keys_stop_in_time_where_the_bounds_say_so(self):
+        strict = "bounds=strict_revocation=true,revoke_ms=5000,"
+        settings = parse_settings(SETTINGS.replace("bounds=", strict))
+        assert settings.bounds.revocation_seconds == 5.0
+
+    def test_strict_revocation_without_its_time_is_a_fault(self):
+        text = SETTINGS.replace("bounds=", "bounds=strict_revocation=true,")
+        with pytest.raises(FaultySettings) as caught:
+            parse_settings(text)
+        assert [exc.name for exc in caught.value.faults] == ["bounds.revoke_ms"]
+
     def test_reports_all_faults_together(self):
         text = SETTINGS.replace("10.200.1.7:8384", "store").replace("zone=a\n", "")
         with pytest.raises(FaultySettings) as caught:
--- a/tools/write_tables.py
+++ b/tools/write_tables.py
@@ -194,8 +194,10 @@
     "no-target": ("503", "no target that was not tried may take it"),
     "no-time": ("503", "too little of its time is left"),
     "owner-busy": ("503", "the owner would be done far beyond the objective"),
+    "stale-configuration": ("503", "an API key may have been taken away meanwhile"),
     "stopping": ("503", "the VM stops and had no time left for it"),
     "timeout": ("504", "sent, and not answered within its time; it may have run"),
+    "unknown-key": ("401", "no workspace has its API key"),
     "unreachable": ("503", "no connection to a target within its time"),
 }
 
