Log the limits that targets name in their answers

No change of behaviour. In the incident of limits, logs could not tell a limit that was never read from one that was read and not used: no line said what a target names.

--- a/packages/entry/src/berylstage_entry/protocols.py
+++ b/packages/entry/src/berylstage_entry/protocols.py
@@ -5,6 +5,8 @@
 from abc import ABC, abstractmethod
 from typing import TYPE_CHECKING
 
+from berylstage_entry.targets import TargetNotice
+
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
@@ -99,6 +101,8 @@
     load : LoadReport or None
     closing : bool
         Whether the target closes the connection.
+    notice : TargetNotice, optional
+        What the target says of itself; nothing by default.
     """
 
     __slots__ = (
@@ -109,6 +113,7 @@
         "load",
         "misdirected",
         "not_run",
+        "notice",
         "status",
     )
 
@@ -122,6 +127,7 @@
         is_from_target: bool,
         load: LoadReport | None,
         closing: bool,
+        notice: TargetNotice | None = None,
     ):
         self.status = status
         self.headers = headers
@@ -131,6 +137,7 @@
         self.is_from_target = is_from_target
         self.load = load
         self.closing = closing
+        self.notice = notice or TargetNotice()
 
 
 class CallerProtocol(ABC):
--- a/packages/entry/src/berylstage_entry/router.py
+++ b/packages/entry/src/berylstage_entry/router.py
@@ -24,6 +24,7 @@
 )
 from berylstage_entry.owners import OwnerResolver
 from berylstage_entry.request_context import RequestContext, RoutedAnswer
+from berylstage_entry.target_limits import TargetLimits
 from berylstage_entry.target_loads import (
     SERVER_ERROR,
     TargetLoads,
@@ -86,7 +87,8 @@
     Attributes
     ----------
     loads : TargetLoads
-    cold : ColdTargets
+    cold_targets : ColdTargets
+    target_limits : TargetLimits
     """
 
     def __init__(
@@ -107,6 +109,7 @@
         self._data_centre = data_centre
         self.loads = TargetLoads(cluster_view, rng)
         self.cold_targets = ColdTargets(cluster_view, bounds, vm)
+        self.target_limits = TargetLimits()
         self._retry_budgets: dict[str, RetryBudget] = {}
         self._splits: dict[str, tuple[tuple, WeightedRoundRobin]] = {}
         self._seen_revision = -1
@@ -233,9 +236,11 @@
 
     def _drop_removed_targets(self) -> None:
         self._seen_revision = self._cluster_view.revision
-        names = set(self._cluster_view.known)
+        known = self._cluster_view.known
+        names = set(known)
         self._clients.retain(names)
         self.cold_targets.retain(names)
+        self.target_limits.retain({k.target.identity for k in known.values()})
 
     async def _forward(self, ctx: RequestContext) -> RoutedAnswer:
         """Send until there is an answer to return, or no further attempt is allowed."""
@@ -420,6 +425,7 @@
         finally:
             load.inflight -= 1
             self._release_permit(ctx, failed, report)
+        self.target_limits.record_answer(target, answer)
         kind, service = ctx.route.name, ctx.service.name
         self.loads.record_answer(name, kind, service, answer, now() - started_at)
         if answer.not_run and not answer.misdirected and had_permit:
--- a/packages/entry/src/berylstage_entry/targets.py
+++ b/packages/entry/src/berylstage_entry/targets.py
@@ -62,6 +62,25 @@
         return self.name, self.incarnation
 
 
+class TargetNotice:
+    """What a target says of itself in an answer, apart from its load.
+
+    Parameters
+    ----------
+    limit : float or None
+        Requests per second that it accepts from all VMs together; None if it names no
+        limit.
+    is_limit_invalid : bool
+        Whether it names a limit that cannot be decoded.
+    """
+
+    __slots__ = ("is_limit_invalid", "limit")
+
+    def __init__(self, limit: float | None = None, is_limit_invalid: bool = False):
+        self.limit = limit
+        self.is_limit_invalid = is_limit_invalid
+
+
 class LoadReport:
     """Load that a target reports with an answer.
 
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -335,6 +335,30 @@
         assert parse_load_report(text) is None
 
 
+class TestNotices:
+    """What a target says of itself in an answer."""
+
+    def parse(self, headers):
+        return PlatformTargetProtocol().parse_answer(Answer(200, headers, b"")).notice
+
+    @pytest.mark.parametrize(
+        ("text", "limit"), [(b"3.1", 3.1), (b"0", 0.0), (b"20", 20.0)]
+    )
+    def test_limit(self, text, limit):
+        notice = self.parse({b"server-limit": text})
+        assert (notice.limit, notice.is_limit_invalid) == (limit, False)
+
+    def test_answer_without_a_limit(self):
+        notice = self.parse({})
+        assert (notice.limit, notice.is_limit_invalid) == (None, False)
+
+    @pytest.mark.parametrize("text", [b"-1", b"nan", b"inf", b"many", b"3.1, 4"])
+    def test_limit_that_is_no_number(self, text):
+        # Guards against a limit that ends or changes because of a garbled header.
+        notice = self.parse({b"server-limit": text})
+        assert (notice.limit, notice.is_limit_invalid) == (None, True)
+
+
 class TestStore:
     def test_event_of_a_removed_key_has_no_value(self):
         assert _parse_item({"key": "k", "rev": 3, "tombstone": True}).value is None
