Soak: targets that name a limit; the test fails on this program

What callers see: nothing; the targets are given more than they accept. The soak's targets now name limits in their answers, callers note which VM passed them on, and the ledger counts arrivals by the users' rule (1.5 times the limit over 4 s and 5 more, from VMs told half a second before, from 3 s after the naming).

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -213,6 +213,9 @@
         await self._link.wait_for_transfer(len(data))
 
     def _record_answer(self, request: Request, answer: Answer) -> None:
+        if "server-limit" in answer.headers:
+            target = answer.signature.partition(".")[0]
+            self._ledger.notices.record_answer(request.request_id, target)
         self._ledger.record_answer(
             request.request_id,
             request.method,
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -49,6 +49,10 @@
     async def end(self, installation: Installation) -> None:
         """End the fault."""
 
+    def disturbed_vms(self, installation: Installation) -> list[str]:
+        """Return the VMs that the fault stops or suspends."""
+        return []
+
 
 class VmKilled(Fault):
     """A VM is killed and restarted."""
@@ -61,6 +65,9 @@
     async def end(self, installation: Installation) -> None:
         installation.restart(self.vm)
 
+    def disturbed_vms(self, installation: Installation) -> list[str]:
+        return [installation.vms[self.vm].name]
+
 
 class VmsStopped(Fault):
     """Up to half of the VMs get SIGTERM, some of them twice, and are restarted.
@@ -86,6 +93,9 @@
     async def end(self, installation: Installation) -> None:
         await asyncio.gather(*self._stop_tasks)
 
+    def disturbed_vms(self, installation: Installation) -> list[str]:
+        return [vm.name for vm in self.vms]
+
     async def _stop(self, installation: Installation, vm: SoakVm) -> None:
         process, signals = vm.process, self._draw_signals()
         await asyncio.sleep(self.rng.uniform(*STAGGER_SECONDS))
@@ -122,6 +132,9 @@
     async def end(self, installation: Installation) -> None:
         self.vm.process.send_signal(signal.SIGCONT)
 
+    def disturbed_vms(self, installation: Installation) -> list[str]:
+        return [self.vm.name]
+
 
 class VmHeldUp(VmFrozen):
     """A VM is suspended for less than the callers' timeout, as by a busy disk or host.
@@ -220,6 +233,23 @@
         installation.write_record(self.target)
 
 
+class TargetLimited(Fault):
+    """A target names a limit for all VMs together in its answers."""
+
+    is_planned = True
+    duration_range = (6.0, 10.0)
+    rate_range = (1.0, 4.0)
+
+    async def begin(self, installation: Installation) -> str:
+        unlimited = [t for t in installation.targets if t.limit is None]
+        self.target = self.rng.choice(unlimited)
+        self.target.limit = round(self.rng.uniform(*self.rate_range), 1)
+        return f"{self.target.name} to {self.target.limit} a second"
+
+    async def end(self, installation: Installation) -> None:
+        self.target.limit = None
+
+
 FAULTS: tuple[type[Fault], ...] = (
     VmKilled,
     VmsStopped,
@@ -231,9 +261,12 @@
     TargetSilent,
     AnswersLost,
     TargetLeaving,
+    TargetLimited,
 )
 
 # Only short suspensions of VMs.
 SHORT_PAUSES: tuple[type[Fault], ...] = (VmHeldUp,)
 # Only planned stops.
 PLANNED_STOPS: tuple[type[Fault], ...] = (VmsStopped,)
+# Only targets that ask for less in their answers.
+NOTICES: tuple[type[Fault], ...] = (TargetLimited,)
--- a/tests/soak/installation.py
+++ b/tests/soak/installation.py
@@ -158,7 +158,7 @@
         """Send requests to a VM on one connection and record their outcomes."""
         caller = vm.take_caller(self.ledger)
         for request in requests:
-            self.ledger.record_request(request.request_id, request.size)
+            self.ledger.record_request(request.request_id, request.size, vm.name)
         try:
             await caller.send_requests(requests, gap_seconds)
         finally:
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -7,6 +7,8 @@
 from collections import Counter
 from typing import TYPE_CHECKING
 
+from soak.notices import NoticeLedger
+
 if TYPE_CHECKING:
     from soak.targets import SoakTarget
 
@@ -68,6 +70,7 @@
         self.runs: dict[str, list[str]] = {}
         self.answers: dict[str, tuple[str, int, bytes, str]] = {}
         self.stops: list[Stop] = []
+        self.notices = NoticeLedger()
         self._spans: dict[str, Span] = {}
         self._sizes: dict[str, int] = {}
         self._unplanned_faults: list[Span] = []
@@ -78,8 +81,9 @@
         """Record that a target started to run a request."""
         self.runs.setdefault(request_id, []).append(target.name)
 
-    def record_request(self, request_id: str, size: int) -> None:
+    def record_request(self, request_id: str, size: int, vm: str = "") -> None:
         """Record that a caller requests an answer of at least ``size`` bytes."""
+        self.notices.vms[request_id] = vm
         self._spans[request_id] = Span(time.monotonic(), math.inf)
         self._sizes[request_id] = size
 
@@ -129,6 +133,7 @@
             *self._find_overlapping_grants(),
             *self._find_lost_requests(),
             *self._find_failed_stops(),
+            *self.notices.find_violations(),
         ]
 
     def count_outcomes(self) -> Counter[int]:
--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -1,7 +1,8 @@
 """Soak: an installation under load with injected faults.
 
 Run it by ``make soak SECONDS=60 SEED=1``, with ``STOPS=--stops`` for planned stops only
-or ``STOPS=--hold-ups`` for short suspensions of VMs only. It prints the outcomes of
+``STOPS=--hold-ups`` for short suspensions of VMs only, or ``STOPS=--notices`` for
+targets that ask for less in their answers. It prints the outcomes of
 requests and all violations, and exits with status 1 if there are violations. The seed
 determines faults and requests; processes are real, so the timing of two runs with the
 same seed differs.
@@ -26,7 +27,13 @@
 sys.path[:0] = [str(HERE.parent), str(HERE.parents[1] / "platform")]
 
 from soak.callers import ANSWER_TIMEOUT_SECONDS, Request  # noqa: E402
-from soak.faults import FAULTS, PLANNED_STOPS, SHORT_PAUSES, Fault  # noqa: E402
+from soak.faults import (  # noqa: E402
+    FAULTS,
+    NOTICES,
+    PLANNED_STOPS,
+    SHORT_PAUSES,
+    Fault,
+)
 from soak.installation import Installation  # noqa: E402
 
 # Batches of requests per second. A third of them are an order, which may run at most
@@ -85,6 +92,7 @@
 ALL_FAULTS_MODE = SoakMode(FAULTS, 3, 0.5, 16.0)
 PLANNED_STOPS_MODE = SoakMode(PLANNED_STOPS, 4, 0.2, 3.0)
 SHORT_PAUSES_MODE = SoakMode(SHORT_PAUSES, 4, 0.2, 3.0)
+NOTICES_MODE = SoakMode(NOTICES, 4, 0.4, 3.0)
 
 
 class Soak:
@@ -205,6 +213,8 @@
         hit = await fault.begin(installation)
         await asyncio.sleep(fault.seconds)
         await fault.end(installation)
+        for vm in fault.disturbed_vms(installation):
+            installation.ledger.notices.record_vm_fault(vm, began)
         if not fault.is_planned:
             installation.ledger.record_unplanned_fault(began, time.monotonic())
         line = f"{type(fault).__name__} {hit} {fault.seconds:.1f} s at {began:.2f}"
@@ -233,12 +243,17 @@
     modes = parser.add_mutually_exclusive_group()
     modes.add_argument("--stops", action="store_true", help="planned stops alone")
     modes.add_argument("--hold-ups", action="store_true", help="short pauses alone")
+    modes.add_argument(
+        "--notices", action="store_true", help="targets that ask for less alone"
+    )
     args = parser.parse_args()
     mode = ALL_FAULTS_MODE
     if args.stops:
         mode = PLANNED_STOPS_MODE
     elif args.hold_ups:
         mode = SHORT_PAUSES_MODE
+    elif args.notices:
+        mode = NOTICES_MODE
     folder = Path(tempfile.mkdtemp(prefix="berylstage-soak-"))
     print(f"settings and logs: {folder}")
     violations, outcomes = asyncio.run(
--- a/tests/soak/targets.py
+++ b/tests/soak/targets.py
@@ -21,6 +21,8 @@
 QUEUE_LIMIT = 8
 
 MEAN_SERVICE_SECONDS = 0.05
+# Status of a request for a key that the target does not own.
+MISDIRECTED = 421
 
 
 class SoakTarget(Server):
@@ -45,6 +47,8 @@
         self.is_unresponsive = False
         self.lost_answer_share = 0.0
         self.is_draining = False
+        # Requests per second that it accepts from all VMs together; None for no limit.
+        self.limit: float | None = None
         self.in_progress = 0
         self.slots = asyncio.Semaphore(SLOTS)
         self._http: HTTPServer | None = None
@@ -142,11 +146,12 @@
 
     async def _serve(self):
         server, head = self.server, self.request.headers
+        server.ledger.notices.record_arrival(server.name, head["Berylstage-Attempt-Id"])
         if server.is_unresponsive:
             await _hang()
         key = head.get("Berylstage-Shard-Key")
         if key is not None and not server.holds_key(int(key)):
-            self._refuse(421)
+            self._refuse(MISDIRECTED)
             return
         if server.in_progress >= SLOTS + QUEUE_LIMIT:
             self._refuse(503)
@@ -160,14 +165,23 @@
             # A new incarnation starts its own count.
             server.in_progress -= self.incarnation == server.incarnation
 
+    def _add_notices(self):
+        """Add to an answer what the target says of itself."""
+        server = self.server
+        server.ledger.notices.record_limit(server.name, server.limit)
+        if server.limit is not None:
+            self.set_header("Server-Limit", f"{server.limit:.2f}")
+
     def _refuse(self, status):
         self.set_status(status)
         self.set_header("Berylstage-Not-Executed", "1")
+        if status != MISDIRECTED:
+            self._add_notices()
 
     async def _run(self, request_id, key):
         server = self.server
         if key is not None and not server.holds_key(int(key)):
-            self._refuse(421)
+            self._refuse(MISDIRECTED)
             return
         server.ledger.record_run(server, request_id, key)
         await asyncio.sleep(server.rng.expovariate(1 / MEAN_SERVICE_SECONDS))
@@ -175,6 +189,7 @@
             self.request.connection.stream.close()
             return
         self.set_header("Berylstage-Backend-Signature", f"{server.name}.{request_id}")
+        self._add_notices()
         size = int(self.request.path.rpartition("/")[2])
         self.write(build_answer_body(request_id, size))
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -175,6 +175,65 @@
         assert len(ledger.find_violations()) == faults
 
 
+class TestLimits:
+    """Which requests a target that names a limit may get."""
+
+    LIMIT = 1.0
+    ALLOWED = 11
+
+    @pytest.fixture(autouse=True)
+    def _clock(self, monkeypatch):
+        self.moment = 100.0
+        monkeypatch.setattr(time, "monotonic", lambda: self.moment)
+
+    def find(self, ledger, arrivals, told_at=0.0, fault=None, ends_at=60.0):
+        """Return the violations of arrivals, in seconds after the limit was named."""
+        notices, self.moment = ledger.notices, 100.0
+        notices.vms = {"told": "vm-1", "order": "vm-1"}
+        notices.record_limit("i-1", self.LIMIT)
+        events = [(told_at, notices.record_answer, ("told", "i-1"))]
+        events += [(at, notices.record_arrival, ("i-1", "order")) for at in arrivals]
+        events += [(ends_at, notices.record_limit, ("i-1", None))]
+        for seconds, record, args in sorted(events, key=lambda event: event[0]):
+            self.moment = 100.0 + seconds
+            record(*args)
+        if fault is not None:
+            self.moment = 100.0 + fault[1]
+            notices.record_vm_fault("vm-1", 100.0 + fault[0])
+        return ledger.find_violations()
+
+    def test_more_than_the_limit_allows(self, ledger):
+        arrivals = [4.0 + n / 10 for n in range(self.ALLOWED + 1)]
+        assert len(self.find(ledger, arrivals)) == 1
+
+    def test_as_many_as_the_limit_allows(self, ledger):
+        arrivals = [4.0 + n / 10 for n in range(self.ALLOWED)]
+        assert self.find(ledger, arrivals + [n + 4.2 for n in arrivals]) == []
+
+    def test_requests_before_the_limit_settles_count_in_later_windows(self, ledger):
+        arrivals = [1.0 + n / 10 for n in range(self.ALLOWED)]
+        assert self.find(ledger, arrivals) == []
+        assert len(self.find(Ledger(), [*arrivals, 4.5])) == 1
+
+    @pytest.mark.parametrize(
+        "excuse",
+        [
+            {"told_at": 5.0},
+            {"ends_at": 3.9},
+            {"fault": (1.0, 2.0)},
+            {"fault": (3.0, 9.0)},
+        ],
+    )
+    def test_requests_of_a_vm_that_does_not_know_the_limit(self, ledger, excuse):
+        # The VM has not seen the limit, or it is over, or the VM was suspended.
+        arrivals = [4.0 + n / 10 for n in range(self.ALLOWED + 1)]
+        assert self.find(ledger, arrivals, **excuse) == []
+
+    def test_fault_before_the_limit_excuses_nothing(self, ledger):
+        arrivals = [4.0 + n / 10 for n in range(self.ALLOWED + 1)]
+        assert len(self.find(ledger, arrivals, fault=(-9.0, -1.0))) == 1
+
+
 class TestCaller:
     """Which outcomes callers behind a slow link record."""
 
@@ -336,3 +395,11 @@
         # Guards against 504 for requests whose answers arrived while the VM was
         # suspended.
         run_soak("--hold-ups", "--seconds=8", "--seed=5")
+
+
+@pytest.mark.failures
+@pytest.mark.failures_ci
+class TestNotices:
+    def test_target_that_names_a_limit_gets_no_more(self):
+        # Guards against VMs that pass on a target's limit and send as before.
+        run_soak("--notices", "--seconds=10", "--seed=2")
