Keep the limits that targets name, over all VMs

Cause: the header was passed on as text and used by nobody. Evidence: the rates at both targets were the same before and after the naming, no request was refused for it, no line of the logs named it, parse_answer did not read it.

Change: each attempt at a target with a limit takes a token of a quota that all VMs keep together (the mechanism of workspaces' quotas, made general), right before it is sent; VMs tell each other limits and their ends; requests without a token go to another target or are refused at once; the coordinator moves busy keys away. Works because the shares of all VMs never add up to more than the limit, whichever VMs are lost or cut off.

--- a/packages/entry/src/berylstage_entry/application.py
+++ b/packages/entry/src/berylstage_entry/application.py
@@ -46,8 +46,10 @@
 from berylstage_entry.probes import LoadProbes
 from berylstage_entry.quota_client import QuotaClient
 from berylstage_entry.quota_messages import (
+    LIMIT_NOTICE_TYPE,
     LOAN_REPLY_TYPE,
     LOAN_TYPE,
+    TARGET_TOKEN_REQUEST_TYPE,
     TOKEN_REPLY_TYPE,
     TOKEN_REQUEST_TYPE,
 )
@@ -212,6 +214,13 @@
         self.quota_server.send = self.quota_client.send = self._send_quota_datagram
         self.router.quota_client = self.quota_client
         self.peer_datagrams.handlers.update(self._quota_handlers())
+        target_limits = self.router.target_limits
+        target_limits.send = self.peer_datagrams.send
+        target_limits.on_end = self.quota_client.forget
+        self.quota_client.has_target_limits = target_limits.has_any
+        self.permit_server.target_limits = target_limits
+        self.grant_controller.target_limits = target_limits
+        self.peer_datagrams.handlers[LIMIT_NOTICE_TYPE] = target_limits.receive_notice
         self.probes = LoadProbes(
             self.router.loads, self.cluster_view, self.permit_client, targets
         )
@@ -391,6 +400,7 @@
         return {
             LOAN_TYPE: self.quota_server.receive_loan,
             TOKEN_REQUEST_TYPE: self.quota_server.receive_request,
+            TARGET_TOKEN_REQUEST_TYPE: self.quota_server.receive_target_request,
             LOAN_REPLY_TYPE: self.quota_client.receive_loan_reply,
             TOKEN_REPLY_TYPE: self.quota_client.receive_reply,
         }
@@ -425,6 +435,7 @@
             vms = len(names) + ASSUMED_STARTING_VMS
             self.router.vm_count = self.router.cold_targets.vm_count = vms
             self.quota_server.vm_count = self.quota_client.vm_count = len(names)
+            self.router.target_limits.vm_count = len(names)
             self.target_clients.vm_count = self.store_watcher.vm_count = vms
 
     def _publish_delta(self, delta: StoreDelta) -> None:
--- a/packages/entry/src/berylstage_entry/grant_controller.py
+++ b/packages/entry/src/berylstage_entry/grant_controller.py
@@ -27,6 +27,7 @@
     from berylstage_entry.protocols import TargetProtocol
     from berylstage_entry.store import Store
     from berylstage_entry.store_watcher import StoreWatcher
+    from berylstage_entry.target_limits import TargetLimits
 
 # Seconds between two reconciliations.
 RECONCILE_INTERVAL_SECONDS = 0.05
@@ -45,8 +46,9 @@
 # fence, and narrow ranges return to the owner of both neighbours. Each range costs a
 # grant every 0.8 s: 46 targets with eight ranges each take 460 calls per second.
 MAX_RANGES_PER_TARGET = 3
-# Share of its sustainable request rate for which a cold target is assigned keys.
-COLD_UTILIZATION = 0.5
+# Share of its sustainable request rate for which a cold target, or one that names a
+# limit, is assigned keys.
+LIMITED_UTILIZATION = 0.5
 
 log = Logger(__name__)
 
@@ -112,6 +114,8 @@
         self._key_moves = KeyMoves(
             cluster_view, election, protocol, self._grant_renewer
         )
+        # Limits that targets name; none while not set.
+        self.target_limits: TargetLimits | None = None
         self._services: dict[str, _ServiceState] = {}
         self._task: asyncio.Task | None = None
         self._term = 0
@@ -294,7 +298,10 @@
             capacities[name] = entry.target.slots / state.speeds.expected_seconds(name)
             if entry.cold_until > now():
                 rate = cfg.services[service].cold_requests_per_second
-                capacities[name] = min(capacities[name], COLD_UTILIZATION * rate)
+                capacities[name] = min(capacities[name], LIMITED_UTILIZATION * rate)
+            limit = self.target_limits.rate(name) if self.target_limits else None
+            if limit is not None:
+                capacities[name] = min(capacities[name], LIMITED_UTILIZATION * limit)
         return capacities
 
     def _with_moves(self, assignment: Assignment, moves) -> Assignment:
--- a/packages/entry/src/berylstage_entry/permit_server.py
+++ b/packages/entry/src/berylstage_entry/permit_server.py
@@ -33,6 +33,7 @@
     from berylstage_entry.cluster_view import ClusterView
     from berylstage_entry.membership import Membership
     from berylstage_entry.services import Service
+    from berylstage_entry.target_limits import TargetLimits
     from berylstage_entry.target_loads import TargetLoads
 
 # Interval of checks for queued requests and permits that have expired, which no message
@@ -76,6 +77,8 @@
         self._log_limiter = LogRateLimiter(REFUSAL_LINES_PER_SECOND)
         # Set while a queue contains requests.
         self._has_queued = asyncio.Event()
+        # Limits that targets name; none while not set.
+        self.target_limits: TargetLimits | None = None
         # Sends a reply to a VM, which may be this one.
         self.send: Callable[[str, PermitReply], None] = lambda host, reply: None
 
@@ -184,15 +187,21 @@
         known = self._cluster_view.known
         if name in known:
             return {name: known[name].target.slots}
-        # Requests to cold targets are limited per VM and need no permit.
-        warm = [
+        # Requests to cold targets are limited per VM, those to targets with a limit by
+        # tokens, and both need no permit.
+        unlimited = [
             n
             for n in self._cluster_view.usable_targets(service.name)
-            if known[n].cold_until <= now()
+            if known[n].cold_until <= now() and not self._has_limit(n)
         ]
-        non_ejected = self._loads.non_ejected(service.name, warm) or warm
+        non_ejected = self._loads.non_ejected(service.name, unlimited) or unlimited
         return {n: known[n].target.slots for n in non_ejected}
 
+    def _has_limit(self, name: str) -> bool:
+        return (
+            self.target_limits is not None and self.target_limits.rate(name) is not None
+        )
+
     def _refresh_names(self) -> None:
         """Update the names of queues, targets and request kinds."""
         self._revision = self._cluster_view.revision
--- a/packages/entry/src/berylstage_entry/quota_client.py
+++ b/packages/entry/src/berylstage_entry/quota_client.py
@@ -1,7 +1,7 @@
-"""Client side of the quota protocol: a token for each request of a limited workspace.
+"""Client side of the quota protocol: a token for each request that a quota covers.
 
-Requests of a workspace that arrive while its quota server is being asked share the next
-question, so that the number of datagrams doesn't grow with the load of a workspace.
+Requests that arrive while the quota server is being asked share the next question, so
+that the number of datagrams doesn't grow with the load of a quota.
 """
 
 from __future__ import annotations
@@ -25,24 +25,17 @@
 from logbook import Logger
 
 from berylstage_entry.clock import now
-from berylstage_entry.errors import InvalidRecord, OverQuota, Refused
+from berylstage_entry.errors import InvalidRecord, Refused
 from berylstage_entry.permit_client import REQUEST_NUMBERS, ReplyTimeout
-from berylstage_entry.permit_messages import checksum
-from berylstage_entry.quota_messages import (
-    Loan,
-    LoanReply,
-    Stamp,
-    TokenReply,
-    TokenRequest,
-)
+from berylstage_entry.quota_messages import Loan, LoanReply, Stamp, TokenReply
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable
+    from collections.abc import Callable, Hashable, Iterable
     from random import Random
 
     from berylstage_entry.cluster_view import ClusterView
     from berylstage_entry.membership import Membership
-    from berylstage_entry.workspaces import Workspace
+    from berylstage_entry.quotas import Quota
 
 # Requests for tokens that are sent before the quota server counts as lost.
 MAX_ATTEMPTS = 3
@@ -52,8 +45,8 @@
 # and the interval at which it is asked.
 MAX_UNSERVED_SECONDS = 0.3
 UNSERVED_POLL_SECONDS = 0.05
-# Time for which a token may be used by another request of its workspace, counted from
-# its grant, if its own request was refused before it was sent.
+# Time for which a token may be used by another request of its quota, counted from its
+# grant, if its own request was refused before it was sent.
 TOKEN_SECONDS = 0.4
 INCARNATIONS = 1 << 32
 
@@ -65,19 +58,20 @@
 
 
 class Token:
-    """Permission to send one request of a workspace.
+    """Permission to send one request that a quota covers.
 
     Parameters
     ----------
-    workspace : str
+    quota : hashable
+        Identity of the quota.
     granted_at : float
         Monotonic seconds.
     """
 
-    __slots__ = ("granted_at", "workspace")
+    __slots__ = ("granted_at", "quota")
 
-    def __init__(self, workspace: str, granted_at: float):
-        self.workspace = workspace
+    def __init__(self, quota: Hashable, granted_at: float):
+        self.quota = quota
         self.granted_at = granted_at
 
 
@@ -94,11 +88,13 @@
 
 
 class _Waiting:
-    """Requests of one workspace that wait for a token, and unused tokens."""
+    """Requests of one quota that wait for a token, and unused tokens."""
 
-    __slots__ = ("requests", "spare", "task")
+    __slots__ = ("quota", "requests", "spare", "task")
 
-    def __init__(self) -> None:
+    def __init__(self, quota: Quota) -> None:
+        # With the limits in force.
+        self.quota = quota
         self.requests: deque[_WaitingRequest] = deque()
         self.spare: deque[Token] = deque()
         self.task: asyncio.Task | None = None
@@ -141,8 +137,10 @@
         self._cleared: set[str] = set()
         self._request_numbers = count(rng.randrange(REQUEST_NUMBERS))
         self._replies: dict[int, asyncio.Future[TokenReply]] = {}
-        self._waiting: dict[str, _Waiting] = {}
-        self._own_buckets: dict[str, TokenBucket] = {}
+        self._waiting: dict[Hashable, _Waiting] = {}
+        # Tokens of this VM's own shares, by quota, and the group of each.
+        self._own_buckets: dict[Hashable, TokenBucket] = {}
+        self._own_groups: dict[Hashable, int] = {}
         self._servers: list[str] = []
         self._members_revision = -1
         self._ranked: list[list[str]] = [[] for _ in range(GROUPS)]
@@ -157,6 +155,8 @@
         self.vm_count = 1
         # Sends a datagram to a VM, which may be this one.
         self.send: Callable[[str, bytes], None] = lambda host, data: None
+        # Tells whether a target has a limit.
+        self.has_target_limits: Callable[[], bool] = lambda: False
 
     def start(self) -> None:
         """Start to lend the shares of this VM."""
@@ -167,44 +167,47 @@
         if self._task is not None:
             self._task.cancel()
 
-    async def acquire(self, workspace: Workspace) -> Token | None:
-        """Wait for a token of a workspace; return None if it has no quota.
+    async def acquire(self, quota: Quota) -> Token | None:
+        """Wait for a token of a quota; return None if it has no limit.
 
         Raises
         ------
-        OverQuota
-            The workspace has used up its quota.
         Refused
-            No quota server is known yet.
+            The quota is used up, or no quota server is known yet.
         """
-        if not workspace.is_limited:
+        if not quota.is_limited:
             return None
-        waiting = self._waiting.setdefault(workspace.name, _Waiting())
+        waiting = self._waiting.setdefault(quota.identity, _Waiting(quota))
+        waiting.quota = quota
         token = waiting.take_spare(now())
         if token is not None:
             return token
         req = _WaitingRequest()
         waiting.requests.append(req)
         if waiting.task is None or waiting.task.done():
-            waiting.task = asyncio.create_task(self._serve_waiting(workspace, waiting))
+            waiting.task = asyncio.create_task(self._serve_waiting(waiting))
         reply = await req.fut
         if reply.count:
-            return Token(workspace.name, now())
+            return Token(quota.identity, now())
         if not reply.is_served:
             raise Refused("quota-unknown", reply.retry_after)
-        raise OverQuota(reply.retry_after, self._describe(workspace))
+        cfg = self._cluster_view.configuration
+        version = cfg.version if cfg is not None else 0
+        raise quota.build_refusal(reply.retry_after, version)
 
     def give_back(self, token: Token) -> None:
         """Let another request use the token of one that was not sent."""
-        self._waiting[token.workspace].spare.append(token)
-
-    def _describe(self, workspace: Workspace) -> str:
-        cfg = self._cluster_view.configuration
-        version = cfg.version if cfg is not None else 0
-        return (
-            f"workspace {workspace.name} rate {workspace.rate:g} "
-            f"burst {workspace.burst:g} configuration {version}"
-        )
+        waiting = self._waiting.get(token.quota)
+        if waiting is not None:
+            waiting.spare.append(token)
+
+    def forget(self, identity: Hashable) -> None:
+        """Drop what is kept for a quota that does not exist any more."""
+        waiting = self._waiting.get(identity)
+        if waiting is not None and (waiting.task is None or waiting.task.done()):
+            del self._waiting[identity]
+        self._own_buckets.pop(identity, None)
+        self._own_groups.pop(identity, None)
 
     def receive_reply(self, data: bytes, host: str = "") -> None:
         """Take a quota server's reply to a request for tokens."""
@@ -254,8 +257,8 @@
             self._lender.free_unlent(now())
             self._renew_loans()
 
-    async def _serve_waiting(self, workspace: Workspace, waiting: _Waiting) -> None:
-        """Ask for tokens until no request of the workspace waits."""
+    async def _serve_waiting(self, waiting: _Waiting) -> None:
+        """Ask for tokens until no request of the quota waits."""
         while waiting.requests:
             requests = [req for req in waiting.requests if not req.fut.done()]
             waiting.requests.clear()
@@ -263,32 +266,30 @@
                 return
             reply = TokenReply(0, 0, RENEWAL_SECONDS, False)
             try:
-                reply = await self._request_tokens(workspace, len(requests))
+                reply = await self._request_tokens(waiting.quota, len(requests))
             finally:
                 waiting.requests.extendleft(reversed(_settle(requests, reply)))
             if waiting.requests and not reply.count:
                 await asyncio.sleep(UNSERVED_POLL_SECONDS)
 
-    async def _request_tokens(self, workspace: Workspace, wanted: int) -> TokenReply:
+    async def _request_tokens(self, quota: Quota, wanted: int) -> TokenReply:
         """Return tokens from a quota server or, without one, from this VM's share."""
-        for server in self._servers_for(workspace.name):
+        for server in self._servers_for(quota.name):
             if server in self._lost:
                 continue
             try:
-                reply = await self._request_from(server, workspace, wanted)
+                reply = await self._request_from(server, quota, wanted)
             except _ServerLost:
                 self._mark_lost(server)
                 continue
             # A server that has just come back has not been lent any share yet.
             if reply.is_served:
                 return reply
-        return self._take_own(workspace, wanted)
+        return self._take_own(quota, wanted)
 
-    async def _request_from(
-        self, server: str, workspace: Workspace, wanted: int
-    ) -> TokenReply:
+    async def _request_from(self, server: str, quota: Quota, wanted: int) -> TokenReply:
         number = next(self._request_numbers) % REQUEST_NUMBERS
-        data = TokenRequest(number, checksum(workspace.name), wanted).encode()
+        data = quota.encode_request(number, wanted)
         fut = self._replies[number] = asyncio.get_running_loop().create_future()
         began = now()
         try:
@@ -305,20 +306,21 @@
             self._reply_timeout.record(now() - began)
             del self._replies[number]
 
-    def _take_own(self, workspace: Workspace, wanted: int) -> TokenReply:
+    def _take_own(self, quota: Quota, wanted: int) -> TokenReply:
         """Take tokens from this VM's own share, once no other VM can use it."""
         moment = now()
         share = 1.0 / max(1, self.vm_count)
-        rate, burst = share * workspace.rate, share * workspace.burst
-        if not self._lender.is_free(group_of(workspace.name), moment):
+        rate, burst = share * quota.rate, share * quota.burst
+        if not self._lender.is_free(group_of(quota.name), moment):
             return TokenReply(0, 0, RENEWAL_SECONDS, False)
-        bucket = self._own_buckets.get(workspace.name)
+        bucket = self._own_buckets.get(quota.identity)
         if bucket is None:
             # The server may have handed out the burst a moment ago. Small shares become
             # tokens at the VMs one after the other.
             level = self._rng.random()
             bucket = TokenBucket(rate, max(1.0, burst), level, moment)
-            self._own_buckets[workspace.name] = bucket
+            self._own_buckets[quota.identity] = bucket
+            self._own_groups[quota.identity] = group_of(quota.name)
         bucket.set_limits(rate, max(1.0, burst), moment)
         taken = bucket.take(wanted, moment)
         retry_after = bucket.seconds_until(1, moment) if taken < wanted else 0.0
@@ -329,9 +331,9 @@
             self._lost.add(server)
             log.info("quota server lost", extra={"server": server})
 
-    def _servers_for(self, workspace: str) -> list[str]:
+    def _servers_for(self, quota: str) -> list[str]:
         self._refresh_servers()
-        return self._ranked[group_of(workspace)]
+        return self._ranked[group_of(quota)]
 
     def _refresh_servers(self) -> None:
         """Update the quota servers after a change of the known VMs."""
@@ -353,7 +355,8 @@
 
     def _has_quotas(self) -> bool:
         cfg = self._cluster_view.configuration
-        return cfg is not None and cfg.workspaces is not None
+        has_workspaces = cfg is not None and cfg.workspaces is not None
+        return has_workspaces or self.has_target_limits()
 
     def _renew_loans(self) -> None:
         """Lend the shares of each group to its first quota server that responds."""
@@ -377,8 +380,10 @@
         lent = 0
         for mask in masks:
             lent |= mask
-        for name in [n for n in self._own_buckets if lent >> group_of(n) & 1]:
-            del self._own_buckets[name]
+        for identity, group in list(self._own_groups.items()):
+            if lent >> group & 1:
+                del self._own_buckets[identity]
+                del self._own_groups[identity]
 
     def _send_loan(self, server: str, groups: int) -> None:
         stamp = self._stamps.get(server, Stamp())
--- a/packages/entry/src/berylstage_entry/quota_messages.py
+++ b/packages/entry/src/berylstage_entry/quota_messages.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import struct
-from math import ceil
+from math import ceil, inf, isfinite
 
 from berylstage_entry.errors import InvalidRecord
 
@@ -12,8 +12,12 @@
 LOAN_REPLY_TYPE = 27
 TOKEN_REQUEST_TYPE = 28
 TOKEN_REPLY_TYPE = 29
+LIMIT_NOTICE_TYPE = 30
+TARGET_TOKEN_REQUEST_TYPE = 31
 _MILLISECONDS = 1000
 _MAX_SHORT = 65535
+# Stands for the end of a limit.
+_NO_LIMIT = inf
 # Incarnation and time of the stamp in milliseconds, mask of the lent groups,
 # incarnation of the lender.
 _LOAN = struct.Struct("<BIQHI")
@@ -22,6 +26,10 @@
 _LOAN_REPLY = struct.Struct("<BIQIBB")
 # Number, checksum of the workspace, tokens.
 _TOKEN_REQUEST = struct.Struct("<BIIH")
+# Number, checksum of the target's quota, tokens, requests per second.
+_TARGET_TOKEN_REQUEST = struct.Struct("<BIIHd")
+# Checksum and incarnation of the target, requests per second.
+_LIMIT_NOTICE = struct.Struct("<BIQd")
 # Number, tokens, milliseconds until a retry, whether the quota is known, whether its
 # tokens are new.
 _TOKEN_REPLY = struct.Struct("<BIHHBB")
@@ -189,6 +197,96 @@
         return cls(number, workspace, count)
 
 
+class TargetTokenRequest:
+    """Request for tokens of a target's limit.
+
+    It names the limit, so that the quota server need not know it: a server that has not
+    heard of the limit, or has heard of its end too early, would let requests through.
+
+    Parameters
+    ----------
+    number : int
+        Number of the request, counted by the requesting VM.
+    quota : int
+        Checksum of the quota's name.
+    count : int
+        Number of requests that wait for a token.
+    rate : float
+        Requests per second from all VMs together.
+    """
+
+    __slots__ = ("count", "number", "quota", "rate")
+
+    def __init__(self, number: int, quota: int, count: int, rate: float):
+        self.number = number
+        self.quota = quota
+        self.count = count
+        self.rate = rate
+
+    def encode(self) -> bytes:
+        """Return the datagram."""
+        count = min(self.count, _MAX_SHORT)
+        return _TARGET_TOKEN_REQUEST.pack(
+            TARGET_TOKEN_REQUEST_TYPE, self.number, self.quota, count, self.rate
+        )
+
+    @classmethod
+    def decode(cls, data: bytes) -> TargetTokenRequest:
+        """Decode a datagram.
+
+        Raises
+        ------
+        InvalidRecord
+        """
+        _, number, quota, count, rate = _unpack(_TARGET_TOKEN_REQUEST, data)
+        return cls(number, quota, count, _check_rate(rate))
+
+
+class LimitNotice:
+    """Limit that a target has named to another VM, or the end of its limit.
+
+    Parameters
+    ----------
+    target : int
+        Checksum of the target's name.
+    incarnation : int
+    rate : float or None
+        Requests per second from all VMs together; None if it names no limit any more.
+    """
+
+    __slots__ = ("incarnation", "rate", "target")
+
+    def __init__(self, target: int, incarnation: int, rate: float | None):
+        self.target = target
+        self.incarnation = incarnation
+        self.rate = rate
+
+    def encode(self) -> bytes:
+        """Return the datagram."""
+        rate = _NO_LIMIT if self.rate is None else self.rate
+        return _LIMIT_NOTICE.pack(
+            LIMIT_NOTICE_TYPE, self.target, self.incarnation, rate
+        )
+
+    @classmethod
+    def decode(cls, data: bytes) -> LimitNotice:
+        """Decode a datagram.
+
+        Raises
+        ------
+        InvalidRecord
+        """
+        _, target, incarnation, rate = _unpack(_LIMIT_NOTICE, data)
+        is_end = rate == _NO_LIMIT
+        return cls(target, incarnation, None if is_end else _check_rate(rate))
+
+
+def _check_rate(rate: float) -> float:
+    if not isfinite(rate) or rate < 0:
+        raise InvalidRecord(f"invalid quota datagram: rate {rate}")
+    return rate
+
+
 class TokenReply:
     """Tokens that a quota server grants.
 
--- a/packages/entry/src/berylstage_entry/quota_server.py
+++ b/packages/entry/src/berylstage_entry/quota_server.py
@@ -5,11 +5,12 @@
 from typing import TYPE_CHECKING
 
 from berylstage_policy.quota_shares import (
+    GROUPS,
     JITTER_SHARE,
     START_SHARE,
     SharePool,
-    group_of,
 )
+from berylstage_policy.target_limits import TARGET_LIMIT_BOUNDS
 from berylstage_policy.token_bucket import TokenBucket
 from logbook import Logger
 
@@ -20,6 +21,7 @@
     Loan,
     LoanReply,
     Stamp,
+    TargetTokenRequest,
     TokenReply,
     TokenRequest,
 )
@@ -31,10 +33,12 @@
     from berylstage_policy.quota_shares import QuotaBounds
 
     from berylstage_entry.cluster_view import ClusterView
-    from berylstage_entry.workspaces import Workspace
 
 # Time for which a reply is repeated when the same request arrives again.
 REPLY_MEMORY_SECONDS = 2.0
+# Time after which the unused bucket of a target's limit is dropped. A new one has fewer
+# tokens than any that has been unused for so long.
+UNUSED_BUCKET_SECONDS = 30.0
 # Bounds of the delay after which a caller over its quota may retry.
 MIN_RETRY_SECONDS = 0.05
 MAX_RETRY_SECONDS = 5.0
@@ -48,25 +52,60 @@
 log = Logger(__name__)
 
 
-class _Quota:
-    """Tokens of one workspace.
+class _Terms:
+    """Limits of a quota, as a request for its tokens finds them.
 
     Parameters
     ----------
-    workspace : Workspace
-    bucket : TokenBucket
+    number : int
+        Checksum of the quota's name.
+    rate, burst : float
+        Requests per second over all VMs, and those that may come at once beyond.
+    tolerance : float
+        Requests tolerated in a window beyond the quota.
+    is_target : bool
+        Whether it is the limit of a target, which needs no burst to be kept for it.
     """
 
-    __slots__ = ("bucket", "created_at", "workspace")
+    __slots__ = ("burst", "is_target", "number", "rate", "tolerance")
+
+    def __init__(
+        self,
+        number: int,
+        rate: float,
+        burst: float,
+        tolerance: float,
+        is_target: bool = False,
+    ):
+        self.number = number
+        self.rate = rate
+        self.burst = burst
+        self.tolerance = tolerance
+        self.is_target = is_target
+
+    @property
+    def group(self) -> int:
+        """Group of shares to which the quota belongs."""
+        return self.number % GROUPS
+
+    @property
+    def key(self) -> tuple[bool, int]:
+        """Value that distinguishes the quota from all others."""
+        return self.is_target, self.number
+
 
-    def __init__(self, workspace: Workspace, bucket: TokenBucket, created_at: float):
-        self.workspace = workspace
+class _Quota:
+    """Tokens of one quota."""
+
+    __slots__ = ("bucket", "created_at", "used_at")
+
+    def __init__(self, bucket: TokenBucket, created_at: float):
         self.bucket = bucket
-        self.created_at = created_at
+        self.created_at = self.used_at = created_at
 
 
 class _SentReply:
-    """The last reply to a VM about a workspace."""
+    """The last reply to a VM about a quota."""
 
     __slots__ = ("reply", "sent_at")
 
@@ -91,11 +130,11 @@
         self._rng = rng
         self._incarnation = rng.randrange(1, INCARNATIONS)
         self._pool = SharePool()
-        self._quotas: dict[str, _Quota] = {}
+        self._quotas: dict[tuple[bool, int], _Quota] = {}
         self._configuration_version = -1
         # Names of workspaces by checksum.
         self._names: dict[int, str] = {}
-        self._sent: dict[tuple[str, int], _SentReply] = {}
+        self._sent: dict[tuple[str, bool, int], _SentReply] = {}
         self._pruned_at = now()
         # Number of VMs that own a share, this one included.
         self.vm_count = 1
@@ -124,35 +163,55 @@
         self.send(host, reply.encode())
 
     def receive_request(self, data: bytes, host: str) -> None:
-        """Answer a VM's request for tokens."""
+        """Answer a VM's request for tokens of a workspace."""
         try:
             request = TokenRequest.decode(data)
         except InvalidRecord as exc:
             log.warning("invalid token request ignored", extra={"cause": str(exc)})
             return
+        key = (host, False, request.workspace)
+        terms = self._workspace_terms(request.workspace)
+        self._answer(key, request.number, request.count, terms)
+
+    def receive_target_request(self, data: bytes, host: str) -> None:
+        """Answer a VM's request for tokens of a target's limit."""
+        try:
+            request = TargetTokenRequest.decode(data)
+        except InvalidRecord as exc:
+            log.warning("invalid token request ignored", extra={"cause": str(exc)})
+            return
+        tolerance = TARGET_LIMIT_BOUNDS.tolerance(request.rate, 0.0)
+        terms = _Terms(request.quota, request.rate, 0.0, tolerance, True)
+        self._answer((host, True, request.quota), request.number, request.count, terms)
+
+    def _answer(
+        self, key: tuple[str, bool, int], number: int, count: int, terms: _Terms | None
+    ) -> None:
         moment = now()
-        self._prune_replies(moment)
-        key = (host, request.workspace)
+        self._prune(moment)
         sent = self._sent.get(key)
         # A request that arrives twice must not take its tokens twice.
-        if sent is None or sent.reply.number != request.number:
-            sent = _SentReply(self._grant(request, moment), moment)
+        if sent is None or sent.reply.number != number:
+            sent = _SentReply(self._grant(number, count, terms, moment), moment)
             self._sent[key] = sent
-        self.send(host, sent.reply.encode())
+        self.send(key[0], sent.reply.encode())
 
     def _stamp(self) -> Stamp:
         return Stamp.at(self._incarnation, now())
 
-    def _grant(self, request: TokenRequest, moment: float) -> TokenReply:
-        quota = self._find_quota(request.workspace, moment)
-        if quota is None:
-            return TokenReply(request.number, 0, 0.0, False)
-        taken = quota.bucket.take(request.count, moment)
+    def _grant(
+        self, number: int, count: int, terms: _Terms | None, moment: float
+    ) -> TokenReply:
+        quota = self._find_quota(terms, moment) if terms is not None else None
+        if terms is None or quota is None:
+            return TokenReply(number, 0, 0.0, False)
+        quota.used_at = moment
+        taken = quota.bucket.take(count, moment)
         retry_after = 0.0
-        if taken < request.count:
+        if taken < count:
             retry_after = self._draw_retry_after(quota, moment)
-        is_filling = moment - quota.created_at < FILLING_SECONDS
-        return TokenReply(request.number, taken, retry_after, True, is_filling)
+        is_filling = not terms.is_target and moment - quota.created_at < FILLING_SECONDS
+        return TokenReply(number, taken, retry_after, True, is_filling)
 
     def _draw_retry_after(self, quota: _Quota, moment: float) -> float:
         """Return the delay until the next token, at different times for callers.
@@ -166,8 +225,8 @@
         delay = MIN_RETRY_SECONDS + earliest * self._rng.uniform(1, RETRY_SPREAD)
         return min(MAX_RETRY_SECONDS, delay)
 
-    def _find_quota(self, number: int, moment: float) -> _Quota | None:
-        """Return the quota of a workspace with the limits in force, or None."""
+    def _workspace_terms(self, number: int) -> _Terms | None:
+        """Return the limits of a workspace in force, or None if it is unknown."""
         cfg = self._cluster_view.configuration
         if cfg is None or cfg.workspaces is None:
             return None
@@ -177,29 +236,36 @@
         name = self._names.get(number)
         if name is None:
             return None
-        group = group_of(name)
-        lenders = self._pool.lenders(group, moment)
+        workspace = cfg.workspaces.by_name[name]
+        tolerance = self._bounds.tolerance(workspace.rate, workspace.burst)
+        return _Terms(number, workspace.rate, workspace.burst, tolerance)
+
+    def _find_quota(self, terms: _Terms, moment: float) -> _Quota | None:
+        """Return a quota with the limits in force; None if no share was lent."""
+        lenders = self._pool.lenders(terms.group, moment)
         if not lenders:
             return None
-        workspace = cfg.workspaces.by_name[name]
         share = min(1.0, lenders / max(1, self.vm_count))
-        tolerance = self._bounds.tolerance(workspace.rate, workspace.burst)
-        rate = share * workspace.rate
-        capacity = share * workspace.burst + JITTER_SHARE * tolerance
-        quota = self._quotas.get(name)
-        if quota is None or quota.created_at < self._pool.held_since(group):
+        rate = share * terms.rate
+        capacity = share * terms.burst + JITTER_SHARE * terms.tolerance
+        quota = self._quotas.get(terms.key)
+        if quota is None or quota.created_at < self._pool.held_since(terms.group):
             # Another server may have handed out the whole burst a moment ago.
-            level = share * START_SHARE * tolerance
+            level = share * START_SHARE * terms.tolerance
             bucket = TokenBucket(rate, capacity, level, moment)
-            quota = self._quotas[name] = _Quota(workspace, bucket, moment)
-        quota.workspace = workspace
+            quota = self._quotas[terms.key] = _Quota(bucket, moment)
         quota.bucket.set_limits(rate, capacity, moment)
         return quota
 
-    def _prune_replies(self, moment: float) -> None:
+    def _prune(self, moment: float) -> None:
+        """Drop old replies, and the buckets of targets that have no limit any more."""
         if moment - self._pruned_at < REPLY_MEMORY_SECONDS:
             return
         self._pruned_at = moment
         for key, sent in list(self._sent.items()):
             if moment - sent.sent_at > REPLY_MEMORY_SECONDS:
                 del self._sent[key]
+        for number, quota in list(self._quotas.items()):
+            is_target, _ = number
+            if is_target and moment - quota.used_at > UNUSED_BUCKET_SECONDS:
+                del self._quotas[number]
--- a/packages/entry/src/berylstage_entry/request_context.py
+++ b/packages/entry/src/berylstage_entry/request_context.py
@@ -7,6 +7,7 @@
 if TYPE_CHECKING:
     from berylstage_entry.permit_client import Permit
     from berylstage_entry.protocols import CallerRequest, TargetAnswer
+    from berylstage_entry.quota_client import Token
     from berylstage_entry.routes import Route
     from berylstage_entry.services import Service
 
@@ -68,6 +69,7 @@
         "rejected_by",
         "waited",
         "soft_deadline",
+        "target_token",
     )
 
     def __init__(
@@ -87,6 +89,8 @@
         self.priority = priority
         # Permit to send to the target, to be released; None while there is none.
         self.permit: Permit | None = None
+        # Token of the limit of the chosen target; None if it has no limit.
+        self.target_token: Token | None = None
         self.waited = 0.0
         # Times that a target rejected it although it had a permit.
         self.rejections = 0
--- a/packages/entry/src/berylstage_entry/router.py
+++ b/packages/entry/src/berylstage_entry/router.py
@@ -39,7 +39,7 @@
     from berylstage_entry.protocols import CallerRequest, TargetAnswer
     from berylstage_entry.quota_client import QuotaClient
     from berylstage_entry.routes import Route
-    from berylstage_entry.services import Configuration
+    from berylstage_entry.services import Configuration, Service
     from berylstage_entry.settings import Bounds
     from berylstage_entry.store_watcher import StoreWatcher
     from berylstage_entry.target_clients import TargetClients
@@ -109,7 +109,7 @@
         self._data_centre = data_centre
         self.loads = TargetLoads(cluster_view, rng)
         self.cold_targets = ColdTargets(cluster_view, bounds, vm)
-        self.target_limits = TargetLimits()
+        self.target_limits = TargetLimits(cluster_view)
         self._retry_budgets: dict[str, RetryBudget] = {}
         self._splits: dict[str, tuple[tuple, WeightedRoundRobin]] = {}
         self._seen_revision = -1
@@ -251,6 +251,7 @@
                     self._check_api_key(ctx)
                 except EntryError:
                     self._release_permit(ctx)
+                    self._give_back_target_token(ctx)
                     raise
                 answer = await self._attempt(ctx, name)
                 if answer is not None:
@@ -270,7 +271,12 @@
         else:
             name = await self._choose_without_key(ctx)
         if ctx.attempts:
-            self._check_retry_limits(ctx, name)
+            try:
+                self._check_retry_limits(ctx, name)
+            except EntryError:
+                self._release_permit(ctx)
+                self._give_back_target_token(ctx)
+                raise
         return name
 
     def _check_retry_limits(self, ctx: RequestContext, name: str) -> None:
@@ -288,15 +294,22 @@
                 raise self._build_error(ctx, "no-owner", str(exc)) from exc
             if not self.cold_targets.may_send(name, ctx.service):
                 raise self._build_error(ctx, "cold")
+            await self._acquire_target_token(ctx, name)
             data_centre = self._cluster_view.known[name].target.data_centre
-            await self._acquire_permit(ctx, name, data_centre)
-            if not self._owner_resolver.is_owner(ctx, name):
-                # The key moved, or its owner became unusable, during the wait.
-                self._release_permit(ctx)
-                continue
-            if ctx.permit is None:
-                return self._check_owner_load(ctx, name)
-            return name
+            try:
+                await self._acquire_permit(ctx, name, data_centre)
+                is_owner = self._owner_resolver.is_owner(ctx, name)
+                if is_owner and ctx.permit is None:
+                    self._check_owner_load(ctx, name)
+            except BaseException:
+                self._give_back_target_token(ctx)
+                raise
+            if is_owner and not self._lacks_token(ctx, name):
+                return name
+            # During the wait the key moved, or its owner became unusable or named a
+            # limit.
+            self._release_permit(ctx)
+            self._give_back_target_token(ctx)
 
     async def _acquire_permit(
         self, ctx: RequestContext, queue: str, data_centre: str = ""
@@ -326,7 +339,40 @@
             self.permit_client.release(ctx.permit, failed, load)
         ctx.permit = None
 
-    def _check_owner_load(self, ctx: RequestContext, name: str) -> str:
+    async def _acquire_target_token(self, ctx: RequestContext, name: str) -> None:
+        """Wait for a token of the target's limit; take none if it has no limit.
+
+        Raises
+        ------
+        Refused, Unanswered
+            The target accepts no further request for some time.
+        """
+        quota = self.target_limits.find_quota(name)
+        if quota is None or self.quota_client is None:
+            return
+        blocked_seconds = self.target_limits.blocked_seconds(name)
+        if blocked_seconds:
+            exc = quota.build_refusal(blocked_seconds, 0)
+        else:
+            try:
+                ctx.target_token = await self.quota_client.acquire(quota)
+                return
+            except Refused as refused:
+                self.target_limits.block(name, refused.retry_after)
+                exc = refused
+        raise self._build_error(ctx, exc.reason, exc.detail, exc.retry_after)
+
+    def _lacks_token(self, ctx: RequestContext, name: str) -> bool:
+        """Tell whether a target has named a limit since its token was asked for."""
+        has_limit = self.target_limits.rate(name) is not None
+        return has_limit and ctx.target_token is None and self.quota_client is not None
+
+    def _give_back_target_token(self, ctx: RequestContext) -> None:
+        if ctx.target_token is not None and self.quota_client is not None:
+            self.quota_client.give_back(ctx.target_token)
+        ctx.target_token = None
+
+    def _check_owner_load(self, ctx: RequestContext, name: str) -> None:
         """Refuse a request if this VM's data shows that the owner is overloaded."""
         loads = self.loads.for_service(ctx.service.name)
         loads.load(name, self._cluster_view.known[name].target.slots)
@@ -335,21 +381,35 @@
         if expected > limit:
             detail = loads.describe(name, now())
             raise self._build_error(ctx, "owner-busy", detail)
-        return name
 
     async def _choose_without_key(self, ctx: RequestContext) -> str:
+        """Return the target of a request without a key, with a token if it needs one.
+
+        A target whose limit has no token left is not eligible any more, so that another
+        one is chosen.
+        """
+        while True:
+            name = await self._choose_among_eligible(ctx)
+            try:
+                await self._acquire_target_token(ctx, name)
+                return name
+            except (Refused, Unanswered):
+                self._release_permit(ctx)
+                if not self.target_limits.blocked_seconds(name):
+                    raise
+
+    async def _choose_among_eligible(self, ctx: RequestContext) -> str:
         """Return the target of a request without a key, with a permit if possible."""
         names = self._eligible_targets(ctx)
-        cold = [
-            n for n in names if self.cold_targets.limiter(n, ctx.service) is not None
-        ]
-        if ctx.attempts or len(cold) == len(names):
+        limited = [n for n in names if self._is_limited(n, ctx.service)]
+        if ctx.attempts or len(limited) == len(names):
             # A retry avoids the targets that have failed it.
             return self._choose_by_load(ctx, names)
-        if cold:
-            # Requests to cold targets are limited per VM and need no permit.
+        if limited:
+            # Requests to cold targets are limited per VM, those to targets with a limit
+            # by tokens, and both need no permit.
             name = self._choose_by_load(ctx, names)
-            if name in cold:
+            if name in limited:
                 return name
         await self._acquire_permit(ctx, ctx.service.name)
         name = ""
@@ -371,20 +431,31 @@
         loads = self.loads.for_service(ctx.service.name)
         known = self._cluster_view.known
         eligible = []
+        blocked_seconds = []
         for name in names:
             if name in ctx.tried_targets or not self.cold_targets.may_send(
                 name, ctx.service
             ):
                 continue
+            if self.target_limits.blocked_seconds(name):
+                blocked_seconds.append(self.target_limits.blocked_seconds(name))
+                continue
             target = known[name].target
             load = loads.load(name, target.slots)
             if target.data_centre != self._data_centre:
                 load.locality_penalty = OTHER_DATA_CENTRE
             eligible.append(name)
+        if not eligible and blocked_seconds:
+            raise self._build_error(ctx, "target-limit", "", min(blocked_seconds))
         if not eligible:
             raise self._build_error(ctx, "no-target")
         return eligible
 
+    def _is_limited(self, name: str, service: Service) -> bool:
+        """Tell whether requests to a target are limited by more than its slots."""
+        is_cold = self.cold_targets.limiter(name, service) is not None
+        return is_cold or self.target_limits.rate(name) is not None
+
     def _choose_by_load(self, ctx: RequestContext, eligible: list[str]) -> str:
         """Return the target with the earliest completion by this VM's data."""
         loads = self.loads.for_service(ctx.service.name)
@@ -401,6 +472,7 @@
         loads = self.loads.for_service(ctx.service.name)
         load = loads.load(name, target.slots)
         self.cold_targets.record_request(name, ctx.service)
+        token, ctx.target_token = ctx.target_token, None
         load.inflight += 1
         started_at = now()
         failed, report, had_permit = True, None, ctx.permit is not None
@@ -413,6 +485,8 @@
                 ctx.permit.target = 0
             raise
         except NeverSent as exc:
+            ctx.target_token = token
+            self._give_back_target_token(ctx)
             load.record_failure(now())
             ctx.tried_targets.add(name)
             self._owner_resolver.turned_away(ctx, name)
@@ -425,7 +499,7 @@
         finally:
             load.inflight -= 1
             self._release_permit(ctx, failed, report)
-        self.target_limits.record_answer(target, answer)
+        self.target_limits.record_answer(target, answer, started_at)
         kind, service = ctx.route.name, ctx.service.name
         self.loads.record_answer(name, kind, service, answer, now() - started_at)
         if answer.not_run and not answer.misdirected and had_permit:
--- a/packages/entry/src/berylstage_entry/workspaces.py
+++ b/packages/entry/src/berylstage_entry/workspaces.py
@@ -5,11 +5,16 @@
 from math import isfinite
 from typing import TYPE_CHECKING
 
+from berylstage_entry.errors import OverQuota
+from berylstage_entry.permit_messages import checksum
+from berylstage_entry.quota_messages import TokenRequest
+from berylstage_entry.quotas import Quota
+
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
 
-class Workspace:
+class Workspace(Quota):
     """A workspace of the operators' configuration.
 
     Parameters
@@ -57,9 +62,18 @@
         self.burst = _parse_limit(name, "burst", burst)
 
     @property
-    def is_limited(self) -> bool:
-        """Whether the workspace has a quota."""
-        return self.rate > 0
+    def identity(self) -> str:  # noqa: D102
+        return self.name
+
+    def encode_request(self, number: int, count: int) -> bytes:  # noqa: D102
+        return TokenRequest(number, checksum(self.name), count).encode()
+
+    def build_refusal(self, retry_after: float, version: int) -> OverQuota:  # noqa: D102
+        detail = (
+            f"workspace {self.name} rate {self.rate:g} burst {self.burst:g} "
+            f"configuration {version}"
+        )
+        return OverQuota(retry_after, detail)
 
 
 class WorkspaceDirectory:
--- a/packages/entry/tests/quota_fleet.py
+++ b/packages/entry/tests/quota_fleet.py
@@ -86,6 +86,8 @@
     vms : int
     """
 
+    vm_class = QuotaVm
+
     def __init__(self, loop, rate=100.0, vms=20):
         self.loop = loop
         self.vms = vms
@@ -121,7 +123,7 @@
 
         async def start():
             for host in hosts:
-                self.running[host] = QuotaVm(self, host)
+                self.running[host] = self.vm_class(self, host)
                 self.running[host].client.start()
 
         self.loop.run_until_complete(start())
--- a/packages/entry/tests/test_grant_controller.py
+++ b/packages/entry/tests/test_grant_controller.py
@@ -14,7 +14,10 @@
     CoordinatorElection,
 )
 from berylstage_entry.grant_controller import MAX_RANGES_PER_TARGET, GrantController
+from berylstage_entry.protocols import TargetAnswer
 from berylstage_entry.store_watcher import StoreWatcher
+from berylstage_entry.target_limits import TargetLimits
+from berylstage_entry.targets import TargetNotice
 from cluster_simulation import VMS, ClusterSimulation
 from fakes import (
     FencedTargets,
@@ -24,6 +27,7 @@
     StoreView,
     configuration,
     settings,
+    target,
 )
 from virtual_time import virtual_loop
 
@@ -651,6 +655,32 @@
         asyncio.run(scenario())
 
 
+class TestTargetLimits:
+    def test_busy_keys_move_away_from_an_owner_that_names_a_limit(self, store):
+        # Guards against a limit that is kept by refusing the callers of its keys.
+        async def scenario():
+            protocol = FencedTargets()
+            vm = Vm("vm-1", store, protocol)
+            limits = vm.grant_controller.target_limits = TargetLimits(vm.cluster_view)
+            vm.start()
+            await wait_until(lambda: have_all_holders(protocol))
+            assignment = vm.store_watcher.assignments["s"]
+            owner = assignment.find(100).owner
+            notice = TargetNotice(2.0)
+            answer = TargetAnswer(200, [], b"", False, False, True, None, False, notice)
+            limits.record_answer(target(owner), answer, now())
+
+            def moved():
+                vm.grant_controller.add_key_counts("s", {100: 1, 140: 1, 180: 1})
+                found = vm.store_watcher.assignments["s"].find(100)
+                return found.owner != owner and not found.previous_owner
+
+            await wait_until(moved, 3.0)
+            vm.kill()
+
+        asyncio.run(scenario())
+
+
 class TestStop:
     """The coordinator stops while its calls are in progress."""
 
--- a/packages/entry/tests/test_quota_messages.py
+++ b/packages/entry/tests/test_quota_messages.py
@@ -9,9 +9,11 @@
 )
 from berylstage_entry.errors import InvalidRecord
 from berylstage_entry.quota_messages import (
+    LimitNotice,
     Loan,
     LoanReply,
     Stamp,
+    TargetTokenRequest,
     TokenReply,
     TokenRequest,
 )
@@ -30,6 +32,22 @@
     def test_token_request_is_capped(self):
         assert TokenRequest.decode(TokenRequest(1, 2, 10**9).encode()).count == 65535
 
+    def test_token_request_of_a_target(self):
+        found = TargetTokenRequest.decode(TargetTokenRequest(1, 2, 10**9, 3.1).encode())
+        assert (found.number, found.quota) == (1, 2)
+        assert (found.count, found.rate) == (65535, 3.1)
+
+    @pytest.mark.parametrize("rate", [None, 0.0, 3.1])
+    def test_limit_notice(self, rate):
+        found = LimitNotice.decode(LimitNotice(1, 1 << 41, rate).encode())
+        assert (found.target, found.incarnation, found.rate) == (1, 1 << 41, rate)
+
+    @pytest.mark.parametrize("rate", [-1.0, float("nan"), float("-inf")])
+    def test_rate_that_is_no_rate(self, rate):
+        for message in (LimitNotice(1, 2, rate), TargetTokenRequest(1, 2, 3, rate)):
+            with pytest.raises(InvalidRecord):
+                type(message).decode(message.encode())
+
     def test_token_reply(self):
         found = TokenReply.decode(TokenReply(1, 2, 0.0501, False).encode())
         assert (found.count, found.retry_after, found.is_served) == (2, 0.051, False)
@@ -43,8 +61,10 @@
     @pytest.mark.parametrize(
         "kind",
         [
+            LimitNotice,
             Loan,
             LoanReply,
+            TargetTokenRequest,
             TokenRequest,
             TokenReply,
             ConfirmationRequest,
--- a/tools/write_tables.py
+++ b/tools/write_tables.py
@@ -166,6 +166,7 @@
             "answer-lost",
             "caller-left",
             "over-quota",
+            "target-limit",
         }
         if found != set(END_REASONS):
             mismatched = sorted(found ^ set(END_REASONS))
@@ -196,9 +197,10 @@
     "no-time": ("503", "too little of its time is left"),
     "over-quota": ("429", "its workspace has used up its quota"),
     "owner-busy": ("503", "the owner would be done far beyond the objective"),
-    "quota-unknown": ("503", "no VM could be asked for the quota of its workspace"),
+    "quota-unknown": ("503", "no VM could be asked for the quota that covers it"),
     "stale-configuration": ("503", "an API key may have been taken away meanwhile"),
     "stopping": ("503", "the VM stops and had no time left for it"),
+    "target-limit": ("503", "its target names a limit, and has no room now"),
     "timeout": ("504", "sent, and not answered within its time; it may have run"),
     "unknown-key": ("401", "no workspace has its API key"),
     "unreachable": ("503", "no connection to a target within its time"),
