Log the rest that targets ask for, and that they leave

No change of behaviour. In the incident of rest, no line of the logs told whether a VM had read what targets asked for. What a target says of itself is now decoded in one value, and one place records it; answers of another target at the address say nothing of it.

--- a/packages/entry/src/berylstage_entry/router.py
+++ b/packages/entry/src/berylstage_entry/router.py
@@ -24,13 +24,13 @@
 )
 from berylstage_entry.owners import OwnerResolver
 from berylstage_entry.request_context import RequestContext, RoutedAnswer
-from berylstage_entry.target_limits import TargetLimits
 from berylstage_entry.target_loads import (
     SERVER_ERROR,
     TargetLoads,
     build_load_report,
     is_failure,
 )
+from berylstage_entry.target_notices import TargetNotices
 
 if TYPE_CHECKING:
     from berylstage_entry.cluster_view import ClusterView
@@ -88,6 +88,7 @@
     ----------
     loads : TargetLoads
     cold_targets : ColdTargets
+    target_notices : TargetNotices
     target_limits : TargetLimits
     """
 
@@ -109,7 +110,8 @@
         self._data_centre = data_centre
         self.loads = TargetLoads(cluster_view, rng)
         self.cold_targets = ColdTargets(cluster_view, bounds, vm)
-        self.target_limits = TargetLimits(cluster_view)
+        self.target_notices = TargetNotices(cluster_view)
+        self.target_limits = self.target_notices.limits
         self._retry_budgets: dict[str, RetryBudget] = {}
         self._splits: dict[str, tuple[tuple, WeightedRoundRobin]] = {}
         self._seen_revision = -1
@@ -240,7 +242,7 @@
         names = set(known)
         self._clients.retain(names)
         self.cold_targets.retain(names)
-        self.target_limits.retain({k.target.identity for k in known.values()})
+        self.target_notices.retain({k.target.identity for k in known.values()})
 
     async def _forward(self, ctx: RequestContext) -> RoutedAnswer:
         """Send until there is an answer to return, or no further attempt is allowed."""
@@ -499,7 +501,7 @@
         finally:
             load.inflight -= 1
             self._release_permit(ctx, failed, report)
-        self.target_limits.record_answer(target, answer, started_at)
+        self.target_notices.record_answer(target, answer, started_at)
         kind, service = ctx.route.name, ctx.service.name
         self.loads.record_answer(name, kind, service, answer, now() - started_at)
         if answer.not_run and not answer.misdirected and had_permit:
--- a/packages/entry/src/berylstage_entry/target_limits.py
+++ b/packages/entry/src/berylstage_entry/target_limits.py
@@ -23,8 +23,7 @@
     from collections.abc import Callable
 
     from berylstage_entry.cluster_view import ClusterView
-    from berylstage_entry.protocols import TargetAnswer
-    from berylstage_entry.targets import Target
+    from berylstage_entry.targets import Target, TargetNotice
 
 # Log lines per second about limits.
 LIMIT_LINES_PER_SECOND = 5.0
@@ -123,22 +122,19 @@
         limit = self._find(name)
         return 0.0 if limit is None else limit.blocked_seconds(now())
 
-    def record_answer(
-        self, target: Target, answer: TargetAnswer, sent_at: float
+    def record_notice(
+        self, target: Target, notice: TargetNotice, sent_at: float
     ) -> None:
         """Record the limit that an answer names, or that it names none.
 
         Parameters
         ----------
         target : Target
-        answer : TargetAnswer
+        notice : TargetNotice
         sent_at : float
             Monotonic seconds at which the answered request was sent.
         """
-        if answer.misdirected:
-            # Another target may have answered.
-            return
-        notice, limit = answer.notice, self._limits.get(target.identity)
+        limit = self._limits.get(target.identity)
         if notice.is_limit_invalid:
             if self._log_limiter.take():
                 log.warning(
--- /dev/null
+++ b/packages/entry/src/berylstage_entry/target_notices.py
@@ -0,0 +1,76 @@
+"""What targets say of themselves in their answers, and who acts on it."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from logbook import Logger
+
+from berylstage_entry.request_log import LogRateLimiter
+from berylstage_entry.target_limits import TargetLimits
+
+if TYPE_CHECKING:
+    from berylstage_entry.cluster_view import ClusterView
+    from berylstage_entry.protocols import TargetAnswer
+    from berylstage_entry.targets import Target
+
+# Log lines per second about rests and departures.
+NOTICE_LINES_PER_SECOND = 5.0
+
+log = Logger(__name__)
+
+
+class TargetNotices:
+    """Records what the targets' answers say of them.
+
+    Parameters
+    ----------
+    cluster_view : ClusterView
+
+    Attributes
+    ----------
+    limits : TargetLimits
+    """
+
+    def __init__(self, cluster_view: ClusterView):
+        self.limits = TargetLimits(cluster_view)
+        self._log_limiter = LogRateLimiter(NOTICE_LINES_PER_SECOND)
+
+    def retain(self, identities: set[tuple[str, int]]) -> None:
+        """Remove all targets except the given ones."""
+        self.limits.retain(identities)
+
+    def record_answer(
+        self, target: Target, answer: TargetAnswer, sent_at: float
+    ) -> None:
+        """Record what an answer says of its target.
+
+        Parameters
+        ----------
+        target : Target
+        answer : TargetAnswer
+        sent_at : float
+            Monotonic seconds at which the answered request was sent.
+        """
+        if answer.misdirected:
+            # Another target may have answered.
+            return
+        notice = answer.notice
+        self.limits.record_notice(target, notice, sent_at)
+        if notice.rest_seconds and self._log_limiter.take():
+            log.info(
+                "target asks for rest",
+                extra={
+                    "target": target.name,
+                    "seconds": notice.rest_seconds,
+                    "left_out": self._log_limiter.take_suppressed_count(),
+                },
+            )
+        if notice.is_leaving and self._log_limiter.take():
+            log.info(
+                "target says that it is leaving",
+                extra={
+                    "target": target.name,
+                    "left_out": self._log_limiter.take_suppressed_count(),
+                },
+            )
--- a/packages/entry/src/berylstage_entry/targets.py
+++ b/packages/entry/src/berylstage_entry/targets.py
@@ -72,13 +72,25 @@
         limit.
     is_limit_invalid : bool
         Whether it names a limit that cannot be decoded.
+    rest_seconds : float
+        Seconds for which it wants no request from this VM; 0 if it asks for no rest.
+    is_leaving : bool
+        Whether it will shut down.
     """
 
-    __slots__ = ("is_limit_invalid", "limit")
+    __slots__ = ("is_leaving", "is_limit_invalid", "limit", "rest_seconds")
 
-    def __init__(self, limit: float | None = None, is_limit_invalid: bool = False):
+    def __init__(
+        self,
+        limit: float | None = None,
+        is_limit_invalid: bool = False,
+        rest_seconds: float = 0.0,
+        is_leaving: bool = False,
+    ):
         self.limit = limit
         self.is_limit_invalid = is_limit_invalid
+        self.rest_seconds = rest_seconds
+        self.is_leaving = is_leaving
 
 
 class LoadReport:
--- a/packages/entry/tests/limit_fleet.py
+++ b/packages/entry/tests/limit_fleet.py
@@ -7,7 +7,7 @@
 
 from berylstage_entry.clock import now
 from berylstage_entry.errors import Refused
-from berylstage_entry.protocols import Record, TargetAnswer
+from berylstage_entry.protocols import Record
 from berylstage_entry.quota_messages import (
     LIMIT_NOTICE_TYPE,
     TARGET_TOKEN_REQUEST_TYPE,
@@ -109,15 +109,13 @@
         await asyncio.sleep(self.rng.uniform(0.0002, self.max_delay))
         self.arrivals.append((now(), host))
         await asyncio.sleep(self.work_rng.uniform(*self.answer_seconds) / 2)
-        answer = TargetAnswer(
-            200, [], b"", False, False, True, None, False, TargetNotice(self.limit)
-        )
+        notice = TargetNotice(self.limit)
         await asyncio.sleep(self.work_rng.uniform(*self.answer_seconds) / 2)
         if self.work_rng.random() < self.lost_answer_share:
             return
         if self.running.get(host) is vm:
-            vm.limits.record_answer(self.target, answer, sent_at)
-            if answer.notice.limit is not None:
+            vm.limits.record_notice(self.target, notice, sent_at)
+            if notice.limit is not None:
                 self.told.setdefault(host, now())
 
     def _counts(self, at, host):
--- a/packages/entry/tests/test_grant_controller.py
+++ b/packages/entry/tests/test_grant_controller.py
@@ -14,7 +14,6 @@
     CoordinatorElection,
 )
 from berylstage_entry.grant_controller import MAX_RANGES_PER_TARGET, GrantController
-from berylstage_entry.protocols import TargetAnswer
 from berylstage_entry.store_watcher import StoreWatcher
 from berylstage_entry.target_limits import TargetLimits
 from berylstage_entry.targets import TargetNotice
@@ -666,9 +665,7 @@
             await wait_until(lambda: have_all_holders(protocol))
             assignment = vm.store_watcher.assignments["s"]
             owner = assignment.find(100).owner
-            notice = TargetNotice(2.0)
-            answer = TargetAnswer(200, [], b"", False, False, True, None, False, notice)
-            limits.record_answer(target(owner), answer, now())
+            limits.record_notice(target(owner), TargetNotice(2.0), now())
 
             def moved():
                 vm.grant_controller.add_key_counts("s", {100: 1, 140: 1, 180: 1})
--- a/packages/entry/tests/test_router_limits.py
+++ b/packages/entry/tests/test_router_limits.py
@@ -10,7 +10,7 @@
 from berylstage_entry.cluster_view import ClusterView
 from berylstage_entry.errors import PermitRefused, Refused, Unanswered
 from berylstage_entry.permit_server import PermitServer
-from berylstage_entry.protocols import CallerRequest, Record, TargetAnswer
+from berylstage_entry.protocols import CallerRequest, Record
 from berylstage_entry.router import Router
 from berylstage_entry.targets import TargetNotice
 from fakes import BOUNDS, configuration, target
@@ -36,11 +36,6 @@
         self.returned.append(token)
 
 
-def answer(limit):
-    notice = TargetNotice(limit)
-    return TargetAnswer(200, [], b"", False, False, True, None, False, notice)
-
-
 class RouterOf:
     """A router with targets of which some have named a limit."""
 
@@ -61,7 +56,9 @@
         self.key = 7 if owns_keys else None
 
     def name_limit(self, name, limit):
-        self.router.target_limits.record_answer(target(name), answer(limit), now())
+        self.router.target_limits.record_notice(
+            target(name), TargetNotice(limit), now()
+        )
 
     def serve(self, requests=1):
         """Return the statuses or errors of requests, sent one after the other."""
--- a/packages/entry/tests/test_target_limits.py
+++ b/packages/entry/tests/test_target_limits.py
@@ -8,7 +8,7 @@
 import pytest
 from berylstage_entry.clock import now
 from berylstage_entry.cluster_view import ClusterView
-from berylstage_entry.protocols import Record, TargetAnswer
+from berylstage_entry.protocols import Record
 from berylstage_entry.quota_client import QuotaClient
 from berylstage_entry.target_limits import LIMIT_LINES_PER_SECOND, TargetLimits
 from berylstage_entry.targets import TargetNotice
@@ -25,16 +25,12 @@
     return TargetLimits(view)
 
 
-def answer(notice, misdirected=False):
-    return TargetAnswer(200, [], b"", False, misdirected, True, None, False, notice)
-
-
-def logged(*notices, misdirected=False):
+def logged(*notices):
     """Return the log lines that answers of one target cause."""
     limits = make_limits()
     with logbook.TestHandler() as lines:
         for notice in notices:
-            limits.record_answer(target("a"), answer(notice, misdirected), now())
+            limits.record_notice(target("a"), notice, now())
     return [(r.message, r.extra["before"], r.extra["limit"]) for r in lines.records]
 
 
@@ -46,16 +42,12 @@
             ("limit of a target changed", *change) for change in changes
         ]
 
-    def test_limit_named_by_another_target_is_ignored(self):
-        # Guards against the limit of a target that has taken over the address.
-        assert logged(TargetNotice(3.0), misdirected=True) == []
-
     def test_invalid_limit_changes_nothing(self):
         # Guards against a limit that ends because of a garbled header.
         limits = make_limits()
         with logbook.TestHandler() as lines:
             for notice in (TargetNotice(3.0), TargetNotice(is_limit_invalid=True)):
-                limits.record_answer(target("a"), answer(notice), now())
+                limits.record_notice(target("a"), notice, now())
         assert limits.rate("a") == 3.0
         assert lines.records[-1].message == "invalid limit of a target ignored"
 
@@ -70,9 +62,9 @@
     def test_limit_ends_with_its_target(self, incarnation, lines):
         limits = make_limits()
         with logbook.TestHandler() as log:
-            limits.record_answer(target("a"), answer(TargetNotice(3.0)), now())
+            limits.record_notice(target("a"), TargetNotice(3.0), now())
             limits.retain({("a", incarnation)})
-            limits.record_answer(target("a"), answer(TargetNotice(3.0)), now())
+            limits.record_notice(target("a"), TargetNotice(3.0), now())
         assert len(log.records) == lines
 
 
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -12,7 +12,12 @@
 from berylstage_adapter.kv_store import _parse_item
 from berylstage_adapter.node_settings import parse_settings
 from berylstage_adapter.record_reader import PlatformRecordReader
-from berylstage_adapter.target_protocol import PlatformTargetProtocol, parse_load_report
+from berylstage_adapter.target_protocol import (
+    DEFAULT_REST_SECONDS,
+    MAX_REST_SECONDS,
+    PlatformTargetProtocol,
+    parse_load_report,
+)
 from berylstage_entry.errors import BadRequest, InvalidRecord
 from berylstage_entry.store import Item
 from berylstage_settings.errors import FaultySettings
@@ -338,8 +343,9 @@
 class TestNotices:
     """What a target says of itself in an answer."""
 
-    def parse(self, headers):
-        return PlatformTargetProtocol().parse_answer(Answer(200, headers, b"")).notice
+    def parse(self, headers, status=200):
+        answer = Answer(status, headers, b"")
+        return PlatformTargetProtocol().parse_answer(answer).notice
 
     @pytest.mark.parametrize(
         ("text", "limit"), [(b"3.1", 3.1), (b"0", 0.0), (b"20", 20.0)]
@@ -358,6 +364,30 @@
         notice = self.parse({b"server-limit": text})
         assert (notice.limit, notice.is_limit_invalid) == (None, True)
 
+    @pytest.mark.parametrize(
+        ("text", "seconds"),
+        [
+            (b"3", 3.0),
+            (b"0.25", 0.25),
+            (b"0", 0.0),
+            (b"1e9", MAX_REST_SECONDS),
+            (b"-1", DEFAULT_REST_SECONDS),
+            (b"nan", DEFAULT_REST_SECONDS),
+            (b"Wed, 21 Oct 2026 07:28:00 GMT", DEFAULT_REST_SECONDS),
+        ],
+    )
+    def test_rest(self, text, seconds):
+        assert self.parse({b"retry-after": text}, 503).rest_seconds == seconds
+
+    @pytest.mark.parametrize("status", [200, 429, 500])
+    def test_retry_after_of_other_answers_is_no_rest(self, status):
+        assert self.parse({b"retry-after": b"3"}, status).rest_seconds == 0.0
+
+    @pytest.mark.parametrize(("text", "is_leaving"), [(b"1", True), (b"0", False)])
+    def test_leaving(self, text, is_leaving):
+        assert self.parse({b"server-leaving": text}).is_leaving is is_leaving
+        assert not self.parse({}).is_leaving
+
 
 class TestStore:
     def test_event_of_a_removed_key_has_no_value(self):
