--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -213,9 +213,11 @@
         await self._link.wait_for_transfer(len(data))
 
     def _record_answer(self, request: Request, answer: Answer) -> None:
+        notices, target = self._ledger.notices, answer.signature.partition(".")[0]
         if "server-limit" in answer.headers:
-            target = answer.signature.partition(".")[0]
-            self._ledger.notices.record_answer(request.request_id, target)
+            notices.record_answer(request.request_id, target)
+        if "server-leaving" in answer.headers:
+            notices.record_departure(request.request_id, target)
         self._ledger.record_answer(
             request.request_id,
             request.method,
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -250,6 +250,41 @@
         self.target.limit = None
 
 
+class TargetResting(Fault):
+    """A target turns away all requests for a while and asks each VM for rest."""
+
+    is_planned = True
+    duration_range = (3.0, 7.0)
+    rest_range = (1.5, 3.0)
+
+    async def begin(self, installation: Installation) -> str:
+        self.target = self.rng.choice(installation.targets)
+        self.target.rest_seconds = round(self.rng.uniform(*self.rest_range), 1)
+        return f"{self.target.name} asking for {self.target.rest_seconds} s"
+
+    async def end(self, installation: Installation) -> None:
+        self.target.rest_seconds = 0.0
+
+
+class TargetDeparting(Fault):
+    """A target says in its answers that it leaves, later ends, and starts again.
+
+    Its record in the store does not tell, as when the store is out of reach.
+    """
+
+    duration_range = (4.0, 7.0)
+
+    async def begin(self, installation: Installation) -> str:
+        self.target = self.rng.choice(installation.targets)
+        self.target.is_leaving = True
+        return self.target.name
+
+    async def end(self, installation: Installation) -> None:
+        await self.target.crash()
+        if not self.target.is_running:
+            self.target.start()
+
+
 FAULTS: tuple[type[Fault], ...] = (
     VmKilled,
     VmsStopped,
@@ -262,11 +297,16 @@
     AnswersLost,
     TargetLeaving,
     TargetLimited,
+    TargetResting,
+    TargetDeparting,
 )
 
 # Only short suspensions of VMs.
 SHORT_PAUSES: tuple[type[Fault], ...] = (VmHeldUp,)
 # Only planned stops.
 PLANNED_STOPS: tuple[type[Fault], ...] = (VmsStopped,)
-# Only targets that ask for less in their answers.
-NOTICES: tuple[type[Fault], ...] = (TargetLimited,)
+# Only targets that name limits, that ask for rest, or that leave, and all three.
+LIMITS: tuple[type[Fault], ...] = (TargetLimited,)
+RESTS: tuple[type[Fault], ...] = (TargetResting,)
+DEPARTURES: tuple[type[Fault], ...] = (TargetDeparting,)
+NOTICES: tuple[type[Fault], ...] = LIMITS + RESTS + DEPARTURES
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -83,7 +83,7 @@
 
     def record_request(self, request_id: str, size: int, vm: str = "") -> None:
         """Record that a caller requests an answer of at least ``size`` bytes."""
-        self.notices.vms[request_id] = vm
+        self.notices.record_request(request_id, vm)
         self._spans[request_id] = Span(time.monotonic(), math.inf)
         self._sizes[request_id] = size
 
@@ -118,6 +118,7 @@
     def record_target_end(self, target: SoakTarget) -> None:
         """Record the end of a target's incarnation."""
         self._end_grants(target, time.monotonic())
+        self.notices.record_target_end(target.name)
 
     def _end_grants(self, target: SoakTarget, now: float) -> None:
         for grant in self._current_grants.pop((target.name, target.incarnation), []):
--- a/tests/soak/notices.py
+++ b/tests/soak/notices.py
@@ -14,17 +14,56 @@
 # that has passed on an answer must act on it.
 SETTLING_SECONDS = 3.0
 REACTION_SECONDS = 0.5
+# Requests that may reach a target from a VM during the rest that it asked for.
+MAX_REQUESTS_IN_REST = 2
+# Seconds after which no request that a caller sends may reach a leaving target from a
+# VM that has passed on its notice.
+DRAIN_SECONDS = 2.0
+
+
+class CallerRequest:
+    """VM to which a caller has sent a request, and when."""
+
+    __slots__ = ("sent_at", "vm")
+
+    def __init__(self, vm: str, sent_at: float):
+        self.vm = vm
+        self.sent_at = sent_at
 
 
 class Arrival:
     """Arrival of a request at a target."""
 
-    __slots__ = ("at", "request_id", "vm")
+    __slots__ = ("at", "request", "vm")
 
-    def __init__(self, at: float, request_id: str, vm: str):
+    def __init__(self, at: float, request: CallerRequest):
         self.at = at
-        self.request_id = request_id
+        self.request = request
+        self.vm = request.vm
+
+
+class Rest:
+    """Rest for which a target has asked a VM."""
+
+    __slots__ = ("end", "start", "target", "vm")
+
+    def __init__(self, target: str, vm: str, start: float, end: float):
+        self.target = target
         self.vm = vm
+        self.start = start
+        self.end = end
+
+
+class Departure:
+    """Time at which a VM passed on that a target leaves, until the target has left."""
+
+    __slots__ = ("end", "start", "target", "vm")
+
+    def __init__(self, target: str, vm: str, start: float):
+        self.target = target
+        self.vm = vm
+        self.start = start
+        self.end = math.inf
 
 
 class LimitPeriod:
@@ -65,7 +104,10 @@
     """Record of notices, arrivals and disturbed VMs, checked after the run."""
 
     def __init__(self) -> None:
-        self.vms: dict[str, str] = {}
+        self._requests: dict[str, CallerRequest] = {}
+        self._rests: list[Rest] = []
+        self._departures: dict[tuple[str, str], Departure] = {}
+        self._past_departures: list[Departure] = []
         self._arrivals: dict[str, list[Arrival]] = {}
         self._limits: list[LimitPeriod] = []
         self._vm_faults: list[VmFault] = []
@@ -74,11 +116,34 @@
         """Record that a VM was disturbed from a moment until now."""
         self._vm_faults.append(VmFault(vm, start, time.monotonic()))
 
+    def record_request(self, request_id: str, vm: str) -> None:
+        """Record that a caller sends a request to a VM."""
+        self._requests[request_id] = CallerRequest(vm, time.monotonic())
+
     def record_arrival(self, target: str, request_id: str) -> None:
         """Record that a request has arrived at a target."""
-        arrival = Arrival(time.monotonic(), request_id, self.vms.get(request_id, ""))
+        request = self._requests.get(request_id, CallerRequest("", 0.0))
+        arrival = Arrival(time.monotonic(), request)
         self._arrivals.setdefault(target, []).append(arrival)
 
+    def record_rest(self, target: str, request_id: str, seconds: float) -> None:
+        """Record that a target asks the VM of a request for rest."""
+        moment, vm = time.monotonic(), self._requests[request_id].vm
+        self._rests.append(Rest(target, vm, moment, moment + seconds))
+
+    def record_departure(self, request_id: str, target: str) -> None:
+        """Record that a VM has passed on an answer of a target that leaves."""
+        vm = self._requests[request_id].vm
+        departure = Departure(target, vm, time.monotonic())
+        self._departures.setdefault((target, vm), departure)
+
+    def record_target_end(self, target: str) -> None:
+        """Record that a target has left."""
+        for key in [key for key in self._departures if key[0] == target]:
+            departure = self._departures.pop(key)
+            departure.end = time.monotonic()
+            self._past_departures.append(departure)
+
     def record_limit(self, target: str, rate: float | None) -> None:
         """Record the limit that a target's answer names, or that it names none."""
         period = self._open_limit(target)
@@ -92,8 +157,9 @@
 
     def record_answer(self, request_id: str, target: str) -> None:
         """Record that a VM has passed on an answer of a target that names a limit."""
-        period, vm = self._open_limit(target), self.vms.get(request_id, "")
+        period = self._open_limit(target)
         if period is not None:
+            vm = self._requests[request_id].vm
             period.told.setdefault(vm, time.monotonic())
 
     def _open_limit(self, target: str) -> LimitPeriod | None:
@@ -104,9 +170,54 @@
 
     def find_violations(self) -> list[str]:
         """Return descriptions of everything that targets did not want."""
-        found = [self._find_excess(period) for period in self._limits]
+        found = [
+            *(self._find_excess(period) for period in self._limits),
+            *(self._find_disturbance(rest) for rest in self._rests),
+            *(self._find_late_arrival(d) for d in self._departures.values()),
+            *(self._find_late_arrival(d) for d in self._past_departures),
+        ]
         return [violation for violation in found if violation]
 
+    def _find_disturbance(self, rest: Rest) -> str:
+        """Return how many requests a VM has sent to a target that wanted rest."""
+        count = sum(
+            arrival.vm == rest.vm
+            and rest.start + REACTION_SECONDS <= arrival.at <= rest.end
+            for arrival in self._arrivals.get(rest.target, ())
+        )
+        if count <= MAX_REQUESTS_IN_REST or self._is_disturbed(
+            rest.vm, rest.start, rest.end
+        ):
+            return ""
+        return (
+            f"{rest.target} asked {rest.vm} for {rest.end - rest.start:.1f} s of rest "
+            f"at {rest.start:.2f} and got {count} requests from it"
+        )
+
+    def _find_late_arrival(self, departure: Departure) -> str:
+        """Return the first request that a VM sent to a target that was leaving."""
+        for arrival in self._arrivals.get(departure.target, ()):
+            is_late = arrival.request.sent_at > departure.start + DRAIN_SECONDS
+            if (
+                arrival.vm == departure.vm
+                and is_late
+                and arrival.at < departure.end
+                and not self._is_disturbed(arrival.vm, departure.start, arrival.at)
+            ):
+                seconds = arrival.at - departure.start
+                return (
+                    f"{departure.target} got a request from {departure.vm} "
+                    f"{seconds:.1f} s after that had passed on that it leaves"
+                )
+        return ""
+
+    def _is_disturbed(self, vm: str, start: float, end: float) -> bool:
+        """Return whether a VM was stopped or suspended in a period."""
+        return any(
+            fault.vm == vm and fault.start <= end and fault.end >= start
+            for fault in self._vm_faults
+        )
+
     def _find_excess(self, period: LimitPeriod) -> str:
         """Return the first time at which a target got more than its limit allows."""
         allowed = LIMIT_TOLERANCE * period.rate * LIMIT_WINDOW_SECONDS + LIMIT_SLACK
@@ -133,9 +244,4 @@
         if not told_at + REACTION_SECONDS <= arrival.at <= period.end:
             return False
         # A VM that was stopped or suspended may not know of the limit.
-        return not any(
-            fault.vm == arrival.vm
-            and fault.start <= arrival.at
-            and fault.end >= period.start
-            for fault in self._vm_faults
-        )
+        return not self._is_disturbed(arrival.vm, period.start, arrival.at)
--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -1,11 +1,11 @@
 """Soak: an installation under load with injected faults.
 
-Run it by ``make soak SECONDS=60 SEED=1``, with ``STOPS=--stops`` for planned stops only
-``STOPS=--hold-ups`` for short suspensions of VMs only, or ``STOPS=--notices`` for
-targets that ask for less in their answers. It prints the outcomes of
-requests and all violations, and exits with status 1 if there are violations. The seed
-determines faults and requests; processes are real, so the timing of two runs with the
-same seed differs.
+Run it by ``make soak SECONDS=60 SEED=1``, with ``STOPS=--stops`` for planned stops
+only, ``STOPS=--hold-ups`` for short suspensions of VMs only, or ``STOPS=--notices`` for
+targets that name limits, ask for rest or leave in their answers. It prints the outcomes
+of requests and all violations, and exits with status 1 if there are violations. The
+seed determines faults and requests; processes are real, so the timing of two runs with
+the same seed differs.
 """
 
 from __future__ import annotations
@@ -28,9 +28,12 @@
 
 from soak.callers import ANSWER_TIMEOUT_SECONDS, Request  # noqa: E402
 from soak.faults import (  # noqa: E402
+    DEPARTURES,
     FAULTS,
+    LIMITS,
     NOTICES,
     PLANNED_STOPS,
+    RESTS,
     SHORT_PAUSES,
     Fault,
 )
@@ -92,7 +95,19 @@
 ALL_FAULTS_MODE = SoakMode(FAULTS, 3, 0.5, 16.0)
 PLANNED_STOPS_MODE = SoakMode(PLANNED_STOPS, 4, 0.2, 3.0)
 SHORT_PAUSES_MODE = SoakMode(SHORT_PAUSES, 4, 0.2, 3.0)
+LIMITS_MODE = SoakMode(LIMITS, 4, 0.4, 3.0)
+RESTS_MODE = SoakMode(RESTS, 4, 0.4, 3.0)
+DEPARTURES_MODE = SoakMode(DEPARTURES, 4, 0.4, 3.0)
 NOTICES_MODE = SoakMode(NOTICES, 4, 0.4, 3.0)
+# Options that restrict the faults.
+MODES = (
+    ("--stops", "planned stops alone", PLANNED_STOPS_MODE),
+    ("--hold-ups", "short pauses alone", SHORT_PAUSES_MODE),
+    ("--limits", "targets that name a limit alone", LIMITS_MODE),
+    ("--rests", "targets that ask for rest alone", RESTS_MODE),
+    ("--departures", "targets that say that they leave alone", DEPARTURES_MODE),
+    ("--notices", "limits, rests and departures", NOTICES_MODE),
+)
 
 
 class Soak:
@@ -241,23 +256,17 @@
     parser.add_argument("--seconds", type=float, default=60.0, help="time of faults")
     parser.add_argument("--seed", type=int, default=1, help="draws faults and keys")
     modes = parser.add_mutually_exclusive_group()
-    modes.add_argument("--stops", action="store_true", help="planned stops alone")
-    modes.add_argument("--hold-ups", action="store_true", help="short pauses alone")
-    modes.add_argument(
-        "--notices", action="store_true", help="targets that ask for less alone"
-    )
-    args = parser.parse_args()
+    for option, text, _ in MODES:
+        modes.add_argument(option, action="store_true", help=text)
+    args = vars(parser.parse_args())
     mode = ALL_FAULTS_MODE
-    if args.stops:
-        mode = PLANNED_STOPS_MODE
-    elif args.hold_ups:
-        mode = SHORT_PAUSES_MODE
-    elif args.notices:
-        mode = NOTICES_MODE
+    for option, _, option_mode in MODES:
+        if args[option.strip("-").replace("-", "_")]:
+            mode = option_mode
     folder = Path(tempfile.mkdtemp(prefix="berylstage-soak-"))
     print(f"settings and logs: {folder}")
     violations, outcomes = asyncio.run(
-        Soak(folder, args.seconds, args.seed, mode).run()
+        Soak(folder, args["seconds"], args["seed"], mode).run()
     )
     print(f"callers were told: {outcomes}")
     for violation in violations[:40]:
--- a/tests/soak/targets.py
+++ b/tests/soak/targets.py
@@ -49,6 +49,10 @@
         self.is_draining = False
         # Requests per second that it accepts from all VMs together; None for no limit.
         self.limit: float | None = None
+        # Rest for which it asks each VM that it turns away; 0 while it works.
+        self.rest_seconds = 0.0
+        # Whether it says in its answers that it leaves.
+        self.is_leaving = False
         self.in_progress = 0
         self.slots = asyncio.Semaphore(SLOTS)
         self._http: HTTPServer | None = None
@@ -61,6 +65,7 @@
     def start(self) -> None:
         """Start an incarnation without grants and without known fence tokens."""
         self.holds, self.seen, self.in_progress = [], [], 0
+        self.limit, self.rest_seconds, self.is_leaving = None, 0.0, False
         self.slots = asyncio.Semaphore(SLOTS)
         self._http = HTTPServer(_application(self))
         self._http.listen(PORT, self.ip)
@@ -153,6 +158,14 @@
         if key is not None and not server.holds_key(int(key)):
             self._refuse(MISDIRECTED)
             return
+        if server.rest_seconds:
+            self._refuse(503)
+            self.set_header("Retry-After", f"{server.rest_seconds:.2f}")
+            request_id = head["Berylstage-Attempt-Id"]
+            server.ledger.notices.record_rest(
+                server.name, request_id, server.rest_seconds
+            )
+            return
         if server.in_progress >= SLOTS + QUEUE_LIMIT:
             self._refuse(503)
             return
@@ -171,6 +184,8 @@
         server.ledger.notices.record_limit(server.name, server.limit)
         if server.limit is not None:
             self.set_header("Server-Limit", f"{server.limit:.2f}")
+        if server.is_leaving:
+            self.set_header("Server-Leaving", "1")
 
     def _refuse(self, status):
         self.set_status(status)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -189,7 +189,8 @@
     def find(self, ledger, arrivals, told_at=0.0, fault=None, ends_at=60.0):
         """Return the violations of arrivals, in seconds after the limit was named."""
         notices, self.moment = ledger.notices, 100.0
-        notices.vms = {"told": "vm-1", "order": "vm-1"}
+        notices.record_request("told", "vm-1")
+        notices.record_request("order", "vm-1")
         notices.record_limit("i-1", self.LIMIT)
         events = [(told_at, notices.record_answer, ("told", "i-1"))]
         events += [(at, notices.record_arrival, ("i-1", "order")) for at in arrivals]
@@ -234,6 +235,62 @@
         assert len(self.find(ledger, arrivals, fault=(-9.0, -1.0))) == 1
 
 
+class TestRests:
+    """Which requests a VM may send to a target that has asked it for rest."""
+
+    @pytest.mark.parametrize(
+        ("seconds", "vm", "faults"),
+        [
+            ((1.0, 1.5, 2.5), "vm-1", 1),
+            ((1.0, 1.5), "vm-1", 0),
+            ((0.1, 0.2, 0.4, 2.5), "vm-1", 0),
+            ((2.9, 3.1, 3.2, 3.3), "vm-1", 0),
+            ((1.0, 1.5, 2.5), "vm-2", 0),
+        ],
+    )
+    def test_requests_during_a_rest(self, ledger, monkeypatch, seconds, vm, faults):
+        moment = 100.0
+        monkeypatch.setattr(time, "monotonic", lambda: moment)
+        ledger.notices.record_request("order-1", "vm-1")
+        ledger.notices.record_request("order-2", vm)
+        ledger.notices.record_rest("i-1", "order-1", 3.0)
+        for seconds_later in seconds:
+            moment = 100.0 + seconds_later
+            ledger.notices.record_arrival("i-1", "order-2")
+        assert len(ledger.find_violations()) == faults
+
+
+class TestDepartures:
+    """Which requests a VM may send to a target that it knows to leave."""
+
+    @pytest.mark.parametrize(
+        ("sent_at", "arrives_at", "vm", "ends_at", "faults"),
+        [
+            (2.1, 2.2, "vm-1", 9.0, 1),
+            (1.9, 2.9, "vm-1", 9.0, 0),
+            (2.1, 2.2, "vm-2", 9.0, 0),
+            (2.1, 2.2, "vm-1", 2.0, 0),
+        ],
+    )
+    def test_requests_to_a_leaving_target(
+        self, ledger, monkeypatch, sent_at, arrives_at, vm, ends_at, faults
+    ):
+        moment = 100.0
+        monkeypatch.setattr(time, "monotonic", lambda: moment)
+        notices = ledger.notices
+        notices.record_request("order-1", "vm-1")
+        notices.record_departure("order-1", "i-1")
+        events = [
+            (sent_at, notices.record_request, ("order-2", vm)),
+            (arrives_at, notices.record_arrival, ("i-1", "order-2")),
+            (ends_at, notices.record_target_end, ("i-1",)),
+        ]
+        for seconds, record, args in sorted(events, key=lambda event: event[0]):
+            moment = 100.0 + seconds
+            record(*args)
+        assert len(ledger.find_violations()) == faults
+
+
 class TestCaller:
     """Which outcomes callers behind a slow link record."""
 
@@ -402,4 +459,12 @@
 class TestNotices:
     def test_target_that_names_a_limit_gets_no_more(self):
         # Guards against VMs that pass on a target's limit and send as before.
-        run_soak("--notices", "--seconds=10", "--seed=2")
+        run_soak("--limits", "--seconds=10", "--seed=2")
+
+    def test_target_that_asks_for_rest_gets_it(self):
+        # Guards against VMs that ask a target again which has turned them away.
+        run_soak("--rests", "--seconds=8", "--seed=1")
+
+    def test_target_that_says_it_leaves_gets_nothing_more(self):
+        # Guards against VMs that learn from the store alone that a target leaves.
+        run_soak("--departures", "--seconds=8", "--seed=1")
