--- a/packages/entry/src/berylstage_entry/application.py
+++ b/packages/entry/src/berylstage_entry/application.py
@@ -30,6 +30,7 @@
 from berylstage_entry.loop_lag import LoopLagMonitor
 from berylstage_entry.membership import ASSUMED_STARTING_VMS, Membership
 from berylstage_entry.metrics import Metrics, format_shutdown_metrics
+from berylstage_entry.notice_messages import LIMIT_NOTICE_TYPE
 from berylstage_entry.peer_datagrams import PeerDatagrams
 from berylstage_entry.peer_updates import PUSH_PATH, PeerUpdates
 from berylstage_entry.peers import PeerClient
@@ -46,7 +47,6 @@
 from berylstage_entry.probes import LoadProbes
 from berylstage_entry.quota_client import QuotaClient
 from berylstage_entry.quota_messages import (
-    LIMIT_NOTICE_TYPE,
     LOAN_REPLY_TYPE,
     LOAN_TYPE,
     TARGET_TOKEN_REQUEST_TYPE,
--- a/packages/entry/src/berylstage_entry/quota_messages.py
+++ b/packages/entry/src/berylstage_entry/quota_messages.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import struct
-from math import ceil, inf, isfinite
+from math import ceil, isfinite
 
 from berylstage_entry.errors import InvalidRecord
 
@@ -12,12 +12,9 @@
 LOAN_REPLY_TYPE = 27
 TOKEN_REQUEST_TYPE = 28
 TOKEN_REPLY_TYPE = 29
-LIMIT_NOTICE_TYPE = 30
 TARGET_TOKEN_REQUEST_TYPE = 31
 _MILLISECONDS = 1000
 _MAX_SHORT = 65535
-# Stands for the end of a limit.
-_NO_LIMIT = inf
 # Incarnation and time of the stamp in milliseconds, mask of the lent groups,
 # incarnation of the lender.
 _LOAN = struct.Struct("<BIQHI")
@@ -28,8 +25,6 @@
 _TOKEN_REQUEST = struct.Struct("<BIIH")
 # Number, checksum of the target's quota, tokens, requests per second.
 _TARGET_TOKEN_REQUEST = struct.Struct("<BIIHd")
-# Checksum and incarnation of the target, requests per second.
-_LIMIT_NOTICE = struct.Struct("<BIQd")
 # Number, tokens, milliseconds until a retry, whether the quota is known, whether its
 # tokens are new.
 _TOKEN_REPLY = struct.Struct("<BIHHBB")
@@ -242,45 +237,6 @@
         return cls(number, quota, count, _check_rate(rate))
 
 
-class LimitNotice:
-    """Limit that a target has named to another VM, or the end of its limit.
-
-    Parameters
-    ----------
-    target : int
-        Checksum of the target's name.
-    incarnation : int
-    rate : float or None
-        Requests per second from all VMs together; None if it names no limit any more.
-    """
-
-    __slots__ = ("incarnation", "rate", "target")
-
-    def __init__(self, target: int, incarnation: int, rate: float | None):
-        self.target = target
-        self.incarnation = incarnation
-        self.rate = rate
-
-    def encode(self) -> bytes:
-        """Return the datagram."""
-        rate = _NO_LIMIT if self.rate is None else self.rate
-        return _LIMIT_NOTICE.pack(
-            LIMIT_NOTICE_TYPE, self.target, self.incarnation, rate
-        )
-
-    @classmethod
-    def decode(cls, data: bytes) -> LimitNotice:
-        """Decode a datagram.
-
-        Raises
-        ------
-        InvalidRecord
-        """
-        _, target, incarnation, rate = _unpack(_LIMIT_NOTICE, data)
-        is_end = rate == _NO_LIMIT
-        return cls(target, incarnation, None if is_end else _check_rate(rate))
-
-
 def _check_rate(rate: float) -> float:
     if not isfinite(rate) or rate < 0:
         raise InvalidRecord(f"invalid quota datagram: rate {rate}")
--- a/packages/entry/src/berylstage_entry/target_limits.py
+++ b/packages/entry/src/berylstage_entry/target_limits.py
@@ -14,8 +14,9 @@
 
 from berylstage_entry.clock import now
 from berylstage_entry.errors import InvalidRecord, Refused
+from berylstage_entry.notice_messages import LimitNotice
 from berylstage_entry.permit_messages import checksum
-from berylstage_entry.quota_messages import LimitNotice, TargetTokenRequest
+from berylstage_entry.quota_messages import TargetTokenRequest
 from berylstage_entry.quotas import Quota
 from berylstage_entry.request_log import LogRateLimiter
 
--- a/packages/entry/tests/limit_fleet.py
+++ b/packages/entry/tests/limit_fleet.py
@@ -7,11 +7,9 @@
 
 from berylstage_entry.clock import now
 from berylstage_entry.errors import Refused
+from berylstage_entry.notice_messages import LIMIT_NOTICE_TYPE
 from berylstage_entry.protocols import Record
-from berylstage_entry.quota_messages import (
-    LIMIT_NOTICE_TYPE,
-    TARGET_TOKEN_REQUEST_TYPE,
-)
+from berylstage_entry.quota_messages import TARGET_TOKEN_REQUEST_TYPE
 from berylstage_entry.target_limits import TargetLimits
 from berylstage_entry.targets import TargetNotice
 from fakes import target
--- a/packages/entry/tests/test_quota_messages.py
+++ b/packages/entry/tests/test_quota_messages.py
@@ -8,8 +8,8 @@
     ConfirmationRequest,
 )
 from berylstage_entry.errors import InvalidRecord
+from berylstage_entry.notice_messages import LimitNotice
 from berylstage_entry.quota_messages import (
-    LimitNotice,
     Loan,
     LoanReply,
     Stamp,
