Leave targets alone for the rest that they ask for

Cause: Retry-After of a 503 was not read; a rejection was remembered by the request that met it, for 0.05 to 0.2 s, and by nothing else, so each new request for these keys asked again. Evidence: attempts at one target 1 ms apart, no word of rest in any log.

Change: a VM remembers the rest by target and incarnation. Requests for the keys of a target at rest are refused at once and told to return within 0.3 s (the key may have moved; other VMs may serve it); requests without a key go to other targets; the rest is looked at again after the wait for a permit; targets at rest are not probed. The coordinator is told, and counts a target as able to serve the share of VMs that may send to it, so busy keys move away.

--- a/packages/entry/src/berylstage_entry/application.py
+++ b/packages/entry/src/berylstage_entry/application.py
@@ -30,7 +30,7 @@
 from berylstage_entry.loop_lag import LoopLagMonitor
 from berylstage_entry.membership import ASSUMED_STARTING_VMS, Membership
 from berylstage_entry.metrics import Metrics, format_shutdown_metrics
-from berylstage_entry.notice_messages import LIMIT_NOTICE_TYPE
+from berylstage_entry.notice_messages import LIMIT_NOTICE_TYPE, REST_NOTICE_TYPE
 from berylstage_entry.peer_datagrams import PeerDatagrams
 from berylstage_entry.peer_updates import PUSH_PATH, PeerUpdates
 from berylstage_entry.peers import PeerClient
@@ -214,16 +214,11 @@
         self.quota_server.send = self.quota_client.send = self._send_quota_datagram
         self.router.quota_client = self.quota_client
         self.peer_datagrams.handlers.update(self._quota_handlers())
-        target_limits = self.router.target_limits
-        target_limits.send = self.peer_datagrams.send
-        target_limits.on_end = self.quota_client.forget
-        self.quota_client.has_target_limits = target_limits.has_any
-        self.permit_server.target_limits = target_limits
-        self.grant_controller.target_limits = target_limits
-        self.peer_datagrams.handlers[LIMIT_NOTICE_TYPE] = target_limits.receive_notice
+        self._connect_notices()
         self.probes = LoadProbes(
             self.router.loads, self.cluster_view, self.permit_client, targets
         )
+        self.probes.rest_seconds = self.router.target_notices.rests.seconds_left
         request_log = RequestLog(self.metrics)
         self.server = CallerServer(
             callers, self.router, request_log, self._current_limits
@@ -396,6 +391,23 @@
         else:
             self.peer_datagrams.send_to(host, reply.encode())
 
+    def _connect_notices(self) -> None:
+        """Connect what targets say of themselves with the components that act on it."""
+        notices = self.router.target_notices
+        notices.limits.send = self.peer_datagrams.send
+        notices.limits.on_end = self.quota_client.forget
+        notices.rests.send_to_coordinator = self._send_to_coordinator
+        self.quota_client.has_target_limits = notices.limits.has_any
+        self.permit_server.target_limits = notices.limits
+        self.grant_controller.target_notices = notices
+        self.peer_datagrams.handlers[LIMIT_NOTICE_TYPE] = notices.limits.receive_notice
+        self.peer_datagrams.handlers[REST_NOTICE_TYPE] = notices.rests.receive_notice
+
+    def _send_to_coordinator(self, data: bytes) -> None:
+        address = self.election.coordinator_address()
+        if address and not self.election.is_coordinator():
+            self.peer_datagrams.send_to(split_host_port(address)[0], data)
+
     def _quota_handlers(self) -> dict[int, Callable[[bytes, str], None]]:
         return {
             LOAN_TYPE: self.quota_server.receive_loan,
@@ -435,7 +447,7 @@
             vms = len(names) + ASSUMED_STARTING_VMS
             self.router.vm_count = self.router.cold_targets.vm_count = vms
             self.quota_server.vm_count = self.quota_client.vm_count = len(names)
-            self.router.target_limits.vm_count = len(names)
+            self.router.target_notices.set_vm_count(len(names))
             self.target_clients.vm_count = self.store_watcher.vm_count = vms
 
     def _publish_delta(self, delta: StoreDelta) -> None:
--- a/packages/entry/src/berylstage_entry/cluster_view.py
+++ b/packages/entry/src/berylstage_entry/cluster_view.py
@@ -214,6 +214,13 @@
             }
         return self._names_by_checksum.get(checksum, "")
 
+    def find_target(self, checksum: int, incarnation: int) -> Target | None:
+        """Return the target with a checksum, if it is this incarnation of it."""
+        known = self.known.get(self.target_name(checksum))
+        if known is None or known.target.incarnation != incarnation:
+            return None
+        return known.target
+
     def usable_targets(self, service: str) -> list[str]:
         """Return the targets of a service that accept new requests."""
         if self._by_service is None:
--- a/packages/entry/src/berylstage_entry/grant_controller.py
+++ b/packages/entry/src/berylstage_entry/grant_controller.py
@@ -27,7 +27,7 @@
     from berylstage_entry.protocols import TargetProtocol
     from berylstage_entry.store import Store
     from berylstage_entry.store_watcher import StoreWatcher
-    from berylstage_entry.target_limits import TargetLimits
+    from berylstage_entry.target_notices import TargetNotices
 
 # Seconds between two reconciliations.
 RECONCILE_INTERVAL_SECONDS = 0.05
@@ -114,8 +114,8 @@
         self._key_moves = KeyMoves(
             cluster_view, election, protocol, self._grant_renewer
         )
-        # Limits that targets name; none while not set.
-        self.target_limits: TargetLimits | None = None
+        # What targets say of themselves; nothing while not set.
+        self.target_notices: TargetNotices | None = None
         self._services: dict[str, _ServiceState] = {}
         self._task: asyncio.Task | None = None
         self._term = 0
@@ -299,9 +299,12 @@
             if entry.cold_until > now():
                 rate = cfg.services[service].cold_requests_per_second
                 capacities[name] = min(capacities[name], LIMITED_UTILIZATION * rate)
-            limit = self.target_limits.rate(name) if self.target_limits else None
+            if self.target_notices is None:
+                continue
+            limit = self.target_notices.limits.rate(name)
             if limit is not None:
                 capacities[name] = min(capacities[name], LIMITED_UTILIZATION * limit)
+            capacities[name] *= self.target_notices.rests.available_share(name)
         return capacities
 
     def _with_moves(self, assignment: Assignment, moves) -> Assignment:
--- a/packages/entry/src/berylstage_entry/notice_messages.py
+++ b/packages/entry/src/berylstage_entry/notice_messages.py
@@ -9,9 +9,10 @@
 
 # First byte of each kind of datagram.
 LIMIT_NOTICE_TYPE = 30
+REST_NOTICE_TYPE = 32
 # Stands for the end of a limit.
 _NO_LIMIT = inf
-# Type, checksum and incarnation of the target, requests per second.
+# Type, checksum and incarnation of the target, requests per second or seconds.
 _NOTICE = struct.Struct("<BIQd")
 
 
@@ -64,3 +65,40 @@
         target, incarnation, rate = _unpack(data)
         is_end = rate == _NO_LIMIT
         return cls(target, incarnation, None if is_end else _check_number(rate))
+
+
+class RestNotice:
+    """Rest that a target has asked of the VM that sends this.
+
+    Parameters
+    ----------
+    target : int
+        Checksum of the target's name.
+    incarnation : int
+    seconds : float
+        Seconds of it that are left.
+    """
+
+    __slots__ = ("incarnation", "seconds", "target")
+
+    def __init__(self, target: int, incarnation: int, seconds: float):
+        self.target = target
+        self.incarnation = incarnation
+        self.seconds = seconds
+
+    def encode(self) -> bytes:
+        """Return the datagram."""
+        return _NOTICE.pack(
+            REST_NOTICE_TYPE, self.target, self.incarnation, self.seconds
+        )
+
+    @classmethod
+    def decode(cls, data: bytes) -> RestNotice:
+        """Decode a datagram.
+
+        Raises
+        ------
+        InvalidRecord
+        """
+        target, incarnation, seconds = _unpack(data)
+        return cls(target, incarnation, _check_number(seconds))
--- a/packages/entry/src/berylstage_entry/probes.py
+++ b/packages/entry/src/berylstage_entry/probes.py
@@ -13,6 +13,8 @@
 from berylstage_entry.errors import TargetReplaced
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from berylstage_entry.cluster_view import ClusterView
     from berylstage_entry.permit_client import PermitClient
     from berylstage_entry.protocols import TargetProtocol
@@ -60,6 +62,8 @@
         self._not_before: dict[str, float] = {}
         self._task: asyncio.Task | None = None
         self._unresponsive: set[str] = set()
+        # Seconds for which a target wants nothing from this VM, by its name.
+        self.rest_seconds: Callable[[str], float] = lambda name: 0.0
         # Targets that this VM probes, and the revisions that they were computed from.
         self._assigned: list[Target] = []
         self._seen_revisions: tuple[int, int] = (-1, -1)
@@ -100,6 +104,8 @@
                 continue
             if moment < self._not_before.get(target.name, 0.0):
                 continue
+            if self.rest_seconds(target.name):
+                continue
             age, since_request = self._loads.report_and_request_ages(target, moment)
             if is_due(age, since_request, service.owns_keys):
                 task = asyncio.create_task(self._probe(target, service))
--- a/packages/entry/src/berylstage_entry/router.py
+++ b/packages/entry/src/berylstage_entry/router.py
@@ -24,6 +24,7 @@
 )
 from berylstage_entry.owners import OwnerResolver
 from berylstage_entry.request_context import RequestContext, RoutedAnswer
+from berylstage_entry.target_limits import MAX_RETRY_SECONDS
 from berylstage_entry.target_loads import (
     SERVER_ERROR,
     TargetLoads,
@@ -66,6 +67,9 @@
 # slot became free a moment later; without a limit, all requests for a key that needs
 # more than its owner's capacity were late.
 OWNER_WAIT = 1.4
+# Longest retry delay of a caller whose key is owned by a target that rests: meanwhile
+# the key may move, and other VMs may still send to the target.
+MAX_REST_RETRY_SECONDS = 0.3
 NOT_FOUND = 404
 
 
@@ -296,6 +300,7 @@
                 raise self._build_error(ctx, "no-owner", str(exc)) from exc
             if not self.cold_targets.may_send(name, ctx.service):
                 raise self._build_error(ctx, "cold")
+            self._check_rest(ctx, name)
             await self._acquire_target_token(ctx, name)
             data_centre = self._cluster_view.known[name].target.data_centre
             try:
@@ -306,10 +311,10 @@
             except BaseException:
                 self._give_back_target_token(ctx)
                 raise
-            if is_owner and not self._lacks_token(ctx, name):
+            if is_owner and not self._wants_less(ctx, name):
                 return name
-            # During the wait the key moved, or its owner became unusable or named a
-            # limit.
+            # During the wait the key moved, or its owner became unusable, named a limit
+            # or asked for rest.
             self._release_permit(ctx)
             self._give_back_target_token(ctx)
 
@@ -364,8 +369,18 @@
                 exc = refused
         raise self._build_error(ctx, exc.reason, exc.detail, exc.retry_after)
 
-    def _lacks_token(self, ctx: RequestContext, name: str) -> bool:
-        """Tell whether a target has named a limit since its token was asked for."""
+    def _check_rest(self, ctx: RequestContext, name: str) -> None:
+        """Refuse a request for the keys of a target that wants nothing from this VM."""
+        seconds = self.target_notices.rests.seconds_left(name)
+        if seconds:
+            detail = f"target {name} rest {seconds:.2f} s"
+            retry_after = min(seconds, MAX_REST_RETRY_SECONDS)
+            raise self._build_error(ctx, "target-rest", detail, retry_after)
+
+    def _wants_less(self, ctx: RequestContext, name: str) -> bool:
+        """Tell whether a target has asked for less since it was chosen."""
+        if self.target_notices.rests.seconds_left(name):
+            return True
         has_limit = self.target_limits.rate(name) is not None
         return has_limit and ctx.target_token is None and self.quota_client is not None
 
@@ -397,7 +412,7 @@
                 return name
             except (Refused, Unanswered):
                 self._release_permit(ctx)
-                if not self.target_limits.blocked_seconds(name):
+                if not self.target_notices.blocked_seconds(name):
                     raise
 
     async def _choose_among_eligible(self, ctx: RequestContext) -> str:
@@ -417,8 +432,13 @@
         name = ""
         if ctx.permit is not None:
             name = self._cluster_view.target_name(ctx.permit.target)
-        # Targets may have become unusable during the wait.
-        names = [n for n in names if self._cluster_view.is_usable(n)]
+        # Targets may have become unusable or asked for rest during the wait.
+        names = [
+            n
+            for n in names
+            if self._cluster_view.is_usable(n)
+            and not self.target_notices.blocked_seconds(n)
+        ]
         if name in names:
             return name
         # The permit server learns of a removed target later or earlier than this VM.
@@ -435,20 +455,22 @@
         eligible = []
         blocked_seconds = []
         for name in names:
+            seconds = self.target_notices.blocked_seconds(name)
+            if seconds:
+                blocked_seconds.append(seconds)
+                continue
             if name in ctx.tried_targets or not self.cold_targets.may_send(
                 name, ctx.service
             ):
                 continue
-            if self.target_limits.blocked_seconds(name):
-                blocked_seconds.append(self.target_limits.blocked_seconds(name))
-                continue
             target = known[name].target
             load = loads.load(name, target.slots)
             if target.data_centre != self._data_centre:
                 load.locality_penalty = OTHER_DATA_CENTRE
             eligible.append(name)
         if not eligible and blocked_seconds:
-            raise self._build_error(ctx, "target-limit", "", min(blocked_seconds))
+            wait = min(MAX_RETRY_SECONDS, *blocked_seconds)
+            raise self._build_error(ctx, "targets-ask-for-less", "", wait)
         if not eligible:
             raise self._build_error(ctx, "no-target")
         return eligible
--- a/packages/entry/src/berylstage_entry/target_limits.py
+++ b/packages/entry/src/berylstage_entry/target_limits.py
@@ -155,15 +155,13 @@
         except InvalidRecord as exc:
             log.warning("invalid limit notice ignored", extra={"cause": str(exc)})
             return
-        known = self._cluster_view.known.get(
-            self._cluster_view.target_name(notice.target)
-        )
-        if known is None or known.target.incarnation != notice.incarnation:
+        target = self._cluster_view.find_target(notice.target, notice.incarnation)
+        if target is None:
             return
         if notice.rate is None:
-            self._end(known.target, host)
+            self._end(target, host)
         else:
-            self._confirm(known.target, notice.rate, host)
+            self._confirm(target, notice.rate, host)
 
     def _find(self, name: str) -> TargetLimit | None:
         if not self._limits:
--- a/packages/entry/src/berylstage_entry/target_notices.py
+++ b/packages/entry/src/berylstage_entry/target_notices.py
@@ -8,6 +8,7 @@
 
 from berylstage_entry.request_log import LogRateLimiter
 from berylstage_entry.target_limits import TargetLimits
+from berylstage_entry.target_rests import TargetRests
 
 if TYPE_CHECKING:
     from berylstage_entry.cluster_view import ClusterView
@@ -30,15 +31,33 @@
     Attributes
     ----------
     limits : TargetLimits
+    rests : TargetRests
     """
 
     def __init__(self, cluster_view: ClusterView):
         self.limits = TargetLimits(cluster_view)
+        self.rests = TargetRests(cluster_view)
         self._log_limiter = LogRateLimiter(NOTICE_LINES_PER_SECOND)
 
     def retain(self, identities: set[tuple[str, int]]) -> None:
         """Remove all targets except the given ones."""
         self.limits.retain(identities)
+        self.rests.retain(identities)
+
+    def set_vm_count(self, vms: int) -> None:
+        """Set the number of known VMs, this one included."""
+        self.limits.vm_count = vms
+        self.rests.vm_count = vms
+
+    def blocked_seconds(self, name: str) -> float:
+        """Return the seconds for which this VM should send nothing to a target.
+
+        Parameters
+        ----------
+        name : str
+            Name of the target.
+        """
+        return max(self.limits.blocked_seconds(name), self.rests.seconds_left(name))
 
     def record_answer(
         self, target: Target, answer: TargetAnswer, sent_at: float
@@ -57,6 +76,8 @@
             return
         notice = answer.notice
         self.limits.record_notice(target, notice, sent_at)
+        if notice.rest_seconds:
+            self.rests.record(target, notice.rest_seconds)
         if notice.rest_seconds and self._log_limiter.take():
             log.info(
                 "target asks for rest",
--- a/packages/entry/tests/test_grant_controller.py
+++ b/packages/entry/tests/test_grant_controller.py
@@ -15,7 +15,7 @@
 )
 from berylstage_entry.grant_controller import MAX_RANGES_PER_TARGET, GrantController
 from berylstage_entry.store_watcher import StoreWatcher
-from berylstage_entry.target_limits import TargetLimits
+from berylstage_entry.target_notices import TargetNotices
 from berylstage_entry.targets import TargetNotice
 from cluster_simulation import VMS, ClusterSimulation
 from fakes import (
@@ -654,28 +654,53 @@
         asyncio.run(scenario())
 
 
-class TestTargetLimits:
-    def test_busy_keys_move_away_from_an_owner_that_names_a_limit(self, store):
-        # Guards against a limit that is kept by refusing the callers of its keys.
+class TestTargetNotices:
+    """Busy keys move away from an owner that asks for less."""
+
+    def move_keys(self, store, vms, act):
+        """Return whether busy keys move within two seconds of a notice."""
+
         async def scenario():
             protocol = FencedTargets()
             vm = Vm("vm-1", store, protocol)
-            limits = vm.grant_controller.target_limits = TargetLimits(vm.cluster_view)
+            notices = TargetNotices(vm.cluster_view)
+            notices.set_vm_count(vms)
+            vm.grant_controller.target_notices = notices
             vm.start()
             await wait_until(lambda: have_all_holders(protocol))
-            assignment = vm.store_watcher.assignments["s"]
-            owner = assignment.find(100).owner
-            limits.record_notice(target(owner), TargetNotice(2.0), now())
-
-            def moved():
-                vm.grant_controller.add_key_counts("s", {100: 1, 140: 1, 180: 1})
+            owner = vm.store_watcher.assignments["s"].find(100).owner
+            act(notices, target(owner))
+            end, is_moved = now() + 2.0, False
+            while now() < end and not is_moved:
+                vm.grant_controller.add_key_counts("s", {100: 1, 140: 1})
+                await asyncio.sleep(0.4)
                 found = vm.store_watcher.assignments["s"].find(100)
-                return found.owner != owner and not found.previous_owner
-
-            await wait_until(moved, 3.0)
+                is_moved = found.owner != owner and not found.previous_owner
             vm.kill()
+            return is_moved
 
-        asyncio.run(scenario())
+        return asyncio.run(scenario())
+
+    def test_owner_that_names_a_limit(self, store):
+        # Guards against a limit that is kept by refusing the callers of its keys.
+        def name_limit(notices, owner):
+            notices.limits.record_notice(owner, TargetNotice(2.0), now())
+
+        assert self.move_keys(store, 3, name_limit)
+
+    def test_owner_that_asks_all_vms_for_rest(self, store):
+        # Guards against keys that nobody serves for as long as their owner rests.
+        def ask_for_rest(notices, owner):
+            notices.rests.record(owner, 9.0)
+
+        assert self.move_keys(store, 1, ask_for_rest)
+
+    def test_owner_that_asks_one_vm_of_many_for_rest(self, store):
+        # Guards against moving keys from an owner that serves nearly all callers.
+        def ask_for_rest(notices, owner):
+            notices.rests.record(owner, 9.0)
+
+        assert not self.move_keys(store, 20, ask_for_rest)
 
 
 class TestStop:
--- a/packages/entry/tests/test_probes.py
+++ b/packages/entry/tests/test_probes.py
@@ -109,6 +109,14 @@
         run_probes(probes)
         assert targets.probed == ["c"]
 
+    def test_target_that_wants_rest_is_not_probed(self):
+        targets = protocol()
+        records = [target("a"), target("b")]
+        _, probes = new_probes("10.0.0.1", Members(), records, targets)
+        probes.rest_seconds = {"a": 3.0, "b": 0.0}.__getitem__
+        run_probes(probes)
+        assert targets.probed == ["b"]
+
     def test_unresponsive_target_is_probed_rarely(self):
         # A target hangs. Probed every few milliseconds, it would get a connection each
         # time until none is left for requests.
--- a/packages/entry/tests/test_quota_messages.py
+++ b/packages/entry/tests/test_quota_messages.py
@@ -8,7 +8,7 @@
     ConfirmationRequest,
 )
 from berylstage_entry.errors import InvalidRecord
-from berylstage_entry.notice_messages import LimitNotice
+from berylstage_entry.notice_messages import LimitNotice, RestNotice
 from berylstage_entry.quota_messages import (
     Loan,
     LoanReply,
@@ -44,7 +44,12 @@
 
     @pytest.mark.parametrize("rate", [-1.0, float("nan"), float("-inf")])
     def test_rate_that_is_no_rate(self, rate):
-        for message in (LimitNotice(1, 2, rate), TargetTokenRequest(1, 2, 3, rate)):
+        messages = (
+            LimitNotice(1, 2, rate),
+            RestNotice(1, 2, rate),
+            TargetTokenRequest(1, 2, 3, rate),
+        )
+        for message in messages:
             with pytest.raises(InvalidRecord):
                 type(message).decode(message.encode())
 
@@ -64,6 +69,7 @@
             LimitNotice,
             Loan,
             LoanReply,
+            RestNotice,
             TargetTokenRequest,
             TokenRequest,
             TokenReply,
--- a/packages/entry/tests/test_router_limits.py
+++ b/packages/entry/tests/test_router_limits.py
@@ -166,13 +166,13 @@
         play = RouterOf(["b"], 0, script=["full"])
         play.router.permit_client = ScriptedPermits("a")
         (exc,) = play.serve()
-        assert exc.reason == "target-limit"
+        assert exc.reason == "targets-ask-for-less"
         assert play.clients.sent == ["a"]
 
     def test_all_targets_at_their_limits(self):
         play = RouterOf(["a", "b"], 0)
         outcomes = play.serve(4)
-        assert {exc.reason for exc in outcomes} == {"target-limit"}
+        assert {exc.reason for exc in outcomes} == {"targets-ask-for-less"}
         assert all(0.05 <= exc.retry_after <= 1.25 for exc in outcomes)
         assert play.clients.sent == []
 
--- a/tools/write_tables.py
+++ b/tools/write_tables.py
@@ -200,6 +200,8 @@
     "quota-unknown": ("503", "no VM could be asked for the quota that covers it"),
     "stale-configuration": ("503", "an API key may have been taken away meanwhile"),
     "stopping": ("503", "the VM stops and had no time left for it"),
+    "target-rest": ("503", "the owner of its key has asked this VM for rest"),
+    "targets-ask-for-less": ("503", "all targets name limits or ask for rest"),
     "target-limit": ("503", "its target names a limit, and has no room now"),
     "timeout": ("504", "sent, and not answered within its time; it may have run"),
     "unknown-key": ("401", "no workspace has its API key"),
