Send nothing more to targets that say in their answers that they leave

What callers would see: requests at targets that end while they run them, where the store does not tell in time.

Cause: the header was text for the caller; a VM knew of leaving targets by their records in the store alone.

Change: a VM that reads it counts that incarnation of the target as leaving until its record has been draining and is ready again, also when the record lapses and returns; it tells the others once. Answers to grants, releases and probes count too, so the coordinator hears it though it sends no request, and keys move away. Works because every choice of a target, also after a wait, asks the cluster view whether the target is usable.

--- a/packages/entry/src/berylstage_entry/application.py
+++ b/packages/entry/src/berylstage_entry/application.py
@@ -30,7 +30,11 @@
 from berylstage_entry.loop_lag import LoopLagMonitor
 from berylstage_entry.membership import ASSUMED_STARTING_VMS, Membership
 from berylstage_entry.metrics import Metrics, format_shutdown_metrics
-from berylstage_entry.notice_messages import LIMIT_NOTICE_TYPE, REST_NOTICE_TYPE
+from berylstage_entry.notice_messages import (
+    DEPARTURE_NOTICE_TYPE,
+    LIMIT_NOTICE_TYPE,
+    REST_NOTICE_TYPE,
+)
 from berylstage_entry.peer_datagrams import PeerDatagrams
 from berylstage_entry.peer_updates import PUSH_PATH, PeerUpdates
 from berylstage_entry.peers import PeerClient
@@ -214,7 +218,7 @@
         self.quota_server.send = self.quota_client.send = self._send_quota_datagram
         self.router.quota_client = self.quota_client
         self.peer_datagrams.handlers.update(self._quota_handlers())
-        self._connect_notices()
+        self._connect_notices(targets)
         self.probes = LoadProbes(
             self.router.loads, self.cluster_view, self.permit_client, targets
         )
@@ -391,17 +395,24 @@
         else:
             self.peer_datagrams.send_to(host, reply.encode())
 
-    def _connect_notices(self) -> None:
+    def _connect_notices(self, targets: TargetProtocol) -> None:
         """Connect what targets say of themselves with the components that act on it."""
         notices = self.router.target_notices
         notices.limits.send = self.peer_datagrams.send
+        notices.departures.send = self.peer_datagrams.send
+        targets.on_control_answer = notices.record_control_answer
         notices.limits.on_end = self.quota_client.forget
         notices.rests.send_to_coordinator = self._send_to_coordinator
         self.quota_client.has_target_limits = notices.limits.has_any
         self.permit_server.target_limits = notices.limits
         self.grant_controller.target_notices = notices
-        self.peer_datagrams.handlers[LIMIT_NOTICE_TYPE] = notices.limits.receive_notice
-        self.peer_datagrams.handlers[REST_NOTICE_TYPE] = notices.rests.receive_notice
+        self.peer_datagrams.handlers.update(
+            {
+                LIMIT_NOTICE_TYPE: notices.limits.receive_notice,
+                REST_NOTICE_TYPE: notices.rests.receive_notice,
+                DEPARTURE_NOTICE_TYPE: notices.departures.receive_notice,
+            }
+        )
 
     def _send_to_coordinator(self, data: bytes) -> None:
         address = self.election.coordinator_address()
--- a/packages/entry/src/berylstage_entry/cluster_view.py
+++ b/packages/entry/src/berylstage_entry/cluster_view.py
@@ -21,6 +21,11 @@
 COLD_END_TOLERANCE_SECONDS = 0.6
 
 
+# Number of leaving targets that are remembered after their records are gone: a record
+# may come back after an outage of the store.
+MAX_LEAVING_TARGETS = 1000
+
+
 class KnownTarget:
     """A target, with the end of its cold start and the expiry of its record.
 
@@ -86,6 +91,7 @@
 
     __slots__ = (
         "_by_service",
+        "_leaving",
         "_names_by_checksum",
         "_checksums_revision",
         "closed_data_centres",
@@ -101,6 +107,8 @@
         # Incremented at each change of the usable targets.
         self.revision = 0
         self._by_service: dict[str, list[str]] | None = None
+        # Incarnations of targets that say in their answers that they are leaving.
+        self._leaving: dict[str, int] = {}
         # Names of targets by checksum, and the revision of the view they belong to.
         self._names_by_checksum: dict[int, str] = {}
         self._checksums_revision = -1
@@ -226,20 +234,36 @@
         if self._by_service is None:
             self._by_service = {}
             for name, known in self.known.items():
-                target = known.target
-                if (
-                    not target.is_draining
-                    and target.data_centre not in self.closed_data_centres
-                ):
-                    self._by_service.setdefault(target.service, []).append(name)
+                if self._accepts_requests(known.target):
+                    by_service = self._by_service.setdefault(known.target.service, [])
+                    by_service.append(name)
         return self._by_service.get(service, [])
 
     def is_usable(self, name: str) -> bool:
         """Return whether a target accepts new requests."""
         known = self.known.get(name)
-        if known is None or known.target.is_draining:
+        return known is not None and self._accepts_requests(known.target)
+
+    def mark_leaving(self, target: Target) -> bool:
+        """Record that a target says that it is leaving; return whether that is news.
+
+        It stays so for the rest of its incarnation, unless its record says that it was
+        draining and is ready again.
+        """
+        if self._leaving.get(target.name) == target.incarnation:
             return False
-        return known.target.data_centre not in self.closed_data_centres
+        self._leaving[target.name] = target.incarnation
+        if len(self._leaving) > MAX_LEAVING_TARGETS:
+            del self._leaving[next(iter(self._leaving))]
+        self._mark_changed("leaving")
+        return True
+
+    def _accepts_requests(self, target: Target) -> bool:
+        return (
+            not target.is_draining
+            and self._leaving.get(target.name) != target.incarnation
+            and target.data_centre not in self.closed_data_centres
+        )
 
     def _apply_configuration(self, cfg: Configuration) -> str:
         old = self.configuration
@@ -256,6 +280,8 @@
         if old is None or old.target.incarnation != target.incarnation:
             return self._mark_changed("target")
         before = old.target
+        if before.is_draining and not target.is_draining:
+            self._leaving.pop(target.name, None)
         if before.is_draining != target.is_draining or before.address != target.address:
             return self._mark_changed("target")
         return ""
--- a/packages/entry/src/berylstage_entry/notice_messages.py
+++ b/packages/entry/src/berylstage_entry/notice_messages.py
@@ -10,10 +10,13 @@
 # First byte of each kind of datagram.
 LIMIT_NOTICE_TYPE = 30
 REST_NOTICE_TYPE = 32
+DEPARTURE_NOTICE_TYPE = 33
 # Stands for the end of a limit.
 _NO_LIMIT = inf
 # Type, checksum and incarnation of the target, requests per second or seconds.
 _NOTICE = struct.Struct("<BIQd")
+# Type, checksum and incarnation of the target.
+_DEPARTURE = struct.Struct("<BIQ")
 
 
 def _unpack(data: bytes) -> tuple[int, int, float]:
@@ -102,3 +105,38 @@
         """
         target, incarnation, seconds = _unpack(data)
         return cls(target, incarnation, _check_number(seconds))
+
+
+class DepartureNotice:
+    """A target has said in an answer that it is leaving.
+
+    Parameters
+    ----------
+    target : int
+        Checksum of the target's name.
+    incarnation : int
+    """
+
+    __slots__ = ("incarnation", "target")
+
+    def __init__(self, target: int, incarnation: int):
+        self.target = target
+        self.incarnation = incarnation
+
+    def encode(self) -> bytes:
+        """Return the datagram."""
+        return _DEPARTURE.pack(DEPARTURE_NOTICE_TYPE, self.target, self.incarnation)
+
+    @classmethod
+    def decode(cls, data: bytes) -> DepartureNotice:
+        """Decode a datagram.
+
+        Raises
+        ------
+        InvalidRecord
+        """
+        try:
+            _, target, incarnation = _DEPARTURE.unpack(data)
+        except struct.error as exc:
+            raise InvalidRecord(f"invalid notice datagram: {exc}") from exc
+        return cls(target, incarnation)
--- a/packages/entry/src/berylstage_entry/protocols.py
+++ b/packages/entry/src/berylstage_entry/protocols.py
@@ -8,7 +8,7 @@
 from berylstage_entry.targets import TargetNotice
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Callable, Iterable
 
     from berylstage_transfers.call import Answer
 
@@ -194,6 +194,12 @@
 
     request_id_header = b"request-id"
 
+    def __init__(self) -> None:
+        # Called with the target and its notice after each grant, release and probe.
+        self.on_control_answer: Callable[[Target, TargetNotice], None] = (
+            lambda target, notice: None
+        )
+
     @abstractmethod
     def request_headers(
         self, req: CallerRequest, target: Target, seconds: float
--- a/packages/entry/src/berylstage_entry/target_notices.py
+++ b/packages/entry/src/berylstage_entry/target_notices.py
@@ -6,16 +6,18 @@
 
 from logbook import Logger
 
+from berylstage_entry.clock import now
 from berylstage_entry.request_log import LogRateLimiter
+from berylstage_entry.target_departures import TargetDepartures
 from berylstage_entry.target_limits import TargetLimits
 from berylstage_entry.target_rests import TargetRests
 
 if TYPE_CHECKING:
     from berylstage_entry.cluster_view import ClusterView
     from berylstage_entry.protocols import TargetAnswer
-    from berylstage_entry.targets import Target
+    from berylstage_entry.targets import Target, TargetNotice
 
-# Log lines per second about rests and departures.
+# Log lines per second about rests.
 NOTICE_LINES_PER_SECOND = 5.0
 
 log = Logger(__name__)
@@ -32,11 +34,13 @@
     ----------
     limits : TargetLimits
     rests : TargetRests
+    departures : TargetDepartures
     """
 
     def __init__(self, cluster_view: ClusterView):
         self.limits = TargetLimits(cluster_view)
         self.rests = TargetRests(cluster_view)
+        self.departures = TargetDepartures(cluster_view)
         self._log_limiter = LogRateLimiter(NOTICE_LINES_PER_SECOND)
 
     def retain(self, identities: set[tuple[str, int]]) -> None:
@@ -87,11 +91,20 @@
                     "left_out": self._log_limiter.take_suppressed_count(),
                 },
             )
-        if notice.is_leaving and self._log_limiter.take():
-            log.info(
-                "target says that it is leaving",
-                extra={
-                    "target": target.name,
-                    "left_out": self._log_limiter.take_suppressed_count(),
-                },
-            )
+        if notice.is_leaving:
+            self.departures.record(target)
+
+    def record_control_answer(self, target: Target, notice: TargetNotice) -> None:
+        """Record what the answer to a grant, release or probe says of its target.
+
+        It counts only for what it says: a target need not name its limit there.
+
+        Parameters
+        ----------
+        target : Target
+        notice : TargetNotice
+        """
+        if notice.limit is not None:
+            self.limits.record_notice(target, notice, now())
+        if notice.is_leaving:
+            self.departures.record(target)
--- a/packages/entry/tests/fakes.py
+++ b/packages/entry/tests/fakes.py
@@ -249,6 +249,7 @@
     """
 
     def __init__(self):
+        super().__init__()
         self.holds: dict[str, list[Grant]] = {}
         self.past: list[tuple[str, Grant]] = []
         self.fences: dict[str, list[tuple[int, int, int]]] = {}
--- a/packages/entry/tests/test_grant_controller.py
+++ b/packages/entry/tests/test_grant_controller.py
@@ -695,6 +695,13 @@
 
         assert self.move_keys(store, 1, ask_for_rest)
 
+    def test_owner_that_says_that_it_leaves(self, store):
+        # Guards against keys that stay with a target until its record is gone.
+        def leave(notices, owner):
+            notices.record_control_answer(owner, TargetNotice(is_leaving=True))
+
+        assert self.move_keys(store, 3, leave)
+
     def test_owner_that_asks_one_vm_of_many_for_rest(self, store):
         # Guards against moving keys from an owner that serves nearly all callers.
         def ask_for_rest(notices, owner):
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+import contextlib
 import json
 import subprocess
 import sys
@@ -18,10 +20,12 @@
     PlatformTargetProtocol,
     parse_load_report,
 )
-from berylstage_entry.errors import BadRequest, InvalidRecord
+from berylstage_entry.errors import BadRequest, InvalidRecord, TargetReplaced
+from berylstage_entry.protocols import GrantRequest
 from berylstage_entry.store import Item
 from berylstage_settings.errors import FaultySettings
 from berylstage_transfers.call import Answer
+from berylstage_transfers.errors import CallFailed
 
 ROOT = Path(__file__).resolve().parents[1]
 
@@ -340,6 +344,9 @@
         assert parse_load_report(text) is None
 
 
+ORDER = GrantRequest(0, 9, 1, 3.0)
+
+
 class TestNotices:
     """What a target says of itself in an answer."""
 
@@ -388,6 +395,40 @@
         assert self.parse({b"server-leaving": text}).is_leaving is is_leaving
         assert not self.parse({}).is_leaving
 
+    def control_answer(self, ask, status=200, name="i-1"):
+        """Return the notices that a control call records."""
+        protocol, found = PlatformTargetProtocol(), []
+        protocol.on_control_answer = lambda target, notice: found.append(notice)
+        headers = {b"server-leaving": b"1", b"berylstage-backend-id": name.encode()}
+
+        class CallClient:
+            async def call(self, call):
+                return Answer(status, headers, b"")
+
+        protocol._client = lambda target: CallClient()
+        target = read("servers/i-1", SERVER_RECORD).target
+        with contextlib.suppress(CallFailed, TargetReplaced):
+            asyncio.run(ask(protocol, target))
+        return [notice.is_leaving for notice in found]
+
+    CALLS = [
+        lambda protocol, target: protocol.grant(
+            target, GrantRequest(0, 9, 1, 3.0), 1.0
+        ),
+        lambda protocol, target: protocol.release(target, 0, 9, 1, 1.0),
+        lambda protocol, target: protocol.probe(target, "/healthz", 1.0),
+    ]
+
+    @pytest.mark.parametrize("ask", CALLS, ids=["grant", "release", "probe"])
+    @pytest.mark.parametrize("status", [200, 503])
+    def test_control_answers_say_that_a_target_is_leaving(self, ask, status):
+        # Guards against a coordinator that hears it last, since it sends no requests.
+        assert self.control_answer(ask, status) == [True]
+
+    @pytest.mark.parametrize("ask", CALLS, ids=["grant", "release", "probe"])
+    def test_answers_of_another_target_say_nothing(self, ask):
+        assert self.control_answer(ask, 421, "i-2") == []
+
 
 class TestStore:
     def test_event_of_a_removed_key_has_no_value(self):
