--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -258,11 +258,13 @@
     modes = parser.add_mutually_exclusive_group()
     for option, text, _ in MODES:
         modes.add_argument(option, action="store_true", help=text)
+    parser.add_argument("--vms", type=int, help="number of VMs")
     args = vars(parser.parse_args())
     mode = ALL_FAULTS_MODE
     for option, _, option_mode in MODES:
         if args[option.strip("-").replace("-", "_")]:
             mode = option_mode
+    mode.vms = args["vms"] or mode.vms
     folder = Path(tempfile.mkdtemp(prefix="berylstage-soak-"))
     print(f"settings and logs: {folder}")
     violations, outcomes = asyncio.run(
