Look at a target again after the wait for its token

What callers would see: 500 in place of a refusal, or a request at a target that has just asked for rest; slots that nobody uses until their permits expire.

Cause: a request waits a round trip for the token of a target's limit, and what it was chosen for may change meanwhile. The target was gone (KeyError), had asked for rest, or the caller had left while the request held a permit.

Change: whether a request may be sent to a target, and whether that still holds after a wait, is decided in one place (TargetAdmission), and every way out of the router gives back permit and token.

--- a/packages/entry/src/berylstage_entry/application.py
+++ b/packages/entry/src/berylstage_entry/application.py
@@ -217,6 +217,7 @@
         )
         self.quota_server.send = self.quota_client.send = self._send_quota_datagram
         self.router.quota_client = self.quota_client
+        self.router.target_admission.quota_client = self.quota_client
         self.peer_datagrams.handlers.update(self._quota_handlers())
         self._connect_notices(targets)
         self.probes = LoadProbes(
--- a/packages/entry/src/berylstage_entry/router.py
+++ b/packages/entry/src/berylstage_entry/router.py
@@ -24,6 +24,7 @@
 )
 from berylstage_entry.owners import OwnerResolver
 from berylstage_entry.request_context import RequestContext, RoutedAnswer
+from berylstage_entry.target_admission import TargetAdmission
 from berylstage_entry.target_limits import MAX_RETRY_SECONDS
 from berylstage_entry.target_loads import (
     SERVER_ERROR,
@@ -67,9 +68,6 @@
 # slot became free a moment later; without a limit, all requests for a key that needs
 # more than its owner's capacity were late.
 OWNER_WAIT = 1.4
-# Longest retry delay of a caller whose key is owned by a target that rests: meanwhile
-# the key may move, and other VMs may still send to the target.
-MAX_REST_RETRY_SECONDS = 0.3
 NOT_FOUND = 404
 
 
@@ -93,7 +91,7 @@
     loads : TargetLoads
     cold_targets : ColdTargets
     target_notices : TargetNotices
-    target_limits : TargetLimits
+    target_admission : TargetAdmission
     """
 
     def __init__(
@@ -115,7 +113,7 @@
         self.loads = TargetLoads(cluster_view, rng)
         self.cold_targets = ColdTargets(cluster_view, bounds, vm)
         self.target_notices = TargetNotices(cluster_view)
-        self.target_limits = self.target_notices.limits
+        self.target_admission = TargetAdmission(cluster_view, self.target_notices)
         self._retry_budgets: dict[str, RetryBudget] = {}
         self._splits: dict[str, tuple[tuple, WeightedRoundRobin]] = {}
         self._seen_revision = -1
@@ -256,8 +254,7 @@
                 try:
                     self._check_api_key(ctx)
                 except EntryError:
-                    self._release_permit(ctx)
-                    self._give_back_target_token(ctx)
+                    self._withdraw(ctx)
                     raise
                 answer = await self._attempt(ctx, name)
                 if answer is not None:
@@ -280,8 +277,7 @@
             try:
                 self._check_retry_limits(ctx, name)
             except EntryError:
-                self._release_permit(ctx)
-                self._give_back_target_token(ctx)
+                self._withdraw(ctx)
                 raise
         return name
 
@@ -300,23 +296,20 @@
                 raise self._build_error(ctx, "no-owner", str(exc)) from exc
             if not self.cold_targets.may_send(name, ctx.service):
                 raise self._build_error(ctx, "cold")
-            self._check_rest(ctx, name)
-            await self._acquire_target_token(ctx, name)
             data_centre = self._cluster_view.known[name].target.data_centre
+            await self._admit(ctx, name)
             try:
                 await self._acquire_permit(ctx, name, data_centre)
                 is_owner = self._owner_resolver.is_owner(ctx, name)
                 if is_owner and ctx.permit is None:
                     self._check_owner_load(ctx, name)
             except BaseException:
-                self._give_back_target_token(ctx)
+                self._withdraw(ctx)
                 raise
-            if is_owner and not self._wants_less(ctx, name):
+            if is_owner and self.target_admission.is_valid(ctx, name):
                 return name
-            # During the wait the key moved, or its owner became unusable, named a limit
-            # or asked for rest.
-            self._release_permit(ctx)
-            self._give_back_target_token(ctx)
+            # The key moved, or its owner asked for less, during the wait.
+            self._withdraw(ctx)
 
     async def _acquire_permit(
         self, ctx: RequestContext, queue: str, data_centre: str = ""
@@ -346,48 +339,25 @@
             self.permit_client.release(ctx.permit, failed, load)
         ctx.permit = None
 
-    async def _acquire_target_token(self, ctx: RequestContext, name: str) -> None:
-        """Wait for a token of the target's limit; take none if it has no limit.
+    async def _admit(self, ctx: RequestContext, name: str) -> None:
+        """Wait until the target accepts the request.
 
         Raises
         ------
         Refused, Unanswered
-            The target accepts no further request for some time.
+            It accepts no further request for some time.
         """
-        quota = self.target_limits.find_quota(name)
-        if quota is None or self.quota_client is None:
-            return
-        blocked_seconds = self.target_limits.blocked_seconds(name)
-        if blocked_seconds:
-            exc = quota.build_refusal(blocked_seconds, 0)
-        else:
-            try:
-                ctx.target_token = await self.quota_client.acquire(quota)
-                return
-            except Refused as refused:
-                self.target_limits.block(name, refused.retry_after)
-                exc = refused
-        raise self._build_error(ctx, exc.reason, exc.detail, exc.retry_after)
-
-    def _check_rest(self, ctx: RequestContext, name: str) -> None:
-        """Refuse a request for the keys of a target that wants nothing from this VM."""
-        seconds = self.target_notices.rests.seconds_left(name)
-        if seconds:
-            detail = f"target {name} rest {seconds:.2f} s"
-            retry_after = min(seconds, MAX_REST_RETRY_SECONDS)
-            raise self._build_error(ctx, "target-rest", detail, retry_after)
-
-    def _wants_less(self, ctx: RequestContext, name: str) -> bool:
-        """Tell whether a target has asked for less since it was chosen."""
-        if self.target_notices.rests.seconds_left(name):
-            return True
-        has_limit = self.target_limits.rate(name) is not None
-        return has_limit and ctx.target_token is None and self.quota_client is not None
-
-    def _give_back_target_token(self, ctx: RequestContext) -> None:
-        if ctx.target_token is not None and self.quota_client is not None:
-            self.quota_client.give_back(ctx.target_token)
-        ctx.target_token = None
+        try:
+            await self.target_admission.admit(ctx, name)
+        except Refused as exc:
+            raise self._build_error(
+                ctx, exc.reason, exc.detail, exc.retry_after
+            ) from exc
+
+    def _withdraw(self, ctx: RequestContext) -> None:
+        """Release the permit and the token of a request that is not sent."""
+        self._release_permit(ctx)
+        self.target_admission.withdraw(ctx)
 
     def _check_owner_load(self, ctx: RequestContext, name: str) -> None:
         """Refuse a request if this VM's data shows that the owner is overloaded."""
@@ -408,12 +378,18 @@
         while True:
             name = await self._choose_among_eligible(ctx)
             try:
-                await self._acquire_target_token(ctx, name)
-                return name
+                await self._admit(ctx, name)
             except (Refused, Unanswered):
-                self._release_permit(ctx)
+                self._withdraw(ctx)
                 if not self.target_notices.blocked_seconds(name):
                     raise
+                continue
+            except BaseException:
+                self._withdraw(ctx)
+                raise
+            if self.target_admission.is_valid(ctx, name):
+                return name
+            self._withdraw(ctx)
 
     async def _choose_among_eligible(self, ctx: RequestContext) -> str:
         """Return the target of a request without a key, with a permit if possible."""
@@ -478,7 +454,7 @@
     def _is_limited(self, name: str, service: Service) -> bool:
         """Tell whether requests to a target are limited by more than its slots."""
         is_cold = self.cold_targets.limiter(name, service) is not None
-        return is_cold or self.target_limits.rate(name) is not None
+        return is_cold or self.target_notices.limits.rate(name) is not None
 
     def _choose_by_load(self, ctx: RequestContext, eligible: list[str]) -> str:
         """Return the target with the earliest completion by this VM's data."""
@@ -510,7 +486,7 @@
             raise
         except NeverSent as exc:
             ctx.target_token = token
-            self._give_back_target_token(ctx)
+            self.target_admission.withdraw(ctx)
             load.record_failure(now())
             ctx.tried_targets.add(name)
             self._owner_resolver.turned_away(ctx, name)
--- a/packages/entry/tests/test_router_limits.py
+++ b/packages/entry/tests/test_router_limits.py
@@ -50,13 +50,14 @@
         self.router = Router(
             self.view, self.store_watcher, self.clients, BOUNDS, Random(1)
         )
-        self.router.quota_client = self.quota_client = QuotaClient(tokens)
+        self.quota_client = QuotaClient(tokens)
+        self.router.target_admission.quota_client = self.quota_client
         for name in limited:
             self.name_limit(name, 3.0)
         self.key = 7 if owns_keys else None
 
     def name_limit(self, name, limit):
-        self.router.target_limits.record_notice(
+        self.router.target_notices.limits.record_notice(
             target(name), TargetNotice(limit), now()
         )
 
@@ -143,6 +144,65 @@
         assert play.quota_client.asked == ["a"]
 
 
+class TestWaitForAToken:
+    """What happens at a target while a request waits for its token."""
+
+    def play(self, act, owns_keys):
+        """Serve a request; `act` runs while it waits, and may raise."""
+        play = RouterOf(["a"], 9, ["a"], owns_keys)
+        play.permits = play.router.permit_client = ScriptedPermits("a", "a")
+
+        async def acquire(quota):
+            act(play)
+            return f"token {quota.name}"
+
+        play.quota_client.acquire = acquire
+        return play
+
+    @pytest.mark.parametrize("owns_keys", [True, False])
+    def test_target_that_is_gone(self, owns_keys):
+        # Guards against an error in place of a refusal.
+        def remove(play):
+            play.view.apply(Record(removed_target="a"), now(), False)
+
+        play = self.play(remove, owns_keys)
+        (exc,) = play.serve()
+        assert exc.reason in ("no-owner", "no-target")
+        assert play.clients.sent == []
+        assert play.quota_client.returned == ["token a"]
+
+    @pytest.mark.parametrize("owns_keys", [True, False])
+    def test_target_that_asks_for_rest(self, owns_keys):
+        def rest(play):
+            play.router.target_notices.rests.record(target("a"), 3.0)
+
+        play = self.play(rest, owns_keys)
+        (exc,) = play.serve()
+        assert exc.reason in ("target-rest", "targets-ask-for-less")
+        assert play.clients.sent == []
+        assert play.quota_client.returned == ["token a"]
+
+    def test_caller_that_disconnects_holds_no_permit(self):
+        # Guards against slots that nobody uses until their permits expire.
+        def disconnect(play):
+            raise asyncio.CancelledError
+
+        play = self.play(disconnect, False)
+        play.view.apply(Record(target=target("b")), now(), False)
+        play.name_limit("a", None)
+        play.router.permit_client = permits = ScriptedPermits("a")
+        acquire = permits.acquire
+
+        async def acquire_late(ctx, queue, data_centre=""):
+            play.name_limit("a", 3.0)
+            return await acquire(ctx, queue, data_centre)
+
+        permits.acquire = acquire_late
+        with pytest.raises(asyncio.CancelledError):
+            play.serve()
+        assert permits.released == [(1, False, None)]
+
+
 class TestServiceWithALimitedTarget:
     def test_request_goes_to_a_target_that_has_no_limit(self):
         # Guards against refusing requests that another target would serve.
@@ -182,7 +242,7 @@
         # Guards against permits that a target with a limit leaves unused for long.
         play = RouterOf(["a"], 0)
         server = PermitServer(play.router.loads, play.view, None)
-        server.target_limits = play.router.target_limits
+        server.target_limits = play.router.target_notices.limits
         service = play.view.configuration.services["s"]
         assert set(server._target_slots("s", service)) == {"b"}
         play.name_limit("a", None)
--- a/packages/entry/tests/test_target_rests.py
+++ b/packages/entry/tests/test_target_rests.py
@@ -5,12 +5,12 @@
 from random import Random
 
 import pytest
-from berylstage_entry import router as router_module
 from berylstage_entry.clock import now
 from berylstage_entry.cluster_view import ClusterView
 from berylstage_entry.notice_messages import RestNotice
 from berylstage_entry.permit_messages import checksum
 from berylstage_entry.protocols import Record
+from berylstage_entry.target_admission import TargetAdmission
 from berylstage_entry.target_rests import TargetRests
 from berylstage_policy.target_rests import TargetRest
 from fakes import target
@@ -160,10 +160,10 @@
 
     def test_finds_owners_that_are_not_checked(self, loop, monkeypatch):
         monkeypatch.setattr(
-            router_module.Router, "_check_rest", lambda router, ctx, name: None
+            TargetAdmission, "_check_rest", lambda admission, name: None
         )
         monkeypatch.setattr(
-            router_module.Router, "_wants_less", lambda router, ctx, name: False
+            TargetAdmission, "is_valid", lambda admission, ctx, name: True
         )
         assert self.play(loop)
 
