Tell other VMs a limit at once only if it has changed by a tenth

A target that names another limit in each of its answers would cause a datagram to all VMs for each of them. Smaller changes wait for the next repetition.

--- a/packages/entry/src/berylstage_entry/target_limits.py
+++ b/packages/entry/src/berylstage_entry/target_limits.py
@@ -176,12 +176,12 @@
         before = None if limit is None else limit.rate
         if limit is None:
             limit = self._limits[target.identity] = TargetLimit(rate, moment)
-        is_changed = limit.confirm(rate, moment) or before is None
-        if is_changed:
+        limit.confirm(rate, moment)
+        if rate != before:
             self._log_change(target, before, rate, source)
         if source != OWN_ANSWER:
             limit.record_told(moment)
-        elif is_changed or limit.is_repetition_due(self.vm_count, moment):
+        elif limit.must_be_told(self.vm_count, moment):
             limit.record_told(moment)
             self._tell(target, rate)
 
--- a/packages/entry/src/berylstage_entry/target_rests.py
+++ b/packages/entry/src/berylstage_entry/target_rests.py
@@ -49,9 +49,9 @@
 
     def retain(self, identities: set[tuple[str, int]]) -> None:
         """Remove all targets except the given ones."""
-        for known in (self._rests, self._by_vm):
-            for identity in [key for key in known if key not in identities]:
-                del known[identity]  # type: ignore[attr-defined]
+        for identity in [key for key in self._by_vm if key not in identities]:
+            del self._by_vm[identity]
+            self._rests.pop(identity, None)
 
     def record(self, target: Target, seconds: float) -> None:
         """Record that a target has asked this VM for rest.
--- a/packages/entry/tests/test_target_limits.py
+++ b/packages/entry/tests/test_target_limits.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import asyncio
 from random import Random
 
 import logbook
 import pytest
 from berylstage_entry.clock import now
 from berylstage_entry.cluster_view import ClusterView
+from berylstage_entry.notice_messages import LimitNotice
 from berylstage_entry.protocols import Record
 from berylstage_entry.quota_client import QuotaClient
 from berylstage_entry.target_limits import LIMIT_LINES_PER_SECOND, TargetLimits
@@ -57,6 +59,34 @@
         assert len(lines) <= 3 * LIMIT_LINES_PER_SECOND
 
 
+class TestTelling:
+    """When a VM tells the others what a target names."""
+
+    def tell(self, rates, vms=11, seconds=0.01):
+        """Return the limits told while a target names limits one after the other."""
+        with virtual_loop() as loop:
+            limits, told = make_limits(), []
+            limits.vm_count = vms
+            limits.send = lambda data: told.append(LimitNotice.decode(data).rate)
+            for rate in rates:
+                limits.record_notice(target("a"), TargetNotice(rate), now())
+                loop.run_until_complete(asyncio.sleep(seconds))
+            return told
+
+    def test_change_is_told_at_once(self):
+        assert self.tell([3.0, 3.0, 2.0, 2.0, None]) == [3.0, 2.0, None]
+
+    def test_small_changes_are_told_now_and_then(self):
+        # Guards against a datagram to all VMs for each answer.
+        rates = [3.0 + n % 2 / 10 for n in range(300)]
+        assert len(self.tell(rates)) <= 4
+
+    @pytest.mark.parametrize(("vms", "times"), [(11, 10), (195, 3)])
+    def test_standing_limit_is_told_again(self, vms, times):
+        # A datagram may have been lost, and a VM may have started since.
+        assert len(self.tell([3.0] * 100, vms, 0.1)) == times
+
+
 class TestRetain:
     @pytest.mark.parametrize(("incarnation", "lines"), [(1, 1), (2, 2)])
     def test_limit_ends_with_its_target(self, incarnation, lines):
--- a/packages/policy/src/berylstage_policy/target_limits.py
+++ b/packages/policy/src/berylstage_policy/target_limits.py
@@ -22,6 +22,9 @@
 # of VMs one of them would otherwise tell all others each second.
 REPEAT_SECONDS = 1.0
 REPEAT_SECONDS_PER_VM = 0.02
+# Share by which a limit must have changed to be told at once: a target may name another
+# one in each of its answers.
+MIN_TOLD_CHANGE = 0.1
 
 
 class TargetLimit:
@@ -35,14 +38,15 @@
         Monotonic seconds.
     """
 
-    __slots__ = ("_blocked_until", "_known_at", "_told_at", "rate")
+    __slots__ = ("_blocked_until", "_known_at", "_told_at", "_told_rate", "rate")
 
     def __init__(self, rate: float, now: float):
         self.rate = rate
         # When an answer or another VM last named it.
         self._known_at = now
-        # When this VM last told the others, or was told.
+        # When this VM last told the others, or was told, and which limit.
         self._told_at = float("-inf")
+        self._told_rate = rate
         self._blocked_until = float("-inf")
 
     @property
@@ -50,12 +54,10 @@
         """Requests per second that all VMs together may send."""
         return max(MIN_REQUESTS_PER_SECOND, self.rate)
 
-    def confirm(self, rate: float, now: float) -> bool:
-        """Record that an answer or a VM names a limit; return whether it is new."""
-        is_changed = rate != self.rate
+    def confirm(self, rate: float, now: float) -> None:
+        """Record that an answer or a VM names a limit."""
         self.rate = rate
         self._known_at = now
-        return is_changed
 
     def is_ended_by(self, sent_at: float) -> bool:
         """Return whether an answer without a limit shows that this one has ended.
@@ -70,14 +72,25 @@
         """
         return sent_at >= self._known_at
 
-    def is_repetition_due(self, vms: int, now: float) -> bool:
-        """Return whether the other VMs should be told the limit again."""
+    def must_be_told(self, vms: int, now: float) -> bool:
+        """Return whether the other VMs should be told the limit, again or anew.
+
+        Parameters
+        ----------
+        vms : int
+            Number of known VMs.
+        now : float
+            Monotonic seconds.
+        """
+        if abs(self.rate - self._told_rate) > MIN_TOLD_CHANGE * self._told_rate:
+            return True
         interval = max(REPEAT_SECONDS, REPEAT_SECONDS_PER_VM * vms)
         return now - self._told_at >= interval
 
     def record_told(self, now: float) -> None:
         """Record that the VMs were told the limit."""
         self._told_at = now
+        self._told_rate = self.rate
 
     def block(self, seconds: float, now: float) -> None:
         """Record that there is no token for some seconds."""
