--- a/packages/entry/tests/limit_fleet.py
+++ b/packages/entry/tests/limit_fleet.py
@@ -77,6 +77,8 @@
         self.named_at = float("inf")
         # Until when each VM is excused from a limit that was named before.
         self.excused_until = {}
+        # Datagrams that wait for VMs that are suspended.
+        self.suspended = {}
 
     def set_limit(self, limit):
         self.limit = limit
@@ -94,7 +96,26 @@
             self.part_of[host] = part
             self.excused_until[host] = float("inf") if part else now()
 
+    def suspend(self, host):
+        """Suspend a VM: it gets no datagrams and sends no requests until it resumes."""
+        self.suspended.setdefault(host, [])
+
+    def resume(self, host):
+        """Resume a VM, which then gets the datagrams that have waited."""
+        waiting = self.suspended.pop(host, [])
+        self.excused_until[host] = now()
+        for sender, data in waiting:
+            self._deliver(sender, host, data)
+
+    def _deliver(self, sender, receiver, data):
+        if receiver in self.suspended:
+            self.suspended[receiver].append((sender, data))
+        else:
+            super()._deliver(sender, receiver, data)
+
     async def _request(self, host):
+        if host in self.suspended:
+            return
         vm = self.running[host]
         quota = vm.limits.find_quota(self.target.name)
         if quota is not None:
--- a/packages/entry/tests/test_target_limits.py
+++ b/packages/entry/tests/test_target_limits.py
@@ -7,6 +7,7 @@
 
 import logbook
 import pytest
+from berylstage_entry import quota_server
 from berylstage_entry.clock import now
 from berylstage_entry.cluster_view import ClusterView
 from berylstage_entry.notice_messages import LimitNotice
@@ -297,6 +298,22 @@
         monkeypatch.setattr(QuotaClient, "_servers_for", shuffled)
         assert self.play(20.0) > 1.0
 
+    def play_burst(self):
+        with virtual_loop() as loop:
+            fleet = LimitFleet(loop)
+            fleet.start()
+            fleet.set_limit(3.0)
+            fleet.run(20.0, 1.0)
+            fleet.run(4.0, 100.0)
+            return fleet.most_in_a_window() / fleet.allowed_in_a_window()
+
+    def test_limit_is_kept_in_a_burst_after_a_quiet_time(self):
+        assert self.play_burst() <= 1.0
+
+    def test_finds_a_server_that_keeps_tokens_for_a_burst(self, monkeypatch):
+        monkeypatch.setattr(quota_server, "JITTER_SHARE", 4.0)
+        assert self.play_burst() > 1.0
+
     def test_finds_an_end_that_an_old_answer_brings(self, monkeypatch):
         monkeypatch.setattr(TargetLimit, "is_ended_by", lambda limit, sent_at: True)
         assert self.play(2.0, (0.01, 8.0)) > 1.0
