Remember what a target has said while its record lapses

What callers would see: a burst at a target that rests or has a limit, after an outage of the store in which its record was gone for a moment.

Cause: limits and rests were dropped with the target's record, which may return while its target lives. Departures were not.

--- a/packages/entry/src/berylstage_entry/cluster_view.py
+++ b/packages/entry/src/berylstage_entry/cluster_view.py
@@ -229,6 +229,11 @@
             return None
         return known.target
 
+    def is_current(self, identity: tuple[str, int]) -> bool:
+        """Return whether a target is known under its name and incarnation."""
+        known = self.known.get(identity[0])
+        return known is not None and known.target.identity == identity
+
     def usable_targets(self, service: str) -> list[str]:
         """Return the targets of a service that accept new requests."""
         if self._by_service is None:
--- a/packages/entry/src/berylstage_entry/router.py
+++ b/packages/entry/src/berylstage_entry/router.py
@@ -241,11 +241,10 @@
 
     def _drop_removed_targets(self) -> None:
         self._seen_revision = self._cluster_view.revision
-        known = self._cluster_view.known
-        names = set(known)
+        names = set(self._cluster_view.known)
         self._clients.retain(names)
         self.cold_targets.retain(names)
-        self.target_notices.retain({k.target.identity for k in known.values()})
+        self.target_notices.prune()
 
     async def _forward(self, ctx: RequestContext) -> RoutedAnswer:
         """Send until there is an answer to return, or no further attempt is allowed."""
--- a/packages/entry/src/berylstage_entry/target_limits.py
+++ b/packages/entry/src/berylstage_entry/target_limits.py
@@ -94,10 +94,12 @@
         """Return whether a target has a limit."""
         return bool(self._limits)
 
-    def retain(self, identities: set[tuple[str, int]]) -> None:
-        """Remove all targets except the given ones."""
-        for identity in [key for key in self._limits if key not in identities]:
-            self._drop(identity)
+    def prune(self) -> None:
+        """Drop the limits of targets that are gone for long, or have started again."""
+        for identity, limit in list(self._limits.items()):
+            is_known = self._cluster_view.is_current(identity)
+            if not is_known and limit.is_outdated(now()):
+                self._drop(identity)
 
     def find_quota(self, name: str) -> TargetQuota | None:
         """Return the quota of a target that has a limit, or None."""
--- a/packages/entry/src/berylstage_entry/target_notices.py
+++ b/packages/entry/src/berylstage_entry/target_notices.py
@@ -43,10 +43,14 @@
         self.departures = TargetDepartures(cluster_view)
         self._log_limiter = LogRateLimiter(NOTICE_LINES_PER_SECOND)
 
-    def retain(self, identities: set[tuple[str, int]]) -> None:
-        """Remove all targets except the given ones."""
-        self.limits.retain(identities)
-        self.rests.retain(identities)
+    def prune(self) -> None:
+        """Drop what is said of targets that are gone for long, or have started again.
+
+        A record may lapse and return while its target lives, and what the target has
+        said holds on.
+        """
+        self.limits.prune()
+        self.rests.prune()
 
     def set_vm_count(self, vms: int) -> None:
         """Set the number of known VMs, this one included."""
--- a/packages/entry/src/berylstage_entry/target_rests.py
+++ b/packages/entry/src/berylstage_entry/target_rests.py
@@ -47,11 +47,15 @@
         # Sends a datagram to the coordinator, unless this VM is the coordinator.
         self.send_to_coordinator: Callable[[bytes], None] = lambda data: None
 
-    def retain(self, identities: set[tuple[str, int]]) -> None:
-        """Remove all targets except the given ones."""
-        for identity in [key for key in self._by_vm if key not in identities]:
-            del self._by_vm[identity]
-            self._rests.pop(identity, None)
+    def prune(self) -> None:
+        """Drop the rests that are over."""
+        moment = now()
+        for identity, rest in list(self._rests.items()):
+            if rest.until <= moment:
+                del self._rests[identity]
+        for identity, by_vm in list(self._by_vm.items()):
+            if max(by_vm.values()) <= moment:
+                del self._by_vm[identity]
 
     def record(self, target: Target, seconds: float) -> None:
         """Record that a target has asked this VM for rest.
--- a/packages/policy/src/berylstage_policy/target_limits.py
+++ b/packages/policy/src/berylstage_policy/target_limits.py
@@ -22,6 +22,9 @@
 # of VMs one of them would otherwise tell all others each second.
 REPEAT_SECONDS = 1.0
 REPEAT_SECONDS_PER_VM = 0.02
+# Time for which a limit is remembered while the record of its target is gone, which may
+# return after an outage of the store.
+MEMORY_SECONDS = 30.0
 # Share by which a limit must have changed to be told at once: a target may name another
 # one in each of its answers.
 MIN_TOLD_CHANGE = 0.1
@@ -72,6 +75,10 @@
         """
         return sent_at >= self._known_at
 
+    def is_outdated(self, now: float) -> bool:
+        """Return whether nothing has confirmed the limit for long."""
+        return now - self._known_at > MEMORY_SECONDS
+
     def must_be_told(self, vms: int, now: float) -> bool:
         """Return whether the other VMs should be told the limit, again or anew.
 
