Refuse orders that their target is unlikely to complete in time, also with a permit

Cause: the choice by load refuses a request that its target would complete too late; with a permit only 20 ms had to be left, and a VM may stand still between the permit and the sending.

Change: right before an order is sent, its target's expected service time must be left. Lookups are sent as before: their callers may ask again.

--- a/packages/entry/src/berylstage_entry/router.py
+++ b/packages/entry/src/berylstage_entry/router.py
@@ -252,6 +252,7 @@
             while True:
                 name = await self._choose_target(ctx)
                 try:
+                    self._check_time_left(ctx, name)
                     self._check_api_key(ctx)
                 except EntryError:
                     self._withdraw(ctx)
@@ -265,6 +266,21 @@
                 raise
             return ctx.failed_answer
 
+    def _check_time_left(self, ctx: RequestContext, name: str) -> None:
+        """Refuse an order that its target is unlikely to complete in time.
+
+        Its caller would learn that the outcome is unknown, although it could have been
+        told that the order has not run. A VM that was suspended for a moment sends many
+        requests in their last milliseconds. Without a permit the choice by load has
+        checked as much.
+        """
+        if ctx.route.idempotent:
+            return
+        expected = self.loads.service_seconds(ctx.service.name, name, ctx.route.name)
+        if ctx.seconds_left(now()) < expected:
+            detail = f"target {name} takes {expected:.3f} s"
+            raise self._build_error(ctx, "no-time", detail)
+
     async def _choose_target(self, ctx: RequestContext) -> str:
         """Return the target for the next attempt."""
         if ctx.seconds_left(now()) < MIN_ATTEMPT_SECONDS:
--- a/packages/entry/tests/test_router.py
+++ b/packages/entry/tests/test_router.py
@@ -135,6 +135,22 @@
     return done.answer.status, clients.sent
 
 
+def make_slow_router(idempotent):
+    """Return the router of a service whose targets take 0.2 s for each request."""
+    route = Route(
+        "r", "h", "/a/", [WeightedService("s", 1.0)], idempotent, 3, 1.0, 0.3, 1
+    )
+    service = Service("s", "/", 50, 3.0, 5.0, False)
+    view = ClusterView()
+    cfg = Configuration(1, [route], [service], LIMITS)
+    view.apply(Record(configuration=cfg), now(), False)
+    view.apply(Record(target=target("a")), now(), False)
+    router = Router(view, StoreWatcher(), TargetClients([]), BOUNDS, Random(1))
+    for _ in range(20):
+        router.loads.record_answer("a", "r", "s", answer(200, load=None), 0.2)
+    return router
+
+
 class TestRouter:
     def test_request_rejected_by_a_full_target_is_sent_to_another(self):
         status, sent = serve_request(["full", "ok"], idempotent=False)
@@ -153,6 +169,24 @@
         assert status == 200
         assert len(sent) == 2
 
+    @pytest.mark.parametrize(
+        ("idempotent", "time_left", "is_sent"),
+        [(False, 0.08, False), (False, 0.25, True), (True, 0.08, True)],
+    )
+    def test_order_with_too_little_time_is_not_sent(
+        self, idempotent, time_left, is_sent
+    ):
+        # Guards against an unknown outcome for an order that could have been refused: a
+        # VM that was suspended sends it in its last milliseconds.
+        router = make_slow_router(idempotent)
+        router.permit_client = ScriptedPermits("a")
+        req = CallerRequest("id", "GET", "h", "/a/", {}, time_left, None)
+        try:
+            asyncio.run(router.serve(req))
+        except Refused as exc:
+            assert exc.reason == "no-time"
+        assert bool(router._clients.sent) is is_sent
+
     def test_lookup_whose_answer_was_lost_is_sent_again(self):
         status, sent = serve_request([LOST, "ok"])
         assert status == 200
