--- a/tests/soak/installation.py
+++ b/tests/soak/installation.py
@@ -17,7 +17,8 @@
 from soak.configuration import SETTINGS, get_loopback_prefix, make_configuration
 from soak.ledger import Ledger
 from soak.links import Link
-from soak.targets import SoakTarget
+from soak.target_links import TargetLink
+from soak.targets import PORT, SoakTarget
 from tornado.curl_httpclient import CurlAsyncHTTPClient
 from tornado.httpclient import HTTPClientError
 from tornado.httpserver import HTTPServer
@@ -29,6 +30,9 @@
     from soak.callers import Request
 
 ROOT = Path(__file__).resolve().parents[2]
+# Program of a VM, from the root, and the same with links to targets of its own.
+PROGRAM = "deploy/start.py"
+LINKED_PROGRAM = "tests/soak/vm.py"
 # Last octet of the first VM's address; the store and the targets use lower ones.
 FIRST_VM_HOST_NUMBER = 20
 STORE_PORT = 8390
@@ -60,7 +64,16 @@
 class SoakVm:
     """One VM process, its link and the callers' connections to it."""
 
-    def __init__(self, number: int, folder: Path, network: str, store: str, link: Link):
+    def __init__(
+        self,
+        number: int,
+        folder: Path,
+        network: str,
+        store: str,
+        link: Link,
+        program: str,
+    ):
+        self.number = number
         self.name = f"vm-{number}"
         self.ip = f"{network}.{FIRST_VM_HOST_NUMBER + number}"
         text = SETTINGS.format(name=self.name, ip=self.ip, store=store, mbps=link.mbps)
@@ -69,6 +82,7 @@
         self.idle_callers: deque[Caller] = deque()
         # Whether the VM is being stopped and restarted.
         self.is_stopping = False
+        self._program = program
         self._path = folder / f"{self.name}.conf"
         self._path.write_text(text)
         self._log = (folder / f"{self.name}.log").open("a")
@@ -76,9 +90,12 @@
 
     def _start(self) -> subprocess.Popen:
         return subprocess.Popen(
-            [sys.executable, "deploy/start.py"],
+            [sys.executable, self._program],
             cwd=ROOT,
-            env={"BERYLSTAGE_NODE_FILE": str(self._path)},
+            env={
+                "BERYLSTAGE_NODE_FILE": str(self._path),
+                "SOAK_VM_NUMBER": str(self.number),
+            },
             stdout=self._log,
             stderr=subprocess.STDOUT,
         )
@@ -110,9 +127,13 @@
         Source of link bandwidths, service times and lost answers.
     vms : int
         Number of VMs.
+    has_target_links : bool
+        Whether each VM reaches the targets by links of its own, which can be cut.
     """
 
-    def __init__(self, folder: Path, rng: Random, vms: int):
+    def __init__(
+        self, folder: Path, rng: Random, vms: int, has_target_links: bool = False
+    ):
         self.ledger = Ledger()
         self.store = SoakStore(rng)
         network = get_loopback_prefix()
@@ -132,12 +153,15 @@
         http.listen(STORE_PORT, f"{network}.1")
         self.store.put("op/config", json.dumps(make_configuration()).encode())
         for target in self.targets:
+            if has_target_links:
+                target.links = [TargetLink(target.ip, PORT, n) for n in range(vms)]
             target.start()
             self.write_record(target)
+        program = LINKED_PROGRAM if has_target_links else PROGRAM
         store = f"{network}.1:{STORE_PORT}"
         links = [Link(rng.uniform(*LINK_MBPS_RANGE)) for _ in range(vms)]
         self.vms = [
-            SoakVm(number, folder, network, store, link)
+            SoakVm(number, folder, network, store, link, program)
             for number, link in enumerate(links)
         ]
         self._client = CurlAsyncHTTPClient(force_instance=True, max_clients=200)
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -7,6 +7,7 @@
 from collections import Counter
 from typing import TYPE_CHECKING
 
+from soak.cuts import CutLedger, Outcome
 from soak.notices import NoticeLedger
 
 if TYPE_CHECKING:
@@ -71,6 +72,8 @@
         self.answers: dict[str, tuple[str, int, bytes, str]] = {}
         self.stops: list[Stop] = []
         self.notices = NoticeLedger()
+        self.cuts = CutLedger()
+        self._vms: dict[str, str] = {}
         self._spans: dict[str, Span] = {}
         self._sizes: dict[str, int] = {}
         self._unplanned_faults: list[Span] = []
@@ -84,6 +87,7 @@
     def record_request(self, request_id: str, size: int, vm: str = "") -> None:
         """Record that a caller requests an answer of at least ``size`` bytes."""
         self.notices.record_request(request_id, vm)
+        self._vms[request_id] = vm
         self._spans[request_id] = Span(time.monotonic(), math.inf)
         self._sizes[request_id] = size
 
@@ -135,12 +139,24 @@
             *self._find_lost_requests(),
             *self._find_failed_stops(),
             *self.notices.find_violations(),
+            *self.cuts.find_violations(self.outcomes()),
         ]
 
     def count_outcomes(self) -> Counter[int]:
         """Return the number of requests by status."""
         return Counter(status for _, status, _, _ in self.answers.values())
 
+    def outcomes(self) -> list[Outcome]:
+        """Return the VM, the time and the status of each request."""
+        return [
+            Outcome(
+                self._vms[request_id],
+                span.start,
+                self.answers.get(request_id, NO_ANSWER)[1],
+            )
+            for request_id, span in self._spans.items()
+        ]
+
     def _find_repeated_runs(self) -> list[str]:
         return [
             f"{request_id} ran at {targets}"
--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -1,8 +1,9 @@
 """Soak: an installation under load with injected faults.
 
 Run it by ``make soak SECONDS=60 SEED=1``, with ``STOPS=--stops`` for planned stops
-only, ``STOPS=--hold-ups`` for short suspensions of VMs only, or ``STOPS=--notices`` for
-targets that name limits, ask for rest or leave in their answers. It prints the outcomes
+only, ``STOPS=--hold-ups`` for short suspensions of VMs only, ``STOPS=--notices`` for targets
+that name limits, ask for rest or leave in their answers, or ``STOPS=--cuts`` for VMs
+that lose their links to targets. It prints the outcomes
 of requests and all violations, and exits with status 1 if there are violations. The
 seed determines faults and requests; processes are real, so the timing of two runs with
 the same seed differs.
@@ -27,6 +28,7 @@
 sys.path[:0] = [str(HERE.parent), str(HERE.parents[1] / "platform")]
 
 from soak.callers import ANSWER_TIMEOUT_SECONDS, Request  # noqa: E402
+from soak.cut_faults import CUTS, VmsCutOff, VmsRefused, VmsReset  # noqa: E402
 from soak.faults import (  # noqa: E402
     DEPARTURES,
     FAULTS,
@@ -73,9 +75,17 @@
         Probability that no second fault overlaps a fault.
     recovery_seconds : float
         Seconds without a fault at the end, before every request must be answered.
+    has_target_links : bool
+        Whether each VM reaches the targets by links of its own, which can be cut.
     """
 
-    __slots__ = ("exclusive_share", "faults", "recovery_seconds", "vms")
+    __slots__ = (
+        "exclusive_share",
+        "faults",
+        "has_target_links",
+        "recovery_seconds",
+        "vms",
+    )
 
     def __init__(
         self,
@@ -83,11 +93,13 @@
         vms: int,
         exclusive_share: float,
         recovery_seconds: float,
+        has_target_links: bool = False,
     ):
         self.faults = faults
         self.vms = vms
         self.exclusive_share = exclusive_share
         self.recovery_seconds = recovery_seconds
+        self.has_target_links = has_target_links
 
 
 # Recovery takes up to the longest grant plus the time until expired records are written
@@ -99,6 +111,11 @@
 RESTS_MODE = SoakMode(RESTS, 4, 0.4, 3.0)
 DEPARTURES_MODE = SoakMode(DEPARTURES, 4, 0.4, 3.0)
 NOTICES_MODE = SoakMode(NOTICES, 4, 0.4, 3.0)
+# Cuts do not overlap, since two of them may leave no VM with links.
+CUTS_MODE = SoakMode(CUTS, 4, 1.0, 3.0, True)
+SILENT_CUTS_MODE = SoakMode((VmsCutOff,), 4, 1.0, 3.0, True)
+RESET_CUTS_MODE = SoakMode((VmsReset,), 4, 1.0, 3.0, True)
+REFUSED_CUTS_MODE = SoakMode((VmsRefused,), 4, 1.0, 3.0, True)
 # Options that restrict the faults.
 MODES = (
     ("--stops", "planned stops alone", PLANNED_STOPS_MODE),
@@ -107,6 +124,10 @@
     ("--rests", "targets that ask for rest alone", RESTS_MODE),
     ("--departures", "targets that say that they leave alone", DEPARTURES_MODE),
     ("--notices", "limits, rests and departures", NOTICES_MODE),
+    ("--cuts", "VMs without links to targets alone", CUTS_MODE),
+    ("--silent-cuts", "the same with links that lose all bytes", SILENT_CUTS_MODE),
+    ("--reset-cuts", "the same with connections that are reset", RESET_CUTS_MODE),
+    ("--refused-cuts", "the same with new connections refused", REFUSED_CUTS_MODE),
 )
 
 
@@ -134,11 +155,15 @@
         self._request_tasks: set[asyncio.Task] = set()
         # Whether callers send single requests at even intervals.
         self.has_even_load = False
+        # Descriptions of the cuts and of what callers were served in them.
         self.log: list[str] = []
 
     async def run(self) -> tuple[list[str], str]:
         """Run the soak and return the violations and a summary of the outcomes."""
-        installation = Installation(self._folder, self._rng, self._mode.vms)
+        mode = self._mode
+        installation = Installation(
+            self._folder, self._rng, mode.vms, mode.has_target_links
+        )
         try:
             for vm in installation.vms:
                 await installation.wait_until_ready(vm)
@@ -157,10 +182,12 @@
                 *installation.ledger.find_violations(),
                 *self._find_unserved(installation, first_checked),
             ]
-            outcomes = dict(installation.ledger.count_outcomes().most_common())
+            ledger = installation.ledger
+            self.log += ledger.cuts.describe(ledger.outcomes())
+            outcomes = dict(ledger.count_outcomes().most_common())
             return (
                 violations,
-                f"{outcomes}, {len(installation.ledger.stops)} planned stops",
+                f"{outcomes}, {len(ledger.stops)} planned stops",
             )
         finally:
             installation.stop()
@@ -233,7 +260,6 @@
         if not fault.is_planned:
             installation.ledger.record_unplanned_fault(began, time.monotonic())
         line = f"{type(fault).__name__} {hit} {fault.seconds:.1f} s at {began:.2f}"
-        self.log.append(line)
         print(line, flush=True)
 
     def _find_unserved(
@@ -267,9 +293,9 @@
     mode.vms = args["vms"] or mode.vms
     folder = Path(tempfile.mkdtemp(prefix="berylstage-soak-"))
     print(f"settings and logs: {folder}")
-    violations, outcomes = asyncio.run(
-        Soak(folder, args["seconds"], args["seed"], mode).run()
-    )
+    soak = Soak(folder, args["seconds"], args["seed"], mode)
+    violations, outcomes = asyncio.run(soak.run())
+    print(*soak.log, sep="\n")
     print(f"callers were told: {outcomes}")
     for violation in violations[:40]:
         print(f"must never be: {violation}")
--- a/tests/soak/targets.py
+++ b/tests/soak/targets.py
@@ -14,6 +14,7 @@
 
 if TYPE_CHECKING:
     from soak.ledger import Ledger
+    from soak.target_links import TargetLink
 
 PORT = 8391
 # Requests that a target runs at once, and those that may wait in addition.
@@ -56,6 +57,8 @@
         self.in_progress = 0
         self.slots = asyncio.Semaphore(SLOTS)
         self._http: HTTPServer | None = None
+        # Links from the VMs, by their numbers, where each VM has links of its own.
+        self.links: list[TargetLink] = []
 
     @property
     def is_running(self) -> bool:
@@ -69,11 +72,15 @@
         self.slots = asyncio.Semaphore(SLOTS)
         self._http = HTTPServer(_application(self))
         self._http.listen(PORT, self.ip)
+        for link in self.links:
+            link.open()
 
     async def crash(self) -> None:
         """End the incarnation without draining or updating the record."""
         http, self._http = self._http, None
         if http is not None:
+            for link in self.links:
+                link.close()
             http.stop()
             self.ledger.record_target_end(self)
             self.incarnation += 1
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -15,6 +15,7 @@
 
 from soak.callers import Caller, Request
 from soak.configuration import get_loopback_prefix
+from soak.cuts import CONTACT_SECONDS
 from soak.ledger import FAULT_EFFECT_SECONDS, Ledger
 from soak.links import BYTES_PER_MBIT, MAX_PENDING_SECONDS, Link
 from soak.play import PLANNED_STOPS_MODE, Soak
@@ -235,6 +236,49 @@
         assert len(self.find(ledger, arrivals, fault=(-9.0, -1.0))) == 1
 
 
+class TestCutLedger:
+    """What callers must be served while VMs are cut off from targets."""
+
+    def find(self, ledger, monkeypatch, inside, outside, sent_at=CONTACT_SECONDS):
+        """Return the violations of requests, each side as (served, failed)."""
+        moment = 100.0
+        monkeypatch.setattr(time, "monotonic", lambda: moment)
+        cut = ledger.cuts.record_begin(["vm-1"], "cut")
+        moment += sent_at
+        for vm, (served, failed) in (("vm-1", inside), ("vm-2", outside)):
+            for n, status in enumerate(served * [200] + failed * [503]):
+                ledger.record_request(f"lookup-{vm}-{n}", 0, vm)
+                ledger.record_run(FakeTarget("i-1"), f"lookup-{vm}-{n}", "7")
+                body = f"answer to lookup-{vm}-{n}".encode()
+                sign = f"i-1.lookup-{vm}-{n}"
+                ledger.record_answer(f"lookup-{vm}-{n}", "GET", status, body, sign)
+        moment += 1.0
+        ledger.cuts.record_end(cut)
+        return ledger.find_violations()
+
+    @pytest.mark.parametrize(
+        ("inside", "outside", "faults"),
+        [
+            ((0, 14), (100, 0), 1),
+            ((14, 14), (100, 0), 1),
+            ((60, 14), (100, 0), 0),
+            ((0, 12), (100, 0), 0),
+            ((100, 0), (100, 20), 1),
+            ((100, 0), (100, 12), 0),
+        ],
+    )
+    def test_callers_of_cut_vms_and_of_the_others(
+        self, ledger, monkeypatch, inside, outside, faults
+    ):
+        assert len(self.find(ledger, monkeypatch, inside, outside)) == faults
+
+    def test_requests_before_the_cut_has_settled_do_not_count(
+        self, ledger, monkeypatch
+    ):
+        found = self.find(ledger, monkeypatch, (0, 50), (0, 50), CONTACT_SECONDS - 0.1)
+        assert found == []
+
+
 class TestRests:
     """Which requests a VM may send to a target that has asked it for rest."""
 
@@ -468,3 +512,20 @@
     def test_target_that_says_it_leaves_gets_nothing_more(self):
         # Guards against VMs that learn from the store alone that a target leaves.
         run_soak("--departures", "--seconds=8", "--seed=1")
+
+
+@pytest.mark.failures
+@pytest.mark.failures_ci
+class TestCuts:
+    def test_recover_callers_of_vms_with_silent_links_to_targets(self):
+        # Guards against VMs that hold requests for targets which only others reach.
+        run_soak("--silent-cuts", "--seconds=2", "--seed=1")
+
+    def test_recover_callers_of_vms_whose_links_to_targets_are_reset(self):
+        # Guards against VMs, the coordinator among them, that take refused connections
+        # for targets that have ended.
+        run_soak("--reset-cuts", "--seconds=2", "--seed=1")
+
+    def test_recover_callers_of_vms_that_are_refused_new_connections(self):
+        # Guards against VMs that serve only as many as their open connections can.
+        run_soak("--refused-cuts", "--seconds=2", "--seed=3")
