Take a target that refuses connections for terminated only if another VM agrees

Cause: two refused connections counted as the end of a target's process, whose keys may move before its grants expire. A VM whose links are reset is refused by every target, those that hold keys included.

Evidence: "target has terminated: connection refused" for eleven targets that went on to answer 421 to other VMs. The new test (TestRefusedConnections) has a target refuse the coordinator and live on: with every refusal taken for a termination, as before, the model finds two holders of the same keys.

Change: the VM compares the target with a neighbour of it in the same data centre, whose connections have to be accepted, and asks other VMs, one after the other, to do the same. If none of three can tell, the grants expire as those of a silent target do. A VM that is alone decides alone.

--- a/packages/entry/src/berylstage_entry/application.py
+++ b/packages/entry/src/berylstage_entry/application.py
@@ -74,6 +74,7 @@
 from berylstage_entry.store_delta import StoreDelta
 from berylstage_entry.store_watcher import StoreWatcher
 from berylstage_entry.target_clients import TargetClients
+from berylstage_entry.termination_check import REFUSAL_PATH, TerminationCheck
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -142,6 +143,12 @@
         self.grant_controller = GrantController(
             store, self.store_watcher, self.cluster_view, self.election, targets
         )
+        self.termination_check = TerminationCheck(
+            self.cluster_view, self.peer_client, self.rng
+        )
+        self.grant_controller.grant_renewer.confirm_termination = (
+            self.termination_check.is_terminated
+        )
         self.peer_updates = PeerUpdates(
             self.store_watcher, self.membership, cfg.control_address
         )
@@ -236,6 +243,7 @@
                 STORE_CONTACT_PATH: self._handle_store_contact,
                 SPEEDS_PATH: self._handle_service_times,
                 PUSH_PATH: self._handle_peer_updates,
+                REFUSAL_PATH: self._handle_refusal,
             }
         )
         self.metrics_server = InternalServer({"/metrics": self._handle_metrics})
@@ -509,6 +517,9 @@
             200, body=str(await self.store_watcher.probe_store()).encode()
         )
 
+    async def _handle_refusal(self, body: bytes) -> PageResponse:
+        return PageResponse(200, body=await self.termination_check.answer(body))
+
     def _handle_service_times(self, body: bytes) -> PageResponse:
         return PageResponse(
             200 if self.load_reporter.receive_service_times(body) else 400
--- a/packages/entry/src/berylstage_entry/grant_controller.py
+++ b/packages/entry/src/berylstage_entry/grant_controller.py
@@ -108,12 +108,10 @@
         self._cluster_view = cluster_view
         self._election = election
         self.writer = AssignmentWriter(store, store_watcher, election)
-        self._grant_renewer = GrantRenewer(
+        self.grant_renewer = GrantRenewer(
             store_watcher, cluster_view, election, protocol
         )
-        self._key_moves = KeyMoves(
-            cluster_view, election, protocol, self._grant_renewer
-        )
+        self._key_moves = KeyMoves(cluster_view, election, protocol, self.grant_renewer)
         # What targets say of themselves; nothing while not set.
         self.target_notices: TargetNotices | None = None
         self._services: dict[str, _ServiceState] = {}
@@ -154,7 +152,7 @@
             try:
                 if self._election.is_coordinator():
                     await self._reconcile()
-                elif len(self._grant_renewer):
+                elif len(self.grant_renewer):
                     self._cancel_tasks()
             except StoreError as exc:
                 log.info("assignment not stored", extra={"cause": str(exc)})
@@ -171,7 +169,7 @@
                 await self._election.wait_for_lease()
 
     def _cancel_tasks(self) -> None:
-        self._grant_renewer.stop_renewing()
+        self.grant_renewer.stop_renewing()
         for state in self._services.values():
             for task in state.move_tasks.values():
                 task.cancel()
@@ -200,7 +198,7 @@
         cfg = self._cluster_view.configuration
         if cfg is None:
             return
-        self._grant_renewer.probe_terminated()
+        self.grant_renewer.probe_terminated()
         for service in cfg.services.values():
             if service.owns_keys:
                 await self._reconcile_service(service.name)
@@ -208,7 +206,7 @@
     async def _reconcile_service(self, service: str) -> None:
         state = self._get_state(service)
         assignment = self._store_watcher.assignments.get(service) or unassigned()
-        self._grant_renewer.start_renewals(assignment)
+        self.grant_renewer.start_renewals(assignment)
         self._start_move_tasks(service, state, assignment)
         if not self._election.is_coordinator():
             return
@@ -283,8 +281,8 @@
         if self._cluster_view.known[r.owner].target.incarnation != r.incarnation:
             return False
         identity = (r.owner, r.incarnation)
-        unresponsive = self._grant_renewer.is_unresponsive(identity)
-        return not unresponsive or self._grant_renewer.may_hold_keys(identity)
+        unresponsive = self.grant_renewer.is_unresponsive(identity)
+        return not unresponsive or self.grant_renewer.may_hold_keys(identity)
 
     def _capacities(self, service: str, state: _ServiceState) -> dict[str, float]:
         """Return the requests per second of each target that may own keys."""
@@ -293,7 +291,7 @@
         capacities = {}
         for name in self._cluster_view.usable_targets(service):
             entry = self._cluster_view.known[name]
-            if self._grant_renewer.is_unresponsive(entry.target.identity):
+            if self.grant_renewer.is_unresponsive(entry.target.identity):
                 continue
             capacities[name] = entry.target.slots / state.speeds.expected_seconds(name)
             if entry.cold_until > now():
@@ -369,7 +367,7 @@
         known = self._cluster_view.known.get(r.owner)
         if known is None or known.target.incarnation != r.incarnation:
             return
-        if not await self._grant_renewer.grant(known.target, r, handover):
+        if not await self.grant_renewer.grant(known.target, r, handover):
             return
         log.info(
             "keys moved",
--- a/packages/entry/src/berylstage_entry/grant_expiry.py
+++ b/packages/entry/src/berylstage_entry/grant_expiry.py
@@ -153,19 +153,20 @@
         self.unresponsive_since = 0.0
         self._refusing_since = 0.0
 
-    def record_refusal(self, now: float) -> None:
+    def record_refusal(self, now: float) -> bool:
         """Record that the target's port refused a connection.
 
-        The process has terminated, and one started in its place holds no keys, so its
-        keys can move before its grants expire. Two refusals are required so that one
-        stray packet does not decide. A target at its connection limit does not count:
-        it accepts connections before it resets them.
+        Returns whether its process may have terminated: one started in its place holds
+        no keys, so its keys could move before its grants expire. Two refusals are
+        required so that one stray packet does not decide. A target at its connection
+        limit does not count: it accepts connections before it resets them.
         """
         self.record_failure(now)
         if not self._refusing_since:
             self._refusing_since = now
-        elif now - self._refusing_since >= MIN_REFUSAL_SECONDS:
-            self.record_termination(now)
+        return (
+            not self.is_terminated and now - self._refusing_since >= MIN_REFUSAL_SECONDS
+        )
 
     def record_termination(self, now: float) -> None:
         """Record that the target's process has terminated."""
--- a/packages/entry/src/berylstage_entry/grant_renewer.py
+++ b/packages/entry/src/berylstage_entry/grant_renewer.py
@@ -18,6 +18,8 @@
 from berylstage_entry.protocols import GrantRequest
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
     from berylstage_entry.assignment import Assignment, KeyRange
     from berylstage_entry.cluster_view import ClusterView
     from berylstage_entry.coordinator_election import CoordinatorElection
@@ -79,6 +81,10 @@
         ] = {}
         # Probes of targets that are considered terminated.
         self._probe_tasks: dict[tuple[str, int], asyncio.Task] = {}
+        # Tells whether a target that refuses connections has terminated, which a VM
+        # that has lost its links cannot tell alone; None if there is nobody to ask.
+        self.confirm_termination: Callable[[Target], Awaitable[bool]] | None = None
+        self._confirmations: dict[tuple[str, int], asyncio.Task] = {}
         # Targets that were granted keys, kept for when their records are removed.
         self._granted_targets: dict[tuple[str, int], Target] = {}
 
@@ -88,7 +94,11 @@
 
     def stop_renewing(self) -> None:
         """Stop renewing grants."""
-        for task in [*self._renewal_tasks.values(), *self._probe_tasks.values()]:
+        for task in [
+            *self._renewal_tasks.values(),
+            *self._probe_tasks.values(),
+            *self._confirmations.values(),
+        ]:
             task.cancel()
         self._renewal_tasks.clear()
         self._probe_tasks.clear()
@@ -132,7 +142,7 @@
             if isinstance(exc, NeverSent):
                 grants.record_unsent(sent)
             if isinstance(exc, ConnectionRefused):
-                self._record_refusal(target)
+                self.record_refusal(target)
             if not grants.unresponsive_since:
                 log.info(
                     "grant not answered",
@@ -272,21 +282,45 @@
             )
         except (CallFailed, TargetReplaced) as exc:
             if isinstance(exc, ConnectionRefused):
-                self._record_refusal(target)
+                self.record_refusal(target)
             log.debug("target still unresponsive", extra={"cause": str(exc)})
             return False
         return True
 
-    def _record_refusal(self, target: Target) -> None:
-        grants = self.get_grants(target.identity)
-        was_terminated = grants.is_terminated
-        grants.record_refusal(now())
-        if grants.is_terminated and not was_terminated:
+    def record_refusal(self, target: Target) -> None:
+        """Record that a target refused a connection, and find out what that means."""
+        if not self.get_grants(target.identity).record_refusal(now()):
+            return
+        if self.confirm_termination is None:
+            self._record_termination(target)
+        elif target.identity not in self._confirmations:
+            identity = target.identity
+            task = asyncio.create_task(self._confirm(target, self.confirm_termination))
+            self._confirmations[identity] = task
+            task.add_done_callback(lambda _: self._confirmations.pop(identity, None))
+
+    async def _confirm(
+        self, target: Target, confirm: Callable[[Target], Awaitable[bool]]
+    ) -> None:
+        """Take a target for terminated if others agree.
+
+        A VM whose links are cut sees every target refuse connections. If it moved their
+        keys, the targets would still hold them, and two would serve the same keys.
+        """
+        if await confirm(target):
+            self._record_termination(target)
+        else:
             log.info(
-                "target has terminated: connection refused",
+                "target refuses connections and may be alive",
                 extra={"target": target.name},
             )
 
+    def _record_termination(self, target: Target) -> None:
+        self.get_grants(target.identity).record_termination(now())
+        log.info(
+            "target has terminated: connection refused", extra={"target": target.name}
+        )
+
     def _stable_ranges(self, target: Target) -> list[KeyRange]:
         """Return the ranges of a target that are not being moved."""
         assignment = self._store_watcher.assignments.get(target.service)
--- a/packages/entry/src/berylstage_entry/key_moves.py
+++ b/packages/entry/src/berylstage_entry/key_moves.py
@@ -240,7 +240,7 @@
                 extra={"target": target.name, "first": r.first, "cause": str(exc)},
             )
             if isinstance(exc, ConnectionRefused):
-                grants.record_refusal(now())
+                self._grant_renewer.record_refusal(target)
             grants.record_failure(now())
             return None
         except TargetReplaced:
--- /dev/null
+++ b/packages/entry/src/berylstage_entry/termination_check.py
@@ -0,0 +1,96 @@
+"""Finds out whether a target that refuses connections has terminated.
+
+A VM that has lost its links is refused by all targets, those that hold keys included.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from berylstage_entry.link_check import CheckResult, check_link
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+    from random import Random
+
+    from berylstage_entry.cluster_view import ClusterView
+    from berylstage_entry.peers import PeerClient
+    from berylstage_entry.targets import Target
+
+# Path at which a VM tells whether a target refuses it.
+REFUSAL_PATH = "/links/refusal"
+REFUSED = b"refused"
+REACHED = b"reached"
+UNKNOWN = b"unknown"
+# VMs that are asked one after the other until one can tell.
+MAX_VMS_ASKED = 3
+
+
+class TerminationCheck:
+    """Compares how this VM and others reach a target.
+
+    Parameters
+    ----------
+    cluster_view : ClusterView
+    peers : PeerClient
+    rng : Random
+    """
+
+    def __init__(self, cluster_view: ClusterView, peers: PeerClient, rng: Random):
+        self._cluster_view = cluster_view
+        self._peers = peers
+        self._rng = rng
+        # Checks whether a target's machine accepts connections.
+        self.check_link: Callable[[str], Awaitable[CheckResult]] = check_link
+
+    async def is_terminated(self, target: Target) -> bool:
+        """Return whether this VM and another one agree that a target has terminated."""
+        if await self._compare(target) != REFUSED:
+            return False
+        addresses = self._peers.other_addresses()
+        self._rng.shuffle(addresses)
+        for address in addresses[:MAX_VMS_ASKED]:
+            answer = await self._peers.call(address, REFUSAL_PATH, _encode(target))
+            if answer in (REFUSED, REACHED):
+                return answer == REFUSED
+        return not addresses
+
+    async def answer(self, body: bytes) -> bytes:
+        """Return how this VM reaches a target that another VM asks about."""
+        name, _, incarnation = body.decode().rpartition(" ")
+        known = self._cluster_view.known.get(name)
+        if known is None or str(known.target.incarnation) != incarnation:
+            return UNKNOWN
+        return await self._compare(known.target)
+
+    async def _compare(self, target: Target) -> bytes:
+        """Return whether a target refuses this VM while a neighbour of it does not."""
+        neighbour = self._choose_neighbour(target)
+        if neighbour is None:
+            result = await self.check_link(target.address)
+            is_linked = True
+        else:
+            result, control = await asyncio.gather(
+                self.check_link(target.address), self.check_link(neighbour.address)
+            )
+            is_linked = control is CheckResult.ACCEPTED
+        if result is CheckResult.ACCEPTED:
+            return REACHED
+        is_refused = result is CheckResult.REFUSED and is_linked
+        return REFUSED if is_refused else UNKNOWN
+
+    def _choose_neighbour(self, target: Target) -> Target | None:
+        """Return another target, of the same data centre if there is one."""
+        others = [
+            known.target
+            for known in self._cluster_view.known.values()
+            if known.target.address != target.address
+        ]
+        near = [other for other in others if other.data_centre == target.data_centre]
+        choices = near or others
+        return self._rng.choice(choices) if choices else None
+
+
+def _encode(target: Target) -> bytes:
+    return f"{target.name} {target.incarnation}".encode()
--- a/packages/entry/tests/fakes.py
+++ b/packages/entry/tests/fakes.py
@@ -269,6 +269,7 @@
         self.ended_processes: dict[str, int] = {}
         # Targets to which no connection can be made.
         self.unreachable: set[str] = set()
+        self.refusing: set[str] = set()
         self.ended: set[str] = set()
         self.late: dict[str, float] = {}
         # Grants whose fence is not above all fences that other targets have seen.
@@ -325,6 +326,9 @@
         if name in self.down:
             await asyncio.sleep(0.001)
             raise ConnectionRefused("refused")
+        if name in self.refusing:
+            # The link of the VM that calls is cut; the target goes on.
+            raise ConnectionRefused("refused")
         if name in self.unreachable:
             await asyncio.sleep(0.25)
             raise NeverSent("no connection")
--- a/packages/entry/tests/test_coordinator_election.py
+++ b/packages/entry/tests/test_coordinator_election.py
@@ -59,6 +59,33 @@
         assert coordinators(cluster) == [small]
 
 
+class TestRefusedConnections:
+    """A target that refuses the coordinator's connections."""
+
+    def refuse(self, cluster, confirms):
+        """Have a target that owns keys refuse connections; return the violations."""
+
+        async def confirm(target):
+            return confirms
+
+        for vm in cluster.vms.values():
+            vm.grant_controller.grant_renewer.confirm_termination = confirm
+        cluster.protocol.refusing.add("a")
+        cluster.run(8.0)
+        cluster.protocol.refusing.clear()
+        cluster.run(2.0)
+        return cluster.protocol.overlapping_grants()
+
+    def test_keys_are_not_given_on_while_the_target_may_hold_them(self, cluster):
+        # Guards against two holders of the same keys, because the links of the
+        # coordinator to some targets are reset.
+        assert not self.refuse(cluster, confirms=False)
+
+    def test_confirmed_termination_would_give_them_on(self, cluster):
+        # Shows that the test above can fail.
+        assert self.refuse(cluster, confirms=True)
+
+
 class TestIdleVm:
     def test_other_vms_sleep_while_nothing_changes(self, cluster):
         # Hundreds of VMs serve besides the coordinator. Each that checked the election
