Send requests through other VMs where links to targets are lost

Cause: a VM took a failure of its own links for a failure of the targets, and could ask nobody. Its failures went to the permit servers, which eject targets for all VMs.

Change: LinkHealth decides for each target, and for all together, whether the direct way works, by refused and unestablished connections, bytes without an acknowledgement, and answers that are overdue while no target answers. Requests for a target that is not reached go to another VM, which sends them directly or not at all, and says what became of them. A request that has not been sent on has not run. Lookups that hang are given up and sent again; orders wait, without their permit. Failures of a lost link are no longer told to permit servers. Checks, one at a time, bring the direct way back.

Ways weighed: not ready helps new connections alone and ends with most of a data centre; a refusal is a failed first try; so requests are passed on.

--- a/packages/entry/src/berylstage_entry/application.py
+++ b/packages/entry/src/berylstage_entry/application.py
@@ -59,6 +59,8 @@
     TOKEN_REQUEST_TYPE,
 )
 from berylstage_entry.quota_server import QuotaServer
+from berylstage_entry.relay_client import RELAY_PATH, RelayClient, RelayTransport
+from berylstage_entry.relay_server import RelayServer
 from berylstage_entry.request_log import RequestLog
 from berylstage_entry.responses import Response as PageResponse
 from berylstage_entry.router import Router
@@ -83,6 +85,7 @@
     from berylstage_entry.services import Limits
     from berylstage_entry.settings import EntrySettings
     from berylstage_entry.store import Store
+    from berylstage_entry.targets import Target, TargetNotice
 
 # Seconds for which other VMs still request permits from this VM after its record has
 # been removed.
@@ -137,6 +140,17 @@
         )
         self.membership = Membership(cfg, store, self.store_watcher)
         self.peer_client = PeerClient(self.membership, cfg.control_address)
+        self.relay_transport = RelayTransport()
+        self.router.sender.relay_client = RelayClient(
+            self.membership,
+            cfg.data_centre,
+            cfg.control_address,
+            self.rng,
+            self.relay_transport,
+        )
+        self.relay_server = RelayServer(
+            self.router, self.cluster_view, self.router.links, cfg.relative_capacity
+        )
         self.election = CoordinatorElection(
             cfg, store, self.store_watcher, self.peer_client, self.rng
         )
@@ -243,8 +257,10 @@
                 STORE_CONTACT_PATH: self._handle_store_contact,
                 SPEEDS_PATH: self._handle_service_times,
                 PUSH_PATH: self._handle_peer_updates,
+                RELAY_PATH: self.relay_server.handle,
                 REFUSAL_PATH: self._handle_refusal,
-            }
+            },
+            cancellable=frozenset({RELAY_PATH}),
         )
         self.metrics_server = InternalServer({"/metrics": self._handle_metrics})
         self._seen_members_revision = 0
@@ -294,6 +310,7 @@
         self.confirmer.start()
         self.quota_client.start()
         self.probes.start()
+        self.router.links.start()
         self.permit_server.start()
         log.info("started", extra={"callers": self.cfg.callers})
 
@@ -306,7 +323,7 @@
         plan = ShutdownPlan(now(), self.cfg.bounds.stop_timeout)
         self.is_stopping = True
         self._phase_timer.enter(Phase.LEAVING, plan.started_at)
-        self.server.is_stopping = True
+        self.server.is_stopping = self.relay_server.is_stopping = True
         self.server.shutdown_time_left = lambda: plan.time_left(now())
         log.info("stopping", extra={"in_flight": self.server.in_flight})
         await self._run_step(plan, self.election.resign())
@@ -331,8 +348,10 @@
         await asyncio.gather(*(server.close() for server in servers))
         # Requests that were cut have released their permits by now.
         self.peer_datagrams.close()
+        self.router.links.stop()
         self.target_clients.close()
         self.peer_client.close()
+        self.relay_transport.close()
         self.store.close()
         self.loop_lag_monitor.stop()
 
@@ -342,6 +361,7 @@
         while phase is not Phase.ENDED:
             self.server.close_idle_connections()
             pending_work = self.server.pending_work()
+            pending_work.serving += self.relay_server.in_flight
             next_phase = plan.phase(now(), pending_work)
             if next_phase is not phase:
                 seconds = round(self._phase_timer.enter(next_phase, now()), 3)
@@ -410,7 +430,14 @@
         notices = self.router.target_notices
         notices.limits.send = self.peer_datagrams.send
         notices.departures.send = self.peer_datagrams.send
-        targets.on_control_answer = notices.record_control_answer
+        links = self.router.links
+
+        def record_control_answer(target: Target, notice: TargetNotice) -> None:
+            links.record_answer(target)
+            notices.record_control_answer(target, notice)
+
+        targets.on_control_answer = record_control_answer
+        targets.on_control_failure = links.record_failure
         notices.limits.on_end = self.quota_client.forget
         notices.rests.send_to_coordinator = self._send_to_coordinator
         self.quota_client.has_target_limits = notices.limits.has_any
--- a/packages/entry/src/berylstage_entry/internal_http.py
+++ b/packages/entry/src/berylstage_entry/internal_http.py
@@ -92,6 +92,7 @@
         self._request_conn = request_conn
         self._path = ""
         self._chunks: list[bytes] = []
+        self._task: asyncio.Task | None = None
 
     def headers_received(
         self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
@@ -108,6 +109,8 @@
     def finish(self) -> None:
         """Start the task that responds."""
         self._task = asyncio.create_task(self._respond())
+        if self._server.is_cancellable(self._path):
+            self._request_conn.set_close_callback(self._task.cancel)
 
     async def _respond(self) -> None:
         try:
@@ -129,6 +132,9 @@
     ----------
     handlers : dict of str to callable
         By path; each takes the body and returns the response or an awaitable of it.
+    cancellable : frozenset of str
+        Paths whose handlers are cancelled when the connection closes; the others
+        finish, although their response can no longer be sent.
 
     Attributes
     ----------
@@ -136,8 +142,11 @@
         Whether responses announce that their connection closes.
     """
 
-    def __init__(self, handlers: dict[str, Handler]):
+    def __init__(
+        self, handlers: dict[str, Handler], cancellable: frozenset[str] = frozenset()
+    ):
         self._handlers = handlers
+        self._cancellable = cancellable
         self._server: HTTPServer | None = None
         self._connections: dict[object, _InternalConnection] = {}
         self.is_closing = False
@@ -165,6 +174,10 @@
         handler = self._handlers.get(path)
         return handler(body) if handler is not None else Response(404)
 
+    def is_cancellable(self, path: str) -> bool:
+        """Tell whether the handler of a path ends when its connection closes."""
+        return path in self._cancellable
+
     async def close(self) -> None:
         """Close all connections, waiting for pending work up to a timeout."""
         if self._server is None:
--- a/packages/entry/src/berylstage_entry/protocols.py
+++ b/packages/entry/src/berylstage_entry/protocols.py
@@ -11,6 +11,7 @@
     from collections.abc import Callable, Iterable
 
     from berylstage_transfers.call import Answer
+    from berylstage_transfers.errors import CallFailed
 
     from berylstage_entry.services import Configuration
     from berylstage_entry.store import Item
@@ -199,6 +200,10 @@
         self.on_control_answer: Callable[[Target, TargetNotice], None] = (
             lambda target, notice: None
         )
+        # Called with the target and the error after one that has failed.
+        self.on_control_failure: Callable[[Target, CallFailed], None] = (
+            lambda target, exc: None
+        )
 
     @abstractmethod
     def request_headers(
--- /dev/null
+++ b/packages/entry/src/berylstage_entry/relay_client.py
@@ -0,0 +1,196 @@
+"""Has another VM send a request to a target that this VM does not reach itself."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from berylstage_policy.relay_choice import RelayCandidate, choose_relay
+from berylstage_transfers.call import Call
+from berylstage_transfers.client import CallClient
+from berylstage_transfers.errors import AnswerLost, NeverSent
+
+from berylstage_entry.clock import now
+from berylstage_entry.errors import InvalidRecord
+from berylstage_entry.relay_messages import MAX_MESSAGE_BYTES, RelayOutcome, RelayReply
+
+if TYPE_CHECKING:
+    from random import Random
+
+    from berylstage_entry.membership import Member, Membership
+    from berylstage_entry.relay_messages import RelayRequest
+
+# Path at which a VM takes requests for targets.
+RELAY_PATH = "/relay"
+# Connections to one other VM.
+CONNECTIONS_PER_VM = 16
+# VMs that are asked for one request, one after the other.
+MAX_VMS_ASKED = 8
+# Seconds for which a VM is not asked again after it did not answer or is cut off
+# itself, and after it had no room.
+AVOID_SECONDS = 3.0
+BUSY_SECONDS = 0.1
+# Seconds for which a VM that has sent a request is known to reach targets.
+PROVEN_SECONDS = 5.0
+# Seconds of a request's time reserved for the way to the other VM and back.
+HOP_SECONDS = 0.01
+STATUS_OK = 200
+
+
+class NoRelay(NeverSent):
+    """No other VM can send the request; it has not run."""
+
+
+class TargetDown(NeverSent):
+    """Another VM cannot reach the target either; the request has not run."""
+
+
+class RelayTransport:
+    """Carries messages to other VMs over HTTP."""
+
+    def __init__(self) -> None:
+        self._clients: dict[str, CallClient] = {}
+
+    async def post(self, address: str, body: bytes, seconds: float) -> bytes:
+        """Send a message and return the reply.
+
+        Raises
+        ------
+        NeverSent, AnswerLost
+        """
+        client = self._clients.get(address)
+        if client is None:
+            client = self._clients[address] = CallClient(CONNECTIONS_PER_VM)
+        url = f"http://{address}{RELAY_PATH}"
+        answer = await client.call(Call("POST", url, {}, body, seconds))
+        if answer.status != STATUS_OK:
+            raise AnswerLost(f"{address} replied to a message with {answer.status}")
+        return answer.body
+
+    def close(self) -> None:
+        """Close all connections."""
+        for client in self._clients.values():
+            client.close()
+
+
+class RelayClient:
+    """Asks other VMs to send requests to targets.
+
+    Parameters
+    ----------
+    membership : Membership
+    data_centre : str
+        Data centre of this VM.
+    own_address : str
+        Address at which this VM listens for the others.
+    rng : Random
+    transport : RelayTransport
+    """
+
+    def __init__(
+        self,
+        membership: Membership,
+        data_centre: str,
+        own_address: str,
+        rng: Random,
+        transport: RelayTransport,
+    ):
+        self._membership = membership
+        self._data_centre = data_centre
+        self._own_address = own_address
+        self._rng = rng
+        self._transport = transport
+        # Requests that each VM has been asked to send, by its address.
+        self._in_flight: dict[str, int] = {}
+        self._avoided_until: dict[str, float] = {}
+        self._proven_until: dict[str, float] = {}
+
+    async def send(
+        self, request: RelayRequest, seconds: float
+    ) -> tuple[RelayReply, str]:
+        """Have a request sent, and return the reply and the VM that gave it.
+
+        Parameters
+        ----------
+        request : RelayRequest
+        seconds : float
+            Seconds until the answer must have arrived.
+
+        Raises
+        ------
+        TargetDown, NoRelay
+            The request has not run.
+        AnswerLost
+            The request may have run.
+        """
+        deadline = now() + seconds
+        cause = "there is no other VM"
+        for _ in range(MAX_VMS_ASKED):
+            left = deadline - now() - HOP_SECONDS
+            member = self._choose()
+            if member is None or left <= 0:
+                break
+            try:
+                reply = await self._ask(member, request, left)
+            except NeverSent as exc:
+                self._avoid(member)
+                cause = str(exc)
+                continue
+            except AnswerLost:
+                self._avoid(member)
+                raise
+            cause = f"{member.name}: {reply.outcome.value} {reply.cause}"
+            if reply.outcome is RelayOutcome.ANSWERED:
+                self._proven_until[member.control_address] = now() + PROVEN_SECONDS
+                return reply, member.name
+            if reply.outcome is RelayOutcome.LOST:
+                raise AnswerLost(cause)
+            if reply.outcome is RelayOutcome.TARGET_DOWN:
+                raise TargetDown(cause)
+            if reply.outcome is RelayOutcome.CUT_OFF:
+                self._avoid(member)
+            elif reply.outcome is RelayOutcome.BUSY:
+                self._avoid(member, BUSY_SECONDS)
+        raise NoRelay(f"no other VM can send the request; last: {cause}")
+
+    async def _ask(
+        self, member: Member, request: RelayRequest, seconds: float
+    ) -> RelayReply:
+        body = request.encode(seconds)
+        if len(body) > MAX_MESSAGE_BYTES:
+            raise NoRelay("the body is too large to be relayed")
+        address = member.control_address
+        self._in_flight[address] = self._in_flight.get(address, 0) + 1
+        try:
+            reply = await self._transport.post(address, body, seconds + HOP_SECONDS)
+        finally:
+            self._in_flight[address] -= 1
+        try:
+            return RelayReply.decode(reply)
+        except InvalidRecord as exc:
+            raise AnswerLost(f"{member.name} sent an unusable reply: {exc}") from exc
+
+    def _choose(self) -> Member | None:
+        """Return the VM to be asked next, or None if there is none."""
+        moment = now()
+        candidates = {}
+        for member in self._membership.members():
+            address = member.control_address
+            if address == self._own_address:
+                continue
+            if moment < self._avoided_until.get(address, 0.0):
+                continue
+            candidates[address] = RelayCandidate(
+                address,
+                member.relative_capacity,
+                self._in_flight.get(address, 0),
+                member.data_centre == self._data_centre,
+                moment < self._proven_until.get(address, 0.0),
+            )
+        address = choose_relay(list(candidates.values()), self._rng)
+        members = self._membership.members()
+        return next((m for m in members if m.control_address == address), None)
+
+    def _avoid(self, member: Member, seconds: float = AVOID_SECONDS) -> None:
+        self._avoided_until[member.control_address] = now() + seconds
+        if seconds >= AVOID_SECONDS:
+            self._proven_until.pop(member.control_address, None)
--- a/packages/entry/src/berylstage_entry/request_context.py
+++ b/packages/entry/src/berylstage_entry/request_context.py
@@ -35,6 +35,7 @@
         "failed_answer",
         "lost_reason",
         "retry_delay",
+        "relay",
         "req",
         "route",
         "service",
@@ -78,6 +79,8 @@
         # assignment that named it, and the seconds before it is tried again.
         self.rejected_by: tuple[str, int] = ("", -1)
         self.retry_delay = 0.0
+        # VM that has sent the last attempt in place of this one; empty for none.
+        self.relay = ""
         # A target's error answer, returned to the caller if no retry succeeds.
         self.failed_answer: RoutedAnswer | None = None
 
@@ -88,7 +91,8 @@
             if self.tried_targets
             else ""
         )
-        return f"waited {self.waited:.3f} s{tried}"
+        relay = f" via {self.relay}" if self.relay else ""
+        return f"waited {self.waited:.3f} s{tried}{relay}"
 
     def seconds_left(self, moment: float) -> float:
         """Return the seconds until the deadline."""
--- a/packages/entry/src/berylstage_entry/request_log.py
+++ b/packages/entry/src/berylstage_entry/request_log.py
@@ -55,6 +55,7 @@
                 "workspace": req.workspace,
                 "target": result.target,
                 "attempts": result.attempts,
+                "via": result.relay,
                 "seconds": round(seconds, 4),
                 "waited": round(req.waited + result.waited, 4),
                 "left_out": limiter.take_suppressed_count(),
--- a/packages/entry/src/berylstage_entry/routed_answer.py
+++ b/packages/entry/src/berylstage_entry/routed_answer.py
@@ -20,14 +20,22 @@
         Attempts that were sent to targets.
     waited : float
         Seconds that the request waited for permits.
+    relay : str
+        VM that sent it in place of this one; empty for none.
     """
 
-    __slots__ = ("answer", "attempts", "target", "waited")
+    __slots__ = ("answer", "attempts", "relay", "target", "waited")
 
     def __init__(
-        self, answer: TargetAnswer, target: str, attempts: int, waited: float = 0.0
+        self,
+        answer: TargetAnswer,
+        target: str,
+        attempts: int,
+        waited: float = 0.0,
+        relay: str = "",
     ):
         self.answer = answer
         self.target = target
         self.attempts = attempts
         self.waited = waited
+        self.relay = relay
--- a/packages/entry/src/berylstage_entry/router.py
+++ b/packages/entry/src/berylstage_entry/router.py
@@ -27,6 +27,7 @@
 from berylstage_entry.routed_answer import RoutedAnswer
 from berylstage_entry.target_admission import TargetAdmission
 from berylstage_entry.target_limits import MAX_RETRY_SECONDS
+from berylstage_entry.target_links import TargetLinks
 from berylstage_entry.target_loads import (
     SERVER_ERROR,
     TargetLoads,
@@ -34,6 +35,7 @@
     is_failure,
 )
 from berylstage_entry.target_notices import TargetNotices
+from berylstage_entry.target_sender import TargetSender
 
 if TYPE_CHECKING:
     from berylstage_entry.cluster_view import ClusterView
@@ -41,12 +43,13 @@
     from berylstage_entry.permit_client import PermitClient
     from berylstage_entry.protocols import CallerRequest, TargetAnswer
     from berylstage_entry.quota_client import QuotaClient
+    from berylstage_entry.relay_messages import RelayRequest
     from berylstage_entry.routes import Route
     from berylstage_entry.services import Configuration, Service
     from berylstage_entry.settings import Bounds
     from berylstage_entry.store_watcher import StoreWatcher
     from berylstage_entry.target_clients import TargetClients
-    from berylstage_entry.targets import LoadReport
+    from berylstage_entry.targets import LoadReport, Target
     from berylstage_entry.workspaces import Workspace
 
 # Seconds of a request's time limit reserved for returning the answer to the caller.
@@ -90,6 +93,8 @@
     Attributes
     ----------
     loads : TargetLoads
+    links : TargetLinks
+    sender : TargetSender
     cold_targets : ColdTargets
     target_notices : TargetNotices
     target_admission : TargetAdmission
@@ -108,6 +113,8 @@
         self._cluster_view = cluster_view
         self._owner_resolver = OwnerResolver(store_watcher, cluster_view)
         self._clients = target_clients
+        self.links = TargetLinks(cluster_view, target_clients, rng)
+        self.sender = TargetSender(self.links, vm)
         self._bounds = bounds
         self._rng = rng
         self._data_centre = data_centre
@@ -260,7 +267,7 @@
                 answer = await self._attempt(ctx, name)
                 if answer is not None:
                     attempts, waited = ctx.attempts, ctx.waited
-                    return RoutedAnswer(answer, name, attempts, waited)
+                    return RoutedAnswer(answer, name, attempts, waited, ctx.relay)
         except (Refused, Unanswered):
             if ctx.failed_answer is None:
                 raise
@@ -355,6 +362,16 @@
             self.permit_client.release(ctx.permit, failed, load)
         ctx.permit = None
 
+    def _release_unjudged(self, ctx: RequestContext) -> None:
+        """Release a permit without a word on whether its target has failed.
+
+        The permit server ejects targets that fail requests of any VM. A VM that has
+        lost its own links would take the targets from the callers of all others.
+        """
+        if ctx.permit is not None:
+            ctx.permit.target = 0
+        self._release_permit(ctx)
+
     async def _admit(self, ctx: RequestContext, name: str) -> None:
         """Wait until the target accepts the request.
 
@@ -484,7 +501,6 @@
     async def _attempt(self, ctx: RequestContext, name: str) -> TargetAnswer | None:
         """Send once; return None if the request may be sent again."""
         target = self._cluster_view.known[name].target
-        client = self._clients.get(target, ctx.service.max_connections_per_target)
         loads = self.loads.for_service(ctx.service.name)
         load = loads.load(name, target.slots)
         self.cold_targets.record_request(name, ctx.service)
@@ -492,36 +508,75 @@
         load.inflight += 1
         started_at = now()
         failed, report, had_permit = True, None, ctx.permit is not None
+        kind, service = ctx.route.name, ctx.service.name
+        expected = loads.service_seconds(name, kind, started_at)
         try:
-            answer = await client.send(ctx.req, ctx.seconds_left(started_at))
+            answer = await self.sender.send(
+                ctx, target, expected, lambda: self._release_unjudged(ctx)
+            )
             failed, report = is_failure(answer), build_load_report(answer)
         except asyncio.CancelledError:
             # The caller has disconnected, which is no failure of the target.
-            if ctx.permit is not None:
-                ctx.permit.target = 0
+            self._release_unjudged(ctx)
             raise
         except NeverSent as exc:
             ctx.target_token = token
             self.target_admission.withdraw(ctx)
-            load.record_failure(now())
+            if self.sender.is_reachable_by_others_only(name):
+                self._release_unjudged(ctx)
+            else:
+                load.record_failure(now())
             ctx.tried_targets.add(name)
             self._owner_resolver.turned_away(ctx, name)
             if ctx.seconds_left(now()) < MIN_ATTEMPT_SECONDS:
                 raise self._build_error(ctx, "unreachable") from exc
             return None
         except AnswerLost as exc:
+            if self.sender.is_reachable_by_others_only(name):
+                self._release_unjudged(ctx)
             self._handle_lost_answer(ctx, name, exc)
             return None
         finally:
             load.inflight -= 1
             self._release_permit(ctx, failed, report)
         self.target_notices.record_answer(target, answer, started_at)
-        kind, service = ctx.route.name, ctx.service.name
         self.loads.record_answer(name, kind, service, answer, now() - started_at)
         if answer.not_run and not answer.misdirected and had_permit:
             ctx.rejections += 1
         return self._handle_answer(ctx, name, answer)
 
+    async def send_for_other(
+        self, request: RelayRequest, target: Target, service: Service
+    ) -> TargetAnswer:
+        """Send a request to a target for a VM that does not reach it.
+
+        That VM has chosen the target, and has all permits and tokens for the request.
+
+        Raises
+        ------
+        NeverSent, AnswerLost
+        """
+        loads = self.loads.for_service(service.name)
+        load = loads.load(target.name, target.slots)
+        load.inflight += 1
+        started_at = now()
+        req, kind = request.req, request.kind
+        try:
+            answer = await self.links.send(
+                req,
+                target,
+                service.max_connections_per_target,
+                req.time_left,
+                loads.service_seconds(target.name, kind, started_at),
+                request.is_repeatable,
+            )
+        finally:
+            load.inflight -= 1
+        self.target_notices.record_answer(target, answer, started_at)
+        seconds = now() - started_at
+        self.loads.record_answer(target.name, kind, service.name, answer, seconds)
+        return answer
+
     def _handle_lost_answer(
         self, ctx: RequestContext, name: str, exc: AnswerLost
     ) -> None:
@@ -530,12 +585,16 @@
         moment = now()
         late = ctx.seconds_left(moment) < MIN_ATTEMPT_SECONDS
         ctx.lost_reason = "timeout" if late else "answer-lost"
-        self.loads.for_service(ctx.service.name).load(name, 1).record_failure(moment)
+        is_link_lost = self.sender.is_reachable_by_others_only(name)
+        if not is_link_lost:
+            loads = self.loads.for_service(ctx.service.name)
+            loads.load(name, 1).record_failure(moment)
         if not ctx.route.idempotent or late:
             detail = f"target {name} attempts {ctx.attempts}: {exc}"
             raise Unanswered(ctx.lost_reason, late, detail) from exc
-        # Some targets reset connections when they are full.
-        self._owner_resolver.turned_away(ctx, name)
+        if not is_link_lost:
+            # Some targets reset connections when they are full.
+            self._owner_resolver.turned_away(ctx, name)
 
     def _handle_answer(
         self, ctx: RequestContext, name: str, answer: TargetAnswer
--- a/packages/entry/src/berylstage_entry/target_clients.py
+++ b/packages/entry/src/berylstage_entry/target_clients.py
@@ -11,6 +11,8 @@
 from berylstage_transfers.idle_limit import IdleLimit
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from berylstage_entry.protocols import CallerRequest, TargetAnswer, TargetProtocol
     from berylstage_entry.targets import Target
 
@@ -25,6 +27,74 @@
 MAX_IDLE_SECONDS = 7
 
 
+class Attempt:
+    """A request that has been sent to a target and has no answer yet.
+
+    Parameters
+    ----------
+    target : str
+        Name of the target.
+    sent_at : float
+        Monotonic seconds.
+    overdue_at : float
+        Monotonic seconds after which the answer is later than expected.
+    is_repeatable : bool
+        Whether the request may be sent again although it may have run.
+    on_hang : callable
+        Called once if the request hangs at a link that is lost.
+    """
+
+    __slots__ = (
+        "_call",
+        "_client",
+        "is_hanging",
+        "is_repeatable",
+        "on_hang",
+        "overdue_at",
+        "sent_at",
+        "target",
+    )
+
+    def __init__(
+        self,
+        target: str,
+        sent_at: float,
+        overdue_at: float,
+        is_repeatable: bool,
+        on_hang: Callable[[], None],
+    ):
+        self.target = target
+        self.sent_at = sent_at
+        self.overdue_at = overdue_at
+        self.is_repeatable = is_repeatable
+        self.on_hang = on_hang
+        self.is_hanging = False
+        self._client: CallClient | None = None
+        self._call: Call | None = None
+
+    def start(self, client: CallClient, call: Call) -> None:
+        """Set the call that makes the attempt."""
+        self._client = client
+        self._call = call
+
+    def has_begun_answer(self) -> bool:
+        """Tell whether a part of the answer has arrived."""
+        return self._call is not None and bool(self._call.status)
+
+    def is_unacknowledged(self) -> bool:
+        """Tell whether the target's machine has not acknowledged the request."""
+        return (
+            self._client is not None
+            and self._call is not None
+            and self._client.has_unacknowledged_bytes(self._call)
+        )
+
+    def abort(self, cause: str) -> None:
+        """End the attempt without an answer."""
+        if self._client is not None and self._call is not None:
+            self._client.abort(self._call, cause)
+
+
 class TargetClient:
     """Sends requests to one incarnation of a target.
 
@@ -56,7 +126,11 @@
         self._is_retired = False
 
     async def send(
-        self, req: CallerRequest, seconds: float, fresh: bool = False
+        self,
+        req: CallerRequest,
+        seconds: float,
+        fresh: bool = False,
+        attempt: Attempt | None = None,
     ) -> TargetAnswer:
         """Send a request and return the complete answer.
 
@@ -67,6 +141,8 @@
             Seconds until the answer must have arrived.
         fresh : bool
             Whether to open a new connection.
+        attempt : Attempt, optional
+            Set to the call, so that it can be observed and aborted.
 
         Raises
         ------
@@ -85,6 +161,8 @@
             echo_header=self._protocol.request_id_header,
             allow_unframed=True,
         )
+        if attempt is not None:
+            attempt.start(self._client, call)
         self._in_flight += 1
         try:
             answer = self._protocol.parse_answer(await self._client.call(call))
@@ -113,6 +191,10 @@
         self._client.fail_queued_calls("the target is gone")
         self._close_if_done()
 
+    def fail_queued(self, cause: str) -> None:
+        """Fail the requests that wait for a connection."""
+        self._client.fail_queued_calls(cause)
+
     def close(self) -> None:
         """Close all connections and fail the requests in flight."""
         self._client.close()
@@ -178,6 +260,12 @@
         connection_share = int(connections * CONNECTION_SHARE / self.vm_count)
         return max(MIN_CONNECTIONS, connection_share)
 
+    def fail_queued(self, name: str, cause: str) -> None:
+        """Fail the requests that wait for a connection to a target."""
+        client = self._clients.get(name)
+        if client is not None:
+            client.fail_queued(cause)
+
     def retain(self, names: set[str]) -> None:
         """Retire the clients of all targets except the given ones."""
         for name in [name for name in self._clients if name not in names]:
--- /dev/null
+++ b/packages/entry/src/berylstage_entry/target_links.py
@@ -0,0 +1,240 @@
+"""Sends requests to targets directly, and watches the links to them.
+
+A VM that loses its links to targets cannot tell from one request whether the target or
+the link has failed. It watches what all its requests, grants and probes show, checks
+the links of targets that have failed, and gives up requests that hang at a lost link.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from berylstage_policy.link_health import LinkHealth, Way
+from berylstage_transfers.errors import NotConnected
+from logbook import Logger
+
+from berylstage_entry.clock import now
+from berylstage_entry.link_check import CheckResult, check_link
+from berylstage_entry.target_clients import Attempt
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+    from random import Random
+
+    from berylstage_transfers.errors import CallFailed
+
+    from berylstage_entry.cluster_view import ClusterView
+    from berylstage_entry.protocols import CallerRequest, TargetAnswer
+    from berylstage_entry.target_clients import TargetClients
+    from berylstage_entry.targets import Target
+
+# Interval at which requests in flight and failed links are looked at.
+WATCH_INTERVAL_SECONDS = 0.05
+# Time after which bytes without an acknowledgement show that a link is lost: Linux
+# sends a lost packet again after 0.2 s.
+UNACKNOWLEDGED_SECONDS = 0.25
+# Time for which no target may have shown a sign of life, with an answer overdue by as
+# much, before the link of the overdue target is checked.
+SILENCE_SECONDS = 0.3
+
+log = Logger(__name__)
+
+
+class TargetLinks:
+    """Links from this VM to all targets.
+
+    Parameters
+    ----------
+    cluster_view : ClusterView
+    clients : TargetClients
+    rng : Random
+
+    Attributes
+    ----------
+    health : LinkHealth
+    """
+
+    def __init__(self, cluster_view: ClusterView, clients: TargetClients, rng: Random):
+        self._rng = rng
+        # Checks whether a target's machine accepts connections.
+        self.check_link: Callable[[str], Awaitable[CheckResult]] = check_link
+        self._cluster_view = cluster_view
+        self._clients = clients
+        self.health = LinkHealth()
+        self._attempts: set[Attempt] = set()
+        self._seen_revision = -1
+        self._was_cut_off = False
+        self._checks: dict[str, asyncio.Task] = {}
+        self._task: asyncio.Task | None = None
+        # Set while there are requests in flight or failed links.
+        self._has_work = asyncio.Event()
+
+    def start(self) -> None:
+        """Start to watch the links."""
+        self._task = asyncio.create_task(self._run())
+
+    def stop(self) -> None:
+        """Stop watching the links."""
+        if self._task is not None:
+            self._task.cancel()
+        for task in self._checks.values():
+            task.cancel()
+
+    @property
+    def is_cut_off(self) -> bool:
+        """Whether this VM has lost its links to all targets."""
+        return self.health.is_cut_off
+
+    def choose_way(self, name: str) -> Way:
+        """Return how requests should be sent to a target."""
+        return self.health.choose_way(name, now())
+
+    async def send(
+        self,
+        req: CallerRequest,
+        target: Target,
+        connections: int,
+        seconds: float,
+        expected_seconds: float,
+        is_repeatable: bool,
+        on_hang: Callable[[], None] = lambda: None,
+    ) -> TargetAnswer:
+        """Send a request to a target directly and return its answer.
+
+        Parameters
+        ----------
+        req : CallerRequest
+        target : Target
+        connections : int
+            Number of connections that the target accepts from all VMs.
+        seconds : float
+            Seconds until the answer must have arrived.
+        expected_seconds : float
+            Seconds that the target is expected to take.
+        is_repeatable : bool
+            Whether the request may be sent again although it may have run.
+        on_hang : callable
+            Called once if the request hangs at a link that is lost.
+
+        Raises
+        ------
+        NeverSent, AnswerLost
+        """
+        client = self._clients.get(target, connections)
+        moment = now()
+        overdue_at = moment + expected_seconds + SILENCE_SECONDS
+        attempt = Attempt(target.name, moment, overdue_at, is_repeatable, on_hang)
+        self._attempts.add(attempt)
+        self._has_work.set()
+        try:
+            answer = await client.send(req, seconds, attempt=attempt)
+        except NotConnected as exc:
+            self.record_failure(target, exc)
+            raise
+        finally:
+            self._attempts.discard(attempt)
+        self.record_answer(target)
+        return answer
+
+    def record_answer(self, target: Target) -> None:
+        """Record that a target has answered a request, a grant or a probe."""
+        self.health.record_alive(target.name, now())
+        self._log_change()
+
+    def record_failure(self, target: Target, exc: CallFailed) -> None:
+        """Record that a request, a grant or a probe to a target has failed."""
+        if isinstance(exc, NotConnected):
+            self._mark_failed(target.name, str(exc))
+
+    def _mark_failed(self, name: str, cause: str) -> None:
+        self.health.record_failure(name, now())
+        log.debug("link to target failed", extra={"target": name, "cause": cause})
+        self._has_work.set()
+        self._log_change()
+        if self.choose_way(name) is not Way.DIRECT:
+            # They would wait behind requests that hang.
+            self._clients.fail_queued(name, "the link to the target is lost")
+
+    def _log_change(self) -> None:
+        if self.is_cut_off == self._was_cut_off:
+            return
+        self._was_cut_off = self.is_cut_off
+        log.info(
+            "links to targets lost" if self.is_cut_off else "links to targets back"
+        )
+
+    async def _run(self) -> None:
+        while True:
+            await self._has_work.wait()
+            await asyncio.sleep(WATCH_INTERVAL_SECONDS)
+            if self._seen_revision != self._cluster_view.revision:
+                self._seen_revision = self._cluster_view.revision
+                self.health.retain(set(self._cluster_view.known))
+            self._watch_attempts(now())
+            self._start_due_check(now())
+            if self.health.is_suspect(now()):
+                self._check_another_target()
+            if not self._attempts and not self.health.has_failed_links:
+                self._has_work.clear()
+
+    def _watch_attempts(self, moment: float) -> None:
+        for attempt in list(self._attempts):
+            if moment - attempt.sent_at < UNACKNOWLEDGED_SECONDS:
+                continue
+            if attempt.is_unacknowledged():
+                self._mark_failed(attempt.target, "sent bytes are not acknowledged")
+            elif self._is_suspect(attempt, moment):
+                self._start_check(attempt.target)
+            self._give_up_if_hanging(attempt)
+
+    def _is_suspect(self, attempt: Attempt, moment: float) -> bool:
+        """Tell whether an answer is overdue while no target at all answers."""
+        return (
+            moment >= attempt.overdue_at
+            and moment - self.health.alive_at >= SILENCE_SECONDS
+            and not attempt.has_begun_answer()
+        )
+
+    def _give_up_if_hanging(self, attempt: Attempt) -> None:
+        """End a request that hangs at a lost link, or what it holds meanwhile.
+
+        An order may have run, so its answer is waited for; but the slot that its permit
+        stands for is needed by callers of other VMs.
+        """
+        if attempt.is_hanging or attempt.has_begun_answer():
+            return
+        if self.choose_way(attempt.target) is Way.DIRECT:
+            return
+        attempt.is_hanging = True
+        attempt.on_hang()
+        if attempt.is_repeatable:
+            attempt.abort("the link to the target is lost")
+
+    def _start_due_check(self, moment: float) -> None:
+        name = self.health.take_due_check(moment)
+        if name:
+            self._start_check(name)
+
+    def _check_another_target(self) -> None:
+        """Check one more target, to learn whether one link or all have failed."""
+        if self._checks:
+            return
+        names = [n for n in self._cluster_view.known if not self.health.has_failed(n)]
+        if names:
+            self._start_check(self._rng.choice(names))
+
+    def _start_check(self, name: str) -> None:
+        known = self._cluster_view.known.get(name)
+        if known is None or name in self._checks:
+            return
+        task = asyncio.create_task(self._check(known.target))
+        self._checks[name] = task
+        task.add_done_callback(lambda _: self._checks.pop(name, None))
+
+    async def _check(self, target: Target) -> None:
+        result = await self.check_link(target.address)
+        if result is CheckResult.ACCEPTED:
+            self.record_answer(target)
+        else:
+            self._mark_failed(target.name, f"check: {result.value}")
--- a/packages/entry/tests/notice_fleet.py
+++ b/packages/entry/tests/notice_fleet.py
@@ -68,7 +68,7 @@
         self._vm = vm
         self._played = played
 
-    async def send(self, req, seconds, fresh=False):
+    async def send(self, req, seconds, fresh=False, attempt=None):
         return await self._played.answer(self._vm)
 
 
--- a/packages/entry/tests/test_internal_http.py
+++ b/packages/entry/tests/test_internal_http.py
@@ -41,6 +41,41 @@
     return server, port
 
 
+class TestCancellation:
+    """Handlers whose caller closes the connection."""
+
+    @pytest.mark.parametrize("is_cancellable", [True, False])
+    def test_handler_ends_with_its_connection(self, is_cancellable):
+        # Guards against work for a caller that has left.
+        ends = []
+
+        async def handle(body):
+            try:
+                await asyncio.sleep(0.3)
+                ends.append("finished")
+            except asyncio.CancelledError:
+                ends.append("cancelled")
+                raise
+            return Response(200)
+
+        async def scenario():
+            cancellable = frozenset({"/slow"} if is_cancellable else ())
+            server = InternalServer({"/slow": handle}, cancellable)
+            with socket.socket() as sock:
+                sock.bind(("127.0.0.1", 0))
+                port = sock.getsockname()[1]
+            server.listen(f"127.0.0.1:{port}")
+            _, writer = await asyncio.open_connection("127.0.0.1", port)
+            writer.write(SLOW_REQUEST)
+            await asyncio.sleep(0.1)
+            writer.close()
+            await asyncio.sleep(0.4)
+            await server.close()
+
+        asyncio.run(scenario())
+        assert ends == ["cancelled" if is_cancellable else "finished"]
+
+
 class TestClose:
     """Requests and responses in transit when the process exits."""
 
--- a/packages/entry/tests/test_router.py
+++ b/packages/entry/tests/test_router.py
@@ -55,7 +55,7 @@
         self.name = name
         self._clients = clients
 
-    async def send(self, req, seconds, fresh=False):
+    async def send(self, req, seconds, fresh=False, attempt=None):
         self._clients.sent.append(self.name)
         result = self._clients.script.pop(0) if self._clients.script else "ok"
         if callable(result):
--- a/packages/transfers/src/berylstage_transfers/client.py
+++ b/packages/transfers/src/berylstage_transfers/client.py
@@ -8,6 +8,8 @@
 import socket
 import struct
 import time
+from fcntl import ioctl
+from termios import TIOCOUTQ
 from typing import TYPE_CHECKING
 
 import pycurl
@@ -15,7 +17,12 @@
 
 from berylstage_transfers.call import Answer, Call
 from berylstage_transfers.connection_age import ConnectionAgeLimit
-from berylstage_transfers.errors import AnswerLost, ConnectionRefused, NeverSent
+from berylstage_transfers.errors import (
+    AnswerLost,
+    ConnectionRefused,
+    NeverSent,
+    NotConnected,
+)
 from berylstage_transfers.idle_limit import IdleLimit
 
 if TYPE_CHECKING:
@@ -54,6 +61,7 @@
 # bodies a round trip.
 _SUPPRESSED_HEADERS = [b"Expect:", b"Accept:", b"User-Agent:"]
 _MS_PER_SECOND = 1000
+_INT = struct.Struct("i")
 # libcurl's errors if a server resets or closes the connection without an answer.
 _RESET_ERRORS = (pycurl.E_GOT_NOTHING, pycurl.E_SEND_ERROR, pycurl.E_RECV_ERROR)
 # Poll events of a kept connection that was closed or has unexpected data to read.
@@ -212,6 +220,36 @@
             call: Any = self._requests.popleft()
             _fail(call, cause)
 
+    def abort(self, call: Call, cause: str) -> None:
+        """End a call that has no answer yet; the awaiting task gets an error.
+
+        Parameters
+        ----------
+        call : Call
+        cause : str
+            Cause named in the error.
+        """
+        if call.fut is None or call.fut.done():
+            return
+        for curl, handle in self._handles.items():
+            if handle.call is call:
+                self._finish(curl, pycurl.E_ABORTED_BY_CALLBACK, cause)
+                self._process_queue()
+                return
+        _fail(call, cause)
+
+    def has_unacknowledged_bytes(self, call: Call) -> bool:
+        """Tell whether the server's machine has not acknowledged all bytes of a call.
+
+        The machine of a server that is slow or suspended acknowledges them.
+        """
+        if not call.sent or call.status:
+            return False
+        for handle in self._handles.values():
+            if handle.call is call:
+                return handle.unacknowledged_bytes() > 0
+        return False
+
     def _expire_queued(self, call: Call) -> None:
         if not call.started:
             _fail(call, "no connection became available in time")
@@ -491,6 +529,17 @@
         self._poll.unregister(fd)
         return bool(ready)
 
+    def unacknowledged_bytes(self) -> int:
+        """Return the bytes sent that the server's machine has not acknowledged."""
+        fd = self._fds_by_port.get(self.port, -1)
+        if fd < 0:
+            return 0
+        try:
+            return _INT.unpack(ioctl(fd, TIOCOUTQ, bytes(_INT.size)))[0]
+        except OSError:
+            # The connection has been closed meanwhile.
+            return 0
+
     def _is_idle_too_long(self, local_port: int) -> bool:
         # A server that drops idle connections gives no sign of it: the next call is
         # reset, and the outcome of a call that may not be repeated is unknown.
@@ -548,5 +597,6 @@
             "check that the server runs at this address"
         )
     else:
-        exc = NeverSent(f"{subject}: nothing was sent ({cause}); send it again")
+        error = NotConnected if call.started else NeverSent
+        exc = error(f"{subject}: nothing was sent ({cause}); send it again")
     call.fut.set_exception(exc)
--- a/packages/transfers/src/berylstage_transfers/errors.py
+++ b/packages/transfers/src/berylstage_transfers/errors.py
@@ -11,7 +11,11 @@
     """The call failed before any byte was sent, so it can safely be retried."""
 
 
-class ConnectionRefused(NeverSent):
+class NotConnected(NeverSent):
+    """No connection could be established."""
+
+
+class ConnectionRefused(NotConnected):
     """The host refused the connection because no process listens at the address."""
 
 
--- a/packages/transfers/tests/test_client.py
+++ b/packages/transfers/tests/test_client.py
@@ -146,6 +146,55 @@
         run(scenario)
 
 
+class TestAbort:
+    @pytest.mark.parametrize("is_sent", [True, False], ids=["sent", "queued"])
+    def test_an_aborted_call_says_whether_it_was_sent(self, open_server, is_sent):
+        async def scenario():
+            async with open_server(b"", b"") as script:
+                client = CallClient(1)
+                first = make_call(script)
+                first_task = asyncio.create_task(client.call(first))
+                call = first if is_sent else make_call(script)
+                task = first_task if is_sent else asyncio.create_task(client.call(call))
+                await asyncio.sleep(0.1)
+                client.abort(call, "link lost")
+                with pytest.raises(AnswerLost if is_sent else NeverSent):
+                    await task
+                client.close()
+                await asyncio.gather(first_task, return_exceptions=True)
+
+        run(scenario)
+
+    def test_bytes_that_the_machine_has_acknowledged(self, open_server):
+        # The machine of a server that is slow or suspended acknowledges a call.
+        async def scenario():
+            async with open_server(b"") as script:
+                client = CallClient(1)
+                call = make_call(script)
+                task = asyncio.create_task(client.call(call))
+                await asyncio.sleep(0.1)
+                assert not client.has_unacknowledged_bytes(call)
+                client.close()
+                await asyncio.gather(task, return_exceptions=True)
+
+        run(scenario)
+
+    def test_bytes_that_the_machine_has_not_acknowledged(self, open_server):
+        # More is sent than the server's receive buffer holds, and it reads nothing.
+        async def scenario():
+            with socket.create_server(("127.0.0.1", 0)) as listener:
+                client = CallClient(1)
+                url = f"http://127.0.0.1:{listener.getsockname()[1]}/"
+                call = Call("POST", url, {}, b"x" * 16_000_000, 5.0)
+                task = asyncio.create_task(client.call(call))
+                await asyncio.sleep(0.3)
+                assert client.has_unacknowledged_bytes(call)
+                client.close()
+                await asyncio.gather(task, return_exceptions=True)
+
+        run(scenario)
+
+
 class TestRequests:
     def test_a_large_body_is_sent_without_expect_continue(self, open_server):
         # Before a large body curl sends ``Expect: 100-continue`` and waits up to a
--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -1,10 +1,10 @@
 """Soak: an installation under load with injected faults.
 
 Run it by ``make soak SECONDS=60 SEED=1``, with ``STOPS=--stops`` for planned stops
-only, ``STOPS=--hold-ups`` for short suspensions of VMs only, ``STOPS=--notices`` for targets
-that name limits, ask for rest or leave in their answers, or ``STOPS=--cuts`` for VMs
-that lose their links to targets. It prints the outcomes
-of requests and all violations, and exits with status 1 if there are violations. The
+only, ``STOPS=--hold-ups`` for short suspensions of VMs only, ``STOPS=--notices`` for
+targets that name limits, ask for rest or leave in their answers, or ``STOPS=--cuts``
+for VMs that lose their links to targets. It prints the outcomes of requests and all
+violations, and exits with status 1 if there are violations. The
 seed determines faults and requests; processes are real, so the timing of two runs with
 the same seed differs.
 """
