Coordinator: step down when its links to targets are lost

Cause: only the coordinator renews grants. It reached no target, kept its lease in the store, and all keys lost their owners.

Change: a coordinator that is cut off from all targets gives its lease up at its next renewal, and its successor asks it for its state as at any planned handover. VMs that are cut off let others go first, and no VM yields to a larger one that is cut off.

--- a/packages/entry/src/berylstage_entry/application.py
+++ b/packages/entry/src/berylstage_entry/application.py
@@ -20,6 +20,8 @@
 )
 from berylstage_entry.coordinator_election import (
     EXPORT_STATE_PATH,
+    LINKS_PATH,
+    LINKS_WORK,
     STORE_CONTACT_PATH,
     CoordinatorElection,
 )
@@ -163,6 +165,7 @@
         self.grant_controller.grant_renewer.confirm_termination = (
             self.termination_check.is_terminated
         )
+        self.election.is_cut_off = lambda: self.router.links.is_cut_off
         self.peer_updates = PeerUpdates(
             self.store_watcher, self.membership, cfg.control_address
         )
@@ -258,6 +261,7 @@
                 SPEEDS_PATH: self._handle_service_times,
                 PUSH_PATH: self._handle_peer_updates,
                 RELAY_PATH: self.relay_server.handle,
+                LINKS_PATH: self._handle_links,
                 REFUSAL_PATH: self._handle_refusal,
             },
             cancellable=frozenset({RELAY_PATH}),
@@ -544,6 +548,10 @@
             200, body=str(await self.store_watcher.probe_store()).encode()
         )
 
+    def _handle_links(self, body: bytes) -> PageResponse:
+        is_cut_off = self.router.links.is_cut_off
+        return PageResponse(200, body=b"" if is_cut_off else LINKS_WORK)
+
     async def _handle_refusal(self, body: bytes) -> PageResponse:
         return PageResponse(200, body=await self.termination_check.answer(body))
 
--- a/packages/entry/src/berylstage_entry/coordinator_election.py
+++ b/packages/entry/src/berylstage_entry/coordinator_election.py
@@ -44,6 +44,9 @@
 EXPORT_STATE_PATH = "/duty/hand-on"
 # Path at which a VM tells for how long it has been in contact with the store.
 STORE_CONTACT_PATH = "/store/contact"
+# Path at which a VM tells whether it reaches targets, and its answer if it does.
+LINKS_PATH = "/links"
+LINKS_WORK = b"1"
 # Lease of the coordinator in the store. If its VM fails, another takes over within this
 # time, which is shorter than the duration of a grant.
 LEASE_SECONDS = 2.0
@@ -67,6 +70,9 @@
 # Seconds that a coordinator stays before it yields to a better VM. By then the VMs that
 # are starting are known, and the previous coordinator's grants have expired.
 MIN_TERM_SECONDS = 5.0
+# Seconds by which a VM that has lost its links to targets lets others go first, and for
+# which it stays the coordinator if it became that nevertheless.
+CUT_OFF_DELAY_SECONDS = 1.0
 # Seconds between two queries to the previous coordinator, and their number.
 QUERY_INTERVAL_SECONDS = 0.3
 QUERY_ATTEMPTS = 3
@@ -168,6 +174,8 @@
         self._term_start = float("-inf")
         # Returns the address of a VM that should be coordinator instead, or "".
         self.preferred_coordinator: Callable[[], str] = lambda: ""
+        # Whether this VM has lost its links to all targets.
+        self.is_cut_off: Callable[[], bool] = lambda: False
         # Whether grants last long enough to outlast an outage of the store.
         self.extends_grants = False
 
@@ -254,11 +262,14 @@
                 if self._lease:
                     await asyncio.sleep(LEASE_RENEWAL_INTERVAL_SECONDS)
                     await self._renew_lease()
+                    await self._resign_if_cut_off()
                 elif self._lacks_coordinator():
                     wait = self._rng.uniform(0, MAX_JITTER_SECONDS) + election_delay(
                         self._cfg.relative_capacity
                     )
                     await asyncio.sleep(wait)
+                    if self.is_cut_off():
+                        await asyncio.sleep(CUT_OFF_DELAY_SECONDS)
                     await self._campaign()
                 else:
                     await self._wait_for_key_change()
@@ -325,9 +336,24 @@
         answer = await self._peers.call(address, STORE_CONTACT_PATH)
         if answer is None or float(answer) <= 0:
             return
+        if await self._peers.call(address, LINKS_PATH) != LINKS_WORK:
+            return
         await self._give_up_lease("a VM with more room for it is there")
         await asyncio.sleep(LEASE_SECONDS)
 
+    async def _resign_if_cut_off(self) -> None:
+        """Step down if this VM has lost its links to targets.
+
+        It can renew no grant, and all keys would lose their owners, although other VMs
+        reach the targets.
+        """
+        if not self._lease or not self.is_cut_off():
+            return
+        if now() - self._term_start < CUT_OFF_DELAY_SECONDS:
+            return
+        if self._peers.other_addresses():
+            await self._give_up_lease("links to targets lost")
+
     async def _extend_grants(self) -> None:
         """Extend grants if other VMs have lost the store as well."""
         if self.extends_grants or not self.is_coordinator():
--- a/packages/entry/tests/cluster_simulation.py
+++ b/packages/entry/tests/cluster_simulation.py
@@ -9,6 +9,8 @@
 from berylstage_entry.clock import now
 from berylstage_entry.cluster_view import ClusterView
 from berylstage_entry.coordinator_election import (
+    LINKS_PATH,
+    LINKS_WORK,
     STORE_CONTACT_PATH,
     CoordinatorElection,
 )
@@ -48,6 +50,8 @@
         vm = self._cluster.vms.get(address)
         if vm is None:
             return None
+        if path == LINKS_PATH:
+            return b"" if vm.election.is_cut_off() else LINKS_WORK
         if path == STORE_CONTACT_PATH:
             return str(await vm.store_watcher.probe_store()).encode()
         return (
--- a/packages/entry/tests/test_coordinator_election.py
+++ b/packages/entry/tests/test_coordinator_election.py
@@ -59,6 +59,37 @@
         assert coordinators(cluster) == [small]
 
 
+class TestLostLinks:
+    """A coordinator that has lost its links to targets."""
+
+    def test_another_vm_takes_over_before_grants_expire(self, cluster):
+        # Guards against keys without an owner at all VMs, because one has lost its
+        # links.
+        (name,) = coordinators(cluster)
+        cluster.vms[name].election.is_cut_off = lambda: True
+        assert cluster.measure_unavailability(6.0) == 0
+        assert coordinators(cluster) not in ([], [name])
+        assert not cluster.violations()
+
+    def test_all_vms_have_lost_their_links(self, cluster):
+        for vm in cluster.vms.values():
+            vm.election.is_cut_off = lambda: True
+        cluster.run(10.0)
+        for vm in cluster.vms.values():
+            vm.election.is_cut_off = lambda: False
+        cluster.run(6.0)
+        assert len(coordinators(cluster)) == 1
+        assert not cluster.violations()
+
+    def test_coordinator_does_not_yield_to_a_larger_vm_without_links(self, cluster):
+        (small,) = coordinators(cluster)
+        large = next(name for name in VMS if name != small)
+        cluster.vms[small].election.preferred_coordinator = lambda: large
+        cluster.vms[large].election.is_cut_off = lambda: True
+        cluster.run(2 * MIN_TERM_SECONDS)
+        assert coordinators(cluster) == [small]
+
+
 class TestRefusedConnections:
     """A target that refuses the coordinator's connections."""
 
--- a/packages/entry/tests/test_grant_controller.py
+++ b/packages/entry/tests/test_grant_controller.py
@@ -10,6 +10,8 @@
 from berylstage_entry.clock import now
 from berylstage_entry.cluster_view import ClusterView
 from berylstage_entry.coordinator_election import (
+    LINKS_PATH,
+    LINKS_WORK,
     STORE_CONTACT_PATH,
     CoordinatorElection,
 )
@@ -44,6 +46,8 @@
         vm = self.vms.get(address)
         if vm is None or vm.is_dead:
             return None
+        if path == LINKS_PATH:
+            return b"" if vm.election.is_cut_off() else LINKS_WORK
         if path == STORE_CONTACT_PATH:
             return str(await vm.store_watcher.probe_store()).encode()
         return (
