Relays: only in the region of the VM, and fewer to a VM whose replies are overdue

A body may not leave the region of its caller, so only VMs of the own region are asked; regions come from the settings. A VM that is suspended keeps its connections, and requests sent to it were lost one after the other: one whose reply is overdue by a second is compared as if ten more were in flight there. Counters tell how many requests were sent through and for others.

--- a/packages/entry/src/berylstage_entry/application.py
+++ b/packages/entry/src/berylstage_entry/application.py
@@ -144,14 +144,10 @@
         self.peer_client = PeerClient(self.membership, cfg.control_address)
         self.relay_transport = RelayTransport()
         self.router.sender.relay_client = RelayClient(
-            self.membership,
-            cfg.data_centre,
-            cfg.control_address,
-            self.rng,
-            self.relay_transport,
+            self.membership, cfg, self.rng, self.relay_transport
         )
         self.relay_server = RelayServer(
-            self.router, self.cluster_view, self.router.links, cfg.relative_capacity
+            self.router, self.cluster_view, cfg.relative_capacity, self.metrics
         )
         self.election = CoordinatorElection(
             cfg, store, self.store_watcher, self.peer_client, self.rng
--- a/packages/entry/src/berylstage_entry/relay_client.py
+++ b/packages/entry/src/berylstage_entry/relay_client.py
@@ -18,6 +18,7 @@
 
     from berylstage_entry.membership import Member, Membership
     from berylstage_entry.relay_messages import RelayRequest
+    from berylstage_entry.settings import EntrySettings
 
 # Path at which a VM takes requests for targets.
 RELAY_PATH = "/relay"
@@ -29,6 +30,10 @@
 # itself, and after it had no room.
 AVOID_SECONDS = 3.0
 BUSY_SECONDS = 0.1
+# Seconds without a reply after which a VM may be suspended, and the requests in flight
+# for which that counts when VMs are compared.
+OVERDUE_SECONDS = 1.0
+OVERDUE_PENALTY = 10
 # Seconds for which a VM that has sent a request is known to reach targets.
 PROVEN_SECONDS = 5.0
 # Seconds of a request's time reserved for the way to the other VM and back.
@@ -78,10 +83,7 @@
     Parameters
     ----------
     membership : Membership
-    data_centre : str
-        Data centre of this VM.
-    own_address : str
-        Address at which this VM listens for the others.
+    cfg : EntrySettings
     rng : Random
     transport : RelayTransport
     """
@@ -89,18 +91,17 @@
     def __init__(
         self,
         membership: Membership,
-        data_centre: str,
-        own_address: str,
+        cfg: EntrySettings,
         rng: Random,
         transport: RelayTransport,
     ):
         self._membership = membership
-        self._data_centre = data_centre
-        self._own_address = own_address
+        self._cfg = cfg
         self._rng = rng
         self._transport = transport
-        # Requests that each VM has been asked to send, by its address.
-        self._in_flight: dict[str, int] = {}
+        # When each VM was asked to send the requests that it has not replied to, by its
+        # address.
+        self._asked_at: dict[str, list[float]] = {}
         self._avoided_until: dict[str, float] = {}
         self._proven_until: dict[str, float] = {}
 
@@ -159,11 +160,12 @@
         if len(body) > MAX_MESSAGE_BYTES:
             raise NoRelay("the body is too large to be relayed")
         address = member.control_address
-        self._in_flight[address] = self._in_flight.get(address, 0) + 1
+        asked_at, moment = self._asked_at.setdefault(address, []), now()
+        asked_at.append(moment)
         try:
             reply = await self._transport.post(address, body, seconds + HOP_SECONDS)
         finally:
-            self._in_flight[address] -= 1
+            asked_at.remove(moment)
         try:
             return RelayReply.decode(reply)
         except InvalidRecord as exc:
@@ -175,16 +177,20 @@
         candidates = {}
         for member in self._membership.members():
             address = member.control_address
-            if address == self._own_address:
+            if address == self._cfg.control_address:
+                continue
+            if not self._cfg.is_in_own_region(member.data_centre):
                 continue
             if moment < self._avoided_until.get(address, 0.0):
                 continue
+            asked_at = self._asked_at.get(address, [])
+            is_overdue = bool(asked_at) and moment - asked_at[0] > OVERDUE_SECONDS
             candidates[address] = RelayCandidate(
                 address,
                 member.relative_capacity,
-                self._in_flight.get(address, 0),
-                member.data_centre == self._data_centre,
-                moment < self._proven_until.get(address, 0.0),
+                len(asked_at) + OVERDUE_PENALTY * is_overdue,
+                member.data_centre == self._cfg.data_centre,
+                not is_overdue and moment < self._proven_until.get(address, 0.0),
             )
         address = choose_relay(list(candidates.values()), self._rng)
         members = self._membership.members()
--- a/packages/entry/src/berylstage_entry/relay_server.py
+++ b/packages/entry/src/berylstage_entry/relay_server.py
@@ -16,9 +16,9 @@
 
 if TYPE_CHECKING:
     from berylstage_entry.cluster_view import ClusterView
+    from berylstage_entry.metrics import Metrics
     from berylstage_entry.router import Router
     from berylstage_entry.services import Service
-    from berylstage_entry.target_links import TargetLinks
     from berylstage_entry.targets import Target
 
 # Requests of other VMs that a VM of full capacity sends at once, and the least that a
@@ -41,9 +41,9 @@
     router : Router
         Keeps what this VM knows of the targets' loads and notices.
     cluster_view : ClusterView
-    links : TargetLinks
     relative_capacity : float
         Share of a large VM's capacity that this VM has.
+    metrics : Metrics
 
     Attributes
     ----------
@@ -57,12 +57,13 @@
         self,
         router: Router,
         cluster_view: ClusterView,
-        links: TargetLinks,
         relative_capacity: float,
+        metrics: Metrics,
     ):
         self._router = router
         self._cluster_view = cluster_view
-        self._links = links
+        self._links = router.links
+        self._metrics = metrics
         self._max_in_flight = max(MIN_IN_FLIGHT, int(MAX_IN_FLIGHT * relative_capacity))
         self._log_limiter = LogRateLimiter(LINES_PER_SECOND)
         self.in_flight = 0
@@ -84,6 +85,7 @@
             reply = await self._send(request)
         finally:
             self.in_flight -= 1
+        self._metrics.increment(f"relayed for others: {reply.outcome.value}")
         self._log(request, reply, now() - began)
         return Response(OK, body=reply.encode())
 
--- a/packages/entry/src/berylstage_entry/request_log.py
+++ b/packages/entry/src/berylstage_entry/request_log.py
@@ -44,6 +44,8 @@
         outcome = "failed" if answer.status >= SERVER_ERROR else "answered"
         self._metrics.record_request(req.host, outcome, seconds)
         failed = outcome == "failed"
+        if result.relay:
+            self._metrics.increment("sent through other VM")
         limiter = self._failure_limiter if failed else self._success_limiter
         if not limiter.take():
             return
--- a/packages/entry/src/berylstage_entry/settings.py
+++ b/packages/entry/src/berylstage_entry/settings.py
@@ -93,6 +93,8 @@
         Processor cores that the VM may use, in cores of the usual speed.
     link_mbps : float
         Bandwidth of the VM's network link in Mbit/s.
+    regions : dict of str to str
+        Region of each data centre; empty if there is only one region.
     """
 
     __slots__ = (
@@ -104,6 +106,7 @@
         "link_mbps",
         "metrics_port",
         "ready",
+        "regions",
         "min_store_lease_seconds",
         "store",
         "vm",
@@ -122,6 +125,7 @@
         bounds: Bounds,
         cores: float,
         link_mbps: float,
+        regions: dict[str, str] | None = None,
     ):
         self.vm = vm
         self.data_centre = data_centre
@@ -134,6 +138,11 @@
         self.bounds = bounds
         self.cores = cores
         self.link_mbps = link_mbps
+        self.regions = regions or {}
+
+    def is_in_own_region(self, data_centre: str) -> bool:
+        """Tell whether a data centre is in the region of this VM."""
+        return self.regions.get(data_centre) == self.regions.get(self.data_centre)
 
     @property
     def relative_capacity(self) -> float:
--- a/packages/entry/tests/link_fleet.py
+++ b/packages/entry/tests/link_fleet.py
@@ -10,6 +10,7 @@
 from berylstage_entry.cluster_view import ClusterView
 from berylstage_entry.link_check import CHECK_TIMEOUT_SECONDS, CheckResult
 from berylstage_entry.membership import Member
+from berylstage_entry.metrics import Metrics
 from berylstage_entry.protocols import CallerRequest, Record, TargetAnswer
 from berylstage_entry.relay_client import RelayClient
 from berylstage_entry.relay_server import RelayServer
@@ -21,7 +22,7 @@
     NeverSent,
     NotConnected,
 )
-from fakes import BOUNDS, configuration, target
+from fakes import BOUNDS, configuration, settings, target
 
 SERVICE_SECONDS = 0.05
 HOP_SECONDS = 0.002
@@ -140,6 +141,14 @@
         return (await vm.relay_server.handle(body)).body
 
 
+def make_settings(name, regions=None):
+    """Return the settings of a VM whose address is its name."""
+    cfg = settings(name)
+    cfg.control_address = f"{name}:1"
+    cfg.regions = regions or {}
+    return cfg
+
+
 class FleetVm:
     """The components of one VM that send requests to targets."""
 
@@ -157,9 +166,9 @@
         self.links.check_link = self._check_link
         self.fleet = fleet
         self.router.sender.relay_client = RelayClient(
-            fleet, "dc-1", f"{name}:1", rng, FleetTransport(fleet)
+            fleet, make_settings(name), rng, FleetTransport(fleet)
         )
-        self.relay_server = RelayServer(self.router, view, self.links, 1.0)
+        self.relay_server = RelayServer(self.router, view, 1.0, Metrics())
         self.links.start()
 
     async def _check_link(self, address):
--- a/packages/entry/tests/test_relay.py
+++ b/packages/entry/tests/test_relay.py
@@ -27,7 +27,7 @@
 from berylstage_entry.targets import LoadReport, TargetNotice
 from berylstage_transfers.errors import AnswerLost, NeverSent
 from fakes import target
-from link_fleet import Link, LinkFleet
+from link_fleet import Link, LinkFleet, make_settings
 from virtual_time import virtual_loop
 
 
@@ -99,18 +99,22 @@
 
 
 class Members:
-    def __init__(self, names):
-        self._names = names
+    def __init__(self, data_centres):
+        self._data_centres = data_centres
 
     def members(self):
-        return [Member(name, f"{name}:1", "dc-1", 1.0) for name in self._names]
+        return [
+            Member(name, f"{name}:1", data_centre, 1.0)
+            for name, data_centre in self._data_centres.items()
+        ]
 
 
-def send(replies, body=b"", seconds=1.0):
+def send(replies, body=b"", seconds=1.0, data_centres=None, regions=None):
     """Have a request sent; return the outcome and the VMs that were asked."""
     transport = Transport({f"{name}:1": reply for name, reply in replies.items()})
-    members = Members(["own", *replies])
-    client = RelayClient(members, "dc-1", "own:1", Random(1), transport)
+    members = Members(dict.fromkeys(["own", *replies], "dc-1") | (data_centres or {}))
+    cfg = make_settings("own", regions)
+    client = RelayClient(members, cfg, Random(1), transport)
     try:
         result = asyncio.run(client.send(make_request(body), seconds))[0].outcome
     except (NeverSent, AnswerLost) as exc:
@@ -160,6 +164,15 @@
         result, asked = send({"a": self.ANSWERED}, b"x" * MAX_MESSAGE_BYTES)
         assert (result, asked) == (NoRelay, [])
 
+    def test_vm_of_another_region(self):
+        # Guards against bodies that leave the region of their callers.
+        where = {"data_centres": {"a": "dc-2"}}
+        regions = {"dc-1": "east", "dc-2": "west"}
+        replies = {"a": self.ANSWERED}
+        assert send(replies, regions=regions, **where) == (NoRelay, [])
+        regions["dc-2"] = "east"
+        assert send(replies, regions=regions, **where)[0] is RelayOutcome.ANSWERED
+
     def test_no_time_is_left(self):
         assert send({"a": self.ANSWERED}, seconds=0.005) == (NoRelay, [])
 
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -117,6 +117,14 @@
         assert parse_settings(SETTINGS).cores == 0.86
         assert parse_settings(SETTINGS).link_mbps == 1000.0
 
+    def test_parses_the_region_of_each_data_centre(self):
+        text = SETTINGS + "zones.a=east\nzones.b=east\nzones.c=west\n"
+        cfg = parse_settings(text)
+        assert cfg.is_in_own_region("b")
+        assert not cfg.is_in_own_region("c")
+        # Without regions all data centres are in one.
+        assert parse_settings(SETTINGS).is_in_own_region("c")
+
     def test_keys_need_not_stop_in_time_where_the_bounds_do_not_say_so(self):
         assert parse_settings(SETTINGS).bounds.revocation_seconds == float("inf")
         lax = SETTINGS.replace(
