--- a/packages/cli/src/berylstage_cli/story.py
+++ b/packages/cli/src/berylstage_cli/story.py
@@ -24,7 +24,15 @@
 # longest that keys wait for a silent owner after an outage is 11 s.
 AROUND = 11.0
 # Messages that tell of one VM's path to the store and of the duty of granting.
-OF_THE_VM = ("store lost", "store regained", "stopping", "started", "duty given up")
+OF_THE_VM = (
+    "store lost",
+    "store regained",
+    "links to targets lost",
+    "links to targets back",
+    "stopping",
+    "started",
+    "duty given up",
+)
 OF_A_STOP = ("stopping", "stop phase ended", "stopped")
 OF_THE_DUTY = ("duty taken", "former holds", "store lost by the holder of the duty")
 
@@ -188,6 +196,8 @@
 def _conclude(line: LogLine, before: list[LogLine]) -> str:
     if line.message == "connection cut":
         return _conclude_cut(line, before)
+    if line.message == "request relayed":
+        return _conclude_relayed(line)
     reason = line.fields.get("reason")
     status = line.fields.get("status")
     if reason is None:
@@ -197,6 +207,16 @@
     return f"{status} {reason}: {meaning}"
 
 
+def _conclude_relayed(line: LogLine) -> str:
+    """Return what a VM did with a request that another one could not send."""
+    outcome = line.fields.get("outcome")
+    cause = str(line.fields.get("cause") or "")
+    return (
+        f"{line.vm} sent it to {line.fields.get('target')} for "
+        f"{line.fields.get('for')}: {outcome} {cause}".strip()
+    )
+
+
 def _conclude_cut(line: LogLine, before: list[LogLine]) -> str:
     reason = cut_reason(line)
     if reason is None:
--- a/packages/cli/tests/test_story.py
+++ b/packages/cli/tests/test_story.py
@@ -70,6 +70,27 @@
     def test_answered(self):
         assert tell("good", LINES).conclusions[0].startswith("200: answered by i-a")
 
+    def test_request_that_another_vm_sent(self):
+        # A VM that has lost its links to targets has another one send its requests.
+        lines = [
+            line(9.0, "vm-1", "links to targets lost"),
+            line(9.0, "vm-3", "links to targets lost"),
+            line(
+                10.0,
+                "vm-2",
+                "request relayed",
+                id="far",
+                target="i-a",
+                outcome="lost",
+                cause="reset",
+                **{"for": "vm-1"},
+            ),
+            line(10.1, "vm-1", "request ended", id="far", status=502, reason="x"),
+        ]
+        story = tell("far", lines)
+        assert [item.vm for item in story.lines] == ["vm-1", "vm-2", "vm-1"]
+        assert story.conclusions[0] == "vm-2 sent it to i-a for vm-1: lost reset"
+
     def test_lines_behind_a_collectors_stamp(self):
         # A log collector puts its own time and the VM's name before each line.
         story = tell("lost", [f"12.3 vm-2 {text}" for text in LINES])
