Coordinator: compare its links with those of others, and check new connections first

Cause, from the VMs' logs: open connections to one target lived on, so the coordinator did not count as cut off, while it could renew the grants of two others no more; it stepped down after 2.4 s. Its successor was cut off as well, and did not know, since its own connections lived on; it stepped down 1.3 s later. By then the grants had expired.

Change: a coordinator with lost links asks up to three VMs for theirs and steps down for one that has lost fewer; another VM's word that it reaches a target which refuses this one counts as a lost link. A VM that would become the coordinator first tries new connections to three targets, and lets others go first for a second if most fail.

--- a/packages/entry/src/berylstage_entry/application.py
+++ b/packages/entry/src/berylstage_entry/application.py
@@ -21,7 +21,6 @@
 from berylstage_entry.coordinator_election import (
     EXPORT_STATE_PATH,
     LINKS_PATH,
-    LINKS_WORK,
     STORE_CONTACT_PATH,
     CoordinatorElection,
 )
@@ -161,7 +160,10 @@
         self.grant_controller.grant_renewer.confirm_termination = (
             self.termination_check.is_terminated
         )
-        self.election.is_cut_off = lambda: self.router.links.is_cut_off
+        links = self.router.links
+        self.termination_check.on_reached_by_other = links.record_reached_by_other
+        self.election.count_lost_links = lambda: links.health.lost_links
+        self.election.has_links = links.accept_new_connections
         self.peer_updates = PeerUpdates(
             self.store_watcher, self.membership, cfg.control_address
         )
@@ -545,8 +547,8 @@
         )
 
     def _handle_links(self, body: bytes) -> PageResponse:
-        is_cut_off = self.router.links.is_cut_off
-        return PageResponse(200, body=b"" if is_cut_off else LINKS_WORK)
+        lost_links = self.router.links.health.lost_links
+        return PageResponse(200, body=str(lost_links).encode())
 
     async def _handle_refusal(self, body: bytes) -> PageResponse:
         return PageResponse(200, body=await self.termination_check.answer(body))
--- a/packages/entry/src/berylstage_entry/coordinator_election.py
+++ b/packages/entry/src/berylstage_entry/coordinator_election.py
@@ -31,7 +31,7 @@
 from berylstage_entry.store_keys import COORDINATOR_KEY, INTERNAL_PREFIX
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Awaitable, Callable
 
     from berylstage_entry.peers import PeerClient
     from berylstage_entry.settings import EntrySettings
@@ -44,9 +44,8 @@
 EXPORT_STATE_PATH = "/duty/hand-on"
 # Path at which a VM tells for how long it has been in contact with the store.
 STORE_CONTACT_PATH = "/store/contact"
-# Path at which a VM tells whether it reaches targets, and its answer if it does.
+# Path at which a VM tells how many targets others reach and it does not.
 LINKS_PATH = "/links"
-LINKS_WORK = b"1"
 # Lease of the coordinator in the store. If its VM fails, another takes over within this
 # time, which is shorter than the duration of a grant.
 LEASE_SECONDS = 2.0
@@ -70,9 +69,11 @@
 # Seconds that a coordinator stays before it yields to a better VM. By then the VMs that
 # are starting are known, and the previous coordinator's grants have expired.
 MIN_TERM_SECONDS = 5.0
-# Seconds by which a VM that has lost its links to targets lets others go first, and for
+# Seconds by which a VM that has lost links to targets lets others go first, and for
 # which it stays the coordinator if it became that nevertheless.
-CUT_OFF_DELAY_SECONDS = 1.0
+LOST_LINKS_DELAY_SECONDS = 1.0
+# VMs that a coordinator with lost links asks for theirs.
+MAX_VMS_ASKED = 3
 # Seconds between two queries to the previous coordinator, and their number.
 QUERY_INTERVAL_SECONDS = 0.3
 QUERY_ATTEMPTS = 3
@@ -174,8 +175,10 @@
         self._term_start = float("-inf")
         # Returns the address of a VM that should be coordinator instead, or "".
         self.preferred_coordinator: Callable[[], str] = lambda: ""
-        # Whether this VM has lost its links to all targets.
-        self.is_cut_off: Callable[[], bool] = lambda: False
+        # Number of targets that other VMs reach and this one does not.
+        self.count_lost_links: Callable[[], int] = lambda: 0
+        # Tells whether targets accept new connections of this VM.
+        self.has_links: Callable[[], Awaitable[bool]] | None = None
         # Whether grants last long enough to outlast an outage of the store.
         self.extends_grants = False
 
@@ -262,14 +265,14 @@
                 if self._lease:
                     await asyncio.sleep(LEASE_RENEWAL_INTERVAL_SECONDS)
                     await self._renew_lease()
-                    await self._resign_if_cut_off()
+                    await self._resign_if_links_are_lost()
                 elif self._lacks_coordinator():
                     wait = self._rng.uniform(0, MAX_JITTER_SECONDS) + election_delay(
                         self._cfg.relative_capacity
                     )
                     await asyncio.sleep(wait)
-                    if self.is_cut_off():
-                        await asyncio.sleep(CUT_OFF_DELAY_SECONDS)
+                    if not await self._reaches_targets():
+                        await asyncio.sleep(LOST_LINKS_DELAY_SECONDS)
                     await self._campaign()
                 else:
                     await self._wait_for_key_change()
@@ -336,23 +339,39 @@
         answer = await self._peers.call(address, STORE_CONTACT_PATH)
         if answer is None or float(answer) <= 0:
             return
-        if await self._peers.call(address, LINKS_PATH) != LINKS_WORK:
+        if await self._ask_lost_links(address) > self.count_lost_links():
             return
         await self._give_up_lease("a VM with more room for it is there")
         await asyncio.sleep(LEASE_SECONDS)
 
-    async def _resign_if_cut_off(self) -> None:
-        """Step down if this VM has lost its links to targets.
+    async def _reaches_targets(self) -> bool:
+        """Tell whether this VM could renew grants if it became the coordinator."""
+        if self.count_lost_links():
+            return False
+        return self.has_links is None or await self.has_links()
+
+    async def _resign_if_links_are_lost(self) -> None:
+        """Step down if another VM has lost fewer links to targets than this one.
 
-        It can renew no grant, and all keys would lose their owners, although other VMs
-        reach the targets.
+        This VM cannot renew the grants of those targets, and their keys would lose
+        their owners, although other VMs reach them.
         """
-        if not self._lease or not self.is_cut_off():
+        lost = self.count_lost_links()
+        if not self._lease or not lost:
             return
-        if now() - self._term_start < CUT_OFF_DELAY_SECONDS:
+        if now() - self._term_start < LOST_LINKS_DELAY_SECONDS:
             return
-        if self._peers.other_addresses():
-            await self._give_up_lease("links to targets lost")
+        addresses = self._peers.other_addresses()
+        self._rng.shuffle(addresses)
+        for address in addresses[:MAX_VMS_ASKED]:
+            if await self._ask_lost_links(address) < lost:
+                await self._give_up_lease("links to targets lost")
+                return
+
+    async def _ask_lost_links(self, address: str) -> float:
+        """Return how many links a VM has lost; infinite if it does not answer."""
+        answer = await self._peers.call(address, LINKS_PATH)
+        return float(answer) if answer else float("inf")
 
     async def _extend_grants(self) -> None:
         """Extend grants if other VMs have lost the store as well."""
--- a/packages/entry/src/berylstage_entry/target_links.py
+++ b/packages/entry/src/berylstage_entry/target_links.py
@@ -30,10 +30,12 @@
     from berylstage_entry.targets import Target
 
 # Interval at which requests in flight and failed links are looked at.
-WATCH_INTERVAL_SECONDS = 0.05
+WATCH_INTERVAL_SECONDS = 0.1
 # Time after which bytes without an acknowledgement show that a link is lost: Linux
 # sends a lost packet again after 0.2 s.
 UNACKNOWLEDGED_SECONDS = 0.25
+# Targets that are checked before this VM takes on grants to all of them.
+SAMPLE_SIZE = 3
 # Time for which no target may have shown a sign of life, with an answer overdue by as
 # much, before the link of the overdue target is checked.
 SILENCE_SECONDS = 0.3
@@ -86,6 +88,24 @@
         """Whether this VM has lost its links to all targets."""
         return self.health.is_cut_off
 
+    def record_reached_by_other(self, target: Target) -> None:
+        """Record that another VM reaches a target that has refused this one."""
+        self.health.record_failure(target.name, now())
+        self.health.record_reached_by_other(target.name)
+        self._has_work.set()
+        self._log_change()
+
+    async def accept_new_connections(self) -> bool:
+        """Tell whether most of a few targets accept a new connection.
+
+        The connections that a VM has may live on although new ones are refused.
+        """
+        known = [entry.target.address for entry in self._cluster_view.known.values()]
+        addresses = self._rng.sample(known, min(SAMPLE_SIZE, len(known)))
+        results = await asyncio.gather(*(self.check_link(a) for a in addresses))
+        failed = sum(result is not CheckResult.ACCEPTED for result in results)
+        return 2 * failed <= len(results)
+
     def choose_way(self, name: str) -> Way:
         """Return how requests should be sent to a target."""
         return self.health.choose_way(name, now())
@@ -160,9 +180,10 @@
         if self.is_cut_off == self._was_cut_off:
             return
         self._was_cut_off = self.is_cut_off
-        log.info(
-            "links to targets lost" if self.is_cut_off else "links to targets back"
-        )
+        if self.is_cut_off:
+            log.info("links to targets lost")
+        else:
+            log.info("links to targets back")
 
     async def _run(self) -> None:
         while True:
--- a/packages/entry/src/berylstage_entry/termination_check.py
+++ b/packages/entry/src/berylstage_entry/termination_check.py
@@ -41,20 +41,26 @@
         self._cluster_view = cluster_view
         self._peers = peers
         self._rng = rng
+        # Called with a target that another VM reaches although this one does not.
+        self.on_reached_by_other: Callable[[Target], None] = lambda target: None
         # Checks whether a target's machine accepts connections.
         self.check_link: Callable[[str], Awaitable[CheckResult]] = check_link
 
     async def is_terminated(self, target: Target) -> bool:
         """Return whether this VM and another one agree that a target has terminated."""
-        if await self._compare(target) != REFUSED:
+        own_view = await self._compare(target)
+        if own_view == REACHED:
             return False
         addresses = self._peers.other_addresses()
         self._rng.shuffle(addresses)
         for address in addresses[:MAX_VMS_ASKED]:
             answer = await self._peers.call(address, REFUSAL_PATH, _encode(target))
-            if answer in (REFUSED, REACHED):
-                return answer == REFUSED
-        return not addresses
+            if answer == REACHED:
+                self.on_reached_by_other(target)
+                return False
+            if answer == REFUSED:
+                return own_view == REFUSED
+        return own_view == REFUSED and not addresses
 
     async def answer(self, body: bytes) -> bytes:
         """Return how this VM reaches a target that another VM asks about."""
--- a/packages/entry/tests/test_termination_check.py
+++ b/packages/entry/tests/test_termination_check.py
@@ -72,6 +72,14 @@
         # Guards against a VM that has lost the link to this target alone.
         assert not ask((REFUSES, ACCEPTS), [REACHED])
 
+    @pytest.mark.parametrize("control", [ACCEPTS, REFUSES])
+    def test_other_vm_that_reaches_the_target_shows_a_lost_link(self, control):
+        # Guards against a coordinator that keeps renewing over lost links.
+        check, lost = make_check((REFUSES, control), [UNKNOWN, REACHED]), []
+        check.on_reached_by_other = lambda target: lost.append(target.name)
+        assert not asyncio.run(check.is_terminated(target("a")))
+        assert lost == ["a"]
+
     @pytest.mark.parametrize("answer", [UNKNOWN, None])
     def test_nobody_else_can_tell(self, answer):
         assert not ask((REFUSES, ACCEPTS), [answer])
--- a/packages/policy/src/berylstage_policy/link_health.py
+++ b/packages/policy/src/berylstage_policy/link_health.py
@@ -96,6 +96,13 @@
         needed = min(MIN_FAILED_TARGETS, self._known_targets)
         return bool(needed) and len(self._failed_since_alive) >= needed
 
+    @property
+    def lost_links(self) -> int:
+        """Number of targets that other VMs reach and this one does not."""
+        if self.is_cut_off:
+            return self._known_targets
+        return sum(link.is_confirmed for link in self._failed.values())
+
     def is_suspect(self, moment: float) -> bool:
         """Tell whether links have failed and nothing shows that others work."""
         return (
--- a/packages/policy/tests/test_link_health.py
+++ b/packages/policy/tests/test_link_health.py
@@ -111,6 +111,23 @@
         assert not health.is_cut_off
 
 
+class TestLostLinks:
+    def test_failures_that_others_do_not_confirm(self, health):
+        health.record_failure("i-0", 10.0)
+        assert health.lost_links == 0
+
+    def test_targets_that_others_reach(self, health):
+        for name in ("i-0", "i-1"):
+            health.record_failure(name, 10.0)
+            health.record_reached_by_other(name)
+        assert health.lost_links == 2
+        health.record_alive("i-1", 11.0)
+        assert health.lost_links == 1
+
+    def test_vm_that_is_cut_off(self, health):
+        assert cut_off(health).lost_links == len(TARGETS)
+
+
 class TestSuspicion:
     def test_failure_with_nothing_else_to_go_by(self, health):
         health.record_failure("i-0", 10.0)
