--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -34,6 +34,8 @@
 
     # Minimum and maximum duration in seconds.
     duration_range = (1.0, 5.0)
+    # Whether the fault only cuts VMs from targets.
+    is_cut = False
     # Whether the installation must tolerate the fault without losing a request, as it
     # must a stop by operators.
     is_planned = False
