--- a/packages/entry/src/berylstage_entry/application.py
+++ b/packages/entry/src/berylstage_entry/application.py
@@ -233,7 +233,7 @@
         self.peer_datagrams.handlers[CONFIRMATION_REPLY_TYPE] = (
             self.confirmer.receive_reply
         )
-        self.router.confirmer = self.confirmer
+        self.router.authenticator.confirmer = self.confirmer
         self.quota_server = QuotaServer(self.cluster_view, cfg.bounds.quota, self.rng)
         self.quota_client = QuotaClient(
             self.cluster_view, self.membership, host, self.rng
--- a/packages/entry/src/berylstage_entry/request_authenticator.py
+++ b/packages/entry/src/berylstage_entry/request_authenticator.py
@@ -74,11 +74,11 @@
             return
         if workspace is None or workspace.name != ctx.req.workspace:
             if ctx.lost_reason:
-                raise self._errors.build(ctx, "unknown-key")
+                raise self._errors.build_error(ctx, "unknown-key")
             raise UnknownApiKey(f"key taken away configuration {cfg.version}")
         if self.confirmer is not None and not self.confirmer.may_serve_keys():
             detail = f"configuration {cfg.version} age {self.confirmer.age():.1f} s"
-            raise self._errors.build(ctx, "stale-configuration", detail)
+            raise self._errors.build_error(ctx, "stale-configuration", detail)
 
 
 def _find_workspace(
--- a/packages/entry/src/berylstage_entry/request_errors.py
+++ b/packages/entry/src/berylstage_entry/request_errors.py
@@ -37,7 +37,7 @@
         """Return a retry delay in seconds for a request that has not been sent."""
         return self._rng.uniform(MIN_RETRY_AFTER_SECONDS, MAX_RETRY_AFTER_SECONDS)
 
-    def build(
+    def build_error(
         self,
         ctx: RequestContext,
         reason: str,
--- a/packages/entry/src/berylstage_entry/router.py
+++ b/packages/entry/src/berylstage_entry/router.py
@@ -20,10 +20,11 @@
     PermitRefused,
     Refused,
     Unanswered,
-    UnknownApiKey,
 )
 from berylstage_entry.owners import OwnerResolver
+from berylstage_entry.request_authenticator import RequestAuthenticator
 from berylstage_entry.request_context import RequestContext
+from berylstage_entry.request_errors import MAX_RETRY_AFTER_SECONDS, RequestErrors
 from berylstage_entry.routed_answer import RoutedAnswer
 from berylstage_entry.target_admission import TargetAdmission
 from berylstage_entry.target_limits import MAX_RETRY_SECONDS
@@ -39,7 +40,6 @@
 
 if TYPE_CHECKING:
     from berylstage_entry.cluster_view import ClusterView
-    from berylstage_entry.configuration_confirmer import ConfigurationConfirmer
     from berylstage_entry.permit_client import PermitClient
     from berylstage_entry.protocols import CallerRequest, TargetAnswer
     from berylstage_entry.quota_client import QuotaClient
@@ -56,14 +56,6 @@
 ANSWER_DELIVERY_SECONDS = 0.02
 # Minimum seconds left for an attempt; a request with less is not sent.
 MIN_ATTEMPT_SECONDS = 0.02
-# Range of the retry delay suggested to callers when a service has no free slots. It
-# uses up to a third of a caller's time; the spread avoids simultaneous retries.
-MIN_RETRY_AFTER_SECONDS = 0.05
-MAX_RETRY_AFTER_SECONDS = 0.25
-# Retry delay in seconds when the target rejected a request although it had free slots.
-IMMEDIATE_RETRY_SECONDS = 0.01
-# Refused callers are spread from the expected wait to this multiple of it.
-RETRY_AFTER_SPREAD = 1.25
 # Share of the retry bound that is used. The rest allows for the VMs' clocks, which do
 # not divide time into the same windows.
 RETRY_BUDGET_SHARE = 0.8
@@ -95,6 +87,7 @@
     loads : TargetLoads
     links : TargetLinks
     sender : TargetSender
+    authenticator : RequestAuthenticator
     cold_targets : ColdTargets
     target_notices : TargetNotices
     target_admission : TargetAdmission
@@ -117,6 +110,8 @@
         self.sender = TargetSender(self.links, vm)
         self._bounds = bounds
         self._rng = rng
+        self._errors = RequestErrors(rng)
+        self.authenticator = RequestAuthenticator(cluster_view, self._errors)
         self._data_centre = data_centre
         self.loads = TargetLoads(cluster_view, rng)
         self.cold_targets = ColdTargets(cluster_view, bounds, vm)
@@ -129,8 +124,6 @@
         self.vm_count = 10
         # Acquires permits for targets from the permit servers.
         self.permit_client: PermitClient | None = None
-        # Proves how recent the configuration is, for requests with API keys.
-        self.confirmer: ConfigurationConfirmer | None = None
         # Acquires a token for each request of a workspace that has a quota.
         self.quota_client: QuotaClient | None = None
         # Requests by service and key since the last report to the coordinator.
@@ -156,7 +149,7 @@
             raise BadRequest(
                 NOT_FOUND, "no route; add one for this host and path to the sheet"
             )
-        workspace = await self._authenticate(req, route, cfg)
+        workspace = await self.authenticator.authenticate(req, route, cfg)
         if workspace is None or self.quota_client is None:
             return await self._route(req, route, cfg, workspace, arrived_at)
         token = await self.quota_client.acquire(workspace)
@@ -196,50 +189,6 @@
             self.has_key_counts.set()
         return await self._forward(ctx)
 
-    async def _authenticate(
-        self, req: CallerRequest, route: Route, cfg: Configuration
-    ) -> Workspace | None:
-        """Set the workspace of a request, and return it; None if it needs none.
-
-        Raises
-        ------
-        UnknownApiKey
-        Refused
-            The configuration may be older than the time allowed for an API key to be
-            taken away.
-        """
-        if cfg.workspaces is None:
-            return None
-        workspace = _find_workspace(req, route, cfg)
-        if workspace is None or self.confirmer is None or route.is_public:
-            return workspace
-        if not await self.confirmer.wait_until_recent():
-            detail = f"configuration {cfg.version} age {self.confirmer.age():.1f} s"
-            raise Refused(
-                "stale-configuration",
-                self._rng.uniform(MIN_RETRY_AFTER_SECONDS, MAX_RETRY_AFTER_SECONDS),
-                detail,
-            )
-        newest = self._cluster_view.configuration or cfg
-        return _find_workspace(req, route, newest) if newest.workspaces else None
-
-    def _check_api_key(self, ctx: RequestContext) -> None:
-        """Check right before an attempt that the API key may still be served."""
-        cfg = self._cluster_view.configuration
-        if cfg is None or cfg.workspaces is None or not ctx.req.workspace:
-            return
-        workspace = cfg.workspaces.find(ctx.req.api_key)
-        if ctx.route.is_public:
-            ctx.req.workspace = workspace.name if workspace is not None else ""
-            return
-        if workspace is None or workspace.name != ctx.req.workspace:
-            if ctx.lost_reason:
-                raise self._build_error(ctx, "unknown-key")
-            raise UnknownApiKey(f"key taken away configuration {cfg.version}")
-        if self.confirmer is not None and not self.confirmer.may_serve_keys():
-            detail = f"configuration {cfg.version} age {self.confirmer.age():.1f} s"
-            raise self._build_error(ctx, "stale-configuration", detail)
-
     def take_key_counts(self) -> dict[str, dict[int, int]]:
         """Return the requests by service and key since the last call."""
         counts, self._key_counts = self._key_counts, {}
@@ -260,7 +209,7 @@
                 name = await self._choose_target(ctx)
                 try:
                     self._check_time_left(ctx, name)
-                    self._check_api_key(ctx)
+                    self.authenticator.check_before_attempt(ctx)
                 except EntryError:
                     self._withdraw(ctx)
                     raise
@@ -286,12 +235,12 @@
         expected = self.loads.service_seconds(ctx.service.name, name, ctx.route.name)
         if ctx.seconds_left(now()) < expected:
             detail = f"target {name} takes {expected:.3f} s"
-            raise self._build_error(ctx, "no-time", detail)
+            raise self._errors.build_error(ctx, "no-time", detail)
 
     async def _choose_target(self, ctx: RequestContext) -> str:
         """Return the target for the next attempt."""
         if ctx.seconds_left(now()) < MIN_ATTEMPT_SECONDS:
-            raise self._build_error(ctx, "no-time")
+            raise self._errors.build_error(ctx, "no-time")
         if ctx.service.owns_keys and ctx.req.key is not None:
             name = await self._choose_owner(ctx)
         else:
@@ -306,9 +255,9 @@
 
     def _check_retry_limits(self, ctx: RequestContext, name: str) -> None:
         if ctx.attempts >= ctx.route.attempts and name not in ctx.tried_targets:
-            raise self._build_error(ctx, "attempts")
+            raise self._errors.build_error(ctx, "attempts")
         if not self._retry_budget(ctx.service.name).try_withdraw():
-            raise self._build_error(ctx, "budget")
+            raise self._errors.build_error(ctx, "budget")
 
     async def _choose_owner(self, ctx: RequestContext) -> str:
         """Return the owner of the key, unless it is overloaded."""
@@ -316,9 +265,9 @@
             try:
                 name = await self._owner_resolver.find(ctx)
             except NoOwner as exc:
-                raise self._build_error(ctx, "no-owner", str(exc)) from exc
+                raise self._errors.build_error(ctx, "no-owner", str(exc)) from exc
             if not self.cold_targets.may_send(name, ctx.service):
-                raise self._build_error(ctx, "cold")
+                raise self._errors.build_error(ctx, "cold")
             data_centre = self._cluster_view.known[name].target.data_centre
             await self._admit(ctx, name)
             try:
@@ -346,11 +295,13 @@
         except PermitRefused as exc:
             ctx.waited += now() - started_at
             reason = "owner-busy" if data_centre else "no-room"
-            raise self._build_error(ctx, reason, exc.permit, exc.retry_after) from exc
+            raise self._errors.build_error(
+                ctx, reason, exc.permit, exc.retry_after
+            ) from exc
         ctx.waited += now() - started_at
         if ctx.seconds_left(now()) < MIN_ATTEMPT_SECONDS:
             self._release_permit(ctx)
-            raise self._build_error(ctx, "no-time")
+            raise self._errors.build_error(ctx, "no-time")
 
     def _release_permit(
         self,
@@ -383,7 +334,7 @@
         try:
             await self.target_admission.admit(ctx, name)
         except Refused as exc:
-            raise self._build_error(
+            raise self._errors.build_error(
                 ctx, exc.reason, exc.detail, exc.retry_after
             ) from exc
 
@@ -400,7 +351,7 @@
         limit = min(OWNER_WAIT * ctx.route.objective, ctx.seconds_left(now()))
         if expected > limit:
             detail = loads.describe(name, now())
-            raise self._build_error(ctx, "owner-busy", detail)
+            raise self._errors.build_error(ctx, "owner-busy", detail)
 
     async def _choose_without_key(self, ctx: RequestContext) -> str:
         """Return the target of a request without a key, with a token if it needs one.
@@ -453,7 +404,7 @@
         # The permit server learns of a removed target later or earlier than this VM.
         self._release_permit(ctx)
         if not names:
-            raise self._build_error(ctx, "no-target")
+            raise self._errors.build_error(ctx, "no-target")
         return self._choose_by_load(ctx, names)
 
     def _eligible_targets(self, ctx: RequestContext) -> list[str]:
@@ -479,9 +430,9 @@
             eligible.append(name)
         if not eligible and blocked_seconds:
             wait = min(MAX_RETRY_SECONDS, *blocked_seconds)
-            raise self._build_error(ctx, "targets-ask-for-less", "", wait)
+            raise self._errors.build_error(ctx, "targets-ask-for-less", "", wait)
         if not eligible:
-            raise self._build_error(ctx, "no-target")
+            raise self._errors.build_error(ctx, "no-target")
         return eligible
 
     def _is_limited(self, name: str, service: Service) -> bool:
@@ -495,7 +446,7 @@
         kind = ctx.route.name
         name = loads.choose(eligible, kind, now())
         if loads.expected_seconds(name, kind, now()) > ctx.seconds_left(now()):
-            raise self._build_error(ctx, "no-room", loads.describe(name, now()))
+            raise self._errors.build_error(ctx, "no-room", loads.describe(name, now()))
         return name
 
     async def _attempt(self, ctx: RequestContext, name: str) -> TargetAnswer | None:
@@ -529,7 +480,7 @@
             ctx.tried_targets.add(name)
             self._owner_resolver.turned_away(ctx, name)
             if ctx.seconds_left(now()) < MIN_ATTEMPT_SECONDS:
-                raise self._build_error(ctx, "unreachable") from exc
+                raise self._errors.build_error(ctx, "unreachable") from exc
             return None
         except AnswerLost as exc:
             if self.sender.is_reachable_by_others_only(name):
@@ -624,28 +575,6 @@
         has_time = ctx.seconds_left(now()) > ctx.route.objective / 2
         return has_time and ctx.attempts < ctx.route.attempts
 
-    def _build_error(
-        self,
-        ctx: RequestContext,
-        reason: str,
-        detail: str = "",
-        expected_wait: float = 0.0,
-    ) -> Refused | Unanswered:
-        detail = f"{detail} attempts {ctx.attempts} {ctx.describe()}".strip()
-        if ctx.lost_reason:
-            return Unanswered(ctx.lost_reason, False, detail)
-        retry_after = self._rng.uniform(
-            MIN_RETRY_AFTER_SECONDS, MAX_RETRY_AFTER_SECONDS
-        )
-        if ctx.rejections:
-            # Slots are free, so a delay would not improve the next attempt.
-            retry_after = IMMEDIATE_RETRY_SECONDS
-        if expected_wait:
-            retry_after = max(
-                MIN_RETRY_AFTER_SECONDS, expected_wait
-            ) * self._rng.uniform(1, RETRY_AFTER_SPREAD)
-        return Refused(reason, retry_after, detail)
-
     def _choose_service(self, route: Route) -> str:
         if len(route.weighted_services) == 1:
             return route.weighted_services[0].service
@@ -665,22 +594,3 @@
                 share, max(1.0, reserve)
             )
         return budget
-
-
-def _find_workspace(
-    req: CallerRequest, route: Route, cfg: Configuration
-) -> Workspace | None:
-    """Set the workspace of a request, and return it; None if it needs none.
-
-    Raises
-    ------
-    UnknownApiKey
-    """
-    req.workspace = ""
-    workspace = cfg.workspaces.find(req.api_key) if cfg.workspaces is not None else None
-    if workspace is None and not route.is_public:
-        sent = "unknown" if req.api_key else "missing"
-        raise UnknownApiKey(f"key {sent} configuration {cfg.version}")
-    if workspace is not None:
-        req.workspace = workspace.name
-    return workspace
--- a/packages/entry/src/berylstage_entry/server.py
+++ b/packages/entry/src/berylstage_entry/server.py
@@ -12,6 +12,7 @@
 from berylstage_entry.clock import now
 from berylstage_entry.connection import MAX_BODY_BYTES, CallerConnection
 from berylstage_entry.errors import BadRequest, Refused, Unanswered, UnknownApiKey
+from berylstage_entry.request_errors import IMMEDIATE_RETRY_SECONDS
 from berylstage_entry.responses import (
     BAD_GATEWAY,
     BAD_REQUEST,
@@ -21,7 +22,7 @@
     Response,
     build_text_response,
 )
-from berylstage_entry.router import IMMEDIATE_RETRY_SECONDS, MIN_ATTEMPT_SECONDS
+from berylstage_entry.router import MIN_ATTEMPT_SECONDS
 from berylstage_entry.shutdown import PendingWork
 from berylstage_entry.shutdown_counts import ShutdownCounts
 
--- a/packages/entry/tests/test_router.py
+++ b/packages/entry/tests/test_router.py
@@ -623,7 +623,7 @@
     def test_key_is_refused_at_once_while_the_configuration_may_be_too_old(self):
         # Guards against a VM that is cut off and serves keys that were taken away.
         router = self.make_router()
-        router.confirmer = self.Confirmer(is_recent=False)
+        router.authenticator.confirmer = self.Confirmer(is_recent=False)
         with pytest.raises(Refused) as caught:
             asyncio.run(router.serve(self.request("key-1")))
         assert caught.value.reason == "stale-configuration"
@@ -632,7 +632,7 @@
 
     def test_public_route_is_served_whatever_the_age_of_the_configuration(self):
         router = self.make_router(is_public=True)
-        router.confirmer = self.Confirmer(is_recent=False)
+        router.authenticator.confirmer = self.Confirmer(is_recent=False)
         asyncio.run(router.serve(self.request("key-1")))
         assert self.clients.sent == ["a"]
 
@@ -641,13 +641,13 @@
         # Guards against a request that waited for a permit while its key was taken
         # away, or while its VM stood still.
         router = self.make_router()
-        router.confirmer = self.Confirmer()
+        router.authenticator.confirmer = self.Confirmer()
         released = []
 
         class PermitClient:
             async def acquire(self, ctx, queue, data_centre=""):
                 if change == "stale":
-                    router.confirmer.is_recent = False
+                    router.authenticator.confirmer.is_recent = False
                 else:
                     workspaces = WorkspaceDirectory([Workspace("north", [])])
                     old = router._cluster_view.configuration
--- a/tools/log_lines.py
+++ b/tools/log_lines.py
@@ -11,7 +11,7 @@
 
 LEVELS = ("debug", "info", "warning", "error", "exception")
 # Callables whose first string argument is the reason for which a request ended.
-REASON_CALLS = ("Refused", "_build_error", "Unanswered")
+REASON_CALLS = ("Refused", "build_error", "Unanswered")
 
 
 class LogLine:
