Stop: close connections unread that are registered after the server has closed

Its order was read and sent, and its target's client closed.

Change: a connection that is registered after the close is closed unread, so that its caller may ask another VM; the drain begins 0.02 s after the listening socket is closed, in which accepted connections are registered.

--- a/packages/entry/src/berylstage_entry/application.py
+++ b/packages/entry/src/berylstage_entry/application.py
@@ -91,6 +91,9 @@
 # Seconds for which other VMs still request permits from this VM after its record has
 # been removed.
 RECORD_LAG_SECONDS = 0.5
+# Seconds after the listening socket is closed in which the event loop may register a
+# connection that it has accepted before.
+ACCEPT_SECONDS = 0.02
 # Seconds between two checks of the work that a shutdown waits for.
 DRAIN_POLL_SECONDS = 0.02
 # Status of a request that is answered in the negative.
@@ -337,6 +340,7 @@
         await self._run_step(plan, self.membership.stop())
         await asyncio.sleep(max(plan.drain_at - now(), RECORD_LAG_SECONDS))
         self.server.start_draining()
+        await asyncio.sleep(ACCEPT_SECONDS)
         await self._drain(plan)
         self.store_watcher.stop()
         self.confirmer.stop()
--- a/packages/entry/src/berylstage_entry/server.py
+++ b/packages/entry/src/berylstage_entry/server.py
@@ -87,6 +87,8 @@
         self._connections: set[CallerConnection] = set()
         # Whether the listening socket and idle connections have been closed.
         self._is_draining = False
+        # Whether connections that the event loop still accepts are closed at once.
+        self._is_closed = False
         # Returns the seconds that a request may take during a shutdown; None before it.
         self.shutdown_time_left: Callable[[], float] | None = None
         self.counts = ShutdownCounts()
@@ -127,6 +129,10 @@
 
     def add_connection(self, conn: CallerConnection) -> None:
         """Register a new connection."""
+        if self._is_closed:
+            # Its caller may send the request, which is not read here, to another VM.
+            conn.close_now()
+            return
         self._connections.add(conn)
         if self._is_draining:
             conn.stop_taking_requests()
@@ -281,6 +287,7 @@
 
     async def close(self) -> None:
         """Close all connections."""
+        self._is_closed = True
         self._stop_listening()
         for conn in list(self._connections):
             self._log_cut(conn)
--- a/packages/entry/tests/test_server.py
+++ b/packages/entry/tests/test_server.py
@@ -195,6 +195,30 @@
 
         asyncio.run(scenario())
 
+    def test_connection_registered_after_close_is_closed_unread(self):
+        # Guards against an order that is read, sent and cut by a VM that has stopped:
+        # its connection was accepted before the close and registered after it.
+        async def scenario():
+            router = SlowRouter(0.0)
+            server, _ = start_server(router)
+            await asyncio.sleep(0.01)
+            await server.close()
+            ours, theirs = socket.socketpair()
+            loop = asyncio.get_running_loop()
+            ours.setblocking(False)
+            theirs.sendall(REQUEST)
+            await loop.connect_accepted_socket(lambda: CallerConnection(server), ours)
+            await asyncio.sleep(0.05)
+            theirs.setblocking(False)
+            try:
+                answer = theirs.recv(1)
+            except ConnectionResetError:
+                answer = b""
+            theirs.close()
+            return router.served, answer
+
+        assert asyncio.run(scenario()) == (0, b"")
+
     def test_partly_read_request_is_answered_during_shutdown(self):
         # Guards against closing a connection as idle while a request is partly read.
         async def scenario():
