--- /dev/null
+++ b/packages/entry/tests/test_target_sender.py
@@ -0,0 +1,177 @@
+"""Tests of the way that a request takes, and of what others are told about it."""
+
+from __future__ import annotations
+
+import asyncio
+from random import Random
+
+import pytest
+from berylstage_entry.clock import now
+from berylstage_entry.cluster_view import ClusterView
+from berylstage_entry.errors import Refused, Unanswered
+from berylstage_entry.permit_messages import checksum
+from berylstage_entry.permits import Permit
+from berylstage_entry.protocols import CallerRequest, Record, TargetAnswer
+from berylstage_entry.relay_client import NoRelay, TargetDown
+from berylstage_entry.relay_messages import RelayOutcome, RelayReply
+from berylstage_entry.router import Router
+from berylstage_transfers.errors import AnswerLost, NotConnected
+from fakes import BOUNDS, configuration, target
+
+ANSWER = TargetAnswer(200, [], b"", False, False, True, None, False)
+
+
+class StoreWatcher:
+    """Knows no assignments: no service owns keys."""
+
+    assignment_revisions: dict[str, int] = {}
+
+
+class Client:
+    """Connections to a target, which fail in one way or hang."""
+
+    def __init__(self, clients):
+        self._clients = clients
+
+    async def send(self, req, seconds, fresh=False, attempt=None):
+        self._clients.sent += 1
+        outcome = self._clients.outcome
+        if outcome == "hang":
+            attempt.start(self, self)
+            self.status = 0
+            self.ended = asyncio.get_running_loop().create_future()
+            try:
+                async with asyncio.timeout(seconds):
+                    await self.ended
+            except TimeoutError:
+                raise AnswerLost("timed out") from None
+        if isinstance(outcome, Exception):
+            raise outcome
+        return ANSWER
+
+    def has_unacknowledged_bytes(self, call):
+        return True
+
+    def abort(self, call, cause):
+        if not self.ended.done():
+            self.ended.set_exception(AnswerLost(cause))
+
+
+class Clients:
+    def __init__(self, outcome):
+        self.outcome = outcome
+        self.sent = 0
+
+    def get(self, target, connections):
+        return Client(self)
+
+    def fail_queued(self, name, cause):
+        pass
+
+    def retain(self, names):
+        pass
+
+
+class Relay:
+    """Another VM, which sends every request or fails in one way."""
+
+    def __init__(self, failure=None):
+        self._failure = failure
+        self.asked = 0
+
+    async def send(self, request, seconds):
+        self.asked += 1
+        if self._failure is not None:
+            raise self._failure
+        return RelayReply(RelayOutcome.ANSWERED, answer=ANSWER), "vm-2"
+
+
+class Permits:
+    """Grants a permit for the target a, and keeps what is told at its release."""
+
+    def __init__(self):
+        self.told = []
+        self.released_at = 0.0
+
+    async def acquire(self, ctx, queue, data_centre=""):
+        permit = Permit(1, queue, "10.0.0.1")
+        permit.target = checksum("a")
+        return permit
+
+    def release(self, permit, failed=False, load=None):
+        self.told.append((bool(permit.target), failed))
+        self.released_at = now()
+
+
+def serve(outcome, relay=None, method="GET", idempotent=True):
+    """Serve one request for the only target; return the result and the fakes."""
+    view, clients, permits = ClusterView(), Clients(outcome), Permits()
+    cfg = configuration(owns_keys=False)
+    cfg.routes[0].idempotent = idempotent
+    view.apply(Record(configuration=cfg), now(), False)
+    view.apply(Record(target=target("a")), now(), False)
+    req = CallerRequest("id", method, "h", "/a/x", {}, 0.8, None)
+
+    async def scenario():
+        router = Router(view, StoreWatcher(), clients, BOUNDS, Random(1))
+        router.permit_client = permits
+        router.sender.relay_client = relay
+        router.links.start()
+        try:
+            return await router.serve(req)
+        except (Refused, Unanswered) as exc:
+            return exc
+        finally:
+            router.links.stop()
+
+    return asyncio.run(scenario()), clients, permits
+
+
+class TestWay:
+    def test_request_whose_target_answers_is_sent_directly(self):
+        relay = Relay()
+        result, clients, permits = serve(None, relay)
+        assert (result.relay, clients.sent, relay.asked) == ("", 1, 0)
+        assert permits.told == [(True, False)]
+
+    def test_request_that_could_not_be_sent_goes_through_another_vm(self):
+        result, clients, _ = serve(NotConnected("refused"), Relay())
+        assert (result.relay, clients.sent) == ("vm-2", 1)
+
+    def test_order_that_may_have_run_is_sent_by_nobody_else(self):
+        # Guards against an order that runs twice.
+        relay = Relay()
+        result, _, _ = serve(AnswerLost("reset"), relay, "POST", idempotent=False)
+        assert isinstance(result, Unanswered)
+        assert relay.asked == 0
+
+    @pytest.mark.parametrize("failure", [NoRelay("busy"), TargetDown("down")])
+    def test_nobody_can_send_it(self, failure):
+        result, _, _ = serve(NotConnected("refused"), Relay(failure))
+        assert isinstance(result, Refused)
+
+    def test_there_is_no_other_vm(self):
+        result, clients, _ = serve(NotConnected("refused"))
+        assert isinstance(result, Refused)
+        assert clients.sent == 1
+
+
+class TestPermits:
+    """Permit servers eject targets that fail requests, for the callers of all VMs."""
+
+    def test_lost_link_is_no_failure_of_the_target(self):
+        # Guards against a VM with lost links that takes targets from all others.
+        _, _, permits = serve(NotConnected("refused"), Relay(NoRelay("busy")))
+        assert permits.told == [(False, False)]
+
+    def test_target_that_others_do_not_reach_either_has_failed(self):
+        _, _, permits = serve(NotConnected("refused"), Relay(TargetDown("down")))
+        assert permits.told == [(True, True)]
+
+    def test_order_that_hangs_gives_its_permit_back(self):
+        # Guards against slots that are kept until the deadlines of lost requests.
+        began = now()
+        result, _, permits = serve("hang", Relay(), "POST", idempotent=False)
+        assert isinstance(result, Unanswered)
+        assert permits.told == [(False, False)]
+        assert permits.released_at - began < 0.6
