--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -19,6 +19,7 @@
 from soak.ledger import FAULT_EFFECT_SECONDS, Ledger
 from soak.links import BYTES_PER_MBIT, MAX_PENDING_SECONDS, Link
 from soak.play import PLANNED_STOPS_MODE, Soak
+from soak.target_links import FIRST_LINK_PORT, CutMode, TargetLink
 from soak.targets import PORT, SoakTarget
 
 HERE = Path(__file__).parent
@@ -467,6 +468,66 @@
         assert ran_later == ran
 
 
+class TestTargetLinks:
+    """What a VM sees of a target while the link between them is cut."""
+
+    def observe(self, mode):
+        """Return what an open and a new connection do in a cut and after it."""
+        ip = f"{get_loopback_prefix()}.9"
+
+        async def echo(reader, writer):
+            while data := await reader.read(1):
+                writer.write(data)
+
+        async def exchange(reader, writer):
+            writer.write(b"x")
+            try:
+                return (await asyncio.wait_for(reader.read(1), 0.3)).decode() or "end"
+            except TimeoutError:
+                return "silent"
+            except ConnectionResetError:
+                return "reset"
+
+        async def connect():
+            try:
+                opening = asyncio.open_connection(ip, FIRST_LINK_PORT)
+                return await exchange(*await asyncio.wait_for(opening, 0.3))
+            except TimeoutError:
+                return "hangs"
+            except ConnectionRefusedError:
+                return "refused"
+
+        async def scenario():
+            server = await asyncio.start_server(echo, ip, PORT)
+            link = TargetLink(ip, PORT, 0)
+            link.open()
+            conn = await asyncio.open_connection(ip, FIRST_LINK_PORT)
+            assert await exchange(*conn) == "x"
+            link.cut(mode)
+            in_cut = await exchange(*conn), await connect()
+            link.heal()
+            after = await exchange(*conn), await connect()
+            link.close()
+            server.close()
+            return in_cut, after
+
+        return asyncio.run(scenario())
+
+    @pytest.mark.parametrize(
+        ("mode", "in_cut", "open_connection_after"),
+        [
+            (CutMode.SILENT, ("silent", "hangs"), ("reset", "end")),
+            (CutMode.RESET, ("reset", "refused"), ("reset", "end")),
+            (CutMode.REFUSING, ("x", "refused"), ("x",)),
+        ],
+    )
+    def test_cut_and_heal(self, mode, in_cut, open_connection_after):
+        seen, (after, new) = self.observe(mode)
+        assert seen == in_cut
+        assert after in open_connection_after
+        assert new == "x"
+
+
 def run_soak(*options):
     """Run a soak and check that it finds no violation."""
     done = subprocess.run(
