Relays: a lost link of a VM says nothing of its others; an isolated VM asks nobody

Cause, by the code: a VM that had failed to reach a target itself answered as if it were cut off altogether, and was then asked for no target for 3 s; where targets of a data centre are down, all VMs do so. A VM that is isolated asked up to eight others, 0.25 s each, so that requests were held to their end. How much of the fall was load is not known yet.

Change: a VM says whether it has lost the link to the target, which others reach, or all, or whether the target seems down. Two VMs that do not answer to a connection mean that this one is isolated; for a second it refuses at once. No VM is asked twice for a request.

--- a/packages/entry/src/berylstage_entry/relay_client.py
+++ b/packages/entry/src/berylstage_entry/relay_client.py
@@ -7,7 +7,12 @@
 from berylstage_policy.relay_choice import RelayCandidate, choose_relay
 from berylstage_transfers.call import Call
 from berylstage_transfers.client import CallClient
-from berylstage_transfers.errors import AnswerLost, NeverSent
+from berylstage_transfers.errors import (
+    AnswerLost,
+    ConnectionRefused,
+    NeverSent,
+    NotConnected,
+)
 
 from berylstage_entry.clock import now
 from berylstage_entry.errors import InvalidRecord
@@ -34,6 +39,10 @@
 # for which that counts when VMs are compared.
 OVERDUE_SECONDS = 1.0
 OVERDUE_PENALTY = 10
+# Other VMs that do not answer to connections, one after the other, after which this VM
+# takes itself for isolated, and the seconds for which it then refuses requests at once.
+ISOLATION_FAILURES = 2
+ISOLATED_SECONDS = 1.0
 # Seconds for which a VM that has sent a request is known to reach targets.
 PROVEN_SECONDS = 5.0
 # Seconds of a request's time reserved for the way to the other VM and back.
@@ -104,6 +113,9 @@
         self._asked_at: dict[str, list[float]] = {}
         self._avoided_until: dict[str, float] = {}
         self._proven_until: dict[str, float] = {}
+        # VMs that have not answered to a connection since the last reply of any VM.
+        self._silent_count = 0
+        self._isolated_until = float("-inf")
 
     async def send(
         self, request: RelayRequest, seconds: float
@@ -125,20 +137,28 @@
         """
         deadline = now() + seconds
         cause = "there is no other VM"
+        asked: set[str] = set()
         for _ in range(MAX_VMS_ASKED):
+            if now() < self._isolated_until:
+                cause = "no other VM answers to connections"
+                break
             left = deadline - now() - HOP_SECONDS
-            member = self._choose()
+            member = self._choose(asked)
             if member is None or left <= 0:
                 break
+            asked.add(member.control_address)
             try:
                 reply = await self._ask(member, request, left)
             except NeverSent as exc:
                 self._avoid(member)
+                if isinstance(exc, NotConnected):
+                    self._count_silent(exc)
                 cause = str(exc)
                 continue
             except AnswerLost:
                 self._avoid(member)
                 raise
+            self._silent_count = 0
             cause = f"{member.name}: {reply.outcome.value} {reply.cause}"
             if reply.outcome is RelayOutcome.ANSWERED:
                 self._proven_until[member.control_address] = now() + PROVEN_SECONDS
@@ -171,13 +191,32 @@
         except InvalidRecord as exc:
             raise AnswerLost(f"{member.name} sent an unusable reply: {exc}") from exc
 
-    def _choose(self) -> Member | None:
-        """Return the VM to be asked next, or None if there is none."""
+    def _count_silent(self, exc: NotConnected) -> None:
+        """Note that a VM does not answer; several mean that this one is isolated.
+
+        Each takes a quarter of a second to find out, and a request that asked one VM
+        after the other would be held until its time is over.
+        """
+        if isinstance(exc, ConnectionRefused):
+            return
+        self._silent_count += 1
+        if self._silent_count >= ISOLATION_FAILURES:
+            self._silent_count = 0
+            self._isolated_until = now() + ISOLATED_SECONDS
+
+    def _choose(self, asked: set[str]) -> Member | None:
+        """Return the VM to be asked next, or None if there is none.
+
+        Parameters
+        ----------
+        asked : set of str
+            Addresses of the VMs that have been asked for the same request.
+        """
         moment = now()
         candidates = {}
         for member in self._membership.members():
             address = member.control_address
-            if address == self._cfg.control_address:
+            if address == self._cfg.control_address or address in asked:
                 continue
             if not self._cfg.is_in_own_region(member.data_centre):
                 continue
--- a/packages/entry/src/berylstage_entry/relay_messages.py
+++ b/packages/entry/src/berylstage_entry/relay_messages.py
@@ -29,11 +29,13 @@
     ANSWERED = "answered"
     # It may have run.
     LOST = "lost"
-    # The target could not be reached, although others can.
+    # The target could not be reached, although other targets can.
     TARGET_DOWN = "target-down"
     # This VM does not know the target, or may not send to it.
     TARGET_UNUSABLE = "target-unusable"
-    # This VM has lost its own link to the target, or all of them.
+    # This VM has lost its link to the target, which others reach.
+    NO_LINK = "no-link"
+    # This VM has lost its links to all targets.
     CUT_OFF = "cut-off"
     # This VM is stopping or has no room.
     BUSY = "busy"
--- a/packages/entry/src/berylstage_entry/relay_server.py
+++ b/packages/entry/src/berylstage_entry/relay_server.py
@@ -96,17 +96,23 @@
         if target is None or service is None:
             return RelayReply(RelayOutcome.TARGET_UNUSABLE)
         if self._links.choose_way(target.name) is not Way.DIRECT:
-            return RelayReply(RelayOutcome.CUT_OFF)
+            return RelayReply(self._explain_failure(target), "link lost before")
         try:
             answer = await self._router.send_for_other(request, target, service)
         except NeverSent as exc:
-            is_own_link = self._links.is_cut_off
-            outcome = RelayOutcome.CUT_OFF if is_own_link else RelayOutcome.TARGET_DOWN
-            return RelayReply(outcome, str(exc))
+            return RelayReply(self._explain_failure(target), str(exc))
         except AnswerLost as exc:
             return RelayReply(RelayOutcome.LOST, str(exc))
         return RelayReply(RelayOutcome.ANSWERED, answer=answer)
 
+    def _explain_failure(self, target: Target) -> RelayOutcome:
+        """Return why this VM does not reach a target."""
+        if self._links.is_cut_off:
+            return RelayOutcome.CUT_OFF
+        if self._links.health.is_reached_by_others(target.name):
+            return RelayOutcome.NO_LINK
+        return RelayOutcome.TARGET_DOWN
+
     def _find_usable(
         self, request: RelayRequest
     ) -> tuple[Target | None, Service | None]:
--- a/packages/entry/tests/test_relay.py
+++ b/packages/entry/tests/test_relay.py
@@ -11,6 +11,7 @@
 from berylstage_entry.membership import Member
 from berylstage_entry.protocols import CallerRequest, TargetAnswer
 from berylstage_entry.relay_client import (
+    ISOLATION_FAILURES,
     RELAY_PATH,
     NoRelay,
     RelayClient,
@@ -25,7 +26,7 @@
 )
 from berylstage_entry.responses import Response
 from berylstage_entry.targets import LoadReport, TargetNotice
-from berylstage_transfers.errors import AnswerLost, NeverSent
+from berylstage_transfers.errors import AnswerLost, NeverSent, NotConnected
 from fakes import target
 from link_fleet import Link, LinkFleet, make_settings
 from virtual_time import virtual_loop
@@ -160,6 +161,24 @@
         assert result is NoRelay
         assert len(asked) == len(replies)
 
+    def test_vm_that_no_other_vm_answers(self):
+        # Guards against requests that are held to their end by a VM that is isolated.
+        result, asked = send({name: NotConnected("timed out") for name in "abcdefgh"})
+        assert result is NoRelay
+        assert len(asked) == ISOLATION_FAILURES
+
+    def test_lost_link_of_another_vm_says_nothing_of_its_other_links(self):
+        # Guards against avoiding all VMs when the targets of a data centre are down.
+        transport = Transport({"a:1": RelayOutcome.NO_LINK})
+        members = Members({"own": "dc-1", "a": "dc-1"})
+        client = RelayClient(members, make_settings("own"), Random(1), transport)
+        with pytest.raises(NoRelay):
+            asyncio.run(client.send(make_request(), 1.0))
+        assert transport.asked == ["a:1"]
+        transport.replies["a:1"] = self.ANSWERED
+        reply, _ = asyncio.run(client.send(make_request(), 1.0))
+        assert reply.outcome is RelayOutcome.ANSWERED
+
     def test_body_that_is_too_large(self):
         result, asked = send({"a": self.ANSWERED}, b"x" * MAX_MESSAGE_BYTES)
         assert (result, asked) == (NoRelay, [])
@@ -231,6 +250,21 @@
         assert reply.outcome is RelayOutcome.CUT_OFF
         assert runs == []
 
+    @pytest.mark.parametrize(
+        ("is_confirmed", "outcome"),
+        [(True, RelayOutcome.NO_LINK), (False, RelayOutcome.TARGET_DOWN)],
+    )
+    def test_vm_that_has_failed_to_reach_the_target_before(self, is_confirmed, outcome):
+        async def prepare(fleet, vm):
+            health = vm.links.health
+            health.record_failure("i-0", asyncio.get_running_loop().time())
+            if is_confirmed:
+                health.record_reached_by_other("i-0")
+
+        reply, runs = relay(prepare)
+        assert reply.outcome is outcome
+        assert runs == []
+
     def test_target_that_is_down(self):
         async def prepare(fleet, vm):
             await fleet.play(1.0)
--- a/packages/policy/src/berylstage_policy/link_health.py
+++ b/packages/policy/src/berylstage_policy/link_health.py
@@ -115,6 +115,11 @@
         """Tell whether a target has shown no sign of life since its link failed."""
         return target in self._failed
 
+    def is_reached_by_others(self, target: str) -> bool:
+        """Tell whether another VM reaches a target that this one does not."""
+        link = self._failed.get(target)
+        return link is not None and link.is_confirmed
+
     def retain(self, targets: set[str]) -> None:
         """Forget all targets except the given ones."""
         self._known_targets = len(targets)
