Lost links: several targets that crash at once are no cut

Change: a VM is cut off only if no target has shown a sign of life for 0.3 s; up to three neighbours are tried. Both new tests of LinkHealth failed before.

--- a/packages/entry/src/berylstage_entry/termination_check.py
+++ b/packages/entry/src/berylstage_entry/termination_check.py
@@ -23,6 +23,9 @@
 REFUSED = b"refused"
 REACHED = b"reached"
 UNKNOWN = b"unknown"
+# Other targets that are tried beside the one in question: some of them may have crashed
+# with it.
+MAX_NEIGHBOURS = 3
 # VMs that are asked one after the other until one can tell.
 MAX_VMS_ASKED = 3
 
@@ -71,23 +74,22 @@
         return await self._compare(known.target)
 
     async def _compare(self, target: Target) -> bytes:
-        """Return whether a target refuses this VM while a neighbour of it does not."""
-        neighbour = self._choose_neighbour(target)
-        if neighbour is None:
-            result = await self.check_link(target.address)
-            is_linked = True
-        else:
-            result, control = await asyncio.gather(
-                self.check_link(target.address), self.check_link(neighbour.address)
-            )
-            is_linked = control is CheckResult.ACCEPTED
+        """Return whether a target refuses this VM while a neighbour of it does not.
+
+        Nothing is known if all neighbours refuse it as well, or the target is silent.
+        """
+        neighbours = self._choose_neighbours(target)
+        result, *controls = await asyncio.gather(
+            *(self.check_link(each.address) for each in [target, *neighbours])
+        )
+        is_linked = not neighbours or CheckResult.ACCEPTED in controls
         if result is CheckResult.ACCEPTED:
             return REACHED
         is_refused = result is CheckResult.REFUSED and is_linked
         return REFUSED if is_refused else UNKNOWN
 
-    def _choose_neighbour(self, target: Target) -> Target | None:
-        """Return another target, of the same data centre if there is one."""
+    def _choose_neighbours(self, target: Target) -> list[Target]:
+        """Return a few other targets, of the same data centre if there are any."""
         others = [
             known.target
             for known in self._cluster_view.known.values()
@@ -95,7 +97,7 @@
         ]
         near = [other for other in others if other.data_centre == target.data_centre]
         choices = near or others
-        return self._rng.choice(choices) if choices else None
+        return self._rng.sample(choices, min(MAX_NEIGHBOURS, len(choices)))
 
 
 def _encode(target: Target) -> bytes:
--- a/packages/policy/src/berylstage_policy/link_health.py
+++ b/packages/policy/src/berylstage_policy/link_health.py
@@ -13,9 +13,11 @@
 from enum import Enum
 from math import inf
 
-# Targets that must have failed without any sign of life of any target before the VM
-# counts as cut off from all of them.
+# Targets that must have failed without any sign of life of any target, and the seconds
+# without one, before the VM counts as cut off from all of them. Where several targets
+# crash at once, requests to them fail within milliseconds, between answers of others.
 MIN_FAILED_TARGETS = 3
+CUT_OFF_SECONDS = 0.3
 # Seconds without a sign of life of any target after which a failed link makes the VM
 # look at links that have not failed.
 SUSPICION_SECONDS = 0.2
@@ -68,6 +70,7 @@
         "_alive_at",
         "_failed",
         "_failed_since_alive",
+        "_is_cut_off",
         "_known_targets",
         "_next_check_at",
     )
@@ -77,6 +80,7 @@
         # Targets that have failed since the last sign of life of any target.
         self._failed_since_alive: set[str] = set()
         self._known_targets = MIN_FAILED_TARGETS
+        self._is_cut_off = False
         self._alive_at = -inf
         self._next_check_at = -inf
 
@@ -93,8 +97,7 @@
     @property
     def is_cut_off(self) -> bool:
         """Whether the VM has lost its links to all targets, as far as it can tell."""
-        needed = min(MIN_FAILED_TARGETS, self._known_targets)
-        return bool(needed) and len(self._failed_since_alive) >= needed
+        return self._is_cut_off
 
     @property
     def lost_links(self) -> int:
@@ -126,11 +129,13 @@
         for name in [name for name in self._failed if name not in targets]:
             del self._failed[name]
         self._failed_since_alive &= targets
+        self._is_cut_off &= self._has_enough_failures()
 
     def record_alive(self, target: str, moment: float) -> None:
         """Record an answer of a target, or a connection that it has accepted."""
         self._alive_at = moment
         self._failed_since_alive.clear()
+        self._is_cut_off = False
         if self._failed.pop(target, None) is None:
             return
         # The other links may work again as well.
@@ -151,6 +156,7 @@
             self._failed[target] = _FailedLink(moment)
         else:
             link.failed_at = moment
+        self._judge(moment)
 
     def record_reached_by_other(self, target: str) -> None:
         """Record that another VM has reached a target that this VM does not."""
@@ -183,6 +189,7 @@
         One target at a time is checked, so that neither a cut nor its end makes a VM
         open connections to hundreds of targets at once.
         """
+        self._judge(moment)
         if moment < self._next_check_at:
             return ""
         self._forget_expired(moment)
@@ -197,6 +204,16 @@
         self._next_check_at = moment + gap
         return name
 
+    def _judge(self, moment: float) -> None:
+        """Decide whether the VM is cut off; only a sign of life ends that."""
+        is_silent = moment - self._alive_at >= CUT_OFF_SECONDS
+        if is_silent and self._has_enough_failures():
+            self._is_cut_off = True
+
+    def _has_enough_failures(self) -> bool:
+        needed = min(MIN_FAILED_TARGETS, self._known_targets)
+        return bool(needed) and len(self._failed_since_alive) >= needed
+
     def _forget_expired(self, moment: float) -> None:
         """Forget failures that nobody has confirmed, unless all targets have failed."""
         if self.is_cut_off:
--- a/packages/policy/tests/test_link_health.py
+++ b/packages/policy/tests/test_link_health.py
@@ -4,6 +4,7 @@
 
 import pytest
 from berylstage_policy.link_health import (
+    CUT_OFF_SECONDS,
     DOWN_SECONDS,
     MAX_CHECK_INTERVAL_SECONDS,
     MIN_FAILED_TARGETS,
@@ -74,6 +75,20 @@
             health.record_alive("i-7", 10.5 + n)
         assert not health.is_cut_off
 
+    def test_several_targets_that_crash_at_once(self, health):
+        # Guards against taking a crash of many targets for a cut, between two answers.
+        health.record_alive("i-7", 9.95)
+        cut_off(health)
+        assert not health.is_cut_off
+        health.record_alive("i-7", 10.05)
+        assert not health.is_cut_off
+
+    def test_targets_that_stay_silent_after_the_last_answer(self, health):
+        health.record_alive("i-7", 9.95)
+        cut_off(health)
+        health.take_due_check(9.95 + CUT_OFF_SECONDS)
+        assert health.is_cut_off
+
     def test_same_target_again_is_no_further_evidence(self, health):
         for moment in range(10):
             health.record_failure("i-0", float(moment))
