Termination check: targets of a data centre that crash together

Cause, from the logs: six targets of one data centre crashed together, so that all neighbours refused as well; of 73 questions two were answered with a termination, 71 with "may be alive", some of them every 50 ms. Keys waited until grants had expired.

Change: where all targets of a data centre refuse, those of others are tried, and all VMs that are asked have to see the same. A target is asked about every 0.3 s at most. The new test failed before; the second one shows that a VM which alone has lost a data centre gives no keys on.

--- a/packages/entry/src/berylstage_entry/grant_renewer.py
+++ b/packages/entry/src/berylstage_entry/grant_renewer.py
@@ -29,7 +29,8 @@
 
 # Seconds between two checks whether an owner was assigned new keys.
 CHECK_INTERVAL_SECONDS = 0.05
-# Seconds between two probes of an unresponsive target.
+# Seconds between two probes of an unresponsive target, and between two questions to other
+# VMs about one that refuses connections.
 PROBE_INTERVAL_SECONDS = 0.3
 # Seconds between two probes of a target that is considered terminated but still
 # reports. The record of a target that has really terminated is removed after three
@@ -85,6 +86,7 @@
         # that has lost its links cannot tell alone; None if there is nobody to ask.
         self.confirm_termination: Callable[[Target], Awaitable[bool]] | None = None
         self._confirmations: dict[tuple[str, int], asyncio.Task] = {}
+        self._confirmed_at: dict[tuple[str, int], float] = {}
         # Targets that were granted keys, kept for when their records are removed.
         self._granted_targets: dict[tuple[str, int], Target] = {}
 
@@ -293,12 +295,19 @@
             return
         if self.confirm_termination is None:
             self._record_termination(target)
-        elif target.identity not in self._confirmations:
+        elif self._may_confirm(target.identity):
             identity = target.identity
+            self._confirmed_at[identity] = now()
             task = asyncio.create_task(self._confirm(target, self.confirm_termination))
             self._confirmations[identity] = task
             task.add_done_callback(lambda _: self._confirmations.pop(identity, None))
 
+    def _may_confirm(self, identity: tuple[str, int]) -> bool:
+        """Tell whether other VMs may be asked about a target again."""
+        asked_at = self._confirmed_at.get(identity, float("-inf"))
+        is_asking = identity in self._confirmations
+        return not is_asking and now() - asked_at >= PROBE_INTERVAL_SECONDS
+
     async def _confirm(
         self, target: Target, confirm: Callable[[Target], Awaitable[bool]]
     ) -> None:
--- a/packages/entry/src/berylstage_entry/termination_check.py
+++ b/packages/entry/src/berylstage_entry/termination_check.py
@@ -11,7 +11,7 @@
 from berylstage_entry.link_check import CheckResult, check_link
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable, Callable
+    from collections.abc import AsyncIterator, Awaitable, Callable
     from random import Random
 
     from berylstage_entry.cluster_view import ClusterView
@@ -21,12 +21,14 @@
 # Path at which a VM tells whether a target refuses it.
 REFUSAL_PATH = "/links/refusal"
 REFUSED = b"refused"
+# All of a few targets of the data centre refuse connections, and others do not.
+DATA_CENTRE_REFUSED = b"data-centre-refused"
 REACHED = b"reached"
 UNKNOWN = b"unknown"
-# Other targets that are tried beside the one in question: some of them may have crashed
-# with it.
-MAX_NEIGHBOURS = 3
-# VMs that are asked one after the other until one can tell.
+# Other targets of the same data centre, and of others, that are tried beside the one in
+# question: some of them may have crashed with it.
+MAX_NEIGHBOURS = 2
+# VMs that are asked one after the other.
 MAX_VMS_ASKED = 3
 
 
@@ -50,20 +52,39 @@
         self.check_link: Callable[[str], Awaitable[CheckResult]] = check_link
 
     async def is_terminated(self, target: Target) -> bool:
-        """Return whether this VM and another one agree that a target has terminated."""
+        """Return whether this VM and others agree that a target has terminated.
+
+        One other VM is enough if both reach a neighbour of the target. Where all targets
+        of a data centre refuse connections, they have crashed together, or the VMs have
+        lost their links to that data centre; then all VMs that are asked have to agree.
+        """
         own_view = await self._compare(target)
         if own_view == REACHED:
             return False
-        addresses = self._peers.other_addresses()
-        self._rng.shuffle(addresses)
-        for address in addresses[:MAX_VMS_ASKED]:
-            answer = await self._peers.call(address, REFUSAL_PATH, _encode(target))
-            if answer == REACHED:
+        views = []
+        async for view in self._ask_others(target):
+            if view == REACHED:
                 self.on_reached_by_other(target)
                 return False
-            if answer == REFUSED:
-                return own_view == REFUSED
-        return own_view == REFUSED and not addresses
+            if view == own_view == REFUSED:
+                return True
+            views.append(view)
+        return all(
+            view in (REFUSED, DATA_CENTRE_REFUSED) for view in [own_view, *views]
+        )
+
+    async def _ask_others(self, target: Target) -> AsyncIterator[bytes]:
+        """Yield how some other VMs reach a target."""
+        addresses = self._peers.other_addresses()
+        self._rng.shuffle(addresses)
+        count = 0
+        for address in addresses:
+            view = await self._peers.call(address, REFUSAL_PATH, _encode(target))
+            if view:
+                yield view
+                count += 1
+            if count == MAX_VMS_ASKED:
+                return
 
     async def answer(self, body: bytes) -> bytes:
         """Return how this VM reaches a target that another VM asks about."""
@@ -74,30 +95,32 @@
         return await self._compare(known.target)
 
     async def _compare(self, target: Target) -> bytes:
-        """Return whether a target refuses this VM while a neighbour of it does not.
-
-        Nothing is known if all neighbours refuse it as well, or the target is silent.
-        """
-        neighbours = self._choose_neighbours(target)
-        result, *controls = await asyncio.gather(
-            *(self.check_link(each.address) for each in [target, *neighbours])
+        """Return how this VM reaches a target, compared with a few others."""
+        near, far = self._choose_others(target)
+        results = await asyncio.gather(
+            *(self.check_link(each.address) for each in [target, *near, *far])
         )
-        is_linked = not neighbours or CheckResult.ACCEPTED in controls
-        if result is CheckResult.ACCEPTED:
+        if results[0] is CheckResult.ACCEPTED:
             return REACHED
-        is_refused = result is CheckResult.REFUSED and is_linked
-        return REFUSED if is_refused else UNKNOWN
-
-    def _choose_neighbours(self, target: Target) -> list[Target]:
-        """Return a few other targets, of the same data centre if there are any."""
-        others = [
-            known.target
-            for known in self._cluster_view.known.values()
-            if known.target.address != target.address
-        ]
-        near = [other for other in others if other.data_centre == target.data_centre]
-        choices = near or others
-        return self._rng.sample(choices, min(MAX_NEIGHBOURS, len(choices)))
+        if results[0] is CheckResult.SILENT:
+            return UNKNOWN
+        others = results[1:]
+        if not others or CheckResult.ACCEPTED in others[: len(near)]:
+            return REFUSED
+        return DATA_CENTRE_REFUSED if CheckResult.ACCEPTED in others else UNKNOWN
+
+    def _choose_others(self, target: Target) -> tuple[list[Target], list[Target]]:
+        """Return a few other targets of the same data centre, and of other ones."""
+        near, far = [], []
+        for known in self._cluster_view.known.values():
+            other = known.target
+            if other.address != target.address:
+                is_near = other.data_centre == target.data_centre
+                (near if is_near else far).append(other)
+        return self._draw(near), self._draw(far)
+
+    def _draw(self, targets: list[Target]) -> list[Target]:
+        return self._rng.sample(targets, min(MAX_NEIGHBOURS, len(targets)))
 
 
 def _encode(target: Target) -> bytes:
--- a/packages/entry/tests/test_termination_check.py
+++ b/packages/entry/tests/test_termination_check.py
@@ -11,6 +11,7 @@
 from berylstage_entry.link_check import CheckResult
 from berylstage_entry.protocols import Record
 from berylstage_entry.termination_check import (
+    DATA_CENTRE_REFUSED,
     REACHED,
     REFUSED,
     UNKNOWN,
@@ -84,6 +85,20 @@
     def test_nobody_else_can_tell(self, answer):
         assert not ask((REFUSES, ACCEPTS), [answer])
 
+    def test_all_targets_of_the_data_centre_have_crashed(self):
+        # Guards against keys that wait for grants of targets that are certainly gone.
+        far = {"data_centres": ("dc-1", "dc-2")}
+        views = [DATA_CENTRE_REFUSED, REFUSED, DATA_CENTRE_REFUSED]
+        assert ask((REFUSES, ACCEPTS), views, **far)
+        views[1] = UNKNOWN
+        assert not ask((REFUSES, ACCEPTS), views, **far)
+
+    def test_one_vm_alone_has_lost_a_data_centre(self):
+        # Guards against two holders, because the links to a data centre are reset.
+        far = {"data_centres": ("dc-1", "dc-2")}
+        views = [DATA_CENTRE_REFUSED, DATA_CENTRE_REFUSED, REACHED]
+        assert not ask((REFUSES, ACCEPTS), views, **far)
+
     def test_second_vm_can_tell(self):
         assert ask((REFUSES, ACCEPTS), [UNKNOWN, REFUSED])
 
