--- a/packages/entry/src/berylstage_entry/grant_renewer.py
+++ b/packages/entry/src/berylstage_entry/grant_renewer.py
@@ -29,8 +29,8 @@
 
 # Seconds between two checks whether an owner was assigned new keys.
 CHECK_INTERVAL_SECONDS = 0.05
-# Seconds between two probes of an unresponsive target, and between two questions to other
-# VMs about one that refuses connections.
+# Seconds between two probes of an unresponsive target, and between two questions to
+# other VMs about one that refuses connections.
 PROBE_INTERVAL_SECONDS = 0.3
 # Seconds between two probes of a target that is considered terminated but still
 # reports. The record of a target that has really terminated is removed after three
--- a/packages/entry/src/berylstage_entry/termination_check.py
+++ b/packages/entry/src/berylstage_entry/termination_check.py
@@ -54,9 +54,10 @@
     async def is_terminated(self, target: Target) -> bool:
         """Return whether this VM and others agree that a target has terminated.
 
-        One other VM is enough if both reach a neighbour of the target. Where all targets
-        of a data centre refuse connections, they have crashed together, or the VMs have
-        lost their links to that data centre; then all VMs that are asked have to agree.
+        One other VM is enough if both reach a neighbour of the target. Where all
+        targets of a data centre refuse connections, they have crashed together, or the
+        VMs have lost their links to that data centre; then all VMs that are asked have
+        to agree.
         """
         own_view = await self._compare(target)
         if own_view == REACHED:
@@ -69,16 +70,17 @@
             if view == own_view == REFUSED:
                 return True
             views.append(view)
-        return all(
-            view in (REFUSED, DATA_CENTRE_REFUSED) for view in [own_view, *views]
-        )
+        if not views and self._peers.other_addresses():
+            return False
+        agreeing = (REFUSED, DATA_CENTRE_REFUSED)
+        return all(view in agreeing for view in [own_view, *views])
 
     async def _ask_others(self, target: Target) -> AsyncIterator[bytes]:
         """Yield how some other VMs reach a target."""
         addresses = self._peers.other_addresses()
         self._rng.shuffle(addresses)
         count = 0
-        for address in addresses:
+        for address in addresses[: 2 * MAX_VMS_ASKED]:
             view = await self._peers.call(address, REFUSAL_PATH, _encode(target))
             if view:
                 yield view
