--- a/packages/entry/src/berylstage_entry/termination_check.py
+++ b/packages/entry/src/berylstage_entry/termination_check.py
@@ -113,7 +113,8 @@
 
     def _choose_others(self, target: Target) -> tuple[list[Target], list[Target]]:
         """Return a few other targets of the same data centre, and of other ones."""
-        near, far = [], []
+        near: list[Target] = []
+        far: list[Target] = []
         for known in self._cluster_view.known.values():
             other = known.target
             if other.address != target.address:
