Lost links: requests that a target runs are not given up

Cause, from the VM's log: the event loop had no core for 0.27 s, so that new connections timed out and the VM took itself for cut off; lookups whose answers were overdue were then given up, although their bytes had been acknowledged.

Change: a request is given up if its bytes have stayed unacknowledged for 0.25 s from when that is seen first, or if no target has shown a sign of life for a second since it was sent.

--- a/packages/entry/src/berylstage_entry/target_clients.py
+++ b/packages/entry/src/berylstage_entry/target_clients.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from math import inf
 from typing import TYPE_CHECKING
 
 from berylstage_transfers.call import Call
@@ -53,6 +54,7 @@
         "overdue_at",
         "sent_at",
         "target",
+        "unacknowledged_since",
     )
 
     def __init__(
@@ -69,6 +71,9 @@
         self.is_repeatable = is_repeatable
         self.on_hang = on_hang
         self.is_hanging = False
+        # When bytes without an acknowledgement were seen first; infinite if there are
+        # none.
+        self.unacknowledged_since = inf
         self._client: CallClient | None = None
         self._call: Call | None = None
 
--- a/packages/entry/src/berylstage_entry/target_links.py
+++ b/packages/entry/src/berylstage_entry/target_links.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+from math import inf
 from typing import TYPE_CHECKING
 
 from berylstage_policy.link_health import LinkHealth, Way
@@ -34,6 +35,9 @@
 # Time after which bytes without an acknowledgement show that a link is lost: Linux
 # sends a lost packet again after 0.2 s.
 UNACKNOWLEDGED_SECONDS = 0.25
+# Time without a sign of life of any target after which requests of a VM that is cut off
+# are given up, although their bytes were acknowledged.
+GIVE_UP_SECONDS = 1.0
 # Targets that are checked before this VM takes on grants to all of them.
 SAMPLE_SIZE = 3
 # Time for which no target may have shown a sign of life, with an answer overdue by as
@@ -201,13 +205,13 @@
 
     def _watch_attempts(self, moment: float) -> None:
         for attempt in list(self._attempts):
-            if moment - attempt.sent_at < UNACKNOWLEDGED_SECONDS:
-                continue
-            if attempt.is_unacknowledged():
+            is_lost = _is_unacknowledged_for_long(attempt, moment)
+            if is_lost:
                 self._mark_failed(attempt.target, "sent bytes are not acknowledged")
             elif self._is_suspect(attempt, moment):
                 self._start_check(attempt.target)
-            self._give_up_if_hanging(attempt)
+            if is_lost or self._is_silent(attempt, moment):
+                self._give_up_if_hanging(attempt)
 
     def _is_suspect(self, attempt: Attempt, moment: float) -> bool:
         """Tell whether an answer is overdue while no target at all answers."""
@@ -217,6 +221,15 @@
             and not attempt.has_begun_answer()
         )
 
+    def _is_silent(self, attempt: Attempt, moment: float) -> bool:
+        """Tell whether no target has shown a sign of life since a request was sent.
+
+        A VM without a free core reads answers late, and its connections time out while
+        targets run its requests. So this takes longer than to find another way.
+        """
+        silent_since = max(self.health.alive_at, attempt.sent_at)
+        return self.is_cut_off and moment - silent_since >= GIVE_UP_SECONDS
+
     def _give_up_if_hanging(self, attempt: Attempt) -> None:
         """End a request that hangs at a lost link, or what it holds meanwhile.
 
@@ -259,3 +272,16 @@
             self.record_answer(target)
         else:
             self._mark_failed(target.name, f"check: {result.value}")
+
+
+def _is_unacknowledged_for_long(attempt: Attempt, moment: float) -> bool:
+    """Tell whether a target's machine has left bytes unacknowledged for long.
+
+    The time counts from when they are seen first: a request may have waited for a
+    connection until just before.
+    """
+    if not attempt.is_unacknowledged():
+        attempt.unacknowledged_since = inf
+        return False
+    attempt.unacknowledged_since = min(attempt.unacknowledged_since, moment)
+    return moment - attempt.unacknowledged_since >= UNACKNOWLEDGED_SECONDS
--- a/packages/entry/tests/test_target_links.py
+++ b/packages/entry/tests/test_target_links.py
@@ -2,14 +2,18 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections import Counter
 
+import link_fleet
 import pytest
 from berylstage_entry import relay_server, target_links
 from berylstage_policy.link_health import LinkHealth, Way
+from berylstage_transfers.errors import NotConnected
 from link_fleet import Link, LinkFleet
 from virtual_time import virtual_loop
 
+TIMEOUT = NotConnected("timed out")
 # Seconds from the beginning of a cut until callers must be served.
 CONTACT_SECONDS = 3.0
 
@@ -79,6 +83,21 @@
         # Guards against waiting for a lost answer until the caller gives up.
         assert play(send_over_silent_link) == "answered"
 
+    def test_lookup_that_a_target_runs_is_not_given_up(self, monkeypatch):
+        # Guards against a VM without a free core, whose new connections time out while
+        # targets run its requests: hundreds of lookups were lost that way.
+        monkeypatch.setattr(link_fleet, "SERVICE_SECONDS", 0.8)
+
+        async def scenario(fleet):
+            links = fleet.vms["vm-0"].links
+            task = asyncio.create_task(fleet.vms["vm-0"].send(1, "i-0", False))
+            await asyncio.sleep(0.3)
+            for name in fleet.targets:
+                links.record_failure(fleet.vms["vm-0"].view.known[name].target, TIMEOUT)
+            return await task, len(fleet.runs)
+
+        assert play(scenario) == ("answered", 1)
+
     @pytest.mark.parametrize("state", [Link.SILENT, Link.RESET])
     def test_links_to_some_targets_only(self, state):
         # Guards against one flag for all links: a data centre may be out of reach.
