--- a/packages/entry/src/berylstage_entry/grant_expiry.py
+++ b/packages/entry/src/berylstage_entry/grant_expiry.py
@@ -82,9 +82,9 @@
 
     __slots__ = (
         "_grants",
-        "_refusing_since",
         "is_terminated",
         "probed_at",
+        "refusing_since",
         "unresponsive_since",
     )
 
@@ -94,7 +94,7 @@
         # Time since which it has not answered; 0 if it answers.
         self.unresponsive_since = 0.0
         # Time since which it has refused connections; 0 if it does not.
-        self._refusing_since = 0.0
+        self.refusing_since = 0.0
         # Time of the last probe.
         self.probed_at = float("-inf")
         # Whether its process has certainly terminated, so that it holds no keys.
@@ -151,7 +151,7 @@
     def record_answer(self) -> None:
         """Record an answer."""
         self.unresponsive_since = 0.0
-        self._refusing_since = 0.0
+        self.refusing_since = 0.0
 
     def record_refusal(self, now: float) -> bool:
         """Record that the target's port refused a connection.
@@ -162,10 +162,10 @@
         limit does not count: it accepts connections before it resets them.
         """
         self.record_failure(now)
-        if not self._refusing_since:
-            self._refusing_since = now
+        if not self.refusing_since:
+            self.refusing_since = now
         return (
-            not self.is_terminated and now - self._refusing_since >= MIN_REFUSAL_SECONDS
+            not self.is_terminated and now - self.refusing_since >= MIN_REFUSAL_SECONDS
         )
 
     def record_termination(self, now: float) -> None:
--- a/packages/entry/src/berylstage_entry/grant_renewer.py
+++ b/packages/entry/src/berylstage_entry/grant_renewer.py
@@ -325,10 +325,17 @@
             )
 
     def _record_termination(self, target: Target) -> None:
-        self.get_grants(target.identity).record_termination(now())
+        grants = self.get_grants(target.identity)
         log.info(
-            "target has terminated: connection refused", extra={"target": target.name}
+            "target has terminated: connection refused",
+            extra={
+                "target": target.name,
+                "refused_for": round(now() - grants.refusing_since, 3),
+                "grants_left": round(max(0.0, grants.expires_at - now()), 3),
+                "is_reporting": target.name in self._cluster_view.known,
+            },
         )
+        grants.record_termination(now())
 
     def _stable_ranges(self, target: Target) -> list[KeyRange]:
         """Return the ranges of a target that are not being moved."""
--- a/packages/entry/src/berylstage_entry/key_moves.py
+++ b/packages/entry/src/berylstage_entry/key_moves.py
@@ -175,19 +175,35 @@
         target = known.target if known is not None else None
         if target is None:
             target = self._grant_renewer.get_granted_target(identity)
-        if grants.is_terminated or (
-            grants.unresponsive_since and self._have_grants_expired(r)
-        ):
+        if grants.is_terminated:
+            self._log_proof(r, "terminated")
+            return ""
+        if grants.unresponsive_since and self._have_grants_expired(r):
+            self._log_proof(r, "expired")
             return ""
         if target is not None and await self._grant_renewer.is_responsive(target):
             handover = await self._release(target, grants, r)
             if handover is not None:
                 return handover
         if self._have_grants_expired(r):
+            self._log_proof(r, "expired")
             return ""
         await asyncio.sleep(RETRY_INTERVAL_SECONDS)
         return None
 
+    def _log_proof(self, r: KeyRange, proof: str) -> None:
+        """Log why a previous owner that has not released keys holds none."""
+        log.info(
+            "previous owner holds no keys",
+            extra={
+                "target": r.previous_owner,
+                "first": r.first,
+                "last": r.last,
+                "fence": r.fence,
+                "proof": proof,
+            },
+        )
+
     def _have_grants_expired(self, r: KeyRange) -> bool:
         """Tell whether all grants of moving keys by any VM have expired."""
         grants = self._grant_renewer.get_grants(
@@ -205,6 +221,7 @@
         expired.
         """
         if self._have_grants_expired(r):
+            self._log_proof(r, "moved by another coordinator, expired")
             return ""
         await asyncio.sleep(RETRY_INTERVAL_SECONDS)
         return None
@@ -248,6 +265,7 @@
             # keys. Waiting for its grants to expire would cost 3.3 s for a data
             # centre's targets that restart under other names.
             grants.record_termination(now())
+            self._log_proof(r, "replaced")
             return ""
         return handover if target.incarnation == r.previous_incarnation else ""
 
--- a/packages/entry/src/berylstage_entry/termination_check.py
+++ b/packages/entry/src/berylstage_entry/termination_check.py
@@ -8,6 +8,8 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+from logbook import Logger
+
 from berylstage_entry.link_check import CheckResult, check_link
 
 if TYPE_CHECKING:
@@ -31,6 +33,8 @@
 # VMs that are asked one after the other.
 MAX_VMS_ASKED = 3
 
+log = Logger(__name__)
+
 
 class TerminationCheck:
     """Compares how this VM and others reach a target.
@@ -60,16 +64,30 @@
         to agree.
         """
         own_view = await self._compare(target)
+        views: list[bytes] = []
+        is_terminated = await self._agree(target, own_view, views)
+        log.info(
+            "target refuses connections",
+            extra={
+                "target": target.name,
+                "own_view": own_view.decode(),
+                "other_views": [view.decode() for view in views],
+                "agreed": is_terminated,
+            },
+        )
+        return is_terminated
+
+    async def _agree(self, target: Target, own_view: bytes, views: list[bytes]) -> bool:
+        """Return whether others share this VM's view; append theirs to ``views``."""
         if own_view == REACHED:
             return False
-        views = []
         async for view in self._ask_others(target):
+            views.append(view)
             if view == REACHED:
                 self.on_reached_by_other(target)
                 return False
             if view == own_view == REFUSED:
                 return True
-            views.append(view)
         if not views and self._peers.other_addresses():
             return False
         agreeing = (REFUSED, DATA_CENTRE_REFUSED)
