Grants: a target that closes its port while it works keeps its keys

Two owners ran requests for one key.

Cause: a refused connection was taken for the end of a process. A target that leaves closes its port first and completes the requests that it has, at times for seconds.

Change: before a target counts as terminated, every VM is asked whether it has a connection to it open or a request there that may still run. One that has none also sends it nothing more until its grants have expired, on kept connections neither. One that has some, that cannot be asked, or that has just started keeps the keys where they are until the grants expire.

--- a/packages/entry/src/berylstage_entry/application.py
+++ b/packages/entry/src/berylstage_entry/application.py
@@ -78,6 +78,8 @@
 from berylstage_entry.store_watcher import StoreWatcher
 from berylstage_entry.target_clients import TargetClients
 from berylstage_entry.termination_check import REFUSAL_PATH, TerminationCheck
+from berylstage_entry.work_messages import WORK_QUESTION_TYPE, WORK_REPLY_TYPE
+from berylstage_entry.work_survey import WorkSurvey
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -157,8 +159,13 @@
         self.grant_controller = GrantController(
             store, self.store_watcher, self.cluster_view, self.election, targets
         )
+        self._host, _ = split_host_port(cfg.callers)
+        host = self._host
+        self.work_survey = WorkSurvey(
+            self.target_clients, self.cluster_view, self.membership, host, self.rng
+        )
         self.termination_check = TerminationCheck(
-            self.cluster_view, self.peer_client, self.rng
+            self.cluster_view, self.peer_client, self.rng, self.work_survey.is_idle
         )
         self.grant_controller.grant_renewer.confirm_termination = (
             self.termination_check.is_terminated
@@ -174,8 +181,6 @@
         self.grant_controller.writer.listeners.append(
             self.peer_updates.broadcast_change
         )
-        self._host, _ = split_host_port(cfg.callers)
-        host = self._host
         self.peer_datagrams = PeerDatagrams(self.membership, host, cfg.metrics_port)
         self.load_reporter = LoadReporter(
             self.router,
@@ -236,6 +241,11 @@
         self.peer_datagrams.handlers[CONFIRMATION_REPLY_TYPE] = (
             self.confirmer.receive_reply
         )
+        self.work_survey.send = self.peer_datagrams.send_to
+        self.peer_datagrams.handlers[WORK_QUESTION_TYPE] = (
+            self.work_survey.receive_question
+        )
+        self.peer_datagrams.handlers[WORK_REPLY_TYPE] = self.work_survey.receive_reply
         self.router.authenticator.confirmer = self.confirmer
         self.quota_server = QuotaServer(self.cluster_view, cfg.bounds.quota, self.rng)
         self.quota_client = QuotaClient(
@@ -496,6 +506,7 @@
                 self.server.set_limits(limits)
         if self._seen_members_revision != self.membership.revision:
             self._seen_members_revision = self.membership.revision
+            self.work_survey.update_members()
             names = self.membership.names()
             self.router.cold_targets.vm_names = names
             vms = len(names) + ASSUMED_STARTING_VMS
--- a/packages/entry/src/berylstage_entry/grant_renewer.py
+++ b/packages/entry/src/berylstage_entry/grant_renewer.py
@@ -27,6 +27,8 @@
     from berylstage_entry.store_watcher import StoreWatcher
     from berylstage_entry.targets import Target
 
+    Confirmation = Callable[[Target, float], Awaitable[bool]]
+
 # Seconds between two checks whether an owner was assigned new keys.
 CHECK_INTERVAL_SECONDS = 0.05
 # Seconds between two probes of an unresponsive target, and between two questions to
@@ -82,9 +84,10 @@
         ] = {}
         # Probes of targets that are considered terminated.
         self._probe_tasks: dict[tuple[str, int], asyncio.Task] = {}
-        # Tells whether a target that refuses connections has terminated, which a VM
-        # that has lost its links cannot tell alone; None if there is nobody to ask.
-        self.confirm_termination: Callable[[Target], Awaitable[bool]] | None = None
+        # Tells whether a target that refuses connections has terminated, given the
+        # seconds until its grants have expired. A VM cannot tell alone: it may have
+        # lost its links, or the target may be leaving. None if there is nobody to ask.
+        self.confirm_termination: Confirmation | None = None
         self._confirmations: dict[tuple[str, int], asyncio.Task] = {}
         self._confirmed_at: dict[tuple[str, int], float] = {}
         # Targets that were granted keys, kept for when their records are removed.
@@ -308,15 +311,14 @@
         is_asking = identity in self._confirmations
         return not is_asking and now() - asked_at >= PROBE_INTERVAL_SECONDS
 
-    async def _confirm(
-        self, target: Target, confirm: Callable[[Target], Awaitable[bool]]
-    ) -> None:
+    async def _confirm(self, target: Target, confirm: Confirmation) -> None:
         """Take a target for terminated if others agree.
 
-        A VM whose links are cut sees every target refuse connections. If it moved their
-        keys, the targets would still hold them, and two would serve the same keys.
+        A VM whose links are cut sees every target refuse connections, and a target that
+        leaves refuses all VMs. If its keys were moved, it would still work on them, and
+        two targets would serve the same keys.
         """
-        if await confirm(target):
+        if await confirm(target, self._seconds_until_expiry(target.identity)):
             self._record_termination(target)
         else:
             log.info(
@@ -324,6 +326,13 @@
                 extra={"target": target.name},
             )
 
+    def _seconds_until_expiry(self, identity: tuple[str, int]) -> float:
+        """Return the seconds until all grants of any VM to a target have expired."""
+        expires_at = max(
+            self.get_grants(identity).expires_at, self._election.other_grants_expire_at
+        )
+        return max(0.0, expires_at - now())
+
     def _record_termination(self, target: Target) -> None:
         grants = self.get_grants(target.identity)
         log.info(
@@ -331,7 +340,7 @@
             extra={
                 "target": target.name,
                 "refused_for": round(now() - grants.refusing_since, 3),
-                "grants_left": round(max(0.0, grants.expires_at - now()), 3),
+                "grants_left": round(self._seconds_until_expiry(target.identity), 3),
                 "is_reporting": target.name in self._cluster_view.known,
             },
         )
--- a/packages/entry/src/berylstage_entry/target_clients.py
+++ b/packages/entry/src/berylstage_entry/target_clients.py
@@ -8,12 +8,17 @@
 
 from berylstage_transfers.call import Call
 from berylstage_transfers.client import CallClient
-from berylstage_transfers.errors import AnswerLost
+from berylstage_transfers.errors import AnswerLost, ConnectionClosed
 from berylstage_transfers.idle_limit import IdleLimit
 
+from berylstage_entry.clock import now
+from berylstage_entry.sent_requests import SentRequests
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from berylstage_transfers.call import Answer
+
     from berylstage_entry.protocols import CallerRequest, TargetAnswer, TargetProtocol
     from berylstage_entry.targets import Target
 
@@ -111,9 +116,18 @@
         Maximum number of connections of this VM to the target.
     idle_limit : IdleLimit
         Learned idle limit of the connections to all targets of the service.
+    sent_requests : SentRequests
+        Shared by the clients of all targets.
     """
 
-    __slots__ = ("_client", "_is_retired", "_in_flight", "_protocol", "target")
+    __slots__ = (
+        "_calls",
+        "_client",
+        "_is_retired",
+        "_protocol",
+        "_sent_requests",
+        "target",
+    )
 
     def __init__(
         self,
@@ -121,13 +135,15 @@
         protocol: TargetProtocol,
         connections: int,
         idle_limit: IdleLimit,
+        sent_requests: SentRequests,
     ):
         self.target = target
         self._protocol = protocol
+        self._sent_requests = sent_requests
         self._client = CallClient(
             connections, max_idle=MAX_IDLE_SECONDS, idle_limit=idle_limit
         )
-        self._in_flight = 0
+        self._calls: set[Call] = set()
         self._is_retired = False
 
     async def send(
@@ -165,15 +181,11 @@
             fresh=fresh,
             echo_header=self._protocol.request_id_header,
             allow_unframed=True,
+            may_send=lambda: self._sent_requests.may_send(self.target),
         )
         if attempt is not None:
             attempt.start(self._client, call)
-        self._in_flight += 1
-        try:
-            answer = self._protocol.parse_answer(await self._client.call(call))
-        finally:
-            self._in_flight -= 1
-            self._close_if_done()
+        answer = self._protocol.parse_answer(await self._call(call))
         if not answer.is_from_target and not answer.not_run and not answer.misdirected:
             raise AnswerLost(
                 f"{self.target.name} sent status {answer.status} without the headers "
@@ -181,10 +193,34 @@
             )
         return answer
 
+    async def _call(self, call: Call) -> Answer:
+        """Make a call, and record it if it was sent and ends without an answer."""
+        ends_at = now() + call.timeout
+        is_closed = False
+        is_answered = False
+        self._calls.add(call)
+        try:
+            answer = await self._client.call(call)
+            is_answered = True
+        except ConnectionClosed:
+            is_closed = True
+            raise
+        finally:
+            self._calls.discard(call)
+            if call.sent and not is_answered:
+                self._sent_requests.record_unanswered(self.target, ends_at, is_closed)
+            self._close_if_done()
+        return answer
+
     @property
     def is_busy(self) -> bool:
         """Whether a request is in flight."""
-        return self._in_flight > 0
+        return bool(self._calls)
+
+    def is_connected(self) -> bool:
+        """Tell whether the target runs a request or has a connection open."""
+        is_running = any(call.sent for call in self._calls)
+        return is_running or self._client.has_open_connection()
 
     def retire(self) -> None:
         """Accept no further requests, and close the connections when all have ended.
@@ -205,7 +241,7 @@
         self._client.close()
 
     def _close_if_done(self) -> None:
-        if self._is_retired and not self._in_flight:
+        if self._is_retired and not self._calls:
             # The client is still processing the call that has just ended.
             asyncio.get_running_loop().call_soon(self._client.close)
 
@@ -218,7 +254,14 @@
     protocol : TargetProtocol
     """
 
-    __slots__ = ("_idle_limits", "_retired", "_clients", "_protocol", "vm_count")
+    __slots__ = (
+        "_clients",
+        "_idle_limits",
+        "_protocol",
+        "_retired",
+        "sent_requests",
+        "vm_count",
+    )
 
     def __init__(self, protocol: TargetProtocol):
         self._protocol = protocol
@@ -226,6 +269,7 @@
         self._idle_limits: dict[str, IdleLimit] = {}
         # Clients of removed targets with requests in flight.
         self._retired: list[TargetClient] = []
+        self.sent_requests = SentRequests()
         # Number of VMs that share a target's connections.
         self.vm_count = 10
 
@@ -249,7 +293,11 @@
             self._retire(client)
         idle_limit = self._idle_limits.setdefault(target.service, IdleLimit())
         client = TargetClient(
-            target, self._protocol, self.connection_share(connections), idle_limit
+            target,
+            self._protocol,
+            self.connection_share(connections),
+            idle_limit,
+            self.sent_requests,
         )
         self._clients[target.name] = client
         return client
@@ -265,6 +313,21 @@
         connection_share = int(connections * CONNECTION_SHARE / self.vm_count)
         return max(MIN_CONNECTIONS, connection_share)
 
+    def may_run_requests(self, identity: tuple[str, int]) -> bool:
+        """Tell whether a target may run requests of this VM, or has a connection open.
+
+        Parameters
+        ----------
+        identity : tuple of (str, int)
+            Name and incarnation of the target.
+        """
+        clients = [*self._clients.values(), *self._retired]
+        return self.sent_requests.may_run(identity) or any(
+            client.is_connected()
+            for client in clients
+            if client.target.identity == identity
+        )
+
     def fail_queued(self, name: str, cause: str) -> None:
         """Fail the requests that wait for a connection to a target."""
         client = self._clients.get(name)
--- a/packages/entry/src/berylstage_entry/termination_check.py
+++ b/packages/entry/src/berylstage_entry/termination_check.py
@@ -44,9 +44,18 @@
     cluster_view : ClusterView
     peers : PeerClient
     rng : Random
+    is_idle : callable
+        Tells whether no VM has requests at a target, and has all VMs send it nothing
+        for some seconds if so.
     """
 
-    def __init__(self, cluster_view: ClusterView, peers: PeerClient, rng: Random):
+    def __init__(
+        self,
+        cluster_view: ClusterView,
+        peers: PeerClient,
+        rng: Random,
+        is_idle: Callable[[Target, float], Awaitable[bool]],
+    ):
         self._cluster_view = cluster_view
         self._peers = peers
         self._rng = rng
@@ -54,9 +63,26 @@
         self.on_reached_by_other: Callable[[Target], None] = lambda target: None
         # Checks whether a target's machine accepts connections.
         self.check_link: Callable[[str], Awaitable[CheckResult]] = check_link
+        self._is_idle = is_idle
 
-    async def is_terminated(self, target: Target) -> bool:
-        """Return whether this VM and others agree that a target has terminated.
+    async def is_terminated(self, target: Target, grant_seconds: float) -> bool:
+        """Return whether a target has certainly terminated.
+
+        All VMs are refused by a target that leaves as by one that has terminated, so
+        it must have no requests in addition.
+
+        Parameters
+        ----------
+        target : Target
+        grant_seconds : float
+            Seconds until its grants have expired.
+        """
+        return await self._is_refusing_all(target) and await self._is_idle(
+            target, grant_seconds
+        )
+
+    async def _is_refusing_all(self, target: Target) -> bool:
+        """Return whether this VM and others agree that a target refuses connections.
 
         One other VM is enough if both reach a neighbour of the target. Where all
         targets of a data centre refuse connections, they have crashed together, or the
@@ -65,17 +91,17 @@
         """
         own_view = await self._compare(target)
         views: list[bytes] = []
-        is_terminated = await self._agree(target, own_view, views)
+        is_refusing = await self._agree(target, own_view, views)
         log.info(
             "target refuses connections",
             extra={
                 "target": target.name,
                 "own_view": own_view.decode(),
                 "other_views": [view.decode() for view in views],
-                "agreed": is_terminated,
+                "agreed": is_refusing,
             },
         )
-        return is_terminated
+        return is_refusing
 
     async def _agree(self, target: Target, own_view: bytes, views: list[bytes]) -> bool:
         """Return whether others share this VM's view; append theirs to ``views``."""
--- a/packages/entry/tests/cluster_simulation.py
+++ b/packages/entry/tests/cluster_simulation.py
@@ -83,6 +83,9 @@
             self.view, self.store_watcher, cluster_view, self.election, cluster.protocol
         )
         self.election.import_state = self.grant_controller.import_state
+        self.grant_controller.grant_renewer.confirm_termination = (
+            cluster.confirm_termination
+        )
         self.store_watcher.is_publisher = self.election.is_coordinator
         self.store_watcher.is_standby = lambda: self._stands_by(cluster, name)
         self.store_watcher.start()
@@ -205,10 +208,26 @@
             self._loop.run_until_complete(vm.election.resign())
             self.kill(name)
 
+    async def confirm_termination(self, target, grant_seconds):
+        """Tell what the VMs know together: whether a target has requests."""
+        await asyncio.sleep(0.005)
+        return target.name not in self.protocol.completing | self.protocol.refusing
+
     def stop_process(self, name):
         """End a target's process: it holds no keys, and its port is closed."""
         self.protocol.end_process(name)
 
+    def leave(self, name, seconds):
+        """Have a target close its port, complete its requests, and then end."""
+        if name in self.protocol.down or name in self.protocol.completing:
+            return
+        self.protocol.completing.add(name)
+        self._loop.call_later(seconds, self._end_completing, name)
+
+    def _end_completing(self, name):
+        if name in self.protocol.completing:
+            self.protocol.end_process(name)
+
     def restart_target(self, name):
         """Restart a target under its name, without any state."""
         self.stop_process(name)
@@ -229,6 +248,8 @@
         self.store.late_writes = 0.0
         self.protocol.silent.clear()
         self.protocol.unreachable.clear()
+        for name in list(self.protocol.completing):
+            self.protocol.end_process(name)
         self.protocol.down.clear()
         self.protocol.late.clear()
         self.protocol.release_delay = 0.0
--- a/packages/entry/tests/fakes.py
+++ b/packages/entry/tests/fakes.py
@@ -267,6 +267,8 @@
         self.down: set[str] = set()
         # Number of ended processes of each target.
         self.ended_processes: dict[str, int] = {}
+        # Targets that have closed their ports and complete the requests they have.
+        self.completing: set[str] = set()
         # Targets to which no connection can be made.
         self.unreachable: set[str] = set()
         self.refusing: set[str] = set()
@@ -290,6 +292,7 @@
         """End a target's process, with its grants and the calls in flight to it."""
         self._take(name, 0, LAST_KEY)
         self.fences.pop(name, None)
+        self.completing.discard(name)
         self.down.add(name)
         self.ended_processes[name] = self._process_number(name) + 1
 
@@ -323,7 +326,7 @@
         return self._apply(target.name, order, now())
 
     async def _connect(self, name):
-        if name in self.down:
+        if name in self.down or name in self.completing:
             await asyncio.sleep(0.001)
             raise ConnectionRefused("refused")
         if name in self.refusing:
--- a/packages/entry/tests/test_availability.py
+++ b/packages/entry/tests/test_availability.py
@@ -38,7 +38,28 @@
     return cluster.measure_unavailability(8.0)
 
 
+def target_that_leaves_without_a_word(seconds):
+    # It closes its port and completes its requests; until then it holds its keys.
+    def lost(cluster):
+        cluster.failed_targets.add("a")
+        cluster.leave("a", seconds)
+        return cluster.measure_unavailability(8.0)
+
+    return lost
+
+
+def target_that_leaves_in_a_store_outage(cluster):
+    cluster.store.is_unreachable = True
+    cluster.run(3.0)
+    cluster.failed_targets.add("a")
+    cluster.leave("a", 1.0)
+    during = cluster.measure_unavailability(3.0)
+    cluster.store.is_unreachable = False
+    return during + cluster.measure_unavailability(12.0)
+
+
 def replaced_target(cluster):
+    cluster.stop_process("a")
     cluster.failed_targets.add("a")
     cluster.protocol.ended.add("a")
     return cluster.measure_unavailability(8.0)
@@ -106,6 +127,17 @@
     pytest.param(unresponsive_target, 4.5, id="silent target"),
     pytest.param(unreachable_target, 4.5, id="target that is cut off"),
     pytest.param(crashed_target, 1.7, id="target without a process"),
+    pytest.param(
+        target_that_leaves_without_a_word(1.0), 2.7, id="target that completes for 1 s"
+    ),
+    pytest.param(
+        target_that_leaves_without_a_word(6.0), 4.5, id="target that completes for 6 s"
+    ),
+    pytest.param(
+        target_that_leaves_in_a_store_outage,
+        12.0,
+        id="the same while the store is away",
+    ),
     pytest.param(replaced_target, 1.2, id="target whose address another has"),
     pytest.param(failed_coordinator_and_target, 6.0, id="VM with the duty and target"),
     pytest.param(
@@ -132,7 +164,7 @@
                 record_property("seconds", round(worst, 2))
                 print(f"{measure.__name__}: {worst:.2f} s")
                 assert worst <= bound
-                assert not cluster.protocol.stale_grants
+                assert not cluster.violations()
             finally:
                 for name in VMS:
                     cluster.kill(name)
--- a/packages/entry/tests/test_coordinator_election.py
+++ b/packages/entry/tests/test_coordinator_election.py
@@ -115,7 +115,7 @@
     def refuse(self, cluster, confirms):
         """Have a target that owns keys refuse connections; return the violations."""
 
-        async def confirm(target):
+        async def confirm(target, grant_seconds):
             return confirms
 
         for vm in cluster.vms.values():
--- a/packages/entry/tests/test_ownership_machine.py
+++ b/packages/entry/tests/test_ownership_machine.py
@@ -104,6 +104,11 @@
         self.cluster.remove_record(name)
         self.advance(seconds_to_run)
 
+    @rule(name=targets, work=st.sampled_from([0.3, 1.5, 6.0]), seconds_to_run=seconds)
+    def target_closes_its_port_and_completes(self, name, work, seconds_to_run):
+        self.cluster.leave(name, work)
+        self.advance(seconds_to_run)
+
     @rule(name=targets, seconds_to_run=seconds)
     def process_of_a_target_ends(self, name, seconds_to_run):
         self.cluster.stop_process(name)
--- a/packages/entry/tests/test_termination_check.py
+++ b/packages/entry/tests/test_termination_check.py
@@ -39,13 +39,17 @@
         return self._answers[address]
 
 
-def make_check(results, answers=(), data_centres=("dc-1", "dc-1")):
+def make_check(results, answers=(), data_centres=("dc-1", "dc-1"), idle=True):
     """Return the check of a VM with links to the targets a and b."""
     view = ClusterView()
     for name, data_centre in zip("ab", data_centres, strict=True):
         record = Record(target=target(name, data_centre=data_centre))
         view.apply(record, now(), False)
-    check = TerminationCheck(view, Peers(answers), Random(1))
+
+    async def is_idle(target, seconds):
+        return idle
+
+    check = TerminationCheck(view, Peers(answers), Random(1), is_idle)
     by_address = dict(zip([target(n).address for n in "ab"], results, strict=True))
 
     async def check_link(address):
@@ -57,13 +61,17 @@
 
 def ask(results, answers=(), **changes):
     check = make_check(results, answers, **changes)
-    return asyncio.run(check.is_terminated(target("a")))
+    return asyncio.run(check.is_terminated(target("a"), 3.0))
 
 
 class TestIsTerminated:
     def test_this_vm_and_another_one_are_refused(self):
         assert ask((REFUSES, ACCEPTS), [REFUSED])
 
+    def test_target_that_may_still_run_requests(self):
+        # Guards against giving on the keys of a target that leaves.
+        assert not ask((REFUSES, ACCEPTS), [REFUSED], idle=False)
+
     @pytest.mark.parametrize("control", [REFUSES, HANGS])
     def test_vm_that_no_target_accepts(self, control):
         # Guards against a VM whose links are reset, which takes all targets for gone.
@@ -78,7 +86,7 @@
         # Guards against a coordinator that keeps renewing over lost links.
         check, lost = make_check((REFUSES, control), [UNKNOWN, REACHED]), []
         check.on_reached_by_other = lambda target: lost.append(target.name)
-        assert not asyncio.run(check.is_terminated(target("a")))
+        assert not asyncio.run(check.is_terminated(target("a"), 3.0))
         assert lost == ["a"]
 
     @pytest.mark.parametrize("answer", [UNKNOWN, None])
--- a/packages/transfers/src/berylstage_transfers/call.py
+++ b/packages/transfers/src/berylstage_transfers/call.py
@@ -3,9 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+from typing import TYPE_CHECKING
 
 from berylstage_transfers.errors import NeverSent
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 # Lowest status of a final answer; lower ones are interim.
 MIN_FINAL_STATUS = 200
 # Statuses whose answers have no body and therefore need no framing.
@@ -35,6 +39,9 @@
         Lower-case name of the answer's header with the value ``echo``.
     allow_unframed : bool
         Whether an answer without a length may end by closing its connection.
+    may_send : callable, optional
+        Asked right before the first byte is sent; the call fails unless it returns
+        true.
 
     Attributes
     ----------
@@ -72,6 +79,7 @@
         "fut",
         "headers",
         "header_lines",
+        "may_send",
         "method",
         "opened_connection",
         "read_deadline",
@@ -96,6 +104,7 @@
         fresh: bool = False,
         echo_header: bytes = b"request-id",
         allow_unframed: bool = False,
+        may_send: Callable[[], bool] | None = None,
     ):
         self.method = method
         self.url = url
@@ -105,6 +114,7 @@
         self.echo = echo.encode()
         self.fresh = fresh
         self.echo_header = echo_header
+        self.may_send = may_send
         self.allow_unframed = allow_unframed
         self.deadline = 0.0
         # Monotonic times: ``connect_deadline`` for establishing the connection, and
--- a/packages/transfers/src/berylstage_transfers/client.py
+++ b/packages/transfers/src/berylstage_transfers/client.py
@@ -19,6 +19,7 @@
 from berylstage_transfers.connection_age import ConnectionAgeLimit
 from berylstage_transfers.errors import (
     AnswerLost,
+    ConnectionClosed,
     ConnectionRefused,
     NeverSent,
     NotConnected,
@@ -64,8 +65,14 @@
 _INT = struct.Struct("i")
 # libcurl's errors if a server resets or closes the connection without an answer.
 _RESET_ERRORS = (pycurl.E_GOT_NOTHING, pycurl.E_SEND_ERROR, pycurl.E_RECV_ERROR)
+# The same, and those of a connection closed within an answer, or refused when libcurl
+# tried to send a call again whose connection had closed.
+_CLOSED_ERRORS = (*_RESET_ERRORS, pycurl.E_PARTIAL_FILE, pycurl.E_COULDNT_CONNECT)
+# Errors by which the kernel gives up a connection without a word from the server.
+_SILENCE_ERRNOS = frozenset({errno.ETIMEDOUT, errno.EHOSTUNREACH, errno.ENETUNREACH})
 # Poll events of a kept connection that was closed or has unexpected data to read.
-_UNUSABLE_EVENTS = select.POLLIN | select.POLLRDHUP | select.POLLERR | select.POLLHUP
+_CLOSED_EVENTS = select.POLLRDHUP | select.POLLERR | select.POLLHUP
+_UNUSABLE_EVENTS = select.POLLIN | _CLOSED_EVENTS
 
 
 class CallClient(CurlAsyncHTTPClient):
@@ -250,6 +257,13 @@
                 return handle.unacknowledged_bytes() > 0
         return False
 
+    def has_open_connection(self) -> bool:
+        """Tell whether the server has not closed all connections of this client.
+
+        A connection over a lost link counts as open.
+        """
+        return any(_is_open(fd, port) for port, fd in list(self._fds_by_port.items()))
+
     def _expire_queued(self, call: Call) -> None:
         if not call.started:
             _fail(call, "no connection became available in time")
@@ -358,8 +372,12 @@
             self._requeue_on_new_connection(call)
         elif curl_error is not None:
             self._record_lost_answer(call)
-            refused = curl.getinfo(pycurl.OS_ERRNO) == errno.ECONNREFUSED
-            _fail(call, curl_message or f"curl error {curl_error}", refused)
+            _fail(
+                call,
+                curl_message or f"curl error {curl_error}",
+                curl.getinfo(pycurl.OS_ERRNO) == errno.ECONNREFUSED,
+                handle.was_closed(curl_error),
+            )
         elif not call.is_framed():
             _fail(call, "the answer has neither a length nor chunks")
         elif call.fut is not None and not call.fut.done():
@@ -498,6 +516,8 @@
         elif not self._is_usable(local_port) or self._is_idle_too_long(local_port):
             self.call.stale = True
             return pycurl.PREREQFUNC_ABORT
+        if self.call.may_send is not None and not self.call.may_send():
+            return pycurl.PREREQFUNC_ABORT
         self.call.sent = True
         return pycurl.PREREQFUNC_OK
 
@@ -529,6 +549,13 @@
         self._poll.unregister(fd)
         return bool(ready)
 
+    def was_closed(self, curl_error: int) -> bool:
+        """Tell whether the server's machine closed the connection of a failed call."""
+        if self.saw_reset:
+            return True
+        os_errno = self.curl.getinfo(pycurl.OS_ERRNO)
+        return curl_error in _CLOSED_ERRORS and os_errno not in _SILENCE_ERRNOS
+
     def unacknowledged_bytes(self) -> int:
         """Return the bytes sent that the server's machine has not acknowledged."""
         fd = self._fds_by_port.get(self.port, -1)
@@ -567,6 +594,29 @@
         return None
 
 
+def _is_open(fd: int, local_port: int) -> bool:
+    """Tell whether a descriptor is still a connection that the server has not closed.
+
+    libcurl closes connections by itself, and another socket may have the descriptor.
+    """
+    try:
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM, fileno=fd)
+    except OSError:
+        return False
+    try:
+        if sock.getsockname()[1] != local_port:
+            return False
+        sock.getpeername()
+    except (OSError, IndexError):
+        # Another kind of socket, or one without a connection.
+        return False
+    finally:
+        sock.detach()
+    poll = select.poll()
+    poll.register(fd, _CLOSED_EVENTS)
+    return not poll.poll(0)
+
+
 def _timeout_message(call: Call, now: float) -> str:
     """Describe how far a call got before its timeout."""
     what = "Operation" if call.sent else "Connection"
@@ -577,7 +627,7 @@
     )
 
 
-def _fail(call: Call, cause: str, refused: bool = False) -> None:
+def _fail(call: Call, cause: str, refused: bool = False, closed: bool = False) -> None:
     """Fail a call with the error that says whether it was sent."""
     if call.fut is None or call.fut.done():
         return
@@ -588,7 +638,8 @@
         remedy = "check whether it took effect before sending it again"
         if call.method == "GET":
             remedy = "send it again"
-        exc: Exception = AnswerLost(
+        lost = ConnectionClosed if closed else AnswerLost
+        exc: Exception = lost(
             f"{subject}: sent, but no complete answer arrived ({cause}); {remedy}"
         )
     elif refused:
--- a/packages/transfers/src/berylstage_transfers/errors.py
+++ b/packages/transfers/src/berylstage_transfers/errors.py
@@ -21,3 +21,7 @@
 
 class AnswerLost(CallFailed):
     """The call was sent without a complete answer, so it may have taken effect."""
+
+
+class ConnectionClosed(AnswerLost):
+    """The server's machine closed or reset the connection before a complete answer."""
--- a/packages/transfers/tests/test_client.py
+++ b/packages/transfers/tests/test_client.py
@@ -14,6 +14,7 @@
 from berylstage_transfers.errors import (
     AnswerLost,
     CallFailed,
+    ConnectionClosed,
     ConnectionRefused,
     NeverSent,
 )
@@ -590,6 +591,86 @@
         run(scenario)
 
 
+class TestClosedConnections:
+    """Whether the server has closed the connections of a client."""
+
+    @pytest.mark.parametrize("is_warm", [False, True])
+    @pytest.mark.parametrize("answer", [CLOSE, OK[:-2] + CLOSE])
+    def test_closed_without_a_complete_answer(self, open_server, is_warm, answer):
+        async def scenario():
+            answers = [OK] if is_warm else []
+            async with open_server(*answers, answer) as script:
+                client = CallClient(1)
+                if is_warm:
+                    await client.call(make_call(script))
+                with pytest.raises(ConnectionClosed):
+                    await client.call(make_call(script))
+                client.close()
+
+        run(scenario)
+
+    def test_timeout_is_no_close(self, open_server):
+        async def scenario():
+            async with open_server(None) as script:
+                client = CallClient(1)
+                with pytest.raises(AnswerLost) as caught:
+                    await client.call(make_call(script, timeout=0.2))
+                assert not isinstance(caught.value, ConnectionClosed)
+                client.close()
+
+        run(scenario)
+
+    def test_idle_connection_is_open_until_the_server_closes_it(self, open_server):
+        async def scenario():
+            async with open_server(OK, OK + CLOSE) as script:
+                client = CallClient(1)
+                assert not client.has_open_connection()
+                await client.call(make_call(script))
+                assert client.has_open_connection()
+                await client.call(make_call(script))
+                while not script.ended:
+                    await asyncio.sleep(0.001)
+                assert not client.has_open_connection()
+                client.close()
+
+        run(scenario)
+
+    def test_descriptor_that_another_socket_has(self, open_server):
+        # Guards against taking another connection for one to this server.
+        async def scenario():
+            async with open_server(OK) as script:
+                client = CallClient(1)
+                await client.call(make_call(script))
+                client._fds_by_port[1] = next(iter(client._fds_by_port.values()))
+                for port in [p for p in client._fds_by_port if p != 1]:
+                    del client._fds_by_port[port]
+                assert not client.has_open_connection()
+                with open("/dev/null") as other:
+                    client._fds_by_port = {2: other.fileno()}
+                    assert not client.has_open_connection()
+                client.close()
+
+        run(scenario)
+
+
+class TestMaySend:
+    def test_call_that_may_no_longer_be_sent(self, open_server):
+        # Guards against a call that waits for a connection while the reason for it
+        # ends.
+        async def scenario():
+            async with open_server(OK) as script:
+                client = CallClient(1)
+                call = make_call(script)
+                call.may_send = lambda: False
+                with pytest.raises(NeverSent):
+                    await client.call(call)
+                assert not call.sent
+                assert not script.requests
+                client.close()
+
+        run(scenario)
+
+
 class TestIdleLimit:
     def test_a_server_that_drops_idle_connections_loses_one_call(self):
         # A server drops connections that were idle for a third of a second and resets
--- a/tests/soak/installation.py
+++ b/tests/soak/installation.py
@@ -149,8 +149,10 @@
                 Random(rng.random()) for _ in range(KEYED_TARGETS + KEYLESS_TARGETS)
             )
         ]
-        http = HTTPServer(_with_store_faults(store_application(self.store), self.store))
-        http.listen(STORE_PORT, f"{network}.1")
+        self._store_http = HTTPServer(
+            _with_store_faults(store_application(self.store), self.store)
+        )
+        self._store_http.listen(STORE_PORT, f"{network}.1")
         self.store.put("op/config", json.dumps(make_configuration()).encode())
         for target in self.targets:
             if has_target_links:
@@ -221,13 +223,17 @@
                 self.write_record(target)
 
     def stop(self) -> None:
-        """Stop the record writer, kill the VMs and close the callers' connections."""
+        """Kill the VMs, close the callers' connections and stop all servers."""
         self._record_task.cancel()
         for vm in self.vms:
             vm.process.kill()
             vm.process.wait()
             for caller in vm.idle_callers:
                 caller.close()
+        self._store_http.stop()
+        for target in self.targets:
+            if target.http is not None:
+                target.http.stop()
 
 
 def _with_store_faults(
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -52,16 +52,32 @@
 
 
 class GrantPeriod:
-    """Range of keys granted to one incarnation of a target for a period."""
+    """Range of keys granted to one incarnation of a target for a period.
 
-    __slots__ = ("end", "first", "last", "start", "target")
+    The period ends when the keys are released, at ``expires_at`` otherwise.
+    """
+
+    __slots__ = ("end", "expires_at", "first", "last", "start", "target")
 
     def __init__(self, target: str, first: int, last: int, start: float, end: float):
         self.target = target
         self.first = first
         self.last = last
         self.start = start
-        self.end = end
+        self.end = self.expires_at = end
+
+
+class KeyRun:
+    """A run of a request for a key at one incarnation of a target."""
+
+    __slots__ = ("incarnation", "key", "request_id", "span", "target")
+
+    def __init__(self, target: SoakTarget, request_id: str, key: int):
+        self.target = target.name
+        self.incarnation = target.incarnation
+        self.request_id = request_id
+        self.key = key
+        self.span = Span(time.monotonic(), math.inf)
 
 
 class Ledger:
@@ -81,10 +97,32 @@
         self._other_faults: list[Span] = []
         self._current_grants: dict[tuple[str, int], list[GrantPeriod]] = {}
         self._past_grants: list[GrantPeriod] = []
+        self._key_runs: list[KeyRun] = []
 
     def record_run(self, target: SoakTarget, request_id: str, key: str | None) -> None:
         """Record that a target started to run a request."""
         self.runs.setdefault(request_id, []).append(target.name)
+        if key is not None:
+            self._key_runs.append(KeyRun(target, request_id, int(key)))
+
+    def record_run_end(self, target: SoakTarget, request_id: str) -> None:
+        """Record that a target has run a request to its end."""
+        for run in self._open_runs(target):
+            if run.request_id == request_id:
+                run.span.end = time.monotonic()
+
+    def running_keys(self, target: SoakTarget) -> list[int]:
+        """Return the keys of the requests that a target runs."""
+        return [run.key for run in self._open_runs(target)]
+
+    def _open_runs(self, target: SoakTarget) -> list[KeyRun]:
+        """Return the runs in progress of a target's current incarnation."""
+        identity = target.name, target.incarnation
+        return [
+            run
+            for run in self._key_runs
+            if run.span.end == math.inf and (run.target, run.incarnation) == identity
+        ]
 
     def record_request(self, request_id: str, size: int, vm: str = "") -> None:
         """Record that a caller requests an answer of at least ``size`` bytes."""
@@ -128,6 +166,8 @@
     def record_target_end(self, target: SoakTarget) -> None:
         """Record the end of a target's incarnation."""
         self._end_grants(target, time.monotonic())
+        for run in self._open_runs(target):
+            run.span.end = time.monotonic()
         self.notices.record_target_end(target.name)
 
     def _end_grants(self, target: SoakTarget, now: float) -> None:
@@ -142,6 +182,7 @@
             *self._find_refused_runs(),
             *self._find_wrong_answers(),
             *self._find_overlapping_grants(),
+            *self._find_grants_of_keys_in_use(),
             *self._find_lost_requests(),
             *self._find_failed_stops(),
             *self.notices.find_violations(),
@@ -254,3 +295,39 @@
             ]
             current.append(grant)
         return violations
+
+    def _find_grants_of_keys_in_use(self) -> list[str]:
+        """Return grants of keys that another target still works on.
+
+        Work may go on until the grant expires under which it was begun; a release is
+        not complete before it ends.
+        """
+        grants = [
+            *self._past_grants,
+            *(h for hs in self._current_grants.values() for h in hs),
+        ]
+        return [
+            f"{run.request_id} for key {run.key} ran at {run.target} until "
+            f"{run.span.end:.2f}, {other.target} was granted the key at "
+            f"{other.start:.2f}"
+            for run in self._key_runs
+            for other in grants
+            if other.target != run.target
+            and other.first <= run.key <= other.last
+            and run.span.start < other.start
+            and other.start + GRANT_OVERLAP_SLACK_SECONDS
+            < min(run.span.end, self._held_until(run, grants))
+        ]
+
+    def _held_until(self, run: KeyRun, grants: list[GrantPeriod]) -> float:
+        """Return when the last grant of a run's key to its target would expire."""
+        return max(
+            (
+                grant.expires_at
+                for grant in grants
+                if grant.target == run.target
+                and grant.first <= run.key <= grant.last
+                and grant.start <= run.span.end
+            ),
+            default=-math.inf,
+        )
--- a/tests/soak/targets.py
+++ b/tests/soak/targets.py
@@ -26,8 +26,29 @@
 MISDIRECTED = 421
 
 
+class SoakServer(HTTPServer):
+    """HTTP server that knows its connections, and which of them carry requests."""
+
+    def initialize(self, *args, **kwargs):
+        super().initialize(*args, **kwargs)
+        self.streams = set()
+        # Those with a request in progress.
+        self.busy_streams = set()
+
+    def handle_stream(self, stream, address):
+        """Serve a connection."""
+        self.streams = {known for known in self.streams if not known.closed()}
+        self.streams.add(stream)
+        super().handle_stream(stream, address)
+
+    def close_idle(self):
+        """Close all connections that carry no request."""
+        for stream in self.streams - self.busy_streams:
+            stream.close()
+
+
 class SoakTarget(Server):
-    """A target that can crash, become unresponsive, lose answers and drain.
+    """A target that can crash, become unresponsive, lose answers, drain and leave.
 
     Parameters
     ----------
@@ -47,6 +68,8 @@
         self.incarnation = 1
         self.is_unresponsive = False
         self.lost_answer_share = 0.0
+        # Least time that a request takes.
+        self.min_service_seconds = 0.0
         self.is_draining = False
         # Requests per second that it accepts from all VMs together; None for no limit.
         self.limit: float | None = None
@@ -56,28 +79,29 @@
         self.is_leaving = False
         self.in_progress = 0
         self.slots = asyncio.Semaphore(SLOTS)
-        self._http: HTTPServer | None = None
+        self.http: SoakServer | None = None
         # Links from the VMs, by their numbers, where each VM has links of its own.
         self.links: list[TargetLink] = []
 
     @property
     def is_running(self) -> bool:
         """Whether the target accepts connections."""
-        return self._http is not None
+        return self.http is not None and not self.is_closing
 
     def start(self) -> None:
         """Start an incarnation without grants and without known fence tokens."""
         self.holds, self.seen, self.in_progress = [], [], 0
         self.limit, self.rest_seconds, self.is_leaving = None, 0.0, False
+        self.is_closing = False
         self.slots = asyncio.Semaphore(SLOTS)
-        self._http = HTTPServer(_application(self))
-        self._http.listen(PORT, self.ip)
+        self.http = SoakServer(_application(self))
+        self.http.listen(PORT, self.ip)
         for link in self.links:
             link.open()
 
     async def crash(self) -> None:
         """End the incarnation without draining or updating the record."""
-        http, self._http = self._http, None
+        http, self.http = self.http, None
         if http is not None:
             for link in self.links:
                 link.close()
@@ -86,6 +110,24 @@
             self.incarnation += 1
             await http.close_all_connections()
 
+    async def leave(self) -> None:
+        """Close the port and idle connections, complete what runs, and then end.
+
+        It takes no new request on the connections that it completes.
+        """
+        assert self.http is not None
+        self.is_closing = True
+        self.http.stop()
+        self.http.close_idle()
+        while self.in_progress:
+            await asyncio.sleep(0.01)
+        await self.crash()
+
+    async def wait_for_work(self, first: int, last: int) -> None:
+        """Wait until no request for some keys, both inclusive, is in progress."""
+        while any(first <= key <= last for key in self.ledger.running_keys(self)):
+            await asyncio.sleep(0.01)
+
     def record(self) -> bytes:
         """Return the target's record for the store."""
         state = "draining" if self.is_draining else "ready"
@@ -124,6 +166,11 @@
             self.request.connection.stream.close()
             raise Finish
 
+    def on_finish(self):
+        """Close the connection of a target that leaves."""
+        if self.server.is_closing:
+            self.request.connection.stream.close()
+
 
 class SoakGrant(IncarnationHandler, Grant):
     """Handles a grant and records it."""
@@ -140,10 +187,12 @@
 
 
 class SoakRelease(IncarnationHandler, Release):
-    """Handles a release and records it."""
+    """Handles a release and records it once requests for the keys have ended."""
 
-    def post(self):
+    async def post(self):
         super().post()
+        doc = json.loads(self.request.body)
+        await self.server.wait_for_work(doc["from"], doc["target"])
         self.server.ledger.record_grants(self.server)
 
 
@@ -176,7 +225,12 @@
         if server.in_progress >= SLOTS + QUEUE_LIMIT:
             self._refuse(503)
             return
+        if server.is_closing:
+            self._refuse(503)
+            return
+        http, stream = server.http, self.request.connection.stream
         server.in_progress += 1
+        http.busy_streams.add(stream)
         try:
             async with server.slots:
                 self.abort_if_replaced()
@@ -184,6 +238,7 @@
         finally:
             # A new incarnation starts its own count.
             server.in_progress -= self.incarnation == server.incarnation
+            http.busy_streams.discard(stream)
 
     def _add_notices(self):
         """Add to an answer what the target says of itself."""
@@ -206,7 +261,9 @@
             self._refuse(MISDIRECTED)
             return
         server.ledger.record_run(server, request_id, key)
-        await asyncio.sleep(server.rng.expovariate(1 / MEAN_SERVICE_SECONDS))
+        seconds = server.rng.expovariate(1 / MEAN_SERVICE_SECONDS)
+        await asyncio.sleep(max(seconds, server.min_service_seconds))
+        server.ledger.record_run_end(server, request_id)
         if server.rng.random() < server.lost_answer_share:
             self.request.connection.stream.close()
             return
--- /dev/null
+++ b/tests/test_leaving_owners.py
@@ -0,0 +1,117 @@
+"""Tests with real processes of owners of keys that leave or crash."""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+import time
+from pathlib import Path
+from random import Random
+
+import pytest
+
+sys.path.insert(0, str(Path(__file__).parent))
+
+from soak.callers import Request
+from soak.installation import Installation
+
+VMS = 3
+# The owner's requests take most of their route's timeout of 1.2 s.
+SERVICE_SECONDS = 1.0
+# Seconds within which the keys of an owner that has crashed have another one.
+MAX_SECONDS_AFTER_CRASH = 1.7
+# Longest grant, with what may pass until it is known to have expired, and a move.
+MAX_SECONDS_AFTER_LEAVING = 5.0
+
+
+def owners(installation, key):
+    """Return the running targets that hold a key."""
+    return [
+        target
+        for target in installation.targets
+        if target.is_running and target.holds_key(key)
+    ]
+
+
+async def wait_for_owner(installation, key):
+    """Return the target that holds a key, once all targets of the service hold some."""
+    keyed = [t for t in installation.targets if t.service == "s"]
+    while not owners(installation, key) or not all(t.holds for t in keyed):
+        await asyncio.sleep(0.05)
+    # The first moves for balance are over by then.
+    await asyncio.sleep(2.0)
+    return owners(installation, key)[0]
+
+
+async def send_lookup(installation, vm_number, request_id, key):
+    """Send a lookup to a VM."""
+    request = Request(request_id, key)
+    await installation.send_requests(installation.vms[vm_number], [request], 0.0)
+
+
+async def lose_owner(folder, vms, lose, busy_vms):
+    """Lose the owner of a key that VMs have requests for.
+
+    Returns
+    -------
+    tuple of (list of str, float)
+        Violations, and the seconds until the key had another owner.
+    """
+    installation = Installation(folder, Random(1), vms)
+    key = 1000
+    try:
+        for vm in installation.vms:
+            await installation.wait_until_ready(vm)
+        owner = await wait_for_owner(installation, key)
+        owner.min_service_seconds = SERVICE_SECONDS
+        lookups = [
+            asyncio.create_task(send_lookup(installation, n, f"lookup-{n}", key))
+            for n in busy_vms
+        ]
+        while len(installation.ledger.running_keys(owner)) < len(busy_vms):
+            await asyncio.sleep(0.01)
+        began = time.monotonic()
+        ending = asyncio.create_task(lose(owner))
+        while not owners(installation, key):
+            await asyncio.sleep(0.01)
+        seconds = time.monotonic() - began
+        await asyncio.gather(ending, *lookups)
+        return installation.ledger.find_violations(), seconds
+    finally:
+        installation.stop()
+
+
+def play(folder, lose, busy_vms, vms=VMS):
+    return asyncio.run(
+        asyncio.wait_for(lose_owner(folder, vms, lose, busy_vms), timeout=60.0)
+    )
+
+
+async def crash(owner):
+    # The requests that it runs are lost with it.
+    moment = time.monotonic()
+    owner.ledger.record_unplanned_fault(moment, moment)
+    await owner.crash()
+
+
+async def leave(owner):
+    await owner.leave()
+
+
+@pytest.mark.failures
+@pytest.mark.failures_ci
+class TestLostOwners:
+    @pytest.mark.parametrize("busy_vms", [(0,), (0, 1), (2,)])
+    def test_leaving_owner_keeps_keys_that_it_works_on(self, tmp_path, busy_vms):
+        # Guards against giving keys on because their owner has closed its port, while
+        # requests for them go on over the connections that it has.
+        violations, seconds = play(tmp_path, leave, busy_vms)
+        assert violations == []
+        assert seconds <= MAX_SECONDS_AFTER_LEAVING
+
+    @pytest.mark.parametrize("busy_vms", [(), (0, 1)])
+    def test_keys_of_a_crashed_owner_do_not_wait(self, tmp_path, busy_vms):
+        # Guards against keys that wait for the grants of a process that has ended.
+        violations, seconds = play(tmp_path, crash, busy_vms)
+        assert violations == []
+        assert seconds <= MAX_SECONDS_AFTER_CRASH
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -97,6 +97,35 @@
         ledger.record_grants(FakeTarget("i-2", [(0, 99, 6, expires_in(3.0))]))
         assert ledger.find_violations() == []
 
+    def test_keys_granted_while_another_target_works_on_them(self, ledger):
+        # Guards against taking a target that has closed its port for one that ended.
+        first = FakeTarget("i-1", [(0, 99, 5, expires_in(3.0))])
+        ledger.record_grants(first)
+        ledger.record_run(first, "lookup-1", "7")
+        first.holds = []
+        ledger.record_grants(first)
+        time.sleep(0.01)
+        ledger.record_grants(FakeTarget("i-2", [(0, 99, 6, expires_in(3.0))]))
+        time.sleep(0.05)
+        ledger.record_run_end(first, "lookup-1")
+        (fault,) = ledger.find_violations()
+        assert fault.startswith("lookup-1 for key 7 ran at i-1 until")
+
+    @pytest.mark.parametrize("holds", [0.0, 3.0])
+    def test_keys_granted_after_work_or_hold_has_ended(self, ledger, holds):
+        first = FakeTarget("i-1", [(0, 99, 5, expires_in(holds))])
+        ledger.record_grants(first)
+        ledger.record_run(first, "lookup-1", "7")
+        if holds:
+            ledger.record_run_end(first, "lookup-1")
+        first.holds = []
+        ledger.record_grants(first)
+        time.sleep(0.01)
+        ledger.record_grants(FakeTarget("i-2", [(0, 99, 6, expires_in(3.0))]))
+        time.sleep(0.05)
+        ledger.record_run_end(first, "lookup-1")
+        assert ledger.find_violations() == []
+
     def test_ended_target_holds_nothing(self, ledger):
         first = FakeTarget("i-1", [(0, 99, 5, expires_in(3.0))])
         ledger.record_grants(first)
