Grants: a target that answers while the VMs are asked is not taken for terminated

What callers would see: a target whose port refuses for a moment answers again and is granted its keys anew while the other VMs are asked; with their answers its keys would go to another target, beyond the time for which the VMs send it nothing.

Change: the answer counts only if the target has refused all the while and no grant has been sent since that would run longer. test_target_that_answers_while_others_are_asked failed before (two holders) and passes now.

--- a/packages/entry/src/berylstage_entry/grant_renewer.py
+++ b/packages/entry/src/berylstage_entry/grant_renewer.py
@@ -318,7 +318,17 @@
         leaves refuses all VMs. If its keys were moved, it would still work on them, and
         two targets would serve the same keys.
         """
-        if await confirm(target, self._seconds_until_expiry(target.identity)):
+        grants = self.get_grants(target.identity)
+        refusing_since, expires_at = grants.refusing_since, grants.expires_at
+        is_confirmed = await confirm(
+            target, self._seconds_until_expiry(target.identity)
+        )
+        # A target that has answered meanwhile, or may have been granted keys for longer
+        # than the other VMs know, is asked about again.
+        is_unchanged = (
+            grants.refusing_since == refusing_since and grants.expires_at <= expires_at
+        )
+        if is_confirmed and is_unchanged:
             self._record_termination(target)
         else:
             log.info(
--- a/packages/entry/tests/test_coordinator_election.py
+++ b/packages/entry/tests/test_coordinator_election.py
@@ -135,6 +135,19 @@
         # Shows that the test above can fail.
         assert self.refuse(cluster, confirms=True)
 
+    def test_target_that_answers_while_others_are_asked(self, cluster):
+        # Guards against taking a target for terminated that has been renewed meanwhile.
+        async def confirm(target, grant_seconds):
+            cluster.protocol.refusing.clear()
+            await asyncio.sleep(1.5)
+            return True
+
+        for vm in cluster.vms.values():
+            vm.grant_controller.grant_renewer.confirm_termination = confirm
+        cluster.protocol.refusing.add("a")
+        cluster.run(8.0)
+        assert not cluster.violations()
+
 
 class TestIdleVm:
     def test_other_vms_sleep_while_nothing_changes(self, cluster):
