Work survey: VMs in doubt are asked first, and longer after their records have gone

With 195 VMs and many targets that crash at once, one VM that does not answer made the coordinator ask all others again for each target; it is asked alone first now. Tests: test_work_survey.py; found by reading.

--- a/packages/entry/src/berylstage_entry/work_survey.py
+++ b/packages/entry/src/berylstage_entry/work_survey.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import asyncio
+from contextlib import suppress
 from typing import TYPE_CHECKING
 
 from logbook import Logger
@@ -30,6 +31,10 @@
 # A datagram may be lost; a round trip takes some milliseconds.
 ATTEMPTS = 3
 REPLY_TIMEOUT_SECONDS = 0.1
+# Seconds for which a VM is asked after its record has gone, unless requests last
+# longer: VMs whose records have lapsed in an outage of the store go on serving, and
+# write them again within this time.
+DEPARTED_VM_SECONDS = 15.0
 # Question numbers are drawn from the numbers below this one.
 FIRST_NUMBERS = 1 << 31
 
@@ -37,16 +42,35 @@
 
 
 class _Survey:
-    """A question and the VMs whose answers are missing."""
+    """A question and what VMs have answered.
 
-    __slots__ = ("ended", "is_busy", "missing")
+    Parameters
+    ----------
+    hosts : set of str
+        VMs that are asked.
+    """
+
+    __slots__ = ("busy", "ended", "missing")
 
     def __init__(self, hosts: set[str]):
+        # VMs that have not answered, and those that may have requests at the target.
         self.missing = hosts
-        # Whether a VM has said that it may have requests at the target.
-        self.is_busy = False
+        self.busy: set[str] = set()
         self.ended = asyncio.Event()
 
+    @property
+    def doubtful(self) -> set[str]:
+        """VMs that do not rule out that the target runs their requests."""
+        return self.busy or self.missing
+
+    def record_reply(self, host: str, may_run: bool) -> None:
+        """Record a VM's answer."""
+        self.missing.discard(host)
+        if may_run:
+            self.busy.add(host)
+        if self.busy or not self.missing:
+            self.ended.set()
+
 
 class WorkSurvey:
     """Asks all VMs for their requests at a target, and answers the same question.
@@ -77,15 +101,17 @@
         self._surveys: dict[int, _Survey] = {}
         self._started_at = now()
         self._known_hosts: set[str] = set()
-        # When VMs that have stopped were no longer known.
+        # When the records of VMs that are no longer known have gone.
         self._departed_at: dict[str, float] = {}
+        # VMs that did not rule out requests at the target asked about last.
+        self._doubtful: set[str] = set()
         # Sends a datagram to the VM of a host.
         self.send: Callable[[str, bytes], None] = lambda host, data: None
 
     def update_members(self) -> None:
-        """Take note of VMs that have stopped.
+        """Take note of VMs whose records have gone.
 
-        They are no longer known before their last requests have ended.
+        A VM that stops removes its record before its last requests have ended.
         """
         hosts = {member.host for member in self._membership.members()}
         for host in self._known_hosts - hosts:
@@ -109,39 +135,44 @@
             False also if a VM does not answer.
         """
         if not self._withhold_if_idle(target.identity, withhold_seconds):
-            self._log_work(target, "this VM")
+            log.info(
+                "target that refuses connections may run requests of this VM",
+                extra={"target": target.name},
+            )
             return False
-        survey = _Survey(self._hosts())
+        hosts = self._hosts()
+        # VMs that have not answered lately, or had requests, are asked first: where
+        # hundreds of VMs are to be asked about many targets, one of them decides.
+        for group in (hosts & self._doubtful, hosts - self._doubtful):
+            survey = await self._ask(target, group, withhold_seconds)
+            if survey.doubtful:
+                self._doubtful = survey.doubtful
+                self._log_doubt(target, survey)
+                return False
+        self._doubtful = set()
+        return True
+
+    async def _ask(
+        self, target: Target, hosts: set[str], withhold_seconds: float
+    ) -> _Survey:
+        """Ask VMs until all have answered, or one has requests."""
+        survey = _Survey(hosts)
         number = self._next_number
         self._next_number = (number + 1) % (2 * FIRST_NUMBERS)
         self._surveys[number] = survey
-        question = WorkQuestion(number, *target.identity, withhold_seconds)
+        question = WorkQuestion(number, *target.identity, withhold_seconds).encode()
         try:
-            await self._ask(survey, question.encode())
+            for _ in range(ATTEMPTS):
+                if not survey.missing or survey.busy:
+                    break
+                for host in sorted(survey.missing):
+                    self.send(host, question)
+                with suppress(TimeoutError):
+                    async with asyncio.timeout(REPLY_TIMEOUT_SECONDS):
+                        await survey.ended.wait()
         finally:
             del self._surveys[number]
-        if survey.is_busy:
-            self._log_work(target, "another VM")
-        elif survey.missing:
-            log.info(
-                "VMs did not say whether a target runs their requests",
-                extra={"target": target.name, "vms": sorted(survey.missing)},
-            )
-        return not survey.is_busy and not survey.missing
-
-    async def _ask(self, survey: _Survey, question: bytes) -> None:
-        """Ask the VMs until all have answered, or one has requests."""
-        for _ in range(ATTEMPTS):
-            if not survey.missing:
-                return
-            for host in sorted(survey.missing):
-                self.send(host, question)
-            try:
-                async with asyncio.timeout(REPLY_TIMEOUT_SECONDS):
-                    await survey.ended.wait()
-                return
-            except TimeoutError:
-                continue
+        return survey
 
     def receive_question(self, data: bytes, host: str) -> None:
         """Answer the coordinator's question."""
@@ -161,12 +192,8 @@
             log.warning("invalid work reply ignored", extra={"cause": str(exc)})
             return
         survey = self._surveys.get(reply.number)
-        if survey is None:
-            return
-        survey.missing.discard(host)
-        survey.is_busy |= reply.may_run
-        if survey.is_busy or not survey.missing:
-            survey.ended.set()
+        if survey is not None:
+            survey.record_reply(host, reply.may_run)
 
     def _withhold_if_idle(
         self, identity: tuple[str, int], withhold_seconds: float
@@ -181,10 +208,9 @@
 
     def _hosts(self) -> set[str]:
         """Return the other VMs that may have requests at targets."""
-        moment, longest = now(), self._longest_request_seconds()
-        departed = {
-            host for host, at in self._departed_at.items() if moment - at < longest
-        }
+        longest = max(DEPARTED_VM_SECONDS, self._longest_request_seconds())
+        asked_since = now() - longest
+        departed = {host for host, at in self._departed_at.items() if at > asked_since}
         members = {member.host for member in self._membership.members()}
         return (members | departed) - {self._host}
 
@@ -193,8 +219,12 @@
         timeouts = [route.timeout for route in cfg.routes] if cfg is not None else []
         return max(timeouts, default=0.0)
 
-    def _log_work(self, target: Target, whose: str) -> None:
+    def _log_doubt(self, target: Target, survey: _Survey) -> None:
         log.info(
-            "target that refuses connections may still run requests",
-            extra={"target": target.name, "of": whose},
+            "target that refuses connections may run requests of other VMs",
+            extra={
+                "target": target.name,
+                "vms": sorted(survey.doubtful),
+                "cause": "requests" if survey.busy else "no answer",
+            },
         )
--- a/packages/entry/tests/test_work_survey.py
+++ b/packages/entry/tests/test_work_survey.py
@@ -17,7 +17,7 @@
     WorkQuestion,
     WorkReply,
 )
-from berylstage_entry.work_survey import WorkSurvey
+from berylstage_entry.work_survey import DEPARTED_VM_SECONDS, WorkSurvey
 from fakes import configuration, target
 from virtual_time import virtual_loop
 
@@ -55,6 +55,8 @@
         # Hosts that receive nothing, and the number of datagrams lost before others.
         self.silent = set()
         self.lost = 0
+        # Hosts that were asked.
+        self.asked = []
         self.view = ClusterView()
         self.view.apply(Record(configuration=configuration()), now(), False)
         self.surveys = {}
@@ -72,6 +74,8 @@
         self.surveys[host] = survey
 
     def _send(self, sender, host, data):
+        if data[0] == WORK_QUESTION_TYPE:
+            self.asked.append(host)
         if self.lost:
             self.lost -= 1
         elif host not in self.silent:
@@ -86,6 +90,12 @@
     def run(self, seconds):
         self.loop.run_until_complete(asyncio.sleep(seconds))
 
+    def add(self, host):
+        """Have a VM's record be written."""
+        self.membership.hosts.append(host)
+        for survey in self.surveys.values():
+            survey.update_members()
+
     def remove(self, host):
         """Have a VM stop; it is no longer known before its last requests have ended."""
         self.membership.hosts.remove(host)
@@ -154,13 +164,37 @@
         assert not fleet.is_idle()
         fleet.silent.add(HOSTS[1])
         assert not fleet.is_idle()
-        fleet.run(10.0)
+        fleet.run(DEPARTED_VM_SECONDS)
+        assert fleet.is_idle()
+
+    def test_vm_that_returns(self, fleet):
+        # Guards against forgetting a VM whose record lapsed and was written again.
+        fleet.remove(HOSTS[1])
+        fleet.add(HOSTS[1])
+        fleet.run(DEPARTED_VM_SECONDS)
+        fleet.silent.add(HOSTS[1])
+        assert not fleet.is_idle()
+
+    @pytest.mark.parametrize("is_silent", [False, True])
+    def test_vm_in_doubt_is_asked_before_all_others(self, fleet, is_silent):
+        # Guards against hundreds of questions for each of many targets that crash while
+        # one VM cannot be asked.
+        if is_silent:
+            fleet.silent.add(HOSTS[2])
+        else:
+            fleet.clients[HOSTS[2]].is_busy = True
+        fleet.is_idle()
+        fleet.asked.clear()
+        fleet.is_idle()
+        assert set(fleet.asked) == {HOSTS[2]}
+        fleet.silent.clear()
+        fleet.clients[HOSTS[2]].is_busy = False
         assert fleet.is_idle()
 
     def test_vm_alone(self, fleet):
         for host in HOSTS[1:]:
             fleet.remove(host)
-        fleet.run(10.0)
+        fleet.run(DEPARTED_VM_SECONDS)
         assert fleet.is_idle()
         fleet.clients[HOSTS[0]].is_busy = True
         assert not fleet.is_idle()
