--- /dev/null
+++ b/packages/transfers/src/berylstage_transfers/curl_handle.py
@@ -0,0 +1,219 @@
+"""A curl handle that sends each call at most once."""
+
+from __future__ import annotations
+
+import errno
+import select
+import socket
+import struct
+import time
+from typing import TYPE_CHECKING
+
+import pycurl
+
+from berylstage_transfers.connections import has_events
+
+if TYPE_CHECKING:
+    from berylstage_transfers.call import Call
+    from berylstage_transfers.connections import Connections
+    from berylstage_transfers.idle_limit import IdleLimit
+
+# Time after a call's deadline at which libcurl ends the call, in case the client has
+# not done so.
+BACKSTOP_SECONDS = 30.0
+# Milliseconds that sent bytes may stay without a TCP acknowledgement. A connection
+# whose state a middlebox lost acknowledges nothing, whereas the kernel of a slow or
+# frozen process still does.
+UNACKNOWLEDGED_MS = 2000
+# Idle time before the first TCP keepalive probe, and the time between probes.
+KEEPALIVE_IDLE_SECONDS = 5
+KEEPALIVE_INTERVAL_SECONDS = 2
+# Send buffer of each active call. libcurl's default of 64 KB would be most of a
+# connection's memory, and bodies are mostly small.
+UPLOAD_BUFFER_BYTES = 16 * 1024
+# Limit for the body of an answer.
+MAX_BODY_BYTES = 16 * 1024 * 1024
+
+# Headers that libcurl adds by default. ``Expect: 100-continue`` would cost larger
+# bodies a round trip.
+_SUPPRESSED_HEADERS = [b"Expect:", b"Accept:", b"User-Agent:"]
+_MS_PER_SECOND = 1000
+# libcurl's errors if a server resets or closes the connection without an answer.
+RESET_ERRORS = (pycurl.E_GOT_NOTHING, pycurl.E_SEND_ERROR, pycurl.E_RECV_ERROR)
+# The same, and those of a connection closed within an answer, or refused when libcurl
+# tried to send a call again whose connection had closed.
+_CLOSED_ERRORS = (*RESET_ERRORS, pycurl.E_PARTIAL_FILE, pycurl.E_COULDNT_CONNECT)
+# Errors by which the kernel gives up a connection without a word from the server.
+_SILENCE_ERRNOS = frozenset({errno.ETIMEDOUT, errno.EHOSTUNREACH, errno.ENETUNREACH})
+
+
+class CurlHandle:
+    """A curl handle that keeps its settings between calls.
+
+    Parameters
+    ----------
+    connections : Connections
+        Shared by all handles of a client.
+    idle_limit : IdleLimit
+    max_idle : int
+        Seconds after which an idle connection is not reused.
+    reset_on_close : bool
+        Whether closing a connection discards undelivered data.
+    """
+
+    __slots__ = (
+        "_connections",
+        "_idle_limit",
+        "_opened_fd",
+        "_reset_on_close",
+        "call",
+        "curl",
+        "idle_seconds",
+        "port",
+        "saw_reset",
+    )
+
+    def __init__(
+        self,
+        connections: Connections,
+        idle_limit: IdleLimit,
+        max_idle: int,
+        reset_on_close: bool,
+    ):
+        curl = self.curl = pycurl.Curl()
+        self.call: Call | None = None
+        self._connections = connections
+        self._idle_limit = idle_limit
+        self._reset_on_close = reset_on_close
+        self._opened_fd = -1
+        # Local port of the current connection, and its idle time before this call.
+        self.port = 0
+        self.idle_seconds = 0.0
+        # Whether libcurl tried to send the call again after a reset.
+        self.saw_reset = False
+        curl.setopt(pycurl.PROTOCOLS, pycurl.PROTO_HTTP)
+        curl.setopt(pycurl.PROXY, "")
+        curl.setopt(pycurl.NOSIGNAL, 1)
+        curl.setopt(pycurl.UPLOAD_BUFFERSIZE, UPLOAD_BUFFER_BYTES)
+        curl.setopt(pycurl.PATH_AS_IS, 1)
+        curl.setopt(pycurl.MAXAGE_CONN, max_idle)
+        curl.setopt(pycurl.TCP_KEEPALIVE, 1)
+        curl.setopt(pycurl.TCP_KEEPIDLE, KEEPALIVE_IDLE_SECONDS)
+        curl.setopt(pycurl.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_SECONDS)
+        curl.setopt(pycurl.SOCKOPTFUNCTION, self._on_socket)
+        curl.setopt(pycurl.PREREQFUNCTION, self._before_sending)
+        curl.setopt(pycurl.HEADERFUNCTION, self._on_header)
+        curl.setopt(pycurl.WRITEFUNCTION, self._on_body)
+
+    def prepare(self, call: Call, max_age_seconds: int) -> None:
+        """Apply the settings that depend on the call."""
+        self.call = call
+        self._opened_fd = -1
+        self.saw_reset = False
+        call.started = True
+        curl = self.curl
+        curl.setopt(pycurl.URL, call.url)
+        curl.setopt(pycurl.HTTPHEADER, call.headers + _SUPPRESSED_HEADERS)
+        if call.body is None:
+            curl.setopt(pycurl.HTTPGET, 1)
+        else:
+            curl.setopt(pycurl.POST, 1)
+            curl.setopt(pycurl.POSTFIELDS, call.body)
+        curl.setopt(pycurl.NOBODY, 1 if call.method == "HEAD" else 0)
+        if call.method != "HEAD" and call.body is None:
+            curl.setopt(pycurl.HTTPGET, 1)
+        curl.setopt(pycurl.CUSTOMREQUEST, call.method)
+        curl.setopt(
+            pycurl.TIMEOUT_MS, int((call.timeout + BACKSTOP_SECONDS) * _MS_PER_SECOND)
+        )
+        curl.setopt(pycurl.FRESH_CONNECT, 1 if max_age_seconds < 1 else 0)
+        curl.setopt(pycurl.MAXLIFETIME_CONN, max_age_seconds)
+
+    def _on_socket(self, fd: int, _purpose: int) -> int:
+        self._opened_fd = fd
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM, fileno=fd)
+        try:
+            sock.setsockopt(
+                socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS
+            )
+            if self._reset_on_close:
+                linger = struct.pack("ii", 1, 0)
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        finally:
+            sock.detach()
+        return pycurl.SOCKOPT_OK
+
+    def _before_sending(
+        self, _remote: str, _local: str, _remote_port: int, local_port: int
+    ) -> int:
+        # libcurl sends a call again on another connection if a reused one closes
+        # before any answer. The server may have processed the first one: work would
+        # run twice, and a conditional write to a store would conflict with itself. So
+        # the second attempt is aborted and the answer is treated as lost.
+        assert self.call is not None
+        if self.call.sent:
+            self.saw_reset = True
+            return pycurl.PREREQFUNC_ABORT
+        self.port = local_port
+        if self._opened_fd >= 0:
+            self.call.opened_connection = True
+            self._connections.add(local_port, self._opened_fd)
+            self._opened_fd = -1
+        elif not self._may_reuse(local_port):
+            self.call.stale = True
+            return pycurl.PREREQFUNC_ABORT
+        if self.call.may_send is not None and not self.call.may_send():
+            return pycurl.PREREQFUNC_ABORT
+        self.call.sent = True
+        return pycurl.PREREQFUNC_OK
+
+    def has_progress(self) -> bool:
+        """Return whether the connection is established or data waits to be read."""
+        assert self.call is not None
+        if self.call.sent:
+            return self._connections.has_data(self.port)
+        return self._opened_fd >= 0 and has_events(self._opened_fd, select.POLLOUT)
+
+    def was_closed(self, curl_error: int) -> bool:
+        """Tell whether the server's machine closed the connection of a failed call."""
+        if self.saw_reset:
+            return True
+        os_errno = self.curl.getinfo(pycurl.OS_ERRNO)
+        return curl_error in _CLOSED_ERRORS and os_errno not in _SILENCE_ERRNOS
+
+    def unacknowledged_bytes(self) -> int:
+        """Return the bytes sent that the server's machine has not acknowledged."""
+        return self._connections.unacknowledged_bytes(self.port)
+
+    def _may_reuse(self, local_port: int) -> bool:
+        # libcurl reuses a recently used connection without checking it. If the server
+        # has closed it since, for example by restarting, the call would be lost with
+        # its outcome unknown. If an overdue answer is waiting on it, it would be read
+        # as the answer to this call. A check before the first byte is sent allows the
+        # call to use another connection.
+        if not self._connections.is_usable(local_port):
+            return False
+        # A server that drops idle connections gives no sign of it: the next call is
+        # reset, and the outcome of a call that may not be repeated is unknown.
+        self.idle_seconds = self._connections.idle_seconds(local_port)
+        max_idle_seconds = self._idle_limit.max_idle_seconds(time.monotonic())
+        return self.idle_seconds <= max_idle_seconds
+
+    def _on_header(self, line: bytes) -> int | None:
+        assert self.call is not None
+        if line != b"\r\n":
+            self.call.header_lines.append(line)
+            return None
+        # An answer to another call means that requests and answers on this connection
+        # are out of step, and every later answer would reach the wrong caller.
+        # Rejecting the header makes libcurl close the connection before another call
+        # is sent on it.
+        return None if self.call.parse_headers() else 0
+
+    def _on_body(self, chunk: bytes) -> int | None:
+        assert self.call is not None
+        self.call.body_size += len(chunk)
+        if self.call.body_size > MAX_BODY_BYTES:
+            return 0
+        self.call.body_chunks.append(chunk)
+        return None
--- a/packages/transfers/tests/test_client.py
+++ b/packages/transfers/tests/test_client.py
@@ -9,6 +9,7 @@
 
 import pytest
 from berylstage_transfers import client as client_module
+from berylstage_transfers import curl_handle
 from berylstage_transfers.call import Call
 from berylstage_transfers.client import CallClient
 from berylstage_transfers.errors import (
@@ -135,7 +136,7 @@
     def test_a_body_over_the_limit_raises_answer_lost(self, open_server, monkeypatch):
         # A server streams an endless body. The client must not use memory without
         # bound.
-        monkeypatch.setattr(client_module, "MAX_BODY_BYTES", 3)
+        monkeypatch.setattr(curl_handle, "MAX_BODY_BYTES", 3)
 
         async def scenario():
             async with open_server(OK) as script:
@@ -641,12 +642,14 @@
             async with open_server(OK) as script:
                 client = CallClient(1)
                 await client.call(make_call(script))
-                client._fds_by_port[1] = next(iter(client._fds_by_port.values()))
-                for port in [p for p in client._fds_by_port if p != 1]:
-                    del client._fds_by_port[port]
-                assert not client.has_open_connection()
-                with open("/dev/null") as other:
-                    client._fds_by_port = {2: other.fileno()}
+                assert client.has_open_connection()
+                connections = client._connections
+                ((port, fd),) = connections._fds.items()
+                with open("/dev/null") as other, socket.socket() as unconnected:
+                    for moved in ((port + 1, fd), (port, other.fileno())):
+                        connections._fds = dict([moved])
+                        assert not client.has_open_connection()
+                    connections._fds = {port: unconnected.fileno()}
                     assert not client.has_open_connection()
                 client.close()
 
