Transfers: a silent link is no server that has closed its connection

The kernel gives a connection up after 2 s without an acknowledgement, and libcurl then tries again on a new one as after a reset. A request over such a link counted as ended by its target, though the target may still run it. Found by reading; the new test failed before. A reset later than 2 s after the request counts for nothing.

--- a/packages/transfers/src/berylstage_transfers/curl_handle.py
+++ b/packages/transfers/src/berylstage_transfers/curl_handle.py
@@ -66,6 +66,7 @@
         "_idle_limit",
         "_opened_fd",
         "_reset_on_close",
+        "_sent_at",
         "call",
         "curl",
         "idle_seconds",
@@ -86,6 +87,7 @@
         self._idle_limit = idle_limit
         self._reset_on_close = reset_on_close
         self._opened_fd = -1
+        self._sent_at = 0.0
         # Local port of the current connection, and its idle time before this call.
         self.port = 0
         self.idle_seconds = 0.0
@@ -165,6 +167,7 @@
         if self.call.may_send is not None and not self.call.may_send():
             return pycurl.PREREQFUNC_ABORT
         self.call.sent = True
+        self._sent_at = time.monotonic()
         return pycurl.PREREQFUNC_OK
 
     def has_progress(self) -> bool:
@@ -177,7 +180,10 @@
     def was_closed(self, curl_error: int) -> bool:
         """Tell whether the server's machine closed the connection of a failed call."""
         if self.saw_reset:
-            return True
+            # The cause of the first failure is not known. The kernel gives up a silent
+            # connection in the same way, but not earlier.
+            silent_seconds = time.monotonic() - self._sent_at
+            return silent_seconds * _MS_PER_SECOND < UNACKNOWLEDGED_MS
         os_errno = self.curl.getinfo(pycurl.OS_ERRNO)
         return curl_error in _CLOSED_ERRORS and os_errno not in _SILENCE_ERRNOS
 
--- a/packages/transfers/tests/test_client.py
+++ b/packages/transfers/tests/test_client.py
@@ -610,6 +610,23 @@
 
         run(scenario)
 
+    def test_connection_that_the_kernel_gave_up_is_no_close(
+        self, open_server, monkeypatch
+    ):
+        # Guards against taking a silent link for a server that has closed.
+        monkeypatch.setattr(curl_handle, "UNACKNOWLEDGED_MS", 0)
+
+        async def scenario():
+            async with open_server(OK, CLOSE) as script:
+                client = CallClient(1)
+                await client.call(make_call(script))
+                with pytest.raises(AnswerLost) as caught:
+                    await client.call(make_call(script))
+                assert not isinstance(caught.value, ConnectionClosed)
+                client.close()
+
+        run(scenario)
+
     def test_timeout_is_no_close(self, open_server):
         async def scenario():
             async with open_server(None) as script:
