Work survey: a VM that knows no configuration yet rules nothing out; targets of the past are forgotten

A VM that has just been restarted and has not read the configuration said that its earlier process had sent nothing. Entries of targets that ended long ago were kept for good. Found by reading; both tests failed before.

--- a/packages/entry/src/berylstage_entry/sent_requests.py
+++ b/packages/entry/src/berylstage_entry/sent_requests.py
@@ -52,18 +52,17 @@
 
     def withhold(self, identity: tuple[str, int], seconds: float) -> None:
         """Send nothing to a target for a time, also over connections that it has."""
-        until = max(now() + seconds, self._withheld_until.get(identity, 0.0))
-        self._withheld_until[identity] = until
+        moment = now()
+        withheld = {
+            i: until for i, until in self._withheld_until.items() if until > moment
+        }
+        withheld[identity] = max(moment + seconds, withheld.get(identity, moment))
+        self._withheld_until = withheld
 
     def may_send(self, target: Target) -> bool:
         """Tell whether requests may be sent to a target."""
-        if not self._withheld_until:
-            return True
         until = self._withheld_until.get(target.identity)
-        if until is None or now() < until:
-            return until is None
-        del self._withheld_until[target.identity]
-        return True
+        return until is None or now() >= until
 
     def record_unanswered(
         self, target: Target, deadline: float, is_closed: bool
--- a/packages/entry/src/berylstage_entry/work_survey.py
+++ b/packages/entry/src/berylstage_entry/work_survey.py
@@ -10,6 +10,7 @@
 
 import asyncio
 from contextlib import suppress
+from math import inf
 from typing import TYPE_CHECKING
 
 from logbook import Logger
@@ -215,9 +216,11 @@
         return (members | departed) - {self._host}
 
     def _longest_request_seconds(self) -> float:
+        """Return how long requests may last; infinite while that is not known."""
         cfg = self._cluster_view.configuration
-        timeouts = [route.timeout for route in cfg.routes] if cfg is not None else []
-        return max(timeouts, default=0.0)
+        if cfg is None:
+            return inf
+        return max((route.timeout for route in cfg.routes), default=0.0)
 
     def _log_doubt(self, target: Target, survey: _Survey) -> None:
         log.info(
--- a/packages/entry/tests/test_sent_requests.py
+++ b/packages/entry/tests/test_sent_requests.py
@@ -76,6 +76,12 @@
         clock.time += 0.1
         assert requests.may_send(A)
 
+    def test_targets_of_the_past_are_forgotten(self, requests, clock):
+        for number in range(5):
+            requests.withhold(("a", number), 1.0)
+            clock.time += 2.0
+        assert len(requests._withheld_until) == 1
+
     def test_another_incarnation_is_sent_requests(self, requests):
         requests.withhold(A.identity, 3.0)
         assert requests.may_send(target("a", incarnation=2))
--- a/packages/entry/tests/test_work_survey.py
+++ b/packages/entry/tests/test_work_survey.py
@@ -157,6 +157,13 @@
         fleet.run(10.0)
         assert fleet.is_idle()
 
+    def test_vm_that_knows_no_configuration_yet(self, fleet):
+        # Guards against the same before it knows how long requests may last.
+        fleet.start(HOSTS[1])
+        fleet.surveys[HOSTS[1]]._cluster_view = ClusterView()
+        fleet.run(10.0)
+        assert not fleet.is_idle()
+
     def test_stopping_vm_that_is_no_longer_known(self, fleet):
         # Guards against passing over the last requests of a VM that stops.
         fleet.remove(HOSTS[1])
