--- a/packages/entry/tests/cluster_simulation.py
+++ b/packages/entry/tests/cluster_simulation.py
@@ -121,6 +121,8 @@
         self.vms: dict[str, SimulatedVm] = {}
         # Targets that have failed; no key counts as served by them.
         self.failed_targets: set[str] = set()
+        # Whether all VMs can be asked for their requests at a target.
+        self.can_ask_all_vms = True
         self.store.put("cfg", b"1")
         for name in TARGETS[:3]:
             self.write_record(name)
@@ -211,6 +213,8 @@
     async def confirm_termination(self, target, grant_seconds):
         """Tell what the VMs know together: whether a target has requests."""
         await asyncio.sleep(0.005)
+        if not self.can_ask_all_vms:
+            return False
         return target.name not in self.protocol.completing | self.protocol.refusing
 
     def stop_process(self, name):
--- a/packages/entry/tests/test_availability.py
+++ b/packages/entry/tests/test_availability.py
@@ -38,6 +38,11 @@
     return cluster.measure_unavailability(8.0)
 
 
+def crashed_target_while_a_vm_cannot_be_asked(cluster):
+    cluster.can_ask_all_vms = False
+    return crashed_target(cluster)
+
+
 def target_that_leaves_without_a_word(seconds):
     # It closes its port and completes its requests; until then it holds its keys.
     def lost(cluster):
@@ -127,6 +132,11 @@
     pytest.param(unresponsive_target, 4.5, id="silent target"),
     pytest.param(unreachable_target, 4.5, id="target that is cut off"),
     pytest.param(crashed_target, 1.7, id="target without a process"),
+    pytest.param(
+        crashed_target_while_a_vm_cannot_be_asked,
+        4.5,
+        id="target without a process, and a VM that cannot be asked",
+    ),
     pytest.param(
         target_that_leaves_without_a_word(1.0), 2.7, id="target that completes for 1 s"
     ),
