Tests of the soak: a file for each of its parts

They are moved, unchanged, to files that mirror the source: ledger, notices, cuts, callers, targets. conftest.py puts the folder on the import path, in place of four test files, and gives the tests the ledger.

--- a/tests/test_leaving_owners.py
+++ b/tests/test_leaving_owners.py
@@ -3,15 +3,10 @@
 from __future__ import annotations
 
 import asyncio
-import sys
 import time
-from pathlib import Path
 from random import Random
 
 import pytest
-
-sys.path.insert(0, str(Path(__file__).parent))
-
 from soak.callers import Request
 from soak.installation import Installation
 
--- /dev/null
+++ b/tests/test_soak_targets.py
@@ -0,0 +1,118 @@
+"""Tests of the soak's targets and of the links to them."""
+
+from __future__ import annotations
+
+import asyncio
+from random import Random
+
+import pytest
+from soak.callers import Request
+from soak.configuration import get_loopback_prefix
+from soak.target_links import FIRST_LINK_PORT, CutMode, TargetLink
+from soak.targets import PORT, SoakTarget
+
+
+class TestTargets:
+    GRANT = b'{"from": 0, "target": 9, "fence": 1, "hold_ms": 5000}'
+    HEAD = b"POST /v1/grant HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n"
+    HEALTH = b"GET /healthz HTTP/1.1\r\nHost: h\r\n\r\n"
+
+    def test_crashed_target_accepts_no_grant(self, ledger):
+        # The connections of a crashed target close one after the other. A grant that
+        # arrives meanwhile would overlap later grants of the same keys to others.
+        async def scenario():
+            target = SoakTarget(
+                "i-1", "s", f"{get_loopback_prefix()}.2", ledger, Random(1)
+            )
+            target.start()
+            ends = [await asyncio.open_connection(target.ip, PORT) for _ in range(8)]
+            for reader, writer in ends:
+                writer.write(self.HEALTH)
+                await reader.readuntil(b"\r\n\r\n")
+            for _, writer in ends:
+                writer.write(self.HEAD % len(self.GRANT) + self.GRANT)
+            await target.crash()
+            await asyncio.sleep(0.05)
+            return target.holds
+
+        assert asyncio.run(scenario()) == []
+
+    def test_crashed_target_runs_nothing(self, ledger):
+        # Orders that waited for a slot at the crash would be recorded as run twice.
+        async def scenario():
+            target = SoakTarget(
+                "i-1", "s", f"{get_loopback_prefix()}.2", ledger, Random(1)
+            )
+            target.start()
+            for n in range(8):
+                _, writer = await asyncio.open_connection(target.ip, PORT)
+                writer.write(Request(f"order-{n}", None).encode())
+            await asyncio.sleep(0.02)
+            await target.crash()
+            ran = len(ledger.runs)
+            await asyncio.sleep(0.5)
+            return ran, len(ledger.runs)
+
+        ran, ran_later = asyncio.run(scenario())
+        assert ran > 0
+        assert ran_later == ran
+
+
+class TestTargetLinks:
+    """What a VM sees of a target while the link between them is cut."""
+
+    def observe(self, mode):
+        """Return what an open and a new connection do in a cut and after it."""
+        ip = f"{get_loopback_prefix()}.9"
+
+        async def echo(reader, writer):
+            while data := await reader.read(1):
+                writer.write(data)
+
+        async def exchange(reader, writer):
+            writer.write(b"x")
+            try:
+                return (await asyncio.wait_for(reader.read(1), 0.3)).decode() or "end"
+            except TimeoutError:
+                return "silent"
+            except ConnectionResetError:
+                return "reset"
+
+        async def connect():
+            try:
+                opening = asyncio.open_connection(ip, FIRST_LINK_PORT)
+                return await exchange(*await asyncio.wait_for(opening, 0.3))
+            except TimeoutError:
+                return "hangs"
+            except ConnectionRefusedError:
+                return "refused"
+
+        async def scenario():
+            server = await asyncio.start_server(echo, ip, PORT)
+            link = TargetLink(ip, PORT, 0)
+            link.open()
+            conn = await asyncio.open_connection(ip, FIRST_LINK_PORT)
+            assert await exchange(*conn) == "x"
+            link.cut(mode)
+            in_cut = await exchange(*conn), await connect()
+            link.heal()
+            after = await exchange(*conn), await connect()
+            link.close()
+            server.close()
+            return in_cut, after
+
+        return asyncio.run(scenario())
+
+    @pytest.mark.parametrize(
+        ("mode", "in_cut", "open_connection_after"),
+        [
+            (CutMode.SILENT, ("silent", "hangs"), ("reset", "end")),
+            (CutMode.RESET, ("reset", "refused"), ("reset", "end")),
+            (CutMode.REFUSING, ("x", "refused"), ("x",)),
+        ],
+    )
+    def test_cut_and_heal(self, mode, in_cut, open_connection_after):
+        seen, (after, new) = self.observe(mode)
+        assert seen == in_cut
+        assert after in open_connection_after
+        assert new == "x"
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -14,11 +14,6 @@
 from itertools import count
 from pathlib import Path
 
-from tornado.httpclient import AsyncHTTPClient, HTTPClientError
-from tornado.httpserver import HTTPServer
-
-sys.path.insert(0, str(Path(__file__).parent))
-
 from platform_standin import (
     Server,
     StoreState,
@@ -26,6 +21,8 @@
     store_application,
 )
 from soak.configuration import get_loopback_prefix
+from tornado.httpclient import AsyncHTTPClient, HTTPClientError
+from tornado.httpserver import HTTPServer
 
 ROOT = Path(__file__).resolve().parents[1]
 CONFIGURATION = {
--- a/tests/test_stops.py
+++ b/tests/test_stops.py
@@ -4,11 +4,7 @@
 
 import asyncio
 import signal
-import sys
 from itertools import cycle
-from pathlib import Path
-
-sys.path.insert(0, str(Path(__file__).parent))
 
 from slow_caller import RECEIVE_BUFFER_BYTES, Request
 from stop_environment import STOP_GRACE_SECONDS, StopEnvironment
