--- a/packages/transfers/tests/conftest.py
+++ b/packages/transfers/tests/conftest.py
@@ -3,10 +3,16 @@
 from __future__ import annotations
 
 import asyncio
+import sys
 from contextlib import asynccontextmanager
+from pathlib import Path
 
 import pytest
 
+sys.path.insert(0, str(Path(__file__).parent))
+
+from scripted_calls import CLOSE
+
 
 class Script:
     """The answers that the server sends, and the requests that it received.
@@ -16,8 +22,6 @@
     the answer.
     """
 
-    CLOSE = b"<close>"
-
     def __init__(self, answers):
         self.answers = list(answers)
         self.requests = []
@@ -54,9 +58,9 @@
         if answer is None:
             await reader.readexactly(1)
             return False
-        writer.write(answer.removesuffix(self.CLOSE))
+        writer.write(answer.removesuffix(CLOSE))
         await writer.drain()
-        return not answer.endswith(self.CLOSE)
+        return not answer.endswith(CLOSE)
 
 
 @asynccontextmanager
--- a/packages/transfers/tests/test_client.py
+++ b/packages/transfers/tests/test_client.py
@@ -15,13 +15,10 @@
 from berylstage_transfers.errors import (
     AnswerLost,
     CallFailed,
-    ConnectionClosed,
     ConnectionRefused,
     NeverSent,
 )
-
-CLOSE = b"<close>"
-OK = b"HTTP/1.1 200 OK\r\nRequest-Id: 1\r\nContent-Length: 4\r\n\r\nbody"
+from scripted_calls import CLOSE, OK, make_call, run
 
 # Complete answers to request 1, with the expected status and body.
 COMPLETE_ANSWERS = {
@@ -65,18 +62,6 @@
 }
 
 
-def run(scenario):
-    """Run a test's coroutine to completion."""
-    return asyncio.run(asyncio.wait_for(scenario(), 30))
-
-
-def make_call(script, echo="1", timeout=10.0, fresh=False, body=b""):
-    """Return a call to the scripted server."""
-    headers = {"Request-Id": echo}
-    url = script.base + "/work"
-    return Call("POST", url, headers, body, timeout, echo=echo, fresh=fresh)
-
-
 class TestAnswers:
     @pytest.mark.parametrize("name", COMPLETE_ANSWERS)
     def test_a_complete_answer_is_returned(self, open_server, name):
@@ -513,166 +498,6 @@
         run(scenario)
 
 
-class TestConnections:
-    def test_a_lost_answer_retires_all_older_connections(self, open_server):
-        # A middlebox loses the state of all open connections at once. The first call
-        # times out; the next ones must open new connections.
-        async def scenario():
-            answers = [OK, OK, OK, None, OK, OK]
-            async with open_server(*answers) as script:
-                client = CallClient(3)
-                calls = [client.call(make_call(script)) for _ in range(3)]
-                await asyncio.gather(*calls)
-                assert script.connections == 3
-                with pytest.raises(AnswerLost):
-                    await client.call(make_call(script, timeout=0.05))
-                await client.call(make_call(script))
-                assert script.connections == 4
-                client.close()
-
-        run(scenario)
-
-    def test_a_cancelled_call_keeps_the_other_connections(self, open_server):
-        # Callers disconnect frequently. Replacing every kept connection each time
-        # would make a busy VM open connections constantly.
-        async def scenario():
-            async with open_server(OK, OK, None, OK) as script:
-                client = CallClient(2)
-                calls = [client.call(make_call(script)) for _ in range(2)]
-                await asyncio.gather(*calls)
-                task = asyncio.ensure_future(client.call(make_call(script)))
-                while len(script.requests) < 3:
-                    await asyncio.sleep(0.001)
-                task.cancel()
-                await asyncio.gather(task, return_exceptions=True)
-                await client.call(make_call(script))
-                assert script.connections == 2
-                client.close()
-
-        run(scenario)
-
-    def test_a_connection_closed_by_the_server_loses_no_call(self, open_server):
-        # The server restarts and closes its connections while no call is active. The
-        # outcome of a call sent on such a connection would be unknown.
-        async def scenario():
-            async with open_server(OK + CLOSE, OK) as script:
-                client = CallClient(1)
-                await client.call(make_call(script))
-                while not script.ended:
-                    await asyncio.sleep(0.001)
-                await client.call(make_call(script))
-                assert len(script.requests) == 2
-                client.close()
-
-        run(scenario)
-
-    def test_a_fresh_call_opens_a_connection(self, open_server):
-        async def scenario():
-            async with open_server(OK, OK) as script:
-                client = CallClient(2)
-                await client.call(make_call(script))
-                await client.call(make_call(script, fresh=True))
-                assert script.connections == 2
-                client.close()
-
-        run(scenario)
-
-    def test_open_connections_stay_within_the_limit(self, open_server):
-        # A target accepts 50 connections and closes further ones. Kept and new
-        # connections together must not exceed the limit, or calls would fail at random.
-        async def scenario():
-            async with open_server(*[OK] * 20) as script:
-                client = CallClient(2)
-                for _ in range(10):
-                    await client.call(make_call(script, fresh=True))
-                    await asyncio.sleep(0)
-                    assert script.connections - script.ended <= 3
-                client.close()
-
-        run(scenario)
-
-
-class TestClosedConnections:
-    """Whether the server has closed the connections of a client."""
-
-    @pytest.mark.parametrize("is_warm", [False, True])
-    @pytest.mark.parametrize("answer", [CLOSE, OK[:-2] + CLOSE])
-    def test_closed_without_a_complete_answer(self, open_server, is_warm, answer):
-        async def scenario():
-            answers = [OK] if is_warm else []
-            async with open_server(*answers, answer) as script:
-                client = CallClient(1)
-                if is_warm:
-                    await client.call(make_call(script))
-                with pytest.raises(ConnectionClosed):
-                    await client.call(make_call(script))
-                client.close()
-
-        run(scenario)
-
-    def test_connection_that_the_kernel_gave_up_is_no_close(
-        self, open_server, monkeypatch
-    ):
-        # Guards against taking a silent link for a server that has closed.
-        monkeypatch.setattr(curl_handle, "UNACKNOWLEDGED_MS", 0)
-
-        async def scenario():
-            async with open_server(OK, CLOSE) as script:
-                client = CallClient(1)
-                await client.call(make_call(script))
-                with pytest.raises(AnswerLost) as caught:
-                    await client.call(make_call(script))
-                assert not isinstance(caught.value, ConnectionClosed)
-                client.close()
-
-        run(scenario)
-
-    def test_timeout_is_no_close(self, open_server):
-        async def scenario():
-            async with open_server(None) as script:
-                client = CallClient(1)
-                with pytest.raises(AnswerLost) as caught:
-                    await client.call(make_call(script, timeout=0.2))
-                assert not isinstance(caught.value, ConnectionClosed)
-                client.close()
-
-        run(scenario)
-
-    def test_idle_connection_is_open_until_the_server_closes_it(self, open_server):
-        async def scenario():
-            async with open_server(OK, OK + CLOSE) as script:
-                client = CallClient(1)
-                assert not client.has_open_connection()
-                await client.call(make_call(script))
-                assert client.has_open_connection()
-                await client.call(make_call(script))
-                while not script.ended:
-                    await asyncio.sleep(0.001)
-                assert not client.has_open_connection()
-                client.close()
-
-        run(scenario)
-
-    def test_descriptor_that_another_socket_has(self, open_server):
-        # Guards against taking another connection for one to this server.
-        async def scenario():
-            async with open_server(OK) as script:
-                client = CallClient(1)
-                await client.call(make_call(script))
-                assert client.has_open_connection()
-                connections = client._connections
-                ((port, fd),) = connections._fds.items()
-                with open("/dev/null") as other, socket.socket() as unconnected:
-                    for moved in ((port + 1, fd), (port, other.fileno())):
-                        connections._fds = dict([moved])
-                        assert not client.has_open_connection()
-                    connections._fds = {port: unconnected.fileno()}
-                    assert not client.has_open_connection()
-                client.close()
-
-        run(scenario)
-
-
 class TestMaySend:
     def test_call_that_may_no_longer_be_sent(self, open_server):
         # Guards against a call that waits for a connection while the reason for it
@@ -689,42 +514,3 @@
                 client.close()
 
         run(scenario)
-
-
-class TestIdleLimit:
-    def test_a_server_that_drops_idle_connections_loses_one_call(self):
-        # A server drops connections that were idle for a third of a second and resets
-        # the next call on them. Without a limit on the idle time, every call after
-        # such a pause would be lost with its outcome unknown.
-        async def serve_forgetting_idle(reader, writer):
-            last = None
-            loop = asyncio.get_running_loop()
-            while True:
-                try:
-                    await reader.readuntil(b"\r\n\r\n")
-                except (asyncio.IncompleteReadError, ConnectionError):
-                    return
-                if last is not None and loop.time() - last > 0.3:
-                    writer.transport.abort()
-                    return
-                writer.write(OK)
-                last = loop.time()
-
-        async def scenario():
-            server = await asyncio.start_server(serve_forgetting_idle, "127.0.0.1", 0)
-            port = server.sockets[0].getsockname()[1]
-            url = f"http://127.0.0.1:{port}/work"
-            client = CallClient(1)
-            lost = 0
-            for _ in range(5):
-                call = Call("POST", url, {"Request-Id": "1"}, b"", 5.0, echo="1")
-                try:
-                    await client.call(call)
-                except AnswerLost:
-                    lost += 1
-                await asyncio.sleep(0.4)
-            client.close()
-            server.close()
-            return lost
-
-        assert run(scenario) == 1
