--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -326,7 +326,8 @@
     ) -> list[GrantPeriod]:
         """Return the grants of a run's key to other targets that begin during the run.
 
-        The search is binary, since a soak records ten thousand grants and more.
+        The search is binary: comparing all runs with all grants takes longer than the
+        soak, whose test would then time out without a verdict.
         """
         first = bisect_right(grants, run.span.start, key=_start_of)
         end = bisect_left(grants, run.span.end, lo=first, key=_start_of)
