Placement: the first assignment waits until the targets are known

Cause: the coordinator assigned all keys as soon as it knew a target. At the start of an installation of 65 targets it knew two of them, 1.2 s after the start; the other 63 reported within the next 4 s and owned nothing.

Change: keys that never had an owner are assigned when no new target has reported for 2.3 report intervals, 6 s after the first target, or at the first request. Meanwhile the coordinator takes three load reports of each target, and faster machines get more keys. The report interval comes from the settings file; without it keys are assigned at once, as before.

--- a/packages/entry/src/berylstage_entry/application.py
+++ b/packages/entry/src/berylstage_entry/application.py
@@ -157,7 +157,12 @@
             cfg, store, self.store_watcher, self.peer_client, self.rng
         )
         self.grant_controller = GrantController(
-            store, self.store_watcher, self.cluster_view, self.election, targets
+            store,
+            self.store_watcher,
+            self.cluster_view,
+            self.election,
+            targets,
+            cfg.report_interval,
         )
         self._host, _ = split_host_port(cfg.callers)
         host = self._host
--- a/packages/entry/src/berylstage_entry/grant_controller.py
+++ b/packages/entry/src/berylstage_entry/grant_controller.py
@@ -16,11 +16,15 @@
 from berylstage_entry.grant_renewer import GrantRenewer, log_task_failure
 from berylstage_entry.key_loads import KeyLoads
 from berylstage_entry.key_moves import FENCES_PER_MOVE, KeyMoves
+from berylstage_entry.placement.initial_assignment import InitialAssignment
+from berylstage_entry.placement.machine_speeds import MachineSpeeds
 from berylstage_entry.range_placement import merge_ranges, place_ranges
 from berylstage_entry.rebalancing import MIN_ROUND_INTERVAL_SECONDS, Rebalancer
 from berylstage_entry.service_times import TargetServiceTimes
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from berylstage_entry.assignment import Assignment
     from berylstage_entry.cluster_view import ClusterView
     from berylstage_entry.coordinator_election import CoordinatorElection
@@ -59,6 +63,7 @@
     __slots__ = (
         "completed",
         "completion_task",
+        "initial_assignment",
         "loads",
         "lock",
         "merged_at",
@@ -69,7 +74,8 @@
         "speeds",
     )
 
-    def __init__(self, moment: float):
+    def __init__(self, moment: float, report_interval: float):
+        self.initial_assignment = InitialAssignment(report_interval)
         self.loads = KeyLoads(moment)
         self.speeds = TargetServiceTimes()
         self.rebalancer = Rebalancer(moment)
@@ -94,6 +100,10 @@
     cluster_view : ClusterView
     election : CoordinatorElection
     protocol : TargetProtocol
+    report_interval : float
+        Seconds between two reports of a target to the store. The first assignment waits
+        until no new target reports, and gives faster machines more keys; 0 to assign
+        keys to the first targets at once.
     """
 
     def __init__(
@@ -103,7 +113,10 @@
         cluster_view: ClusterView,
         election: CoordinatorElection,
         protocol: TargetProtocol,
+        report_interval: float = 0.0,
     ):
+        self._report_interval = report_interval
+        self._machine_speeds = MachineSpeeds(protocol)
         self._store_watcher = store_watcher
         self._cluster_view = cluster_view
         self._election = election
@@ -127,6 +140,7 @@
         if self._task is not None:
             self._task.cancel()
         self._cancel_tasks()
+        self._machine_speeds.stop()
 
     def add_key_counts(self, service: str, counts: dict[int, int]) -> None:
         """Add a VM's request counts by key since its last report."""
@@ -237,6 +251,8 @@
             if not self._is_usable_owner(r) and self._key_moves.may_reassign(r)
         ]
         state.loads.decay(moment)
+        if displaced:
+            displaced = self._without_waiting(service, state, displaced, capacities)
         if displaced:
             rates = state.loads.rates()
             max_parts = INITIAL_RANGES_PER_TARGET * len(capacities)
@@ -266,6 +282,51 @@
         )
         return self._with_moves(assignment, moves)
 
+    def _without_waiting(
+        self,
+        service: str,
+        state: _ServiceState,
+        displaced: list[KeyRange],
+        capacities: dict[str, float],
+    ) -> list[KeyRange]:
+        """Return the ranges to place now, without unowned ones that still wait."""
+        never_owned = [r for r in displaced if not r.owner]
+        if not never_owned:
+            return displaced
+        if self._report_interval:
+            self._measure_speeds(service, state, capacities)
+        cause = state.initial_assignment.find_cause(
+            now(), capacities, bool(state.loads.weights)
+        )
+        if cause is None:
+            return [r for r in displaced if r.owner]
+        log.info(
+            "assigning keys for the first time",
+            extra={
+                "service": service,
+                "targets": len(capacities),
+                "cause": cause.value,
+            },
+        )
+        return displaced
+
+    def _measure_speeds(
+        self, service: str, state: _ServiceState, targets: Iterable[str]
+    ) -> None:
+        """Measure the machines of targets that are about to get their first keys."""
+        cfg = self._cluster_view.configuration
+        assert cfg is not None
+        for name in targets:
+            known = self._cluster_view.known[name]
+            if known.cold_until > now():
+                # A report would count against the requests that it may get.
+                continue
+            self._machine_speeds.measure(
+                known.target,
+                cfg.services[service].health_path,
+                state.speeds.set_initial_ratio,
+            )
+
     def _merge(
         self, assignment: Assignment, rates: list, capacities: dict[str, float]
     ) -> Assignment | None:
@@ -436,5 +497,7 @@
     def _get_state(self, service: str) -> _ServiceState:
         state = self._services.get(service)
         if state is None:
-            state = self._services[service] = _ServiceState(now())
+            state = self._services[service] = _ServiceState(
+                now(), self._report_interval
+            )
         return state
--- a/packages/entry/src/berylstage_entry/service_times.py
+++ b/packages/entry/src/berylstage_entry/service_times.py
@@ -34,6 +34,17 @@
             old = self._slowness.get(target, 1.0)
             self._slowness[target] = old + SPEED_GAIN * (value - old)
 
+    def set_initial_ratio(self, target: str, ratio: float) -> None:
+        """Set the ratio of a target of which no VM has reported one.
+
+        Parameters
+        ----------
+        target : str
+        ratio : float
+            Service time over the typical one, from the speed of its machine.
+        """
+        self._slowness.setdefault(target, ratio)
+
     def expected_seconds(self, target: str) -> float:
         """Return the expected service time of a request at a target, in seconds.
 
--- a/packages/entry/src/berylstage_entry/settings.py
+++ b/packages/entry/src/berylstage_entry/settings.py
@@ -95,6 +95,8 @@
         Bandwidth of the VM's network link in Mbit/s.
     regions : dict of str to str
         Region of each data centre; empty if there is only one region.
+    report_interval : float
+        Seconds between two reports of a target to the store; 0 if it is not known.
     """
 
     __slots__ = (
@@ -107,6 +109,7 @@
         "metrics_port",
         "ready",
         "regions",
+        "report_interval",
         "min_store_lease_seconds",
         "store",
         "vm",
@@ -126,6 +129,7 @@
         cores: float,
         link_mbps: float,
         regions: dict[str, str] | None = None,
+        report_interval: float = 0.0,
     ):
         self.vm = vm
         self.data_centre = data_centre
@@ -139,6 +143,7 @@
         self.cores = cores
         self.link_mbps = link_mbps
         self.regions = regions or {}
+        self.report_interval = report_interval
 
     def is_in_own_region(self, data_centre: str) -> bool:
         """Tell whether a data centre is in the region of this VM."""
--- a/packages/entry/tests/granting_vms.py
+++ b/packages/entry/tests/granting_vms.py
@@ -55,7 +55,7 @@
 class Vm:
     """The parts of a VM that grant keys."""
 
-    def __init__(self, name, store, protocol):
+    def __init__(self, name, store, protocol, report_interval=0.0):
         records = JsonRecords({1: configuration()})
         self.cluster_view = ClusterView()
         self.store_watcher = StoreWatcher(store, records, self.cluster_view)
@@ -66,7 +66,12 @@
             cfg, store, self.store_watcher, self.peers, Random(1)
         )
         self.grant_controller = GrantController(
-            store, self.store_watcher, self.cluster_view, self.election, protocol
+            store,
+            self.store_watcher,
+            self.cluster_view,
+            self.election,
+            protocol,
+            report_interval,
         )
         self.election.import_state = self.grant_controller.import_state
 
