Queued requests follow their key to its new owner

Cause: a request that waited for a permit of its key's owner stayed in that queue, and could be refused there, although its key had moved to an idle target.

Change: when a VM learns of another owner it takes the request from the queue (at once with a published assignment, otherwise at the next renewal, 0.1 s) and looks up the owner again. A refusal by a queue whose target no longer owns the key leads to a new lookup too. Log line and counter 'left queue of former owner', counter 'refusal of former owner ignored'.

--- a/packages/entry/src/berylstage_entry/application.py
+++ b/packages/entry/src/berylstage_entry/application.py
@@ -75,6 +75,7 @@
 )
 from berylstage_entry.store_delta import MESSAGE_TYPE as STORE_DELTA_TYPE
 from berylstage_entry.store_delta import StoreDelta
+from berylstage_entry.store_keys import ASSIGNMENT_PREFIX
 from berylstage_entry.store_watcher import StoreWatcher
 from berylstage_entry.target_clients import TargetClients
 from berylstage_entry.termination_check import REFUSAL_PATH, TerminationCheck
@@ -207,6 +208,9 @@
             self.permit_client.receive_reply
         )
         self.router.permit_client = self.permit_client
+        self.permit_client.is_current = self.router.is_current_queue
+        self.permit_client.count_event = self.metrics.increment
+        self.router.count_event = self.metrics.increment
         self.peer_datagrams.handlers[KEY_COUNTS_TYPE] = (
             self.load_reporter.receive_key_counts
         )
@@ -500,6 +504,8 @@
         return cfg.limits if cfg is not None else None
 
     def _on_store_update(self, kind: str) -> None:
+        if kind.startswith(ASSIGNMENT_PREFIX):
+            self.permit_client.leave_former_owners()
         if kind in ("configuration", "read"):
             limits = self._current_limits()
             if limits is not None:
--- a/packages/entry/src/berylstage_entry/errors.py
+++ b/packages/entry/src/berylstage_entry/errors.py
@@ -62,6 +62,10 @@
         self.permit = permit
 
 
+class KeyMoved(EntryError):
+    """The key of a queued request has another owner; look up the owner again."""
+
+
 class BadRequest(EntryError):
     """A caller's request is invalid.
 
--- a/packages/entry/src/berylstage_entry/permit_client.py
+++ b/packages/entry/src/berylstage_entry/permit_client.py
@@ -22,7 +22,8 @@
 from logbook import Logger
 
 from berylstage_entry.clock import now
-from berylstage_entry.errors import InvalidRecord, PermitRefused
+from berylstage_entry.errors import InvalidRecord, KeyMoved, PermitRefused
+from berylstage_entry.log_rate_limiter import LogRateLimiter
 from berylstage_entry.permit_messages import (
     REQUEST_NUMBERS,
     PermitRelease,
@@ -44,6 +45,9 @@
 MAX_ATTEMPTS = 3
 # Interval at which a queued request is renewed at its permit server.
 RENEWAL_SECONDS = 0.1
+# Log lines per second about requests that leave a queue. A move of busy keys takes
+# dozens of requests from one queue at once.
+MOVE_LINES_PER_SECOND = 2.0
 # Key for the eligible hosts of all data centres.
 ALL_DATA_CENTRES = ""
 
@@ -54,6 +58,18 @@
     """The permit server does not respond, or no longer serves the queue."""
 
 
+class _Waiting:
+    """A request that waits for the replies of a permit server."""
+
+    __slots__ = ("ctx", "queue", "replies")
+
+    def __init__(self, ctx: RequestContext, queue: str):
+        self.ctx = ctx
+        self.queue = queue
+        # None tells the request to leave the queue.
+        self.replies: asyncio.Queue[PermitReply | None] = asyncio.Queue()
+
+
 class PermitClient:
     """Acquires permits for the requests of one VM.
 
@@ -68,8 +84,8 @@
         self._membership = membership
         self._host = host
         self._request_numbers = count(1)
-        # Replies to the requests that wait for one, by number.
-        self._replies: dict[int, asyncio.Queue[PermitReply]] = {}
+        # Requests that wait for a reply, by number.
+        self._waiting: dict[int, _Waiting] = {}
         self._servers: dict[str, list[str]] = {}
         # Hosts eligible as permit servers, for each data centre and for all.
         self._eligible_hosts: dict[str, list[str]] = {}
@@ -77,6 +93,11 @@
         self._revision = 0
         self._lost_servers: dict[str, float] = {}
         self._reply_timeout = ReplyTimeout()
+        self._move_limiter = LogRateLimiter(MOVE_LINES_PER_SECOND)
+        # Tells whether a queue is still the right one for a request.
+        self.is_current: Callable[[RequestContext, str], bool] = lambda ctx, _: True
+        # Counts an event, by name.
+        self.count_event: Callable[[str], None] = lambda name: None
         # Send a message to the VM of a host, which may be this one.
         self.send_request: Callable[[str, PermitRequest], None] = lambda host, ask: None
         self.send_release: Callable[[str, PermitRelease], None] = lambda host, _: None
@@ -103,6 +124,8 @@
         ------
         PermitRefused
             The request would be answered too late.
+        KeyMoved
+            The queue is no longer the right one for the request.
         """
         for server in self._servers_for(queue, data_centre):
             if now() < self._lost_servers.get(server, 0.0):
@@ -134,6 +157,16 @@
         release = PermitRelease(permit.number, queue, permit.target, failed, load)
         self.send_release(permit.server, release)
 
+    def leave_former_owners(self) -> None:
+        """Take the requests whose keys have another owner from their queues.
+
+        The load is a busy range of keys that moves to an idle target while dozens of
+        requests for it wait at the former owner.
+        """
+        for waiting in self._waiting.values():
+            if not self.is_current(waiting.ctx, waiting.queue):
+                waiting.replies.put_nowait(None)
+
     def receive_reply(self, data: bytes, host: str) -> None:
         """Handle the datagram of a permit server's reply."""
         try:
@@ -147,36 +180,56 @@
 
     def handle_reply(self, reply: PermitReply) -> None:
         """Handle a permit server's reply."""
-        replies = self._replies.get(reply.number)
-        if replies is not None:
-            replies.put_nowait(reply)
+        waiting = self._waiting.get(reply.number)
+        if waiting is not None:
+            waiting.replies.put_nowait(reply)
 
     async def _acquire_from(
         self, ctx: RequestContext, queue: str, server: str
     ) -> Permit:
         number = next(self._request_numbers) % REQUEST_NUMBERS
         permit = Permit(number, queue, server)
-        replies = self._replies[number] = asyncio.Queue()
+        waiting = self._waiting[number] = _Waiting(ctx, queue)
+        began = now()
         try:
-            permit.target = await self._await_grant(ctx, permit, replies)
+            permit.target = await self._await_grant(permit, waiting)
             return permit
+        except KeyMoved:
+            self._record_move(permit, now() - began)
+            raise
         finally:
-            del self._replies[number]
+            del self._waiting[number]
             if not permit.target:
-                # Refused or cancelled: the slot or queue position becomes free.
+                # Refused, moved or cancelled: the slot or queue position becomes free.
                 self.release(permit)
 
-    async def _await_grant(
-        self, ctx: RequestContext, permit: Permit, replies: asyncio.Queue[PermitReply]
-    ) -> int:
+    def _record_move(self, permit: Permit, waited: float) -> None:
+        self.count_event("left queue of former owner")
+        if self._move_limiter.take():
+            log.info(
+                "left queue of former owner",
+                extra={
+                    "queue": permit.queue,
+                    "keeper": permit.server,
+                    "number": permit.number,
+                    "waited": round(waited, 3),
+                    "left_out": self._move_limiter.take_suppressed_count(),
+                },
+            )
+
+    async def _await_grant(self, permit: Permit, waiting: _Waiting) -> int:
         """Return the checksum of the target for which the permit is granted."""
+        ctx = waiting.ctx
         unanswered, is_measured = 0, False
         first_sent_at = now()
         while True:
+            if not self.is_current(ctx, permit.queue):
+                # An owner that starts draining causes no call of `leave_former_owners`.
+                raise KeyMoved(permit.describe())
             self.send_request(permit.server, self._build_request(ctx, permit))
             is_answered, timeout = False, self._reply_timeout.timeout
             while True:
-                reply = await _next_reply(replies, timeout)
+                reply = await _next_reply(waiting.replies, timeout)
                 if reply is None:
                     break
                 if not is_measured:
@@ -262,10 +315,14 @@
 
 
 async def _next_reply(
-    replies: asyncio.Queue[PermitReply], timeout: float
+    replies: asyncio.Queue[PermitReply | None], timeout: float
 ) -> PermitReply | None:
+    """Return the next reply, or None after the timeout."""
     try:
         async with asyncio.timeout(timeout):
-            return await replies.get()
+            reply = await replies.get()
     except TimeoutError:
         return None
+    if reply is None:
+        raise KeyMoved
+    return reply
--- a/packages/entry/src/berylstage_entry/router.py
+++ b/packages/entry/src/berylstage_entry/router.py
@@ -16,6 +16,7 @@
 from berylstage_entry.errors import (
     BadRequest,
     EntryError,
+    KeyMoved,
     NoOwner,
     PermitRefused,
     Refused,
@@ -39,6 +40,8 @@
 from berylstage_entry.target_sender import TargetSender
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from berylstage_entry.cluster_view import ClusterView
     from berylstage_entry.permit_client import PermitClient
     from berylstage_entry.protocols import CallerRequest, TargetAnswer
@@ -124,6 +127,8 @@
         self.vm_count = 10
         # Acquires permits for targets from the permit servers.
         self.permit_client: PermitClient | None = None
+        # Counts an event, by name.
+        self.count_event: Callable[[str], None] = lambda name: None
         # Acquires a token for each request of a workspace that has a quota.
         self.quota_client: QuotaClient | None = None
         # Requests by service and key since the last report to the coordinator.
@@ -260,8 +265,16 @@
             raise self._errors.build_error(ctx, "budget")
 
     async def _choose_owner(self, ctx: RequestContext) -> str:
-        """Return the owner of the key, unless it is overloaded."""
+        """Return the owner of the key, unless it is overloaded.
+
+        The load is a range of keys that moves while requests for it wait at its former
+        owner. A refusal there says nothing of the new owner, which may be idle, so it
+        is not returned to the caller. Each further pass needs a change of the
+        assignment, and the number of passes is limited by the request's time.
+        """
         while True:
+            if ctx.seconds_left(now()) < MIN_ATTEMPT_SECONDS:
+                raise self._errors.build_error(ctx, "no-time")
             try:
                 name = await self._owner_resolver.find(ctx)
             except NoOwner as exc:
@@ -275,6 +288,8 @@
                 is_owner = self._owner_resolver.is_owner(ctx, name)
                 if is_owner and ctx.permit is None:
                     self._check_owner_load(ctx, name)
+            except KeyMoved:
+                is_owner = False
             except BaseException:
                 self._withdraw(ctx)
                 raise
@@ -292,8 +307,14 @@
         started_at = now()
         try:
             ctx.permit = await self.permit_client.acquire(ctx, queue, data_centre)
+        except KeyMoved:
+            ctx.waited += now() - started_at
+            raise
         except PermitRefused as exc:
             ctx.waited += now() - started_at
+            if not self.is_current_queue(ctx, queue):
+                self.count_event("refusal of former owner ignored")
+                raise KeyMoved(exc.permit) from exc
             reason = "owner-busy" if data_centre else "no-room"
             raise self._errors.build_error(
                 ctx, reason, exc.permit, exc.retry_after
@@ -303,6 +324,16 @@
             self._release_permit(ctx)
             raise self._errors.build_error(ctx, "no-time")
 
+    def is_current_queue(self, ctx: RequestContext, queue: str) -> bool:
+        """Tell whether a request may be sent with a permit from a queue.
+
+        The queue of an owner of keys is the right one only while it owns the request's
+        key.
+        """
+        if ctx.service.owns_keys and ctx.req.key is not None:
+            return self._owner_resolver.is_owner(ctx, queue)
+        return True
+
     def _release_permit(
         self,
         ctx: RequestContext,
