Bound buffered bytes by the VM's memory, and refuse uploads first

Cause: the limit of 100 MiB was made for VMs of 300 MB, and limits.memory_mb was not read. 400 uploads of 360 kB at once brought one VM process to 185 MB, while VMs of 160 MB are killed above 160 MB.

Change: limits.memory_mb (optional) becomes EntrySettings.memory_bytes. One budget, a function of it, covers bodies, answers that the kernel has not taken and unread input. Bodies are collected in one growing buffer instead of chunks. Reading pauses while the budget is used up. Callers that take nothing are disconnected if memory is needed. A caller that stops within a body is refused at its deadline. The rest of a refused body is read and dropped for up to 4 s, so that a caller which reads only after sending is not reset.

--- a/packages/entry/src/berylstage_entry/application.py
+++ b/packages/entry/src/berylstage_entry/application.py
@@ -31,6 +31,7 @@
 from berylstage_entry.load_reporter import SPEEDS_PATH, LoadReporter
 from berylstage_entry.loop_lag import LoopLagMonitor
 from berylstage_entry.membership import ASSUMED_STARTING_VMS, Membership
+from berylstage_entry.memory.buffer_memory import BufferMemory
 from berylstage_entry.metrics import Metrics, format_shutdown_metrics
 from berylstage_entry.notice_messages import (
     DEPARTURE_NOTICE_TYPE,
@@ -84,7 +85,12 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from berylstage_entry.protocols import CallerProtocol, RecordReader, TargetProtocol
+    from berylstage_entry.protocols import (
+        CallerProtocol,
+        CallerRequest,
+        RecordReader,
+        TargetProtocol,
+    )
     from berylstage_entry.services import Limits
     from berylstage_entry.settings import EntrySettings
     from berylstage_entry.store import Store
@@ -261,9 +267,11 @@
         )
         self.probes.rest_seconds = self.router.target_notices.rests.seconds_left
         request_log = RequestLog(self.metrics)
+        memory = BufferMemory(cfg.memory_bytes, cfg.link_mbps, self.metrics)
         self.server = CallerServer(
-            callers, self.router, request_log, self._current_limits
+            callers, self.router, request_log, self._current_limits, memory
         )
+        self.server.is_upload = self._is_upload
         self.ready_server = InternalServer({callers.ready_path: self._handle_ready})
         self.control_server = InternalServer(
             {
@@ -495,6 +503,14 @@
         # publisher of its data centre.
         return self.cfg.vm in self.membership.names() and self._is_standby()
 
+    def _is_upload(self, req: CallerRequest) -> bool:
+        """Tell whether a request belongs to a route with large bodies."""
+        cfg = self.cluster_view.configuration
+        if cfg is None:
+            return False
+        route = cfg.table.find(req.host, req.path.partition("?")[0])
+        return route is not None and route.is_upload
+
     def _current_limits(self) -> Limits | None:
         cfg = self.cluster_view.configuration
         return cfg.limits if cfg is not None else None
--- a/packages/entry/src/berylstage_entry/connection.py
+++ b/packages/entry/src/berylstage_entry/connection.py
@@ -19,6 +19,7 @@
 from berylstage_entry.errors import BadRequest, Refused
 from berylstage_entry.exchange import Exchange
 from berylstage_entry.graceful_close import GracefulClose
+from berylstage_entry.memory.buffer_memory import TakenAnswers
 from berylstage_entry.responses import (
     BAD_REQUEST,
     CONTENT_TOO_LARGE,
@@ -33,6 +34,7 @@
 )
 
 if TYPE_CHECKING:
+    from berylstage_entry.memory.untaken_answers import UntakenAnswer
     from berylstage_entry.protocols import CallerRequest
     from berylstage_entry.server import CallerServer
 
@@ -50,9 +52,13 @@
 MAX_HEAD_BYTES = 256 * 1024
 # Maximum bytes of a request body that are read, whatever limit is configured.
 MAX_BODY_BYTES = 64 * 1024 * 1024
-# Retry-After for a request that is rejected because the body memory is full. Within
-# this time a target receives a body of that size.
-BODY_RETRY_AFTER_SECONDS = 0.5
+# Seconds for which the rest of a body is read and dropped after its request has been
+# answered, in all and without a byte. A caller that sends 360 kB over a busy link of
+# 1 Mbit/s takes 3 s.
+MAX_DROPPING_SECONDS = 4.0
+MAX_DROPPING_IDLE_SECONDS = 1.0
+# Retry-After for an upload whose body did not arrive within its caller's time.
+BODY_LATE_RETRY_AFTER_SECONDS = 0.05
 
 # Seconds for which the rest of a request, or the first request of a new connection, may
 # still be in transit: twice the retransmission timeout of a lost packet.
@@ -65,6 +71,15 @@
 CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
+def declared_body_bytes(fields: list[tuple[str, str]]) -> int | None:
+    """Return the length of a body by its request head, or None for a chunked body."""
+    names = {name.lower(): value for name, value in fields}
+    if "transfer-encoding" in names:
+        return None
+    length = names.get("content-length", "0").strip()
+    return int(length) if length.isdecimal() else None
+
+
 class CallerConnection(asyncio.Protocol):
     """Reads the requests of one connection and writes the responses.
 
@@ -90,6 +105,12 @@
         self._input_closed = False
         self._write_paused = False
         self._is_reading = True
+        # Bytes of unread input that are counted in the memory.
+        self._counted_input = 0
+        self._taken_answers = TakenAnswers()
+        # Bytes of an answered request that are still to be read and dropped.
+        self._dropped_bytes_left = 0
+        self._dropping_since = 0.0
         # Whether only requests that have begun to arrive are still read.
         self._takes_no_new_requests = False
         self._idle_since = now()
@@ -108,6 +129,7 @@
         """Register the connection and start its idle timer."""
         self._transport = transport
         self._server.add_connection(self)
+        self._update_reading()
         self._check_idle()
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -119,13 +141,17 @@
             self._graceful_close.cancel()
         self._cancel_exchanges(self._exchanges)
         self._exchanges.clear()
+        self._unparsed.clear()
+        self._count_input()
+        self.release_untaken_answers()
         self._server.remove_connection(self)
 
     def data_received(self, data: bytes) -> None:
         """Buffer received bytes and parse as many as the limits allow."""
+        self._last_data_at = now()
         if self._input_closed:
+            self._dropped_bytes_left -= len(data)
             return
-        self._last_data_at = now()
         self._unparsed += data
         self._advance()
 
@@ -173,6 +199,9 @@
         except BadRequest as exc:
             exchange.refusal = exc
             return
+        exchange.deadline = exchange.received_at + exchange.req.time_left
+        if self._server.is_upload(exchange.req) and not self._admit_upload(exchange):
+            return
         expects_continue = any(
             name.lower() == "expect" and value.lower() == "100-continue"
             for name, value in self._header_fields
@@ -194,19 +223,106 @@
             exchange.refusal = BadRequest(
                 CONTENT_TOO_LARGE, "request body exceeds the size limit"
             )
-        elif not self._server.reserve_body_memory(len(body)):
-            exchange.refusal = Refused("body-memory", BODY_RETRY_AFTER_SECONDS)
+        elif self._reserve_body(exchange, len(body)):
+            exchange.body += body
+            return
+        exchange.body = bytearray()
+        self._release_memory(exchange)
+
+    def _admit_upload(self, exchange: Exchange) -> bool:
+        """Reserve memory for an upload's declared body, or refuse it without reading.
+
+        Returns
+        -------
+        bool
+            Whether the upload is not refused.
+        """
+        assert exchange.req is not None
+        exchange.is_upload = True
+        exchange.declared_bytes = declared_body_bytes(self._header_fields)
+        size = exchange.declared_bytes
+        if size is not None and size > self._server.body_limit():
+            cause = "request body exceeds the size limit"
+            exchange.refusal = BadRequest(CONTENT_TOO_LARGE, cause)
+        elif size is not None and not self._server.memory.reserve_body(size, True):
+            exchange.refusal = self._server.memory.refuse_upload(
+                size, exchange.req.time_left
+            )
+        if exchange.refusal is not None:
+            exchange.ends_early = True
+            return False
+        exchange.reserved_upload_bytes = size or 0
+        loop = asyncio.get_running_loop()
+        exchange.body_timer = loop.call_later(
+            max(0.0, exchange.deadline - now()), self._end_late_upload, exchange
+        )
+        return True
+
+    def _reserve_body(self, exchange: Exchange, size: int) -> bool:
+        """Reserve memory for received bytes of a body, or refuse the request."""
+        memory = self._server.memory
+        if exchange.is_upload:
+            size = max(0, exchange.body_size - exchange.reserved_upload_bytes)
+        if not memory.reserve_body(size, exchange.is_upload):
+            assert exchange.req is not None
+            exchange.refusal = (
+                memory.refuse_upload(size, exchange.req.time_left)
+                if exchange.is_upload
+                else memory.refuse_body()
+            )
+            return False
+        if exchange.is_upload:
+            exchange.reserved_upload_bytes += size
         else:
-            exchange.reserved_bytes += len(body)
-            exchange.body_chunks.append(body)
+            exchange.reserved_bytes += size
+        return True
+
+    def _end_late_upload(self, exchange: Exchange) -> None:
+        """Refuse an upload whose body has not arrived within its caller's time.
+
+        A caller that stops in the middle of a body would otherwise hold its memory
+        until its connection is lost.
+        """
+        if exchange.is_complete or exchange.refusal is not None:
             return
-        exchange.body_chunks.clear()
+        detail = f"{exchange.body_size} of {exchange.declared_bytes} bytes arrived"
+        exchange.refusal = Refused("body-late", BODY_LATE_RETRY_AFTER_SECONDS, detail)
+        exchange.body = bytearray()
         self._release_memory(exchange)
+        exchange.ends_early = True
+        self._end_early()
+        self._advance()
+
+    def _end_early(self) -> None:
+        """Answer the last request before its body is complete; read no more requests.
+
+        The rest of the body is read and dropped.
+        """
+        exchange = self._exchanges[-1]
+        received = exchange.body_size + len(self._unparsed)
+        if exchange.declared_bytes is not None:
+            self._dropped_bytes_left = exchange.declared_bytes - received
+        self._dropping_since = now()
+        exchange.is_complete = True
+        self._input_closed = True
+        self._in_request = False
+        self._unparsed.clear()
+
+    def _is_dropping_input(self) -> bool:
+        """Return whether the rest of an answered request is expected."""
+        moment = now()
+        return (
+            self._dropped_bytes_left > 0
+            and moment - self._dropping_since < MAX_DROPPING_SECONDS
+            and moment - self._last_data_at < MAX_DROPPING_IDLE_SECONDS
+        )
 
     def on_message_complete(self) -> None:
         """Mark the request as completely received."""
         exchange = self._exchanges[-1]
         exchange.is_complete = True
+        if exchange.body_timer is not None:
+            exchange.body_timer.cancel()
         self._in_request = False
         self._has_received_request = True
         self._head_bytes = 0
@@ -299,10 +415,44 @@
         if peer_has_closed(self._transport):
             self._transport.abort()
 
+    def update_reading(self) -> None:
+        """Pause or resume reading after a change of the memory in use."""
+        self._update_reading()
+
+    def count_untaken_answers(self) -> int:
+        """Count the bytes of answers that the kernel has not taken, and return them."""
+        if self._transport is None:
+            return 0
+        size = self._transport.get_write_buffer_size()
+        memory, taken = self._server.memory, self._taken_answers
+        if size > taken.counted:
+            memory.reserve_answer(size - taken.counted)
+        else:
+            memory.release(taken.counted - size)
+        taken.counted = size
+        taken.record_unacknowledged(self.unacknowledged_bytes)
+        return size
+
+    def release_untaken_answers(self) -> None:
+        """Release the memory of answers that are dropped with the connection."""
+        self._server.memory.release(self._taken_answers.counted)
+        self._taken_answers.counted = 0
+
+    def describe_untaken(self, number: int) -> UntakenAnswer:
+        """Return the untaken answers; `number` identifies the connection."""
+        return self._taken_answers.describe(number)
+
+    def disconnect(self) -> None:
+        """Drop the connection together with its untaken answers."""
+        if self._transport is not None:
+            self._transport.abort()
+        self.release_untaken_answers()
+
     def close_now(self) -> None:
         """Close the connection regardless of pending work; start nothing more."""
         self._input_closed = True
         self._unparsed.clear()
+        self._count_input()
         if self._transport is not None:
             self._transport.close()
         self._server.remove_connection(self)
@@ -327,8 +477,18 @@
             answered = True
         if answered and not self._exchanges and not self._input_closed:
             self._idle_since = now()
+        self._count_input()
         self._update_reading()
 
+    def _count_input(self) -> None:
+        """Count the bytes that have been read and not parsed."""
+        size, counted = len(self._unparsed), self._counted_input
+        if size > counted:
+            self._server.memory.reserve_answer(size - counted)
+        elif size < counted:
+            self._server.memory.release(counted - size)
+        self._counted_input = size
+
     def _parse(self) -> None:
         while self._unparsed and not self._input_closed and self._may_parse():
             chunk = bytes(self._unparsed[:PARSE_CHUNK_BYTES])
@@ -348,6 +508,9 @@
                 self._reject(BadRequest(HEADERS_TOO_LARGE, cause))
             if self._exchanges and self._exchanges[-1].body_size > MAX_BODY_BYTES:
                 self._close_after_last()
+            last = self._exchanges[-1] if self._exchanges else None
+            if last is not None and last.ends_early and not last.is_complete:
+                self._end_early()
 
     def _may_parse(self) -> bool:
         if not self._exchanges:
@@ -356,7 +519,7 @@
         if len(self._exchanges) == 1 and not is_last_complete:
             # Reading must go on, because no other event would complete its body.
             return True
-        if self._write_paused or self._server.is_memory_full():
+        if self._write_paused or self._server.memory.budget.is_full:
             return False
         return len(self._exchanges) - (not is_last_complete) < MAX_PIPELINED_REQUESTS
 
@@ -379,7 +542,7 @@
         self._in_request = False
         last.is_complete = True
         last.refusal = exc
-        last.body_chunks.clear()
+        last.body = bytearray()
         self._release_memory(last)
 
     def _update_reading(self) -> None:
@@ -392,6 +555,9 @@
             self._takes_no_new_requests and self._exchanges and not self._in_request
         )
         reads = len(self._unparsed) < MAX_UNPARSED_BYTES and not is_finished
+        is_idle = not self._exchanges and not self._in_request
+        if is_idle and self._server.memory.pauses_reading:
+            reads = False
         if reads != self._is_reading:
             self._is_reading = reads
             if reads:
@@ -403,7 +569,7 @@
 
     def _start_ready_requests(self) -> None:
         """Start the requests that need not wait for earlier ones."""
-        is_blocked = self._write_paused or self._server.is_memory_full()
+        is_blocked = self._write_paused or self._server.memory.budget.is_full
         for index, exchange in enumerate(self._exchanges):
             if not exchange.is_complete or index == MAX_PIPELINED_REQUESTS:
                 return
@@ -416,10 +582,12 @@
 
     def _start(self, exchange: Exchange) -> None:
         if exchange.refusal is not None or exchange.req is None:
-            exchange.response = self._server.reject_request(exchange.refusal)
+            exchange.response = self._server.reject_request(
+                exchange.refusal, exchange.req, now() - exchange.received_at
+            )
             return
-        exchange.req.body = b"".join(exchange.body_chunks)
-        exchange.body_chunks.clear()
+        exchange.req.body = bytes(exchange.body)
+        exchange.body = bytearray()
         # The caller has been waiting since the request head was read.
         exchange.req.waited = now() - exchange.received_at
         exchange.task = asyncio.create_task(self._serve(exchange, exchange.req))
@@ -428,12 +596,12 @@
         try:
             response = await self._server.handle_request(req)
         finally:
+            # The task and its request may outlive the reserved memory.
+            req.body = b""
             self._release_memory(exchange)
         exchange.response = response
         # A buffered response counts against the body memory until it is written.
-        exchange.reserved_bytes = self._server.reserve_response_memory(
-            len(response.body)
-        )
+        exchange.reserved_bytes = self._server.memory.reserve_answer(len(response.body))
         self._advance()
 
     def _write_ready_responses(self) -> bool:
@@ -448,12 +616,22 @@
             if self._transport is not None and not self._transport.is_closing():
                 assert exchange.response is not None
                 self._transport.write(encode_response(exchange.response, closing))
+                self._watch_untaken_answers(exchange)
             if closing:
                 self._close()
                 return False
             answered = True
         return answered
 
+    def _watch_untaken_answers(self, exchange: Exchange) -> None:
+        """Count a written answer until the kernel has taken it."""
+        assert self._transport is not None
+        if not self._transport.get_write_buffer_size():
+            return
+        self._taken_answers.record_answer(exchange.deadline, self.unacknowledged_bytes)
+        self.count_untaken_answers()
+        self._server.memory.watch(self)
+
     def _is_last_response(self) -> bool:
         """Return whether the process is stopping and no other request has arrived.
 
@@ -471,7 +649,9 @@
         self._exchanges.clear()
         if self._transport is not None and not self._transport.is_closing():
             self._graceful_close = GracefulClose(
-                self._transport, lambda: self._server.idle_timeout
+                self._transport,
+                lambda: self._server.idle_timeout,
+                self._is_dropping_input,
             )
             self._graceful_close.begin()
 
@@ -483,8 +663,11 @@
 
     def _release_memory(self, exchange: Exchange) -> None:
         """Release the memory that is reserved for a body or a response."""
-        self._server.release_memory(exchange.reserved_bytes)
-        exchange.reserved_bytes = 0
+        if exchange.body_timer is not None:
+            exchange.body_timer.cancel()
+        self._server.memory.release(exchange.reserved_bytes)
+        self._server.memory.release(exchange.reserved_upload_bytes, True)
+        exchange.reserved_bytes = exchange.reserved_upload_bytes = 0
 
     # Idle time.
 
@@ -496,7 +679,8 @@
         if self._exchanges:
             left = self._server.idle_timeout
         elif left <= 0 and self.has_unread_bytes():
-            # The event loop was late; a request arrived before the timeout.
+            # A request arrived before the timeout. Either the event loop was late, or
+            # reading is paused until memory is free.
             left = UNREAD_POLL_SECONDS
         if left <= 0:
             self._close_idle()
--- a/packages/entry/src/berylstage_entry/exchange.py
+++ b/packages/entry/src/berylstage_entry/exchange.py
@@ -7,7 +7,7 @@
 from berylstage_entry.clock import now
 
 if TYPE_CHECKING:
-    from asyncio import Task
+    from asyncio import Task, TimerHandle
 
     from berylstage_entry.errors import BadRequest, Refused
     from berylstage_entry.protocols import CallerRequest
@@ -28,22 +28,40 @@
     ----------
     received_at : float
         Monotonic seconds at which the request head was complete.
+    body : bytearray
+        Part of the body that has been received.
+    declared_bytes : int or None
+        Length of the body that the request head declares.
+    is_upload : bool
+        Whether its route has large bodies.
     reserved_bytes : int
         Bytes reserved from the memory for bodies and responses.
+    reserved_upload_bytes : int
+        Bytes of an upload's body reserved from it.
+    ends_early : bool
+        Whether it is answered before its whole body has been received.
+    deadline : float
+        Monotonic seconds at which the caller stops waiting.
     is_complete : bool
         Whether the whole request has been received.
     """
 
     __slots__ = (
-        "body_chunks",
+        "body",
         "body_size",
+        "body_timer",
+        "deadline",
+        "declared_bytes",
+        "ends_early",
         "is_complete",
         "is_safe",
+        "is_upload",
         "keep_alive",
         "received_at",
         "refusal",
         "req",
         "reserved_bytes",
+        "reserved_upload_bytes",
         "response",
         "task",
     )
@@ -54,9 +72,17 @@
         self.keep_alive = keep_alive
         self.req: CallerRequest | None = None
         self.refusal: BadRequest | Refused | None = None
-        self.body_chunks: list[bytes] = []
+        # One growing buffer. A list of chunks left gaps in the heap that no whole body
+        # fitted in, and a buffered byte took 1.6 bytes of memory.
+        self.body = bytearray()
         self.body_size = 0
+        self.declared_bytes: int | None = None
+        self.is_upload = False
+        self.ends_early = False
+        self.body_timer: TimerHandle | None = None
+        self.deadline = self.received_at
         self.reserved_bytes = 0
+        self.reserved_upload_bytes = 0
         self.is_complete = False
         self.task: Task | None = None
         self.response: Response | None = None
--- a/packages/entry/src/berylstage_entry/graceful_close.py
+++ b/packages/entry/src/berylstage_entry/graceful_close.py
@@ -36,9 +36,14 @@
     transport : asyncio.Transport
     stall_timeout : callable
         Returns the seconds without progress after which the connection is aborted.
+    expects_input : callable, optional
+        Returns whether the peer still sends the rest of a request that has been
+        answered. It is read and dropped, so that a peer which reads the answer only
+        after it has sent everything is not reset before.
     """
 
     __slots__ = (
+        "_expects_input",
         "_last_progress_at",
         "_last_unacknowledged",
         "_poll_seconds",
@@ -48,8 +53,12 @@
     )
 
     def __init__(
-        self, transport: asyncio.Transport, stall_timeout: Callable[[], float]
+        self,
+        transport: asyncio.Transport,
+        stall_timeout: Callable[[], float],
+        expects_input: Callable[[], bool] = lambda: False,
     ):
+        self._expects_input = expects_input
         self._transport = transport
         self._stall_timeout = stall_timeout
         self._last_unacknowledged = self.unacknowledged_bytes
@@ -66,7 +75,8 @@
 
     def begin(self) -> None:
         """Shut down the sending side after the data that is already written."""
-        self._transport.pause_reading()
+        if not self._expects_input():
+            self._transport.pause_reading()
         try:
             self._transport.write_eof()
         except OSError as exc:
@@ -86,10 +96,12 @@
 
     def _check(self) -> None:
         left, moment = self.unacknowledged_bytes, now()
-        if left == 0:
+        if left == 0 and not self._expects_input():
             self._transport.close()
             return
-        if left < self._last_unacknowledged:
+        if left == 0:
+            self._last_progress_at = moment
+        elif left < self._last_unacknowledged:
             self._last_unacknowledged, self._last_progress_at = left, moment
         elif moment - self._last_progress_at > self._stall_limit():
             self._transport.abort()
--- a/packages/entry/src/berylstage_entry/routes.py
+++ b/packages/entry/src/berylstage_entry/routes.py
@@ -49,6 +49,8 @@
         0 is the most urgent.
     is_public : bool
         Whether requests need no API key.
+    is_upload : bool
+        Whether requests have large bodies, which are refused first if memory is scarce.
     """
 
     __slots__ = (
@@ -56,6 +58,7 @@
         "host",
         "idempotent",
         "is_public",
+        "is_upload",
         "name",
         "objective",
         "prefix",
@@ -76,6 +79,7 @@
         objective: float,
         priority: int,
         is_public: bool = False,
+        is_upload: bool = False,
     ):
         self.name = name
         self.host = host
@@ -87,6 +91,7 @@
         self.objective = objective
         self.priority = priority
         self.is_public = is_public
+        self.is_upload = is_upload
 
 
 class RoutingTable:
--- a/packages/entry/src/berylstage_entry/server.py
+++ b/packages/entry/src/berylstage_entry/server.py
@@ -12,6 +12,7 @@
 from berylstage_entry.clock import now
 from berylstage_entry.connection import MAX_BODY_BYTES, CallerConnection
 from berylstage_entry.errors import BadRequest, Refused, Unanswered, UnknownApiKey
+from berylstage_entry.memory.buffer_memory import BufferMemory
 from berylstage_entry.request_errors import IMMEDIATE_RETRY_SECONDS
 from berylstage_entry.responses import (
     BAD_GATEWAY,
@@ -38,11 +39,6 @@
 
 # Maximum bytes of a request body while no configuration is known.
 DEFAULT_MAX_BODY_BYTES = 1024 * 1024
-# Maximum bytes of all buffered bodies together: a third of the memory of a 300 MB VM,
-# because each body is copied once when it is sent and the process itself uses 26 MB.
-# Without this limit, five concurrent bodies of 64 MB would get the process killed for
-# its memory use, and all its requests would be lost.
-DEFAULT_MAX_BUFFERED_BYTES = 100 * 1024 * 1024
 # Connections that may wait in the listen queue.
 LISTEN_BACKLOG = 1024
 # Idle timeout of a connection while no configuration is known.
@@ -64,6 +60,8 @@
     request_log : RequestLog
     limits : callable
         Returns the configured limits, or None while no configuration is known.
+    memory : BufferMemory, optional
+        Memory for bodies, untaken responses and unread input.
     """
 
     def __init__(
@@ -72,6 +70,7 @@
         router: Router,
         request_log: RequestLog,
         limits: Callable[[], Limits | None],
+        memory: BufferMemory | None = None,
     ):
         self.protocol = protocol
         self._router = router
@@ -80,9 +79,10 @@
         self.is_stopping = False
         # Seconds for which a connection may stay idle.
         self.idle_timeout = DEFAULT_IDLE_SECONDS
-        # Bytes of bodies and responses that are buffered, and their limit.
-        self._buffered = 0
-        self.max_buffered_bytes = DEFAULT_MAX_BUFFERED_BYTES
+        self.memory = memory or BufferMemory()
+        self.memory.connections = lambda: self._connections
+        # Tells whether a request belongs to a route with large bodies.
+        self.is_upload: Callable[[CallerRequest], bool] = lambda req: False
         # All open connections, including those that still send their last response.
         self._connections: set[CallerConnection] = set()
         # Whether the listening socket and idle connections have been closed.
@@ -144,6 +144,7 @@
     def remove_connection(self, conn: CallerConnection) -> None:
         """Unregister a closed connection."""
         self._connections.discard(conn)
+        self.memory.forget(conn)
 
     def start_draining(self) -> None:
         """Close the listening socket and the connections without a request.
@@ -204,29 +205,28 @@
         if size > limits.header_bytes:
             raise BadRequest(HEADERS_TOO_LARGE, "request headers exceed the size limit")
 
-    def reserve_body_memory(self, size: int) -> bool:
-        """Reserve memory for bytes of a body; return False if the limit is reached."""
-        if self._buffered + size > self.max_buffered_bytes:
-            return False
-        self._buffered += size
-        return True
-
-    def reserve_response_memory(self, size: int) -> int:
-        """Reserve memory for a response that waits for earlier ones; return `size`."""
-        self._buffered += size
-        return size
-
-    def is_memory_full(self) -> bool:
-        """Return whether buffered bodies and responses have reached the limit."""
-        return self._buffered >= self.max_buffered_bytes
-
-    def release_memory(self, size: int) -> None:
-        """Release reserved memory."""
-        self._buffered -= size
-
-    def reject_request(self, exc: BadRequest | Refused | None) -> Response:
-        """Log a request that cannot be served, and return its response."""
-        self._request_log.log_malformed(str(exc) if exc else "unreadable request")
+    def reject_request(
+        self,
+        exc: BadRequest | Refused | None,
+        req: CallerRequest | None = None,
+        seconds: float = 0.0,
+    ) -> Response:
+        """Log a request that cannot be served, and return its response.
+
+        Parameters
+        ----------
+        exc : BadRequest or Refused or None
+        req : CallerRequest, optional
+            The request, if its head could be read.
+        seconds : float
+            Seconds since its head was read.
+        """
+        if isinstance(exc, Refused) and req is not None:
+            self._request_log.log_unanswered(
+                req, exc.status, exc.reason, seconds, exc.detail
+            )
+        else:
+            self._request_log.log_malformed(str(exc) if exc else "unreadable request")
         if isinstance(exc, Refused):
             return Response(
                 UNAVAILABLE, self.protocol.retry_after_headers(exc.retry_after)
--- a/packages/entry/src/berylstage_entry/settings.py
+++ b/packages/entry/src/berylstage_entry/settings.py
@@ -95,6 +95,8 @@
         Bandwidth of the VM's network link in Mbit/s.
     regions : dict of str to str
         Region of each data centre; empty if there is only one region.
+    memory_bytes : int or None
+        Memory of the VM; None if it is not known.
     """
 
     __slots__ = (
@@ -104,6 +106,7 @@
         "cores",
         "data_centre",
         "link_mbps",
+        "memory_bytes",
         "metrics_port",
         "ready",
         "regions",
@@ -126,6 +129,7 @@
         cores: float,
         link_mbps: float,
         regions: dict[str, str] | None = None,
+        memory_bytes: int | None = None,
     ):
         self.vm = vm
         self.data_centre = data_centre
@@ -139,6 +143,7 @@
         self.cores = cores
         self.link_mbps = link_mbps
         self.regions = regions or {}
+        self.memory_bytes = memory_bytes
 
     def is_in_own_region(self, data_centre: str) -> bool:
         """Tell whether a data centre is in the region of this VM."""
--- a/packages/entry/tests/test_connection.py
+++ b/packages/entry/tests/test_connection.py
@@ -250,7 +250,7 @@
         # Large responses wait for a slow first one. No further request starts while
         # they fill the body memory, and all of that memory is released afterwards.
         async def step(harness):
-            harness.server.max_buffered_bytes = 1000
+            harness.server.memory.budget.capacity = 1000
             harness.router.size = 1000
             harness.send(get("/a") + get("/b"))
             await harness.run_loop()
@@ -261,7 +261,7 @@
             await harness.finish("/a")
             assert harness.router.started == ["/a", "/b", "/c"]
             await harness.finish("/c")
-            assert harness.server.reserve_body_memory(1000)
+            assert harness.server.memory.reserve_body(1000)
 
         run_in_virtual_time(step)
 
@@ -275,7 +275,9 @@
             await harness.run_loop()
             assert harness.router.cancelled == ["/a", "/b"]
             assert harness.server.in_flight == 0
-            assert harness.server.reserve_body_memory(harness.server.max_buffered_bytes)
+            assert harness.server.memory.reserve_body(
+                harness.server.memory.budget.capacity
+            )
 
         run_in_virtual_time(step)
 
@@ -484,8 +486,8 @@
                 harness.conn.connection_lost(None)
                 await harness.run_loop()
                 assert harness.server.in_flight == 0
-                assert harness.server.reserve_body_memory(
-                    harness.server.max_buffered_bytes
+                assert harness.server.memory.reserve_body(
+                    harness.server.memory.budget.capacity
                 )
 
             loop.run_until_complete(step())
@@ -531,4 +533,4 @@
             del finish_order[first]
             await harness.finish(first)
         assert harness.transport.bodies == expected
-        assert harness.server.reserve_body_memory(harness.server.max_buffered_bytes)
+        assert harness.server.memory.reserve_body(harness.server.memory.budget.capacity)
--- a/packages/entry/tests/test_server.py
+++ b/packages/entry/tests/test_server.py
@@ -548,7 +548,7 @@
         # caller is told when to retry.
         async def scenario():
             server, port = start_server(SlowRouter(0.3))
-            server.max_buffered_bytes = 1500
+            server.memory.budget.capacity = 1500
             text = head("Content-Length: 1000") + b"x" * 1000
             first = asyncio.create_task(exchange(port, text))
             await asyncio.sleep(0.1)
@@ -560,7 +560,7 @@
             await asyncio.sleep(0.1)
             writer.close()
             await asyncio.sleep(0.1)
-            assert server.reserve_body_memory(1500)
+            assert server.memory.reserve_body(1500)
             await server.close()
 
         asyncio.run(scenario())
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -76,7 +76,7 @@
     # Last octets of VM addresses, each used once; the soak uses the lower ones.
     _numbers = count(101)
 
-    def __init__(self, number, folder, store_port):
+    def __init__(self, number, folder, store_port, extra_settings=()):
         self.ip = f"{get_loopback_prefix()}.{next(self._numbers)}"
         self.ports = [8381, 8388, 8382, 7200]
         front, ready, control, inner = self.ports
@@ -93,6 +93,7 @@
             "limits.cpu_cores=1",
             "limits.link_mbps=1000.0",
             "platform.ttl_min_ms=1000",
+            *extra_settings,
         ]
         path = folder / f"vm-{number}.conf"
         path.write_text("\n".join(text))
