--- a/packages/entry/src/berylstage_entry/settings.py
+++ b/packages/entry/src/berylstage_entry/settings.py
@@ -97,6 +97,8 @@
         Region of each data centre; empty if there is only one region.
     report_interval : float
         Seconds between two reports of a target to the store; 0 if it is not known.
+    memory_bytes : int or None
+        Memory of the VM; None if it is not known.
     """
 
     __slots__ = (
@@ -106,6 +108,7 @@
         "cores",
         "data_centre",
         "link_mbps",
+        "memory_bytes",
         "metrics_port",
         "ready",
         "regions",
@@ -130,6 +133,7 @@
         link_mbps: float,
         regions: dict[str, str] | None = None,
         report_interval: float = 0.0,
+        memory_bytes: int | None = None,
     ):
         self.vm = vm
         self.data_centre = data_centre
@@ -144,6 +148,7 @@
         self.link_mbps = link_mbps
         self.regions = regions or {}
         self.report_interval = report_interval
+        self.memory_bytes = memory_bytes
 
     def is_in_own_region(self, data_centre: str) -> bool:
         """Tell whether a data centre is in the region of this VM."""
