--- a/packages/bench/src/berylstage_bench/owned.py
+++ b/packages/bench/src/berylstage_bench/owned.py
@@ -4,7 +4,8 @@
 
 import argparse
 
-from berylstage_entry import key_loads, rebalancing, router, service_times
+from berylstage_entry import router
+from berylstage_entry.placement import key_loads, rebalancing, service_times
 
 from berylstage_bench import owned_model
 from berylstage_bench.owned_model import OwnedPlay
--- a/packages/bench/src/berylstage_bench/owned_model.py
+++ b/packages/bench/src/berylstage_bench/owned_model.py
@@ -14,14 +14,15 @@
 from random import Random
 from typing import TYPE_CHECKING
 
-from berylstage_entry import range_placement, router
+from berylstage_entry import router
 from berylstage_entry.assignment import KEY_COUNT, Assignment, KeyRange
 from berylstage_entry.grant_controller import REBALANCE_INTERVAL_SECONDS
-from berylstage_entry.key_loads import KeyLoads
 from berylstage_entry.load_reporter import COUNT_INTERVAL_SECONDS as REPORT_PERIOD
 from berylstage_entry.owners import OWNER_WAIT_SHARE
-from berylstage_entry.rebalancing import Rebalancer
-from berylstage_entry.service_times import TargetServiceTimes
+from berylstage_entry.placement import range_placement
+from berylstage_entry.placement.key_loads import KeyLoads
+from berylstage_entry.placement.rebalancing import Rebalancer
+from berylstage_entry.placement.service_times import TargetServiceTimes
 from berylstage_policy.completion import ServiceLoads
 
 if TYPE_CHECKING:
--- a/packages/bench/tests/test_owned.py
+++ b/packages/bench/tests/test_owned.py
@@ -7,7 +7,7 @@
 from berylstage_bench.owned_model import OwnedPlay
 from berylstage_bench.owned_setup import OwnedSetup
 from berylstage_bench.placement import Variation, changed
-from berylstage_entry import key_loads, rebalancing
+from berylstage_entry.placement import key_loads, rebalancing
 
 SETUP = OwnedSetup(
     44, 2, 8, 312, 0.09, 0.3, 0.4, 1.0, 0.3, 0.47, 20, BUSY, told=0.2, seconds=20.0
--- a/packages/entry/src/berylstage_entry/grant_controller.py
+++ b/packages/entry/src/berylstage_entry/grant_controller.py
@@ -14,11 +14,14 @@
 from berylstage_entry.errors import Conflict, StoreError
 from berylstage_entry.grant_expiry import GRANT_RENEWAL_INTERVAL_SECONDS
 from berylstage_entry.grant_renewer import GrantRenewer, log_task_failure
-from berylstage_entry.key_loads import KeyLoads
 from berylstage_entry.key_moves import FENCES_PER_MOVE, KeyMoves
-from berylstage_entry.range_placement import merge_ranges, place_ranges
-from berylstage_entry.rebalancing import MIN_ROUND_INTERVAL_SECONDS, Rebalancer
-from berylstage_entry.service_times import TargetServiceTimes
+from berylstage_entry.placement.key_loads import KeyLoads
+from berylstage_entry.placement.range_placement import merge_ranges, place_ranges
+from berylstage_entry.placement.rebalancing import (
+    MIN_ROUND_INTERVAL_SECONDS,
+    Rebalancer,
+)
+from berylstage_entry.placement.service_times import TargetServiceTimes
 
 if TYPE_CHECKING:
     from berylstage_entry.assignment import Assignment
--- a/packages/entry/src/berylstage_entry/load_reporter.py
+++ b/packages/entry/src/berylstage_entry/load_reporter.py
@@ -37,7 +37,7 @@
 COUNT_INTERVAL_SECONDS = 0.1
 # Reports of service times per second by all VMs together: the more VMs, the less often
 # each of them reports. Service times take seconds to change, and ten reports a second
-# are enough to tell a change from noise (`berylstage_entry.service_times`).
+# are enough to tell a change from noise (`berylstage_entry.placement.service_times`).
 SERVICE_TIME_REPORTS_PER_SECOND = 10.0
 # Timeout of a report of service times, which is not retried.
 REPORT_TIMEOUT_SECONDS = 0.5
--- /dev/null
+++ b/packages/entry/src/berylstage_entry/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Decides which target owns which keys."""
--- a/packages/entry/src/berylstage_entry/range_placement.py
+++ b/packages/entry/src/berylstage_entry/placement/range_placement.py
@@ -10,7 +10,7 @@
 from typing import TYPE_CHECKING
 
 from berylstage_entry.assignment import KEY_COUNT, LAST_KEY
-from berylstage_entry.key_loads import KeyMove, rates_by_range
+from berylstage_entry.placement.key_loads import KeyMove, rates_by_range
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
--- a/packages/entry/src/berylstage_entry/rebalancing.py
+++ b/packages/entry/src/berylstage_entry/placement/rebalancing.py
@@ -11,7 +11,7 @@
 
 from typing import TYPE_CHECKING
 
-from berylstage_entry.key_loads import KeyMove, rates_by_range
+from berylstage_entry.placement.key_loads import KeyMove, rates_by_range
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
--- a/packages/entry/tests/test_key_loads.py
+++ b/packages/entry/tests/test_key_loads.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from berylstage_entry.key_loads import KeyLoads
+from berylstage_entry.placement.key_loads import KeyLoads
 
 
 class TestKeyLoads:
--- a/packages/entry/tests/test_range_placement.py
+++ b/packages/entry/tests/test_range_placement.py
@@ -5,7 +5,7 @@
 from itertools import pairwise
 
 from berylstage_entry.assignment import KeyRange
-from berylstage_entry.range_placement import merge_ranges, place_ranges
+from berylstage_entry.placement.range_placement import merge_ranges, place_ranges
 from test_rebalancing import TARGET_NAMES, divide_evenly, skewed_rates
 
 
--- a/packages/entry/tests/test_rebalancing.py
+++ b/packages/entry/tests/test_rebalancing.py
@@ -5,7 +5,7 @@
 from random import Random
 
 from berylstage_entry.assignment import LAST_KEY, Assignment, KeyRange
-from berylstage_entry.rebalancing import (
+from berylstage_entry.placement.rebalancing import (
     MIN_MOVES_PER_ROUND,
     MIN_ROUND_INTERVAL_SECONDS,
     Rebalancer,
