Relieve all overloaded owners of large services in one plan

Cause: 200 neighbouring keys with 0.44 of the requests overload one or two owners, and a round of moves relieves few of them. Change: above 50 owners, Rebalancer takes the moves of plan_spread, and KeyLoads counts a step in an owner's requests at once. The model plays T and N and measures how long owners stay overloaded.

--- a/packages/bench/src/berylstage_bench/owned.py
+++ b/packages/bench/src/berylstage_bench/owned.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import argparse
+from typing import TYPE_CHECKING
 
 from berylstage_entry import router
 from berylstage_entry.placement import key_loads, rebalancing, service_times
@@ -12,6 +13,9 @@
 from berylstage_bench.owned_setup import Busy, OwnedSetup
 from berylstage_bench.placement import Variation, changed
 
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
 # A third of all requests for two hundred neighbouring keys, and then for sixty.
 BUSY = (Busy(8.0, 5.0, 0.35, 200), Busy(14.0, 4.0, 0.35, 60))
 # Speeds of machines, over the usual.
@@ -38,6 +42,42 @@
     }
 
 
+# 0.44 of all requests for two hundred neighbouring keys.
+STEP = (Busy(10.0, 5.0, 0.44, 200),)
+# Machines that take 0.5 to 1.5, and 0.6 to 1.6, of the usual time.
+SPEEDS_T = tuple(0.5 + i / 19 for i in range(20))
+SPEEDS_N = tuple(0.6 + i / 19 for i in range(20))
+
+
+def step_setups(busy: Sequence[Busy] = STEP) -> dict[str, OwnedSetup]:
+    """Return services with long work and a step of load, from small to large."""
+
+    def with_size(targets: int, vms: int) -> OwnedSetup:
+        # Requests for a target, times and worths are those of T.
+        return OwnedSetup(
+            *(targets, 6, 24, 9.05 * targets, 0.262, 0.4, 0.68, 5.1, 0.1, 0.5),
+            *(vms, busy, SPEEDS_T),
+            told=0.8,
+            seconds=18.0,
+            ranges_per_target=3,
+        )
+
+    return {
+        "25 targets, 9 VMs": with_size(25, 9),
+        "46 targets, 50 VMs": with_size(46, 50),
+        "60 targets, 63 VMs": with_size(60, 63),
+        "N: 65 targets, 81 VMs": OwnedSetup(
+            *(65, 4, 16, 469, 0.19, 0.4, 0.88, 6.55, 0.5, 0.5),
+            *(81, busy, SPEEDS_N),
+            told=0.8,
+            seconds=18.0,
+            ranges_per_target=3,
+        ),
+        "T: 76 targets, 84 VMs": with_size(76, 84),
+        "120 targets, 195 VMs": with_size(120, 195),
+    }
+
+
 VARIATIONS = (
     Variation("as it is"),
     Variation(
@@ -88,11 +128,56 @@
     return f"| {variation.name} | " + " | ".join(cells) + " |"
 
 
+def step_row(name: str, seeds: Sequence[int]) -> str:
+    """Return the row of a service that meets a step of load, and without it.
+
+    Parameters
+    ----------
+    name : str
+        Of a setup of :func:`step_setups`.
+    seeds : sequence of int
+
+    Returns
+    -------
+    str
+    """
+    results = [OwnedPlay(step_setups()[name], seed).run() for seed in seeds]
+    quiet = [OwnedPlay(step_setups(())[name], seed).run() for seed in seeds]
+    cells = [
+        *(
+            " ".join(f"{s:.1f}" for r in results for s in getattr(r, name))
+            for name in ("relief_seconds", "moved_seconds")
+        ),
+        *(
+            f"{sum(r.credit for r in each) / len(each):.3f}, "
+            f"{sum(r.worst_credit for r in each) / len(each):.2f}, "
+            f"{sum(r.moved for r in each) / len(each):.2f}, "
+            f"{sum(r.moves for r in each) / len(each):.0f}, "
+            f"{sum(r.writes for r in each) / len(each):.0f}"
+            for each in (results, quiet)
+        ),
+    ]
+    return f"| {name} | " + " | ".join(cells) + " |"
+
+
 def main() -> None:
-    """Print a row for each variation."""
+    """Print a row for each variation, or for each service that meets a step."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seeds", type=int, default=len(SEEDS), help="plays of each")
-    seeds = range(1, parser.parse_args().seeds + 1)
+    parser.add_argument("--steps", action="store_true", help="only the steps of load")
+    parser.add_argument("--only", default="", help="services whose name contains this")
+    args = parser.parse_args()
+    seeds = range(1, args.seeds + 1)
+    print("seconds until no owner is above its capacity, by play, and until all moves")
+    print("for that have ended; with the step and without: credit, in the worst 4 s,")
+    print("keys moved (1: all once), moves, writes")
+    print("| service | relief | moved | with the step | quiet |")
+    print("|---|---|---|---|---|")
+    for name in step_setups():
+        if args.only in name:
+            print(step_row(name, seeds), flush=True)
+    if args.steps:
+        return
     print("credit earned, in the worst 4 s, keys moved (1: all once), writes in 24 s")
     print("| variation | " + " | ".join(setups()) + " |")
     print("|---|" + "---|" * len(setups()))
--- a/packages/bench/src/berylstage_bench/owned_model.py
+++ b/packages/bench/src/berylstage_bench/owned_model.py
@@ -16,18 +16,27 @@
 
 from berylstage_entry import router
 from berylstage_entry.assignment import KEY_COUNT, Assignment, KeyRange
-from berylstage_entry.grant_controller import REBALANCE_INTERVAL_SECONDS
+from berylstage_entry.grant_controller import (
+    MAX_RANGES_PER_TARGET,
+    REBALANCE_INTERVAL_SECONDS,
+)
 from berylstage_entry.load_reporter import COUNT_INTERVAL_SECONDS as REPORT_PERIOD
 from berylstage_entry.owners import OWNER_WAIT_SHARE
 from berylstage_entry.placement import range_placement
 from berylstage_entry.placement.key_loads import KeyLoads
-from berylstage_entry.placement.rebalancing import Rebalancer
+from berylstage_entry.placement.rebalancing import (
+    MIN_ROUND_INTERVAL_SECONDS,
+    Rebalancer,
+    plans_for_all,
+)
 from berylstage_entry.placement.service_times import TargetServiceTimes
 from berylstage_policy.completion import ServiceLoads
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from berylstage_entry.placement.key_loads import KeyMove
+
     from berylstage_bench.owned_setup import OwnedSetup
 
 # Share of the time for which neighbours slow a machine, by how much, and for how long.
@@ -58,7 +67,9 @@
         "late",
         "lost",
         "moved",
+        "moved_seconds",
         "moves",
+        "relief_seconds",
         "requests",
         "worst",
         "writes",
@@ -69,6 +80,11 @@
         self.requests = self.late = self.lost = self.moves = self.writes = 0
         # Share of all keys that changed hands, summed up.
         self.moved = 0.0
+        # For each time with busy keys, seconds from its start until no owner's requests
+        # exceed what it can serve, and until that is so with the keys on the move at
+        # their former owners; the whole time if that is never so.
+        self.relief_seconds: list[float] = []
+        self.moved_seconds: list[float] = []
         # Credit and requests of each two seconds.
         self.worst: dict[int, list[float]] = {}
 
@@ -155,8 +171,14 @@
         weights = [(i + 1) ** -setup.skew for i in range(setup.things)]
         self._cumulative = list(accumulate(weights))
         self._hot_first = [self._rng.randrange(KEY_COUNT) for _ in setup.busy]
-        # Keys on the move, and when they are with their new owner.
-        self._moving: list[tuple[int, int, float]] = []
+        # Requests of all keys below each key, over all requests.
+        shares = [0.0] * KEY_COUNT
+        for i, weight in enumerate(weights):
+            shares[(self._first + i) % KEY_COUNT] += weight / self._cumulative[-1]
+        self._shares_below = [0.0, *accumulate(shares)]
+        # Keys on the move, when they are with their new owner, and their former one.
+        self._moving: list[tuple[int, int, float, str]] = []
+        self._merged_at = 0.0
         self._fence = 1
         self._assignment = self._dealt()
 
@@ -170,7 +192,11 @@
         nobody = Assignment([KeyRange(0, KEY_COUNT - 1, "", 0, 0)], 1)
         capacities = self._capacities()
         moves = range_placement.place_ranges(
-            nobody.ranges, nobody, [], capacities, len(capacities)
+            nobody.ranges,
+            nobody,
+            [],
+            capacities,
+            self._setup.ranges_per_target * len(capacities),
         )
         return self._with(nobody, moves)
 
@@ -232,7 +258,7 @@
     def _send(self, now: float, req: _Request, since: float) -> None:
         if req.done:
             return
-        if any(a <= req.key <= b and now < end for a, b, end in self._moving):
+        if any(a <= req.key <= b and now < end for a, b, end, _ in self._moving):
             if now - since > OWNER_WAIT_SHARE * self._setup.deadline:
                 self._refuse(now, req)
             else:
@@ -347,19 +373,101 @@
         loads = self._vms[vm]
         self._speeds.observe(loads.mean_seconds, loads.service_time_ratio())
 
+    def _measure_relief(self, now: float) -> None:
+        """Record when no owner gets more requests than it can serve any more."""
+        result = self.result
+        for i, busy in enumerate(self._setup.busy):
+            if not busy.at <= now < busy.at + busy.seconds:
+                continue
+            if len(result.relief_seconds) <= i:
+                result.relief_seconds.append(busy.seconds)
+                result.moved_seconds.append(busy.seconds)
+            for seconds, with_former in (
+                (result.relief_seconds, False),
+                (result.moved_seconds, True),
+            ):
+                highest = self._highest_utilization(i, with_former)
+                if seconds[i] == busy.seconds and highest <= 1.0:
+                    seconds[i] = now - busy.at
+
+    def _highest_utilization(self, busy_index: int, with_former: bool) -> float:
+        """Return the true utilization of the busiest owner.
+
+        The requests of the model's keys can all be divided, so that every owner could
+        be relieved. Requests for keys on the move wait; they load no owner yet.
+        """
+        setup = self._setup
+        busy, first = setup.busy[busy_index], self._hot_first[busy_index]
+        rates = dict.fromkeys(self._owners, 0.0)
+
+        def rate(low: int, high: int) -> float:
+            hot = sum(
+                max(0, min(high, start + busy.count - 1) - max(low, start) + 1)
+                for start in (first, first - KEY_COUNT)
+            )
+            base = self._shares_below[high + 1] - self._shares_below[low]
+            return setup.rate * (
+                base * (1 - busy.share) + hot * busy.share / busy.count
+            )
+
+        for r in self._assignment.ranges:
+            rates[r.owner] += rate(r.first, r.last)
+        for low, high, _, former in self._moving if with_former else ():
+            own = rate(low, high)
+            rates[self._assignment.find(low).owner] -= own
+            rates[former] += own
+        seconds = setup.work * (1 + LONG_SHARE * (LONG_FACTOR - 1))
+        seconds *= 1 + NOISE_SHARE * (NOISE_FACTOR - 1)
+        return max(
+            rates[name] * seconds * owner.speed / setup.slots
+            for name, owner in self._owners.items()
+        )
+
+    def _merge_neighbours(self) -> None:
+        """Put adjacent ranges of one owner under one fence."""
+        ranges = self._assignment.ranges
+        merged = []
+        for one, other in zip(ranges[::2], ranges[1::2], strict=False):
+            if one.owner == other.owner:
+                self._fence += 1
+                merged.append(
+                    KeyRange(one.first, other.last, one.owner, 1, self._fence)
+                )
+        self._assignment = self._assignment.replace(merged, self._fence + 1)
+
+    def _due_moves(self, now: float) -> list[KeyMove]:
+        """Return the moves of a merge or of balance, as the coordinator does."""
+        capacities = self._capacities()
+        if plans_for_all(len(capacities)):
+            self._loads.raise_steps(self._assignment)
+        rates = self._loads.rates()
+        if (
+            self._setup.ranges_per_target > 1
+            and len(self._assignment.ranges) > MAX_RANGES_PER_TARGET * len(capacities)
+            and now - self._merged_at >= MIN_ROUND_INTERVAL_SECONDS
+        ):
+            self._merged_at = now
+            self._merge_neighbours()
+            merges = range_placement.merge_ranges(self._assignment, rates, capacities)
+            if merges:
+                return merges
+        return self._rounds.due_moves(now, self._assignment, rates, capacities)
+
     def _balance(self, now: float) -> None:
         self._at(now + REBALANCE_INTERVAL_SECONDS, self._balance)
         self._loads.decay(now)
         self._moving = [move for move in self._moving if move[2] > now]
+        self._measure_relief(now)
         moves = [
             move
-            for move in self._rounds.due_moves(
-                now, self._assignment, self._loads.rates(), self._capacities()
+            for move in self._due_moves(now)
+            if not any(
+                a <= move.last and move.first <= b for a, b, _, _ in self._moving
             )
-            if not any(a <= move.last and move.first <= b for a, b, _ in self._moving)
         ]
         for move in moves:
-            former = self._owners[self._assignment.find(move.first).owner]
+            former_name = self._assignment.find(move.first).owner
+            former = self._owners[former_name]
             working = [
                 req for req in former.running if move.first <= req.key <= move.last
             ]
@@ -368,7 +476,8 @@
                 (req.sent + req.work * former.speed - now for req in working),
                 default=0.0,
             )
-            self._moving.append((move.first, move.last, now + WRITE + max(0.0, left)))
+            end = now + WRITE + max(0.0, left)
+            self._moving.append((move.first, move.last, end, former_name))
             self.result.moved += (move.last - move.first + 1) / KEY_COUNT
         self.result.moves += len(moves)
         # One write begins the moves of a round, and one tells of their end.
--- a/packages/bench/src/berylstage_bench/owned_setup.py
+++ b/packages/bench/src/berylstage_bench/owned_setup.py
@@ -56,6 +56,9 @@
     told : float
         Seconds between two tellings of loads from VM to VM.
     seconds : float
+    ranges_per_target : int
+        Ranges of keys that each target owns at first. With more than one, ranges are
+        merged as the coordinator does.
     """
 
     __slots__ = (
@@ -64,6 +67,7 @@
         "late",
         "objective",
         "queue",
+        "ranges_per_target",
         "rate",
         "seconds",
         "skew",
@@ -95,6 +99,7 @@
         things: int = 60000,
         told: float = 0.1,
         seconds: float = 24.0,
+        ranges_per_target: int = 1,
     ):
         self.targets = targets
         self.slots = slots
@@ -112,3 +117,4 @@
         self.things = things
         self.told = told
         self.seconds = seconds
+        self.ranges_per_target = ranges_per_target
--- a/packages/entry/src/berylstage_entry/grant_controller.py
+++ b/packages/entry/src/berylstage_entry/grant_controller.py
@@ -20,6 +20,7 @@
 from berylstage_entry.placement.rebalancing import (
     MIN_ROUND_INTERVAL_SECONDS,
     Rebalancer,
+    plans_for_all,
 )
 from berylstage_entry.placement.service_times import TargetServiceTimes
 
@@ -27,6 +28,8 @@
     from berylstage_entry.assignment import Assignment
     from berylstage_entry.cluster_view import ClusterView
     from berylstage_entry.coordinator_election import CoordinatorElection
+    from berylstage_entry.metrics import Metrics
+    from berylstage_entry.placement.spread_plan import SpreadPlan
     from berylstage_entry.protocols import TargetProtocol
     from berylstage_entry.store import Store
     from berylstage_entry.store_watcher import StoreWatcher
@@ -117,6 +120,8 @@
         self._key_moves = KeyMoves(cluster_view, election, protocol, self.grant_renewer)
         # What targets say of themselves; nothing while not set.
         self.target_notices: TargetNotices | None = None
+        # Counters of decisions; nothing is counted while not set.
+        self.metrics: Metrics | None = None
         self._services: dict[str, _ServiceState] = {}
         self._task: asyncio.Task | None = None
         self._term = 0
@@ -248,6 +253,8 @@
         if moment - state.rebalanced_at < REBALANCE_INTERVAL_SECONDS:
             return None
         state.rebalanced_at = moment
+        if plans_for_all(len(capacities)):
+            state.loads.raise_steps(assignment)
         rates = state.loads.rates()
         max_ranges = MAX_RANGES_PER_TARGET * max(1, len(capacities))
         if (
@@ -263,12 +270,33 @@
         moves = state.rebalancer.due_moves(moment, assignment, rates, capacities)
         if not moves:
             return None
+        if state.rebalancer.last_plan is not None:
+            self._record_plan(service, state.rebalancer.last_plan)
         log.info(
             "moving keys for balance",
             extra={"moves": [(m.first, m.last, m.owner) for m in moves]},
         )
         return self._with_moves(assignment, moves)
 
+    def _record_plan(self, service: str, plan: SpreadPlan) -> None:
+        """Log and count a plan for all overloaded owners."""
+        log.info(
+            "plan for overloaded owners",
+            extra={
+                "service": service,
+                "donors": plan.donors,
+                "recipients": plan.recipients,
+                "moves": len(plan.moves),
+                "keys": plan.keys,
+                "highest_before": round(plan.highest_before, 2),
+                "highest_after": round(plan.highest_after, 2),
+            },
+        )
+        if self.metrics is not None:
+            self.metrics.increment("spread plans")
+            self.metrics.increment("spread plan moves", len(plan.moves))
+            self.metrics.increment("spread plan keys", plan.keys)
+
     def _merge(
         self, assignment: Assignment, rates: list, capacities: dict[str, float]
     ) -> Assignment | None:
--- a/packages/entry/src/berylstage_entry/placement/key_loads.py
+++ b/packages/entry/src/berylstage_entry/placement/key_loads.py
@@ -5,6 +5,8 @@
 from math import log
 from typing import TYPE_CHECKING
 
+from berylstage_entry.placement.load_steps import find_missing_rates
+
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
@@ -20,22 +22,31 @@
 MIN_AGE_SECONDS = 0.7
 # Counts below which a key is dropped.
 MIN_WEIGHT = 0.05
+# Seconds for which counts are also kept undecayed, to recognize a rate that has just
+# risen, and the shortest part of them that is looked at. The counts of one report
+# interval may be those of half the VMs.
+RECENT_SECONDS = 0.3
+RECENT_PART_SECONDS = 0.1
 
 
 class KeyLoads:
     """Request counts of keys with exponential decay."""
 
-    __slots__ = ("_decayed_at", "_counting_since", "weights")
+    __slots__ = ("_counting_since", "_decayed_at", "_recent", "weights")
 
     def __init__(self, now: float):
         self.weights: dict[int, float] = {}
         self._decayed_at = now
         # Start of the counting.
         self._counting_since = now
+        # Start and undecayed counts of each part of the last seconds, in order.
+        self._recent: list[tuple[float, dict[int, float]]] = [(now, {})]
 
     def add(self, key: int, count: float) -> None:
         """Add requests for a key."""
         self.weights[key] = self.weights.get(key, 0.0) + count
+        recent = self._recent[-1][1]
+        recent[key] = recent.get(key, 0.0) + count
 
     def decay(self, now: float) -> None:
         """Apply the decay up to a time."""
@@ -45,17 +56,69 @@
         self._decayed_at = now
         decayed = {key: weight * factor for key, weight in self.weights.items()}
         self.weights = {k: w for k, w in decayed.items() if w >= MIN_WEIGHT}
+        # A part is a little shorter than the time between two checks, which jitters.
+        if now - self._recent[-1][0] >= 0.9 * RECENT_PART_SECONDS:
+            oldest = now - RECENT_SECONDS - 0.1 * RECENT_PART_SECONDS
+            self._recent = [part for part in self._recent if part[0] >= oldest]
+            self._recent.append((now, {}))
+
+    def recent_counts(self) -> list[tuple[float, dict[int, float]]]:
+        """Return the counts of the last seconds, the shortest period first.
+
+        Returns
+        -------
+        list of tuple
+            Seconds, and the counts by key.
+        """
+        periods = []
+        counts: dict[int, float] = {}
+        for start, part in reversed(self._recent):
+            seconds = self._decayed_at - start
+            counts = dict(counts)
+            for key, count in part.items():
+                counts[key] = counts.get(key, 0.0) + count
+            if seconds >= 0.9 * RECENT_PART_SECONDS:
+                periods.append((seconds, counts))
+        return periods
+
+    def raise_steps(self, assignment: Assignment) -> int:
+        """Count rates at once that have risen in the last tenths of a second.
+
+        The decayed counts show a third of a new rate after 0.35 s. Where the recent
+        requests of an owner prove a step, its keys' counts are raised by what is
+        missing, see :func:`berylstage_entry.placement.load_steps.find_missing_rates`.
+
+        Parameters
+        ----------
+        assignment : Assignment
+
+        Returns
+        -------
+        int
+            Number of owners with a step.
+        """
+        missing, owners = find_missing_rates(
+            assignment, dict(self.rates()), self.recent_counts()
+        )
+        scale = self._rate_scale()
+        for key, rate in missing.items():
+            self.weights[key] = self.weights.get(key, 0.0) + rate / scale
+        return len(owners)
 
     def rates(self) -> list[tuple[int, float]]:
         """Return all keys in order, each with its requests per second."""
+        scale = self._rate_scale()
+        return sorted((key, weight * scale) for key, weight in self.weights.items())
+
+    def _rate_scale(self) -> float:
+        """Return the requests per second of a count of one."""
         # Shortly after counting has started, the decayed counts are still far below
         # their steady state. Without this correction, targets with long queues seemed
         # idle for a second after the first request and after each change of the
         # coordinator.
         age = max(MIN_AGE_SECONDS, self._decayed_at - self._counting_since)
         steady_state_share = 1 - 0.5 ** (age / HALF_LIFE_SECONDS)
-        scale = log(2) / HALF_LIFE_SECONDS / steady_state_share
-        return sorted((key, weight * scale) for key, weight in self.weights.items())
+        return log(2) / HALF_LIFE_SECONDS / steady_state_share
 
 
 class KeyMove:
--- a/packages/entry/src/berylstage_entry/placement/rebalancing.py
+++ b/packages/entry/src/berylstage_entry/placement/rebalancing.py
@@ -12,6 +12,7 @@
 from typing import TYPE_CHECKING
 
 from berylstage_entry.placement.key_loads import KeyMove, rates_by_range
+from berylstage_entry.placement.spread_plan import SpreadPlan, plan_spread
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -38,6 +39,9 @@
 # there are complete, a tenth of a second.
 MIN_MOVES_PER_ROUND = 6
 TARGETS_PER_MOVE = 10
+# Number of targets up to which rounds of a few moves keep up with a step of load. With
+# more of them, one plan relieves all overloaded owners.
+MAX_ROUND_TARGETS = 50
 # Recipients considered for each move: the least utilized, and the fastest for a single
 # key with more requests than its owner can serve.
 LEAST_UTILIZED_RECIPIENTS = 3
@@ -81,10 +85,12 @@
         Monotonic seconds.
     """
 
-    __slots__ = ("_moved_at",)
+    __slots__ = ("_moved_at", "last_plan")
 
     def __init__(self, now: float):
         self._moved_at = now - MIN_ROUND_INTERVAL_SECONDS
+        # The plan that the last moves are from, None if they are a round's.
+        self.last_plan: SpreadPlan | None = None
 
     def due_moves(
         self,
@@ -93,7 +99,10 @@
         rates: Sequence[tuple[int, float]],
         capacities: dict[str, float],
     ) -> list[KeyMove]:
-        """Return the moves that are due, as :func:`rebalance` does.
+        """Return the moves that are due.
+
+        They are those of :func:`rebalance`, or of :func:`plan_spread` if there are
+        more than ``MAX_ROUND_TARGETS`` targets.
 
         Parameters
         ----------
@@ -106,12 +115,32 @@
         list of KeyMove
         """
         urgent = now - self._moved_at < MIN_ROUND_INTERVAL_SECONDS
-        moves = rebalance(assignment, rates, capacities, urgent)
+        self.last_plan = None
+        if plans_for_all(len(capacities)):
+            self.last_plan = plan_spread(assignment, rates, capacities, urgent)
+            moves = self.last_plan.moves
+        else:
+            moves = rebalance(assignment, rates, capacities, urgent)
         if moves:
             self._moved_at = now
         return moves
 
 
+def plans_for_all(targets: int) -> bool:
+    """Tell whether one plan relieves all overloaded owners of a service.
+
+    Parameters
+    ----------
+    targets : int
+        Number of targets that may own keys.
+
+    Returns
+    -------
+    bool
+    """
+    return targets > MAX_ROUND_TARGETS
+
+
 def rebalance(
     assignment: Assignment,
     rates: Sequence[tuple[int, float]],
