Release sent bodies at once, and measure uploads beside small requests

Cause: pycurl keeps the body of a call until the handle's next call, and the timer of a call that waited for a connection kept the body until the call's deadline, 11 s for an upload.

Change: the body is taken from the handle when its call ends, and the timer is cancelled. tests/upload_load.py plays uploads at once with repeats beside small requests, optionally with a share of a processor (SIGSTOP and SIGCONT).

--- a/packages/transfers/src/berylstage_transfers/client.py
+++ b/packages/transfers/src/berylstage_transfers/client.py
@@ -157,8 +157,9 @@
         call.deadline = time.monotonic() + call.timeout
         self._requests.append(call)  # type: ignore[arg-type]
         self._process_queue()
+        expiry = None
         if not call.started:
-            asyncio.get_running_loop().call_later(
+            expiry = asyncio.get_running_loop().call_later(
                 call.timeout, self._expire_queued, call
             )
         try:
@@ -166,6 +167,10 @@
         except asyncio.CancelledError:
             self._cancel_transfer(call)
             raise
+        finally:
+            # The timer would hold the call's body until the call's deadline.
+            if expiry is not None:
+                expiry.cancel()
 
     def close(self) -> None:
         """Fail active and queued calls and close all connections."""
@@ -326,11 +331,11 @@
         handle = self._handles[curl]
         call = handle.call
         assert call is not None
-        handle.call = None
         if call.timer is not None:
             call.timer.cancel()
         self._record_idle_outcome(handle, call, curl_error)
         self._multi.remove_handle(curl)
+        handle.release_call()
         self._free_list.append(curl)
         if call.stale:
             self._requeue_on_new_connection(call)
--- a/packages/transfers/src/berylstage_transfers/curl_handle.py
+++ b/packages/transfers/src/berylstage_transfers/curl_handle.py
@@ -131,6 +131,16 @@
         curl.setopt(pycurl.FRESH_CONNECT, 1 if max_age_seconds < 1 else 0)
         curl.setopt(pycurl.MAXLIFETIME_CONN, max_age_seconds)
 
+    def release_call(self) -> None:
+        """Forget the call, and release its body.
+
+        pycurl keeps a body until the handle's next call. Ten idle handles of each of
+        several targets held tens of megabytes of bodies that had long been sent.
+        """
+        call, self.call = self.call, None
+        if call is not None and call.body:
+            self.curl.setopt(pycurl.POSTFIELDS, b"")
+
     def _on_socket(self, fd: int, _purpose: int) -> int:
         self._opened_fd = fd
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM, fileno=fd)
--- a/tests/upload_load.py
+++ b/tests/upload_load.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import re
+import signal
 import time
 from pathlib import Path
 
@@ -29,8 +30,16 @@
 SMALL_DEADLINE_MS = 6_550
 SMALL_INTERVAL_SECONDS = 0.02
 SMALL_REQUESTS = 250
-KB_PER_MB = 1000
+SMALL_OBJECTIVE_SECONDS = 0.88
 KIB_BYTES = 1024
+OK = 200
+UNAVAILABLE = 503
+# Attempts of one caller, and the share of its time for which it waits between them.
+ATTEMPTS = 3
+MAX_WAIT_SHARE = 1 / 3
+MS_PER_SECOND = 1000
+# Period of the processor's share, as a scheduler gives it.
+CPU_PERIOD_SECONDS = 0.05
 
 
 def build_configuration():
@@ -48,6 +57,19 @@
     return doc
 
 
+class Outcome:
+    """Statuses of one caller's attempts, and the seconds that they took together."""
+
+    def __init__(self):
+        self.statuses = []
+        self.waits = []
+        self.seconds = 0.0
+
+    @property
+    def is_served(self):
+        return self.statuses[-1] == OK
+
+
 class UploadHandler(ServerHandler):
     """Works for some time on a request and answers with its body's length."""
 
@@ -71,11 +93,15 @@
 class UploadEnvironment:
     """Context manager that starts a store, targets of two services and one VM."""
 
-    def __init__(self, folder, settings=VM_SETTINGS):
+    def __init__(self, folder, settings=VM_SETTINGS, cpu_share=1.0):
         self._folder = folder
+        self._cpu_share = cpu_share
+        self._cpu_task = None
         self._settings = settings
         self.servers = []
         self.vm = None
+        # Connections of callers that do not read.
+        self._unread = []
 
     async def __aenter__(self):
         state, store_port = StoreState(), free_port()
@@ -86,9 +112,21 @@
         state.put("op/config", json.dumps(build_configuration()).encode())
         self.vm = VmProcess(1, self._folder, store_port, self._settings)
         await wait_until(self.vm.is_ready)
+        if self._cpu_share < 1:
+            self._cpu_task = asyncio.create_task(self._limit_cpu())
         return self
 
+    async def _limit_cpu(self):
+        """Let the VM process run for its share of each period."""
+        while True:
+            await asyncio.sleep(CPU_PERIOD_SECONDS * self._cpu_share)
+            self.vm.process.send_signal(signal.SIGSTOP)
+            await asyncio.sleep(CPU_PERIOD_SECONDS * (1 - self._cpu_share))
+            self.vm.process.send_signal(signal.SIGCONT)
+
     async def __aexit__(self, *exc):
+        if self._cpu_task is not None:
+            self._cpu_task.cancel()
         self.vm.process.kill()
         self.vm.process.wait()
 
@@ -120,80 +158,112 @@
         kib = int(re.search(rf"{field}:\s+(\d+)", status).group(1))
         return kib * KIB_BYTES / 1e6
 
-    async def send(self, method, path, deadline_ms, request_id, size=0, reads=True):
-        """Send one request on its own connection and return the response's status.
+    async def send_once(self, head, size, reads, timeout):
+        """Send one attempt on its own connection.
 
-        A caller without `reads` keeps its connection open and returns 0.
+        Returns
+        -------
+        tuple
+            Status, seconds of Retry-After and the connection. The status is 0 if the
+            caller does not read, and -1 if no response came in time.
         """
         reader, writer = await asyncio.open_connection(
             self.vm.ip, self.vm.ports[0], limit=KIB_BYTES
         )
-        head = (
-            f"{method} {path} HTTP/1.1\r\nHost: h.example\r\n"
-            f"Berylstage-Attempt-Id: {request_id}\r\n"
-            f"Berylstage-Deadline-Ms: {deadline_ms}\r\nContent-Length: {size}\r\n\r\n"
-        )
         writer.write(head.encode() + b"u" * size)
         if not reads:
             writer.transport.pause_reading()
-            return 0, writer
+            return 0, 0.0, writer
         try:
-            line = await asyncio.wait_for(reader.readline(), deadline_ms / 1000)
-            return int(line.split()[1]) if line else -1, writer
-        except (TimeoutError, OSError):
-            return -1, writer
+            text = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), timeout)
+        except (TimeoutError, OSError, asyncio.IncompleteReadError):
+            return -1, 0.0, writer
+        found = re.search(rb"retry-after(?:-ms)?: ([\d.]+)", text, re.IGNORECASE)
+        is_ms = b"retry-after-ms" in text.lower()
+        wait = float(found.group(1)) / (MS_PER_SECOND if is_ms else 1) if found else 0.0
+        return int(text.split()[1]), wait, writer
+
+    async def send(self, method, path, deadline_ms, request_id, size=0, reads=True):
+        """Send a request with up to `ATTEMPTS` attempts; return an `Outcome`."""
+        began = time.monotonic()
+        ends_at = began + deadline_ms / MS_PER_SECOND
+        outcome = Outcome()
+        for attempt in range(ATTEMPTS):
+            left = ends_at - time.monotonic()
+            head = (
+                f"{method} {path} HTTP/1.1\r\nHost: h.example\r\n"
+                f"Berylstage-Attempt-Id: {request_id}-{attempt}\r\n"
+                f"Berylstage-Deadline-Ms: {int(left * MS_PER_SECOND)}\r\n"
+                f"Content-Length: {size}\r\n\r\n"
+            )
+            status, wait, writer = await self.send_once(head, size, reads, left)
+            outcome.statuses.append(status)
+            outcome.seconds = time.monotonic() - began
+            if status == 0:
+                self._unread.append(writer)
+                break
+            writer.close()
+            if status != UNAVAILABLE:
+                break
+            outcome.waits.append(wait)
+            left = ends_at - time.monotonic()
+            await asyncio.sleep(min(wait, left * MAX_WAIT_SHARE))
+        return outcome
 
     async def play(self, uploads):
         """Send uploads at once, half of them without reading, beside small requests.
 
         Returns
         -------
-        dict
-            Statuses of the uploads and of the small requests.
+        tuple of list of Outcome
+            Outcomes of the uploads whose callers read, and of the small requests.
         """
-        writers = []
-
-        async def one(*args, **kwargs):
-            status, writer = await self.send(*args, **kwargs)
-            if status:
-                writer.close()
-            else:
-                writers.append(writer)
-            return status
-
         tasks = [
             asyncio.create_task(
-                one("POST", f"/u/{n}", UPLOAD_DEADLINE_MS, f"u{n}", UPLOAD_BYTES, n % 2)
+                self.send(
+                    "POST", f"/u/{n}", UPLOAD_DEADLINE_MS, f"u{n}", UPLOAD_BYTES, n % 2
+                )
             )
             for n in range(uploads)
         ]
         small = []
         for n in range(SMALL_REQUESTS):
             small.append(
-                asyncio.create_task(one("GET", f"/a/{n}", SMALL_DEADLINE_MS, f"s{n}"))
+                asyncio.create_task(
+                    self.send("GET", f"/a/{n}", SMALL_DEADLINE_MS, f"s{n}")
+                )
             )
             await asyncio.sleep(SMALL_INTERVAL_SECONDS)
-        statuses = await asyncio.gather(*tasks), await asyncio.gather(*small)
-        for writer in writers:
+        outcomes = await asyncio.gather(*tasks), await asyncio.gather(*small)
+        for writer in self._unread:
             writer.close()
-        return statuses
+        return outcomes
 
 
-async def measure(folder, uploads):
+async def measure(folder, uploads, cpu_share=1.0):
     """Return the figures of one play."""
-    async with UploadEnvironment(folder) as environment:
+    async with UploadEnvironment(folder, cpu_share=cpu_share) as environment:
         before = environment.memory_mb()
-        began = time.monotonic()
         sent, small = await environment.play(uploads)
-        statuses = {status: sent.count(status) for status in sorted(set(sent))}
+        first = [outcome.statuses[0] for outcome in sent]
+        last = [outcome.statuses[-1] for outcome in sent]
+        in_time = [
+            x for x in small if x.is_served and x.seconds <= SMALL_OBJECTIVE_SECONDS
+        ]
+        waits = sorted(wait for outcome in sent for wait in outcome.waits)
         return {
             "uploads": uploads,
+            "cpu_share": cpu_share,
             "memory_before_mb": round(before, 1),
             "memory_peak_mb": round(environment.memory_mb(), 1),
             "memory_after_mb": round(environment.memory_mb("VmRSS"), 1),
-            "upload_statuses": statuses,
+            "first_statuses": {s: first.count(s) for s in sorted(set(first))},
+            "last_statuses": {s: last.count(s) for s in sorted(set(last))},
             "uploads_run": len([r for r in environment.ran if r.startswith("u")]),
-            "small_served": round(small.count(200) / len(small), 3),
-            "small_statuses": {s: small.count(s) for s in sorted(set(small))},
-            "seconds": round(time.monotonic() - began, 1),
+            "waits": [round(wait, 2) for wait in waits[:: max(1, len(waits) // 8)]],
+            "small_served": round(sum(x.is_served for x in small) / len(small), 3),
+            "small_in_time": round(len(in_time) / len(small), 3),
+            "small_first_served": round(
+                sum(x.statuses[0] == OK for x in small) / len(small), 3
+            ),
         }
