Count the link time of uploads, and test memory under load and failures

Cause: a body of 360 kB takes 0.29 s on a link of 10 Mbit/s, which neither the queue nor the last check before sending knew. Uploads were sent that could not be answered in time. Bodies of failed calls stayed in memory until the garbage collector ran, because the error's traceback refers to the call.

Change: RequestContext.link_seconds is the time of an upload's body on the VM's own link. It is taken from the soft deadline that the queue gets, and added to the expected time in the last check. Measured service times of uploads leave it out, so that it is not counted twice. A call drops its body when it ends.

--- a/packages/entry/src/berylstage_entry/application.py
+++ b/packages/entry/src/berylstage_entry/application.py
@@ -150,6 +150,7 @@
             cfg.data_centre,
             cfg.vm,
         )
+        self.router.link_mbps = cfg.link_mbps
         self.membership = Membership(cfg, store, self.store_watcher)
         self.peer_client = PeerClient(self.membership, cfg.control_address)
         self.relay_transport = RelayTransport()
--- a/packages/entry/src/berylstage_entry/permit_client.py
+++ b/packages/entry/src/berylstage_entry/permit_client.py
@@ -205,8 +205,10 @@
             permit.number,
             checksum(permit.queue),
             checksum(route.name),
-            ctx.soft_deadline - moment,
+            # The target can begin only when the body has crossed this VM's link.
+            ctx.soft_deadline - ctx.link_seconds - moment,
             route.objective,
+            # Not shortened, because the permit server frees the slot at this time.
             ctx.seconds_left(moment),
             ctx.priority,
         )
--- a/packages/entry/src/berylstage_entry/request_context.py
+++ b/packages/entry/src/berylstage_entry/request_context.py
@@ -27,12 +27,15 @@
         Monotonic seconds by which an answer meets the route's latency objective.
     priority : int
         0 is the most urgent.
+    link_seconds : float
+        Seconds that an upload's body takes on this VM's link before a target has it.
     """
 
     __slots__ = (
         "attempts",
         "deadline",
         "failed_answer",
+        "link_seconds",
         "lost_reason",
         "retry_delay",
         "relay",
@@ -57,6 +60,7 @@
         deadline: float,
         soft_deadline: float,
         priority: int = 0,
+        link_seconds: float = 0.0,
     ):
         self.req = req
         self.route = route
@@ -64,6 +68,7 @@
         self.deadline = deadline
         self.soft_deadline = soft_deadline
         self.priority = priority
+        self.link_seconds = link_seconds
         # Permit to send to the target, to be released; None while there is none.
         self.permit: Permit | None = None
         # Token of the limit of the chosen target; None if it has no limit.
--- a/packages/entry/src/berylstage_entry/router.py
+++ b/packages/entry/src/berylstage_entry/router.py
@@ -21,6 +21,10 @@
     Refused,
     Unanswered,
 )
+from berylstage_entry.memory.upload_times import (
+    compute_link_seconds,
+    compute_work_seconds,
+)
 from berylstage_entry.owners import OwnerResolver
 from berylstage_entry.request_authenticator import RequestAuthenticator
 from berylstage_entry.request_context import RequestContext
@@ -120,6 +124,8 @@
         self._retry_budgets: dict[str, RetryBudget] = {}
         self._splits: dict[str, tuple[tuple, WeightedRoundRobin]] = {}
         self._seen_revision = -1
+        # Bandwidth of this VM's link in Mbit/s; 0 if it is not known.
+        self.link_mbps = 0.0
         # Number of known VMs, plus some that may be starting.
         self.vm_count = 10
         # Acquires permits for targets from the permit servers.
@@ -178,8 +184,17 @@
         priority = route.priority
         if workspace is not None and workspace.priority is not None:
             priority = workspace.priority
+        link_seconds = 0.0
+        if route.is_upload:
+            link_seconds = compute_link_seconds(len(req.body), self.link_mbps)
         ctx = RequestContext(
-            req, route, service, arrived_at + wait, soft_deadline, priority
+            req,
+            route,
+            service,
+            arrived_at + wait,
+            soft_deadline,
+            priority,
+            link_seconds,
         )
         self._retry_budget(service.name).deposit()
         self.loads.record_request(service.name)
@@ -233,6 +248,7 @@
         if ctx.route.idempotent:
             return
         expected = self.loads.service_seconds(ctx.service.name, name, ctx.route.name)
+        expected += ctx.link_seconds
         if ctx.seconds_left(now()) < expected:
             detail = f"target {name} takes {expected:.3f} s"
             raise self._errors.build_error(ctx, "no-time", detail)
@@ -348,6 +364,7 @@
         loads = self.loads.for_service(ctx.service.name)
         loads.load(name, self._cluster_view.known[name].target.slots)
         expected = loads.expected_seconds(name, ctx.route.name, now())
+        expected += ctx.link_seconds
         limit = min(OWNER_WAIT * ctx.route.objective, ctx.seconds_left(now()))
         if expected > limit:
             detail = loads.describe(name, now())
@@ -445,7 +462,8 @@
         loads = self.loads.for_service(ctx.service.name)
         kind = ctx.route.name
         name = loads.choose(eligible, kind, now())
-        if loads.expected_seconds(name, kind, now()) > ctx.seconds_left(now()):
+        expected = loads.expected_seconds(name, kind, now()) + ctx.link_seconds
+        if expected > ctx.seconds_left(now()):
             raise self._errors.build_error(ctx, "no-room", loads.describe(name, now()))
         return name
 
@@ -491,7 +509,8 @@
             load.inflight -= 1
             self._release_permit(ctx, failed, report)
         self.target_notices.record_answer(target, answer, started_at)
-        self.loads.record_answer(name, kind, service, answer, now() - started_at)
+        seconds = compute_work_seconds(now() - started_at, ctx.link_seconds)
+        self.loads.record_answer(name, kind, service, answer, seconds)
         if answer.not_run and not answer.misdirected and had_permit:
             ctx.rejections += 1
         return self._handle_answer(ctx, name, answer)
--- a/packages/entry/src/berylstage_entry/target_clients.py
+++ b/packages/entry/src/berylstage_entry/target_clients.py
@@ -170,12 +170,12 @@
         NeverSent, AnswerLost
         """
         headers = self._protocol.request_headers(req, self.target, seconds)
-        body = req.body if req.body or req.method not in ("GET", "HEAD") else None
+        has_body = req.body or req.method not in ("GET", "HEAD")
         call = Call(
             req.method,
             f"http://{self.target.address}{req.path}",
             headers,
-            body,
+            req.body if has_body else None,
             seconds,
             echo=req.request_id,
             fresh=fresh,
--- a/packages/entry/tests/test_router.py
+++ b/packages/entry/tests/test_router.py
@@ -6,7 +6,7 @@
 from random import Random
 
 import pytest
-from berylstage_entry import cold_targets
+from berylstage_entry import cold_targets, permit_client
 from berylstage_entry.assignment import Assignment, KeyRange
 from berylstage_entry.clock import now
 from berylstage_entry.cluster_view import ClusterView
@@ -707,3 +707,75 @@
             asyncio.run(router.serve(self.request("key-1")))
         assert caught.value.status == 429
         assert self.clients.sent == []
+
+
+class TestLinkTime:
+    """An upload of 360 kB takes 0.29 s on a link of 10 Mbit/s."""
+
+    def build_context(self, is_upload, link_mbps, time_left, body_bytes=360_000):
+        route = Route(
+            "r",
+            "h",
+            "/a/",
+            [WeightedService("s", 1.0)],
+            False,
+            3,
+            1.0,
+            0.3,
+            1,
+            is_upload=is_upload,
+        )
+        cluster_view = ClusterView()
+        cfg = Configuration(
+            1, [route], [Service("s", "/", 50, 3.0, 5.0, False)], LIMITS
+        )
+        cluster_view.apply(Record(configuration=cfg), now(), False)
+        cluster_view.apply(Record(target=target("a")), now(), False)
+        clients = TargetClients(["ok"])
+        router = Router(cluster_view, StoreWatcher(), clients, BOUNDS, Random(1))
+        router.link_mbps = link_mbps
+        req = CallerRequest("id", "POST", "h", "/a/x", {}, time_left, None)
+        req.body = b"u" * body_bytes
+        return router, clients, req
+
+    @pytest.mark.parametrize(
+        ("is_upload", "link_mbps", "is_sent"),
+        [
+            (True, 10.0, False),
+            (True, 1000.0, True),
+            (True, 0.0, True),
+            (False, 10.0, True),
+        ],
+    )
+    def test_upload_that_cannot_cross_the_link_in_time_is_refused(
+        self, is_upload, link_mbps, is_sent
+    ):
+        # Its caller would learn that the outcome is unknown, although it could have
+        # been told that the upload has not run.
+        router, clients, req = self.build_context(is_upload, link_mbps, 0.25)
+        if is_sent:
+            assert asyncio.run(router.serve(req)).answer.status == 200
+            assert clients.sent == ["a"]
+            return
+        with pytest.raises(Refused) as caught:
+            asyncio.run(router.serve(req))
+        assert caught.value.reason in ("no-time", "no-room")
+        assert clients.sent == []
+
+    def test_queue_is_told_the_time_left_after_the_link(self):
+        router, _, req = self.build_context(True, 10.0, 1.0)
+        contexts = []
+
+        class PermitClient:
+            async def acquire(self, ctx, queue, data_centre=""):
+                contexts.append(ctx)
+
+        router.permit_client = PermitClient()
+        asyncio.run(router.serve(req))
+        assert contexts[0].link_seconds == pytest.approx(0.288)
+        client = permit_client.PermitClient(None, "h")
+        ask = client._build_request(contexts[0], Permit(1, "s", "h"))
+        # The deadline stays, because the permit server frees the slot at that time.
+        assert ask.deadline - ask.soft_deadline == pytest.approx(
+            contexts[0].deadline - contexts[0].soft_deadline + 0.288
+        )
--- a/packages/policy/tests/test_slot_queue.py
+++ b/packages/policy/tests/test_slot_queue.py
@@ -396,3 +396,35 @@
 
     def test_nearly_all_requests_are_in_time_below_capacity(self):
         assert simulate(0.7)[0] > 0.97
+
+
+class TestBytesUnderWay:
+    def test_permits_bound_the_bytes_of_bodies_on_the_way_to_a_target(self):
+        # 81 VMs have an upload of 360 kB each for a target with 4 slots, and one in ten
+        # is released, renewed or given up at a time. More than 4 bodies at once would
+        # end a small target for its memory use.
+        slots, body_bytes = 4, 360_000
+        queue = slot_queue(slots=slots)
+        rng = Random(4)
+        running, waiting, most = set(), set(), 0
+        moment = 0.0
+        for step in range(400):
+            moment += 0.01
+            decisions = []
+            if step < 81:
+                waiting.add(step)
+                request = queued_request(step, moment, host=f"vm-{step}")
+                decisions += queue.request(request, moment)
+            for number in rng.sample(sorted(running), len(running) // 4):
+                running.discard(number)
+                decisions += queue.release(request_id(number, f"vm-{number}"), moment)
+            decisions += queue.grant_due(moment)
+            for decision in decisions:
+                number = decision.request_id.number
+                if decision.status is PermitStatus.GRANTED:
+                    running.add(number)
+                if decision.status is not PermitStatus.QUEUED:
+                    waiting.discard(number)
+            most = max(most, len(running) * body_bytes)
+            assert len(running) * body_bytes <= slots * body_bytes
+        assert most == slots * body_bytes == 1_440_000
--- a/packages/transfers/src/berylstage_transfers/client.py
+++ b/packages/transfers/src/berylstage_transfers/client.py
@@ -171,6 +171,9 @@
             # The timer would hold the call's body until the call's deadline.
             if expiry is not None:
                 expiry.cancel()
+            # The traceback of an error refers to the call until the garbage collector
+            # runs.
+            call.body = None
 
     def close(self) -> None:
         """Fail active and queued calls and close all connections."""
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -113,6 +113,18 @@
         assert settings.bounds.max_grant_seconds == 10.0
         assert settings.min_store_lease_seconds == 1.0
 
+    def test_parses_memory_limit_if_there_is_one(self):
+        # Without the limit a VM of 160 MB buffered 100 MiB, and was killed.
+        assert parse_settings(SETTINGS).memory_bytes is None
+        text = SETTINGS + "limits.memory_mb=160\n"
+        assert parse_settings(text).memory_bytes == 160_000_000
+
+    @pytest.mark.parametrize("value", ["0", "-1", "inf", "nan", "much"])
+    def test_unusable_memory_limit_is_reported(self, value):
+        with pytest.raises(FaultySettings) as caught:
+            parse_settings(SETTINGS + f"limits.memory_mb={value}\n")
+        assert [fault.name for fault in caught.value.faults] == ["limits.memory_mb"]
+
     def test_parses_cpu_and_link_limits(self):
         assert parse_settings(SETTINGS).cores == 0.86
         assert parse_settings(SETTINGS).link_mbps == 1000.0
