Keep large bodies alive at targets that read slowly or answer early

Cause: found by the tests of large bodies. - Bytes that are unacknowledged for 0.25 s mark the link to a target as lost. A body of 360 kB is under way for 0.29 s on a link of 10 Mbit/s, so uploads made VMs give up working links. - The kernel takes a full receive buffer for silence. TCP_USER_TIMEOUT of 2 s reset uploads whose target did not read for that long. - A whole answer was dropped if the target did not take the rest of the body.

Change: bytes count as unacknowledged only if none were acknowledged since the last look. Bodies above 64 KiB have the call's own timeout as user timeout.

--- a/packages/transfers/src/berylstage_transfers/call.py
+++ b/packages/transfers/src/berylstage_transfers/call.py
@@ -69,6 +69,7 @@
         "answer_headers",
         "started",
         "body",
+        "acknowledged_bytes",
         "body_chunks",
         "connect_deadline",
         "answers_other_call",
@@ -132,6 +133,8 @@
         self.answer_headers: dict[bytes, bytes] = {}
         self.body_chunks: list[bytes] = []
         self.body_size = 0
+        # Acknowledged bytes of the body when they were looked at last; -1 before.
+        self.acknowledged_bytes = -1
         self.fut: asyncio.Future[Answer] | None = None
 
     def parse_headers(self) -> bool:
@@ -151,6 +154,16 @@
         self.answers_other_call = headers.get(self.echo_header) != self.echo
         return not self.answers_other_call
 
+    def has_whole_answer(self) -> bool:
+        """Return whether an answer with a length has arrived to its end."""
+        length = self.answer_headers.get(b"content-length", b"")
+        return (
+            self.status >= MIN_FINAL_STATUS
+            and not self.answers_other_call
+            and length.isdigit()
+            and int(length) == self.body_size
+        )
+
     def is_framed(self) -> bool:
         """Return whether a complete body is distinguishable from a truncated one."""
         # libcurl reports a reset within a body as an error, but a clean close of the
--- a/packages/transfers/src/berylstage_transfers/client.py
+++ b/packages/transfers/src/berylstage_transfers/client.py
@@ -37,6 +37,9 @@
 # more.
 MAX_IDLE_SECONDS = 10
 _MS_PER_SECOND = 1000
+# Errors of a call whose body the server does not take. An answer that has arrived whole
+# before is the answer nevertheless.
+_SENDING_ERRORS = (pycurl.E_SEND_ERROR, pycurl.E_OPERATION_TIMEDOUT)
 
 
 class CallClient(CurlAsyncHTTPClient):
@@ -218,13 +221,15 @@
     def has_unacknowledged_bytes(self, call: Call) -> bool:
         """Tell whether the server's machine has not acknowledged all bytes of a call.
 
-        The machine of a server that is slow or suspended acknowledges them.
+        The machine of a server that is slow or suspended acknowledges them. While more
+        and more bytes of a large body are acknowledged, the link works: 360 kB are
+        under way for 0.29 s on a link of 10 Mbit/s.
         """
         if not call.sent or call.status:
             return False
         for handle in self._handles.values():
             if handle.call is call:
-                return handle.unacknowledged_bytes() > 0
+                return handle.has_unacknowledged_bytes()
         return False
 
     def has_open_connection(self) -> bool:
@@ -342,7 +347,9 @@
         self._free_list.append(curl)
         if call.stale:
             self._requeue_on_new_connection(call)
-        elif curl_error is not None:
+        elif curl_error is not None and not (
+            curl_error in _SENDING_ERRORS and call.has_whole_answer()
+        ):
             self._record_lost_answer(call)
             _fail(
                 call,
--- a/packages/transfers/src/berylstage_transfers/connections.py
+++ b/packages/transfers/src/berylstage_transfers/connections.py
@@ -68,6 +68,20 @@
             # The connection has been closed meanwhile.
             return 0
 
+    def set_user_timeout(self, local_port: int, milliseconds: int) -> None:
+        """Set for how long sent bytes may stay unacknowledged on a connection."""
+        fd = self._fds.get(local_port)
+        if fd is None or not _is_open(fd, local_port):
+            return
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM, fileno=fd)
+        try:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, milliseconds)
+        except OSError:
+            # The connection has been closed meanwhile.
+            return
+        finally:
+            sock.detach()
+
     def is_any_open(self) -> bool:
         """Tell whether there is a connection that the server has not closed."""
         return any(_is_open(fd, port) for port, fd in self._fds.items())
--- a/packages/transfers/src/berylstage_transfers/curl_handle.py
+++ b/packages/transfers/src/berylstage_transfers/curl_handle.py
@@ -25,6 +25,10 @@
 # whose state a middlebox lost acknowledges nothing, whereas the kernel of a slow or
 # frozen process still does.
 UNACKNOWLEDGED_MS = 2000
+# Bytes of a body that the socket of a server buffers while it does not read. The kernel
+# also counts a full buffer as silence, so for larger bodies the call's own timeout
+# applies: a target that is suspended for 2 s would lose its uploads.
+BUFFERED_BODY_BYTES = 64 * 1024
 # Idle time before the first TCP keepalive probe, and the time between probes.
 KEEPALIVE_IDLE_SECONDS = 5
 KEEPALIVE_INTERVAL_SECONDS = 2
@@ -140,6 +144,8 @@
         call, self.call = self.call, None
         if call is not None and call.body:
             self.curl.setopt(pycurl.POSTFIELDS, b"")
+            if len(call.body) > BUFFERED_BODY_BYTES:
+                self._connections.set_user_timeout(self.port, UNACKNOWLEDGED_MS)
 
     def _on_socket(self, fd: int, _purpose: int) -> int:
         self._opened_fd = fd
@@ -176,6 +182,12 @@
             return pycurl.PREREQFUNC_ABORT
         if self.call.may_send is not None and not self.call.may_send():
             return pycurl.PREREQFUNC_ABORT
+        body = self.call.body
+        if body is not None and len(body) > BUFFERED_BODY_BYTES:
+            timeout_ms = int(self.call.timeout * _MS_PER_SECOND)
+            self._connections.set_user_timeout(
+                local_port, max(UNACKNOWLEDGED_MS, timeout_ms)
+            )
         self.call.sent = True
         self._sent_at = time.monotonic()
         return pycurl.PREREQFUNC_OK
@@ -197,9 +209,14 @@
         os_errno = self.curl.getinfo(pycurl.OS_ERRNO)
         return curl_error in _CLOSED_ERRORS and os_errno not in _SILENCE_ERRNOS
 
-    def unacknowledged_bytes(self) -> int:
-        """Return the bytes sent that the server's machine has not acknowledged."""
-        return self._connections.unacknowledged_bytes(self.port)
+    def has_unacknowledged_bytes(self) -> bool:
+        """Tell whether bytes are unacknowledged, and none were since the last call."""
+        assert self.call is not None
+        left = self._connections.unacknowledged_bytes(self.port)
+        acknowledged = int(self.curl.getinfo(pycurl.SIZE_UPLOAD_T)) - left
+        has_progress = acknowledged > self.call.acknowledged_bytes >= 0
+        self.call.acknowledged_bytes = max(0, acknowledged)
+        return left > 0 and not has_progress
 
     def _may_reuse(self, local_port: int) -> bool:
         # libcurl reuses a recently used connection without checking it. If the server
--- a/packages/transfers/tests/test_large_bodies.py
+++ b/packages/transfers/tests/test_large_bodies.py
@@ -115,6 +115,68 @@
 
         run(scenario)
 
+    def test_target_that_stops_reading_for_three_seconds_gets_the_whole_body(self):
+        # The kernel takes a full receive buffer for silence, and reset the connection
+        # of an upload after 2 s, although its target was only suspended.
+        async def answer(reader, writer):
+            await asyncio.sleep(3.0)
+            await read_all(reader, BODY_BYTES)
+            writer.write(OK)
+            await reader.read(1)
+
+        async def scenario():
+            async with serve(answer) as (url, _):
+                client = CallClient(1)
+                call = make_upload(url, bytes(BODY_BYTES))
+                assert (await client.call(call)).status == 200
+                client.close()
+
+        run(scenario)
+
+    def test_body_that_is_still_being_sent_does_not_look_like_a_lost_link(self):
+        # An upload of 360 kB is under way for 0.29 s on a link of 10 Mbit/s. Bytes that
+        # are unacknowledged for 0.25 s made the VM give up the link to the target.
+        async def answer(reader, writer):
+            for _ in range(50):
+                await read_all(reader, BODY_BYTES // 50)
+                await asyncio.sleep(0.02)
+            writer.write(OK)
+            await reader.read(1)
+
+        async def scenario():
+            async with serve(answer) as (url, _):
+                client = CallClient(1)
+                call = make_upload(url, bytes(BODY_BYTES))
+                task = asyncio.create_task(client.call(call))
+                seen = []
+                for _ in range(6):
+                    await asyncio.sleep(0.1)
+                    seen.append(client.has_unacknowledged_bytes(call))
+                assert not any(seen[1:])
+                assert (await task).status == 200
+                client.close()
+
+        run(scenario)
+
+    def test_body_without_progress_looks_like_a_lost_link(self):
+        async def answer(reader, writer):
+            await asyncio.sleep(20)
+
+        async def scenario():
+            async with serve(answer) as (url, _):
+                client = CallClient(1)
+                call = make_upload(url, bytes(BODY_BYTES))
+                task = asyncio.create_task(client.call(call))
+                await asyncio.sleep(0.5)
+                client.has_unacknowledged_bytes(call)
+                for _ in range(3):
+                    await asyncio.sleep(0.1)
+                    assert client.has_unacknowledged_bytes(call)
+                client.close()
+                await asyncio.gather(task, return_exceptions=True)
+
+        run(scenario)
+
     def test_target_that_reads_slowly_is_waited_for_until_the_deadline(self):
         async def answer(reader, writer):
             await reader.read(1000)
