Parse the rest of an upload's body in chunks of up to 64 KiB

Cause: bodies were parsed in chunks of 4 KiB, a limit made for pipelined requests. Under cProfile, 400 uploads of 360 kB spent 0.87 of 5.6 s of processor time there.

Change: the chunk is the rest of a declared body of an upload, up to 64 KiB.

--- a/packages/entry/src/berylstage_entry/connection.py
+++ b/packages/entry/src/berylstage_entry/connection.py
@@ -491,8 +491,9 @@
 
     def _parse(self) -> None:
         while self._unparsed and not self._input_closed and self._may_parse():
-            chunk = bytes(self._unparsed[:PARSE_CHUNK_BYTES])
-            del self._unparsed[:PARSE_CHUNK_BYTES]
+            size = self._parse_size()
+            chunk = bytes(self._unparsed[:size])
+            del self._unparsed[:size]
             if self._in_head:
                 self._head_bytes += len(chunk)
             try:
@@ -512,6 +513,18 @@
             if last is not None and last.ends_early and not last.is_complete:
                 self._end_early()
 
+    def _parse_size(self) -> int:
+        """Return how many bytes to parse at once.
+
+        The rest of an upload's body contains no other request. In small chunks, the
+        parsing of 400 uploads delayed small requests at a VM with a third of a core.
+        """
+        last = self._exchanges[-1] if self._exchanges else None
+        if last is None or last.is_complete or last.declared_bytes is None:
+            return PARSE_CHUNK_BYTES
+        left = last.declared_bytes - last.body_size
+        return max(PARSE_CHUNK_BYTES, min(left, MAX_UNPARSED_BYTES))
+
     def _may_parse(self) -> bool:
         if not self._exchanges:
             return True
