Refused requests are told a slot that no other caller was told

Cause: Retry-After said by how much a request was late. In a burst of seconds all refused callers returned into the same full queue, and used up their attempts within a fraction of a second.

Change: each queue keeps promises. A refused request is told the next slot, after what runs and waits and after earlier promises, and at most a third of its remaining time. Promises end 0.05 s after their time, and with the permit server. In force for services whose learned largest remaining time is at least three objectives on all their routes; other services are refused as before. Counter 'slot promised to refused request', fields is_promised and promised in 'permit refused'.

--- a/packages/entry/src/berylstage_entry/application.py
+++ b/packages/entry/src/berylstage_entry/application.py
@@ -195,6 +195,7 @@
             self.router.loads, self.cluster_view, self.membership
         )
         self.permit_client = PermitClient(self.membership, host)
+        self.permit_server.count_event = self.metrics.increment
         self.permit_server.send = self._send_permit_reply
         self.permit_client.send_request = self._send_permit_request
         self.permit_client.send_release = self._send_permit_release
--- a/packages/entry/src/berylstage_entry/permit_server.py
+++ b/packages/entry/src/berylstage_entry/permit_server.py
@@ -5,6 +5,7 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+from berylstage_policy.remaining_times import RemainingTimes
 from berylstage_policy.slot_queue import (
     PermitStatus,
     QueuedRequest,
@@ -73,12 +74,18 @@
         self._revision = -1
         # Names of queues, targets and request kinds, by checksum.
         self._names: dict[int, str] = {}
+        # Largest remaining times of requests, and the objectives of each service's
+        # routes.
+        self._remaining_times = RemainingTimes()
+        self._objectives: dict[str, dict[str, float]] = {}
         self._task: asyncio.Task | None = None
         self._log_limiter = LogRateLimiter(REFUSAL_LINES_PER_SECOND)
         # Set while a queue contains requests.
         self._has_queued = asyncio.Event()
         # Limits that targets name; none while not set.
         self.target_limits: TargetLimits | None = None
+        # Counts an event, by name.
+        self.count_event: Callable[[str], None] = lambda name: None
         # Sends a reply to a VM, which may be this one.
         self.send: Callable[[str, PermitReply], None] = lambda host, reply: None
 
@@ -119,9 +126,11 @@
             # sends the request without a permit.
             return
         moment = now()
+        kind = self._names.get(ask.kind, "")
+        self._remaining_times.record(kind, ask.deadline, moment)
         req = QueuedRequest(
             RequestId(host, ask.number),
-            self._names.get(ask.kind, ""),
+            kind,
             self._find_data_centre(host),
             ask.priority,
             moment + ask.soft_deadline,
@@ -172,6 +181,9 @@
         ):
             self._targets_updated_at[name] = now()
             queue.set_targets(self._target_slots(name, service))
+            queue.callers_may_return = self._remaining_times.may_return(
+                self._objectives.get(service.name, {})
+            )
         return queue
 
     def _find_service(self, name: str) -> Service | None:
@@ -210,6 +222,7 @@
         names = list(known)
         if cfg is not None:
             names += [*cfg.services, *(route.name for route in cfg.routes)]
+            self._objectives = cfg.objectives_by_service()
         self._names = {checksum(name): name for name in names}
         for name in [name for name in self._queues if name not in names]:
             del self._queues[name]
@@ -235,6 +248,8 @@
                 number, decision.status.value, decision.retry_after, target
             )
             self.send(host, reply)
+            if decision.is_promised:
+                self.count_event("slot promised to refused request")
 
     def _log_refusals(
         self, decisions: list[Decision], queue: SlotQueue, number: int
@@ -248,6 +263,8 @@
                         "host": decision.request_id.host,
                         "number": decision.request_id.number,
                         "back_in": round(decision.retry_after, 3),
+                        "is_promised": decision.is_promised,
+                        "promised": queue.promised,
                         "waiting": len(queue),
                         "targets": queue.describe(now()),
                         "left_out": self._log_limiter.take_suppressed_count(),
--- a/packages/entry/src/berylstage_entry/request_context.py
+++ b/packages/entry/src/berylstage_entry/request_context.py
@@ -31,6 +31,7 @@
 
     __slots__ = (
         "attempts",
+        "caller_may_return",
         "deadline",
         "failed_answer",
         "lost_reason",
@@ -68,6 +69,9 @@
         self.permit: Permit | None = None
         # Token of the limit of the chosen target; None if it has no limit.
         self.target_token: Token | None = None
+        # Whether its caller has so much time that a refused request should return when
+        # there is room for it.
+        self.caller_may_return = False
         self.waited = 0.0
         # Times that a target rejected it although it had a permit.
         self.rejections = 0
--- a/packages/entry/src/berylstage_entry/request_errors.py
+++ b/packages/entry/src/berylstage_entry/request_errors.py
@@ -4,6 +4,9 @@
 
 from typing import TYPE_CHECKING
 
+from berylstage_policy.retry_promises import MAX_WAIT_SHARE
+
+from berylstage_entry.clock import now
 from berylstage_entry.errors import Refused, Unanswered
 
 if TYPE_CHECKING:
@@ -43,6 +46,7 @@
         reason: str,
         detail: str = "",
         expected_wait: float = 0.0,
+        is_own_slot: bool = False,
     ) -> Refused | Unanswered:
         """Return the error of a request that is given up.
 
@@ -55,6 +59,9 @@
             Facts that led to it.
         expected_wait : float
             Seconds until the request could be served; 0 if unknown.
+        is_own_slot : bool
+            Whether each refused request is told the time of another slot, so that the
+            callers need not be spread.
 
         Returns
         -------
@@ -69,7 +76,11 @@
             # Slots are free, so a delay would not improve the next attempt.
             retry_after = IMMEDIATE_RETRY_SECONDS
         if expected_wait:
+            spread = 1.0 if is_own_slot else RETRY_AFTER_SPREAD
             retry_after = max(
                 MIN_RETRY_AFTER_SECONDS, expected_wait
-            ) * self._rng.uniform(1, RETRY_AFTER_SPREAD)
+            ) * self._rng.uniform(1, spread)
+        if ctx.caller_may_return:
+            longest = MAX_WAIT_SHARE * max(0.0, ctx.seconds_left(now()))
+            retry_after = min(retry_after, longest)
         return Refused(reason, retry_after, detail)
--- a/packages/entry/src/berylstage_entry/router.py
+++ b/packages/entry/src/berylstage_entry/router.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from berylstage_policy.completion import OTHER_DATA_CENTRE
+from berylstage_policy.remaining_times import RemainingTimes
 from berylstage_policy.retries import RetryBudget
 from berylstage_policy.weighted_round_robin import WeightedRoundRobin
 from berylstage_transfers.errors import AnswerLost, NeverSent
@@ -120,6 +121,11 @@
         self.cold_targets = ColdTargets(cluster_view, bounds, vm)
         self.target_notices = TargetNotices(cluster_view)
         self.target_admission = TargetAdmission(cluster_view, self.target_notices)
+        # Largest remaining times of requests, and the objectives of each service's
+        # routes in a version of the configuration.
+        self._remaining_times = RemainingTimes()
+        self._objectives: dict[str, dict[str, float]] = {}
+        self._objectives_version = -1
         self._retry_budgets: dict[str, RetryBudget] = {}
         self._splits: dict[str, tuple[tuple, WeightedRoundRobin]] = {}
         self._seen_revision = -1
@@ -186,6 +192,12 @@
         ctx = RequestContext(
             req, route, service, arrived_at + wait, soft_deadline, priority
         )
+        self._remaining_times.record(
+            route.name, min(req.time_left, route.timeout), arrived_at
+        )
+        ctx.caller_may_return = self._remaining_times.may_return(
+            self._service_objectives(cfg, service.name)
+        )
         self._retry_budget(service.name).deposit()
         self.loads.record_request(service.name)
         if service.owns_keys and req.key is not None:
@@ -317,7 +329,7 @@
                 raise KeyMoved(exc.permit) from exc
             reason = "owner-busy" if data_centre else "no-room"
             raise self._errors.build_error(
-                ctx, reason, exc.permit, exc.retry_after
+                ctx, reason, exc.permit, exc.retry_after, ctx.caller_may_return
             ) from exc
         ctx.waited += now() - started_at
         if ctx.seconds_left(now()) < MIN_ATTEMPT_SECONDS:
@@ -606,6 +618,13 @@
         has_time = ctx.seconds_left(now()) > ctx.route.objective / 2
         return has_time and ctx.attempts < ctx.route.attempts
 
+    def _service_objectives(self, cfg: Configuration, service: str) -> dict[str, float]:
+        """Return the objective in seconds of each route of a service."""
+        if self._objectives_version != cfg.version:
+            self._objectives_version = cfg.version
+            self._objectives = cfg.objectives_by_service()
+        return self._objectives.get(service, {})
+
     def _choose_service(self, route: Route) -> str:
         if len(route.weighted_services) == 1:
             return route.weighted_services[0].service
--- a/packages/entry/src/berylstage_entry/services.py
+++ b/packages/entry/src/berylstage_entry/services.py
@@ -114,3 +114,11 @@
         self.limits = limits
         self.workspaces = workspaces
         self.table = RoutingTable(routes)
+
+    def objectives_by_service(self) -> dict[str, dict[str, float]]:
+        """Return the objective in seconds of each route, by service and route."""
+        objectives: dict[str, dict[str, float]] = {}
+        for route in self.routes:
+            for part in route.weighted_services:
+                objectives.setdefault(part.service, {})[route.name] = route.objective
+        return objectives
--- a/packages/policy/src/berylstage_policy/slot_queue.py
+++ b/packages/policy/src/berylstage_policy/slot_queue.py
@@ -21,6 +21,11 @@
 from operator import attrgetter
 from typing import TYPE_CHECKING, NamedTuple
 
+from berylstage_policy.retry_promises import (
+    MIN_RETRY_AFTER_SECONDS,
+    RetryPromises,
+)
+
 if TYPE_CHECKING:
     from collections.abc import Mapping, Sequence
 
@@ -45,7 +50,6 @@
 IDLE_TARGET_SECONDS = 1.0
 # Maximum number of targets that a log line describes.
 MAX_DESCRIBED_TARGETS = 4
-MIN_RETRY_AFTER_SECONDS = 0.05
 
 
 class ServiceTimes(ABC):
@@ -146,9 +150,12 @@
         Target to send the request to; empty unless granted.
     retry_after : float
         Seconds after which a refused request may be retried.
+    is_promised : bool
+        Whether a slot is expected to be free then that no other refused request has
+        been told.
     """
 
-    __slots__ = ("request_id", "retry_after", "status", "target")
+    __slots__ = ("is_promised", "request_id", "retry_after", "status", "target")
 
     def __init__(
         self,
@@ -156,11 +163,13 @@
         status: PermitStatus,
         target: str = "",
         retry_after: float = 0.0,
+        is_promised: bool = False,
     ):
         self.request_id = request_id
         self.status = status
         self.target = target
         self.retry_after = retry_after
+        self.is_promised = is_promised
 
 
 class TargetReport:
@@ -242,12 +251,20 @@
     Parameters
     ----------
     times : ServiceTimes
+
+    Attributes
+    ----------
+    callers_may_return : bool
+        Whether callers have so much time that a refused request should return when
+        there is room for it; otherwise it is told by how much it was late.
     """
 
-    __slots__ = ("_queued", "_targets", "_times")
+    __slots__ = ("_promises", "_queued", "_targets", "_times", "callers_may_return")
 
     def __init__(self, times: ServiceTimes):
         self._times = times
+        self._promises = RetryPromises(self._free_times, times.seconds)
+        self.callers_may_return = False
         self._targets: dict[str, _TargetSlots] = {}
         # Sorted by rank; the next request to grant comes first.
         self._queued: list[QueuedRequest] = []
@@ -256,6 +273,11 @@
         """Return the number of queued requests."""
         return len(self._queued)
 
+    @property
+    def promised(self) -> int:
+        """Number of refused requests that have been promised a slot."""
+        return len(self._promises)
+
     def describe(self, now: float) -> str:
         """Return the usage of the targets' slots, for the log.
 
@@ -314,10 +336,7 @@
                 return self._renew(known, now)
         late = self._lateness(req, now)
         if late > 0 and not self._has_unclaimed_slot(now):
-            retry_after = max(MIN_RETRY_AFTER_SECONDS, late)
-            return [
-                Decision(req.request_id, PermitStatus.REFUSED, retry_after=retry_after)
-            ]
+            return [self._build_refusal(req, now, late)]
         self._queued.append(req)
         self._queued.sort(key=attrgetter("rank"))
         decisions = self.grant_due(now)
@@ -333,6 +352,7 @@
         list of Decision
             One for each queued request.
         """
+        self._promises.clear()
         queued, self._queued = self._queued, []
         return [Decision(req.request_id, PermitStatus.QUEUE_CLOSED) for req in queued]
 
@@ -463,10 +483,20 @@
 
     def _refuse(self, req: QueuedRequest, now: float) -> Decision:
         self._queued.remove(req)
+        return self._build_refusal(req, now, 0.0)
+
+    def _build_refusal(self, req: QueuedRequest, now: float, late: float) -> Decision:
+        """Return the refusal of a request that would be late by some seconds."""
+        retry_after, is_promised = max(MIN_RETRY_AFTER_SECONDS, late), False
+        if self.callers_may_return:
+            retry_after, is_promised = self._promises.promise(
+                req.kind, req.deadline - now, now
+            )
         return Decision(
             req.request_id,
             PermitStatus.REFUSED,
-            retry_after=MIN_RETRY_AFTER_SECONDS,
+            retry_after=retry_after,
+            is_promised=is_promised,
         )
 
     def _grant(self, req: QueuedRequest, target: str, now: float) -> None:
@@ -540,3 +570,11 @@
         end = start + self._times.seconds(name, req.kind)
         heapq.heapreplace(slots, (end, name))
         return end
+
+    def _free_times(self, now: float, kind: str) -> list[tuple[float, str]]:
+        """Return when each slot becomes free after all queued requests, as a heap."""
+        slots = self._slot_free_times(now, kind)
+        if slots:
+            for req in self._queued:
+                self._schedule(slots, req)
+        return slots
