Callers that return are aged, and late requests wait behind others

Cause: each attempt of a caller counted its objective anew. A caller that came back late took the place of one that could still be answered in time, and callers that retried at once and often gained.

Change: the router learns the largest remaining time of each route. An attempt with less than 0.84 of it counts its objective from the earlier beginning that follows, on routes whose largest remaining time is at least three objectives. In queues of such services a request that would be late is ranked behind those that can be in time, instead of being refused, as long as it would wait no longer than a new request may. Counter 'attempt of earlier request'.

--- a/packages/entry/src/berylstage_entry/router.py
+++ b/packages/entry/src/berylstage_entry/router.py
@@ -185,16 +185,18 @@
         if service is None:
             raise Refused("no-service", MAX_RETRY_AFTER_SECONDS)
         wait = min(req.time_left - ANSWER_DELIVERY_SECONDS, route.timeout)
-        soft_deadline = arrived_at + route.objective - ANSWER_DELIVERY_SECONDS
+        remaining = min(req.time_left, route.timeout)
+        self._remaining_times.record(route.name, remaining, arrived_at)
+        age = self._remaining_times.least_age(route.name, route.objective, remaining)
+        if age:
+            self.count_event("attempt of earlier request")
+        soft_deadline = arrived_at - age + route.objective - ANSWER_DELIVERY_SECONDS
         priority = route.priority
         if workspace is not None and workspace.priority is not None:
             priority = workspace.priority
         ctx = RequestContext(
             req, route, service, arrived_at + wait, soft_deadline, priority
         )
-        self._remaining_times.record(
-            route.name, min(req.time_left, route.timeout), arrived_at
-        )
         ctx.caller_may_return = self._remaining_times.may_return(
             self._service_objectives(cfg, service.name)
         )
--- a/packages/entry/tests/test_returning_callers.py
+++ b/packages/entry/tests/test_returning_callers.py
@@ -90,6 +90,29 @@
         assert max(told) <= 0.4 * RETRY_AFTER_SPREAD
 
 
+class TestAge:
+    @pytest.mark.parametrize(
+        ("left", "age"), [(6.0, 0.0), (5.1, 0.0), (4.0, 1.04), (2.0, 3.04)]
+    )
+    def test_full_worth_is_counted_from_the_beginning_of_the_caller(self, left, age):
+        # Guards against a caller that gets the same place in the queue for each of its
+        # attempts, and takes it from one that can still be served in time.
+        permit_client = Permits("a")
+        router = make_router(permit_client)
+        events = []
+        router.count_event = events.append
+        assert serve(router, left) is None
+        expected = OBJECTIVE_SECONDS - ANSWER_DELIVERY_SECONDS - age
+        assert permit_client.soft_seconds == [pytest.approx(expected, abs=0.01)]
+        assert events == ["attempt of earlier request"] * bool(age)
+
+    def test_callers_with_little_time_have_no_age(self):
+        permit_client = Permits("a")
+        assert serve(make_router(permit_client, largest=0.8), 0.4) is None
+        expected = OBJECTIVE_SECONDS - ANSWER_DELIVERY_SECONDS
+        assert permit_client.soft_seconds == [pytest.approx(expected, abs=0.01)]
+
+
 class TestPermitServer:
     def play(self, scenario, monkeypatch):
         monkeypatch.setattr("test_permit_client.configuration", make_configuration)
--- a/packages/policy/src/berylstage_policy/slot_queue.py
+++ b/packages/policy/src/berylstage_policy/slot_queue.py
@@ -17,6 +17,7 @@
 
 import heapq
 from abc import ABC, abstractmethod
+from bisect import insort
 from enum import Enum
 from operator import attrgetter
 from typing import TYPE_CHECKING, NamedTuple
@@ -48,6 +49,9 @@
 # time. Information about an idle target is old; without such a request a target that
 # was slow for a moment, or has just joined, would never be measured again.
 IDLE_TARGET_SECONDS = 1.0
+# Added to the priority of a request that would be late. It is larger than any priority,
+# so that requests which can be in time go first.
+LATE_PRIORITY = 1000
 # Maximum number of targets that a log line describes.
 MAX_DESCRIBED_TARGETS = 4
 
@@ -335,6 +339,8 @@
                 known.last_seen = now
                 return self._renew(known, now)
         late = self._lateness(req, now)
+        if late > 0 and self.callers_may_return:
+            late = self._queue_behind(req, now)
         if late > 0 and not self._has_unclaimed_slot(now):
             return [self._build_refusal(req, now, late)]
         self._queued.append(req)
@@ -427,7 +433,7 @@
             if not free:
                 break
             req, target, late = self._select_next(free, now)
-            decisions += [self._refuse(late_req, now) for late_req in late]
+            decisions += self._give_way(late, now)
             self._queued.remove(req)
             self._grant(req, target, now)
             decisions.append(Decision(req.request_id, PermitStatus.GRANTED, target))
@@ -450,6 +456,19 @@
         )
         return req, self._choose_target(req, free, now), []
 
+    def _give_way(self, late: Sequence[QueuedRequest], now: float) -> list[Decision]:
+        """Rank late requests behind the others, and refuse those that cannot wait."""
+        refusals = []
+        for req in late:
+            self._queued.remove(req)
+            if self.callers_may_return and (
+                req.rank[0] >= LATE_PRIORITY or self._queue_behind(req, now) <= 0
+            ):
+                insort(self._queued, req, key=attrgetter("rank"))
+            else:
+                refusals.append(self._build_refusal(req, now, 0.0))
+        return refusals
+
     def _meets_deadline(
         self, req: QueuedRequest, free: Sequence[str], now: float
     ) -> bool:
@@ -528,6 +547,18 @@
         limit = min(req.soft_deadline + slack, req.deadline)
         return max(0.0, self._expected_end(req, now) - limit)
 
+    def _queue_behind(self, req: QueuedRequest, now: float) -> float:
+        """Rank a late request behind all others; return by how much it is too late.
+
+        The load is callers that return late to a queue which new requests fill. They
+        take no place of a request that can be in time, but are served with what is left
+        of the slots. They wait for no longer than a new request would,
+        which bounds the number of queued requests and thus of their renewals.
+        """
+        req.rank = (LATE_PRIORITY + req.priority, req.soft_deadline)
+        limit = min(now + ADMISSION_OBJECTIVE_FACTOR * req.objective, req.deadline)
+        return max(0.0, self._expected_end(req, now) - limit)
+
     def _has_unclaimed_slot(self, now: float) -> bool:
         """Tell whether a slot is free while no request is queued.
 
