Renewals of queued requests share one schedule of the slots

Cause: each renewal of a queued request computed the use of all slots and of all requests ahead. With 276 slots that took 0.86 ms with 100 queued requests and 1.4 ms with 500, and each is renewed ten times a second: more than a core of the permit server.

Change: renewals use a schedule of the whole queue that is at most 0.05 s old.

--- a/packages/policy/src/berylstage_policy/slot_queue.py
+++ b/packages/policy/src/berylstage_policy/slot_queue.py
@@ -24,6 +24,7 @@
 
 from berylstage_policy.retry_promises import (
     MIN_RETRY_AFTER_SECONDS,
+    SCHEDULE_SECONDS,
     RetryPromises,
 )
 
@@ -263,7 +264,15 @@
         there is room for it; otherwise it is told by how much it was late.
     """
 
-    __slots__ = ("_promises", "_queued", "_targets", "_times", "callers_may_return")
+    __slots__ = (
+        "_expected_ends",
+        "_promises",
+        "_queued",
+        "_scheduled_at",
+        "_targets",
+        "_times",
+        "callers_may_return",
+    )
 
     def __init__(self, times: ServiceTimes):
         self._times = times
@@ -272,6 +281,9 @@
         self._targets: dict[str, _TargetSlots] = {}
         # Sorted by rank; the next request to grant comes first.
         self._queued: list[QueuedRequest] = []
+        # When each queued request was last expected to complete, for renewals.
+        self._expected_ends: dict[RequestId, float] = {}
+        self._scheduled_at = float("-inf")
 
     def __len__(self) -> int:
         """Return the number of queued requests."""
@@ -371,7 +383,7 @@
         decisions = self.grant_due(now)
         if req not in self._queued:
             return decisions
-        if self._expected_end(req, now) > req.deadline:
+        if self._scheduled_end(req, now) > req.deadline:
             return [*decisions, self._refuse(req, now)]
         return [Decision(req.request_id, PermitStatus.QUEUED), *decisions]
 
@@ -581,6 +593,27 @@
             self._schedule(slots, other)
         return self._schedule(slots, req)
 
+    def _scheduled_end(self, req: QueuedRequest, now: float) -> float:
+        """Return when a queued request is expected to complete, by a recent schedule.
+
+        The load is an overload of seconds in which each of hundreds of queued requests
+        is renewed ten times a second. Computing its place anew for each renewal took
+        0.9 ms with 276 slots, which is more than one core from 120 requests on.
+        """
+        if (
+            now - self._scheduled_at >= SCHEDULE_SECONDS
+            or req.request_id not in self._expected_ends
+        ):
+            self._scheduled_at = now
+            slots = self._slot_free_times(now, req.kind)
+            self._expected_ends = {
+                other.request_id: self._schedule(slots, other)
+                if slots
+                else float("inf")
+                for other in self._queued
+            }
+        return self._expected_ends[req.request_id]
+
     def _slot_free_times(self, now: float, kind: str) -> list[tuple[float, str]]:
         """Return when each slot is expected to become free, as a heap."""
         slots = []
