--- a/packages/entry/src/berylstage_entry/permit_server.py
+++ b/packages/entry/src/berylstage_entry/permit_server.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from berylstage_policy.connection_affinity import ChoiceCounts, ConnectionAffinity
+from berylstage_policy.remaining_times import RemainingTimes
 from berylstage_policy.slot_queue import (
     PermitStatus,
     QueuedRequest,
@@ -115,6 +116,10 @@
         self._revision = -1
         # Names of queues, targets and request kinds, by checksum.
         self._names: dict[int, str] = {}
+        # Largest remaining times of requests, and the objectives of each service's
+        # routes.
+        self._remaining_times = RemainingTimes()
+        self._objectives: dict[str, dict[str, float]] = {}
         self._task: asyncio.Task | None = None
         self._log_limiter = LogRateLimiter(REFUSAL_LINES_PER_SECOND)
         # Set while a queue contains requests.
@@ -162,9 +167,11 @@
             # sends the request without a permit.
             return
         moment = now()
+        kind = self._names.get(ask.kind, "")
+        self._remaining_times.record(kind, ask.deadline, moment)
         req = QueuedRequest(
             RequestId(host, ask.number),
-            self._names.get(ask.kind, ""),
+            kind,
             self._find_data_centre(host),
             ask.priority,
             moment + ask.soft_deadline,
@@ -217,6 +224,9 @@
             choices = self._choices.get(name)
             if choices is not None:
                 choices.collect(name, self.metrics)
+            queue.callers_may_return = self._remaining_times.may_return(
+                self._objectives.get(service.name, {})
+            )
         return queue
 
     def _create_queue(self, name: str, service: Service) -> SlotQueue:
@@ -263,6 +273,7 @@
         names = list(known)
         if cfg is not None:
             names += [*cfg.services, *(route.name for route in cfg.routes)]
+            self._objectives = cfg.objectives_by_service()
         self._names = {checksum(name): name for name in names}
         for name in [name for name in self._queues if name not in names]:
             del self._queues[name]
@@ -289,6 +300,8 @@
                 number, decision.status.value, decision.retry_after, target
             )
             self.send(host, reply)
+            if decision.is_promised and self.metrics is not None:
+                self.metrics.increment("slot promised to refused request")
 
     def _log_refusals(
         self, decisions: list[Decision], queue: SlotQueue, number: int
@@ -302,6 +315,8 @@
                         "host": decision.request_id.host,
                         "number": decision.request_id.number,
                         "back_in": round(decision.retry_after, 3),
+                        "is_promised": decision.is_promised,
+                        "promised": queue.promised,
                         "waiting": len(queue),
                         "targets": queue.describe(now()),
                         "left_out": self._log_limiter.take_suppressed_count(),
--- a/packages/policy/src/berylstage_policy/slot_queue.py
+++ b/packages/policy/src/berylstage_policy/slot_queue.py
@@ -17,12 +17,18 @@
 
 import heapq
 from abc import ABC, abstractmethod
+from bisect import insort
 from enum import Enum
 from operator import attrgetter
 from statistics import median_low
 from typing import TYPE_CHECKING, NamedTuple
 
 from berylstage_policy.connection_affinity import EQUAL_SHARE
+from berylstage_policy.retry_promises import (
+    MIN_RETRY_AFTER_SECONDS,
+    SCHEDULE_SECONDS,
+    RetryPromises,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Mapping, Sequence
@@ -52,9 +58,11 @@
 # before it receives one of any VM. A VM sends a request every 0.3 s at 312 requests per
 # second and 84 VMs.
 IDLE_TARGET_CONNECTED_SECONDS = 1.0
+# Added to the priority of a request that would be late. It is larger than any priority,
+# so that requests which can be in time go first.
+LATE_PRIORITY = 1000
 # Maximum number of targets that a log line describes.
 MAX_DESCRIBED_TARGETS = 4
-MIN_RETRY_AFTER_SECONDS = 0.05
 
 
 class ServiceTimes(ABC):
@@ -155,9 +163,12 @@
         Target to send the request to; empty unless granted.
     retry_after : float
         Seconds after which a refused request may be retried.
+    is_promised : bool
+        Whether a slot is expected to be free then that no other refused request has
+        been told.
     """
 
-    __slots__ = ("request_id", "retry_after", "status", "target")
+    __slots__ = ("is_promised", "request_id", "retry_after", "status", "target")
 
     def __init__(
         self,
@@ -165,11 +176,13 @@
         status: PermitStatus,
         target: str = "",
         retry_after: float = 0.0,
+        is_promised: bool = False,
     ):
         self.request_id = request_id
         self.status = status
         self.target = target
         self.retry_after = retry_after
+        self.is_promised = is_promised
 
 
 class TargetReport:
@@ -254,21 +267,46 @@
     affinity : ConnectionAffinity, optional
         Chooses among targets that are expected to finish at about the same time. None
         for the queue of a single target.
+
+    Attributes
+    ----------
+    callers_may_return : bool
+        Whether callers have so much time that a refused request should return when
+        there is room for it; otherwise it is told by how much it was late.
     """
 
-    __slots__ = ("_affinity", "_queued", "_targets", "_times")
+    __slots__ = (
+        "_affinity",
+        "_expected_ends",
+        "_promises",
+        "_queued",
+        "_scheduled_at",
+        "_targets",
+        "_times",
+        "callers_may_return",
+    )
 
     def __init__(self, times: ServiceTimes, affinity: ConnectionAffinity | None = None):
         self._times = times
         self._affinity = affinity
+        self._promises = RetryPromises(self._free_times, times.seconds)
+        self.callers_may_return = False
         self._targets: dict[str, _TargetSlots] = {}
         # Sorted by rank; the next request to grant comes first.
         self._queued: list[QueuedRequest] = []
+        # When each queued request was last expected to complete, for renewals.
+        self._expected_ends: dict[RequestId, float] = {}
+        self._scheduled_at = float("-inf")
 
     def __len__(self) -> int:
         """Return the number of queued requests."""
         return len(self._queued)
 
+    @property
+    def promised(self) -> int:
+        """Number of refused requests that have been promised a slot."""
+        return len(self._promises)
+
     def describe(self, now: float) -> str:
         """Return the usage of the targets' slots, for the log.
 
@@ -328,11 +366,10 @@
                 known.last_seen = now
                 return self._renew(known, now)
         late = self._lateness(req, now)
+        if late > 0 and self.callers_may_return:
+            late = self._queue_behind(req, now)
         if late > 0 and not self._has_unclaimed_slot(now):
-            retry_after = max(MIN_RETRY_AFTER_SECONDS, late)
-            return [
-                Decision(req.request_id, PermitStatus.REFUSED, retry_after=retry_after)
-            ]
+            return [self._build_refusal(req, now, late)]
         self._queued.append(req)
         self._queued.sort(key=attrgetter("rank"))
         decisions = self.grant_due(now)
@@ -348,6 +385,7 @@
         list of Decision
             One for each queued request.
         """
+        self._promises.clear()
         queued, self._queued = self._queued, []
         return [Decision(req.request_id, PermitStatus.QUEUE_CLOSED) for req in queued]
 
@@ -360,7 +398,7 @@
         decisions = self.grant_due(now)
         if req not in self._queued:
             return decisions
-        if self._expected_end(req, now) > req.deadline:
+        if self._scheduled_end(req, now) > req.deadline:
             return [*decisions, self._refuse(req, now)]
         return [Decision(req.request_id, PermitStatus.QUEUED), *decisions]
 
@@ -425,7 +463,7 @@
             if not free:
                 break
             req, target, late = self._select_next(free, now)
-            decisions += [self._refuse(late_req, now) for late_req in late]
+            decisions += self._give_way(late, now)
             self._queued.remove(req)
             self._grant(req, target, now)
             decisions.append(Decision(req.request_id, PermitStatus.GRANTED, target))
@@ -448,6 +486,19 @@
         )
         return req, self._choose_target(req, free, now), []
 
+    def _give_way(self, late: Sequence[QueuedRequest], now: float) -> list[Decision]:
+        """Rank late requests behind the others, and refuse those that cannot wait."""
+        refusals = []
+        for req in late:
+            self._queued.remove(req)
+            if self.callers_may_return and (
+                req.rank[0] >= LATE_PRIORITY or self._queue_behind(req, now) <= 0
+            ):
+                insort(self._queued, req, key=attrgetter("rank"))
+            else:
+                refusals.append(self._build_refusal(req, now, 0.0))
+        return refusals
+
     def _meets_deadline(
         self, req: QueuedRequest, free: Sequence[str], now: float
     ) -> bool:
@@ -521,10 +572,20 @@
 
     def _refuse(self, req: QueuedRequest, now: float) -> Decision:
         self._queued.remove(req)
+        return self._build_refusal(req, now, 0.0)
+
+    def _build_refusal(self, req: QueuedRequest, now: float, late: float) -> Decision:
+        """Return the refusal of a request that would be late by some seconds."""
+        retry_after, is_promised = max(MIN_RETRY_AFTER_SECONDS, late), False
+        if self.callers_may_return:
+            retry_after, is_promised = self._promises.promise(
+                req.kind, req.deadline - now, now
+            )
         return Decision(
             req.request_id,
             PermitStatus.REFUSED,
-            retry_after=MIN_RETRY_AFTER_SECONDS,
+            retry_after=retry_after,
+            is_promised=is_promised,
         )
 
     def _grant(self, req: QueuedRequest, target: str, now: float) -> None:
@@ -558,6 +619,18 @@
         limit = min(req.soft_deadline + slack, req.deadline)
         return max(0.0, self._expected_end(req, now) - limit)
 
+    def _queue_behind(self, req: QueuedRequest, now: float) -> float:
+        """Rank a late request behind all others; return by how much it is too late.
+
+        The load is callers that return late to a queue which new requests fill. They
+        take no place of a request that can be in time, but are served with what is left
+        of the slots. They wait for no longer than a new request would,
+        which bounds the number of queued requests and thus of their renewals.
+        """
+        req.rank = (LATE_PRIORITY + req.priority, req.soft_deadline)
+        limit = min(now + ADMISSION_OBJECTIVE_FACTOR * req.objective, req.deadline)
+        return max(0.0, self._expected_end(req, now) - limit)
+
     def _has_unclaimed_slot(self, now: float) -> bool:
         """Tell whether a slot is free while no request is queued.
 
@@ -580,6 +653,27 @@
             self._schedule(slots, other)
         return self._schedule(slots, req)
 
+    def _scheduled_end(self, req: QueuedRequest, now: float) -> float:
+        """Return when a queued request is expected to complete, by a recent schedule.
+
+        The load is an overload of seconds in which each of hundreds of queued requests
+        is renewed ten times a second. Computing its place anew for each renewal took
+        0.9 ms with 276 slots, which is more than one core from 120 requests on.
+        """
+        if (
+            now - self._scheduled_at >= SCHEDULE_SECONDS
+            or req.request_id not in self._expected_ends
+        ):
+            self._scheduled_at = now
+            slots = self._slot_free_times(now, req.kind)
+            self._expected_ends = {
+                other.request_id: self._schedule(slots, other)
+                if slots
+                else float("inf")
+                for other in self._queued
+            }
+        return self._expected_ends[req.request_id]
+
     def _slot_free_times(self, now: float, kind: str) -> list[tuple[float, str]]:
         """Return when each slot is expected to become free, as a heap."""
         slots = []
@@ -600,3 +694,11 @@
         end = start + self._times.seconds(name, req.kind)
         heapq.heapreplace(slots, (end, name))
         return end
+
+    def _free_times(self, now: float, kind: str) -> list[tuple[float, str]]:
+        """Return when each slot becomes free after all queued requests, as a heap."""
+        slots = self._slot_free_times(now, kind)
+        if slots:
+            for req in self._queued:
+                self._schedule(slots, req)
+        return slots
