Count the calls to the store by kind, cause and outcome

Change: Store.for_cause returns the store for calls under one cause; CountedStore counts them. The counts appear as berylstage_store_calls_total and in one line 'store calls' per 10 s with calls. request_refresh takes the cause of the early read. The table of log lines covers subfolders.

--- a/packages/entry/src/berylstage_entry/application.py
+++ b/packages/entry/src/berylstage_entry/application.py
@@ -73,6 +73,7 @@
     PhaseTimer,
     ShutdownPlan,
 )
+from berylstage_entry.store_access.call_counts import CountedStore, StoreCallLog
 from berylstage_entry.store_delta import MESSAGE_TYPE as STORE_DELTA_TYPE
 from berylstage_entry.store_delta import StoreDelta
 from berylstage_entry.store_watcher import StoreWatcher
@@ -129,10 +130,11 @@
     ):
         self.cfg = cfg
         self.rng = Random()
-        self.store = store
+        self.metrics = Metrics()
+        self.store = store = CountedStore(store, self.metrics.store_calls)
+        self.store_call_log = StoreCallLog(self.metrics.store_calls)
         self.cluster_view = ClusterView()
         self.store_watcher = StoreWatcher(store, records, self.cluster_view)
-        self.metrics = Metrics()
         self.loop_lag_monitor = LoopLagMonitor(self.metrics, log_write_seconds)
         self.target_clients = TargetClients(targets)
         self.router = Router(
@@ -316,6 +318,7 @@
         host, _ = split_host_port(self.cfg.callers)
         self.metrics_server.listen(f"{host}:{self.cfg.metrics_port}")
         self.loop_lag_monitor.start()
+        self.store_call_log.start()
         self.store_watcher.start()
         self.membership.start()
         self.election.start()
@@ -369,6 +372,7 @@
         self.peer_client.close()
         self.relay_transport.close()
         self.store.close()
+        self.store_call_log.stop()
         self.loop_lag_monitor.stop()
 
     async def _drain(self, plan: ShutdownPlan) -> None:
--- a/packages/entry/src/berylstage_entry/assignment_writer.py
+++ b/packages/entry/src/berylstage_entry/assignment_writer.py
@@ -11,6 +11,7 @@
 from berylstage_entry.assignment_delta import AssignmentDelta
 from berylstage_entry.errors import Conflict, StoreRefused, StoreUnavailable
 from berylstage_entry.store import Condition, Write
+from berylstage_entry.store_access.call_counts import CallCause
 from berylstage_entry.store_keys import ASSIGNMENT_PREFIX
 
 if TYPE_CHECKING:
@@ -42,7 +43,7 @@
     def __init__(
         self, store: Store, store_watcher: StoreWatcher, election: CoordinatorElection
     ):
-        self._store = store
+        self._store = store.for_cause(CallCause.ASSIGNMENT)
         self._store_watcher = store_watcher
         self._election = election
         # Called with each change after it was written.
--- a/packages/entry/src/berylstage_entry/configuration_confirmer.py
+++ b/packages/entry/src/berylstage_entry/configuration_confirmer.py
@@ -20,6 +20,7 @@
     ConfirmationRequest,
 )
 from berylstage_entry.errors import InvalidRecord, StoreError
+from berylstage_entry.store_access.call_counts import CallCause
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -151,7 +152,7 @@
             self._mark_confirmed()
         else:
             # This VM has missed a configuration.
-            self._store_watcher.request_refresh()
+            self._store_watcher.request_refresh(CallCause.MISSED_CONFIGURATION)
 
     def _version(self) -> int | None:
         cfg = self._cluster_view.configuration
--- a/packages/entry/src/berylstage_entry/coordinator_election.py
+++ b/packages/entry/src/berylstage_entry/coordinator_election.py
@@ -28,6 +28,7 @@
     extended_grant_seconds,
 )
 from berylstage_entry.store import Condition, Item, Write
+from berylstage_entry.store_access.call_counts import CallCause
 from berylstage_entry.store_keys import COORDINATOR_KEY, INTERNAL_PREFIX
 
 if TYPE_CHECKING:
@@ -144,7 +145,7 @@
         rng: Random,
     ):
         self._cfg = cfg
-        self._store = store
+        self._store = store.for_cause(CallCause.ELECTION)
         self._store_watcher = store_watcher
         self._peers = peers
         self._rng = rng
--- a/packages/entry/src/berylstage_entry/coordinator_watch.py
+++ b/packages/entry/src/berylstage_entry/coordinator_watch.py
@@ -9,6 +9,7 @@
 
 from berylstage_entry.errors import RevisionCompacted, StoreError
 from berylstage_entry.store import Item
+from berylstage_entry.store_access.call_counts import CallCause
 from berylstage_entry.store_keys import COORDINATOR_KEY
 
 if TYPE_CHECKING:
@@ -38,7 +39,7 @@
     """
 
     def __init__(self, store: Store, store_watcher: StoreWatcher):
-        self._store = store
+        self._store = store.for_cause(CallCause.COORDINATOR)
         self._store_watcher = store_watcher
         # Revision up to which the key is known, if newer than that of all keys.
         self._revision = 0
--- a/packages/entry/src/berylstage_entry/grant_controller.py
+++ b/packages/entry/src/berylstage_entry/grant_controller.py
@@ -19,6 +19,7 @@
 from berylstage_entry.range_placement import merge_ranges, place_ranges
 from berylstage_entry.rebalancing import MIN_ROUND_INTERVAL_SECONDS, Rebalancer
 from berylstage_entry.service_times import TargetServiceTimes
+from berylstage_entry.store_access.call_counts import CallCause
 
 if TYPE_CHECKING:
     from berylstage_entry.assignment import Assignment
@@ -159,7 +160,7 @@
                 if isinstance(exc, Conflict):
                     # The previous coordinator may have stopped before it announced its
                     # last write.
-                    self._store_watcher.request_refresh()
+                    self._store_watcher.request_refresh(CallCause.CONFLICT)
                 await asyncio.sleep(GRANT_RENEWAL_INTERVAL_SECONDS / 4)
             if self._election.is_coordinator():
                 await asyncio.sleep(RECONCILE_INTERVAL_SECONDS)
--- a/packages/entry/src/berylstage_entry/membership.py
+++ b/packages/entry/src/berylstage_entry/membership.py
@@ -13,6 +13,7 @@
 from berylstage_entry.addresses import split_host_port
 from berylstage_entry.errors import LeaseExpired, StoreError
 from berylstage_entry.store import Write
+from berylstage_entry.store_access.call_counts import CallCause
 from berylstage_entry.store_keys import INTERNAL_PREFIX
 
 if TYPE_CHECKING:
@@ -106,7 +107,7 @@
             self._task.cancel()
         if self._latest_lease:
             try:
-                await self._store.revoke_lease(self._latest_lease)
+                await self._calls().revoke_lease(self._latest_lease)
             except StoreError as exc:
                 log.info("VM not deregistered", extra={"cause": str(exc)})
 
@@ -191,7 +192,7 @@
         while True:
             try:
                 if self._lease:
-                    await self._store.renew_lease(self._lease)
+                    await self._calls().renew_lease(self._lease)
                 else:
                     await self._register()
                 self._store_watcher.record_success()
@@ -205,8 +206,11 @@
                     max(RETRY_SECONDS, 2 * self._store_watcher.retry_delay())
                 )
 
+    def _calls(self) -> Store:
+        return self._store.for_cause(CallCause.MEMBERSHIP)
+
     async def _register(self) -> None:
-        lease = await self._store.create_lease(LEASE_SECONDS)
+        lease = await self._calls().create_lease(LEASE_SECONDS)
         self._latest_lease = lease
         doc = {
             "control": self._cfg.control_address,
@@ -215,5 +219,5 @@
         }
         value = json.dumps(doc).encode()
         write = Write(VMS_PREFIX + self._cfg.vm, value, lease)
-        await self._store.write([], [write])
+        await self._calls().write([], [write])
         self._lease = lease
--- a/packages/entry/src/berylstage_entry/metrics.py
+++ b/packages/entry/src/berylstage_entry/metrics.py
@@ -6,6 +6,8 @@
 from itertools import accumulate
 from typing import TYPE_CHECKING
 
+from berylstage_entry.store_access.call_counts import StoreCallCounts
+
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
@@ -40,6 +42,7 @@
         "_loop_delay_count",
         "_loop_delay_seconds",
         "_sums",
+        "store_calls",
     )
 
     def __init__(self) -> None:
@@ -49,6 +52,7 @@
         # Number of event loop delays, and their total in seconds.
         self._loop_delay_count = 0
         self._loop_delay_seconds = 0.0
+        self.store_calls = StoreCallCounts()
 
     def increment(self, name: str, amount: int = 1) -> None:
         """Increase a counter."""
@@ -104,7 +108,7 @@
             lines.append(f"berylstage_request_seconds_count{{{labels}}} {totals[-1]}")
         lines.append(f"berylstage_loop_late_seconds_sum {self._loop_delay_seconds:.3f}")
         lines.append(f"berylstage_loop_late_seconds_count {self._loop_delay_count}")
-        return "\n".join(lines) + "\n"
+        return "\n".join(lines) + "\n" + self.store_calls.text()
 
 
 def format_shutdown_metrics(
--- a/packages/entry/src/berylstage_entry/owners.py
+++ b/packages/entry/src/berylstage_entry/owners.py
@@ -13,6 +13,7 @@
 
 from berylstage_entry.clock import now
 from berylstage_entry.errors import NoOwner
+from berylstage_entry.store_access.call_counts import CallCause
 
 if TYPE_CHECKING:
     from berylstage_entry.assignment import KeyRange
@@ -82,7 +83,7 @@
             if ctx.seconds_left(now()) < min_left:
                 raise NoOwner(self._describe(ctx, key_range))
             if now() - started_at >= REFRESH_AFTER_SECONDS:
-                self._store_watcher.request_refresh()
+                self._store_watcher.request_refresh(CallCause.WAIT_FOR_OWNER)
             await asyncio.sleep(MOVE_POLL_SECONDS)
 
     def is_owner(self, ctx: RequestContext, name: str) -> bool:
--- a/packages/entry/src/berylstage_entry/peer_updates.py
+++ b/packages/entry/src/berylstage_entry/peer_updates.py
@@ -22,6 +22,7 @@
 from berylstage_entry.assignment_delta import AssignmentDelta
 from berylstage_entry.errors import InvalidRecord
 from berylstage_entry.store import Item
+from berylstage_entry.store_access.call_counts import CallCause
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
@@ -129,7 +130,7 @@
         old = self._store_watcher.assignments.get(change.service) or unassigned()
         new = change.apply(old) if known == change.base_revision else None
         if new is None:
-            self._store_watcher.request_refresh()
+            self._store_watcher.request_refresh(CallCause.MISSED_ASSIGNMENT)
             return
         self._store_watcher.apply_assignment(change.service, new, change.revision)
 
--- a/packages/entry/src/berylstage_entry/store.py
+++ b/packages/entry/src/berylstage_entry/store.py
@@ -90,6 +90,10 @@
     nothing.
     """
 
+    def for_cause(self, cause: str) -> Store:
+        """Return the same store, for calls that are counted under a cause."""
+        return self
+
     @abstractmethod
     async def read(self, prefix: str) -> Changes:
         """Return all keys with a prefix."""
--- a/packages/entry/src/berylstage_entry/store_watcher.py
+++ b/packages/entry/src/berylstage_entry/store_watcher.py
@@ -15,6 +15,7 @@
 from berylstage_entry.errors import InvalidRecord, RevisionCompacted, StoreError
 from berylstage_entry.large_values import LargeValueFetcher
 from berylstage_entry.store import Item
+from berylstage_entry.store_access.call_counts import CallCause
 from berylstage_entry.store_connectivity import StoreConnectivity
 from berylstage_entry.store_delta import MAX_INLINE_VALUE_BYTES, StoreDelta
 from berylstage_entry.store_keys import (
@@ -90,6 +91,9 @@
         self._unreadable: dict[str, bytes] = {}
         self._change_log = ChangeLog()
         self._read_requested = asyncio.Event()
+        # Why the early read was requested, and why the next read of changes is made.
+        self._requested_cause = CallCause.OTHER
+        self._read_cause = CallCause.PUBLISHER
         # Whether the store has compacted the changes after this VM's revision.
         self._needs_full_read = True
         # Seconds from a failed read to the next one if a refresh is requested.
@@ -168,7 +172,7 @@
             return 0.0
         try:
             async with asyncio.timeout(PROBE_TIMEOUT_SECONDS):
-                await self._store.read(COORDINATOR_KEY)
+                await self._calls(CallCause.PROBE).read(COORDINATOR_KEY)
         except (StoreError, TimeoutError) as exc:
             self.record_failure(exc)
             return 0.0
@@ -185,8 +189,10 @@
         """
         return not self._needs_full_read and not self._connectivity.is_disconnected()
 
-    def request_refresh(self) -> None:
+    def request_refresh(self, cause: CallCause = CallCause.OTHER) -> None:
         """Request an early read, because this VM's view has proved outdated."""
+        if not self._read_requested.is_set():
+            self._requested_cause = cause
         self._read_requested.set()
 
     def apply_delta(self, delta: StoreDelta) -> bool:
@@ -207,10 +213,10 @@
         self._connectivity.mark_peer_contact(now(), delta.contact)
         if not self.has_synced:
             if self._connectivity.is_failing():
-                self.request_refresh()
+                self.request_refresh(CallCause.RETRY)
             return False
         if delta.after > self._revision:
-            self.request_refresh()
+            self.request_refresh(CallCause.MISSED_CHANGES)
             # A value that is read by itself arrives sooner than one among all records.
             self._large_values.fetch_newer(
                 {
@@ -236,7 +242,7 @@
     async def _read_large_value(self, key: str) -> bool:
         """Read and apply a large value; return False when the call failed."""
         try:
-            changes = await self._store.read(key)
+            changes = await self._calls(CallCause.LARGE_VALUE).read(key)
         except StoreError as exc:
             self.record_failure(exc)
             await asyncio.sleep(self.retry_delay())
@@ -260,13 +266,22 @@
         """
         if not self._configuration_key:
             return False
-        changes = await self._store.read(self._configuration_key)
+        calls = self._calls(CallCause.CONFIRMATION)
+        changes = await calls.read(self._configuration_key)
         for item in changes.items:
             if item.key == self._configuration_key:
                 self._apply_item(item)
         self.record_success()
         return True
 
+    def _calls(self, cause: CallCause) -> Store:
+        return self._store.for_cause(cause)
+
+    def _full_read_cause(self) -> CallCause:
+        if not self.has_synced:
+            return CallCause.FIRST_READ
+        return CallCause.COMPACTED if self._needs_full_read else CallCause.OLD_VIEW
+
     def _read_interval(self) -> float:
         if self._cluster_view.has_expired_records():
             return EXPIRED_READ_INTERVAL_SECONDS
@@ -285,6 +300,11 @@
             self._change_log.flush(self._configuration_version(), now())
             wait = self._up_to_date_at + self._read_interval() - now()
             if wait <= 0:
+                self._read_cause = (
+                    CallCause.PUBLISHER
+                    if self._is_publishing()
+                    else CallCause.NO_UPDATE
+                )
                 return
             try:
                 async with asyncio.timeout(wait):
@@ -296,6 +316,7 @@
                 max(0.0, self._last_read_at + REQUESTED_READ_INTERVAL_SECONDS - now())
             )
             self._read_requested.clear()
+            self._read_cause = self._requested_cause
             return
 
     async def _run(self) -> None:
@@ -322,6 +343,7 @@
         VM that is cut off from the store alone sees such deltas all the time, so its
         retry delay grows.
         """
+        self._read_cause = CallCause.RETRY
         max_delay = self.retry_delay()
         min_delay = min(max_delay, self._min_retry_delay)
         await asyncio.sleep(min_delay)
@@ -358,7 +380,7 @@
 
     async def _read_all(self) -> None:
         delta, started_at = StoreDelta(self._revision, 0, []), now()
-        changes = await self._store.read("")
+        changes = await self._calls(self._full_read_cause()).read("")
         was_updated = self._revision != delta.after
         if was_updated and self._revision >= changes.revision:
             # Older records must not overwrite a delta that arrived during the read.
@@ -406,7 +428,7 @@
         # clock that counts suspended time.
         is_publishing = self._is_publishing()
         wait = 0.0 if is_publishing else WATCH_WAIT_SECONDS
-        changes = await self._store.watch("", self._revision, wait)
+        changes = await self._calls(self._read_cause).watch("", self._revision, wait)
         was_updated = self._revision != delta.after
         for item in changes.items:
             # Older changes must not overwrite a delta that arrived during the watch.
--- a/packages/entry/tests/notice_fleet.py
+++ b/packages/entry/tests/notice_fleet.py
@@ -92,7 +92,7 @@
     def __init__(self, owner):
         self.assignments = {"s": Assignment([KeyRange(0, 65535, owner, 1, 5)], 9)}
 
-    def request_refresh(self):
+    def request_refresh(self, cause=""):
         pass
 
 
--- a/packages/entry/tests/test_configuration_confirmer.py
+++ b/packages/entry/tests/test_configuration_confirmer.py
@@ -64,7 +64,7 @@
     def record_failure(self, exc):
         pass
 
-    def request_refresh(self):
+    def request_refresh(self, cause=""):
         self.refresh_count += 1
 
 
--- a/packages/entry/tests/test_router.py
+++ b/packages/entry/tests/test_router.py
@@ -40,7 +40,7 @@
             "s": Assignment([KeyRange(0, 65535, owner, 1, 5, previous_owner)], 9)
         }
 
-    def request_refresh(self):
+    def request_refresh(self, cause=""):
         self.refresh_count += 1
 
     def move_to(self, owner):
--- a/tools/log_lines.py
+++ b/tools/log_lines.py
@@ -46,7 +46,7 @@
     """
     found = [
         line
-        for path in sorted(folder.glob("*.py"))
+        for path in sorted(folder.rglob("*.py"))
         for line in _parse_log_lines(path.stem, ast.parse(path.read_text()))
     ]
     return sorted(found, key=lambda line: (line.message, line.module))
@@ -56,7 +56,7 @@
     """Return the reasons for which requests end without a target's answer."""
     return {
         reason
-        for path in sorted(folder.glob("*.py"))
+        for path in sorted(folder.rglob("*.py"))
         for reason in _parse_reasons(ast.parse(path.read_text()))
     }
 
