Get missed changes from the publisher instead of the store

Cause: each gap in the published changes, and each request that waits for a key, made its VM read the store, although the publisher had just read the same.

Change: a VM asks the publisher at /changes for the merged changes since its revision, and reads the store only without a usable answer within 0.2 s. A VM without updates asks 0.2 s before its read is due, so that a question without an answer does not delay the read. A question without an answer is not repeated for 1 s. A request that waits for a key known to be on the move causes no read in the first second of the move.

--- a/packages/entry/src/berylstage_entry/application.py
+++ b/packages/entry/src/berylstage_entry/application.py
@@ -74,6 +74,12 @@
     ShutdownPlan,
 )
 from berylstage_entry.store_access.call_counts import CountedStore, StoreCallLog
+from berylstage_entry.store_access.missed_changes import (
+    CHANGES_PATH,
+    ChangeClient,
+    ChangeServer,
+)
+from berylstage_entry.store_connectivity import PEER_CONTACT_VALID_SECONDS
 from berylstage_entry.store_delta import MESSAGE_TYPE as STORE_DELTA_TYPE
 from berylstage_entry.store_delta import StoreDelta
 from berylstage_entry.store_watcher import StoreWatcher
@@ -217,6 +223,13 @@
             self.peer_updates.receive_change
         )
         self.peer_updates.send = self.peer_datagrams.send
+        self.change_server = ChangeServer(self.store_watcher)
+        self.change_client = ChangeClient(
+            self.peer_client, self._publisher_address, self.metrics.increment
+        )
+        self.store_watcher.ask_publisher = self.change_client.ask
+        # Host that has sent the last delta, and when.
+        self._delta_sender, self._delta_received_at = "", float("-inf")
         self.store_watcher.is_publisher = self.election.is_coordinator
         self.store_watcher.publish = self._publish_delta
         self.store_watcher.is_standby = self._is_standby
@@ -272,6 +285,7 @@
                 EXPORT_STATE_PATH: self._handle_export,
                 STORE_CONTACT_PATH: self._handle_store_contact,
                 SPEEDS_PATH: self._handle_service_times,
+                CHANGES_PATH: self.change_server.handle,
                 PUSH_PATH: self._handle_peer_updates,
                 RELAY_PATH: self.relay_server.handle,
                 LINKS_PATH: self._handle_links,
@@ -548,8 +562,18 @@
         except InvalidRecord as exc:
             log.warning("ignoring invalid store delta", extra={"cause": str(exc)})
             return
+        self._delta_sender, self._delta_received_at = host, now()
         self.store_watcher.apply_delta(delta)
 
+    def _publisher_address(self) -> str:
+        """Return the address of the VM whose changes arrive, or of the coordinator."""
+        if now() - self._delta_received_at <= PEER_CONTACT_VALID_SECONDS:
+            for member in self.membership.members():
+                if member.host == self._delta_sender:
+                    return member.control_address
+        address = self.election.coordinator_address()
+        return "" if address == self.cfg.control_address else address
+
     def _handle_ready(self, body: bytes) -> PageResponse:
         return PageResponse(200 if self.ready() else UNAVAILABLE)
 
--- a/packages/entry/src/berylstage_entry/large_values.py
+++ b/packages/entry/src/berylstage_entry/large_values.py
@@ -38,6 +38,10 @@
         """Return the newest revision of a key that was applied; 0 for none."""
         return self._revisions.get(key, 0)
 
+    def wanted_revision(self, key: str) -> int:
+        """Return the newest revision of a key that is known to exist; 0 for none."""
+        return self._wanted_revisions.get(key, 0)
+
     def note_revision(self, key: str, revision: int) -> None:
         """Record that a value was applied, whichever way it arrived."""
         self._revisions[key] = max(self.known_revision(key), revision)
--- a/packages/entry/src/berylstage_entry/owners.py
+++ b/packages/entry/src/berylstage_entry/owners.py
@@ -32,6 +32,11 @@
 # Time of waiting after which the store is read early. VMs publish an assignment to each
 # other within a few milliseconds, so this VM has missed the publication by then.
 REFRESH_AFTER_SECONDS = 0.15
+# Time for which a request that waits for keys known to be on the move causes no read.
+# Nine in ten moves take less than 0.5 s.
+MAX_MOVE_SECONDS = 1.0
+# Moves whose start is remembered: a hundred keys of a hundred targets move at most.
+MAX_MOVES = 1000
 # Share of the route's timeout, or of the request's remaining time if that is less, for
 # which a request may wait for an owner. Without the second limit, a retried request
 # would be refused immediately again, although most moves end within a few times
@@ -52,6 +57,8 @@
     def __init__(self, store_watcher: StoreWatcher, cluster_view: ClusterView):
         self._store_watcher = store_watcher
         self._cluster_view = cluster_view
+        # When a request was first found waiting for a move, by service and fence.
+        self._moves: dict[tuple[str, int], float] = {}
 
     async def find(self, ctx: RequestContext) -> str:
         """Return the target that should receive a request with a key.
@@ -82,7 +89,9 @@
                     return key_range.owner
             if ctx.seconds_left(now()) < min_left:
                 raise NoOwner(self._describe(ctx, key_range))
-            if now() - started_at >= REFRESH_AFTER_SECONDS:
+            if now() - started_at >= REFRESH_AFTER_SECONDS and not self._is_recent_move(
+                ctx.service.name, key_range
+            ):
                 self._store_watcher.request_refresh(CallCause.WAIT_FOR_OWNER)
             await asyncio.sleep(MOVE_POLL_SECONDS)
 
@@ -108,6 +117,21 @@
         assert ctx.req.key is not None
         return assignment.find(ctx.req.key) if assignment else None
 
+    def _is_recent_move(self, service: str, key_range: KeyRange | None) -> bool:
+        """Tell whether this VM knows that the keys move, and for a short time only.
+
+        The end of a move is published within milliseconds, and once more with the next
+        delta. A read by each VM that has a request waiting tells nothing earlier.
+        """
+        if key_range is None or not key_range.previous_owner:
+            return False
+        moment = now()
+        move = service, key_range.fence
+        since = self._moves.setdefault(move, moment)
+        if len(self._moves) > MAX_MOVES:
+            del self._moves[next(iter(self._moves))]
+        return moment - since < MAX_MOVE_SECONDS
+
     def _revision(self, ctx: RequestContext) -> int:
         return self._store_watcher.assignment_revisions.get(ctx.service.name, 0)
 
--- a/packages/entry/src/berylstage_entry/peers.py
+++ b/packages/entry/src/berylstage_entry/peers.py
@@ -41,11 +41,17 @@
         """Return the addresses of the other known VMs."""
         return sorted(set(self._membership.addresses()) - {self._own_address})
 
-    async def call(self, address: str, path: str, body: bytes = b"") -> bytes | None:
+    async def call(
+        self,
+        address: str,
+        path: str,
+        body: bytes = b"",
+        timeout: float = CALL_TIMEOUT_SECONDS,
+    ) -> bytes | None:
         """Return a VM's answer, or None if the call fails."""
         if self._client is None:
             self._client = CallClient(MAX_CONCURRENT_CALLS)
-        call = Call("POST", f"http://{address}{path}", {}, body, CALL_TIMEOUT_SECONDS)
+        call = Call("POST", f"http://{address}{path}", {}, body, timeout)
         try:
             answer = await self._client.call(call)
         except CallFailed as exc:
--- a/packages/entry/src/berylstage_entry/store_delta.py
+++ b/packages/entry/src/berylstage_entry/store_delta.py
@@ -162,12 +162,16 @@
 
     def encode(self) -> bytes | None:
         """Return the datagram, or None if the delta is too large for one."""
+        data = self.encode_any_size()
+        return data if len(data) <= MAX_DATAGRAM_BYTES else None
+
+    def encode_any_size(self) -> bytes:
+        """Return the encoded delta, for connections rather than datagrams."""
         rows = [(i.key, _bytes_to_text(i.value), i.revision) for i in self.items]
         times = [round(self.age, 3), round(self.contact, 1)]
         doc = [self.after, self.revision, rows, self.large_revisions, *times]
         text = json.dumps(doc, separators=(",", ":")).encode()
-        data = bytes([MESSAGE_TYPE]) + zlib.compress(text)
-        return data if len(data) <= MAX_DATAGRAM_BYTES else None
+        return bytes([MESSAGE_TYPE]) + zlib.compress(text)
 
     @classmethod
     def decode(cls, data: bytes) -> StoreDelta:
--- a/packages/entry/src/berylstage_entry/store_watcher.py
+++ b/packages/entry/src/berylstage_entry/store_watcher.py
@@ -16,6 +16,7 @@
 from berylstage_entry.large_values import LargeValueFetcher
 from berylstage_entry.store import Item
 from berylstage_entry.store_access.call_counts import CallCause
+from berylstage_entry.store_access.change_memory import ChangeMemory
 from berylstage_entry.store_connectivity import StoreConnectivity
 from berylstage_entry.store_delta import MAX_INLINE_VALUE_BYTES, StoreDelta
 from berylstage_entry.store_keys import (
@@ -25,7 +26,7 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Awaitable, Callable
 
     from berylstage_entry.cluster_view import ClusterView
     from berylstage_entry.protocols import RecordReader
@@ -51,6 +52,14 @@
 # refuses these requests for up to 0.9 s. Four reads a second are a tenth of what the
 # store allows 40 VMs.
 REQUESTED_READ_INTERVAL_SECONDS = 0.25
+# Shortest wait for the next read. A timer rounds a shorter one down to none.
+MIN_WAIT_SECONDS = 0.001
+# Seconds before a due read at which the publisher is asked for the changes. It is the
+# limit for its answer, so a question without an answer does not delay the read.
+ASK_LEAD_SECONDS = 0.2
+# Time after a question without an answer in which the publisher is not asked again. The
+# delay of the read that follows is thus at most the limit for the answer.
+ASK_RETRY_SECONDS = 1.0
 # Time for which changes are published again with each new update: four updates.
 REPUBLISH_SECONDS = 2.0
 # Age of this VM's view above which it reads all records rather than their changes.
@@ -104,6 +113,14 @@
         self._large_values = LargeValueFetcher(self._read_large_value)
         # All keys in the store, as far as this VM knows.
         self._known_keys: set[str] = set()
+        # Time at which this VM's view was certainly that of the store.
+        self.view_time = float("-inf")
+        # Changes of the last seconds, for VMs that ask for them.
+        self._memory = ChangeMemory()
+        # Asks the publisher for the changes since a revision; None without an answer.
+        self.ask_publisher: Callable[[int], Awaitable[StoreDelta | None]] | None = None
+        self._asked_at = self._ask_failed_at = float("-inf")
+        self._encoded_assignments: dict[str, Item] = {}
         # Recently published updates and their times, newest first.
         self._published: deque[tuple[float, StoreDelta]] = deque()
         # Whether this VM publishes what it reads to all others, and how.
@@ -226,21 +243,114 @@
                 }
             )
             return False
+        self._advance(delta)
+        # If this VM becomes the next publisher, it publishes this delta again with its
+        # first one: other VMs may have missed the last delta of its predecessor.
+        self._published.clear()
+        self._published.append((now(), delta))
+        return True
+
+    def _advance(self, delta: StoreDelta) -> None:
+        """Apply a delta that starts at or before this VM's revision."""
         for item in delta.items:
             if item.revision > self._revision:
                 self._apply_item(item)
+        self._memory.extend(delta, now())
         self._large_values.fetch_newer(delta.large_revisions)
         self._revision = delta.revision
         self._needs_full_read = False
+        self.view_time = max(self.view_time, now() - delta.age)
         self._up_to_date_at = max(self._up_to_date_at, now() - delta.age)
-        # If this VM becomes the next publisher, it publishes this delta again with its
-        # first one: other VMs may have missed the last delta of its predecessor.
-        self._published.clear()
-        self._published.append((now(), delta))
+
+    def changes_since(self, revision: int) -> StoreDelta | None:
+        """Return the merged changes since a revision; None if it is too old.
+
+        Assignments that this VM has written are included although it has not read them
+        from the store yet. If it has nothing newer, its next read is made early: the
+        asking VM would otherwise have learned more from the store.
+        """
+        delta = self._memory.since(revision, self._encoded_assignment)
+        if delta is None:
+            return None
+        listed = {item.key for item in delta.items}
+        for service, at in self.assignment_revisions.items():
+            key = ASSIGNMENT_PREFIX + service
+            item = self._encoded_assignment(key, at) if at > delta.revision else None
+            if item is not None and key not in listed:
+                delta.items.append(item)
+        delta.age = max(0.0, now() - self.view_time)
+        delta.contact = self.contact_seconds()
+        if not delta.items and delta.age > REQUESTED_READ_INTERVAL_SECONDS:
+            self.request_refresh(CallCause.PUBLISHER_ASKED)
+        return delta
+
+    def _encoded_assignment(self, key: str, revision: int) -> Item | None:
+        """Return an assignment of at least a revision; None if it is not known."""
+        service = key.removeprefix(ASSIGNMENT_PREFIX)
+        known = self.assignment_revisions.get(service, 0)
+        if not key.startswith(ASSIGNMENT_PREFIX) or not known or known < revision:
+            return None
+        item = self._encoded_assignments.get(key)
+        if item is None or item.revision != known:
+            item = Item(key, self.assignments[service].encode(), known)
+            self._encoded_assignments[key] = item
+        return item
+
+    def is_kept_up_to_date(self) -> bool:
+        """Return whether published changes make reads of this VM's own needless."""
+        is_fed = now() - self._up_to_date_at <= READ_INTERVAL_SECONDS
+        return self.has_synced and not self._needs_full_read and is_fed
+
+    def _may_ask(self) -> bool:
+        return (
+            self.ask_publisher is not None
+            and self.has_synced
+            and not self.is_publishing()
+            and now() - self._ask_failed_at >= ASK_RETRY_SECONDS
+        )
+
+    async def _ask(self, revision: int) -> StoreDelta | None:
+        """Ask the publisher for the changes since a revision, and apply the answer."""
+        if self.ask_publisher is None or not self._may_ask():
+            return None
+        self._asked_at = now()
+        delta = await self.ask_publisher(revision)
+        if delta is None:
+            self._ask_failed_at = now()
+            return None
+        for item in delta.items:
+            # They carry versions, so that they apply whatever this VM's revision is.
+            if item.value is not None and len(item.value) > MAX_INLINE_VALUE_BYTES:
+                self.apply_pushed_item(item)
+        if delta.after <= self._revision <= delta.revision:
+            self._advance(delta)
+        return delta
+
+    async def _catch_up(self) -> bool:
+        """Ask the publisher for missed changes.
+
+        Returns
+        -------
+        bool
+            False if this VM has to read the store: the answer is missing, was made from
+            an old view, or is older than what this VM knows.
+        """
+        delta = await self._ask(self._revision)
+        if (
+            delta is None
+            or delta.revision < self._revision
+            or not self.is_kept_up_to_date()
+        ):
+            self._ask_failed_at = now()
+            return False
         return True
 
     async def _read_large_value(self, key: str) -> bool:
-        """Read and apply a large value; return False when the call failed."""
+        """Get and apply a large value; return False when the call failed."""
+        wanted = self._large_values.wanted_revision(key)
+        await self._ask(wanted - 1)
+        if self._large_values.known_revision(key) >= wanted:
+            return True
         try:
             changes = await self._calls(CallCause.LARGE_VALUE).read(key)
         except StoreError as exc:
@@ -299,19 +409,27 @@
             self._remove_expired_targets()
             self._change_log.flush(self._configuration_version(), now())
             wait = self._up_to_date_at + self._read_interval() - now()
+            lead = self._ask_lead()
+            if wait <= lead:
+                if await self._catch_up_paced():
+                    continue
+                # The question may have taken until the read is due.
+                wait, lead = self._up_to_date_at + self._read_interval() - now(), 0.0
             if wait <= 0:
                 self._read_cause = (
-                    CallCause.PUBLISHER
-                    if self._is_publishing()
-                    else CallCause.NO_UPDATE
+                    CallCause.PUBLISHER if self.is_publishing() else CallCause.NO_UPDATE
                 )
                 return
             try:
-                async with asyncio.timeout(wait):
+                async with asyncio.timeout(max(MIN_WAIT_SECONDS, wait - lead)):
                     await self._read_requested.wait()
             except TimeoutError:
                 # A delta may have arrived meanwhile and deferred the read.
                 continue
+            if self._may_ask():
+                self._read_requested.clear()
+                if await self._catch_up_paced():
+                    continue
             await asyncio.sleep(
                 max(0.0, self._last_read_at + REQUESTED_READ_INTERVAL_SECONDS - now())
             )
@@ -319,14 +437,33 @@
             self._read_cause = self._requested_cause
             return
 
+    def _ask_lead(self) -> float:
+        """Return by how many seconds a question precedes a read that is due.
+
+        With a shorter read interval, a question ahead of the read would also be ahead
+        of the next published changes, which mostly make both needless.
+        """
+        is_long = self._read_interval() >= READ_INTERVAL_SECONDS
+        return ASK_LEAD_SECONDS if is_long and self._may_ask() else 0.0
+
+    async def _catch_up_paced(self) -> bool:
+        """Ask the publisher for missed changes, four times a second at most."""
+        if not self._may_ask():
+            return False
+        pause = self._asked_at + REQUESTED_READ_INTERVAL_SECONDS - now()
+        await asyncio.sleep(max(0.0, pause))
+        return await self._catch_up()
+
     async def _run(self) -> None:
         while True:
             try:
+                began_at = now()
                 if self._needs_full_read or self._should_read_all():
                     await self._read_all()
                 else:
                     await self._watch_all()
                 self._last_read_at = self._up_to_date_at = now()
+                self.view_time = max(self.view_time, began_at)
                 self._min_retry_delay = RETRY_SECONDS
                 self.record_success()
                 await self._wait_for_next_read()
@@ -407,6 +544,7 @@
             del self.internal_items[key]
             self._notify_listeners(key)
         delta.revision = self._revision = changes.revision
+        self._memory.extend(delta, now())
         self.has_synced = True
         self._needs_full_read = False
         if not was_updated:
@@ -426,7 +564,7 @@
         # A publisher suspended during a long wait could not tell how old the answer is.
         # The answer to a call that does not wait is no older than the call took, by a
         # clock that counts suspended time.
-        is_publishing = self._is_publishing()
+        is_publishing = self.is_publishing()
         wait = 0.0 if is_publishing else WATCH_WAIT_SECONDS
         changes = await self._calls(self._read_cause).watch("", self._revision, wait)
         was_updated = self._revision != delta.after
@@ -437,10 +575,11 @@
             if item.revision > self._revision:
                 self._apply_item(item)
         delta.revision = self._revision = max(self._revision, changes.revision)
+        self._memory.extend(delta, now())
         if is_publishing and not was_updated:
             self._publish(delta, started_at)
 
-    def _is_publishing(self) -> bool:
+    def is_publishing(self) -> bool:
         """Return whether this VM publishes what it reads."""
         return self.is_publisher() or self.is_local_publisher()
 
@@ -454,7 +593,7 @@
         moment = now()
         while self._published and moment - self._published[-1][0] > REPUBLISH_SECONDS:
             self._published.pop()
-        if not self._is_publishing() or not delta.after:
+        if not self.is_publishing() or not delta.after:
             # A first read returns the whole state rather than changes.
             self._published.clear()
             return
