Serve VMs without a record in the store from the publisher

Cause: while the store turns some VMs away, their leases are revoked. The publisher then sends nothing more to them, and they ask the store again and again.

A VM that defers to others in the election watches the coordinator's key 0.5 s after its first read at the earliest.

--- a/packages/entry/src/berylstage_entry/application.py
+++ b/packages/entry/src/berylstage_entry/application.py
@@ -79,6 +79,10 @@
     ChangeClient,
     ChangeServer,
 )
+from berylstage_entry.store_access.subscriptions import (
+    SUBSCRIPTION_TYPE,
+    SubscriptionClient,
+)
 from berylstage_entry.store_connectivity import PEER_CONTACT_VALID_SECONDS
 from berylstage_entry.store_delta import MESSAGE_TYPE as STORE_DELTA_TYPE
 from berylstage_entry.store_delta import StoreDelta
@@ -223,6 +227,17 @@
             self.peer_updates.receive_change
         )
         self.peer_updates.send = self.peer_datagrams.send
+        self.subscription = SubscriptionClient(
+            cfg.vm, cfg.control_address, self.membership, self.rng
+        )
+        self.subscription.is_coordinator = self.election.is_coordinator
+        self.subscription.coordinator_address = self.election.coordinator_address
+        self.subscription.send = self.peer_datagrams.send_to
+        self.subscription.count = self.metrics.increment
+        self.peer_datagrams.handlers[SUBSCRIPTION_TYPE] = self.subscription.receive
+        self.peer_datagrams.subscriber_hosts = self.subscription.subscriber_hosts
+        self.peer_updates.subscriber_addresses = self.subscription.subscriber_addresses
+        self.store_watcher.defers_coordination = lambda: cfg.relative_capacity < 1
         self.change_server = ChangeServer(self.store_watcher)
         self.change_client = ChangeClient(
             self.peer_client, self._publisher_address, self.metrics.increment
@@ -339,6 +354,7 @@
         self.grant_controller.start()
         self.load_reporter.start()
         self.peer_datagrams.start()
+        self.subscription.start()
         self.confirmer.start()
         self.quota_client.start()
         self.probes.start()
@@ -363,6 +379,7 @@
         self.grant_controller.stop()
         self.load_reporter.stop()
         self.peer_updates.close()
+        self.subscription.stop()
         self.probes.stop()
         await self._run_step(plan, self.membership.stop())
         await asyncio.sleep(max(plan.drain_at - now(), RECORD_LAG_SECONDS))
@@ -506,7 +523,11 @@
             self.peer_datagrams.send_to(host, data)
 
     def _is_standby(self) -> bool:
-        return self.membership.is_standby(self.election.coordinator_address())
+        address, names = self.election.coordinator_address(), self.membership.names()
+        if address and names and self.cfg.vm not in names:
+            # While this VM has no record, another one is the standby.
+            return False
+        return self.membership.is_standby(address)
 
     def _is_local_publisher(self) -> bool:
         # Until its own record is known, every VM would consider itself the local
@@ -563,6 +584,7 @@
             log.warning("ignoring invalid store delta", extra={"cause": str(exc)})
             return
         self._delta_sender, self._delta_received_at = host, now()
+        self.subscription.record_update()
         self.store_watcher.apply_delta(delta)
 
     def _publisher_address(self) -> str:
--- a/packages/entry/src/berylstage_entry/coordinator_watch.py
+++ b/packages/entry/src/berylstage_entry/coordinator_watch.py
@@ -7,6 +7,7 @@
 
 from logbook import Logger
 
+from berylstage_entry.clock import now
 from berylstage_entry.errors import RevisionCompacted, StoreError
 from berylstage_entry.store import Item
 from berylstage_entry.store_access.call_counts import CallCause
@@ -23,6 +24,10 @@
 # keys brings the changes as well once the store is back, and calls to an unavailable
 # store cost as much as others.
 MIN_RETRY_SECONDS = 1.0
+# Time after the first read for which a VM that defers to others in the election does
+# not watch. A coordinator is mostly elected within it, and the watches of 80 VMs that
+# start together are as many calls.
+START_DELAY_SECONDS = 0.5
 # Seconds between two checks whether this VM should watch.
 CHECK_INTERVAL_SECONDS = 0.35
 
@@ -43,6 +48,7 @@
         self._store_watcher = store_watcher
         # Revision up to which the key is known, if newer than that of all keys.
         self._revision = 0
+        self._synced_at = float("inf")
 
     async def run(self) -> None:
         """Watch whenever this VM is one of those that should."""
@@ -92,6 +98,12 @@
         """
         if not self._store_watcher.has_synced or self._store_watcher.is_publisher():
             return False
+        self._synced_at = min(self._synced_at, now())
+        if (
+            self._store_watcher.defers_coordination()
+            and now() - self._synced_at < START_DELAY_SECONDS
+        ):
+            return False
         item = self._store_watcher.internal_items.get(COORDINATOR_KEY)
         no_coordinator = item is None or item.value is None
         return self._store_watcher.is_standby() or (
--- a/packages/entry/src/berylstage_entry/membership.py
+++ b/packages/entry/src/berylstage_entry/membership.py
@@ -11,6 +11,7 @@
 from logbook import Logger
 
 from berylstage_entry.addresses import split_host_port
+from berylstage_entry.clock import now
 from berylstage_entry.errors import LeaseExpired, StoreError
 from berylstage_entry.store import Write
 from berylstage_entry.store_access.call_counts import CallCause
@@ -31,6 +32,9 @@
 RENEWAL_INTERVAL_SECONDS = 5.0
 # Shortest delay before a failed call is retried.
 RETRY_SECONDS = 1.0
+# Bounds of the steps in which this delay passes. It changes when the store returns.
+MAX_WAIT_SECONDS = 0.5
+MIN_WAIT_SECONDS = 0.001
 # Number of VMs assumed to be starting, in addition to the known ones.
 ASSUMED_STARTING_VMS = 2
 
@@ -90,6 +94,8 @@
         # even if the answer to the write was lost.
         self._latest_lease = 0
         self._task: asyncio.Task | None = None
+        # Whether the store has accepted the record or its last renewal.
+        self.is_registered = False
         # Members and the revisions of their records, by key.
         self._entries: dict[str, tuple[int, Member]] = {}
         self._members: list[Member] = []
@@ -195,6 +201,7 @@
                     await self._calls().renew_lease(self._lease)
                 else:
                     await self._register()
+                self.is_registered = True
                 self._store_watcher.record_success()
                 await asyncio.sleep(RENEWAL_INTERVAL_SECONDS)
             except LeaseExpired:
@@ -202,9 +209,20 @@
             except StoreError as exc:
                 self._store_watcher.record_failure(exc)
                 log.info("lease of the VM not renewed", extra={"cause": str(exc)})
-                await asyncio.sleep(
-                    max(RETRY_SECONDS, 2 * self._store_watcher.retry_delay())
-                )
+                await self._wait_after_failure()
+
+    async def _wait_after_failure(self) -> None:
+        """Wait until the next call, whose time depends on what the publisher tells."""
+        self.is_registered = False
+        failed_at = now()
+        while (wait := failed_at + self._retry_delay() - now()) > 0:
+            await asyncio.sleep(min(wait, MAX_WAIT_SECONDS) + MIN_WAIT_SECONDS)
+
+    def _retry_delay(self) -> float:
+        delay = self._store_watcher.retry_delay()
+        if self._store_watcher.is_kept_up_to_date():
+            return max(RETRY_SECONDS, delay)
+        return max(RETRY_SECONDS, 2 * delay)
 
     def _calls(self) -> Store:
         return self._store.for_cause(CallCause.MEMBERSHIP)
--- a/packages/entry/src/berylstage_entry/peer_datagrams.py
+++ b/packages/entry/src/berylstage_entry/peer_datagrams.py
@@ -34,6 +34,8 @@
         self._transport: asyncio.DatagramTransport | None = None
         self._task: asyncio.Task | None = None
         # Handlers by first byte; they get the datagram and the sender's host.
+        # Returns the hosts of VMs that are sent to although they have no record.
+        self.subscriber_hosts: Callable[[], set[str]] = set
         self.handlers: dict[int, Callable[[bytes, str], None]] = {}
 
     def start(self) -> None:
@@ -74,6 +76,8 @@
         hosts = {
             m.host for m in members if not same_data_centre or m.data_centre in home
         }
+        if not same_data_centre:
+            hosts |= self.subscriber_hosts()
         for host in hosts - {self._host}:
             self.send_to(host, data)
 
--- a/packages/entry/src/berylstage_entry/peer_updates.py
+++ b/packages/entry/src/berylstage_entry/peer_updates.py
@@ -100,6 +100,8 @@
         self._peers: dict[str, _Peer] = {}
         # Sends a datagram to all other VMs.
         self.send: Callable[[bytes], None] = lambda data: None
+        # Returns the addresses of VMs that are sent to although they have no record.
+        self.subscriber_addresses: Callable[[], set[str]] = set
         # Change of each service of which some parts are still missing.
         self._partial: dict[str, AssignmentDelta] = {}
 
@@ -166,7 +168,8 @@
             await asyncio.wait(tasks, timeout=PUSH_TIMEOUT_SECONDS)
 
     def _push(self, key: str, body: bytes) -> None:
-        addresses = set(self._membership.addresses()) - {self._own_address}
+        addresses = set(self._membership.addresses()) | self.subscriber_addresses()
+        addresses.discard(self._own_address)
         for address in [a for a in self._peers if a not in addresses]:
             self._peers.pop(address).close()
         for address in addresses:
--- a/packages/entry/src/berylstage_entry/store_connectivity.py
+++ b/packages/entry/src/berylstage_entry/store_connectivity.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from berylstage_entry.store_access.check_pauses import has_store_returned
+
 # Time after a failed call within which a removed record may have expired in an outage.
 OUTAGE_MEMORY_SECONDS = 3.0
 # Time for which a report of another VM stays valid. It publishes twice in that time.
@@ -27,6 +29,7 @@
         "_failing_since",
         "_peer_contact_at",
         "_peer_contact_seconds",
+        "failures",
         "last_success_at",
         "last_failure_at",
     )
@@ -35,6 +38,8 @@
         self._created_at = now
         self.last_success_at = float("-inf")
         self.last_failure_at = float("-inf")
+        # Failed calls after the last successful one.
+        self.failures = 0
         # Time of the first failed call after the last successful one.
         self._failing_since = now
         # Time of another VM's last report, and its unbroken contact with the store.
@@ -48,12 +53,18 @@
     def mark_success(self, now: float) -> None:
         """Record a successful call."""
         self.last_success_at = now
+        self.failures = 0
 
     def mark_failure(self, now: float) -> None:
         """Record a call without a usable answer."""
         if not self.is_failing():
             self._failing_since = now
         self.last_failure_at = now
+        self.failures += 1
+
+    def has_store_returned(self, now: float) -> bool:
+        """Return whether the publisher has regained the store after it lost it too."""
+        return has_store_returned(self.outage_seconds(now), self._peer_contact_seconds)
 
     def outage_seconds(self, now: float) -> float:
         """Return the seconds since calls began to fail.
--- a/packages/entry/src/berylstage_entry/store_watcher.py
+++ b/packages/entry/src/berylstage_entry/store_watcher.py
@@ -17,6 +17,7 @@
 from berylstage_entry.store import Item
 from berylstage_entry.store_access.call_counts import CallCause
 from berylstage_entry.store_access.change_memory import ChangeMemory
+from berylstage_entry.store_access.check_pauses import check_pause
 from berylstage_entry.store_connectivity import StoreConnectivity
 from berylstage_entry.store_delta import MAX_INLINE_VALUE_BYTES, StoreDelta
 from berylstage_entry.store_keys import (
@@ -60,6 +61,9 @@
 # Time after a question without an answer in which the publisher is not asked again. The
 # delay of the read that follows is thus at most the limit for the answer.
 ASK_RETRY_SECONDS = 1.0
+# Time by which the check of a failing store comes after the next call for the lease of
+# this VM, which is a check itself.
+CHECK_DELAY_SECONDS = 1.0
 # Time for which changes are published again with each new update: four updates.
 REPUBLISH_SECONDS = 2.0
 # Age of this VM's view above which it reads all records rather than their changes.
@@ -105,6 +109,8 @@
         self._read_cause = CallCause.PUBLISHER
         # Whether the store has compacted the changes after this VM's revision.
         self._needs_full_read = True
+        # Revision up to which published changes are known to be missing.
+        self._missed_revision = 0
         # Seconds from a failed read to the next one if a refresh is requested.
         self._min_retry_delay = RETRY_SECONDS
         # When this VM last read the store, and when its view was last up to date.
@@ -132,6 +138,8 @@
         self.is_standby: Callable[[], bool] = lambda: True
         # Whether this VM publishes within its data centre while nobody serves all.
         self.is_local_publisher: Callable[[], bool] = lambda: False
+        # Whether this VM lets others become coordinator first.
+        self.defers_coordination: Callable[[], bool] = lambda: False
         # Whether another VM is a better coordinator, should there be none.
         self.yields_coordination: Callable[[], bool] = lambda: False
         # Assignment of each service, and the revision of its key.
@@ -170,6 +178,26 @@
     def retry_delay(self) -> float:
         """Return the seconds to wait before a failed call to the store is retried.
 
+        A VM that the store turns away while published changes keep its view up to date
+        has nothing to learn from a retry.
+        """
+        if self._is_served_by_publisher():
+            return check_pause(self._connectivity.failures)
+        return self._read_retry_delay()
+
+    def _is_served_by_publisher(self) -> bool:
+        return (
+            self.is_kept_up_to_date()
+            and not self._has_duty()
+            and not self._connectivity.has_store_returned(now())
+        )
+
+    def _has_duty(self) -> bool:
+        return self.is_publishing() or self.is_standby()
+
+    def _read_retry_delay(self) -> float:
+        """Return the seconds to wait before a failed read is retried.
+
         The coordinator and its standbys must know at once when the store recovers. The
         other VMs learn it from the first of them. A single failed call is retried soon,
         since the cause may be a saturated link of this VM.
@@ -233,6 +261,7 @@
                 self.request_refresh(CallCause.RETRY)
             return False
         if delta.after > self._revision:
+            self._missed_revision = max(self._missed_revision, delta.after)
             self.request_refresh(CallCause.MISSED_CHANGES)
             # A value that is read by itself arrives sooner than one among all records.
             self._large_values.fetch_newer(
@@ -298,8 +327,12 @@
 
     def is_kept_up_to_date(self) -> bool:
         """Return whether published changes make reads of this VM's own needless."""
-        is_fed = now() - self._up_to_date_at <= READ_INTERVAL_SECONDS
-        return self.has_synced and not self._needs_full_read and is_fed
+        return (
+            self.has_synced
+            and not self._needs_full_read
+            and self._revision >= self._missed_revision
+            and now() - self._up_to_date_at <= READ_INTERVAL_SECONDS
+        )
 
     def _may_ask(self) -> bool:
         return (
@@ -355,7 +388,7 @@
             changes = await self._calls(CallCause.LARGE_VALUE).read(key)
         except StoreError as exc:
             self.record_failure(exc)
-            await asyncio.sleep(self.retry_delay())
+            await asyncio.sleep(self._read_retry_delay())
             return False
         for item in changes.items:
             self._apply_item(item)
@@ -410,6 +443,10 @@
             self._change_log.flush(self._configuration_version(), now())
             wait = self._up_to_date_at + self._read_interval() - now()
             lead = self._ask_lead()
+            check_wait = self._seconds_until_check()
+            if check_wait <= 0:
+                self._read_cause = CallCause.RETRY
+                return
             if wait <= lead:
                 if await self._catch_up_paced():
                     continue
@@ -421,7 +458,8 @@
                 )
                 return
             try:
-                async with asyncio.timeout(max(MIN_WAIT_SECONDS, wait - lead)):
+                wait = max(MIN_WAIT_SECONDS, min(wait - lead, check_wait))
+                async with asyncio.timeout(wait):
                     await self._read_requested.wait()
             except TimeoutError:
                 # A delta may have arrived meanwhile and deferred the read.
@@ -437,6 +475,16 @@
             self._read_cause = self._requested_cause
             return
 
+    def _seconds_until_check(self) -> float:
+        """Return the seconds until a call finds out whether the store is back.
+
+        The calls for this VM's lease mostly find out first.
+        """
+        if not self._connectivity.is_failing():
+            return float("inf")
+        pause = self.retry_delay() + CHECK_DELAY_SECONDS
+        return self._connectivity.last_failure_at + pause - now()
+
     def _ask_lead(self) -> float:
         """Return by how many seconds a question precedes a read that is due.
 
@@ -463,6 +511,7 @@
                 else:
                     await self._watch_all()
                 self._last_read_at = self._up_to_date_at = now()
+                self._missed_revision = 0
                 self.view_time = max(self.view_time, began_at)
                 self._min_retry_delay = RETRY_SECONDS
                 self.record_success()
@@ -472,6 +521,12 @@
             except StoreError as exc:
                 self.record_failure(exc)
                 await self._wait_after_failure()
+                # While the publisher tells this VM all changes, the calls for its lease
+                # find out whether the store answers it again.
+                if not self._has_duty() and (
+                    self.is_kept_up_to_date() or await self._catch_up()
+                ):
+                    await self._wait_for_next_read()
 
     async def _wait_after_failure(self) -> None:
         """Wait after a failed read; return early when a delta shows a gap.
@@ -481,7 +536,7 @@
         retry delay grows.
         """
         self._read_cause = CallCause.RETRY
-        max_delay = self.retry_delay()
+        max_delay = self._read_retry_delay()
         min_delay = min(max_delay, self._min_retry_delay)
         await asyncio.sleep(min_delay)
         try:
