Count contact with the store from the first success after a failure

Cause: a VM that the publisher serves makes a call every few seconds only. Its contact counted from the last failed call, so that a call after 9 s would have reported 9 s of unbroken contact to the next coordinator.

Change: contact counts from the first success after the failure.

--- a/packages/entry/src/berylstage_entry/store_connectivity.py
+++ b/packages/entry/src/berylstage_entry/store_connectivity.py
@@ -25,17 +25,18 @@
     """
 
     __slots__ = (
-        "_created_at",
         "_failing_since",
         "_peer_contact_at",
         "_peer_contact_seconds",
+        "_regained_at",
         "failures",
         "last_success_at",
         "last_failure_at",
     )
 
     def __init__(self, now: float):
-        self._created_at = now
+        # Time of the first successful call after the last failed one, or of the start.
+        self._regained_at = now
         self.last_success_at = float("-inf")
         self.last_failure_at = float("-inf")
         # Failed calls after the last successful one.
@@ -47,11 +48,17 @@
         self._peer_contact_seconds = 0.0
 
     def unbroken_seconds(self, now: float) -> float:
-        """Return the seconds since the last failed call or the start."""
-        return now - max(self.last_failure_at, self._created_at)
+        """Return the seconds since calls began to succeed, or since the start.
+
+        They do not count from the last failed call: a VM that the publisher serves
+        makes a call every few seconds only, and had no contact since.
+        """
+        return now - max(self.last_failure_at, self._regained_at)
 
     def mark_success(self, now: float) -> None:
         """Record a successful call."""
+        if self.is_failing():
+            self._regained_at = now
         self.last_success_at = now
         self.failures = 0
 
--- a/packages/entry/tests/test_store_connectivity.py
+++ b/packages/entry/tests/test_store_connectivity.py
@@ -54,3 +54,17 @@
         connectivity.mark_failure(15.0)
         connectivity.mark_failure(16.0)
         assert connectivity.outage_seconds(17.0) == 2.0
+
+    def test_contact_counts_from_the_first_success_after_a_failure(self):
+        # Guards against a VM that makes a call every 9 s only, because the publisher
+        # serves it, and reports these 9 s as unbroken contact. The next coordinator
+        # would conclude that the store was available, and would not wait for extended
+        # grants to expire.
+        connectivity = StoreConnectivity(0.0)
+        assert connectivity.unbroken_seconds(5.0) == 5.0
+        connectivity.mark_failure(5.0)
+        assert connectivity.unbroken_seconds(5.0) == 0.0
+        connectivity.mark_success(14.0)
+        assert connectivity.unbroken_seconds(14.0) == 0.0
+        connectivity.mark_success(16.0)
+        assert connectivity.unbroken_seconds(16.0) == 2.0
