Apply small assignments from the publisher's answers

Cause: deltas list assignments by revision only. A VM that had reached the revision ignored a small assignment in an answer, and then read the store.

Change: assignments of any size apply by their own revision, which is noted. A question that would have to wait for the pause between two questions does not delay a due read.

--- a/packages/entry/src/berylstage_entry/store_watcher.py
+++ b/packages/entry/src/berylstage_entry/store_watcher.py
@@ -353,7 +353,10 @@
             return None
         for item in delta.items:
             # They carry versions, so that they apply whatever this VM's revision is.
-            if item.value is not None and len(item.value) > MAX_INLINE_VALUE_BYTES:
+            is_assignment = item.key.startswith(ASSIGNMENT_PREFIX)
+            if item.value is not None and (
+                is_assignment or len(item.value) > MAX_INLINE_VALUE_BYTES
+            ):
                 self.apply_pushed_item(item)
         if delta.after <= self._revision <= delta.revision:
             self._advance(delta)
@@ -448,7 +451,10 @@
                 self._read_cause = CallCause.RETRY
                 return
             if wait <= lead:
-                if await self._catch_up_paced():
+                # With a lead, a question that has to wait would delay the read.
+                if (not lead or self._ask_pause() <= 0) and (
+                    await self._catch_up_paced()
+                ):
                     continue
                 # The question may have taken until the read is due.
                 wait, lead = self._up_to_date_at + self._read_interval() - now(), 0.0
@@ -498,10 +504,13 @@
         """Ask the publisher for missed changes, four times a second at most."""
         if not self._may_ask():
             return False
-        pause = self._asked_at + REQUESTED_READ_INTERVAL_SECONDS - now()
-        await asyncio.sleep(max(0.0, pause))
+        await asyncio.sleep(max(0.0, self._ask_pause()))
         return await self._catch_up()
 
+    def _ask_pause(self) -> float:
+        """Return the seconds until the publisher may be asked again."""
+        return self._asked_at + REQUESTED_READ_INTERVAL_SECONDS - now()
+
     async def _run(self) -> None:
         while True:
             try:
@@ -678,7 +687,11 @@
             self._known_keys.discard(item.key)
         else:
             self._known_keys.add(item.key)
-        if item.value is not None and len(item.value) > MAX_INLINE_VALUE_BYTES:
+        # Deltas list these by revision only; assignments whatever their size.
+        if item.value is not None and (
+            len(item.value) > MAX_INLINE_VALUE_BYTES
+            or item.key.startswith(ASSIGNMENT_PREFIX)
+        ):
             self._large_values.note_revision(item.key, item.revision)
         if item.key.startswith(INTERNAL_PREFIX):
             self.apply_internal_item(item)
