Split the store watcher

Change: applied items, publication and read timing are modules of store_access; the watcher keeps its interface. The test of a small assignment that was missed comes with it, since it uses the new modules.

--- a/packages/entry/src/berylstage_entry/store_watcher.py
+++ b/packages/entry/src/berylstage_entry/store_watcher.py
@@ -3,21 +3,34 @@
 from __future__ import annotations
 
 import asyncio
-from collections import deque
 from typing import TYPE_CHECKING
 
 from logbook import Logger
 
-from berylstage_entry.assignment import Assignment
-from berylstage_entry.change_log import ChangeLog
 from berylstage_entry.clock import now
 from berylstage_entry.coordinator_watch import CoordinatorWatch
-from berylstage_entry.errors import InvalidRecord, RevisionCompacted, StoreError
+from berylstage_entry.errors import RevisionCompacted, StoreError
 from berylstage_entry.large_values import LargeValueFetcher
 from berylstage_entry.store import Item
+from berylstage_entry.store_access.applied_items import AppliedItems
 from berylstage_entry.store_access.call_counts import CallCause
-from berylstage_entry.store_access.change_memory import ChangeMemory
 from berylstage_entry.store_access.check_pauses import check_pause
+from berylstage_entry.store_access.publication import Publication
+from berylstage_entry.store_access.read_timing import (
+    ASK_LEAD_SECONDS,
+    ASK_RETRY_SECONDS,
+    CHECK_DELAY_SECONDS,
+    FULL_READ_AGE_SECONDS,
+    MAX_REQUESTED_RETRY_SECONDS,
+    MIN_WAIT_SECONDS,
+    PROBE_TIMEOUT_SECONDS,
+    READ_INTERVAL_SECONDS,
+    REQUESTED_READ_INTERVAL_SECONDS,
+    RETRY_SECONDS,
+    WATCH_WAIT_SECONDS,
+    read_interval,
+    read_retry_delay,
+)
 from berylstage_entry.store_connectivity import StoreConnectivity
 from berylstage_entry.store_delta import MAX_INLINE_VALUE_BYTES, StoreDelta
 from berylstage_entry.store_keys import (
@@ -29,58 +42,11 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
+    from berylstage_entry.assignment import Assignment
     from berylstage_entry.cluster_view import ClusterView
     from berylstage_entry.protocols import RecordReader
     from berylstage_entry.store import Store
 
-# Interval between two reads of all changes, or between an update from another VM and a
-# read of one's own. Each target reports about once a second, so a watch without a pause
-# would cost one call per report. 1.2 s leaves 0.8 s of the two seconds within which a
-# change must be in force.
-READ_INTERVAL_SECONDS = 1.2
-# Read interval of the publisher. It is less than half of the normal interval, so that
-# the update after a lost one arrives before the other VMs read the store themselves.
-PUBLISHER_READ_INTERVAL_SECONDS = 0.45
-# Read interval of the local publisher, which serves its data centre while there is no
-# publisher. Without it, the loss of the publisher makes hundreds of VMs read the store
-# at the same moment, again and again until there is a new one. The interval is shorter
-# than theirs, and longer than the gap that one lost update of the publisher leaves.
-LOCAL_PUBLISHER_READ_INTERVAL_SECONDS = 0.7
-# Read interval while records have expired, so that their return is noticed sooner.
-EXPIRED_READ_INTERVAL_SECONDS = 0.25
-# Read interval while callers ask for keys whose owner this VM does not know. At the
-# normal interval, a VM that missed an assignment, such as one that has just started,
-# refuses these requests for up to 0.9 s. Four reads a second are a tenth of what the
-# store allows 40 VMs.
-REQUESTED_READ_INTERVAL_SECONDS = 0.25
-# Shortest wait for the next read. A timer rounds a shorter one down to none.
-MIN_WAIT_SECONDS = 0.001
-# Seconds before a due read at which the publisher is asked for the changes. It is the
-# limit for its answer, so a question without an answer does not delay the read.
-ASK_LEAD_SECONDS = 0.2
-# Time after a question without an answer in which the publisher is not asked again. The
-# delay of the read that follows is thus at most the limit for the answer.
-ASK_RETRY_SECONDS = 1.0
-# Time by which the check of a failing store comes after the next call for the lease of
-# this VM, which is a check itself.
-CHECK_DELAY_SECONDS = 1.0
-# Time for which changes are published again with each new update: four updates.
-REPUBLISH_SECONDS = 2.0
-# Age of this VM's view above which it reads all records rather than their changes.
-FULL_READ_AGE_SECONDS = 2.0
-# Longest wait of the watch on all keys. With any target alive it returns at once.
-WATCH_WAIT_SECONDS = 1.0
-# Timeout of a call that checks whether the store can be reached.
-PROBE_TIMEOUT_SECONDS = 0.35
-# Shortest delay before a failed call is retried.
-RETRY_SECONDS = 0.35
-# Longest retry delay while other VMs publish changes that this VM has missed: a third
-# of the time for which it may serve requests from an outdated view.
-MAX_REQUESTED_RETRY_SECONDS = 1.0
-# Calls per second that all VMs together make to a store that does not answer. These
-# calls are billed like others, and a store that recovers has other work to do.
-OUTAGE_CALLS_PER_SECOND = 30.0
-
 log = Logger(__name__)
 
 
@@ -96,13 +62,10 @@
 
     def __init__(self, store: Store, reader: RecordReader, cluster_view: ClusterView):
         self._store = store
-        self._reader = reader
         self._cluster_view = cluster_view
         self._tasks: list[asyncio.Task] = []
         self._revision = 0
         self._connectivity = StoreConnectivity(now())
-        self._unreadable: dict[str, bytes] = {}
-        self._change_log = ChangeLog()
         self._read_requested = asyncio.Event()
         # Why the early read was requested, and why the next read of changes is made.
         self._requested_cause = CallCause.OTHER
@@ -117,18 +80,15 @@
         self._last_read_at = float("-inf")
         self._up_to_date_at = float("-inf")
         self._large_values = LargeValueFetcher(self._read_large_value)
-        # All keys in the store, as far as this VM knows.
-        self._known_keys: set[str] = set()
+        self._applied = AppliedItems(
+            reader, cluster_view, self.in_outage, self._large_values.note_revision
+        )
+        self._publication = Publication(self._applied)
         # Time at which this VM's view was certainly that of the store.
         self.view_time = float("-inf")
-        # Changes of the last seconds, for VMs that ask for them.
-        self._memory = ChangeMemory()
         # Asks the publisher for the changes since a revision; None without an answer.
         self.ask_publisher: Callable[[int], Awaitable[StoreDelta | None]] | None = None
         self._asked_at = self._ask_failed_at = float("-inf")
-        self._encoded_assignments: dict[str, Item] = {}
-        # Recently published updates and their times, newest first.
-        self._published: deque[tuple[float, StoreDelta]] = deque()
         # Whether this VM publishes what it reads to all others, and how.
         self.is_publisher: Callable[[], bool] = lambda: False
         self.publish: Callable[[StoreDelta], None] = lambda delta: None
@@ -143,14 +103,12 @@
         # Whether another VM is a better coordinator, should there be none.
         self.yields_coordination: Callable[[], bool] = lambda: False
         # Assignment of each service, and the revision of its key.
-        self.assignments: dict[str, Assignment] = {}
-        self.assignment_revisions: dict[str, int] = {}
+        self.assignments = self._applied.assignments
+        self.assignment_revisions = self._applied.assignment_revisions
         # Items that the VMs keep for themselves, by key.
-        self.internal_items: dict[str, Item] = {}
-        self.listeners: list[Callable[[str], None]] = []
+        self.internal_items = self._applied.internal_items
+        self.listeners = self._applied.listeners
         self.has_synced = False
-        # Key of the operators' configuration; empty until one has been read.
-        self._configuration_key = ""
 
     def start(self) -> None:
         """Start watching the store."""
@@ -161,7 +119,7 @@
 
     def stop(self) -> None:
         """Stop watching the store."""
-        self._change_log.flush(self._configuration_version(), now(), force=True)
+        self._applied.flush_log(force=True)
         for task in self._tasks:
             task.cancel()
         self._large_values.stop()
@@ -196,16 +154,9 @@
         return self.is_publishing() or self.is_standby()
 
     def _read_retry_delay(self) -> float:
-        """Return the seconds to wait before a failed read is retried.
-
-        The coordinator and its standbys must know at once when the store recovers. The
-        other VMs learn it from the first of them. A single failed call is retried soon,
-        since the cause may be a saturated link of this VM.
-        """
-        if self.is_publisher() or self.is_standby():
-            return RETRY_SECONDS
+        has_duty = self.is_publisher() or self.is_standby()
         seconds = self._connectivity.outage_seconds(now())
-        return max(RETRY_SECONDS, min(seconds, self.vm_count / OUTAGE_CALLS_PER_SECOND))
+        return read_retry_delay(has_duty, seconds, self.vm_count)
 
     async def probe_store(self) -> float:
         """Call the store and return the seconds of unbroken contact; 0 on failure."""
@@ -273,18 +224,15 @@
             )
             return False
         self._advance(delta)
-        # If this VM becomes the next publisher, it publishes this delta again with its
-        # first one: other VMs may have missed the last delta of its predecessor.
-        self._published.clear()
-        self._published.append((now(), delta))
+        self._publication.record_received(delta, now())
         return True
 
     def _advance(self, delta: StoreDelta) -> None:
         """Apply a delta that starts at or before this VM's revision."""
         for item in delta.items:
             if item.revision > self._revision:
-                self._apply_item(item)
-        self._memory.extend(delta, now())
+                self._applied.apply(item)
+        self._publication.memory.extend(delta, now())
         self._large_values.fetch_newer(delta.large_revisions)
         self._revision = delta.revision
         self._needs_full_read = False
@@ -294,37 +242,18 @@
     def changes_since(self, revision: int) -> StoreDelta | None:
         """Return the merged changes since a revision; None if it is too old.
 
-        Assignments that this VM has written are included although it has not read them
-        from the store yet. If it has nothing newer, its next read is made early: the
-        asking VM would otherwise have learned more from the store.
+        If this VM has nothing newer, its next read is made early: the asking VM would
+        otherwise have learned more from the store.
         """
-        delta = self._memory.since(revision, self._encoded_assignment)
+        delta = self._publication.since(revision)
         if delta is None:
             return None
-        listed = {item.key for item in delta.items}
-        for service, at in self.assignment_revisions.items():
-            key = ASSIGNMENT_PREFIX + service
-            item = self._encoded_assignment(key, at) if at > delta.revision else None
-            if item is not None and key not in listed:
-                delta.items.append(item)
         delta.age = max(0.0, now() - self.view_time)
         delta.contact = self.contact_seconds()
         if not delta.items and delta.age > REQUESTED_READ_INTERVAL_SECONDS:
             self.request_refresh(CallCause.PUBLISHER_ASKED)
         return delta
 
-    def _encoded_assignment(self, key: str, revision: int) -> Item | None:
-        """Return an assignment of at least a revision; None if it is not known."""
-        service = key.removeprefix(ASSIGNMENT_PREFIX)
-        known = self.assignment_revisions.get(service, 0)
-        if not key.startswith(ASSIGNMENT_PREFIX) or not known or known < revision:
-            return None
-        item = self._encoded_assignments.get(key)
-        if item is None or item.revision != known:
-            item = Item(key, self.assignments[service].encode(), known)
-            self._encoded_assignments[key] = item
-        return item
-
     def is_kept_up_to_date(self) -> bool:
         """Return whether published changes make reads of this VM's own needless."""
         return (
@@ -394,7 +323,7 @@
             await asyncio.sleep(self._read_retry_delay())
             return False
         for item in changes.items:
-            self._apply_item(item)
+            self._applied.apply(item)
         self.record_success()
         return True
 
@@ -410,13 +339,13 @@
         ------
         StoreError
         """
-        if not self._configuration_key:
+        if not self._applied.configuration_key:
             return False
         calls = self._calls(CallCause.CONFIRMATION)
-        changes = await calls.read(self._configuration_key)
+        changes = await calls.read(self._applied.configuration_key)
         for item in changes.items:
-            if item.key == self._configuration_key:
-                self._apply_item(item)
+            if item.key == self._applied.configuration_key:
+                self._applied.apply(item)
         self.record_success()
         return True
 
@@ -429,21 +358,19 @@
         return CallCause.COMPACTED if self._needs_full_read else CallCause.OLD_VIEW
 
     def _read_interval(self) -> float:
-        if self._cluster_view.has_expired_records():
-            return EXPIRED_READ_INTERVAL_SECONDS
-        if self.is_publisher():
-            return PUBLISHER_READ_INTERVAL_SECONDS
-        return (
-            LOCAL_PUBLISHER_READ_INTERVAL_SECONDS
-            if self.is_local_publisher()
-            else READ_INTERVAL_SECONDS
+        return read_interval(
+            self._cluster_view.has_expired_records(),
+            self.is_publisher(),
+            self.is_local_publisher(),
         )
 
     async def _wait_for_next_read(self) -> None:
         """Wait until the next read is due or requested."""
         while True:
-            self._remove_expired_targets()
-            self._change_log.flush(self._configuration_version(), now())
+            self._applied.remove_expired_targets(
+                self._connectivity.has_peer_contact(now())
+            )
+            self._applied.flush_log()
             wait = self._up_to_date_at + self._read_interval() - now()
             lead = self._ask_lead()
             check_wait = self._seconds_until_check()
@@ -570,15 +497,6 @@
             and now() - self._up_to_date_at > FULL_READ_AGE_SECONDS
         )
 
-    def _remove_expired_targets(self) -> None:
-        no_more_renewals = self._connectivity.has_peer_contact(now())
-        for name in self._cluster_view.drop_expired(now(), no_more_renewals):
-            log.info(
-                "target removed: its expired record was not renewed",
-                extra={"target": name},
-            )
-            self._notify_listeners("targets")
-
     async def _read_all(self) -> None:
         delta, started_at = StoreDelta(self._revision, 0, []), now()
         changes = await self._calls(self._full_read_cause()).read("")
@@ -588,13 +506,13 @@
             return
         names, closed, own = set(), set(), set()
         keys = {item.key for item in changes.items}
-        for key in self._known_keys - keys:
+        for key in self._applied.known_keys - keys:
             delta.add(Item(key, None, changes.revision))
-        self._known_keys = keys
+        self._applied.known_keys = keys
         for item in changes.items:
-            if item.revision > delta.after and self._is_relevant(item):
+            if item.revision > delta.after and self._applied.is_relevant(item):
                 delta.add(item, item.key.startswith(ASSIGNMENT_PREFIX))
-            record = self._apply_item(item)
+            record = self._applied.apply(item)
             if item.key.startswith(INTERNAL_PREFIX):
                 own.add(item.key)
             if record is not None and record.target is not None:
@@ -604,11 +522,9 @@
         missing = self._cluster_view.drop_missing(
             names, closed, now(), self.in_outage()
         )
-        for key in [key for key in self.internal_items if key not in own]:
-            del self.internal_items[key]
-            self._notify_listeners(key)
+        self._applied.drop_internal_items_except(own)
         delta.revision = self._revision = changes.revision
-        self._memory.extend(delta, now())
+        self._publication.memory.extend(delta, now())
         self.has_synced = True
         self._needs_full_read = False
         if not was_updated:
@@ -621,7 +537,7 @@
                 "missing": missing,
             },
         )
-        self._notify_listeners("read")
+        self._applied.notify_listeners("read")
 
     async def _watch_all(self) -> None:
         delta, started_at = StoreDelta(self._revision, 0, []), now()
@@ -634,12 +550,12 @@
         was_updated = self._revision != delta.after
         for item in changes.items:
             # Older changes must not overwrite a delta that arrived during the watch.
-            if item.revision > self._revision and self._is_relevant(item):
+            if item.revision > self._revision and self._applied.is_relevant(item):
                 delta.add(item, item.key.startswith(ASSIGNMENT_PREFIX))
             if item.revision > self._revision:
-                self._apply_item(item)
+                self._applied.apply(item)
         delta.revision = self._revision = max(self._revision, changes.revision)
-        self._memory.extend(delta, now())
+        self._publication.memory.extend(delta, now())
         if is_publishing and not was_updated:
             self._publish(delta, started_at)
 
@@ -655,163 +571,35 @@
         itself up to date without ever receiving them.
         """
         moment = now()
-        while self._published and moment - self._published[-1][0] > REPUBLISH_SECONDS:
-            self._published.pop()
-        if not self.is_publishing() or not delta.after:
-            # A first read returns the whole state rather than changes.
-            self._published.clear()
-            return
-        if self._published and self._published[0][1].revision != delta.after:
-            self._published.clear()
         delta.age = moment - started_at
         delta.contact = self.contact_seconds()
-        self.publish(delta.with_earlier(earlier for _, earlier in self._published))
-        self._published.appendleft((moment, delta))
-
-    def _is_relevant(self, item: Item) -> bool:
-        """Return whether a change matters to VMs that know every earlier one."""
-        if item.value is None or item.key.startswith(INTERNAL_PREFIX):
-            return True
-        try:
-            record = self._reader.read(item)
-        except InvalidRecord:
-            # The record cannot be used. Each VM that reads it logs that.
-            return False
-        if record is None or record.target is None:
-            return record is not None
-        known = self._cluster_view.known.get(record.target.name)
-        return known is None or known.differs(record.target, now())
-
-    def _apply_item(self, item: Item):
-        if item.value is None:
-            self._known_keys.discard(item.key)
-        else:
-            self._known_keys.add(item.key)
-        # Deltas list these by revision only; assignments whatever their size.
-        if item.value is not None and (
-            len(item.value) > MAX_INLINE_VALUE_BYTES
-            or item.key.startswith(ASSIGNMENT_PREFIX)
-        ):
-            self._large_values.note_revision(item.key, item.revision)
-        if item.key.startswith(INTERNAL_PREFIX):
-            self.apply_internal_item(item)
-            return None
-        try:
-            record = self._reader.read(item)
-        except InvalidRecord as exc:
-            if self._unreadable.get(item.key) != item.value:
-                self._unreadable[item.key] = item.value or b""
-                log.warning(
-                    "invalid record ignored",
-                    extra={"key": item.key, "cause": str(exc)},
-                )
-            return None
-        if record is None:
-            return None
-        if record.configuration is not None:
-            self._configuration_key = item.key
-        in_outage = self.in_outage()
-        what = self._cluster_view.apply(record, now(), in_outage)
-        if (
-            record.removed_target
-            and in_outage
-            and record.removed_target in self._cluster_view.known
-        ):
-            log.info(
-                "record removed during a store outage; target kept until it expires",
-                extra={"key": item.key},
-            )
-        if what:
-            self._log_change(what, item)
-            self._notify_listeners(
-                "configuration" if what == "configuration" else "targets"
-            )
-        return record
-
-    def _log_change(self, what: str, item: Item) -> None:
-        self._change_log.changed(what, item, self._configuration_version(), now())
-
-    def _configuration_version(self) -> int | None:
-        cfg = self._cluster_view.configuration
-        return cfg.version if cfg else None
+        merged = self._publication.prepare(delta, moment, self.is_publishing())
+        if merged is not None:
+            self.publish(merged)
 
     def apply_internal_item(self, item: Item) -> None:
         """Apply an item that the VMs keep for themselves, unless it is outdated."""
-        if not self._is_newer(item.key, item.revision):
-            return
-        self.internal_items[item.key] = item
-        if item.key.startswith(ASSIGNMENT_PREFIX) and item.value is not None:
-            service = item.key.removeprefix(ASSIGNMENT_PREFIX)
-            self.assignments[service] = Assignment.decode(item.value)
-            self.assignment_revisions[service] = item.revision
-        self._notify_listeners(item.key)
-
-    def _is_newer(self, key: str, revision: int) -> bool:
-        known = self.internal_items.get(key)
-        return known is None or known.revision < revision
+        self._applied.apply_internal_item(item)
 
     def apply_assignment(
         self, service: str, assignment: Assignment, revision: int
     ) -> None:
-        """Apply an assignment that this VM has written, or computed from a delta.
-
-        Parameters
-        ----------
-        service : str
-        assignment : Assignment
-        revision : int
-            Revision of the assignment's key in the store.
-        """
-        key = ASSIGNMENT_PREFIX + service
-        if not self._is_newer(key, revision):
-            return
-        self._known_keys.add(key)
-        # Deltas list it by revision only. It need not be read, whatever its size.
-        self._large_values.note_revision(key, revision)
-        # The encoded value is not kept, since the decoded assignment is.
-        self.internal_items[key] = Item(key, b"", revision)
-        self.assignments[service] = assignment
-        self.assignment_revisions[service] = revision
-        self._notify_listeners(key)
+        """Apply an assignment that this VM has written, or computed from a delta."""
+        self._applied.apply_assignment(service, assignment, revision)
 
     def apply_written_item(self, item: Item) -> None:
         """Apply an item that this VM has just written."""
-        self._apply_item(item)
+        self._applied.apply(item)
 
     def apply_pushed_item(self, item: Item) -> bool:
-        """Apply a value that another VM pushes ahead of its delta.
-
-        Parameters
-        ----------
-        item : Item
-            Assignment or configuration. Both carry a version; of any other item a
-            delayed older value would replace a newer one.
+        """Apply an assignment or a configuration that another VM pushes.
 
         Returns
         -------
         bool
             False if the item is neither, and was ignored.
         """
-        if not item.key.startswith(ASSIGNMENT_PREFIX) and not self._is_configuration(
-            item
-        ):
-            return False
-        self._apply_item(item)
-        return True
-
-    def _is_configuration(self, item: Item) -> bool:
-        if item.key.startswith(INTERNAL_PREFIX):
-            return False
-        try:
-            record = self._reader.read(item)
-        except InvalidRecord:
-            # Each VM that reads the record in the store logs it.
-            return False
-        return record is not None and record.configuration is not None
-
-    def _notify_listeners(self, what: str) -> None:
-        for listener in self.listeners:
-            listener(what)
+        return self._applied.apply_pushed_item(item)
 
     def record_success(self) -> None:
         """Record that the store has answered a call of this VM."""
--- a/packages/entry/tests/test_membership.py
+++ b/packages/entry/tests/test_membership.py
@@ -54,7 +54,7 @@
             doc = {"control": f"10.0.0.{n}:1", "data_centre": "dc-1", "power": 1.0}
             value = json.dumps(doc).encode()
             store_watcher.apply_written_item(Item(f"{VMS_PREFIX}vm-{n}", value, n + 1))
-        store_watcher._notify_listeners("read")
+        store_watcher._applied.notify_listeners("read")
         assert len(membership.members()) == 200
         assert len(decoded) == 200
 
@@ -66,7 +66,7 @@
         item = Item(VMS_PREFIX + "vm-1", json.dumps(doc).encode(), 1)
         store_watcher.apply_written_item(item)
         before = membership.revision
-        store_watcher._notify_listeners("read")
+        store_watcher._applied.notify_listeners("read")
         assert membership.revision == before
         store_watcher.apply_written_item(Item(item.key, None, 2))
         assert membership.members() == []
--- a/packages/entry/tests/test_missed_changes.py
+++ b/packages/entry/tests/test_missed_changes.py
@@ -15,9 +15,9 @@
     ANSWER_TIMEOUT_SECONDS,
     ChangeServer,
 )
+from berylstage_entry.store_access.read_timing import REQUESTED_READ_INTERVAL_SECONDS
 from berylstage_entry.store_delta import MAX_INLINE_VALUE_BYTES, StoreDelta
 from berylstage_entry.store_keys import ASSIGNMENT_PREFIX
-from berylstage_entry.store_watcher import REQUESTED_READ_INTERVAL_SECONDS
 from virtual_time import virtual_loop
 
 
@@ -112,6 +112,22 @@
         fleet.loop.run_until_complete(asyncio.sleep(0.05))
         assert receiver.assignments["s"].find(5).owner == "a"
 
+    def test_small_assignment_that_was_missed_is_not_read_from_the_store(
+        self, make_fleet
+    ):
+        # Deltas list assignments by revision only. Guards against a VM that has reached
+        # this revision, does not apply the answer and reads the store.
+        fleet = make_fleet(9)
+        receiver = fleet.watchers[7]
+        fleet.run(0.6)
+        calls = fleet.views[7]._calls = []
+        written = unassigned().replace([KeyRange(0, 9, "a", 1, 1)], 2)
+        at = fleet.store.put(ASSIGNMENT_PREFIX + "s", written.encode())
+        fleet.watchers[0].apply_assignment("s", written, at)
+        fleet.run(0.6)
+        assert receiver.assignment_revisions["s"] == at
+        assert calls == []
+
     def test_answer_contains_a_large_configuration(self, make_fleet):
         # Guards against a read of the store by each VM that has missed its push.
         fleet = make_fleet(9)
@@ -130,7 +146,7 @@
         publisher = fleet.watchers[0]
         revision = publisher.revision
         at = revision + 1
-        publisher._memory.extend(
+        publisher._publication.memory.extend(
             StoreDelta(revision, at, [Item("cfg", value, at)]), now()
         )
         response = ChangeServer(publisher).handle(str(revision).encode())
--- a/packages/entry/tests/test_store_watcher.py
+++ b/packages/entry/tests/test_store_watcher.py
@@ -10,13 +10,13 @@
 from berylstage_entry.clock import now
 from berylstage_entry.cluster_view import ClusterView
 from berylstage_entry.errors import StoreUnavailable
-from berylstage_entry.store_delta import MAX_INLINE_VALUE_BYTES, StoreDelta
-from berylstage_entry.store_keys import ASSIGNMENT_PREFIX, COORDINATOR_KEY
-from berylstage_entry.store_watcher import (
+from berylstage_entry.store_access.read_timing import (
     OUTAGE_CALLS_PER_SECOND,
     RETRY_SECONDS,
-    StoreWatcher,
 )
+from berylstage_entry.store_delta import MAX_INLINE_VALUE_BYTES, StoreDelta
+from berylstage_entry.store_keys import ASSIGNMENT_PREFIX, COORDINATOR_KEY
+from berylstage_entry.store_watcher import StoreWatcher
 from fakes import JsonRecords, MemoryStore, configuration
 from fleet import CountingView, Fleet
 from virtual_time import virtual_loop
