--- a/packages/entry/src/berylstage_entry/application.py
+++ b/packages/entry/src/berylstage_entry/application.py
@@ -74,6 +74,17 @@
     PhaseTimer,
     ShutdownPlan,
 )
+from berylstage_entry.store_access.call_counts import CountedStore, StoreCallLog
+from berylstage_entry.store_access.missed_changes import (
+    CHANGES_PATH,
+    ChangeClient,
+    ChangeServer,
+)
+from berylstage_entry.store_access.subscriptions import (
+    SUBSCRIPTION_TYPE,
+    SubscriptionClient,
+)
+from berylstage_entry.store_connectivity import PEER_CONTACT_VALID_SECONDS
 from berylstage_entry.store_delta import MESSAGE_TYPE as STORE_DELTA_TYPE
 from berylstage_entry.store_delta import StoreDelta
 from berylstage_entry.store_keys import ASSIGNMENT_PREFIX
@@ -137,10 +148,11 @@
     ):
         self.cfg = cfg
         self.rng = Random()
-        self.store = store
+        self.metrics = Metrics()
+        self.store = store = CountedStore(store, self.metrics.store_calls)
+        self.store_call_log = StoreCallLog(self.metrics.store_calls)
         self.cluster_view = ClusterView()
         self.store_watcher = StoreWatcher(store, records, self.cluster_view)
-        self.metrics = Metrics()
         self.loop_lag_monitor = LoopLagMonitor(self.metrics, log_write_seconds)
         self.target_clients = TargetClients(targets)
         self.router = Router(
@@ -233,6 +245,24 @@
             self.peer_updates.receive_change
         )
         self.peer_updates.send = self.peer_datagrams.send
+        self.subscription = SubscriptionClient(
+            cfg.vm, cfg.control_address, self.membership, self.rng
+        )
+        self.subscription.is_coordinator = self.election.is_coordinator
+        self.subscription.coordinator_address = self.election.coordinator_address
+        self.subscription.send = self.peer_datagrams.send_to
+        self.subscription.count = self.metrics.increment
+        self.peer_datagrams.handlers[SUBSCRIPTION_TYPE] = self.subscription.receive
+        self.peer_datagrams.subscriber_hosts = self.subscription.subscriber_hosts
+        self.peer_updates.subscriber_addresses = self.subscription.subscriber_addresses
+        self.store_watcher.defers_coordination = lambda: cfg.relative_capacity < 1
+        self.change_server = ChangeServer(self.store_watcher)
+        self.change_client = ChangeClient(
+            self.peer_client, self._publisher_address, self.metrics.increment
+        )
+        self.store_watcher.ask_publisher = self.change_client.ask
+        # Host that has sent the last delta, and when.
+        self._delta_sender, self._delta_received_at = "", float("-inf")
         self.store_watcher.is_publisher = self.election.is_coordinator
         self.store_watcher.publish = self._publish_delta
         self.store_watcher.is_standby = self._is_standby
@@ -291,6 +321,7 @@
                 EXPORT_STATE_PATH: self._handle_export,
                 STORE_CONTACT_PATH: self._handle_store_contact,
                 SPEEDS_PATH: self._handle_service_times,
+                CHANGES_PATH: self.change_server.handle,
                 PUSH_PATH: self._handle_peer_updates,
                 RELAY_PATH: self.relay_server.handle,
                 LINKS_PATH: self._handle_links,
@@ -337,12 +368,14 @@
         host, _ = split_host_port(self.cfg.callers)
         self.metrics_server.listen(f"{host}:{self.cfg.metrics_port}")
         self.loop_lag_monitor.start()
+        self.store_call_log.start()
         self.store_watcher.start()
         self.membership.start()
         self.election.start()
         self.grant_controller.start()
         self.load_reporter.start()
         self.peer_datagrams.start()
+        self.subscription.start()
         self.confirmer.start()
         self.quota_client.start()
         self.probes.start()
@@ -367,6 +400,7 @@
         self.grant_controller.stop()
         self.load_reporter.stop()
         self.peer_updates.close()
+        self.subscription.stop()
         self.probes.stop()
         await self._run_step(plan, self.membership.stop())
         await asyncio.sleep(max(plan.drain_at - now(), RECORD_LAG_SECONDS))
@@ -390,6 +424,7 @@
         self.peer_client.close()
         self.relay_transport.close()
         self.store.close()
+        self.store_call_log.stop()
         self.loop_lag_monitor.stop()
 
     async def _drain(self, plan: ShutdownPlan) -> None:
@@ -509,7 +544,11 @@
             self.peer_datagrams.send_to(host, data)
 
     def _is_standby(self) -> bool:
-        return self.membership.is_standby(self.election.coordinator_address())
+        address, names = self.election.coordinator_address(), self.membership.names()
+        if address and names and self.cfg.vm not in names:
+            # While this VM has no record, another one is the standby.
+            return False
+        return self.membership.is_standby(address)
 
     def _is_local_publisher(self) -> bool:
         # Until its own record is known, every VM would consider itself the local
@@ -583,8 +622,19 @@
         except InvalidRecord as exc:
             log.warning("ignoring invalid store delta", extra={"cause": str(exc)})
             return
+        self._delta_sender, self._delta_received_at = host, now()
+        self.subscription.record_update()
         self.store_watcher.apply_delta(delta)
 
+    def _publisher_address(self) -> str:
+        """Return the address of the VM whose changes arrive, or of the coordinator."""
+        if now() - self._delta_received_at <= PEER_CONTACT_VALID_SECONDS:
+            for member in self.membership.members():
+                if member.host == self._delta_sender:
+                    return member.control_address
+        address = self.election.coordinator_address()
+        return "" if address == self.cfg.control_address else address
+
     def _handle_ready(self, body: bytes) -> PageResponse:
         return PageResponse(200 if self.ready() else UNAVAILABLE)
 
--- a/packages/entry/src/berylstage_entry/grant_controller.py
+++ b/packages/entry/src/berylstage_entry/grant_controller.py
@@ -25,6 +25,7 @@
     plans_for_all,
 )
 from berylstage_entry.placement.service_times import TargetServiceTimes
+from berylstage_entry.store_access.call_counts import CallCause
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -181,7 +182,7 @@
                 if isinstance(exc, Conflict):
                     # The previous coordinator may have stopped before it announced its
                     # last write.
-                    self._store_watcher.request_refresh()
+                    self._store_watcher.request_refresh(CallCause.CONFLICT)
                 await asyncio.sleep(GRANT_RENEWAL_INTERVAL_SECONDS / 4)
             if self._election.is_coordinator():
                 await asyncio.sleep(RECONCILE_INTERVAL_SECONDS)
--- a/packages/entry/src/berylstage_entry/membership.py
+++ b/packages/entry/src/berylstage_entry/membership.py
@@ -11,8 +11,10 @@
 from logbook import Logger
 
 from berylstage_entry.addresses import split_host_port
+from berylstage_entry.clock import now
 from berylstage_entry.errors import LeaseExpired, StoreError
 from berylstage_entry.store import Write
+from berylstage_entry.store_access.call_counts import CallCause
 from berylstage_entry.store_keys import INTERNAL_PREFIX
 
 if TYPE_CHECKING:
@@ -30,6 +32,9 @@
 RENEWAL_INTERVAL_SECONDS = 5.0
 # Shortest delay before a failed call is retried.
 RETRY_SECONDS = 1.0
+# Bounds of the steps in which this delay passes. It changes when the store returns.
+MAX_WAIT_SECONDS = 0.5
+MIN_WAIT_SECONDS = 0.001
 # Number of VMs assumed to be starting, in addition to the known ones.
 ASSUMED_STARTING_VMS = 2
 
@@ -89,6 +94,8 @@
         # even if the answer to the write was lost.
         self._latest_lease = 0
         self._task: asyncio.Task | None = None
+        # Whether the store has accepted the record or its last renewal.
+        self.is_registered = False
         # Members and the revisions of their records, by key.
         self._entries: dict[str, tuple[int, Member]] = {}
         self._members: list[Member] = []
@@ -106,7 +113,7 @@
             self._task.cancel()
         if self._latest_lease:
             try:
-                await self._store.revoke_lease(self._latest_lease)
+                await self._calls().revoke_lease(self._latest_lease)
             except StoreError as exc:
                 log.info("VM not deregistered", extra={"cause": str(exc)})
 
@@ -191,9 +198,10 @@
         while True:
             try:
                 if self._lease:
-                    await self._store.renew_lease(self._lease)
+                    await self._calls().renew_lease(self._lease)
                 else:
                     await self._register()
+                self.is_registered = True
                 self._store_watcher.record_success()
                 await asyncio.sleep(RENEWAL_INTERVAL_SECONDS)
             except LeaseExpired:
@@ -201,12 +209,26 @@
             except StoreError as exc:
                 self._store_watcher.record_failure(exc)
                 log.info("lease of the VM not renewed", extra={"cause": str(exc)})
-                await asyncio.sleep(
-                    max(RETRY_SECONDS, 2 * self._store_watcher.retry_delay())
-                )
+                await self._wait_after_failure()
+
+    async def _wait_after_failure(self) -> None:
+        """Wait until the next call, whose time depends on what the publisher tells."""
+        self.is_registered = False
+        failed_at = now()
+        while (wait := failed_at + self._retry_delay() - now()) > 0:
+            await asyncio.sleep(min(wait, MAX_WAIT_SECONDS) + MIN_WAIT_SECONDS)
+
+    def _retry_delay(self) -> float:
+        delay = self._store_watcher.retry_delay()
+        if self._store_watcher.is_kept_up_to_date():
+            return max(RETRY_SECONDS, delay)
+        return max(RETRY_SECONDS, 2 * delay)
+
+    def _calls(self) -> Store:
+        return self._store.for_cause(CallCause.MEMBERSHIP)
 
     async def _register(self) -> None:
-        lease = await self._store.create_lease(LEASE_SECONDS)
+        lease = await self._calls().create_lease(LEASE_SECONDS)
         self._latest_lease = lease
         doc = {
             "control": self._cfg.control_address,
@@ -215,5 +237,5 @@
         }
         value = json.dumps(doc).encode()
         write = Write(VMS_PREFIX + self._cfg.vm, value, lease)
-        await self._store.write([], [write])
+        await self._calls().write([], [write])
         self._lease = lease
--- a/packages/entry/src/berylstage_entry/peer_updates.py
+++ b/packages/entry/src/berylstage_entry/peer_updates.py
@@ -22,6 +22,7 @@
 from berylstage_entry.assignment_delta import AssignmentDelta
 from berylstage_entry.errors import InvalidRecord
 from berylstage_entry.store import Item
+from berylstage_entry.store_access.call_counts import CallCause
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
@@ -99,6 +100,8 @@
         self._peers: dict[str, _Peer] = {}
         # Sends a datagram to all other VMs.
         self.send: Callable[[bytes], None] = lambda data: None
+        # Returns the addresses of VMs that are sent to although they have no record.
+        self.subscriber_addresses: Callable[[], set[str]] = set
         # Change of each service of which some parts are still missing.
         self._partial: dict[str, AssignmentDelta] = {}
 
@@ -129,7 +132,7 @@
         old = self._store_watcher.assignments.get(change.service) or unassigned()
         new = change.apply(old) if known == change.base_revision else None
         if new is None:
-            self._store_watcher.request_refresh()
+            self._store_watcher.request_refresh(CallCause.MISSED_ASSIGNMENT)
             return
         self._store_watcher.apply_assignment(change.service, new, change.revision)
 
@@ -165,7 +168,8 @@
             await asyncio.wait(tasks, timeout=PUSH_TIMEOUT_SECONDS)
 
     def _push(self, key: str, body: bytes) -> None:
-        addresses = set(self._membership.addresses()) - {self._own_address}
+        addresses = set(self._membership.addresses()) | self.subscriber_addresses()
+        addresses.discard(self._own_address)
         for address in [a for a in self._peers if a not in addresses]:
             self._peers.pop(address).close()
         for address in addresses:
--- a/packages/entry/src/berylstage_entry/store_connectivity.py
+++ b/packages/entry/src/berylstage_entry/store_connectivity.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from berylstage_entry.store_access.check_pauses import has_store_returned
+
 # Time after a failed call within which a removed record may have expired in an outage.
 OUTAGE_MEMORY_SECONDS = 3.0
 # Time for which a report of another VM stays valid. It publishes twice in that time.
@@ -23,18 +25,22 @@
     """
 
     __slots__ = (
-        "_created_at",
         "_failing_since",
         "_peer_contact_at",
         "_peer_contact_seconds",
+        "_regained_at",
+        "failures",
         "last_success_at",
         "last_failure_at",
     )
 
     def __init__(self, now: float):
-        self._created_at = now
+        # Time of the first successful call after the last failed one, or of the start.
+        self._regained_at = now
         self.last_success_at = float("-inf")
         self.last_failure_at = float("-inf")
+        # Failed calls after the last successful one.
+        self.failures = 0
         # Time of the first failed call after the last successful one.
         self._failing_since = now
         # Time of another VM's last report, and its unbroken contact with the store.
@@ -42,18 +48,30 @@
         self._peer_contact_seconds = 0.0
 
     def unbroken_seconds(self, now: float) -> float:
-        """Return the seconds since the last failed call or the start."""
-        return now - max(self.last_failure_at, self._created_at)
+        """Return the seconds since calls began to succeed, or since the start.
+
+        They do not count from the last failed call: a VM that the publisher serves
+        makes a call every few seconds only, and had no contact since.
+        """
+        return now - max(self.last_failure_at, self._regained_at)
 
     def mark_success(self, now: float) -> None:
         """Record a successful call."""
+        if self.is_failing():
+            self._regained_at = now
         self.last_success_at = now
+        self.failures = 0
 
     def mark_failure(self, now: float) -> None:
         """Record a call without a usable answer."""
         if not self.is_failing():
             self._failing_since = now
         self.last_failure_at = now
+        self.failures += 1
+
+    def has_store_returned(self, now: float) -> bool:
+        """Return whether the publisher has regained the store after it lost it too."""
+        return has_store_returned(self.outage_seconds(now), self._peer_contact_seconds)
 
     def outage_seconds(self, now: float) -> float:
         """Return the seconds since calls began to fail.
