Placement: steps of load by blocks of keys, longer half-life above 50 owners

Cause: owners that got some keys of a step do not prove it alone, so that their rates stayed at half for a second; and with the half-life of 0.7 s, plans followed noise. Change: steps are recognized by blocks of 256 keys, whose rates follow the recent counts for 1.2 s; other rates have a half-life of 1.4 s. Only above 50 owners.

--- a/packages/bench/src/berylstage_bench/owned_model.py
+++ b/packages/bench/src/berylstage_bench/owned_model.py
@@ -438,8 +438,8 @@
     def _due_moves(self, now: float) -> list[KeyMove]:
         """Return the moves of a merge or of balance, as the coordinator does."""
         capacities = self._capacities()
-        if plans_for_all(len(capacities)):
-            self._loads.raise_steps(self._assignment)
+        self._loads.set_step_detection(plans_for_all(len(capacities)))
+        self._loads.raise_steps()
         rates = self._loads.rates()
         if (
             self._setup.ranges_per_target > 1
--- a/packages/entry/src/berylstage_entry/grant_controller.py
+++ b/packages/entry/src/berylstage_entry/grant_controller.py
@@ -253,8 +253,8 @@
         if moment - state.rebalanced_at < REBALANCE_INTERVAL_SECONDS:
             return None
         state.rebalanced_at = moment
-        if plans_for_all(len(capacities)):
-            state.loads.raise_steps(assignment)
+        state.loads.set_step_detection(plans_for_all(len(capacities)))
+        state.loads.raise_steps()
         rates = state.loads.rates()
         max_ranges = MAX_RANGES_PER_TARGET * max(1, len(capacities))
         if (
--- a/packages/entry/src/berylstage_entry/placement/key_loads.py
+++ b/packages/entry/src/berylstage_entry/placement/key_loads.py
@@ -5,7 +5,10 @@
 from math import log
 from typing import TYPE_CHECKING
 
-from berylstage_entry.placement.load_steps import find_missing_rates
+from berylstage_entry.placement.load_steps import (
+    CONTINUATION_SECONDS,
+    find_missing_rates,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -17,6 +20,10 @@
 # the worst seconds of 44 targets earn 0.87 of the credit, with 0.7 s 0.90 (`make
 # bench-owned`).
 HALF_LIFE_SECONDS = 0.7
+# The same where risen rates count at once (`KeyLoads.raise_steps`): twice the requests
+# tell the rate of an owner. With 0.7 s, 76 targets need 60% more moves for the same
+# credit (`make bench-owned`).
+STEPPED_HALF_LIFE_SECONDS = 1.4
 # Lower bound of the seconds over which a rate is computed. Shorter periods say little:
 # one request within 0.2 s would count as five per second.
 MIN_AGE_SECONDS = 0.7
@@ -32,7 +39,14 @@
 class KeyLoads:
     """Request counts of keys with exponential decay."""
 
-    __slots__ = ("_counting_since", "_decayed_at", "_recent", "weights")
+    __slots__ = (
+        "_counting_since",
+        "_decayed_at",
+        "_finds_steps",
+        "_recent",
+        "_steps",
+        "weights",
+    )
 
     def __init__(self, now: float):
         self.weights: dict[int, float] = {}
@@ -41,6 +55,9 @@
         self._counting_since = now
         # Start and undecayed counts of each part of the last seconds, in order.
         self._recent: list[tuple[float, dict[int, float]]] = [(now, {})]
+        # Blocks of keys whose step was found a moment ago, and until when that counts.
+        self._steps: dict[int, float] = {}
+        self._finds_steps = False
 
     def add(self, key: int, count: float) -> None:
         """Add requests for a key."""
@@ -52,7 +69,7 @@
         """Apply the decay up to a time."""
         if not self.weights:
             self._counting_since = now
-        factor = 0.5 ** ((now - self._decayed_at) / HALF_LIFE_SECONDS)
+        factor = 0.5 ** ((now - self._decayed_at) / self._half_life())
         self._decayed_at = now
         decayed = {key: weight * factor for key, weight in self.weights.items()}
         self.weights = {k: w for k, w in decayed.items() if w >= MIN_WEIGHT}
@@ -81,35 +98,55 @@
                 periods.append((seconds, counts))
         return periods
 
-    def raise_steps(self, assignment: Assignment) -> int:
+    def raise_steps(self) -> int:
         """Count rates at once that have risen in the last tenths of a second.
 
         The decayed counts show a third of a new rate after 0.35 s. Where the recent
-        requests of an owner prove a step, its keys' counts are raised by what is
+        requests of a block of keys prove a step, its keys' counts are raised by what is
         missing, see :func:`berylstage_entry.placement.load_steps.find_missing_rates`.
 
-        Parameters
-        ----------
-        assignment : Assignment
-
         Returns
         -------
         int
-            Number of owners with a step.
+            Number of blocks with a step; 0 if the detection is off.
         """
-        missing, owners = find_missing_rates(
-            assignment, dict(self.rates()), self.recent_counts()
+        if not self._finds_steps:
+            return 0
+        now = self._decayed_at
+        self._steps = {block: end for block, end in self._steps.items() if end > now}
+        missing, blocks = find_missing_rates(
+            dict(self.rates()), self.recent_counts(), self._steps
         )
         scale = self._rate_scale()
         for key, rate in missing.items():
             self.weights[key] = self.weights.get(key, 0.0) + rate / scale
-        return len(owners)
+        for block in blocks:
+            self._steps.setdefault(block, now + CONTINUATION_SECONDS)
+        return len(blocks)
 
     def rates(self) -> list[tuple[int, float]]:
         """Return all keys in order, each with its requests per second."""
         scale = self._rate_scale()
         return sorted((key, weight * scale) for key, weight in self.weights.items())
 
+    def _half_life(self) -> float:
+        return STEPPED_HALF_LIFE_SECONDS if self._finds_steps else HALF_LIFE_SECONDS
+
+    def set_step_detection(self, is_on: bool) -> None:
+        """Set whether rates that have just risen count at once, see `raise_steps`.
+
+        Parameters
+        ----------
+        is_on : bool
+        """
+        if is_on == self._finds_steps:
+            return
+        scale = self._rate_scale()
+        self._finds_steps = is_on
+        # The rates stay as they are.
+        scale /= self._rate_scale()
+        self.weights = {key: weight * scale for key, weight in self.weights.items()}
+
     def _rate_scale(self) -> float:
         """Return the requests per second of a count of one."""
         # Shortly after counting has started, the decayed counts are still far below
@@ -117,8 +154,8 @@
         # idle for a second after the first request and after each change of the
         # coordinator.
         age = max(MIN_AGE_SECONDS, self._decayed_at - self._counting_since)
-        steady_state_share = 1 - 0.5 ** (age / HALF_LIFE_SECONDS)
-        return log(2) / HALF_LIFE_SECONDS / steady_state_share
+        half_life = self._half_life()
+        return log(2) / half_life / (1 - 0.5 ** (age / half_life))
 
 
 class KeyMove:
--- a/packages/entry/src/berylstage_entry/placement/load_steps.py
+++ b/packages/entry/src/berylstage_entry/placement/load_steps.py
@@ -11,15 +11,23 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping, Sequence
+    from collections.abc import Collection, Mapping, Sequence
 
-    from berylstage_entry.assignment import Assignment
-
-# Standard deviations by which an owner's requests exceed the expected ones, and the
-# least number of requests in excess: a step. With hundreds of owners checked ten times
-# a second, smaller differences occur all the time.
+# Width in keys of the blocks whose requests are compared: about a range of 76 owners
+# with three ranges each. Blocks do not follow the assignment, because the keys of a
+# step have many owners soon after it, and none of these owners proves it alone.
+BLOCK_KEYS = 256
+# Standard deviations by which a block's requests exceed the expected ones, and the
+# least number of requests in excess: a step. With hundreds of blocks checked ten times
+# a second, smaller differences occur all the time. Six requests in 0.3 s are what one
+# target can serve.
 MIN_DEVIATIONS = 4.0
 MIN_EXCESS_REQUESTS = 6.0
+# For how long the rates of a block with a step follow the recent counts, and by which
+# share of the difference at each check. The first counts after a step are a part of its
+# requests, and later ones tell which keys have most of them.
+CONTINUATION_SECONDS = 1.2
+CONTINUATION_SHARE = 0.25
 # Requests on either side of a request whose keys tell how dense the requests are
 # there, and the widest such span of keys. One request in 0.3 s is no rate of a key, but
 # sixteen for neighbouring keys are one of the neighbourhood.
@@ -28,62 +36,71 @@
 
 
 def find_missing_rates(
-    assignment: Assignment,
     rates: Mapping[int, float],
     periods: Sequence[tuple[float, Mapping[int, float]]],
-) -> tuple[dict[int, float], set[str]]:
+    continued: Collection[int] = (),
+) -> tuple[dict[int, float], set[int]]:
     """Return the requests per second by key that decayed counts do not show yet.
 
+    They are negative for keys of a continued step that have fewer requests than shown.
+
     Parameters
     ----------
-    assignment : Assignment
     rates : mapping of int to float
         Requests per second by key that the decayed counts show.
     periods : sequence of tuple
         Seconds up to now, and the counts by key, the shortest period first.
+    continued : collection of int
+        Blocks whose step was found a moment ago.
 
     Returns
     -------
     missing : dict of int to float
-    owners : set of str
-        Owners with a step.
+    blocks : set of int
+        Blocks with a step.
     """
     missing: dict[int, float] = {}
-    owners: set[str] = set()
-    shown = {
-        owner: sum(own.values()) for owner, own in _by_owner(assignment, rates).items()
-    }
+    blocks: set[int] = set()
+    shown = {block: sum(own.values()) for block, own in _by_block(rates).items()}
     total = sum(shown.values())
     for seconds, counts in periods:
         if total <= 0:
             break
         # Counts that arrive late, all at once, are those of a longer period. A step is
-        # a rise of an owner's share, not one of the whole service.
+        # a rise of a block's share, not one of the whole service.
         seconds = max(seconds, sum(counts.values()) / total)
-        for owner, own in _by_owner(assignment, counts).items():
+        for block, own in _by_block(counts).items():
             count = sum(own.values())
-            expected = shown.get(owner, 0.0) * seconds
+            expected = shown.get(block, 0.0) * seconds
             excess = count - expected
-            if (
-                owner
-                and owner not in owners
-                and excess >= MIN_EXCESS_REQUESTS
-                and excess >= MIN_DEVIATIONS * sqrt(max(1.0, expected))
-            ):
-                owners.add(owner)
-                scale = excess / seconds / count
-                for key, density in _spread_over_neighbours(own).items():
-                    missing[key] = missing.get(key, 0.0) + density * scale
-    return missing, owners
+            deviation = sqrt(max(1.0, expected))
+            is_step = (
+                excess >= MIN_EXCESS_REQUESTS and excess >= MIN_DEVIATIONS * deviation
+            )
+            if not is_step or block in blocks:
+                continue
+            blocks.add(block)
+            scale = excess / seconds / count
+            for key, density in _spread_over_neighbours(own).items():
+                missing[key] = missing.get(key, 0.0) + density * scale
+    if periods and total > 0:
+        seconds, counts = periods[-1]
+        seconds = max(seconds, sum(counts.values()) / total)
+        recent, past = _by_block(counts), _by_block(rates)
+        for block in set(continued) - blocks:
+            density = _spread_over_neighbours(recent.get(block, {}))
+            before = past.get(block, {})
+            for key in density.keys() | before.keys():
+                gap = density.get(key, 0.0) / seconds - before.get(key, 0.0)
+                missing[key] = missing.get(key, 0.0) + CONTINUATION_SHARE * gap
+    return missing, blocks
 
 
-def _by_owner(
-    assignment: Assignment, values: Mapping[int, float]
-) -> dict[str, dict[int, float]]:
-    """Return values by key, separately for each owner."""
-    result: dict[str, dict[int, float]] = {}
+def _by_block(values: Mapping[int, float]) -> dict[int, dict[int, float]]:
+    """Return values by key, separately for each block."""
+    result: dict[int, dict[int, float]] = {}
     for key, value in values.items():
-        result.setdefault(assignment.find(key).owner, {})[key] = value
+        result.setdefault(key // BLOCK_KEYS, {})[key] = value
     return result
 
 
@@ -93,12 +110,11 @@
     A key with many requests keeps them, because its neighbouring requests are its own.
     """
     requests = [key for key in sorted(counts) for _ in range(round(counts[key]))]
+    end = len(requests) - 1
     spread: dict[int, float] = {}
     for i, key in enumerate(requests):
         first = max(requests[max(0, i - NEIGHBOURS)], key - MAX_SPAN_KEYS // 2)
-        last = min(
-            requests[min(len(requests) - 1, i + NEIGHBOURS)], key + MAX_SPAN_KEYS // 2
-        )
+        last = min(requests[min(end, i + NEIGHBOURS)], key + MAX_SPAN_KEYS // 2)
         share = 1.0 / (last - first + 1)
         for each in range(first, last + 1):
             spread[each] = spread.get(each, 0.0) + share
