Placement: targets with an oversized key keep their quiet keys

Change: a target with an oversized key gives away only what exceeds that key by a noticeable part of its capacity, and pieces below 0.03 of it stay.

--- a/packages/entry/src/berylstage_entry/placement/spread_plan.py
+++ b/packages/entry/src/berylstage_entry/placement/spread_plan.py
@@ -32,6 +32,9 @@
 # leave the recipient below the donor. Smaller moves interrupt requests for too little.
 MIN_PIECE_UTILIZATION = 0.08
 MIN_GAIN = 0.12
+# Part of a donor's capacity below which a piece stays. With single keys of a few
+# requests, 40 ranges moved each second while one key exceeded its owner's capacity.
+MIN_MOVE_UTILIZATION = 0.03
 # Keys without requests between two pieces beyond which these keys stay where they are.
 # Narrower gaps move along: they would be ranges of their own.
 MAX_GAP = 32
@@ -76,7 +79,7 @@
 class _Load:
     """A target with its requests per second and the runs of keys that may move."""
 
-    __slots__ = ("capacity", "is_reserved", "name", "rate", "runs")
+    __slots__ = ("capacity", "name", "rate", "reserved_rate", "runs")
 
     def __init__(self, name: str, capacity: float):
         self.name = name
@@ -84,8 +87,13 @@
         self.rate = 0.0
         # Keys with requests of each range that is not on the move.
         self.runs: list[list[tuple[int, float]]] = []
-        # Whether it serves a key that exceeds any target, and no other busy keys.
-        self.is_reserved = False
+        # Requests per second for a key that exceeds any target. A target with such a
+        # key serves no other busy keys.
+        self.reserved_rate = 0.0
+
+    @property
+    def is_reserved(self) -> bool:
+        return self.reserved_rate > 0
 
     @property
     def utilization(self) -> float:
@@ -203,13 +211,15 @@
                 _remove_key(owner, key)
             else:
                 _remove_key(owner, key)
-            best.is_reserved = True
+            best.reserved_rate = rate
             if all(load.is_reserved for load in fastest):
                 return
 
     def _relieve(self, donor: _Load) -> None:
         """Move keys of a donor until it is near the mean utilization."""
-        keep = 0.0 if donor.is_reserved else self._fill * donor.capacity
+        # Keys with few requests stay with a reserved target: to free it of the last
+        # hundredth of its load would take dozens of moves.
+        keep = donor.reserved_rate or self._fill * donor.capacity
         given = False
         while not self._is_full() and donor.runs:
             excess = donor.rate - keep
@@ -240,6 +250,9 @@
             ):
                 rate += run[end][1]
                 end += 1
+            if rate < MIN_MOVE_UTILIZATION * donor.capacity:
+                start = end
+                continue
             # Keys without requests up to the next piece move along.
             last = run[end - 1][0]
             if end < len(run) and run[end][0] - last <= MAX_GAP:
