Late requests give way with one schedule; log the age of an attempt

Cause: after a slow period of a machine dozens of queued requests are late at once, and each computed its place behind the others anew. The log did not show why a refused attempt counted as late.

Change: all requests that give way in one grant use one schedule of the slots. The detail of 'request ended' names the age of an attempt.

--- a/packages/entry/src/berylstage_entry/request_context.py
+++ b/packages/entry/src/berylstage_entry/request_context.py
@@ -30,6 +30,7 @@
     """
 
     __slots__ = (
+        "age",
         "attempts",
         "caller_may_return",
         "deadline",
@@ -72,6 +73,8 @@
         # Whether its caller has so much time that a refused request should return when
         # there is room for it.
         self.caller_may_return = False
+        # Seconds before this attempt at which its caller began, at the latest.
+        self.age = 0.0
         self.waited = 0.0
         # Times that a target rejected it although it had a permit.
         self.rejections = 0
@@ -89,14 +92,15 @@
         self.failed_answer: RoutedAnswer | None = None
 
     def describe(self) -> str:
-        """Return the time waited and the targets tried, for the log."""
+        """Return the time waited, age and targets tried, for the log."""
         tried = (
             f" tried {','.join(sorted(self.tried_targets))}"
             if self.tried_targets
             else ""
         )
         relay = f" via {self.relay}" if self.relay else ""
-        return f"waited {self.waited:.3f} s{tried}{relay}"
+        age = f" age {self.age:.2f} s" if self.age else ""
+        return f"waited {self.waited:.3f} s{age}{tried}{relay}"
 
     def seconds_left(self, moment: float) -> float:
         """Return the seconds until the deadline."""
--- a/packages/entry/src/berylstage_entry/router.py
+++ b/packages/entry/src/berylstage_entry/router.py
@@ -197,6 +197,7 @@
         ctx = RequestContext(
             req, route, service, arrived_at + wait, soft_deadline, priority
         )
+        ctx.age = age
         ctx.caller_may_return = self._remaining_times.may_return(
             self._service_objectives(cfg, service.name)
         )
--- a/packages/entry/tests/test_returning_callers.py
+++ b/packages/entry/tests/test_returning_callers.py
@@ -106,6 +106,10 @@
         assert permit_client.soft_seconds == [pytest.approx(expected, abs=0.01)]
         assert events == ["attempt of earlier request"] * bool(age)
 
+    def test_age_of_a_refused_attempt_is_logged(self):
+        router = make_router(Permits(PermitRefused(0.4)))
+        assert "age 1.04 s" in serve(router, 4.0).detail
+
     def test_callers_with_little_time_have_no_age(self):
         permit_client = Permits("a")
         assert serve(make_router(permit_client, largest=0.8), 0.4) is None
--- a/packages/policy/src/berylstage_policy/slot_queue.py
+++ b/packages/policy/src/berylstage_policy/slot_queue.py
@@ -469,17 +469,29 @@
         return req, self._choose_target(req, free, now), []
 
     def _give_way(self, late: Sequence[QueuedRequest], now: float) -> list[Decision]:
-        """Rank late requests behind the others, and refuse those that cannot wait."""
-        refusals = []
+        """Rank late requests behind the others, and refuse those that cannot wait.
+
+        The load is a slow period of a target's machine, after which dozens of queued
+        requests are late at once; one schedule of the slots serves for all of them.
+        """
+        late = [req for req in late if req.rank[0] < LATE_PRIORITY]
+        if not late:
+            return []
+        self._queued = [req for req in self._queued if req not in late]
+        if not self.callers_may_return:
+            return [self._build_refusal(req, now, 0.0) for req in late]
+        slots = self._free_times(now, late[0].kind)
+        refused = []
         for req in late:
-            self._queued.remove(req)
-            if self.callers_may_return and (
-                req.rank[0] >= LATE_PRIORITY or self._queue_behind(req, now) <= 0
-            ):
+            start, target = slots[0]
+            end = start + self._times.seconds(target, req.kind)
+            if end <= self._late_limit(req, now):
+                heapq.heapreplace(slots, (end, target))
+                req.rank = (LATE_PRIORITY + req.priority, req.soft_deadline)
                 insort(self._queued, req, key=attrgetter("rank"))
             else:
-                refusals.append(self._build_refusal(req, now, 0.0))
-        return refusals
+                refused.append(req)
+        return [self._build_refusal(req, now, 0.0) for req in refused]
 
     def _meets_deadline(
         self, req: QueuedRequest, free: Sequence[str], now: float
@@ -568,8 +580,11 @@
         which bounds the number of queued requests and thus of their renewals.
         """
         req.rank = (LATE_PRIORITY + req.priority, req.soft_deadline)
-        limit = min(now + ADMISSION_OBJECTIVE_FACTOR * req.objective, req.deadline)
-        return max(0.0, self._expected_end(req, now) - limit)
+        return max(0.0, self._expected_end(req, now) - self._late_limit(req, now))
+
+    def _late_limit(self, req: QueuedRequest, now: float) -> float:
+        """Return when a late request must complete that waits behind the others."""
+        return min(now + ADMISSION_OBJECTIVE_FACTOR * req.objective, req.deadline)
 
     def _has_unclaimed_slot(self, now: float) -> bool:
         """Tell whether a slot is free while no request is queued.
