--- a/packages/entry/src/berylstage_entry/router.py
+++ b/packages/entry/src/berylstage_entry/router.py
@@ -211,6 +211,7 @@
             priority,
             link_seconds,
         )
+        ctx.age = age
         ctx.caller_may_return = may_return
         self._retry_budget(service.name).deposit()
         self.loads.record_request(service.name)
