Reset the user timeout only of the connection that a call was sent on

Cause: the end of a large call that had not been sent reset the timeout of the connection of the handle's earlier call, which another handle may use for a large body.

Change: the timeout is reset only after a call that was sent.

--- a/packages/transfers/src/berylstage_transfers/curl_handle.py
+++ b/packages/transfers/src/berylstage_transfers/curl_handle.py
@@ -144,7 +144,9 @@
         call, self.call = self.call, None
         if call is not None and call.body:
             self.curl.setopt(pycurl.POSTFIELDS, b"")
-            if len(call.body) > BUFFERED_BODY_BYTES:
+            # Before it is sent, the port is that of an earlier call, whose connection
+            # another handle may use.
+            if call.sent and len(call.body) > BUFFERED_BODY_BYTES:
                 self._connections.set_user_timeout(self.port, UNACKNOWLEDGED_MS)
 
     def _on_socket(self, fd: int, _purpose: int) -> int:
