--- a/packages/entry/src/berylstage_entry/exchange.py
+++ b/packages/entry/src/berylstage_entry/exchange.py
@@ -72,8 +72,8 @@
         self.keep_alive = keep_alive
         self.req: CallerRequest | None = None
         self.refusal: BadRequest | Refused | None = None
-        # One growing buffer. A list of chunks left gaps in the heap that no whole body
-        # fitted in, and a buffered byte took 1.6 bytes of memory.
+        # One growing buffer. Chunks that are joined at the end would leave gaps in the
+        # heap that are too small for a whole body.
         self.body = bytearray()
         self.body_size = 0
         self.declared_bytes: int | None = None
--- a/packages/transfers/tests/test_large_bodies.py
+++ b/packages/transfers/tests/test_large_bodies.py
@@ -51,8 +51,8 @@
 
 class TestLargeBodies:
     def test_body_is_released_when_its_call_ends(self):
-        # pycurl keeps a body until the handle's next call. The idle handles of all
-        # targets held tens of megabytes of a VM of 160 MB.
+        # pycurl keeps a body until the handle's next call, so that idle handles would
+        # hold the last body sent to each target.
         async def answer(reader, writer):
             await read_all(reader, 1_000_000)
             writer.write(OK)
