--- a/packages/transfers/src/berylstage_transfers/curl_handle.py
+++ b/packages/transfers/src/berylstage_transfers/curl_handle.py
@@ -138,8 +138,8 @@
     def release_call(self) -> None:
         """Forget the call, and release its body.
 
-        pycurl keeps a body until the handle's next call, which may be never: idle handles
-        would hold the last body sent to each target.
+        pycurl keeps a body until the handle's next call, which may be never. Idle
+        handles would hold the last body sent to each target.
         """
         call, self.call = self.call, None
         if call is not None and call.body:
