--- a/packages/transfers/src/berylstage_transfers/curl_handle.py
+++ b/packages/transfers/src/berylstage_transfers/curl_handle.py
@@ -138,13 +138,15 @@
     def release_call(self) -> None:
         """Forget the call, and release its body.
 
-        pycurl keeps a body until the handle's next call. Ten idle handles of each of
-        several targets held tens of megabytes of bodies that had long been sent.
+        pycurl keeps a body until the handle's next call, which may be never. Idle
+        handles would hold the last body sent to each target.
         """
         call, self.call = self.call, None
         if call is not None and call.body:
             self.curl.setopt(pycurl.POSTFIELDS, b"")
-            if len(call.body) > BUFFERED_BODY_BYTES:
+            # Before it is sent, the port is that of an earlier call, whose connection
+            # another handle may use.
+            if call.sent and len(call.body) > BUFFERED_BODY_BYTES:
                 self._connections.set_user_timeout(self.port, UNACKNOWLEDGED_MS)
 
     def _on_socket(self, fd: int, _purpose: int) -> int:
