Test that a published move takes requests from the former owner's queue

The wiring in the application was covered by no test: without it requests would leave only at their next renewal, and no counter would show it.

--- a/packages/entry/tests/test_application.py
+++ b/packages/entry/tests/test_application.py
@@ -8,8 +8,12 @@
 import pytest
 from berylstage_entry import shutdown
 from berylstage_entry.application import EntryApplication
-from berylstage_entry.permit_messages import PermitRelease
+from berylstage_entry.assignment import Assignment, KeyRange
+from berylstage_entry.clock import now
+from berylstage_entry.permit_messages import PermitRelease, checksum
 from berylstage_entry.permits import Permit
+from berylstage_entry.protocols import CallerRequest, Record
+from berylstage_entry.reply_timeout import MAX_REPLY_TIMEOUT_SECONDS
 from berylstage_entry.settings import Bounds
 from fakes import (
     BOUNDS,
@@ -18,6 +22,7 @@
     MemoryStore,
     configuration,
     settings,
+    target,
 )
 from test_server import PlainCallerProtocol, free_port
 
@@ -118,3 +123,33 @@
                     await app.stop()
 
         asyncio.run(scenario())
+
+
+class TestMovedKeys:
+    def test_published_assignment_takes_requests_from_the_former_owner(self):
+        # Guards against requests that leave the queue of a former owner only at their
+        # next renewal, and against moves that no metric shows.
+        async def scenario():
+            app = create_application()
+            app.cluster_view.apply(Record(configuration=configuration()), now(), False)
+            for name in ("a", "b"):
+                app.cluster_view.apply(Record(target=target(name)), now(), False)
+            whole = KeyRange(0, 65535, "a", 1, 5, "")
+            app.store_watcher.apply_assignment("s", Assignment([whole], 9), 1)
+            # Without a reply the request is sent again only after 0.15 s.
+            for _ in range(20):
+                app.permit_client._reply_timeout.record(MAX_REPLY_TIMEOUT_SECONDS)
+            asked = []
+            app.permit_client.send_request = lambda host, ask: asked.append(ask.queue)
+            app.permit_client._servers_for = lambda queue, centre: ["127.0.0.2"]
+            req = CallerRequest("1", "GET", "h", "/a/", {}, 1.0, 7)
+            serving = asyncio.create_task(app.router.serve(req))
+            await asyncio.sleep(0.01)
+            moved = KeyRange(0, 65535, "b", 1, 6, "")
+            app.store_watcher.apply_assignment("s", Assignment([moved], 9), 2)
+            await asyncio.sleep(0.01)
+            assert asked == [checksum("a"), checksum("b")]
+            assert 'event="left queue of former owner"} 1' in app.metrics.text()
+            serving.cancel()
+
+        asyncio.run(scenario())
