Test the wiring of the calls to the store, and the start of the watch

Cause: the changes on the control address, the standby role of a VM without a record, and the later watch of the coordinator's key had no test of their own.

Change: tests of each.

--- a/packages/entry/tests/test_application.py
+++ b/packages/entry/tests/test_application.py
@@ -3,14 +3,20 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import socket
 
 import pytest
 from berylstage_entry import shutdown
 from berylstage_entry.application import EntryApplication
+from berylstage_entry.membership import VMS_PREFIX
 from berylstage_entry.permit_messages import PermitRelease
 from berylstage_entry.permits import Permit
 from berylstage_entry.settings import Bounds
+from berylstage_entry.store import Item
+from berylstage_entry.store_access.missed_changes import CHANGES_PATH
+from berylstage_entry.store_delta import StoreDelta
+from berylstage_entry.store_keys import COORDINATOR_KEY
 from fakes import (
     BOUNDS,
     FencedTargets,
@@ -118,3 +124,45 @@
                     await app.stop()
 
         asyncio.run(scenario())
+
+
+class TestStoreAccess:
+    def test_changes_are_returned_on_the_control_address(self, monkeypatch):
+        # Guards against a path that is not served: each VM would ask in vain, and read
+        # the store as before.
+        monkeypatch.setattr(shutdown, "BALANCER_LAG_SECONDS", 0.0)
+
+        async def scenario():
+            app = create_application()
+            app.start()
+            while not app.election.is_coordinator():
+                await asyncio.sleep(0.05)
+            revision = app.store_watcher.revision
+            app.store._store.put("t/a", b"{}")
+            while "a" not in app.cluster_view.known:
+                await asyncio.sleep(0.05)
+            body = await app.peer_client.call(
+                app.cfg.control_address, CHANGES_PATH, str(revision).encode()
+            )
+            await app.stop()
+            return body
+
+        delta = StoreDelta.decode(asyncio.run(scenario()))
+        assert "t/a" in [item.key for item in delta.items]
+
+    def test_vm_without_a_record_is_no_standby(self):
+        # Guards against a VM whose record the store has removed and that, as a supposed
+        # standby, calls the store three times a second.
+        app = create_application()
+        for name, address in (("vm-2", "10.0.0.2:1"), ("vm-3", "10.0.0.3:1")):
+            doc = {"control": address, "data_centre": "dc-9", "power": 1.0}
+            value = json.dumps(doc).encode()
+            app.store_watcher.apply_written_item(Item(VMS_PREFIX + name, value, 5))
+        assert app._is_standby()
+        value = json.dumps({"control": "10.0.0.2:1"}).encode()
+        app.store_watcher.apply_written_item(Item(COORDINATOR_KEY, value, 6))
+        assert not app._is_standby()
+        doc = {"control": app.cfg.control_address, "data_centre": "dc-1", "power": 1.0}
+        value = json.dumps(doc).encode()
+        app.store_watcher.apply_written_item(Item(VMS_PREFIX + "vm-1", value, 7))
+        assert app._is_standby()
