--- a/packages/entry/src/berylstage_entry/permit_server.py
+++ b/packages/entry/src/berylstage_entry/permit_server.py
@@ -13,6 +13,7 @@
     SlotQueue,
     TargetReport,
 )
+from berylstage_policy.slot_shares import ShareCounts, SlotShares
 from logbook import Logger
 
 from berylstage_entry.clock import now
@@ -52,39 +53,68 @@
 
 
 class _Choices:
-    """Choices among the targets of one queue by connections, for log and metrics."""
+    """Choices among the targets and the requests of one queue, for log and metrics.
 
-    __slots__ = ("_counts", "_logged_at", "affinity")
+    Parameters
+    ----------
+    affinity : ConnectionAffinity
+    shares : SlotShares
+    """
 
-    def __init__(self, affinity: ConnectionAffinity):
+    __slots__ = ("_by_connection", "_logged_at", "_shares", "affinity", "shares")
+
+    def __init__(self, affinity: ConnectionAffinity, shares: SlotShares):
         self.affinity = affinity
-        self._counts = [0, 0, 0]
+        self.shares = shares
+        # Sums since the last log line.
+        self._by_connection = ChoiceCounts(0, 0, 0)
+        self._shares = ShareCounts(0, 0)
         self._logged_at = now()
 
     def collect(self, queue: str, metrics: Metrics | None) -> None:
         """Count the choices since the last call, and log them from time to time."""
         moment = now()
-        counts = self.affinity.take_counts()
-        if not self.affinity.is_active(moment):
-            return
-        for position, (name, count) in enumerate(counts._asdict().items()):
-            self._counts[position] += count
-            if metrics is not None and count:
-                metrics.increment(f"permits by connection: {name}", count)
-        if moment - self._logged_at < CHOICE_LOG_SECONDS or not any(self._counts):
+        by_connection = self.affinity.take_counts()
+        if self.affinity.is_active(moment):
+            self._by_connection = ChoiceCounts(
+                *map(sum, zip(self._by_connection, by_connection, strict=True))
+            )
+            _count(metrics, "permits by connection", by_connection._asdict())
+        shares = self.shares.take_counts()
+        self._shares = ShareCounts(*map(sum, zip(self._shares, shares, strict=True)))
+        _count(metrics, "slots by kind", shares._asdict())
+        if moment - self._logged_at < CHOICE_LOG_SECONDS:
             return
         self._logged_at = moment
-        totals, self._counts = ChoiceCounts(*self._counts), [0, 0, 0]
-        log.info(
-            "targets chosen by connections",
-            extra={
-                "queue": queue,
-                "vms": self.affinity.vm_count,
-                "connected": totals.connected,
-                "subset": totals.subset,
-                "other": totals.other,
-            },
-        )
+        if any(self._by_connection):
+            log.info(
+                "targets chosen by connections",
+                extra={
+                    "queue": queue,
+                    "vms": self.affinity.vm_count,
+                    "connected": self._by_connection.connected,
+                    "subset": self._by_connection.subset,
+                    "other": self._by_connection.other,
+                },
+            )
+        if any(self._shares):
+            log.info(
+                "slots kept for urgent kinds",
+                extra={
+                    "queue": queue,
+                    "kept": self._shares.kept,
+                    "below_share": self._shares.below_share,
+                },
+            )
+        self._by_connection = ChoiceCounts(0, 0, 0)
+        self._shares = ShareCounts(0, 0)
+
+
+def _count(metrics: Metrics | None, event: str, counts: dict[str, int]) -> None:
+    """Add counts to the counters of an event."""
+    for name, count in counts.items():
+        if metrics is not None and count:
+            metrics.increment(f"{event}: {name}", count)
 
 
 class PermitServer:
@@ -224,8 +254,9 @@
         if service.owns_keys:
             return SlotQueue(times)
         affinity = ConnectionAffinity(times.data_centre)
-        self._choices[name] = _Choices(affinity)
-        return SlotQueue(times, affinity)
+        shares = SlotShares()
+        self._choices[name] = _Choices(affinity, shares)
+        return SlotQueue(times, affinity, shares)
 
     def _find_service(self, name: str) -> Service | None:
         """Return the service of a queue, or None if the queue is unknown."""
--- a/packages/policy/src/berylstage_policy/slot_queue.py
+++ b/packages/policy/src/berylstage_policy/slot_queue.py
@@ -17,17 +17,20 @@
 
 import heapq
 from abc import ABC, abstractmethod
+from collections import Counter
 from enum import Enum
 from operator import attrgetter
 from statistics import median_low
 from typing import TYPE_CHECKING, NamedTuple
 
 from berylstage_policy.connection_affinity import EQUAL_SHARE
+from berylstage_policy.slot_shares import KindKey
 
 if TYPE_CHECKING:
     from collections.abc import Mapping, Sequence
 
     from berylstage_policy.connection_affinity import ConnectionAffinity
+    from berylstage_policy.slot_shares import SlotShares
 
 # A request is admitted if it is expected to complete within this multiple of its
 # objective. The estimate errs in both directions, and a queued request can still be
@@ -55,6 +58,12 @@
 # Maximum number of targets that a log line describes.
 MAX_DESCRIBED_TARGETS = 4
 MIN_RETRY_AFTER_SECONDS = 0.05
+# Slots are kept for urgent kinds while at most this multiple of them is free: with more
+# free slots, an urgent request finds one anyway.
+KEPT_SLOTS_FACTOR = 2
+# Time after which kept slots are looked at again without a new request or a release.
+# Hundreds of queued requests are renewed ten times a second each.
+KEPT_CHECK_SECONDS = 0.02
 
 
 class ServiceTimes(ABC):
@@ -102,6 +111,7 @@
 
     __slots__ = (
         "deadline",
+        "key",
         "kind",
         "last_seen",
         "objective",
@@ -132,6 +142,7 @@
         self.deadline = deadline
         self.last_seen = now
         self.rank = (priority, soft_deadline)
+        self.key = KindKey(kind, priority)
 
 
 class PermitStatus(Enum):
@@ -192,12 +203,18 @@
 class _Permit:
     """Permission for one request to use a slot of a target."""
 
-    __slots__ = ("deadline", "expected_done", "granted_at", "target")
+    __slots__ = ("deadline", "expected_done", "granted_at", "key", "target")
 
     def __init__(
-        self, target: str, granted_at: float, expected_done: float, deadline: float
+        self,
+        target: str,
+        key: KindKey,
+        granted_at: float,
+        expected_done: float,
+        deadline: float,
     ):
         self.target = target
+        self.key = key
         self.granted_at = granted_at
         self.expected_done = expected_done
         self.deadline = deadline
@@ -254,13 +271,31 @@
     affinity : ConnectionAffinity, optional
         Chooses among targets that are expected to finish at about the same time. None
         for the queue of a single target.
+    shares : SlotShares, optional
+        Divides the slots among the kinds of requests. None for the queue of a single
+        target, whose few slots cannot be divided.
     """
 
-    __slots__ = ("_affinity", "_queued", "_targets", "_times")
+    __slots__ = (
+        "_affinity",
+        "_kept_until",
+        "_queued",
+        "_shares",
+        "_targets",
+        "_times",
+    )
 
-    def __init__(self, times: ServiceTimes, affinity: ConnectionAffinity | None = None):
+    def __init__(
+        self,
+        times: ServiceTimes,
+        affinity: ConnectionAffinity | None = None,
+        shares: SlotShares | None = None,
+    ):
         self._times = times
         self._affinity = affinity
+        self._shares = shares
+        # Time until which the free slots are known to be kept from what is queued.
+        self._kept_until = float("-inf")
         self._targets: dict[str, _TargetSlots] = {}
         # Sorted by rank; the next request to grant comes first.
         self._queued: list[QueuedRequest] = []
@@ -327,12 +362,15 @@
             if known.request_id == req.request_id:
                 known.last_seen = now
                 return self._renew(known, now)
+        if self._shares is not None:
+            self._shares.record_request(req.key, now)
         late = self._lateness(req, now)
         if late > 0 and not self._has_unclaimed_slot(now):
             retry_after = max(MIN_RETRY_AFTER_SECONDS, late)
             return [
                 Decision(req.request_id, PermitStatus.REFUSED, retry_after=retry_after)
             ]
+        self._kept_until = now
         self._queued.append(req)
         self._queued.sort(key=attrgetter("rank"))
         decisions = self.grant_due(now)
@@ -388,6 +426,7 @@
         self._queued = [req for req in self._queued if req.request_id != request_id]
         if report is not None:
             self._apply_report(report, now)
+        self._kept_until = now
         return self.grant_due(now)
 
     def _apply_report(self, report: TargetReport, now: float) -> None:
@@ -420,11 +459,15 @@
         """
         self._expire(now)
         decisions: list[Decision] = []
-        while self._queued:
+        while self._queued and now >= self._kept_until:
             free = [name for name, t in self._targets.items() if t.free(now) > 0]
             if not free:
                 break
-            req, target, late = self._select_next(free, now)
+            selected = self._select_next(free, now)
+            if selected is None:
+                self._kept_until = now + KEPT_CHECK_SECONDS
+                break
+            req, target, late = selected
             decisions += [self._refuse(late_req, now) for late_req in late]
             self._queued.remove(req)
             self._grant(req, target, now)
@@ -433,20 +476,86 @@
 
     def _select_next(
         self, free: Sequence[str], now: float
-    ) -> tuple[QueuedRequest, str, list[QueuedRequest]]:
-        """Return the next request, its target, and late requests ahead of it."""
-        late: list[QueuedRequest] = []
+    ) -> tuple[QueuedRequest, str, list[QueuedRequest]] | None:
+        """Return the next request, its target, and late requests ahead of it.
+
+        None if the free slots are kept for more urgent requests than those queued.
+        """
+        usable: Mapping[KindKey, Sequence[str]] = {}
+        if self._shares is not None:
+            owed = self._select_owed(self._shares.keys_below_share(now), free, now)
+            if owed is not None:
+                self._shares.record_below_share()
+                return owed, self._choose_target(owed, free, now), []
+            usable = self._usable_targets(free, now)
+        late: list[tuple[QueuedRequest, str]] = []
         for req in self._queued:
-            target = self._choose_target(req, free, now)
+            targets = usable.get(req.key, free)
+            if not targets:
+                continue
+            target = self._choose_target(req, targets, now)
             if now + self._times.seconds(target, req.kind) <= req.soft_deadline:
-                return req, target, late
-            late.append(req)
+                return req, target, [late_req for late_req, _ in late]
+            late.append((req, target))
+        if not late:
+            return None
         # All requests are late, but slots are free. A late answer has more value than
         # none, or than one that arrives after its caller has stopped waiting.
-        req = next(
-            (each for each in late if self._meets_deadline(each, free, now)), late[0]
+        req, target = next(
+            (
+                (each, target)
+                for each, target in late
+                if now + self._times.seconds(target, each.kind) <= each.deadline
+            ),
+            late[0],
+        )
+        return req, target, []
+
+    def _select_owed(
+        self, keys: Sequence[KindKey], free: Sequence[str], now: float
+    ) -> QueuedRequest | None:
+        """Return a request of kinds below their shares that can still be answered."""
+        if not keys:
+            return None
+        owed = [req for req in self._queued if req.key in keys]
+        for req in owed:
+            target = self._choose_target(req, free, now)
+            if now + self._times.seconds(target, req.kind) <= req.soft_deadline:
+                return req
+        return next((req for req in owed if self._meets_deadline(req, free, now)), None)
+
+    def _usable_targets(
+        self, free: Sequence[str], now: float
+    ) -> dict[KindKey, list[str]]:
+        """Return the free targets of the queued kinds that may not use all of them.
+
+        The slots of the fastest targets are kept for urgent kinds, since the objectives
+        of these are the shortest.
+        """
+        assert self._shares is not None
+        long_keys = self._shares.long_keys()
+        if not long_keys:
+            return {}
+        running = Counter(
+            permit.key
+            for target in self._targets.values()
+            for permit in target.permits.values()
         )
-        return req, self._choose_target(req, free, now), []
+        slots = {name: self._targets[name].free(now) for name in free}
+        usable = {}
+        for key in long_keys:
+            kept = self._shares.kept_slots(key, running, now)
+            if kept <= 0 or sum(slots.values()) > KEPT_SLOTS_FACTOR * kept:
+                continue
+            ranked = sorted(free, key=lambda name: self._times.seconds(name, key.kind))
+            usable[key] = []
+            for name in ranked:
+                if kept < slots[name]:
+                    usable[key].append(name)
+                kept = max(0, kept - slots[name])
+            if not usable[key]:
+                self._shares.record_kept()
+        return usable
 
     def _meets_deadline(
         self, req: QueuedRequest, free: Sequence[str], now: float
@@ -529,8 +638,10 @@
 
     def _grant(self, req: QueuedRequest, target: str, now: float) -> None:
         expected_done = now + self._times.seconds(target, req.kind)
-        permit = _Permit(target, now, expected_done, req.deadline)
+        permit = _Permit(target, req.key, now, expected_done, req.deadline)
         self._targets[target].permits[req.request_id] = permit
+        if self._shares is not None:
+            self._shares.record_granted(req.key, expected_done - now, now)
         self._targets[target].last_granted_at = now
         if self._affinity is not None:
             self._affinity.record_granted(req.request_id.host, target, now)
--- a/packages/policy/tests/free_targets_model.py
+++ b/packages/policy/tests/free_targets_model.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import heapq
+from bisect import bisect_left
 from itertools import count
 from math import exp, log
 from random import Random
@@ -87,6 +88,9 @@
     def __init__(self):
         self.requests = self.in_time = self.late = self.refused = 0
         self.seconds = 0.0
+        # Times of arrivals and of grants.
+        self.arrivals = []
+        self.grants = []
         # Requests and answers in time by second of arrival.
         self.by_second = {}
 
@@ -98,6 +102,14 @@
     def in_time_share(self):
         return self.in_time / max(1, self.requests)
 
+    def granted_share(self, start, end):
+        """Return the grants over the requests of some seconds."""
+        arrivals, grants = (
+            bisect_left(times, end) - bisect_left(times, start)
+            for times in (self.arrivals, self.grants)
+        )
+        return grants / max(1, arrivals)
+
     def share_between(self, start, end):
         """Return the share in time of the requests that arrived in some seconds."""
         known = [v for second, v in self.by_second.items() if start <= second < end]
@@ -194,6 +206,7 @@
         self.requests[req.id] = req
         outcome = self.outcomes[kind.name]
         outcome.requests += 1
+        outcome.arrivals.append(self.now)
         requests, good = outcome.by_second.get(int(self.now), (0, 0))
         outcome.by_second[int(self.now)] = requests + 1, good
         self.ask(req.id)
@@ -237,6 +250,7 @@
     def send(self, req, target):
         """Send a request to its target, which has a free slot."""
         req.target = target
+        self.outcomes[req.kind.name].grants.append(self.now)
         self.sent += 1
         self.crossed += self.centres[target] != self.vm_centres[req.id.host]
         idle = self.idle.setdefault((req.id.host, target), [])
