--- a/packages/entry/tests/test_permit_choices.py
+++ b/packages/entry/tests/test_permit_choices.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 from random import Random
 
 import logbook
@@ -13,9 +14,11 @@
 from berylstage_entry.permit_server import CHOICE_LOG_SECONDS, PermitServer
 from berylstage_entry.protocols import Record
 from berylstage_entry.router import Router
+from berylstage_entry.routes import Route, WeightedService
+from berylstage_entry.services import Configuration
 from berylstage_entry.target_clients import TargetClients
 from berylstage_entry.targets import LoadReport
-from fakes import BOUNDS, configuration, target
+from fakes import BOUNDS, LIMITS, configuration, target
 from virtual_time import virtual_loop
 
 TARGETS = [f"t{n}" for n in range(20)]
@@ -118,6 +121,41 @@
         assert subsets(first) == subsets(second)
 
 
+class TestKinds:
+    def test_slots_kept_for_urgent_requests_are_counted_and_logged(self):
+        # Urgent requests that arrive every 0.02 s, and long ones that are queued beside
+        # them for the last slots.
+        server = Server(targets=TARGETS[:2])
+        view = server.view
+        cfg = configuration(version=2, owns_keys=False)
+        long = Route(
+            "long", "h", "/b/", [WeightedService("s", 1.0)], True, 2, 9.0, 3.0, 2
+        )
+        cfg = Configuration(2, [*cfg.routes, long], list(cfg.services.values()), LIMITS)
+        view.apply(Record(configuration=cfg), 1.0, False)
+        loads = server.server._loads.for_service("s")
+        for name in TARGETS[:2]:
+            loads.load(name, 2)
+        for _ in range(200):
+            loads.record_service_time(TARGETS[0], "r", 0.05)
+            loads.record_service_time(TARGETS[0], "long", 0.5)
+        numbers = itertools.count(10_000)
+
+        def step():
+            server.serve(HOSTS[0])
+            number = next(numbers)
+            if number % 10 == 0:
+                ask = PermitRequest(
+                    number, checksum("s"), checksum("long"), 3.0, 3.0, 9.0, 2
+                )
+                server.server.handle_request(ask, HOSTS[1])
+
+        with logbook.TestHandler() as lines:
+            run(step, CHOICE_LOG_SECONDS + 2.0)
+        assert 'slots by kind: kept"}' in server.server.metrics.text()
+        assert [r for r in lines.records if r.message == "slots kept for urgent kinds"]
+
+
 class TestOtherQueues:
     def test_service_that_owns_keys_is_served_as_before(self):
         server = Server(owns_keys=True)
--- a/packages/policy/src/berylstage_policy/slot_queue.py
+++ b/packages/policy/src/berylstage_policy/slot_queue.py
@@ -542,7 +542,7 @@
             for permit in target.permits.values()
         )
         slots = {name: self._targets[name].free(now) for name in free}
-        usable = {}
+        usable: dict[KindKey, list[str]] = {}
         for key in long_keys:
             kept = self._shares.kept_slots(key, running, now)
             if kept <= 0 or sum(slots.values()) > KEPT_SLOTS_FACTOR * kept:
