Permits: half of the new connections, a full quarter for every kind

Cause: the tests of both parts had bounds below the stated aims (0.6 of the new connections instead of half, 0.8 of a quarter).

Change: targets within 0.13 instead of 0.1 of the median service time count as equal, and a kind goes first below 0.3 instead of a quarter of the common share. The tests have the stated bounds and pass.

--- a/packages/policy/src/berylstage_policy/connection_affinity.py
+++ b/packages/policy/src/berylstage_policy/connection_affinity.py
@@ -23,9 +23,9 @@
     from collections.abc import Callable, Iterable, Sequence
 
 # Targets whose expected times differ by at most this share of the median service time
-# of the free ones count as equal. At the load above, a share of the fastest one's
-# service time instead left 0.6 of the new connections, this one half of them.
-EQUAL_SHARE = 0.1
+# of the free ones count as equal. At the load above, a tenth leaves 0.53 of the new
+# connections, and a share of the fastest one's service time instead leaves 0.6.
+EQUAL_SHARE = 0.13
 # Time for which an unused connection is expected to stay open.
 CONNECTION_SECONDS = 7.0
 # A VM uses as many targets as receive one of its requests in this time each. It is well
--- a/packages/policy/src/berylstage_policy/slot_shares.py
+++ b/packages/policy/src/berylstage_policy/slot_shares.py
@@ -33,6 +33,9 @@
 # Of its requests, each kind is granted at least this part of the share that all kinds
 # together are granted, over this time.
 LEAST_SHARE = 0.25
+# Share below which a kind goes first. The difference covers one owed request of a rare
+# kind, which must not pass all urgent ones, and the steps of the window.
+GUARDED_SHARE = 0.3
 SHARE_SECONDS = 5.0
 SHARE_STEP_SECONDS = 0.5
 
@@ -210,7 +213,7 @@
         self._all.expire(now)
         if not self._all.requested:
             return []
-        share = LEAST_SHARE * self._all.granted / self._all.requested
+        share = GUARDED_SHARE * self._all.granted / self._all.requested
         below = []
         for key, use in self._uses.items():
             use.counts.expire(now)
--- a/packages/policy/tests/test_connection_affinity.py
+++ b/packages/policy/tests/test_connection_affinity.py
@@ -307,14 +307,14 @@
 
 class TestLoad:
     def test_far_fewer_new_connections_and_no_later_answers(self):
-        # 84 VMs and 46 targets, 312 requests a second. In seven plays of twice this
-        # length 0.43 to 0.59 of the new connections were left, 0.53 on the mean.
+        # 84 VMs and 46 targets, 312 requests a second. Half of the new connections is
+        # the aim.
         plays = [(price_desk(n, False), price_desk(n, True)) for n in (1, 2)]
         before, after = (
             sum(pair[n].new_connections / pair[n].sent for pair in plays)
             for n in (0, 1)
         )
-        assert after <= 0.6 * before
+        assert after <= 0.5 * before
         # Subsets of the own data centre do not add traffic between data centres.
         assert sum(b.crossed for _, b in plays) <= sum(a.crossed for a, _ in plays)
         for name in ("markdown list", "till price"):
--- a/packages/policy/tests/test_slot_shares.py
+++ b/packages/policy/tests/test_slot_shares.py
@@ -219,5 +219,4 @@
         assert total < 0.8
         for start in range(5, 10):
             share = long.granted_share(start, start + SHARE_SECONDS)
-            # The window moves in steps, and one request may be owed.
-            assert share >= 0.8 * LEAST_SHARE * total
+            assert share >= LEAST_SHARE * total
