--- a/packages/bench/src/berylstage_bench/owned.py
+++ b/packages/bench/src/berylstage_bench/owned.py
@@ -146,7 +146,7 @@
     cells = [
         *(
             " ".join(f"{s:.1f}" for r in results for s in getattr(r, name))
-            for name in ("relief_seconds", "moved_seconds")
+            for name in ("relief_seconds", "moved_seconds", "highest_after_second")
         ),
         *(
             f"{sum(r.credit for r in each) / len(each):.3f}, "
@@ -169,10 +169,13 @@
     args = parser.parse_args()
     seeds = range(1, args.seeds + 1)
     print("seconds until no owner is above its capacity, by play, and until all moves")
-    print("for that have ended; with the step and without: credit, in the worst 4 s,")
-    print("keys moved (1: all once), moves, writes")
-    print("| service | relief | moved | with the step | quiet |")
-    print("|---|---|---|---|---|")
+    print("for that have ended; utilization of the busiest owner a second after the")
+    print(
+        "step; with the step and without: credit, in the worst 4 s, keys moved (1: all"
+    )
+    print("once), moves, writes")
+    print("| service | relief | moved | after 1 s | with the step | quiet |")
+    print("|---|---|---|---|---|---|")
     for name in step_setups():
         if args.only in name:
             print(step_row(name, seeds), flush=True)
--- a/packages/bench/src/berylstage_bench/owned_model.py
+++ b/packages/bench/src/berylstage_bench/owned_model.py
@@ -64,6 +64,7 @@
 
     __slots__ = (
         "earned",
+        "highest_after_second",
         "late",
         "lost",
         "moved",
@@ -85,6 +86,8 @@
         # their former owners; the whole time if that is never so.
         self.relief_seconds: list[float] = []
         self.moved_seconds: list[float] = []
+        # The true utilization of the busiest owner a second after each of these starts.
+        self.highest_after_second: list[float] = []
         # Credit and requests of each two seconds.
         self.worst: dict[int, list[float]] = {}
 
@@ -389,6 +392,8 @@
                 highest = self._highest_utilization(i, with_former)
                 if seconds[i] == busy.seconds and highest <= 1.0:
                     seconds[i] = now - busy.at
+            if len(result.highest_after_second) <= i and now - busy.at >= 1.0:
+                result.highest_after_second.append(self._highest_utilization(i, False))
 
     def _highest_utilization(self, busy_index: int, with_former: bool) -> float:
         """Return the true utilization of the busiest owner.
--- a/packages/bench/tests/test_owned.py
+++ b/packages/bench/tests/test_owned.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from berylstage_bench import owned_model
-from berylstage_bench.owned import BUSY
+from berylstage_bench.owned import BUSY, step_setups
 from berylstage_bench.owned_model import OwnedPlay
 from berylstage_bench.owned_setup import OwnedSetup
 from berylstage_bench.placement import Variation, changed
@@ -40,3 +40,20 @@
         always = Variation("always", [(rebalancing, "MIN_ROUND_INTERVAL_SECONDS", 0.0)])
         with changed(always):
             assert writes < 0.6 * OwnedPlay(SETUP, 1).run().writes
+
+
+class TestStepOfLoad:
+    def measure_relief(self, seeds):
+        setup = next(s for name, s in step_setups().items() if name.startswith("T:"))
+        setup.seconds = 13.0
+        seconds = [OwnedPlay(setup, seed).run().relief_seconds[0] for seed in seeds]
+        return sum(seconds) / len(seconds)
+
+    def test_step_is_relieved_within_a_second_at_76_owners(self):
+        # 0.44 of all requests turn to two hundred neighbouring keys. With rounds of a
+        # few moves, owners get more than they can serve for 3.6 s and longer. Single
+        # plays take up to 1.3 s, because the rates of a step are known by few requests.
+        assert self.measure_relief((1, 2, 3)) <= 1.0
+        rounds = Variation("rounds", [(rebalancing, "MAX_ROUND_TARGETS", 1000)])
+        with changed(rounds):
+            assert self.measure_relief((1,)) > 2.0
--- a/packages/entry/src/berylstage_entry/application.py
+++ b/packages/entry/src/berylstage_entry/application.py
@@ -159,6 +159,7 @@
         self.grant_controller = GrantController(
             store, self.store_watcher, self.cluster_view, self.election, targets
         )
+        self.grant_controller.metrics = self.metrics
         self._host, _ = split_host_port(cfg.callers)
         host = self._host
         self.work_survey = WorkSurvey(
--- a/packages/entry/src/berylstage_entry/placement/load_steps.py
+++ b/packages/entry/src/berylstage_entry/placement/load_steps.py
@@ -88,10 +88,10 @@
         seconds = max(seconds, sum(counts.values()) / total)
         recent, past = _by_block(counts), _by_block(rates)
         for block in set(continued) - blocks:
-            density = _spread_over_neighbours(recent.get(block, {}))
+            densities = _spread_over_neighbours(recent.get(block, {}))
             before = past.get(block, {})
-            for key in density.keys() | before.keys():
-                gap = density.get(key, 0.0) / seconds - before.get(key, 0.0)
+            for key in densities.keys() | before.keys():
+                gap = densities.get(key, 0.0) / seconds - before.get(key, 0.0)
                 missing[key] = missing.get(key, 0.0) + CONTINUATION_SHARE * gap
     return missing, blocks
 
--- a/packages/entry/src/berylstage_entry/placement/spread_plan.py
+++ b/packages/entry/src/berylstage_entry/placement/spread_plan.py
@@ -28,13 +28,15 @@
 # utilization from which an owner's queue grows.
 URGENT_DONOR_MARGIN = 0.35
 URGENT_UTILIZATION = 0.8
-# Utilization by which a move must relieve its donor, and by which it must at least
-# leave the recipient below the donor. Smaller moves interrupt requests for too little.
+# Utilization that a move must add to its recipient, and by which it must leave the
+# recipient below the donor. Smaller moves interrupt requests for too little.
 MIN_PIECE_UTILIZATION = 0.08
 MIN_GAIN = 0.12
 # Keys without requests between two pieces beyond which these keys stay where they are.
-# Narrower gaps move along: they would be ranges of their own.
-MAX_GAP = 32
+# Seldom requested keys are 50 apart in the counts of a second. With 32, pieces of them
+# hold a few keys that had a request by chance, and relieve nobody: half as many moves
+# again, for less credit (`make bench-owned`).
+MAX_GAP = 128
 # Keys that a run of its own counts for, beyond its width, when runs are compared.
 RUN_COST_KEYS = 16
 
@@ -190,22 +192,16 @@
         for rate, key, owner in oversized:
             if self._is_full():
                 return
-            best = next(
-                load for load in fastest if not load.is_reserved or load is owner
-            )
+            if all(load.is_reserved for load in fastest):
+                return
+            best = next(load for load in fastest if not load.is_reserved)
             gain = rate / owner.capacity - rate / best.capacity
-            if best is not owner and gain < MIN_GAIN and not owner.is_reserved:
+            if gain < MIN_GAIN and not owner.is_reserved:
                 best = owner
+            _remove_key(owner, key)
             if best is not owner:
-                if best.is_reserved or gain < MIN_GAIN:
-                    continue
                 self._move(owner, best, [(key, rate)], key)
-                _remove_key(owner, key)
-            else:
-                _remove_key(owner, key)
             best.is_reserved = True
-            if all(load.is_reserved for load in fastest):
-                return
 
     def _relieve(self, donor: _Load) -> None:
         """Move keys of a donor until it is near the mean utilization."""
@@ -244,7 +240,8 @@
             last = run[end - 1][0]
             if end < len(run) and run[end][0] - last <= MAX_GAP:
                 last = run[end][0] - 1
-            self._move(donor, recipient, run[start:end], last)
+            if rate >= MIN_PIECE_UTILIZATION * recipient.capacity:
+                self._move(donor, recipient, run[start:end], last)
             start = end
         return len(self._moves) > before
 
@@ -265,7 +262,7 @@
         best = min(candidates, key=lambda c: (c.rate + rate) / c.capacity)
         after = (best.rate + rate) / best.capacity
         if after <= self._threshold or after <= donor.utilization - MIN_GAIN:
-            return best if rate >= MIN_PIECE_UTILIZATION * donor.capacity else None
+            return best
         return None
 
     def _move(
