--- a/packages/entry/src/berylstage_entry/application.py
+++ b/packages/entry/src/berylstage_entry/application.py
@@ -185,6 +185,7 @@
             targets,
             cfg.report_interval,
         )
+        self.grant_controller.metrics = self.metrics
         self._host, _ = split_host_port(cfg.callers)
         host = self._host
         self.work_survey = WorkSurvey(
