Soak: targets that leave unanswered what they cannot queue

A target of one installation never answers a request that it cannot queue, nor a later one on that connection; the soak's targets always refused.

--silent-targets plays such targets with 2 slots and 4 places in the queue, while targets are slow or filled by work from elsewhere, callers send three times as many requests, and VMs are suspended for a moment. The checks are unchanged. The number of unanswered requests is printed.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -287,6 +287,52 @@
             self.target.start()
 
 
+class TargetSlowed(Fault):
+    """A target needs three times as long for each request."""
+
+    is_planned = True
+    duration_range = (0.4, 2.0)
+    service_seconds = 0.15
+
+    async def begin(self, installation: Installation) -> str:
+        self.target = self.rng.choice(installation.targets)
+        self.target.min_service_seconds = self.service_seconds
+        return self.target.name
+
+    async def end(self, installation: Installation) -> None:
+        self.target.min_service_seconds = 0.0
+
+
+class TargetFilled(Fault):
+    """Work from elsewhere takes all slots and places in the queue of a target."""
+
+    is_planned = True
+    duration_range = (0.4, 2.0)
+
+    async def begin(self, installation: Installation) -> str:
+        self.target = self.rng.choice(installation.targets)
+        self.target.is_filled = True
+        return self.target.name
+
+    async def end(self, installation: Installation) -> None:
+        self.target.is_filled = False
+
+
+class LoadBurst(Fault):
+    """Callers send three times as many requests."""
+
+    is_planned = True
+    duration_range = (0.5, 2.0)
+    load_factor = 3.0
+
+    async def begin(self, installation: Installation) -> str:
+        installation.load_factor = self.load_factor
+        return "callers"
+
+    async def end(self, installation: Installation) -> None:
+        installation.load_factor = 1.0
+
+
 FAULTS: tuple[type[Fault], ...] = (
     VmKilled,
     VmsStopped,
@@ -307,6 +353,14 @@
 SHORT_PAUSES: tuple[type[Fault], ...] = (VmHeldUp,)
 # Only planned stops.
 PLANNED_STOPS: tuple[type[Fault], ...] = (VmsStopped,)
+# Only what fills the queues of targets. None of it may cost a request that ran: targets
+# run no request that they do not answer.
+FILLED_QUEUES: tuple[type[Fault], ...] = (
+    TargetSlowed,
+    TargetFilled,
+    LoadBurst,
+    VmHeldUp,
+)
 # Only targets that name limits, that ask for rest, or that leave, and all three.
 LIMITS: tuple[type[Fault], ...] = (TargetLimited,)
 RESTS: tuple[type[Fault], ...] = (TargetResting,)
--- a/tests/soak/installation.py
+++ b/tests/soak/installation.py
@@ -18,7 +18,7 @@
 from soak.ledger import Ledger
 from soak.links import Link
 from soak.target_links import TargetLink
-from soak.targets import PORT, SoakTarget
+from soak.targets import PORT, SILENT_QUEUE_LIMIT, SoakTarget
 from tornado.curl_httpclient import CurlAsyncHTTPClient
 from tornado.httpclient import HTTPClientError
 from tornado.httpserver import HTTPServer
@@ -129,12 +129,22 @@
         Number of VMs.
     has_target_links : bool
         Whether each VM reaches the targets by links of its own, which can be cut.
+    has_silent_targets : bool
+        Whether targets never answer a request that they cannot queue, nor a later one
+        on that connection.
     """
 
     def __init__(
-        self, folder: Path, rng: Random, vms: int, has_target_links: bool = False
+        self,
+        folder: Path,
+        rng: Random,
+        vms: int,
+        has_target_links: bool = False,
+        has_silent_targets: bool = False,
     ):
         self.ledger = Ledger()
+        # Factor by which callers send more requests than usual.
+        self.load_factor = 1.0
         self.store = SoakStore(rng)
         network = get_loopback_prefix()
         self.targets = [
@@ -155,6 +165,9 @@
         self._store_http.listen(STORE_PORT, f"{network}.1")
         self.store.put("op/config", json.dumps(make_configuration()).encode())
         for target in self.targets:
+            if has_silent_targets:
+                target.is_silent_when_full = True
+                target.queue_limit = SILENT_QUEUE_LIMIT
             if has_target_links:
                 target.links = [TargetLink(target.ip, PORT, n) for n in range(vms)]
             target.start()
--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -2,8 +2,9 @@
 
 Run it by ``make soak SECONDS=60 SEED=1``, with ``STOPS=--stops`` for planned stops
 only, ``STOPS=--hold-ups`` for short suspensions of VMs only, ``STOPS=--notices`` for
-targets that name limits, ask for rest or leave in their answers, or ``STOPS=--cuts``
-for VMs that lose their links to targets. It prints the outcomes of requests and all
+targets that name limits, ask for rest or leave in their answers, ``STOPS=--cuts`` for
+VMs that lose their links to targets, or ``STOPS=--silent-targets`` for targets that
+never answer what they cannot queue. It prints the outcomes of requests and all
 violations, and exits with status 1 if there are violations. The
 seed determines faults and requests; processes are real, so the timing of two runs with
 the same seed differs.
@@ -32,6 +33,7 @@
 from soak.faults import (  # noqa: E402
     DEPARTURES,
     FAULTS,
+    FILLED_QUEUES,
     LIMITS,
     NOTICES,
     PLANNED_STOPS,
@@ -77,11 +79,15 @@
         Seconds without a fault at the end, before every request must be answered.
     has_target_links : bool
         Whether each VM reaches the targets by links of its own, which can be cut.
+    has_silent_targets : bool
+        Whether targets never answer a request that they cannot queue, nor a later one
+        on that connection.
     """
 
     __slots__ = (
         "exclusive_share",
         "faults",
+        "has_silent_targets",
         "has_target_links",
         "recovery_seconds",
         "vms",
@@ -94,12 +100,15 @@
         exclusive_share: float,
         recovery_seconds: float,
         has_target_links: bool = False,
+        *,
+        has_silent_targets: bool = False,
     ):
         self.faults = faults
         self.vms = vms
         self.exclusive_share = exclusive_share
         self.recovery_seconds = recovery_seconds
         self.has_target_links = has_target_links
+        self.has_silent_targets = has_silent_targets
 
 
 # Recovery takes up to the longest grant plus the time until expired records are written
@@ -118,6 +127,7 @@
 # Cuts that overlap each other and everything else that befalls VMs, targets and store.
 MIXED_CUTS_MODE = SoakMode(CUTS + CUTS + FAULTS, 4, 0.1, 16.0, True)
 REFUSED_CUTS_MODE = SoakMode((VmsRefused,), 4, 1.0, 3.0, True)
+SILENT_TARGETS_MODE = SoakMode(FILLED_QUEUES, 4, 0.4, 3.0, has_silent_targets=True)
 # Options that restrict the faults.
 MODES = (
     ("--stops", "planned stops alone", PLANNED_STOPS_MODE),
@@ -131,6 +141,11 @@
     ("--silent-cuts", "the same with links that lose all bytes", SILENT_CUTS_MODE),
     ("--reset-cuts", "the same with connections that are reset", RESET_CUTS_MODE),
     ("--refused-cuts", "the same with new connections refused", REFUSED_CUTS_MODE),
+    (
+        "--silent-targets",
+        "targets silent on what they can't queue",
+        SILENT_TARGETS_MODE,
+    ),
 )
 
 
@@ -165,7 +180,11 @@
         """Run the soak and return the violations and a summary of the outcomes."""
         mode = self._mode
         installation = Installation(
-            self._folder, self._rng, mode.vms, mode.has_target_links
+            self._folder,
+            self._rng,
+            mode.vms,
+            mode.has_target_links,
+            mode.has_silent_targets,
         )
         try:
             for vm in installation.vms:
@@ -187,6 +206,9 @@
             ]
             ledger = installation.ledger
             self.log += ledger.cuts.describe(ledger.outcomes())
+            if mode.has_silent_targets:
+                unanswered = {t.name: t.unanswered for t in installation.targets}
+                self.log.append(f"requests that targets left unanswered: {unanswered}")
             outcomes = dict(ledger.count_outcomes().most_common())
             return (
                 violations,
@@ -197,7 +219,7 @@
 
     async def _generate_load(self, installation: Installation) -> None:
         while True:
-            await asyncio.sleep(self.draw_pause_seconds())
+            await asyncio.sleep(self.draw_pause_seconds() / installation.load_factor)
             vm = self._rng.choice(installation.vms)
             requests = self.draw_requests(vm.link)
             gap_seconds = self._rng.uniform(*BATCH_GAP_SECONDS)
--- a/tests/soak/targets.py
+++ b/tests/soak/targets.py
@@ -20,6 +20,8 @@
 # Requests that a target runs at once, and those that may wait in addition.
 SLOTS = 2
 QUEUE_LIMIT = 8
+# Requests that may wait at a target which never answers those that it cannot queue.
+SILENT_QUEUE_LIMIT = 4
 
 MEAN_SERVICE_SECONDS = 0.05
 # Status of a request for a key that the target does not own.
@@ -78,6 +80,13 @@
         # Whether it says in its answers that it leaves.
         self.is_leaving = False
         self.in_progress = 0
+        self.queue_limit = QUEUE_LIMIT
+        # Whether it never answers a request that it cannot queue, nor a later one on
+        # that connection, and the number of requests left without an answer.
+        self.is_silent_when_full = False
+        self.unanswered = 0
+        # Whether work from elsewhere takes all slots and places in the queue.
+        self.is_filled = False
         self.slots = asyncio.Semaphore(SLOTS)
         self.http: SoakServer | None = None
         # Links from the VMs, by their numbers, where each VM has links of its own.
@@ -88,6 +97,11 @@
         """Whether the target accepts connections."""
         return self.http is not None and not self.is_closing
 
+    @property
+    def is_full(self) -> bool:
+        """Whether the target cannot queue another request."""
+        return self.is_filled or self.in_progress >= SLOTS + self.queue_limit
+
     def start(self) -> None:
         """Start an incarnation without grants and without known fence tokens."""
         self.holds, self.seen, self.in_progress = [], [], 0
@@ -155,6 +169,7 @@
     def initialize(self, server, incarnation):
         super().initialize(server)
         self.incarnation = incarnation
+        self.closed = asyncio.Event()
 
     def prepare(self):
         super().prepare()
@@ -166,6 +181,10 @@
             self.request.connection.stream.close()
             raise Finish
 
+    def on_connection_close(self):
+        """End a request that gets no answer."""
+        self.closed.set()
+
     def on_finish(self):
         """Close the connection of a target that leaves."""
         if self.server.is_closing:
@@ -222,7 +241,9 @@
                 server.name, request_id, server.rest_seconds
             )
             return
-        if server.in_progress >= SLOTS + QUEUE_LIMIT:
+        if server.is_full:
+            if server.is_silent_when_full:
+                await self._leave_unanswered()
             self._refuse(503)
             return
         if server.is_closing:
@@ -240,6 +261,12 @@
             server.in_progress -= self.incarnation == server.incarnation
             http.busy_streams.discard(stream)
 
+    async def _leave_unanswered(self):
+        """Wait until the connection closes; no later request on it is read."""
+        self.server.unanswered += 1
+        await self.closed.wait()
+        raise Finish
+
     def _add_notices(self):
         """Add to an answer what the target says of itself."""
         server = self.server
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -90,3 +90,12 @@
     def test_recover_callers_of_vms_that_are_refused_new_connections(self):
         # Guards against VMs that serve only as many as their open connections can.
         run_soak("--refused-cuts", "--seconds=2", "--seed=3")
+
+
+@pytest.mark.failures
+@pytest.mark.failures_ci
+class TestSilentTargets:
+    def test_targets_silent_on_what_they_cannot_queue_lose_nothing(self):
+        # Guards against VMs that send more than targets can queue, that wait on a
+        # connection which stays silent, or that give up targets which were only full.
+        run_soak("--silent-targets", "--seconds=8", "--seed=1")
--- a/tests/test_soak_targets.py
+++ b/tests/test_soak_targets.py
@@ -9,7 +9,7 @@
 from soak.callers import Request
 from soak.configuration import get_loopback_prefix
 from soak.target_links import FIRST_LINK_PORT, CutMode, TargetLink
-from soak.targets import PORT, SoakTarget
+from soak.targets import PORT, SLOTS, SoakTarget
 
 
 class TestTargets:
@@ -57,6 +57,58 @@
         assert ran > 0
         assert ran_later == ran
 
+    def test_full_silent_target_leaves_the_connection_unanswered(self, ledger):
+        # Guards against a stand-in that refuses, runs the request later, or answers a
+        # later request on that connection.
+        async def read_status(reader):
+            try:
+                head = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 0.3)
+            except TimeoutError:
+                return None
+            return int(head.split(b" ")[1])
+
+        async def scenario():
+            target = SoakTarget(
+                "i-1", "u", f"{get_loopback_prefix()}.2", ledger, Random(1)
+            )
+            target.is_silent_when_full = True
+            target.start()
+            reader, writer = await asyncio.open_connection(target.ip, PORT)
+            target.is_filled = True
+            writer.write(Request("order-1", None).encode())
+            seen = [await read_status(reader)]
+            target.is_filled = False
+            writer.write(self.HEALTH)
+            seen.append(await read_status(reader))
+            reader, writer = await asyncio.open_connection(target.ip, PORT)
+            writer.write(self.HEALTH)
+            seen.append(await read_status(reader))
+            await target.crash()
+            return seen, target.unanswered
+
+        assert asyncio.run(scenario()) == ([None, None, 200], 1)
+        assert ledger.runs == {}
+
+    def test_silent_target_is_full_beyond_its_slots_and_queue(self, ledger):
+        # Guards against a stand-in whose queue has no bound.
+        async def scenario():
+            target = SoakTarget(
+                "i-1", "u", f"{get_loopback_prefix()}.2", ledger, Random(1)
+            )
+            target.is_silent_when_full = True
+            target.queue_limit = 1
+            target.min_service_seconds = 0.05
+            target.start()
+            for n in range(SLOTS + target.queue_limit + 2):
+                _, writer = await asyncio.open_connection(target.ip, PORT)
+                writer.write(Request(f"order-{n}", None).encode())
+            await asyncio.sleep(0.5)
+            await target.crash()
+            return target.unanswered
+
+        assert asyncio.run(scenario()) == 2
+        assert len(ledger.runs) == SLOTS + 1
+
 
 class TestTargetLinks:
     """What a VM sees of a target while the link between them is cut."""
