Soak: uploads, slow readers, and targets whose memory ends them

The soak had no request with a large body, no caller that reads slowly and no bound of memory.

--uploads adds a route of kind upload with two targets of its own, bodies of 60 kB on average and 360 kB at most, bursts of the largest, targets that read bodies slowly, and callers that spread the reads of an answer over 2 s. VMs have limits.memory_mb=160. A target ends when the bodies that it holds exceed one largest body for each slot. Each such end, and each VM that needs more than 160 MB, is a violation; uploads count among the requests that run at most once.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -20,6 +20,10 @@
 # the receive buffer.
 SEGMENT_BYTES = 1400
 HEAD_END = b"\r\n\r\n"
+# Deadlines that callers send with requests and with uploads. An upload of 360 kB takes
+# 0.6 s on the slowest link.
+REQUEST_DEADLINE_MS = 1500
+UPLOAD_DEADLINE_MS = 3000
 
 
 class Request:
@@ -32,29 +36,40 @@
         Shard key of a lookup; None makes the request an order, which has no key.
     size : int
         Minimum bytes of the answer's body.
+    upload_size : int
+        Bytes of the request's body; above 0, the request is an upload.
     """
 
-    __slots__ = ("key", "request_id", "size")
+    __slots__ = ("key", "read_seconds", "request_id", "size", "upload_size")
 
-    def __init__(self, request_id: str, key: int | None, size: int = 0):
+    def __init__(
+        self, request_id: str, key: int | None, size: int = 0, upload_size: int = 0
+    ):
         self.request_id = request_id
         self.key = key
         self.size = size
+        self.upload_size = upload_size
+        # Seconds over which the caller spreads the reads of the answer.
+        self.read_seconds = 0.0
 
     @property
     def method(self) -> str:
-        """HTTP method: POST for an order, GET for a lookup."""
+        """HTTP method: POST for an order or an upload, GET for a lookup."""
         return "POST" if self.key is None else "GET"
 
     def encode(self) -> bytes:
         """Return the request as bytes of HTTP/1.1."""
         service = "orders" if self.key is None else "a"
         body = "order" if self.key is None else ""
+        deadline_ms = REQUEST_DEADLINE_MS
+        if self.upload_size:
+            service, body = "uploads", "u" * self.upload_size
+            deadline_ms = UPLOAD_DEADLINE_MS
         lines = [
             f"{self.method} /{service}/{self.size} HTTP/1.1",
             "Host: h.example",
             f"Berylstage-Attempt-Id: {self.request_id}",
-            "Berylstage-Deadline-Ms: 1500",
+            f"Berylstage-Deadline-Ms: {deadline_ms}",
         ]
         if self.key is None:
             lines.append(f"Content-Length: {len(body)}")
@@ -129,13 +144,18 @@
                 await self._connect()
                 sending = asyncio.create_task(self._send(requests, gap_seconds))
                 while waiting and self._sock is not None:
-                    self._record_answer(waiting[0], await self._read_answer())
+                    answer = await self._read_answer(waiting[0])
+                    self._record_answer(waiting[0], answer)
                     waiting.popleft()
         except OSError:
             # Connection refused, reset or closed, or the answer timeout expired.
             self.close()
         finally:
             if sending is not None:
+                # An upload that was refused before its end leaves part of its body
+                # to send, so that the connection can carry no other request.
+                if not sending.done() and requests[-1].upload_size:
+                    self.close()
                 sending.cancel()
         for request in waiting:
             partial_answer = bytes(self._buffer)
@@ -186,22 +206,22 @@
                 # Answers received before the connection closed are still read.
                 return
 
-    async def _read_answer(self) -> Answer:
+    async def _read_answer(self, request: Request) -> Answer:
         """Read one answer; a partial answer stays in the buffer on failure."""
         while (end := self._buffer.find(HEAD_END)) < 0:
-            await self._receive()
+            await self._receive(request)
         answer = Answer(bytes(self._buffer[:end]))
         start = end + len(HEAD_END)
         end_of_body = start + answer.length
         while len(self._buffer) < end_of_body:
-            await self._receive()
+            await self._receive(request)
         answer.body = bytes(self._buffer[start:end_of_body])
         del self._buffer[:end_of_body]
         if answer.closes_connection:
             self.close()
         return answer
 
-    async def _receive(self) -> None:
+    async def _receive(self, request: Request) -> None:
         assert self._sock is not None
         loop = asyncio.get_running_loop()
         data = await loop.sock_recv(self._sock, READ_BYTES)
@@ -211,6 +231,9 @@
             )
         self._buffer += data
         await self._link.wait_for_transfer(len(data))
+        if request.read_seconds:
+            share = min(1.0, len(data) / max(1, request.size))
+            await asyncio.sleep(request.read_seconds * share)
 
     def _record_answer(self, request: Request, answer: Answer) -> None:
         notices, target = self._ledger.notices, answer.signature.partition(".")[0]
--- a/tests/soak/configuration.py
+++ b/tests/soak/configuration.py
@@ -20,10 +20,19 @@
 """
 
 
-def make_configuration() -> dict:
+# Added to the settings where uploads are played: the memory above which the platform
+# kills a VM.
+VM_MEMORY_MB = 160
+MEMORY_SETTING = f"limits.memory_mb={VM_MEMORY_MB}\n"
+UPLOAD_TIMEOUT_MS = 3000
+UPLOAD_LATENCY_MS = 1760
+
+
+def make_configuration(has_uploads: bool = False) -> dict:
     """Return a configuration with a sharded service and one without keys.
 
-    Lookups go to the sharded service, orders to the other one.
+    Lookups go to the sharded service, orders to the other one. Uploads go to a third
+    service, which exists only with ``has_uploads``.
     """
     limits = {
         "max_header_bytes": 16384,
@@ -35,11 +44,18 @@
         _route("lookups", "/a/", "safe", "s"),
         _route("o", "/orders/", "unsafe", "u"),
     ]
+    if has_uploads:
+        upload = _route("uploads", "/uploads/", "upload", "w")
+        upload |= {
+            "timeout_ms": UPLOAD_TIMEOUT_MS,
+            "target_latency_ms": UPLOAD_LATENCY_MS,
+        }
+        routes.append(upload)
     return {
         "version": "r7",
         "services": [
             {"name": n, "health_path": "/healthz", "max_conns": 50, "sharded": n == "s"}
-            for n in ("s", "u")
+            for n in (("s", "u", "w") if has_uploads else ("s", "u"))
         ],
         "limits": limits,
         "virtual_hosts": [{"host": "h.example", "path_routes": routes}],
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -318,6 +318,24 @@
         self.target.is_filled = False
 
 
+class TargetReadsSlowly(Fault):
+    """A target of uploads reads each body at a low rate."""
+
+    is_planned = True
+    duration_range = (0.5, 2.0)
+    bytes_per_second_range = (200_000.0, 400_000.0)
+
+    async def begin(self, installation: Installation) -> str:
+        targets = [t for t in installation.targets if t.service == "w"]
+        self.target = self.rng.choice(targets)
+        rate = self.rng.uniform(*self.bytes_per_second_range)
+        self.target.read_bytes_per_second = rate
+        return f"{self.target.name} at {rate:.0f} bytes a second"
+
+    async def end(self, installation: Installation) -> None:
+        self.target.read_bytes_per_second = None
+
+
 class LoadBurst(Fault):
     """Callers send three times as many requests."""
 
@@ -333,6 +351,20 @@
         installation.load_factor = 1.0
 
 
+class UploadBurst(LoadBurst):
+    """Callers send more requests, many of them uploads with the largest bodies."""
+
+    load_factor = 2.0
+
+    async def begin(self, installation: Installation) -> str:
+        installation.is_upload_burst = True
+        return await super().begin(installation)
+
+    async def end(self, installation: Installation) -> None:
+        installation.is_upload_burst = False
+        await super().end(installation)
+
+
 FAULTS: tuple[type[Fault], ...] = (
     VmKilled,
     VmsStopped,
@@ -361,6 +393,8 @@
     LoadBurst,
     VmHeldUp,
 )
+# Only what lets bodies of uploads and answers wait in memory.
+HELD_BODIES: tuple[type[Fault], ...] = (TargetSlowed, TargetReadsSlowly, UploadBurst)
 # Only targets that name limits, that ask for rest, or that leave, and all three.
 LIMITS: tuple[type[Fault], ...] = (TargetLimited,)
 RESTS: tuple[type[Fault], ...] = (TargetResting,)
--- a/tests/soak/installation.py
+++ b/tests/soak/installation.py
@@ -14,7 +14,13 @@
 
 from platform_standin import StoreState, store_application
 from soak.callers import Caller
-from soak.configuration import SETTINGS, get_loopback_prefix, make_configuration
+from soak.configuration import (
+    MEMORY_SETTING,
+    SETTINGS,
+    VM_MEMORY_MB,
+    get_loopback_prefix,
+    make_configuration,
+)
 from soak.ledger import Ledger
 from soak.links import Link
 from soak.target_links import TargetLink
@@ -46,6 +52,9 @@
 # Number of targets with owned keys, and of those without.
 KEYED_TARGETS = 3
 KEYLESS_TARGETS = 2
+# Number of targets of uploads, where these are played.
+UPLOAD_TARGETS = 2
+KB_PER_MB = 1000
 # Seconds between two writes of a target's record.
 RECORD_INTERVAL_SECONDS = 0.5
 
@@ -72,11 +81,12 @@
         store: str,
         link: Link,
         program: str,
+        settings: str = SETTINGS,
     ):
         self.number = number
         self.name = f"vm-{number}"
         self.ip = f"{network}.{FIRST_VM_HOST_NUMBER + number}"
-        text = SETTINGS.format(name=self.name, ip=self.ip, store=store, mbps=link.mbps)
+        text = settings.format(name=self.name, ip=self.ip, store=store, mbps=link.mbps)
         self.link = link
         # Idle connections of callers, the least recently used first.
         self.idle_callers: deque[Caller] = deque()
@@ -109,6 +119,12 @@
             caller.close()
         return Caller((self.ip, FRONT_PORT), self.link, ledger)
 
+    def max_memory_mb(self) -> float:
+        """Return the most memory that the running process has had, in MB."""
+        status = Path(f"/proc/{self.process.pid}/status").read_text()
+        (line,) = (x for x in status.splitlines() if x.startswith("VmHWM:"))
+        return int(line.split()[1]) * 1024 / 1000 / KB_PER_MB
+
     def restart(self) -> None:
         """Kill the process if it still runs, and start a new one."""
         self.process.kill()
@@ -132,6 +148,8 @@
     has_silent_targets : bool
         Whether targets never answer a request that they cannot queue, nor a later one
         on that connection.
+    has_uploads : bool
+        Whether there are targets for uploads, and VMs have a limit of memory.
     """
 
     def __init__(
@@ -141,29 +159,36 @@
         vms: int,
         has_target_links: bool = False,
         has_silent_targets: bool = False,
+        has_uploads: bool = False,
     ):
         self.ledger = Ledger()
         # Factor by which callers send more requests than usual.
         self.load_factor = 1.0
+        # Whether many of the requests are uploads with the largest bodies.
+        self.is_upload_burst = False
         self.store = SoakStore(rng)
         network = get_loopback_prefix()
+        services = "s" * KEYED_TARGETS + "u" * KEYLESS_TARGETS
+        if has_uploads:
+            services += "w" * UPLOAD_TARGETS
         self.targets = [
             SoakTarget(
                 f"i-{n}",
-                "s" if n < KEYED_TARGETS else "u",
+                service,
                 f"{network}.{n + 2}",
                 self.ledger,
                 r,
             )
-            for n, r in enumerate(
-                Random(rng.random()) for _ in range(KEYED_TARGETS + KEYLESS_TARGETS)
-            )
+            for n, service in enumerate(services)
+            for r in [Random(rng.random())]
         ]
         self._store_http = HTTPServer(
             _with_store_faults(store_application(self.store), self.store)
         )
         self._store_http.listen(STORE_PORT, f"{network}.1")
-        self.store.put("op/config", json.dumps(make_configuration()).encode())
+        self.store.put(
+            "op/config", json.dumps(make_configuration(has_uploads)).encode()
+        )
         for target in self.targets:
             if has_silent_targets:
                 target.is_silent_when_full = True
@@ -174,9 +199,10 @@
             self.write_record(target)
         program = LINKED_PROGRAM if has_target_links else PROGRAM
         store = f"{network}.1:{STORE_PORT}"
+        settings = SETTINGS + MEMORY_SETTING if has_uploads else SETTINGS
         links = [Link(rng.uniform(*LINK_MBPS_RANGE)) for _ in range(vms)]
         self.vms = [
-            SoakVm(number, folder, network, store, link, program)
+            SoakVm(number, folder, network, store, link, program, settings)
             for number, link in enumerate(links)
         ]
         self._client = CurlAsyncHTTPClient(force_instance=True, max_clients=200)
@@ -209,6 +235,18 @@
         """Return the VMs that run and are not being stopped and restarted."""
         return [v for v in self.vms if not v.is_stopping and v.process.poll() is None]
 
+    def record_memory(self) -> str:
+        """Record VMs that needed more memory than they have, and describe it."""
+        used = {vm.name: vm.max_memory_mb() for vm in self.running_vms()}
+        self.ledger.memory_excesses += [
+            f"{name} needed {mb:.0f} MB"
+            for name, mb in used.items()
+            if mb > VM_MEMORY_MB
+        ]
+        bodies = {t.name: t.max_body_bytes for t in self.targets if t.service == "w"}
+        vms = {name: round(mb) for name, mb in used.items()}
+        return f"most memory of VMs in MB: {vms}, bytes of bodies at targets: {bodies}"
+
     async def wait_until_ready(self, vm: SoakVm) -> None:
         """Wait until a VM reports that it is ready."""
         end = time.monotonic() + READY_TIMEOUT_SECONDS
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -25,6 +25,8 @@
 # Seconds for which grants of two targets may appear to overlap: this process records
 # both start and end of a grant and may be delayed between them.
 GRANT_OVERLAP_SLACK_SECONDS = 0.02
+# Prefixes of the identifiers of requests that may run at most once.
+UNSAFE_PREFIXES = ("order", "upload")
 # Sort key of grants.
 _start_of = attrgetter("start")
 
@@ -93,6 +95,8 @@
         self.stops: list[Stop] = []
         self.notices = NoticeLedger()
         self.cuts = CutLedger()
+        # Descriptions of processes that needed more memory than they have.
+        self.memory_excesses: list[str] = []
         self._vms: dict[str, str] = {}
         self._spans: dict[str, Span] = {}
         self._sizes: dict[str, int] = {}
@@ -189,6 +193,7 @@
             *self._find_grants_of_keys_in_use(),
             *self._find_lost_requests(),
             *self._find_failed_stops(),
+            *self.memory_excesses,
             *self.notices.find_violations(),
             *self.cuts.find_violations(self.outcomes(), self._is_disturbed),
         ]
@@ -214,7 +219,7 @@
             for request_id, targets in self.runs.items()
             if len(targets) > 1
             and self.answers.get(request_id, ("POST",))[0] == "POST"
-            and request_id.startswith("order")
+            and request_id.startswith(UNSAFE_PREFIXES)
         ]
 
     def _find_refused_runs(self) -> list[str]:
--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -3,11 +3,11 @@
 Run it by ``make soak SECONDS=60 SEED=1``, with ``STOPS=--stops`` for planned stops
 only, ``STOPS=--hold-ups`` for short suspensions of VMs only, ``STOPS=--notices`` for
 targets that name limits, ask for rest or leave in their answers, ``STOPS=--cuts`` for
-VMs that lose their links to targets, or ``STOPS=--silent-targets`` for targets that
-never answer what they cannot queue. It prints the outcomes of requests and all
-violations, and exits with status 1 if there are violations. The
-seed determines faults and requests; processes are real, so the timing of two runs with
-the same seed differs.
+VMs that lose their links to targets, ``STOPS=--silent-targets`` for targets that never
+answer what they cannot queue, or ``STOPS=--uploads`` for uploads and slow
+readers. It prints the outcomes of requests and all violations, and exits with status 1
+if there are violations. The seed determines faults and requests; processes are real, so
+the timing of two runs with the same seed differs.
 """
 
 from __future__ import annotations
@@ -34,6 +34,7 @@
     DEPARTURES,
     FAULTS,
     FILLED_QUEUES,
+    HELD_BODIES,
     LIMITS,
     NOTICES,
     PLANNED_STOPS,
@@ -42,6 +43,7 @@
     Fault,
 )
 from soak.installation import Installation  # noqa: E402
+from soak.targets import MAX_UPLOAD_BYTES  # noqa: E402
 
 # Batches of requests per second. A third of them are an order, which may run at most
 # once.
@@ -54,6 +56,14 @@
 BATCH_GAP_SECONDS = (0.0, 0.1)
 # Bytes of large answers and their shares of requests; other answers have minimum size.
 ANSWER_SIZE_SHARES = {90_000: 0.1, 1_000_000: 0.02}
+# Share of uploads where these are played, the same in a burst, when their bodies have
+# the largest size, the mean size of their bodies otherwise, and the share of batches of
+# lookups whose caller reads an answer slowly, over this time.
+UPLOAD_SHARE = 0.2
+BURST_UPLOAD_SHARE = 0.4
+MEAN_UPLOAD_BYTES = 60_000
+SLOW_READER_SHARE = 0.5
+SLOW_READ_SECONDS = 2.0
 # Seconds without a fault at the start and between two faults.
 INITIAL_QUIET_SECONDS = 3.0
 FAULT_PAUSE_SECONDS = (0.0, 3.0)
@@ -82,6 +92,8 @@
     has_silent_targets : bool
         Whether targets never answer a request that they cannot queue, nor a later one
         on that connection.
+    has_uploads : bool
+        Whether callers also send uploads, and some of them read answers slowly.
     """
 
     __slots__ = (
@@ -89,6 +101,7 @@
         "faults",
         "has_silent_targets",
         "has_target_links",
+        "has_uploads",
         "recovery_seconds",
         "vms",
     )
@@ -102,6 +115,7 @@
         has_target_links: bool = False,
         *,
         has_silent_targets: bool = False,
+        has_uploads: bool = False,
     ):
         self.faults = faults
         self.vms = vms
@@ -109,6 +123,7 @@
         self.recovery_seconds = recovery_seconds
         self.has_target_links = has_target_links
         self.has_silent_targets = has_silent_targets
+        self.has_uploads = has_uploads
 
 
 # Recovery takes up to the longest grant plus the time until expired records are written
@@ -128,6 +143,7 @@
 MIXED_CUTS_MODE = SoakMode(CUTS + CUTS + FAULTS, 4, 0.1, 16.0, True)
 REFUSED_CUTS_MODE = SoakMode((VmsRefused,), 4, 1.0, 3.0, True)
 SILENT_TARGETS_MODE = SoakMode(FILLED_QUEUES, 4, 0.4, 3.0, has_silent_targets=True)
+UPLOADS_MODE = SoakMode(HELD_BODIES, 4, 0.4, 3.0, has_uploads=True)
 # Options that restrict the faults.
 MODES = (
     ("--stops", "planned stops alone", PLANNED_STOPS_MODE),
@@ -146,6 +162,7 @@
         "targets silent on what they can't queue",
         SILENT_TARGETS_MODE,
     ),
+    ("--uploads", "uploads and slow readers", UPLOADS_MODE),
 )
 
 
@@ -185,6 +202,7 @@
             mode.vms,
             mode.has_target_links,
             mode.has_silent_targets,
+            mode.has_uploads,
         )
         try:
             for vm in installation.vms:
@@ -200,6 +218,8 @@
             load.cancel()
             async with asyncio.timeout(ANSWER_TIMEOUT_SECONDS + 1.0):
                 await asyncio.gather(*self._request_tasks)
+            if mode.has_uploads:
+                self.log.append(installation.record_memory())
             violations = [
                 *installation.ledger.find_violations(),
                 *self._find_unserved(installation, first_checked),
@@ -221,7 +241,7 @@
         while True:
             await asyncio.sleep(self.draw_pause_seconds() / installation.load_factor)
             vm = self._rng.choice(installation.vms)
-            requests = self.draw_requests(vm.link)
+            requests = self.draw_requests(vm.link, installation.is_upload_burst)
             gap_seconds = self._rng.uniform(*BATCH_GAP_SECONDS)
             task = asyncio.create_task(
                 installation.send_requests(vm, requests, gap_seconds)
@@ -242,14 +262,21 @@
             else self._rng.expovariate(ARRIVALS_PER_SECOND)
         )
 
-    def draw_requests(self, link: Link) -> list[Request]:
-        """Draw the next batch: an order, a lookup, or several lookups."""
+    def draw_requests(self, link: Link, is_upload_burst: bool = False) -> list[Request]:
+        """Draw the next batch: an order, an upload, a lookup, or several lookups."""
+        upload_share = BURST_UPLOAD_SHARE if is_upload_burst else UPLOAD_SHARE
+        if self._mode.has_uploads and self._rng.random() < upload_share:
+            return [self._draw_upload(link, is_upload_burst)]
         if self._rng.random() < ORDER_SHARE:
             return [self._draw_request("order", None, link)]
         is_batch = self._rng.random() < BATCH_SHARE and not self.has_even_load
         count = self._rng.randint(*BATCH_SIZE_RANGE) if is_batch else 1
         keys = [min(65535, int(self._rng.expovariate(1 / 9000))) for _ in range(count)]
-        return [self._draw_request("lookup", key, link) for key in keys]
+        requests = [self._draw_request("lookup", key, link) for key in keys]
+        if self._mode.has_uploads and self._rng.random() < SLOW_READER_SHARE:
+            # One answer of a batch, so that all are read within the caller's time.
+            requests[-1].read_seconds = SLOW_READ_SECONDS
+        return requests
 
     def _draw_request(self, kind: str, key: int | None, link: Link) -> Request:
         self._last_request_number += 1
@@ -261,6 +288,13 @@
         link.add_pending_bytes(size)
         return Request(f"{kind}-{self._last_request_number}", key, size)
 
+    def _draw_upload(self, link: Link, is_largest: bool) -> Request:
+        request = self._draw_request("upload", None, link)
+        size = 1 + int(self._rng.expovariate(1 / MEAN_UPLOAD_BYTES))
+        request.upload_size = MAX_UPLOAD_BYTES if is_largest else size
+        request.upload_size = min(request.upload_size, MAX_UPLOAD_BYTES)
+        return request
+
     async def _inject_faults(self, installation: Installation) -> None:
         """Inject faults one after the other, some of them two at a time."""
         rng = self._fault_rng
--- a/tests/soak/targets.py
+++ b/tests/soak/targets.py
@@ -4,13 +4,14 @@
 
 import asyncio
 import json
+import time
 from random import Random
 from typing import TYPE_CHECKING
 
 from platform_standin import Grant, Health, Release, Server, ServerHandler
 from soak.ledger import build_answer_body
 from tornado.httpserver import HTTPServer
-from tornado.web import Application, Finish, HTTPError
+from tornado.web import Application, Finish, HTTPError, stream_request_body
 
 if TYPE_CHECKING:
     from soak.ledger import Ledger
@@ -23,6 +24,13 @@
 # Requests that may wait at a target which never answers those that it cannot queue.
 SILENT_QUEUE_LIMIT = 4
 
+# Bytes of the largest body of an upload, and the bytes of bodies above which a target
+# ends: permits bound them to one body for each slot.
+MAX_UPLOAD_BYTES = 360_000
+BODY_MEMORY_BYTES = SLOTS * MAX_UPLOAD_BYTES
+# Seconds after which a target that ended for its memory starts again.
+MEMORY_RESTART_SECONDS = 1.0
+
 MEAN_SERVICE_SECONDS = 0.05
 # Status of a request for a key that the target does not own.
 MISDIRECTED = 421
@@ -87,6 +95,12 @@
         self.unanswered = 0
         # Whether work from elsewhere takes all slots and places in the queue.
         self.is_filled = False
+        # Bytes of the body that it holds of each upload, and the most that it held.
+        self.bodies: dict[str, int] = {}
+        self.max_body_bytes = 0
+        # Bytes per second that it reads of an upload's body; None for no limit.
+        self.read_bytes_per_second: float | None = None
+        self._memory_end: asyncio.Task | None = None
         self.slots = asyncio.Semaphore(SLOTS)
         self.http: SoakServer | None = None
         # Links from the VMs, by their numbers, where each VM has links of its own.
@@ -105,6 +119,7 @@
     def start(self) -> None:
         """Start an incarnation without grants and without known fence tokens."""
         self.holds, self.seen, self.in_progress = [], [], 0
+        self.bodies = {}
         self.limit, self.rest_seconds, self.is_leaving = None, 0.0, False
         self.is_closing = False
         self.slots = asyncio.Semaphore(SLOTS)
@@ -137,6 +152,29 @@
             await asyncio.sleep(0.01)
         await self.crash()
 
+    def hold_body(self, request_id: str, size: int) -> None:
+        """Hold more bytes of an upload's body, and end if all exceed the memory."""
+        self.bodies[request_id] = self.bodies.get(request_id, 0) + size
+        body_bytes = sum(self.bodies.values())
+        self.max_body_bytes = max(self.max_body_bytes, body_bytes)
+        is_ending = self._memory_end is not None and not self._memory_end.done()
+        if body_bytes > BODY_MEMORY_BYTES and not is_ending:
+            bodies = ", ".join(
+                f"{request_id} ({held}{', runs' * (request_id in self.ledger.runs)})"
+                for request_id, held in self.bodies.items()
+            )
+            self.ledger.memory_excesses.append(
+                f"{self.name} ended with {body_bytes} bytes of bodies at "
+                f"{time.monotonic():.2f}: {bodies}"
+            )
+            self._memory_end = asyncio.create_task(self._end_for_memory())
+
+    async def _end_for_memory(self) -> None:
+        await self.crash()
+        await asyncio.sleep(MEMORY_RESTART_SECONDS)
+        if not self.is_running:
+            self.start()
+
     async def wait_for_work(self, first: int, last: int) -> None:
         """Wait until no request for some keys, both inclusive, is in progress."""
         while any(first <= key <= last for key in self.ledger.running_keys(self)):
@@ -300,6 +338,41 @@
         self.write(build_answer_body(request_id, size))
 
 
+@stream_request_body
+class SoakUpload(SoakWork):
+    """Runs an upload; its body takes memory from its first byte to the answer."""
+
+    def initialize(self, server, incarnation):
+        super().initialize(server, incarnation)
+        self.request_id = self.request.headers.get("Berylstage-Attempt-Id", "")
+
+    async def data_received(self, chunk):
+        """Hold a part of the body, at the rate at which the target reads."""
+        server = self.server
+        if self.incarnation != server.incarnation or self.closed.is_set():
+            return
+        server.hold_body(self.request_id, len(chunk))
+        if server.read_bytes_per_second is not None:
+            await asyncio.sleep(len(chunk) / server.read_bytes_per_second)
+
+    async def post(self):
+        # The incarnation may have ended while the body arrived.
+        self.abort_if_replaced()
+        await super().post()
+
+    def on_connection_close(self):
+        super().on_connection_close()
+        self._release_body()
+
+    def on_finish(self):
+        self._release_body()
+        super().on_finish()
+
+    def _release_body(self):
+        if self.incarnation == self.server.incarnation:
+            self.server.bodies.pop(self.request_id, None)
+
+
 async def _hang() -> None:
     # Requests that reach an unresponsive target never run. A real target counts the
     # deadline from the arrival, so it would not run an order a minute later as if its
@@ -316,6 +389,7 @@
             (r"/v1/grant", SoakGrant, own_incarnation),
             (r"/v1/release", SoakRelease, own_incarnation),
             (r"/healthz", Health, own),
+            (r"/uploads/.*", SoakUpload, own_incarnation),
             (r"/.*", SoakWork, own_incarnation),
         ],
         log_function=lambda handler: None,
--- a/tests/test_soak_ledger.py
+++ b/tests/test_soak_ledger.py
@@ -35,6 +35,17 @@
         ledger.record_run(FakeTarget("i-2"), "order-1", None)
         assert ledger.find_violations() == ["order-1 ran at ['i-1', 'i-2']"]
 
+    def test_upload_that_ran_twice(self, ledger):
+        # Uploads are unsafe. Guards against a retry of one whose answer was lost.
+        ledger.record_run(FakeTarget("i-1"), "upload-1", None)
+        ledger.record_run(FakeTarget("i-2"), "upload-1", None)
+        assert ledger.find_violations() == ["upload-1 ran at ['i-1', 'i-2']"]
+
+    def test_process_without_enough_memory(self, ledger):
+        # Guards against bodies beyond what permits and budgets allow.
+        ledger.memory_excesses.append("i-5 ended")
+        assert ledger.find_violations() == ["i-5 ended"]
+
     def test_lookup_may_run_twice(self, ledger):
         ledger.record_run(FakeTarget("i-1"), "lookup-1", "7")
         ledger.record_run(FakeTarget("i-2"), "lookup-1", "7")
--- a/tests/test_soak_targets.py
+++ b/tests/test_soak_targets.py
@@ -9,7 +9,14 @@
 from soak.callers import Request
 from soak.configuration import get_loopback_prefix
 from soak.target_links import FIRST_LINK_PORT, CutMode, TargetLink
-from soak.targets import PORT, SLOTS, SoakTarget
+from soak.targets import (
+    BODY_MEMORY_BYTES,
+    MAX_UPLOAD_BYTES,
+    MEMORY_RESTART_SECONDS,
+    PORT,
+    SLOTS,
+    SoakTarget,
+)
 
 
 class TestTargets:
@@ -99,9 +106,10 @@
             target.queue_limit = 1
             target.min_service_seconds = 0.05
             target.start()
+            ends = []
             for n in range(SLOTS + target.queue_limit + 2):
-                _, writer = await asyncio.open_connection(target.ip, PORT)
-                writer.write(Request(f"order-{n}", None).encode())
+                ends.append(await asyncio.open_connection(target.ip, PORT))
+                ends[-1][1].write(Request(f"order-{n}", None).encode())
             await asyncio.sleep(0.5)
             await target.crash()
             return target.unanswered
@@ -110,6 +118,61 @@
         assert len(ledger.runs) == SLOTS + 1
 
 
+class TestUploads:
+    """What a target does with the bodies of uploads."""
+
+    async def send_uploads(self, ledger, sizes):
+        """Return the target after uploads of some sizes at once, and their answers."""
+        target = SoakTarget("i-1", "w", f"{get_loopback_prefix()}.2", ledger, Random(1))
+        target.start()
+        # Connections close once their writers are discarded.
+        ends = []
+        for n, size in enumerate(sizes):
+            ends.append(await asyncio.open_connection(target.ip, PORT))
+            ends[-1][1].write(Request(f"upload-{n}", None, 0, size).encode())
+        await asyncio.sleep(0.5)
+        answers = []
+        for reader, _ in ends:
+            try:
+                line = await asyncio.wait_for(reader.readline(), 0.1)
+            except ConnectionResetError:
+                line = b""
+            answers.append(line[9:12].decode())
+        return target, answers
+
+    def test_bodies_within_the_memory_are_released(self, ledger):
+        # Guards against a stand-in that counts bodies of requests that have ended.
+        async def scenario():
+            target, answers = await self.send_uploads(
+                ledger, [MAX_UPLOAD_BYTES] * SLOTS
+            )
+            bodies = target.bodies, target.max_body_bytes
+            await target.crash()
+            return answers, bodies
+
+        answers, bodies = asyncio.run(scenario())
+        assert answers == ["200"] * SLOTS
+        assert bodies == ({}, BODY_MEMORY_BYTES)
+        assert ledger.find_violations() == []
+
+    def test_bodies_beyond_the_memory_end_the_target(self, ledger):
+        # Guards against a stand-in that holds any number of bodies.
+        async def scenario():
+            sizes = [MAX_UPLOAD_BYTES] * SLOTS * 2
+            target, answers = await self.send_uploads(ledger, sizes)
+            seen = target.is_running, target.incarnation
+            await asyncio.sleep(MEMORY_RESTART_SECONDS)
+            seen += target.is_running, target.bodies
+            await target.crash()
+            return answers, seen
+
+        answers, seen = asyncio.run(scenario())
+        assert "200" not in answers
+        assert seen == (False, 2, True, {})
+        (excess,) = ledger.memory_excesses
+        assert excess.startswith("i-1 ended with")
+
+
 class TestTargetLinks:
     """What a VM sees of a target while the link between them is cut."""
 
