--- a/tests/soak/installation.py
+++ b/tests/soak/installation.py
@@ -190,6 +190,7 @@
             "op/config", json.dumps(make_configuration(has_uploads)).encode()
         )
         for target in self.targets:
+            target.reports_load = has_silent_targets or has_uploads
             if has_silent_targets:
                 target.is_silent_when_full = True
                 target.queue_limit = SILENT_QUEUE_LIMIT
--- a/tests/soak/targets.py
+++ b/tests/soak/targets.py
@@ -89,6 +89,8 @@
         self.is_leaving = False
         self.in_progress = 0
         self.queue_limit = QUEUE_LIMIT
+        # Whether it reports its running and waiting requests; a constant otherwise.
+        self.reports_load = False
         # Whether it never answers a request that it cannot queue, nor a later one on
         # that connection, and the number of requests left without an answer.
         self.is_silent_when_full = False
@@ -152,6 +154,11 @@
             await asyncio.sleep(0.01)
         await self.crash()
 
+    def load(self) -> str:
+        """Return the report of its running and waiting requests and its slots."""
+        active = SLOTS + self.queue_limit if self.is_filled else self.in_progress
+        return f"{min(SLOTS, active)},{max(0, active - SLOTS)},{SLOTS},100"
+
     def hold_body(self, request_id: str, size: int) -> None:
         """Hold more bytes of an upload's body, and end if all exceed the memory."""
         self.bodies[request_id] = self.bodies.get(request_id, 0) + size
@@ -213,6 +220,12 @@
         super().prepare()
         self.abort_if_replaced()
 
+    def finish(self, chunk=None):
+        """End the answer with the load at this time."""
+        if self.server.reports_load:
+            self.set_header("Berylstage-Backend-Load", self.server.load())
+        return super().finish(chunk)
+
     def abort_if_replaced(self):
         """Close the connection if the incarnation has ended."""
         if self.incarnation != self.server.incarnation:
@@ -229,6 +242,10 @@
             self.request.connection.stream.close()
 
 
+class SoakHealth(IncarnationHandler, Health):
+    """Answers probes."""
+
+
 class SoakGrant(IncarnationHandler, Grant):
     """Handles a grant and records it."""
 
@@ -382,13 +399,12 @@
 
 
 def _application(server: SoakTarget) -> Application:
-    own = {"server": server}
     own_incarnation = {"server": server, "incarnation": server.incarnation}
     return Application(
         [
             (r"/v1/grant", SoakGrant, own_incarnation),
             (r"/v1/release", SoakRelease, own_incarnation),
-            (r"/healthz", Health, own),
+            (r"/healthz", SoakHealth, own_incarnation),
             (r"/uploads/.*", SoakUpload, own_incarnation),
             (r"/.*", SoakWork, own_incarnation),
         ],
--- a/tests/test_soak_targets.py
+++ b/tests/test_soak_targets.py
@@ -172,6 +172,15 @@
         (excess,) = ledger.memory_excesses
         assert excess.startswith("i-1 ended with")
 
+    def test_reported_load_counts_what_runs_and_waits(self, ledger):
+        # Guards against a stand-in that reports fewer requests than it runs. Permits
+        # are then taken back, and others send more bodies than it has memory for.
+        target = SoakTarget("i-1", "w", "127.0.0.1", ledger, Random(1))
+        target.in_progress = SLOTS + 1
+        assert target.load() == f"{SLOTS},1,{SLOTS},100"
+        target.in_progress, target.is_filled = 0, True
+        assert target.load() == f"{SLOTS},{target.queue_limit},{SLOTS},100"
+
 
 class TestTargetLinks:
     """What a VM sees of a target while the link between them is cut."""
