Soak: print when a lost request was sent and run

A request that ran only after its VM had given it up could not be told from one whose answer was there; now the line has both times.

--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -100,6 +100,8 @@
         self._vms: dict[str, str] = {}
         self._spans: dict[str, Span] = {}
         self._sizes: dict[str, int] = {}
+        # When a target last started to run each request.
+        self._run_starts: dict[str, float] = {}
         self._unplanned_faults: list[Span] = []
         # Those of them that are no cuts between VMs and targets.
         self._other_faults: list[Span] = []
@@ -110,6 +112,7 @@
     def record_run(self, target: SoakTarget, request_id: str, key: str | None) -> None:
         """Record that a target started to run a request."""
         self.runs.setdefault(request_id, []).append(target.name)
+        self._run_starts[request_id] = time.monotonic()
         if key is not None:
             self._key_runs.append(KeyRun(target, request_id, int(key)))
 
@@ -247,7 +250,9 @@
         got no part of an answer may be retried by its caller.
         """
         return [
-            f"{request_id} lost at {span.end:.2f}: ran at {self.runs.get(request_id)}, "
+            f"{request_id} sent at {span.start:.2f}, lost at {span.end:.2f}: "
+            f"ran at {self.runs.get(request_id)} "
+            f"from {self._run_starts.get(request_id, math.nan):.2f}, "
             f"ended with {status} and {len(body)} bytes"
             for request_id, span in self._spans.items()
             for _, status, body, _ in [self.answers.get(request_id, NO_ANSWER)]
