--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -25,6 +25,8 @@
 # Seconds for which grants of two targets may appear to overlap: this process records
 # both start and end of a grant and may be delayed between them.
 GRANT_OVERLAP_SLACK_SECONDS = 0.02
+# Prefixes of the identifiers of requests that may run at most once.
+UNSAFE_PREFIXES = ("order", "upload")
 # Sort key of grants.
 _start_of = attrgetter("start")
 
@@ -93,9 +95,13 @@
         self.stops: list[Stop] = []
         self.notices = NoticeLedger()
         self.cuts = CutLedger()
+        # Descriptions of processes that needed more memory than they have.
+        self.memory_excesses: list[str] = []
         self._vms: dict[str, str] = {}
         self._spans: dict[str, Span] = {}
         self._sizes: dict[str, int] = {}
+        # When a target last started to run each request.
+        self._run_starts: dict[str, float] = {}
         self._unplanned_faults: list[Span] = []
         # Those of them that are no cuts between VMs and targets.
         self._other_faults: list[Span] = []
@@ -106,6 +112,7 @@
     def record_run(self, target: SoakTarget, request_id: str, key: str | None) -> None:
         """Record that a target started to run a request."""
         self.runs.setdefault(request_id, []).append(target.name)
+        self._run_starts[request_id] = time.monotonic()
         if key is not None:
             self._key_runs.append(KeyRun(target, request_id, int(key)))
 
@@ -189,6 +196,7 @@
             *self._find_grants_of_keys_in_use(),
             *self._find_lost_requests(),
             *self._find_failed_stops(),
+            *self.memory_excesses,
             *self.notices.find_violations(),
             *self.cuts.find_violations(self.outcomes(), self._is_disturbed),
         ]
@@ -214,7 +222,7 @@
             for request_id, targets in self.runs.items()
             if len(targets) > 1
             and self.answers.get(request_id, ("POST",))[0] == "POST"
-            and request_id.startswith("order")
+            and request_id.startswith(UNSAFE_PREFIXES)
         ]
 
     def _find_refused_runs(self) -> list[str]:
@@ -242,7 +250,9 @@
         got no part of an answer may be retried by its caller.
         """
         return [
-            f"{request_id} lost at {span.end:.2f}: ran at {self.runs.get(request_id)}, "
+            f"{request_id} sent at {span.start:.2f}, lost at {span.end:.2f}: "
+            f"ran at {self.runs.get(request_id)} "
+            f"from {self._run_starts.get(request_id, math.nan):.2f}, "
             f"ended with {status} and {len(body)} bytes"
             for request_id, span in self._spans.items()
             for _, status, body, _ in [self.answers.get(request_id, NO_ANSWER)]
