Split the slot queue into modules with one job each

Change: requests and decisions are in slot_requests, slots and permits in target_slots, the interface of service times in service_times, expected ends in slot_schedule, lateness in slot_admission, the next request in slot_selection, its target in free_target_choice. slot_queue keeps the queue; its docstring states the order of decisions. Imports follow; no behaviour changes.

Eight test files of the queue, permit client and moved keys: all passed.

--- a/packages/entry/src/berylstage_entry/permit_client.py
+++ b/packages/entry/src/berylstage_entry/permit_client.py
@@ -18,7 +18,7 @@
     eligible_vms,
     rank_servers,
 )
-from berylstage_policy.slot_queue import PermitStatus
+from berylstage_policy.slot_requests import PermitStatus
 from logbook import Logger
 
 from berylstage_entry.clock import now
--- a/packages/entry/src/berylstage_entry/permit_messages.py
+++ b/packages/entry/src/berylstage_entry/permit_messages.py
@@ -129,7 +129,7 @@
     ----------
     number : int
     status : int
-        Value of :class:`berylstage_policy.slot_queue.PermitStatus`.
+        Value of :class:`berylstage_policy.slot_requests.PermitStatus`.
     retry_after : float
         Seconds after which a refused request may be retried.
     target : int
--- a/packages/entry/src/berylstage_entry/permit_server.py
+++ b/packages/entry/src/berylstage_entry/permit_server.py
@@ -7,14 +7,10 @@
 
 from berylstage_policy.connection_affinity import ChoiceCounts, ConnectionAffinity
 from berylstage_policy.remaining_times import RemainingTimes
-from berylstage_policy.slot_queue import (
-    PermitStatus,
-    QueuedRequest,
-    RequestId,
-    SlotQueue,
-    TargetReport,
-)
+from berylstage_policy.slot_queue import SlotQueue
+from berylstage_policy.slot_requests import PermitStatus, QueuedRequest, RequestId
 from berylstage_policy.slot_shares import ShareCounts, SlotShares
+from berylstage_policy.target_slots import TargetReport
 from logbook import Logger
 
 from berylstage_entry.clock import now
@@ -31,7 +27,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from berylstage_policy.slot_queue import Decision
+    from berylstage_policy.slot_requests import Decision
 
     from berylstage_entry.cluster_view import ClusterView
     from berylstage_entry.membership import Membership
--- a/packages/entry/src/berylstage_entry/queue_service_times.py
+++ b/packages/entry/src/berylstage_entry/queue_service_times.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 from berylstage_policy.completion import CROSSING_SECONDS_PER_BYTE, OTHER_DATA_CENTRE
-from berylstage_policy.slot_queue import ServiceTimes
+from berylstage_policy.service_times import ServiceTimes
 
 if TYPE_CHECKING:
     from berylstage_entry.cluster_view import ClusterView
--- a/packages/policy/tests/free_targets_model.py
+++ b/packages/policy/tests/free_targets_model.py
@@ -13,14 +13,10 @@
 from random import Random
 
 from berylstage_policy.completion import OTHER_DATA_CENTRE, ServiceLoads
-from berylstage_policy.slot_queue import (
-    PermitStatus,
-    QueuedRequest,
-    RequestId,
-    ServiceTimes,
-    SlotQueue,
-    TargetReport,
-)
+from berylstage_policy.service_times import ServiceTimes
+from berylstage_policy.slot_queue import SlotQueue
+from berylstage_policy.slot_requests import PermitStatus, QueuedRequest, RequestId
+from berylstage_policy.target_slots import TargetReport
 
 # Seconds after which a target closes a connection that is not used.
 IDLE_SECONDS = 7.0
--- a/packages/policy/tests/returning_callers.py
+++ b/packages/policy/tests/returning_callers.py
@@ -7,13 +7,9 @@
 from random import Random
 
 from berylstage_policy.remaining_times import RemainingTimes
-from berylstage_policy.slot_queue import (
-    PermitStatus,
-    QueuedRequest,
-    RequestId,
-    ServiceTimes,
-    SlotQueue,
-)
+from berylstage_policy.service_times import ServiceTimes
+from berylstage_policy.slot_queue import SlotQueue
+from berylstage_policy.slot_requests import PermitStatus, QueuedRequest, RequestId
 
 RENEWAL_SECONDS = 0.1
 MAX_RETRIES = 2
--- a/packages/policy/tests/test_connection_affinity.py
+++ b/packages/policy/tests/test_connection_affinity.py
@@ -10,15 +10,14 @@
     ChoiceCounts,
     ConnectionAffinity,
 )
-from berylstage_policy.slot_queue import (
+from berylstage_policy.free_target_choice import (
     IDLE_TARGET_CONNECTED_SECONDS,
     IDLE_TARGET_SECONDS,
-    QueuedRequest,
-    RequestId,
-    ServiceTimes,
-    SlotQueue,
-    TargetReport,
 )
+from berylstage_policy.service_times import ServiceTimes
+from berylstage_policy.slot_queue import SlotQueue
+from berylstage_policy.slot_requests import QueuedRequest, RequestId
+from berylstage_policy.target_slots import TargetReport
 from free_targets_model import Kind, Model
 
 CENTRES = 3
--- a/packages/policy/tests/test_late_requests.py
+++ b/packages/policy/tests/test_late_requests.py
@@ -3,11 +3,8 @@
 from __future__ import annotations
 
 import pytest
-from berylstage_policy.slot_queue import (
-    ADMISSION_OBJECTIVE_FACTOR,
-    LATE_PRIORITY,
-    PermitStatus,
-)
+from berylstage_policy.slot_admission import ADMISSION_OBJECTIVE_FACTOR
+from berylstage_policy.slot_requests import LATE_PRIORITY, PermitStatus
 from returning_callers import Load
 from test_retry_promises import play
 from test_slot_queue import (
--- a/packages/policy/tests/test_queue_renewals.py
+++ b/packages/policy/tests/test_queue_renewals.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 from berylstage_policy.retry_promises import SCHEDULE_SECONDS
-from berylstage_policy.slot_queue import PermitStatus, SlotQueue
+from berylstage_policy.slot_queue import SlotQueue
+from berylstage_policy.slot_requests import PermitStatus
 from test_slot_queue import Times, numbers_with, queued_request
 
 TARGETS, SLOTS, QUEUED = 46, 6, 200
--- a/packages/policy/tests/test_retry_promises.py
+++ b/packages/policy/tests/test_retry_promises.py
@@ -13,7 +13,7 @@
     SCHEDULE_SECONDS,
     RetryPromises,
 )
-from berylstage_policy.slot_queue import PermitStatus
+from berylstage_policy.slot_requests import PermitStatus
 from returning_callers import Load, Outcome, Play
 from test_slot_queue import numbers_with, queued_request, slot_queue
 
--- a/packages/policy/tests/test_slot_queue.py
+++ b/packages/policy/tests/test_slot_queue.py
@@ -4,17 +4,11 @@
 
 from random import Random
 
-from berylstage_policy.slot_queue import (
-    ADMISSION_OBJECTIVE_FACTOR,
-    PERMIT_ARRIVAL_SECONDS,
-    QUEUED_REQUEST_TTL_SECONDS,
-    PermitStatus,
-    QueuedRequest,
-    RequestId,
-    ServiceTimes,
-    SlotQueue,
-    TargetReport,
-)
+from berylstage_policy.service_times import ServiceTimes
+from berylstage_policy.slot_admission import ADMISSION_OBJECTIVE_FACTOR
+from berylstage_policy.slot_queue import QUEUED_REQUEST_TTL_SECONDS, SlotQueue
+from berylstage_policy.slot_requests import PermitStatus, QueuedRequest, RequestId
+from berylstage_policy.target_slots import PERMIT_ARRIVAL_SECONDS, TargetReport
 
 WORK_SECONDS = 0.1
 OBJECTIVE_SECONDS = 0.3
--- a/packages/policy/tests/test_slot_shares.py
+++ b/packages/policy/tests/test_slot_shares.py
@@ -2,14 +2,9 @@
 
 from __future__ import annotations
 
-from berylstage_policy.slot_queue import (
-    KEPT_CHECK_SECONDS,
-    PermitStatus,
-    QueuedRequest,
-    RequestId,
-    ServiceTimes,
-    SlotQueue,
-)
+from berylstage_policy.service_times import ServiceTimes
+from berylstage_policy.slot_queue import KEPT_CHECK_SECONDS, SlotQueue
+from berylstage_policy.slot_requests import PermitStatus, QueuedRequest, RequestId
 from berylstage_policy.slot_shares import (
     LEAST_SHARE,
     SHARE_SECONDS,
