Connection: memory of one connection in a module of its own

Change: the class ConnectionMemory in memory/connection_memory.py reserves and releases the memory of one connection; the connection owns it. It admits uploads, ends late ones, counts unread input, bodies and answers, and knows how much of an answered body is still to be dropped. The parse sizes move with it. BufferMemory asks the connection's memory for untaken answers. No behaviour changes; tests change only their imports and the module that they patch.

--- a/packages/entry/src/berylstage_entry/connection.py
+++ b/packages/entry/src/berylstage_entry/connection.py
@@ -16,25 +16,27 @@
 from httptools import HttpParserError, HttpParserUpgrade, HttpRequestParser
 
 from berylstage_entry.clock import now
-from berylstage_entry.errors import BadRequest, Refused
+from berylstage_entry.errors import BadRequest
 from berylstage_entry.exchange import Exchange
 from berylstage_entry.graceful_close import GracefulClose
-from berylstage_entry.memory.buffer_memory import TakenAnswers
+from berylstage_entry.memory.connection_memory import (
+    MAX_UNPARSED_BYTES,
+    ConnectionMemory,
+    compute_parse_bytes,
+)
 from berylstage_entry.responses import (
     BAD_REQUEST,
-    CONTENT_TOO_LARGE,
     HEADERS_TOO_LARGE,
     encode_response,
 )
 from berylstage_entry.sockets import (
     ReceiveState,
+    count_unacknowledged_bytes,
     peek_transport,
     peer_has_closed,
-    send_queue_bytes,
 )
 
 if TYPE_CHECKING:
-    from berylstage_entry.memory.untaken_answers import UntakenAnswer
     from berylstage_entry.protocols import CallerRequest
     from berylstage_entry.server import CallerServer
 
@@ -42,24 +44,11 @@
 # written. The limit exceeds what a browser sends at once and keeps a single caller from
 # using up the VM.
 MAX_PIPELINED_REQUESTS = 16
-# Bytes that are parsed at a time. When a connection has reached its limit of requests,
-# it may already have parsed up to one chunk beyond that limit.
-PARSE_CHUNK_BYTES = 4096
-# Bytes that are buffered unparsed before reading from the socket pauses.
-MAX_UNPARSED_BYTES = 64 * 1024
 # Maximum bytes of a request head that are read. Up to this size, a head that exceeds
 # the configured limit is answered with status 431.
 MAX_HEAD_BYTES = 256 * 1024
 # Maximum bytes of a request body that are read, whatever limit is configured.
 MAX_BODY_BYTES = 64 * 1024 * 1024
-# Seconds for which the rest of a body is read and dropped after its request has been
-# answered, in all and without a byte. A caller that sends 360 kB over a busy link of
-# 1 Mbit/s takes 3 s.
-MAX_DROPPING_SECONDS = 4.0
-MAX_DROPPING_IDLE_SECONDS = 1.0
-# Retry-After for an upload whose body did not arrive within its caller's time.
-BODY_LATE_RETRY_AFTER_SECONDS = 0.05
-
 # Seconds for which the rest of a request, or the first request of a new connection, may
 # still be in transit: twice the retransmission timeout of a lost packet.
 IN_TRANSIT_SECONDS = 0.5
@@ -71,15 +60,6 @@
 CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
-def declared_body_bytes(fields: list[tuple[str, str]]) -> int | None:
-    """Return the length of a body by its request head, or None for a chunked body."""
-    names = {name.lower(): value for name, value in fields}
-    if "transfer-encoding" in names:
-        return None
-    length = names.get("content-length", "0").strip()
-    return int(length) if length.isdecimal() else None
-
-
 class CallerConnection(asyncio.Protocol):
     """Reads the requests of one connection and writes the responses.
 
@@ -90,6 +70,7 @@
 
     def __init__(self, server: CallerServer):
         self._server = server
+        self.memory = ConnectionMemory(self, server.memory, server.body_limit)
         self._transport: asyncio.Transport | None = None
         self._parser = HttpRequestParser(self)
         self._unparsed = bytearray()
@@ -105,12 +86,6 @@
         self._input_closed = False
         self._write_paused = False
         self._is_reading = True
-        # Bytes of unread input that are counted in the memory.
-        self._counted_input = 0
-        self._taken_answers = TakenAnswers()
-        # Bytes of an answered request that are still to be read and dropped.
-        self._dropped_bytes_left = 0
-        self._dropping_since = 0.0
         # Whether only requests that have begun to arrive are still read.
         self._takes_no_new_requests = False
         self._idle_since = now()
@@ -127,9 +102,9 @@
 
     def connection_made(self, transport) -> None:
         """Register the connection and start its idle timer."""
-        self._transport = transport
+        self._transport = self.memory.transport = transport
         self._server.add_connection(self)
-        self._update_reading()
+        self.update_reading()
         self._check_idle()
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -139,18 +114,17 @@
             self._timer.cancel()
         if self._graceful_close is not None:
             self._graceful_close.cancel()
-        self._cancel_exchanges(self._exchanges)
-        self._exchanges.clear()
+        self._cancel_exchanges()
         self._unparsed.clear()
-        self._count_input()
-        self.release_untaken_answers()
+        self.memory.count_input(len(self._unparsed))
+        self.memory.release_untaken_answers()
         self._server.remove_connection(self)
 
     def data_received(self, data: bytes) -> None:
         """Buffer received bytes and parse as many as the limits allow."""
         self._last_data_at = now()
         if self._input_closed:
-            self._dropped_bytes_left -= len(data)
+            self.memory.record_dropped(len(data))
             return
         self._unparsed += data
         self._advance()
@@ -200,122 +174,20 @@
             exchange.refusal = exc
             return
         exchange.deadline = exchange.received_at + exchange.req.time_left
-        if self._server.is_upload(exchange.req) and not self._admit_upload(exchange):
+        is_upload = self._server.is_upload(exchange.req)
+        if is_upload and not self.memory.admit_upload(exchange, self._header_fields):
             return
         expects_continue = any(
             name.lower() == "expect" and value.lower() == "100-continue"
             for name, value in self._header_fields
         )
-        if (
-            expects_continue
-            and len(self._exchanges) == 1
-            and self._transport is not None
-        ):
+        is_first = len(self._exchanges) == 1
+        if expects_continue and is_first and self._transport is not None:
             self._transport.write(CONTINUE_RESPONSE)
 
     def on_body(self, body: bytes) -> None:
         """Buffer a part of the body, within the size and memory limits."""
-        exchange = self._exchanges[-1]
-        exchange.body_size += len(body)
-        if exchange.refusal is not None:
-            return
-        if exchange.body_size > self._server.body_limit():
-            exchange.refusal = BadRequest(
-                CONTENT_TOO_LARGE, "request body exceeds the size limit"
-            )
-        elif self._reserve_body(exchange, len(body)):
-            exchange.body += body
-            return
-        exchange.body = bytearray()
-        self._release_memory(exchange)
-
-    def _admit_upload(self, exchange: Exchange) -> bool:
-        """Reserve memory for an upload's declared body, or refuse it without reading.
-
-        Returns
-        -------
-        bool
-            Whether the upload is not refused.
-        """
-        assert exchange.req is not None
-        exchange.is_upload = True
-        exchange.declared_bytes = declared_body_bytes(self._header_fields)
-        size = exchange.declared_bytes
-        if size is not None and size > self._server.body_limit():
-            cause = "request body exceeds the size limit"
-            exchange.refusal = BadRequest(CONTENT_TOO_LARGE, cause)
-        elif size is not None and not self._server.memory.reserve_body(size, True):
-            exchange.refusal = self._server.memory.refuse_upload(
-                size, exchange.req.time_left
-            )
-        if exchange.refusal is not None:
-            exchange.ends_early = True
-            return False
-        exchange.reserved_upload_bytes = size or 0
-        loop = asyncio.get_running_loop()
-        exchange.body_timer = loop.call_later(
-            max(0.0, exchange.deadline - now()), self._end_late_upload, exchange
-        )
-        return True
-
-    def _reserve_body(self, exchange: Exchange, size: int) -> bool:
-        """Reserve memory for received bytes of a body, or refuse the request."""
-        memory = self._server.memory
-        if exchange.is_upload:
-            size = max(0, exchange.body_size - exchange.reserved_upload_bytes)
-        if not memory.reserve_body(size, exchange.is_upload):
-            assert exchange.req is not None
-            exchange.refusal = (
-                memory.refuse_upload(size, exchange.req.time_left)
-                if exchange.is_upload
-                else memory.refuse_body()
-            )
-            return False
-        if exchange.is_upload:
-            exchange.reserved_upload_bytes += size
-        else:
-            exchange.reserved_bytes += size
-        return True
-
-    def _end_late_upload(self, exchange: Exchange) -> None:
-        """Refuse an upload whose body has not arrived within its caller's time.
-
-        A caller that stops in the middle of a body would otherwise hold its memory
-        until its connection is lost.
-        """
-        if exchange.is_complete or exchange.refusal is not None:
-            return
-        detail = f"{exchange.body_size} of {exchange.declared_bytes} bytes arrived"
-        exchange.refusal = Refused("body-late", BODY_LATE_RETRY_AFTER_SECONDS, detail)
-        exchange.body = bytearray()
-        self._release_memory(exchange)
-        exchange.ends_early = True
-        self._end_early()
-        self._advance()
-
-    def _end_early(self) -> None:
-        """Answer the last request before its body is complete; read no more requests.
-
-        The rest of the body is read and dropped.
-        """
-        exchange = self._exchanges[-1]
-        received = exchange.body_size + len(self._unparsed)
-        if exchange.declared_bytes is not None:
-            self._dropped_bytes_left = exchange.declared_bytes - received
-        self._dropping_since = now()
-        exchange.is_complete = True
-        self._input_closed = True
-        self._in_request = False
-        self._unparsed.clear()
-
-    def _is_dropping_input(self) -> bool:
-        """Return whether the rest of an answered request is expected."""
-        moment = now()
-        return (
-            self._dropped_bytes_left > 0
-            and moment - self._dropping_since < MAX_DROPPING_SECONDS
-            and moment - self._last_data_at < MAX_DROPPING_IDLE_SECONDS
-        )
+        self.memory.receive_body(self._exchanges[-1], body)
 
     def on_message_complete(self) -> None:
         """Mark the request as completely received."""
@@ -331,7 +203,12 @@
             # Anything after this request is not parsed, so it is never executed.
             self._input_closed = True
 
-    # Calls from the server.
+    # Calls from the server and the memory.
+
+    def end_late_upload(self) -> None:
+        """Answer the last request, whose body has not arrived in time."""
+        self._end_early()
+        self._advance()
 
     @property
     def is_serving(self) -> bool:
@@ -343,9 +220,7 @@
         """Bytes of responses that the peer has not acknowledged."""
         if self._transport is None:
             return 0
-        return self._transport.get_write_buffer_size() + send_queue_bytes(
-            self._transport
-        )
+        return count_unacknowledged_bytes(self._transport)
 
     @property
     def has_pending_work(self) -> bool:
@@ -381,7 +256,7 @@
         connection is cut. It may send the unread requests again to another VM.
         """
         self._takes_no_new_requests = True
-        self._update_reading()
+        self.update_reading()
 
     def close_if_idle(self) -> bool:
         """Close the connection if it has no work; return whether it was closed.
@@ -415,44 +290,11 @@
         if peer_has_closed(self._transport):
             self._transport.abort()
 
-    def update_reading(self) -> None:
-        """Pause or resume reading after a change of the memory in use."""
-        self._update_reading()
-
-    def count_untaken_answers(self) -> int:
-        """Count the bytes of answers that the kernel has not taken, and return them."""
-        if self._transport is None:
-            return 0
-        size = self._transport.get_write_buffer_size()
-        memory, taken = self._server.memory, self._taken_answers
-        if size > taken.counted:
-            memory.reserve_answer(size - taken.counted)
-        else:
-            memory.release(taken.counted - size)
-        taken.counted = size
-        taken.record_unacknowledged(self.unacknowledged_bytes)
-        return size
-
-    def release_untaken_answers(self) -> None:
-        """Release the memory of answers that are dropped with the connection."""
-        self._server.memory.release(self._taken_answers.counted)
-        self._taken_answers.counted = 0
-
-    def describe_untaken(self, number: int) -> UntakenAnswer:
-        """Return the untaken answers; `number` identifies the connection."""
-        return self._taken_answers.describe(number)
-
-    def disconnect(self) -> None:
-        """Drop the connection together with its untaken answers."""
-        if self._transport is not None:
-            self._transport.abort()
-        self.release_untaken_answers()
-
     def close_now(self) -> None:
         """Close the connection regardless of pending work; start nothing more."""
         self._input_closed = True
         self._unparsed.clear()
-        self._count_input()
+        self.memory.count_input(len(self._unparsed))
         if self._transport is not None:
             self._transport.close()
         self._server.remove_connection(self)
@@ -477,21 +319,13 @@
             answered = True
         if answered and not self._exchanges and not self._input_closed:
             self._idle_since = now()
-        self._count_input()
-        self._update_reading()
-
-    def _count_input(self) -> None:
-        """Count the bytes that have been read and not parsed."""
-        size, counted = len(self._unparsed), self._counted_input
-        if size > counted:
-            self._server.memory.reserve_answer(size - counted)
-        elif size < counted:
-            self._server.memory.release(counted - size)
-        self._counted_input = size
+        self.memory.count_input(len(self._unparsed))
+        self.update_reading()
 
     def _parse(self) -> None:
         while self._unparsed and not self._input_closed and self._may_parse():
-            size = self._parse_size()
+            last = self._exchanges[-1] if self._exchanges else None
+            size = compute_parse_bytes(last)
             chunk = bytes(self._unparsed[:size])
             del self._unparsed[:size]
             if self._in_head:
@@ -513,18 +347,6 @@
             if last is not None and last.ends_early and not last.is_complete:
                 self._end_early()
 
-    def _parse_size(self) -> int:
-        """Return how many bytes to parse at once.
-
-        The rest of an upload's body contains no other request. In small chunks, the
-        parsing of 400 uploads delayed small requests at a VM with a third of a core.
-        """
-        last = self._exchanges[-1] if self._exchanges else None
-        if last is None or last.is_complete or last.declared_bytes is None:
-            return PARSE_CHUNK_BYTES
-        left = last.declared_bytes - last.body_size
-        return max(PARSE_CHUNK_BYTES, min(left, MAX_UNPARSED_BYTES))
-
     def _may_parse(self) -> bool:
         if not self._exchanges:
             return True
@@ -536,6 +358,18 @@
             return False
         return len(self._exchanges) - (not is_last_complete) < MAX_PIPELINED_REQUESTS
 
+    def _end_early(self) -> None:
+        """Answer the last request before its body is complete; read no more requests.
+
+        The rest of the body is read and dropped.
+        """
+        exchange = self._exchanges[-1]
+        self.memory.start_dropping(exchange, len(self._unparsed))
+        exchange.is_complete = True
+        self._input_closed = True
+        self._in_request = False
+        self._unparsed.clear()
+
     def _close_after_last(self) -> None:
         """Stop parsing, and close the connection after the last request's response."""
         self._input_closed = True
@@ -555,11 +389,10 @@
         self._in_request = False
         last.is_complete = True
         last.refusal = exc
-        last.body = bytearray()
-        self._release_memory(last)
+        self.memory.drop_body(last)
 
-    def _update_reading(self) -> None:
-        """Pause or resume reading, depending on how many bytes wait to be parsed."""
+    def update_reading(self) -> None:
+        """Pause or resume reading, depending on the bytes and memory in use."""
         if self._transport is None or self._transport.is_closing():
             return
         if self._graceful_close is not None:
@@ -599,9 +432,8 @@
                 exchange.refusal, exchange.req, now() - exchange.received_at
             )
             return
-        exchange.reserved_bytes += self._server.memory.reserve_expected_answer(
-            self._server.expected_answer_bytes(exchange.req)
-        )
+        expected_bytes = self._server.expected_answer_bytes(exchange.req)
+        self.memory.reserve_expected_answer(exchange, expected_bytes)
         exchange.req.body = bytes(exchange.body)
         exchange.body = bytearray()
         # The caller has been waiting since the request head was read.
@@ -614,10 +446,9 @@
         finally:
             # The task and its request may outlive the reserved memory.
             req.body = b""
-            self._release_memory(exchange)
+            self.memory.release(exchange)
         exchange.response = response
-        # A buffered response counts against the body memory until it is written.
-        exchange.reserved_bytes = self._server.memory.reserve_answer(len(response.body))
+        self.memory.reserve_response(exchange, len(response.body))
         self._advance()
 
     def _write_ready_responses(self) -> bool:
@@ -625,29 +456,20 @@
         answered = False
         while self._exchanges and self._exchanges[0].response is not None:
             exchange = self._exchanges.popleft()
-            self._release_memory(exchange)
+            self.memory.release(exchange)
             if exchange.req is not None:
                 self._last_request_id = exchange.req.request_id
             closing = exchange.closes_connection or self._is_last_response()
             if self._transport is not None and not self._transport.is_closing():
                 assert exchange.response is not None
                 self._transport.write(encode_response(exchange.response, closing))
-                self._watch_untaken_answers(exchange)
+                self.memory.watch_untaken_answers(exchange)
             if closing:
                 self._close()
                 return False
             answered = True
         return answered
 
-    def _watch_untaken_answers(self, exchange: Exchange) -> None:
-        """Count a written answer until the kernel has taken it."""
-        assert self._transport is not None
-        if not self._transport.get_write_buffer_size():
-            return
-        self._taken_answers.record_answer(exchange.deadline, self.unacknowledged_bytes)
-        self.count_untaken_answers()
-        self._server.memory.watch(self)
-
     def _is_last_response(self) -> bool:
         """Return whether the process is stopping and no other request has arrived.
 
@@ -661,29 +483,21 @@
         """Close once all output is acknowledged; later requests get no response."""
         self._input_closed = True
         self._in_request = False
-        self._cancel_exchanges(self._exchanges)
-        self._exchanges.clear()
+        self._cancel_exchanges()
         if self._transport is not None and not self._transport.is_closing():
             self._graceful_close = GracefulClose(
                 self._transport,
                 lambda: self._server.idle_timeout,
-                self._is_dropping_input,
+                lambda: self.memory.is_dropping_input(self._last_data_at),
             )
             self._graceful_close.begin()
 
-    def _cancel_exchanges(self, exchanges: deque[Exchange]) -> None:
-        for exchange in exchanges:
-            self._release_memory(exchange)
+    def _cancel_exchanges(self) -> None:
+        for exchange in self._exchanges:
+            self.memory.release(exchange)
             if exchange.task is not None:
                 exchange.task.cancel()
-
-    def _release_memory(self, exchange: Exchange) -> None:
-        """Release the memory that is reserved for a body or a response."""
-        if exchange.body_timer is not None:
-            exchange.body_timer.cancel()
-        self._server.memory.release(exchange.reserved_bytes)
-        self._server.memory.release(exchange.reserved_upload_bytes, True)
-        exchange.reserved_bytes = exchange.reserved_upload_bytes = 0
+        self._exchanges.clear()
 
     # Idle time.
 
--- a/packages/entry/src/berylstage_entry/memory/buffer_memory.py
+++ b/packages/entry/src/berylstage_entry/memory/buffer_memory.py
@@ -209,7 +209,7 @@
     def _check_taken(self) -> None:
         self._timer = None
         for conn in list(self._untaken):
-            if not conn.count_untaken_answers():
+            if not conn.memory.count_untaken_answers():
                 self._untaken.discard(conn)
         missing, self._missing = self._missing, 0
         if self.budget.is_full:
@@ -222,7 +222,9 @@
         """Disconnect callers that do not take their answers, to free memory."""
         moment = now()
         by_id = {id(conn): conn for conn in self._untaken}
-        answers = [conn.describe_untaken(number) for number, conn in by_id.items()]
+        answers = [
+            conn.memory.describe_untaken(number) for number, conn in by_id.items()
+        ]
         for answer in choose_disconnects(answers, missing, moment):
             conn = by_id[answer.connection]
             self._metrics.increment("caller disconnected for memory")
@@ -235,7 +237,7 @@
                     "late": round(moment - answer.deadline, 1),
                 },
             )
-            conn.disconnect()
+            conn.memory.disconnect()
 
 
 class TakenAnswers:
--- a/packages/entry/src/berylstage_entry/sockets.py
+++ b/packages/entry/src/berylstage_entry/sockets.py
@@ -11,7 +11,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from asyncio import BaseTransport
+    from asyncio import BaseTransport, WriteTransport
     from asyncio.trsock import TransportSocket
 
 _INT = struct.Struct("i")
@@ -108,6 +108,11 @@
     return socket_send_queue_bytes(transport.get_extra_info("socket"))
 
 
+def count_unacknowledged_bytes(transport: WriteTransport) -> int:
+    """Return the bytes written to a transport that its peer has not acknowledged."""
+    return transport.get_write_buffer_size() + send_queue_bytes(transport)
+
+
 def socket_send_queue_bytes(sock: TransportSocket | socket | None) -> int:
     """Return the bytes in a socket's kernel send queue.
 
--- a/packages/entry/tests/test_buffer_memory.py
+++ b/packages/entry/tests/test_buffer_memory.py
@@ -5,11 +5,12 @@
 import asyncio
 
 import pytest
-from berylstage_entry import connection as connection_module
-from berylstage_entry.connection import MAX_DROPPING_SECONDS, CallerConnection
+from berylstage_entry.connection import CallerConnection
 from berylstage_entry.errors import Refused
+from berylstage_entry.memory import connection_memory
 from berylstage_entry.memory.budget import MAX_WAIT_SHARE
 from berylstage_entry.memory.buffer_memory import BufferMemory
+from berylstage_entry.memory.connection_memory import MAX_DROPPING_SECONDS
 from berylstage_entry.memory.untaken_answers import LATE_SECONDS, STALLED_SECONDS
 from berylstage_entry.metrics import Metrics
 from berylstage_entry.request_log import RequestLog
@@ -167,7 +168,7 @@
 
     def test_refused_caller_that_sends_without_end_is_closed(self, run, monkeypatch):
         async def scenario(harness, sleep):
-            monkeypatch.setattr(connection_module, "MAX_DROPPING_IDLE_SECONDS", 99.0)
+            monkeypatch.setattr(connection_memory, "MAX_DROPPING_IDLE_SECONDS", 99.0)
             harness.budget.add(harness.budget.capacity, True)
             transport = harness.send(upload_head("/u"))
             await sleep(MAX_DROPPING_SECONDS - 0.2)
--- a/packages/entry/tests/test_connection.py
+++ b/packages/entry/tests/test_connection.py
@@ -5,12 +5,9 @@
 import asyncio
 
 import pytest
-from berylstage_entry.connection import (
-    MAX_PIPELINED_REQUESTS,
-    MAX_UNPARSED_BYTES,
-    CallerConnection,
-)
+from berylstage_entry.connection import MAX_PIPELINED_REQUESTS, CallerConnection
 from berylstage_entry.errors import Refused
+from berylstage_entry.memory.connection_memory import MAX_UNPARSED_BYTES
 from berylstage_entry.metrics import Metrics
 from berylstage_entry.protocols import CallerProtocol, CallerRequest, TargetAnswer
 from berylstage_entry.request_log import RequestLog
