Router: times of callers in a module of their own

Change: the class CallerTimes in caller_times.py keeps the remaining times of each route and the objectives of each service; the router owns it and counts attempts of earlier requests as before. No behaviour changes.

--- a/packages/entry/src/berylstage_entry/router.py
+++ b/packages/entry/src/berylstage_entry/router.py
@@ -7,11 +7,11 @@
 from typing import TYPE_CHECKING
 
 from berylstage_policy.completion import OTHER_DATA_CENTRE
-from berylstage_policy.remaining_times import RemainingTimes
 from berylstage_policy.retries import RetryBudget
 from berylstage_policy.weighted_round_robin import WeightedRoundRobin
 from berylstage_transfers.errors import AnswerLost, NeverSent
 
+from berylstage_entry.caller_times import CallerTimes
 from berylstage_entry.clock import now
 from berylstage_entry.cold_targets import ColdTargets
 from berylstage_entry.errors import (
@@ -99,6 +99,7 @@
     cold_targets : ColdTargets
     target_notices : TargetNotices
     target_admission : TargetAdmission
+    caller_times : CallerTimes
     """
 
     def __init__(
@@ -125,13 +126,7 @@
         self.cold_targets = ColdTargets(cluster_view, bounds, vm)
         self.target_notices = TargetNotices(cluster_view)
         self.target_admission = TargetAdmission(cluster_view, self.target_notices)
-        # Largest remaining times of requests, and the objectives of each service's
-        # routes in a version of the configuration.
-        self._remaining_times = RemainingTimes()
-        # The same without the limit of the routes' timeouts.
-        self._caller_times = RemainingTimes()
-        self._objectives: dict[str, dict[str, float]] = {}
-        self._objectives_version = -1
+        self.caller_times = CallerTimes()
         self._retry_budgets: dict[str, RetryBudget] = {}
         self._splits: dict[str, tuple[tuple, WeightedRoundRobin]] = {}
         self._seen_revision = -1
@@ -193,8 +188,11 @@
         if service is None:
             raise Refused("no-service", MAX_RETRY_AFTER_SECONDS)
         wait = min(req.time_left - ANSWER_DELIVERY_SECONDS, route.timeout)
-        may_return = self._may_caller_return(req, route, service, cfg, arrived_at)
-        age = self._least_age(req, route, arrived_at) if may_return else 0.0
+        times = self.caller_times
+        may_return = times.may_return(req, route, service, cfg, arrived_at)
+        age = times.least_age(req, route, arrived_at) if may_return else 0.0
+        if age:
+            self.count_event("attempt of earlier request")
         soft_deadline = arrived_at - age + route.objective - ANSWER_DELIVERY_SECONDS
         priority = route.priority
         if workspace is not None and workspace.priority is not None:
@@ -637,40 +635,6 @@
         has_time = ctx.seconds_left(now()) > ctx.route.objective / 2
         return has_time and ctx.attempts < ctx.route.attempts
 
-    def _may_caller_return(
-        self,
-        req: CallerRequest,
-        route: Route,
-        service: Service,
-        cfg: Configuration,
-        arrived_at: float,
-    ) -> bool:
-        """Tell whether a refused caller has time to return, and learn from it."""
-        remaining = min(req.time_left, route.timeout)
-        self._remaining_times.record(route.name, remaining, arrived_at)
-        return self._remaining_times.may_return(
-            self._service_objectives(cfg, service.name)
-        )
-
-    def _least_age(self, req: CallerRequest, route: Route, arrived_at: float) -> float:
-        """Return for how many seconds at least a caller has waited, over all attempts.
-
-        The route's timeout does not limit the time that the caller still waits, and
-        would hide its age.
-        """
-        self._caller_times.record(route.name, req.time_left, arrived_at)
-        age = self._caller_times.least_age(route.name, route.objective, req.time_left)
-        if age:
-            self.count_event("attempt of earlier request")
-        return age
-
-    def _service_objectives(self, cfg: Configuration, service: str) -> dict[str, float]:
-        """Return the objective in seconds of each route of a service."""
-        if self._objectives_version != cfg.version:
-            self._objectives_version = cfg.version
-            self._objectives = cfg.objectives_by_service()
-        return self._objectives.get(service, {})
-
     def _choose_service(self, route: Route) -> str:
         if len(route.weighted_services) == 1:
             return route.weighted_services[0].service
--- a/packages/entry/tests/test_returning_callers.py
+++ b/packages/entry/tests/test_returning_callers.py
@@ -50,8 +50,8 @@
     view.apply(Record(target=target("a")), now(), False)
     router = Router(view, StoreWatcher(), TargetClients([]), BOUNDS, Random(1))
     for _ in range(MIN_REQUESTS):
-        router._remaining_times.record("r", min(largest, timeout), now())
-        router._caller_times.record("r", largest, now())
+        router.caller_times.limited.record("r", min(largest, timeout), now())
+        router.caller_times.unlimited.record("r", largest, now())
     router.permit_client = permit_client
     return router
 
