Soak: tests of refused uploads and of slow readers

Guards against a caller that reuses a connection on which part of an upload's body is still to be sent, and against slow readers that read at once.

--- a/tests/test_soak_callers.py
+++ b/tests/test_soak_callers.py
@@ -69,6 +69,54 @@
         assert (status, len(body)) == (200, size)
         assert time.monotonic() - began >= 0.5
 
+    def test_upload_refused_before_its_end_closes_the_connection(self, ledger):
+        # The next request on the connection would be read as the rest of the body.
+        body_bytes = 50_000_000
+
+        async def serve(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n")
+            await asyncio.sleep(1.0)
+            writer.close()
+
+        async def scenario():
+            server = await asyncio.start_server(serve, "127.0.0.1", 0)
+            address = server.sockets[0].getsockname()
+            caller = Caller(address, Link(10.0), ledger)
+            request = Request("upload-1", None, 0, body_bytes)
+            await asyncio.wait_for(caller.send_requests([request], 0.0), 5.0)
+            server.close()
+            return ledger.answers["upload-1"][1], caller.is_open()
+
+        assert asyncio.run(scenario()) == (503, False)
+
+    def test_slow_reader_spreads_its_reads(self, ledger):
+        # Without slow readers no answer would wait in the memory of a VM.
+        size = 100_000
+        head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % size
+
+        async def serve(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(head + bytes(size))
+            await writer.drain()
+            writer.close()
+
+        async def scenario():
+            server = await asyncio.start_server(serve, "127.0.0.1", 0)
+            address = server.sockets[0].getsockname()
+            caller = Caller(address, Link(1000.0), ledger)
+            request = Request("lookup-1", 1, size)
+            request.read_seconds = 0.5
+            began = time.monotonic()
+            await asyncio.wait_for(caller.send_requests([request], 0.0), 5.0)
+            caller.close()
+            server.close()
+            return ledger.answers["lookup-1"][1], time.monotonic() - began
+
+        status, seconds = asyncio.run(scenario())
+        assert status == 200
+        assert seconds >= 0.5
+
     def test_link_accepts_no_more_than_a_stop_can_transfer(self):
         # Answers that the link can't transfer in time would be reported as lost.
         link = Link(10.0)
