Permits: a large body in transit keeps its slot

Cause: a permit queue took back the permit of a request that its target did not report 30 ms after the grant, also while its body was under way.

Change: the permit of a request on a route of kind upload counts as arrived after 1 s, in which 360 kB cross a link of 5 Mbit/s.

--- a/packages/entry/src/berylstage_entry/permit_server.py
+++ b/packages/entry/src/berylstage_entry/permit_server.py
@@ -146,6 +146,8 @@
         # routes.
         self._remaining_times = RemainingTimes()
         self._objectives: dict[str, dict[str, float]] = {}
+        # Request kinds with large bodies.
+        self._upload_kinds: set[str] = set()
         self._task: asyncio.Task | None = None
         self._log_limiter = LogRateLimiter(REFUSAL_LINES_PER_SECOND)
         # Set while a queue contains requests.
@@ -204,6 +206,7 @@
             ask.objective,
             moment + ask.deadline,
             moment,
+            kind in self._upload_kinds,
         )
         decisions = queue.request(req, moment)
         self._send_decisions(decisions)
@@ -301,6 +304,7 @@
         if cfg is not None:
             names += [*cfg.services, *(route.name for route in cfg.routes)]
             self._objectives = cfg.objectives_by_service()
+            self._upload_kinds = {r.name for r in cfg.routes if r.is_upload}
         self._names = {checksum(name): name for name in names}
         for name in [name for name in self._queues if name not in names]:
             del self._queues[name]
--- a/packages/policy/src/berylstage_policy/slot_queue.py
+++ b/packages/policy/src/berylstage_policy/slot_queue.py
@@ -40,7 +40,13 @@
 from berylstage_policy.slot_requests import Decision, PermitStatus
 from berylstage_policy.slot_schedule import SlotSchedule
 from berylstage_policy.slot_selection import SlotSelector
-from berylstage_policy.target_slots import Permit, TargetSlots, describe_slots
+from berylstage_policy.target_slots import (
+    LARGE_BODY_ARRIVAL_SECONDS,
+    PERMIT_ARRIVAL_SECONDS,
+    Permit,
+    TargetSlots,
+    describe_slots,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Mapping, Sequence
@@ -334,7 +340,12 @@
 
     def _grant(self, req: QueuedRequest, target: str, now: float) -> None:
         expected_done = now + self._times.seconds(target, req.kind)
-        permit = Permit(target, req.key, now, expected_done, req.deadline)
+        arrival_seconds = (
+            LARGE_BODY_ARRIVAL_SECONDS if req.has_large_body else PERMIT_ARRIVAL_SECONDS
+        )
+        permit = Permit(
+            target, req.key, now, expected_done, req.deadline, arrival_seconds
+        )
         self._targets[target].permits[req.request_id] = permit
         if self._shares is not None:
             self._shares.record_granted(req.key, expected_done - now, now)
--- a/packages/policy/src/berylstage_policy/slot_requests.py
+++ b/packages/policy/src/berylstage_policy/slot_requests.py
@@ -39,10 +39,13 @@
     deadline : float
         Time after which the answer has no value.
     now : float
+    has_large_body : bool
+        Whether it takes a noticeable time from the permit to its arrival at the target.
     """
 
     __slots__ = (
         "deadline",
+        "has_large_body",
         "key",
         "kind",
         "last_seen",
@@ -64,6 +67,7 @@
         objective: float,
         deadline: float,
         now: float,
+        has_large_body: bool = False,
     ):
         self.request_id = request_id
         self.kind = kind
@@ -73,6 +77,7 @@
         self.objective = objective
         self.deadline = deadline
         self.last_seen = now
+        self.has_large_body = has_large_body
         self.rank = (priority, soft_deadline)
         self.key = KindKey(kind, priority)
 
--- a/packages/policy/src/berylstage_policy/target_slots.py
+++ b/packages/policy/src/berylstage_policy/target_slots.py
@@ -12,6 +12,10 @@
 
 # After this time a request with a permit has either reached its target or completed.
 PERMIT_ARRIVAL_SECONDS = 0.03
+# The same for a request with a large body, which a target counts once it has arrived:
+# 360 kB take 0.58 s on a link of 5 Mbit/s. With the time above, its permit was taken
+# back during the transfer, and a third body went to a target with two slots.
+LARGE_BODY_ARRIVAL_SECONDS = 1.0
 # How long a target's report of requests from outside this queue remains valid.
 FOREIGN_REPORT_TTL_SECONDS = 0.3
 # Estimate of the remaining time of an overdue request: this share of its expected
@@ -42,7 +46,14 @@
 class Permit:
     """Permission for one request to use a slot of a target."""
 
-    __slots__ = ("deadline", "expected_done", "granted_at", "key", "target")
+    __slots__ = (
+        "arrival_seconds",
+        "deadline",
+        "expected_done",
+        "granted_at",
+        "key",
+        "target",
+    )
 
     def __init__(
         self,
@@ -51,12 +62,15 @@
         granted_at: float,
         expected_done: float,
         deadline: float,
+        arrival_seconds: float = PERMIT_ARRIVAL_SECONDS,
     ):
         self.target = target
         self.key = key
         self.granted_at = granted_at
         self.expected_done = expected_done
         self.deadline = deadline
+        # Time after which its request has reached the target.
+        self.arrival_seconds = arrival_seconds
 
     def expected_end(self, now: float) -> float:
         """Return the time when the request is expected to complete.
@@ -116,7 +130,7 @@
         arrived = [
             request_id
             for request_id, permit in self.permits.items()
-            if now - permit.granted_at >= PERMIT_ARRIVAL_SECONDS
+            if now - permit.granted_at >= permit.arrival_seconds
         ]
         for request_id in arrived[: max(0, len(arrived) - active)]:
             del self.permits[request_id]
--- a/packages/policy/tests/test_slot_queue.py
+++ b/packages/policy/tests/test_slot_queue.py
@@ -310,6 +310,19 @@
             queue.request(queued_request(3, 0.12), 0.12), PermitStatus.QUEUED
         ) == [3]
 
+    def test_large_body_in_transit_keeps_its_slot(self):
+        # Guards against a third body at a target with two slots, which ends when its
+        # memory is exceeded: it reports an upload only when the body has arrived.
+        queue = slot_queue(2)
+        queue.request(queued_request(0, 0.0), 0.0)
+        upload = queued_request(1, 0.0)
+        upload.has_large_body = True
+        queue.request(upload, 0.0)
+        queue.release(request_id(0), 0.4, TargetReport("a", 0))
+        queue.request(queued_request(2, 0.4), 0.4)
+        decisions = queue.request(queued_request(3, 0.4), 0.4)
+        assert numbers_with(decisions, PermitStatus.QUEUED) == [3]
+
     def test_queued_request_of_a_lost_vm_is_dropped(self):
         queue = slot_queue(1)
         queue.request(queued_request(0, 0.0), 0.0)
