--- a/packages/policy/src/berylstage_policy/slot_admission.py
+++ b/packages/policy/src/berylstage_policy/slot_admission.py
@@ -1,4 +1,4 @@
-"""Lateness of requests that ask for admission to the shared queue."""
+"""Admission of new requests to the shared queue: lateness and unclaimed slots."""
 
 from __future__ import annotations
 
@@ -20,7 +20,7 @@
 
 
 class SlotAdmission:
-    """Computes by how much new requests would be late.
+    """Computes whether new requests can be admitted.
 
     The load is a burst of several seconds: a request that would be late is refused at
     once, while its caller can still try elsewhere.
@@ -83,6 +83,22 @@
         end = self._schedule.expected_end(queued, req, now)
         return max(0.0, end - late_limit(req, now))
 
+    def has_unclaimed_slot(self, queued: Sequence[QueuedRequest], now: float) -> bool:
+        """Tell whether a slot is free while no request is queued.
+
+        Service times are learned only from requests that were sent. If a kind that was
+        slow for a few requests were refused while slots are free, none would be sent
+        and the estimate would never be corrected.
+
+        Parameters
+        ----------
+        queued : sequence of QueuedRequest
+        now : float
+        """
+        if queued:
+            return False
+        return any(target.free(now) > 0 for target in self._targets.values())
+
 
 def late_limit(req: QueuedRequest, now: float) -> float:
     """Return when a late request must complete that waits behind the others.
--- a/packages/policy/src/berylstage_policy/slot_queue.py
+++ b/packages/policy/src/berylstage_policy/slot_queue.py
@@ -197,7 +197,7 @@
         if late > 0 and self.callers_may_return:
             req.rank_behind()
             late = self._admission.lateness_behind(self._queued, req, now)
-        if late > 0 and not self._has_unclaimed_slot(now):
+        if late > 0 and not self._admission.has_unclaimed_slot(self._queued, now):
             return [self._build_refusal(req, now, late)]
         self._kept_until = now
         self._queued.append(req)
@@ -351,17 +351,6 @@
         for target in self._targets.values():
             target.remove_expired(now)
 
-    def _has_unclaimed_slot(self, now: float) -> bool:
-        """Tell whether a slot is free while no request is queued.
-
-        Service times are learned only from requests that were sent. If a kind that was
-        slow for a few requests were refused while slots are free, none would be sent
-        and the estimate would never be corrected.
-        """
-        if self._queued:
-            return False
-        return any(target.free(now) > 0 for target in self._targets.values())
-
     def _free_times(self, now: float, kind: str) -> list[tuple[float, str]]:
         """Return when each slot becomes free after all queued requests, as a heap."""
         return self._schedule.free_times(self._queued, now, kind)
