--- /dev/null
+++ b/tests/fatal_load.py
@@ -0,0 +1,168 @@
+"""Callers of a request that ends each target which runs it, beside others."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from itertools import count
+from random import Random
+from typing import TYPE_CHECKING
+
+from soak.callers import KeylessLookup, Request
+from soak.installation import Installation
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+VMS = 12
+KEYED_TARGETS = 12
+KEYLESS_TARGETS = 12
+# Size of the answer that only the fatal request asks for.
+FATAL_SIZE = 4242
+FATAL_KEY = 1000
+KEYS = 65536
+# Seconds between two other requests.
+OTHER_REQUEST_GAP_SECONDS = 0.02
+# Seconds for which only other requests are sent, at the start and at the end.
+QUIET_SECONDS = 2.0
+# Ends after which a request is certain to cause them, and the seconds after the last of
+# these in which each VM has to learn of it.
+CONVICTING_ENDS = 3
+SPREAD_SECONDS = 0.3
+OK = 200
+
+
+class Persistence:
+    """How callers of the fatal request repeat it.
+
+    Parameters
+    ----------
+    callers : int
+    attempts : int
+        Attempts of each caller, each through another VM.
+    pause : float
+        Seconds between two attempts.
+    """
+
+    __slots__ = ("attempts", "callers", "pause")
+
+    def __init__(self, callers: int, attempts: int, pause: float):
+        self.callers = callers
+        self.attempts = attempts
+        self.pause = pause
+
+
+class FatalLoad:
+    """Load on an installation some of whose requests end targets.
+
+    Parameters
+    ----------
+    installation : Installation
+    is_keyed : bool
+        Whether the fatal request has a key.
+    persistence : Persistence
+    """
+
+    def __init__(
+        self, installation: Installation, is_keyed: bool, persistence: Persistence
+    ):
+        self._installation = installation
+        self._is_keyed = is_keyed
+        self._persistence = persistence
+        self._rng = Random(1)
+        self._numbers = count()
+        self._others: list[asyncio.Task] = []
+        # Requests other than the fatal one.
+        self._other_ids: list[str] = []
+        # Time, identifier and status of each answer to the fatal request.
+        self.answers: list[tuple[float, str, int]] = []
+
+    async def play(self) -> None:
+        """Send all requests and wait for their answers."""
+        await self._wait_until_ready()
+        background = asyncio.create_task(self._send_others())
+        await asyncio.sleep(QUIET_SECONDS)
+        for target in self._installation.targets:
+            target.fatal_size = FATAL_SIZE
+        callers = range(self._persistence.callers)
+        await asyncio.gather(*(self._repeat(number) for number in callers))
+        await asyncio.sleep(QUIET_SECONDS)
+        background.cancel()
+        await asyncio.gather(*self._others)
+
+    @property
+    def runs(self) -> list[float]:
+        """Times at which the fatal request ran."""
+        return self._installation.ledger.fatal_runs
+
+    @property
+    def late_runs(self) -> int:
+        """Runs after each VM had time to learn what the request does."""
+        if len(self.runs) < CONVICTING_ENDS:
+            return 0
+        known_at = self.runs[CONVICTING_ENDS - 1] + SPREAD_SECONDS
+        return sum(moment > known_at for moment in self.runs)
+
+    @property
+    def served_share(self) -> float:
+        """Share of the other requests that were served."""
+        answers = self._installation.ledger.answers
+        served = sum(answers[x][1] == OK for x in self._other_ids)
+        return served / len(self._other_ids)
+
+    async def _wait_until_ready(self) -> None:
+        for vm in self._installation.vms:
+            await self._installation.wait_until_ready(vm)
+        keyed = [t for t in self._installation.targets if t.service == "s"]
+        while not all(target.holds for target in keyed):
+            await asyncio.sleep(0.1)
+
+    async def _send_others(self) -> None:
+        for number in count():
+            vm = self._rng.choice(self._installation.vms)
+            name = f"lookup-other-{number}"
+            key = self._rng.randrange(KEYS)
+            req = KeylessLookup(name) if number % 2 else Request(name, key)
+            self._other_ids.append(name)
+            sending = self._installation.send_requests(vm, [req], 0.0)
+            self._others.append(asyncio.create_task(sending))
+            await asyncio.sleep(OTHER_REQUEST_GAP_SECONDS)
+
+    async def _repeat(self, caller: int) -> None:
+        """Send the fatal request until it is served or the caller gives up."""
+        installation = self._installation
+        for attempt in range(self._persistence.attempts):
+            name = f"lookup-fatal-{caller}-{attempt}"
+            req = KeylessLookup(name, FATAL_SIZE)
+            if self._is_keyed:
+                req = Request(name, FATAL_KEY, FATAL_SIZE)
+            vm = installation.vms[next(self._numbers) % len(installation.vms)]
+            await installation.send_requests(vm, [req], 0.0)
+            status = installation.ledger.answers[name][1]
+            self.answers.append((time.monotonic(), name, status))
+            if status == OK:
+                return
+            await asyncio.sleep(self._persistence.pause)
+
+
+def play_fatal_load(
+    folder: Path, is_keyed: bool, persistence: Persistence, vms: int = VMS
+) -> FatalLoad:
+    """Play a load with a fatal request on an installation of its own."""
+
+    async def play() -> FatalLoad:
+        installation = Installation(
+            folder,
+            Random(1),
+            vms,
+            keyed_targets=KEYED_TARGETS,
+            keyless_targets=KEYLESS_TARGETS,
+        )
+        try:
+            load = FatalLoad(installation, is_keyed, persistence)
+            await load.play()
+        finally:
+            installation.stop()
+        return load
+
+    return asyncio.run(asyncio.wait_for(play(), timeout=60.0))
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -57,27 +57,59 @@
         """HTTP method: POST for an order or an upload, GET for a lookup."""
         return "POST" if self.key is None else "GET"
 
+    @property
+    def folder(self) -> str:
+        """First part of the path, which selects the route."""
+        if self.upload_size:
+            return "uploads"
+        return "orders" if self.key is None else "a"
+
     def encode(self) -> bytes:
         """Return the request as bytes of HTTP/1.1."""
-        service = "orders" if self.key is None else "a"
-        body = "order" if self.key is None else ""
+        body = "order" if self.method == "POST" else ""
         deadline_ms = REQUEST_DEADLINE_MS
         if self.upload_size:
-            service, body = "uploads", "u" * self.upload_size
+            body = "u" * self.upload_size
             deadline_ms = UPLOAD_DEADLINE_MS
         lines = [
-            f"{self.method} /{service}/{self.size} HTTP/1.1",
+            f"{self.method} /{self.folder}/{self.size} HTTP/1.1",
             "Host: h.example",
             f"Berylstage-Attempt-Id: {self.request_id}",
             f"Berylstage-Deadline-Ms: {deadline_ms}",
         ]
-        if self.key is None:
+        if body:
             lines.append(f"Content-Length: {len(body)}")
-        else:
+        if self.key is not None:
             lines.append(f"Berylstage-Shard-Key: {self.key}")
         return "\r\n".join([*lines, "", body]).encode()
 
 
+class KeylessLookup(Request):
+    """A lookup without a key.
+
+    Parameters
+    ----------
+    request_id : str
+    size : int
+        Minimum bytes of the answer's body.
+    """
+
+    __slots__ = ()
+
+    def __init__(self, request_id: str, size: int = 0):
+        super().__init__(request_id, None, size)
+
+    @property
+    def method(self) -> str:
+        """HTTP method."""
+        return "GET"
+
+    @property
+    def folder(self) -> str:
+        """First part of the path, which selects the route."""
+        return "reads"
+
+
 class Answer:
     """One HTTP answer.
 
--- a/tests/soak/configuration.py
+++ b/tests/soak/configuration.py
@@ -31,7 +31,8 @@
 def make_configuration(has_uploads: bool = False) -> dict:
     """Return a configuration with a sharded service and one without keys.
 
-    Lookups go to the sharded service, orders to the other one. Uploads go to a third
+    Lookups go to the sharded service, orders and lookups without a key to the other
+    one. Uploads go to a third
     service, which exists only with ``has_uploads``.
     """
     limits = {
@@ -43,6 +44,7 @@
     routes = [
         _route("lookups", "/a/", "safe", "s"),
         _route("o", "/orders/", "unsafe", "u"),
+        _route("reads", "/reads/", "safe", "u"),
     ]
     if has_uploads:
         upload = _route("uploads", "/uploads/", "upload", "w")
--- a/tests/soak/installation.py
+++ b/tests/soak/installation.py
@@ -40,7 +40,7 @@
 PROGRAM = "deploy/start.py"
 LINKED_PROGRAM = "tests/soak/vm.py"
 # Last octet of the first VM's address; the store and the targets use lower ones.
-FIRST_VM_HOST_NUMBER = 20
+FIRST_VM_HOST_NUMBER = 100
 STORE_PORT = 8390
 FRONT_PORT = 8381
 # Range of the bandwidth of links between VMs and callers.
@@ -49,7 +49,7 @@
 MIN_KEPT_CONNECTIONS = 8
 # Seconds within which a starting VM must become ready.
 READY_TIMEOUT_SECONDS = 20.0
-# Number of targets with owned keys, and of those without.
+# Usual number of targets with owned keys, and of those without.
 KEYED_TARGETS = 3
 KEYLESS_TARGETS = 2
 # Number of targets of uploads, where these are played.
@@ -150,6 +150,8 @@
         on that connection.
     has_uploads : bool
         Whether there are targets for uploads, and VMs have a limit of memory.
+    keyed_targets, keyless_targets : int
+        Number of targets with owned keys, and of those without.
     """
 
     def __init__(
@@ -160,6 +162,8 @@
         has_target_links: bool = False,
         has_silent_targets: bool = False,
         has_uploads: bool = False,
+        keyed_targets: int = KEYED_TARGETS,
+        keyless_targets: int = KEYLESS_TARGETS,
     ):
         self.ledger = Ledger()
         # Factor by which callers send more requests than usual.
@@ -168,7 +172,7 @@
         self.is_upload_burst = False
         self.store = SoakStore(rng)
         network = get_loopback_prefix()
-        services = "s" * KEYED_TARGETS + "u" * KEYLESS_TARGETS
+        services = "s" * keyed_targets + "u" * keyless_targets
         if has_uploads:
             services += "w" * UPLOAD_TARGETS
         self.targets = [
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -97,6 +97,8 @@
         self.cuts = CutLedger()
         # Descriptions of processes that needed more memory than they have.
         self.memory_excesses: list[str] = []
+        # Times at which targets ran a request that ends them.
+        self.fatal_runs: list[float] = []
         self._vms: dict[str, str] = {}
         self._spans: dict[str, Span] = {}
         self._sizes: dict[str, int] = {}
--- a/tests/soak/targets.py
+++ b/tests/soak/targets.py
@@ -28,8 +28,8 @@
 # ends: permits bound them to one body for each slot.
 MAX_UPLOAD_BYTES = 360_000
 BODY_MEMORY_BYTES = SLOTS * MAX_UPLOAD_BYTES
-# Seconds after which a target that ended for its memory starts again.
-MEMORY_RESTART_SECONDS = 1.0
+# Seconds after which a target that a request has ended starts again.
+RESTART_SECONDS = 1.0
 
 MEAN_SERVICE_SECONDS = 0.05
 # Status of a request for a key that the target does not own.
@@ -103,6 +103,9 @@
         # Bytes per second that it reads of an upload's body; None for no limit.
         self.read_bytes_per_second: float | None = None
         self._memory_end: asyncio.Task | None = None
+        # Size of the answers of requests that end the target; None for none.
+        self.fatal_size: int | None = None
+        self._fatal_ends: set[asyncio.Task] = set()
         self.slots = asyncio.Semaphore(SLOTS)
         self.http: SoakServer | None = None
         # Links from the VMs, by their numbers, where each VM has links of its own.
@@ -174,14 +177,22 @@
                 f"{self.name} ended with {body_bytes} bytes of bodies at "
                 f"{time.monotonic():.2f}: {bodies}"
             )
-            self._memory_end = asyncio.create_task(self._end_for_memory())
+            self._memory_end = asyncio.create_task(self.crash_and_restart())
 
-    async def _end_for_memory(self) -> None:
+    async def crash_and_restart(self) -> None:
+        """End the incarnation, and start the next one after a moment."""
         await self.crash()
-        await asyncio.sleep(MEMORY_RESTART_SECONDS)
+        await asyncio.sleep(RESTART_SECONDS)
         if not self.is_running:
             self.start()
 
+    def end_for_fatal_request(self) -> None:
+        """End because of the request that runs."""
+        self.ledger.fatal_runs.append(time.monotonic())
+        task = asyncio.create_task(self.crash_and_restart())
+        self._fatal_ends.add(task)
+        task.add_done_callback(self._fatal_ends.discard)
+
     async def wait_for_work(self, first: int, last: int) -> None:
         """Wait until no request for some keys, both inclusive, is in progress."""
         while any(first <= key <= last for key in self.ledger.running_keys(self)):
@@ -343,6 +354,11 @@
             self._refuse(MISDIRECTED)
             return
         server.ledger.record_run(server, request_id, key)
+        size = int(self.request.path.rpartition("/")[2])
+        if size == server.fatal_size:
+            server.end_for_fatal_request()
+            await self.closed.wait()
+            raise Finish
         seconds = server.rng.expovariate(1 / MEAN_SERVICE_SECONDS)
         await asyncio.sleep(max(seconds, server.min_service_seconds))
         server.ledger.record_run_end(server, request_id)
@@ -351,7 +367,6 @@
             return
         self.set_header("Berylstage-Backend-Signature", f"{server.name}.{request_id}")
         self._add_notices()
-        size = int(self.request.path.rpartition("/")[2])
         self.write(build_answer_body(request_id, size))
 
 
--- a/tests/test_soak_targets.py
+++ b/tests/test_soak_targets.py
@@ -12,8 +12,8 @@
 from soak.targets import (
     BODY_MEMORY_BYTES,
     MAX_UPLOAD_BYTES,
-    MEMORY_RESTART_SECONDS,
     PORT,
+    RESTART_SECONDS,
     SLOTS,
     SoakTarget,
 )
@@ -161,7 +161,7 @@
             sizes = [MAX_UPLOAD_BYTES] * SLOTS * 2
             target, answers = await self.send_uploads(ledger, sizes)
             seen = target.is_running, target.incarnation
-            await asyncio.sleep(MEMORY_RESTART_SECONDS)
+            await asyncio.sleep(RESTART_SECONDS)
             seen += target.is_running, target.bodies
             await target.crash()
             return answers, seen
