--- a/packages/entry/src/berylstage_entry/application.py
+++ b/packages/entry/src/berylstage_entry/application.py
@@ -238,6 +238,7 @@
         self.permit_client.is_current = self.router.is_current_queue
         self.permit_client.count_event = self.metrics.increment
         self.router.count_event = self.metrics.increment
+        self.router.lost_answers.count_event = self.metrics.increment
         self.peer_datagrams.handlers[KEY_COUNTS_TYPE] = (
             self.load_reporter.receive_key_counts
         )
--- a/packages/entry/src/berylstage_entry/router.py
+++ b/packages/entry/src/berylstage_entry/router.py
@@ -10,6 +10,7 @@
 from berylstage_policy.retries import RetryBudget
 from berylstage_policy.weighted_round_robin import WeightedRoundRobin
 from berylstage_transfers.errors import AnswerLost, NeverSent
+from logbook import Logger
 
 from berylstage_entry.caller_times import CallerTimes
 from berylstage_entry.clock import now
@@ -23,6 +24,7 @@
     Refused,
     Unanswered,
 )
+from berylstage_entry.lost_answers import LostAnswers
 from berylstage_entry.memory.upload_times import (
     compute_link_seconds,
     compute_work_seconds,
@@ -31,6 +33,7 @@
 from berylstage_entry.request_authenticator import RequestAuthenticator
 from berylstage_entry.request_context import RequestContext
 from berylstage_entry.request_errors import MAX_RETRY_AFTER_SECONDS, RequestErrors
+from berylstage_entry.request_fingerprint import compute_fingerprint
 from berylstage_entry.routed_answer import RoutedAnswer
 from berylstage_entry.target_admission import TargetAdmission
 from berylstage_entry.target_limits import MAX_RETRY_SECONDS
@@ -74,6 +77,8 @@
 OWNER_WAIT = 1.4
 NOT_FOUND = 404
 
+log = Logger(__name__)
+
 
 class Router:
     """Routes callers' requests to targets.
@@ -94,6 +99,7 @@
     ----------
     loads : TargetLoads
     links : TargetLinks
+    lost_answers : LostAnswers
     sender : TargetSender
     authenticator : RequestAuthenticator
     cold_targets : ColdTargets
@@ -117,6 +123,7 @@
         self._clients = target_clients
         self.links = TargetLinks(cluster_view, target_clients, rng)
         self.sender = TargetSender(self.links, vm)
+        self.lost_answers = LostAnswers(self.links)
         self._bounds = bounds
         self._rng = rng
         self._errors = RequestErrors(rng)
@@ -128,6 +135,7 @@
         self.target_admission = TargetAdmission(cluster_view, self.target_notices)
         self.caller_times = CallerTimes()
         self._retry_budgets: dict[str, RetryBudget] = {}
+        self._loss_checks: set[asyncio.Task] = set()
         self._splits: dict[str, tuple[tuple, WeightedRoundRobin]] = {}
         self._seen_revision = -1
         # Bandwidth of this VM's link in Mbit/s; 0 if it is not known.
@@ -287,6 +295,8 @@
     def _check_retry_limits(self, ctx: RequestContext, name: str) -> None:
         if ctx.attempts >= ctx.route.attempts and name not in ctx.tried_targets:
             raise self._errors.build_error(ctx, "attempts")
+        if name in ctx.tried_targets:
+            self.count_event("sent again to the same target")
         if not self._retry_budget(ctx.service.name).try_withdraw():
             raise self._errors.build_error(ctx, "budget")
 
@@ -542,6 +552,7 @@
                 raise self._errors.build_error(ctx, "unreachable") from exc
             return None
         except AnswerLost as exc:
+            self._start_loss_check(ctx.req, ctx.service, target, exc)
             if self.sender.is_reachable_by_others_only(name):
                 self._release_unjudged(ctx)
             self._handle_lost_answer(ctx, name, exc)
@@ -581,6 +592,9 @@
                 loads.service_seconds(target.name, kind, started_at),
                 request.is_repeatable,
             )
+        except AnswerLost as exc:
+            self._start_loss_check(req, service, target, exc)
+            raise
         finally:
             load.inflight -= 1
         self.target_notices.record_answer(target, answer, started_at)
@@ -588,6 +602,16 @@
         self.loads.record_answer(target.name, kind, service.name, answer, seconds)
         return answer
 
+    def _start_loss_check(
+        self, req: CallerRequest, service: Service, target: Target, exc: AnswerLost
+    ) -> None:
+        """Find out in the background why an answer was lost."""
+        fingerprint = compute_fingerprint(service.name, req)
+        cause = self.lost_answers.find_cause(req, fingerprint, target, exc)
+        task = asyncio.create_task(cause)
+        self._loss_checks.add(task)
+        task.add_done_callback(self._loss_checks.discard)
+
     def _handle_lost_answer(
         self, ctx: RequestContext, name: str, exc: AnswerLost
     ) -> None:
@@ -653,4 +677,12 @@
             budget = self._retry_budgets[service] = RetryBudget(
                 share, max(1.0, reserve)
             )
+            log.info(
+                "retry budget created",
+                extra={
+                    "service": service,
+                    "vms": self.vm_count,
+                    "reserve": round(budget.reserve, 2),
+                },
+            )
         return budget
--- a/packages/entry/src/berylstage_entry/target_links.py
+++ b/packages/entry/src/berylstage_entry/target_links.py
@@ -104,12 +104,26 @@
 
         The connections that a VM has may live on although new ones are refused.
         """
-        known = [entry.target.address for entry in self._cluster_view.known.values()]
-        addresses = self._rng.sample(known, min(SAMPLE_SIZE, len(known)))
-        results = await asyncio.gather(*(self.check_link(a) for a in addresses))
+        results = await self._check_sample(list(self._cluster_view.known))
         failed = sum(result is not CheckResult.ACCEPTED for result in results)
         return 2 * failed <= len(results)
 
+    async def reaches_others(self, target: Target) -> bool:
+        """Tell whether any of a few other targets accepts a new connection.
+
+        True if there is no other target.
+        """
+        names = [name for name in self._cluster_view.known if name != target.name]
+        results = await self._check_sample(names)
+        return not results or CheckResult.ACCEPTED in results
+
+    async def _check_sample(self, names: list[str]) -> list[CheckResult]:
+        """Check the links to a few of some targets."""
+        sample = self._rng.sample(names, min(SAMPLE_SIZE, len(names)))
+        known = self._cluster_view.known
+        addresses = [known[name].target.address for name in sample]
+        return await asyncio.gather(*(self.check_link(a) for a in addresses))
+
     def choose_way(self, name: str) -> Way:
         """Return how requests should be sent to a target."""
         return self.health.choose_way(name, now())
