--- a/packages/entry/src/berylstage_entry/router.py
+++ b/packages/entry/src/berylstage_entry/router.py
@@ -7,10 +7,8 @@
 from typing import TYPE_CHECKING
 
 from berylstage_policy.completion import OTHER_DATA_CENTRE
-from berylstage_policy.retries import RetryBudget
 from berylstage_policy.weighted_round_robin import WeightedRoundRobin
 from berylstage_transfers.errors import AnswerLost, NeverSent
-from logbook import Logger
 
 from berylstage_entry.caller_times import CallerTimes
 from berylstage_entry.clock import now
@@ -34,6 +32,7 @@
 from berylstage_entry.request_context import RequestContext
 from berylstage_entry.request_errors import MAX_RETRY_AFTER_SECONDS, RequestErrors
 from berylstage_entry.request_fingerprint import compute_fingerprint
+from berylstage_entry.retry_budgets import RetryBudgets
 from berylstage_entry.routed_answer import RoutedAnswer
 from berylstage_entry.target_admission import TargetAdmission
 from berylstage_entry.target_limits import MAX_RETRY_SECONDS
@@ -67,9 +66,6 @@
 ANSWER_DELIVERY_SECONDS = 0.02
 # Minimum seconds left for an attempt; a request with less is not sent.
 MIN_ATTEMPT_SECONDS = 0.02
-# Share of the retry bound that is used. The rest allows for the VMs' clocks, which do
-# not divide time into the same windows.
-RETRY_BUDGET_SHARE = 0.8
 # A request is refused if the owner of its key is expected to complete it later than
 # this multiple of the route's objective. With 1.0, requests were refused for which a
 # slot became free a moment later; without a limit, all requests for a key that needs
@@ -77,8 +73,6 @@
 OWNER_WAIT = 1.4
 NOT_FOUND = 404
 
-log = Logger(__name__)
-
 
 class Router:
     """Routes callers' requests to targets.
@@ -106,6 +100,7 @@
     target_notices : TargetNotices
     target_admission : TargetAdmission
     caller_times : CallerTimes
+    retry_budgets : RetryBudgets
     """
 
     def __init__(
@@ -134,14 +129,12 @@
         self.target_notices = TargetNotices(cluster_view)
         self.target_admission = TargetAdmission(cluster_view, self.target_notices)
         self.caller_times = CallerTimes()
-        self._retry_budgets: dict[str, RetryBudget] = {}
+        self.retry_budgets = RetryBudgets(bounds)
         self._loss_checks: set[asyncio.Task] = set()
         self._splits: dict[str, tuple[tuple, WeightedRoundRobin]] = {}
         self._seen_revision = -1
         # Bandwidth of this VM's link in Mbit/s; 0 if it is not known.
         self.link_mbps = 0.0
-        # Number of known VMs, plus some that may be starting.
-        self.vm_count = 10
         # Acquires permits for targets from the permit servers.
         self.permit_client: PermitClient | None = None
         # Counts an event, by name.
@@ -153,6 +146,15 @@
         # Set while there are counts to report.
         self.has_key_counts = asyncio.Event()
 
+    @property
+    def vm_count(self) -> int:
+        """Number of known VMs, plus some that may be starting."""
+        return self.retry_budgets.vm_count
+
+    @vm_count.setter
+    def vm_count(self, count: int) -> None:
+        self.retry_budgets.vm_count = count
+
     async def serve(self, req: CallerRequest) -> RoutedAnswer:
         """Route one request and return its answer.
 
@@ -219,7 +221,7 @@
         )
         ctx.age = age
         ctx.caller_may_return = may_return
-        self._retry_budget(service.name).deposit()
+        self.retry_budgets.record_request(service.name)
         self.loads.record_request(service.name)
         if service.owns_keys and req.key is not None:
             counts = self._key_counts.setdefault(service.name, {})
@@ -297,7 +299,7 @@
             raise self._errors.build_error(ctx, "attempts")
         if name in ctx.tried_targets:
             self.count_event("sent again to the same target")
-        if not self._retry_budget(ctx.service.name).try_withdraw():
+        if not self.retry_budgets.try_withdraw(ctx.service.name):
             raise self._errors.build_error(ctx, "budget")
 
     async def _choose_owner(self, ctx: RequestContext) -> str:
@@ -668,21 +670,3 @@
             split = WeightedRoundRobin([w for _, w in weights], self._rng.random())
             known = self._splits[route.name] = (weights, split)
         return route.weighted_services[known[1].pick()].service
-
-    def _retry_budget(self, service: str) -> RetryBudget:
-        budget = self._retry_budgets.get(service)
-        if budget is None:
-            share = self._bounds.retry_ratio * RETRY_BUDGET_SHARE
-            reserve = self._bounds.retry_allowance / (2 * self.vm_count)
-            budget = self._retry_budgets[service] = RetryBudget(
-                share, max(1.0, reserve)
-            )
-            log.info(
-                "retry budget created",
-                extra={
-                    "service": service,
-                    "vms": self.vm_count,
-                    "reserve": round(budget.reserve, 2),
-                },
-            )
-        return budget
--- a/packages/entry/tests/test_budget.py
+++ b/packages/entry/tests/test_budget.py
@@ -5,7 +5,7 @@
 from random import Random
 
 import pytest
-from berylstage_entry.router import RETRY_BUDGET_SHARE
+from berylstage_entry.retry_budgets import RETRY_BUDGET_SHARE
 from berylstage_policy.retries import RetryBudget
 
 RATIO = 0.2
