--- a/packages/entry/src/berylstage_entry/retry_budgets.py
+++ b/packages/entry/src/berylstage_entry/retry_budgets.py
@@ -25,17 +25,24 @@
     Parameters
     ----------
     bounds : Bounds
-
-    Attributes
-    ----------
-    vm_count : int
-        Number of known VMs, plus some that may be starting.
     """
 
     def __init__(self, bounds: Bounds):
         self._bounds = bounds
         self._by_service: dict[str, RetryBudget] = {}
-        self.vm_count = INITIAL_VM_COUNT
+        self._vm_count = INITIAL_VM_COUNT
+
+    @property
+    def vm_count(self) -> int:
+        """Number of known VMs, plus some that may be starting."""
+        return self._vm_count
+
+    @vm_count.setter
+    def vm_count(self, count: int) -> None:
+        """Resize all budgets: a VM that starts knows the others only after a while."""
+        self._vm_count = count
+        for budget in self._by_service.values():
+            budget.resize(self._reserve)
 
     def record_request(self, service: str) -> None:
         """Add the tokens of one request."""
@@ -45,19 +52,34 @@
         """Take the token of a retry; return False if the budget is exhausted."""
         return self._find(service).try_withdraw()
 
+    @property
+    def _allowance(self) -> float:
+        """Retries that this VM may make beyond the share of its requests."""
+        return self._bounds.retry_allowance / (2 * self._vm_count)
+
+    @property
+    def _reserve(self) -> float:
+        return max(1.0, self._allowance)
+
     def _find(self, service: str) -> RetryBudget:
         budget = self._by_service.get(service)
         if budget is None:
-            share = self._bounds.retry_ratio * RETRY_BUDGET_SHARE
-            reserve = self._bounds.retry_allowance / (2 * self.vm_count)
-            budget = RetryBudget(share, max(1.0, reserve))
-            self._by_service[service] = budget
+            budget = self._by_service[service] = self._create()
             log.info(
                 "retry budget created",
                 extra={
                     "service": service,
-                    "vms": self.vm_count,
+                    "vms": self._vm_count,
                     "reserve": round(budget.reserve, 2),
                 },
             )
         return budget
+
+    def _create(self) -> RetryBudget:
+        """Return a budget with one token at the most.
+
+        A VM that starts does not know how many others start with it, and with full
+        buckets they would exceed the bound together.
+        """
+        share = self._bounds.retry_ratio * RETRY_BUDGET_SHARE
+        return RetryBudget(share, self._reserve, min(1.0, self._allowance))
--- a/packages/entry/tests/test_router.py
+++ b/packages/entry/tests/test_router.py
@@ -91,6 +91,12 @@
 UNSENT = NeverSent("refused")
 
 
+def fill_retry_budget(router):
+    """Fill the budget of a router that has served its service for a while."""
+    for _ in range(20):
+        router.retry_budgets.record_request("s")
+
+
 def serve_request(
     script,
     idempotent=True,
@@ -117,6 +123,7 @@
     store_watcher = store_watcher or StoreWatcher(**assignment)
     router = Router(cluster_view, store_watcher, clients, BOUNDS, Random(1))
     router.permit_client = permit_client
+    fill_retry_budget(router)
     key = 7 if owns_keys else None
     req = CallerRequest("id", "GET", "h", "/a/x?y", {}, time_left, key)
 
--- a/packages/policy/src/berylstage_policy/retries.py
+++ b/packages/policy/src/berylstage_policy/retries.py
@@ -52,16 +52,22 @@
     share : float
         Tokens added per success.
     reserve : float
-        Capacity of the bucket, which is full at the start. It allows a service with
-        little traffic to retry before its first success.
+        Capacity of the bucket. It allows a service with little traffic to retry.
+    tokens : float, optional
+        Tokens at the start; a full bucket by default.
     """
 
     __slots__ = ("share", "reserve", "tokens")
 
-    def __init__(self, share: float, reserve: float):
+    def __init__(self, share: float, reserve: float, tokens: float | None = None):
         self.share = share
         self.reserve = reserve
-        self.tokens = reserve
+        self.tokens = reserve if tokens is None else min(tokens, reserve)
+
+    def resize(self, reserve: float) -> None:
+        """Change the capacity; only :meth:`deposit` fills a larger bucket."""
+        self.reserve = reserve
+        self.tokens = min(self.tokens, reserve)
 
     def deposit(self) -> None:
         """Add the tokens of one success."""
