--- a/packages/entry/src/berylstage_entry/cold_targets.py
+++ b/packages/entry/src/berylstage_entry/cold_targets.py
@@ -68,6 +68,7 @@
             bound = self._bounds.max_cold_requests(service.cold_requests_per_second)
             limiter = ColdRateLimiter(bound, self.vm_count, now())
             self._limiters[identity] = limiter
+        limiter.set_vm_count(self.vm_count)
         return limiter
 
     def may_send(self, name: str, service: Service) -> bool:
--- a/packages/policy/src/berylstage_policy/cold_pace.py
+++ b/packages/policy/src/berylstage_policy/cold_pace.py
@@ -74,11 +74,23 @@
         and therefore starts as if it had just sent a request.
     """
 
-    __slots__ = ("_interval", "_next_at")
+    __slots__ = ("_bound", "_interval", "_last_at", "_vm_count")
 
     def __init__(self, bound: float, vm_count: int, now: float):
+        self._bound = bound
+        self._vm_count = vm_count
         self._interval = self.interval(bound, vm_count)
-        self._next_at = now + self._interval
+        self._last_at = now
+
+    def set_vm_count(self, vm_count: int) -> None:
+        """Share the bound with another number of VMs.
+
+        A VM that starts knows the others only after a while.
+        """
+        if vm_count == self._vm_count:
+            return
+        self._vm_count = vm_count
+        self._interval = self.interval(self._bound, vm_count)
 
     @staticmethod
     def interval(bound: float, vm_count: int) -> float:
@@ -99,8 +111,8 @@
 
     def may_send(self, now: float) -> bool:
         """Tell whether a request may be sent now."""
-        return now >= self._next_at
+        return now >= self._last_at + self._interval
 
     def record_request(self, now: float) -> None:
         """Record that a request is sent."""
-        self._next_at = now + self._interval
+        self._last_at = now
