--- a/packages/entry/src/berylstage_entry/router.py
+++ b/packages/entry/src/berylstage_entry/router.py
@@ -281,11 +281,11 @@
         """
         if ctx.trial is not None or not self.suspects.is_suspect(ctx):
             return
-        lane = ctx.service.name
+        owner = ""
         if ctx.service.owns_keys and ctx.req.key is not None:
-            lane = await self._find_owner(ctx)
+            owner = await self._find_owner(ctx)
         try:
-            await self.suspects.acquire_trial(ctx, lane)
+            await self.suspects.acquire_trial(ctx, owner)
         except RequestConvicted as exc:
             if ctx.lost_reason:
                 raise self._errors.build_error(ctx, "ends-targets", str(exc)) from exc
--- a/packages/entry/src/berylstage_entry/suspect_client.py
+++ b/packages/entry/src/berylstage_entry/suspect_client.py
@@ -97,14 +97,14 @@
         # The fingerprint is only computed while there are suspects.
         return len(self._registry) > 0 and bool(self._find_state(ctx).ends)
 
-    async def acquire_trial(self, ctx: RequestContext, lane: str) -> None:
+    async def acquire_trial(self, ctx: RequestContext, owner: str = "") -> None:
         """Wait until a suspect may be sent, and set its trial.
 
         Parameters
         ----------
         ctx : RequestContext
-        lane : str
-            Name of the service or, for a request with a key, of the owner.
+        owner : str
+            Name of the owner of its key; empty if it has none.
 
         Raises
         ------
@@ -113,7 +113,7 @@
         """
         for server in self._servers(ctx.service.name):
             try:
-                ctx.trial = await self._acquire_from(server, ctx, checksum(lane))
+                ctx.trial = await self._acquire_from(server, ctx, owner)
                 return
             except _ServerLost:
                 self._lost_servers[server] = now() + SERVER_BACKOFF_SECONDS
@@ -200,11 +200,12 @@
         self.send_report(server, OutcomeReport(outcome, ctx.fingerprint, number, end))
 
     async def _acquire_from(
-        self, server: str, ctx: RequestContext, lane: int
+        self, server: str, ctx: RequestContext, owner: str
     ) -> SuspectTrial | None:
         """Wait for a trial; return None if the request is no suspect any more."""
         number = next(self._numbers) % REQUEST_NUMBERS
         trial = SuspectTrial(server, number)
+        lane = checksum(owner or ctx.service.name)
         self._replies[number] = asyncio.Queue()
         has_asked = is_granted = False
         try:
@@ -214,7 +215,7 @@
                 left = ctx.seconds_left(now())
                 if left < MIN_TRIAL_SECONDS:
                     raise TrialTimedOut("another attempt of it is on trial")
-                message = TrialRequestMessage(number, lane, left, state)
+                message = TrialRequestMessage(number, lane, left, bool(owner), state)
                 has_asked = True
                 reply = await self._ask(server, message)
                 if reply.status is TrialStatus.GRANTED:
--- a/packages/entry/src/berylstage_entry/suspect_messages.py
+++ b/packages/entry/src/berylstage_entry/suspect_messages.py
@@ -30,8 +30,9 @@
 # Type, outcome, fingerprint, number of the trial, checksum and incarnation of the
 # target.
 _REPORT = struct.Struct("<BBQIIQ")
-# Type, number, checksum of the lane, milliseconds to the deadline; the state follows.
-_REQUEST = struct.Struct("<BIIH")
+# Type, number, checksum of the lane, milliseconds to the deadline, whether it has a
+# key; the state follows.
+_REQUEST = struct.Struct("<BIIHB")
 # Type, number, status, milliseconds until the next trial.
 _REPLY = struct.Struct("<BIBI")
 # Checksum and incarnation of a target, for each end; zeros where there are fewer.
@@ -126,22 +127,34 @@
         As in :class:`berylstage_policy.suspects.TrialRequest`.
     seconds : float
         Seconds until the deadline of the request.
+    is_keyed : bool
+        Whether the lane is that of the owner of its key.
     state : SuspectState
         What the requesting VM knows of the suspect.
     """
 
-    __slots__ = ("lane", "number", "seconds", "state")
+    __slots__ = ("is_keyed", "lane", "number", "seconds", "state")
 
-    def __init__(self, number: int, lane: int, seconds: float, state: SuspectState):
+    def __init__(
+        self,
+        number: int,
+        lane: int,
+        seconds: float,
+        is_keyed: bool,
+        state: SuspectState,
+    ):
         self.number = number
         self.lane = lane
         self.seconds = seconds
+        self.is_keyed = is_keyed
         self.state = state
 
     def encode(self) -> bytes:
         """Return the datagram."""
         ms = max(0, min(_MAX_SHORT, round(self.seconds * _MILLISECONDS)))
-        head = _REQUEST.pack(TRIAL_REQUEST_TYPE, self.number, self.lane, ms)
+        head = _REQUEST.pack(
+            TRIAL_REQUEST_TYPE, self.number, self.lane, ms, self.is_keyed
+        )
         return head + _pack_state(self.state)
 
     @classmethod
@@ -152,9 +165,9 @@
         ------
         InvalidRecord
         """
-        _, number, lane, ms = _unpack(_REQUEST, data[: _REQUEST.size])
+        _, number, lane, ms, is_keyed = _unpack(_REQUEST, data[: _REQUEST.size])
         state = _unpack_state(data[_REQUEST.size :])
-        return cls(number, lane, ms / _MILLISECONDS, state)
+        return cls(number, lane, ms / _MILLISECONDS, bool(is_keyed), state)
 
 
 class TrialReply:
--- a/packages/entry/src/berylstage_entry/suspect_server.py
+++ b/packages/entry/src/berylstage_entry/suspect_server.py
@@ -132,6 +132,7 @@
             TrialId(host, message.number),
             message.lane,
             message.seconds,
+            message.is_keyed,
         )
         decision = self._registry.request_trial(request, moment)
         reply = TrialReply(message.number, decision.status, decision.seconds)
--- a/packages/entry/tests/suspect_fleet.py
+++ b/packages/entry/tests/suspect_fleet.py
@@ -173,8 +173,7 @@
         try:
             for _ in range(ATTEMPTS):
                 if self._has_trials and vm.client.is_suspect(ctx):
-                    lane = owner.name if owner else ctx.service.name
-                    await vm.client.acquire_trial(ctx, lane)
+                    await vm.client.acquire_trial(ctx, owner.name if owner else "")
                 chosen = await self._choose_target(owner)
                 if await self._attempt(vm, ctx, chosen, is_fatal):
                     return "answered"
--- a/packages/entry/tests/test_suspect_messages.py
+++ b/packages/entry/tests/test_suspect_messages.py
@@ -39,16 +39,12 @@
         assert all(len(data) <= MAX_FRAME_BYTES for data in datagrams)
         assert len(datagrams) == -(-len(states) // STATES_PER_DATAGRAM)
 
-    @given(STATES, st.integers(1, (1 << 32) - 1), st.integers(0, 60_000))
-    def test_trial_request_arrives_as_sent(self, state, number, ms):
-        sent = TrialRequestMessage(number, 5, ms / 1000, state)
+    @given(STATES, st.integers(1, (1 << 32) - 1), st.integers(0, 60_000), st.booleans())
+    def test_trial_request_arrives_as_sent(self, state, number, ms, is_keyed):
+        sent = TrialRequestMessage(number, 5, ms / 1000, is_keyed, state)
         got = TrialRequestMessage.decode(sent.encode())
-        assert (got.number, got.lane, got.seconds, got.state) == (
-            number,
-            5,
-            ms / 1000,
-            state,
-        )
+        seen = got.number, got.lane, got.seconds, got.is_keyed, got.state
+        assert seen == (number, 5, ms / 1000, is_keyed, state)
 
     @given(st.sampled_from(TrialStatus), st.integers(0, 640_000))
     def test_reply_arrives_as_sent(self, status, ms):
--- a/packages/policy/src/berylstage_policy/suspects.py
+++ b/packages/policy/src/berylstage_policy/suspects.py
@@ -95,12 +95,15 @@
         Trials in one lane may meet at a target.
     seconds : float
         Seconds until the deadline of the request.
+    is_keyed : bool
+        Whether the lane is that of an owner, to which all attempts are sent.
     """
 
     fingerprint: int
     trial_id: TrialId
     lane: int
     seconds: float
+    is_keyed: bool = False
 
 
 class SuspectState(NamedTuple):
@@ -123,19 +126,30 @@
 
 
 class _Trial:
-    """An attempt of a suspect that is under way."""
+    """An attempt of a suspect that is under way, or several at the same owner."""
 
-    __slots__ = ("expires_at", "is_alone", "is_exclusive", "lane", "trial_id")
+    __slots__ = ("expires_at", "is_alone", "is_exclusive", "is_keyed", "lane", "ids")
 
     def __init__(self, request: TrialRequest, is_exclusive: bool, expires_at: float):
-        self.trial_id = request.trial_id
+        self.ids = {request.trial_id}
         self.lane = request.lane
+        self.is_keyed = request.is_keyed
         # Whether no other trial may begin beside it.
         self.is_exclusive = is_exclusive
         # Whether none has been under way beside it.
         self.is_alone = True
         self.expires_at = expires_at
 
+    def may_be_joined(self, request: TrialRequest) -> bool:
+        """Tell whether another attempt would go to the same target."""
+        is_at_owner = self.is_keyed and request.is_keyed and request.lane == self.lane
+        return is_at_owner and not self.is_exclusive
+
+    def join(self, request: TrialRequest, expires_at: float) -> None:
+        """Add an attempt."""
+        self.ids.add(request.trial_id)
+        self.expires_at = max(self.expires_at, expires_at)
+
 
 class _Lane:
     """Suspects on trial that may meet at a target."""
@@ -240,7 +254,7 @@
         suspect.add(end)
         trial = self._trials.get(fingerprint)
         is_convicted = False
-        if trial is not None and trial.trial_id == trial_id:
+        if trial is not None and trial_id in trial.ids:
             self._end_trial(fingerprint)
             has_enough = len(suspect.ends) >= CONVICTING_ENDS
             is_convicted = has_enough and trial.is_alone
@@ -262,7 +276,7 @@
         return self._remove(fingerprint)
 
     def release(self, fingerprint: int, trial_id: TrialId) -> None:
-        """End a trial that has shown nothing.
+        """End an attempt that has shown nothing.
 
         Parameters
         ----------
@@ -270,8 +284,10 @@
         trial_id : TrialId
         """
         trial = self._trials.get(fingerprint)
-        if trial is not None and trial.trial_id == trial_id:
-            self._end_trial(fingerprint)
+        if trial is not None:
+            trial.ids.discard(trial_id)
+            if not trial.ids:
+                self._end_trial(fingerprint)
 
     def adopt(self, state: SuspectState, moment: float) -> None:
         """Take over what another VM has told of a suspect.
@@ -307,12 +323,13 @@
             seconds = suspect.convicted_until - moment
             return TrialDecision(TrialStatus.CONVICTED, seconds)
         trial = self._find_trial(request.fingerprint, moment)
-        if trial is not None and trial.trial_id == request.trial_id:
-            # The reply was lost.
-            return TrialDecision(TrialStatus.GRANTED)
-        if trial is not None or not self._claim_lane(request, suspect, moment):
+        expires_at = moment + request.seconds + TRIAL_GRACE_SECONDS
+        if trial is None and self._claim_lane(request, suspect, moment):
+            self._begin_trial(request, suspect.needs_exclusive_trial, expires_at)
+        elif trial is not None and trial.may_be_joined(request):
+            trial.join(request, expires_at)
+        elif trial is None or request.trial_id not in trial.ids:
             return TrialDecision(TrialStatus.WAIT)
-        self._begin_trial(request, suspect, moment)
         return TrialDecision(TrialStatus.GRANTED)
 
     def describe(self, fingerprint: int, moment: float) -> SuspectState:
@@ -380,10 +397,9 @@
         return True
 
     def _begin_trial(
-        self, request: TrialRequest, suspect: _Suspect, moment: float
+        self, request: TrialRequest, is_exclusive: bool, expires_at: float
     ) -> None:
-        expires_at = moment + request.seconds + TRIAL_GRACE_SECONDS
-        trial = _Trial(request, suspect.needs_exclusive_trial, expires_at)
+        trial = _Trial(request, is_exclusive, expires_at)
         on_trial = self._lanes[request.lane].on_trial
         for other in on_trial:
             trial.is_alone = self._trials[other].is_alone = False
--- a/packages/policy/tests/test_suspects.py
+++ b/packages/policy/tests/test_suspects.py
@@ -45,10 +45,10 @@
         end = TargetEnd(number if target is None else target, number)
         return self.record_end(fingerprint, end, trial_id, self.moment)
 
-    def ask(self, fingerprint, lane=LANE, trial_id=None):
+    def ask(self, fingerprint, lane=LANE, trial_id=None, is_keyed=False):
         """Request a trial; return its id and the status."""
         trial_id = trial_id or TrialId("vm-1", self.next_number())
-        request = TrialRequest(fingerprint, trial_id, lane, SECONDS)
+        request = TrialRequest(fingerprint, trial_id, lane, SECONDS, is_keyed)
         return trial_id, self.request_trial(request, self.moment).status
 
     def convict(self, fingerprint, target=None):
@@ -117,6 +117,26 @@
             registry.lose(fingerprint)
         assert {registry.ask(f)[1] for f in (F, G, H)} == {GRANTED}
 
+    def test_attempts_at_one_owner_do_not_wait_for_each_other(self):
+        # Guards against a busy key that is served one request at a time after its owner
+        # has ended, although all of them would end the same target.
+        registry = Registry()
+        registry.lose(F)
+        asked = [registry.ask(F, is_keyed=True) for _ in range(3)]
+        assert {status for _, status in asked} == {GRANTED}
+        for trial_id, _ in asked[:2]:
+            registry.release(F, trial_id)
+        assert registry.ask(F, OTHER_LANE, is_keyed=True)[1] is WAIT
+        registry.release(F, asked[2][0])
+        assert registry.ask(F, OTHER_LANE, is_keyed=True)[1] is GRANTED
+
+    def test_suspect_with_two_ends_is_sent_to_its_owner_once(self):
+        registry = Registry()
+        registry.lose(F)
+        registry.lose(F)
+        assert registry.ask(F, is_keyed=True)[1] is GRANTED
+        assert registry.ask(F, is_keyed=True)[1] is WAIT
+
     def test_suspect_with_two_ends_is_tried_alone(self):
         registry = Registry()
         for fingerprint in (F, F, G, G):
--- a/tests/fatal_load.py
+++ b/tests/fatal_load.py
@@ -6,12 +6,13 @@
 import time
 from itertools import count
 from random import Random
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, TypeVar
 
 from soak.callers import KeylessLookup, Request
 from soak.installation import Installation
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from pathlib import Path
 
 VMS = 12
@@ -29,6 +30,11 @@
 # these in which each VM has to learn of it.
 CONVICTING_ENDS = 3
 SPREAD_SECONDS = 0.3
+# Requests of a load with a popular one, and how many of them go with one popular one.
+POPULAR_REQUESTS = 1000
+POPULAR_EVERY = 5
+# Range of the seconds between the ends of two targets.
+END_GAP_SECONDS = (0.5, 2.0)
 OK = 200
 
 
@@ -79,7 +85,7 @@
 
     async def play(self) -> None:
         """Send all requests and wait for their answers."""
-        await self._wait_until_ready()
+        await wait_until_ready(self._installation)
         background = asyncio.create_task(self._send_others())
         await asyncio.sleep(QUIET_SECONDS)
         for target in self._installation.targets:
@@ -119,13 +125,6 @@
         served = sum(answers[x][1] == OK for x in self._other_ids)
         return served / len(self._other_ids)
 
-    async def _wait_until_ready(self) -> None:
-        for vm in self._installation.vms:
-            await self._installation.wait_until_ready(vm)
-        keyed = [t for t in self._installation.targets if t.service == "s"]
-        while not all(target.holds for target in keyed):
-            await asyncio.sleep(0.1)
-
     async def _send_others(self) -> None:
         for number in count():
             vm = self._rng.choice(self._installation.vms)
@@ -154,21 +153,91 @@
             await asyncio.sleep(self._persistence.pause)
 
 
-def play_fatal_load(
-    folder: Path, is_keyed: bool, persistence: Persistence, vms: int = VMS
-) -> FatalLoad:
-    """Play a load with a fatal request on an installation of its own."""
+class PopularLoad:
+    """Load a part of which is one popular request, while targets end on their own.
+
+    Parameters
+    ----------
+    installation : Installation
+    is_keyed : bool
+        Whether the popular request has a key, whose owner is the one that ends.
+    """
+
+    def __init__(self, installation: Installation, is_keyed: bool):
+        self._installation = installation
+        self._is_keyed = is_keyed
+        self._rng = Random(1)
+        self._sending: list[asyncio.Task] = []
+        self._popular_ids: list[str] = []
+
+    async def play(self) -> None:
+        """Send all requests and wait for their answers."""
+        await wait_until_ready(self._installation)
+        ending = asyncio.create_task(self._end_targets())
+        for number in range(POPULAR_REQUESTS):
+            self._send(number)
+            await asyncio.sleep(OTHER_REQUEST_GAP_SECONDS / 2)
+        ending.cancel()
+        await asyncio.gather(*self._sending)
+
+    @property
+    def served_share(self) -> float:
+        """Share of the popular requests that were served."""
+        answers = self._installation.ledger.answers
+        served = sum(answers[x][1] == OK for x in self._popular_ids)
+        return served / len(self._popular_ids)
+
+    def count_convictions(self, folder: Path) -> int:
+        """Return how often a VM has logged that it convicts a request."""
+        logs = (path.read_text() for path in folder.glob("*.log"))
+        return sum(text.count('"suspect convicted"') for text in logs)
+
+    def _send(self, number: int) -> None:
+        name = f"lookup-{number}"
+        req: Request = Request(name, self._rng.randrange(KEYS))
+        if number % POPULAR_EVERY == 0:
+            self._popular_ids.append(name)
+            is_keyed = self._is_keyed
+            req = Request(name, FATAL_KEY) if is_keyed else KeylessLookup(name)
+        vm = self._rng.choice(self._installation.vms)
+        sending = self._installation.send_requests(vm, [req], 0.0)
+        self._sending.append(asyncio.create_task(sending))
+
+    async def _end_targets(self) -> None:
+        while True:
+            await asyncio.sleep(self._rng.uniform(*END_GAP_SECONDS))
+            running = [t for t in self._installation.targets if t.is_running]
+            if self._is_keyed:
+                running = [t for t in running if t.holds_key(FATAL_KEY)]
+            for target in running[:1]:
+                target.end_now()
+
+
+async def wait_until_ready(installation: Installation) -> None:
+    """Wait until all VMs are ready and all targets with owned keys hold some."""
+    for vm in installation.vms:
+        await installation.wait_until_ready(vm)
+    keyed = [t for t in installation.targets if t.service == "s"]
+    while not all(target.holds for target in keyed):
+        await asyncio.sleep(0.1)
+
+
+LoadT = TypeVar("LoadT", FatalLoad, PopularLoad)
+
+
+def play_load(folder: Path, make_load: Callable[[Installation], LoadT]) -> LoadT:
+    """Play a load on an installation of its own, and return it."""
 
-    async def play() -> FatalLoad:
+    async def play() -> LoadT:
         installation = Installation(
             folder,
             Random(1),
-            vms,
+            VMS,
             keyed_targets=KEYED_TARGETS,
             keyless_targets=KEYLESS_TARGETS,
         )
         try:
-            load = FatalLoad(installation, is_keyed, persistence)
+            load = make_load(installation)
             await load.play()
         finally:
             installation.stop()
--- a/tests/soak/installation.py
+++ b/tests/soak/installation.py
@@ -288,8 +288,7 @@
                 caller.close()
         self._store_http.stop()
         for target in self.targets:
-            if target.http is not None:
-                target.http.stop()
+            target.stop()
 
 
 def _with_store_faults(
--- a/tests/soak/targets.py
+++ b/tests/soak/targets.py
@@ -106,6 +106,8 @@
         # Size of the answers of requests that end the target; None for none.
         self.fatal_size: int | None = None
         self._fatal_ends: set[asyncio.Task] = set()
+        # Whether it must not start again.
+        self.is_stopped = False
         self.slots = asyncio.Semaphore(SLOTS)
         self.http: SoakServer | None = None
         # Links from the VMs, by their numbers, where each VM has links of its own.
@@ -183,12 +185,22 @@
         """End the incarnation, and start the next one after a moment."""
         await self.crash()
         await asyncio.sleep(RESTART_SECONDS)
-        if not self.is_running:
+        if not self.is_running and not self.is_stopped:
             self.start()
 
+    def stop(self) -> None:
+        """Stop for good, as the installation is taken down."""
+        self.is_stopped = True
+        if self.http is not None:
+            self.http.stop()
+
     def end_for_fatal_request(self) -> None:
         """End because of the request that runs."""
         self.ledger.record_fatal_run(self)
+        self.end_now()
+
+    def end_now(self) -> None:
+        """End, and start again after a moment, without waiting for either."""
         task = asyncio.create_task(self.crash_and_restart())
         self._fatal_ends.add(task)
         task.add_done_callback(self._fatal_ends.discard)
