--- a/packages/entry/src/berylstage_entry/lost_answers.py
+++ b/packages/entry/src/berylstage_entry/lost_answers.py
@@ -6,7 +6,7 @@
 from enum import Enum
 from typing import TYPE_CHECKING
 
-from berylstage_transfers.errors import ConnectionClosed
+from berylstage_transfers.errors import AnswerLost, ConnectionClosed
 from logbook import Logger
 
 from berylstage_entry.link_check import CheckResult
@@ -16,8 +16,6 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from berylstage_transfers.errors import AnswerLost
-
     from berylstage_entry.protocols import CallerRequest
     from berylstage_entry.target_links import TargetLinks
     from berylstage_entry.targets import Target
@@ -28,6 +26,10 @@
 log = Logger(__name__)
 
 
+class TargetEnded(AnswerLost):
+    """The target has ended before a complete answer, as another VM has found out."""
+
+
 class LossCause(Enum):
     """Why an answer was lost, as far as the VM that sent the request can tell."""
 
@@ -70,7 +72,9 @@
         exc : AnswerLost
         """
         cause = LossCause.UNKNOWN
-        if isinstance(exc, ConnectionClosed):
+        if isinstance(exc, TargetEnded):
+            cause = LossCause.TARGET_ENDED
+        elif isinstance(exc, ConnectionClosed):
             cause = await self._check(target)
         self.count_event(f"answer lost: {cause.value}")
         if self._log_limiter.take():
--- a/packages/entry/src/berylstage_entry/relay_client.py
+++ b/packages/entry/src/berylstage_entry/relay_client.py
@@ -16,6 +16,7 @@
 
 from berylstage_entry.clock import now
 from berylstage_entry.errors import InvalidRecord
+from berylstage_entry.lost_answers import TargetEnded
 from berylstage_entry.relay_messages import MAX_BODY_BYTES, RelayOutcome, RelayReply
 
 if TYPE_CHECKING:
@@ -167,6 +168,8 @@
                 return reply, member.name
             if reply.outcome is RelayOutcome.LOST:
                 raise AnswerLost(cause)
+            if reply.outcome is RelayOutcome.TARGET_ENDED:
+                raise TargetEnded(cause)
             if reply.outcome is RelayOutcome.TARGET_DOWN:
                 raise TargetDown(cause)
             if reply.outcome is RelayOutcome.CUT_OFF:
--- a/packages/entry/src/berylstage_entry/relay_messages.py
+++ b/packages/entry/src/berylstage_entry/relay_messages.py
@@ -25,11 +25,13 @@
 
 
 class RelayOutcome(Enum):
-    """What became of a relayed request; only the first three say what it did."""
+    """What became of a relayed request; only the first four say what it did."""
 
     ANSWERED = "answered"
     # It may have run.
     LOST = "lost"
+    # It may have run, and its target has ended.
+    TARGET_ENDED = "target-ended"
     # The target could not be reached, although other targets can.
     TARGET_DOWN = "target-down"
     # This VM does not know the target, or may not send to it.
--- a/packages/entry/src/berylstage_entry/relay_server.py
+++ b/packages/entry/src/berylstage_entry/relay_server.py
@@ -11,6 +11,7 @@
 from berylstage_entry.clock import now
 from berylstage_entry.errors import InvalidRecord
 from berylstage_entry.log_rate_limiter import LogRateLimiter
+from berylstage_entry.lost_answers import TargetEnded
 from berylstage_entry.relay_messages import RelayOutcome, RelayReply, RelayRequest
 from berylstage_entry.responses import BAD_REQUEST, OK, Response
 
@@ -101,6 +102,8 @@
             answer = await self._router.send_for_other(request, target, service)
         except NeverSent as exc:
             return RelayReply(self._explain_failure(target), str(exc))
+        except TargetEnded as exc:
+            return RelayReply(RelayOutcome.TARGET_ENDED, str(exc))
         except AnswerLost as exc:
             return RelayReply(RelayOutcome.LOST, str(exc))
         return RelayReply(RelayOutcome.ANSWERED, answer=answer)
--- a/packages/entry/src/berylstage_entry/router.py
+++ b/packages/entry/src/berylstage_entry/router.py
@@ -25,7 +25,7 @@
     TrialTimedOut,
     Unanswered,
 )
-from berylstage_entry.lost_answers import LossCause, LostAnswers
+from berylstage_entry.lost_answers import LossCause, LostAnswers, TargetEnded
 from berylstage_entry.memory.upload_times import (
     compute_link_seconds,
     compute_work_seconds,
@@ -255,6 +255,10 @@
             while True:
                 await self._acquire_trial(ctx)
                 name = await self._choose_target(ctx)
+                if self.suspects.needs_trial(ctx):
+                    # Another VM has lost a target to it during the wait.
+                    self._withdraw(ctx)
+                    continue
                 try:
                     self._check_time_left(ctx, name)
                     self.authenticator.check_before_attempt(ctx)
@@ -262,6 +266,7 @@
                     self._withdraw(ctx)
                     raise
                 answer = await self._attempt(ctx, name)
+                self.suspects.release(ctx)
                 if answer is not None:
                     attempts, waited = ctx.attempts, ctx.waited
                     return RoutedAnswer(answer, name, attempts, waited, ctx.relay)
@@ -273,13 +278,14 @@
             self.suspects.release(ctx)
 
     async def _acquire_trial(self, ctx: RequestContext) -> None:
-        """Wait until a request may be sent that is suspected of ending targets.
+        """Wait until a request may be sent, if it is suspected of ending targets.
 
         Raises
         ------
         Refused, Unanswered
         """
-        if ctx.trial is not None or not self.suspects.is_suspect(ctx):
+        self.suspects.release(ctx)
+        if not self.suspects.needs_trial(ctx):
             return
         owner = ""
         if ctx.service.owns_keys and ctx.req.key is not None:
@@ -633,7 +639,10 @@
                 request.is_repeatable,
             )
         except AnswerLost as exc:
-            self._start_task(self._record_relayed_loss(req, service, target, exc))
+            fingerprint = compute_fingerprint(service.name, req)
+            cause = await self.lost_answers.find_cause(req, fingerprint, target, exc)
+            if cause is LossCause.TARGET_ENDED:
+                raise TargetEnded(str(exc)) from exc
             raise
         finally:
             load.inflight -= 1
@@ -659,15 +668,6 @@
         if cause is LossCause.TARGET_ENDED:
             self.suspects.record_end(ctx, target)
 
-    async def _record_relayed_loss(
-        self, req: CallerRequest, service: Service, target: Target, exc: AnswerLost
-    ) -> None:
-        """Do the same for a request of another VM."""
-        fingerprint = compute_fingerprint(service.name, req)
-        cause = await self.lost_answers.find_cause(req, fingerprint, target, exc)
-        if cause is LossCause.TARGET_ENDED:
-            self.suspects.record_relayed_end(fingerprint, service.name, target)
-
     def _handle_lost_answer(
         self, ctx: RequestContext, name: str, exc: AnswerLost
     ) -> None:
--- a/packages/entry/src/berylstage_entry/suspect_client.py
+++ b/packages/entry/src/berylstage_entry/suspect_client.py
@@ -56,13 +56,16 @@
     server : str
         Host of the VM that has granted it.
     number : int
+    ends : tuple of TargetEnd
+        Ends of targets that were known when it was granted.
     """
 
-    __slots__ = ("number", "server")
+    __slots__ = ("ends", "number", "server")
 
-    def __init__(self, server: str, number: int):
+    def __init__(self, server: str, number: int, ends: tuple[TargetEnd, ...]):
         self.server = server
         self.number = number
+        self.ends = ends
 
 
 class SuspectClient:
@@ -92,10 +95,16 @@
             None
         )
 
-    def is_suspect(self, ctx: RequestContext) -> bool:
-        """Tell whether a request needs a trial."""
+    def needs_trial(self, ctx: RequestContext) -> bool:
+        """Tell whether a request must not be sent without a trial, or another one.
+
+        A trial is over when targets have ended since it was granted.
+        """
         # The fingerprint is only computed while there are suspects.
-        return len(self._registry) > 0 and bool(self._find_state(ctx).ends)
+        if not len(self._registry):
+            return False
+        ends = self._find_state(ctx).ends
+        return bool(ends) and (ctx.trial is None or ctx.trial.ends != ends)
 
     async def acquire_trial(self, ctx: RequestContext, owner: str = "") -> None:
         """Wait until a suspect may be sent, and set its trial.
@@ -122,7 +131,7 @@
 
     def record_answer(self, ctx: RequestContext) -> None:
         """Clear a request that a target has answered."""
-        if ctx.trial is None and not self.is_suspect(ctx):
+        if ctx.trial is None and not self.needs_trial(ctx):
             return
         self._registry.record_answer(ctx.fingerprint)
         self._report(ctx, Outcome.ANSWERED)
@@ -134,21 +143,6 @@
             self._registry.record_end(ctx.fingerprint, end, None, now())
         self._report(ctx, Outcome.TARGET_ENDED, end)
 
-    def record_relayed_end(
-        self, fingerprint: int, service: str, target: Target
-    ) -> None:
-        """Record that a target has ended under a request of another VM.
-
-        Parameters
-        ----------
-        fingerprint : int
-        service : str
-        target : Target
-        """
-        end = TargetEnd(checksum(target.name), target.incarnation)
-        report = OutcomeReport(Outcome.TARGET_ENDED, fingerprint, NO_TRIAL, end)
-        self.send_report(self._servers(service)[0], report)
-
     def release(self, ctx: RequestContext) -> None:
         """End a trial that has shown nothing, if there is one."""
         if ctx.trial is not None:
@@ -204,7 +198,6 @@
     ) -> SuspectTrial | None:
         """Wait for a trial; return None if the request is no suspect any more."""
         number = next(self._numbers) % REQUEST_NUMBERS
-        trial = SuspectTrial(server, number)
         lane = checksum(owner or ctx.service.name)
         self._replies[number] = asyncio.Queue()
         has_asked = is_granted = False
@@ -220,7 +213,7 @@
                 reply = await self._ask(server, message)
                 if reply.status is TrialStatus.GRANTED:
                     is_granted = True
-                    return trial
+                    return SuspectTrial(server, number, state.ends)
                 self._adopt(ctx.fingerprint, state, reply)
                 if reply.status is TrialStatus.WAIT:
                     await asyncio.sleep(POLL_SECONDS)
--- a/packages/entry/tests/suspect_fleet.py
+++ b/packages/entry/tests/suspect_fleet.py
@@ -172,10 +172,14 @@
     async def _serve(self, vm, ctx, is_fatal, owner):
         try:
             for _ in range(ATTEMPTS):
-                if self._has_trials and vm.client.is_suspect(ctx):
-                    await vm.client.acquire_trial(ctx, owner.name if owner else "")
                 chosen = await self._choose_target(owner)
-                if await self._attempt(vm, ctx, chosen, is_fatal):
+                while self._has_trials and vm.client.needs_trial(ctx):
+                    vm.client.release(ctx)
+                    await vm.client.acquire_trial(ctx, owner.name if owner else "")
+                    chosen = await self._choose_target(owner)
+                is_answered = await self._attempt(vm, ctx, chosen, is_fatal)
+                vm.client.release(ctx)
+                if is_answered:
                     return "answered"
         except RequestConvicted:
             return "refused"
--- a/packages/entry/tests/test_relay.py
+++ b/packages/entry/tests/test_relay.py
@@ -9,6 +9,7 @@
 import pytest
 from berylstage_entry.errors import InvalidRecord
 from berylstage_entry.internal_http import InternalServer
+from berylstage_entry.lost_answers import TargetEnded
 from berylstage_entry.membership import Member
 from berylstage_entry.protocols import CallerRequest, TargetAnswer
 from berylstage_entry.relay_client import (
@@ -27,7 +28,12 @@
 )
 from berylstage_entry.responses import Response
 from berylstage_entry.targets import LoadReport, TargetNotice
-from berylstage_transfers.errors import AnswerLost, NeverSent, NotConnected
+from berylstage_transfers.errors import (
+    AnswerLost,
+    ConnectionClosed,
+    NeverSent,
+    NotConnected,
+)
 from fakes import target
 from link_fleet import Link, LinkFleet, make_settings
 from virtual_time import virtual_loop
@@ -154,6 +160,12 @@
     def test_target_that_is_down(self):
         assert send({"a": RelayOutcome.TARGET_DOWN})[0] is TargetDown
 
+    def test_target_that_has_ended(self):
+        # Guards against a request that ends one target after the other where it is sent
+        # through other VMs.
+        result, asked = send({"a": RelayOutcome.TARGET_ENDED})
+        assert (result, len(asked)) == (TargetEnded, 1)
+
     @pytest.mark.parametrize(
         "replies", [{}, {"a": RelayOutcome.CUT_OFF}, {"a": NeverSent("refused")}]
     )
@@ -283,6 +295,21 @@
         reply, _ = relay(prepare)
         assert reply.outcome in (RelayOutcome.TARGET_DOWN, RelayOutcome.LOST)
 
+    @pytest.mark.parametrize(
+        ("down", "outcome"),
+        [({"i-0"}, RelayOutcome.TARGET_ENDED), (set(), RelayOutcome.LOST)],
+    )
+    def test_target_that_closes_the_connection(self, down, outcome):
+        # Guards against an end of a target that the VM which asks does not learn of.
+        async def prepare(fleet, vm):
+            async def close(*args):
+                raise ConnectionClosed("reset")
+
+            vm.links.send = close
+            fleet.matrix.down = down
+
+        assert relay(prepare)[0].outcome is outcome
+
     def test_bytes_that_are_no_message(self):
         with virtual_loop() as loop:
 
--- a/packages/policy/src/berylstage_policy/suspects.py
+++ b/packages/policy/src/berylstage_policy/suspects.py
@@ -253,6 +253,9 @@
         suspect = self._touch(fingerprint, moment)
         suspect.add(end)
         trial = self._trials.get(fingerprint)
+        if trial is not None and suspect.needs_exclusive_trial:
+            # Reports of attempts that were under way arrive after the trial has begun.
+            trial.is_exclusive = True
         is_convicted = False
         if trial is not None and trial_id in trial.ids:
             self._end_trial(fingerprint)
@@ -382,8 +385,11 @@
         again and again, there are always some under way.
         """
         lane = self._find_lane(request.lane)
-        trials = [self._find_trial(other, moment) for other in list(lane.on_trial)]
-        running = [trial for trial in trials if trial is not None]
+        running = [
+            trial
+            for other in list(lane.on_trial)
+            if (trial := self._find_trial(other, moment)) is not None
+        ]
         is_claimed_by_other = (
             lane.claimed_until > moment and lane.claimant != request.fingerprint
         )
--- a/packages/policy/tests/test_suspects.py
+++ b/packages/policy/tests/test_suspects.py
@@ -146,6 +146,16 @@
         registry.release(F, first)
         assert registry.ask(G)[1] is GRANTED
 
+    def test_trial_becomes_exclusive_with_the_second_end(self):
+        # Guards against suspects that join the trial of one which was sent by several
+        # VMs at once, and end with it.
+        registry = Registry()
+        registry.lose(F)
+        registry.ask(F)
+        registry.lose(F)
+        registry.lose(G)
+        assert registry.ask(G)[1] is WAIT
+
     def test_trials_in_other_lanes_go_on(self):
         registry = Registry()
         for fingerprint in (F, F, G, G):
