--- a/packages/entry/src/berylstage_entry/suspect_server.py
+++ b/packages/entry/src/berylstage_entry/suspect_server.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+from itertools import islice
 from typing import TYPE_CHECKING
 
 from berylstage_policy.suspects import TrialId, TrialRequest
@@ -38,6 +39,8 @@
 # VM: in a flood of suspects, one VM sends to all others.
 MIN_NEWS_DELAY_SECONDS = 0.005
 NEWS_DELAY_SECONDS_PER_VM = 0.0001
+# Suspects that all VMs are told of at once.
+MAX_STATES_AT_ONCE = 4 * STATES_PER_DATAGRAM
 # Interval at which suspects are told again, for VMs that have started since or missed
 # a datagram.
 REFRESH_SECONDS = 1.0
@@ -122,10 +125,8 @@
     def handle_request(self, message: TrialRequestMessage, host: str) -> None:
         """Handle a trial request."""
         moment, state = now(), message.state
-        known = self._registry.describe(state.fingerprint, moment)
-        if not set(state.ends) <= set(known.ends):
+        if self._registry.add_ends(state.fingerprint, state.ends, moment):
             # A report was lost, or another VM decided until now.
-            self._registry.adopt(state, moment)
             self._tell(state.fingerprint)
         request = TrialRequest(
             state.fingerprint,
@@ -179,8 +180,9 @@
     async def _send_news(self) -> None:
         vms = len(self._membership.members())
         while self._changed:
-            changed, self._changed = self._changed, set()
-            self._send_states(changed)
+            due = set(islice(self._changed, MAX_STATES_AT_ONCE))
+            self._changed -= due
+            self._send_states(due)
             await asyncio.sleep(
                 max(MIN_NEWS_DELAY_SECONDS, NEWS_DELAY_SECONDS_PER_VM * vms)
             )
--- a/packages/entry/src/berylstage_entry/target_links.py
+++ b/packages/entry/src/berylstage_entry/target_links.py
@@ -104,7 +104,8 @@
 
         The connections that a VM has may live on although new ones are refused.
         """
-        results = await self._check_sample(list(self._cluster_view.known))
+        addresses = self._sample_addresses(list(self._cluster_view.known))
+        results = await asyncio.gather(*(self.check_link(a) for a in addresses))
         failed = sum(result is not CheckResult.ACCEPTED for result in results)
         return 2 * failed <= len(results)
 
@@ -114,15 +115,15 @@
         True if there is no other target.
         """
         names = [name for name in self._cluster_view.known if name != target.name]
-        results = await self._check_sample(names)
-        return not results or CheckResult.ACCEPTED in results
+        for address in self._sample_addresses(names):
+            if await self.check_link(address) is CheckResult.ACCEPTED:
+                return True
+        return not names
 
-    async def _check_sample(self, names: list[str]) -> list[CheckResult]:
-        """Check the links to a few of some targets."""
+    def _sample_addresses(self, names: list[str]) -> list[str]:
+        """Return the addresses of a few of some targets."""
         sample = self._rng.sample(names, min(SAMPLE_SIZE, len(names)))
-        known = self._cluster_view.known
-        addresses = [known[name].target.address for name in sample]
-        return await asyncio.gather(*(self.check_link(a) for a in addresses))
+        return [self._cluster_view.known[name].target.address for name in sample]
 
     def choose_way(self, name: str) -> Way:
         """Return how requests should be sent to a target."""
--- a/packages/policy/src/berylstage_policy/suspects.py
+++ b/packages/policy/src/berylstage_policy/suspects.py
@@ -198,8 +198,7 @@
         for end in state.ends:
             self.add(end)
         self.convictions = max(self.convictions, state.convictions)
-        if state.seconds > 0:
-            self.convicted_until = moment + state.seconds
+        self.convicted_until = moment + state.seconds
 
     def convict(self, moment: float) -> None:
         """Refuse the request for some time, longer with each conviction."""
@@ -306,6 +305,26 @@
         self._touch(state.fingerprint, moment).adopt(state, moment)
         self._forget_oldest()
 
+    def add_ends(
+        self, fingerprint: int, ends: tuple[TargetEnd, ...], moment: float
+    ) -> bool:
+        """Add ends that another VM knows of; return False if there is none new.
+
+        Parameters
+        ----------
+        fingerprint : int
+        ends : tuple of TargetEnd
+        moment : float
+        """
+        known = self.describe(fingerprint, moment).ends
+        if set(ends) <= set(known):
+            return False
+        suspect = self._touch(fingerprint, moment)
+        for end in ends:
+            suspect.add(end)
+        self._forget_oldest()
+        return True
+
     def request_trial(self, request: TrialRequest, moment: float) -> TrialDecision:
         """Decide whether an attempt of a suspect may be sent now.
 
--- a/packages/policy/tests/test_suspects.py
+++ b/packages/policy/tests/test_suspects.py
@@ -314,3 +314,19 @@
         told.convict(F)
         registry.adopt(told.describe(F, 0.0), 5.0)
         assert registry.describe(F, 5.0).seconds == CONVICTION_SECONDS
+
+    def test_end_of_a_refusal_is_told(self):
+        # Guards against VMs that refuse a request after the one that decides has given
+        # it another trial.
+        told, registry = Registry(), Registry()
+        told.convict(F, target=7)
+        registry.adopt(told.describe(F, 0.0), 0.0)
+        told.lose(G, target=7)
+        registry.adopt(told.describe(F, 0.0), 0.0)
+        assert registry.refused_seconds(F) == 0.0
+
+    def test_vm_that_missed_a_conviction_does_not_end_it(self):
+        registry = Registry()
+        registry.convict(F)
+        assert registry.add_ends(F, (TargetEnd(50, 1),), 0.0)
+        assert registry.ask(F)[1] is CONVICTED
