--- a/packages/entry/src/berylstage_entry/suspect_server.py
+++ b/packages/entry/src/berylstage_entry/suspect_server.py
@@ -118,7 +118,7 @@
             if self._registry.record_answer(report.fingerprint):
                 self._tell(report.fingerprint)
                 self.count_event("suspect cleared")
-                self._log("suspect cleared", report.fingerprint, host)
+                self._log("cleared", report.fingerprint, host)
         elif trial_id is not None:
             self._registry.release(report.fingerprint, trial_id)
 
@@ -149,17 +149,18 @@
         self.count_event("target ended under suspect")
         if is_convicted:
             self.count_event("suspect convicted")
-            self._log("suspect convicted", report.fingerprint, host)
+            self._log("convicted", report.fingerprint, host)
         else:
-            self._log("request suspected", report.fingerprint, host)
+            self._log("suspected", report.fingerprint, host)
 
-    def _log(self, message: str, fingerprint: int, host: str) -> None:
+    def _log(self, change: str, fingerprint: int, host: str) -> None:
         if not self._log_limiter.take():
             return
         state = self._registry.describe(fingerprint, now())
         log.info(
-            message,
+            "suspect changed",
             extra={
+                "change": change,
                 "fingerprint": format_fingerprint(fingerprint),
                 "ends": len(state.ends),
                 "refused_for": round(state.seconds, 1),
--- a/tests/fatal_load.py
+++ b/tests/fatal_load.py
@@ -190,7 +190,7 @@
     def count_convictions(self, folder: Path) -> int:
         """Return how often a VM has logged that it convicts a request."""
         logs = (path.read_text() for path in folder.glob("*.log"))
-        return sum(text.count('"suspect convicted"') for text in logs)
+        return sum(text.count('"change": "convicted"') for text in logs)
 
     def _send(self, number: int) -> None:
         name = f"lookup-{number}"
