--- a/packages/entry/tests/test_server.py
+++ b/packages/entry/tests/test_server.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import socket
 import struct
 import time
+from itertools import cycle
 
 import pytest
 from berylstage_entry.connection import IN_TRANSIT_SECONDS, CallerConnection
@@ -17,6 +19,12 @@
 from berylstage_entry.server import CallerServer
 from fakes import LIMITS
 
+# Ports below those that the kernel gives to connections, from one that depends on the
+# process on.
+FIRST_PORT, LAST_PORT = 12000, 32000
+START_PORT = FIRST_PORT + os.getpid() * 97 % (LAST_PORT - FIRST_PORT)
+PORTS = cycle([*range(START_PORT, LAST_PORT), *range(FIRST_PORT, START_PORT)])
+
 
 class PlainCallerProtocol(CallerProtocol):
     def parse_request(self, method, uri, headers):
@@ -48,9 +56,14 @@
 
 
 def free_port():
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
+    """Return a port that no connection and no other process of tests takes meanwhile."""
+    for port in PORTS:
+        with socket.socket() as sock:
+            try:
+                sock.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        return port
 
 
 def start_server(router):
