--- a/packages/entry/src/berylstage_entry/application.py
+++ b/packages/entry/src/berylstage_entry/application.py
@@ -96,9 +96,6 @@
     SUSPECT_NEWS_TYPE,
     TRIAL_REPLY_TYPE,
     TRIAL_REQUEST_TYPE,
-    OutcomeReport,
-    TrialReply,
-    TrialRequestMessage,
 )
 from berylstage_entry.suspect_server import SuspectServer
 from berylstage_entry.target_clients import TargetClients
@@ -250,7 +247,7 @@
         self.permit_client.is_current = self.router.is_current_queue
         self.permit_client.count_event = self.metrics.increment
         self.router.count_event = self.metrics.increment
-        self.router.lost_answers.count_event = self.metrics.increment
+        self.router.suspect_guard.lost_answers.count_event = self.metrics.increment
         self._connect_suspects()
         self.peer_datagrams.handlers[KEY_COUNTS_TYPE] = (
             self.load_reporter.receive_key_counts
@@ -314,7 +311,7 @@
         self.quota_client = QuotaClient(
             self.cluster_view, self.membership, host, self.rng
         )
-        self.quota_server.send = self.quota_client.send = self._send_quota_datagram
+        self.quota_server.send = self.quota_client.send = self.peer_datagrams.deliver
         self.router.quota_client = self.quota_client
         self.router.target_admission.quota_client = self.quota_client
         self.peer_datagrams.handlers.update(self._quota_handlers())
@@ -516,13 +513,12 @@
     def _connect_suspects(self) -> None:
         """Connect the parts that hold back requests which end targets."""
         registry = SuspectRegistry()
-        client = self.router.suspects = SuspectClient(registry, self._host)
+        client = SuspectClient(registry, self._host)
         server = self.suspect_server = SuspectServer(registry, self.membership)
+        self.router.suspect_guard.suspects = client
         client.servers_for = self.permit_client.servers_for
-        client.send_request = self._send_trial_request
-        client.send_report = self._send_outcome_report
+        client.send = server.send = self.peer_datagrams.deliver
         server.send_to_all = self.peer_datagrams.send
-        server.send_reply = self._send_trial_reply
         server.count_event = self.metrics.increment
         self.peer_datagrams.handlers.update(
             {
@@ -533,24 +529,6 @@
             }
         )
 
-    def _send_trial_request(self, host: str, message: TrialRequestMessage) -> None:
-        if host == self._host:
-            self.suspect_server.handle_request(message, host)
-        else:
-            self.peer_datagrams.send_to(host, message.encode())
-
-    def _send_outcome_report(self, host: str, report: OutcomeReport) -> None:
-        if host == self._host:
-            self.suspect_server.handle_report(report, host)
-        else:
-            self.peer_datagrams.send_to(host, report.encode())
-
-    def _send_trial_reply(self, host: str, reply: TrialReply) -> None:
-        if host == self._host:
-            self.router.suspects.handle_reply(reply)
-        else:
-            self.peer_datagrams.send_to(host, reply.encode())
-
     def _connect_notices(self, targets: TargetProtocol) -> None:
         """Connect what targets say of themselves with the components that act on it."""
         notices = self.router.target_notices
@@ -591,12 +569,6 @@
             TOKEN_REPLY_TYPE: self.quota_client.receive_reply,
         }
 
-    def _send_quota_datagram(self, host: str, data: bytes) -> None:
-        if host == self._host:
-            self._quota_handlers()[data[0]](data, host)
-        else:
-            self.peer_datagrams.send_to(host, data)
-
     def _is_standby(self) -> bool:
         address, names = self.election.coordinator_address(), self.membership.names()
         if address and names and self.cfg.vm not in names:
--- a/packages/entry/src/berylstage_entry/lost_answers.py
+++ b/packages/entry/src/berylstage_entry/lost_answers.py
@@ -11,12 +11,16 @@
 
 from berylstage_entry.link_check import CheckResult
 from berylstage_entry.log_rate_limiter import LogRateLimiter
-from berylstage_entry.request_fingerprint import format_fingerprint
+from berylstage_entry.request_fingerprint import (
+    compute_fingerprint,
+    format_fingerprint,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from berylstage_entry.protocols import CallerRequest
+    from berylstage_entry.services import Service
     from berylstage_entry.target_links import TargetLinks
     from berylstage_entry.targets import Target
 
@@ -91,6 +95,22 @@
             )
         return cause
 
+    async def explain(
+        self, req: CallerRequest, service: Service, target: Target, exc: AnswerLost
+    ) -> AnswerLost:
+        """Return the error of a request of another VM, which says if the target ended.
+
+        Parameters
+        ----------
+        req : CallerRequest
+        service : Service
+        target : Target
+        exc : AnswerLost
+        """
+        fingerprint = compute_fingerprint(service.name, req)
+        cause = await self.find_cause(req, fingerprint, target, exc)
+        return TargetEnded(str(exc)) if cause is LossCause.TARGET_ENDED else exc
+
     async def _check(self, target: Target) -> LossCause:
         """Check a target once for all requests that it has lost at this moment."""
         task = self._checks.get(target.identity)
--- a/packages/entry/src/berylstage_entry/peer_datagrams.py
+++ b/packages/entry/src/berylstage_entry/peer_datagrams.py
@@ -87,6 +87,13 @@
             return
         self._transport.sendto(data, (host, self._port))
 
+    def deliver(self, host: str, data: bytes) -> None:
+        """Send a datagram to one VM, or handle it at once if that is this one."""
+        if host == self._host:
+            self.datagram_received(data, (host, self._port))
+        else:
+            self.send_to(host, data)
+
     async def _open(self) -> None:
         loop = asyncio.get_running_loop()
         self._transport, _ = await loop.create_datagram_endpoint(
--- a/packages/entry/src/berylstage_entry/router.py
+++ b/packages/entry/src/berylstage_entry/router.py
@@ -7,7 +7,6 @@
 from typing import TYPE_CHECKING
 
 from berylstage_policy.completion import OTHER_DATA_CENTRE
-from berylstage_policy.suspects import SuspectRegistry
 from berylstage_policy.weighted_round_robin import WeightedRoundRobin
 from berylstage_transfers.errors import AnswerLost, NeverSent
 
@@ -21,11 +20,8 @@
     NoOwner,
     PermitRefused,
     Refused,
-    RequestConvicted,
-    TrialTimedOut,
     Unanswered,
 )
-from berylstage_entry.lost_answers import LossCause, LostAnswers, TargetEnded
 from berylstage_entry.memory.upload_times import (
     compute_link_seconds,
     compute_work_seconds,
@@ -34,10 +30,9 @@
 from berylstage_entry.request_authenticator import RequestAuthenticator
 from berylstage_entry.request_context import RequestContext
 from berylstage_entry.request_errors import MAX_RETRY_AFTER_SECONDS, RequestErrors
-from berylstage_entry.request_fingerprint import compute_fingerprint
 from berylstage_entry.retry_budgets import RetryBudgets
 from berylstage_entry.routed_answer import RoutedAnswer
-from berylstage_entry.suspect_client import SuspectClient
+from berylstage_entry.suspect_guard import SuspectGuard
 from berylstage_entry.target_admission import TargetAdmission
 from berylstage_entry.target_limits import MAX_RETRY_SECONDS
 from berylstage_entry.target_links import TargetLinks
@@ -51,7 +46,7 @@
 from berylstage_entry.target_sender import TargetSender
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Coroutine
+    from collections.abc import Callable
 
     from berylstage_entry.cluster_view import ClusterView
     from berylstage_entry.permit_client import PermitClient
@@ -97,8 +92,7 @@
     ----------
     loads : TargetLoads
     links : TargetLinks
-    lost_answers : LostAnswers
-    suspects : SuspectClient
+    suspect_guard : SuspectGuard
     sender : TargetSender
     authenticator : RequestAuthenticator
     cold_targets : ColdTargets
@@ -123,11 +117,10 @@
         self._clients = target_clients
         self.links = TargetLinks(cluster_view, target_clients, rng)
         self.sender = TargetSender(self.links, vm)
-        self.lost_answers = LostAnswers(self.links)
-        self.suspects = SuspectClient(SuspectRegistry())
         self._bounds = bounds
         self._rng = rng
         self._errors = RequestErrors(rng)
+        self.suspect_guard = SuspectGuard(self.links, self._errors, self._find_owner)
         self.authenticator = RequestAuthenticator(cluster_view, self._errors)
         self._data_centre = data_centre
         self.loads = TargetLoads(cluster_view, rng)
@@ -136,8 +129,6 @@
         self.target_admission = TargetAdmission(cluster_view, self.target_notices)
         self.caller_times = CallerTimes()
         self.retry_budgets = RetryBudgets(bounds)
-        # References that keep tasks from being collected.
-        self._tasks: set[asyncio.Task] = set()
         self._splits: dict[str, tuple[tuple, WeightedRoundRobin]] = {}
         self._seen_revision = -1
         # Bandwidth of this VM's link in Mbit/s; 0 if it is not known.
@@ -253,10 +244,9 @@
         """Send until there is an answer to return, or no further attempt is allowed."""
         try:
             while True:
-                await self._acquire_trial(ctx)
+                await self.suspect_guard.admit(ctx)
                 name = await self._choose_target(ctx)
-                if self.suspects.needs_trial(ctx):
-                    # Another VM has lost a target to it during the wait.
+                if not self.suspect_guard.is_admitted(ctx):
                     self._withdraw(ctx)
                     continue
                 try:
@@ -266,7 +256,7 @@
                     self._withdraw(ctx)
                     raise
                 answer = await self._attempt(ctx, name)
-                self.suspects.release(ctx)
+                self.suspect_guard.release(ctx)
                 if answer is not None:
                     attempts, waited = ctx.attempts, ctx.waited
                     return RoutedAnswer(answer, name, attempts, waited, ctx.relay)
@@ -275,29 +265,7 @@
                 raise
             return ctx.failed_answer
         finally:
-            self.suspects.release(ctx)
-
-    async def _acquire_trial(self, ctx: RequestContext) -> None:
-        """Wait until a request may be sent, if it is suspected of ending targets.
-
-        Raises
-        ------
-        Refused, Unanswered
-        """
-        self.suspects.release(ctx)
-        if not self.suspects.needs_trial(ctx):
-            return
-        owner = ""
-        if ctx.service.owns_keys and ctx.req.key is not None:
-            owner = await self._find_owner(ctx)
-        try:
-            await self.suspects.acquire_trial(ctx, owner)
-        except RequestConvicted as exc:
-            if ctx.lost_reason:
-                raise self._errors.build_error(ctx, "ends-targets", str(exc)) from exc
-            raise Refused("ends-targets", exc.seconds, ctx.describe()) from exc
-        except TrialTimedOut as exc:
-            raise self._errors.build_error(ctx, "on-trial", str(exc)) from exc
+            self.suspect_guard.release(ctx)
 
     async def _find_owner(self, ctx: RequestContext) -> str:
         try:
@@ -594,9 +562,7 @@
                 raise self._errors.build_error(ctx, "unreachable") from exc
             return None
         except AnswerLost as exc:
-            check = self._start_task(self._record_loss(ctx, target, exc))
-            if ctx.route.idempotent or ctx.trial is not None:
-                await asyncio.shield(check)
+            await self.suspect_guard.record_loss(ctx, target, exc)
             if self.sender.is_reachable_by_others_only(name):
                 self._release_unjudged(ctx)
             self._handle_lost_answer(ctx, name, exc)
@@ -608,7 +574,7 @@
         seconds = compute_work_seconds(now() - started_at, ctx.link_seconds)
         self.loads.record_answer(name, kind, service, answer, seconds)
         if not answer.not_run and not answer.misdirected:
-            self.suspects.record_answer(ctx)
+            self.suspect_guard.record_answer(ctx)
         if answer.not_run and not answer.misdirected and had_permit:
             ctx.rejections += 1
         return self._handle_answer(ctx, name, answer)
@@ -639,11 +605,8 @@
                 request.is_repeatable,
             )
         except AnswerLost as exc:
-            fingerprint = compute_fingerprint(service.name, req)
-            cause = await self.lost_answers.find_cause(req, fingerprint, target, exc)
-            if cause is LossCause.TARGET_ENDED:
-                raise TargetEnded(str(exc)) from exc
-            raise
+            lost_answers = self.suspect_guard.lost_answers
+            raise await lost_answers.explain(req, service, target, exc) from exc
         finally:
             load.inflight -= 1
         self.target_notices.record_answer(target, answer, started_at)
@@ -651,23 +614,6 @@
         self.loads.record_answer(target.name, kind, service.name, answer, seconds)
         return answer
 
-    def _start_task(self, work: Coroutine[None, None, None]) -> asyncio.Task[None]:
-        """Start work that goes on if the caller leaves."""
-        task = asyncio.create_task(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-        return task
-
-    async def _record_loss(
-        self, ctx: RequestContext, target: Target, exc: AnswerLost
-    ) -> None:
-        """Find out why an answer was lost, and whether its request is a suspect."""
-        cause = await self.lost_answers.find_cause(
-            ctx.req, ctx.fingerprint, target, exc
-        )
-        if cause is LossCause.TARGET_ENDED:
-            self.suspects.record_end(ctx, target)
-
     def _handle_lost_answer(
         self, ctx: RequestContext, name: str, exc: AnswerLost
     ) -> None:
--- a/packages/entry/src/berylstage_entry/suspect_client.py
+++ b/packages/entry/src/berylstage_entry/suspect_client.py
@@ -87,13 +87,8 @@
         self._lost_servers: dict[str, float] = {}
         # Returns the hosts of the VMs that decide for a service, the first one first.
         self.servers_for: Callable[[str], list[str]] = lambda service: []
-        # Send a message to the VM of a host, which may be this one.
-        self.send_request: Callable[[str, TrialRequestMessage], None] = (
-            lambda host, message: None
-        )
-        self.send_report: Callable[[str, OutcomeReport], None] = lambda host, report: (
-            None
-        )
+        # Sends a datagram to the VM of a host, which may be this one.
+        self.send: Callable[[str, bytes], None] = lambda host, data: None
 
     def needs_trial(self, ctx: RequestContext) -> bool:
         """Tell whether a request must not be sent without a trial, or another one.
@@ -156,10 +151,6 @@
             log.warning("invalid trial reply ignored", extra={"cause": str(exc)})
             return
         self._lost_servers.pop(host, None)
-        self.handle_reply(reply)
-
-    def handle_reply(self, reply: TrialReply) -> None:
-        """Handle a decision."""
         replies = self._replies.get(reply.number)
         if replies is not None:
             replies.put_nowait(reply)
@@ -191,7 +182,8 @@
         server = self._find_server(ctx)
         number = ctx.trial.number if ctx.trial is not None else NO_TRIAL
         ctx.trial = None
-        self.send_report(server, OutcomeReport(outcome, ctx.fingerprint, number, end))
+        report = OutcomeReport(outcome, ctx.fingerprint, number, end)
+        self.send(server, report.encode())
 
     async def _acquire_from(
         self, server: str, ctx: RequestContext, owner: str
@@ -223,7 +215,7 @@
             if has_asked and not is_granted:
                 # It may have been granted by a reply that was lost.
                 report = OutcomeReport(Outcome.NOTHING, ctx.fingerprint, number)
-                self.send_report(server, report)
+                self.send(server, report.encode())
 
     def _adopt(self, fingerprint: int, state: SuspectState, reply: TrialReply) -> None:
         """Take over what a decision says of the request."""
@@ -239,7 +231,7 @@
     async def _ask(self, server: str, message: TrialRequestMessage) -> TrialReply:
         replies = self._replies[message.number]
         for _ in range(MAX_ATTEMPTS):
-            self.send_request(server, message)
+            self.send(server, message.encode())
             try:
                 async with asyncio.timeout(REPLY_TIMEOUT_SECONDS):
                     return await replies.get()
--- a/packages/entry/src/berylstage_entry/suspect_server.py
+++ b/packages/entry/src/berylstage_entry/suspect_server.py
@@ -71,8 +71,8 @@
         self._log_limiter = LogRateLimiter(LINES_PER_SECOND)
         # Sends a datagram to all other VMs.
         self.send_to_all: Callable[[bytes], None] = lambda data: None
-        # Sends a reply to a VM, which may be this one.
-        self.send_reply: Callable[[str, TrialReply], None] = lambda host, reply: None
+        # Sends a datagram to the VM of a host, which may be this one.
+        self.send: Callable[[str, bytes], None] = lambda host, data: None
         # Counts an event, by name.
         self.count_event: Callable[[str], None] = lambda name: None
 
@@ -85,7 +85,7 @@
     def receive_report(self, data: bytes, host: str) -> None:
         """Handle the datagram of an outcome."""
         try:
-            self.handle_report(OutcomeReport.decode(data), host)
+            self._handle_report(OutcomeReport.decode(data), host)
         except InvalidRecord as exc:
             log.warning(
                 "invalid report of a suspect ignored", extra={"cause": str(exc)}
@@ -94,7 +94,7 @@
     def receive_request(self, data: bytes, host: str) -> None:
         """Handle the datagram of a trial request."""
         try:
-            self.handle_request(TrialRequestMessage.decode(data), host)
+            self._handle_request(TrialRequestMessage.decode(data), host)
         except InvalidRecord as exc:
             log.warning("invalid trial request ignored", extra={"cause": str(exc)})
 
@@ -109,8 +109,7 @@
         for state in states:
             self._registry.adopt(state, moment)
 
-    def handle_report(self, report: OutcomeReport, host: str) -> None:
-        """Handle what an attempt has shown of a request."""
+    def _handle_report(self, report: OutcomeReport, host: str) -> None:
         trial_id = TrialId(host, report.number) if report.number != NO_TRIAL else None
         if report.outcome is Outcome.TARGET_ENDED:
             self._handle_end(report, trial_id, host)
@@ -122,8 +121,7 @@
         elif trial_id is not None:
             self._registry.release(report.fingerprint, trial_id)
 
-    def handle_request(self, message: TrialRequestMessage, host: str) -> None:
-        """Handle a trial request."""
+    def _handle_request(self, message: TrialRequestMessage, host: str) -> None:
         moment, state = now(), message.state
         if self._registry.add_ends(state.fingerprint, state.ends, moment):
             # A report was lost, or another VM decided until now.
@@ -137,7 +135,7 @@
         )
         decision = self._registry.request_trial(request, moment)
         reply = TrialReply(message.number, decision.status, decision.seconds)
-        self.send_reply(host, reply)
+        self.send(host, reply.encode())
 
     def _handle_end(
         self, report: OutcomeReport, trial_id: TrialId | None, host: str
--- a/packages/entry/tests/suspect_fleet.py
+++ b/packages/entry/tests/suspect_fleet.py
@@ -12,9 +12,10 @@
 from berylstage_entry.request_context import RequestContext
 from berylstage_entry.suspect_client import SuspectClient
 from berylstage_entry.suspect_messages import (
-    OutcomeReport,
-    TrialReply,
-    TrialRequestMessage,
+    OUTCOME_REPORT_TYPE,
+    SUSPECT_NEWS_TYPE,
+    TRIAL_REPLY_TYPE,
+    TRIAL_REQUEST_TYPE,
 )
 from berylstage_entry.suspect_server import SuspectServer
 from berylstage_policy.suspects import SuspectRegistry
@@ -90,22 +91,21 @@
         self.client = SuspectClient(self.registry, host)
         self.server = SuspectServer(self.registry, fleet.membership)
         self.client.servers_for = lambda service: fleet.servers
-        self.client.send_request = fleet.sender(host, "request")
-        self.client.send_report = fleet.sender(host, "report")
-        self.server.send_reply = fleet.sender(host, "reply")
+        self.client.send = lambda to, data: fleet.send(host, to, data)
+        self.server.send = self.client.send
         self.server.send_to_all = lambda data: fleet.send_to_all(host, data)
 
-    def receive(self, kind, data, sender):
+    def receive(self, data, sender):
         """Handle a datagram, or nothing once the VM is lost."""
         if not self.is_running:
             return
         handlers = {
-            "request": self.server.receive_request,
-            "report": self.server.receive_report,
-            "reply": self.client.receive_reply,
-            "news": self.server.receive_news,
+            TRIAL_REQUEST_TYPE: self.server.receive_request,
+            OUTCOME_REPORT_TYPE: self.server.receive_report,
+            TRIAL_REPLY_TYPE: self.client.receive_reply,
+            SUSPECT_NEWS_TYPE: self.server.receive_news,
         }
-        handlers[kind](data, sender)
+        handlers[data[0]](data, sender)
 
 
 class SuspectFleet:
@@ -129,31 +129,24 @@
         cfg = configuration(owns_keys=False)
         self._route, self._service = cfg.routes[0], cfg.services["s"]
 
-    def sender(self, host, kind):
-        """Return what sends messages of one kind from a VM."""
-
-        def send(to, message: TrialRequestMessage | OutcomeReport | TrialReply):
-            self._send(host, to, kind, message.encode())
-
-        return send
-
     def send_to_all(self, host, data):
         for to in self.vms:
             if to != host:
-                self._send(host, to, "news", data)
+                self.send(host, to, data)
 
-    def _send(self, host, to, kind, data):
+    def send(self, host, to, data):
+        """Send a datagram from one VM to another, which may be the same."""
         if not self.vms[host].is_running:
             return
         if host == to:
-            self.vms[to].receive(kind, data, host)
+            self.vms[to].receive(data, host)
             return
         self.datagrams += 1
         if self.rng.random() < self._loss:
             return
         loop = asyncio.get_running_loop()
         delay = self.rng.uniform(*DATAGRAM_SECONDS)
-        loop.call_later(delay, self.vms[to].receive, kind, data, host)
+        loop.call_later(delay, self.vms[to].receive, data, host)
 
     async def request(self, path, is_fatal=False, owner=None, vm=None):
         """Send a request through a VM, any if not given; return its outcome.
--- a/packages/entry/tests/test_router_suspects.py
+++ b/packages/entry/tests/test_router_suspects.py
@@ -10,9 +10,15 @@
 from berylstage_entry.cluster_view import ClusterView
 from berylstage_entry.errors import Refused, Unanswered
 from berylstage_entry.link_check import CheckResult
+from berylstage_entry.peer_datagrams import PeerDatagrams
 from berylstage_entry.protocols import CallerRequest, Record, TargetAnswer
 from berylstage_entry.router import Router
 from berylstage_entry.suspect_client import SuspectClient
+from berylstage_entry.suspect_messages import (
+    OUTCOME_REPORT_TYPE,
+    TRIAL_REPLY_TYPE,
+    TRIAL_REQUEST_TYPE,
+)
 from berylstage_entry.suspect_server import SuspectServer
 from berylstage_policy.suspects import (
     CONVICTING_ENDS,
@@ -53,11 +59,16 @@
         for _ in range(20):
             self.router.retry_budgets.record_request("s")
         self.registry = SuspectRegistry()
-        self.router.suspects = client = SuspectClient(self.registry, "vm-1")
+        client = SuspectClient(self.registry, "vm-1")
+        self.router.suspect_guard.suspects = client
         server = SuspectServer(self.registry, Membership())
-        client.send_request = lambda host, message: server.handle_request(message, host)
-        client.send_report = lambda host, report: server.handle_report(report, host)
-        server.send_reply = lambda host, reply: client.handle_reply(reply)
+        datagrams = PeerDatagrams(Membership(), "vm-1", 1)
+        datagrams.handlers = {
+            OUTCOME_REPORT_TYPE: server.receive_report,
+            TRIAL_REQUEST_TYPE: server.receive_request,
+            TRIAL_REPLY_TYPE: client.receive_reply,
+        }
+        client.send = server.send = datagrams.deliver
 
     def get(self, target, connections):
         self._name = target.name
--- a/tests/soak/installation.py
+++ b/tests/soak/installation.py
@@ -40,7 +40,7 @@
 PROGRAM = "deploy/start.py"
 LINKED_PROGRAM = "tests/soak/vm.py"
 # Last octet of the first VM's address; the store and the targets use lower ones.
-FIRST_VM_HOST_NUMBER = 100
+FIRST_VM_HOST_NUMBER = 30
 STORE_PORT = 8390
 FRONT_PORT = 8381
 # Range of the bandwidth of links between VMs and callers.
