--- a/packages/entry/src/berylstage_entry/suspect_server.py
+++ b/packages/entry/src/berylstage_entry/suspect_server.py
@@ -10,7 +10,7 @@
 from itertools import islice
 from typing import TYPE_CHECKING
 
-from berylstage_policy.suspects import TrialId, TrialRequest
+from berylstage_policy.suspects import EXCLUSIVE_ENDS, TrialId, TrialRequest
 from logbook import Logger
 
 from berylstage_entry.clock import now
@@ -63,9 +63,10 @@
     def __init__(self, registry: SuspectRegistry, membership: Membership):
         self._registry = registry
         self._membership = membership
-        # Suspects that this VM decides about, and those of them that have changed.
-        self._own: set[int] = set()
+        # Suspects that this VM decides about: those that have changed, and those that
+        # are told again.
         self._changed: set[int] = set()
+        self._grave: set[int] = set()
         self._news_task: asyncio.Task | None = None
         self._refresh_task: asyncio.Task | None = None
         self._log_limiter = LogRateLimiter(LINES_PER_SECOND)
@@ -169,8 +170,8 @@
 
     def _tell(self, fingerprint: int) -> None:
         """Tell all VMs of a suspect, together with others."""
-        self._own.add(fingerprint)
         self._changed.add(fingerprint)
+        self._grave.add(fingerprint)
         if self._news_task is None or self._news_task.done():
             self._news_task = asyncio.create_task(self._send_news())
         if self._refresh_task is None or self._refresh_task.done():
@@ -187,16 +188,19 @@
             )
 
     async def _refresh(self) -> None:
-        """Tell again of suspects until all are cleared or forgotten."""
+        """Tell again of suspects that need exclusive trials.
+
+        Most suspects have been at one target that ended for another reason, and many
+        of them are never sent again.
+        """
         while True:
             await asyncio.sleep(REFRESH_SECONDS)
-            moment = now()
-            registry = self._registry
-            self._own = {f for f in self._own if registry.describe(f, moment).ends}
-            if not self._own:
+            self._grave = {
+                f for f in self._grave if self._count_ends(f) >= EXCLUSIVE_ENDS
+            }
+            if not self._grave:
                 return
-            gravest = sorted(self._own, key=self._count_ends, reverse=True)
-            self._send_states(set(gravest[:STATES_PER_DATAGRAM]))
+            self._send_states(set(islice(self._grave, STATES_PER_DATAGRAM)))
 
     def _count_ends(self, fingerprint: int) -> int:
         return len(self._registry.describe(fingerprint, now()).ends)
--- a/packages/entry/tests/test_server.py
+++ b/packages/entry/tests/test_server.py
@@ -56,7 +56,7 @@
 
 
 def free_port():
-    """Return a port that no connection and no other process of tests takes meanwhile."""
+    """Return a port that no connection of another process takes meanwhile."""
     for port in PORTS:
         with socket.socket() as sock:
             try:
