--- a/tests/fatal_load.py
+++ b/tests/fatal_load.py
@@ -15,6 +15,8 @@
     from collections.abc import Callable
     from pathlib import Path
 
+    from soak.targets import SoakTarget
+
 VMS = 12
 KEYED_TARGETS = 12
 KEYLESS_TARGETS = 12
@@ -206,11 +208,15 @@
     async def _end_targets(self) -> None:
         while True:
             await asyncio.sleep(self._rng.uniform(*END_GAP_SECONDS))
-            running = [t for t in self._installation.targets if t.is_running]
-            if self._is_keyed:
-                running = [t for t in running if t.holds_key(FATAL_KEY)]
-            for target in running[:1]:
-                target.end_now()
+            candidates = [t for t in self._installation.targets if self._may_run(t)]
+            if candidates:
+                self._rng.choice(candidates).end_now()
+
+    def _may_run(self, target: SoakTarget) -> bool:
+        """Tell whether the popular request goes to a target."""
+        if not target.is_running:
+            return False
+        return target.holds_key(FATAL_KEY) if self._is_keyed else target.service == "u"
 
 
 async def wait_until_ready(installation: Installation) -> None:
