--- a/tests/fatal_load.py
+++ b/tests/fatal_load.py
@@ -35,6 +35,9 @@
 # Requests of a load with a popular one, and how many of them go with one popular one.
 POPULAR_REQUESTS = 1000
 POPULAR_EVERY = 5
+# Least time that a request without a key takes, so that several targets run the popular
+# one at any moment.
+KEYLESS_SERVICE_SECONDS = 0.2
 # Range of the seconds between the ends of two targets.
 END_GAP_SECONDS = (0.5, 2.0)
 OK = 200
@@ -175,6 +178,9 @@
     async def play(self) -> None:
         """Send all requests and wait for their answers."""
         await wait_until_ready(self._installation)
+        for target in self._installation.targets:
+            if target.service == "u":
+                target.min_service_seconds = KEYLESS_SERVICE_SECONDS
         ending = asyncio.create_task(self._end_targets())
         for number in range(POPULAR_REQUESTS):
             self._send(number)
