Review, case: an extra answer passes for that to a release

Cause: grants, releases and probes carry no id, and PlatformTargetProtocol.release takes any answer with status 200, also one without Berylstage-Handover.

--- a/review/standins.py
+++ b/review/standins.py
@@ -130,20 +130,34 @@
         """Return the encoded answer to a request."""
         raise NotImplementedError
 
+    def extra_answer(self, req: Message, answer: bytes) -> bytes:
+        """Return an extra answer that arrives late on the connection; mostly none."""
+        return b""
+
     async def _serve(self, reader, writer) -> None:
         task = asyncio.current_task()
         assert task is not None
         self._tasks.add(task)
         try:
+            late_answer = b""
             while (req := await read_message(reader)) is not None:
-                writer.write(await self.answer(req))
+                if late_answer:
+                    # At the point where the answer to this request is expected.
+                    writer.write(late_answer)
+                    self.sent_late_answer(req)
+                answer = await self.answer(req)
+                writer.write(answer)
                 await writer.drain()
+                late_answer = self.extra_answer(req, answer)
         except (ConnectionError, asyncio.CancelledError):
             pass
         finally:
             self._tasks.discard(task)
             writer.close()
 
+    def sent_late_answer(self, req: Message) -> None:
+        """Note that an extra answer was sent where that to a request is expected."""
+
     def close(self) -> None:
         """Close the port and all connections."""
         if self._server is not None:
@@ -366,7 +380,8 @@
         self.runs: list[str] = []
         self.holds: list[Hold] = []
         self._fences: list[Hold] = []
-        self._running: dict[str, int] = {}
+        # Keys of the requests that run, by the number of the run.
+        self._running: dict[int, int] = {}
         self._waiting = 0
         self._sequence = 0
         self._slots_free = asyncio.Semaphore(slots)
@@ -492,11 +507,12 @@
         """Run a request and return its answer."""
         self.runs.append(request_id)
         self.record.add(f"run {request_id} at {self.name} of {self.service}")
-        self._running[request_id] = key
+        number = len(self.runs)
+        self._running[number] = key
         try:
             await asyncio.sleep(self.work_seconds)
         finally:
-            del self._running[request_id]
+            del self._running[number]
         headers["Berylstage-Backend-Signature"] = f"{self.name}.{request_id}"
         headers["Berylstage-Backend-Load"] = self._load()
         return encode_answer(200, headers, f"{self.service} {request_id}\n".encode())
@@ -719,10 +735,10 @@
             for n in range(vms)
         ]
 
-    async def add_backend(self, service: str, zone: str, **options) -> Backend:
-        """Start a backend."""
+    async def add_backend(self, service: str, zone: str, kind=None, **options):
+        """Start a backend of a class, which is `Backend` unless another is given."""
         number = len(self.backends)
-        backend = Backend(
+        backend = (kind or Backend)(
             f"i-{random.getrandbits(32):08x}",
             service,
             zone,
