Review, case: an order that offers an upgrade loses its body

Cause: CallerConnection._parse drops what follows the head when the parser raises HttpParserUpgrade, and serves the request with an empty body.

--- a/review/2/scenario.py
+++ b/review/2/scenario.py
@@ -218,7 +218,7 @@
             kind=CheckedBackend,
             sharded=True,
             fleet=fleet,
-            is_faulty=n < GARBLED_BACKENDS * BACKENDS,
+            is_faulty=n < int(GARBLED_BACKENDS * BACKENDS),
         )
         fleet.backends.append(backend)
     await deployment.start()
--- a/review/standins.py
+++ b/review/standins.py
@@ -677,6 +677,7 @@
         key: int | None = None,
         deadline_ms: int = 1000,
         body: bytes = b"",
+        headers: dict[str, str] | None = None,
     ) -> str:
         """Send one request to a machine, and return its id."""
         self._sent += 1
@@ -685,10 +686,14 @@
             "Host": host,
             "Berylstage-Attempt-Id": request_id,
             "Berylstage-Deadline-Ms": str(deadline_ms),
+            **(headers or {}),
         }
         if key is not None:
             headers["Berylstage-Shard-Key"] = str(key)
-        self._record.add(f"sent {request_id} {method} {path} to {vm.name}")
+        self._record.add(
+            f"sent {request_id} {method} {path} to {vm.name}, body {len(body)} bytes"
+            + (", offers an upgrade" if "Upgrade" in headers else "")
+        )
         answer = None
         try:
             async with asyncio.timeout(deadline_ms / 1000):
