--- a/review/2/scenario.py
+++ b/review/2/scenario.py
@@ -32,11 +32,11 @@
 HOST = "h.example"
 KEYS = 65536
 # Seconds of one run: visit-history takes 90 ms.
-WORK_SECONDS = (0.06, 0.14)
+WORK_SECONDS = (0.06, 0.16)
 REQUESTS_PER_SECOND = 120
 # The busy keys are close to one another, and which they are changes.
-HOT_KEYS = 16
-HOT_SHARE = 0.4
+HOT_KEYS = 6
+HOT_SHARE = 0.44
 HOT_SECONDS = 1.5
 PLAY_SECONDS = 95.0
 # Largest dose of `garble` with `extra late` in the site file.
