--- a/packages/entry/src/berylstage_entry/store_access/applied_items.py
+++ b/packages/entry/src/berylstage_entry/store_access/applied_items.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
+from zlib import crc32
 
 from logbook import Logger
 
@@ -20,6 +21,9 @@
     from berylstage_entry.cluster_view import ClusterView
     from berylstage_entry.protocols import Record, RecordReader
 
+# Invalid keys that are remembered for the log.
+MAX_INVALID_KEYS = 1000
+
 log = Logger(__name__)
 
 
@@ -47,7 +51,8 @@
         self._cluster_view = cluster_view
         self._in_outage = in_outage
         self._note_large_revision = note_large_revision
-        self._unreadable: dict[str, bytes] = {}
+        # Checksum of the invalid value of each key that was logged.
+        self._invalid_checksums: dict[str, int] = {}
         self._change_log = ChangeLog()
         # All keys in the store, as far as this VM knows.
         self.known_keys: set[str] = set()
@@ -92,12 +97,7 @@
         try:
             record = self._reader.read(item)
         except InvalidRecord as exc:
-            if self._unreadable.get(item.key) != item.value:
-                self._unreadable[item.key] = item.value or b""
-                log.warning(
-                    "invalid record ignored",
-                    extra={"key": item.key, "cause": str(exc)},
-                )
+            self._log_invalid(item, exc)
             return None
         if record is None:
             return None
@@ -121,6 +121,18 @@
             )
         return record
 
+    def _log_invalid(self, item: Item, exc: InvalidRecord) -> None:
+        """Log an invalid value once, as it is read again and again."""
+        checksum = crc32(item.value or b"")
+        if self._invalid_checksums.get(item.key) == checksum:
+            return
+        if len(self._invalid_checksums) >= MAX_INVALID_KEYS:
+            self._invalid_checksums.clear()
+        self._invalid_checksums[item.key] = checksum
+        log.warning(
+            "invalid record ignored", extra={"key": item.key, "cause": str(exc)}
+        )
+
     def _log_change(self, what: str, item: Item) -> None:
         self._change_log.changed(what, item, self.configuration_version(), now())
 
@@ -133,10 +145,17 @@
         """Apply an item that the VMs keep for themselves, unless it is outdated."""
         if not self._is_newer(item.key, item.revision):
             return
-        self.internal_items[item.key] = item
+        assignment = None
         if item.key.startswith(ASSIGNMENT_PREFIX) and item.value is not None:
+            try:
+                assignment = Assignment.decode(item.value)
+            except InvalidRecord as exc:
+                self._log_invalid(item, exc)
+                return
+        self.internal_items[item.key] = item
+        if assignment is not None:
             service = item.key.removeprefix(ASSIGNMENT_PREFIX)
-            self.assignments[service] = Assignment.decode(item.value)
+            self.assignments[service] = assignment
             self.assignment_revisions[service] = item.revision
         self.notify_listeners(item.key)
 
