--- a/packages/entry/src/berylstage_entry/application.py
+++ b/packages/entry/src/berylstage_entry/application.py
@@ -90,6 +90,7 @@
 from berylstage_entry.store_delta import StoreDelta
 from berylstage_entry.store_keys import ASSIGNMENT_PREFIX
 from berylstage_entry.store_watcher import StoreWatcher
+from berylstage_entry.supervision import log_loop_error
 from berylstage_entry.suspect_client import SuspectClient
 from berylstage_entry.suspect_messages import (
     OUTCOME_REPORT_TYPE,
@@ -361,6 +362,7 @@
     async def run(self) -> int:
         """Run until SIGTERM and return the exit status."""
         loop = asyncio.get_running_loop()
+        loop.set_exception_handler(log_loop_error)
         loop.add_signal_handler(signal.SIGTERM, self._stop_event.set)
         loop.add_signal_handler(signal.SIGINT, self._stop_event.set)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
--- a/packages/entry/src/berylstage_entry/assignment.py
+++ b/packages/entry/src/berylstage_entry/assignment.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 
 from berylstage_entry.errors import InvalidRecord
+from berylstage_entry.json_documents import parse_json
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Sequence
@@ -205,7 +206,7 @@
             The value is not a valid assignment.
         """
         try:
-            doc = json.loads(zlib.decompress(value))
+            doc = parse_json(zlib.decompress(value))
             rows = doc["ranges"]
             lasts = [row[0] - 1 for row in rows[1:]] + [LAST_KEY]
             ranges = [
--- a/packages/entry/src/berylstage_entry/assignment_delta.py
+++ b/packages/entry/src/berylstage_entry/assignment_delta.py
@@ -14,6 +14,7 @@
 
 from berylstage_entry.assignment import KeyRange
 from berylstage_entry.errors import InvalidRecord
+from berylstage_entry.json_documents import parse_json
 
 if TYPE_CHECKING:
     from berylstage_entry.assignment import Assignment
@@ -143,7 +144,7 @@
         """
         try:
             service, base_revision, revision, next_fence, rows, checksum, parts = (
-                json.loads(zlib.decompress(data[1:]))
+                parse_json(zlib.decompress(data[1:]))
             )
             ranges = [KeyRange(*row) for row in rows]
             change = cls(
--- a/packages/entry/src/berylstage_entry/configuration_confirmer.py
+++ b/packages/entry/src/berylstage_entry/configuration_confirmer.py
@@ -21,6 +21,7 @@
 )
 from berylstage_entry.errors import InvalidRecord, StoreError
 from berylstage_entry.store_access.call_counts import CallCause
+from berylstage_entry.supervision import supervise
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -92,7 +93,7 @@
     def start(self) -> None:
         """Start to confirm the configuration, if there is a limit."""
         if self._is_limited:
-            self._task = asyncio.create_task(self._run())
+            self._task = supervise("configuration confirmations", self._run)
 
     def stop(self) -> None:
         """Stop confirming the configuration."""
--- a/packages/entry/src/berylstage_entry/coordinator_election.py
+++ b/packages/entry/src/berylstage_entry/coordinator_election.py
@@ -21,15 +21,23 @@
 from logbook import Logger
 
 from berylstage_entry.clock import now
-from berylstage_entry.errors import Conflict, LeaseExpired, StoreError, StoreUnavailable
+from berylstage_entry.errors import (
+    Conflict,
+    InvalidRecord,
+    LeaseExpired,
+    StoreError,
+    StoreUnavailable,
+)
 from berylstage_entry.grant_expiry import (
     GRANT_SECONDS,
     compute_expiry,
     extended_grant_seconds,
 )
+from berylstage_entry.json_documents import parse_json
 from berylstage_entry.store import Condition, Item, Write
 from berylstage_entry.store_access.call_counts import CallCause
 from berylstage_entry.store_keys import COORDINATOR_KEY, INTERNAL_PREFIX
+from berylstage_entry.supervision import supervise
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -117,11 +125,19 @@
 
     @classmethod
     def decode(cls, value: bytes | None) -> _Term:
-        """Parse the stored value; None if there has not been any term yet."""
+        """Parse the stored value; None if there has not been any term yet.
+
+        Raises
+        ------
+        InvalidRecord
+        """
         if value is None:
             return cls(0, "", "", True)
-        doc = json.loads(value)
-        return cls(doc["term"], doc["vm"], doc["control"], doc["settled"])
+        doc = parse_json(value)
+        try:
+            return cls(doc["term"], doc["vm"], doc["control"], doc["settled"])
+        except (KeyError, TypeError) as exc:
+            raise InvalidRecord(f"not a coordinator's term: {exc}") from exc
 
 
 class CoordinatorElection:
@@ -185,7 +201,7 @@
 
     def start(self) -> None:
         """Start to take part in the election."""
-        self._task = asyncio.create_task(self._run())
+        self._task = supervise("election", self._run)
 
     def is_coordinator(self) -> bool:
         """Tell whether this VM is the coordinator and may still grant keys.
@@ -231,7 +247,11 @@
         item = self._store_watcher.internal_items.get(COORDINATOR_KEY)
         if item is None or item.value is None:
             return ""
-        return json.loads(item.value)["control"]
+        try:
+            return str(parse_json(item.value)["control"])
+        except (InvalidRecord, KeyError, TypeError) as exc:
+            log.debug("coordinator's key is unreadable", extra={"cause": str(exc)})
+            return ""
 
     async def resign(self) -> None:
         """Step down so that another VM can become coordinator at once."""
--- a/packages/entry/src/berylstage_entry/grant_controller.py
+++ b/packages/entry/src/berylstage_entry/grant_controller.py
@@ -13,7 +13,7 @@
 from berylstage_entry.coordinator_election import VACANCY_CHECK_SECONDS
 from berylstage_entry.errors import Conflict, StoreError
 from berylstage_entry.grant_expiry import GRANT_RENEWAL_INTERVAL_SECONDS
-from berylstage_entry.grant_renewer import GrantRenewer, log_task_failure
+from berylstage_entry.grant_renewer import GrantRenewer
 from berylstage_entry.key_moves import FENCES_PER_MOVE, KeyMoves
 from berylstage_entry.placement.initial_assignment import InitialAssignment
 from berylstage_entry.placement.key_loads import KeyLoads
@@ -26,6 +26,7 @@
 )
 from berylstage_entry.placement.service_times import TargetServiceTimes
 from berylstage_entry.store_access.call_counts import CallCause
+from berylstage_entry.supervision import describe, log_task_failure, supervise
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -142,7 +143,7 @@
 
     def start(self) -> None:
         """Start the reconciliation loop."""
-        self._task = asyncio.create_task(self._run())
+        self._task = supervise("key assignment", self._run)
 
     def stop(self) -> None:
         """Stop granting and moving keys."""
@@ -224,7 +225,20 @@
         self.grant_renewer.probe_terminated()
         for service in cfg.services.values():
             if service.owns_keys:
-                await self._reconcile_service(service.name)
+                await self._reconcile_alone(service.name)
+
+    async def _reconcile_alone(self, service: str) -> None:
+        """Reconcile one service; a fault of its data must not stop all others."""
+        try:
+            await self._reconcile_service(service)
+        except StoreError:
+            raise
+        except Exception as exc:
+            log.error(
+                "assignment of a service not reconciled",
+                exc_info=True,
+                extra={"service": service, "cause": describe(exc)},
+            )
 
     async def _reconcile_service(self, service: str) -> None:
         state = self._get_state(service)
--- a/packages/entry/src/berylstage_entry/grant_renewer.py
+++ b/packages/entry/src/berylstage_entry/grant_renewer.py
@@ -16,6 +16,7 @@
     TargetGrants,
 )
 from berylstage_entry.protocols import GrantRequest
+from berylstage_entry.supervision import log_task_failure
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -42,13 +43,6 @@
 log = Logger(__name__)
 
 
-def log_task_failure(task: asyncio.Task) -> None:
-    """Log the exception of a task that should not have failed."""
-    if not task.cancelled() and task.exception() is not None:
-        exc = task.exception()
-        log.error("a task failed", extra={"fault": f"{type(exc).__name__}: {exc}"})
-
-
 def _range_id(r: KeyRange) -> tuple[int, int, int]:
     return r.first, r.last, r.fence
 
--- a/packages/entry/src/berylstage_entry/key_moves.py
+++ b/packages/entry/src/berylstage_entry/key_moves.py
@@ -11,8 +11,9 @@
 
 from berylstage_entry.assignment import KeyRange
 from berylstage_entry.clock import now
-from berylstage_entry.errors import TargetReplaced
+from berylstage_entry.errors import InvalidRecord, TargetReplaced
 from berylstage_entry.grant_expiry import GRANT_TIMEOUT_SECONDS
+from berylstage_entry.json_documents import parse_json
 from berylstage_entry.protocols import GrantRequest
 
 if TYPE_CHECKING:
@@ -103,12 +104,18 @@
             parsed.
         """
         try:
-            doc = json.loads(body)
+            doc = parse_json(body)
             seconds_until_expiry = float(doc["lapse_in"])
             self._term_fences.update(doc["own"])
             self._released |= {(r[0], r[1], r[2]): r[3] for r in doc["let_go"]}
             self._last_fences |= {(r[0], r[1], r[2]): r[3] for r in doc["tries"]}
-        except (ValueError, KeyError, TypeError, IndexError) as exc:
+        except (
+            InvalidRecord,
+            ValueError,
+            KeyError,
+            TypeError,
+            IndexError,
+        ) as exc:
             # Without the state, moves wait until all grants have expired.
             log.warning(
                 "state of the former coordinator not imported",
--- a/packages/entry/src/berylstage_entry/load_reporter.py
+++ b/packages/entry/src/berylstage_entry/load_reporter.py
@@ -21,6 +21,9 @@
 from logbook import Logger
 
 from berylstage_entry.addresses import split_host_port
+from berylstage_entry.errors import InvalidRecord
+from berylstage_entry.json_documents import parse_json
+from berylstage_entry.supervision import supervise
 
 if TYPE_CHECKING:
     from random import Random
@@ -89,8 +92,8 @@
         """Start reporting."""
         self._client = CallClient(1)
         self._tasks = [
-            asyncio.create_task(self._send_counts()),
-            asyncio.create_task(self._send_service_times()),
+            supervise("key counts", self._send_counts),
+            supervise("service times", self._send_service_times),
         ]
 
     def stop(self) -> None:
@@ -116,7 +119,7 @@
     def receive_service_times(self, body: bytes) -> bool:
         """Add another VM's service times; return False if they are invalid."""
         try:
-            for service, mean, service_time_ratio in json.loads(body):
+            for service, mean, service_time_ratio in parse_json(body):
                 service_times = {
                     str(name): float(value)
                     for name, value in service_time_ratio.items()
@@ -124,7 +127,13 @@
                 self._grant_controller.add_service_times(
                     str(service), float(mean), service_times
                 )
-        except (ValueError, KeyError, TypeError, AttributeError) as exc:
+        except (
+            InvalidRecord,
+            ValueError,
+            KeyError,
+            TypeError,
+            AttributeError,
+        ) as exc:
             log.warning("invalid service times ignored", extra={"cause": str(exc)})
             return False
         return True
--- a/packages/entry/src/berylstage_entry/loop_lag.py
+++ b/packages/entry/src/berylstage_entry/loop_lag.py
@@ -16,6 +16,7 @@
 from logbook import Logger
 
 from berylstage_entry.clock import now
+from berylstage_entry.supervision import supervise
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -145,7 +146,7 @@
 
     def start(self) -> None:
         """Start measuring."""
-        self._task = asyncio.create_task(self._run())
+        self._task = supervise("loop lag", self._run)
 
     def stop(self) -> None:
         """Stop measuring."""
--- a/packages/entry/src/berylstage_entry/membership.py
+++ b/packages/entry/src/berylstage_entry/membership.py
@@ -12,10 +12,12 @@
 
 from berylstage_entry.addresses import split_host_port
 from berylstage_entry.clock import now
-from berylstage_entry.errors import LeaseExpired, StoreError
+from berylstage_entry.errors import InvalidRecord, LeaseExpired, StoreError
+from berylstage_entry.json_documents import parse_json
 from berylstage_entry.store import Write
 from berylstage_entry.store_access.call_counts import CallCause
 from berylstage_entry.store_keys import INTERNAL_PREFIX
+from berylstage_entry.supervision import supervise
 
 if TYPE_CHECKING:
     from berylstage_entry.settings import EntrySettings
@@ -105,7 +107,7 @@
 
     def start(self) -> None:
         """Start to register this VM and keep its lease alive."""
-        self._task = asyncio.create_task(self._run())
+        self._task = supervise("membership", self._run)
 
     async def stop(self) -> None:
         """Deregister this VM."""
@@ -188,9 +190,11 @@
         known = self._entries.get(key)
         if known is not None and known[0] == item.revision:
             return False
-        doc = json.loads(item.value)
-        name = key.removeprefix(VMS_PREFIX)
-        member = Member(name, doc["control"], doc["data_centre"], doc["power"])
+        try:
+            member = _parse_member(key.removeprefix(VMS_PREFIX), item.value)
+        except InvalidRecord as exc:
+            log.warning("invalid record ignored", extra={"key": key, "cause": str(exc)})
+            return self._entries.pop(key, None) is not None
         self._entries[key] = (item.revision, member)
         return True
 
@@ -239,3 +243,11 @@
         write = Write(VMS_PREFIX + self._cfg.vm, value, lease)
         await self._calls().write([], [write])
         self._lease = lease
+
+
+def _parse_member(name: str, value: bytes) -> Member:
+    doc = parse_json(value)
+    try:
+        return Member(name, doc["control"], doc["data_centre"], doc["power"])
+    except (KeyError, TypeError) as exc:
+        raise InvalidRecord(f"not the record of a VM: {exc}") from exc
--- a/packages/entry/src/berylstage_entry/peer_updates.py
+++ b/packages/entry/src/berylstage_entry/peer_updates.py
@@ -21,6 +21,7 @@
 from berylstage_entry.assignment import unassigned
 from berylstage_entry.assignment_delta import AssignmentDelta
 from berylstage_entry.errors import InvalidRecord
+from berylstage_entry.json_documents import parse_json
 from berylstage_entry.store import Item
 from berylstage_entry.store_access.call_counts import CallCause
 
@@ -181,10 +182,17 @@
     def receive_item(self, body: bytes) -> bool:
         """Apply a value that another VM has pushed; return False if it is invalid."""
         try:
-            doc = json.loads(zlib.decompress(body))
+            doc = parse_json(zlib.decompress(body))
             value = doc["value"].encode("latin-1")
             item = Item(doc["key"], value, int(doc["revision"]))
-        except (zlib.error, ValueError, KeyError, TypeError, AttributeError) as exc:
+        except (
+            zlib.error,
+            InvalidRecord,
+            ValueError,
+            KeyError,
+            TypeError,
+            AttributeError,
+        ) as exc:
             log.warning("invalid pushed value ignored", extra={"cause": str(exc)})
             return False
         return self._store_watcher.apply_pushed_item(item)
--- a/packages/entry/src/berylstage_entry/permit_server.py
+++ b/packages/entry/src/berylstage_entry/permit_server.py
@@ -23,6 +23,7 @@
     checksum,
 )
 from berylstage_entry.queue_service_times import QueueServiceTimes
+from berylstage_entry.supervision import supervise
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -160,7 +161,7 @@
 
     def start(self) -> None:
         """Start checking for expired requests and permits."""
-        self._task = asyncio.create_task(self._run())
+        self._task = supervise("permits", self._run)
 
     def stop(self) -> None:
         """Close all queues, and notify the requests that are queued.
--- a/packages/entry/src/berylstage_entry/probes.py
+++ b/packages/entry/src/berylstage_entry/probes.py
@@ -11,6 +11,7 @@
 
 from berylstage_entry.clock import now
 from berylstage_entry.errors import TargetReplaced
+from berylstage_entry.supervision import supervise
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -70,7 +71,7 @@
 
     def start(self) -> None:
         """Start probing."""
-        self._task = asyncio.create_task(self._run())
+        self._task = supervise("load probes", self._run)
 
     def stop(self) -> None:
         """Stop probing."""
--- a/packages/entry/src/berylstage_entry/quota_client.py
+++ b/packages/entry/src/berylstage_entry/quota_client.py
@@ -30,6 +30,7 @@
 from berylstage_entry.quota_messages import Loan, LoanReply, Stamp, TokenReply
 from berylstage_entry.quotas import Token
 from berylstage_entry.reply_timeout import ReplyTimeout
+from berylstage_entry.supervision import supervise
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Hashable, Iterable
@@ -144,7 +145,7 @@
 
     def start(self) -> None:
         """Start to lend the shares of this VM."""
-        self._task = asyncio.create_task(self._run())
+        self._task = supervise("quota loans", self._run)
 
     def stop(self) -> None:
         """Stop lending; requests that still wait use this VM's own shares."""
--- a/packages/entry/src/berylstage_entry/relay_messages.py
+++ b/packages/entry/src/berylstage_entry/relay_messages.py
@@ -12,6 +12,7 @@
 from typing import TYPE_CHECKING
 
 from berylstage_entry.errors import InvalidRecord
+from berylstage_entry.json_documents import parse_json
 from berylstage_entry.protocols import CallerRequest, TargetAnswer
 from berylstage_entry.targets import LoadReport, TargetNotice
 
@@ -235,7 +236,7 @@
     try:
         (length,) = _LENGTH.unpack_from(data)
         end = _LENGTH.size + length
-        head = json.loads(data[_LENGTH.size : end])
+        head = parse_json(data[_LENGTH.size : end])
     except Exception as exc:
         raise InvalidRecord(f"a message about a relayed request: {exc}") from exc
     if not isinstance(head, dict):
--- a/packages/entry/src/berylstage_entry/store_access/call_counts.py
+++ b/packages/entry/src/berylstage_entry/store_access/call_counts.py
@@ -20,6 +20,7 @@
     StoreUnavailable,
 )
 from berylstage_entry.store import Store
+from berylstage_entry.supervision import supervise
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Mapping, Sequence
@@ -212,7 +213,7 @@
 
     def start(self) -> None:
         """Start to log."""
-        self._task = asyncio.create_task(self._run())
+        self._task = supervise("counts of store calls", self._run)
 
     def stop(self) -> None:
         """Log the calls since the last line, and stop."""
--- a/packages/entry/src/berylstage_entry/store_access/subscriptions.py
+++ b/packages/entry/src/berylstage_entry/store_access/subscriptions.py
@@ -16,6 +16,8 @@
 from berylstage_entry.addresses import split_host_port
 from berylstage_entry.clock import now
 from berylstage_entry.errors import InvalidRecord
+from berylstage_entry.json_documents import parse_json
+from berylstage_entry.supervision import supervise
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -78,7 +80,7 @@
             If the datagram is not a valid subscription.
         """
         try:
-            address, forwarded = json.loads(data[1:])
+            address, forwarded = parse_json(data[1:])
             return cls(str(address), bool(forwarded))
         except (ValueError, TypeError) as exc:
             raise InvalidRecord(f"datagram is not a valid subscription: {exc}") from exc
@@ -166,7 +168,7 @@
     def start(self) -> None:
         """Start to check whether this VM has to subscribe."""
         self._received_at = now()
-        self._task = asyncio.create_task(self._run())
+        self._task = supervise("subscriptions", self._run)
 
     def stop(self) -> None:
         """Stop to subscribe."""
--- a/packages/entry/src/berylstage_entry/store_delta.py
+++ b/packages/entry/src/berylstage_entry/store_delta.py
@@ -12,6 +12,7 @@
 from typing import TYPE_CHECKING
 
 from berylstage_entry.errors import InvalidRecord
+from berylstage_entry.json_documents import parse_json
 from berylstage_entry.store import Item
 
 if TYPE_CHECKING:
@@ -183,7 +184,7 @@
             If the datagram is not a valid delta.
         """
         try:
-            doc = json.loads(zlib.decompress(data[1:]))
+            doc = parse_json(zlib.decompress(data[1:]))
             after, revision, rows, large_revisions, age, contact = doc
             items = [
                 Item(key, _text_to_bytes(value), int(at)) for key, value, at in rows
--- a/packages/entry/src/berylstage_entry/store_watcher.py
+++ b/packages/entry/src/berylstage_entry/store_watcher.py
@@ -38,6 +38,7 @@
     COORDINATOR_KEY,
     INTERNAL_PREFIX,
 )
+from berylstage_entry.supervision import supervise
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -113,8 +114,10 @@
     def start(self) -> None:
         """Start watching the store."""
         self._tasks = [
-            asyncio.create_task(self._run()),
-            asyncio.create_task(CoordinatorWatch(self._store, self).run()),
+            supervise("store reads", self._run),
+            supervise(
+                "watch of the coordinator", CoordinatorWatch(self._store, self).run
+            ),
         ]
 
     def stop(self) -> None:
--- a/packages/entry/src/berylstage_entry/suspect_server.py
+++ b/packages/entry/src/berylstage_entry/suspect_server.py
@@ -17,6 +17,7 @@
 from berylstage_entry.errors import InvalidRecord
 from berylstage_entry.log_rate_limiter import LogRateLimiter
 from berylstage_entry.request_fingerprint import format_fingerprint
+from berylstage_entry.supervision import supervise
 from berylstage_entry.suspect_messages import (
     NO_TRIAL,
     STATES_PER_DATAGRAM,
@@ -173,9 +174,9 @@
         self._changed.add(fingerprint)
         self._grave.add(fingerprint)
         if self._news_task is None or self._news_task.done():
-            self._news_task = asyncio.create_task(self._send_news())
+            self._news_task = supervise("news of suspects", self._send_news)
         if self._refresh_task is None or self._refresh_task.done():
-            self._refresh_task = asyncio.create_task(self._refresh())
+            self._refresh_task = supervise("repeats of suspects", self._refresh)
 
     async def _send_news(self) -> None:
         vms = len(self._membership.members())
--- a/packages/entry/src/berylstage_entry/target_links.py
+++ b/packages/entry/src/berylstage_entry/target_links.py
@@ -17,6 +17,7 @@
 
 from berylstage_entry.clock import now
 from berylstage_entry.link_check import CheckResult, check_link
+from berylstage_entry.supervision import supervise
 from berylstage_entry.target_clients import Attempt
 
 if TYPE_CHECKING:
@@ -78,7 +79,7 @@
 
     def start(self) -> None:
         """Start to watch the links."""
-        self._task = asyncio.create_task(self._run())
+        self._task = supervise("link checks", self._run)
 
     def stop(self) -> None:
         """Stop watching the links."""
