--- a/tests/test_unusable_records.py
+++ b/tests/test_unusable_records.py
@@ -7,6 +7,7 @@
 
 import pytest
 from berylstage_adapter.record_reader import PlatformRecordReader
+from berylstage_adapter.target_protocol import parse_load_report
 from berylstage_entry.cluster_view import ClusterView
 from berylstage_entry.errors import InvalidRecord
 from berylstage_entry.store import Changes, Item, Store
@@ -200,3 +201,13 @@
             return await read_until(store, is_changed)
 
         assert asyncio.run(play()).known == {}
+
+
+class TestLoadReport:
+    @pytest.mark.parametrize("number", ["nan", "inf", "-inf", DIGITS, "1e300", "-1"])
+    @pytest.mark.parametrize("field", range(4))
+    def test_absurd_number_does_not_cost_the_answer(self, field, number):
+        # Guards against an answer that is lost because its load header is absurd.
+        fields = ["1", "0", "2", "100"]
+        fields[field] = number
+        assert parse_load_report(",".join(fields)) is None
