--- a/packages/transfers/src/berylstage_transfers/call.py
+++ b/packages/transfers/src/berylstage_transfers/call.py
@@ -31,8 +31,9 @@
     timeout : float
         Seconds for the whole call, including the wait for a connection.
     echo : str
-        Value that the answer must have in the header ``echo_header``; empty if the
-        answer is not checked.
+        Id of the call, which the answer must have in the header ``echo_header``; empty
+        if the answer is not checked. A call whose id the client has sent before goes
+        over a new connection.
     fresh : bool
         Whether to open a new connection.
     echo_header : bytes
--- a/packages/transfers/src/berylstage_transfers/client.py
+++ b/packages/transfers/src/berylstage_transfers/client.py
@@ -22,6 +22,7 @@
     NotConnected,
 )
 from berylstage_transfers.idle_limit import IdleLimit
+from berylstage_transfers.sent_ids import SentIds
 
 if TYPE_CHECKING:
     from typing import Any
@@ -47,8 +48,8 @@
 
     It uses tornado's integration of libcurl with the event loop and replaces the
     handling of transfers: handles keep their settings between calls, only the needed
-    headers are parsed, a call is sent at most once, and cancelling a call aborts its
-    transfer immediately.
+    headers are parsed, a call is sent at most once, an id goes only once over a
+    connection, and cancelling a call aborts its transfer immediately.
 
     Parameters
     ----------
@@ -128,6 +129,7 @@
         self._handles: dict[pycurl.Curl, CurlHandle] = {}
         self._connections = Connections()
         self._idle_limit = idle_limit or IdleLimit()
+        self._sent_ids = SentIds()
         self._multi.setopt(pycurl.M_MAXCONNECTS, max_kept or max_clients)
         self._multi.setopt(pycurl.M_MAX_TOTAL_CONNECTIONS, max_clients)
 
@@ -318,7 +320,11 @@
 
     def _new_curl(self) -> pycurl.Curl:
         handle = CurlHandle(
-            self._connections, self._idle_limit, self._max_idle, self._reset_on_close
+            self._connections,
+            self._idle_limit,
+            self._sent_ids,
+            self._max_idle,
+            self._reset_on_close,
         )
         self._curls.append(handle.curl)
         self._handles[handle.curl] = handle
@@ -326,7 +332,7 @@
 
     def _max_age_seconds(self, call: Call) -> int:
         """Return the maximum age of a reused connection; 0 for a new connection."""
-        if call.fresh:
+        if call.fresh or self._sent_ids.contains(call.echo):
             return 0
         return self._age_limit.max_age_seconds(time.monotonic())
 
--- a/packages/transfers/src/berylstage_transfers/curl_handle.py
+++ b/packages/transfers/src/berylstage_transfers/curl_handle.py
@@ -17,6 +17,7 @@
     from berylstage_transfers.call import Call
     from berylstage_transfers.connections import Connections
     from berylstage_transfers.idle_limit import IdleLimit
+    from berylstage_transfers.sent_ids import SentIds
 
 # Time after a call's deadline at which libcurl ends the call, in case the client has
 # not done so.
@@ -59,6 +60,8 @@
     connections : Connections
         Shared by all handles of a client.
     idle_limit : IdleLimit
+    sent_ids : SentIds
+        Shared by all handles of a client.
     max_idle : int
         Seconds after which an idle connection is not reused.
     reset_on_close : bool
@@ -71,6 +74,7 @@
         "_opened_fd",
         "_reset_on_close",
         "_sent_at",
+        "_sent_ids",
         "call",
         "curl",
         "idle_seconds",
@@ -82,6 +86,7 @@
         self,
         connections: Connections,
         idle_limit: IdleLimit,
+        sent_ids: SentIds,
         max_idle: int,
         reset_on_close: bool,
     ):
@@ -89,6 +94,7 @@
         self.call: Call | None = None
         self._connections = connections
         self._idle_limit = idle_limit
+        self._sent_ids = sent_ids
         self._reset_on_close = reset_on_close
         self._opened_fd = -1
         self._sent_at = 0.0
@@ -192,6 +198,8 @@
             )
         self.call.sent = True
         self._sent_at = time.monotonic()
+        if self.call.echo:
+            self._sent_ids.record(self.call.echo, self.call.timeout, self._sent_at)
         return pycurl.PREREQFUNC_OK
 
     def has_progress(self) -> bool:
@@ -228,6 +236,10 @@
         # call to use another connection.
         if not self._connections.is_usable(local_port):
             return False
+        # Another handle may have sent it after this call was prepared.
+        assert self.call is not None
+        if self._sent_ids.contains(self.call.echo):
+            return False
         # A server that drops idle connections gives no sign of it: the next call is
         # reset, and the outcome of a call that may not be repeated is unknown.
         self.idle_seconds = self._connections.idle_seconds(local_port)
