--- a/packages/entry/src/berylstage_entry/application.py
+++ b/packages/entry/src/berylstage_entry/application.py
@@ -32,6 +32,7 @@
 from berylstage_entry.load_reporter import SPEEDS_PATH, LoadReporter
 from berylstage_entry.loop_lag import LoopLagMonitor
 from berylstage_entry.membership import ASSUMED_STARTING_VMS, Membership
+from berylstage_entry.memory.budget import compute_answer_bytes
 from berylstage_entry.memory.buffer_memory import BufferMemory
 from berylstage_entry.metrics import Metrics, format_shutdown_metrics
 from berylstage_entry.notice_messages import (
@@ -323,6 +324,9 @@
         self.probes.rest_seconds = self.router.target_notices.rests.seconds_left
         request_log = RequestLog(self.metrics)
         memory = BufferMemory(cfg.memory_bytes, cfg.link_mbps, self.metrics)
+        self.target_clients.answer_memory.capacity = compute_answer_bytes(
+            cfg.memory_bytes
+        )
         self.server = CallerServer(
             callers, self.router, request_log, self._current_limits, memory
         )
--- a/packages/entry/src/berylstage_entry/memory/budget.py
+++ b/packages/entry/src/berylstage_entry/memory/budget.py
@@ -27,6 +27,11 @@
 # answers of small requests.
 UPLOAD_SHARE = 0.75
 
+# Bytes of answers that may be arriving, as a share of the budget, which counts answers
+# that have arrived. Both are rarely used up at the same time, as the budget leaves out
+# more than a quarter of the memory.
+ARRIVING_SHARE = 1 / 3
+
 # Time constant of the measured rate at which uploads free memory, in seconds: about
 # the time that an upload takes, so that the rate covers several of them.
 FREED_RATE_SECONDS = 2.0
@@ -57,6 +62,21 @@
     return int(min(MAX_BUDGET_BYTES, max(MIN_BUDGET_BYTES, buffered)))
 
 
+def compute_answer_bytes(memory_bytes: int | None) -> int:
+    """Return the bytes of answers that may be arriving from targets.
+
+    Parameters
+    ----------
+    memory_bytes : int or None
+        Memory of the VM; None if it is not known.
+
+    Returns
+    -------
+    int
+    """
+    return int(ARRIVING_SHARE * compute_budget_bytes(memory_bytes))
+
+
 class FreedRate:
     """Rate at which uploads free memory, with the times promised to refused callers.
 
--- a/packages/entry/src/berylstage_entry/target_clients.py
+++ b/packages/entry/src/berylstage_entry/target_clients.py
@@ -6,6 +6,7 @@
 from math import inf
 from typing import TYPE_CHECKING
 
+from berylstage_transfers.answer_memory import AnswerMemory
 from berylstage_transfers.call import Call
 from berylstage_transfers.client import CallClient
 from berylstage_transfers.errors import AnswerLost, ConnectionClosed
@@ -117,7 +118,8 @@
     idle_limit : IdleLimit
         Learned idle limit of the connections to all targets of the service.
     sent_requests : SentRequests
-        Shared by the clients of all targets.
+    answer_memory : AnswerMemory
+        Both are shared by the clients of all targets.
     """
 
     __slots__ = (
@@ -136,12 +138,16 @@
         connections: int,
         idle_limit: IdleLimit,
         sent_requests: SentRequests,
+        answer_memory: AnswerMemory,
     ):
         self.target = target
         self._protocol = protocol
         self._sent_requests = sent_requests
         self._client = CallClient(
-            connections, max_idle=MAX_IDLE_SECONDS, idle_limit=idle_limit
+            connections,
+            max_idle=MAX_IDLE_SECONDS,
+            idle_limit=idle_limit,
+            answer_memory=answer_memory,
         )
         self._calls: set[Call] = set()
         self._is_retired = False
@@ -259,6 +265,7 @@
         "_idle_limits",
         "_protocol",
         "_retired",
+        "answer_memory",
         "sent_requests",
         "vm_count",
     )
@@ -270,6 +277,7 @@
         # Clients of removed targets with requests in flight.
         self._retired: list[TargetClient] = []
         self.sent_requests = SentRequests()
+        self.answer_memory = AnswerMemory()
         # Number of VMs that share a target's connections.
         self.vm_count = 10
 
@@ -298,6 +306,7 @@
             self.connection_share(connections),
             idle_limit,
             self.sent_requests,
+            self.answer_memory,
         )
         self._clients[target.name] = client
         return client
--- a/packages/transfers/src/berylstage_transfers/call.py
+++ b/packages/transfers/src/berylstage_transfers/call.py
@@ -5,6 +5,7 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+from berylstage_transfers.answer_memory import MAX_BODY_BYTES
 from berylstage_transfers.errors import NeverSent
 
 if TYPE_CHECKING:
@@ -43,6 +44,8 @@
     may_send : callable, optional
         Asked right before the first byte is sent; the call fails unless it returns
         true.
+    max_answer_bytes : int
+        Limit of the answer's body.
 
     Attributes
     ----------
@@ -57,6 +60,10 @@
         sent.
     status : int
         Status of the answer; 0 before it arrives.
+    answer_body : bytearray
+        Body of the answer as far as it has arrived.
+    rejection : str
+        Why the answer is not received any more; empty if it is.
     answer_headers : dict of bytes to bytes
         Headers of the answer by lower-case name.
 
@@ -71,7 +78,8 @@
         "started",
         "body",
         "acknowledged_bytes",
-        "body_chunks",
+        "answer_body",
+        "body_parts",
         "connect_deadline",
         "answers_other_call",
         "deadline",
@@ -86,7 +94,8 @@
         "opened_connection",
         "read_deadline",
         "sent",
-        "body_size",
+        "max_answer_bytes",
+        "rejection",
         "stale",
         "status",
         "timeout",
@@ -107,6 +116,7 @@
         echo_header: bytes = b"request-id",
         allow_unframed: bool = False,
         may_send: Callable[[], bool] | None = None,
+        max_answer_bytes: int = MAX_BODY_BYTES,
     ):
         self.method = method
         self.url = url
@@ -118,6 +128,7 @@
         self.echo_header = echo_header
         self.may_send = may_send
         self.allow_unframed = allow_unframed
+        self.max_answer_bytes = max_answer_bytes
         self.deadline = 0.0
         # Monotonic times: ``connect_deadline`` for establishing the connection, and
         # ``read_deadline`` for reading data received before the call's deadline.
@@ -132,8 +143,10 @@
         self.status = 0
         self.header_lines: list[bytes] = []
         self.answer_headers: dict[bytes, bytes] = {}
-        self.body_chunks: list[bytes] = []
-        self.body_size = 0
+        self.answer_body = bytearray()
+        # Parts in which the body has arrived.
+        self.body_parts = 0
+        self.rejection = ""
         # Acknowledged bytes of the body when they were looked at last; -1 before.
         self.acknowledged_bytes = -1
         self.fut: asyncio.Future[Answer] | None = None
@@ -162,7 +175,7 @@
             self.status >= MIN_FINAL_STATUS
             and not self.answers_other_call
             and length.isdigit()
-            and int(length) == self.body_size
+            and int(length) == len(self.answer_body)
         )
 
     def is_framed(self) -> bool:
--- a/packages/transfers/src/berylstage_transfers/client.py
+++ b/packages/transfers/src/berylstage_transfers/client.py
@@ -10,6 +10,7 @@
 import pycurl
 from tornado.curl_httpclient import CurlAsyncHTTPClient
 
+from berylstage_transfers.answer_memory import AnswerMemory
 from berylstage_transfers.call import Answer, Call
 from berylstage_transfers.connection_age import ConnectionAgeLimit
 from berylstage_transfers.connections import Connections
@@ -69,6 +70,8 @@
         Shared by the clients of all servers of one kind.
     connect_timeout : float
         Seconds to wait for a new connection to be established.
+    answer_memory : AnswerMemory, optional
+        Shared by clients whose answers together must fit in memory.
     """
 
     def __new__(
@@ -80,6 +83,7 @@
         reset_on_close: bool = False,
         idle_limit: IdleLimit | None = None,
         connect_timeout: float = CONNECT_TIMEOUT_SECONDS,
+        answer_memory: AnswerMemory | None = None,
     ) -> CallClient:
         """Return a new instance instead of tornado's shared one."""
         client = super().__new__(
@@ -92,6 +96,7 @@
             reset_on_close=reset_on_close,
             idle_limit=idle_limit,
             connect_timeout=connect_timeout,
+            answer_memory=answer_memory,
         )
         assert isinstance(client, CallClient)
         return client
@@ -105,6 +110,7 @@
         reset_on_close: bool = False,
         idle_limit: IdleLimit | None = None,
         connect_timeout: float = CONNECT_TIMEOUT_SECONDS,
+        answer_memory: AnswerMemory | None = None,
     ):
         super().__init__()
 
@@ -117,6 +123,7 @@
         reset_on_close: bool = False,
         idle_limit: IdleLimit | None = None,
         connect_timeout: float = CONNECT_TIMEOUT_SECONDS,
+        answer_memory: AnswerMemory | None = None,
     ) -> None:
         """Initialize without curl handles, which are created on demand."""
         self._timer_due = 0.0
@@ -130,6 +137,7 @@
         self._connections = Connections()
         self._idle_limit = idle_limit or IdleLimit()
         self._sent_ids = SentIds()
+        self._answer_memory = answer_memory or AnswerMemory()
         self._multi.setopt(pycurl.M_MAXCONNECTS, max_kept or max_clients)
         self._multi.setopt(pycurl.M_MAX_TOTAL_CONNECTIONS, max_clients)
 
@@ -323,6 +331,7 @@
             self._connections,
             self._idle_limit,
             self._sent_ids,
+            self._answer_memory,
             self._max_idle,
             self._reset_on_close,
         )
@@ -363,10 +372,13 @@
                 curl.getinfo(pycurl.OS_ERRNO) == errno.ECONNREFUSED,
                 handle.was_closed(curl_error),
             )
+        elif call.rejection:
+            # Its body was dropped, and nothing more of it arrived.
+            _fail(call, call.rejection)
         elif not call.is_framed():
             _fail(call, "the answer has neither a length nor chunks")
         elif call.fut is not None and not call.fut.done():
-            body = b"".join(call.body_chunks)
+            body = bytes(call.answer_body)
             call.fut.set_result(Answer(call.status, call.answer_headers, body))
 
     def _record_idle_outcome(
@@ -400,7 +412,7 @@
     spent = int((call.timeout + now - call.deadline) * _MS_PER_SECOND)
     return (
         f"{what} timed out after {spent} milliseconds "
-        f"with {call.body_size} bytes received"
+        f"with {len(call.answer_body)} bytes received"
     )
 
 
@@ -411,6 +423,7 @@
     subject = f"{call.method} {call.url}"
     if call.answers_other_call:
         cause = "the answer belongs to another call"
+    cause = call.rejection or cause
     if call.sent:
         remedy = "check whether it took effect before sending it again"
         if call.method == "GET":
--- a/packages/transfers/src/berylstage_transfers/curl_handle.py
+++ b/packages/transfers/src/berylstage_transfers/curl_handle.py
@@ -14,6 +14,7 @@
 from berylstage_transfers.connections import has_events
 
 if TYPE_CHECKING:
+    from berylstage_transfers.answer_memory import AnswerMemory
     from berylstage_transfers.call import Call
     from berylstage_transfers.connections import Connections
     from berylstage_transfers.idle_limit import IdleLimit
@@ -36,8 +37,6 @@
 # Send buffer of each active call. libcurl's default of 64 KB would be most of a
 # connection's memory, and bodies are mostly small.
 UPLOAD_BUFFER_BYTES = 16 * 1024
-# Limit for the body of an answer.
-MAX_BODY_BYTES = 16 * 1024 * 1024
 
 # Headers that libcurl adds by default. ``Expect: 100-continue`` would cost larger
 # bodies a round trip.
@@ -62,6 +61,7 @@
     idle_limit : IdleLimit
     sent_ids : SentIds
         Shared by all handles of a client.
+    answer_memory : AnswerMemory
     max_idle : int
         Seconds after which an idle connection is not reused.
     reset_on_close : bool
@@ -69,6 +69,7 @@
     """
 
     __slots__ = (
+        "_answer_memory",
         "_connections",
         "_idle_limit",
         "_opened_fd",
@@ -87,6 +88,7 @@
         connections: Connections,
         idle_limit: IdleLimit,
         sent_ids: SentIds,
+        answer_memory: AnswerMemory,
         max_idle: int,
         reset_on_close: bool,
     ):
@@ -95,6 +97,7 @@
         self._connections = connections
         self._idle_limit = idle_limit
         self._sent_ids = sent_ids
+        self._answer_memory = answer_memory
         self._reset_on_close = reset_on_close
         self._opened_fd = -1
         self._sent_at = 0.0
@@ -148,6 +151,8 @@
         handles would hold the last body sent to each target.
         """
         call, self.call = self.call, None
+        if call is not None:
+            self._answer_memory.release(call)
         if call is not None and call.body:
             self.curl.setopt(pycurl.POSTFIELDS, b"")
             # Before it is sent, the port is that of an earlier call, whose connection
@@ -259,8 +264,4 @@
 
     def _on_body(self, chunk: bytes) -> int | None:
         assert self.call is not None
-        self.call.body_size += len(chunk)
-        if self.call.body_size > MAX_BODY_BYTES:
-            return 0
-        self.call.body_chunks.append(chunk)
-        return None
+        return None if self._answer_memory.add(self.call, chunk) else 0
--- a/packages/transfers/tests/test_client.py
+++ b/packages/transfers/tests/test_client.py
@@ -9,8 +9,8 @@
 from contextlib import asynccontextmanager
 
 import pytest
+from berylstage_transfers import answer_memory
 from berylstage_transfers import client as client_module
-from berylstage_transfers import curl_handle
 from berylstage_transfers.call import Call
 from berylstage_transfers.client import CallClient
 from berylstage_transfers.errors import (
@@ -123,7 +123,7 @@
     def test_a_body_over_the_limit_raises_answer_lost(self, open_server, monkeypatch):
         # A server streams an endless body. The client must not use memory without
         # bound.
-        monkeypatch.setattr(curl_handle, "MAX_BODY_BYTES", 3)
+        monkeypatch.setattr(answer_memory, "MAX_BODY_BYTES", 3)
 
         async def scenario():
             async with open_server(OK) as script:
