--- a/packages/transfers/src/berylstage_transfers/call.py
+++ b/packages/transfers/src/berylstage_transfers/call.py
@@ -46,6 +46,10 @@
         true.
     max_answer_bytes : int
         Limit of the answer's body.
+    single_use : bool
+        Whether its connection carries no other call, neither before nor after. No
+        answer to another call can then pass for its answer, or its answer for that to
+        another call, although the server echoes no id.
 
     Attributes
     ----------
@@ -94,6 +98,7 @@
         "opened_connection",
         "read_deadline",
         "sent",
+        "single_use",
         "max_answer_bytes",
         "rejection",
         "stale",
@@ -117,6 +122,7 @@
         allow_unframed: bool = False,
         may_send: Callable[[], bool] | None = None,
         max_answer_bytes: int = MAX_BODY_BYTES,
+        single_use: bool = False,
     ):
         self.method = method
         self.url = url
@@ -124,7 +130,8 @@
         self.body = body
         self.timeout = timeout
         self.echo = echo.encode()
-        self.fresh = fresh
+        self.fresh = fresh or single_use
+        self.single_use = single_use
         self.echo_header = echo_header
         self.may_send = may_send
         self.allow_unframed = allow_unframed
--- a/packages/transfers/src/berylstage_transfers/curl_handle.py
+++ b/packages/transfers/src/berylstage_transfers/curl_handle.py
@@ -142,6 +142,7 @@
             pycurl.TIMEOUT_MS, int((call.timeout + BACKSTOP_SECONDS) * _MS_PER_SECOND)
         )
         curl.setopt(pycurl.FRESH_CONNECT, 1 if max_age_seconds < 1 else 0)
+        curl.setopt(pycurl.FORBID_REUSE, 1 if call.single_use else 0)
         curl.setopt(pycurl.MAXLIFETIME_CONN, max_age_seconds)
 
     def release_call(self) -> None:
--- a/packages/transfers/tests/test_connections.py
+++ b/packages/transfers/tests/test_connections.py
@@ -211,3 +211,22 @@
             return lost
 
         assert run(scenario) == 1
+
+
+class TestSingleUse:
+    def test_its_connection_carries_no_other_call(self, open_server):
+        # Guards against an answer that passes for that to another call, where a server
+        # echoes no id.
+        async def scenario():
+            async with open_server(*[OK] * 3) as script:
+                client = CallClient(2)
+                await client.call(make_call(script))
+                await client.call(make_call(script, single_use=True))
+                assert script.connections == 2
+                await client.call(make_call(script))
+                assert script.connections == 2
+                while not script.ended:
+                    await asyncio.sleep(0.001)
+                client.close()
+
+        run(scenario)
