--- a/packages/entry/src/berylstage_entry/connection.py
+++ b/packages/entry/src/berylstage_entry/connection.py
@@ -35,6 +35,7 @@
     peek_transport,
     peer_has_closed,
 )
+from berylstage_entry.upgrade_offers import encode_head_without_offer
 
 if TYPE_CHECKING:
     from berylstage_entry.protocols import CallerRequest
@@ -81,6 +82,10 @@
         self._header_fields: list[tuple[str, str]] = []
         self._head_bytes = 0
         self._in_head = True
+        # Whether the parser skips the body because of an offer to upgrade, and whether
+        # a parser is being prepared to read that body.
+        self._skips_body = False
+        self._prepares_body = False
         # Whether no more input is parsed, and whether the caller does not read its
         # responses.
         self._input_closed = False
@@ -142,6 +147,8 @@
 
     def on_message_begin(self) -> None:
         """Reset the parse state for a new request."""
+        if self._prepares_body:
+            return
         self._request_target = b""
         self._header_fields = []
         self._in_head = True
@@ -149,18 +156,26 @@
 
     def on_url(self, url: bytes) -> None:
         """Append a part of the request target."""
+        if self._prepares_body:
+            return
         self._request_target += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store a header field."""
+        if self._prepares_body:
+            return
         self._header_fields.append((name.decode("latin-1"), value.decode("latin-1")))
 
     def on_headers_complete(self) -> None:
         """Create the exchange and interpret the request head."""
+        if self._prepares_body:
+            self._prepares_body = False
+            return
         self._in_head = False
         self._head_bytes = 0
         method = self._parser.get_method().decode("ascii")
         keep_alive = self._parser.should_keep_alive()
+        self._skips_body = method != "CONNECT" and self._parser.should_upgrade()
         exchange = Exchange(method in SAFE_METHODS, keep_alive)
         self._exchanges.append(exchange)
         self._server.count_request()
@@ -191,6 +206,8 @@
 
     def on_message_complete(self) -> None:
         """Mark the request as completely received."""
+        if self._skips_body:
+            return
         exchange = self._exchanges[-1]
         exchange.is_complete = True
         if exchange.body_timer is not None:
@@ -332,10 +349,8 @@
                 self._head_bytes += len(chunk)
             try:
                 self._parser.feed_data(chunk)
-            except HttpParserUpgrade:
-                # The request is answered without an upgrade. The bytes after it belong
-                # to a protocol that is not supported.
-                self._close_after_last()
+            except HttpParserUpgrade as exc:
+                self._decline_upgrade(chunk[exc.args[0] :])
             except HttpParserError as exc:
                 self._reject(BadRequest(BAD_REQUEST, f"invalid HTTP request: {exc}"))
             if self._in_head and self._head_bytes > MAX_HEAD_BYTES:
@@ -347,6 +362,27 @@
             if last is not None and last.ends_early and not last.is_complete:
                 self._end_early()
 
+    def _decline_upgrade(self, rest: bytes) -> None:
+        """Read on over HTTP/1.1 after a head that offers to upgrade the protocol.
+
+        Parameters
+        ----------
+        rest : bytes
+            Bytes after the head.
+        """
+        if not self._skips_body:
+            # The bytes after a CONNECT request are meant for its destination.
+            self._close_after_last()
+            return
+        self._skips_body = False
+        self._prepares_body = True
+        self._unparsed[:0] = rest
+        self._parser = HttpRequestParser(self)
+        try:
+            self._parser.feed_data(encode_head_without_offer(self._header_fields))
+        except HttpParserError as exc:
+            self._reject(BadRequest(BAD_REQUEST, f"invalid HTTP request: {exc}"))
+
     def _may_parse(self) -> bool:
         if not self._exchanges:
             return True
--- a/packages/entry/tests/test_connection.py
+++ b/packages/entry/tests/test_connection.py
@@ -490,6 +490,78 @@
             loop.run_until_complete(step())
 
 
+OFFER = ("Connection: Upgrade, HTTP2-Settings", "Upgrade: h2c", "HTTP2-Settings: AAMA")
+CHUNKED_OFFER = (
+    "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n"
+    + "\r\n".join(OFFER)
+    + "\r\n\r\n4\r\nGET \r\n3\r\n /b\r\n0\r\n\r\n"
+).encode()
+
+
+class TestUpgradeOffers:
+    """Requests that offer an upgrade of the protocol, which is declined."""
+
+    @pytest.mark.parametrize("size", [1, 7, 10_000])
+    @pytest.mark.parametrize("order", [post("/a", b"GET  /b", *OFFER), CHUNKED_OFFER])
+    def test_body_belongs_to_the_request(self, run_in_virtual_time, order, size):
+        # Guards against an order that a target runs with an empty body.
+        async def step(harness):
+            for first in range(0, len(order), size):
+                harness.send(order[first : first + size])
+                await harness.run_loop()
+            assert harness.router.started == ["/a"]
+            await harness.finish("/a")
+            assert harness.transport.bodies == ["/aGET  /b"]
+
+        run_in_virtual_time(step)
+
+    def test_request_waits_for_its_body(self, run_in_virtual_time):
+        # Guards against an order that is run before its body has arrived.
+        async def step(harness):
+            order = post("/a", b"body", *OFFER)
+            harness.send(order[:-1])
+            await harness.run_loop()
+            assert harness.router.started == []
+            harness.send(order[-1:])
+            await harness.run_loop()
+            assert harness.router.started == ["/a"]
+
+        run_in_virtual_time(step)
+
+    def test_next_requests_are_served(self, run_in_virtual_time):
+        # Guards against a connection on which every later request is lost.
+        async def step(harness):
+            offer = get("/a").replace(
+                b"Host: h", "\r\n".join(["Host: h", *OFFER]).encode()
+            )
+            harness.send(offer + post("/b", b"body", *OFFER) + get("/c"))
+            for path in ("/a", "/b", "/c"):
+                await harness.run_loop()
+                await harness.finish(path)
+            assert harness.transport.bodies == ["/a", "/bbody", "/c"]
+
+        run_in_virtual_time(step)
+
+    def test_body_beyond_the_limit_is_refused(self, run_in_virtual_time):
+        # Guards against a body that fills the memory since it comes after an offer.
+        async def step(harness):
+            harness.send(post("/a", b"x" * (LIMITS.body_bytes + 1), *OFFER))
+            await harness.run_loop()
+            assert harness.router.started == []
+            assert b"HTTP/1.1 413" in harness.transport.written
+
+        run_in_virtual_time(step)
+
+    def test_bytes_after_connect_are_no_request(self, run_in_virtual_time):
+        # Guards against running what a caller has sent for another destination.
+        async def step(harness):
+            harness.send(b"CONNECT h:1 HTTP/1.1\r\nHost: h\r\n\r\n" + get("/b"))
+            await harness.run_loop()
+            assert "/b" not in harness.router.started
+
+        run_in_virtual_time(step)
+
+
 # For each request: whether it is a lookup, the length of an order's body, and its rank
 # in the order in which requests finish.
 REQUESTS = st.lists(
