--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -248,3 +248,28 @@
         # duration of the first phase.
         assert 2.0 < page['berylstage_stop_phase_seconds{phase="leaving"}'] < 6.0
         assert page['berylstage_stop_events_total{event="cut"}'] == 0
+
+
+class TestReload:
+    def test_reload_during_the_start_does_not_end_the_process(self, tmp_path):
+        # Guards against a VM that is told to reload before it handles that signal.
+        async def scenario():
+            state, store_port = StoreState(), free_port()
+            HTTPServer(store_application(state)).listen(store_port, "127.0.0.1")
+            state.put("op/config", json.dumps(CONFIGURATION).encode())
+            vm = VmProcess(1, tmp_path, store_port)
+            try:
+                while not imports_libraries(vm.process.pid):
+                    await asyncio.sleep(0.001)
+                vm.process.send_signal(signal.SIGHUP)
+                await wait_until(vm.is_ready)
+                assert vm.process.poll() is None
+            finally:
+                vm.process.kill()
+
+        asyncio.run(scenario())
+
+
+def imports_libraries(pid):
+    """Tell whether a process has begun to import what the application needs."""
+    return "pycurl" in Path(f"/proc/{pid}/maps").read_text()
