--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -25,6 +25,7 @@
 from berylstage_entry.store import Item
 from berylstage_settings.errors import FaultySettings
 from berylstage_transfers.call import Answer
+from berylstage_transfers.client_pool import ClientPool
 from berylstage_transfers.errors import CallFailed
 
 ROOT = Path(__file__).resolve().parents[1]
@@ -425,7 +426,7 @@
             async def call(self, call):
                 return Answer(status, headers, b"")
 
-        protocol._client = lambda target: CallClient()
+        protocol._clients = ClientPool(CallClient)
         target = read("servers/i-1", SERVER_RECORD).target
         with contextlib.suppress(CallFailed, TargetReplaced):
             asyncio.run(ask(protocol, target))
--- a/tests/test_control_calls.py
+++ b/tests/test_control_calls.py
@@ -62,7 +62,7 @@
         try:
             await scenario(protocol, target, server)
         finally:
-            protocol._client(target).close()
+            protocol._clients.close()
             listener.close()
 
     asyncio.run(asyncio.wait_for(play(), 20))
