--- a/packages/entry/src/berylstage_entry/connection.py
+++ b/packages/entry/src/berylstage_entry/connection.py
@@ -13,7 +13,7 @@
 from collections import deque
 from typing import TYPE_CHECKING
 
-from httptools import HttpParserError, HttpParserUpgrade, HttpRequestParser
+from httptools import HttpParserError, HttpParserUpgrade
 
 from berylstage_entry.clock import now
 from berylstage_entry.errors import BadRequest
@@ -24,6 +24,7 @@
     ConnectionMemory,
     compute_parse_bytes,
 )
+from berylstage_entry.request_parser import RequestParser, RequestReceiver
 from berylstage_entry.responses import (
     BAD_REQUEST,
     HEADERS_TOO_LARGE,
@@ -35,19 +36,16 @@
     peek_transport,
     peer_has_closed,
 )
-from berylstage_entry.upgrade_offers import encode_head_without_offer
 
 if TYPE_CHECKING:
     from berylstage_entry.protocols import CallerRequest
+    from berylstage_entry.request_parser import RequestHead
     from berylstage_entry.server import CallerServer
 
 # Requests of one connection that are in progress or wait for their response to be
 # written. The limit exceeds what a browser sends at once and keeps a single caller from
 # using up the VM.
 MAX_PIPELINED_REQUESTS = 16
-# Maximum bytes of a request head that are read. Up to this size, a head that exceeds
-# the configured limit is answered with status 431.
-MAX_HEAD_BYTES = 256 * 1024
 # Maximum bytes of a request body that are read, whatever limit is configured.
 MAX_BODY_BYTES = 64 * 1024 * 1024
 # Seconds for which the rest of a request, or the first request of a new connection, may
@@ -61,7 +59,7 @@
 CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
-class CallerConnection(asyncio.Protocol):
+class CallerConnection(asyncio.Protocol, RequestReceiver):
     """Reads the requests of one connection and writes the responses.
 
     Parameters
@@ -73,19 +71,10 @@
         self._server = server
         self.memory = ConnectionMemory(self, server.memory, server.body_limit)
         self._transport: asyncio.Transport | None = None
-        self._parser = HttpRequestParser(self)
+        self._parser = RequestParser(self)
         self._unparsed = bytearray()
         # Requests in the order of arrival; their responses are written in this order.
         self._exchanges: deque[Exchange] = deque()
-        # State of the message that is being parsed.
-        self._request_target = b""
-        self._header_fields: list[tuple[str, str]] = []
-        self._head_bytes = 0
-        self._in_head = True
-        # Whether the parser skips the body because of an offer to upgrade, and whether
-        # a parser is being prepared to read that body.
-        self._skips_body = False
-        self._prepares_body = False
         # Whether no more input is parsed, and whether the caller does not read its
         # responses.
         self._input_closed = False
@@ -145,77 +134,47 @@
 
     # Callbacks of the parser.
 
-    def on_message_begin(self) -> None:
-        """Reset the parse state for a new request."""
-        if self._prepares_body:
-            return
-        self._request_target = b""
-        self._header_fields = []
-        self._in_head = True
+    def begin_request(self) -> None:
+        """Take note that a request has begun to arrive."""
         self._in_request = True
 
-    def on_url(self, url: bytes) -> None:
-        """Append a part of the request target."""
-        if self._prepares_body:
-            return
-        self._request_target += url
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        """Store a header field."""
-        if self._prepares_body:
-            return
-        self._header_fields.append((name.decode("latin-1"), value.decode("latin-1")))
-
-    def on_headers_complete(self) -> None:
+    def receive_head(self, head: RequestHead) -> None:
         """Create the exchange and interpret the request head."""
-        if self._prepares_body:
-            self._prepares_body = False
-            return
-        self._in_head = False
-        self._head_bytes = 0
-        method = self._parser.get_method().decode("ascii")
-        keep_alive = self._parser.should_keep_alive()
-        self._skips_body = method != "CONNECT" and self._parser.should_upgrade()
-        exchange = Exchange(method in SAFE_METHODS, keep_alive)
+        exchange = Exchange(head.method in SAFE_METHODS, head.keep_alive)
         self._exchanges.append(exchange)
         self._server.count_request()
         try:
-            self._server.check_head(self._header_fields)
-            target = self._request_target.decode("latin-1")
+            self._server.check_head(head.fields)
             exchange.req = self._server.protocol.parse_request(
-                method, target, self._header_fields
+                head.method, head.target, head.fields
             )
         except BadRequest as exc:
             exchange.refusal = exc
             return
         exchange.deadline = exchange.received_at + exchange.req.time_left
         is_upload = self._server.is_upload(exchange.req)
-        if is_upload and not self.memory.admit_upload(exchange, self._header_fields):
+        if is_upload and not self.memory.admit_upload(exchange, head.fields):
             return
         expects_continue = any(
             name.lower() == "expect" and value.lower() == "100-continue"
-            for name, value in self._header_fields
+            for name, value in head.fields
         )
         is_first = len(self._exchanges) == 1
         if expects_continue and is_first and self._transport is not None:
             self._transport.write(CONTINUE_RESPONSE)
 
-    def on_body(self, body: bytes) -> None:
+    def receive_body(self, body: bytes) -> None:
         """Buffer a part of the body, within the size and memory limits."""
         self.memory.receive_body(self._exchanges[-1], body)
 
-    def on_message_complete(self) -> None:
+    def complete_request(self) -> None:
         """Mark the request as completely received."""
-        if self._skips_body:
-            return
         exchange = self._exchanges[-1]
         exchange.is_complete = True
         if exchange.body_timer is not None:
             exchange.body_timer.cancel()
         self._in_request = False
         self._has_received_request = True
-        self._head_bytes = 0
-        self._in_head = True
         if exchange.closes_connection:
             # Anything after this request is not parsed, so it is never executed.
             self._input_closed = True
@@ -345,15 +304,13 @@
             size = compute_parse_bytes(last)
             chunk = bytes(self._unparsed[:size])
             del self._unparsed[:size]
-            if self._in_head:
-                self._head_bytes += len(chunk)
             try:
-                self._parser.feed_data(chunk)
-            except HttpParserUpgrade as exc:
-                self._decline_upgrade(chunk[exc.args[0] :])
+                self._parser.feed(chunk)
+            except HttpParserUpgrade:
+                self._close_after_last()
             except HttpParserError as exc:
                 self._reject(BadRequest(BAD_REQUEST, f"invalid HTTP request: {exc}"))
-            if self._in_head and self._head_bytes > MAX_HEAD_BYTES:
+            if self._parser.is_head_too_large:
                 cause = "request headers exceed the size limit"
                 self._reject(BadRequest(HEADERS_TOO_LARGE, cause))
             if self._exchanges and self._exchanges[-1].body_size > MAX_BODY_BYTES:
@@ -362,27 +319,6 @@
             if last is not None and last.ends_early and not last.is_complete:
                 self._end_early()
 
-    def _decline_upgrade(self, rest: bytes) -> None:
-        """Read on over HTTP/1.1 after a head that offers to upgrade the protocol.
-
-        Parameters
-        ----------
-        rest : bytes
-            Bytes after the head.
-        """
-        if not self._skips_body:
-            # The bytes after a CONNECT request are meant for its destination.
-            self._close_after_last()
-            return
-        self._skips_body = False
-        self._prepares_body = True
-        self._unparsed[:0] = rest
-        self._parser = HttpRequestParser(self)
-        try:
-            self._parser.feed_data(encode_head_without_offer(self._header_fields))
-        except HttpParserError as exc:
-            self._reject(BadRequest(BAD_REQUEST, f"invalid HTTP request: {exc}"))
-
     def _may_parse(self) -> bool:
         if not self._exchanges:
             return True
--- a/packages/entry/tests/test_connection.py
+++ b/packages/entry/tests/test_connection.py
@@ -542,6 +542,19 @@
 
         run_in_virtual_time(step)
 
+    def test_nothing_after_a_last_request_is_run(self, run_in_virtual_time):
+        # Guards against a request that a proxy doesn't see, as the one before it closes
+        # the connection.
+        async def step(harness):
+            order = post("/a", b"body", "Connection: close", *OFFER)
+            harness.send(order + get("/b"))
+            await harness.run_loop()
+            assert harness.router.started == ["/a"]
+            await harness.finish("/a")
+            assert harness.router.started == ["/a"]
+
+        run_in_virtual_time(step)
+
     def test_body_beyond_the_limit_is_refused(self, run_in_virtual_time):
         # Guards against a body that fills the memory since it comes after an offer.
         async def step(harness):
