--- a/packages/entry/src/berylstage_entry/load_reporter.py
+++ b/packages/entry/src/berylstage_entry/load_reporter.py
@@ -119,23 +119,12 @@
     def receive_service_times(self, body: bytes) -> bool:
         """Add another VM's service times; return False if they are invalid."""
         try:
-            for service, mean, service_time_ratio in parse_json(body):
-                service_times = {
-                    str(name): float(value)
-                    for name, value in service_time_ratio.items()
-                }
-                self._grant_controller.add_service_times(
-                    str(service), float(mean), service_times
-                )
-        except (
-            InvalidRecord,
-            ValueError,
-            KeyError,
-            TypeError,
-            AttributeError,
-        ) as exc:
+            reports = _decode_service_times(body)
+        except InvalidRecord as exc:
             log.warning("invalid service times ignored", extra={"cause": str(exc)})
             return False
+        for service, mean, ratios in reports:
+            self._grant_controller.add_service_times(service, mean, ratios)
         return True
 
     async def _send_counts(self) -> None:
@@ -210,3 +199,19 @@
         header + b"".join(rows[first : first + MAX_KEYS_PER_DATAGRAM])
         for first in range(0, len(rows), MAX_KEYS_PER_DATAGRAM)
     ]
+
+
+def _decode_service_times(body: bytes) -> list[tuple[str, float, dict[str, float]]]:
+    """Decode service, mean time and ratios per target of each service.
+
+    Raises
+    ------
+    InvalidRecord
+    """
+    try:
+        return [
+            (str(service), float(mean), {str(n): float(r) for n, r in ratios.items()})
+            for service, mean, ratios in parse_json(body)
+        ]
+    except (ValueError, TypeError, AttributeError) as exc:
+        raise InvalidRecord(f"not service times: {exc}") from exc
--- a/packages/entry/src/berylstage_entry/peer_updates.py
+++ b/packages/entry/src/berylstage_entry/peer_updates.py
@@ -182,17 +182,8 @@
     def receive_item(self, body: bytes) -> bool:
         """Apply a value that another VM has pushed; return False if it is invalid."""
         try:
-            doc = parse_json(zlib.decompress(body))
-            value = doc["value"].encode("latin-1")
-            item = Item(doc["key"], value, int(doc["revision"]))
-        except (
-            zlib.error,
-            InvalidRecord,
-            ValueError,
-            KeyError,
-            TypeError,
-            AttributeError,
-        ) as exc:
+            item = _decode_item(body)
+        except InvalidRecord as exc:
             log.warning("invalid pushed value ignored", extra={"cause": str(exc)})
             return False
         return self._store_watcher.apply_pushed_item(item)
@@ -215,3 +206,18 @@
     # An assignment of a hundred ranges takes 5 KB, and a fifth of that compressed. Most
     # of the other VMs are in other data centres.
     return zlib.compress(json.dumps(doc).encode())
+
+
+def _decode_item(body: bytes) -> Item:
+    """Decode a pushed value.
+
+    Raises
+    ------
+    InvalidRecord
+    """
+    try:
+        doc = parse_json(zlib.decompress(body))
+        value = doc["value"].encode("latin-1")
+        return Item(doc["key"], value, int(doc["revision"]))
+    except (zlib.error, ValueError, KeyError, TypeError, AttributeError) as exc:
+        raise InvalidRecord(f"not a pushed value: {exc}") from exc
