--- a/packages/entry/src/berylstage_entry/lost_answers.py
+++ b/packages/entry/src/berylstage_entry/lost_answers.py
@@ -6,7 +6,11 @@
 from enum import Enum
 from typing import TYPE_CHECKING
 
-from berylstage_transfers.errors import AnswerLost, ConnectionClosed
+from berylstage_transfers.errors import (
+    AnswerLost,
+    AnswerMismatched,
+    ConnectionClosed,
+)
 from logbook import Logger
 
 from berylstage_entry.link_check import CheckResult
@@ -40,6 +44,8 @@
     TARGET_ENDED = "target ended"
     # The target lives on: it or a link has closed the connection.
     CONNECTION_CLOSED = "connection closed"
+    # A target has repeated an answer, or mixed up its answers.
+    OTHER_ANSWER = "answer to another request"
     UNKNOWN = "unknown"
 
 
@@ -78,6 +84,8 @@
         cause = LossCause.UNKNOWN
         if isinstance(exc, TargetEnded):
             cause = LossCause.TARGET_ENDED
+        elif isinstance(exc, AnswerMismatched):
+            cause = LossCause.OTHER_ANSWER
         elif isinstance(exc, ConnectionClosed):
             cause = await self._check(target)
         self.count_event(f"answer lost: {cause.value}")
@@ -90,6 +98,7 @@
                     "target": target.name,
                     "incarnation": target.incarnation,
                     "cause": cause.value,
+                    "answered": getattr(exc, "answered_id", ""),
                     "left_out": self._log_limiter.take_suppressed_count(),
                 },
             )
--- a/packages/entry/tests/test_lost_answers.py
+++ b/packages/entry/tests/test_lost_answers.py
@@ -13,8 +13,9 @@
 from berylstage_entry.protocols import CallerRequest, Record
 from berylstage_entry.request_fingerprint import compute_fingerprint
 from berylstage_entry.target_links import TargetLinks
-from berylstage_transfers.errors import AnswerLost, ConnectionClosed
+from berylstage_transfers.errors import AnswerLost, AnswerMismatched, ConnectionClosed
 from fakes import target
+from logbook import TestHandler
 
 CLOSED = ConnectionClosed("reset")
 
@@ -71,6 +72,14 @@
         cause = find_cause({"a": CheckResult.REFUSED}, AnswerLost("timed out"))
         assert cause is LossCause.UNKNOWN
 
+    def test_answer_to_another_request_names_both(self):
+        # Guards against a target that repeats answers without a word in the log.
+        with TestHandler() as handler:
+            cause = find_cause({}, AnswerMismatched("other", "id-7"))
+        assert cause is LossCause.OTHER_ANSWER
+        extra = handler.records[0].extra
+        assert (extra["id"], extra["answered"]) == ("id-1", "id-7")
+
     def test_requests_lost_together_cause_one_check(self):
         # Guards against a connection for each of the requests that a target has lost.
         lost_answers, checked = make_lost_answers({})
--- a/packages/transfers/src/berylstage_transfers/call.py
+++ b/packages/transfers/src/berylstage_transfers/call.py
@@ -175,6 +175,10 @@
         self.answers_other_call = headers.get(self.echo_header) != self.echo
         return not self.answers_other_call
 
+    def received_id(self) -> str:
+        """Return the id that the answer bears; empty if it bears none."""
+        return self.answer_headers.get(self.echo_header, b"").decode("latin-1")
+
     def has_whole_answer(self) -> bool:
         """Return whether an answer with a length has arrived to its end."""
         length = self.answer_headers.get(b"content-length", b"")
--- a/packages/transfers/src/berylstage_transfers/client.py
+++ b/packages/transfers/src/berylstage_transfers/client.py
@@ -17,6 +17,7 @@
 from berylstage_transfers.curl_handle import RESET_ERRORS, CurlHandle
 from berylstage_transfers.errors import (
     AnswerLost,
+    AnswerMismatched,
     ConnectionClosed,
     ConnectionRefused,
     NeverSent,
@@ -428,10 +429,12 @@
         remedy = "check whether it took effect before sending it again"
         if call.method == "GET":
             remedy = "send it again"
-        lost = ConnectionClosed if closed else AnswerLost
-        exc: Exception = lost(
-            f"{subject}: sent, but no complete answer arrived ({cause}); {remedy}"
-        )
+        message = f"{subject}: sent, but no complete answer arrived ({cause}); {remedy}"
+        exc: Exception
+        if call.answers_other_call:
+            exc = AnswerMismatched(message, call.received_id())
+        else:
+            exc = ConnectionClosed(message) if closed else AnswerLost(message)
     elif refused:
         exc = ConnectionRefused(
             f"{subject}: connection refused ({cause}); "
--- a/packages/transfers/src/berylstage_transfers/errors.py
+++ b/packages/transfers/src/berylstage_transfers/errors.py
@@ -25,3 +25,18 @@
 
 class ConnectionClosed(AnswerLost):
     """The server's machine closed or reset the connection before a complete answer."""
+
+
+class AnswerMismatched(AnswerLost):
+    """The answer that arrived belongs to another call; its connection is closed.
+
+    Parameters
+    ----------
+    message : str
+    answered_id : str
+        Id of the call that it belongs to; empty if it has none.
+    """
+
+    def __init__(self, message: str, answered_id: str):
+        super().__init__(message)
+        self.answered_id = answered_id
--- a/packages/transfers/tests/test_client.py
+++ b/packages/transfers/tests/test_client.py
@@ -15,6 +15,7 @@
 from berylstage_transfers.client import CallClient
 from berylstage_transfers.errors import (
     AnswerLost,
+    AnswerMismatched,
     CallFailed,
     ConnectionRefused,
     NeverSent,
@@ -102,6 +103,17 @@
 
         run(scenario)
 
+    def test_error_names_the_call_that_was_answered(self, open_server):
+        async def scenario():
+            async with open_server(BROKEN_ANSWERS["other id"]) as script:
+                client = CallClient(1)
+                with pytest.raises(AnswerMismatched) as caught:
+                    await client.call(make_call(script))
+                assert caught.value.answered_id == "2"
+                client.close()
+
+        run(scenario)
+
     @pytest.mark.parametrize("late", [True, False], ids=["late", "at once"])
     def test_bytes_after_the_answer_are_discarded(self, open_server, late):
         # The server sends an unrequested answer after the right one. The next call on
