--- a/packages/entry/tests/test_lost_answers.py
+++ b/packages/entry/tests/test_lost_answers.py
@@ -15,7 +15,7 @@
 from berylstage_entry.target_links import TargetLinks
 from berylstage_transfers.errors import AnswerLost, AnswerMismatched, ConnectionClosed
 from fakes import target
-from logbook import TestHandler
+from logbook import TestHandler as LogHandler
 
 CLOSED = ConnectionClosed("reset")
 
@@ -74,7 +74,7 @@
 
     def test_answer_to_another_request_names_both(self):
         # Guards against a target that repeats answers without a word in the log.
-        with TestHandler() as handler:
+        with LogHandler() as handler:
             cause = find_cause({}, AnswerMismatched("other", "id-7"))
         assert cause is LossCause.OTHER_ANSWER
         extra = handler.records[0].extra
--- a/packages/entry/tests/test_supervision.py
+++ b/packages/entry/tests/test_supervision.py
@@ -18,7 +18,7 @@
     supervise,
 )
 from fakes import JsonRecords, MemoryStore, configuration, settings
-from logbook import TestHandler
+from logbook import TestHandler as LogHandler
 from virtual_time import virtual_loop
 
 
@@ -61,7 +61,7 @@
         async def play():
             await supervise("duty", run)
 
-        with TestHandler() as handler:
+        with LogHandler() as handler:
             loop.run_until_complete(play())
         assert len(runs) == 3
         assert runs[1] - runs[0] == pytest.approx(MIN_RESTART_DELAY_SECONDS)
@@ -82,7 +82,7 @@
             await asyncio.sleep(60.0)
             task.cancel()
 
-        with TestHandler():
+        with LogHandler():
             loop.run_until_complete(play())
         assert 60 / MAX_RESTART_DELAY_SECONDS <= len(runs) < 40
 
@@ -100,7 +100,7 @@
             await asyncio.sleep(10.5 * STABLE_RUN_SECONDS)
             task.cancel()
 
-        with TestHandler():
+        with LogHandler():
             loop.run_until_complete(play())
         assert len(runs) == 11
 
@@ -142,7 +142,7 @@
             await asyncio.sleep(2.0)
             store_watcher.stop()
 
-        with TestHandler():
+        with LogHandler():
             loop.run_until_complete(play())
         assert view.configuration.version == 2
 
@@ -162,7 +162,7 @@
             await membership.stop()
             return record.key
 
-        with TestHandler():
+        with LogHandler():
             assert loop.run_until_complete(play()) == VMS_PREFIX + "vm-1"
 
 
@@ -177,7 +177,7 @@
             await asyncio.wait([task])
             log_task_failure(task)
 
-        with TestHandler() as handler:
+        with LogHandler() as handler:
             loop.run_until_complete(play())
         assert handler.records[0].extra["cause"] == "KeyError: 'slots'"
 
@@ -188,6 +188,6 @@
             asyncio.get_running_loop().call_soon(int, "x")
             await asyncio.sleep(0.1)
 
-        with TestHandler() as handler:
+        with LogHandler() as handler:
             loop.run_until_complete(play())
         assert "invalid literal" in handler.records[0].formatted_exception
--- a/packages/transfers/src/berylstage_transfers/sent_ids.py
+++ b/packages/transfers/src/berylstage_transfers/sent_ids.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-# Seconds for which an id is remembered at least. Afterwards no connection that has
-# carried it is likely to be open, and nobody sends it again.
+# Seconds for which an id is remembered at least: longer than the deadlines of callers,
+# before which a request may be sent again.
 MIN_MEMORY_SECONDS = 30.0
 
 
