--- a/tests/test_soak_targets.py
+++ b/tests/test_soak_targets.py
@@ -118,12 +118,17 @@
         assert len(ledger.runs) == SLOTS + 1
 
 
+# Service time that no upload reaches before the bodies of all have arrived.
+SLOW_SECONDS = 5.0
+
+
 class TestUploads:
     """What a target does with the bodies of uploads."""
 
-    async def send_uploads(self, ledger, sizes):
+    async def send_uploads(self, ledger, sizes, service_seconds=0.0):
         """Return the target after uploads of some sizes at once, and their answers."""
         target = SoakTarget("i-1", "w", f"{get_loopback_prefix()}.2", ledger, Random(1))
+        target.min_service_seconds = service_seconds
         target.start()
         # Connections close once their writers are discarded.
         ends = []
@@ -159,7 +164,7 @@
         # Guards against a stand-in that holds any number of bodies.
         async def scenario():
             sizes = [MAX_UPLOAD_BYTES] * SLOTS * 2
-            target, answers = await self.send_uploads(ledger, sizes)
+            target, answers = await self.send_uploads(ledger, sizes, SLOW_SECONDS)
             seen = target.is_running, target.incarnation
             await asyncio.sleep(RESTART_SECONDS)
             seen += target.is_running, target.bodies
