A stop logs late timers, unaccepted connections and unread bytes

The logs could not tell a request that waits in the accept queue, or unread in a socket, from one that the VM has broken off. A stop now logs how late the event loop noticed the end of each phase ('late' of 'stop phase ended'), the connections that closing the listening socket resets ('listening ended'), and each connection whose socket holds unread bytes when it closes.

--- a/packages/cli/src/berylstage_cli/stops.py
+++ b/packages/cli/src/berylstage_cli/stops.py
@@ -17,6 +17,7 @@
     "closed_idle": "connections closed idle",
     "cut": "connections cut",
     "bytes_cut": "bytes cut",
+    "closed_unread": "connections closed with unread bytes",
 }
 
 
--- a/packages/cli/tests/test_losses.py
+++ b/packages/cli/tests/test_losses.py
@@ -31,7 +31,7 @@
 
 
 def stopped(second, vm, begun, closed_idle, cut, bytes_cut):
-    counts = {"begun": begun, "closed_idle": closed_idle}
+    counts = {"begun": begun, "closed_idle": closed_idle, "closed_unread": 1}
     counts |= {"cut": cut, "bytes_cut": bytes_cut}
     return line(second, vm, "stopped", **counts)
 
@@ -204,6 +204,7 @@
             "closed_idle": 7,
             "cut": 5,
             "bytes_cut": 100_000,
+            "closed_unread": 2,
             "without_request": 2,
             "phases": {
                 "leaving": {"median": 2.6, "most": 2.8},
--- a/packages/entry/src/berylstage_entry/application.py
+++ b/packages/entry/src/berylstage_entry/application.py
@@ -421,9 +421,9 @@
         self.subscription.stop()
         self.probes.stop()
         await self._run_step(plan, self.membership.stop())
-        await asyncio.sleep(max(plan.drain_at - now(), RECORD_LAG_SECONDS))
+        await self._sleep_until(max(plan.drain_at, now() + RECORD_LAG_SECONDS))
         self.server.start_draining()
-        await asyncio.sleep(ACCEPT_SECONDS)
+        await self._sleep_until(now() + ACCEPT_SECONDS)
         await self._drain(plan)
         self.store_watcher.stop()
         self.confirmer.stop()
@@ -455,12 +455,14 @@
             pending_work.serving += self.relay_server.in_flight
             next_phase = plan.phase(now(), pending_work)
             if next_phase is not phase:
+                delay = round(self._phase_timer.longest_delay, 3)
                 seconds = round(self._phase_timer.enter(next_phase, now()), 3)
                 log.info(
                     "stop phase ended",
                     extra={
                         "phase": phase.value,
                         "seconds": seconds,
+                        "late": delay,
                         "serving": pending_work.serving,
                         "flushing": pending_work.flushing,
                         "bytes_left": pending_work.unacknowledged_bytes,
@@ -468,7 +470,12 @@
                 )
                 phase = next_phase
                 continue
-            await asyncio.sleep(DRAIN_POLL_SECONDS)
+            await self._sleep_until(now() + DRAIN_POLL_SECONDS)
+
+    async def _sleep_until(self, due: float) -> None:
+        """Sleep until a time in monotonic seconds, and record the delay."""
+        await asyncio.sleep(max(0.0, due - now()))
+        self._phase_timer.record_delay(due, now())
 
     def _log_stopped(self) -> None:
         counts = self.server.counts
@@ -479,6 +486,7 @@
                 "closed_idle": counts.idle_closed,
                 "cut": counts.connections_cut,
                 "bytes_cut": counts.bytes_cut,
+                "closed_unread": counts.closed_unread,
             },
         )
 
--- a/packages/entry/src/berylstage_entry/connection.py
+++ b/packages/entry/src/berylstage_entry/connection.py
@@ -104,6 +104,9 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel all requests, because the caller can no longer receive responses."""
         self._input_closed = True
+        if exc is None:
+            # The event loop closes the socket right after this call.
+            self._server.count_closed_socket(self)
         if self._timer is not None:
             self._timer.cancel()
         if self._graceful_close is not None:
--- a/packages/entry/src/berylstage_entry/metrics.py
+++ b/packages/entry/src/berylstage_entry/metrics.py
@@ -131,6 +131,7 @@
         f'berylstage_stop_events_total{{event="begun"}} {counts.requests_received}',
         f'berylstage_stop_events_total{{event="closed_idle"}} {counts.idle_closed}',
         f'berylstage_stop_events_total{{event="cut"}} {counts.connections_cut}',
+        f'berylstage_stop_events_total{{event="closed_unread"}} {counts.closed_unread}',
         f"berylstage_stop_bytes_cut_total {counts.bytes_cut}",
     ]
     lines += [
--- a/packages/entry/src/berylstage_entry/server.py
+++ b/packages/entry/src/berylstage_entry/server.py
@@ -26,6 +26,7 @@
 from berylstage_entry.router import MIN_ATTEMPT_SECONDS
 from berylstage_entry.shutdown import PendingWork
 from berylstage_entry.shutdown_counts import ShutdownCounts
+from berylstage_entry.sockets import count_unaccepted_connections
 
 if TYPE_CHECKING:
     from asyncio import AbstractServer
@@ -143,6 +144,15 @@
         """Count a request that arrives during a shutdown."""
         self.counts.requests_received += self.is_stopping
 
+    def count_closed_socket(self, conn: CallerConnection) -> None:
+        """Record a connection that closes with unread bytes during a shutdown."""
+        if not self.is_stopping or not conn.has_unread_bytes():
+            return
+        self.counts.closed_unread += 1
+        log.info(
+            "connection closed with unread bytes", extra={"id": conn.last_request_id}
+        )
+
     def remove_connection(self, conn: CallerConnection) -> None:
         """Unregister a closed connection."""
         self._connections.discard(conn)
@@ -154,6 +164,7 @@
         A request that is read while the process ends would be cut off. Once the idle
         connections are closed, only those remain that close with their response.
         """
+        self._log_unaccepted()
         self._stop_listening()
         self._is_draining = True
         self.close_idle_connections()
@@ -166,6 +177,12 @@
             conn.abort_if_peer_closed()
             self.counts.idle_closed += conn.close_if_idle()
 
+    def _log_unaccepted(self) -> None:
+        """Log the connections that closing the listening socket resets."""
+        if self._socket is not None:
+            unaccepted = count_unaccepted_connections(self._socket)
+            log.info("listening ended", extra={"unaccepted": unaccepted})
+
     def _stop_listening(self) -> None:
         if self._open_task is not None:
             self._open_task.cancel()
--- a/packages/entry/src/berylstage_entry/shutdown.py
+++ b/packages/entry/src/berylstage_entry/shutdown.py
@@ -111,11 +111,18 @@
 
 
 class PhaseTimer:
-    """Measures how long each phase of a shutdown takes; zero before a shutdown."""
+    """Measures how long each phase of a shutdown takes; zero before a shutdown.
 
-    __slots__ = ("_entered_at", "_phase", "_seconds_by_phase")
+    Attributes
+    ----------
+    longest_delay : float
+        Seconds by which the event loop was late at most in the current phase.
+    """
+
+    __slots__ = ("_entered_at", "_phase", "_seconds_by_phase", "longest_delay")
 
     def __init__(self) -> None:
+        self.longest_delay = 0.0
         self._phase = Phase.ENDED
         self._entered_at = 0.0
         self._seconds_by_phase = {
@@ -140,8 +147,13 @@
             self._seconds_by_phase[self._phase.value] += seconds
         self._phase = phase
         self._entered_at = moment
+        self.longest_delay = 0.0
         return seconds
 
+    def record_delay(self, due: float, moment: float) -> None:
+        """Record that the event loop resumed at a time instead of when it was due."""
+        self.longest_delay = max(self.longest_delay, moment - due)
+
     def seconds(self, moment: float) -> dict[str, float]:
         """Return the seconds spent in each phase, including the current one."""
         totals = dict(self._seconds_by_phase)
--- a/packages/entry/src/berylstage_entry/shutdown_counts.py
+++ b/packages/entry/src/berylstage_entry/shutdown_counts.py
@@ -16,10 +16,14 @@
         Connections closed with pending work.
     bytes_cut : int
         Bytes of responses that callers did not acknowledge.
+    closed_unread : int
+        Connections whose socket held unread bytes when it closed. The kernel resets
+        them, and a request in these bytes ends without an answer.
     """
 
     __slots__ = (
         "bytes_cut",
+        "closed_unread",
         "connections_cut",
         "idle_closed",
         "requests_received",
@@ -30,3 +34,4 @@
         self.idle_closed = 0
         self.connections_cut = 0
         self.bytes_cut = 0
+        self.closed_unread = 0
--- a/packages/entry/src/berylstage_entry/sockets.py
+++ b/packages/entry/src/berylstage_entry/sockets.py
@@ -6,7 +6,7 @@
 from enum import Enum
 from fcntl import ioctl
 from select import POLLERR, POLLHUP, POLLRDHUP, poll
-from socket import MSG_DONTWAIT, MSG_PEEK, socket
+from socket import IPPROTO_TCP, MSG_DONTWAIT, MSG_PEEK, TCP_INFO, socket
 from termios import TIOCOUTQ
 from typing import TYPE_CHECKING
 
@@ -15,6 +15,10 @@
     from asyncio.trsock import TransportSocket
 
 _INT = struct.Struct("i")
+_UNSIGNED_INT = struct.Struct("I")
+# For a listening socket, Linux reports the length of its accept queue in the field
+# tcpi_unacked of struct tcp_info.
+_ACCEPT_QUEUE_OFFSET = 24
 # Events that report the peer's close even while unread bytes precede it.
 _PEER_CLOSED_EVENTS = POLLRDHUP | POLLHUP | POLLERR
 
@@ -133,3 +137,26 @@
         # Some kernels do not support this call for sockets; the end of a connection is
         # then detected by the peer's close alone.
         return 0
+
+
+def count_unaccepted_connections(sock: TransportSocket | socket) -> int | None:
+    """Return the established connections in a listening socket's accept queue.
+
+    Parameters
+    ----------
+    sock : socket
+        A listening socket.
+
+    Returns
+    -------
+    int or None
+        None if the kernel does not report them.
+    """
+    size = _ACCEPT_QUEUE_OFFSET + _UNSIGNED_INT.size
+    try:
+        info = sock.getsockopt(IPPROTO_TCP, TCP_INFO, size)
+    except OSError:
+        return None
+    if len(info) < size:
+        return None
+    return _UNSIGNED_INT.unpack_from(info, _ACCEPT_QUEUE_OFFSET)[0]
--- a/packages/entry/tests/test_metrics.py
+++ b/packages/entry/tests/test_metrics.py
@@ -18,6 +18,7 @@
         counts = ShutdownCounts()
         counts.requests_received, counts.idle_closed = 7, 5
         counts.connections_cut, counts.bytes_cut = 2, 90_000
+        counts.closed_unread = 3
         lines = format_shutdown_metrics(
             counts, NO_SHUTDOWN | {"leaving": 2.6}
         ).splitlines()
@@ -25,6 +26,7 @@
             'berylstage_stop_events_total{event="begun"} 7',
             'berylstage_stop_events_total{event="closed_idle"} 5',
             'berylstage_stop_events_total{event="cut"} 2',
+            'berylstage_stop_events_total{event="closed_unread"} 3',
             "berylstage_stop_bytes_cut_total 90000",
             'berylstage_stop_phase_seconds{phase="leaving"} 2.600',
             'berylstage_stop_phase_seconds{phase="draining"} 0.000',
@@ -59,3 +61,12 @@
         times.enter(Phase.FLUSHING, 102.5)
         times.enter(Phase.ENDED, 103.0)
         assert times.seconds(109.0) == NO_SHUTDOWN | {"leaving": 2.5, "flushing": 0.5}
+
+    def test_delays_count_for_one_phase(self):
+        times = PhaseTimer()
+        times.enter(Phase.LEAVING, 100.0)
+        times.record_delay(101.0, 101.25)
+        times.record_delay(102.0, 102.125)
+        assert times.longest_delay == 0.25
+        times.enter(Phase.DRAINING, 103.0)
+        assert times.longest_delay == 0.0
--- a/packages/entry/tests/test_server.py
+++ b/packages/entry/tests/test_server.py
@@ -403,6 +403,26 @@
 
         asyncio.run(scenario())
 
+    def test_connection_that_closes_with_unread_bytes_is_counted(self):
+        # Guards against a request that is reset with its connection and leaves no
+        # trace in the logs of the VM.
+        async def scenario():
+            server, port = start_server(LargeRouter(self.SIZE))
+            _, writer = await asyncio.open_connection("127.0.0.1", port)
+            await asyncio.sleep(0.05)
+            (conn,) = server._connections
+            server.is_stopping = True
+            conn.stop_taking_requests()
+            conn._transport.pause_reading()
+            writer.write(REQUEST)
+            await asyncio.sleep(0.05)
+            conn.close_now()
+            await asyncio.sleep(0.05)
+            assert server.counts.closed_unread == 1
+            writer.close()
+
+        asyncio.run(scenario())
+
     def test_counts_of_a_shutdown(self):
         # Guards against cut responses and late requests that are not counted.
         async def scenario():
--- a/packages/entry/tests/test_sockets.py
+++ b/packages/entry/tests/test_sockets.py
@@ -8,6 +8,7 @@
 
 from berylstage_entry.sockets import (
     ReceiveState,
+    count_unaccepted_connections,
     peek_transport,
     peer_has_closed,
     send_queue_bytes,
@@ -110,3 +111,21 @@
             transport.abort()
 
         asyncio.run(scenario())
+
+
+class TestAcceptQueue:
+    def test_connections_that_nobody_has_accepted(self):
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            peers = [socket.create_connection(listener.getsockname()) for _ in "abc"]
+            assert count_unaccepted_connections(listener) == 3
+            listener.accept()[0].close()
+            assert count_unaccepted_connections(listener) == 2
+            for peer in peers:
+                peer.close()
+
+    def test_kernel_that_does_not_report_them(self):
+        class OtherSocket:
+            def getsockopt(self, level, option, size):
+                raise OSError("unsupported")
+
+        assert count_unaccepted_connections(OtherSocket()) is None
