Tests of connections that wait in the accept queue when a VM stops

They fail: the stop closes the listening socket with the connections that the kernel has established and the event loop has not accepted, and each of them is reset with its whole request unread.

--- a/packages/entry/tests/test_internal_http.py
+++ b/packages/entry/tests/test_internal_http.py
@@ -9,6 +9,7 @@
 import pytest
 from berylstage_entry.internal_http import CLOSE_TIMEOUT_SECONDS, InternalServer
 from berylstage_entry.responses import Response
+from test_server import connect_without_loop, read_until_closed
 
 LARGE_BODY_BYTES = 4 * 1024 * 1024
 SLOW_REQUEST = b"POST /slow HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\nx"
@@ -109,6 +110,19 @@
 
         asyncio.run(scenario())
 
+    def test_request_of_an_unaccepted_connection_is_answered(self):
+        # Guards against resetting a relayed request whose connection the event loop has
+        # not accepted when the server closes.
+        async def scenario():
+            server, port = start_server()
+            await asyncio.sleep(0.05)
+            clients = connect_without_loop(port, 8, SLOW_REQUEST)
+            await server.close()
+            return [read_until_closed(client) for client in clients]
+
+        for answer in asyncio.run(scenario()):
+            assert answer.endswith(b"whole")
+
     def test_partly_sent_response_arrives_complete(self):
         # Guards against exiting while a response is partly sent.
         async def scenario():
--- a/packages/entry/tests/test_server.py
+++ b/packages/entry/tests/test_server.py
@@ -316,6 +316,27 @@
     return b"".join(parts)
 
 
+def connect_without_loop(port, count, request=REQUEST):
+    """Return connections with a whole request each, while the event loop is held up."""
+    callers = [socket.create_connection(("127.0.0.1", port)) for _ in range(count)]
+    for caller in callers:
+        caller.sendall(request)
+    return callers
+
+
+def read_until_closed(caller):
+    """Return all data of a blocking socket, and close it; empty after a reset."""
+    with caller:
+        caller.settimeout(1.0)
+        data = b""
+        try:
+            while part := caller.recv(65536):
+                data += part
+        except ConnectionResetError:
+            return b""
+        return data
+
+
 async def shut_down(server, seconds=5.0):
     """Shut a server down as the application does."""
     end = asyncio.get_running_loop().time() + seconds
@@ -448,6 +469,25 @@
         asyncio.run(scenario())
 
 
+class TestAcceptQueue:
+    """Established connections that the event loop has not accepted when a VM stops."""
+
+    CONNECTIONS = 30
+
+    def test_requests_of_unaccepted_connections_are_answered(self):
+        # Guards against closing the listening socket of a loop that is late, which
+        # resets the connections in its accept queue with their requests.
+        async def scenario():
+            server, port = start_server(SlowRouter(0.05))
+            await asyncio.sleep(0.05)
+            callers = connect_without_loop(port, self.CONNECTIONS)
+            await shut_down(server)
+            return [read_until_closed(caller) for caller in callers]
+
+        answers = asyncio.run(scenario())
+        assert [answer[:12] for answer in answers] == [b"HTTP/1.1 200"] * len(answers)
+
+
 class TestCallerLeavesDuringShutdown:
     """Callers that close their connections during a shutdown."""
 
--- a/tests/test_stops.py
+++ b/tests/test_stops.py
@@ -408,6 +408,75 @@
         stop.vm.send_signal(signal.SIGCONT)
 
 
+class Suspension:
+    """A suspension of a stopping VM, in seconds after SIGTERM.
+
+    Parameters
+    ----------
+    begin, end : float
+    first_connection : float
+        When the first new connection is opened.
+    pause_ms : int
+        Time that targets take for each request.
+    """
+
+    def __init__(self, begin, end, first_connection, pause_ms=20):
+        self.begin = begin
+        self.end = end
+        self.first_connection = first_connection
+        self.pause_ms = pause_ms
+
+
+class TestConnectionsWhileSuspended:
+    """New and kept connections of a VM that is suspended while it stops."""
+
+    STEP_SECONDS = 0.04
+    SUSPENSIONS = (
+        Suspension(1.5, 2.9, 1.6),
+        Suspension(0.5, 2.9, 0.6),
+        Suspension(2.0, 2.9, 2.2),
+        Suspension(2.0, 5.45, 2.05),
+        Suspension(2.5, 5.5, 2.1, pause_ms=300),
+    )
+
+    def test_requests_received_while_suspended(self, tmp_path):
+        # Guards against a VM that resumes late and closes the listening socket, which
+        # resets established connections that wait in its accept queue.
+        async def scenario():
+            count = len(self.SUSPENSIONS)
+            async with StopEnvironment(tmp_path, vms=count) as environment:
+                stops = [StopScenario(environment, vm) for vm in environment.vms]
+                both = zip(stops, self.SUSPENSIONS, strict=True)
+                await asyncio.gather(*(self.suspend_process(*pair) for pair in both))
+
+        asyncio.run(scenario())
+
+    async def suspend_process(self, stop, suspension):
+        sweep = sweep_offsets(
+            suspension.first_connection, IDLE_CLOSE_SECONDS - 0.04, self.STEP_SECONDS
+        )
+        callers = await stop.add_keep_alive_callers(len(sweep))
+        for number, offset in enumerate(sweep):
+            method = "POST" if number % 2 else "GET"
+            pause = suspension.pause_ms
+            kept, new = (
+                stop.new_request(method=method, pause_ms=pause) for _ in range(2)
+            )
+            stop.send_at(offset, callers[number], kept)
+            stop.connect_at(offset, new)
+        stop.signal_at(suspension.begin, signal.SIGSTOP)
+        stop.signal_at(suspension.end, signal.SIGCONT)
+        await stop.stop()
+        stop.check_nothing_lost()
+        sent = stop.requests_sent_by(IDLE_CLOSE_SECONDS)
+        missing = [request for request in sent if not request.is_complete]
+        assert not missing, (
+            f"suspended from {suspension.begin} to {suspension.end} s: "
+            f"{len(missing)} of {len(sent)} not answered: {missing[:5]}"
+        )
+        assert {request.status for request in sent} <= {200, 503}
+
+
 class TestSignals:
     """Signals that come while a VM stops."""
 
