A stop accepts the connections that wait before it closes a listening socket

Callers that connected while a VM was suspended, late or without a core, and whose VM then came to the end of the balancer's lag, saw their new connection reset with a whole request sent; connections that were kept were answered. Closing a listening socket resets every connection in its accept queue. After a suspension, epoll returns with its time over and without events, so the timer that begins the drain runs before any accept. The program counted no work, as it counts only what it has accepted.

The servers for callers, the load balancer, other VMs and metrics now accept until the kernel says that nothing waits, and close the socket in the same turn of the loop. Accepted connections count as work from then on, before they have a transport. 'listening ended' tells how many were accepted that late and, as before, how many are reset.

Price: one call of accept for each listening socket, once a stop; one more turn of the loop for each internal server. A stop in which nothing waits takes as long as before.

--- a/packages/entry/src/berylstage_entry/internal_http.py
+++ b/packages/entry/src/berylstage_entry/internal_http.py
@@ -14,7 +14,10 @@
     ResponseStartLine,
     responses,
 )
+from tornado.iostream import IOStream
+from tornado.netutil import bind_sockets
 
+from berylstage_entry.accept_queue import AcceptQueue
 from berylstage_entry.addresses import split_host_port
 from berylstage_entry.clock import now
 from berylstage_entry.responses import Response
@@ -24,8 +27,7 @@
 if TYPE_CHECKING:
     from asyncio import Future
     from collections.abc import Awaitable, Callable
-
-    from tornado.iostream import IOStream
+    from socket import socket
 
     Handler = Callable[[bytes], "Response | Awaitable[Response]"]
 
@@ -148,6 +150,7 @@
         self._handlers = handlers
         self._cancellable = cancellable
         self._server: HTTPServer | None = None
+        self._sockets: list[socket] = []
         self._connections: dict[object, _InternalConnection] = {}
         self.is_closing = False
 
@@ -155,7 +158,8 @@
         """Start to accept connections."""
         self._server = HTTPServer(self, max_body_size=DEFAULT_MAX_BODY_BYTES)
         host, port = split_host_port(address)
-        self._server.listen(port, host)
+        self._sockets = bind_sockets(port, host)
+        self._server.add_sockets(self._sockets)
 
     def start_request(self, server_conn, request_conn) -> HTTPMessageDelegate:
         """Return the delegate for a new request."""
@@ -183,12 +187,40 @@
         if self._server is None:
             return
         self.is_closing = True
-        self._server.stop()
+        self._end_listening(self._server)
+        # The server's tasks register the connections that were just accepted.
+        await asyncio.sleep(0)
         end = now() + CLOSE_TIMEOUT_SECONDS
         while self._close_idle() and now() < end:
             await asyncio.sleep(CLOSE_POLL_SECONDS)
         await self._server.close_all_connections()
 
+    def _end_listening(self, server: HTTPServer) -> None:
+        """Accept the connections that wait, and close the listening sockets.
+
+        Connections that no descriptor is free for are reset; nothing waits for them,
+        because the process exits.
+        """
+        for sock in self._sockets:
+            for conn in AcceptQueue(sock).accept_all():
+                self._serve(server, conn)
+        server.stop()
+
+    def _serve(self, server: HTTPServer, conn: socket) -> None:
+        """Serve an accepted connection."""
+        try:
+            address = conn.getpeername()
+        except OSError:
+            # The peer has reset the connection.
+            conn.close()
+            return
+        stream = IOStream(
+            conn,
+            max_buffer_size=server.max_buffer_size,
+            read_chunk_size=server.read_chunk_size,
+        )
+        server.handle_stream(stream, address)
+
     def _close_idle(self) -> int:
         """Close connections without pending work; return how many remain open."""
         for conn in list(self._connections.values()):
--- a/packages/entry/src/berylstage_entry/server.py
+++ b/packages/entry/src/berylstage_entry/server.py
@@ -8,6 +8,7 @@
 
 from logbook import Logger
 
+from berylstage_entry.accept_queue import AcceptQueue
 from berylstage_entry.addresses import split_host_port
 from berylstage_entry.clock import now
 from berylstage_entry.connection import MAX_BODY_BYTES, CallerConnection
@@ -27,6 +28,7 @@
 from berylstage_entry.shutdown import PendingWork
 from berylstage_entry.shutdown_counts import ShutdownCounts
 from berylstage_entry.sockets import count_unaccepted_connections
+from berylstage_entry.supervision import log_task_failure
 
 if TYPE_CHECKING:
     from asyncio import AbstractServer
@@ -98,10 +100,15 @@
         self._open_task: asyncio.Task | None = None
         self._socket: socket | None = None
         self._server: AbstractServer | None = None
+        # Tasks that create the transports of connections accepted by the server itself.
+        self._transport_tasks: set[asyncio.Task] = set()
+        # Connections that were accepted just before the listening socket was closed.
+        self._late_connections = 0
 
     def listen(self, address: str) -> None:
         """Start to accept connections."""
         self._socket = create_server(split_host_port(address), backlog=LISTEN_BACKLOG)
+        self._socket.setblocking(False)
         self._open_task = asyncio.create_task(self._open(self._socket))
 
     async def _open(self, sock: socket) -> None:
@@ -118,9 +125,18 @@
         request may be unread in the socket of any of them.
         """
         if self._is_draining:
-            return len(self._connections)
+            return len(self._connections) + self._incoming
         return sum(conn.has_pending_work for conn in self._connections)
 
+    @property
+    def _incoming(self) -> int:
+        """Number of accepted connections without a transport.
+
+        The listening socket counts as one of them, as long as a drain could not close
+        it, because more connections may wait in its accept queue.
+        """
+        return len(self._transport_tasks) + (self._socket is not None)
+
     def pending_work(self) -> PendingWork:
         """Return the work that must finish before the server can close."""
         flushing = [conn for conn in self._connections if not conn.is_serving]
@@ -128,7 +144,9 @@
             conn.unacknowledged_bytes for conn in self._connections
         )
         serving = len(self._connections) - len(flushing)
-        return PendingWork(serving, len(flushing), unacknowledged_bytes)
+        return PendingWork(
+            serving, len(flushing) + self._incoming, unacknowledged_bytes
+        )
 
     def add_connection(self, conn: CallerConnection) -> None:
         """Register a new connection."""
@@ -164,24 +182,52 @@
         A request that is read while the process ends would be cut off. Once the idle
         connections are closed, only those remain that close with their response.
         """
-        self._log_unaccepted()
-        self._stop_listening()
         self._is_draining = True
         self.close_idle_connections()
         for conn in self._connections:
             conn.stop_taking_requests()
 
     def close_idle_connections(self) -> None:
-        """Close the connections without pending work or without a caller."""
+        """Close the connections without pending work or without a caller.
+
+        The listening socket is closed first, once its accept queue is empty.
+        """
+        if self._is_draining:
+            self._end_listening()
         for conn in list(self._connections):
             conn.abort_if_peer_closed()
             self.counts.idle_closed += conn.close_if_idle()
 
-    def _log_unaccepted(self) -> None:
-        """Log the connections that closing the listening socket resets."""
-        if self._socket is not None:
-            unaccepted = count_unaccepted_connections(self._socket)
-            log.info("listening ended", extra={"unaccepted": unaccepted})
+    def _end_listening(self) -> None:
+        """Accept the connections that wait, and close the listening socket.
+
+        It stays open if connections are left because no descriptor is free.
+        """
+        if self._socket is None:
+            return
+        queue = AcceptQueue(self._socket)
+        for sock in queue.accept_all():
+            self._late_connections += 1
+            self._create_transport(sock)
+        if not queue.is_empty:
+            return
+        unaccepted = count_unaccepted_connections(self._socket)
+        log.info(
+            "listening ended",
+            extra={"accepted": self._late_connections, "unaccepted": unaccepted},
+        )
+        self._stop_listening()
+
+    def _create_transport(self, sock: socket) -> None:
+        """Let the event loop serve an accepted connection."""
+        loop = asyncio.get_running_loop()
+        task = loop.create_task(
+            loop.connect_accepted_socket(lambda: CallerConnection(self), sock),
+            name="transport of an accepted connection",
+        )
+        self._transport_tasks.add(task)
+        task.add_done_callback(self._transport_tasks.discard)
+        task.add_done_callback(log_task_failure)
 
     def _stop_listening(self) -> None:
         if self._open_task is not None:
@@ -190,6 +236,7 @@
             self._server.close()
         if self._socket is not None:
             self._socket.close()
+            self._socket = None
 
     def set_limits(self, limits: Limits) -> None:
         """Apply the configured idle timeout."""
--- a/packages/entry/tests/test_server.py
+++ b/packages/entry/tests/test_server.py
@@ -4,9 +4,11 @@
 
 import asyncio
 import os
+import resource
 import socket
 import struct
 import time
+from contextlib import contextmanager
 from itertools import cycle
 
 import pytest
@@ -324,6 +326,19 @@
     return callers
 
 
+@contextmanager
+def no_free_descriptor():
+    """Let no further descriptor be opened by this process."""
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    with socket.socket() as highest:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (highest.fileno(), hard))
+        highest.close()
+        try:
+            yield
+        finally:
+            resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
+
+
 def read_until_closed(caller):
     """Return all data of a blocking socket, and close it; empty after a reset."""
     with caller:
@@ -487,6 +502,37 @@
         answers = asyncio.run(scenario())
         assert [answer[:12] for answer in answers] == [b"HTTP/1.1 200"] * len(answers)
 
+    def test_requests_are_answered_once_descriptors_are_free(self):
+        # Guards against closing the listening socket, or failing the stop, while no
+        # descriptor is free for the connections that wait.
+        async def scenario():
+            server, port = start_server(SlowRouter(0.05))
+            await asyncio.sleep(0.05)
+            callers = connect_without_loop(port, 3)
+            with no_free_descriptor():
+                stopped = asyncio.create_task(shut_down(server))
+                await asyncio.sleep(0.05)
+                assert server.in_flight
+            await stopped
+            return [read_until_closed(caller) for caller in callers]
+
+        for answer in asyncio.run(scenario()):
+            assert answer.startswith(b"HTTP/1.1 200")
+
+    def test_empty_queue_does_not_delay_the_shutdown(self):
+        # Guards against a stop that takes longer although no connection waits.
+        async def scenario():
+            server, port = start_server(SlowRouter(0.0))
+            await asyncio.sleep(0.05)
+            server.is_stopping = True
+            server.start_draining()
+            assert server.in_flight == 0
+            with pytest.raises(ConnectionRefusedError):
+                socket.create_connection(("127.0.0.1", port))
+            await server.close()
+
+        asyncio.run(scenario())
+
 
 class TestCallerLeavesDuringShutdown:
     """Callers that close their connections during a shutdown."""
