--- a/packages/entry/src/berylstage_entry/application.py
+++ b/packages/entry/src/berylstage_entry/application.py
@@ -25,7 +25,6 @@
     STORE_CONTACT_PATH,
     CoordinatorElection,
 )
-from berylstage_entry.errors import InvalidRecord
 from berylstage_entry.grant_controller import GrantController
 from berylstage_entry.internal_http import InternalServer
 from berylstage_entry.load_reporter import MESSAGE_TYPE as KEY_COUNTS_TYPE
@@ -77,6 +76,7 @@
     ShutdownPlan,
 )
 from berylstage_entry.store_access.call_counts import CountedStore, StoreCallLog
+from berylstage_entry.store_access.delta_exchange import DeltaExchange
 from berylstage_entry.store_access.missed_changes import (
     CHANGES_PATH,
     ChangeClient,
@@ -86,9 +86,7 @@
     SUBSCRIPTION_TYPE,
     SubscriptionClient,
 )
-from berylstage_entry.store_connectivity import PEER_CONTACT_VALID_SECONDS
 from berylstage_entry.store_delta import MESSAGE_TYPE as STORE_DELTA_TYPE
-from berylstage_entry.store_delta import StoreDelta
 from berylstage_entry.store_keys import ASSIGNMENT_PREFIX
 from berylstage_entry.store_watcher import StoreWatcher
 from berylstage_entry.supervision import log_loop_error
@@ -254,7 +252,6 @@
         self.peer_datagrams.handlers[KEY_COUNTS_TYPE] = (
             self.load_reporter.receive_key_counts
         )
-        self.peer_datagrams.handlers[STORE_DELTA_TYPE] = self._handle_delta
         self.peer_datagrams.handlers[ASSIGNMENT_DELTA_TYPE] = (
             self.peer_updates.receive_change
         )
@@ -269,18 +266,28 @@
         self.peer_datagrams.handlers[SUBSCRIPTION_TYPE] = self.subscription.receive
         self.peer_datagrams.subscriber_hosts = self.subscription.subscriber_hosts
         self.peer_updates.subscriber_addresses = self.subscription.subscriber_addresses
+        self.delta_exchange = DeltaExchange(
+            cfg,
+            self.store_watcher,
+            self.membership,
+            self.election,
+            self.peer_datagrams,
+            self.peer_updates,
+            self.subscription,
+        )
+        self.peer_datagrams.handlers[STORE_DELTA_TYPE] = self.delta_exchange.receive
         self.store_watcher.defers_coordination = lambda: cfg.relative_capacity < 1
         self.change_server = ChangeServer(self.store_watcher)
         self.change_client = ChangeClient(
-            self.peer_client, self._publisher_address, self.metrics.increment
+            self.peer_client,
+            self.delta_exchange.publisher_address,
+            self.metrics.increment,
         )
         self.store_watcher.ask_publisher = self.change_client.ask
-        # Host that has sent the last delta, and when.
-        self._delta_sender, self._delta_received_at = "", float("-inf")
         self.store_watcher.is_publisher = self.election.is_coordinator
-        self.store_watcher.publish = self._publish_delta
-        self.store_watcher.is_standby = self._is_standby
-        self.store_watcher.is_local_publisher = self._is_local_publisher
+        self.store_watcher.publish = self.delta_exchange.publish
+        self.store_watcher.is_standby = self.delta_exchange.is_standby
+        self.store_watcher.is_local_publisher = self.delta_exchange.is_local_publisher
         self.store_watcher.yields_coordination = lambda: bool(
             self.membership.preferred_coordinator()
         )
@@ -295,7 +302,7 @@
         )
         self.confirmer.is_coordinator = self.election.is_coordinator
         self.confirmer.coordinator_address = self.election.coordinator_address
-        self.confirmer.is_standby = self._is_standby
+        self.confirmer.is_standby = self.delta_exchange.is_standby
         self.confirmer.send = self.peer_datagrams.send_to
         self.peer_datagrams.handlers[CONFIRMATION_REQUEST_TYPE] = (
             self.confirmer.receive_request
@@ -349,8 +356,6 @@
         self.metrics_server = InternalServer({"/metrics": self._handle_metrics})
         self._seen_members_revision = 0
         self.store_watcher.listeners.append(self._on_store_update)
-        # Reference that keeps the task of publishing large items from being collected.
-        self._announce_task: asyncio.Task | None = None
         self._stop_event = asyncio.Event()
         self.is_stopping = False
         self._phase_timer = PhaseTimer()
@@ -575,18 +580,6 @@
             TOKEN_REPLY_TYPE: self.quota_client.receive_reply,
         }
 
-    def _is_standby(self) -> bool:
-        address, names = self.election.coordinator_address(), self.membership.names()
-        if address and names and self.cfg.vm not in names:
-            # While this VM has no record, another one is the standby.
-            return False
-        return self.membership.is_standby(address)
-
-    def _is_local_publisher(self) -> bool:
-        # Until its own record is known, every VM would consider itself the local
-        # publisher of its data centre.
-        return self.cfg.vm in self.membership.names() and self._is_standby()
-
     def _is_upload(self, req: CallerRequest) -> bool:
         """Tell whether a request belongs to a route with large bodies."""
         route = self._find_route(req)
@@ -625,48 +618,6 @@
             self.router.target_notices.set_vm_count(len(names))
             self.target_clients.vm_count = self.store_watcher.vm_count = vms
 
-    def _publish_delta(self, delta: StoreDelta) -> None:
-        if delta.large_items:
-            self._announce_task = asyncio.create_task(self._publish_large_items(delta))
-        else:
-            self._send_delta(delta)
-
-    async def _publish_large_items(self, delta: StoreDelta) -> None:
-        """Publish large items before the delta that refers to them."""
-        began = now()
-        if self.election.is_coordinator():
-            await self.peer_updates.push_large_items(delta.large_items)
-        delta.age += now() - began
-        self._send_delta(delta)
-
-    def _send_delta(self, delta: StoreDelta) -> None:
-        for part in delta.split():
-            data = part.encode()
-            # The other VMs read items from the store that do not fit in a datagram.
-            if data is not None:
-                self.peer_datagrams.send(
-                    data, same_data_centre=not self.election.is_coordinator()
-                )
-
-    def _handle_delta(self, data: bytes, host: str) -> None:
-        try:
-            delta = StoreDelta.decode(data)
-        except InvalidRecord as exc:
-            log.warning("ignoring invalid store delta", extra={"cause": str(exc)})
-            return
-        self._delta_sender, self._delta_received_at = host, now()
-        self.subscription.record_update()
-        self.store_watcher.apply_delta(delta)
-
-    def _publisher_address(self) -> str:
-        """Return the address of the VM whose changes arrive, or of the coordinator."""
-        if now() - self._delta_received_at <= PEER_CONTACT_VALID_SECONDS:
-            for member in self.membership.members():
-                if member.host == self._delta_sender:
-                    return member.control_address
-        address = self.election.coordinator_address()
-        return "" if address == self.cfg.control_address else address
-
     def _handle_ready(self, body: bytes) -> PageResponse:
         return PageResponse(200 if self.ready() else UNAVAILABLE)
 
--- a/packages/entry/tests/test_application.py
+++ b/packages/entry/tests/test_application.py
@@ -193,11 +193,11 @@
             doc = {"control": address, "data_centre": "dc-9", "power": 1.0}
             value = json.dumps(doc).encode()
             app.store_watcher.apply_written_item(Item(VMS_PREFIX + name, value, 5))
-        assert app._is_standby()
+        assert app.delta_exchange.is_standby()
         value = json.dumps({"control": "10.0.0.2:1"}).encode()
         app.store_watcher.apply_written_item(Item(COORDINATOR_KEY, value, 6))
-        assert not app._is_standby()
+        assert not app.delta_exchange.is_standby()
         doc = {"control": app.cfg.control_address, "data_centre": "dc-1", "power": 1.0}
         value = json.dumps(doc).encode()
         app.store_watcher.apply_written_item(Item(VMS_PREFIX + "vm-1", value, 7))
-        assert app._is_standby()
+        assert app.delta_exchange.is_standby()
