--- a/packages/bench/src/berylstage_bench/owned_model.py
+++ b/packages/bench/src/berylstage_bench/owned_model.py
@@ -10,7 +10,6 @@
 import heapq
 from bisect import bisect_right
 from itertools import accumulate, count
-from math import exp, log
 from random import Random
 from typing import TYPE_CHECKING
 
@@ -32,6 +31,13 @@
 from berylstage_entry.placement.service_times import TargetServiceTimes
 from berylstage_policy.completion import ServiceLoads
 
+from berylstage_bench.noisy_target import (
+    MEAN_LONG_FACTOR,
+    MEAN_NOISE_FACTOR,
+    NoisyTarget,
+    draw_work_seconds,
+)
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -39,13 +45,6 @@
 
     from berylstage_bench.owned_setup import OwnedSetup
 
-# Share of the time for which neighbours slow a machine, by how much, and for how long.
-NOISE_SHARE = 0.2
-NOISE_FACTOR = 3.0
-NOISE_SECONDS = 0.4
-# One request in a hundred takes five times as long.
-LONG_SHARE = 0.01
-LONG_FACTOR = 5.0
 # Seconds one way to a target, for a write of the assignment, and between two looks of a
 # request that waits for its owner.
 WAY = 0.001
@@ -117,30 +116,6 @@
         self.done = False
 
 
-class _Owner:
-    """A target with slots, a queue and noisy neighbours."""
-
-    __slots__ = ("_noise", "_rng", "running", "speed", "waiting")
-
-    def __init__(self, speed: float, rng: Random):
-        self.speed = speed
-        self.running: list[_Request] = []
-        self.waiting: list[_Request] = []
-        self._rng = rng
-        self._noise: dict[int, float] = {}
-
-    @property
-    def busy(self) -> int:
-        return len(self.running) + len(self.waiting)
-
-    def pace(self, now: float) -> float:
-        span = int(now / NOISE_SECONDS)
-        if span not in self._noise:
-            noisy = self._rng.random() < NOISE_SHARE
-            self._noise[span] = NOISE_FACTOR if noisy else 1.0
-        return self.speed * self._noise[span]
-
-
 class OwnedPlay:
     """One play of a setup.
 
@@ -158,8 +133,9 @@
         self._order = count()
         speeds = [setup.speeds[i % len(setup.speeds)] for i in range(setup.targets)]
         self._rng.shuffle(speeds)
-        self._owners = {
-            f"t{i}": _Owner(speed, Random(seed + i)) for i, speed in enumerate(speeds)
+        self._owners: dict[str, NoisyTarget[_Request]] = {
+            f"t{i}": NoisyTarget(speed, Random(seed + i))
+            for i, speed in enumerate(speeds)
         }
         self._speeds = TargetServiceTimes()
         self._vms = [ServiceLoads(Random(seed * 99 + i)) for i in range(setup.vms)]
@@ -244,10 +220,7 @@
     def _arrive(self, now: float) -> None:
         setup = self._setup
         self._at(now + self._rng.expovariate(setup.rate), self._arrive)
-        middle = log(setup.work) - setup.spread**2 / 2
-        work = exp(self._rng.gauss(middle, setup.spread))
-        if self._rng.random() < LONG_SHARE:
-            work *= LONG_FACTOR
+        work = draw_work_seconds(setup.work, setup.spread, self._rng)
         req = _Request(self._key(now), now, self._rng.randrange(setup.vms), work)
         self.result.requests += 1
         self.result.worst.setdefault(int(now / 2), [0.0, 0.0])[1] += 1
@@ -298,7 +271,7 @@
             told = (owner.busy, owner.pace(now))
             self._at(now + WAY, self._answer, req, True, told, sent)
 
-    def _start(self, now: float, req: _Request, owner: _Owner) -> None:
+    def _start(self, now: float, req: _Request, owner: NoisyTarget[_Request]) -> None:
         owner.running.append(req)
         self._at(now + req.work * owner.pace(now), self._finish, req, req.sent)
 
@@ -311,7 +284,7 @@
         told = (owner.busy, owner.pace(now))
         self._at(now + WAY, self._answer, req, False, told, sent)
 
-    def _next(self, now: float, owner: _Owner) -> None:
+    def _next(self, now: float, owner: NoisyTarget[_Request]) -> None:
         while owner.waiting and len(owner.running) < self._setup.slots:
             self._start(now, owner.waiting.pop(0), owner)
 
@@ -421,8 +394,7 @@
             own = rate(low, high)
             rates[self._assignment.find(low).owner] -= own
             rates[former] += own
-        seconds = setup.work * (1 + LONG_SHARE * (LONG_FACTOR - 1))
-        seconds *= 1 + NOISE_SHARE * (NOISE_FACTOR - 1)
+        seconds = setup.work * MEAN_LONG_FACTOR * MEAN_NOISE_FACTOR
         return max(
             rates[name] * seconds * owner.speed / setup.slots
             for name, owner in self._owners.items()
--- a/packages/bench/src/berylstage_bench/placement_model.py
+++ b/packages/bench/src/berylstage_bench/placement_model.py
@@ -9,13 +9,13 @@
 
 import heapq
 from itertools import count
-from math import exp, log
 from random import Random
 from typing import TYPE_CHECKING
 
 from berylstage_policy import completion, probing
 from berylstage_policy.completion import ServiceLoads
 
+from berylstage_bench.noisy_target import NoisyTarget, draw_work_seconds
 from berylstage_bench.placement_setup import Result
 
 if TYPE_CHECKING:
@@ -23,13 +23,6 @@
 
     from berylstage_bench.placement_setup import Kind, Setup
 
-# Share of the time for which neighbours slow a machine, by how much, and for how long.
-NOISE_SHARE = 0.2
-NOISE_FACTOR = 3.0
-NOISE_SECONDS = 0.4
-# One request in a hundred takes five times as long.
-LONG_SHARE = 0.01
-LONG_FACTOR = 5.0
 # Seconds one way to a target nearby and elsewhere.
 NEAR_WAY = 0.0003
 FAR_WAY = 0.0015
@@ -72,30 +65,15 @@
         self.done = False
 
 
-class _Target:
-    """A target with slots, a queue and noisy neighbours."""
+class _Target(NoisyTarget[_Request]):
+    """A target in a data centre."""
 
-    __slots__ = ("_noise", "_rng", "data_centre", "name", "running", "speed", "waiting")
+    __slots__ = ("data_centre", "name")
 
     def __init__(self, name: str, speed: float, data_centre: int, rng: Random):
+        super().__init__(speed, rng)
         self.name = name
-        self.speed = speed
         self.data_centre = data_centre
-        self.running: list[_Request] = []
-        self.waiting: list[_Request] = []
-        self._rng = rng
-        self._noise: dict[int, float] = {}
-
-    @property
-    def busy(self) -> int:
-        return len(self.running) + len(self.waiting)
-
-    def pace(self, now: float) -> float:
-        span = int(now / NOISE_SECONDS)
-        if span not in self._noise:
-            noisy = self._rng.random() < NOISE_SHARE
-            self._noise[span] = NOISE_FACTOR if noisy else 1.0
-        return self.speed * self._noise[span]
 
 
 class Play:
@@ -159,10 +137,7 @@
     def _arrive(self, now: float, kind: Kind) -> None:
         rate = kind.rate * self._setup.load
         self._at(now + self._rng.expovariate(rate), self._arrive, kind)
-        middle = log(kind.work) - kind.spread**2 / 2
-        work = exp(self._rng.gauss(middle, kind.spread))
-        if self._rng.random() < LONG_SHARE:
-            work *= LONG_FACTOR
+        work = draw_work_seconds(kind.work, kind.spread, self._rng)
         vm = self._rng.randrange(self._setup.vms)
         if now > WARM_UP:
             self.result.requests += 1
