--- a/packages/entry/tests/cluster_simulation.py
+++ b/packages/entry/tests/cluster_simulation.py
@@ -8,11 +8,7 @@
 
 from berylstage_entry.clock import now
 from berylstage_entry.cluster_view import ClusterView
-from berylstage_entry.coordinator_election import (
-    LINKS_PATH,
-    STORE_CONTACT_PATH,
-    CoordinatorElection,
-)
+from berylstage_entry.coordinator_election import CoordinatorElection
 from berylstage_entry.grant_controller import GrantController
 from berylstage_entry.store_watcher import StoreWatcher
 from berylstage_policy.candidates import Candidate
@@ -25,6 +21,7 @@
     configuration,
     settings,
 )
+from granting_vms import answer_peer_call
 
 VMS = ("vm-1", "vm-2", "vm-3")
 TARGETS = ("a", "b", "c", "d")
@@ -49,15 +46,7 @@
         vm = self._cluster.vms.get(address)
         if vm is None:
             return None
-        if path == LINKS_PATH:
-            return str(vm.election.count_lost_links()).encode()
-        if path == STORE_CONTACT_PATH:
-            return str(await vm.store_watcher.probe_store()).encode()
-        return (
-            vm.grant_controller.export_state()
-            if vm.election.may_export_state(body)
-            else None
-        )
+        return await answer_peer_call(vm, path, body)
 
     async def call_all(self, path):
         return [await self.call(address, path) for address in self.other_addresses()]
--- a/packages/entry/tests/granting_vms.py
+++ b/packages/entry/tests/granting_vms.py
@@ -18,6 +18,17 @@
 from fakes import FencedTargets, JsonRecords, configuration, settings
 
 
+async def answer_peer_call(vm, path, body):
+    """Return what a VM answers to another one; None for a refusal."""
+    if path == LINKS_PATH:
+        return str(vm.election.count_lost_links()).encode()
+    if path == STORE_CONTACT_PATH:
+        return str(await vm.store_watcher.probe_store()).encode()
+    if not vm.election.may_export_state(body):
+        return None
+    return vm.grant_controller.export_state()
+
+
 class FakePeers:
     """Other VMs by address, called without a network."""
 
@@ -31,15 +42,7 @@
         vm = self.vms.get(address)
         if vm is None or vm.is_dead:
             return None
-        if path == LINKS_PATH:
-            return str(vm.election.count_lost_links()).encode()
-        if path == STORE_CONTACT_PATH:
-            return str(await vm.store_watcher.probe_store()).encode()
-        return (
-            vm.grant_controller.export_state()
-            if vm.election.may_export_state(body)
-            else None
-        )
+        return await answer_peer_call(vm, path, body)
 
     async def call_all(self, path):
         return [await self.call(address, path) for address in self.other_addresses()]
