Logs say who ended a call to a target, and why it was not repeated

Callers got 502 after a single attempt with a second of their time left, and the logs named neither who had ended the call nor why it was not sent again. 'answer lost' now has 'ended_by' and 'reason'; 'link to target failed' is logged at info level, at most five a second, with the bytes that this machine has not sent, those that are not acknowledged, the delay of the loop and the seconds since any target was heard; a lost answer names what kept it from being sent again (budget, attempts, owner-busy).

--- a/packages/entry/src/berylstage_entry/lost_answers.py
+++ b/packages/entry/src/berylstage_entry/lost_answers.py
@@ -30,6 +30,7 @@
 
 # Log lines per second about lost answers.
 LINES_PER_SECOND = 10.0
+MAX_REASON_LENGTH = 200
 
 log = Logger(__name__)
 
@@ -99,6 +100,8 @@
                     "incarnation": target.incarnation,
                     "cause": cause.value,
                     "answered": getattr(exc, "answered_id", ""),
+                    "ended_by": exc.ended_by.value,
+                    "reason": exc.cause[:MAX_REASON_LENGTH],
                     "left_out": self._log_limiter.take_suppressed_count(),
                 },
             )
--- a/packages/entry/src/berylstage_entry/request_errors.py
+++ b/packages/entry/src/berylstage_entry/request_errors.py
@@ -70,6 +70,7 @@
         """
         detail = f"{detail} attempts {ctx.attempts} {ctx.describe()}".strip()
         if ctx.lost_reason:
+            detail = f"not sent again ({reason}): {detail}"
             return Unanswered(ctx.lost_reason, False, detail)
         retry_after = self.draw_retry_after()
         if ctx.rejections:
--- a/packages/entry/src/berylstage_entry/target_clients.py
+++ b/packages/entry/src/berylstage_entry/target_clients.py
@@ -9,7 +9,7 @@
 from berylstage_transfers.answer_memory import AnswerMemory
 from berylstage_transfers.call import Call
 from berylstage_transfers.client import CallClient
-from berylstage_transfers.errors import AnswerLost, ConnectionClosed
+from berylstage_transfers.errors import AnswerLost, ConnectionClosed, EndedBy
 from berylstage_transfers.idle_limit import IdleLimit
 
 from berylstage_entry.clock import now
@@ -19,6 +19,7 @@
     from collections.abc import Callable
 
     from berylstage_transfers.call import Answer
+    from berylstage_transfers.send_queue import SendQueue
 
     from berylstage_entry.protocols import CallerRequest, TargetAnswer, TargetProtocol
     from berylstage_entry.targets import Target
@@ -100,6 +101,12 @@
             and self._client.has_unacknowledged_bytes(self._call)
         )
 
+    def find_send_queue(self) -> SendQueue | None:
+        """Return the send queue of the attempt's connection; None if it has none."""
+        if self._client is None or self._call is None:
+            return None
+        return self._client.find_send_queue(self._call)
+
     def abort(self, cause: str) -> None:
         """End the attempt without an answer."""
         if self._client is not None and self._call is not None:
@@ -195,7 +202,9 @@
         if not answer.is_from_target and not answer.not_run and not answer.misdirected:
             raise AnswerLost(
                 f"{self.target.name} sent status {answer.status} without the headers "
-                "of a target; check the target's log"
+                "of a target; check the target's log",
+                EndedBy.CLIENT,
+                "no headers of a target",
             )
         return answer
 
--- a/packages/entry/src/berylstage_entry/target_links.py
+++ b/packages/entry/src/berylstage_entry/target_links.py
@@ -17,6 +17,7 @@
 
 from berylstage_entry.clock import now
 from berylstage_entry.link_check import CheckResult, check_link
+from berylstage_entry.log_rate_limiter import LogRateLimiter
 from berylstage_entry.supervision import supervise
 from berylstage_entry.target_clients import Attempt
 
@@ -25,6 +26,7 @@
     from random import Random
 
     from berylstage_transfers.errors import CallFailed
+    from berylstage_transfers.send_queue import SendQueue
 
     from berylstage_entry.cluster_view import ClusterView
     from berylstage_entry.protocols import CallerRequest, TargetAnswer
@@ -44,6 +46,9 @@
 # Time for which no target may have shown a sign of life, with an answer overdue by as
 # much, before the link of the overdue target is checked.
 SILENCE_SECONDS = 0.3
+# Log lines per second about failed links.
+LINES_PER_SECOND = 5.0
+MAX_CAUSE_LENGTH = 200
 
 log = Logger(__name__)
 
@@ -72,6 +77,9 @@
         self._attempts: set[Attempt] = set()
         self._seen_revision = -1
         self._was_cut_off = False
+        # Seconds by which the loop was late when the links were last looked at.
+        self._lag = 0.0
+        self._log_limiter = LogRateLimiter(LINES_PER_SECOND)
         self._checks: dict[str, asyncio.Task] = {}
         self._task: asyncio.Task | None = None
         # Set while there are requests in flight or failed links.
@@ -187,15 +195,35 @@
         if isinstance(exc, NotConnected):
             self._mark_failed(target.name, str(exc))
 
-    def _mark_failed(self, name: str, cause: str) -> None:
+    def _mark_failed(
+        self, name: str, cause: str, queue: SendQueue | None = None
+    ) -> None:
         self.health.record_failure(name, now())
-        log.debug("link to target failed", extra={"target": name, "cause": cause})
+        if self._log_limiter.take():
+            log.info(
+                "link to target failed",
+                extra={
+                    "target": name,
+                    "cause": cause[:MAX_CAUSE_LENGTH],
+                    "unsent": queue.unsent if queue else None,
+                    "unacknowledged": queue.unacknowledged if queue else None,
+                    "lag": round(self._lag, 3),
+                    "silent": self._find_silent_seconds(),
+                    "left_out": self._log_limiter.take_suppressed_count(),
+                },
+            )
         self._has_work.set()
         self._log_change()
         if self.choose_way(name) is not Way.DIRECT:
             # They would wait behind requests that hang.
             self._clients.fail_queued(name, "the link to the target is lost")
 
+    def _find_silent_seconds(self) -> float | None:
+        """Return the seconds since any target has shown a sign of life, for the log."""
+        if self.health.alive_at == -inf:
+            return None
+        return round(now() - self.health.alive_at, 3)
+
     def _log_change(self) -> None:
         if self.is_cut_off == self._was_cut_off:
             return
@@ -208,7 +236,9 @@
     async def _run(self) -> None:
         while True:
             await self._has_work.wait()
+            started_at = now()
             await asyncio.sleep(WATCH_INTERVAL_SECONDS)
+            self._lag = now() - started_at - WATCH_INTERVAL_SECONDS
             if self._seen_revision != self._cluster_view.revision:
                 self._seen_revision = self._cluster_view.revision
                 self.health.retain(set(self._cluster_view.known))
@@ -223,7 +253,8 @@
         for attempt in list(self._attempts):
             is_lost = _is_unacknowledged_for_long(attempt, moment)
             if is_lost:
-                self._mark_failed(attempt.target, "sent bytes are not acknowledged")
+                cause = "sent bytes are not acknowledged"
+                self._mark_failed(attempt.target, cause, attempt.find_send_queue())
             elif self._is_suspect(attempt, moment):
                 self._start_check(attempt.target)
             if is_lost or self._is_silent(attempt, moment):
--- a/packages/entry/tests/link_fleet.py
+++ b/packages/entry/tests/link_fleet.py
@@ -22,6 +22,7 @@
     NeverSent,
     NotConnected,
 )
+from berylstage_transfers.send_queue import SendQueue
 from fakes import BOUNDS, configuration, settings, target
 
 SERVICE_SECONDS = 0.05
@@ -71,6 +72,9 @@
     def has_unacknowledged_bytes(self, call):
         return self.is_silent
 
+    def find_send_queue(self, call):
+        return SendQueue(0, 400) if self.is_silent else None
+
 
 class FleetClient:
     """Connections of one VM to one target; every other request needs a new one."""
--- a/packages/entry/tests/test_lost_answers.py
+++ b/packages/entry/tests/test_lost_answers.py
@@ -13,7 +13,12 @@
 from berylstage_entry.protocols import CallerRequest, Record
 from berylstage_entry.request_fingerprint import compute_fingerprint
 from berylstage_entry.target_links import TargetLinks
-from berylstage_transfers.errors import AnswerLost, AnswerMismatched, ConnectionClosed
+from berylstage_transfers.errors import (
+    AnswerLost,
+    AnswerMismatched,
+    ConnectionClosed,
+    EndedBy,
+)
 from fakes import target
 from logbook import TestHandler as LogHandler
 
@@ -80,6 +85,15 @@
         extra = handler.records[0].extra
         assert (extra["id"], extra["answered"]) == ("id-1", "id-7")
 
+    def test_log_says_who_ended_the_call_and_why(self):
+        # Guards against a request given up by the VM that looks like a fault outside.
+        exc = AnswerLost("x", EndedBy.CLIENT, "the link to the target is lost")
+        with LogHandler() as handler:
+            find_cause({}, exc)
+        extra = handler.records[0].extra
+        assert extra["ended_by"] == "client"
+        assert extra["reason"] == "the link to the target is lost"
+
     def test_requests_lost_together_cause_one_check(self):
         # Guards against a connection for each of the requests that a target has lost.
         lost_answers, checked = make_lost_answers({})
--- a/packages/entry/tests/test_router.py
+++ b/packages/entry/tests/test_router.py
@@ -204,6 +204,8 @@
         # promise that the request has not run.
         error, _ = serve_request([LOST, "full", "full", "full"])
         assert isinstance(error, Unanswered)
+        # Guards against a log that doesn't say why it was not sent again.
+        assert "not sent again (no-target)" in error.detail
 
     def test_server_error_is_returned_if_no_retry_succeeds(self):
         status, sent = serve_request(["failed", "full", "full"])
--- a/packages/entry/tests/test_target_sender.py
+++ b/packages/entry/tests/test_target_sender.py
@@ -16,6 +16,7 @@
 from berylstage_entry.relay_messages import RelayOutcome, RelayReply
 from berylstage_entry.router import Router
 from berylstage_transfers.errors import AnswerLost, NotConnected
+from berylstage_transfers.send_queue import SendQueue
 from fakes import BOUNDS, configuration, target
 from virtual_time import virtual_loop
 
@@ -53,6 +54,9 @@
     def has_unacknowledged_bytes(self, call):
         return True
 
+    def find_send_queue(self, call):
+        return SendQueue(0, 400)
+
     def abort(self, call, cause):
         if not self.ended.done():
             self.ended.set_exception(AnswerLost(cause))
--- a/packages/transfers/src/berylstage_transfers/client.py
+++ b/packages/transfers/src/berylstage_transfers/client.py
@@ -20,6 +20,7 @@
     AnswerMismatched,
     ConnectionClosed,
     ConnectionRefused,
+    EndedBy,
     NeverSent,
     NotConnected,
 )
@@ -29,6 +30,8 @@
 if TYPE_CHECKING:
     from typing import Any
 
+    from berylstage_transfers.send_queue import SendQueue
+
 # A connection takes about 1 ms. Linux retransmits a lost SYN only after 1 s, so a
 # longer timeout helps less than another attempt.
 CONNECT_TIMEOUT_SECONDS = 0.25
@@ -243,6 +246,13 @@
                 return handle.has_unacknowledged_bytes()
         return False
 
+    def find_send_queue(self, call: Call) -> SendQueue | None:
+        """Return the send queue of a call's connection; None if it has none."""
+        for handle in self._handles.values():
+            if handle.call is call and call.sent:
+                return handle.find_send_queue()
+        return None
+
     def has_open_connection(self) -> bool:
         """Tell whether the server has not closed all connections of this client.
 
@@ -371,7 +381,7 @@
                 call,
                 curl_message or f"curl error {curl_error}",
                 curl.getinfo(pycurl.OS_ERRNO) == errno.ECONNREFUSED,
-                handle.was_closed(curl_error),
+                handle.find_ender(curl_error),
             )
         elif call.rejection:
             # Its body was dropped, and nothing more of it arrived.
@@ -417,7 +427,9 @@
     )
 
 
-def _fail(call: Call, cause: str, refused: bool = False, closed: bool = False) -> None:
+def _fail(
+    call: Call, cause: str, refused: bool = False, ended_by: EndedBy = EndedBy.CLIENT
+) -> None:
     """Fail a call with the error that says whether it was sent."""
     if call.fut is None or call.fut.done():
         return
@@ -432,9 +444,11 @@
         message = f"{subject}: sent, but no complete answer arrived ({cause}); {remedy}"
         exc: Exception
         if call.answers_other_call:
-            exc = AnswerMismatched(message, call.received_id())
+            exc = AnswerMismatched(message, call.received_id(), cause)
+        elif ended_by is EndedBy.SERVER:
+            exc = ConnectionClosed(message, ended_by, cause)
         else:
-            exc = ConnectionClosed(message) if closed else AnswerLost(message)
+            exc = AnswerLost(message, ended_by, cause)
     elif refused:
         exc = ConnectionRefused(
             f"{subject}: connection refused ({cause}); "
--- a/packages/transfers/src/berylstage_transfers/connections.py
+++ b/packages/transfers/src/berylstage_transfers/connections.py
@@ -9,6 +9,8 @@
 from fcntl import ioctl
 from termios import TIOCOUTQ
 
+# Linux ioctl: bytes written to a TCP socket that the kernel has not sent yet.
+_SIOCOUTQNSD = 0x894B
 # Number of local ports stored for one server, which bounds the memory. When it is
 # reached all are discarded, and the kept connections are replaced one by one.
 MAX_REMEMBERED_PORTS = 4096
@@ -59,14 +61,22 @@
 
     def unacknowledged_bytes(self, local_port: int) -> int:
         """Return the bytes sent that the server's machine has not acknowledged."""
+        return self._count_bytes(local_port, TIOCOUTQ) or 0
+
+    def unsent_bytes(self, local_port: int) -> int | None:
+        """Return the bytes that this machine has not sent; None if it doesn't tell."""
+        return self._count_bytes(local_port, _SIOCOUTQNSD)
+
+    def _count_bytes(self, local_port: int, request: int) -> int | None:
         fd = self._fds.get(local_port)
         if fd is None:
-            return 0
+            return None
         try:
-            return _INT.unpack(ioctl(fd, TIOCOUTQ, bytes(_INT.size)))[0]
+            return _INT.unpack(ioctl(fd, request, bytes(_INT.size)))[0]
         except OSError:
-            # The connection has been closed meanwhile.
-            return 0
+            # The connection has been closed meanwhile, or the kernel does not support
+            # the request.
+            return None
 
     def set_user_timeout(self, local_port: int, milliseconds: int) -> None:
         """Set for how long sent bytes may stay unacknowledged on a connection."""
--- a/packages/transfers/src/berylstage_transfers/curl_handle.py
+++ b/packages/transfers/src/berylstage_transfers/curl_handle.py
@@ -12,6 +12,8 @@
 import pycurl
 
 from berylstage_transfers.connections import has_events
+from berylstage_transfers.errors import EndedBy
+from berylstage_transfers.send_queue import SendQueue
 
 if TYPE_CHECKING:
     from berylstage_transfers.answer_memory import AnswerMemory
@@ -215,15 +217,21 @@
             return self._connections.has_data(self.port)
         return self._opened_fd >= 0 and has_events(self._opened_fd, select.POLLOUT)
 
-    def was_closed(self, curl_error: int) -> bool:
-        """Tell whether the server's machine closed the connection of a failed call."""
+    def find_ender(self, curl_error: int) -> EndedBy:
+        """Return who ended a failed call."""
         if self.saw_reset:
             # The cause of the first failure is not known. The kernel gives up a silent
             # connection in the same way, but not earlier.
             silent_seconds = time.monotonic() - self._sent_at
-            return silent_seconds * _MS_PER_SECOND < UNACKNOWLEDGED_MS
-        os_errno = self.curl.getinfo(pycurl.OS_ERRNO)
-        return curl_error in _CLOSED_ERRORS and os_errno not in _SILENCE_ERRNOS
+            is_early = silent_seconds * _MS_PER_SECOND < UNACKNOWLEDGED_MS
+            return EndedBy.SERVER if is_early else EndedBy.KERNEL
+        if curl_error in _CLOSED_ERRORS:
+            os_errno = self.curl.getinfo(pycurl.OS_ERRNO)
+            is_silence = os_errno in _SILENCE_ERRNOS
+            return EndedBy.KERNEL if is_silence else EndedBy.SERVER
+        if curl_error == pycurl.E_OPERATION_TIMEDOUT:
+            return EndedBy.DEADLINE
+        return EndedBy.CLIENT
 
     def has_unacknowledged_bytes(self) -> bool:
         """Tell whether bytes are unacknowledged, and none were since the last call."""
@@ -234,6 +242,11 @@
         self.call.acknowledged_bytes = max(0, acknowledged)
         return left > 0 and not has_progress
 
+    def find_send_queue(self) -> SendQueue:
+        """Return the bytes of the call that its server has not acknowledged."""
+        unacknowledged = self._connections.unacknowledged_bytes(self.port)
+        return SendQueue(self._connections.unsent_bytes(self.port), unacknowledged)
+
     def _may_reuse(self, local_port: int) -> bool:
         # libcurl reuses a recently used connection without checking it. If the server
         # has closed it since, for example by restarting, the call would be lost with
--- a/packages/transfers/tests/test_client.py
+++ b/packages/transfers/tests/test_client.py
@@ -18,6 +18,7 @@
     AnswerMismatched,
     CallFailed,
     ConnectionRefused,
+    EndedBy,
     NeverSent,
 )
 from berylstage_transfers.sent_ids import MIN_MEMORY_SECONDS, SentIds
@@ -159,8 +160,11 @@
                 task = first_task if is_sent else asyncio.create_task(client.call(call))
                 await asyncio.sleep(0.1)
                 client.abort(call, "link lost")
-                with pytest.raises(AnswerLost if is_sent else NeverSent):
+                with pytest.raises(AnswerLost if is_sent else NeverSent) as caught:
                     await task
+                if is_sent:
+                    assert caught.value.ended_by is EndedBy.CLIENT
+                    assert caught.value.cause == "link lost"
                 client.close()
                 await asyncio.gather(first_task, return_exceptions=True)
 
@@ -190,6 +194,9 @@
                 task = asyncio.create_task(client.call(call))
                 await asyncio.sleep(0.3)
                 assert client.has_unacknowledged_bytes(call)
+                queue = client.find_send_queue(call)
+                # The server's window is full, so most bytes cannot be sent.
+                assert 0 < queue.unsent <= queue.unacknowledged
                 client.close()
                 await asyncio.gather(task, return_exceptions=True)
 
--- a/packages/transfers/tests/test_connections.py
+++ b/packages/transfers/tests/test_connections.py
@@ -9,7 +9,7 @@
 from berylstage_transfers import curl_handle
 from berylstage_transfers.call import Call
 from berylstage_transfers.client import CallClient
-from berylstage_transfers.errors import AnswerLost, ConnectionClosed
+from berylstage_transfers.errors import AnswerLost, ConnectionClosed, EndedBy
 from scripted_calls import CLOSE, OK, answer_to, make_call, run
 
 
@@ -104,8 +104,9 @@
                 client = CallClient(1)
                 if is_warm:
                     await client.call(make_call(script))
-                with pytest.raises(ConnectionClosed):
+                with pytest.raises(ConnectionClosed) as caught:
                     await client.call(make_call(script))
+                assert caught.value.ended_by is EndedBy.SERVER
                 client.close()
 
         run(scenario)
@@ -123,6 +124,7 @@
                 with pytest.raises(AnswerLost) as caught:
                     await client.call(make_call(script))
                 assert not isinstance(caught.value, ConnectionClosed)
+                assert caught.value.ended_by is EndedBy.KERNEL
                 client.close()
 
         run(scenario)
@@ -134,6 +136,7 @@
                 with pytest.raises(AnswerLost) as caught:
                     await client.call(make_call(script, timeout=0.2))
                 assert not isinstance(caught.value, ConnectionClosed)
+                assert caught.value.ended_by is EndedBy.DEADLINE
                 client.close()
 
         run(scenario)
