Test of a lookup given up for a delay of the VM itself; fails

Callers got 502 after 0.3 to 0.5 s for a lookup whose bytes waited behind others on the VM's own link: the VM took them for bytes on a lost link and ended the lookup, although no other VM could be asked or the retry budget was used up, so that it could not be sent again.

--- a/packages/entry/tests/test_target_sender.py
+++ b/packages/entry/tests/test_target_sender.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from math import inf
 from random import Random
 
 import pytest
@@ -14,12 +15,17 @@
 from berylstage_entry.protocols import CallerRequest, Record, TargetAnswer
 from berylstage_entry.relay_client import NoRelay, TargetDown
 from berylstage_entry.relay_messages import RelayOutcome, RelayReply
+from berylstage_entry.retry_budgets import RetryBudgets
 from berylstage_entry.router import Router
 from berylstage_transfers.errors import AnswerLost, NotConnected
 from berylstage_transfers.send_queue import SendQueue
 from fakes import BOUNDS, configuration, target
 from virtual_time import virtual_loop
 
+# Seconds for which the bytes of a late request wait behind others on the VM's own link,
+# and for which its target works on it.
+ACKNOWLEDGED_SECONDS = 0.45
+SERVICE_SECONDS = 0.1
 ANSWER = TargetAnswer(200, [], b"", False, False, True, None, False)
 
 
@@ -34,13 +40,23 @@
 
     def __init__(self, clients):
         self._clients = clients
+        self.status = 0
+        self.acknowledged_at = inf
 
     async def send(self, req, seconds, fresh=False, attempt=None):
         self._clients.sent += 1
         outcome = self._clients.outcome
+        if outcome == "late":
+            attempt.start(self, self)
+            self.ended = asyncio.get_running_loop().create_future()
+            self.acknowledged_at = now() + ACKNOWLEDGED_SECONDS
+            try:
+                async with asyncio.timeout(ACKNOWLEDGED_SECONDS + SERVICE_SECONDS):
+                    await self.ended
+            except TimeoutError:
+                return ANSWER
         if outcome == "hang":
             attempt.start(self, self)
-            self.status = 0
             self.ended = asyncio.get_running_loop().create_future()
             try:
                 async with asyncio.timeout(seconds):
@@ -52,7 +68,7 @@
         return ANSWER
 
     def has_unacknowledged_bytes(self, call):
-        return True
+        return now() < self.acknowledged_at
 
     def find_send_queue(self, call):
         return SendQueue(0, 400)
@@ -183,3 +199,23 @@
         assert isinstance(result, Unanswered)
         assert permits.told == [(False, False)]
         assert permits.released_at - began < 0.6
+
+
+class TestDelaysOfTheVm:
+    """Bytes wait behind others on the VM's own link while its targets are sound."""
+
+    @pytest.mark.parametrize("relay", [None, NoRelay("busy"), AnswerLost("reset")])
+    def test_lookup_that_nobody_else_can_send_is_waited_for(self, relay):
+        # Guards against a 502 for a lookup that its target was about to run.
+        relay = relay and Relay(relay)
+        with virtual_loop() as loop:
+            result, _, _ = serve("late", relay, run=loop.run_until_complete)
+        assert result.answer is ANSWER
+
+    def test_lookup_beyond_the_retry_budget_is_waited_for(self, monkeypatch):
+        # Guards against a 502 for a lookup that may not be sent again.
+        monkeypatch.setattr(RetryBudgets, "try_withdraw", lambda budgets, name: False)
+        relay = Relay()
+        with virtual_loop() as loop:
+            result, _, _ = serve("late", relay, run=loop.run_until_complete)
+        assert (result.answer, relay.asked) == (ANSWER, 0)
