A request that hangs is sent a second time instead of being given up

Callers of a VM whose link was full got 502 for lookups after 0.3 to 1.0 s, with up to a second of their time left, and during a stop of that VM they counted as lost: the target got the request after it had been given up.

Cause: bytes that stay unacknowledged for 0.25 s were taken for bytes on a lost link, and the lookup was ended before it was known whether it could be sent again. On a link of 10 Mbit/s bytes, or their acknowledgements, wait that long behind answers.

Now nothing is given up: a lookup that hangs is sent to the same target through another VM as well, within the retry budget and under the same permit; the first answer counts, and the first attempt goes on if nobody else can send it. So a VM that has got SIGTERM ends no request at which a target may be at work; one that sends for another VM ends none while it stops. Fewer sound links pass for lost: only time in which the process ran counts, parts of answers are signs of life, 0.7 s are waited for while other targets show any, and twice the slowest acknowledgement of the last two seconds.

--- a/packages/entry/src/berylstage_entry/application.py
+++ b/packages/entry/src/berylstage_entry/application.py
@@ -411,6 +411,7 @@
         self.is_stopping = True
         self._phase_timer.enter(Phase.LEAVING, plan.started_at)
         self.server.is_stopping = self.relay_server.is_stopping = True
+        self.router.links.is_stopping = True
         self.server.shutdown_time_left = lambda: plan.time_left(now())
         log.info("stopping", extra={"in_flight": self.server.in_flight})
         await self._run_step(plan, self.election.resign())
--- /dev/null
+++ b/packages/entry/src/berylstage_entry/hedge.py
@@ -0,0 +1,86 @@
+"""Sends a request that hangs a second time, through another VM.
+
+The first attempt goes on: what looks like a lost link may be a delay of this VM, so the
+target may be about to run the request. The first answer counts.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from berylstage_transfers.errors import AnswerLost, CallFailed
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from berylstage_entry.protocols import TargetAnswer
+    from berylstage_entry.target_clients import Attempt
+
+
+class Hedge:
+    """The second attempt of one request, if there is any.
+
+    Parameters
+    ----------
+    relay : callable
+        Sends the request through another VM.
+    """
+
+    __slots__ = ("_relay", "_task")
+
+    def __init__(self, relay: Callable[[], Awaitable[TargetAnswer]]):
+        self._relay = relay
+        self._task: asyncio.Task[TargetAnswer] | None = None
+
+    @property
+    def is_started(self) -> bool:
+        """Whether there is a second attempt."""
+        return self._task is not None
+
+    def start(self, attempt: Attempt) -> None:
+        """Start the second attempt, whose answer ends the first one."""
+        self._task = asyncio.create_task(self._send(attempt))
+
+    async def _send(self, attempt: Attempt) -> TargetAnswer:
+        answer = await self._relay()
+        attempt.abort("another VM has returned the answer")
+        return answer
+
+    async def wait(self, exc: CallFailed) -> TargetAnswer:
+        """Return the answer of the second attempt after the first one has failed.
+
+        Parameters
+        ----------
+        exc : CallFailed
+            Error of the first attempt.
+
+        Raises
+        ------
+        NeverSent, AnswerLost
+            Neither has an answer, with the error of the one that may have run.
+        """
+        if self._task is None:
+            raise exc
+        try:
+            return await self._task
+        except AnswerLost:
+            if isinstance(exc, AnswerLost):
+                raise exc from None
+            raise
+        except CallFailed:
+            raise exc from None
+
+    def cancel(self) -> None:
+        """End the second attempt; its result is not needed any more."""
+        task = self._task
+        if task is None:
+            return
+        task.cancel()
+        task.add_done_callback(_ignore_result)
+
+
+def _ignore_result(task: asyncio.Task[TargetAnswer]) -> None:
+    """Fetch a task's error, so that the event loop does not report it."""
+    if not task.cancelled():
+        task.exception()
--- a/packages/entry/src/berylstage_entry/request_context.py
+++ b/packages/entry/src/berylstage_entry/request_context.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from math import inf
 from typing import TYPE_CHECKING
 
 from berylstage_entry.request_fingerprint import compute_fingerprint
@@ -41,6 +42,7 @@
         "deadline",
         "_fingerprint",
         "failed_answer",
+        "hedged_at",
         "link_seconds",
         "lost_reason",
         "retry_delay",
@@ -99,6 +101,8 @@
         # assignment that named it, and the seconds before it is tried again.
         self.rejected_by: tuple[str, int] = ("", -1)
         self.retry_delay = 0.0
+        # Monotonic seconds at which an attempt that hung was made a second time.
+        self.hedged_at = -inf
         # VM that has sent the last attempt in place of this one; empty for none.
         self.relay = ""
         # A target's error answer, returned to the caller if no retry succeeds.
--- a/packages/entry/src/berylstage_entry/router.py
+++ b/packages/entry/src/berylstage_entry/router.py
@@ -22,6 +22,7 @@
     Refused,
     Unanswered,
 )
+from berylstage_entry.hedge_admission import HedgeAdmission
 from berylstage_entry.memory.upload_times import (
     compute_link_seconds,
     compute_work_seconds,
@@ -57,7 +58,7 @@
     from berylstage_entry.services import Configuration, Service
     from berylstage_entry.settings import Bounds
     from berylstage_entry.store_watcher import StoreWatcher
-    from berylstage_entry.target_clients import TargetClients
+    from berylstage_entry.target_clients import Attempt, TargetClients
     from berylstage_entry.targets import LoadReport, Target
     from berylstage_entry.workspaces import Workspace
 
@@ -129,6 +130,14 @@
         self.target_admission = TargetAdmission(cluster_view, self.target_notices)
         self.caller_times = CallerTimes()
         self.retry_budgets = RetryBudgets(bounds)
+        self._hedge_admission = HedgeAdmission(
+            cluster_view,
+            self._owner_resolver,
+            self.target_notices,
+            self.cold_targets,
+            self.suspect_guard,
+            self.retry_budgets,
+        )
         self._splits: dict[str, tuple[tuple, WeightedRoundRobin]] = {}
         self._seen_revision = -1
         # Bandwidth of this VM's link in Mbit/s; 0 if it is not known.
@@ -542,7 +551,11 @@
         expected = loads.service_seconds(name, kind, started_at)
         try:
             answer = await self.sender.send(
-                ctx, target, expected, lambda: self._release_unjudged(ctx)
+                ctx,
+                target,
+                expected,
+                lambda: self._release_unjudged(ctx),
+                lambda: self._hedge_admission.try_admit(ctx, name, expected),
             )
             failed, report = is_failure(answer), build_load_report(answer)
         except asyncio.CancelledError:
@@ -570,6 +583,9 @@
         finally:
             load.inflight -= 1
             self._release_permit(ctx, failed, report)
+        if ctx.relay:
+            # The first attempt may have hung before.
+            started_at = max(started_at, ctx.hedged_at)
         self.target_notices.record_answer(target, answer, started_at)
         seconds = compute_work_seconds(now() - started_at, ctx.link_seconds)
         self.loads.record_answer(name, kind, service, answer, seconds)
@@ -602,7 +618,7 @@
                 service.max_connections_per_target,
                 req.time_left,
                 loads.service_seconds(target.name, kind, started_at),
-                request.is_repeatable,
+                self._end_hanging if request.is_repeatable else lambda attempt: None,
             )
         except AnswerLost as exc:
             lost_answers = self.suspect_guard.lost_answers
@@ -614,6 +630,14 @@
         self.loads.record_answer(target.name, kind, service.name, answer, seconds)
         return answer
 
+    def _end_hanging(self, attempt: Attempt) -> None:
+        """End a request of another VM, which may have a way that works.
+
+        A VM that stops ends none: a target may be at work on it.
+        """
+        if not self.links.is_stopping:
+            attempt.abort("the link to the target is lost")
+
     def _handle_lost_answer(
         self, ctx: RequestContext, name: str, exc: AnswerLost
     ) -> None:
--- a/packages/entry/src/berylstage_entry/target_clients.py
+++ b/packages/entry/src/berylstage_entry/target_clients.py
@@ -46,17 +46,15 @@
         Monotonic seconds.
     overdue_at : float
         Monotonic seconds after which the answer is later than expected.
-    is_repeatable : bool
-        Whether the request may be sent again although it may have run.
     on_hang : callable
-        Called once if the request hangs at a link that is lost.
+        Called once if the request hangs at a link that seems to be lost.
     """
 
     __slots__ = (
         "_call",
         "_client",
+        "_received_bytes",
         "is_hanging",
-        "is_repeatable",
         "on_hang",
         "overdue_at",
         "sent_at",
@@ -69,18 +67,18 @@
         target: str,
         sent_at: float,
         overdue_at: float,
-        is_repeatable: bool,
-        on_hang: Callable[[], None],
+        on_hang: Callable[[Attempt], None],
     ):
         self.target = target
         self.sent_at = sent_at
         self.overdue_at = overdue_at
-        self.is_repeatable = is_repeatable
         self.on_hang = on_hang
         self.is_hanging = False
-        # When bytes without an acknowledgement were seen first; infinite if there are
-        # none.
+        # When bytes without an acknowledgement were seen first, in seconds for which
+        # the process ran; infinite if there are none.
         self.unacknowledged_since = inf
+        # Bytes of the answer's body when they were looked at last; -1 before its head.
+        self._received_bytes = -1
         self._client: CallClient | None = None
         self._call: Call | None = None
 
@@ -93,6 +91,15 @@
         """Tell whether a part of the answer has arrived."""
         return self._call is not None and bool(self._call.status)
 
+    def take_progress(self) -> bool:
+        """Tell whether bytes of the answer have arrived since the last look."""
+        if self._call is None or not self._call.status:
+            return False
+        received = len(self._call.answer_body)
+        has_progress = received > self._received_bytes
+        self._received_bytes = received
+        return has_progress
+
     def is_unacknowledged(self) -> bool:
         """Tell whether the target's machine has not acknowledged the request."""
         return (
--- a/packages/entry/src/berylstage_entry/target_links.py
+++ b/packages/entry/src/berylstage_entry/target_links.py
@@ -2,7 +2,7 @@
 
 A VM that loses its links to targets cannot tell from one request whether the target or
 the link has failed. It watches what all its requests, grants and probes show, checks
-the links of targets that have failed, and gives up requests that hang at a lost link.
+the links of targets that have failed, and reports requests that hang at a lost link.
 """
 
 from __future__ import annotations
@@ -11,6 +11,7 @@
 from math import inf
 from typing import TYPE_CHECKING
 
+from berylstage_policy.acknowledgements import AcknowledgementWatch
 from berylstage_policy.link_health import LinkHealth, Way
 from berylstage_transfers.errors import NotConnected
 from logbook import Logger
@@ -35,12 +36,9 @@
 
 # Interval at which requests in flight and failed links are looked at.
 WATCH_INTERVAL_SECONDS = 0.1
-# Time after which bytes without an acknowledgement show that a link is lost: Linux
-# sends a lost packet again after 0.2 s.
-UNACKNOWLEDGED_SECONDS = 0.25
 # Time without a sign of life of any target after which requests of a VM that is cut off
-# are given up, although their bytes were acknowledged.
-GIVE_UP_SECONDS = 1.0
+# hang, although their bytes were acknowledged.
+HANG_SECONDS = 1.0
 # Targets that are checked before this VM takes on grants to all of them.
 SAMPLE_SIZE = 3
 # Time for which no target may have shown a sign of life, with an answer overdue by as
@@ -65,6 +63,8 @@
     Attributes
     ----------
     health : LinkHealth
+    is_stopping : bool
+        Whether this VM stops and must end no request at which a target may be at work.
     """
 
     def __init__(self, cluster_view: ClusterView, clients: TargetClients, rng: Random):
@@ -74,6 +74,8 @@
         self._cluster_view = cluster_view
         self._clients = clients
         self.health = LinkHealth()
+        self.is_stopping = False
+        self._acknowledgements = AcknowledgementWatch()
         self._attempts: set[Attempt] = set()
         self._seen_revision = -1
         self._was_cut_off = False
@@ -145,8 +147,7 @@
         connections: int,
         seconds: float,
         expected_seconds: float,
-        is_repeatable: bool,
-        on_hang: Callable[[], None] = lambda: None,
+        on_hang: Callable[[Attempt], None] = lambda attempt: None,
     ) -> TargetAnswer:
         """Send a request to a target directly and return its answer.
 
@@ -160,10 +161,8 @@
             Seconds until the answer must have arrived.
         expected_seconds : float
             Seconds that the target is expected to take.
-        is_repeatable : bool
-            Whether the request may be sent again although it may have run.
         on_hang : callable
-            Called once if the request hangs at a link that is lost.
+            Called once if the request hangs at a link that seems to be lost.
 
         Raises
         ------
@@ -172,7 +171,7 @@
         client = self._clients.get(target, connections)
         moment = now()
         overdue_at = moment + expected_seconds + SILENCE_SECONDS
-        attempt = Attempt(target.name, moment, overdue_at, is_repeatable, on_hang)
+        attempt = Attempt(target.name, moment, overdue_at, on_hang)
         self._attempts.add(attempt)
         self._has_work.set()
         try:
@@ -250,15 +249,19 @@
                 self._has_work.clear()
 
     def _watch_attempts(self, moment: float) -> None:
+        for attempt in self._attempts:
+            if attempt.take_progress():
+                self.health.record_alive(attempt.target, moment)
+        self._acknowledgements.look(moment, self.health.alive_at)
         for attempt in list(self._attempts):
-            is_lost = _is_unacknowledged_for_long(attempt, moment)
+            is_lost = self._is_unacknowledged_for_long(attempt)
             if is_lost:
                 cause = "sent bytes are not acknowledged"
                 self._mark_failed(attempt.target, cause, attempt.find_send_queue())
             elif self._is_suspect(attempt, moment):
                 self._start_check(attempt.target)
             if is_lost or self._is_silent(attempt, moment):
-                self._give_up_if_hanging(attempt)
+                self._report_if_hanging(attempt)
 
     def _is_suspect(self, attempt: Attempt, moment: float) -> bool:
         """Tell whether an answer is overdue while no target at all answers."""
@@ -275,22 +278,36 @@
         targets run its requests. So this takes longer than to find another way.
         """
         silent_since = max(self.health.alive_at, attempt.sent_at)
-        return self.is_cut_off and moment - silent_since >= GIVE_UP_SECONDS
+        return self.is_cut_off and moment - silent_since >= HANG_SECONDS
 
-    def _give_up_if_hanging(self, attempt: Attempt) -> None:
-        """End a request that hangs at a lost link, or what it holds meanwhile.
+    def _is_unacknowledged_for_long(self, attempt: Attempt) -> bool:
+        """Tell whether a target's machine has left bytes unacknowledged for long.
 
-        An order may have run, so its answer is waited for; but the slot that its permit
-        stands for is needed by callers of other VMs.
+        The time counts from when they are seen first: a request may have waited for a
+        connection until just before.
+        """
+        if not attempt.is_unacknowledged():
+            if attempt.unacknowledged_since < inf:
+                self._acknowledgements.record_acknowledged(attempt.unacknowledged_since)
+            attempt.unacknowledged_since = inf
+            return False
+        attempt.unacknowledged_since = min(
+            attempt.unacknowledged_since, self._acknowledgements.seconds
+        )
+        return self._acknowledgements.is_lost(attempt.unacknowledged_since)
+
+    def _report_if_hanging(self, attempt: Attempt) -> None:
+        """Report a request that hangs at a link that seems to be lost.
+
+        It may have run, so its answer is waited for; but another VM can be asked, and
+        the slot that its permit stands for is needed by callers of other VMs.
         """
         if attempt.is_hanging or attempt.has_begun_answer():
             return
         if self.choose_way(attempt.target) is Way.DIRECT:
             return
         attempt.is_hanging = True
-        attempt.on_hang()
-        if attempt.is_repeatable:
-            attempt.abort("the link to the target is lost")
+        attempt.on_hang(attempt)
 
     def _start_due_check(self, moment: float) -> None:
         name = self.health.take_due_check(moment)
@@ -319,16 +336,3 @@
             self.record_answer(target)
         else:
             self._mark_failed(target.name, f"check: {result.value}")
-
-
-def _is_unacknowledged_for_long(attempt: Attempt, moment: float) -> bool:
-    """Tell whether a target's machine has left bytes unacknowledged for long.
-
-    The time counts from when they are seen first: a request may have waited for a
-    connection until just before.
-    """
-    if not attempt.is_unacknowledged():
-        attempt.unacknowledged_since = inf
-        return False
-    attempt.unacknowledged_since = min(attempt.unacknowledged_since, moment)
-    return moment - attempt.unacknowledged_since >= UNACKNOWLEDGED_SECONDS
--- a/packages/entry/src/berylstage_entry/target_sender.py
+++ b/packages/entry/src/berylstage_entry/target_sender.py
@@ -5,9 +5,10 @@
 from typing import TYPE_CHECKING
 
 from berylstage_policy.link_health import Way
-from berylstage_transfers.errors import NeverSent
+from berylstage_transfers.errors import AnswerLost, NeverSent
 
 from berylstage_entry.clock import now
+from berylstage_entry.hedge import Hedge
 from berylstage_entry.relay_client import NoRelay, RelayClient, TargetDown
 from berylstage_entry.relay_messages import RelayRequest
 
@@ -16,6 +17,7 @@
 
     from berylstage_entry.protocols import TargetAnswer
     from berylstage_entry.request_context import RequestContext
+    from berylstage_entry.target_clients import Attempt
     from berylstage_entry.target_links import TargetLinks
     from berylstage_entry.targets import Target
 
@@ -50,9 +52,14 @@
         target: Target,
         expected_seconds: float,
         on_hang: Callable[[], None],
+        may_repeat: Callable[[], bool] = lambda: True,
     ) -> TargetAnswer:
         """Send a request and return the target's answer.
 
+        A request that hangs at a link that seems to be lost is sent through another VM
+        as well, if it may be repeated. It is not given up: a delay of this VM looks the
+        same, and the caller of a request that may not be repeated would get nothing.
+
         Parameters
         ----------
         ctx : RequestContext
@@ -60,7 +67,9 @@
         expected_seconds : float
             Seconds that the target is expected to take.
         on_hang : callable
-            Called once if the request hangs at a link that is lost.
+            Called once if the request hangs at a link that is lost and is not repeated.
+        may_repeat : callable
+            Takes what a repeat needs and returns whether it may be made.
 
         Raises
         ------
@@ -76,6 +85,14 @@
             except NoRelay:
                 if self._links.is_cut_off:
                     raise
+        hedge = Hedge(lambda: self._relay(ctx, target))
+
+        def handle_hang(attempt: Attempt) -> None:
+            if self.relay_client is not None and may_repeat():
+                hedge.start(attempt)
+            else:
+                on_hang()
+
         try:
             return await self._links.send(
                 ctx.req,
@@ -83,13 +100,18 @@
                 ctx.service.max_connections_per_target,
                 ctx.seconds_left(now()),
                 expected_seconds,
-                ctx.route.idempotent,
-                on_hang,
+                handle_hang,
             )
-        except NeverSent:
+        except NeverSent as exc:
+            if hedge.is_started:
+                return await hedge.wait(exc)
             # A relay that has just failed is not asked again for the same request.
             if way is Way.RELAY or not self.is_reachable_by_others_only(target.name):
                 raise
+        except AnswerLost as exc:
+            return await hedge.wait(exc)
+        finally:
+            hedge.cancel()
         return await self._relay(ctx, target)
 
     async def _relay(self, ctx: RequestContext, target: Target) -> TargetAnswer:
--- a/packages/entry/tests/link_fleet.py
+++ b/packages/entry/tests/link_fleet.py
@@ -64,13 +64,15 @@
         self.ended = asyncio.get_running_loop().create_future()
         self.status = 0
         self.is_silent = False
+        # When the target's machine has the bytes.
+        self.acknowledged_at = now()
 
     def abort(self, call, cause):
         if not self.ended.done():
             self.ended.set_exception(AnswerLost(cause))
 
     def has_unacknowledged_bytes(self, call):
-        return self.is_silent
+        return self.is_silent or now() < self.acknowledged_at
 
     def find_send_queue(self, call):
         return SendQueue(0, 400) if self.is_silent else None
@@ -99,10 +101,13 @@
         if state is Link.RESET:
             raise AnswerLost("reset")
         call.is_silent = state is Link.SILENT
+        acknowledged_at = fleet.acknowledged_at.get((self._vm, self._name), now())
+        call.acknowledged_at = max(now(), acknowledged_at)
+        answer_seconds = call.acknowledged_at - now() + SERVICE_SECONDS
         if not call.is_silent:
             fleet.runs.append((req.request_id, self._vm, self._name))
         try:
-            async with asyncio.timeout(seconds if call.is_silent else SERVICE_SECONDS):
+            async with asyncio.timeout(seconds if call.is_silent else answer_seconds):
                 await call.ended
         except TimeoutError:
             if call.is_silent:
@@ -215,6 +220,8 @@
         self.targets = [f"i-{n}" for n in range(targets)]
         self.names_by_address = {target(n).address: n for n in self.targets}
         self.runs = []
+        # Until when bytes of a VM to a target wait on the VM's own link.
+        self.acknowledged_at = {}
         self.hops = 0
         # Whether every other request of a VM to a target needs a new connection.
         self.opens_connections = True
--- a/packages/entry/tests/test_target_links.py
+++ b/packages/entry/tests/test_target_links.py
@@ -8,6 +8,7 @@
 import link_fleet
 import pytest
 from berylstage_entry import relay_server, target_links
+from berylstage_entry.clock import now
 from berylstage_policy.link_health import LinkHealth, Way
 from berylstage_transfers.errors import NotConnected
 from link_fleet import Link, LinkFleet
@@ -98,6 +99,21 @@
 
         assert play(scenario) == ("answered", 1)
 
+    def test_bytes_that_wait_while_other_targets_answer(self):
+        # Guards against lookups sent twice, and links taken for lost, while bytes wait
+        # behind others on the VM's own link.
+        async def scenario(fleet):
+            fleet.opens_connections = False
+            vm = fleet.vms["vm-0"]
+            others = asyncio.create_task(fleet.play(1.5))
+            await asyncio.sleep(0.5)
+            fleet.acknowledged_at["vm-0", "i-0"] = now() + 0.5
+            outcome = await vm.send(1000, "i-0", False)
+            await others
+            return outcome, fleet.hops, vm.links.health.has_failed("i-0")
+
+        assert play(scenario) == ("answered", 0, False)
+
     @pytest.mark.parametrize("state", [Link.SILENT, Link.RESET])
     def test_links_to_some_targets_only(self, state):
         # Guards against one flag for all links: a data centre may be out of reach.
--- a/packages/entry/tests/test_target_sender.py
+++ b/packages/entry/tests/test_target_sender.py
@@ -219,3 +219,47 @@
         with virtual_loop() as loop:
             result, _, _ = serve("late", relay, run=loop.run_until_complete)
         assert (result.answer, relay.asked) == (ANSWER, 0)
+
+
+class TestHangingLookups:
+    """A lookup that hangs is sent through another VM; the first answer counts."""
+
+    def play(self, outcome, relay, **options):
+        with virtual_loop() as loop:
+            began = now()
+            found = serve(outcome, relay, run=loop.run_until_complete, **options)
+            return *found, now() - began
+
+    def test_another_vm_answers(self):
+        # Guards against waiting for a lost answer until the caller gives up.
+        result, _, permits, seconds = self.play("hang", Relay())
+        assert (result.relay, result.attempts) == ("vm-2", 2)
+        assert permits.told == [(True, False)]
+        assert seconds < 0.5
+
+    def test_first_attempt_answers_before_the_second_one(self):
+        # Guards against a second attempt that outlives its request.
+        class SlowRelay(Relay):
+            ended = False
+
+            async def send(self, request, seconds):
+                try:
+                    await asyncio.sleep(seconds)
+                finally:
+                    self.ended = True
+
+        relay = SlowRelay()
+        result, _, _, _ = self.play("late", relay)
+        assert (result.answer, result.relay) == (ANSWER, "")
+        assert relay.ended
+
+    def test_neither_answers(self):
+        # Guards against a refusal for a lookup that may have run.
+        result, _, _, _ = self.play("hang", Relay(NoRelay("busy")))
+        assert isinstance(result, Unanswered)
+
+    def test_order_is_not_sent_twice(self):
+        # Guards against an order that runs twice.
+        relay = Relay()
+        result, _, _, _ = self.play("late", relay, method="POST", idempotent=False)
+        assert (result.answer, relay.asked) == (ANSWER, 0)
--- a/packages/transfers/src/berylstage_transfers/curl_handle.py
+++ b/packages/transfers/src/berylstage_transfers/curl_handle.py
@@ -240,7 +240,19 @@
         acknowledged = int(self.curl.getinfo(pycurl.SIZE_UPLOAD_T)) - left
         has_progress = acknowledged > self.call.acknowledged_bytes >= 0
         self.call.acknowledged_bytes = max(0, acknowledged)
-        return left > 0 and not has_progress
+        return left > 0 and not has_progress and not self._waits_here(left)
+
+    def _waits_here(self, left: int) -> bool:
+        """Tell whether this machine has sent none of the unacknowledged bytes.
+
+        They say nothing of the link then. A larger body may also wait for a server that
+        does not read, or whose acknowledgements are lost.
+        """
+        assert self.call is not None
+        if len(self.call.body or b"") > BUFFERED_BODY_BYTES:
+            return False
+        unsent = self._connections.unsent_bytes(self.port)
+        return unsent is not None and unsent >= left
 
     def find_send_queue(self) -> SendQueue:
         """Return the bytes of the call that its server has not acknowledged."""
--- a/packages/transfers/tests/test_client.py
+++ b/packages/transfers/tests/test_client.py
@@ -13,6 +13,7 @@
 from berylstage_transfers import client as client_module
 from berylstage_transfers.call import Call
 from berylstage_transfers.client import CallClient
+from berylstage_transfers.connections import Connections
 from berylstage_transfers.errors import (
     AnswerLost,
     AnswerMismatched,
@@ -184,6 +185,26 @@
 
         run(scenario)
 
+    @pytest.mark.parametrize(("unsent", "is_evidence"), [(300, False), (0, True)])
+    def test_bytes_that_wait_in_this_machine(
+        self, open_server, monkeypatch, unsent, is_evidence
+    ):
+        # Guards against a call given up although this machine has sent nothing of it.
+        monkeypatch.setattr(Connections, "unacknowledged_bytes", lambda *_: 300)
+        monkeypatch.setattr(Connections, "unsent_bytes", lambda *_: unsent)
+
+        async def scenario():
+            async with open_server(b"") as script:
+                client = CallClient(1)
+                call = make_call(script)
+                task = asyncio.create_task(client.call(call))
+                await asyncio.sleep(0.1)
+                assert client.has_unacknowledged_bytes(call) is is_evidence
+                client.close()
+                await asyncio.gather(task, return_exceptions=True)
+
+        run(scenario)
+
     def test_bytes_that_the_machine_has_not_acknowledged(self, open_server):
         # More is sent than the server's receive buffer holds, and it reads nothing.
         async def scenario():
