--- a/packages/entry/src/berylstage_entry/target_links.py
+++ b/packages/entry/src/berylstage_entry/target_links.py
@@ -2,7 +2,7 @@
 
 A VM that loses its links to targets cannot tell from one request whether the target or
 the link has failed. It watches what all its requests, grants and probes show, checks
-the links of targets that have failed, and gives up requests that hang at a lost link.
+the links of targets that have failed, and reports requests that hang at a lost link.
 """
 
 from __future__ import annotations
@@ -11,12 +11,14 @@
 from math import inf
 from typing import TYPE_CHECKING
 
+from berylstage_policy.acknowledgements import AcknowledgementWatch
 from berylstage_policy.link_health import LinkHealth, Way
 from berylstage_transfers.errors import NotConnected
 from logbook import Logger
 
 from berylstage_entry.clock import now
 from berylstage_entry.link_check import CheckResult, check_link
+from berylstage_entry.log_rate_limiter import LogRateLimiter
 from berylstage_entry.supervision import supervise
 from berylstage_entry.target_clients import Attempt
 
@@ -25,6 +27,7 @@
     from random import Random
 
     from berylstage_transfers.errors import CallFailed
+    from berylstage_transfers.send_queue import SendQueue
 
     from berylstage_entry.cluster_view import ClusterView
     from berylstage_entry.protocols import CallerRequest, TargetAnswer
@@ -33,17 +36,17 @@
 
 # Interval at which requests in flight and failed links are looked at.
 WATCH_INTERVAL_SECONDS = 0.1
-# Time after which bytes without an acknowledgement show that a link is lost: Linux
-# sends a lost packet again after 0.2 s.
-UNACKNOWLEDGED_SECONDS = 0.25
 # Time without a sign of life of any target after which requests of a VM that is cut off
-# are given up, although their bytes were acknowledged.
-GIVE_UP_SECONDS = 1.0
+# hang, although their bytes were acknowledged.
+HANG_SECONDS = 1.0
 # Targets that are checked before this VM takes on grants to all of them.
 SAMPLE_SIZE = 3
 # Time for which no target may have shown a sign of life, with an answer overdue by as
 # much, before the link of the overdue target is checked.
 SILENCE_SECONDS = 0.3
+# Log lines per second about failed links.
+LINES_PER_SECOND = 5.0
+MAX_CAUSE_LENGTH = 200
 
 log = Logger(__name__)
 
@@ -60,6 +63,8 @@
     Attributes
     ----------
     health : LinkHealth
+    is_stopping : bool
+        Whether this VM stops and must end no request at which a target may be at work.
     """
 
     def __init__(self, cluster_view: ClusterView, clients: TargetClients, rng: Random):
@@ -69,9 +74,14 @@
         self._cluster_view = cluster_view
         self._clients = clients
         self.health = LinkHealth()
+        self.is_stopping = False
+        self._acknowledgements = AcknowledgementWatch()
         self._attempts: set[Attempt] = set()
         self._seen_revision = -1
         self._was_cut_off = False
+        # Seconds by which the loop was late when the links were last looked at.
+        self._lag = 0.0
+        self._log_limiter = LogRateLimiter(LINES_PER_SECOND)
         self._checks: dict[str, asyncio.Task] = {}
         self._task: asyncio.Task | None = None
         # Set while there are requests in flight or failed links.
@@ -137,8 +147,7 @@
         connections: int,
         seconds: float,
         expected_seconds: float,
-        is_repeatable: bool,
-        on_hang: Callable[[], None] = lambda: None,
+        on_hang: Callable[[Attempt], None] = lambda attempt: None,
     ) -> TargetAnswer:
         """Send a request to a target directly and return its answer.
 
@@ -152,10 +161,8 @@
             Seconds until the answer must have arrived.
         expected_seconds : float
             Seconds that the target is expected to take.
-        is_repeatable : bool
-            Whether the request may be sent again although it may have run.
         on_hang : callable
-            Called once if the request hangs at a link that is lost.
+            Called once if the request hangs at a link that seems to be lost.
 
         Raises
         ------
@@ -164,7 +171,7 @@
         client = self._clients.get(target, connections)
         moment = now()
         overdue_at = moment + expected_seconds + SILENCE_SECONDS
-        attempt = Attempt(target.name, moment, overdue_at, is_repeatable, on_hang)
+        attempt = Attempt(target.name, moment, overdue_at, on_hang)
         self._attempts.add(attempt)
         self._has_work.set()
         try:
@@ -187,15 +194,35 @@
         if isinstance(exc, NotConnected):
             self._mark_failed(target.name, str(exc))
 
-    def _mark_failed(self, name: str, cause: str) -> None:
+    def _mark_failed(
+        self, name: str, cause: str, queue: SendQueue | None = None
+    ) -> None:
         self.health.record_failure(name, now())
-        log.debug("link to target failed", extra={"target": name, "cause": cause})
+        if self._log_limiter.take():
+            log.info(
+                "link to target failed",
+                extra={
+                    "target": name,
+                    "cause": cause[:MAX_CAUSE_LENGTH],
+                    "unsent": queue.unsent if queue else None,
+                    "unacknowledged": queue.unacknowledged if queue else None,
+                    "lag": round(self._lag, 3),
+                    "silent": self._find_silent_seconds(),
+                    "left_out": self._log_limiter.take_suppressed_count(),
+                },
+            )
         self._has_work.set()
         self._log_change()
         if self.choose_way(name) is not Way.DIRECT:
             # They would wait behind requests that hang.
             self._clients.fail_queued(name, "the link to the target is lost")
 
+    def _find_silent_seconds(self) -> float | None:
+        """Return the seconds since any target has shown a sign of life, for the log."""
+        if self.health.alive_at == -inf:
+            return None
+        return round(now() - self.health.alive_at, 3)
+
     def _log_change(self) -> None:
         if self.is_cut_off == self._was_cut_off:
             return
@@ -208,7 +235,9 @@
     async def _run(self) -> None:
         while True:
             await self._has_work.wait()
+            started_at = now()
             await asyncio.sleep(WATCH_INTERVAL_SECONDS)
+            self._lag = now() - started_at - WATCH_INTERVAL_SECONDS
             if self._seen_revision != self._cluster_view.revision:
                 self._seen_revision = self._cluster_view.revision
                 self.health.retain(set(self._cluster_view.known))
@@ -220,14 +249,19 @@
                 self._has_work.clear()
 
     def _watch_attempts(self, moment: float) -> None:
+        for attempt in self._attempts:
+            if attempt.take_progress():
+                self.health.record_alive(attempt.target, moment)
+        self._acknowledgements.look(moment, self.health.alive_at)
         for attempt in list(self._attempts):
-            is_lost = _is_unacknowledged_for_long(attempt, moment)
+            is_lost = self._is_unacknowledged_for_long(attempt)
             if is_lost:
-                self._mark_failed(attempt.target, "sent bytes are not acknowledged")
+                cause = "sent bytes are not acknowledged"
+                self._mark_failed(attempt.target, cause, attempt.find_send_queue())
             elif self._is_suspect(attempt, moment):
                 self._start_check(attempt.target)
             if is_lost or self._is_silent(attempt, moment):
-                self._give_up_if_hanging(attempt)
+                self._report_if_hanging(attempt)
 
     def _is_suspect(self, attempt: Attempt, moment: float) -> bool:
         """Tell whether an answer is overdue while no target at all answers."""
@@ -244,22 +278,36 @@
         targets run its requests. So this takes longer than to find another way.
         """
         silent_since = max(self.health.alive_at, attempt.sent_at)
-        return self.is_cut_off and moment - silent_since >= GIVE_UP_SECONDS
+        return self.is_cut_off and moment - silent_since >= HANG_SECONDS
+
+    def _is_unacknowledged_for_long(self, attempt: Attempt) -> bool:
+        """Tell whether a target's machine has left bytes unacknowledged for long.
+
+        The time counts from when they are seen first: a request may have waited for a
+        connection until just before.
+        """
+        if not attempt.is_unacknowledged():
+            if attempt.unacknowledged_since < inf:
+                self._acknowledgements.record_acknowledged(attempt.unacknowledged_since)
+            attempt.unacknowledged_since = inf
+            return False
+        attempt.unacknowledged_since = min(
+            attempt.unacknowledged_since, self._acknowledgements.seconds
+        )
+        return self._acknowledgements.is_lost(attempt.unacknowledged_since)
 
-    def _give_up_if_hanging(self, attempt: Attempt) -> None:
-        """End a request that hangs at a lost link, or what it holds meanwhile.
+    def _report_if_hanging(self, attempt: Attempt) -> None:
+        """Report a request that hangs at a link that seems to be lost.
 
-        An order may have run, so its answer is waited for; but the slot that its permit
-        stands for is needed by callers of other VMs.
+        It may have run, so its answer is waited for; but another VM can be asked, and
+        the slot that its permit stands for is needed by callers of other VMs.
         """
         if attempt.is_hanging or attempt.has_begun_answer():
             return
         if self.choose_way(attempt.target) is Way.DIRECT:
             return
         attempt.is_hanging = True
-        attempt.on_hang()
-        if attempt.is_repeatable:
-            attempt.abort("the link to the target is lost")
+        attempt.on_hang(attempt)
 
     def _start_due_check(self, moment: float) -> None:
         name = self.health.take_due_check(moment)
@@ -288,16 +336,3 @@
             self.record_answer(target)
         else:
             self._mark_failed(target.name, f"check: {result.value}")
-
-
-def _is_unacknowledged_for_long(attempt: Attempt, moment: float) -> bool:
-    """Tell whether a target's machine has left bytes unacknowledged for long.
-
-    The time counts from when they are seen first: a request may have waited for a
-    connection until just before.
-    """
-    if not attempt.is_unacknowledged():
-        attempt.unacknowledged_since = inf
-        return False
-    attempt.unacknowledged_since = min(attempt.unacknowledged_since, moment)
-    return moment - attempt.unacknowledged_since >= UNACKNOWLEDGED_SECONDS
--- a/packages/transfers/tests/test_client.py
+++ b/packages/transfers/tests/test_client.py
@@ -13,11 +13,13 @@
 from berylstage_transfers import client as client_module
 from berylstage_transfers.call import Call
 from berylstage_transfers.client import CallClient
+from berylstage_transfers.connections import Connections
 from berylstage_transfers.errors import (
     AnswerLost,
     AnswerMismatched,
     CallFailed,
     ConnectionRefused,
+    EndedBy,
     NeverSent,
 )
 from berylstage_transfers.sent_ids import MIN_MEMORY_SECONDS, SentIds
@@ -159,8 +161,11 @@
                 task = first_task if is_sent else asyncio.create_task(client.call(call))
                 await asyncio.sleep(0.1)
                 client.abort(call, "link lost")
-                with pytest.raises(AnswerLost if is_sent else NeverSent):
+                with pytest.raises(AnswerLost if is_sent else NeverSent) as caught:
                     await task
+                if is_sent:
+                    assert caught.value.ended_by is EndedBy.CLIENT
+                    assert caught.value.cause == "link lost"
                 client.close()
                 await asyncio.gather(first_task, return_exceptions=True)
 
@@ -180,6 +185,26 @@
 
         run(scenario)
 
+    @pytest.mark.parametrize(("unsent", "is_evidence"), [(300, False), (0, True)])
+    def test_bytes_that_wait_in_this_machine(
+        self, open_server, monkeypatch, unsent, is_evidence
+    ):
+        # Guards against a call given up although this machine has sent nothing of it.
+        monkeypatch.setattr(Connections, "unacknowledged_bytes", lambda *_: 300)
+        monkeypatch.setattr(Connections, "unsent_bytes", lambda *_: unsent)
+
+        async def scenario():
+            async with open_server(b"") as script:
+                client = CallClient(1)
+                call = make_call(script)
+                task = asyncio.create_task(client.call(call))
+                await asyncio.sleep(0.1)
+                assert client.has_unacknowledged_bytes(call) is is_evidence
+                client.close()
+                await asyncio.gather(task, return_exceptions=True)
+
+        run(scenario)
+
     def test_bytes_that_the_machine_has_not_acknowledged(self, open_server):
         # More is sent than the server's receive buffer holds, and it reads nothing.
         async def scenario():
@@ -190,6 +215,9 @@
                 task = asyncio.create_task(client.call(call))
                 await asyncio.sleep(0.3)
                 assert client.has_unacknowledged_bytes(call)
+                queue = client.find_send_queue(call)
+                # The server's window is full, so most bytes cannot be sent.
+                assert 0 < queue.unsent <= queue.unacknowledged
                 client.close()
                 await asyncio.gather(task, return_exceptions=True)
 
