--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -19,6 +19,8 @@
         self.events: list[dict] = []
         self.leases: dict[int, tuple[float, float]] = {}
         self.changed = asyncio.Condition()
+        # Whether calls are left without an answer.
+        self.is_silent = False
 
     def put(self, key, value: bytes, lease=0, revision=None):
         self.revision = revision or self.revision + 1
@@ -56,6 +58,10 @@
         self.state = state
         state.expire()
 
+    async def prepare(self):
+        while self.state.is_silent:
+            await asyncio.sleep(0.05)
+
     def respond(self, status, doc=None):
         self.set_status(status)
         self.write(json.dumps(doc or {}))
@@ -153,12 +159,14 @@
 class Server:
     """State of a target that checks fence tokens."""
 
-    def __init__(self, name):
+    def __init__(self, name, slots=1000):
         self.name = name
         self.holds: list[tuple[int, int, int, float]] = []
         # Accepted fence tokens with the first and last key of their ranges.
         self.seen: list[tuple[int, int, int]] = []
         self.ran: list[str] = []
+        # Requests that it runs at once, as answers without keys report them.
+        self.slots = slots
 
     def holds_key(self, key):
         now = time.monotonic()
--- a/tests/stop_environment.py
+++ b/tests/stop_environment.py
@@ -75,7 +75,7 @@
 
     def prepare(self):
         super().prepare()
-        self.set_header("Berylstage-Backend-Load", f"1,0,{TARGET_SLOTS},100")
+        self.set_header("Berylstage-Backend-Load", f"1,0,{self.server.slots},100")
 
     async def get(self):
         request_id = self.request.headers["Berylstage-Attempt-Id"]
@@ -93,14 +93,16 @@
 
     def prepare(self):
         super().prepare()
-        self.set_header("Berylstage-Backend-Load", f"0,0,{TARGET_SLOTS},100")
+        self.set_header("Berylstage-Backend-Load", f"0,0,{self.server.slots},100")
 
 
 class StoppingVm(VmProcess):
     """A VM process that the test stops with SIGTERM."""
 
+    extra_settings: tuple[str, ...] = ()
+
     def __init__(self, number, folder, store_port):
-        super().__init__(number, folder, store_port)
+        super().__init__(number, folder, store_port, self.extra_settings)
         self.sigterm_at = None
 
     @property
@@ -149,6 +151,12 @@
     launcher = ("tests/busy_vm.py",)
 
 
+class SmallVm(StoppingVm):
+    """A VM with the least memory for bodies and answers, 4 MiB."""
+
+    extra_settings = ("limits.memory_mb=64",)
+
+
 class StopEnvironment:
     """Context manager that starts a store, two targets and the VMs.
 
@@ -160,19 +168,23 @@
         Number of VMs.
     vm_class : type
         Class of the VM processes.
+    slots : int
+        Requests that a target runs at once.
     """
 
-    def __init__(self, folder, vms=1, vm_class=StoppingVm):
+    def __init__(self, folder, vms=1, vm_class=StoppingVm, slots=TARGET_SLOTS):
         self._folder = folder
         self._vm_class = vm_class
+        self._slots = slots
         self._vm_count = vms
         self._servers = []
         self._callers = []
         self._last_request_number = 0
+        self.store = StoreState()
         self.vms = []
 
     async def __aenter__(self):
-        state, store_port = StoreState(), free_port()
+        state, store_port = self.store, free_port()
         HTTPServer(store_application(state)).listen(store_port, "127.0.0.1")
         for name in ("i-1", "i-2"):
             self._start_target(state, name)
@@ -191,7 +203,7 @@
             vm.process.wait()
 
     def _start_target(self, state, name):
-        server, port = Server(name), free_port()
+        server, port = Server(name, self._slots), free_port()
         own = {"server": server}
         rows = [(r"/healthz", IdleHealth, own), (r"/.*", SizedAnswerHandler, own)]
         application = Application(rows, log_function=lambda handler: None)
@@ -203,7 +215,7 @@
                 "service": "s",
                 "version": "v",
                 "zone": "a",
-                "slots": TARGET_SLOTS,
+                "slots": self._slots,
             },
             "status": {"state": "ready", "sequence": 1, "warmup_left_ms": 0},
         }
--- a/tests/stop_ways.py
+++ b/tests/stop_ways.py
@@ -74,10 +74,14 @@
         Whether each piece is a chunk of its own; else the head names the length.
     expects_continue : bool
         Whether the head asks for an interim answer before the body.
+    pause_ms : int
+        Milliseconds that the target works.
     """
 
-    def __init__(self, number, body, is_chunked=False, expects_continue=False):
-        super().__init__(number, 100, 20, "POST")
+    def __init__(
+        self, number, body, is_chunked=False, expects_continue=False, pause_ms=20
+    ):
+        super().__init__(number, 100, pause_ms, "POST")
         self._body = body
         self._is_chunked = is_chunked
         self.expects_continue = expects_continue
--- a/tests/test_stop_ways.py
+++ b/tests/test_stop_ways.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+from functools import partial
 
-from stop_environment import StopEnvironment
+from stop_environment import STOP_GRACE_SECONDS, SmallVm, StopEnvironment
 from stop_ways import (
     PiecewiseCaller,
     PiecewiseRequest,
@@ -12,6 +13,7 @@
     connect_relaying_vm,
 )
 from test_stops import (
+    BALANCER_SENDS_SECONDS,
     DOWNLOAD_BYTES,
     MS_PER_SECOND,
     StopScenario,
@@ -19,6 +21,34 @@
 )
 
 
+async def add_piecewise_caller(stop):
+    """Return a new connection on which requests may be sent in pieces."""
+    caller = PiecewiseCaller(stop.vm.front_address)
+    stop.environment.add_caller(caller)
+    stop.callers.append(caller)
+    await caller.connect()
+    return caller
+
+
+async def add_sweep(stop, step=0.02, pause_ms=20):
+    """Schedule requests on kept and new connections during the whole stop."""
+    sweep = sweep_offsets(0.0, STOP_GRACE_SECONDS, step)
+    callers = await stop.add_keep_alive_callers(len(sweep))
+    for number, (offset, caller) in enumerate(zip(sweep, callers, strict=True)):
+        method = "POST" if number % 2 else "GET"
+        stop.send_at(offset, caller, stop.new_request(100, pause_ms, method))
+        stop.connect_at(offset, stop.new_request(100, pause_ms, method))
+
+
+def check_early_requests_served(stop):
+    """Check that requests sent until the load balancer stops sending are served."""
+    stop.check_nothing_lost()
+    stop.check_log()
+    early = stop.requests_sent_by(BALANCER_SENDS_SECONDS)
+    missing = [request for request in early if not request.is_served]
+    assert not missing, f"{len(missing)} of {len(early)} not served: {missing[:5]}"
+
+
 class TestRelayedRequests:
     """Requests of another VM at the time at which the VM that relays them stops."""
 
@@ -128,10 +158,7 @@
 
     async def send_pieces_at(self, stop, offset, request, pause, is_kept=True):
         """Schedule a request on a connection that has or has not been used before."""
-        caller = PiecewiseCaller(stop.vm.front_address)
-        stop.environment.add_caller(caller)
-        stop.callers.append(caller)
-        await caller.connect()
+        caller = await add_piecewise_caller(stop)
         if is_kept:
             await caller.send(stop.new_request())
             await caller.wait_for_answers()
@@ -146,3 +173,121 @@
         missing = [request for request in stop.requests if not request.is_served]
         assert not missing, f"{len(missing)} not served: {missing[:5]}"
         stop.check_log()
+
+
+class TestPausedReading:
+    """Requests that wait unread because the memory of the VM is full."""
+
+    # Orders whose bodies take most of the memory while their target works.
+    ORDERS = 4
+    ORDER_BYTES = 1_040_000
+    ORDER_SECONDS = 2.0
+
+    def test_requests_that_wait_for_memory(self, tmp_path):
+        # Guards against closing connections as idle whose requests have not been read
+        # for want of memory.
+        async def scenario():
+            async with StopEnvironment(tmp_path, 1, SmallVm) as environment:
+                stop = StopScenario(environment, environment.vms[0])
+                for _ in range(self.ORDERS):
+                    caller = await add_piecewise_caller(stop)
+                    stop.schedule(1.2, partial(self.send_order, stop, caller))
+                # Their answers take the rest.
+                for offset in sweep_offsets(1.5, 1.74, 0.03):
+                    (caller,) = await stop.add_keep_alive_callers(1, link_mbps=4)
+                    stop.send_at(offset, caller, stop.new_request(DOWNLOAD_BYTES))
+                sweep = sweep_offsets(2.0, 2.55, 0.01)
+                callers = await stop.add_keep_alive_callers(len(sweep))
+                for number, caller in enumerate(callers):
+                    method = "POST" if number % 2 else "GET"
+                    request = stop.new_request(pause_ms=20, method=method)
+                    stop.send_at(sweep[number], caller, request)
+                waiting = []
+                stop.schedule(2.55, partial(self.find_waiting, callers, waiting))
+                await stop.stop()
+                stop.check_nothing_lost()
+                stop.check_log()
+                assert len(waiting) > len(sweep) / 2, "too few requests waited"
+                missing = [request for request in waiting if not request.is_served]
+                assert not missing, f"{len(missing)} not served: {missing[:5]}"
+
+        asyncio.run(scenario())
+
+    async def send_order(self, stop, caller):
+        request = PiecewiseRequest(
+            stop.environment.next_request_number(),
+            [b"." * self.ORDER_BYTES],
+            pause_ms=int(self.ORDER_SECONDS * MS_PER_SECOND),
+        )
+        await caller.send(request)
+
+    async def find_waiting(self, callers, waiting):
+        """Record the requests that have not been answered."""
+        waiting += [request for caller in callers for request in caller.unanswered]
+
+
+class TestStoreAway:
+    """Stops in which steps wait for a store that does not answer."""
+
+    # Seconds from SIGTERM at which the store falls silent.
+    SILENT_AT_SECONDS = (-0.5, 0.0, 0.03)
+
+    def test_requests_while_the_store_is_silent(self, tmp_path):
+        # Guards against steps that wait for the store until no time is left for the
+        # requests.
+        async def scenario():
+            async with StopEnvironment(tmp_path, vms=3) as environment:
+                stops = [StopScenario(environment, vm) for vm in environment.vms]
+                for stop in stops:
+                    await add_sweep(stop)
+                loop = asyncio.get_running_loop()
+                silent = partial(setattr, environment.store, "is_silent", True)
+                loop.call_later(max(self.SILENT_AT_SECONDS), silent)
+                await asyncio.gather(
+                    *(
+                        self.stop_after(stop, max(self.SILENT_AT_SECONDS) - silent_at)
+                        for stop, silent_at in zip(
+                            stops, self.SILENT_AT_SECONDS, strict=True
+                        )
+                    )
+                )
+                (failed,) = stops[0].vm.read_log_entries("VM not deregistered")
+                assert "no complete answer" in failed["cause"]
+
+        asyncio.run(scenario())
+
+    async def stop_after(self, stop, seconds):
+        await asyncio.sleep(seconds)
+        await stop.stop()
+        check_early_requests_served(stop)
+
+
+class TestManyStops:
+    """Several VMs that stop at about the same time, with requests for full targets."""
+
+    # Together the VMs ask for as much as two targets with these slots can take.
+    SLOTS = 4
+    WORK_MS = 40
+    # Seconds between the stops of two VMs.
+    STAGGER_SECONDS = (0.0, 0.1, 0.3, 0.9, 1.5)
+
+    def test_permits_of_vms_that_stop_too(self, tmp_path):
+        # Guards against a request that waits for the permit of a VM which has stopped,
+        # or that is sent nowhere because no VM serves the queue.
+        async def scenario():
+            count = len(self.STAGGER_SECONDS)
+            async with StopEnvironment(
+                tmp_path, count, slots=self.SLOTS
+            ) as environment:
+                stops = [StopScenario(environment, vm) for vm in environment.vms]
+                for stop in stops:
+                    await add_sweep(stop, 0.05, self.WORK_MS)
+                both = zip(stops, self.STAGGER_SECONDS, strict=True)
+                await asyncio.gather(*(self.stop_after(*pair) for pair in both))
+
+        asyncio.run(scenario())
+
+    async def stop_after(self, stop, seconds):
+        await asyncio.sleep(seconds)
+        await stop.stop()
+        check_early_requests_served(stop)
