Test of requests that wait for memory: an answer that is not taken fills it

The downloads that filled the memory left it free for a moment on a busy machine: 21 to 26 of 56 requests waited instead of more than half, and the test failed by its own precondition in 2 of 7 runs. The VM's count of requests read is not compared with the answers, as this caller leaves without its answer; that nothing is cut is checked as before.

--- a/tests/test_stop_ways.py
+++ b/tests/test_stop_ways.py
@@ -182,6 +182,7 @@
     ORDERS = 4
     ORDER_BYTES = 1_040_000
     ORDER_SECONDS = 2.0
+    FREED_AT_SECONDS = 3.0
 
     def test_requests_that_wait_for_memory(self, tmp_path):
         # Guards against closing connections as idle whose requests have not been read
@@ -192,10 +193,10 @@
                 for _ in range(self.ORDERS):
                     caller = await add_piecewise_caller(stop)
                     stop.schedule(1.2, partial(self.send_order, stop, caller))
-                # Their answers take the rest.
-                for offset in sweep_offsets(1.5, 1.74, 0.03):
-                    (caller,) = await stop.add_keep_alive_callers(1, link_mbps=4)
-                    stop.send_at(offset, caller, stop.new_request(DOWNLOAD_BYTES))
+                # An answer that its caller does not take uses up the rest.
+                stuck = await stop.add_caller(reads=False)
+                stop.send_at(1.5, stuck, stop.new_request(DOWNLOAD_BYTES))
+                stop.schedule(self.FREED_AT_SECONDS, partial(self.leave, stuck))
                 sweep = sweep_offsets(2.0, 2.55, 0.01)
                 callers = await stop.add_keep_alive_callers(len(sweep))
                 for number, caller in enumerate(callers):
@@ -203,11 +204,11 @@
                     request = stop.new_request(pause_ms=20, method=method)
                     stop.send_at(sweep[number], caller, request)
                 waiting = []
-                stop.schedule(2.55, partial(self.find_waiting, callers, waiting))
+                stop.schedule(2.58, partial(self.find_waiting, callers, waiting))
                 await stop.stop()
-                stop.check_nothing_lost()
-                stop.check_log()
-                assert len(waiting) > len(sweep) / 2, "too few requests waited"
+                stop.check_nothing_lost([r for c in callers for r in c.requests])
+                assert stop.vm.read_log_entries("connection cut") == []
+                assert len(waiting) == len(sweep), "some requests did not wait"
                 missing = [request for request in waiting if not request.is_served]
                 assert not missing, f"{len(missing)} not served: {missing[:5]}"
 
@@ -221,6 +222,9 @@
         )
         await caller.send(request)
 
+    async def leave(self, caller):
+        caller.close()
+
     async def find_waiting(self, callers, waiting):
         """Record the requests that have not been answered."""
         waiting += [request for caller in callers for request in caller.unanswered]
