Soak: VMs that are suspended while they stop

The soak stopped VMs, and it suspended VMs, but never both; and callers opened hardly any connection to a VM that was stopping, as they reuse eight. So it could not see that a VM which is suspended at the end of the balancer's lag resets every connection that it has not accepted, with a whole request on each.

--suspended-stops tells up to half of the VMs to stop within 1.6 s, suspends each for 0.2 to 1.5 s from 1.0 to 3.5 s after its SIGTERM, and sends some a second SIGTERM or SIGHUP as before. Until 2.6 s after SIGTERM every other batch of a caller opens a connection.

The ledger let a request without an answer pass if no target ran it, since its caller may send it again. It now also reports requests that were sent whole by 2.0 s after a SIGTERM and ended without an answer, in all modes: the VM still takes requests then. One allowance: a request that was pipelined behind an answer with 'Connection: close'. A server processes no request after that (RFC 9112), and the callers' test says so already; if it runs and is not answered, it counts as lost as before.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -171,6 +171,7 @@
         """
         waiting = deque(requests)
         sending: asyncio.Task | None = None
+        is_close_announced = False
         try:
             async with asyncio.timeout(ANSWER_TIMEOUT_SECONDS):
                 await self._connect()
@@ -179,6 +180,7 @@
                     answer = await self._read_answer(waiting[0])
                     self._record_answer(waiting[0], answer)
                     waiting.popleft()
+                    is_close_announced = answer.closes_connection
         except OSError:
             # Connection refused, reset or closed, or the answer timeout expired.
             self.close()
@@ -192,6 +194,8 @@
         for request in waiting:
             partial_answer = bytes(self._buffer)
             self._buffer.clear()
+            if is_close_announced:
+                self._ledger.record_not_expected(request.request_id)
             self._ledger.record_answer(
                 request.request_id, request.method, 0, partial_answer, ""
             )
@@ -237,6 +241,7 @@
             except OSError:
                 # Answers received before the connection closed are still read.
                 return
+            self._ledger.record_sent(request.request_id)
 
     async def _read_answer(self, request: Request) -> Answer:
         """Read one answer; a partial answer stays in the buffer on failure."""
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -19,6 +19,11 @@
 # settings, and from SIGTERM to the restart.
 STOP_GRACE_SECONDS = 6.0
 RESTART_AFTER_SECONDS = 6.2
+# Seconds from SIGTERM to a suspension, its duration, and seconds for which the load
+# balancer opens new connections to a stopping VM.
+SUSPENDED_AFTER_SECONDS = (1.0, 3.5)
+SUSPENDED_SECONDS = (0.2, 1.5)
+BALANCER_LAG_SECONDS = 2.6
 # Probability that a stopping VM gets a second SIGTERM, and that it gets SIGHUP.
 REPEATED_SIGNAL_SHARE = 0.4
 
@@ -79,6 +84,8 @@
 
     is_planned = True
     duration_range = (8.0, 9.0)
+    # Seconds after SIGTERM for which callers open connections beside those they have.
+    new_connection_seconds = 0.0
 
     async def begin(self, installation: Installation) -> str:
         running_vms = installation.running_vms()
@@ -102,6 +109,7 @@
         process, signals = vm.process, self._draw_signals()
         await asyncio.sleep(self.rng.uniform(*STAGGER_SECONDS))
         began = time.monotonic()
+        vm.new_connections_until = began + self.new_connection_seconds
         for seconds, number in signals:
             await asyncio.sleep(began + seconds - time.monotonic())
             process.send_signal(number)
@@ -121,6 +129,21 @@
         return sorted(signals)
 
 
+class VmsSuspendedAtStop(VmsStopped):
+    """The same, and each VM is suspended for a while during its stop.
+
+    The load balancer opens new connections to it until it notices the stop.
+    """
+
+    new_connection_seconds = BALANCER_LAG_SECONDS
+
+    def _draw_signals(self) -> list[tuple[float, signal.Signals]]:
+        start = self.rng.uniform(*SUSPENDED_AFTER_SECONDS)
+        end = start + self.rng.uniform(*SUSPENDED_SECONDS)
+        suspension = [(start, signal.SIGSTOP), (end, signal.SIGCONT)]
+        return sorted([*super()._draw_signals(), *suspension])
+
+
 class VmFrozen(Fault):
     """A VM is suspended for seconds and then resumed."""
 
@@ -385,6 +408,8 @@
 SHORT_PAUSES: tuple[type[Fault], ...] = (VmHeldUp,)
 # Only planned stops.
 PLANNED_STOPS: tuple[type[Fault], ...] = (VmsStopped,)
+# Only planned stops of VMs that are suspended meanwhile.
+SUSPENDED_STOPS: tuple[type[Fault], ...] = (VmsSuspendedAtStop,)
 # Only what fills the queues of targets. None of it may cost a request that ran: targets
 # run no request that they do not answer.
 FILLED_QUEUES: tuple[type[Fault], ...] = (
--- a/tests/soak/installation.py
+++ b/tests/soak/installation.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import math
 import subprocess
 import sys
 import time
@@ -92,6 +93,9 @@
         self.idle_callers: deque[Caller] = deque()
         # Whether the VM is being stopped and restarted.
         self.is_stopping = False
+        # Monotonic seconds until which every other batch opens a connection.
+        self.new_connections_until = -math.inf
+        self._opens_connection = False
         self._program = program
         self._path = folder / f"{self.name}.conf"
         self._path.write_text(text)
@@ -112,7 +116,13 @@
 
     def take_caller(self, ledger: Ledger) -> Caller:
         """Return a caller with an idle connection, or a new caller."""
-        while len(self.idle_callers) >= MIN_KEPT_CONNECTIONS:
+        self._opens_connection = (
+            not self._opens_connection and time.monotonic() < self.new_connections_until
+        )
+        while (
+            not self._opens_connection
+            and len(self.idle_callers) >= MIN_KEPT_CONNECTIONS
+        ):
             caller = self.idle_callers.popleft()
             if caller.is_open():
                 return caller
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -17,6 +17,9 @@
 
 # Seconds after an unplanned fault during which it may still cause lost requests.
 FAULT_EFFECT_SECONDS = 3.0
+# Seconds after SIGTERM by which a request is sent that a planned stop must answer or
+# refuse.
+SERVED_SECONDS = 2.0
 # Statuses of requests with an unknown outcome: connection closed (0), no answer from a
 # target (502), and no answer in time (504).
 UNKNOWN_OUTCOME_STATUSES = frozenset({0, 502, 504})
@@ -113,6 +116,8 @@
         self._vms: dict[str, str] = {}
         self._spans: dict[str, Span] = {}
         self._sizes: dict[str, int] = {}
+        # When the kernel took the last byte of each request.
+        self._sent_at: dict[str, float] = {}
         # When a target last started to run each request.
         self._run_starts: dict[str, float] = {}
         self._unplanned_faults: list[Span] = []
@@ -159,6 +164,17 @@
         self._spans[request_id] = Span(time.monotonic(), math.inf)
         self._sizes[request_id] = size
 
+    def record_sent(self, request_id: str) -> None:
+        """Record that a caller has sent a whole request."""
+        self._sent_at[request_id] = time.monotonic()
+
+    def record_not_expected(self, request_id: str) -> None:
+        """Record that a request went out behind one whose answer ended the connection.
+
+        A server processes no request after it has announced the close (RFC 9112).
+        """
+        self._sent_at.pop(request_id, None)
+
     def record_answer(
         self, request_id: str, method: str, status: int, body: bytes, signature: str
     ) -> None:
@@ -212,6 +228,7 @@
             *self._find_overlapping_grants(),
             *self._find_grants_of_keys_in_use(),
             *self._find_lost_requests(),
+            *self._find_dropped_requests(),
             *self._find_failed_stops(),
             *self.memory_excesses,
             *self.notices.find_violations(),
@@ -278,6 +295,21 @@
             and self._is_far_from_faults(span)
         ]
 
+    def _find_dropped_requests(self) -> list[str]:
+        """Return whole requests that a planned stop left without any answer."""
+        return [
+            f"{request_id} sent at {sent_at:.2f}, dropped at {span.end:.2f} by "
+            f"{stop.vm}, told to stop at {stop.span.start:.2f}"
+            for stop in self.stops
+            for request_id, sent_at in self._sent_at.items()
+            for span in [self._spans[request_id]]
+            if self._vms[request_id] == stop.vm
+            and span.end > stop.span.start
+            and sent_at <= stop.span.start + SERVED_SECONDS
+            and self.answers.get(request_id, NO_ANSWER)[1] == 0
+            and self._is_far_from_faults(span)
+        ]
+
     def _find_failed_stops(self) -> list[str]:
         return [
             f"{stop.vm} told to stop at {stop.span.start:.2f} ended with {stop.status}"
--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -1,7 +1,8 @@
 """Soak: an installation under load with injected faults.
 
 Run it by ``make soak SECONDS=60 SEED=1``, with ``STOPS=--stops`` for planned stops
-only, ``STOPS=--hold-ups`` for short suspensions of VMs only, ``STOPS=--notices`` for
+only, ``STOPS=--suspended-stops`` for the same of VMs that are suspended meanwhile,
+``STOPS=--hold-ups`` for short suspensions of VMs only, ``STOPS=--notices`` for
 targets that name limits, ask for rest or leave in their answers, ``STOPS=--cuts`` for
 VMs that lose their links to targets, ``STOPS=--silent-targets`` for targets that never
 answer what they cannot queue, or ``STOPS=--uploads`` for uploads and slow
@@ -40,6 +41,7 @@
     PLANNED_STOPS,
     RESTS,
     SHORT_PAUSES,
+    SUSPENDED_STOPS,
     Fault,
 )
 from soak.installation import Installation  # noqa: E402
@@ -130,6 +132,7 @@
 # again.
 ALL_FAULTS_MODE = SoakMode(FAULTS, 3, 0.5, 16.0)
 PLANNED_STOPS_MODE = SoakMode(PLANNED_STOPS, 4, 0.2, 3.0)
+SUSPENDED_STOPS_MODE = SoakMode(SUSPENDED_STOPS, 4, 0.2, 3.0)
 SHORT_PAUSES_MODE = SoakMode(SHORT_PAUSES, 4, 0.2, 3.0)
 LIMITS_MODE = SoakMode(LIMITS, 4, 0.4, 3.0)
 RESTS_MODE = SoakMode(RESTS, 4, 0.4, 3.0)
@@ -147,6 +150,11 @@
 # Options that restrict the faults.
 MODES = (
     ("--stops", "planned stops alone", PLANNED_STOPS_MODE),
+    (
+        "--suspended-stops",
+        "stops of VMs suspended meanwhile",
+        SUSPENDED_STOPS_MODE,
+    ),
     ("--hold-ups", "short pauses alone", SHORT_PAUSES_MODE),
     ("--limits", "targets that name a limit alone", LIMITS_MODE),
     ("--rests", "targets that ask for rest alone", RESTS_MODE),
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -50,6 +50,15 @@
         run_soak("--stops", "--seconds=8", "--seed=1")
 
 
+@pytest.mark.failures
+@pytest.mark.failures_ci
+class TestSuspendedStops:
+    def test_vms_suspended_while_they_stop_lose_nothing(self):
+        # Guards against stopping VMs that reset the connections of a pause, which they
+        # have not accepted, with whole requests in them.
+        run_soak("--suspended-stops", "--seconds=8", "--seed=4")
+
+
 @pytest.mark.failures
 @pytest.mark.failures_ci
 class TestShortPauses:
--- a/tests/test_soak_callers.py
+++ b/tests/test_soak_callers.py
@@ -58,6 +58,22 @@
         outcomes = self.send_lookups(ledger, self.LAST, 2, ends=False)
         assert outcomes == [(200, b"ok"), (0, b"")]
 
+    def test_whole_requests_that_are_never_answered(self, ledger):
+        # Guards against a soak that takes requests reset unread for never sent.
+        self.send_lookups(ledger, b"", 2)
+        assert len(self.find_dropped(ledger)) == 2
+
+    def test_whole_requests_behind_the_last_answer(self, ledger):
+        self.send_lookups(ledger, self.LAST, 2, ends=False)
+        assert self.find_dropped(ledger) == []
+
+    def find_dropped(self, ledger):
+        """Return the violations if the server was a VM told to stop just before."""
+        for number in range(2):
+            ledger.record_request(f"lookup-{number}", 0, "vm-1")
+        ledger.record_stop("vm-1", time.monotonic() - 1.0, 0)
+        return [line for line in ledger.find_violations() if "dropped" in line]
+
     def test_answer_takes_the_time_of_its_link(self, ledger):
         # Without this delay no answer would be in flight when a VM stops.
         size = BYTES_PER_MBIT // 2
--- a/tests/test_soak_ledger.py
+++ b/tests/test_soak_ledger.py
@@ -5,7 +5,7 @@
 import time
 
 import pytest
-from soak.ledger import FAULT_EFFECT_SECONDS
+from soak.ledger import FAULT_EFFECT_SECONDS, SERVED_SECONDS
 from soak_fakes import FakeTarget
 
 # Size of the ledger of a soak in which keys move often, and processor seconds for its
@@ -206,3 +206,45 @@
         # The platform kills a VM that still runs when its stop time is over.
         ledger.record_stop("vm-1", time.monotonic() - 6.0, status)
         assert len(ledger.find_violations()) == faults
+
+
+class TestRequestsDroppedAtStops:
+    """Requests that end without an answer, sent and dropped after a SIGTERM."""
+
+    def find_violations(self, ledger, sent_after, status=0, vm="vm-1"):
+        """Return the violations with a stop that began some seconds before."""
+        ledger.record_request("order-1", 0, "vm-1")
+        ledger.record_sent("order-1")
+        ledger.record_answer("order-1", "POST", status, b"", "")
+        ledger.record_stop(vm, time.monotonic() - sent_after, 0)
+        return ledger.find_violations()
+
+    @pytest.mark.parametrize(
+        ("sent_after", "faults"),
+        [(0.1, 1), (SERVED_SECONDS - 0.1, 1), (SERVED_SECONDS + 0.1, 0)],
+    )
+    def test_request_in_the_accept_queue(self, ledger, sent_after, faults):
+        # Guards against a VM that resets connections which it has not accepted.
+        assert len(self.find_violations(ledger, sent_after)) == faults
+
+    def test_honest_refusal(self, ledger):
+        assert self.find_violations(ledger, 1.0, status=503) == []
+
+    def test_stop_of_another_vm(self, ledger):
+        assert self.find_violations(ledger, 1.0, vm="vm-2") == []
+
+    def test_request_that_was_not_sent_whole(self, ledger):
+        # The VM can't have read it.
+        ledger.record_request("order-1", 0, "vm-1")
+        ledger.record_answer("order-1", "POST", 0, b"", "")
+        ledger.record_stop("vm-1", time.monotonic() - 1.0, 0)
+        assert ledger.find_violations() == []
+
+    def test_request_behind_the_last_answer(self, ledger):
+        # A VM that answered with the close of the connection takes none behind it.
+        ledger.record_request("order-1", 0, "vm-1")
+        ledger.record_sent("order-1")
+        ledger.record_not_expected("order-1")
+        ledger.record_answer("order-1", "POST", 0, b"", "")
+        ledger.record_stop("vm-1", time.monotonic() - 1.0, 0)
+        assert ledger.find_violations() == []
