Daemon: a stop accepts the callers that wait before its port closes

Callers whose connection came while the daemon's loop was held up, just before the port closed at the end of the balancer's lag, saw it reset with a whole request sent. The daemon takes for new only what tornado has accepted; closing the listening socket resets all others.

The port now closes in a turn in which accept found nothing more, by the accept queue of the entry package. The pages of the daemon (ready, status) are on the same port. Connections without a request close as idle ones do.

--- a/packages/daemon/src/berylstage_daemon/connections.py
+++ b/packages/daemon/src/berylstage_daemon/connections.py
@@ -4,12 +4,16 @@
 
 from typing import TYPE_CHECKING
 
+from berylstage_entry.accept_queue import AcceptQueue
 from berylstage_entry.sockets import ReceiveState, peek_socket
 from tornado.httpserver import HTTPServer
 from tornado.httputil import HTTPMessageDelegate
+from tornado.iostream import IOStream
+from tornado.netutil import bind_sockets
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
+    from socket import socket
     from typing import Any
 
     from tornado.http1connection import HTTP1ServerConnection
@@ -19,7 +23,6 @@
         RequestStartLine,
         ResponseStartLine,
     )
-    from tornado.iostream import IOStream
 
 
 class ConnectionServer(HTTPServer):
@@ -36,6 +39,45 @@
         super().initialize(*args, **kwargs)
         self._open: set[IOStream] = set()
         self._waiting: set[IOStream] = set()
+        self._sockets_open: list[socket] = []
+
+    def listen_on(self, host: str, port: int) -> None:
+        """Accept connections at an address.
+
+        Parameters
+        ----------
+        host : str
+        port : int
+        """
+        self._sockets_open = bind_sockets(port, host)
+        self.add_sockets(self._sockets_open)
+
+    def end_listening(self) -> None:
+        """Accept the connections that wait, and close the port in the same turn.
+
+        Closed without this, the port would reset them with the requests that callers
+        have sent on them. Connections for which no descriptor is free are reset.
+        """
+        listeners, self._sockets_open = self._sockets_open, []
+        for listener in listeners:
+            for sock in AcceptQueue(listener).accept_all():
+                self._serve(sock)
+        self.stop()
+
+    def _serve(self, sock: socket) -> None:
+        """Serve an accepted connection."""
+        try:
+            address = sock.getpeername()
+        except OSError:
+            # The caller has reset the connection.
+            sock.close()
+            return
+        stream = IOStream(
+            sock,
+            max_buffer_size=self.max_buffer_size,
+            read_chunk_size=self.read_chunk_size,
+        )
+        self.handle_stream(stream, address)
 
     def handle_stream(self, stream: IOStream, address: tuple) -> None:
         """Serve a new connection.
--- a/packages/daemon/src/berylstage_daemon/servers.py
+++ b/packages/daemon/src/berylstage_daemon/servers.py
@@ -44,13 +44,13 @@
             web, max_body_size=limit, max_buffer_size=2 * limit
         )
         host, port = split_host_port(self._app.cfg.http)
-        self._server.listen(port, host)
+        self._server.listen_on(host, port)
 
     async def drain(self) -> None:
         """Wait until the balancer has noticed that this VM is not ready."""
         await asyncio.sleep(BALANCER_LAG)
         if self._server is not None:
-            self._server.stop()
+            self._server.end_listening()
 
     def close_idle(self) -> None:
         """Close the connections on which no byte of a request has come."""
--- a/packages/daemon/tests/test_stop_of_callers.py
+++ b/packages/daemon/tests/test_stop_of_callers.py
@@ -28,6 +28,7 @@
 # A request passes through the socket, the stream and a task before it is counted; each
 # takes a turn of the loop.
 TURNS = 4
+UNACCEPTED = 8
 
 
 class Moment(Part):
@@ -161,6 +162,42 @@
     return run
 
 
+class TestNewConnection:
+    def test_request_of_an_unaccepted_connection_is_answered(self, play):
+        # Guards against a loop that is held up until the port closes, which resets the
+        # connections that have come meanwhile.
+        async def scenario(daemon, _):
+            callers = []
+
+            async def hold_up():
+                for number in range(UNACCEPTED):
+                    callers.append(Caller(daemon.address))
+                    callers[-1].send(request(f"new-{number}"))
+
+            daemon.app.load.drain = hold_up
+            status = await daemon.stop()
+            return status, [await caller.read() for caller in callers], daemon.ran
+
+        status, answers, ran = play(scenario)
+        assert [_is_answered(got) for got in answers] == UNACCEPTED * [True]
+        assert (status, len(ran)) == (EXIT_OK, 1 + UNACCEPTED)
+
+    def test_connection_without_a_request_does_not_hold_up_the_stop(self, play):
+        # A caller connects as the port closes, and sends nothing.
+        async def scenario(daemon, _):
+            callers = []
+
+            async def connect():
+                callers.append(Caller(daemon.address))
+
+            daemon.app.load.drain = connect
+            async with asyncio.timeout(PROMPT_S):
+                status = await daemon.stop()
+            return status, await callers[0].read()
+
+        assert play(scenario) == (EXIT_OK, b"")
+
+
 class TestKeptConnection:
     @pytest.mark.parametrize("turns", range(TURNS))
     def test_request_unread_at_the_look_is_answered(self, play, turns):
