A VM that resumes after its cut-off answers what has arrived before it exits

Callers of a VM that is suspended during the drain until after the cut-off (2.8 to 5.5 s after SIGTERM, cut-off at 5.4) lost requests that had run: the answers of the targets were in the VM's sockets, and the first timer that the loop ran cut all connections. Requests in unread sockets were reset in the same way.

If the loop resumes over 50 ms late, the cut-off is now postponed to 0.1 s after that, at most to 0.4 s before the end of the stop timeout, which leaves the acknowledgements and the internal servers their 0.36 s. The time that requests are given does not grow, so what has not been started is answered 503.

TestConnectionsWhileSuspended has a sixth suspension, and checks the log.

Price: none for a stop whose loop is not late; a stop whose loop is late ends with its last request, up to 0.2 s later.

--- a/packages/entry/src/berylstage_entry/application.py
+++ b/packages/entry/src/berylstage_entry/application.py
@@ -128,6 +128,8 @@
 ACCEPT_SECONDS = 0.02
 # Seconds between two checks of the work that a shutdown waits for.
 DRAIN_POLL_SECONDS = 0.02
+# Delay above which requests may wait that the event loop has had no time to read.
+LATE_LOOP_SECONDS = 0.05
 # Status of a request that is answered in the negative.
 UNAVAILABLE = 503
 
@@ -421,9 +423,9 @@
         self.subscription.stop()
         self.probes.stop()
         await self._run_step(plan, self.membership.stop())
-        await self._sleep_until(max(plan.drain_at, now() + RECORD_LAG_SECONDS))
+        await self._sleep_until(plan, max(plan.drain_at, now() + RECORD_LAG_SECONDS))
         self.server.start_draining()
-        await self._sleep_until(now() + ACCEPT_SECONDS)
+        await self._sleep_until(plan, now() + ACCEPT_SECONDS)
         await self._drain(plan)
         self.store_watcher.stop()
         self.confirmer.stop()
@@ -472,12 +474,15 @@
                 )
                 phase = next_phase
                 continue
-            await self._sleep_until(now() + DRAIN_POLL_SECONDS)
+            await self._sleep_until(plan, now() + DRAIN_POLL_SECONDS)
 
-    async def _sleep_until(self, due: float) -> None:
+    async def _sleep_until(self, plan: ShutdownPlan, due: float) -> None:
         """Sleep until a time in monotonic seconds, and record the delay."""
         await asyncio.sleep(max(0.0, due - now()))
-        self._phase_timer.record_delay(due, now())
+        moment = now()
+        self._phase_timer.record_delay(due, moment)
+        if moment - due > LATE_LOOP_SECONDS:
+            plan.record_late_loop(moment)
 
     def _log_stopped(self) -> None:
         counts = self.server.counts
--- a/packages/entry/src/berylstage_entry/shutdown.py
+++ b/packages/entry/src/berylstage_entry/shutdown.py
@@ -19,6 +19,12 @@
 # Seconds before that cut-off by which a target must have answered. In this time, a
 # response of a few hundred kilobytes is sent over a link of 10 Mbit/s.
 ANSWER_FLUSH_SECONDS = 0.3
+# Seconds for which an event loop that was late may still answer what has arrived, even
+# after the cut-off: read, answer and write each take it one turn.
+LATE_ANSWER_SECONDS = 0.1
+# Seconds before the end of the stop timeout after which nothing is answered any more.
+# The last acknowledgements and the internal servers take up to 0.36 s of them.
+EXIT_SECONDS = 0.4
 
 
 class Phase(Enum):
@@ -66,12 +72,29 @@
         Seconds from then until the process must have exited.
     """
 
-    __slots__ = ("cut_off_at", "drain_at", "started_at")
+    __slots__ = ("_answer_by", "_exit_at", "cut_off_at", "drain_at", "started_at")
 
     def __init__(self, started_at: float, stop_timeout: float):
         self.started_at = started_at
         self.cut_off_at = started_at + stop_timeout - STOP_MARGIN_SECONDS
         self.drain_at = min(started_at + BALANCER_LAG_SECONDS, self.cut_off_at)
+        self._exit_at = started_at + stop_timeout - EXIT_SECONDS
+        # End of the time in which requests must be answered.
+        self._answer_by = self.cut_off_at - ANSWER_FLUSH_SECONDS
+
+    def record_late_loop(self, moment: float) -> None:
+        """Postpone the cut-off for requests that a late event loop has not read yet.
+
+        Their connections would be reset, although there is time to refuse them. No
+        request gets more time by this.
+
+        Parameters
+        ----------
+        moment : float
+            Monotonic seconds at which the event loop resumed.
+        """
+        end = min(moment + LATE_ANSWER_SECONDS, self._exit_at)
+        self.cut_off_at = max(self.cut_off_at, end)
 
     def phase(self, moment: float, pending_work: PendingWork) -> Phase:
         """Return the phase of the shutdown.
@@ -107,7 +130,7 @@
         float
             Negative when no time is left for another response.
         """
-        return self.cut_off_at - ANSWER_FLUSH_SECONDS - moment
+        return self._answer_by - moment
 
 
 class PhaseTimer:
--- a/packages/entry/tests/test_shutdown.py
+++ b/packages/entry/tests/test_shutdown.py
@@ -5,6 +5,8 @@
 import pytest
 from berylstage_entry.shutdown import (
     BALANCER_LAG_SECONDS,
+    EXIT_SECONDS,
+    LATE_ANSWER_SECONDS,
     STOP_MARGIN_SECONDS,
     PendingWork,
     Phase,
@@ -42,6 +44,31 @@
         assert plan.phase(0.4, PendingWork(1, 0, 0)) is Phase.ENDED
 
 
+class TestLateLoop:
+    """An event loop that was held up or suspended beyond the cut-off."""
+
+    def test_it_has_time_to_answer_what_has_arrived(self):
+        # Guards against resetting requests that arrived while a VM was suspended.
+        plan = ShutdownPlan(0.0, STOP_TIMEOUT)
+        plan.record_late_loop(5.45)
+        assert plan.phase(5.45, PendingWork(0, 1, 0)) is Phase.FLUSHING
+        assert plan.phase(5.45, NO_WORK) is Phase.ENDED
+        assert plan.phase(5.45 + LATE_ANSWER_SECONDS, PendingWork(1, 0, 0)) is (
+            Phase.ENDED
+        )
+        assert plan.time_left(5.45) < 0
+
+    @pytest.mark.parametrize("moment", [0.0, 2.7, 5.2, 5.58, 5.9, 60.0])
+    def test_stop_timeout_is_kept(self, moment):
+        # Guards against a process that is killed in the middle of its last steps, and
+        # against requests that get more time than there is.
+        plan, on_time = (ShutdownPlan(0.0, STOP_TIMEOUT) for _ in range(2))
+        plan.record_late_loop(moment)
+        assert plan.cut_off_at <= STOP_TIMEOUT - EXIT_SECONDS
+        assert plan.cut_off_at >= on_time.cut_off_at
+        assert plan.time_left(3.0) == on_time.time_left(3.0)
+
+
 class TestTimeLeft:
     def test_response_can_be_sent_before_the_cut_off(self):
         # Guards against answers that arrive in time but cannot be sent to the caller
--- a/tests/test_stops.py
+++ b/tests/test_stops.py
@@ -437,11 +437,12 @@
         Suspension(2.0, 2.9, 2.2),
         Suspension(2.0, 5.45, 2.05),
         Suspension(2.5, 5.5, 2.1, pause_ms=300),
+        Suspension(2.8, 5.5, 2.2, pause_ms=600),
     )
 
     def test_requests_received_while_suspended(self, tmp_path):
-        # Guards against a VM that resumes late and closes the listening socket, which
-        # resets established connections that wait in its accept queue.
+        # Guards against a VM that resumes late and resets connections which wait in its
+        # accept queue, or whose requests or answers it has not read yet.
         async def scenario():
             count = len(self.SUSPENSIONS)
             async with StopEnvironment(tmp_path, vms=count) as environment:
@@ -475,6 +476,7 @@
             f"{len(missing)} of {len(sent)} not answered: {missing[:5]}"
         )
         assert {request.status for request in sent} <= {200, 503}
+        stop.check_log()
 
 
 class TestSignals:
