A stop wakes up at least every 0.1 s while it waits for the drain

A machine that is suspended for seconds while its VM waits for the end of the balancer's lag began to drain that much later: the event loop's clock does not count a suspension, the time that the stop has left does. After a suspension of 2.8 s nothing was left, and all connections were cut at the moment of the drain.

The wait is divided into sleeps of at most 0.1 s with a look at the clock that counts suspensions.

Price: some 25 wake-ups of the loop more, once a stop.

--- a/packages/entry/src/berylstage_entry/application.py
+++ b/packages/entry/src/berylstage_entry/application.py
@@ -128,6 +128,9 @@
 ACCEPT_SECONDS = 0.02
 # Seconds between two checks of the work that a shutdown waits for.
 DRAIN_POLL_SECONDS = 0.02
+# Longest sleep of the event loop during a shutdown. Its clock does not count the time for
+# which the machine is suspended, so that a longer sleep could end after the cut-off.
+MAX_SLEEP_SECONDS = 0.1
 # Delay above which requests may wait that the event loop has had no time to read.
 LATE_LOOP_SECONDS = 0.05
 # Status of a request that is answered in the negative.
@@ -478,8 +481,10 @@
 
     async def _sleep_until(self, plan: ShutdownPlan, due: float) -> None:
         """Sleep until a time in monotonic seconds, and record the delay."""
-        await asyncio.sleep(max(0.0, due - now()))
         moment = now()
+        while moment < due:
+            await asyncio.sleep(min(due - moment, MAX_SLEEP_SECONDS))
+            moment = now()
         self._phase_timer.record_delay(due, moment)
         if moment - due > LATE_LOOP_SECONDS:
             plan.record_late_loop(moment)
--- a/packages/entry/tests/test_application.py
+++ b/packages/entry/tests/test_application.py
@@ -7,7 +7,7 @@
 import socket
 
 import pytest
-from berylstage_entry import shutdown
+from berylstage_entry import application, shutdown
 from berylstage_entry.application import EntryApplication
 from berylstage_entry.assignment import Assignment, KeyRange
 from berylstage_entry.clock import now
@@ -88,6 +88,26 @@
 
         asyncio.run(scenario())
 
+    def test_suspension_of_the_machine_does_not_prolong_the_stop(self, monkeypatch):
+        # Guards against a stop that begins to drain after its cut-off, because the clock
+        # of the event loop has not counted the time for which the machine was suspended.
+        suspended_seconds = 0.0
+        monkeypatch.setattr(application, "now", lambda: now() + suspended_seconds)
+
+        async def scenario():
+            nonlocal suspended_seconds
+            app = create_application()
+            app.start()
+            await asyncio.sleep(0.1)
+            began = now()
+            stopped = asyncio.create_task(app.stop())
+            await asyncio.sleep(0.2)
+            suspended_seconds = shutdown.BALANCER_LAG_SECONDS
+            await stopped
+            assert now() - began < shutdown.BALANCER_LAG_SECONDS / 2
+
+        asyncio.run(scenario())
+
     def test_cut_request_releases_its_permit(self, monkeypatch):
         # Guards against slots that a permit server keeps reserved until the deadlines
         # of requests that ended when their VM stopped.
