Retry budget is paid back if no other VM could send a hanging request

A second attempt takes a token of the retry budget before another VM is asked for it. Where none could send it, the token and the attempt were lost for later repeats, which 63 VMs with a token each can't spare. They are given back unless the request may have been sent.

--- a/packages/entry/src/berylstage_entry/hedge.py
+++ b/packages/entry/src/berylstage_entry/hedge.py
@@ -9,7 +9,7 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-from berylstage_transfers.errors import AnswerLost, CallFailed
+from berylstage_transfers.errors import AnswerLost, CallFailed, NeverSent
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -25,12 +25,19 @@
     ----------
     relay : callable
         Sends the request through another VM.
+    on_unsent : callable
+        Called if no other VM could send it.
     """
 
-    __slots__ = ("_relay", "_task")
+    __slots__ = ("_on_unsent", "_relay", "_task")
 
-    def __init__(self, relay: Callable[[], Awaitable[TargetAnswer]]):
+    def __init__(
+        self,
+        relay: Callable[[], Awaitable[TargetAnswer]],
+        on_unsent: Callable[[], None],
+    ):
         self._relay = relay
+        self._on_unsent = on_unsent
         self._task: asyncio.Task[TargetAnswer] | None = None
 
     @property
@@ -41,9 +48,15 @@
     def start(self, attempt: Attempt) -> None:
         """Start the second attempt, whose answer ends the first one."""
         self._task = asyncio.create_task(self._send(attempt))
+        # An error that nobody waits for is no fault.
+        self._task.add_done_callback(_ignore_result)
 
     async def _send(self, attempt: Attempt) -> TargetAnswer:
-        answer = await self._relay()
+        try:
+            answer = await self._relay()
+        except NeverSent:
+            self._on_unsent()
+            raise
         attempt.abort("another VM has returned the answer")
         return answer
 
@@ -73,11 +86,8 @@
 
     def cancel(self) -> None:
         """End the second attempt; its result is not needed any more."""
-        task = self._task
-        if task is None:
-            return
-        task.cancel()
-        task.add_done_callback(_ignore_result)
+        if self._task is not None:
+            self._task.cancel()
 
 
 def _ignore_result(task: asyncio.Task[TargetAnswer]) -> None:
--- a/packages/entry/src/berylstage_entry/hedge_admission.py
+++ b/packages/entry/src/berylstage_entry/hedge_admission.py
@@ -70,6 +70,11 @@
         ctx.hedged_at = now()
         return True
 
+    def withdraw(self, ctx: RequestContext) -> None:
+        """Give back what a second attempt took that no other VM could send."""
+        ctx.attempts -= 1
+        self._retry_budgets.refund(ctx.service.name)
+
     def _accepts_repeats(self, ctx: RequestContext, name: str) -> bool:
         """Tell whether the target may be sent a request without a token for it."""
         if not self._cluster_view.is_usable(name):
--- a/packages/entry/src/berylstage_entry/retry_budgets.py
+++ b/packages/entry/src/berylstage_entry/retry_budgets.py
@@ -52,6 +52,10 @@
         """Take the token of a retry; return False if the budget is exhausted."""
         return self._find(service).try_withdraw()
 
+    def refund(self, service: str) -> None:
+        """Return the token of a retry that was not made."""
+        self._find(service).refund()
+
     @property
     def _allowance(self) -> float:
         """Retries that this VM may make beyond the share of its requests."""
--- a/packages/entry/src/berylstage_entry/router.py
+++ b/packages/entry/src/berylstage_entry/router.py
@@ -556,6 +556,7 @@
                 expected,
                 lambda: self._release_unjudged(ctx),
                 lambda: self._hedge_admission.try_admit(ctx, name, expected),
+                lambda: self._hedge_admission.withdraw(ctx),
             )
             failed, report = is_failure(answer), build_load_report(answer)
         except asyncio.CancelledError:
--- a/packages/entry/src/berylstage_entry/target_sender.py
+++ b/packages/entry/src/berylstage_entry/target_sender.py
@@ -53,6 +53,7 @@
         expected_seconds: float,
         on_hang: Callable[[], None],
         may_repeat: Callable[[], bool] = lambda: True,
+        on_unrepeated: Callable[[], None] = lambda: None,
     ) -> TargetAnswer:
         """Send a request and return the target's answer.
 
@@ -70,6 +71,8 @@
             Called once if the request hangs at a link that is lost and is not repeated.
         may_repeat : callable
             Takes what a repeat needs and returns whether it may be made.
+        on_unrepeated : callable
+            Called if no other VM could make the repeat.
 
         Raises
         ------
@@ -85,7 +88,7 @@
             except NoRelay:
                 if self._links.is_cut_off:
                     raise
-        hedge = Hedge(lambda: self._relay(ctx, target))
+        hedge = Hedge(lambda: self._relay(ctx, target), on_unrepeated)
 
         def handle_hang(attempt: Attempt) -> None:
             if self.relay_client is not None and may_repeat():
--- a/packages/entry/tests/test_target_sender.py
+++ b/packages/entry/tests/test_target_sender.py
@@ -258,6 +258,22 @@
         result, _, _, _ = self.play("hang", Relay(NoRelay("busy")))
         assert isinstance(result, Unanswered)
 
+    @pytest.mark.parametrize(
+        ("failure", "refunds"), [(NoRelay("busy"), 1), (AnswerLost("reset"), 0)]
+    )
+    def test_second_attempt_that_nobody_made_is_paid_back(
+        self, monkeypatch, failure, refunds
+    ):
+        # Guards against a retry budget that is used up by attempts that were not made.
+        refunded = []
+        monkeypatch.setattr(
+            RetryBudgets, "refund", lambda _, name: refunded.append(name)
+        )
+        result, _, _, _ = self.play("late", Relay(failure))
+        assert result.answer is ANSWER
+        assert len(refunded) == refunds
+        assert result.attempts == 2 - refunds
+
     def test_order_is_not_sent_twice(self):
         # Guards against an order that runs twice.
         relay = Relay()
