Daemon: a connection whose last answer is not acknowledged is not idle

A stop closed connections on which no byte of a request had come, although the kernel still held the last answer. A caller that takes a large answer slowly, and sends its next request before it sees the close, had the answer cut: a request on a closed connection resets it, and the reset empties the send queue. And the process ended with answers in its send queues, which a VM that goes with it never sends.

A connection is now idle once its send queue is empty as well. A caller that takes nothing holds the stop until the shutdown limit, which is told as a cut (exit status 1) as half a request is; one that goes away does not.

--- a/packages/daemon/src/berylstage_daemon/connections.py
+++ b/packages/daemon/src/berylstage_daemon/connections.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 from berylstage_entry.accept_queue import AcceptQueue
-from berylstage_entry.sockets import ReceiveState, peek_socket
+from berylstage_entry.sockets import ReceiveState, peek_socket, socket_send_queue_bytes
 from tornado.httpserver import HTTPServer
 from tornado.httputil import HTTPMessageDelegate
 from tornado.iostream import IOStream
@@ -122,7 +122,7 @@
         super().on_close(server_conn)
 
     def close_idle(self) -> None:
-        """Close all connections on which no byte of a request has come."""
+        """Close all connections on which nothing is under way in either direction."""
         for stream in list(self._waiting):
             if _is_idle(stream):
                 stream.close()
@@ -170,13 +170,17 @@
 
 
 def _is_idle(stream: IOStream) -> bool:
-    """Tell whether no byte of the next request has come.
+    """Tell whether the last answer is taken and no byte of the next request has come.
 
-    A head that is whole ends the reading a turn of the loop before it is handled.
+    A head that is whole ends the reading a turn of the loop before it is handled. The
+    next request on a closed connection resets it, and cuts an answer in its send queue.
     """
     if not stream.reading():
         return False
     # Tornado tells in no other way that it holds half a head.
     if stream._read_buffer_size:
         return False
-    return peek_socket(stream.socket) is not ReceiveState.BYTES
+    state = peek_socket(stream.socket)
+    if state is ReceiveState.NOTHING:
+        return socket_send_queue_bytes(stream.socket) == 0
+    return state is ReceiveState.END
--- a/packages/daemon/src/berylstage_daemon/servers.py
+++ b/packages/daemon/src/berylstage_daemon/servers.py
@@ -53,7 +53,7 @@
             self._server.end_listening()
 
     def close_idle(self) -> None:
-        """Close the connections on which no byte of a request has come."""
+        """Close the connections on which nothing is under way in either direction."""
         if self._server is not None:
             self._server.close_idle()
 
--- a/packages/daemon/tests/test_stop_of_callers.py
+++ b/packages/daemon/tests/test_stop_of_callers.py
@@ -29,6 +29,9 @@
 # takes a turn of the loop.
 TURNS = 4
 UNACCEPTED = 8
+RECEIVE_BUFFER_BYTES = 32 * 1024
+SEGMENT_BYTES = 1400
+LARGE_BYTES = 200_000
 
 
 class Moment(Part):
@@ -55,7 +58,12 @@
 
     def __init__(self, address):
         host, port = address.split(":")
-        self._sock = socket.create_connection((host, int(port)))
+        self._sock = socket.socket()
+        # Small, so that most of a large answer waits at the daemon.
+        self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+        # Segments of the loopback are larger than this buffer.
+        self._sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, SEGMENT_BYTES)
+        self._sock.connect((host, int(port)))
 
     def send(self, raw):
         """Hand bytes to the kernel, and leave the loop as it is."""
@@ -91,6 +99,7 @@
         self.address = _free_address()
         self.app = Application(read_settings({**flags, "http": self.address}, {}))
         self.ran = []
+        self.body = b"done"
         self.app.control.node = SimpleNamespace(
             leave=lambda: None,
             leads_anything=lambda: False,
@@ -115,7 +124,7 @@
         """Work as a target does."""
         self.ran.append(req.key)
         await asyncio.sleep(WORK_S)
-        return Answer(Outcome.ANSWERED, 200, body=b"done", content_type="text/plain")
+        return Answer(Outcome.ANSWERED, 200, body=self.body, content_type="text/plain")
 
 
 def request(key, body=b""):
@@ -275,3 +284,58 @@
             return status, await caller.read()
 
         assert play(scenario) == (EXIT_OK, b"")
+
+
+class TestLastAnswer:
+    """An answer that the kernel holds while its caller takes it slowly."""
+
+    def start_answer(self, daemon, caller):
+        """Begin to stop while the answer is being made; return the stop."""
+        daemon.body = bytes(LARGE_BYTES) + b"done"
+        caller.send(request("large"))
+        return asyncio.ensure_future(daemon.stop())
+
+    def test_stop_waits_until_it_is_taken(self, play):
+        # Guards against a VM that is taken down with the answer in its send queue.
+        async def scenario(daemon, caller):
+            stopping = self.start_answer(daemon, caller)
+            await asyncio.sleep(5 * WORK_S)
+            is_waiting = not stopping.done()
+            return is_waiting, await caller.read(), await stopping
+
+        is_waiting, got, status = play(scenario)
+        assert is_waiting
+        assert _is_answered(got)
+        assert status == EXIT_OK
+
+    def test_request_behind_it_does_not_cut_it(self, play):
+        # Guards against closing the connection as idle: the next request would reset
+        # it, and the rest of the answer be lost.
+        async def scenario(daemon, caller):
+            stopping = self.start_answer(daemon, caller)
+            await asyncio.sleep(5 * WORK_S)
+            caller.send(request("behind"))
+            return await caller.read(), await caller.read(), await stopping
+
+        *answers, status = play(scenario)
+        assert [_is_answered(got) for got in answers] == [True, True]
+        assert status == EXIT_OK
+
+    def test_caller_that_takes_nothing_is_told_as_a_cut(self, play):
+        # The stop must end, and tell of the cut.
+        async def scenario(daemon, caller):
+            stopping = self.start_answer(daemon, caller)
+            return await stopping, await caller.read()
+
+        status, _ = play(scenario, limit="1")
+        assert status == EXIT_CUT
+
+    def test_caller_that_goes_away_does_not_hold_up_the_stop(self, play):
+        async def scenario(daemon, caller):
+            stopping = self.start_answer(daemon, caller)
+            await asyncio.sleep(2 * WORK_S)
+            caller.close()
+            async with asyncio.timeout(PROMPT_S):
+                return await stopping
+
+        assert play(scenario) == EXIT_OK
