A stop waits until replies to relayed requests have left the VM

Another VM whose request was relayed by a stopping VM lost the answer: of three replies of 1 MB over 5 Mbit/s 249, 468 and 617 kB had not been received when the process ended. RelayServer counts a request as done when its handler returns, before the reply is out, and closing the internal server waits for 0.3 s only. The drain now also counts the connections of relayed requests with bytes unsent, unacknowledged or unread, up to the cut-off.

Price: a look at each connection of other VMs, every 20 ms of the drain.

--- a/packages/entry/src/berylstage_entry/application.py
+++ b/packages/entry/src/berylstage_entry/application.py
@@ -466,6 +466,8 @@
             await asyncio.sleep(0)
             pending_work = self.server.pending_work()
             pending_work.serving += self.relay_server.in_flight
+            # A relayed request is over once the reply has left this VM.
+            pending_work.flushing += self.control_server.count_pending(RELAY_PATH)
             next_phase = plan.phase(now(), pending_work)
             if next_phase is not phase:
                 delay = round(self._phase_timer.longest_delay, 3)
--- a/packages/entry/src/berylstage_entry/internal_http.py
+++ b/packages/entry/src/berylstage_entry/internal_http.py
@@ -63,10 +63,12 @@
     stream : IOStream
     """
 
-    __slots__ = ("is_serving", "stream")
+    __slots__ = ("is_serving", "path", "stream")
 
     def __init__(self, stream: IOStream):
         self.stream = stream
+        # Path of the last request.
+        self.path = ""
         # Whether a request has begun to arrive whose response is not yet written.
         self.is_serving = False
 
@@ -103,6 +105,7 @@
         assert isinstance(start_line, RequestStartLine)
         self._internal_conn.is_serving = True
         self._path = start_line.path.partition("?")[0]
+        self._internal_conn.path = self._path
 
     def data_received(self, chunk: bytes) -> None:
         """Append a part of the body."""
@@ -178,6 +181,11 @@
         handler = self._handlers.get(path)
         return handler(body) if handler is not None else Response(404)
 
+    def count_pending(self, path: str) -> int:
+        """Return the connections with pending work whose last request had a path."""
+        connections = self._connections.values()
+        return sum(conn.path == path and conn.has_pending_work for conn in connections)
+
     def is_cancellable(self, path: str) -> bool:
         """Tell whether the handler of a path ends when its connection closes."""
         return path in self._cancellable
--- a/packages/entry/tests/test_internal_http.py
+++ b/packages/entry/tests/test_internal_http.py
@@ -123,6 +123,28 @@
         for answer in asyncio.run(scenario()):
             assert answer.endswith(b"whole")
 
+    def test_reply_counts_as_pending_until_it_has_left(self):
+        # Guards against a stop that cuts the reply to a relayed request, because the
+        # request counts as done when its handler returns.
+        async def scenario():
+            server, port = start_server()
+            reader, writer = await asyncio.open_connection(
+                "127.0.0.1", port, limit=2048
+            )
+            writer.write(LARGE_REQUEST)
+            await asyncio.sleep(0.1)
+            assert server.count_pending("/large") == 1
+            assert server.count_pending("/slow") == 0
+            head = await reader.readuntil(b"\r\n\r\n")
+            await reader.readexactly(LARGE_BODY_BYTES)
+            await asyncio.sleep(0.1)
+            assert head.startswith(b"HTTP/1.1 200")
+            assert server.count_pending("/large") == 0
+            writer.close()
+            await server.close()
+
+        asyncio.run(scenario())
+
     def test_partly_sent_response_arrives_complete(self):
         # Guards against exiting while a response is partly sent.
         async def scenario():
