--- a/packages/entry/src/berylstage_entry/application.py
+++ b/packages/entry/src/berylstage_entry/application.py
@@ -127,7 +127,7 @@
 # Seconds between two checks of the work that a shutdown waits for.
 DRAIN_POLL_SECONDS = 0.02
 # Longest sleep of the event loop during a shutdown. Its clock does not count the time
-# for which the machine is suspended, so that a longer sleep could end after the cut-off.
+# for which the machine is suspended, and a longer sleep could end after the cut-off.
 MAX_SLEEP_SECONDS = 0.1
 # Delay above which requests may wait that the event loop has had no time to read.
 LATE_LOOP_SECONDS = 0.05
