Daemon: a stop looks at the connections of other VMs before it closes them

Other VMs that passed a request to a daemon in the moment of its stop got no answer, and told their callers that it might have run. The stop went by requests whose message had been read: it cancelled those whose head had come, closed the port with connections that nobody had accepted, and ended with answers in the transports' buffers.

A connection of another VM now tells what is under way: requests from their heads to the end of their answers, bytes unread in its socket, an answer not yet acknowledged. The stop accepts what waits, looks at all of them, and closes port and connections in the same turn. Control messages don't count, and bytes unacknowledged only after an answer, so that a VM which was cut off doesn't hold the stop until its limit. The look comes last, because requests of callers may still move their targets.

--- a/packages/daemon/src/berylstage_daemon/application.py
+++ b/packages/daemon/src/berylstage_daemon/application.py
@@ -64,6 +64,7 @@
         self.leaders = Leaders(self)
         self.router = Router(self)
         self.callers = CallerServer(self)
+        self.peers = PeerServer(self)
         self.stopping = False
         self._parts: list[Part] = []
         self._stop = asyncio.Event()
@@ -71,7 +72,7 @@
         self._idle = asyncio.Event()
         self._idle.set()
         for part in (
-            PeerServer(self),
+            self.peers,
             self.control,
             self.leaders,
             self.load,
@@ -209,11 +210,14 @@
         await self.leaders.drain()
 
     def _busy(self) -> bool:
-        """Tell whether anything is under way; connections that are idle close."""
+        """Tell whether anything is under way; connections that are idle close.
+
+        Those of other VMs close last, since requests of callers may move their targets.
+        """
         self.callers.close_idle()
-        if self._in_flight or self.leaders.busy():
+        if self._in_flight or self.leaders.busy() or self.callers.open_count():
             return True
-        return self.callers.open_count() > 0
+        return not self.peers.close_if_idle()
 
     async def _attempt(self, step: Coroutine) -> None:
         """Do one step of the shutdown; a fault in it must not keep out the others."""
--- a/packages/daemon/src/berylstage_daemon/servers.py
+++ b/packages/daemon/src/berylstage_daemon/servers.py
@@ -6,12 +6,12 @@
 from typing import TYPE_CHECKING
 
 from berylstage_entry.server import split_host_port
-from grpclib.server import Server
 from tornado.web import Application as WebApplication
 
 from berylstage_daemon.connections import ConnectionServer
 from berylstage_daemon.forwarding import PeerService
 from berylstage_daemon.part import Part
+from berylstage_daemon.peer_connections import PeerConnections
 
 if TYPE_CHECKING:
     from berylstage_daemon.application import Application
@@ -78,14 +78,18 @@
 
     def __init__(self, app: Application):
         self._app = app
-        self._server: Server | None = None
+        self._server: PeerConnections | None = None
 
     async def start(self) -> None:
         """Listen."""
-        self._server = Server([PeerService(self._app)])
+        self._server = PeerConnections([PeerService(self._app)])
         host, port = split_host_port(self._app.cfg.peer)
         await self._server.start(host, port)
 
+    def close_if_idle(self) -> bool:
+        """Close if no request of another VM is under way; tell whether it is closed."""
+        return self._server is None or self._server.close_if_idle()
+
     async def stop(self) -> None:
         """Close all connections."""
         if self._server is not None:
