--- a/packages/entry/tests/test_application.py
+++ b/packages/entry/tests/test_application.py
@@ -89,7 +89,7 @@
         asyncio.run(scenario())
 
     def test_suspension_of_the_machine_does_not_prolong_the_stop(self, monkeypatch):
-        # Guards against a stop that drains too late, because the clock of the event loop
+        # Guards against a stop that drains too late, since the clock of the event loop
         # has not counted the time for which the machine was suspended.
         suspended_seconds = 0.0
         monkeypatch.setattr(application, "now", lambda: now() + suspended_seconds)
