A rejected attempt does not decide for a lookup that was sent twice

A lookup that hangs is sent a second time through another VM while its first attempt goes on. If the target rejected one of the two as not run (it was full, or its keys had moved), that answer ended the other one, and the caller could be told 503 and not run although a target was at work on the lookup. Found by reading.

A rejection of the second attempt now leaves the first one alone, and a rejection of the first one waits for the second; the lookup counts as not run only if both say so, and its outcome is unknown if either is lost. Three tests failed before (two refusals of a lookup that was being run, one of a lookup whose answer was lost) and pass.

--- a/packages/entry/src/berylstage_entry/hedge.py
+++ b/packages/entry/src/berylstage_entry/hedge.py
@@ -1,7 +1,8 @@
 """Sends a request that hangs a second time, through another VM.
 
 The first attempt goes on: what looks like a lost link may be a delay of this VM, so the
-target may be about to run the request. The first answer counts.
+target may be about to run the request. The first answer of a target that has run it
+counts. That one attempt is rejected does not mean that the other one has not run.
 """
 
 from __future__ import annotations
@@ -18,6 +19,10 @@
     from berylstage_entry.target_clients import Attempt
 
 
+class HedgeRejected(NeverSent):
+    """The target has rejected the second attempt, which has not run."""
+
+
 class Hedge:
     """The second attempt of one request, if there is any.
 
@@ -57,9 +62,34 @@
         except NeverSent:
             self._on_unsent()
             raise
+        if is_rejection(answer):
+            raise HedgeRejected("the target has rejected the second attempt")
         attempt.abort("another VM has returned the answer")
         return answer
 
+    async def confirm(self, answer: TargetAnswer) -> TargetAnswer:
+        """Return the request's answer after the first attempt has got one.
+
+        Parameters
+        ----------
+        answer : TargetAnswer
+            Answer of the first attempt. If it is a rejection, the second attempt is
+            waited for, because it may run.
+
+        Raises
+        ------
+        AnswerLost
+            The second attempt may have run, and its answer is lost.
+        """
+        if self._task is None or not is_rejection(answer):
+            return answer
+        try:
+            return await self._task
+        except AnswerLost:
+            raise
+        except CallFailed:
+            return answer
+
     async def wait(self, exc: CallFailed) -> TargetAnswer:
         """Return the answer of the second attempt after the first one has failed.
 
@@ -90,6 +120,11 @@
             self._task.cancel()
 
 
+def is_rejection(answer: TargetAnswer) -> bool:
+    """Tell whether an answer says that the request has not run."""
+    return answer.not_run or answer.misdirected
+
+
 def _ignore_result(task: asyncio.Task[TargetAnswer]) -> None:
     """Fetch a task's error, so that the event loop does not report it."""
     if not task.cancelled():
--- a/packages/entry/src/berylstage_entry/target_sender.py
+++ b/packages/entry/src/berylstage_entry/target_sender.py
@@ -97,7 +97,7 @@
                 on_hang()
 
         try:
-            return await self._links.send(
+            first = await self._links.send(
                 ctx.req,
                 target,
                 ctx.service.max_connections_per_target,
@@ -105,6 +105,10 @@
                 expected_seconds,
                 handle_hang,
             )
+            answer = await hedge.confirm(first)
+            if answer is first:
+                ctx.relay = ""
+            return answer
         except NeverSent as exc:
             if hedge.is_started:
                 return await hedge.wait(exc)
--- a/packages/entry/tests/test_target_sender.py
+++ b/packages/entry/tests/test_target_sender.py
@@ -27,6 +27,7 @@
 ACKNOWLEDGED_SECONDS = 0.45
 SERVICE_SECONDS = 0.1
 ANSWER = TargetAnswer(200, [], b"", False, False, True, None, False)
+REJECTION = TargetAnswer(503, [], b"", True, False, True, None, False)
 
 
 class StoreWatcher:
@@ -46,7 +47,7 @@
     async def send(self, req, seconds, fresh=False, attempt=None):
         self._clients.sent += 1
         outcome = self._clients.outcome
-        if outcome == "late":
+        if outcome in ("late", "late, rejected"):
             attempt.start(self, self)
             self.ended = asyncio.get_running_loop().create_future()
             self.acknowledged_at = now() + ACKNOWLEDGED_SECONDS
@@ -54,7 +55,7 @@
                 async with asyncio.timeout(ACKNOWLEDGED_SECONDS + SERVICE_SECONDS):
                     await self.ended
             except TimeoutError:
-                return ANSWER
+                return ANSWER if outcome == "late" else REJECTION
         if outcome == "hang":
             attempt.start(self, self)
             self.ended = asyncio.get_running_loop().create_future()
@@ -96,15 +97,16 @@
 class Relay:
     """Another VM, which sends every request or fails in one way."""
 
-    def __init__(self, failure=None):
+    def __init__(self, failure=None, answer=ANSWER):
         self._failure = failure
+        self._answer = answer
         self.asked = 0
 
     async def send(self, request, seconds):
         self.asked += 1
         if self._failure is not None:
             raise self._failure
-        return RelayReply(RelayOutcome.ANSWERED, answer=ANSWER), "vm-2"
+        return RelayReply(RelayOutcome.ANSWERED, answer=self._answer), "vm-2"
 
 
 class Permits:
@@ -279,3 +281,26 @@
         relay = Relay()
         result, _, _, _ = self.play("late", relay, method="POST", idempotent=False)
         assert (result.answer, relay.asked) == (ANSWER, 0)
+
+    def test_rejection_of_the_second_attempt_does_not_end_the_first(self):
+        # Guards against a refusal, which says that the lookup has not run, while its
+        # target works on the first attempt.
+        relay = Relay(answer=REJECTION)
+        result, _, _, _ = self.play("late", relay)
+        assert (result.answer, result.relay, relay.asked) == (ANSWER, "", 1)
+
+    def test_lost_first_attempt_with_a_rejected_second_one(self):
+        # Guards against a refusal for a lookup whose first attempt may have run.
+        result, _, _, _ = self.play("hang", Relay(answer=REJECTION))
+        assert isinstance(result, Unanswered)
+
+    def test_rejection_of_the_first_attempt_while_the_second_one_runs(self):
+        # Guards against a refusal for a lookup that the second attempt has begun.
+        class SlowRelay(Relay):
+            async def send(self, request, seconds):
+                await asyncio.sleep(ACKNOWLEDGED_SECONDS)
+                return await super().send(request, seconds)
+
+        relay = SlowRelay()
+        result, _, _, _ = self.play("late, rejected", relay)
+        assert (result.answer, result.relay, relay.asked) == (ANSWER, "vm-2", 1)
