A second attempt that nobody could make gives the permit back

The second attempt was admitted, so that the permit was not given back, and then no VM could send it.

The permit now goes back as the budget does. A repeat must be allowed explicitly, and an unexpected error of a second attempt is logged. The test failed before.

--- a/packages/entry/src/berylstage_entry/hedge.py
+++ b/packages/entry/src/berylstage_entry/hedge.py
@@ -11,6 +11,7 @@
 from typing import TYPE_CHECKING
 
 from berylstage_transfers.errors import AnswerLost, CallFailed, NeverSent
+from logbook import Logger
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -19,6 +20,9 @@
     from berylstage_entry.target_clients import Attempt
 
 
+log = Logger(__name__)
+
+
 class HedgeRejected(NeverSent):
     """The target has rejected the second attempt, which has not run."""
 
@@ -126,6 +130,7 @@
 
 
 def _ignore_result(task: asyncio.Task[TargetAnswer]) -> None:
-    """Fetch a task's error, so that the event loop does not report it."""
-    if not task.cancelled():
-        task.exception()
+    """Fetch a task's error, so that the event loop does not report a failed call."""
+    exc = None if task.cancelled() else task.exception()
+    if exc is not None and not isinstance(exc, CallFailed):
+        log.error("second attempt failed", extra={"cause": repr(exc)})
--- a/packages/entry/src/berylstage_entry/target_sender.py
+++ b/packages/entry/src/berylstage_entry/target_sender.py
@@ -52,7 +52,7 @@
         target: Target,
         expected_seconds: float,
         on_hang: Callable[[], None],
-        may_repeat: Callable[[], bool] = lambda: True,
+        may_repeat: Callable[[], bool] = lambda: False,
         on_unrepeated: Callable[[], None] = lambda: None,
     ) -> TargetAnswer:
         """Send a request and return the target's answer.
@@ -68,7 +68,8 @@
         expected_seconds : float
             Seconds that the target is expected to take.
         on_hang : callable
-            Called once if the request hangs at a link that is lost and is not repeated.
+            Called once if the request hangs at a link that is lost and is not repeated,
+            or no other VM could make the repeat.
         may_repeat : callable
             Takes what a repeat needs and returns whether it may be made.
         on_unrepeated : callable
@@ -88,7 +89,12 @@
             except NoRelay:
                 if self._links.is_cut_off:
                     raise
-        hedge = Hedge(lambda: self._relay(ctx, target), on_unrepeated)
+
+        def handle_unsent() -> None:
+            on_unrepeated()
+            on_hang()
+
+        hedge = Hedge(lambda: self._relay(ctx, target), handle_unsent)
 
         def handle_hang(attempt: Attempt) -> None:
             if self.relay_client is not None and may_repeat():
--- a/packages/entry/tests/link_fleet.py
+++ b/packages/entry/tests/link_fleet.py
@@ -201,7 +201,9 @@
         attempts = 2 if not is_order else 1
         for _ in range(attempts):
             try:
-                await self.router.sender.send(ctx, known, 0.05, lambda: None)
+                await self.router.sender.send(
+                    ctx, known, 0.05, lambda: None, lambda: ctx.route.idempotent
+                )
             except NeverSent:
                 return "unsent"
             except AnswerLost:
--- a/packages/entry/tests/test_target_sender.py
+++ b/packages/entry/tests/test_target_sender.py
@@ -282,6 +282,14 @@
         result, _, _, _ = self.play("late", relay, method="POST", idempotent=False)
         assert (result.answer, relay.asked) == (ANSWER, 0)
 
+    def test_second_attempt_that_nobody_made_gives_the_permit_back(self):
+        # Guards against a slot that is held until the deadline of a lookup that hangs.
+        with virtual_loop() as loop:
+            began = now()
+            relay = Relay(NoRelay("busy"))
+            _, _, permits = serve("hang", relay, run=loop.run_until_complete)
+        assert permits.released_at - began < ACKNOWLEDGED_SECONDS
+
     def test_rejection_of_the_second_attempt_does_not_end_the_first(self):
         # Guards against a refusal, which says that the lookup has not run, while its
         # target works on the first attempt.
