--- a/packages/entry/src/berylstage_entry/target_links.py
+++ b/packages/entry/src/berylstage_entry/target_links.py
@@ -181,6 +181,9 @@
             raise
         finally:
             self._attempts.discard(attempt)
+        if attempt.unacknowledged_since < inf:
+            # The answer shows that the target's machine has got the request.
+            self._acknowledgements.record_acknowledged(attempt.unacknowledged_since)
         self.record_answer(target)
         return answer
 
--- a/packages/entry/tests/test_target_links.py
+++ b/packages/entry/tests/test_target_links.py
@@ -114,6 +114,22 @@
 
         assert play(scenario) == ("answered", 0, False)
 
+    def test_delay_of_an_acknowledgement_is_learned_from_a_fast_target(self):
+        # Guards against forgetting how long bytes waited, because the answer came
+        # before the next look at the connection.
+        async def scenario(fleet):
+            fleet.opens_connections = False
+            vm = fleet.vms["vm-0"]
+            others = asyncio.create_task(fleet.play(1.5))
+            await asyncio.sleep(0.5)
+            fleet.acknowledged_at["vm-0", "i-0"] = now() + 0.42
+            outcome = await vm.send(1000, "i-0", False)
+            await others
+            return outcome, vm.links._acknowledgements._delay > 0.2
+
+        fast = play(scenario, seed=1)
+        assert fast == ("answered", True)
+
     @pytest.mark.parametrize("state", [Link.SILENT, Link.RESET])
     def test_links_to_some_targets_only(self, state):
         # Guards against one flag for all links: a data centre may be out of reach.
