A connection whose transport cannot be created is forgotten

If the event loop could not read a connection that a stop had accepted or kept, it stayed in the server's list for good, with its memory, and no stop saw it. It is closed and removed now. Found by the review, with a forced OSError; the test failed before.

--- a/packages/entry/src/berylstage_entry/server.py
+++ b/packages/entry/src/berylstage_entry/server.py
@@ -259,6 +259,15 @@
         self._transport_tasks.add(task)
         task.add_done_callback(self._transport_tasks.discard)
         task.add_done_callback(log_task_failure)
+        task.add_done_callback(lambda task: self._drop_failed(task, conn, sock))
+
+    def _drop_failed(
+        self, task: asyncio.Task, conn: CallerConnection, sock: socket
+    ) -> None:
+        """Close a connection whose transport could not be created."""
+        if not task.cancelled() and task.exception() is not None:
+            sock.close()
+            self.remove_connection(conn)
 
     def _stop_listening(self) -> None:
         if self._open_task is not None:
--- a/packages/entry/tests/test_server.py
+++ b/packages/entry/tests/test_server.py
@@ -586,6 +586,26 @@
 
         assert asyncio.run(scenario()).startswith(b"HTTP/1.1 200")
 
+    def test_connection_that_cannot_be_kept_is_forgotten(self, monkeypatch):
+        # Guards against connections that count for good although nobody reads them.
+        async def refuse(factory, sock):
+            raise OSError("no memory")
+
+        async def scenario():
+            server, port = start_server(SlowRouter(0.0))
+            (caller,) = await keep_connections(port, 1)
+            (conn,) = server._connections
+            loop = asyncio.get_running_loop()
+            monkeypatch.setattr(loop, "connect_accepted_socket", refuse)
+            conn._close_idle()
+            caller.sendall(REQUEST)
+            await asyncio.sleep(0.1)
+            assert not server._connections
+            await server.close()
+            caller.close()
+
+        asyncio.run(scenario())
+
     def test_request_is_continued_where_it_was(self):
         # Guards against reading the rest of a request as a request of its own.
         async def scenario():
