An idle connection stays open until its last answer is acknowledged

The next request of a caller that was just getting its answer as the drain began got none: the connection counted as idle, its sending side was shut down without 'Connection: close', and the request behind the answer was reset unread.

Such a connection now stays open, and closes as idle once the caller has acknowledged the answer; a request that comes meanwhile is the last one and is answered. The test failed before.

--- a/packages/entry/src/berylstage_entry/connection.py
+++ b/packages/entry/src/berylstage_entry/connection.py
@@ -295,7 +295,8 @@
         """Close the connection if it has no work; return whether it was closed.
 
         Waits up to `IN_TRANSIT_SECONDS` for the rest of a partly received request and
-        for the first request of a new connection.
+        for the first request of a new connection. While the last response is not
+        acknowledged, its caller has not seen it and may send a request behind it.
         """
         if self.is_closing_idle:
             return False
@@ -305,6 +306,7 @@
         if (
             self._exchanges
             or self._graceful_close is not None
+            or self.unacknowledged_bytes
             or self.has_unread_bytes()
         ):
             return False
--- a/packages/entry/tests/test_server.py
+++ b/packages/entry/tests/test_server.py
@@ -10,6 +10,7 @@
 import time
 from contextlib import contextmanager
 from itertools import cycle
+from unittest import mock
 
 import pytest
 from berylstage_entry.connection import IN_TRANSIT_SECONDS, CallerConnection
@@ -606,6 +607,25 @@
 
         asyncio.run(scenario())
 
+    def test_request_behind_an_unacknowledged_answer_is_answered(self):
+        # Guards against closing a connection whose caller has not got its last answer,
+        # and resetting the request that it sends next.
+        async def scenario():
+            server, port = start_server(SlowRouter(0.0))
+            (caller,) = await keep_connections(port, 1)
+            (conn,) = server._connections
+            unacknowledged = mock.PropertyMock(return_value=10)
+            with mock.patch.object(type(conn), "unacknowledged_bytes", unacknowledged):
+                server.is_stopping = True
+                server.start_draining()
+                await asyncio.sleep(0.02)
+                caller.sendall(REQUEST)
+                await asyncio.sleep(0.1)
+            await shut_down(server)
+            return read_until_closed(caller)
+
+        assert asyncio.run(scenario()).startswith(b"HTTP/1.1 200")
+
     def test_request_is_continued_where_it_was(self):
         # Guards against reading the rest of a request as a request of its own.
         async def scenario():
