Refuse answers in which a deciding header has two values

Where an answer held two Berylstage-Attempt-Id or two signatures that differ, the last one won without a word: a caller got 200 with an answer that also named another request. An empty signature counted as a target's.

Cause: headers were kept in a dict, and presence was all that was asked of the signature.

One that stands twice with the same value counts once.

--- a/packages/entry/src/berylstage_entry/protocols.py
+++ b/packages/entry/src/berylstage_entry/protocols.py
@@ -191,9 +191,18 @@
 
 
 class TargetProtocol(ABC):
-    """Protocol between the entry VM and targets."""
+    """Protocol between the entry VM and targets.
+
+    Attributes
+    ----------
+    request_id_header : bytes
+        Lower-case name of the header by which an answer names its request.
+    unique_headers : frozenset of bytes
+        Lower-case names of headers of which an answer with two values is refused.
+    """
 
     request_id_header = b"request-id"
+    unique_headers: frozenset[bytes] = frozenset()
 
     def __init__(self) -> None:
         # Called with the target and its notice after each grant, release and probe.
--- a/packages/entry/src/berylstage_entry/target_clients.py
+++ b/packages/entry/src/berylstage_entry/target_clients.py
@@ -201,6 +201,7 @@
             fresh=fresh,
             echo_header=self._protocol.request_id_header,
             allow_unframed=True,
+            unique_headers=self._protocol.unique_headers,
             may_send=lambda: self._sent_requests.may_send(self.target),
         )
         if attempt is not None:
--- a/packages/transfers/src/berylstage_transfers/answer_head.py
+++ b/packages/transfers/src/berylstage_transfers/answer_head.py
@@ -12,7 +12,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Collection, Sequence
 
 # Lowest status of a final answer; lower ones are interim.
 MIN_FINAL_STATUS = 200
@@ -81,13 +81,16 @@
         return self.status >= MIN_FINAL_STATUS
 
 
-def parse_head(lines: Sequence[bytes]) -> AnswerHead:
+def parse_head(lines: Sequence[bytes], unique_names: Collection[bytes]) -> AnswerHead:
     """Parse a head.
 
     Parameters
     ----------
     lines : sequence of bytes
         The status line and the field lines with their ends, without the empty line.
+    unique_names : collection of bytes
+        Lower-case names of fields that must not have two values. One that stands twice
+        with the same value counts once.
 
     Raises
     ------
@@ -103,13 +106,16 @@
     if status == _SWITCHING_PROTOCOLS:
         raise InvalidAnswer("the answer switches to a protocol that was not offered")
     fields: list[tuple[bytes, bytes]] = []
-    length: bytes | None = None
+    unique_values: dict[bytes, bytes] = {}
     for line in lines[1:]:
         name, value = _parse_field(line)
-        if name == b"content-length":
-            _check_equal(name, value if length is None else length, value)
-            length = value
+        if name in unique_values:
+            _check_equal(name, unique_values[name], value)
+            continue
+        if name == b"content-length" or name in unique_names:
+            unique_values[name] = value
         fields.append((name, value))
+    length = unique_values.get(b"content-length")
     codings = [value for name, value in fields if name == b"transfer-encoding"]
     _check_framing(length, codings, status_line[1] == b"0")
     return AnswerHead(
--- a/packages/transfers/src/berylstage_transfers/call.py
+++ b/packages/transfers/src/berylstage_transfers/call.py
@@ -50,6 +50,9 @@
         Whether its connection carries no other call, neither before nor after. No
         answer to another call can then pass for its answer, or its answer for that to
         another call, although the server echoes no id.
+    unique_headers : frozenset of bytes
+        Lower-case names of headers of which an answer with two values is refused;
+        ``echo_header`` is always one of them.
 
     Attributes
     ----------
@@ -106,6 +109,7 @@
         "timeout",
         "timer",
         "allow_unframed",
+        "unique_headers",
         "url",
     )
 
@@ -123,6 +127,7 @@
         may_send: Callable[[], bool] | None = None,
         max_answer_bytes: int = MAX_BODY_BYTES,
         single_use: bool = False,
+        unique_headers: frozenset[bytes] = frozenset(),
     ):
         self.method = method
         self.url = url
@@ -133,6 +138,7 @@
         self.fresh = fresh or single_use
         self.single_use = single_use
         self.echo_header = echo_header
+        self.unique_headers = unique_headers | {echo_header}
         self.may_send = may_send
         self.allow_unframed = allow_unframed
         self.max_answer_bytes = max_answer_bytes
@@ -167,7 +173,7 @@
         """Parse the received header lines; False if the answer is refused."""
         lines, self.header_lines = self.header_lines, []
         try:
-            self.head = parse_head(lines)
+            self.head = parse_head(lines, self.unique_headers)
         except InvalidAnswer as exc:
             self.refuse(exc)
             return False
--- a/packages/transfers/tests/malformed_answers.py
+++ b/packages/transfers/tests/malformed_answers.py
@@ -95,6 +95,11 @@
     "upgrade that nobody asked for": b"HTTP/1.1 101 Switching Protocols",
 }
 OTHERS = {
+    "two ids": build_answer(b"Request-Id: 2", LENGTH),
+    "two ids, the right one last": build_answer(LENGTH).replace(
+        ID, b"Request-Id: 2\r\nRequest-Id: 1"
+    ),
+    "two values that must not differ": build_answer(b"Sum: 1", b"Sum: 2", LENGTH),
     "line that ends with LF": build_answer(b"X-Field: a\nX-Other: b", LENGTH),
     "head whose lines end with LF": build_answer(LENGTH).replace(b"\r\n", b"\n"),
     "empty line that ends with LF": build_answer(LENGTH).replace(
--- a/packages/transfers/tests/test_malformed_answers.py
+++ b/packages/transfers/tests/test_malformed_answers.py
@@ -29,6 +29,7 @@
                     script,
                     timeout=2 * MAX_SECONDS,
                     allow_unframed=True,
+                    unique_headers=frozenset({b"sum"}),
                 )
                 with pytest.raises(AnswerLost) as caught:
                     await client.call(call)
--- a/tests/malformed_server.py
+++ b/tests/malformed_server.py
@@ -42,6 +42,13 @@
 }
 
 
+# Valid HTTP, but not what a target may say.
+CONTRADICTORY_ANSWERS = {
+    "two signatures": build_answer(b"Berylstage-Backend-Signature: y", LENGTH),
+    "two ids": build_answer(b"Berylstage-Attempt-Id: 0", LENGTH),
+}
+
+
 class MalformedServer:
     """A server whose answers a test sets.
 
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -368,6 +368,12 @@
         assert "content-length" not in dict(answer.headers)
         assert (answer.load.waiting, answer.load.machine_slowdown) == (3, 1.5)
 
+    def test_answer_with_an_empty_signature_is_not_from_a_target(self):
+        # Guards against a success that no target vouches for.
+        headers = {b"berylstage-backend-signature": b""}
+        answer = PlatformTargetProtocol().parse_answer(build_answer(200, headers))
+        assert not answer.is_from_target
+
     @pytest.mark.parametrize("text", ["", "1", "a,b,c", "1,2"])
     def test_invalid_load_header_is_ignored(self, text):
         assert parse_load_report(text) is None
--- a/tests/test_malformed_answers.py
+++ b/tests/test_malformed_answers.py
@@ -20,6 +20,7 @@
 from berylstage_targets.target import WorkRequest
 from berylstage_transfers.errors import AnswerLost
 from malformed_server import (
+    CONTRADICTORY_ANSWERS,
     LENGTH,
     MALFORMED_ANSWERS,
     MalformedServer,
@@ -41,6 +42,8 @@
     b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\nBerylstage-Backend-Load: 0,0,100,100\r\n"
     b"\r\n"
 )
+# Of a target, which names itself and the request.
+TARGET_ANSWERS = MALFORMED_ANSWERS | CONTRADICTORY_ANSWERS
 every_malformed_answer = pytest.mark.parametrize("name", MALFORMED_ANSWERS)
 
 
@@ -115,7 +118,7 @@
     async def find_faults(self, name, closes):
         """Return what is wrong with the answers that callers get."""
         for target in self.targets:
-            target.raw, target.closes = MALFORMED_ANSWERS[name], closes
+            target.raw, target.closes = TARGET_ANSWERS[name], closes
         faults = []
         for method, path in (("GET", "/a/x"), ("POST", "/o/x")):
             raw, seconds = await self.send(method, path)
@@ -134,7 +137,7 @@
         async def play():
             async with MalformedEnvironment(tmp_path) as environment:
                 faults = []
-                for name in MALFORMED_ANSWERS:
+                for name in TARGET_ANSWERS:
                     faults += await environment.find_faults(name, closes)
                 assert all(target.requests for target in environment.targets)
                 for target in environment.targets:
@@ -195,7 +198,7 @@
     def test_malformed_answer(self, call, name):
         # Guards against keys that no target owns, and a dead target that is kept.
         async def scenario():
-            async with MalformedServer(MALFORMED_ANSWERS[name]).open() as server:
+            async with MalformedServer(TARGET_ANSWERS[name]).open() as server:
                 target = Target("s-1", 1, "s", server.address, "a", 1, False, 0.0)
                 await self.CALLS[call](PlatformTargetProtocol(), target)
 
