Refuse answers whose chunks are not valid HTTP

A chunk of the size "5x" was passed on, signed, as a whole answer of 5 bytes; so were chunks whose lines end with LF alone, and answers with a trailer whose name holds whitespace or that states another length.

Cause: libcurl decodes chunks, skips everything between the digits of a size and the end of its line, and does not look at trailers.

An answer whose last chunk has not arrived is lost, whatever libcurl says.

--- a/packages/transfers/src/berylstage_transfers/call.py
+++ b/packages/transfers/src/berylstage_transfers/call.py
@@ -12,6 +12,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from berylstage_transfers.chunked_body import ChunkedBody
+
 LINE_END = b"\r\n"
 # Statuses whose answers have no body and therefore need no framing.
 BODILESS_STATUSES = frozenset({204, 304})
@@ -69,6 +71,8 @@
         Head of the answer, or of the last interim one; None before it arrives.
     answer_body : bytearray
         Body of the answer as far as it has arrived.
+    chunks : ChunkedBody or None
+        Decoder of a body that arrives in chunks.
     rejection : str
         Why the answer is not received any more; empty if it is.
     is_malformed : bool
@@ -83,6 +87,7 @@
     __slots__ = (
         "started",
         "body",
+        "chunks",
         "acknowledged_bytes",
         "answer_body",
         "body_parts",
@@ -158,6 +163,7 @@
         self.answer_body = bytearray()
         # Parts in which the body has arrived.
         self.body_parts = 0
+        self.chunks: ChunkedBody | None = None
         self.rejection = ""
         self.is_malformed = False
         # Acknowledged bytes of the body when they were looked at last; -1 before.
@@ -193,12 +199,14 @@
         return headers.get(self.echo_header, b"").decode("latin-1")
 
     def has_whole_answer(self) -> bool:
-        """Return whether an answer with a length has arrived to its end."""
+        """Return whether an answer that tells where it ends has arrived to its end."""
         head = self.head
         if head is None or not head.is_final or self.answers_other_call:
             return False
         if self.rejection:
             return False
+        if self.chunks is not None:
+            return self.chunks.is_complete
         return head.length == len(self.answer_body)
 
     def may_end_here(self) -> bool:
@@ -210,9 +218,7 @@
             return False
         if self.method == "HEAD" or head.status in BODILESS_STATUSES:
             return True
-        if head.is_chunked:
-            return True
-        if head.length is None:
+        if head.length is None and not head.is_chunked:
             return self.allow_unframed
         return self.has_whole_answer()
 
--- a/packages/transfers/src/berylstage_transfers/curl_handle.py
+++ b/packages/transfers/src/berylstage_transfers/curl_handle.py
@@ -7,16 +7,20 @@
 import socket
 import struct
 import time
+from functools import partial
 from typing import TYPE_CHECKING
 
 import pycurl
 
+from berylstage_transfers.answer_head import InvalidAnswer
 from berylstage_transfers.call import LINE_END
+from berylstage_transfers.chunked_body import ChunkedBody
 from berylstage_transfers.connections import has_events
 from berylstage_transfers.errors import EndedBy
 from berylstage_transfers.send_queue import SendQueue
 
 if TYPE_CHECKING:
+    from berylstage_transfers.answer_head import AnswerHead
     from berylstage_transfers.answer_memory import AnswerMemory
     from berylstage_transfers.call import Call
     from berylstage_transfers.connections import Connections
@@ -114,6 +118,9 @@
         curl.setopt(pycurl.NOSIGNAL, 1)
         curl.setopt(pycurl.UPLOAD_BUFFERSIZE, UPLOAD_BUFFER_BYTES)
         curl.setopt(pycurl.PATH_AS_IS, 1)
+        # Chunks are decoded by a stricter parser than that of libcurl, which only finds
+        # out where the body ends.
+        curl.setopt(pycurl.HTTP_TRANSFER_DECODING, 0)
         curl.setopt(pycurl.MAXAGE_CONN, max_idle)
         curl.setopt(pycurl.TCP_KEEPALIVE, 1)
         curl.setopt(pycurl.TCP_KEEPIDLE, KEEPALIVE_IDLE_SECONDS)
@@ -290,8 +297,24 @@
         # are out of step, and every later answer would reach the wrong caller. After an
         # invalid head, nobody knows where the answer ends. Rejecting the header makes
         # libcurl close the connection before another call is sent on it.
-        return None if call.receive_head() else 0
+        if not call.receive_head():
+            return 0
+        assert call.head is not None
+        if call.head.is_final:
+            self._begin_body(call, call.head)
+        return None
+
+    def _begin_body(self, call: Call, head: AnswerHead) -> None:
+        if head.is_chunked:
+            call.chunks = ChunkedBody(partial(self._answer_memory.add, call))
 
     def _on_body(self, chunk: bytes) -> int | None:
-        assert self.call is not None
-        return None if self._answer_memory.add(self.call, chunk) else 0
+        call = self.call
+        assert call is not None
+        if call.chunks is None:
+            return None if self._answer_memory.add(call, chunk) else 0
+        try:
+            return None if call.chunks.feed(chunk) else 0
+        except InvalidAnswer as exc:
+            call.refuse(exc)
+            return 0
--- a/packages/transfers/tests/malformed_answers.py
+++ b/packages/transfers/tests/malformed_answers.py
@@ -94,6 +94,21 @@
     "major version": b"HTTP/3.1 200 OK",
     "upgrade that nobody asked for": b"HTTP/1.1 101 Switching Protocols",
 }
+INVALID_CHUNKS = {
+    "size with a letter after it": build_chunks(size=b"16x"),
+    "size cut by a letter": build_chunks(size=b"5x", body=BODY[:5]),
+    "size with a blank after it": build_chunks(size=b"16 "),
+    "size with a sign": build_chunks(size=b"+16"),
+    "size with a prefix": build_chunks(size=b"0x16"),
+    "no size": build_chunks(size=b""),
+    "size beyond 64 bits": build_chunks(size=b"F" * 17),
+    "chunk longer than its size": build_chunks(size=b"5"),
+    "lines that end with LF": build_chunks(end=b"\n", last=b"0\n\n"),
+    "trailer with a blank in its name": build_chunks(last=b"0\r\nX Sum: 1\r\n\r\n"),
+    "trailer without a colon": build_chunks(last=b"0\r\nX-Sum 1\r\n\r\n"),
+    "trailer with a length": build_chunks(last=b"0\r\nContent-Length: 3\r\n\r\n"),
+    "trailer on two lines": build_chunks(last=b"0\r\nX-Sum: 1\r\n 2\r\n\r\n"),
+}
 OTHERS = {
     "two ids": build_answer(b"Request-Id: 2", LENGTH),
     "two ids, the right one last": build_answer(LENGTH).replace(
@@ -119,6 +134,7 @@
         name: build_answer(LENGTH, status=line)
         for name, line in INVALID_STATUS_LINES.items()
     },
+    **INVALID_CHUNKS,
     **OTHERS,
 }
 
--- a/packages/transfers/tests/test_answer_head.py
+++ b/packages/transfers/tests/test_answer_head.py
@@ -1,15 +1,19 @@
-"""Tests of the parser of heads, without libcurl."""
+"""Tests of the parser of heads and of the decoder of chunks, without libcurl."""
 
 from __future__ import annotations
 
 import pytest
 from berylstage_transfers.answer_head import InvalidAnswer, parse_head
+from berylstage_transfers.chunked_body import MAX_FRAMING_BYTES, ChunkedBody
 from malformed_answers import (
+    BODY,
     CHUNKED,
+    INVALID_CHUNKS,
     INVALID_LENGTHS,
     INVALID_LINES,
     INVALID_STATUS_LINES,
     LENGTH,
+    ODD_ANSWERS,
     STATUS,
 )
 
@@ -21,6 +25,12 @@
     return [part + b"\r\n" for line in lines for part in line.split(b"\r\n")]
 
 
+def split_answer(raw):
+    """Return the head and the body of an answer."""
+    head, _, body = raw.partition(b"\r\n\r\n")
+    return head + b"\r\n", body
+
+
 class TestParseHead:
     """libcurl refuses some of these heads itself, but not in all of its versions."""
 
@@ -70,3 +80,57 @@
             line = b"X-Filler:" + filler * 300_000 + b"\x00\r\n"
             with pytest.raises(InvalidAnswer):
                 parse_head([STATUS + b"\r\n", line], NO_NAMES)
+
+
+class TestChunkedBody:
+    def decode(self, data, size=1):
+        """Return the body that has arrived in pieces of a size."""
+        found = bytearray()
+
+        def append(part):
+            found.extend(part)
+            return True
+
+        body = ChunkedBody(append)
+        for begin in range(0, len(data), size):
+            assert body.feed(data[begin : begin + size])
+        return bytes(found), body.is_complete
+
+    @pytest.mark.parametrize("size", [1, 7, 1000])
+    @pytest.mark.parametrize("name", INVALID_CHUNKS)
+    def test_invalid_chunks(self, name, size):
+        # Guards against a part of a body that passes for the whole.
+        with pytest.raises(InvalidAnswer):
+            self.decode(split_answer(INVALID_CHUNKS[name])[1], size)
+
+    @pytest.mark.parametrize("size", [1, 7, 1000])
+    @pytest.mark.parametrize(
+        "name", [name for name, raw in ODD_ANSWERS.items() if b"hunked" in raw]
+    )
+    def test_valid_chunks(self, name, size):
+        data = split_answer(ODD_ANSWERS[name])[1]
+        assert self.decode(data, size) == (BODY, True)
+        assert self.decode(data[:-1], size) == (BODY, False)
+
+    @pytest.mark.parametrize(
+        "stray", [b"stray", b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother"]
+    )
+    def test_bytes_after_the_body_are_ignored(self, stray):
+        # Guards against another answer that is added to this one.
+        data = b"2\r\nbo\r\n2\r\ndy\r\n0\r\n\r\n" + stray
+        assert self.decode(data, 1000) == (b"body", True)
+        assert self.decode(data, 1) == (b"body", True)
+
+    @pytest.mark.parametrize(
+        "start", [b"0\r\nX-Filler: ", b"5;", b"5\r\nabcde\r\n0\r\nX-Filler: "]
+    )
+    def test_framing_without_end(self, start):
+        # Guards against a trailer that fills the memory.
+        data = start + b"a" * 2 * MAX_FRAMING_BYTES
+        with pytest.raises(InvalidAnswer):
+            self.decode(data, 1000)
+
+    def test_body_that_is_not_taken(self):
+        # Guards against a body that is kept although it has no room.
+        body = ChunkedBody(lambda part: False)
+        assert not body.feed(b"5\r\nabcde\r\n")
--- a/tests/malformed_server.py
+++ b/tests/malformed_server.py
@@ -22,6 +22,12 @@
     return b"\r\n".join([status, *TARGET_LINES, *lines, b"", body])
 
 
+def build_chunks(size):
+    """Return the answer of a target whose first chunk has a given size line."""
+    body = b"%s\r\n%s\r\n0\r\n\r\n" % (size, BODY)
+    return build_answer(b"Transfer-Encoding: chunked", body=body)
+
+
 # One of each kind; all lines are in the tests of `berylstage_transfers`.
 MALFORMED_ANSWERS = {
     "name with a blank": build_answer(b"X Field: a", LENGTH),
@@ -33,6 +39,7 @@
     "length that is too large": build_answer(b"Content-Length: " + b"9" * 40),
     "two lengths": build_answer(LENGTH, b"Content-Length: 3"),
     "unknown coding": build_answer(b"Transfer-Encoding: rot13"),
+    "chunk size with a letter after it": build_chunks(b"%xx" % len(BODY)),
     "status 000": build_answer(LENGTH, status=b"HTTP/1.1 000 OK"),
     "status 200x": build_answer(LENGTH, status=b"HTTP/1.1 200x OK"),
     "status 2000": build_answer(LENGTH, status=b"HTTP/1.1 2000 OK"),
