Refuse answers with folded lines in their heads

"Content-Length:", a line break and " 3" in the next line passed for a length of 3: callers got 3 of 22 bytes, signed. Other folded fields were passed on.

Cause: libcurl joins a folded line with the one before it and passes the result on as one line, so that nobody can tell it from a valid field.

Change: as long as the head of an answer has not arrived, its bytes are copied from the socket (MSG_PEEK) before libcurl reads them, and compared with the lines that libcurl passes on. If the lines only match once folded lines of the copy have been joined, the answer is refused. Bytes that arrive between the copy and libcurl's read are missed; such a head counts as valid, because RFC 9112 permits joining the lines, and a valid answer must not be lost.

--- a/packages/transfers/src/berylstage_transfers/call.py
+++ b/packages/transfers/src/berylstage_transfers/call.py
@@ -8,6 +8,7 @@
 from berylstage_transfers.answer_head import AnswerHead, InvalidAnswer, parse_head
 from berylstage_transfers.answer_memory import MAX_BODY_BYTES
 from berylstage_transfers.errors import NeverSent
+from berylstage_transfers.raw_heads import check_folding
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -105,6 +106,7 @@
         "may_send",
         "method",
         "opened_connection",
+        "raw_head",
         "read_deadline",
         "sent",
         "single_use",
@@ -158,6 +160,9 @@
         self.opened_connection = False
         self.stale = False
         self.answers_other_call = False
+        # Bytes of the answer before libcurl has read them, and the lines that it passed
+        # on since the last empty one.
+        self.raw_head = bytearray()
         self.header_lines: list[bytes] = []
         self.head: AnswerHead | None = None
         self.answer_body = bytearray()
@@ -179,15 +184,24 @@
         """Parse the received header lines; False if the answer is refused."""
         lines, self.header_lines = self.header_lines, []
         try:
+            self._check_folding(b"".join(lines))
             self.head = parse_head(lines, self.unique_headers)
         except InvalidAnswer as exc:
             self.refuse(exc)
             return False
-        if not self.head.is_final or not self.echo:
+        if not self.head.is_final:
+            return True
+        self.raw_head.clear()
+        if not self.echo:
             return True
         self.answers_other_call = self.received_id().encode("latin-1") != self.echo
         return not self.answers_other_call
 
+    def _check_folding(self, head: bytes) -> None:
+        check_folding(self.raw_head, head)
+        # The head after an interim one follows its empty line.
+        del self.raw_head[: len(head) + len(LINE_END)]
+
     def refuse(self, exc: InvalidAnswer) -> None:
         """Receive no more of an answer that violates HTTP."""
         self.is_malformed = True
--- a/packages/transfers/src/berylstage_transfers/client.py
+++ b/packages/transfers/src/berylstage_transfers/client.py
@@ -9,6 +9,7 @@
 
 import pycurl
 from tornado.curl_httpclient import CurlAsyncHTTPClient
+from tornado.ioloop import IOLoop
 
 from berylstage_transfers.answer_memory import AnswerMemory
 from berylstage_transfers.call import Answer, Call
@@ -26,6 +27,7 @@
     NotConnected,
 )
 from berylstage_transfers.idle_limit import IdleLimit
+from berylstage_transfers.raw_heads import RawHeads
 from berylstage_transfers.sent_ids import SentIds
 
 if TYPE_CHECKING:
@@ -143,6 +145,7 @@
         self._idle_limit = idle_limit or IdleLimit()
         self._sent_ids = SentIds()
         self._answer_memory = answer_memory or AnswerMemory()
+        self._raw_heads = RawHeads()
         self._multi.setopt(pycurl.M_MAXCONNECTS, max_kept or max_clients)
         self._multi.setopt(pycurl.M_MAX_TOTAL_CONNECTIONS, max_clients)
 
@@ -272,6 +275,11 @@
                 self._process_queue()
                 return
 
+    def _handle_events(self, fd: int, events: int) -> None:
+        if events & IOLoop.READ:
+            self._raw_heads.copy(fd)
+        super()._handle_events(fd, events)
+
     def _set_timeout(self, msecs: int) -> None:
         # libcurl reschedules its timer several times per transfer, mostly to a later
         # time. Rescheduling a timer of the event loop costs more than one that fires
@@ -344,6 +352,7 @@
             self._idle_limit,
             self._sent_ids,
             self._answer_memory,
+            self._raw_heads,
             self._max_idle,
             self._reset_on_close,
         )
--- a/packages/transfers/src/berylstage_transfers/connections.py
+++ b/packages/transfers/src/berylstage_transfers/connections.py
@@ -38,6 +38,10 @@
             self._fds.clear()
         self._fds[local_port] = fd
 
+    def find_descriptor(self, local_port: int) -> int:
+        """Return the descriptor of a connection; -1 if it is unknown."""
+        return self._fds.get(local_port, -1)
+
     def record_use(self, local_port: int) -> None:
         """Record that a call on a connection has ended."""
         if len(self._last_used) >= MAX_REMEMBERED_PORTS:
--- a/packages/transfers/src/berylstage_transfers/curl_handle.py
+++ b/packages/transfers/src/berylstage_transfers/curl_handle.py
@@ -25,6 +25,7 @@
     from berylstage_transfers.call import Call
     from berylstage_transfers.connections import Connections
     from berylstage_transfers.idle_limit import IdleLimit
+    from berylstage_transfers.raw_heads import RawHeads
     from berylstage_transfers.sent_ids import SentIds
 
 # Time after a call's deadline at which libcurl ends the call, in case the client has
@@ -69,6 +70,8 @@
     sent_ids : SentIds
         Shared by all handles of a client.
     answer_memory : AnswerMemory
+    raw_heads : RawHeads
+        Shared by all handles of a client.
     max_idle : int
         Seconds after which an idle connection is not reused.
     reset_on_close : bool
@@ -80,6 +83,7 @@
         "_connections",
         "_idle_limit",
         "_opened_fd",
+        "_raw_heads",
         "_reset_on_close",
         "_sent_at",
         "_sent_ids",
@@ -96,6 +100,7 @@
         idle_limit: IdleLimit,
         sent_ids: SentIds,
         answer_memory: AnswerMemory,
+        raw_heads: RawHeads,
         max_idle: int,
         reset_on_close: bool,
     ):
@@ -105,6 +110,7 @@
         self._idle_limit = idle_limit
         self._sent_ids = sent_ids
         self._answer_memory = answer_memory
+        self._raw_heads = raw_heads
         self._reset_on_close = reset_on_close
         self._opened_fd = -1
         self._sent_at = 0.0
@@ -164,6 +170,7 @@
         call, self.call = self.call, None
         if call is not None:
             self._answer_memory.release(call)
+            self._forget_raw_head(call)
         if call is not None and call.body:
             self.curl.setopt(pycurl.POSTFIELDS, b"")
             # Before it is sent, the port is that of an earlier call, whose connection
@@ -171,6 +178,9 @@
             if call.sent and len(call.body) > BUFFERED_BODY_BYTES:
                 self._connections.set_user_timeout(self.port, UNACKNOWLEDGED_MS)
 
+    def _forget_raw_head(self, call: Call) -> None:
+        self._raw_heads.forget(self._connections.find_descriptor(self.port), call)
+
     def _on_socket(self, fd: int, _purpose: int) -> int:
         self._opened_fd = fd
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM, fileno=fd)
@@ -213,6 +223,7 @@
                 local_port, max(UNACKNOWLEDGED_MS, timeout_ms)
             )
         self.call.sent = True
+        self._raw_heads.expect(self._connections.find_descriptor(local_port), self.call)
         self._sent_at = time.monotonic()
         if self.call.echo:
             self._sent_ids.record(self.call.echo, self.call.timeout, self._sent_at)
@@ -305,6 +316,7 @@
         return None
 
     def _begin_body(self, call: Call, head: AnswerHead) -> None:
+        self._forget_raw_head(call)
         if head.is_chunked:
             call.chunks = ChunkedBody(partial(self._answer_memory.add, call))
 
--- a/packages/transfers/tests/malformed_answers.py
+++ b/packages/transfers/tests/malformed_answers.py
@@ -109,6 +109,12 @@
     "trailer with a length": build_chunks(last=b"0\r\nContent-Length: 3\r\n\r\n"),
     "trailer on two lines": build_chunks(last=b"0\r\nX-Sum: 1\r\n 2\r\n\r\n"),
 }
+INVALID_FOLDS = {
+    "length on a second line": build_answer(b"Content-Length:\r\n 3"),
+    "length after a line of blanks": build_answer(b"Content-Length:\r\n  \r\n 3"),
+    "field on two lines": build_answer(LENGTH, b"X-Field: a\r\n\tb"),
+    "status line on two lines": build_answer(LENGTH, status=STATUS + b"\r\n b: c"),
+}
 OTHERS = {
     "two ids": build_answer(b"Request-Id: 2", LENGTH),
     "two ids, the right one last": build_answer(LENGTH).replace(
@@ -135,6 +141,7 @@
         for name, line in INVALID_STATUS_LINES.items()
     },
     **INVALID_CHUNKS,
+    **INVALID_FOLDS,
     **OTHERS,
 }
 
--- a/packages/transfers/tests/test_answer_head.py
+++ b/packages/transfers/tests/test_answer_head.py
@@ -5,6 +5,7 @@
 import pytest
 from berylstage_transfers.answer_head import InvalidAnswer, parse_head
 from berylstage_transfers.chunked_body import MAX_FRAMING_BYTES, ChunkedBody
+from berylstage_transfers.raw_heads import MAX_RAW_BYTES, check_folding
 from malformed_answers import (
     BODY,
     CHUNKED,
@@ -82,6 +83,37 @@
                 parse_head([STATUS + b"\r\n", line], NO_NAMES)
 
 
+class TestCheckFolding:
+    HEAD = b"HTTP/1.1 200 OK\r\nA: b c\r\n"
+
+    @pytest.mark.parametrize("fold", [b"\r\n ", b" \r\n\t", b"\r\n  \r\n ", b"\n "])
+    def test_joined_line_is_refused(self, fold):
+        # Guards against a length that was torn by a line break.
+        with pytest.raises(InvalidAnswer):
+            check_folding(self.HEAD.replace(b"b c", b"b" + fold + b"c"), self.HEAD)
+
+    @pytest.mark.parametrize(
+        "raw",
+        [
+            b"",
+            HEAD,
+            HEAD + b"\r\nbody\n with blanks\r\n too",
+            HEAD[:20],
+            HEAD[:18] + HEAD[20:],
+            # The bytes between the line end and the blank were missed.
+            HEAD[:17] + HEAD[19:],
+        ],
+    )
+    def test_other_heads_are_not(self, raw):
+        # Guards against a valid answer that is lost because of its body, or because
+        # not all of its bytes were seen.
+        check_folding(raw, self.HEAD)
+
+    def test_long_lines_take_no_time(self):
+        # Guards against a server that occupies the process with one line.
+        check_folding(self.HEAD[:-3] + b" " * MAX_RAW_BYTES + b"c", self.HEAD)
+
+
 class TestChunkedBody:
     def decode(self, data, size=1):
         """Return the body that has arrived in pieces of a size."""
--- a/tests/malformed_server.py
+++ b/tests/malformed_server.py
@@ -37,6 +37,7 @@
     "control byte in the name of the length": build_answer(b"Content-Length\x01: 22"),
     "length with a letter after it": build_answer(b"Content-Length: 3x"),
     "length that is too large": build_answer(b"Content-Length: " + b"9" * 40),
+    "length on a second line": build_answer(b"Content-Length:\r\n 3"),
     "two lengths": build_answer(LENGTH, b"Content-Length: 3"),
     "unknown coding": build_answer(b"Transfer-Encoding: rot13"),
     "chunk size with a letter after it": build_chunks(b"%xx" % len(BODY)),
@@ -47,8 +48,6 @@
     "malformed interim answer": b"HTTP/1.1 103 Early Hints\r\nX Link: x\r\n\r\n"
     + build_answer(LENGTH),
 }
-
-
 # Valid HTTP, but not what a target may say.
 CONTRADICTORY_ANSWERS = {
     "two signatures": build_answer(b"Berylstage-Backend-Signature: y", LENGTH),
