--- a/tests/test_malformed_answers.py
+++ b/tests/test_malformed_answers.py
@@ -179,6 +179,28 @@
         with pytest.raises(StoreUnavailable):
             run(self.call(call, MALFORMED_ANSWERS[name]))
 
+    @pytest.mark.parametrize("call", ["read", "watch", "write", "create lease"])
+    @pytest.mark.parametrize(
+        "body",
+        [
+            b"",
+            b"{}",
+            b"7",
+            b"[]",
+            b'{"rev": "7", "lease": true, "items": [], "events": []}',
+            b'{"items": {}, "events": 7, "current_rev": 7}',
+            b'{"items": [7], "events": [7], "current_rev": 7}',
+            b'{"items": [{"key": 7, "rev": 7}], "events": [], "current_rev": "7"}',
+            b'{"items": [{"key": "k", "rev": 7, "value": "?"}], "current_rev": 7}',
+        ],
+    )
+    def test_answer_that_lacks_what_was_asked_for(self, call, body):
+        # Guards against a write that passes for accepted, and against an error that
+        # ends the task which reads the store.
+        raw = build_answer(b"Content-Length: %d" % len(body), body=body)
+        with pytest.raises(StoreUnavailable):
+            run(self.call(call, raw))
+
 
 class TestControlCalls:
     CALLS = {
