Command line: refuse answers of VMs that are not valid HTTP

A status with four digits or "200x", a length on a folded line or of 40 digits and malformed chunks of something at a VM's address were read as an answer.

Cause: the command line was the one reader of answers with a client of its own, tornado's, which takes what libcurl takes.

Change: it uses CallClient as everything else does. JSON that is nested too deeply is a VmFault as well.

--- a/packages/cli/src/berylstage_cli/http.py
+++ b/packages/cli/src/berylstage_cli/http.py
@@ -1,4 +1,4 @@
-"""Asking VMs over HTTP, by tornado's curl client."""
+"""Asking VMs over HTTP."""
 
 from __future__ import annotations
 
@@ -6,8 +6,9 @@
 from typing import TYPE_CHECKING, Any
 from urllib.parse import quote
 
-from tornado.curl_httpclient import CurlAsyncHTTPClient
-from tornado.httpclient import HTTPError
+from berylstage_transfers.call import Call
+from berylstage_transfers.client import CallClient
+from berylstage_transfers.errors import CallFailed
 
 from berylstage_cli.vms import KeyOwner, UnknownKey, VmClient, VmFault, VmStatus
 
@@ -30,7 +31,7 @@
 
     def __init__(self, timeout: float):
         self._timeout = timeout
-        self._client = CurlAsyncHTTPClient(force_instance=True, max_clients=MAX_CALLS)
+        self._client = CallClient(MAX_CALLS, connect_timeout=timeout)
 
     async def status(self, record: VmRecord) -> VmStatus:
         """Return what a VM says of itself."""
@@ -75,22 +76,16 @@
         """Return the JSON object that a VM serves under a path."""
         url = f"http://{record.http_address}{path}"
         try:
-            res = await self._client.fetch(
-                url,
-                raise_error=False,
-                connect_timeout=self._timeout,
-                request_timeout=self._timeout,
-                follow_redirects=False,
-            )
-        except (HTTPError, OSError) as exc:
+            answer = await self._client.call(Call("GET", url, {}, None, self._timeout))
+        except CallFailed as exc:
             raise VmFault(f"no answer ({exc})") from exc
-        if res.code == NOT_FOUND:
-            raise UnknownKey(_error_text(res.body))
-        if res.code != OK:
-            raise VmFault(f"no answer ({res.reason or res.code})")
+        if answer.status == NOT_FOUND:
+            raise UnknownKey(_error_text(answer.body))
+        if answer.status != OK:
+            raise VmFault(f"no answer (status {answer.status})")
         try:
-            doc = json.loads(res.body)
-        except ValueError as exc:
+            doc = json.loads(answer.body)
+        except (ValueError, RecursionError) as exc:
             raise VmFault("its answer is no JSON") from exc
         if not isinstance(doc, dict):
             raise VmFault("its answer is no JSON object")
@@ -101,5 +96,5 @@
     """Return what a VM says about its refusal."""
     try:
         return str(json.loads(body)["error"])
-    except (KeyError, TypeError, ValueError):
+    except (KeyError, TypeError, ValueError, RecursionError):
         return body.decode(errors="replace").strip()
--- a/tests/test_malformed_answers.py
+++ b/tests/test_malformed_answers.py
@@ -9,12 +9,15 @@
 import pytest
 from berylstage_adapter.kv_store import KvStore
 from berylstage_adapter.target_protocol import PlatformTargetProtocol
+from berylstage_cli.http import HttpVmClient
+from berylstage_cli.vms import VmFault
 from berylstage_entry.errors import StoreUnavailable
 from berylstage_entry.protocols import GrantRequest
 from berylstage_entry.relay_client import RelayTransport
 from berylstage_entry.targets import Target
 from berylstage_platform.errors import StoreUnavailable as PlatformUnavailable
 from berylstage_platform.http import HttpStore
+from berylstage_platform.store import VmRecord
 from berylstage_targets.errors import OutcomeUnknown
 from berylstage_targets.http import HttpTargetClient
 from berylstage_targets.target import WorkRequest
@@ -244,6 +247,23 @@
             run(scenario())
 
 
+class TestCommandLine:
+    @every_malformed_answer
+    def test_malformed_status(self, name):
+        # Guards against a VM that passes for one which has a revision.
+        async def scenario():
+            async with MalformedServer(MALFORMED_ANSWERS[name]).open() as server:
+                client = HttpVmClient(TIMEOUT_SECONDS)
+                record = VmRecord("vm-1", "a", server.address, "", False)
+                try:
+                    await client.status(record)
+                finally:
+                    await client.close()
+
+        with pytest.raises(VmFault, match="no answer"):
+            run(scenario())
+
+
 class TestDaemon:
     """The product's own interfaces."""
 
--- a/tools/check_imports.py
+++ b/tools/check_imports.py
@@ -23,7 +23,7 @@
     "entry": {"policy", "transfers"},
     "daemon": {"settings", "sheet", "policy", "messages", "ownership"}
     | {"platform", "targets", "entry"},
-    "cli": {"settings", "sheet", "platform", "policy"},
+    "cli": {"settings", "sheet", "platform", "policy", "transfers"},
     "standins": {"sheet", "platform", "targets", "transfers"},
     "bench": {
         "sheet",
