Daemon: refuse versions that are no numbers, and JSON nested too deeply

The version of an entry was read with int(), which takes 1_0, +7 and -7, and JSON with 100,000 brackets raised RecursionError out of the clients of the platform and of targets instead of their own errors.

Change: a version is ASCII digits; a RecursionError is an unusable answer.

Evidence: 5 of the 16 cases of the new tests fail on the commit before.

--- a/packages/platform/src/berylstage_platform/http.py
+++ b/packages/platform/src/berylstage_platform/http.py
@@ -185,7 +185,7 @@
             raise _unexpected_status_error("GET", "/vms", answer)
         try:
             return [VmRecord(**doc) for doc in json.loads(answer.body)]
-        except (ValueError, TypeError) as exc:
+        except (ValueError, TypeError, RecursionError) as exc:
             raise _unavailable_error("GET", "/vms", f"invalid list: {exc}") from exc
 
     async def close(self) -> None:
@@ -204,10 +204,10 @@
 
 def _parse_version(method: str, key: str, answer: Answer) -> int:
     """Decode the version in an answer's header."""
-    try:
-        return int(answer.header(b"version"))
-    except ValueError as exc:
-        raise _unavailable_error(method, key, "the answer has no version") from exc
+    text = answer.header(b"version")
+    if not (text.isascii() and text.isdigit()):
+        raise _unavailable_error(method, key, "the answer has no version")
+    return int(text)
 
 
 def _unexpected_status_error(method: str, key: str, answer: Answer) -> PlatformError:
--- a/packages/targets/src/berylstage_targets/http.py
+++ b/packages/targets/src/berylstage_targets/http.py
@@ -167,7 +167,7 @@
         raise _contract_error(name, f"status {answer.status}")
     try:
         return json.loads(answer.body)
-    except ValueError as exc:
+    except (ValueError, RecursionError) as exc:
         raise _contract_error(name, exc) from exc
 
 
--- a/tests/test_malformed_answers.py
+++ b/tests/test_malformed_answers.py
@@ -16,10 +16,11 @@
 from berylstage_entry.relay_client import RelayTransport
 from berylstage_entry.targets import Target
 from berylstage_platform.errors import StoreUnavailable as PlatformUnavailable
-from berylstage_platform.http import HttpStore
+from berylstage_platform.http import HttpStore, HttpVmList
 from berylstage_platform.store import VmRecord
-from berylstage_targets.errors import OutcomeUnknown
+from berylstage_targets.errors import OutcomeUnknown, TargetError
 from berylstage_targets.http import HttpTargetClient
+from berylstage_targets.target import GrantRequest as LeaderGrant
 from berylstage_targets.target import WorkRequest
 from berylstage_transfers.errors import AnswerLost
 from malformed_server import (
@@ -218,7 +219,7 @@
         ),
     }
 
-    @pytest.mark.parametrize("name", MALFORMED_ANSWERS)
+    @pytest.mark.parametrize("name", TARGET_ANSWERS)
     @pytest.mark.parametrize("call", CALLS)
     def test_malformed_answer(self, call, name):
         # Guards against keys that no target owns, and a dead target that is kept.
@@ -311,3 +312,52 @@
 
         with pytest.raises(OutcomeUnknown):
             run(scenario())
+
+    @pytest.mark.parametrize("body", [b"", b"7", b"[]", b"[" * 100_000, b'{"x": 1}'])
+    def test_control_answer_with_an_unusable_body(self, body):
+        # Guards against an error that ends the task which renews grants.
+        raw = build_answer(b"Content-Length: %d" % len(body), body=body)
+
+        async def scenario():
+            async with MalformedServer(raw).open() as server:
+                client = HttpTargetClient(server.address, 10, "vm-1")
+                order = LeaderGrant("vm-1", 1, 1, {}, 1, "i", 1000)
+                try:
+                    with pytest.raises(TargetError):
+                        await client.grant(order, TIMEOUT_SECONDS)
+                    with pytest.raises(TargetError):
+                        await client.report(TIMEOUT_SECONDS)
+                finally:
+                    await client.close()
+
+        run(scenario())
+
+    @pytest.mark.parametrize("version", [b"", b"1_0", b"+7", b"-7", b"\xb2", b"7, 8"])
+    def test_entry_with_a_version_that_is_none(self, version):
+        # Guards against a write that replaces an entry which nobody has read.
+        async def scenario():
+            raw = build_answer(LENGTH, b"Version: " + version)
+            async with MalformedServer(raw).open() as server:
+                store = HttpStore(server.address, TIMEOUT_SECONDS)
+                try:
+                    await store.read("k")
+                finally:
+                    await store.close()
+
+        with pytest.raises(PlatformUnavailable):
+            run(scenario())
+
+    @pytest.mark.parametrize("body", [b"", b"7", b"{}x", b"[" * 100_000, b"[{}]"])
+    def test_list_of_vms_that_is_none(self, body):
+        # Guards against a command that ends with a traceback.
+        async def scenario():
+            raw = build_answer(b"Content-Length: %d" % len(body), body=body)
+            async with MalformedServer(raw).open() as server:
+                vm_list = HttpVmList(server.address, TIMEOUT_SECONDS)
+                try:
+                    await vm_list.vms()
+                finally:
+                    await vm_list.close()
+
+        with pytest.raises(PlatformUnavailable):
+            run(scenario())
