Never write a response that is not valid HTTP

Whatever made a response, its headers were written as they came, but for values with a line break, which were left out: names that are none, NUL, a second length beside the VM's own, a status like 2000, a body after 204. A value beyond Latin-1 raised an error out of the encoder.

Change: encode_response replaces such a response by 502 and logs the fault; 204 and 304 are written without a body. It is a second lock behind the reader of answers, for relayed answers and for what the VM adds itself.

--- a/packages/entry/src/berylstage_entry/responses.py
+++ b/packages/entry/src/berylstage_entry/responses.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+import re
 from http import HTTPStatus
 
+from logbook import Logger
+
 OK = 200
 NO_CONTENT = 204
 NOT_MODIFIED = 304
@@ -17,6 +20,13 @@
 # Statuses whose responses have no body and therefore no Content-Length.
 _STATUSES_WITHOUT_BODY = frozenset({NO_CONTENT, NOT_MODIFIED})
 _REASON_PHRASES = {status.value: status.phrase for status in HTTPStatus}
+_STATUSES = range(200, 600)
+# Lower-case names of the headers that only this module writes.
+_OWN_HEADERS = frozenset({"content-length", "connection", "transfer-encoding"})
+# A name is a token, and a value has no control characters but the tab (RFC 9110).
+_HEADER_LINE = re.compile(r"[!#$%&'*+\-.^_`|~0-9A-Za-z]+: [\t\x20-\x7e\x80-\xff]*")
+
+log = Logger(__name__)
 
 
 class Response:
@@ -59,6 +69,8 @@
 def encode_response(response: Response, closes_connection: bool) -> bytes:
     """Encode a response as HTTP/1.1.
 
+    A response that cannot be written as HTTP is replaced by one with status 502.
+
     Parameters
     ----------
     response : Response
@@ -69,21 +81,39 @@
     -------
     bytes
     """
+    header_lines = [f"{name}: {value}" for name, value in response.headers]
+    fault = _find_fault(response, header_lines)
+    if fault:
+        log.error("invalid response replaced", extra={"fault": fault})
+        response = build_text_response(
+            BAD_GATEWAY, "The answer cannot be written as HTTP. Ask its operator."
+        )
+        header_lines = [f"{name}: {value}" for name, value in response.headers]
     reason = _REASON_PHRASES.get(response.status, "Unknown")
-    lines = [f"HTTP/1.1 {response.status} {reason}"]
-    lines += [
-        f"{name}: {value}"
-        for name, value in response.headers
-        if _has_no_line_break(value)
-    ]
-    if response.status not in _STATUSES_WITHOUT_BODY:
-        lines.append(f"Content-Length: {len(response.body)}")
+    lines = [f"HTTP/1.1 {response.status} {reason}", *header_lines]
+    body = response.body
+    if response.status in _STATUSES_WITHOUT_BODY:
+        body = b""
+    else:
+        lines.append(f"Content-Length: {len(body)}")
     if closes_connection:
         lines.append("Connection: close")
     head = "\r\n".join(lines) + "\r\n\r\n"
-    return head.encode("latin-1") + response.body
+    return head.encode("latin-1") + body
 
 
-def _has_no_line_break(value: str) -> bool:
-    # A line break in a value would inject a header or a second response.
-    return "\r" not in value and "\n" not in value
+def _find_fault(response: Response, header_lines: list[str]) -> str:
+    """Return why a response cannot be written; empty if it can.
+
+    A line break in a value would inject a header or a second response, and a second
+    length would leave it to the caller where the body ends.
+    """
+    if response.status not in _STATUSES:
+        return f"status {response.status}"
+    for line in header_lines:
+        if _HEADER_LINE.fullmatch(line) is None:
+            return f"header {line!a}"
+    for name, _ in response.headers:
+        if name.lower() in _OWN_HEADERS:
+            return f"header {name} of its own"
+    return ""
