Refuse relayed answers with a status that is none

The status in another VM's reply was used whatever it was: text, null, 101 or 2000. Such a reply is an unusable message now, so the answer is lost.

Evidence: the 5 cases of the new test fail on the commit before.

Output on the commit before: 5 failed, 38 passed (TestMessages::test_answer_with_a_status_that_is_none).

--- a/packages/entry/src/berylstage_entry/relay_messages.py
+++ b/packages/entry/src/berylstage_entry/relay_messages.py
@@ -23,6 +23,8 @@
 # and the rest is for the head, most of which are the headers of the caller.
 MAX_BODY_BYTES = 768 * 1024
 _LENGTH = Struct("!I")
+# Statuses of final answers.
+_STATUSES = range(200, 600)
 
 
 class RelayOutcome(Enum):
@@ -213,9 +215,11 @@
 
 
 def _parse_answer(doc: dict[str, Any], body: bytes) -> TargetAnswer:
-    load = doc["load"]
+    load, status = doc["load"], doc["status"]
+    if not isinstance(status, int) or status not in _STATUSES:
+        raise ValueError(f"status {status!r}")
     return TargetAnswer(
-        doc["status"],
+        status,
         [(name, value) for name, value in doc["headers"]],
         body,
         doc["not_run"],
--- a/packages/entry/tests/test_relay.py
+++ b/packages/entry/tests/test_relay.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import socket
+from copy import copy
 from random import Random
 
 import pytest
@@ -90,6 +91,14 @@
         with pytest.raises(InvalidRecord):
             RelayReply.decode(data)
 
+    @pytest.mark.parametrize("status", [0, 101, 2000, "200", None])
+    def test_answer_with_a_status_that_is_none(self, status):
+        # Guards against a status that no caller knows.
+        answer = copy(ANSWER)
+        answer.status = status
+        with pytest.raises(InvalidRecord):
+            RelayReply.decode(RelayReply(RelayOutcome.ANSWERED, answer=answer).encode())
+
 
 class Transport:
     """Replies by address; an exception is raised."""
