Soak: callers read answers as strictly as the product

The soak's callers split lines at ": " and took the last of two values, so that an answer which another client reads in another way passed.

Change: they use parse_head, and an answer that is not valid HTTP fails the soak.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -7,6 +7,9 @@
 from collections import deque
 from typing import TYPE_CHECKING
 
+from berylstage_adapter.target_protocol import UNIQUE_HEADERS
+from berylstage_transfers.answer_head import parse_head
+
 if TYPE_CHECKING:
     from soak.ledger import Ledger
     from soak.links import Link
@@ -19,7 +22,8 @@
 # Bytes of a TCP segment, as between machines; segments of the loopback are larger than
 # the receive buffer.
 SEGMENT_BYTES = 1400
-HEAD_END = b"\r\n\r\n"
+LINE_END = b"\r\n"
+HEAD_END = 2 * LINE_END
 # Deadlines that callers send with requests and with uploads. An upload of 360 kB takes
 # 0.6 s on the slowest link.
 REQUEST_DEADLINE_MS = 1500
@@ -117,16 +121,24 @@
     ----------
     head : bytes
         Status line and headers, without the empty line after them.
+
+    Raises
+    ------
+    InvalidAnswer
+        The head is no valid HTTP, which ends the soak.
     """
 
     __slots__ = ("body", "headers", "length", "status")
 
     def __init__(self, head: bytes):
-        first, *lines = head.decode("latin-1").split("\r\n")
-        self.status = int(first.split(" ")[1])
-        fields = (line.partition(": ") for line in lines)
-        self.headers = {name.lower(): value for name, _, value in fields}
-        self.length = int(self.headers.get("content-length", "0"))
+        lines = [line + LINE_END for line in head.split(LINE_END)]
+        parsed = parse_head(lines, UNIQUE_HEADERS)
+        self.status = parsed.status
+        self.headers = {
+            name.decode("latin-1"): value.decode("latin-1")
+            for name, value in parsed.headers.items()
+        }
+        self.length = parsed.length or 0
         self.body = b""
 
     @property
--- a/tests/test_soak_callers.py
+++ b/tests/test_soak_callers.py
@@ -5,6 +5,8 @@
 import asyncio
 import time
 
+import pytest
+from berylstage_transfers.answer_head import InvalidAnswer
 from soak.callers import Caller, Request
 from soak.links import BYTES_PER_MBIT, MAX_PENDING_SECONDS, Link
 
@@ -53,6 +55,12 @@
     def test_connection_that_ends_without_an_answer(self, ledger):
         assert self.send_lookups(ledger, b"") == [(0, b"")]
 
+    def test_answer_that_is_not_valid_http_ends_the_soak(self, ledger):
+        # Guards against a soak that is less strict than the callers it stands for.
+        malformed = self.SMALL.replace(b"Content-Length:", b"Content-Length :")
+        with pytest.raises(InvalidAnswer):
+            self.send_lookups(ledger, malformed)
+
     def test_nothing_is_expected_after_the_last_answer(self, ledger):
         # A VM accepts no request on a connection after it has announced the close.
         outcomes = self.send_lookups(ledger, self.LAST, 2, ends=False)
