Test requests that come late in the grace time of a planned stop

Nothing was cut here, with targets that take 4 s of the 6 s either: a request whose target is known to take longer than the stop leaves is refused as not run (503), at once. So this is a test alone.

--- a/tests/test_stops.py
+++ b/tests/test_stops.py
@@ -363,6 +363,46 @@
         assert least <= bytes_left <= request.size + MAX_HEAD_BYTES, request
 
 
+class TestSlowTargets:
+    """Targets that take longer than what is left of a stop's grace time."""
+
+    SERVICE_SECONDS = 4.0
+    # Seconds after SIGTERM until which a request can still be answered.
+    LAST_SERVED_SECONDS = 0.9
+
+    async def learn_service_times(self, stop):
+        caller = await stop.add_caller()
+        for method in ("GET", "POST"):
+            await caller.send(self.new_request(stop, method))
+            await asyncio.wait_for(caller.wait_for_answers(), STOP_GRACE_SECONDS)
+
+    def new_request(self, stop, method):
+        pause_ms = int(self.SERVICE_SECONDS * MS_PER_SECOND)
+        return stop.new_request(pause_ms=pause_ms, method=method)
+
+    def test_request_that_the_stop_would_cut_is_refused_at_once(self, tmp_path):
+        # Guards against requests that run late in the grace time and end without an
+        # answer, although another VM could have served them.
+        async def scenario():
+            async with StopEnvironment(tmp_path) as environment:
+                stop = StopScenario(environment, environment.vms[0])
+                await self.learn_service_times(stop)
+                for number, offset in enumerate(sweep_offsets(0.0, 2.5, 0.05)):
+                    method = "POST" if number % 2 else "GET"
+                    stop.connect_at(offset, self.new_request(stop, method))
+                await stop.stop()
+                stop.check_nothing_lost()
+                stop.check_log()
+                return stop
+
+        stop = asyncio.run(scenario())
+        early = stop.requests_sent_by(self.LAST_SERVED_SECONDS)
+        assert [r for r in early if not r.is_served] == []
+        late = [r for r in stop.requests if r not in early]
+        assert {r.status for r in late} <= {200, 503}, late
+        assert {r.status for r in late if r.method == "GET"} == {200, 503}, late
+
+
 class TestSuspendedProcess:
     """A process that is suspended at the time it closes idle connections."""
 
