--- a/tests/test_soak_callers.py
+++ b/tests/test_soak_callers.py
@@ -21,21 +21,25 @@
         """Return the outcomes of lookups at a server that sends ``sent``."""
 
         async def serve(reader, writer):
-            await reader.readuntil(b"\r\n\r\n")
-            writer.write(sent)
-            await writer.drain()
-            if not ends:
-                await asyncio.sleep(1.0)
-            writer.close()
+            try:
+                await reader.readuntil(b"\r\n\r\n")
+                writer.write(sent)
+                await writer.drain()
+                if not ends:
+                    await asyncio.sleep(1.0)
+            finally:
+                writer.close()
 
         async def scenario():
             server = await asyncio.start_server(serve, "127.0.0.1", 0)
             address = server.sockets[0].getsockname()
             caller = Caller(address, link or Link(10.0), ledger)
             requests = [Request(f"lookup-{n}", n) for n in range(lookups)]
-            await asyncio.wait_for(caller.send_requests(requests, 0.0), 5.0)
-            caller.close()
-            server.close()
+            try:
+                await asyncio.wait_for(caller.send_requests(requests, 0.0), 5.0)
+            finally:
+                caller.close()
+                server.close()
             return [ledger.answers[r.request_id][1:3] for r in requests]
 
         return asyncio.run(scenario())
@@ -98,10 +102,12 @@
         body_bytes = 50_000_000
 
         async def serve(reader, writer):
-            await reader.readuntil(b"\r\n\r\n")
-            writer.write(b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n")
-            await asyncio.sleep(1.0)
-            writer.close()
+            try:
+                await reader.readuntil(b"\r\n\r\n")
+                writer.write(b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n")
+                await asyncio.sleep(1.0)
+            finally:
+                writer.close()
 
         async def scenario():
             server = await asyncio.start_server(serve, "127.0.0.1", 0)
