--- a/packages/transfers/tests/test_malformed_answers.py
+++ b/packages/transfers/tests/test_malformed_answers.py
@@ -2,21 +2,59 @@
 
 from __future__ import annotations
 
+import asyncio
+from contextlib import asynccontextmanager
+
 import pytest
 from berylstage_transfers.client import CallClient
 from berylstage_transfers.errors import AnswerLost, AnswerMalformed
 from malformed_answers import (
     BODY,
+    INVALID_FOLDS,
     MALFORMED_ANSWERS,
     ODD_ANSWERS,
     build_answer,
 )
-from scripted_calls import CLOSE, OK, make_call, run
+from scripted_calls import CLOSE, OK, answer_to, make_call, run
 
 # An answer that is refused must not cost the time that its call has.
 MAX_SECONDS = 5.0
 
 
+class BytewiseServer:
+    """A server that sends an answer byte by byte."""
+
+    def __init__(self, raw):
+        self._raw = raw
+        self.base = ""
+
+    async def serve(self, reader, writer):
+        """Serve one connection."""
+        try:
+            head = await reader.readuntil(b"\r\n\r\n")
+            for byte in answer_to(head, self._raw):
+                writer.write(bytes([byte]))
+                await asyncio.sleep(0.0005)
+            await reader.read(1)
+        except ConnectionError:
+            # The client has refused the answer.
+            pass
+        finally:
+            writer.close()
+
+
+@asynccontextmanager
+async def serve_bytewise(raw):
+    """Run a server that sends one answer byte by byte."""
+    script = BytewiseServer(raw)
+    server = await asyncio.start_server(script.serve, "127.0.0.1", 0)
+    script.base = "http://127.0.0.1:{}".format(server.sockets[0].getsockname()[1])
+    try:
+        yield script
+    finally:
+        server.close()
+
+
 class TestMalformedAnswers:
     @pytest.mark.parametrize("end", [b"", CLOSE], ids=["kept", "closed"])
     @pytest.mark.parametrize("name", MALFORMED_ANSWERS)
@@ -42,6 +80,30 @@
         run(scenario)
         assert "Traceback" not in capfd.readouterr().err
 
+    @pytest.mark.parametrize("raw", INVALID_FOLDS.values(), ids=INVALID_FOLDS)
+    def test_folded_lines_that_arrive_byte_by_byte(self, raw):
+        # Guards against a fold that is seen only where a head arrives at once.
+        async def scenario():
+            async with serve_bytewise(raw) as script:
+                client = CallClient(1)
+                with pytest.raises(AnswerMalformed):
+                    await client.call(make_call(script))
+                client.close()
+
+        run(scenario)
+
+    @pytest.mark.parametrize("name", ["extension", "two interim answers"])
+    def test_valid_answers_that_arrive_byte_by_byte(self, name):
+        # Guards against valid answers that are lost because of how they arrive.
+        async def scenario():
+            async with serve_bytewise(ODD_ANSWERS[name]) as script:
+                client = CallClient(1)
+                answer = await client.call(make_call(script))
+                assert answer.body == BODY
+                client.close()
+
+        run(scenario)
+
     @pytest.mark.parametrize("end", [b"", CLOSE], ids=["kept", "closed"])
     @pytest.mark.parametrize("name", ODD_ANSWERS)
     def test_odd_answer_that_is_valid_is_returned(self, open_server, name, end):
