--- a/tests/test_malformed_answers.py
+++ b/tests/test_malformed_answers.py
@@ -24,6 +24,7 @@
 from berylstage_targets.target import WorkRequest
 from berylstage_transfers.errors import AnswerLost
 from malformed_server import (
+    BODY,
     CONTRADICTORY_ANSWERS,
     LENGTH,
     MALFORMED_ANSWERS,
@@ -157,6 +158,21 @@
         assert "Traceback" not in log
         assert "X Field: a" in log
 
+    def test_lookups_are_served_by_other_targets(self, tmp_path):
+        # Guards against callers who get 502 although a lookup may be sent again.
+        async def play():
+            async with MalformedEnvironment(tmp_path) as environment:
+                for target in environment.targets:
+                    target.raw = build_answer(LENGTH)
+                environment.targets[0].raw = MALFORMED_ANSWERS["name with a blank"]
+                answers = [await environment.send("GET", "/a/x") for _ in range(20)]
+                assert environment.targets[0].requests
+                return [raw for raw, _ in answers]
+
+        for raw in run(play()):
+            assert raw.startswith(b"HTTP/1.1 200 OK")
+            assert raw.endswith(BODY)
+
 
 class TestStore:
     CALLS = {
