Log malformed answers by a cause of their own

`answer lost` said "unknown" for them, which points at links and at the VM. The cause "malformed answer" and the counter of that name point at the target; `reason` has the line.

--- a/packages/entry/src/berylstage_entry/lost_answers.py
+++ b/packages/entry/src/berylstage_entry/lost_answers.py
@@ -8,6 +8,7 @@
 
 from berylstage_transfers.errors import (
     AnswerLost,
+    AnswerMalformed,
     AnswerMismatched,
     ConnectionClosed,
 )
@@ -47,6 +48,8 @@
     CONNECTION_CLOSED = "connection closed"
     # A target has repeated an answer, or mixed up its answers.
     OTHER_ANSWER = "answer to another request"
+    # A target has sent bytes that are no valid answer.
+    MALFORMED_ANSWER = "malformed answer"
     UNKNOWN = "unknown"
 
 
@@ -87,6 +90,8 @@
             cause = LossCause.TARGET_ENDED
         elif isinstance(exc, AnswerMismatched):
             cause = LossCause.OTHER_ANSWER
+        elif isinstance(exc, AnswerMalformed):
+            cause = LossCause.MALFORMED_ANSWER
         elif isinstance(exc, ConnectionClosed):
             cause = await self._check(target)
         self.count_event(f"answer lost: {cause.value}")
--- a/packages/entry/tests/test_lost_answers.py
+++ b/packages/entry/tests/test_lost_answers.py
@@ -15,6 +15,7 @@
 from berylstage_entry.target_links import TargetLinks
 from berylstage_transfers.errors import (
     AnswerLost,
+    AnswerMalformed,
     AnswerMismatched,
     ConnectionClosed,
     EndedBy,
@@ -85,6 +86,13 @@
         extra = handler.records[0].extra
         assert (extra["id"], extra["answered"]) == ("id-1", "id-7")
 
+    def test_malformed_answer_has_its_own_cause(self):
+        # Guards against an operator who looks for a broken link.
+        with LogHandler() as handler:
+            cause = find_cause({}, AnswerMalformed("x", EndedBy.CLIENT, "no field"))
+        assert cause is LossCause.MALFORMED_ANSWER
+        assert handler.records[0].extra["reason"] == "no field"
+
     def test_log_says_who_ended_the_call_and_why(self):
         # Guards against a request given up by the VM that looks like a fault outside.
         exc = AnswerLost("x", EndedBy.CLIENT, "the link to the target is lost")
