--- a/packages/transfers/src/berylstage_transfers/client.py
+++ b/packages/transfers/src/berylstage_transfers/client.py
@@ -13,19 +13,11 @@
 
 from berylstage_transfers.answer_memory import AnswerMemory
 from berylstage_transfers.call import Answer, Call
+from berylstage_transfers.call_failure import describe_timeout, fail_call
 from berylstage_transfers.connection_age import ConnectionAgeLimit
 from berylstage_transfers.connections import Connections
 from berylstage_transfers.curl_handle import RESET_ERRORS, CurlHandle
-from berylstage_transfers.errors import (
-    AnswerLost,
-    AnswerMalformed,
-    AnswerMismatched,
-    ConnectionClosed,
-    ConnectionRefused,
-    EndedBy,
-    NeverSent,
-    NotConnected,
-)
+from berylstage_transfers.errors import NeverSent
 from berylstage_transfers.idle_limit import IdleLimit
 from berylstage_transfers.raw_heads import RawHeads
 from berylstage_transfers.sent_ids import SentIds
@@ -186,7 +178,7 @@
         try:
             return await fut
         except asyncio.CancelledError:
-            self._cancel_transfer(call)
+            self._end_transfer(call, "cancelled")
             raise
         finally:
             # The timer would hold the call's body until the call's deadline.
@@ -216,7 +208,7 @@
         """
         while self._requests:
             call: Any = self._requests.popleft()
-            _fail(call, cause)
+            fail_call(call, cause)
 
     def abort(self, call: Call, cause: str) -> None:
         """End a call that has no answer yet; the awaiting task gets an error.
@@ -229,12 +221,8 @@
         """
         if call.fut is None or call.fut.done():
             return
-        for curl, handle in self._handles.items():
-            if handle.call is call:
-                self._finish(curl, pycurl.E_ABORTED_BY_CALLBACK, cause)
-                self._process_queue()
-                return
-        _fail(call, cause)
+        if not self._end_transfer(call, cause):
+            fail_call(call, cause)
 
     def has_unacknowledged_bytes(self, call: Call) -> bool:
         """Tell whether the server's machine has not acknowledged all bytes of a call.
@@ -245,17 +233,13 @@
         """
         if not call.sent or call.status:
             return False
-        for handle in self._handles.values():
-            if handle.call is call:
-                return handle.has_unacknowledged_bytes()
-        return False
+        handle = self._find_handle(call)
+        return handle is not None and handle.has_unacknowledged_bytes()
 
     def find_send_queue(self, call: Call) -> SendQueue | None:
         """Return the send queue of a call's connection; None if it has none."""
-        for handle in self._handles.values():
-            if handle.call is call and call.sent:
-                return handle.find_send_queue()
-        return None
+        handle = self._find_handle(call) if call.sent else None
+        return None if handle is None else handle.find_send_queue()
 
     def has_open_connection(self) -> bool:
         """Tell whether the server has not closed all connections of this client.
@@ -266,14 +250,21 @@
 
     def _expire_queued(self, call: Call) -> None:
         if not call.started:
-            _fail(call, "no connection became available in time")
+            fail_call(call, "no connection became available in time")
 
-    def _cancel_transfer(self, call: Call) -> None:
-        for curl, handle in self._handles.items():
-            if handle.call is call:
-                self._finish(curl, pycurl.E_ABORTED_BY_CALLBACK, "cancelled")
-                self._process_queue()
-                return
+    def _find_handle(self, call: Call) -> CurlHandle | None:
+        """Return the handle that makes a call; None if it is queued or has ended."""
+        handles = self._handles.values()
+        return next((handle for handle in handles if handle.call is call), None)
+
+    def _end_transfer(self, call: Call, cause: str) -> bool:
+        """End a call that is being made; return whether it was."""
+        handle = self._find_handle(call)
+        if handle is None:
+            return False
+        self._finish(handle.curl, pycurl.E_ABORTED_BY_CALLBACK, cause)
+        self._process_queue()
+        return True
 
     def _handle_events(self, fd: int, events: int) -> None:
         if events & IOLoop.READ:
@@ -343,7 +334,7 @@
         if now < call.read_deadline and handle.has_progress():
             self._schedule_deadline_check(0.0, call, curl)
             return
-        self._finish(curl, pycurl.E_OPERATION_TIMEDOUT, _timeout_message(call, now))
+        self._finish(curl, pycurl.E_OPERATION_TIMEDOUT, describe_timeout(call, now))
         self._process_queue()
 
     def _new_curl(self) -> pycurl.Curl:
@@ -387,7 +378,7 @@
             curl_error in _SENDING_ERRORS and call.has_whole_answer()
         ):
             self._record_lost_answer(call)
-            _fail(
+            fail_call(
                 call,
                 curl_message or f"curl error {curl_error}",
                 curl.getinfo(pycurl.OS_ERRNO) == errno.ECONNREFUSED,
@@ -395,9 +386,9 @@
             )
         elif call.rejection:
             # Its body was dropped, and nothing more of it arrived.
-            _fail(call, call.rejection)
+            fail_call(call, call.rejection)
         elif call.head is None or not call.may_end_here():
-            _fail(call, "the answer does not tell where it ends, or ends before that")
+            fail_call(call, "the answer is incomplete or tells no end")
         elif call.fut is not None and not call.fut.done():
             call.fut.set_result(Answer(call.head, bytes(call.answer_body)))
 
@@ -424,48 +415,3 @@
         unanswered = not call.status and not call.rejection and not call.fut.cancelled()
         if call.sent and not call.opened_connection and unanswered:
             self._age_limit.retire_open_connections(time.monotonic())
-
-
-def _timeout_message(call: Call, now: float) -> str:
-    """Describe how far a call got before its timeout."""
-    what = "Operation" if call.sent else "Connection"
-    spent = int((call.timeout + now - call.deadline) * _MS_PER_SECOND)
-    return (
-        f"{what} timed out after {spent} milliseconds "
-        f"with {len(call.answer_body)} bytes received"
-    )
-
-
-def _fail(
-    call: Call, cause: str, refused: bool = False, ended_by: EndedBy = EndedBy.CLIENT
-) -> None:
-    """Fail a call with the error that says whether it was sent."""
-    if call.fut is None or call.fut.done():
-        return
-    subject = f"{call.method} {call.url}"
-    if call.answers_other_call:
-        cause = "the answer belongs to another call"
-    cause = call.rejection or cause
-    if call.sent:
-        remedy = "check whether it took effect before sending it again"
-        if call.method == "GET":
-            remedy = "send it again"
-        message = f"{subject}: sent, but no complete answer arrived ({cause}); {remedy}"
-        exc: Exception
-        if call.answers_other_call:
-            exc = AnswerMismatched(message, call.received_id(), cause)
-        elif call.is_malformed:
-            exc = AnswerMalformed(message, EndedBy.CLIENT, cause)
-        elif ended_by is EndedBy.SERVER:
-            exc = ConnectionClosed(message, ended_by, cause)
-        else:
-            exc = AnswerLost(message, ended_by, cause)
-    elif refused:
-        exc = ConnectionRefused(
-            f"{subject}: connection refused ({cause}); "
-            "check that the server runs at this address"
-        )
-    else:
-        error = NotConnected if call.started else NeverSent
-        exc = error(f"{subject}: nothing was sent ({cause}); send it again")
-    call.fut.set_exception(exc)
