--- a/tests/slow_caller.py
+++ b/tests/slow_caller.py
@@ -7,6 +7,9 @@
 import time
 from collections import deque
 
+from berylstage_adapter.target_protocol import UNIQUE_HEADERS
+from berylstage_transfers.answer_head import parse_head
+
 # Bytes of a TCP segment on a usual link; loopback would send 64 KiB at a time.
 SEGMENT_BYTES = 1460
 # Receive buffer (SO_RCVBUF) of a caller's socket.
@@ -182,24 +185,18 @@
             end = self._buffer.find(b"\r\n\r\n")
             if end < 0:
                 return
-            head = bytes(self._buffer[:end]).decode("latin-1")
-            size = _parse_content_length(head)
+            lines = bytes(self._buffer[: end + 2]).splitlines(keepends=True)
+            head = parse_head(lines, UNIQUE_HEADERS)
+            assert head.length is not None, f"answer has no Content-Length: {lines}"
+            size = head.length
             start = end + 4
             if len(self._buffer) < start + size:
                 return
-            request.status = int(head.split()[1])
+            request.status = head.status
             request.body = bytes(self._buffer[start : start + size])
             request.is_complete = True
             del self._buffer[: start + size]
             self.unanswered.popleft()
-            if "connection: close" in head.lower():
+            if head.headers.get(b"connection") == b"close":
                 self._is_close_announced = True
                 self._mark_after_close(self.unanswered)
-
-
-def _parse_content_length(head):
-    for line in head.split("\r\n")[1:]:
-        name, _, value = line.partition(":")
-        if name.lower() == "content-length":
-            return int(value)
-    raise AssertionError(f"answer has no Content-Length: {head}")
