--- a/packages/entry/src/berylstage_entry/relay_messages.py
+++ b/packages/entry/src/berylstage_entry/relay_messages.py
@@ -14,6 +14,7 @@
 from berylstage_entry.errors import InvalidRecord
 from berylstage_entry.json_documents import parse_json
 from berylstage_entry.protocols import CallerRequest, TargetAnswer
+from berylstage_entry.responses import FINAL_STATUSES
 from berylstage_entry.targets import LoadReport, TargetNotice
 
 if TYPE_CHECKING:
@@ -23,8 +24,6 @@
 # and the rest is for the head, most of which are the headers of the caller.
 MAX_BODY_BYTES = 768 * 1024
 _LENGTH = Struct("!I")
-# Statuses of final answers.
-_STATUSES = range(200, 600)
 
 
 class RelayOutcome(Enum):
@@ -216,7 +215,7 @@
 
 def _parse_answer(doc: dict[str, Any], body: bytes) -> TargetAnswer:
     load, status = doc["load"], doc["status"]
-    if not isinstance(status, int) or status not in _STATUSES:
+    if not isinstance(status, int) or status not in FINAL_STATUSES:
         raise ValueError(f"status {status!r}")
     return TargetAnswer(
         status,
--- a/packages/entry/src/berylstage_entry/responses.py
+++ b/packages/entry/src/berylstage_entry/responses.py
@@ -20,7 +20,8 @@
 # Statuses whose responses have no body and therefore no Content-Length.
 _STATUSES_WITHOUT_BODY = frozenset({NO_CONTENT, NOT_MODIFIED})
 _REASON_PHRASES = {status.value: status.phrase for status in HTTPStatus}
-_STATUSES = range(200, 600)
+# Statuses of answers that are not interim.
+FINAL_STATUSES = range(200, 600)
 # Lower-case names of the headers that only this module writes.
 _OWN_HEADERS = frozenset({"content-length", "connection", "transfer-encoding"})
 # A name is a token, and a value has no control characters but the tab (RFC 9110).
@@ -108,7 +109,7 @@
     A line break in a value would inject a header or a second response, and a second
     length would leave it to the caller where the body ends.
     """
-    if response.status not in _STATUSES:
+    if response.status not in FINAL_STATUSES:
         return f"status {response.status}"
     for line in header_lines:
         if _HEADER_LINE.fullmatch(line) is None:
