--- a/packages/transfers/src/berylstage_transfers/answer_head.py
+++ b/packages/transfers/src/berylstage_transfers/answer_head.py
@@ -23,8 +23,7 @@
 _MAX_SHOWN_BYTES = 80
 _WHITESPACE = b" \t"
 
-# The rules of RFC 9112, section 4, and RFC 9110, sections 5.5, 5.6.2 and 15. A head is
-# matched as a whole, which costs a third of a match for each line. Possessive
+# The rules of RFC 9112, section 4, and RFC 9110, sections 5.5, 5.6.2 and 15. Possessive
 # quantifiers keep the time linear in what does not match.
 _STATUS_PATTERN = rb"HTTP/1\.([01]) ([1-5][0-9][0-9])(?: [\t\x20-\x7e\x80-\xff]*+)?\r\n"
 _FIELD_PATTERN = rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]++:[\t\x20-\x7e\x80-\xff]*+\r\n"
