--- a/tests/stop_environment.py
+++ b/tests/stop_environment.py
@@ -172,6 +172,8 @@
         Requests that a target runs at once.
     """
 
+    configuration = CONFIGURATION
+
     def __init__(self, folder, vms=1, vm_class=StoppingVm, slots=TARGET_SLOTS):
         self._folder = folder
         self._vm_class = vm_class
@@ -188,7 +190,7 @@
         HTTPServer(store_application(state)).listen(store_port, "127.0.0.1")
         for name in ("i-1", "i-2"):
             self._start_target(state, name)
-        state.put("op/config", json.dumps(CONFIGURATION).encode())
+        state.put("op/config", json.dumps(self.configuration).encode())
         for number in range(1, self._vm_count + 1):
             self.vms.append(self._vm_class(number, self._folder, store_port))
         for vm in self.vms:
