Drop trailers instead of keeping them with the head

Callers saw: nothing; the VM was killed for its memory, with the requests of all others. Cause: the parser appended each trailer of a chunked body to the fields of the head, which was over, so that no limit counted them: a tuple and two strings for a line of four bytes. Why it works: nothing uses trailers, and a line outside a head is no longer stored.

--- a/packages/entry/src/berylstage_entry/request_parser.py
+++ b/packages/entry/src/berylstage_entry/request_parser.py
@@ -154,8 +154,8 @@
             self._target += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Store a header field."""
-        if not self._is_preparing:
+        """Store a header field; trailers, which nothing uses, are dropped."""
+        if self._is_in_head and not self._is_preparing:
             self._fields.append((name.decode("latin-1"), value.decode("latin-1")))
 
     def on_headers_complete(self) -> None:
