Keep a request head as its bytes, and refuse it while it arrives

Callers saw: nothing; the VM was killed for its memory, with the requests of all others. And a head inside the limit, of 3,300 lines `a:`, was refused with 431. Cause: a head was read to 256 kB whatever the configured limit, as a tuple and two strings a line, and an idle connection kept those of its last request. The limit was checked once the head was whole, with four bytes beside each name and value, where a line may have three. Why it works: the bytes up to the empty line are collected and counted as they arrive, the header lines exactly, the request line with empty lines before it by themselves. httptools gets them too, in parts that end with a head or a body, and reports no fields, so it stores none. Fields are read once from the bytes of a whole head.

--- a/packages/entry/src/berylstage_entry/connection.py
+++ b/packages/entry/src/berylstage_entry/connection.py
@@ -27,7 +27,6 @@
 from berylstage_entry.request_parser import RequestParser, RequestReceiver
 from berylstage_entry.responses import (
     BAD_REQUEST,
-    HEADERS_TOO_LARGE,
     encode_response,
 )
 from berylstage_entry.sockets import (
@@ -42,7 +41,7 @@
     from socket import socket
 
     from berylstage_entry.protocols import CallerRequest
-    from berylstage_entry.request_parser import RequestHead
+    from berylstage_entry.request_head import RequestHead
     from berylstage_entry.server import CallerServer
 
 # Requests of one connection that are in progress or wait for their response to be
@@ -74,7 +73,7 @@
         self._server = server
         self.memory = ConnectionMemory(self, server.memory, server.body_limit)
         self._transport: asyncio.Transport | None = None
-        self._parser = RequestParser(self)
+        self._parser = RequestParser(self, server.header_limit)
         self._unparsed = bytearray()
         # Requests in the order of arrival; their responses are written in this order.
         self._exchanges: deque[Exchange] = deque()
@@ -159,7 +158,6 @@
         self._exchanges.append(exchange)
         self._server.count_request()
         try:
-            self._server.check_head(head.fields)
             exchange.req = self._server.protocol.parse_request(
                 head.method, head.target, head.fields
             )
@@ -168,7 +166,7 @@
             return
         exchange.deadline = exchange.received_at + exchange.req.time_left
         is_upload = self._server.is_upload(exchange.req)
-        if is_upload and not self.memory.admit_upload(exchange, head.fields):
+        if is_upload and not self.memory.admit_upload(exchange, head.declared_bytes):
             return
         expects_continue = any(
             name.lower() == "expect" and value.lower() == "100-continue"
@@ -372,13 +370,12 @@
             del self._unparsed[:size]
             try:
                 self._parser.feed(chunk)
+            except BadRequest as exc:
+                self._reject(exc)
             except HttpParserUpgrade:
                 self._close_after_last()
             except HttpParserError as exc:
                 self._reject(BadRequest(BAD_REQUEST, f"invalid HTTP request: {exc}"))
-            if self._parser.is_head_too_large:
-                cause = "request headers exceed the size limit"
-                self._reject(BadRequest(HEADERS_TOO_LARGE, cause))
             if self._exchanges and self._exchanges[-1].body_size > MAX_BODY_BYTES:
                 self._close_after_last()
             last = self._exchanges[-1] if self._exchanges else None
--- a/packages/entry/src/berylstage_entry/memory/connection_memory.py
+++ b/packages/entry/src/berylstage_entry/memory/connection_memory.py
@@ -33,15 +33,6 @@
 BODY_LATE_RETRY_AFTER_SECONDS = 0.05
 
 
-def declared_body_bytes(fields: list[tuple[str, str]]) -> int | None:
-    """Return the length of a body by its request head, or None for a chunked body."""
-    names = {name.lower(): value for name, value in fields}
-    if "transfer-encoding" in names:
-        return None
-    length = names.get("content-length", "0").strip()
-    return int(length) if length.isdecimal() else None
-
-
 def compute_parse_bytes(last: Exchange | None) -> int:
     """Return how many bytes to parse at once.
 
@@ -139,14 +130,14 @@
 
     # Uploads.
 
-    def admit_upload(self, exchange: Exchange, fields: list[tuple[str, str]]) -> bool:
+    def admit_upload(self, exchange: Exchange, size: int | None) -> bool:
         """Reserve memory for an upload's declared body, or refuse it without reading.
 
         Parameters
         ----------
         exchange : Exchange
-        fields : list of tuple
-            Names and values of the header fields.
+        size : int or None
+            Declared bytes of the body; None if it is chunked.
 
         Returns
         -------
@@ -155,8 +146,7 @@
         """
         assert exchange.req is not None
         exchange.is_upload = True
-        exchange.declared_bytes = declared_body_bytes(fields)
-        size = exchange.declared_bytes
+        exchange.declared_bytes = size
         if size is not None and size > self._body_limit():
             cause = "request body exceeds the size limit"
             exchange.refusal = BadRequest(CONTENT_TOO_LARGE, cause)
--- a/packages/entry/src/berylstage_entry/request_parser.py
+++ b/packages/entry/src/berylstage_entry/request_parser.py
@@ -3,43 +3,19 @@
 from __future__ import annotations
 
 from abc import ABC, abstractmethod
+from typing import TYPE_CHECKING
 
 from httptools import HttpParserUpgrade, HttpRequestParser
 
-# Maximum bytes of a request head that are read. Up to this size, a head that exceeds
-# the configured limit is answered with status 431.
-MAX_HEAD_BYTES = 256 * 1024
-# Header fields that say where a body ends.
-_FRAMING_FIELDS = frozenset({"content-length", "transfer-encoding"})
-
-
-class RequestHead:
-    """The head of a request.
-
-    Parameters
-    ----------
-    method : str
-    target : str
-        Request target, mostly a path with a query.
-    fields : list of tuple
-        Names and values of the header fields, in their order.
-    keep_alive : bool
-        Whether further requests may follow on the connection.
-    """
+from berylstage_entry.errors import BadRequest
+from berylstage_entry.request_head import HEAD_END, HeadBuffer, RequestHead
+from berylstage_entry.responses import BAD_REQUEST
 
-    __slots__ = ("fields", "keep_alive", "method", "target")
+if TYPE_CHECKING:
+    from collections.abc import Callable
 
-    def __init__(
-        self,
-        method: str,
-        target: str,
-        fields: list[tuple[str, str]],
-        keep_alive: bool,
-    ):
-        self.method = method
-        self.target = target
-        self.fields = fields
-        self.keep_alive = keep_alive
+# Header fields that say where a body ends.
+_FRAMING_FIELDS = frozenset({"content-length", "transfer-encoding"})
 
 
 class RequestReceiver(ABC):
@@ -65,87 +41,113 @@
 class RequestParser:
     """Parses requests, and declines offers to upgrade the protocol.
 
-    A server may ignore such an offer and go on with HTTP/1.1. The parser of httptools
-    takes it for accepted, though: it skips the body, which follows like any other. So
-    another parser reads it, prepared with a head that offers nothing.
+    The bytes are passed to the parser of httptools in parts, none of which continues
+    behind the end of a head or of a body. So what precedes and follows a body can be
+    counted to the byte.
+
+    A server may ignore an offer to upgrade and go on with HTTP/1.1. The parser of
+    httptools takes it for accepted, though: it skips the body, which follows like any
+    other. So another parser reads it, prepared with a head that offers nothing.
 
     Parameters
     ----------
     receiver : RequestReceiver
+    head_limit : callable
+        Returns the largest number of bytes of the header lines of a request.
     """
 
     __slots__ = (
-        "_fields",
-        "_head_bytes",
+        "_body_left",
+        "_head",
         "_is_in_head",
         "_is_preparing",
-        "_keep_alive",
+        "_last_bytes",
         "_parser",
         "_receiver",
+        "_request_head",
         "_skips_body",
         "_target",
     )
 
-    def __init__(self, receiver: RequestReceiver):
+    def __init__(self, receiver: RequestReceiver, head_limit: Callable[[], int]):
         self._receiver = receiver
         self._parser = HttpRequestParser(self)
+        self._head = HeadBuffer(head_limit)
         self._target = b""
-        self._fields: list[tuple[str, str]] = []
-        self._keep_alive = True
         self._is_in_head = True
-        self._head_bytes = 0
+        # Bytes of the body that are still to come; None in a chunked body.
+        self._body_left: int | None = None
+        # Last bytes of a chunked body, in which its end may have begun.
+        self._last_bytes = b""
         # Whether the parser skips the body because of an offer, and whether another
         # parser is being prepared to read it.
         self._skips_body = False
         self._is_preparing = False
+        self._request_head: RequestHead | None = None
 
     def feed(self, data: bytes) -> None:
         """Parse further bytes.
 
         Raises
         ------
+        BadRequest
+            The request exceeds a limit.
         HttpParserError
             They are no valid HTTP.
         HttpParserUpgrade
             The bytes after a CONNECT request are meant for its destination.
         """
-        if self._is_in_head:
-            self._head_bytes += len(data)
-        while True:
-            try:
-                self._parser.feed_data(data)
-                return
-            except HttpParserUpgrade as exc:
-                if not self._skips_body:
-                    raise
-                data = data[exc.args[0] :]
+        while data:
+            size = self._head.take(data) if self._is_in_head else self._take_body(data)
+            self._feed_part(data[:size])
+            if not size or (self._is_in_head and self._head.is_complete):
+                # The head and the parser of httptools disagree on where a part ends.
+                raise BadRequest(BAD_REQUEST, "the end of the request is not clear")
+            data = data[size:]
+
+    def _take_body(self, data: bytes) -> int:
+        """Return the number of bytes that surely belong to the request."""
+        if self._body_left is not None:
+            size = min(self._body_left, len(data))
+            self._body_left -= size
+            return size
+        # A chunked body ends with an empty line.
+        known = len(self._last_bytes)
+        end = (self._last_bytes + data).find(HEAD_END)
+        size = end + len(HEAD_END) - known if end >= 0 else len(data)
+        self._last_bytes = (self._last_bytes + data[:size])[1 - len(HEAD_END) :]
+        return size
+
+    def _feed_part(self, data: bytes) -> None:
+        try:
+            self._parser.feed_data(data)
+        except HttpParserUpgrade:
+            if not self._skips_body:
+                raise
             self._prepare_for_body()
 
-    @property
-    def is_head_too_large(self) -> bool:
-        """Whether the head that is being read exceeds the maximum."""
-        return self._is_in_head and self._head_bytes > MAX_HEAD_BYTES
-
     def _prepare_for_body(self) -> None:
         """Replace the parser by one that expects the skipped body."""
+        assert self._request_head is not None
+        head = self._request_head
         self._skips_body = False
         self._is_preparing = True
         self._parser = HttpRequestParser(self)
         lines = ["POST / HTTP/1.1"]
-        lines += [f"{n}: {v}" for n, v in self._fields if n.lower() in _FRAMING_FIELDS]
-        if not self._keep_alive:
+        lines += [f"{n}: {v}" for n, v in head.fields if n.lower() in _FRAMING_FIELDS]
+        if not head.keep_alive:
             lines.append("Connection: close")
+        self._request_head = None
         self._parser.feed_data(("\r\n".join(lines) + "\r\n\r\n").encode("latin-1"))
 
-    # Callbacks of httptools.
+    # Callbacks of httptools. It reports no fields, and therefore stores none: those of
+    # the head are read from its bytes, and trailers are not used.
 
     def on_message_begin(self) -> None:
         """Start with a new request."""
         if self._is_preparing:
             return
         self._target = b""
-        self._fields = []
-        self._is_in_head = True
         self._receiver.begin_request()
 
     def on_url(self, url: bytes) -> None:
@@ -153,25 +155,27 @@
         if not self._is_preparing:
             self._target += url
 
-    def on_header(self, name: bytes, value: bytes) -> None:
-        """Store a header field; trailers, which nothing uses, are dropped."""
-        if self._is_in_head and not self._is_preparing:
-            self._fields.append((name.decode("latin-1"), value.decode("latin-1")))
-
     def on_headers_complete(self) -> None:
         """Pass the head on."""
         if self._is_preparing:
             self._is_preparing = False
             return
-        self._is_in_head = False
-        self._head_bytes = 0
         method = self._parser.get_method().decode("ascii")
-        self._keep_alive = self._parser.should_keep_alive()
-        self._skips_body = method != "CONNECT" and self._parser.should_upgrade()
-        target = self._target.decode("latin-1")
-        self._receiver.receive_head(
-            RequestHead(method, target, self._fields, self._keep_alive)
+        head = RequestHead(
+            method,
+            self._target.decode("latin-1"),
+            self._head.parse_fields(),
+            self._parser.should_keep_alive(),
         )
+        self._is_in_head = False
+        self._head.clear()
+        self._target = b""
+        self._body_left = head.declared_bytes
+        self._last_bytes = b""
+        self._skips_body = method != "CONNECT" and self._parser.should_upgrade()
+        if self._skips_body:
+            self._request_head = head
+        self._receiver.receive_head(head)
 
     def on_body(self, body: bytes) -> None:
         """Pass a part of the body on."""
@@ -181,6 +185,5 @@
         """Pass the end of the request on, unless its body was skipped."""
         if self._skips_body:
             return
-        self._head_bytes = 0
         self._is_in_head = True
         self._receiver.complete_request()
--- a/packages/entry/src/berylstage_entry/server.py
+++ b/packages/entry/src/berylstage_entry/server.py
@@ -19,7 +19,6 @@
     BAD_GATEWAY,
     BAD_REQUEST,
     GATEWAY_TIMEOUT,
-    HEADERS_TOO_LARGE,
     UNAVAILABLE,
     Response,
     build_text_response,
@@ -42,6 +41,8 @@
 
 # Maximum bytes of a request body while no configuration is known.
 DEFAULT_MAX_BODY_BYTES = 1024 * 1024
+# Maximum bytes of the header lines of a request while no configuration is known.
+DEFAULT_MAX_HEADER_BYTES = 16 * 1024
 # Connections that may wait in the listen queue.
 LISTEN_BACKLOG = 1024
 # Idle timeout of a connection while no configuration is known.
@@ -291,25 +292,10 @@
             min(limits.body_bytes, MAX_BODY_BYTES) if limits else DEFAULT_MAX_BODY_BYTES
         )
 
-    def check_head(self, fields: list[tuple[str, str]]) -> None:
-        """Check the size of a request head.
-
-        Parameters
-        ----------
-        fields : list of tuple
-            Names and values of the header fields.
-
-        Raises
-        ------
-        BadRequest
-            The head exceeds the configured limit.
-        """
+    def header_limit(self) -> int:
+        """Return the maximum number of bytes of the header lines of a request."""
         limits = self._limits()
-        if limits is None:
-            return
-        size = sum(len(name) + len(value) + 4 for name, value in fields)
-        if size > limits.header_bytes:
-            raise BadRequest(HEADERS_TOO_LARGE, "request headers exceed the size limit")
+        return limits.header_bytes if limits else DEFAULT_MAX_HEADER_BYTES
 
     def reject_request(
         self,
