Refuse bodies whose chunks are mostly framing

Callers saw: their connection was held open for as long as they sent. Cause: nothing counted chunk sizes, extensions and trailers, which are neither head nor body. The four tests failed, and pass now. Why it works: what a chunked body has beside its data may take as many bytes as a head, and five more for each byte of data, which is what a chunk of one byte needs. Beyond that the request is refused with 400 and its connection closed.

--- a/packages/entry/src/berylstage_entry/request_parser.py
+++ b/packages/entry/src/berylstage_entry/request_parser.py
@@ -14,6 +14,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+# Bytes beside the data of a chunk of one byte, the shortest one.
+_CHUNK_FRAMING_BYTES = len(b"1\r\n" + b"\r\n")
 # Header fields that say where a body ends.
 _FRAMING_FIELDS = frozenset({"content-length", "transfer-encoding"})
 
@@ -57,8 +59,11 @@
     """
 
     __slots__ = (
+        "_body_bytes",
         "_body_left",
+        "_chunked_bytes",
         "_head",
+        "_head_limit",
         "_is_in_head",
         "_is_preparing",
         "_last_bytes",
@@ -73,10 +78,14 @@
         self._receiver = receiver
         self._parser = HttpRequestParser(self)
         self._head = HeadBuffer(head_limit)
+        self._head_limit = head_limit
         self._target = b""
         self._is_in_head = True
         # Bytes of the body that are still to come; None in a chunked body.
         self._body_left: int | None = None
+        # Bytes of a chunked body on the wire, and those of the body itself.
+        self._chunked_bytes = 0
+        self._body_bytes = 0
         # Last bytes of a chunked body, in which its end may have begun.
         self._last_bytes = b""
         # Whether the parser skips the body because of an offer, and whether another
@@ -100,6 +109,7 @@
         while data:
             size = self._head.take(data) if self._is_in_head else self._take_body(data)
             self._feed_part(data[:size])
+            self._check_framing()
             if not size or (self._is_in_head and self._head.is_complete):
                 # The head and the parser of httptools disagree on where a part ends.
                 raise BadRequest(BAD_REQUEST, "the end of the request is not clear")
@@ -116,8 +126,24 @@
         end = (self._last_bytes + data).find(HEAD_END)
         size = end + len(HEAD_END) - known if end >= 0 else len(data)
         self._last_bytes = (self._last_bytes + data[:size])[1 - len(HEAD_END) :]
+        self._chunked_bytes += size
         return size
 
+    def _check_framing(self) -> None:
+        """Check the bytes around the chunks of a body, and those of its trailers.
+
+        Raises
+        ------
+        BadRequest
+            They exceed the limit of a head, beside what chunks of one byte need.
+        """
+        framing_bytes = self._chunked_bytes - self._body_bytes
+        allowed_bytes = self._head_limit() + _CHUNK_FRAMING_BYTES * self._body_bytes
+        if framing_bytes > allowed_bytes:
+            raise BadRequest(
+                BAD_REQUEST, "the sizes, extensions and trailers of chunks are too long"
+            )
+
     def _feed_part(self, data: bytes) -> None:
         try:
             self._parser.feed_data(data)
@@ -172,6 +198,7 @@
         self._target = b""
         self._body_left = head.declared_bytes
         self._last_bytes = b""
+        self._chunked_bytes = self._body_bytes = 0
         self._skips_body = method != "CONNECT" and self._parser.should_upgrade()
         if self._skips_body:
             self._request_head = head
@@ -179,6 +206,7 @@
 
     def on_body(self, body: bytes) -> None:
         """Pass a part of the body on."""
+        self._body_bytes += len(body)
         self._receiver.receive_body(body)
 
     def on_message_complete(self) -> None:
--- a/packages/entry/tests/test_request_parser.py
+++ b/packages/entry/tests/test_request_parser.py
@@ -9,6 +9,7 @@
 from hypothesis import strategies as st
 
 LIMIT = 200
+CHUNKED = b"POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
 
 
 class Recorder(RequestReceiver):
@@ -109,3 +110,25 @@
                 taken += step
         # An empty line may end the head.
         assert taken <= LIMIT + len(start) + len(b"\r\n")
+
+    @pytest.mark.parametrize(
+        ("start", "filler"),
+        [(b"1;", b"x"), (b"", b"0"), (b"0\r\n", b"a:\r\n"), (b"0\r\na:", b"x")],
+        ids=["extension", "size", "trailers", "trailer"],
+    )
+    def test_endless_framing_is_refused_while_it_arrives(self, start, filler):
+        # Guards against a connection that is held open for as long as a caller sends.
+        recorder = Recorder()
+        parser = RequestParser(recorder, lambda: LIMIT)
+        parser.feed(CHUNKED + start)
+        with pytest.raises(BadRequest):
+            for _ in range(2 * LIMIT):
+                parser.feed(filler)
+        assert recorder.completed == 0
+
+    def test_chunks_of_one_byte_are_read(self):
+        # Guards against refusals of bodies that are sent in short chunks.
+        body = b"1\r\nx\r\n" * (2 * LIMIT) + b"0\r\n\r\n"
+        recorder = parse(CHUNKED, *(bytes([byte]) for byte in body))
+        assert recorder.bodies == [b"x" * (2 * LIMIT)]
+        assert recorder.completed == 1
