Refuse a body that is too large at its head

Callers saw: an order that declares 10^18 bytes got no answer before its body ended, which it never does; a chunked body beyond the limit was read on to 64 MB and dropped. Cause: only routes with uploads compared the declared length with max_body_bytes; elsewhere a refusal waited for the end of the body. Evidence: lengths of 10^18 and 2^63 on: no answer; both tests failed, and a chunked body one byte over the limit got no answer in the connection's test. All pass now (413). Why it works: the length is checked at the head on every route, and a request that is refused is answered at once; the rest of its body is dropped unparsed, for 4 s at most.

--- a/packages/entry/src/berylstage_entry/connection.py
+++ b/packages/entry/src/berylstage_entry/connection.py
@@ -163,10 +163,12 @@
             )
         except BadRequest as exc:
             exchange.refusal = exc
+            exchange.declared_bytes = head.declared_bytes
+            exchange.ends_early = True
             return
         exchange.deadline = exchange.received_at + exchange.req.time_left
         is_upload = self._server.is_upload(exchange.req)
-        if is_upload and not self.memory.admit_upload(exchange, head.declared_bytes):
+        if not self.memory.admit_body(exchange, head.declared_bytes, is_upload):
             return
         expects_continue = any(
             name.lower() == "expect" and value.lower() == "100-continue"
@@ -194,7 +196,7 @@
 
     # Calls from the server and the memory.
 
-    def end_late_upload(self) -> None:
+    def end_late_body(self) -> None:
         """Answer the last request, whose body has not arrived in time."""
         self._end_early()
         self._advance()
@@ -359,9 +361,18 @@
             answered = True
         if answered and not self._exchanges and not self._input_closed:
             self._idle_since = now()
+        self._watch_body()
         self.memory.count_input(len(self._unparsed))
         self.update_reading()
 
+    def _watch_body(self) -> None:
+        """Bound the time in which the rest of the last request's body may arrive."""
+        last = self._exchanges[-1] if self._exchanges else None
+        if last is None or last.is_complete or last.body_timer is not None:
+            return
+        if last.is_upload:
+            self.memory.start_body_timer(last, last.deadline - now())
+
     def _parse(self) -> None:
         while self._unparsed and not self._input_closed and self._may_parse():
             last = self._exchanges[-1] if self._exchanges else None
--- a/packages/entry/src/berylstage_entry/memory/connection_memory.py
+++ b/packages/entry/src/berylstage_entry/memory/connection_memory.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from math import inf
 from typing import TYPE_CHECKING
 
 from berylstage_entry.clock import now
@@ -29,7 +30,9 @@
 # 1 Mbit/s takes 3 s.
 MAX_DROPPING_SECONDS = 4.0
 MAX_DROPPING_IDLE_SECONDS = 1.0
-# Retry-After for an upload whose body did not arrive within its caller's time.
+# Why a body is refused that exceeds the configured limit.
+BODY_TOO_LARGE = "request body exceeds the size limit"
+# Retry-After for a request whose body did not arrive within its caller's time.
 BODY_LATE_RETRY_AFTER_SECONDS = 0.05
 
 
@@ -77,7 +80,7 @@
         self._counted_input = 0
         self._taken_answers = TakenAnswers()
         # Bytes of an answered request that are still to be read and dropped.
-        self._dropped_bytes_left = 0
+        self._dropped_bytes_left = 0.0
         self._dropping_since = 0.0
 
     # Bodies.
@@ -88,13 +91,12 @@
         if exchange.refusal is not None:
             return
         if exchange.body_size > self._body_limit():
-            exchange.refusal = BadRequest(
-                CONTENT_TOO_LARGE, "request body exceeds the size limit"
-            )
+            exchange.refusal = BadRequest(CONTENT_TOO_LARGE, BODY_TOO_LARGE)
         elif self._reserve_body(exchange, len(body)):
             exchange.body += body
             return
         self.drop_body(exchange)
+        exchange.ends_early = True
 
     def _reserve_body(self, exchange: Exchange, size: int) -> bool:
         """Reserve memory for received bytes of a body, or refuse the request."""
@@ -128,42 +130,45 @@
         self._memory.release(exchange.reserved_upload_bytes, True)
         exchange.reserved_bytes = exchange.reserved_upload_bytes = 0
 
-    # Uploads.
-
-    def admit_upload(self, exchange: Exchange, size: int | None) -> bool:
-        """Reserve memory for an upload's declared body, or refuse it without reading.
+    def admit_body(self, exchange: Exchange, size: int | None, is_upload: bool) -> bool:
+        """Admit the body that a request head declares, or refuse it without reading.
 
         Parameters
         ----------
         exchange : Exchange
         size : int or None
             Declared bytes of the body; None if it is chunked.
+        is_upload : bool
+            Whether memory is reserved for all of it.
 
         Returns
         -------
         bool
-            Whether the upload is not refused.
+            Whether the body is not refused.
         """
         assert exchange.req is not None
-        exchange.is_upload = True
+        exchange.is_upload = is_upload
         exchange.declared_bytes = size
         if size is not None and size > self._body_limit():
-            cause = "request body exceeds the size limit"
-            exchange.refusal = BadRequest(CONTENT_TOO_LARGE, cause)
-        elif size is not None and not self._memory.reserve_body(size, True):
+            exchange.refusal = BadRequest(CONTENT_TOO_LARGE, BODY_TOO_LARGE)
+        elif is_upload and size and not self._memory.reserve_body(size, True):
             exchange.refusal = self._memory.refuse_upload(size, exchange.req.time_left)
         if exchange.refusal is not None:
             exchange.ends_early = True
             return False
-        exchange.reserved_upload_bytes = size or 0
+        if is_upload:
+            exchange.reserved_upload_bytes = size or 0
+        return True
+
+    def start_body_timer(self, exchange: Exchange, seconds: float) -> None:
+        """Refuse a request if the rest of its body does not arrive in time."""
         loop = asyncio.get_running_loop()
         exchange.body_timer = loop.call_later(
-            max(0.0, exchange.deadline - now()), self._end_late_upload, exchange
+            max(0.0, seconds), self._end_late_body, exchange
         )
-        return True
 
-    def _end_late_upload(self, exchange: Exchange) -> None:
-        """Refuse an upload whose body has not arrived within its caller's time.
+    def _end_late_body(self, exchange: Exchange) -> None:
+        """Refuse a request whose body has not arrived within its caller's time.
 
         A caller that stops in the middle of a body would otherwise hold its memory
         until its connection is lost.
@@ -174,7 +179,7 @@
         exchange.refusal = Refused("body-late", BODY_LATE_RETRY_AFTER_SECONDS, detail)
         self.drop_body(exchange)
         exchange.ends_early = True
-        self._conn.end_late_upload()
+        self._conn.end_late_body()
 
     # Input.
 
@@ -197,8 +202,11 @@
             Bytes that have been read and not parsed.
         """
         received = exchange.body_size + unparsed
-        if exchange.declared_bytes is not None:
-            self._dropped_bytes_left = exchange.declared_bytes - received
+        self._dropped_bytes_left = (
+            inf
+            if exchange.declared_bytes is None
+            else exchange.declared_bytes - received
+        )
         self._dropping_since = now()
 
     def record_dropped(self, size: int) -> None:
--- a/packages/entry/tests/test_buffer_memory.py
+++ b/packages/entry/tests/test_buffer_memory.py
@@ -186,6 +186,21 @@
 
         run(scenario)
 
+    @pytest.mark.parametrize("path", ["/u", "/o"])
+    def test_chunked_body_above_the_size_limit_is_answered_early(self, run, path):
+        # Guards against bodies that are read and dropped for as long as they last.
+        async def scenario(harness, sleep):
+            head = (
+                f"POST {path} HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+            )
+            size = LIMITS.body_bytes + 1
+            transport = harness.send(head.encode() + b"%x\r\n" % size + b"x" * size)
+            await sleep()
+            assert transport.statuses == [413]
+            assert harness.budget.used == 0
+
+        run(scenario)
+
     def test_upload_without_a_length_counts_as_it_arrives(self, run):
         async def scenario(harness, sleep):
             head = b"POST /u HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
