Bound the time for the body of every request

Callers saw: an order whose body stopped after 5 of 10 bytes was never answered and its connection never closed; enough of them used up the VM's descriptors. Cause: only uploads had a timer, and the idle timer waits while a request is there. Why it works: each body that is not there with its head gets a timer: the caller's deadline, or the route's time-out if that is shorter. Then the request is refused as not run, and its connection closed.

--- a/packages/entry/src/berylstage_entry/application.py
+++ b/packages/entry/src/berylstage_entry/application.py
@@ -67,7 +67,7 @@
 from berylstage_entry.request_log import RequestLog
 from berylstage_entry.responses import Response as PageResponse
 from berylstage_entry.router import Router
-from berylstage_entry.server import CallerServer
+from berylstage_entry.server import DEFAULT_BODY_SECONDS, CallerServer
 from berylstage_entry.shutdown import (
     BALANCER_LAG_SECONDS,
     STOP_SIGNALS,
@@ -343,6 +343,7 @@
             callers, self.router, request_log, self._current_limits, memory
         )
         self.server.is_upload = self._is_upload
+        self.server.body_timeout = self._body_timeout
         self.server.expected_answer_bytes = self._expected_answer_bytes
         self.ready_server = InternalServer({callers.ready_path: self._handle_ready})
         self.control_server = InternalServer(
@@ -608,6 +609,11 @@
         route = self._find_route(req)
         return route is not None and route.is_upload
 
+    def _body_timeout(self, req: CallerRequest) -> float:
+        """Return the longest seconds that the operators let a request's caller wait."""
+        route = self._find_route(req)
+        return route.timeout if route is not None else DEFAULT_BODY_SECONDS
+
     def _expected_answer_bytes(self, req: CallerRequest) -> int:
         """Return the mean size of the answers of a request's route."""
         route = self._find_route(req)
--- a/packages/entry/src/berylstage_entry/connection.py
+++ b/packages/entry/src/berylstage_entry/connection.py
@@ -370,8 +370,10 @@
         last = self._exchanges[-1] if self._exchanges else None
         if last is None or last.is_complete or last.body_timer is not None:
             return
-        if last.is_upload:
-            self.memory.start_body_timer(last, last.deadline - now())
+        if last.req is not None:
+            left = last.deadline - now()
+            limit = self._server.body_timeout(last.req)
+            self.memory.start_body_timer(last, min(left, limit))
 
     def _parse(self) -> None:
         while self._unparsed and not self._input_closed and self._may_parse():
--- a/packages/entry/src/berylstage_entry/server.py
+++ b/packages/entry/src/berylstage_entry/server.py
@@ -43,6 +43,8 @@
 DEFAULT_MAX_BODY_BYTES = 1024 * 1024
 # Maximum bytes of the header lines of a request while no configuration is known.
 DEFAULT_MAX_HEADER_BYTES = 16 * 1024
+# Seconds in which a body must arrive if its request has no route.
+DEFAULT_BODY_SECONDS = 30.0
 # Connections that may wait in the listen queue.
 LISTEN_BACKLOG = 1024
 # Idle timeout of a connection while no configuration is known.
@@ -92,6 +94,10 @@
         self.memory.connections = lambda: self._connections
         # Tells whether a request belongs to a route with large bodies.
         self.is_upload: Callable[[CallerRequest], bool] = lambda req: False
+        # Returns the longest seconds in which the body of a request may arrive.
+        self.body_timeout: Callable[[CallerRequest], float] = lambda req: (
+            DEFAULT_BODY_SECONDS
+        )
         # Returns the expected bytes of the answer to a request.
         self.expected_answer_bytes: Callable[[CallerRequest], int] = lambda req: 0
         # All open connections, including those that still send their last response.
--- a/packages/entry/tests/test_buffer_memory.py
+++ b/packages/entry/tests/test_buffer_memory.py
@@ -201,6 +201,22 @@
 
         run(scenario)
 
+    @pytest.mark.parametrize("timeout", [TIME_LEFT / 2, TIME_LEFT * 2])
+    def test_order_whose_body_stops_is_refused_in_time(self, run, timeout):
+        # Guards against requests that are held for ever, because their bodies stop.
+        async def scenario(harness, sleep):
+            harness.server.body_timeout = lambda req: timeout
+            transport = harness.send(upload_head("/o") + b"u" * 1000)
+            end = min(timeout, TIME_LEFT)
+            await sleep(end - 0.1)
+            assert transport.statuses == []
+            await sleep(0.2)
+            assert transport.statuses == [503]
+            assert harness.router.started == []
+            assert harness.budget.used == 0
+
+        run(scenario)
+
     def test_upload_without_a_length_counts_as_it_arrives(self, run):
         async def scenario(harness, sleep):
             head = b"POST /u HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
--- a/tools/write_tables.py
+++ b/tools/write_tables.py
@@ -185,7 +185,7 @@
 END_REASONS = {
     "answer-lost": ("502", "sent, and no whole answer came; it may have run"),
     "attempts": ("503", "the route's attempts are used up, and none has run"),
-    "body-late": ("503", "the body of an upload did not arrive within its time"),
+    "body-late": ("503", "the rest of a body did not arrive in time"),
     "body-memory": ("503", "the bodies of all requests would fill the VM's memory"),
     "budget": ("503", "the service's repeats are used up"),
     "caller-left": ("none", "the caller closed its connection"),
