Bound the time in which a request head may arrive

Callers saw: a caller that sends a byte now and then kept its connection until the idle timeout, which may be long; enough of them use up the VM's descriptors. Cause: header_timeout_ms was read from the configuration and bounded nothing. Why it works: the time counts from the first byte of the head. Bytes that the VM has not read or parsed yet may be its rest, so it is refused only when there are none: 408, which promises that nothing has run, and the close.

--- a/packages/entry/src/berylstage_entry/connection.py
+++ b/packages/entry/src/berylstage_entry/connection.py
@@ -27,6 +27,7 @@
 from berylstage_entry.request_parser import RequestParser, RequestReceiver
 from berylstage_entry.responses import (
     BAD_REQUEST,
+    REQUEST_TIMEOUT,
     encode_response,
 )
 from berylstage_entry.sockets import (
@@ -95,6 +96,9 @@
         # Set once the last response is written.
         self._graceful_close: GracefulClose | None = None
         self._timer: asyncio.TimerHandle | None = None
+        # When the request that is being received has begun, and the timer of its head.
+        self._begun_at = now()
+        self._head_timer: asyncio.TimerHandle | None = None
 
     # Callbacks of the event loop.
 
@@ -109,8 +113,10 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel all requests, because the caller can no longer receive responses."""
-        if self._timer is not None:
-            self._timer.cancel()
+        for timer in (self._timer, self._head_timer):
+            if timer is not None:
+                timer.cancel()
+        self._head_timer = None
         if exc is None and self._may_be_kept and self._server.keep_open(self):
             return
         self._input_closed = True
@@ -151,6 +157,7 @@
     def begin_request(self) -> None:
         """Take note that a request has begun to arrive."""
         self._in_request = True
+        self._begun_at = now()
 
     def receive_head(self, head: RequestHead) -> None:
         """Create the exchange and interpret the request head."""
@@ -361,10 +368,42 @@
             answered = True
         if answered and not self._exchanges and not self._input_closed:
             self._idle_since = now()
+        self._watch_head()
         self._watch_body()
         self.memory.count_input(len(self._unparsed))
         self.update_reading()
 
+    @property
+    def _is_receiving_head(self) -> bool:
+        """Whether a request head has begun to arrive and is not complete."""
+        is_in_body = bool(self._exchanges) and not self._exchanges[-1].is_complete
+        return self._in_request and not is_in_body
+
+    def _watch_head(self) -> None:
+        """Bound the time in which the rest of a request head may arrive."""
+        if self._is_receiving_head and self._head_timer is None:
+            self._schedule_head_check(self._server.header_timeout)
+
+    def _schedule_head_check(self, seconds: float) -> None:
+        loop = asyncio.get_running_loop()
+        self._head_timer = loop.call_later(seconds, self._check_head)
+
+    def _check_head(self) -> None:
+        """Reject the request whose head takes too long, or schedule the next check."""
+        self._head_timer = None
+        if not self._is_receiving_head or self._input_closed:
+            return
+        left = self._begun_at + self._server.header_timeout - now()
+        if left <= 0 and (self._unparsed or self.has_unread_bytes()):
+            # The rest may have arrived in time. Either the event loop was late, or
+            # earlier requests of the connection hold up the parsing.
+            left = UNREAD_POLL_SECONDS
+        if left > 0:
+            self._schedule_head_check(left)
+            return
+        self._reject(BadRequest(REQUEST_TIMEOUT, "the request head came too slowly"))
+        self._advance()
+
     def _watch_body(self) -> None:
         """Bound the time in which the rest of the last request's body may arrive."""
         last = self._exchanges[-1] if self._exchanges else None
--- a/packages/entry/src/berylstage_entry/server.py
+++ b/packages/entry/src/berylstage_entry/server.py
@@ -49,9 +49,11 @@
 LISTEN_BACKLOG = 1024
 # Idle timeout of a connection while no configuration is known.
 DEFAULT_IDLE_SECONDS = 60.0
-# Added to the configured idle timeout, so that a request which is sent just within the
+# Seconds within which a head must arrive while no configuration is known.
+DEFAULT_HEADER_SECONDS = 30.0
+# Added to the configured timeouts, so that a request which is sent just within the
 # configured time does not cross the close of its connection.
-IDLE_MARGIN_SECONDS = 2.0
+TIMEOUT_MARGIN_SECONDS = 2.0
 # Seconds for which the last step of a stop waits for acknowledgements of answers that
 # have been sent: the longest delay of an acknowledgement on Linux is 40 ms.
 ACKNOWLEDGEMENT_SECONDS = 0.06
@@ -90,6 +92,8 @@
         self.is_stopping = False
         # Seconds for which a connection may stay idle.
         self.idle_timeout = DEFAULT_IDLE_SECONDS
+        # Seconds within which a request head must arrive.
+        self.header_timeout = DEFAULT_HEADER_SECONDS
         self.memory = memory or BufferMemory()
         self.memory.connections = lambda: self._connections
         # Tells whether a request belongs to a route with large bodies.
@@ -286,9 +290,10 @@
             self._socket = None
 
     def set_limits(self, limits: Limits) -> None:
-        """Apply the configured idle timeout."""
+        """Apply the configured timeouts."""
+        self.header_timeout = limits.header_timeout + TIMEOUT_MARGIN_SECONDS
         self.idle_timeout = (
-            max(limits.idle_timeout, limits.header_timeout) + IDLE_MARGIN_SECONDS
+            max(limits.idle_timeout, limits.header_timeout) + TIMEOUT_MARGIN_SECONDS
         )
 
     def body_limit(self) -> int:
--- a/packages/entry/tests/test_connection.py
+++ b/packages/entry/tests/test_connection.py
@@ -616,3 +616,67 @@
             await harness.finish(first)
         assert harness.transport.bodies == expected
         assert harness.server.memory.reserve_body(harness.server.memory.budget.capacity)
+
+
+class TestSlowHeads:
+    """Heads that arrive slowly, or stop."""
+
+    TIMEOUT = 5.0
+
+    @pytest.fixture
+    def run(self, run_in_virtual_time):
+        def run(step):
+            async def run_step(harness):
+                harness.server.header_timeout = self.TIMEOUT
+                await step(harness)
+
+            run_in_virtual_time(run_step)
+
+        return run
+
+    def test_head_that_takes_too_long_is_refused(self, run):
+        # Guards against connections that callers hold open by a byte now and then.
+        async def step(harness):
+            harness.send(get("/a"))
+            await harness.run_loop()
+            await harness.finish("/a")
+            head = post("/b", b"", "a: " + "x" * 1000)
+            for byte in head[: int(self.TIMEOUT) - 1]:
+                harness.send(bytes([byte]))
+                await asyncio.sleep(1.0)
+            assert b"408" not in harness.transport.written
+            await asyncio.sleep(1.1)
+            assert b"HTTP/1.1 408" in harness.transport.written
+            harness.send(head[int(self.TIMEOUT) :])
+            await harness.run_loop()
+            assert harness.router.started == ["/a"]
+
+        run(step)
+
+    def test_head_that_arrives_in_time_is_served(self, run):
+        # Guards against a time that counts from an earlier request.
+        async def step(harness):
+            for path in ("/a", "/b", "/c"):
+                request = get(path)
+                harness.send(request[:20])
+                await asyncio.sleep(self.TIMEOUT - 1.0)
+                harness.send(request[20:])
+                await harness.run_loop()
+                await harness.finish(path)
+            assert harness.transport.bodies == ["/a", "/b", "/c"]
+
+        run(step)
+
+    def test_head_behind_a_request_that_is_served_waits(self, run):
+        # Guards against refusals of heads that the VM itself has no time to parse.
+        async def step(harness):
+            requests = b"".join(get(f"/{n}") for n in range(MAX_PIPELINED_REQUESTS))
+            harness.send(requests + get("/last")[:-2])
+            await asyncio.sleep(self.TIMEOUT - 1.0)
+            harness.send(b"\r\n")
+            await asyncio.sleep(2.0)
+            for n in range(MAX_PIPELINED_REQUESTS):
+                await harness.finish(f"/{n}")
+            assert "/last" in harness.router.started
+
+        run(step)
