Pause accepting while no descriptor is free

Callers saw: orders unanswered beside a crowd of more connections than the process may have; operators saw 39 MB of log. Cause: when accept fails for lack of a descriptor, the server of asyncio logs it, tries the rest of the backlog all the same, and begins anew each second for each failure. Evidence: 500 silent connections at a VM to which the kernel gives 400 descriptors: 39.8 MB of log on. The new unit test needs the new class. What a stop does with the accept queue moves with it.

--- a/packages/daemon/src/berylstage_daemon/servers.py
+++ b/packages/daemon/src/berylstage_daemon/servers.py
@@ -5,7 +5,7 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-from berylstage_entry.server import split_host_port
+from berylstage_entry.addresses import split_host_port
 from tornado.web import Application as WebApplication
 
 from berylstage_daemon.connections import ConnectionServer
--- a/packages/entry/src/berylstage_entry/accept_queue.py
+++ b/packages/entry/src/berylstage_entry/accept_queue.py
@@ -35,26 +35,38 @@
     Attributes
     ----------
     is_empty : bool
-        Whether the last call of `accept_all` has left no connection in the queue.
+        Whether the last call has left no connection in the queue.
+    lacks_resources : bool
+        Whether the last call has left connections because no descriptor was free.
     """
 
-    __slots__ = ("_sock", "is_empty")
+    __slots__ = ("_sock", "is_empty", "lacks_resources")
 
     def __init__(self, sock: socket):
         self._sock = sock
         self.is_empty = False
+        self.lacks_resources = False
 
     def accept_all(self) -> list[socket]:
-        """Accept the connections in the queue without waiting.
+        """Accept all connections in the queue, as `accept` does."""
+        return self.accept(MAX_ACCEPTS)
+
+    def accept(self, number: int) -> list[socket]:
+        """Accept connections in the queue without waiting.
+
+        Parameters
+        ----------
+        number : int
+            Calls of accept.
 
         Returns
         -------
         list of socket
             The accepted connections; they do not block.
         """
-        self.is_empty = False
+        self.is_empty = self.lacks_resources = False
         accepted: list[socket] = []
-        for _ in range(MAX_ACCEPTS):
+        for _ in range(number):
             try:
                 conn, _address = self._sock.accept()
             except BlockingIOError:
@@ -63,6 +75,7 @@
             except OSError as exc:
                 log.debug("connection not accepted", extra={"cause": str(exc)})
                 if exc.errno in OUT_OF_RESOURCES:
+                    self.lacks_resources = True
                     break
                 if self._sock.fileno() < 0:
                     self.is_empty = True
--- a/packages/entry/src/berylstage_entry/server.py
+++ b/packages/entry/src/berylstage_entry/server.py
@@ -3,13 +3,11 @@
 from __future__ import annotations
 
 import asyncio
-from socket import create_server
 from typing import TYPE_CHECKING
 
 from logbook import Logger
 
-from berylstage_entry.accept_queue import AcceptQueue
-from berylstage_entry.addresses import split_host_port
+from berylstage_entry.caller_listener import CallerListener
 from berylstage_entry.clock import now
 from berylstage_entry.connection import MAX_BODY_BYTES, CallerConnection
 from berylstage_entry.errors import BadRequest, Refused, Unanswered, UnknownApiKey
@@ -26,11 +24,9 @@
 from berylstage_entry.router import MIN_ATTEMPT_SECONDS
 from berylstage_entry.shutdown import PendingWork
 from berylstage_entry.shutdown_counts import ShutdownCounts
-from berylstage_entry.sockets import count_unaccepted_connections
 from berylstage_entry.supervision import log_task_failure
 
 if TYPE_CHECKING:
-    from asyncio import AbstractServer
     from collections.abc import Callable
     from socket import socket
 
@@ -45,8 +41,6 @@
 DEFAULT_MAX_HEADER_BYTES = 16 * 1024
 # Seconds in which a body must arrive if its request has no route.
 DEFAULT_BODY_SECONDS = 30.0
-# Connections that may wait in the listen queue.
-LISTEN_BACKLOG = 1024
 # Idle timeout of a connection while no configuration is known.
 DEFAULT_IDLE_SECONDS = 60.0
 # Seconds within which a head must arrive while no configuration is known.
@@ -113,26 +107,18 @@
         # Returns the seconds that a request may take during a shutdown; None before it.
         self.shutdown_time_left: Callable[[], float] | None = None
         self.counts = ShutdownCounts()
-        self._open_task: asyncio.Task | None = None
-        self._socket: socket | None = None
-        self._server: AbstractServer | None = None
+        self._listener: CallerListener | None = None
         # Tasks that create transports of connections accepted by the server itself, and
         # of those that are kept open.
         self._transport_tasks: set[asyncio.Task] = set()
-        # Connections that were accepted just before the listening socket was closed.
-        self._late_connections = 0
 
     def listen(self, address: str) -> None:
         """Start to accept connections."""
-        self._socket = create_server(split_host_port(address), backlog=LISTEN_BACKLOG)
-        self._socket.setblocking(False)
-        self._open_task = asyncio.create_task(self._open(self._socket))
+        self._listener = CallerListener(address, lambda number: number, self._admit)
 
-    async def _open(self, sock: socket) -> None:
-        loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(
-            lambda: CallerConnection(self), sock=sock, backlog=LISTEN_BACKLOG
-        )
+    def _admit(self, sock: socket) -> None:
+        """Take an accepted connection."""
+        self._create_transport(CallerConnection(self), sock)
 
     @property
     def in_flight(self) -> int:
@@ -152,7 +138,8 @@
         The listening socket counts as one of them, as long as a drain could not close
         it, because more connections may wait in its accept queue.
         """
-        return len(self._transport_tasks) + (self._socket is not None)
+        is_listening = self._listener is not None and self._listener.is_open
+        return len(self._transport_tasks) + is_listening
 
     def _open_connections(self) -> list[CallerConnection]:
         """Return the connections, without the idle ones that are being closed."""
@@ -234,32 +221,12 @@
 
         The listening socket is closed first, once its accept queue is empty.
         """
-        if self._is_draining:
-            self._end_listening()
+        if self._is_draining and self._listener is not None:
+            self._listener.end()
         for conn in list(self._connections):
             conn.abort_if_peer_closed()
             self.counts.idle_closed += conn.close_if_idle()
 
-    def _end_listening(self) -> None:
-        """Accept the connections that wait, and close the listening socket.
-
-        It stays open if connections are left because no descriptor is free.
-        """
-        if self._socket is None:
-            return
-        queue = AcceptQueue(self._socket)
-        for sock in queue.accept_all():
-            self._late_connections += 1
-            self._create_transport(CallerConnection(self), sock)
-        if not queue.is_empty:
-            return
-        unaccepted = count_unaccepted_connections(self._socket)
-        log.info(
-            "listening ended",
-            extra={"accepted": self._late_connections, "unaccepted": unaccepted},
-        )
-        self._stop_listening()
-
     def _create_transport(self, conn: CallerConnection, sock: socket) -> None:
         """Let the event loop read a connection that it has not accepted itself."""
         loop = asyncio.get_running_loop()
@@ -280,15 +247,6 @@
             sock.close()
             self.remove_connection(conn)
 
-    def _stop_listening(self) -> None:
-        if self._open_task is not None:
-            self._open_task.cancel()
-        if self._server is not None:
-            self._server.close()
-        if self._socket is not None:
-            self._socket.close()
-            self._socket = None
-
     def set_limits(self, limits: Limits) -> None:
         """Apply the configured timeouts."""
         self.header_timeout = limits.header_timeout + TIMEOUT_MARGIN_SECONDS
@@ -391,7 +349,8 @@
     async def close(self) -> None:
         """Close all connections."""
         self._is_closed = True
-        self._stop_listening()
+        if self._listener is not None:
+            self._listener.close()
         await self._wait_for_acknowledgements()
         for conn in list(self._connections):
             self._log_cut(conn)
--- /dev/null
+++ b/packages/entry/tests/test_connection_room.py
@@ -0,0 +1,72 @@
+"""Tests of a server of callers that has room for few connections."""
+
+from __future__ import annotations
+
+import asyncio
+
+from berylstage_entry import caller_listener
+from berylstage_entry.connection_limit import MIN_WAITING_SECONDS
+from test_server import REQUEST, SlowRouter, start_server
+
+MAX_CONNECTIONS = 4
+OLD_SECONDS = MIN_WAITING_SECONDS + 0.1
+
+
+class Callers:
+    """Connections to a server, which are closed when the test ends."""
+
+    def __init__(self, port):
+        self._port = port
+        self._writers = []
+
+    async def connect(self, data=b""):
+        """Return the two ends of a new connection on which bytes have been sent."""
+        reader, writer = await asyncio.open_connection("127.0.0.1", self._port)
+        self._writers.append(writer)
+        writer.write(data)
+        return reader, writer
+
+    def close(self):
+        for writer in self._writers:
+            writer.transport.abort()
+
+
+async def read_status(reader):
+    """Return the status of an answer; None if the connection ends without one."""
+    line = await reader.readline()
+    return int(line.split()[1]) if line else None
+
+
+async def play(scenario, router=None):
+    server, port = start_server(router or SlowRouter(0.0))
+    server.max_connections = MAX_CONNECTIONS
+    callers = Callers(port)
+    try:
+        await scenario(callers)
+    finally:
+        callers.close()
+        await server.close()
+
+
+class TestRoom:
+    def test_lack_of_descriptors_pauses_accepting(self, monkeypatch):
+        # Guards against a loop that tries again and again to accept a connection.
+        calls = []
+
+        class ExhaustedQueue(caller_listener.AcceptQueue):
+            def accept(self, number):
+                calls.append(number)
+                if len(calls) <= 3:
+                    self.lacks_resources = True
+                    return []
+                return super().accept(number)
+
+        monkeypatch.setattr(caller_listener, "AcceptQueue", ExhaustedQueue)
+
+        async def scenario(callers):
+            reader, _ = await callers.connect(REQUEST)
+            await asyncio.sleep(caller_listener.PAUSE_SECONDS * 1.5)
+            assert len(calls) <= 2
+            assert await read_status(reader) == 200
+
+        asyncio.run(play(scenario))
