Bound the connections of callers, and end those that wait longest

Callers saw: orders unanswered, because a VM without descriptors reaches no target. Cause: limits.max_fds was not read, and nothing bounded the connections of callers. Before an accept, when there is no room, the connections that have been idle or unfinished longest are ended: idle ones closed unless bytes have come, unfinished requests refused as not run. None that waits for less than 0.5 s is ended, so a request in transit arrives; until then new connections wait in the queue.

--- a/packages/entry/src/berylstage_entry/application.py
+++ b/packages/entry/src/berylstage_entry/application.py
@@ -5,6 +5,7 @@
 import asyncio
 import signal
 from random import Random
+from resource import RLIMIT_NOFILE, getrlimit
 from typing import TYPE_CHECKING
 
 from berylstage_policy.suspects import SuspectRegistry
@@ -19,6 +20,7 @@
     CONFIRMATION_REPLY_TYPE,
     CONFIRMATION_REQUEST_TYPE,
 )
+from berylstage_entry.connection_limit import compute_max_connections
 from berylstage_entry.coordinator_election import (
     EXPORT_STATE_PATH,
     LINKS_PATH,
@@ -342,6 +344,9 @@
         self.server = CallerServer(
             callers, self.router, request_log, self._current_limits, memory
         )
+        self.server.max_connections = compute_max_connections(
+            cfg.max_sockets, getrlimit(RLIMIT_NOFILE)[0]
+        )
         self.server.is_upload = self._is_upload
         self.server.body_timeout = self._body_timeout
         self.server.expected_answer_bytes = self._expected_answer_bytes
@@ -410,7 +415,13 @@
         self.probes.start()
         self.router.links.start()
         self.permit_server.start()
-        log.info("started", extra={"callers": self.cfg.callers})
+        log.info(
+            "started",
+            extra={
+                "callers": self.cfg.callers,
+                "max_connections": self.server.max_connections,
+            },
+        )
 
     async def stop(self) -> None:
         """Shut down gracefully.
--- a/packages/entry/src/berylstage_entry/connection.py
+++ b/packages/entry/src/berylstage_entry/connection.py
@@ -16,7 +16,7 @@
 from httptools import HttpParserError, HttpParserUpgrade
 
 from berylstage_entry.clock import now
-from berylstage_entry.errors import BadRequest
+from berylstage_entry.errors import BadRequest, Refused
 from berylstage_entry.exchange import Exchange
 from berylstage_entry.graceful_close import GracefulClose
 from berylstage_entry.memory.connection_memory import (
@@ -24,6 +24,7 @@
     ConnectionMemory,
     compute_parse_bytes,
 )
+from berylstage_entry.request_errors import IMMEDIATE_RETRY_SECONDS
 from berylstage_entry.request_parser import RequestParser, RequestReceiver
 from berylstage_entry.responses import (
     BAD_REQUEST,
@@ -203,8 +204,8 @@
 
     # Calls from the server and the memory.
 
-    def end_late_body(self) -> None:
-        """Answer the last request, whose body has not arrived in time."""
+    def end_unfinished_body(self) -> None:
+        """Answer the last request, which is refused before its body is complete."""
         self._end_early()
         self._advance()
 
@@ -320,6 +321,32 @@
         self._close_idle()
         return True
 
+    @property
+    def waiting_since(self) -> float | None:
+        """Monotonic seconds since when it waits for its caller; None if it does not.
+
+        It waits for the first byte of a request, or for the rest of one that is the
+        only one of the connection.
+        """
+        if self.is_closing_idle or self._graceful_close is not None:
+            return None
+        if not self._exchanges:
+            return self._begun_at if self._in_request else self._idle_since
+        first = self._exchanges[0]
+        return first.received_at if not first.is_complete else None
+
+    def end_waiting(self) -> bool:
+        """End the connection, which waits, to make room; return whether it ends."""
+        refusal = Refused("connections", IMMEDIATE_RETRY_SECONDS)
+        if self._exchanges:
+            self.memory.refuse_unfinished(self._exchanges[0], refusal)
+        elif self._in_request:
+            self._reject(refusal)
+            self._advance()
+        else:
+            return self.close_if_idle()
+        return True
+
     def abort_if_peer_closed(self) -> None:
         """Abort if the caller has closed the connection while reading is paused.
 
@@ -465,7 +492,7 @@
         elif self._exchanges:
             self._exchanges[-1].keep_alive = False
 
-    def _reject(self, exc: BadRequest) -> None:
+    def _reject(self, exc: BadRequest | Refused) -> None:
         """Reject the request that is being received, and stop parsing."""
         self._input_closed = True
         last = self._exchanges[-1] if self._exchanges else None
--- a/packages/entry/src/berylstage_entry/memory/connection_memory.py
+++ b/packages/entry/src/berylstage_entry/memory/connection_memory.py
@@ -176,10 +176,16 @@
         if exchange.is_complete or exchange.refusal is not None:
             return
         detail = f"{exchange.body_size} of {exchange.declared_bytes} bytes arrived"
-        exchange.refusal = Refused("body-late", BODY_LATE_RETRY_AFTER_SECONDS, detail)
+        self.refuse_unfinished(
+            exchange, Refused("body-late", BODY_LATE_RETRY_AFTER_SECONDS, detail)
+        )
+
+    def refuse_unfinished(self, exchange: Exchange, refusal: Refused) -> None:
+        """Refuse a request before its body is complete."""
+        exchange.refusal = refusal
         self.drop_body(exchange)
         exchange.ends_early = True
-        self._conn.end_late_body()
+        self._conn.end_unfinished_body()
 
     # Input.
 
--- a/packages/entry/src/berylstage_entry/server.py
+++ b/packages/entry/src/berylstage_entry/server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from resource import RLIM_INFINITY
 from typing import TYPE_CHECKING
 
 from logbook import Logger
@@ -10,7 +11,13 @@
 from berylstage_entry.caller_listener import CallerListener
 from berylstage_entry.clock import now
 from berylstage_entry.connection import MAX_BODY_BYTES, CallerConnection
+from berylstage_entry.connection_limit import (
+    WaitingConnection,
+    choose_ended_connections,
+    compute_max_connections,
+)
 from berylstage_entry.errors import BadRequest, Refused, Unanswered, UnknownApiKey
+from berylstage_entry.log_rate_limiter import LogRateLimiter
 from berylstage_entry.memory.buffer_memory import BufferMemory
 from berylstage_entry.request_errors import IMMEDIATE_RETRY_SECONDS
 from berylstage_entry.responses import (
@@ -41,6 +48,8 @@
 DEFAULT_MAX_HEADER_BYTES = 16 * 1024
 # Seconds in which a body must arrive if its request has no route.
 DEFAULT_BODY_SECONDS = 30.0
+# Log lines per second about connections that are ended to make room.
+ENDED_LINES_PER_SECOND = 1.0
 # Idle timeout of a connection while no configuration is known.
 DEFAULT_IDLE_SECONDS = 60.0
 # Seconds within which a head must arrive while no configuration is known.
@@ -108,18 +117,58 @@
         self.shutdown_time_left: Callable[[], float] | None = None
         self.counts = ShutdownCounts()
         self._listener: CallerListener | None = None
+        # Most connections that are open at once.
+        self.max_connections = compute_max_connections(None, RLIM_INFINITY)
+        self._ended_limiter = LogRateLimiter(ENDED_LINES_PER_SECOND)
         # Tasks that create transports of connections accepted by the server itself, and
         # of those that are kept open.
         self._transport_tasks: set[asyncio.Task] = set()
 
     def listen(self, address: str) -> None:
         """Start to accept connections."""
-        self._listener = CallerListener(address, lambda number: number, self._admit)
+        self._listener = CallerListener(address, self._make_room, self._admit)
 
     def _admit(self, sock: socket) -> None:
         """Take an accepted connection."""
         self._create_transport(CallerConnection(self), sock)
 
+    def _make_room(self, number: int) -> int:
+        """End connections that wait, if there is no room for new ones.
+
+        Returns
+        -------
+        int
+            New connections for which there is room.
+        """
+        room = (
+            self.max_connections - len(self._connections) - len(self._transport_tasks)
+        )
+        if room < number:
+            room += self._end_waiting(number - room)
+        return room
+
+    def _end_waiting(self, number: int) -> int:
+        """End the connections that have waited longest; return how many ended."""
+        by_id = {id(conn): conn for conn in self._connections}
+        waiting = [
+            WaitingConnection(key, conn.waiting_since)
+            for key, conn in by_id.items()
+            if conn.waiting_since is not None
+        ]
+        chosen = choose_ended_connections(waiting, number, now())
+        ended = sum(by_id[choice.connection].end_waiting() for choice in chosen)
+        if ended and self._ended_limiter.take():
+            log.warning(
+                "waiting connections ended to make room",
+                extra={
+                    "ended": ended,
+                    "open": len(self._connections),
+                    "max": self.max_connections,
+                    "left_out": self._ended_limiter.take_suppressed_count(),
+                },
+            )
+        return ended
+
     @property
     def in_flight(self) -> int:
         """Number of connections with pending work.
--- a/packages/entry/src/berylstage_entry/settings.py
+++ b/packages/entry/src/berylstage_entry/settings.py
@@ -99,6 +99,8 @@
         Seconds between two reports of a target to the store; 0 if it is not known.
     memory_bytes : int or None
         Memory of the VM; None if it is not known.
+    max_sockets : int or None
+        Sockets that the process may open; None if only the kernel limits them.
     """
 
     __slots__ = (
@@ -108,6 +110,7 @@
         "cores",
         "data_centre",
         "link_mbps",
+        "max_sockets",
         "memory_bytes",
         "metrics_port",
         "ready",
@@ -134,6 +137,7 @@
         regions: dict[str, str] | None = None,
         report_interval: float = 0.0,
         memory_bytes: int | None = None,
+        max_sockets: int | None = None,
     ):
         self.vm = vm
         self.data_centre = data_centre
@@ -149,6 +153,7 @@
         self.regions = regions or {}
         self.report_interval = report_interval
         self.memory_bytes = memory_bytes
+        self.max_sockets = max_sockets
 
     def is_in_own_region(self, data_centre: str) -> bool:
         """Tell whether a data centre is in the region of this VM."""
--- a/packages/entry/tests/test_connection_room.py
+++ b/packages/entry/tests/test_connection_room.py
@@ -49,6 +49,52 @@
 
 
 class TestRoom:
+    def test_longest_idle_connection_is_closed(self):
+        # Guards against a VM without descriptors for its targets and the store.
+        async def scenario(callers):
+            idle = [await callers.connect() for _ in range(MAX_CONNECTIONS)]
+            await asyncio.sleep(OLD_SECONDS)
+            idle[0][1].write(REQUEST)
+            assert await read_status(idle[0][0]) == 200
+            reader, _ = await callers.connect(REQUEST)
+            assert await read_status(reader) == 200
+            # What has been used last is kept.
+            await idle[0][0].readuntil(b"whole")
+            idle[0][1].write(REQUEST)
+            assert await read_status(idle[0][0]) == 200
+            assert await idle[1][0].read() == b""
+
+        asyncio.run(play(scenario))
+
+    def test_unfinished_requests_are_refused(self):
+        # Guards against callers that hold all connections by requests without an end.
+        async def scenario(callers):
+            body = REQUEST.replace(b"GET", b"POST")[:-2] + b"Content-Length: 9\r\n\r\n"
+            unfinished = []
+            for data in (body, body, REQUEST[:9], REQUEST[:9]):
+                reader, _ = await callers.connect(data)
+                unfinished.append(reader)
+            await asyncio.sleep(OLD_SECONDS)
+            reader, _ = await callers.connect(REQUEST)
+            assert await read_status(reader) == 200
+            assert [await read_status(r) for r in unfinished] == [503] * 4
+
+        asyncio.run(play(scenario))
+
+    def test_requests_that_are_served_are_not_ended(self):
+        # Guards against requests that are cut to make room for others.
+        async def scenario(callers):
+            served = []
+            for _ in range(MAX_CONNECTIONS):
+                reader, _ = await callers.connect(REQUEST)
+                served.append(reader)
+            await asyncio.sleep(OLD_SECONDS)
+            reader, _ = await callers.connect(REQUEST)
+            assert [await read_status(r) for r in served] == [200] * MAX_CONNECTIONS
+            assert await read_status(reader) == 200
+
+        asyncio.run(play(scenario, SlowRouter(2 * OLD_SECONDS)))
+
     def test_lack_of_descriptors_pauses_accepting(self, monkeypatch):
         # Guards against a loop that tries again and again to accept a connection.
         calls = []
@@ -70,3 +116,13 @@
             assert await read_status(reader) == 200
 
         asyncio.run(play(scenario))
+
+    def test_connections_wait_while_nothing_can_be_ended(self):
+        # Guards against new connections that are reset although there is room soon.
+        async def scenario(callers):
+            for _ in range(MAX_CONNECTIONS):
+                await callers.connect()
+            waiting = [await callers.connect(REQUEST) for _ in range(2)]
+            assert [await read_status(reader) for reader, _ in waiting] == [200] * 2
+
+        asyncio.run(play(scenario))
--- a/tools/write_tables.py
+++ b/tools/write_tables.py
@@ -190,6 +190,7 @@
     "budget": ("503", "the service's repeats are used up"),
     "caller-left": ("none", "the caller closed its connection"),
     "cold": ("503", "the key's owner is cold and has had what it bears"),
+    "connections": ("503", "ended unfinished, to make room for other connections"),
     "ends-targets": ("503", "targets ended under it; refused for a time"),
     "no-configuration": ("503", "this VM has not read a configuration yet"),
     "no-owner": ("503", "the key has no owner, or is on the move"),
