Count large and unfinished heads in the memory budget

Callers saw: nothing; the VM was killed for its memory, with the requests of all others. Cause: the budget counted bodies, answers and unread input, no head; and a request that waits kept its headers as a dictionary of strings, its connection once more as a list. Why it works: a request keeps its headers as one string until they are sent. Headers of more than 4 KiB count with 64 bytes a line, and unfinished heads with their bytes; together they get half of the budget. When it is full, the heads that have been unfinished longest are refused, then new large ones: 503, not run. Small heads always have the other half, and one large head alone always fits.

--- a/packages/entry/src/berylstage_entry/connection.py
+++ b/packages/entry/src/berylstage_entry/connection.py
@@ -98,7 +98,7 @@
         self._graceful_close: GracefulClose | None = None
         self._timer: asyncio.TimerHandle | None = None
         # When the request that is being received has begun, and the timer of its head.
-        self._begun_at = now()
+        self.begun_at = now()
         self._head_timer: asyncio.TimerHandle | None = None
 
     # Callbacks of the event loop.
@@ -129,6 +129,7 @@
         self._cancel_exchanges()
         self._unparsed.clear()
         self.memory.count_input(len(self._unparsed))
+        self.memory.count_head(0)
         self.memory.release_untaken_answers()
         self._server.remove_connection(self)
 
@@ -158,7 +159,7 @@
     def begin_request(self) -> None:
         """Take note that a request has begun to arrive."""
         self._in_request = True
-        self._begun_at = now()
+        self.begun_at = now()
 
     def receive_head(self, head: RequestHead) -> None:
         """Create the exchange and interpret the request head."""
@@ -175,6 +176,9 @@
             exchange.ends_early = True
             return
         exchange.deadline = exchange.received_at + exchange.req.time_left
+        exchange.declared_bytes = head.declared_bytes
+        if not self.memory.admit_head(exchange, head.fields):
+            return
         is_upload = self._server.is_upload(exchange.req)
         if not self.memory.admit_body(exchange, head.declared_bytes, is_upload):
             return
@@ -331,7 +335,7 @@
         if self.is_closing_idle or self._graceful_close is not None:
             return None
         if not self._exchanges:
-            return self._begun_at if self._in_request else self._idle_since
+            return self.begun_at if self._in_request else self._idle_since
         first = self._exchanges[0]
         return first.received_at if not first.is_complete else None
 
@@ -341,12 +345,16 @@
         if self._exchanges:
             self.memory.refuse_unfinished(self._exchanges[0], refusal)
         elif self._in_request:
-            self._reject(refusal)
-            self._advance()
+            self.refuse_unfinished_head(refusal)
         else:
             return self.close_if_idle()
         return True
 
+    def refuse_unfinished_head(self, refusal: Refused) -> None:
+        """Refuse the request whose head is being received."""
+        self._reject(refusal)
+        self._advance()
+
     def abort_if_peer_closed(self) -> None:
         """Abort if the caller has closed the connection while reading is paused.
 
@@ -366,6 +374,7 @@
         self._input_closed = True
         self._unparsed.clear()
         self.memory.count_input(len(self._unparsed))
+        self.memory.count_head(0)
         if self._transport is not None:
             self._transport.close()
         self._server.remove_connection(self)
@@ -398,17 +407,22 @@
         self._watch_head()
         self._watch_body()
         self.memory.count_input(len(self._unparsed))
+        self._count_head()
         self.update_reading()
 
+    def _count_head(self) -> None:
+        is_read = self.is_receiving_head and not self._input_closed
+        self.memory.count_head(self._parser.unfinished_head_bytes if is_read else 0)
+
     @property
-    def _is_receiving_head(self) -> bool:
+    def is_receiving_head(self) -> bool:
         """Whether a request head has begun to arrive and is not complete."""
         is_in_body = bool(self._exchanges) and not self._exchanges[-1].is_complete
         return self._in_request and not is_in_body
 
     def _watch_head(self) -> None:
         """Bound the time in which the rest of a request head may arrive."""
-        if self._is_receiving_head and self._head_timer is None:
+        if self.is_receiving_head and self._head_timer is None:
             self._schedule_head_check(self._server.header_timeout)
 
     def _schedule_head_check(self, seconds: float) -> None:
@@ -418,9 +432,9 @@
     def _check_head(self) -> None:
         """Reject the request whose head takes too long, or schedule the next check."""
         self._head_timer = None
-        if not self._is_receiving_head or self._input_closed:
+        if not self.is_receiving_head or self._input_closed:
             return
-        left = self._begun_at + self._server.header_timeout - now()
+        left = self.begun_at + self._server.header_timeout - now()
         if left <= 0 and (self._unparsed or self.has_unread_bytes()):
             # The rest may have arrived in time. Either the event loop was late, or
             # earlier requests of the connection hold up the parsing.
--- a/packages/entry/src/berylstage_entry/exchange.py
+++ b/packages/entry/src/berylstage_entry/exchange.py
@@ -36,6 +36,8 @@
         Whether its route has large bodies.
     reserved_bytes : int
         Bytes reserved from the memory for bodies and responses.
+    reserved_head_bytes : int
+        Bytes reserved from it for a large head.
     reserved_upload_bytes : int
         Bytes of an upload's body reserved from it.
     ends_early : bool
@@ -61,6 +63,7 @@
         "refusal",
         "req",
         "reserved_bytes",
+        "reserved_head_bytes",
         "reserved_upload_bytes",
         "response",
         "task",
@@ -82,6 +85,7 @@
         self.body_timer: TimerHandle | None = None
         self.deadline = self.received_at
         self.reserved_bytes = 0
+        self.reserved_head_bytes = 0
         self.reserved_upload_bytes = 0
         self.is_complete = False
         self.task: Task | None = None
--- a/packages/entry/src/berylstage_entry/memory/budget.py
+++ b/packages/entry/src/berylstage_entry/memory/budget.py
@@ -9,6 +9,10 @@
 from __future__ import annotations
 
 from math import exp
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
 
 # Largest budget, in bytes: a third of the memory of a VM of 300 MB. Without a limit,
 # five bodies of 64 MB at once would get such a VM killed.
@@ -27,6 +31,16 @@
 # answers of small requests.
 UPLOAD_SHARE = 0.75
 
+# Share of the budget that unfinished and large heads may use. The rest is reserved for
+# small requests.
+HEAD_SHARE = 0.5
+# Memory of a header while its request is sent to a target, in buffered bytes, beside
+# those of its name and value.
+HEADER_LINE_BYTES = 64
+# Bytes of the headers above which a head is large: several times those of an ordinary
+# request.
+LARGE_HEADERS_BYTES = 4 * 1024
+
 # Bytes of answers that may be arriving, as a share of the budget, which counts answers
 # that have arrived. Both are rarely used up at the same time, as the budget leaves out
 # more than a quarter of the memory.
@@ -77,6 +91,12 @@
     return int(ARRIVING_SHARE * compute_budget_bytes(memory_bytes))
 
 
+def compute_headers_bytes(fields: Sequence[tuple[str, str]]) -> int:
+    """Return the memory that the headers of a request take, in buffered bytes."""
+    size = sum(len(name) + len(value) for name, value in fields)
+    return size + len(fields) * HEADER_LINE_BYTES
+
+
 class FreedRate:
     """Rate at which uploads free memory, with the times promised to refused callers.
 
@@ -153,13 +173,15 @@
         Bytes that may be in use together.
     """
 
-    __slots__ = ("capacity", "upload_used", "used")
+    __slots__ = ("capacity", "head_used", "upload_used", "used")
 
     def __init__(self, capacity: int):
         self.capacity = capacity
         self.used = 0
         # Bytes of uploads among them.
         self.upload_used = 0
+        # Bytes of unfinished and large heads among them.
+        self.head_used = 0
 
     @property
     def is_full(self) -> bool:
@@ -186,6 +208,15 @@
             missing = max(missing, self.upload_used + size - limit)
         return max(0, missing)
 
+    def missing_head_bytes(self, size: int) -> int:
+        """Return by how many bytes a large head does not fit; 0 if it fits."""
+        return max(0, self.head_used + size - int(self.capacity * HEAD_SHARE))
+
+    def add_head(self, size: int) -> None:
+        """Count bytes of unfinished or large heads as used, or as free if negative."""
+        self.used += size
+        self.head_used += size
+
     def add(self, size: int, is_upload: bool = False) -> None:
         """Count bytes as used, whether they fit or not."""
         self.used += size
--- a/packages/entry/src/berylstage_entry/memory/buffer_memory.py
+++ b/packages/entry/src/berylstage_entry/memory/buffer_memory.py
@@ -27,9 +27,9 @@
 
 # Seconds between two checks of what callers have taken of their answers.
 TAKEN_CHECK_SECONDS = 0.1
-# Retry-After for a request that is no upload and whose body does not fit. Within this
-# time a target receives a body of that size.
-BODY_RETRY_AFTER_SECONDS = 0.5
+# Retry-After for a request that is no upload and whose head or body does not fit.
+# Within this time a target receives a body of that size.
+RETRY_AFTER_SECONDS = 0.5
 # Log lines per second for refused uploads, as a VM may refuse hundreds in a second.
 REFUSAL_LINES_PER_SECOND = 5.0
 # Log lines per second for pauses of reading, as memory may fill and empty often.
@@ -67,12 +67,71 @@
         self.connections: Callable[[], Iterable[CallerConnection]] = lambda: ()
         self._is_paused = False
         self._update_handle: asyncio.Handle | None = None
+        self._end_heads_handle: asyncio.Handle | None = None
         # Connections with answers that the kernel has not taken.
         self._untaken: set[CallerConnection] = set()
         self._timer: asyncio.TimerHandle | None = None
         # Most bytes that did not fit since the last check.
         self._missing = 0
 
+    # Heads.
+
+    def reserve_large_head(self, size: int) -> bool:
+        """Reserve memory for a large head; return False if it does not fit.
+
+        Requests whose heads are unfinished have to make room for it.
+        """
+        self._end_unfinished_heads(size)
+        if self.budget.missing_head_bytes(size):
+            return False
+        self.budget.add_head(size)
+        self._update_reading()
+        return True
+
+    def release_large_head(self, size: int) -> None:
+        """Release the memory of a large head."""
+        if size:
+            self.budget.add_head(-size)
+            self._update_reading()
+
+    def count_unfinished_head(self, change: int) -> None:
+        """Count bytes of heads that are being received, or that are complete."""
+        if not change:
+            return
+        self.budget.add_head(change)
+        self._update_reading()
+        if self._end_heads_handle is None and self.budget.missing_head_bytes(0):
+            loop = asyncio.get_running_loop()
+            self._end_heads_handle = loop.call_soon(self._end_unfinished_heads, 0)
+
+    def _end_unfinished_heads(self, size: int) -> None:
+        """Refuse the requests whose heads have been unfinished for the longest time.
+
+        Callers that never finish theirs would otherwise keep the memory from others.
+
+        Parameters
+        ----------
+        size : int
+            Bytes that must fit afterwards.
+        """
+        if self._end_heads_handle is not None:
+            self._end_heads_handle.cancel()
+            self._end_heads_handle = None
+        if not self.budget.missing_head_bytes(size):
+            return
+        conns = [conn for conn in self.connections() if conn.is_receiving_head]
+        conns.sort(key=lambda conn: conn.begun_at)
+        for conn in conns:
+            if not self.budget.missing_head_bytes(size):
+                break
+            self._metrics.increment("unfinished head refused for memory")
+            conn.refuse_unfinished_head(Refused("head-memory", RETRY_AFTER_SECONDS))
+
+    def refuse_head(self) -> Refused:
+        """Return the refusal of a request whose large head does not fit."""
+        self._metrics.increment("large head refused for memory")
+        return Refused("head-memory", RETRY_AFTER_SECONDS)
+
     # Bodies and answers.
 
     def reserve_body(self, size: int, is_upload: bool = False) -> bool:
@@ -110,7 +169,7 @@
     def refuse_body(self) -> Refused:
         """Return the refusal of a request whose body does not fit."""
         self._metrics.increment("body refused for memory")
-        return Refused("body-memory", BODY_RETRY_AFTER_SECONDS)
+        return Refused("body-memory", RETRY_AFTER_SECONDS)
 
     def refuse_upload(self, size: int, time_left: float) -> Refused:
         """Return the refusal of an upload whose body does not fit.
--- a/packages/entry/src/berylstage_entry/memory/connection_memory.py
+++ b/packages/entry/src/berylstage_entry/memory/connection_memory.py
@@ -8,12 +8,16 @@
 
 from berylstage_entry.clock import now
 from berylstage_entry.errors import BadRequest, Refused
+from berylstage_entry.memory.budget import (
+    LARGE_HEADERS_BYTES,
+    compute_headers_bytes,
+)
 from berylstage_entry.memory.buffer_memory import TakenAnswers
 from berylstage_entry.responses import CONTENT_TOO_LARGE
 from berylstage_entry.sockets import count_unacknowledged_bytes
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Sequence
 
     from berylstage_entry.connection import CallerConnection
     from berylstage_entry.exchange import Exchange
@@ -78,11 +82,44 @@
         self.transport: asyncio.Transport | None = None
         # Bytes of unread input that are counted in the memory.
         self._counted_input = 0
+        # Bytes of an unfinished head that are counted in the memory.
+        self._counted_head = 0
         self._taken_answers = TakenAnswers()
         # Bytes of an answered request that are still to be read and dropped.
         self._dropped_bytes_left = 0.0
         self._dropping_since = 0.0
 
+    # Heads.
+
+    def admit_head(self, exchange: Exchange, fields: Sequence[tuple[str, str]]) -> bool:
+        """Reserve memory for a large head, or refuse its request.
+
+        Parameters
+        ----------
+        exchange : Exchange
+        fields : sequence of tuple
+            Names and values of the header fields.
+
+        Returns
+        -------
+        bool
+            Whether the request is not refused.
+        """
+        size = compute_headers_bytes(fields)
+        if size <= LARGE_HEADERS_BYTES:
+            return True
+        if not self._memory.reserve_large_head(size):
+            exchange.refusal = self._memory.refuse_head()
+            exchange.ends_early = True
+            return False
+        exchange.reserved_head_bytes = size
+        return True
+
+    def count_head(self, size: int) -> None:
+        """Count the bytes of the head that is being received."""
+        self._memory.count_unfinished_head(size - self._counted_head)
+        self._counted_head = size
+
     # Bodies.
 
     def receive_body(self, exchange: Exchange, body: bytes) -> None:
@@ -128,6 +165,8 @@
             exchange.body_timer.cancel()
         self._memory.release(exchange.reserved_bytes)
         self._memory.release(exchange.reserved_upload_bytes, True)
+        self._memory.release_large_head(exchange.reserved_head_bytes)
+        exchange.reserved_head_bytes = 0
         exchange.reserved_bytes = exchange.reserved_upload_bytes = 0
 
     def admit_body(self, exchange: Exchange, size: int | None, is_upload: bool) -> bool:
--- a/packages/entry/src/berylstage_entry/protocols.py
+++ b/packages/entry/src/berylstage_entry/protocols.py
@@ -28,7 +28,7 @@
     method, host, path : str
         The path includes the query, as sent.
     headers : dict of str to str
-        Headers that are forwarded to the target.
+        Headers that are forwarded to the target; decoded on each use.
     body : bytes
     time_left : float
         Seconds until the caller stops waiting, counted from the arrival of the request.
@@ -48,7 +48,7 @@
     __slots__ = (
         "api_key",
         "body",
-        "headers",
+        "_header_lines",
         "host",
         "key",
         "method",
@@ -74,7 +74,9 @@
         self.method = method
         self.host = host
         self.path = path
-        self.headers = headers
+        # As dozens of objects, the headers of a request that waits would take twenty
+        # times their size.
+        self._header_lines = "\n".join(f"{n}:{v}" for n, v in headers.items())
         self.body = b""
         self.time_left = time_left
         self.waited = 0.0
@@ -82,6 +84,13 @@
         self.api_key = api_key
         self.workspace = ""
 
+    @property
+    def headers(self) -> dict[str, str]:
+        """Headers that are forwarded to the target."""
+        lines = self._header_lines.split("\n") if self._header_lines else []
+        rows = (line.partition(":") for line in lines)
+        return {name: value for name, _, value in rows}
+
 
 class TargetAnswer:
     """A target's answer to a request.
--- a/packages/entry/src/berylstage_entry/request_parser.py
+++ b/packages/entry/src/berylstage_entry/request_parser.py
@@ -115,6 +115,11 @@
                 raise BadRequest(BAD_REQUEST, "the end of the request is not clear")
             data = data[size:]
 
+    @property
+    def unfinished_head_bytes(self) -> int:
+        """Bytes of the head that is being received."""
+        return len(self._head)
+
     def _take_body(self, data: bytes) -> int:
         """Return the number of bytes that surely belong to the request."""
         if self._body_left is not None:
--- a/packages/entry/tests/test_buffer_memory.py
+++ b/packages/entry/tests/test_buffer_memory.py
@@ -8,7 +8,7 @@
 from berylstage_entry.connection import CallerConnection
 from berylstage_entry.errors import Refused
 from berylstage_entry.memory import connection_memory
-from berylstage_entry.memory.budget import MAX_WAIT_SHARE
+from berylstage_entry.memory.budget import HEAD_SHARE, MAX_WAIT_SHARE
 from berylstage_entry.memory.buffer_memory import BufferMemory
 from berylstage_entry.memory.connection_memory import MAX_DROPPING_SECONDS
 from berylstage_entry.memory.untaken_answers import LATE_SECONDS, STALLED_SECONDS
@@ -398,3 +398,62 @@
             assert harness.budget.used == 0
 
         run(scenario, size=MB)
+
+
+def large_head(path, end="\r\n\r\n"):
+    """Return a head whose headers take most of what LIMITS allows."""
+    lines = "\r\n".join(f"{n:x}:" for n in range(LIMITS.header_bytes // 8))
+    return f"GET {path} HTTP/1.1\r\n{lines}{end}".encode()
+
+
+class TestHeads:
+    def test_large_heads_leave_room_for_small_requests(self, run):
+        # Guards against a VM that is killed for the headers of requests that wait.
+        async def scenario(harness, sleep):
+            large = [harness.send(large_head(f"/{n}")) for n in range(4000)]
+            await sleep()
+            served = len(harness.router.started)
+            assert 0 < served < 4000
+            assert sum(t.statuses == [503] for t in large) == 4000 - served
+            assert harness.budget.used <= harness.budget.capacity * HEAD_SHARE
+            harness.send(get("/small"))
+            await sleep()
+            assert harness.router.started[-1] == "/small"
+            for path in list(harness.router.started):
+                harness.router.finish(path)
+            await sleep()
+            assert harness.budget.used == harness.budget.head_used == 0
+
+        run(scenario)
+
+    def test_large_head_is_served_alone(self, run):
+        # Guards against a small VM that serves no large head inside the limits.
+        async def scenario(harness, sleep):
+            harness.send(large_head("/a"))
+            await sleep()
+            assert harness.router.started == ["/a"]
+
+        run(scenario, memory_bytes=MB)
+
+    def test_oldest_unfinished_heads_are_refused(self, run):
+        # Guards against callers that keep the memory by heads which they do not finish.
+        async def scenario(harness, sleep):
+            harness.budget.capacity = 100 * LIMITS.header_bytes
+            head = large_head("/a", "")
+            conns = []
+            for _ in range(300):
+                conns.append(harness.send(head))
+                await sleep(0.01)
+            refused = [t.statuses == [503] for t in conns]
+            assert refused == sorted(refused, reverse=True)
+            assert 0 < refused.count(False) < 300
+            assert harness.budget.head_used <= harness.budget.capacity * HEAD_SHARE
+            conns[-1].conn.data_received(b"\r\n\r\n")
+            await sleep()
+            assert harness.router.started == ["/a"]
+            for transport in conns:
+                transport.conn.connection_lost(None)
+            await sleep()
+            assert harness.budget.used == harness.budget.head_used == 0
+
+        run(scenario)
--- a/tools/write_tables.py
+++ b/tools/write_tables.py
@@ -192,6 +192,7 @@
     "cold": ("503", "the key's owner is cold and has had what it bears"),
     "connections": ("503", "ended unfinished, to make room for other connections"),
     "ends-targets": ("503", "targets ended under it; refused for a time"),
+    "head-memory": ("503", "large or unfinished heads would fill the VM's memory"),
     "no-configuration": ("503", "this VM has not read a configuration yet"),
     "no-owner": ("503", "the key has no owner, or is on the move"),
     "no-room": ("503", "no target would be done in time"),
