Bound the requests in progress of callers that pipeline

Callers saw: nothing; the VM was killed for its memory, with the requests of all others. Cause: each connection starts up to 16 lookups at once, and a request costs some 20 kB while it is served, which nothing counts. The first request of each connection starts all the same, so callers that don't pipeline notice nothing.

--- a/packages/entry/src/berylstage_entry/connection.py
+++ b/packages/entry/src/berylstage_entry/connection.py
@@ -165,6 +165,7 @@
         """Create the exchange and interpret the request head."""
         exchange = Exchange(head.method in SAFE_METHODS, head.keep_alive)
         self._exchanges.append(exchange)
+        self.memory.count_requests(len(self._exchanges))
         self._server.count_request()
         try:
             exchange.req = self._server.protocol.parse_request(
@@ -482,7 +483,7 @@
         if len(self._exchanges) == 1 and not is_last_complete:
             # Reading must go on, because no other event would complete its body.
             return True
-        if self._write_paused or self._server.memory.budget.is_full:
+        if self._write_paused or not self._server.memory.allows_pipelining:
             return False
         return len(self._exchanges) - (not is_last_complete) < MAX_PIPELINED_REQUESTS
 
@@ -513,6 +514,7 @@
         if last is None or last.is_complete:
             last = Exchange(False, False)
             self._exchanges.append(last)
+            self.memory.count_requests(len(self._exchanges))
             self._server.count_request()
         self._in_request = False
         last.is_complete = True
@@ -543,7 +545,8 @@
 
     def _start_ready_requests(self) -> None:
         """Start the requests that need not wait for earlier ones."""
-        is_blocked = self._write_paused or self._server.memory.budget.is_full
+        allows_pipelining = self._server.memory.allows_pipelining
+        is_blocked = self._write_paused or not allows_pipelining
         for index, exchange in enumerate(self._exchanges):
             if not exchange.is_complete or index == MAX_PIPELINED_REQUESTS:
                 return
@@ -584,6 +587,7 @@
         answered = False
         while self._exchanges and self._exchanges[0].response is not None:
             exchange = self._exchanges.popleft()
+            self.memory.count_requests(len(self._exchanges))
             self.memory.release(exchange)
             if exchange.req is not None:
                 self._last_request_id = exchange.req.request_id
@@ -626,6 +630,7 @@
             if exchange.task is not None:
                 exchange.task.cancel()
         self._exchanges.clear()
+        self.memory.count_requests(len(self._exchanges))
 
     # Idle time.
 
--- a/packages/entry/src/berylstage_entry/memory/budget.py
+++ b/packages/entry/src/berylstage_entry/memory/budget.py
@@ -41,6 +41,13 @@
 # request.
 LARGE_HEADERS_BYTES = 4 * 1024
 
+# Memory of a request that is served, in buffered bytes: its task, and its connection to
+# a target.
+REQUEST_BYTES = 12 * 1024
+# Requests in progress up to which further ones of the same connections start, whatever
+# the memory.
+MIN_PIPELINING_REQUESTS = 256
+
 # Bytes of answers that may be arriving, as a share of the budget, which counts answers
 # that have arrived. Both are rarely used up at the same time, as the budget leaves out
 # more than a quarter of the memory.
@@ -208,6 +215,15 @@
             missing = max(missing, self.upload_used + size - limit)
         return max(0, missing)
 
+    @property
+    def max_pipelining_requests(self) -> int:
+        """Requests in progress at which connections with several wait for a response.
+
+        Answers the load of callers that pipeline as many small requests as they may:
+        their bytes are few, but each request costs memory while it is served.
+        """
+        return max(MIN_PIPELINING_REQUESTS, self.capacity // REQUEST_BYTES)
+
     def missing_head_bytes(self, size: int) -> int:
         """Return by how many bytes a large head does not fit; 0 if it fits."""
         return max(0, self.head_used + size - int(self.capacity * HEAD_SHARE))
--- a/packages/entry/src/berylstage_entry/memory/buffer_memory.py
+++ b/packages/entry/src/berylstage_entry/memory/buffer_memory.py
@@ -66,6 +66,8 @@
         # Returns all connections, some of which pause reading while memory is full.
         self.connections: Callable[[], Iterable[CallerConnection]] = lambda: ()
         self._is_paused = False
+        # Requests of all connections from their heads to their responses.
+        self.requests_in_progress = 0
         self._update_handle: asyncio.Handle | None = None
         self._end_heads_handle: asyncio.Handle | None = None
         # Connections with answers that the kernel has not taken.
@@ -206,6 +208,12 @@
 
     # Reading.
 
+    @property
+    def allows_pipelining(self) -> bool:
+        """Whether connections with a request in progress may start another one."""
+        has_room = self.requests_in_progress < self.budget.max_pipelining_requests
+        return has_room and not self.budget.is_full
+
     @property
     def pauses_reading(self) -> bool:
         """Whether no further request is read, because the budget is used up."""
--- a/packages/entry/src/berylstage_entry/memory/connection_memory.py
+++ b/packages/entry/src/berylstage_entry/memory/connection_memory.py
@@ -82,6 +82,8 @@
         self.transport: asyncio.Transport | None = None
         # Bytes of unread input that are counted in the memory.
         self._counted_input = 0
+        # Requests that are counted in the memory.
+        self._counted_requests = 0
         # Bytes of an unfinished head that are counted in the memory.
         self._counted_head = 0
         self._taken_answers = TakenAnswers()
@@ -120,6 +122,11 @@
         self._memory.count_unfinished_head(size - self._counted_head)
         self._counted_head = size
 
+    def count_requests(self, number: int) -> None:
+        """Count the requests in progress."""
+        self._memory.requests_in_progress += number - self._counted_requests
+        self._counted_requests = number
+
     # Bodies.
 
     def receive_body(self, exchange: Exchange, body: bytes) -> None:
--- a/packages/entry/tests/test_buffer_memory.py
+++ b/packages/entry/tests/test_buffer_memory.py
@@ -457,3 +457,26 @@
             assert harness.budget.used == harness.budget.head_used == 0
 
         run(scenario)
+
+
+class TestManyRequests:
+    def test_pipelined_requests_wait_while_many_are_served(self, run):
+        # Guards against a VM that is killed for the number of small requests it serves.
+        async def scenario(harness, sleep):
+            pipelined = get("/a") + get("/b") + get("/c")
+            most = harness.budget.max_pipelining_requests
+            for _ in range(most):
+                harness.send(pipelined)
+            await sleep()
+            # The first request of each connection starts all the same.
+            assert harness.router.started.count("/a") == most
+            assert harness.router.started.count("/b") <= most // 3 + 1
+            last = harness.send(get("/lasta") + get("/lastb") + get("/lastc"))
+            await sleep()
+            assert harness.router.started[-1] == "/lasta"
+            for path in ("/lasta", "/lastb", "/lastc"):
+                harness.router.finish(path)
+                await sleep()
+            assert last.statuses == [200, 200, 200]
+
+        run(scenario)
--- a/tests/stop_environment.py
+++ b/tests/stop_environment.py
@@ -23,6 +23,8 @@
 TARGET_SLOTS = 1000
 # Connections that a target accepts; each VM uses its share of them.
 MAX_TARGET_CONNECTIONS = 20_000
+# Connections that may wait for a target to accept them.
+LISTEN_BACKLOG = 4096
 # Route timeout, so the longest time for which a target may work on a request.
 ROUTE_TIMEOUT_MS = 20_000
 # Seconds from SIGTERM within which the process must exit, as operators configure it.
@@ -209,7 +211,8 @@
         own = {"server": server}
         rows = [(r"/healthz", IdleHealth, own), (r"/.*", SizedAnswerHandler, own)]
         application = Application(rows, log_function=lambda handler: None)
-        HTTPServer(application).listen(port, "127.0.0.1")
+        http_server = HTTPServer(application)
+        http_server.listen(port, "127.0.0.1", backlog=LISTEN_BACKLOG)
         record = {
             "address": f"127.0.0.1:{port}",
             "born": 1,
--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -35,6 +35,7 @@
 OVER_LIMIT_BYTES = 250_000
 MANY_LINES = LINE * (OVER_LIMIT_BYTES // len(LINE))
 PIPELINED = LOOKUP + b" HTTP/1.1\r\n" + HEAD % 0 + LEGAL_LINES + END
+PIPELINED_SMALL = LOOKUP + b" HTTP/1.1\r\n" + HEAD % 0 + END
 UNKNOWN = b"GET /none HTTP/1.1\r\n" + HEAD % 0 + END
 # Largest log of a VM, in bytes, beside a crowd that it cannot accept.
 MAX_LOG_BYTES = 1_000_000
@@ -90,6 +91,7 @@
     "whole-requests": MemoryCrowd(400, LOOKUP, LEGAL_LINES + END),
     "whole-requests-of-different-names": MemoryCrowd(400, LOOKUP, LEGAL_NAMES + END),
     "pipelined-requests": MemoryCrowd(100, LOOKUP, LEGAL_LINES + END, PIPELINED * 15),
+    "pipelined-small-requests": MemoryCrowd(250, LOOKUP, END, PIPELINED_SMALL * 15),
     "idle-connections": MemoryCrowd(400, b"GET /none", LEGAL_LINES + END),
     "unread-answers": MemoryCrowd(100, b"GET /none", END, UNKNOWN * 5000),
     "one-byte-chunks": MemoryCrowd(20, ORDER, CHUNKED, b"1\r\nx\r\n" * 100_000),
