Parse each connection for a share of the event loop's turn

Callers saw: ordinary orders that waited for seconds beside callers of very short chunks. Cause: all bytes of a connection that had been read were parsed in one turn, up to 256 kB; of one-byte chunks these are 43,000 callbacks. (Times are no part of the tests; the new tests set the share to 0 and check the order of requests.) Why it works: after 2 ms the rest of what was read waits for the next turn. A connection with such a rest is not idle: it isn't closed, and a stop answers the requests in it.

--- a/packages/entry/src/berylstage_entry/connection.py
+++ b/packages/entry/src/berylstage_entry/connection.py
@@ -55,6 +55,8 @@
 # Seconds for which the rest of a request, or the first request of a new connection, may
 # still be in transit: twice the retransmission timeout of a lost packet.
 IN_TRANSIT_SECONDS = 0.5
+# Seconds for which one connection is parsed in a turn of the event loop.
+PARSE_TURN_SECONDS = 0.002
 # Seconds between idle checks while the socket has unread bytes.
 UNREAD_POLL_SECONDS = 0.02
 
@@ -100,6 +102,7 @@
         # When the request that is being received has begun, and the timer of its head.
         self.begun_at = now()
         self._head_timer: asyncio.TimerHandle | None = None
+        self._parse_handle: asyncio.Handle | None = None
 
     # Callbacks of the event loop.
 
@@ -114,10 +117,10 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel all requests, because the caller can no longer receive responses."""
-        for timer in (self._timer, self._head_timer):
-            if timer is not None:
-                timer.cancel()
-        self._head_timer = None
+        for handle in (self._timer, self._head_timer, self._parse_handle):
+            if handle is not None:
+                handle.cancel()
+        self._head_timer = self._parse_handle = None
         if exc is None and self._may_be_kept and self._server.keep_open(self):
             return
         self._input_closed = True
@@ -143,7 +146,11 @@
             self.memory.record_dropped(len(data))
             return
         self._unparsed += data
-        self._advance()
+        if self._parse_handle is None:
+            self._advance()
+            return
+        self.memory.count_input(len(self._unparsed))
+        self.update_reading()
 
     def pause_writing(self) -> None:
         """Start no more requests while the caller does not read its responses."""
@@ -217,7 +224,7 @@
     @property
     def is_serving(self) -> bool:
         """Whether a request is being received or served."""
-        return bool(self._exchanges) or self._in_request
+        return bool(self._exchanges or self._unparsed) or self._in_request
 
     @property
     def unacknowledged_bytes(self) -> int:
@@ -318,6 +325,7 @@
             return False
         if (
             self._exchanges
+            or self._unparsed
             or self._graceful_close is not None
             or self.unacknowledged_bytes
             or self.has_unread_bytes()
@@ -333,7 +341,7 @@
         It waits for the first byte of a request, or for the rest of one that is the
         only one of the connection.
         """
-        if self.is_closing_idle or self._graceful_close is not None:
+        if self.is_closing_idle or self._graceful_close is not None or self._unparsed:
             return None
         if not self._exchanges:
             return self.begun_at if self._in_request else self._idle_since
@@ -457,6 +465,8 @@
             self.memory.start_body_timer(last, min(left, limit))
 
     def _parse(self) -> None:
+        """Parse what may be parsed, for one turn's share of the event loop."""
+        end = now() + PARSE_TURN_SECONDS
         while self._unparsed and not self._input_closed and self._may_parse():
             last = self._exchanges[-1] if self._exchanges else None
             size = compute_parse_bytes(last)
@@ -475,6 +485,24 @@
             last = self._exchanges[-1] if self._exchanges else None
             if last is not None and last.ends_early and not last.is_complete:
                 self._end_early()
+            if self._unparsed and now() >= end:
+                self._schedule_parse()
+                break
+        if self._input_closed:
+            self._unparsed.clear()
+
+    def _schedule_parse(self) -> None:
+        """Go on parsing in the next turn of the event loop.
+
+        Callers that send many short chunks would otherwise hold up all others.
+        """
+        if self._parse_handle is None:
+            loop = asyncio.get_running_loop()
+            self._parse_handle = loop.call_soon(self._resume_parsing)
+
+    def _resume_parsing(self) -> None:
+        self._parse_handle = None
+        self._advance()
 
     def _may_parse(self) -> bool:
         if not self._exchanges:
@@ -641,7 +669,7 @@
         left = self._idle_since + self._server.idle_timeout - now()
         if self._exchanges:
             left = self._server.idle_timeout
-        elif left <= 0 and self.has_unread_bytes():
+        elif left <= 0 and (self._unparsed or self.has_unread_bytes()):
             # A request arrived before the timeout. Either the event loop was late, or
             # reading is paused until memory is free.
             left = UNREAD_POLL_SECONDS
--- a/packages/entry/tests/test_connection.py
+++ b/packages/entry/tests/test_connection.py
@@ -5,6 +5,7 @@
 import asyncio
 
 import pytest
+from berylstage_entry import connection
 from berylstage_entry.connection import MAX_PIPELINED_REQUESTS, CallerConnection
 from berylstage_entry.errors import Refused
 from berylstage_entry.memory.connection_memory import MAX_UNPARSED_BYTES
@@ -680,3 +681,53 @@
             assert "/last" in harness.router.started
 
         run(step)
+
+
+class TestTurns:
+    """Shares of the event loop that the parsing of one connection gets."""
+
+    CHUNKS = 5000
+
+    def test_short_chunks_do_not_hold_up_other_connections(
+        self, run_in_virtual_time, monkeypatch
+    ):
+        # Guards against bodies that take long to parse and hold up all other callers.
+        monkeypatch.setattr(connection, "PARSE_TURN_SECONDS", 0.0)
+
+        async def step(harness):
+            head = b"POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+            harness.send(head + b"1\r\nx\r\n" * self.CHUNKS + b"0\r\n\r\n" + get("/c"))
+            other = CallerConnection(harness.server)
+            other.connection_made(Transport())
+            other.data_received(get("/b"))
+            await harness.run_loop()
+            assert harness.router.started == ["/b"]
+            assert not harness.conn.close_if_idle()
+            for _ in range(self.CHUNKS):
+                await harness.run_loop()
+            assert harness.router.started == ["/b", "/a"]
+            await harness.finish("/a")
+            await harness.run_loop()
+            await harness.finish("/c")
+            assert harness.transport.bodies == ["/a" + "x" * self.CHUNKS, "/c"]
+
+        run_in_virtual_time(step)
+
+    def test_requests_that_were_read_are_answered_in_a_stop(
+        self, run_in_virtual_time, monkeypatch
+    ):
+        # Guards against a stop that loses requests which wait to be parsed.
+        monkeypatch.setattr(connection, "PARSE_TURN_SECONDS", 0.0)
+
+        async def step(harness):
+            filler = b"\r\n" * 3000
+            harness.send(filler + get("/a"))
+            assert harness.conn.has_pending_work
+            harness.server.is_stopping = True
+            harness.server.start_draining()
+            for _ in range(4):
+                await harness.run_loop()
+            await harness.finish("/a")
+            assert harness.transport.bodies == ["/a"]
+
+        run_in_virtual_time(step)
