--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -283,6 +283,15 @@
         assert "X-Hop" not in req.headers
         assert "Berylstage-Deadline-Ms" not in req.headers
 
+    def test_many_headers_of_one_connection_are_dropped(self):
+        # Guards against heads that take seconds, because each name that concerns only
+        # one connection is looked for among all headers.
+        names = [f"X-{number}" for number in range(2000)]
+        headers = [("Berylstage-Attempt-Id", "9c41"), ("X-Kept", "1")]
+        headers += [("Connection", ",".join(names)), *((name, "") for name in names)]
+        req = PlatformCallerProtocol().parse_request("GET", "/a/", headers)
+        assert set(req.headers) == {"Berylstage-Attempt-Id", "X-Kept"}
+
     @pytest.mark.parametrize(
         "header",
         [
