Refuse requests whose attempt id cannot be forwarded

Callers saw: 502, so perhaps run, for an order that did not run (its id was named in the Connection header) or that ran (an id with bytes above 127, which no answer matches). Cause: the id was dropped as a header of the connection, or compared with another text.

--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -296,6 +296,8 @@
         "header",
         [
             ("Berylstage-Attempt-Id", ""),
+            ("Berylstage-Attempt-Id", "caf\xe9"),
+            ("Connection", "close, berylstage-attempt-id"),
             ("Berylstage-Deadline-Ms", "soon"),
             ("Berylstage-Deadline-Ms", "inf"),
             ("Berylstage-Deadline-Ms", "nan"),
