Pass over waiting connections that cannot be ended yet

Callers saw: nothing yet; a crowd that doesn't take its answers could have stopped all new connections at the bound, until the idle timeout. Cause: only as many of the longest waiting connections were tried as had to end, and one whose answer is not acknowledged isn't closed. Evidence: the new test, with one such connection, fails without the change and passes now. Why it works: the others are tried in the order in which they wait.

--- a/packages/entry/src/berylstage_entry/connection_limit.py
+++ b/packages/entry/src/berylstage_entry/connection_limit.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from heapq import nsmallest
 from operator import attrgetter
 from resource import RLIM_INFINITY
 from typing import TYPE_CHECKING
@@ -63,24 +62,21 @@
     since: float
 
 
-def choose_ended_connections(
-    waiting: Iterable[WaitingConnection], number: int, now: float
+def order_waiting_connections(
+    waiting: Iterable[WaitingConnection], now: float
 ) -> list[WaitingConnection]:
-    """Return the connections that are ended to make room for new ones.
+    """Return the connections that may be ended, in the order in which they are.
 
     Parameters
     ----------
     waiting : iterable of WaitingConnection
-    number : int
-        Number of connections that must end; fewer are returned if too few have waited
-        for long enough.
     now : float
         Monotonic seconds.
 
     Returns
     -------
     list of WaitingConnection
-        Those that have waited longest.
+        Those that have waited for `MIN_WAITING_SECONDS`, the longest first.
     """
-    old = (conn for conn in waiting if now - conn.since >= MIN_WAITING_SECONDS)
-    return nsmallest(number, old, key=attrgetter("since"))
+    old = [conn for conn in waiting if now - conn.since >= MIN_WAITING_SECONDS]
+    return sorted(old, key=attrgetter("since"))
--- a/packages/entry/src/berylstage_entry/server.py
+++ b/packages/entry/src/berylstage_entry/server.py
@@ -13,8 +13,8 @@
 from berylstage_entry.connection import MAX_BODY_BYTES, CallerConnection
 from berylstage_entry.connection_limit import (
     WaitingConnection,
-    choose_ended_connections,
     compute_max_connections,
+    order_waiting_connections,
 )
 from berylstage_entry.errors import BadRequest, Refused, Unanswered, UnknownApiKey
 from berylstage_entry.log_rate_limiter import LogRateLimiter
@@ -155,8 +155,11 @@
             for key, conn in by_id.items()
             if conn.waiting_since is not None
         ]
-        chosen = choose_ended_connections(waiting, number, now())
-        ended = sum(by_id[choice.connection].end_waiting() for choice in chosen)
+        ended = 0
+        for candidate in order_waiting_connections(waiting, now()):
+            if ended == number:
+                break
+            ended += by_id[candidate.connection].end_waiting()
         if ended and self._ended_limiter.take():
             log.warning(
                 "waiting connections ended to make room",
--- a/packages/entry/tests/test_connection_limit.py
+++ b/packages/entry/tests/test_connection_limit.py
@@ -8,8 +8,8 @@
 from berylstage_entry.connection_limit import (
     MIN_WAITING_SECONDS,
     WaitingConnection,
-    choose_ended_connections,
     compute_max_connections,
+    order_waiting_connections,
 )
 
 
@@ -34,11 +34,11 @@
         waiting = [
             WaitingConnection(n, since) for n, since in enumerate((3.0, 1.0, 2.0))
         ]
-        chosen = choose_ended_connections(waiting, 2, 10.0)
-        assert [conn.connection for conn in chosen] == [1, 2]
+        chosen = order_waiting_connections(waiting, 10.0)
+        assert [conn.connection for conn in chosen] == [1, 2, 0]
 
     def test_new_connections_are_not_ended(self):
         # Guards against callers whose first request is still in transit.
         waiting = [WaitingConnection(1, 10.0), WaitingConnection(2, 9.0)]
-        chosen = choose_ended_connections(waiting, 2, 9.0 + MIN_WAITING_SECONDS)
+        chosen = order_waiting_connections(waiting, 9.0 + MIN_WAITING_SECONDS)
         assert [conn.connection for conn in chosen] == [2]
--- a/packages/entry/tests/test_connection_room.py
+++ b/packages/entry/tests/test_connection_room.py
@@ -5,6 +5,7 @@
 import asyncio
 
 from berylstage_entry import caller_listener
+from berylstage_entry.connection import CallerConnection
 from berylstage_entry.connection_limit import MIN_WAITING_SECONDS
 from test_server import REQUEST, SlowRouter, start_server
 
@@ -66,6 +67,29 @@
 
         asyncio.run(play(scenario))
 
+    def test_connection_that_cannot_be_ended_yet_is_passed_over(self, monkeypatch):
+        # Guards against callers that stop all new ones by an answer they do not take.
+        monkeypatch.setattr(caller_listener, "ACCEPTS_PER_TURN", 1)
+        close_if_idle = CallerConnection.close_if_idle
+        busy = []
+
+        def refuse_first(conn):
+            if not busy:
+                busy.append(conn)
+            return conn not in busy and close_if_idle(conn)
+
+        monkeypatch.setattr(CallerConnection, "close_if_idle", refuse_first)
+
+        async def scenario(callers):
+            for _ in range(MAX_CONNECTIONS):
+                await callers.connect()
+            await asyncio.sleep(OLD_SECONDS)
+            reader, _ = await callers.connect(REQUEST)
+            async with asyncio.timeout(5):
+                assert await read_status(reader) == 200
+
+        asyncio.run(play(scenario))
+
     def test_unfinished_requests_are_refused(self):
         # Guards against callers that hold all connections by requests without an end.
         async def scenario(callers):
