--- a/packages/entry/src/berylstage_entry/connection.py
+++ b/packages/entry/src/berylstage_entry/connection.py
@@ -19,6 +19,7 @@
 from berylstage_entry.errors import BadRequest, Refused
 from berylstage_entry.exchange import Exchange
 from berylstage_entry.graceful_close import GracefulClose
+from berylstage_entry.head_timer import UNREAD_POLL_SECONDS, HeadTimer
 from berylstage_entry.memory.connection_memory import (
     MAX_UNPARSED_BYTES,
     ConnectionMemory,
@@ -28,7 +29,6 @@
 from berylstage_entry.request_parser import RequestParser, RequestReceiver
 from berylstage_entry.responses import (
     BAD_REQUEST,
-    REQUEST_TIMEOUT,
     encode_response,
 )
 from berylstage_entry.sockets import (
@@ -57,8 +57,6 @@
 IN_TRANSIT_SECONDS = 0.5
 # Seconds for which one connection is parsed in a turn of the event loop.
 PARSE_TURN_SECONDS = 0.002
-# Seconds between idle checks while the socket has unread bytes.
-UNREAD_POLL_SECONDS = 0.02
 
 # Methods whose requests may run concurrently with others of the same connection.
 SAFE_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
@@ -101,7 +99,8 @@
         self._timer: asyncio.TimerHandle | None = None
         # When the request that is being received has begun, and the timer of its head.
         self.begun_at = now()
-        self._head_timer: asyncio.TimerHandle | None = None
+        self._head_timer = HeadTimer(self, lambda: server.header_timeout)
+        # Set while the rest of what was read waits for the next turn of the loop.
         self._parse_handle: asyncio.Handle | None = None
 
     # Callbacks of the event loop.
@@ -117,10 +116,11 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel all requests, because the caller can no longer receive responses."""
-        for handle in (self._timer, self._head_timer, self._parse_handle):
+        for handle in (self._timer, self._parse_handle):
             if handle is not None:
                 handle.cancel()
-        self._head_timer = self._parse_handle = None
+        self._parse_handle = None
+        self._head_timer.cancel()
         if exc is None and self._may_be_kept and self._server.keep_open(self):
             return
         self._input_closed = True
@@ -359,9 +359,9 @@
             return self.close_if_idle()
         return True
 
-    def refuse_unfinished_head(self, refusal: Refused) -> None:
+    def refuse_unfinished_head(self, exc: BadRequest | Refused) -> None:
         """Refuse the request whose head is being received."""
-        self._reject(refusal)
+        self._reject(exc)
         self._advance()
 
     def abort_if_peer_closed(self) -> None:
@@ -413,46 +413,26 @@
             answered = True
         if answered and not self._exchanges and not self._input_closed:
             self._idle_since = now()
-        self._watch_head()
+        self._head_timer.watch()
         self._watch_body()
         self.memory.count_input(len(self._unparsed))
         self._count_head()
         self.update_reading()
 
     def _count_head(self) -> None:
-        is_read = self.is_receiving_head and not self._input_closed
-        self.memory.count_head(self._parser.unfinished_head_bytes if is_read else 0)
+        size = self._parser.unfinished_head_bytes if self.is_receiving_head else 0
+        self.memory.count_head(size)
 
     @property
     def is_receiving_head(self) -> bool:
         """Whether a request head has begun to arrive and is not complete."""
         is_in_body = bool(self._exchanges) and not self._exchanges[-1].is_complete
-        return self._in_request and not is_in_body
-
-    def _watch_head(self) -> None:
-        """Bound the time in which the rest of a request head may arrive."""
-        if self.is_receiving_head and self._head_timer is None:
-            self._schedule_head_check(self._server.header_timeout)
+        return self._in_request and not is_in_body and not self._input_closed
 
-    def _schedule_head_check(self, seconds: float) -> None:
-        loop = asyncio.get_running_loop()
-        self._head_timer = loop.call_later(seconds, self._check_head)
-
-    def _check_head(self) -> None:
-        """Reject the request whose head takes too long, or schedule the next check."""
-        self._head_timer = None
-        if not self.is_receiving_head or self._input_closed:
-            return
-        left = self.begun_at + self._server.header_timeout - now()
-        if left <= 0 and (self._unparsed or self.has_unread_bytes()):
-            # The rest may have arrived in time. Either the event loop was late, or
-            # earlier requests of the connection hold up the parsing.
-            left = UNREAD_POLL_SECONDS
-        if left > 0:
-            self._schedule_head_check(left)
-            return
-        self._reject(BadRequest(REQUEST_TIMEOUT, "the request head came too slowly"))
-        self._advance()
+    @property
+    def has_unparsed_bytes(self) -> bool:
+        """Whether bytes have been read and not parsed."""
+        return bool(self._unparsed)
 
     def _watch_body(self) -> None:
         """Bound the time in which the rest of the last request's body may arrive."""
@@ -573,8 +553,7 @@
 
     def _start_ready_requests(self) -> None:
         """Start the requests that need not wait for earlier ones."""
-        allows_pipelining = self._server.memory.allows_pipelining
-        is_blocked = self._write_paused or not allows_pipelining
+        is_blocked = self._write_paused or not self._server.memory.allows_pipelining
         for index, exchange in enumerate(self._exchanges):
             if not exchange.is_complete or index == MAX_PIPELINED_REQUESTS:
                 return
