Soak: crowds of callers that ignore the limits

make soak STOPS=--crowds opens up to 300 connections to one VM, which send what such callers send, beside planned stops, uploads and slow readers.

--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -5,10 +5,11 @@
 ``STOPS=--hold-ups`` for short suspensions of VMs only, ``STOPS=--notices`` for
 targets that name limits, ask for rest or leave in their answers, ``STOPS=--cuts`` for
 VMs that lose their links to targets, ``STOPS=--silent-targets`` for targets that never
-answer what they cannot queue, or ``STOPS=--uploads`` for uploads and slow
-readers. It prints the outcomes of requests and all violations, and exits with status 1
-if there are violations. The seed determines faults and requests; processes are real, so
-the timing of two runs with the same seed differs.
+answer what they cannot queue, ``STOPS=--uploads`` for uploads and slow readers, or
+``STOPS=--crowds`` for crowds of callers that ignore the limits, and stops. It
+prints the outcomes of requests and all violations, and exits with status 1 if there are
+violations. The seed determines faults and requests; processes are real, so the timing
+of two runs with the same seed differs.
 """
 
 from __future__ import annotations
@@ -30,6 +31,7 @@
 sys.path[:0] = [str(HERE.parent), str(HERE.parents[1] / "platform")]
 
 from soak.callers import ANSWER_TIMEOUT_SECONDS, Request  # noqa: E402
+from soak.crowds import CROWDS  # noqa: E402
 from soak.cut_faults import CUTS, VmsCutOff, VmsRefused, VmsReset  # noqa: E402
 from soak.faults import (  # noqa: E402
     DEPARTURES,
@@ -147,6 +149,7 @@
 REFUSED_CUTS_MODE = SoakMode((VmsRefused,), 4, 1.0, 3.0, True)
 SILENT_TARGETS_MODE = SoakMode(FILLED_QUEUES, 4, 0.4, 3.0, has_silent_targets=True)
 UPLOADS_MODE = SoakMode(HELD_BODIES, 4, 0.4, 3.0, has_uploads=True)
+CROWDS_MODE = SoakMode(CROWDS, 4, 0.4, 6.0, has_uploads=True)
 # Options that restrict the faults.
 MODES = (
     ("--stops", "planned stops alone", PLANNED_STOPS_MODE),
@@ -171,6 +174,7 @@
         SILENT_TARGETS_MODE,
     ),
     ("--uploads", "uploads and slow readers", UPLOADS_MODE),
+    ("--crowds", "callers that ignore the limits, and stops", CROWDS_MODE),
 )
 
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -108,3 +108,11 @@
         # Guards against VMs that send more than targets can queue, that wait on a
         # connection which stays silent, or that give up targets which were only full.
         run_soak("--silent-targets", "--seconds=8", "--seed=5")
+
+
+@pytest.mark.failures
+@pytest.mark.failures_ci
+class TestCrowds:
+    def test_callers_that_ignore_the_limits_cost_others_nothing_afterwards(self):
+        # Guards against VMs that keep the connections and the memory of such callers.
+        run_soak("--crowds", "--seconds=8", "--seed=3")
