--- a/packages/entry/src/berylstage_entry/request_head.py
+++ b/packages/entry/src/berylstage_entry/request_head.py
@@ -31,7 +31,7 @@
         Whether further requests may follow on the connection.
     """
 
-    __slots__ = ("fields", "keep_alive", "method", "target")
+    __slots__ = ("declared_bytes", "fields", "keep_alive", "method", "target")
 
     def __init__(
         self,
@@ -44,15 +44,19 @@
         self.target = target
         self.fields = fields
         self.keep_alive = keep_alive
+        # Length of the body; None for a chunked body.
+        self.declared_bytes = _find_declared_bytes(fields)
 
-    @property
-    def declared_bytes(self) -> int | None:
-        """Length of the body; None for a chunked body."""
-        names = {name.lower(): value for name, value in self.fields}
-        if "transfer-encoding" in names:
+
+def _find_declared_bytes(fields: list[tuple[str, str]]) -> int | None:
+    length = "0"
+    for name, value in fields:
+        key = name.lower()
+        if key == "transfer-encoding":
             return None
-        length = names.get("content-length", "0")
-        return int(length) if length.isdecimal() else None
+        if key == "content-length":
+            length = value
+    return int(length) if length.isdecimal() else None
 
 
 class HeadBuffer:
