Let grants of an owner that refuses connections expire

Callers saw two owners of one key: a backend that was cut off by resets for a second lost its keys to others 0.4 to 1 s after the cut began, while it held them for 1 to 2.5 s more.

Cause: refused connections, confirmed by another VM and by all VMs having no open connection or request there, were taken for the end of the process. A cut by resets gives exactly these signs from every VM.

Evidence: on the VM logs "target has terminated: connection refused" with grants left, then "previous owner holds no keys", proof "terminated".

Tests of the removed parts go with them. Violations are checked as before. New: the state machine has targets that refuse, a mutation counts refusals as the end, refusals while the record goes and while the coordinator changes. The soak closes its links when it ends, so that one process can play several installations with links.

--- a/packages/entry/src/berylstage_entry/application.py
+++ b/packages/entry/src/berylstage_entry/application.py
@@ -101,9 +101,6 @@
 )
 from berylstage_entry.suspect_server import SuspectServer
 from berylstage_entry.target_clients import TargetClients
-from berylstage_entry.termination_check import REFUSAL_PATH, TerminationCheck
-from berylstage_entry.work_messages import WORK_QUESTION_TYPE, WORK_REPLY_TYPE
-from berylstage_entry.work_survey import WorkSurvey
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -204,17 +201,7 @@
         self.grant_controller.metrics = self.metrics
         self._host, _ = split_host_port(cfg.callers)
         host = self._host
-        self.work_survey = WorkSurvey(
-            self.target_clients, self.cluster_view, self.membership, host, self.rng
-        )
-        self.termination_check = TerminationCheck(
-            self.cluster_view, self.peer_client, self.rng, self.work_survey.is_idle
-        )
-        self.grant_controller.grant_renewer.confirm_termination = (
-            self.termination_check.is_terminated
-        )
         links = self.router.links
-        self.termination_check.on_reached_by_other = links.record_reached_by_other
         self.election.count_lost_links = lambda: links.health.lost_links
         self.election.has_links = links.accept_new_connections
         self.peer_updates = PeerUpdates(
@@ -317,11 +304,6 @@
         self.peer_datagrams.handlers[CONFIRMATION_REPLY_TYPE] = (
             self.confirmer.receive_reply
         )
-        self.work_survey.send = self.peer_datagrams.send_to
-        self.peer_datagrams.handlers[WORK_QUESTION_TYPE] = (
-            self.work_survey.receive_question
-        )
-        self.peer_datagrams.handlers[WORK_REPLY_TYPE] = self.work_survey.receive_reply
         self.router.authenticator.confirmer = self.confirmer
         self.quota_server = QuotaServer(self.cluster_view, cfg.bounds.quota, self.rng)
         self.quota_client = QuotaClient(
@@ -360,7 +342,6 @@
                 PUSH_PATH: self._handle_peer_updates,
                 RELAY_PATH: self.relay_server.handle,
                 LINKS_PATH: self._handle_links,
-                REFUSAL_PATH: self._handle_refusal,
             },
             cancellable=frozenset({RELAY_PATH}),
         )
@@ -649,7 +630,6 @@
                 self.server.set_limits(limits)
         if self._seen_members_revision != self.membership.revision:
             self._seen_members_revision = self.membership.revision
-            self.work_survey.update_members()
             names = self.membership.names()
             self.router.cold_targets.vm_names = names
             vms = len(names) + ASSUMED_STARTING_VMS
@@ -677,9 +657,6 @@
         lost_links = self.router.links.health.lost_links
         return PageResponse(200, body=str(lost_links).encode())
 
-    async def _handle_refusal(self, body: bytes) -> PageResponse:
-        return PageResponse(200, body=await self.termination_check.answer(body))
-
     def _handle_service_times(self, body: bytes) -> PageResponse:
         return PageResponse(
             200 if self.load_reporter.receive_service_times(body) else 400
--- a/packages/entry/src/berylstage_entry/grant_expiry.py
+++ b/packages/entry/src/berylstage_entry/grant_expiry.py
@@ -19,11 +19,6 @@
 SAFETY_MARGIN_SECONDS = 0.2
 
 
-# Seconds for which connections must be refused before a target's process counts as
-# terminated.
-MIN_REFUSAL_SECONDS = 0.1
-
-
 def extended_grant_seconds(bound: float) -> float:
     """Return the duration of a grant that is to outlast an outage of the store.
 
@@ -84,7 +79,6 @@
         "_grants",
         "is_terminated",
         "probed_at",
-        "refusing_since",
         "unresponsive_since",
     )
 
@@ -93,11 +87,10 @@
         self._grants: list[SentGrant] = []
         # Time since which it has not answered; 0 if it answers.
         self.unresponsive_since = 0.0
-        # Time since which it has refused connections; 0 if it does not.
-        self.refusing_since = 0.0
         # Time of the last probe.
         self.probed_at = float("-inf")
-        # Whether its process has certainly terminated, so that it holds no keys.
+        # Whether another target answers at its address: its process has ended, and it
+        # holds no keys.
         self.is_terminated = False
 
     @property
@@ -151,22 +144,6 @@
     def record_answer(self) -> None:
         """Record an answer."""
         self.unresponsive_since = 0.0
-        self.refusing_since = 0.0
-
-    def record_refusal(self, now: float) -> bool:
-        """Record that the target's port refused a connection.
-
-        Returns whether its process may have terminated: one started in its place holds
-        no keys, so its keys could move before its grants expire. Two refusals are
-        required so that one stray packet does not decide. A target at its connection
-        limit does not count: it accepts connections before it resets them.
-        """
-        self.record_failure(now)
-        if not self.refusing_since:
-            self.refusing_since = now
-        return (
-            not self.is_terminated and now - self.refusing_since >= MIN_REFUSAL_SECONDS
-        )
 
     def record_termination(self, now: float) -> None:
         """Record that the target's process has terminated."""
@@ -175,7 +152,7 @@
         self.unresponsive_since = self.unresponsive_since or now
 
     def record_recovery(self) -> None:
-        """Record that a process is alive that was considered terminated."""
+        """Record that a process answers that was considered terminated."""
         self.is_terminated = False
         self.record_answer()
 
--- a/packages/entry/src/berylstage_entry/grant_renewer.py
+++ b/packages/entry/src/berylstage_entry/grant_renewer.py
@@ -5,7 +5,7 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-from berylstage_transfers.errors import CallFailed, ConnectionRefused, NeverSent
+from berylstage_transfers.errors import CallFailed, NeverSent
 from logbook import Logger
 
 from berylstage_entry.clock import now
@@ -19,8 +19,6 @@
 from berylstage_entry.supervision import log_task_failure
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable, Callable
-
     from berylstage_entry.assignment import Assignment, KeyRange
     from berylstage_entry.cluster_view import ClusterView
     from berylstage_entry.coordinator_election import CoordinatorElection
@@ -28,12 +26,9 @@
     from berylstage_entry.store_watcher import StoreWatcher
     from berylstage_entry.targets import Target
 
-    Confirmation = Callable[[Target, float], Awaitable[bool]]
-
 # Seconds between two checks whether an owner was assigned new keys.
 CHECK_INTERVAL_SECONDS = 0.05
-# Seconds between two probes of an unresponsive target, and between two questions to
-# other VMs about one that refuses connections.
+# Seconds between two probes of an unresponsive target.
 PROBE_INTERVAL_SECONDS = 0.3
 # Seconds between two probes of a target that is considered terminated but still
 # reports. The record of a target that has really terminated is removed after three
@@ -78,12 +73,6 @@
         ] = {}
         # Probes of targets that are considered terminated.
         self._probe_tasks: dict[tuple[str, int], asyncio.Task] = {}
-        # Tells whether a target that refuses connections has terminated, given the
-        # seconds until its grants have expired. A VM cannot tell alone: it may have
-        # lost its links, or the target may be leaving. None if there is nobody to ask.
-        self.confirm_termination: Confirmation | None = None
-        self._confirmations: dict[tuple[str, int], asyncio.Task] = {}
-        self._confirmed_at: dict[tuple[str, int], float] = {}
         # Targets that were granted keys, kept for when their records are removed.
         self._granted_targets: dict[tuple[str, int], Target] = {}
 
@@ -93,11 +82,7 @@
 
     def stop_renewing(self) -> None:
         """Stop renewing grants."""
-        for task in [
-            *self._renewal_tasks.values(),
-            *self._probe_tasks.values(),
-            *self._confirmations.values(),
-        ]:
+        for task in [*self._renewal_tasks.values(), *self._probe_tasks.values()]:
             task.cancel()
         self._renewal_tasks.clear()
         self._probe_tasks.clear()
@@ -140,8 +125,6 @@
         except CallFailed as exc:
             if isinstance(exc, NeverSent):
                 grants.record_unsent(sent)
-            if isinstance(exc, ConnectionRefused):
-                self.record_refusal(target)
             if not grants.unresponsive_since:
                 log.info(
                     "grant not answered",
@@ -187,9 +170,10 @@
     def probe_terminated(self) -> None:
         """Probe targets that are considered terminated but still report.
 
-        A port may refuse connections for a moment although its process is alive.
-        Without this, such a target would never be assigned keys again; if this happened
-        to all targets of a service, none of its keys would have an owner.
+        Another target may have answered although the process is alive, for example if
+        its record named a wrong address for a moment. Without this, such a target would
+        never be assigned keys again; if this happened to all targets of a service, none
+        of its keys would have an owner.
         """
         for identity, grants in self._target_grants.items():
             if (
@@ -280,76 +264,10 @@
                 target, service.health_path, GRANT_TIMEOUT_SECONDS
             )
         except (CallFailed, TargetReplaced) as exc:
-            if isinstance(exc, ConnectionRefused):
-                self.record_refusal(target)
             log.debug("target still unresponsive", extra={"cause": str(exc)})
             return False
         return True
 
-    def record_refusal(self, target: Target) -> None:
-        """Record that a target refused a connection, and find out what that means."""
-        if not self.get_grants(target.identity).record_refusal(now()):
-            return
-        if self.confirm_termination is None:
-            self._record_termination(target)
-        elif self._may_confirm(target.identity):
-            identity = target.identity
-            self._confirmed_at[identity] = now()
-            task = asyncio.create_task(self._confirm(target, self.confirm_termination))
-            self._confirmations[identity] = task
-            task.add_done_callback(lambda _: self._confirmations.pop(identity, None))
-
-    def _may_confirm(self, identity: tuple[str, int]) -> bool:
-        """Tell whether other VMs may be asked about a target again."""
-        asked_at = self._confirmed_at.get(identity, float("-inf"))
-        is_asking = identity in self._confirmations
-        return not is_asking and now() - asked_at >= PROBE_INTERVAL_SECONDS
-
-    async def _confirm(self, target: Target, confirm: Confirmation) -> None:
-        """Take a target for terminated if others agree.
-
-        A VM whose links are cut sees every target refuse connections, and a target that
-        leaves refuses all VMs. If its keys were moved, it would still work on them, and
-        two targets would serve the same keys.
-        """
-        grants = self.get_grants(target.identity)
-        refusing_since, expires_at = grants.refusing_since, grants.expires_at
-        is_confirmed = await confirm(
-            target, self._seconds_until_expiry(target.identity)
-        )
-        # A target that has answered meanwhile, or may have been granted keys for longer
-        # than the other VMs know, is asked about again.
-        is_unchanged = (
-            grants.refusing_since == refusing_since and grants.expires_at <= expires_at
-        )
-        if is_confirmed and is_unchanged:
-            self._record_termination(target)
-        else:
-            log.info(
-                "target refuses connections and may be alive",
-                extra={"target": target.name},
-            )
-
-    def _seconds_until_expiry(self, identity: tuple[str, int]) -> float:
-        """Return the seconds until all grants of any VM to a target have expired."""
-        expires_at = max(
-            self.get_grants(identity).expires_at, self._election.other_grants_expire_at
-        )
-        return max(0.0, expires_at - now())
-
-    def _record_termination(self, target: Target) -> None:
-        grants = self.get_grants(target.identity)
-        log.info(
-            "target has terminated: connection refused",
-            extra={
-                "target": target.name,
-                "refused_for": round(now() - grants.refusing_since, 3),
-                "grants_left": round(self._seconds_until_expiry(target.identity), 3),
-                "is_reporting": target.name in self._cluster_view.known,
-            },
-        )
-        grants.record_termination(now())
-
     def _stable_ranges(self, target: Target) -> list[KeyRange]:
         """Return the ranges of a target that are not being moved."""
         assignment = self._store_watcher.assignments.get(target.service)
--- a/packages/entry/src/berylstage_entry/key_moves.py
+++ b/packages/entry/src/berylstage_entry/key_moves.py
@@ -6,7 +6,7 @@
 import json
 from typing import TYPE_CHECKING
 
-from berylstage_transfers.errors import CallFailed, ConnectionRefused, NeverSent
+from berylstage_transfers.errors import CallFailed, NeverSent
 from logbook import Logger
 
 from berylstage_entry.assignment import KeyRange
@@ -263,8 +263,6 @@
                 "keys not released",
                 extra={"target": target.name, "first": r.first, "cause": str(exc)},
             )
-            if isinstance(exc, ConnectionRefused):
-                self._grant_renewer.record_refusal(target)
             grants.record_failure(now())
             return None
         except TargetReplaced:
--- a/packages/entry/src/berylstage_entry/target_clients.py
+++ b/packages/entry/src/berylstage_entry/target_clients.py
@@ -9,12 +9,9 @@
 from berylstage_transfers.answer_memory import AnswerMemory
 from berylstage_transfers.call import Call
 from berylstage_transfers.client import CallClient
-from berylstage_transfers.errors import AnswerLost, ConnectionClosed, EndedBy
+from berylstage_transfers.errors import AnswerLost, EndedBy
 from berylstage_transfers.idle_limit import IdleLimit
 
-from berylstage_entry.clock import now
-from berylstage_entry.sent_requests import SentRequests
-
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -131,9 +128,8 @@
         Maximum number of connections of this VM to the target.
     idle_limit : IdleLimit
         Learned idle limit of the connections to all targets of the service.
-    sent_requests : SentRequests
     answer_memory : AnswerMemory
-        Both are shared by the clients of all targets.
+        Shared by the clients of all targets.
     """
 
     __slots__ = (
@@ -141,7 +137,6 @@
         "_client",
         "_is_retired",
         "_protocol",
-        "_sent_requests",
         "target",
     )
 
@@ -151,12 +146,10 @@
         protocol: TargetProtocol,
         connections: int,
         idle_limit: IdleLimit,
-        sent_requests: SentRequests,
         answer_memory: AnswerMemory,
     ):
         self.target = target
         self._protocol = protocol
-        self._sent_requests = sent_requests
         self._client = CallClient(
             connections,
             max_idle=MAX_IDLE_SECONDS,
@@ -202,7 +195,6 @@
             echo_header=self._protocol.request_id_header,
             allow_unframed=True,
             unique_headers=self._protocol.unique_headers,
-            may_send=lambda: self._sent_requests.may_send(self.target),
         )
         if attempt is not None:
             attempt.start(self._client, call)
@@ -217,34 +209,18 @@
         return answer
 
     async def _call(self, call: Call) -> Answer:
-        """Make a call, and record it if it was sent and ends without an answer."""
-        ends_at = now() + call.timeout
-        is_closed = False
-        is_answered = False
         self._calls.add(call)
         try:
-            answer = await self._client.call(call)
-            is_answered = True
-        except ConnectionClosed:
-            is_closed = True
-            raise
+            return await self._client.call(call)
         finally:
             self._calls.discard(call)
-            if call.sent and not is_answered:
-                self._sent_requests.record_unanswered(self.target, ends_at, is_closed)
             self._close_if_done()
-        return answer
 
     @property
     def is_busy(self) -> bool:
         """Whether a request is in flight."""
         return bool(self._calls)
 
-    def is_connected(self) -> bool:
-        """Tell whether the target runs a request or has a connection open."""
-        is_running = any(call.sent for call in self._calls)
-        return is_running or self._client.has_open_connection()
-
     def retire(self) -> None:
         """Accept no further requests, and close the connections when all have ended.
 
@@ -283,7 +259,6 @@
         "_protocol",
         "_retired",
         "answer_memory",
-        "sent_requests",
         "vm_count",
     )
 
@@ -293,7 +268,6 @@
         self._idle_limits: dict[str, IdleLimit] = {}
         # Clients of removed targets with requests in flight.
         self._retired: list[TargetClient] = []
-        self.sent_requests = SentRequests()
         self.answer_memory = AnswerMemory()
         # Number of VMs that share a target's connections.
         self.vm_count = 10
@@ -322,7 +296,6 @@
             self._protocol,
             self.connection_share(connections),
             idle_limit,
-            self.sent_requests,
             self.answer_memory,
         )
         self._clients[target.name] = client
@@ -339,21 +312,6 @@
         connection_share = int(connections * CONNECTION_SHARE / self.vm_count)
         return max(MIN_CONNECTIONS, connection_share)
 
-    def may_run_requests(self, identity: tuple[str, int]) -> bool:
-        """Tell whether a target may run requests of this VM, or has a connection open.
-
-        Parameters
-        ----------
-        identity : tuple of (str, int)
-            Name and incarnation of the target.
-        """
-        clients = [*self._clients.values(), *self._retired]
-        return self.sent_requests.may_run(identity) or any(
-            client.is_connected()
-            for client in clients
-            if client.target.identity == identity
-        )
-
     def fail_queued(self, name: str, cause: str) -> None:
         """Fail the requests that wait for a connection to a target."""
         client = self._clients.get(name)
--- a/packages/entry/src/berylstage_entry/target_links.py
+++ b/packages/entry/src/berylstage_entry/target_links.py
@@ -103,13 +103,6 @@
         """Whether this VM has lost its links to all targets."""
         return self.health.is_cut_off
 
-    def record_reached_by_other(self, target: Target) -> None:
-        """Record that another VM reaches a target that has refused this one."""
-        self.health.record_failure(target.name, now())
-        self.health.record_reached_by_other(target.name)
-        self._has_work.set()
-        self._log_change()
-
     async def accept_new_connections(self) -> bool:
         """Tell whether most of a few targets accept a new connection.
 
--- a/packages/entry/tests/test_ownership_machine.py
+++ b/packages/entry/tests/test_ownership_machine.py
@@ -82,6 +82,13 @@
             self.cluster.protocol.unreachable.add(name)
         self.advance(seconds_to_run)
 
+    @rule(name=targets, refuses=st.booleans(), seconds_to_run=seconds)
+    def target_refuses_connections(self, name, refuses, seconds_to_run):
+        self.cluster.protocol.refusing.discard(name)
+        if refuses:
+            self.cluster.protocol.refusing.add(name)
+        self.advance(seconds_to_run)
+
     @rule(name=targets, late=st.sampled_from([0.0, 0.6, 2.5]), seconds_to_run=seconds)
     def orders_are_carried_out_late(self, name, late, seconds_to_run):
         self.cluster.protocol.late.pop(name, None)
--- a/packages/entry/tests/test_ownership_mutations.py
+++ b/packages/entry/tests/test_ownership_mutations.py
@@ -35,6 +35,13 @@
     cluster.run(8.0)
 
 
+def target_refuses_connections(cluster):
+    cluster.protocol.refusing.add("a")
+    cluster.run(1.0)
+    cluster.protocol.refusing.clear()
+    cluster.run(4.0)
+
+
 def coordinator_fails_in_an_outage_with_an_unresponsive_target(cluster):
     # The store is unavailable, so the coordinator has extended all grants. It
     # fails, a target becomes unresponsive, and the store returns.
@@ -110,6 +117,11 @@
     )
 
 
+def terminate_on_failure(self, now):
+    """Take a call without an answer for the end of the target's process."""
+    self.record_termination(now)
+
+
 async def had_contact(self, former):
     return True
 
@@ -119,6 +131,13 @@
 
 
 MUTATIONS = [
+    pytest.param(
+        target_refuses_connections,
+        TargetGrants,
+        "record_failure",
+        terminate_on_failure,
+        id="refused connections taken for the end of a process",
+    ),
     pytest.param(
         draining_target_becomes_unresponsive,
         KeyMoves,
--- a/packages/policy/src/berylstage_policy/threshold_placement.py
+++ b/packages/policy/src/berylstage_policy/threshold_placement.py
@@ -83,8 +83,8 @@
         0.1,
         30.0,
         False,
-        "Nothing listens on the address: the process is gone, and with it its grants. "
-        "Longer than a quick restart on the same address needs.",
+        "Nothing listens on the address, or a cut resets its connections; its grants "
+        "run on. Longer than a quick restart on the same address needs.",
     ),
     Threshold(
         "slow_ratio",
--- a/tests/soak/targets.py
+++ b/tests/soak/targets.py
@@ -191,6 +191,8 @@
     def stop(self) -> None:
         """Stop for good, as the installation is taken down."""
         self.is_stopped = True
+        for link in self.links:
+            link.close()
         if self.http is not None:
             self.http.stop()
 
