Begin a coordinator's term once its VM knows all changes before it

Callers of one key were answered by two owners: a coordinator that was stopped right after it had moved the keys of a target it did not reach was followed, within 0.1 s, by a VM that renewed the target's old grants.

Cause: the watch of the coordinator's key tells a VM of the vacancy ahead of all other changes, and nothing between its election and its first renewal compared its view with the revision of its own key. is_up_to_date says only that no gap is known.

Change: a term begins when the VM knows every change up to the revision of its own key, with the assignments that a delta lists by revision only. All that acts for the coordinator asks is_coordinator, so one rule at one place covers grants, moves, expiry, publishing and extended grants, whatever the order of events.

--- a/packages/entry/src/berylstage_entry/coordinator_election.py
+++ b/packages/entry/src/berylstage_entry/coordinator_election.py
@@ -86,6 +86,9 @@
 # Seconds between two queries to the previous coordinator, and their number.
 QUERY_INTERVAL_SECONDS = 0.3
 QUERY_ATTEMPTS = 3
+# Seconds from a failed read of the changes before a term to the next one. Grants expire
+# meanwhile.
+CATCH_UP_RETRY_SECONDS = 0.1
 
 log = Logger(__name__)
 
@@ -173,12 +176,15 @@
         self._lease_renewed_at = float("-inf")
         self._key_revision = 0
         self._task: asyncio.Task | None = None
+        # Reads what this VM lacks of the changes before its term.
+        self._catch_up_task: asyncio.Task | None = None
         self._takeover_task: asyncio.Task | None = None
         self._extension_task: asyncio.Task | None = None
         self._stopping = False
-        # Set when the coordinator's key has changed, and while this VM has the lease.
+        # Set when the coordinator's key has changed, and while this VM has the lease
+        # and knows all changes before its term.
         self._key_changed = asyncio.Event()
-        self._has_lease = asyncio.Event()
+        self._has_begun = asyncio.Event()
         store_watcher.listeners.append(self._on_store_change)
         self.term = 0
         # Whether this very process was also the coordinator of the previous term.
@@ -208,12 +214,20 @@
 
         Callers must check this right before each grant, because the process may have
         been suspended since the clock was read last.
+
+        The coordinator's key is watched by itself, so a VM can become coordinator ahead
+        of the changes that its predecessor wrote before. By its old view it would renew
+        grants of keys that have moved, and they would have two owners. Its term begins
+        once it knows all that the store had when its key was written.
         """
+        return self._has_begun.is_set() and self._has_valid_lease()
+
+    def _has_valid_lease(self) -> bool:
         return bool(self._lease) and now() < self._lease_renewed_at + LEASE_SECONDS
 
-    async def wait_for_lease(self) -> None:
-        """Wait until this VM has the coordinator lease, even if it may not grant."""
-        await self._has_lease.wait()
+    async def wait_for_term(self) -> None:
+        """Wait until a term of this VM has begun, even if it may not grant any more."""
+        await self._has_begun.wait()
 
     def grant_seconds(self) -> float:
         """Return the duration in seconds of a grant made now."""
@@ -236,7 +250,7 @@
         body : bytes
             Number of the term.
         """
-        return body == str(self.term).encode() and not self.is_coordinator()
+        return body == str(self.term).encode() and not self._has_valid_lease()
 
     def write_condition(self) -> Condition:
         """Return the condition under which this VM may write assignments."""
@@ -445,7 +459,6 @@
             return
         self.succeeds_itself = self.term == previous.number and self.term > 0
         self._lease, self._lease_renewed_at, self._key_revision = lease, sent, revision
-        self._has_lease.set()
         self._term_start = sent
         self.term = current.number
         self.extends_grants = False
@@ -465,10 +478,27 @@
                 "revision": revision,
             },
         )
+        self._catch_up_task = asyncio.create_task(self._catch_up(revision))
         self._takeover_task = asyncio.create_task(
             self._await_earlier_grants(previous, current)
         )
 
+    async def _catch_up(self, revision: int) -> None:
+        """Read the changes up to the revision of this VM's key, and begin its term."""
+        start_time = now()
+        while not self._store_watcher.knows_changes_until(revision):
+            try:
+                await self._store_watcher.read_until(revision)
+            except StoreError as exc:
+                log.info("changes before the term not read", extra={"cause": str(exc)})
+                await asyncio.sleep(CATCH_UP_RETRY_SECONDS)
+        if self._key_revision == revision and self._lease:
+            self._has_begun.set()
+            log.info(
+                "term begun",
+                extra={"term": self.term, "seconds": round(now() - start_time, 3)},
+            )
+
     def _extended_grant_seconds(self) -> float:
         return extended_grant_seconds(self._cfg.bounds.max_grant_seconds)
 
@@ -549,6 +579,8 @@
         if self._lease:
             log.info("duty given up", extra={"why": reason, "term": self.term})
         self._lease = 0
-        self._has_lease.clear()
+        self._has_begun.clear()
+        if self._catch_up_task is not None:
+            self._catch_up_task.cancel()
         self.extends_grants = False
         self.other_grants_expire_at = float("inf")
--- a/packages/entry/src/berylstage_entry/grant_controller.py
+++ b/packages/entry/src/berylstage_entry/grant_controller.py
@@ -190,7 +190,7 @@
             else:
                 # The VM becomes coordinator again if it renews its lease late.
                 await asyncio.sleep(VACANCY_CHECK_SECONDS)
-                await self._election.wait_for_lease()
+                await self._election.wait_for_term()
 
     def _cancel_tasks(self) -> None:
         self.grant_renewer.stop_renewing()
--- a/packages/entry/src/berylstage_entry/large_values.py
+++ b/packages/entry/src/berylstage_entry/large_values.py
@@ -42,6 +42,14 @@
         """Return the newest revision of a key that is known to exist; 0 for none."""
         return self._wanted_revisions.get(key, 0)
 
+    def is_missing(self, prefix: str) -> bool:
+        """Tell whether a newer value of a key with a prefix exists than was applied."""
+        return any(
+            self.known_revision(key) < wanted
+            for key, wanted in self._wanted_revisions.items()
+            if key.startswith(prefix)
+        )
+
     def note_revision(self, key: str, revision: int) -> None:
         """Record that a value was applied, whichever way it arrived."""
         self._revisions[key] = max(self.known_revision(key), revision)
--- a/packages/entry/src/berylstage_entry/store_access/call_counts.py
+++ b/packages/entry/src/berylstage_entry/store_access/call_counts.py
@@ -43,6 +43,7 @@
     FIRST_READ = "first"
     COMPACTED = "compacted"
     OLD_VIEW = "old_view"
+    TAKEOVER = "takeover"
     PUBLISHER = "publisher"
     NO_UPDATE = "no_update"
     MISSED_CHANGES = "missed_changes"
--- a/packages/entry/src/berylstage_entry/store_watcher.py
+++ b/packages/entry/src/berylstage_entry/store_watcher.py
@@ -188,6 +188,42 @@
         """
         return not self._needs_full_read and not self._connectivity.is_disconnected()
 
+    def knows_changes_until(self, revision: int) -> bool:
+        """Return whether this VM knows every change up to a revision.
+
+        Deltas list assignments by revision only, so their values may still be missing
+        although the revision is reached.
+        """
+        return (
+            not self._needs_full_read
+            and self._revision >= revision
+            and not self._large_values.is_missing(ASSIGNMENT_PREFIX)
+        )
+
+    async def read_until(self, revision: int) -> None:
+        """Make one call for what this VM lacks of the changes up to a revision.
+
+        Raises
+        ------
+        StoreError
+        """
+        try:
+            if self._needs_full_read or self._should_read_all():
+                await self._read_all()
+            elif self._revision < revision:
+                await self._watch_all(CallCause.TAKEOVER, 0.0)
+            elif self._large_values.is_missing(ASSIGNMENT_PREFIX):
+                changes = await self._calls(CallCause.TAKEOVER).read(ASSIGNMENT_PREFIX)
+                for item in changes.items:
+                    self._applied.apply(item)
+        except RevisionCompacted:
+            self._needs_full_read = True
+            raise
+        except StoreError as exc:
+            self.record_failure(exc)
+            raise
+        self.record_success()
+
     def request_refresh(self, cause: CallCause = CallCause.OTHER) -> None:
         """Request an early read, because this VM's view has proved outdated."""
         if not self._read_requested.is_set():
@@ -448,7 +484,11 @@
                 if self._needs_full_read or self._should_read_all():
                     await self._read_all()
                 else:
-                    await self._watch_all()
+                    # A publisher suspended during a long wait could not tell how old
+                    # the answer is. The answer to a call that does not wait is no older
+                    # than the call took, by a clock that counts suspended time.
+                    wait = 0.0 if self.is_publishing() else WATCH_WAIT_SECONDS
+                    await self._watch_all(self._read_cause, wait)
                 self._last_read_at = self._up_to_date_at = now()
                 self._missed_revision = 0
                 self.view_time = max(self.view_time, began_at)
@@ -542,14 +582,10 @@
         )
         self._applied.notify_listeners("read")
 
-    async def _watch_all(self) -> None:
+    async def _watch_all(self, cause: CallCause, wait: float) -> None:
         delta, started_at = StoreDelta(self._revision, 0, []), now()
-        # A publisher suspended during a long wait could not tell how old the answer is.
-        # The answer to a call that does not wait is no older than the call took, by a
-        # clock that counts suspended time.
         is_publishing = self.is_publishing()
-        wait = 0.0 if is_publishing else WATCH_WAIT_SECONDS
-        changes = await self._calls(self._read_cause).watch("", self._revision, wait)
+        changes = await self._calls(cause).watch("", self._revision, wait)
         was_updated = self._revision != delta.after
         for item in changes.items:
             # Older changes must not overwrite a delta that arrived during the watch.
--- a/packages/entry/tests/cluster_simulation.py
+++ b/packages/entry/tests/cluster_simulation.py
@@ -160,6 +160,19 @@
         self.failed_targets.add(name)
         self.protocol.silent.add(name)
 
+    def move_keys_of_unreachable_target(self, name):
+        """Have no VM reach a target until others get the first of its keys."""
+        # The other VMs then read the store some 0.3 s after the move.
+        self.run(0.6)
+        keys = [key for key in SAMPLED_KEYS if self.protocol.holder(key) == [name]]
+        self.protocol.unreachable.add(name)
+        for _ in range(1000):
+            self.run(0.01)
+            holders = [holder for key in keys for holder in self.protocol.holder(key)]
+            if any(holder != name for holder in holders):
+                return
+        raise AssertionError("no key has moved")
+
     def write_record(self, name, **fields):
         """Set fields of a target's record."""
         self.records[name] = fields | {"incarnation": self.incarnations[name]}
--- a/packages/entry/tests/test_coordinator_election.py
+++ b/packages/entry/tests/test_coordinator_election.py
@@ -8,7 +8,9 @@
 import pytest
 from berylstage_entry.clock import now
 from berylstage_entry.coordinator_election import LEASE_SECONDS, MIN_TERM_SECONDS
+from berylstage_entry.errors import StoreUnavailable
 from berylstage_entry.store_keys import COORDINATOR_KEY
+from berylstage_entry.store_watcher import StoreWatcher
 from cluster_simulation import VMS, ClusterSimulation
 from fakes import LateAnswers, StoreView
 from virtual_time import virtual_loop
@@ -147,6 +149,52 @@
         assert not cluster.violations()
 
 
+class TestTakeover:
+    """A VM becomes coordinator ahead of its predecessor's last changes."""
+
+    @pytest.mark.parametrize("seconds", [0.0, 0.05, 0.1, 0.2, 0.4])
+    def test_grants_of_keys_that_have_moved_are_not_renewed(self, cluster, seconds):
+        # Guards against keys with two owners, because a new coordinator renews grants
+        # by an assignment from before its predecessor's last moves.
+        cluster.move_keys_of_unreachable_target("a")
+        cluster.run(seconds)
+        cluster.protocol.unreachable.clear()
+        cluster.stop(coordinators(cluster)[0])
+        cluster.run(6.0)
+        assert len(coordinators(cluster)) == 1
+        assert not cluster.violations()
+        assert not cluster.keys_without_holder()
+
+    def test_nothing_is_granted_while_earlier_changes_cannot_be_read(
+        self, cluster, monkeypatch
+    ):
+        # Guards against a term that begins although the store answers no read.
+        async def fail(self, revision):
+            raise StoreUnavailable("no answer")
+
+        cluster.move_keys_of_unreachable_target("a")
+        cluster.protocol.unreachable.clear()
+        with monkeypatch.context() as patch:
+            patch.setattr(StoreWatcher, "read_until", fail)
+            patch.setattr(StoreWatcher, "knows_changes_until", lambda *_: False)
+            cluster.stop(coordinators(cluster)[0])
+            cluster.run(1.0)
+            assert not coordinators(cluster)
+        cluster.run(6.0)
+        assert len(coordinators(cluster)) == 1
+        assert not cluster.violations()
+
+    def test_changes_that_the_store_has_compacted(self, cluster):
+        # Guards against a new coordinator that never begins, or begins too early.
+        cluster.move_keys_of_unreachable_target("a")
+        cluster.protocol.unreachable.clear()
+        cluster.store.compacted = cluster.store.revision
+        cluster.stop(coordinators(cluster)[0])
+        cluster.run(6.0)
+        assert len(coordinators(cluster)) == 1
+        assert not cluster.violations()
+
+
 class TestIdleVm:
     def test_other_vms_sleep_while_nothing_changes(self, cluster):
         # Hundreds of VMs serve besides the coordinator. Each that checked the election
--- a/packages/entry/tests/test_ownership_mutations.py
+++ b/packages/entry/tests/test_ownership_mutations.py
@@ -14,6 +14,7 @@
 from berylstage_entry.grant_expiry import GRANT_TIMEOUT_SECONDS, TargetGrants
 from berylstage_entry.grant_renewer import CHECK_INTERVAL_SECONDS, GrantRenewer
 from berylstage_entry.key_moves import KeyMoves
+from berylstage_entry.store_watcher import StoreWatcher
 from cluster_simulation import VMS, ClusterSimulation
 from virtual_time import virtual_loop
 
@@ -117,6 +118,15 @@
     )
 
 
+def coordinator_stops_after_a_move(cluster):
+    # The other VMs have not read of the move. The target is reached again, and has seen
+    # no higher fence for the keys that have moved.
+    cluster.move_keys_of_unreachable_target("a")
+    cluster.protocol.unreachable.clear()
+    cluster.stop(get_coordinator(cluster))
+    cluster.run(4.0)
+
+
 def terminate_on_failure(self, now):
     """Take a call without an answer for the end of the target's process."""
     self.record_termination(now)
@@ -152,6 +162,13 @@
         lambda self, now, seconds, first, last: None,
         id="orders without an answer forgotten",
     ),
+    pytest.param(
+        coordinator_stops_after_a_move,
+        StoreWatcher,
+        "knows_changes_until",
+        lambda self, revision: True,
+        id="a term that begins before its changes are known",
+    ),
     pytest.param(
         coordinator_fails_in_an_outage_with_an_unresponsive_target,
         CoordinatorElection,
--- a/packages/entry/tests/test_store_watcher.py
+++ b/packages/entry/tests/test_store_watcher.py
@@ -10,6 +10,7 @@
 from berylstage_entry.clock import now
 from berylstage_entry.cluster_view import ClusterView
 from berylstage_entry.errors import StoreUnavailable
+from berylstage_entry.store_access.call_counts import CallCause
 from berylstage_entry.store_access.read_timing import (
     OUTAGE_CALLS_PER_SECOND,
     RETRY_SECONDS,
@@ -189,6 +190,36 @@
         )
 
 
+class TestReadUntil:
+    """What a new coordinator must know before its term begins."""
+
+    def test_assignment_that_a_delta_lists_by_revision_only(self):
+        # Guards against a term that begins with an assignment from before the last
+        # move, although this VM has reached the term's revision.
+        with virtual_loop() as loop:
+            store = MemoryStore()
+            store.put("cfg", b"1")
+            key = ASSIGNMENT_PREFIX + "s"
+            store.put(key, unassigned().encode())
+            records = JsonRecords({1: configuration(1)})
+            store_watcher = StoreWatcher(store, records, ClusterView())
+
+            async def step():
+                await store_watcher._read_all()
+                after = store_watcher.revision
+                moved = store.put(key, unassigned().encode())
+                delta = StoreDelta(after, moved, [], {key: moved})
+                assert store_watcher.apply_delta(delta)
+                assert store_watcher.revision == moved
+                assert not store_watcher.knows_changes_until(moved)
+                await store_watcher.read_until(moved)
+                assert store_watcher.knows_changes_until(moved)
+                assert store_watcher.assignment_revisions["s"] == moved
+                store_watcher.stop()
+
+            loop.run_until_complete(step())
+
+
 class TestUpdateDuringRead:
     def test_read_that_lacks_a_concurrent_update_is_not_published(self):
         # During a slow read, a VM receives a configuration and a draining target from
@@ -217,7 +248,9 @@
                 store.watch = slow_watch
                 store.put("cfg", b"2")
                 store.put("t/a", json.dumps({"is_draining": True}).encode())
-                reading = asyncio.create_task(store_watcher._watch_all())
+                reading = asyncio.create_task(
+                    store_watcher._watch_all(CallCause.OTHER, 1.0)
+                )
                 await asyncio.sleep(0.1)
                 items = [item for item in store.log if item.revision > first_revision]
                 store_watcher.apply_delta(
@@ -226,7 +259,7 @@
                 await reading
                 assert published == []
                 store.put("t/b", b"{}")
-                await store_watcher._watch_all()
+                await store_watcher._watch_all(CallCause.OTHER, 1.0)
                 assert [item.key for item in published[0].items][-1] == "t/b"
 
             loop.run_until_complete(step())
