Keep what a VM has written while it reads all of the store

Keys of an unresponsive target can wait seconds too long after two changes of the coordinator: the second one takes the first one's term for not settled.

Cause: a read of all records that began before a VM's election and ends after it does not have the coordinator's key and term, and dropped them from the VM's view as removed; it published them as removed, too. _store_settled then failed with KeyError, so the term was never stored as settled.

Change: internal items newer than the read's revision stay known.

--- a/packages/entry/src/berylstage_entry/store_access/applied_items.py
+++ b/packages/entry/src/berylstage_entry/store_access/applied_items.py
@@ -227,9 +227,25 @@
         """Log the changes that have been batched for long enough, or all of them."""
         self._change_log.flush(self.configuration_version(), now(), force=force)
 
-    def drop_internal_items_except(self, keys: set[str]) -> None:
-        """Forget the internal items that the store no longer has."""
-        for key in [key for key in self.internal_items if key not in keys]:
+    def internal_keys_newer_than(self, revision: int) -> set[str]:
+        """Return the keys of the internal items that are newer than a revision."""
+        return {
+            key for key, item in self.internal_items.items() if item.revision > revision
+        }
+
+    def drop_internal_items_except(self, keys: set[str], revision: int) -> None:
+        """Forget the internal items that the store no longer has.
+
+        Parameters
+        ----------
+        keys : set of str
+            Keys that the store has.
+        revision : int
+            Revision at which it was read. Items that this VM has written since are not
+            among the keys.
+        """
+        kept = keys | self.internal_keys_newer_than(revision)
+        for key in [key for key in self.internal_items if key not in kept]:
             del self.internal_items[key]
             self.notify_listeners(key)
 
--- a/packages/entry/src/berylstage_entry/store_watcher.py
+++ b/packages/entry/src/berylstage_entry/store_watcher.py
@@ -549,6 +549,7 @@
             return
         names, closed, own = set(), set(), set()
         keys = {item.key for item in changes.items}
+        keys |= self._applied.internal_keys_newer_than(changes.revision)
         for key in self._applied.known_keys - keys:
             delta.add(Item(key, None, changes.revision))
         self._applied.known_keys = keys
@@ -565,7 +566,7 @@
         missing = self._cluster_view.drop_missing(
             names, closed, now(), self.in_outage()
         )
-        self._applied.drop_internal_items_except(own)
+        self._applied.drop_internal_items_except(own, changes.revision)
         delta.revision = self._revision = changes.revision
         self._publication.memory.extend(delta, now())
         self.has_synced = True
--- a/packages/entry/tests/test_store_watcher.py
+++ b/packages/entry/tests/test_store_watcher.py
@@ -10,6 +10,7 @@
 from berylstage_entry.clock import now
 from berylstage_entry.cluster_view import ClusterView
 from berylstage_entry.errors import StoreUnavailable
+from berylstage_entry.store import Item
 from berylstage_entry.store_access.call_counts import CallCause
 from berylstage_entry.store_access.read_timing import (
     OUTAGE_CALLS_PER_SECOND,
@@ -220,6 +221,47 @@
             loop.run_until_complete(step())
 
 
+class TestWriteDuringRead:
+    """Writes of a VM that reads all of the store meanwhile."""
+
+    def test_newer_items_stay(self):
+        # Guards against a coordinator that forgets its own term, which is then never
+        # stored as settled, because a read of all records began before its election.
+        with virtual_loop() as loop:
+            store = MemoryStore()
+            store.put("cfg", b"1")
+            store.put("berylstage/old", b"{}")
+            records = JsonRecords({1: configuration(1)})
+            store_watcher = StoreWatcher(store, records, ClusterView())
+            published = []
+            store_watcher.publish = published.append
+            store_watcher.is_publisher = lambda: True
+
+            async def step():
+                await store_watcher._read_all()
+                read = store.read
+
+                async def slow_read(prefix):
+                    changes = await read(prefix)
+                    await asyncio.sleep(0.3)
+                    return changes
+
+                store.read = slow_read
+                store.put("berylstage/old", None)
+                reading = asyncio.create_task(store_watcher._read_all())
+                await asyncio.sleep(0.1)
+                revision = store.put(COORDINATOR_KEY, b"{}")
+                item = Item(COORDINATOR_KEY, b"{}", revision)
+                store_watcher.apply_written_item(item)
+                await reading
+                assert store_watcher.internal_items == {COORDINATOR_KEY: item}
+                assert [(i.key, i.value) for i in published[0].items] == [
+                    ("berylstage/old", None)
+                ]
+
+            loop.run_until_complete(step())
+
+
 class TestUpdateDuringRead:
     def test_read_that_lacks_a_concurrent_update_is_not_published(self):
         # During a slow read, a VM receives a configuration and a draining target from
