Remove what only the survey of open connections used

Call.may_send, CallClient.has_open_connection and Connections.is_any_open had one caller each, in the proof by refused connections. Their tests go with them; that a descriptor which another socket has is left alone is tested at the one function that still asks, set_user_timeout.

--- a/packages/transfers/src/berylstage_transfers/call.py
+++ b/packages/transfers/src/berylstage_transfers/call.py
@@ -11,7 +11,6 @@
 from berylstage_transfers.raw_heads import check_folding
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
 
     from berylstage_transfers.chunked_body import ChunkedBody
 
@@ -44,9 +43,6 @@
         Lower-case name of the answer's header with the value ``echo``.
     allow_unframed : bool
         Whether an answer without a length may end by closing its connection.
-    may_send : callable, optional
-        Asked right before the first byte is sent; the call fails unless it returns
-        true.
     max_answer_bytes : int
         Limit of the answer's body.
     single_use : bool
@@ -103,7 +99,6 @@
         "headers",
         "header_lines",
         "is_malformed",
-        "may_send",
         "method",
         "opened_connection",
         "raw_head",
@@ -131,7 +126,6 @@
         fresh: bool = False,
         echo_header: bytes = b"request-id",
         allow_unframed: bool = False,
-        may_send: Callable[[], bool] | None = None,
         max_answer_bytes: int = MAX_BODY_BYTES,
         single_use: bool = False,
         unique_headers: frozenset[bytes] = frozenset(),
@@ -146,7 +140,6 @@
         self.single_use = single_use
         self.echo_header = echo_header
         self.unique_headers = unique_headers | {echo_header}
-        self.may_send = may_send
         self.allow_unframed = allow_unframed
         self.max_answer_bytes = max_answer_bytes
         self.deadline = 0.0
--- a/packages/transfers/src/berylstage_transfers/client.py
+++ b/packages/transfers/src/berylstage_transfers/client.py
@@ -241,13 +241,6 @@
         handle = self._find_handle(call) if call.sent else None
         return None if handle is None else handle.find_send_queue()
 
-    def has_open_connection(self) -> bool:
-        """Tell whether the server has not closed all connections of this client.
-
-        A connection over a lost link counts as open.
-        """
-        return self._connections.is_any_open()
-
     def _expire_queued(self, call: Call) -> None:
         if not call.started:
             fail_call(call, "no connection became available in time")
--- a/packages/transfers/src/berylstage_transfers/connections.py
+++ b/packages/transfers/src/berylstage_transfers/connections.py
@@ -96,10 +96,6 @@
         finally:
             sock.detach()
 
-    def is_any_open(self) -> bool:
-        """Tell whether there is a connection that the server has not closed."""
-        return any(_is_open(fd, port) for port, fd in self._fds.items())
-
 
 def has_events(fd: int, events: int) -> bool:
     """Tell whether a descriptor has any of some poll events now."""
--- a/packages/transfers/src/berylstage_transfers/curl_handle.py
+++ b/packages/transfers/src/berylstage_transfers/curl_handle.py
@@ -215,8 +215,6 @@
         elif not self._may_reuse(local_port):
             self.call.stale = True
             return pycurl.PREREQFUNC_ABORT
-        if self.call.may_send is not None and not self.call.may_send():
-            return pycurl.PREREQFUNC_ABORT
         body = self.call.body
         if body is not None and len(body) > BUFFERED_BODY_BYTES:
             timeout_ms = int(self.call.timeout * _MS_PER_SECOND)
--- a/packages/transfers/tests/test_client.py
+++ b/packages/transfers/tests/test_client.py
@@ -539,24 +539,6 @@
         run(scenario)
 
 
-class TestMaySend:
-    def test_call_that_may_no_longer_be_sent(self, open_server):
-        # Guards against a call that waits for a connection while the reason for it
-        # ends.
-        async def scenario():
-            async with open_server(OK) as script:
-                client = CallClient(1)
-                call = make_call(script)
-                call.may_send = lambda: False
-                with pytest.raises(NeverSent):
-                    await client.call(call)
-                assert not call.sent
-                assert not script.requests
-                client.close()
-
-        run(scenario)
-
-
 REJECTED = (
     b"HTTP/1.1 503 Service Unavailable\r\nRequest-Id: 1\r\nNot-Executed: 1\r\n"
     b"Content-Length: 0\r\n\r\n"
--- a/packages/transfers/tests/test_connections.py
+++ b/packages/transfers/tests/test_connections.py
@@ -13,6 +13,15 @@
 from scripted_calls import CLOSE, OK, answer_to, make_call, run
 
 
+def read_user_timeout(fd):
+    """Return the timeout in milliseconds of a socket's unacknowledged bytes."""
+    sock = socket.socket(fileno=fd)
+    try:
+        return sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT)
+    finally:
+        sock.detach()
+
+
 class TestKeptConnections:
     def test_a_lost_answer_retires_all_older_connections(self, open_server):
         # A middlebox loses the state of all open connections at once. The first call
@@ -141,36 +150,27 @@
 
         run(scenario)
 
-    def test_idle_connection_is_open_until_the_server_closes_it(self, open_server):
-        async def scenario():
-            async with open_server(OK, OK + CLOSE) as script:
-                client = CallClient(1)
-                assert not client.has_open_connection()
-                await client.call(make_call(script))
-                assert client.has_open_connection()
-                await client.call(make_call(script))
-                while not script.ended:
-                    await asyncio.sleep(0.001)
-                assert not client.has_open_connection()
-                client.close()
-
-        run(scenario)
 
+class TestUserTimeout:
     def test_descriptor_that_another_socket_has(self, open_server):
-        # Guards against taking another connection for one to this server.
+        # Guards against setting the timeout of another connection.
         async def scenario():
             async with open_server(OK) as script:
                 client = CallClient(1)
                 await client.call(make_call(script))
-                assert client.has_open_connection()
                 connections = client._connections
                 ((port, fd),) = connections._fds.items()
+                connections.set_user_timeout(port, 700)
+                assert read_user_timeout(fd) == 700
+                connections._fds = {port + 1: fd}
+                connections.set_user_timeout(port + 1, 900)
+                assert read_user_timeout(fd) == 700
                 with open("/dev/null") as other, socket.socket() as unconnected:
-                    for moved in ((port + 1, fd), (port, other.fileno())):
-                        connections._fds = dict([moved])
-                        assert not client.has_open_connection()
+                    connections._fds = {port: other.fileno()}
+                    connections.set_user_timeout(port, 900)
                     connections._fds = {port: unconnected.fileno()}
-                    assert not client.has_open_connection()
+                    connections.set_user_timeout(port, 900)
+                    assert read_user_timeout(unconnected.fileno()) == 0
                 client.close()
 
         run(scenario)
