Soak: an expired grant is no new one

The stand-in keeps expired grants, and the ledger recorded them as begun anew at each renewal of the target's other keys.

AssertionError: assert ['lookup-1 for key 7 ran at i-2 until 1556.69, i-1 was granted the key at 1556.63'] == []

Grants that have not expired are recorded as before, so nothing that is one goes unseen.

--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -204,7 +204,10 @@
         now = time.monotonic()
         self._end_grants(target, now)
         self._current_grants[target.name, target.incarnation] = [
-            GrantPeriod(target.name, a, b, now, end) for a, b, _, end in target.holds
+            # The target keeps expired grants, which begin no new period.
+            GrantPeriod(target.name, a, b, now, end)
+            for a, b, _, end in target.holds
+            if end > now
         ]
 
     def record_target_end(self, target: SoakTarget) -> None:
--- a/tests/test_soak_ledger.py
+++ b/tests/test_soak_ledger.py
@@ -114,6 +114,22 @@
         ledger.record_run_end(first, "lookup-1")
         assert ledger.find_violations() == []
 
+    def test_expired_grant_is_no_new_one(self, ledger):
+        # Guards against a target that counts as granted a key anew each time that its
+        # other keys are renewed.
+        former = FakeTarget("i-1", [(0, 99, 5, expires_in(0.01))])
+        ledger.record_grants(former)
+        time.sleep(0.02)
+        owner = FakeTarget("i-2", [(0, 99, 6, expires_in(3.0))])
+        ledger.record_grants(owner)
+        ledger.record_run(owner, "lookup-1", "7")
+        former.holds.append((100, 199, 7, expires_in(3.0)))
+        time.sleep(0.06)
+        ledger.record_grants(former)
+        time.sleep(0.06)
+        ledger.record_run_end(owner, "lookup-1")
+        assert ledger.find_violations() == []
+
     def test_ended_target_holds_nothing(self, ledger):
         first = FakeTarget("i-1", [(0, 99, 5, expires_in(3.0))])
         ledger.record_grants(first)
