--- a/Makefile
+++ b/Makefile
@@ -77,7 +77,7 @@
 bench-placement:  ## what each rule of the choice of a target earns, in a model
 	$(PY) -m berylstage_bench.placement
 
-soak:  ## faults one after the other, on the platform's stand-ins (SECONDS=60 SEED=1 STOPS=--stops|--suspended-stops|--hold-ups|--notices|--cuts|--silent-targets|--uploads|--crowds)
+soak:  ## faults one after the other, on the platform's stand-ins (SECONDS=60 SEED=1 STOPS=--stops|--suspended-stops|--hold-ups|--notices|--cuts|--target-cuts|--silent-targets|--uploads|--crowds)
 	$(PY) tests/soak/play.py --seconds $(or $(SECONDS),60) --seed $(or $(SEED),1) $(STOPS)
 
 bench-owned:  ## what each rule of dealing out busy keys earns, in a model
--- a/tests/soak/cut_faults.py
+++ b/tests/soak/cut_faults.py
@@ -6,7 +6,13 @@
 from base64 import b64decode
 from typing import TYPE_CHECKING
 
-from soak.faults import Fault
+from soak.faults import (
+    Fault,
+    TargetLeaving,
+    TargetReborn,
+    VmKilled,
+    VmsStopped,
+)
 from soak.target_links import CutMode
 
 if TYPE_CHECKING:
@@ -66,6 +72,25 @@
     mode = CutMode.REFUSING
 
 
+class TargetsCutOff(Fault):
+    """One or two targets are cut off from all VMs, in any way."""
+
+    duration_range = (0.2, 3.0)
+
+    async def begin(self, installation: Installation) -> str:
+        targets = [t for t in installation.targets if not t.links[0].is_cut]
+        drawn = self.rng.sample(targets, min(self.rng.randint(1, 2), len(targets)))
+        mode = self.rng.choice(list(CutMode))
+        self.links = [link for target in drawn for link in target.links]
+        for link in self.links:
+            link.cut(mode)
+        return f"{', '.join(target.name for target in drawn)} ({mode.value})"
+
+    async def end(self, installation: Installation) -> None:
+        for link in self.links:
+            link.heal()
+
+
 def find_coordinator(installation: Installation) -> str:
     """Return the address of the VM that holds the coordinator's lease, or ""."""
     for key, item in installation.store.items.items():
@@ -76,3 +101,13 @@
 
 
 CUTS: tuple[type[Fault], ...] = (VmsCutOff, VmsReset, VmsRefused)
+# Owners that are cut off while they crash, leave, and VMs stop and change.
+TARGET_CUTS: tuple[type[Fault], ...] = (
+    TargetsCutOff,
+    TargetsCutOff,
+    TargetsCutOff,
+    TargetReborn,
+    TargetLeaving,
+    VmsStopped,
+    VmKilled,
+)
--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -4,9 +4,10 @@
 only, ``STOPS=--suspended-stops`` for the same of VMs that are suspended meanwhile,
 ``STOPS=--hold-ups`` for short suspensions of VMs only, ``STOPS=--notices`` for
 targets that name limits, ask for rest or leave in their answers, ``STOPS=--cuts`` for
-VMs that lose their links to targets, ``STOPS=--silent-targets`` for targets that never
-answer what they cannot queue, ``STOPS=--uploads`` for uploads and slow readers, or
-``STOPS=--crowds`` for crowds of callers that ignore the limits, and stops. It
+VMs that lose their links to targets, ``STOPS=--target-cuts`` for targets that are cut
+off while others are lost and VMs stop, ``STOPS=--silent-targets`` for targets that
+never answer what they cannot queue, ``STOPS=--uploads`` for uploads and slow readers,
+or ``STOPS=--crowds`` for crowds of callers that ignore the limits, and stops. It
 prints the outcomes of requests and all violations, and exits with status 1 if there are
 violations. The seed determines faults and requests; processes are real, so the timing
 of two runs with the same seed differs.
@@ -32,7 +33,13 @@
 
 from soak.callers import ANSWER_TIMEOUT_SECONDS, Request  # noqa: E402
 from soak.crowds import CROWDS  # noqa: E402
-from soak.cut_faults import CUTS, VmsCutOff, VmsRefused, VmsReset  # noqa: E402
+from soak.cut_faults import (  # noqa: E402
+    CUTS,
+    TARGET_CUTS,
+    VmsCutOff,
+    VmsRefused,
+    VmsReset,
+)
 from soak.faults import (  # noqa: E402
     DEPARTURES,
     FAULTS,
@@ -146,6 +153,7 @@
 RESET_CUTS_MODE = SoakMode((VmsReset,), 4, 1.0, 3.0, True)
 # Cuts that overlap each other and everything else that befalls VMs, targets and store.
 MIXED_CUTS_MODE = SoakMode(CUTS + CUTS + FAULTS, 4, 0.1, 16.0, True)
+TARGET_CUTS_MODE = SoakMode(TARGET_CUTS, 4, 0.2, 16.0, True)
 REFUSED_CUTS_MODE = SoakMode((VmsRefused,), 4, 1.0, 3.0, True)
 SILENT_TARGETS_MODE = SoakMode(FILLED_QUEUES, 4, 0.4, 3.0, has_silent_targets=True)
 UPLOADS_MODE = SoakMode(HELD_BODIES, 4, 0.4, 3.0, has_uploads=True)
@@ -168,6 +176,7 @@
     ("--silent-cuts", "the same with links that lose all bytes", SILENT_CUTS_MODE),
     ("--reset-cuts", "the same with connections that are reset", RESET_CUTS_MODE),
     ("--refused-cuts", "the same with new connections refused", REFUSED_CUTS_MODE),
+    ("--target-cuts", "targets cut off, lost and VMs stopped", TARGET_CUTS_MODE),
     (
         "--silent-targets",
         "targets silent on what they can't queue",
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -50,6 +50,14 @@
         run_soak("--stops", "--seconds=8", "--seed=1")
 
 
+@pytest.mark.failures
+@pytest.mark.failures_ci
+class TestTargetCuts:
+    def test_cuts_of_owners_beside_stops(self):
+        # Guards against two owners of a key, because one of them was cut off.
+        run_soak("--target-cuts", "--seconds=12", "--seed=1")
+
+
 @pytest.mark.failures
 @pytest.mark.failures_ci
 class TestSuspendedStops:
