--- a/packages/entry/src/berylstage_entry/key_moves.py
+++ b/packages/entry/src/berylstage_entry/key_moves.py
@@ -246,7 +246,11 @@
             # 2.5 s in one case). Unlike a release, a grant sets a fence, so the target
             # then rejects the renewal.
             request = GrantRequest(
-                r.first, r.last, fence, self._election.grant_seconds()
+                r.first,
+                r.last,
+                fence,
+                self._election.grant_seconds(),
+                sets_fence=True,
             )
             sent = grants.record_sent(now(), request.seconds, r.first, r.last)
             try:
--- a/packages/entry/src/berylstage_entry/protocols.py
+++ b/packages/entry/src/berylstage_entry/protocols.py
@@ -185,18 +185,28 @@
         Seconds for which the grant is valid after its arrival.
     handover : str
         State that the previous owner handed over; empty if none.
+    sets_fence : bool
+        Whether its answer proves that the target has seen the fence. No answer to
+        another call may pass for it then.
     """
 
-    __slots__ = ("fence", "first", "handover", "seconds", "last")
+    __slots__ = ("fence", "first", "handover", "last", "seconds", "sets_fence")
 
     def __init__(
-        self, first: int, last: int, fence: int, seconds: float, handover: str = ""
+        self,
+        first: int,
+        last: int,
+        fence: int,
+        seconds: float,
+        handover: str = "",
+        sets_fence: bool = False,
     ):
         self.first = first
         self.last = last
         self.fence = fence
         self.seconds = seconds
         self.handover = handover
+        self.sets_fence = sets_fence
 
 
 class TargetProtocol(ABC):
--- a/tests/test_control_calls.py
+++ b/tests/test_control_calls.py
@@ -6,13 +6,16 @@
 import json
 import time
 
+import pytest
 from berylstage_adapter.record_reader import PlatformRecordReader
 from berylstage_adapter.target_protocol import PlatformTargetProtocol
 from berylstage_entry.protocols import GrantRequest
 from berylstage_entry.store import Item
+from berylstage_transfers.errors import AnswerLost
 from test_adapter import SERVER_RECORD
 
 RELEASE_SECONDS = 0.2
+RENEWED_FENCE = 1
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n%s\r\n"
 GRANTED = OK % b""
 RELEASED = OK % b"Berylstage-Handover: 5c0e\r\n"
@@ -49,11 +52,10 @@
         return RELEASED
 
 
-def run(scenario):
+def run(scenario, server=None):
     """Run a scenario with the protocol, a target and its server."""
 
-    async def play():
-        server = CopyingTarget()
+    async def play(server=server or CopyingTarget()):
         listener = await asyncio.start_server(server.serve, "127.0.0.1", 0)
         address = "127.0.0.1:{}".format(listener.sockets[0].getsockname()[1])
         record = json.dumps(SERVER_RECORD | {"address": address}).encode()
@@ -68,6 +70,37 @@
     asyncio.run(asyncio.wait_for(play(), 20))
 
 
+class SilentTarget(CopyingTarget):
+    """Answers renewals, and all else with a copy of its last answer, or nothing."""
+
+    async def serve(self, reader, writer):
+        """Serve one connection."""
+        self.connections += 1
+        answer = b""
+        try:
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                size = int(head.partition(b"Content-Length: ")[2].split()[0])
+                fence = json.loads(await reader.readexactly(size))["fence"]
+                writer.write(GRANTED if fence == RENEWED_FENCE else answer)
+                answer = GRANTED
+        except (asyncio.IncompleteReadError, ConnectionError):
+            writer.close()
+
+
+class TestRevocation:
+    def test_copy_of_another_answer_sets_no_fence(self):
+        # Guards against a late grant that gives keys back to their former owner, which
+        # seemed to have seen a higher fence.
+        async def scenario(protocol, target, server):
+            await protocol.grant(target, GrantRequest(0, 9, RENEWED_FENCE, 3.0), 1.0)
+            order = GrantRequest(0, 9, RENEWED_FENCE + 1, 3.0, sets_fence=True)
+            with pytest.raises(AnswerLost):
+                await protocol.grant(target, order, 0.3)
+
+        run(scenario, SilentTarget())
+
+
 class TestRelease:
     def test_copy_of_another_answer_ends_no_release(self):
         # Guards against keys that are granted on while their former owner still works
