Write no body in an answer to HEAD

Cause: responses were encoded without their request's method. Texts of the VM's own, the 401 and the 502 for what cannot be written as HTTP, have a body.

Evidence: the new test failed before:

TestCallerServer::test_refused_head_leaves_the_connection_in_step b'no workspace has this API key; send a key that your operator has issued\n HTTP/1.1 401 Unauthorized...'.startswith(b'HTTP/1.1 401') is False

--- a/packages/entry/src/berylstage_entry/connection.py
+++ b/packages/entry/src/berylstage_entry/connection.py
@@ -170,7 +170,9 @@
 
     def receive_head(self, head: RequestHead) -> None:
         """Create the exchange and interpret the request head."""
-        exchange = Exchange(head.method in SAFE_METHODS, head.keep_alive)
+        exchange = Exchange(
+            head.method in SAFE_METHODS, head.keep_alive, head.method == "HEAD"
+        )
         self._exchanges.append(exchange)
         self.memory.count_requests(len(self._exchanges))
         self._server.count_request()
@@ -601,7 +603,9 @@
             closing = exchange.closes_connection or self._is_last_response()
             if self._transport is not None and not self._transport.is_closing():
                 assert exchange.response is not None
-                self._transport.write(encode_response(exchange.response, closing))
+                self._transport.write(
+                    encode_response(exchange.response, closing, exchange.is_head)
+                )
                 self.memory.watch_untaken_answers(exchange)
             if closing:
                 self._close()
--- a/packages/entry/src/berylstage_entry/exchange.py
+++ b/packages/entry/src/berylstage_entry/exchange.py
@@ -23,6 +23,8 @@
         Whether the request may run concurrently with others of its connection.
     keep_alive : bool
         Whether the caller keeps the connection open for further requests.
+    is_head : bool
+        Whether the request's method is HEAD.
 
     Attributes
     ----------
@@ -56,6 +58,7 @@
         "declared_bytes",
         "ends_early",
         "is_complete",
+        "is_head",
         "is_safe",
         "is_upload",
         "keep_alive",
@@ -69,10 +72,11 @@
         "task",
     )
 
-    def __init__(self, is_safe: bool, keep_alive: bool):
+    def __init__(self, is_safe: bool, keep_alive: bool, is_head: bool = False):
         self.received_at = now()
         self.is_safe = is_safe
         self.keep_alive = keep_alive
+        self.is_head = is_head
         self.req: CallerRequest | None = None
         self.refusal: BadRequest | Refused | None = None
         # One growing buffer. Chunks that are joined at the end would leave gaps in the
--- a/packages/entry/src/berylstage_entry/responses.py
+++ b/packages/entry/src/berylstage_entry/responses.py
@@ -18,7 +18,8 @@
 UNAVAILABLE = 503
 GATEWAY_TIMEOUT = 504
 
-# Statuses whose responses have no body and therefore no Content-Length.
+# Statuses whose responses have no body and therefore no Content-Length. Nor has one to
+# HEAD: the length would be that of the body which the caller did not ask for.
 _STATUSES_WITHOUT_BODY = frozenset({NO_CONTENT, NOT_MODIFIED})
 _REASON_PHRASES = {status.value: status.phrase for status in HTTPStatus}
 # Statuses of answers that are not interim.
@@ -68,7 +69,9 @@
     return Response(status, [kind, *(headers or [])], f"{text}\n".encode())
 
 
-def encode_response(response: Response, closes_connection: bool) -> bytes:
+def encode_response(
+    response: Response, closes_connection: bool, answers_head: bool = False
+) -> bytes:
     """Encode a response as HTTP/1.1.
 
     A response that cannot be written as HTTP is replaced by one with status 502.
@@ -78,6 +81,9 @@
     response : Response
     closes_connection : bool
         Whether the connection closes after the response.
+    answers_head : bool
+        Whether the request's method is HEAD, so that the response has no body whoever
+        wrote it. The caller would read a body as the next response.
 
     Returns
     -------
@@ -94,7 +100,7 @@
     reason = _REASON_PHRASES.get(response.status, "Unknown")
     lines = [f"HTTP/1.1 {response.status} {reason}", *header_lines]
     body = response.body
-    if response.status in _STATUSES_WITHOUT_BODY:
+    if answers_head or response.status in _STATUSES_WITHOUT_BODY:
         body = b""
     else:
         lines.append(f"Content-Length: {len(body)}")
--- a/packages/entry/tests/test_responses.py
+++ b/packages/entry/tests/test_responses.py
@@ -3,9 +3,16 @@
 from __future__ import annotations
 
 import pytest
-from berylstage_entry.responses import Response, encode_response
+from berylstage_entry.responses import (
+    Response,
+    build_text_response,
+    encode_response,
+)
 
 SIGNATURE = ("x-signature", "x")
+TEXT = build_text_response(401, "Ask for a key.")
+# It is replaced by a text.
+INVALID = Response(200, [("x field", "1")], b"body")
 
 
 class TestEncodeResponse:
@@ -23,6 +30,13 @@
         assert raw.endswith(b"\r\n\r\n")
         assert b"Content-Length" not in raw
 
+    @pytest.mark.parametrize("response", [TEXT, Response(200, [], b"body"), INVALID])
+    def test_response_to_head_has_no_body(self, response):
+        # Guards against a body that the caller reads as its next response.
+        raw = encode_response(response, False, answers_head=True)
+        assert raw.endswith(b"\r\n\r\n")
+        assert b"Content-Length" not in raw
+
     @pytest.mark.parametrize(
         ("name", "value"),
         [
--- a/packages/entry/tests/test_server.py
+++ b/packages/entry/tests/test_server.py
@@ -117,6 +117,25 @@
 
         asyncio.run(scenario())
 
+    def test_refused_head_leaves_the_connection_in_step(self):
+        # Guards against a body after the answer to HEAD, which the caller reads as the
+        # answer to its next request.
+        class Router:
+            async def serve(self, req):
+                raise UnknownApiKey
+
+        async def scenario():
+            server, port = start_server(Router())
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            for _ in range(2):
+                writer.write(REQUEST.replace(b"GET", b"HEAD"))
+                head = await reader.readuntil(b"\r\n\r\n")
+                assert head.startswith(b"HTTP/1.1 401")
+            writer.close()
+            await server.close()
+
+        asyncio.run(scenario())
+
     def test_no_request_is_cut_during_shutdown(self):
         # The VM stops while callers keep using their open connections. If a request
         # were read at the last moment and not answered, its caller would not know
