Send the request target as it came

Cause: the target was a part of the URL that libcurl gets, which it normalises.

Evidence: before, 4 of 11 targets were changed or failed:

FAILED TestRequestTarget::test_target_is_sent_as_it_is[/caf%c3%a9] FAILED TestRequestTarget::test_target_is_sent_as_it_is[/a%2fb/c?d=%e2] FAILED TestRequestTarget::test_target_is_sent_as_it_is[/caf\xe9] FAILED TestRequestTarget::test_target_is_sent_as_it_is[/a#b?c]

--- a/packages/transfers/src/berylstage_transfers/call.py
+++ b/packages/transfers/src/berylstage_transfers/call.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import re
 from typing import TYPE_CHECKING
 
 from berylstage_transfers.answer_head import AnswerHead, InvalidAnswer, parse_head
@@ -17,6 +18,9 @@
 # Statuses whose answers have no body and therefore need no framing.
 BODILESS_STATUSES = frozenset({204, 304})
 
+# Characters that no request target has.
+_NO_TARGET = re.compile(rb"[\x00-\x20\x7f]")
+
 
 class Call:
     """An HTTP call and the state of its transfer.
@@ -38,6 +42,10 @@
         over a new connection.
     fresh : bool
         Whether to open a new connection.
+    origin : str
+        Start of the URL, up to the request target.
+    target : bytes
+        Request target, which is sent as it is.
     echo_header : bytes
         Lower-case name of the answer's header with the value ``echo``.
     allow_unframed : bool
@@ -86,7 +94,7 @@
     Raises
     ------
     NeverSent
-        A header contains a line break.
+        A header contains a line break, or the URL a blank or a control character.
     """
 
     __slots__ = (
@@ -110,6 +118,7 @@
         "is_malformed",
         "method",
         "opened_connection",
+        "origin",
         "passed_bytes",
         "raw_head",
         "read_before",
@@ -120,6 +129,7 @@
         "rejection",
         "stale",
         "surplus_bytes",
+        "target",
         "timeout",
         "timer",
         "allow_unframed",
@@ -144,6 +154,7 @@
     ):
         self.method = method
         self.url = url
+        self.origin, self.target = _split_url(url)
         self.headers = _header_lines(headers)
         self.body = body
         self.timeout = timeout
@@ -278,6 +289,24 @@
         return self.headers.get(name, b"").decode("latin-1")
 
 
+def _split_url(url: str) -> tuple[str, bytes]:
+    """Return the origin of an URL, and the request target.
+
+    libcurl would change a target that is a part of its URL: escapes get digits in upper
+    case, and what follows a number sign is dropped.
+
+    Raises
+    ------
+    NeverSent
+        The target contains a blank or a control character, which would end it.
+    """
+    start = url.find("/", len("http://"))
+    target = url[start:].encode("latin-1") if start >= 0 else b"/"
+    if _NO_TARGET.search(target):
+        raise NeverSent("the request target has a blank or a control character")
+    return (url[:start] if start >= 0 else url), target
+
+
 def _header_lines(headers: dict[str, str]) -> list[bytes]:
     """Return the header lines in the form that libcurl expects.
 
--- a/packages/transfers/src/berylstage_transfers/curl_handle.py
+++ b/packages/transfers/src/berylstage_transfers/curl_handle.py
@@ -124,7 +124,6 @@
         curl.setopt(pycurl.PROXY, "")
         curl.setopt(pycurl.NOSIGNAL, 1)
         curl.setopt(pycurl.UPLOAD_BUFFERSIZE, UPLOAD_BUFFER_BYTES)
-        curl.setopt(pycurl.PATH_AS_IS, 1)
         # Chunks are decoded by a stricter parser than that of libcurl, which only finds
         # out where the body ends.
         curl.setopt(pycurl.HTTP_TRANSFER_DECODING, 0)
@@ -144,7 +143,8 @@
         self.saw_reset = False
         call.started = True
         curl = self.curl
-        curl.setopt(pycurl.URL, call.url)
+        curl.setopt(pycurl.URL, call.origin)
+        curl.setopt(pycurl.REQUEST_TARGET, call.target)
         curl.setopt(pycurl.HTTPHEADER, call.headers + _SUPPRESSED_HEADERS)
         if call.body is None:
             curl.setopt(pycurl.HTTPGET, 1)
--- a/packages/transfers/tests/scripted_calls.py
+++ b/packages/transfers/tests/scripted_calls.py
@@ -29,9 +29,11 @@
     return re.sub(rb"(?i)(request-id: )1\r\n", rb"\g<1>%s\r\n" % call_id, raw)
 
 
-def make_call(script, echo="", timeout=10.0, fresh=False, body=b"", **options):
+def make_call(
+    script, echo="", timeout=10.0, fresh=False, body=b"", path="/work", **options
+):
     """Return a call to the scripted server, under a new id unless one is given."""
     echo = echo or f"call-{next(_numbers)}"
     headers = {"Request-Id": echo}
-    url = script.base + "/work"
+    url = script.base + path
     return Call("POST", url, headers, body, timeout, echo=echo, fresh=fresh, **options)
--- a/packages/transfers/tests/test_client.py
+++ b/packages/transfers/tests/test_client.py
@@ -539,6 +539,49 @@
         run(scenario)
 
 
+class TestRequestTarget:
+    @pytest.mark.parametrize(
+        "target",
+        [
+            "/caf%c3%a9",
+            "/a%2fb/c?d=%e2",
+            "/a/../b/./c//d/",
+            "//a",
+            "/a%zz%",
+            "/a;b=c?d=e&f?g/../h",
+            '/a\\b[c]|{d}^`"<>',
+            "/caf\xe9",
+            "/a?",
+            "/a#b?c",
+            "/?/",
+        ],
+    )
+    def test_target_is_sent_as_it_is(self, open_server, target):
+        # Guards against a server that runs another request than the caller sent.
+        async def scenario():
+            async with open_server(OK, OK) as script:
+                client = CallClient(1)
+                for other in (target, "/b"):
+                    call = make_call(script, path=other)
+                    assert (await client.call(call)).body == b"body"
+                sent = [head.split(b"\r\n")[0] for head in script.requests]
+                line = f"POST {target} HTTP/1.1".encode("latin-1")
+                assert sent == [line, b"POST /b HTTP/1.1"]
+                client.close()
+
+        run(scenario)
+
+    @pytest.mark.parametrize("character", [" ", "\t", "\r\n", "\x00", "\x7f"])
+    def test_target_that_would_end_early_is_not_sent(self, open_server, character):
+        # Guards against a request inside another one.
+        async def scenario():
+            async with open_server(OK) as script:
+                with pytest.raises(NeverSent):
+                    make_call(script, path=f"/a{character}b")
+
+        run(scenario)
+
+
 REJECTED = (
     b"HTTP/1.1 503 Service Unavailable\r\nRequest-Id: 1\r\nNot-Executed: 1\r\n"
     b"Content-Length: 0\r\n\r\n"
