Split the reading of requests from the connection

RequestIntake reads them within the limits and decides which are refused; the connection keeps the order of the answers, the idle and the closing. Methods moved without a change but for names.

--- a/packages/entry/src/berylstage_entry/connection.py
+++ b/packages/entry/src/berylstage_entry/connection.py
@@ -13,8 +13,6 @@
 from collections import deque
 from typing import TYPE_CHECKING
 
-from httptools import HttpParserError, HttpParserUpgrade
-
 from berylstage_entry.clock import now
 from berylstage_entry.errors import BadRequest, Refused
 from berylstage_entry.exchange import Exchange
@@ -23,12 +21,10 @@
 from berylstage_entry.memory.connection_memory import (
     MAX_UNPARSED_BYTES,
     ConnectionMemory,
-    compute_parse_bytes,
 )
 from berylstage_entry.request_errors import IMMEDIATE_RETRY_SECONDS
-from berylstage_entry.request_parser import RequestParser, RequestReceiver
+from berylstage_entry.request_intake import MAX_PIPELINED_REQUESTS, RequestIntake
 from berylstage_entry.responses import (
-    BAD_REQUEST,
     encode_response,
 )
 from berylstage_entry.sockets import (
@@ -43,27 +39,15 @@
     from socket import socket
 
     from berylstage_entry.protocols import CallerRequest
-    from berylstage_entry.request_head import RequestHead
     from berylstage_entry.server import CallerServer
 
-# Requests of one connection that are in progress or wait for their response to be
-# written. The limit exceeds what a browser sends at once and keeps a single caller from
-# using up the VM.
-MAX_PIPELINED_REQUESTS = 16
-# Maximum bytes of a request body that are read, whatever limit is configured.
-MAX_BODY_BYTES = 64 * 1024 * 1024
 # Seconds for which the rest of a request, or the first request of a new connection, may
 # still be in transit: twice the retransmission timeout of a lost packet.
 IN_TRANSIT_SECONDS = 0.5
-# Seconds for which one connection is parsed in a turn of the event loop.
-PARSE_TURN_SECONDS = 0.002
-
-# Methods whose requests may run concurrently with others of the same connection.
-SAFE_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
 CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
-class CallerConnection(asyncio.Protocol, RequestReceiver):
+class CallerConnection(asyncio.Protocol):
     """Reads the requests of one connection and writes the responses.
 
     Parameters
@@ -75,33 +59,24 @@
         self._server = server
         self.memory = ConnectionMemory(self, server.memory, server.body_limit)
         self._transport: asyncio.Transport | None = None
-        self._parser = RequestParser(self, server.header_limit)
-        self._unparsed = bytearray()
         # Requests in the order of arrival; their responses are written in this order.
         self._exchanges: deque[Exchange] = deque()
-        # Whether no more input is parsed, and whether the caller does not read its
-        # responses.
-        self._input_closed = False
-        self._write_paused = False
+        self.intake = RequestIntake(self, server, self._exchanges)
+        # Whether the caller does not read its responses.
+        self.is_write_paused = False
         self._is_reading = True
         # Whether only requests that have begun to arrive are still read.
         self._takes_no_new_requests = False
         self._idle_since = now()
-        # When bytes arrived last, and whether a complete request has been received.
+        # When bytes arrived last.
         self._last_data_at = now()
-        self._in_request = False
-        self._has_received_request = False
         self._last_request_id = ""
         # Whether the connection was idle and is closed in the next turn of the loop.
         self.is_closing_idle = False
         # Set once the last response is written.
         self._graceful_close: GracefulClose | None = None
         self._timer: asyncio.TimerHandle | None = None
-        # When the request that is being received has begun, and the timer of its head.
-        self.begun_at = now()
         self._head_timer = HeadTimer(self, lambda: server.header_timeout)
-        # Set while the rest of what was read waits for the next turn of the loop.
-        self._parse_handle: asyncio.Handle | None = None
 
     # Callbacks of the event loop.
 
@@ -116,22 +91,21 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel all requests, because the caller can no longer receive responses."""
-        for handle in (self._timer, self._parse_handle):
-            if handle is not None:
-                handle.cancel()
-        self._parse_handle = None
+        if self._timer is not None:
+            self._timer.cancel()
+        self.intake.cancel()
         self._head_timer.cancel()
         if exc is None and self._may_be_kept and self._server.keep_open(self):
             return
-        self._input_closed = True
+        self.intake.is_closed = True
         if exc is None:
             # The event loop closes the socket right after this call.
             self._server.count_closed_socket(self)
         if self._graceful_close is not None:
             self._graceful_close.cancel()
         self._cancel_exchanges()
-        self._unparsed.clear()
-        self.memory.count_input(len(self._unparsed))
+        self.intake.unparsed.clear()
+        self.memory.count_input(len(self.intake.unparsed))
         self.memory.count_head(0)
         self.memory.release_untaken_answers()
         self._server.remove_connection(self)
@@ -141,92 +115,44 @@
         self._last_data_at = now()
         if self.is_closing_idle:
             # A caller may send a request again once it sees the close.
-            self._input_closed = True
-        if self._input_closed:
+            self.intake.is_closed = True
+        if self.intake.is_closed:
             self.memory.record_dropped(len(data))
             return
-        self._unparsed += data
-        if self._parse_handle is None:
-            self._advance()
+        self.intake.unparsed += data
+        if not self.intake.waits_for_turn:
+            self.advance()
             return
-        self.memory.count_input(len(self._unparsed))
+        self.memory.count_input(len(self.intake.unparsed))
         self.update_reading()
 
     def pause_writing(self) -> None:
         """Start no more requests while the caller does not read its responses."""
-        self._write_paused = True
+        self.is_write_paused = True
 
     def resume_writing(self) -> None:
         """Resume once the caller reads its responses again."""
-        self._write_paused = False
-        self._advance()
-
-    # Callbacks of the parser.
+        self.is_write_paused = False
+        self.advance()
 
-    def begin_request(self) -> None:
-        """Take note that a request has begun to arrive."""
-        self._in_request = True
-        self.begun_at = now()
+    # Calls from the server, the memory and the intake.
 
-    def receive_head(self, head: RequestHead) -> None:
-        """Create the exchange and interpret the request head."""
-        exchange = Exchange(
-            head.method in SAFE_METHODS, head.keep_alive, head.method == "HEAD"
-        )
-        self._exchanges.append(exchange)
-        self.memory.count_requests(len(self._exchanges))
-        self._server.count_request()
-        try:
-            exchange.req = self._server.protocol.parse_request(
-                head.method, head.target, head.fields
-            )
-        except BadRequest as exc:
-            exchange.refusal = exc
-            exchange.declared_bytes = head.declared_bytes
-            exchange.ends_early = True
-            return
-        exchange.deadline = exchange.received_at + exchange.req.time_left
-        exchange.declared_bytes = head.declared_bytes
-        if not self.memory.admit_head(exchange, head.fields):
-            return
-        is_upload = self._server.is_upload(exchange.req)
-        if not self.memory.admit_body(exchange, head.declared_bytes, is_upload):
-            return
-        expects_continue = any(
-            name.lower() == "expect" and value.lower() == "100-continue"
-            for name, value in head.fields
-        )
-        is_first = len(self._exchanges) == 1
-        if expects_continue and is_first and self._transport is not None:
+    def write_continue(self) -> None:
+        """Tell the caller to send the body of its request."""
+        if self._transport is not None:
             self._transport.write(CONTINUE_RESPONSE)
 
-    def receive_body(self, body: bytes) -> None:
-        """Buffer a part of the body, within the size and memory limits."""
-        self.memory.receive_body(self._exchanges[-1], body)
-
-    def complete_request(self) -> None:
-        """Mark the request as completely received."""
-        exchange = self._exchanges[-1]
-        exchange.is_complete = True
-        if exchange.body_timer is not None:
-            exchange.body_timer.cancel()
-        self._in_request = False
-        self._has_received_request = True
-        if exchange.closes_connection:
-            # Anything after this request is not parsed, so it is never executed.
-            self._input_closed = True
-
-    # Calls from the server and the memory.
-
     def end_unfinished_body(self) -> None:
         """Answer the last request, which is refused before its body is complete."""
-        self._end_early()
-        self._advance()
+        self.intake.end_early()
+        self.advance()
 
     @property
     def is_serving(self) -> bool:
         """Whether a request is being received or served."""
-        return bool(self._exchanges or self._unparsed) or self._in_request
+        return (
+            bool(self._exchanges or self.intake.unparsed) or self.intake.is_in_request
+        )
 
     @property
     def unacknowledged_bytes(self) -> int:
@@ -270,7 +196,7 @@
 
     @property
     def _may_be_kept(self) -> bool:
-        return self.is_closing_idle and not self._input_closed
+        return self.is_closing_idle and not self.intake.is_closed
 
     def duplicate_socket(self) -> socket | None:
         """Return a duplicate of the socket, which stays open when the transport closes.
@@ -302,7 +228,7 @@
         for exchange in self._exchanges:
             if exchange.req is not None:
                 return exchange.req.request_id
-        return "" if self._in_request else self._last_request_id
+        return "" if self.intake.is_in_request else self._last_request_id
 
     def stop_taking_requests(self) -> None:
         """Read no requests beyond those that have begun to arrive.
@@ -322,12 +248,12 @@
         """
         if self.is_closing_idle:
             return False
-        is_expected = self._in_request or not self._has_received_request
+        is_expected = self.intake.is_in_request or not self.intake.has_received_request
         if is_expected and now() - self._last_data_at <= IN_TRANSIT_SECONDS:
             return False
         if (
             self._exchanges
-            or self._unparsed
+            or self.intake.unparsed
             or self._graceful_close is not None
             or self.unacknowledged_bytes
             or self.has_unread_bytes()
@@ -343,10 +269,16 @@
         It waits for the first byte of a request, or for the rest of one that is the
         only one of the connection.
         """
-        if self.is_closing_idle or self._graceful_close is not None or self._unparsed:
+        if (
+            self.is_closing_idle
+            or self._graceful_close is not None
+            or self.intake.unparsed
+        ):
             return None
         if not self._exchanges:
-            return self.begun_at if self._in_request else self._idle_since
+            return (
+                self.intake.begun_at if self.intake.is_in_request else self._idle_since
+            )
         first = self._exchanges[0]
         return first.received_at if not first.is_complete else None
 
@@ -355,7 +287,7 @@
         refusal = Refused("connections", IMMEDIATE_RETRY_SECONDS)
         if self._exchanges:
             self.memory.refuse_unfinished(self._exchanges[0], refusal)
-        elif self._in_request:
+        elif self.intake.is_in_request:
             self.refuse_unfinished_head(refusal)
         else:
             return self.close_if_idle()
@@ -363,8 +295,8 @@
 
     def refuse_unfinished_head(self, exc: BadRequest | Refused) -> None:
         """Refuse the request whose head is being received."""
-        self._reject(exc)
-        self._advance()
+        self.intake.reject(exc)
+        self.advance()
 
     def abort_if_peer_closed(self) -> None:
         """Abort if the caller has closed the connection while reading is paused.
@@ -382,9 +314,9 @@
 
     def close_now(self) -> None:
         """Close the connection regardless of pending work; start nothing more."""
-        self._input_closed = True
-        self._unparsed.clear()
-        self.memory.count_input(len(self._unparsed))
+        self.intake.is_closed = True
+        self.intake.unparsed.clear()
+        self.memory.count_input(len(self.intake.unparsed))
         self.memory.count_head(0)
         if self._transport is not None:
             self._transport.close()
@@ -404,133 +336,23 @@
 
     # Reading.
 
-    def _advance(self) -> None:
+    def advance(self) -> None:
         """Parse, start and answer requests until no more progress is possible."""
         answered = False
         while True:
-            self._parse()
+            self.intake.parse()
             self._start_ready_requests()
             if not self._write_ready_responses():
                 break
             answered = True
-        if answered and not self._exchanges and not self._input_closed:
+        if answered and not self._exchanges and not self.intake.is_closed:
             self._idle_since = now()
         self._head_timer.watch()
-        self._watch_body()
-        self.memory.count_input(len(self._unparsed))
-        self._count_head()
+        self.intake.watch_body()
+        self.memory.count_input(len(self.intake.unparsed))
+        self.memory.count_head(self.intake.unfinished_head_bytes)
         self.update_reading()
 
-    def _count_head(self) -> None:
-        size = self._parser.unfinished_head_bytes if self.is_receiving_head else 0
-        self.memory.count_head(size)
-
-    @property
-    def is_receiving_head(self) -> bool:
-        """Whether a request head has begun to arrive and is not complete."""
-        is_in_body = bool(self._exchanges) and not self._exchanges[-1].is_complete
-        return self._in_request and not is_in_body and not self._input_closed
-
-    @property
-    def has_unparsed_bytes(self) -> bool:
-        """Whether bytes have been read and not parsed."""
-        return bool(self._unparsed)
-
-    def _watch_body(self) -> None:
-        """Bound the time in which the rest of the last request's body may arrive."""
-        last = self._exchanges[-1] if self._exchanges else None
-        if last is None or last.is_complete or last.body_timer is not None:
-            return
-        if last.req is not None:
-            left = last.deadline - now()
-            limit = self._server.body_timeout(last.req)
-            self.memory.start_body_timer(last, min(left, limit))
-
-    def _parse(self) -> None:
-        """Parse what may be parsed, for one turn's share of the event loop."""
-        end = now() + PARSE_TURN_SECONDS
-        while self._unparsed and not self._input_closed and self._may_parse():
-            last = self._exchanges[-1] if self._exchanges else None
-            size = compute_parse_bytes(last)
-            chunk = bytes(self._unparsed[:size])
-            del self._unparsed[:size]
-            try:
-                self._parser.feed(chunk)
-            except BadRequest as exc:
-                self._reject(exc)
-            except HttpParserUpgrade:
-                self._close_after_last()
-            except HttpParserError as exc:
-                self._reject(BadRequest(BAD_REQUEST, f"invalid HTTP request: {exc}"))
-            if self._exchanges and self._exchanges[-1].body_size > MAX_BODY_BYTES:
-                self._close_after_last()
-            last = self._exchanges[-1] if self._exchanges else None
-            if last is not None and last.ends_early and not last.is_complete:
-                self._end_early()
-            if self._unparsed and now() >= end:
-                self._schedule_parse()
-                break
-        if self._input_closed:
-            self._unparsed.clear()
-
-    def _schedule_parse(self) -> None:
-        """Go on parsing in the next turn of the event loop.
-
-        Callers that send many short chunks would otherwise hold up all others.
-        """
-        if self._parse_handle is None:
-            loop = asyncio.get_running_loop()
-            self._parse_handle = loop.call_soon(self._resume_parsing)
-
-    def _resume_parsing(self) -> None:
-        self._parse_handle = None
-        self._advance()
-
-    def _may_parse(self) -> bool:
-        if not self._exchanges:
-            return True
-        is_last_complete = self._exchanges[-1].is_complete
-        if len(self._exchanges) == 1 and not is_last_complete:
-            # Reading must go on, because no other event would complete its body.
-            return True
-        if self._write_paused or not self._server.memory.allows_pipelining:
-            return False
-        return len(self._exchanges) - (not is_last_complete) < MAX_PIPELINED_REQUESTS
-
-    def _end_early(self) -> None:
-        """Answer the last request before its body is complete; read no more requests.
-
-        The rest of the body is read and dropped.
-        """
-        exchange = self._exchanges[-1]
-        self.memory.start_dropping(exchange, len(self._unparsed))
-        exchange.is_complete = True
-        self._input_closed = True
-        self._in_request = False
-        self._unparsed.clear()
-
-    def _close_after_last(self) -> None:
-        """Stop parsing, and close the connection after the last request's response."""
-        self._input_closed = True
-        if self._exchanges and not self._exchanges[-1].is_complete:
-            self._reject(BadRequest(BAD_REQUEST, "incomplete request"))
-        elif self._exchanges:
-            self._exchanges[-1].keep_alive = False
-
-    def _reject(self, exc: BadRequest | Refused) -> None:
-        """Reject the request that is being received, and stop parsing."""
-        self._input_closed = True
-        last = self._exchanges[-1] if self._exchanges else None
-        if last is None or last.is_complete:
-            last = Exchange(False, False)
-            self._exchanges.append(last)
-            self.memory.count_requests(len(self._exchanges))
-            self._server.count_request()
-        self._in_request = False
-        last.is_complete = True
-        last.refusal = exc
-        self.memory.drop_body(last)
-
     def update_reading(self) -> None:
         """Pause or resume reading, depending on the bytes and memory in use."""
         if self._transport is None or self._transport.is_closing():
@@ -538,10 +360,12 @@
         if self._graceful_close is not None:
             return
         is_finished = (
-            self._takes_no_new_requests and self._exchanges and not self._in_request
+            self._takes_no_new_requests
+            and self._exchanges
+            and not self.intake.is_in_request
         )
-        reads = len(self._unparsed) < MAX_UNPARSED_BYTES and not is_finished
-        is_idle = not self._exchanges and not self._in_request
+        reads = len(self.intake.unparsed) < MAX_UNPARSED_BYTES and not is_finished
+        is_idle = not self._exchanges and not self.intake.is_in_request
         if is_idle and self._server.memory.pauses_reading:
             reads = False
         if reads != self._is_reading:
@@ -555,7 +379,7 @@
 
     def _start_ready_requests(self) -> None:
         """Start the requests that need not wait for earlier ones."""
-        is_blocked = self._write_paused or not self._server.memory.allows_pipelining
+        is_blocked = self.is_write_paused or not self._server.memory.allows_pipelining
         for index, exchange in enumerate(self._exchanges):
             if not exchange.is_complete or index == MAX_PIPELINED_REQUESTS:
                 return
@@ -589,7 +413,7 @@
             self.memory.release(exchange)
         exchange.response = response
         self.memory.reserve_response(exchange, len(response.body))
-        self._advance()
+        self.advance()
 
     def _write_ready_responses(self) -> bool:
         """Write all responses that are next in order; return whether there were any."""
@@ -619,13 +443,13 @@
         Callers take ``Connection: close`` to mean that no request after this response
         was accepted. Requests that have been read are therefore answered first.
         """
-        has_more = self._exchanges or self._unparsed or self._in_request
+        has_more = self._exchanges or self.intake.unparsed or self.intake.is_in_request
         return self._server.is_stopping and not has_more
 
     def _close(self) -> None:
         """Close once all output is acknowledged; later requests get no response."""
-        self._input_closed = True
-        self._in_request = False
+        self.intake.is_closed = True
+        self.intake.is_in_request = False
         self._cancel_exchanges()
         if self._transport is not None and not self._transport.is_closing():
             self._graceful_close = GracefulClose(
@@ -652,7 +476,7 @@
         left = self._idle_since + self._server.idle_timeout - now()
         if self._exchanges:
             left = self._server.idle_timeout
-        elif left <= 0 and (self._unparsed or self.has_unread_bytes()):
+        elif left <= 0 and (self.intake.unparsed or self.has_unread_bytes()):
             # A request arrived before the timeout. Either the event loop was late, or
             # reading is paused until memory is free.
             left = UNREAD_POLL_SECONDS
--- a/packages/entry/src/berylstage_entry/head_timer.py
+++ b/packages/entry/src/berylstage_entry/head_timer.py
@@ -37,7 +37,7 @@
 
     def watch(self) -> None:
         """Start the timer if a head is being received."""
-        if self._handle is None and self._conn.is_receiving_head:
+        if self._handle is None and self._conn.intake.is_receiving_head:
             self._schedule(self._timeout())
 
     def cancel(self) -> None:
@@ -53,10 +53,10 @@
     def _check(self) -> None:
         self._handle = None
         conn = self._conn
-        if not conn.is_receiving_head:
+        if not conn.intake.is_receiving_head:
             return
-        left = conn.begun_at + self._timeout() - now()
-        if left <= 0 and (conn.has_unparsed_bytes or conn.has_unread_bytes()):
+        left = conn.intake.begun_at + self._timeout() - now()
+        if left <= 0 and (conn.intake.unparsed or conn.has_unread_bytes()):
             # The rest may have arrived in time. Either the event loop was late, or
             # earlier requests of the connection hold up the parsing.
             left = UNREAD_POLL_SECONDS
--- a/packages/entry/src/berylstage_entry/memory/buffer_memory.py
+++ b/packages/entry/src/berylstage_entry/memory/buffer_memory.py
@@ -121,8 +121,8 @@
             self._end_heads_handle = None
         if not self.budget.missing_head_bytes(size):
             return
-        conns = [conn for conn in self.connections() if conn.is_receiving_head]
-        conns.sort(key=lambda conn: conn.begun_at)
+        conns = [conn for conn in self.connections() if conn.intake.is_receiving_head]
+        conns.sort(key=lambda conn: conn.intake.begun_at)
         for conn in conns:
             if not self.budget.missing_head_bytes(size):
                 break
--- a/packages/entry/src/berylstage_entry/server.py
+++ b/packages/entry/src/berylstage_entry/server.py
@@ -10,7 +10,7 @@
 
 from berylstage_entry.caller_listener import CallerListener
 from berylstage_entry.clock import now
-from berylstage_entry.connection import MAX_BODY_BYTES, CallerConnection
+from berylstage_entry.connection import CallerConnection
 from berylstage_entry.connection_limit import (
     WaitingConnection,
     compute_max_connections,
@@ -20,6 +20,7 @@
 from berylstage_entry.log_rate_limiter import LogRateLimiter
 from berylstage_entry.memory.buffer_memory import BufferMemory
 from berylstage_entry.request_errors import IMMEDIATE_RETRY_SECONDS
+from berylstage_entry.request_intake import MAX_BODY_BYTES
 from berylstage_entry.responses import (
     BAD_GATEWAY,
     BAD_REQUEST,
--- a/packages/entry/tests/test_connection.py
+++ b/packages/entry/tests/test_connection.py
@@ -5,12 +5,13 @@
 import asyncio
 
 import pytest
-from berylstage_entry import connection
-from berylstage_entry.connection import MAX_PIPELINED_REQUESTS, CallerConnection
+from berylstage_entry import request_intake
+from berylstage_entry.connection import CallerConnection
 from berylstage_entry.errors import Refused
 from berylstage_entry.memory.connection_memory import MAX_UNPARSED_BYTES
 from berylstage_entry.metrics import Metrics
 from berylstage_entry.protocols import CallerProtocol, CallerRequest, TargetAnswer
+from berylstage_entry.request_intake import MAX_PIPELINED_REQUESTS
 from berylstage_entry.request_log import RequestLog
 from berylstage_entry.routed_answer import RoutedAnswer
 from berylstage_entry.server import CallerServer
@@ -217,7 +218,7 @@
             harness.send(post("/a"))
             harness.send(b"".join(post("/b", b"y" * 900) for _ in range(100)))
             assert not harness.transport.reading
-            assert len(harness.conn._unparsed) < MAX_UNPARSED_BYTES + 100_000
+            assert len(harness.conn.intake.unparsed) < MAX_UNPARSED_BYTES + 100_000
             await harness.run_loop()
             await harness.finish("/a")
             while harness.server.in_flight:
@@ -692,7 +693,7 @@
         self, run_in_virtual_time, monkeypatch
     ):
         # Guards against bodies that take long to parse and hold up all other callers.
-        monkeypatch.setattr(connection, "PARSE_TURN_SECONDS", 0.0)
+        monkeypatch.setattr(request_intake, "PARSE_TURN_SECONDS", 0.0)
 
         async def step(harness):
             head = b"POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -717,7 +718,7 @@
         self, run_in_virtual_time, monkeypatch
     ):
         # Guards against a stop that loses requests which wait to be parsed.
-        monkeypatch.setattr(connection, "PARSE_TURN_SECONDS", 0.0)
+        monkeypatch.setattr(request_intake, "PARSE_TURN_SECONDS", 0.0)
 
         async def step(harness):
             filler = b"\r\n" * 3000
