--- a/tests/test_cut_heads.py
+++ b/tests/test_cut_heads.py
@@ -9,8 +9,8 @@
 
 import pytest
 from answer_readers import ALL_CALLS, TARGET_CALLS
+from answered_vm import HEALTHY, AnsweredVm, run
 from malformed_server import BODY, LENGTH, MalformedServer, build_answer
-from test_malformed_answers import MalformedEnvironment, run
 
 HEAD_END = b"\r\n\r\n"
 INTERIM = b"HTTP/1.1 100 Continue\r\n\r\n"
@@ -125,31 +125,21 @@
     def choose_answer(self, head):
         """Return the answer to a request."""
         if b"attempt-id" not in head.lower():
-            return (
-                b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n"
-                b"Berylstage-Backend-Load: 0,0,100,100\r\n\r\n"
-            )
+            return HEALTHY
         return super().choose_answer(head)
 
 
-class CuttingEnvironment(MalformedEnvironment):
-    """Targets that end inside the heads of their answers, and one VM."""
-
-    def __init__(self, folder):
-        super().__init__(folder)
-        self.targets = [CuttingTarget() for _ in self.targets]
-
-    async def find_wrong_answers(self, body):
-        """Return the answers that callers get in place of a 502."""
-        wrong = []
-        for raw in FRAMINGS.values():
-            for cut in find_cuts(raw)[::VM_STEP]:
-                for target in self.targets:
-                    target.raw = raw[:cut]
-                answer, _ = await self.send("POST", "/o/x", body)
-                if int(answer.split()[1]) != BAD_GATEWAY:
-                    wrong.append((raw[:cut], answer))
-        return wrong
+async def find_wrong_answers(environment, body):
+    """Return the answers that callers get in place of a 502."""
+    wrong = []
+    for raw in FRAMINGS.values():
+        for cut in find_cuts(raw)[::VM_STEP]:
+            for target in environment.targets:
+                target.raw = raw[:cut]
+            answer, _ = await environment.send("POST", "/o/x", body)
+            if int(answer.split()[1]) != BAD_GATEWAY:
+                wrong.append((raw[:cut], answer))
+    return wrong
 
 
 class TestVm:
@@ -160,10 +150,10 @@
         body = b"x" * EARLY_BODY_BYTES if is_early else b""
 
         async def play():
-            async with CuttingEnvironment(tmp_path) as environment:
+            async with AnsweredVm(tmp_path, CuttingTarget) as environment:
                 for target in environment.targets:
                     target.is_early = is_early
-                wrong = await environment.find_wrong_answers(body)
+                wrong = await find_wrong_answers(environment, body)
                 assert all(target.requests for target in environment.targets)
                 for target in environment.targets:
                     target.raw, target.is_early = FRAMINGS["length"], False
--- a/tests/test_malformed_answers.py
+++ b/tests/test_malformed_answers.py
@@ -2,10 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
-import json
-import time
-
 import pytest
 from answer_readers import (
     ALL_CALLS,
@@ -16,6 +12,7 @@
     read_entry,
     read_report,
 )
+from answered_vm import AnsweredVm, MalformedTarget, run
 from berylstage_platform.errors import StoreUnavailable as PlatformUnavailable
 from berylstage_targets.errors import TargetError
 from malformed_server import (
@@ -26,108 +23,33 @@
     MalformedServer,
     build_answer,
 )
-from platform_standin import StoreState, store_application
-from stop_environment import CONFIGURATION
-from test_start import VmProcess, free_port, wait_until
-from tornado.httpserver import HTTPServer
-
-TARGETS = 4
-TIMEOUT_SECONDS = 2.0
-DEADLINE_MS = 2000
+
 # Time within which an answer that is refused must have ended its request.
 MAX_SECONDS = 1.0
-OK = 200
 BAD_GATEWAY = 502
-HEALTHY = (
-    b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\nBerylstage-Backend-Load: 0,0,100,100\r\n"
-    b"\r\n"
-)
 # Of a target, which names itself and the request.
 TARGET_ANSWERS = MALFORMED_ANSWERS | CONTRADICTORY_ANSWERS
 every_malformed_answer = pytest.mark.parametrize("name", MALFORMED_ANSWERS)
 
 
-def run(scenario):
-    """Run a test's coroutine to completion."""
-    return asyncio.run(asyncio.wait_for(scenario, 60))
-
-
-class MalformedTarget(MalformedServer):
-    """A target whose health checks are answered well."""
-
-    def choose_answer(self, head):
-        """Return the answer to a request."""
-        if b"attempt-id" not in head.lower():
-            return HEALTHY
-        return super().choose_answer(head)
-
-
-class MalformedEnvironment:
-    """Context manager with a store, targets with malformed answers, and one VM."""
-
-    def __init__(self, folder):
-        self._folder = folder
-        self._servers = []
-        self._last_number = 0
-        self.targets = [MalformedTarget(closes=False) for _ in range(TARGETS)]
-        self.vm = None
-
-    async def __aenter__(self):
-        state, store_port = StoreState(), free_port()
-        HTTPServer(store_application(state)).listen(store_port, "127.0.0.1")
-        for number, target in enumerate(self.targets):
-            server = await asyncio.start_server(target.serve, "127.0.0.1", 0)
-            self._servers.append(server)
-            port = server.sockets[0].getsockname()[1]
-            record = {
-                "address": f"127.0.0.1:{port}",
-                "born": 1,
-                "info": {"service": "s", "version": "v", "zone": "a", "slots": 100},
-                "status": {"state": "ready", "sequence": 1, "warmup_left_ms": 0},
-            }
-            state.put(f"servers/s-{number}", json.dumps(record).encode())
-        state.put("op/config", json.dumps(CONFIGURATION).encode())
-        self.vm = VmProcess(1, self._folder, store_port)
-        await wait_until(self.vm.is_ready)
-        return self
-
-    async def __aexit__(self, *exc):
-        self.vm.process.kill()
-        self.vm.process.wait()
-        for server in self._servers:
-            server.close()
-        while any(target.connections for target in self.targets):
-            await asyncio.sleep(0.01)
-
-    async def send(self, method, path, body=b""):
-        """Return all bytes of the answer to a request, and its seconds."""
-        self._last_number += 1
-        request = (
-            f"{method} {path} HTTP/1.1\r\nHost: h.example\r\n"
-            f"Berylstage-Attempt-Id: {self._last_number}\r\n"
-            f"Berylstage-Deadline-Ms: {DEADLINE_MS}\r\nContent-Length: {len(body)}\r\n"
-            "Connection: close\r\n\r\n"
-        )
-        began = time.monotonic()
-        reader, writer = await asyncio.open_connection(self.vm.ip, self.vm.ports[0])
-        writer.write(request.encode() + body)
-        raw = await reader.read()
-        writer.close()
-        return raw, time.monotonic() - began
-
-    async def find_faults(self, name, closes):
-        """Return what is wrong with the answers that callers get."""
-        for target in self.targets:
-            target.raw, target.closes = TARGET_ANSWERS[name], closes
-        faults = []
-        for method, path in (("GET", "/a/x"), ("POST", "/o/x")):
-            raw, seconds = await self.send(method, path)
-            status = int(raw.split()[1])
-            if status != BAD_GATEWAY or b"signature" in raw.lower():
-                faults.append((name, closes, method, raw))
-            if seconds > MAX_SECONDS:
-                faults.append((name, closes, method, f"{seconds:.1f} s"))
-        return faults
+def make_malformed_target():
+    """Return a target that keeps its connections."""
+    return MalformedTarget(closes=False)
+
+
+async def find_faults(environment, name, closes):
+    """Return what is wrong with the answers that callers get."""
+    for target in environment.targets:
+        target.raw, target.closes = TARGET_ANSWERS[name], closes
+    faults = []
+    for method, path in (("GET", "/a/x"), ("POST", "/o/x")):
+        raw, seconds = await environment.send(method, path)
+        status = int(raw.split()[1])
+        if status != BAD_GATEWAY or b"signature" in raw.lower():
+            faults.append((name, closes, method, raw))
+        if seconds > MAX_SECONDS:
+            faults.append((name, closes, method, f"{seconds:.1f} s"))
+    return faults
 
 
 class TestVm:
@@ -135,10 +57,10 @@
     def test_no_malformed_answer_reaches_a_caller(self, tmp_path, closes):
         # Guards against a body or a line that is not the target's, with its signature.
         async def play():
-            async with MalformedEnvironment(tmp_path) as environment:
+            async with AnsweredVm(tmp_path, make_malformed_target) as environment:
                 faults = []
                 for name in TARGET_ANSWERS:
-                    faults += await environment.find_faults(name, closes)
+                    faults += await find_faults(environment, name, closes)
                 assert all(target.requests for target in environment.targets)
                 for target in environment.targets:
                     target.raw, target.closes = build_answer(LENGTH), False
@@ -156,7 +78,7 @@
     def test_lookups_are_served_by_other_targets(self, tmp_path):
         # Guards against callers who get 502 although a lookup may be sent again.
         async def play():
-            async with MalformedEnvironment(tmp_path) as environment:
+            async with AnsweredVm(tmp_path, make_malformed_target) as environment:
                 for target in environment.targets:
                     target.raw = build_answer(LENGTH)
                 environment.targets[0].raw = MALFORMED_ANSWERS["name with a blank"]
